--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+GO ?= go
+SEED ?= 1
+DURATION ?= 30s
+
+.PHONY: all build demo test soak bench lint generate
+
+all: build
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	bin/egretramp-demo
+
+test:
+	$(GO) test ./...
+
+soak: build
+	bin/egretramp-soak --seed $(SEED) --duration $(DURATION)
+
+bench: build
+	bin/egretramp-bench
+
+lint:
+	@unformatted=$$(gofmt -l cmd internal); \
+	if [ -n "$$unformatted" ]; then echo "gofmt would change: $$unformatted"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool staticcheck ./...
+
+# Needs buf, protoc-gen-go and protoc-gen-go-drpc on the PATH; the output is committed.
+generate:
+	buf generate
--- /dev/null
+++ b/cmd/egretrampctl/main.go
@@ -0,0 +1,4 @@
+// Command egretrampctl is the operators' tool.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/config/types.go
@@ -0,0 +1,136 @@
+// Package config holds the operators' file: its schema, its checks, and the lookup of
+// client accounts, services and models under all of their names.
+//
+// A file is accepted or refused as a whole. Checking it needs no state but the file; what
+// depends on earlier files (generation order, withdrawn keys) is decided by package control.
+package config
+
+// File is the operators' file, JSON with comments. One file describes everything.
+type File struct {
+	// Generation orders the files: a file replaces another only with a higher one. At least 1.
+	Generation uint64 `json:"generation"`
+	// Schemes are the names of the naming schemes, three in a migrated deployment. Each
+	// client account, service and model may have one name in each of them.
+	Schemes []string `json:"schemes"`
+	// CutoffLimitSeconds is how long a zone that is cut off from control goes on with keyed
+	// work under its last configuration. Seconds; default 600.
+	CutoffLimitSeconds float64 `json:"cutoff_limit_seconds,omitempty"`
+	// ClientAccounts are the callers' accounts.
+	ClientAccounts []ClientAccount `json:"client_accounts"`
+	// Models are the models that engines serve.
+	Models []Model `json:"models"`
+	// Services are the plain and tool services.
+	Services []Service `json:"services"`
+	// Routes say who may call what. A call that no route matches is refused.
+	Routes []Route `json:"routes"`
+	// Upstreams are the classes of upstreams that may announce themselves.
+	Upstreams []UpstreamClass `json:"upstreams"`
+}
+
+// Named is what client accounts, models and services have in common: a canonical ID, which
+// limits, budgets and records hang on, and at most one name in each naming scheme.
+type Named struct {
+	// ID is the canonical ID: 1 to 64 characters of a-z, 0-9, '.', '_' and '-'.
+	ID string `json:"id"`
+	// Names maps a naming scheme to the name there. A name may also contain capitals, '/' and ':'.
+	Names map[string]string `json:"names,omitempty"`
+}
+
+// ClientAccount is a caller's account.
+type ClientAccount struct {
+	Named
+	// RatePerSecond is the sustained request rate over the whole fleet. Requests a second, above 0.
+	RatePerSecond float64 `json:"rate_per_second"`
+	// Burst is how many requests may come at once over the whole fleet. Requests, at least 1.
+	Burst float64 `json:"burst"`
+	// Weight is the account's part in fair queueing. Default 1.
+	Weight float64 `json:"weight,omitempty"`
+	// CutoffLimitSeconds overrides the file's value for this account. Seconds.
+	CutoffLimitSeconds float64 `json:"cutoff_limit_seconds,omitempty"`
+	// ProgramTokens is the most tokens one program may use, sub-agents included. Default 1,000,000.
+	ProgramTokens int64 `json:"program_tokens,omitempty"`
+	// ProgramCalls is the most calls one program may make, sub-agents included. Default 1,000.
+	ProgramCalls int64 `json:"program_calls,omitempty"`
+	// Keys are the keys in force. A key that a later file leaves out is withdrawn for good.
+	Keys []Key `json:"keys"`
+}
+
+// Key is a caller's key, kept as a hash only.
+type Key struct {
+	// ID names the key in reports and withdrawals; it is unique in the file and never used again.
+	ID string `json:"id"`
+	// SHA256 is the SHA-256 of the key, 64 lower-case hex digits.
+	SHA256 string `json:"sha256"`
+}
+
+// Model is a model that engines serve.
+type Model struct {
+	Named
+	// MaxTokens is the completion length reserved for a call that names none. Tokens; default 1,024.
+	MaxTokens int64 `json:"max_tokens,omitempty"`
+}
+
+// Service is a plain or tool service.
+type Service struct {
+	Named
+	// Repeatable says that every call may be repeated. Default false: only GET and HEAD may.
+	Repeatable bool `json:"repeatable,omitempty"`
+	// TimeoutSeconds ends a call that hangs. Seconds; default 30.
+	TimeoutSeconds float64 `json:"timeout_seconds,omitempty"`
+	// Concurrency bounds the calls under way at one upstream. Default 64.
+	Concurrency int `json:"concurrency,omitempty"`
+}
+
+// Route allows calls to one model or service.
+type Route struct {
+	// ID names the route in reports.
+	ID string `json:"id"`
+	// Model is the model that the route leads to, under any of its names; "*" for all.
+	Model string `json:"model,omitempty"`
+	// Service is the service that the route leads to, under any of its names. A route has
+	// either a model or a service.
+	Service string `json:"service,omitempty"`
+	// PathPrefix narrows a service route to paths below it; it starts with '/'. Default "/".
+	PathPrefix string `json:"path_prefix,omitempty"`
+	// Open lets callers in without a key. Default false. Only service routes may be open.
+	Open bool `json:"open,omitempty"`
+	// Accounts are the client accounts that may use the route, under any of their names.
+	// Empty: all of them.
+	Accounts []string `json:"accounts,omitempty"`
+	// TimeoutSeconds overrides the service's timeout on this route. Seconds.
+	TimeoutSeconds float64 `json:"timeout_seconds,omitempty"`
+}
+
+// UpstreamKind is what an upstream does.
+type UpstreamKind string
+
+// The kinds of upstreams.
+const (
+	KindEngine      UpstreamKind = "engine"
+	KindService     UpstreamKind = "service"
+	KindWeightStore UpstreamKind = "weight_store"
+)
+
+// UpstreamClass admits the announcements of a set of upstreams.
+type UpstreamClass struct {
+	// ID is named in announcements.
+	ID string `json:"id"`
+	// Kind is what these upstreams do.
+	Kind UpstreamKind `json:"kind"`
+	// Secret signs the announcements (HMAC-SHA256). At least 16 characters.
+	Secret string `json:"secret"`
+	// Serves are the models or services that the class may announce, under any name; empty: all.
+	Serves []string `json:"serves,omitempty"`
+	// Zones are the zones that the class may announce itself in; empty: all.
+	Zones []string `json:"zones,omitempty"`
+}
+
+// Defaults of the optional fields.
+const (
+	DefaultCutoffLimitSeconds    = 600
+	DefaultProgramTokens         = 1_000_000
+	DefaultProgramCalls          = 1_000
+	DefaultModelMaxTokens        = 1_024
+	DefaultServiceTimeoutSeconds = 30
+	DefaultServiceConcurrency    = 64
+)
--- /dev/null
+++ b/internal/events/events.go
@@ -0,0 +1,86 @@
+// Package events defines the numbered log events of all slices and the logger that writes
+// them. Each slice declares its events in a file of this package, in a number range of its
+// own; docs/EVENTS.md lists them all and a test keeps it true.
+package events
+
+import (
+	"fmt"
+	"sort"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Event is one kind of log entry. ID never changes its meaning once released.
+type Event struct {
+	ID     int
+	Level  zapcore.Level
+	Text   string
+	Action string // what an operator should do; empty if nothing
+}
+
+var catalogue = map[int]Event{}
+
+// define registers an event; it panics if its number is taken, which a test run shows.
+func define(id int, level zapcore.Level, text, action string) Event {
+	if _, taken := catalogue[id]; taken {
+		panic(fmt.Sprintf("events: number %d is defined twice", id))
+	}
+	e := Event{ID: id, Level: level, Text: text, Action: action}
+	catalogue[id] = e
+	return e
+}
+
+// All returns the catalogue in the order of the numbers.
+func All() []Event {
+	all := make([]Event, 0, len(catalogue))
+	for _, e := range catalogue {
+		all = append(all, e)
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
+	return all
+}
+
+// Logger writes numbered events. The zero value and nil discard everything.
+type Logger struct {
+	zap *zap.Logger
+}
+
+// New returns a logger that writes JSON lines to standard error, with the VM's name in each.
+func New(vm string, level zapcore.Level) (*Logger, error) {
+	cfg := zap.NewProductionConfig()
+	cfg.Level = zap.NewAtomicLevelAt(level)
+	cfg.Sampling = nil
+	cfg.DisableCaller = true
+	cfg.DisableStacktrace = true
+	cfg.EncoderConfig.EncodeTime = zapcore.ISO8601TimeEncoder
+	z, err := cfg.Build()
+	if err != nil {
+		return nil, err
+	}
+	return &Logger{zap: z.With(zap.String("vm", vm))}, nil
+}
+
+// FromZap returns a logger that writes to z; tests pass an observer.
+func FromZap(z *zap.Logger) *Logger {
+	return &Logger{zap: z}
+}
+
+// Emit writes one event. Keys, prompts and answers must never be among the fields.
+func (l *Logger) Emit(e Event, fields ...zap.Field) {
+	if l == nil || l.zap == nil {
+		return
+	}
+	entry := l.zap.Check(e.Level, e.Text)
+	if entry == nil {
+		return
+	}
+	entry.Write(append([]zap.Field{zap.Int("event", e.ID)}, fields...)...)
+}
+
+// Sync flushes what is buffered.
+func (l *Logger) Sync() {
+	if l != nil && l.zap != nil {
+		_ = l.zap.Sync()
+	}
+}
--- /dev/null
+++ b/internal/settings/types.go
@@ -0,0 +1,51 @@
+// Package settings reads a process's own settings file: who it is, where it listens, and
+// which other VMs it starts from. Everything shared is in the operators' file instead.
+package settings
+
+// Settings is the file, JSON with comments.
+type Settings struct {
+	// VM is this VM's name, unique in the fleet: 1 to 64 characters of a-z, 0-9 and '-'.
+	VM string `json:"vm"`
+	// Zone is the availability zone that the VM stands in.
+	Zone string `json:"zone"`
+	// Listen are the addresses that the daemon listens on, IP:port each.
+	Listen Listen `json:"listen"`
+	// DataFolder is where a VM with a disk keeps its state. Empty: no disk, entry role only.
+	DataFolder string `json:"data_folder,omitempty"`
+	// Peers are all VMs known at start, this one included.
+	Peers []Peer `json:"peers"`
+	// ShutdownLimitSeconds bounds a graceful shutdown. Seconds; default 600.
+	ShutdownLimitSeconds float64 `json:"shutdown_limit_seconds,omitempty"`
+	// LogLevel is debug, info, warn or error. Default info.
+	LogLevel string `json:"log_level,omitempty"`
+}
+
+// Listen are the four listeners of a daemon.
+type Listen struct {
+	// Callers takes callers' HTTP requests.
+	Callers string `json:"callers"`
+	// Upstreams takes upstreams' announcements.
+	Upstreams string `json:"upstreams"`
+	// Peers takes connections from other VMs.
+	Peers string `json:"peers"`
+	// Admin takes operators' requests.
+	Admin string `json:"admin"`
+}
+
+// Peer is one VM as known at start.
+type Peer struct {
+	// VM is its name.
+	VM string `json:"vm"`
+	// Zone is its availability zone.
+	Zone string `json:"zone"`
+	// Address is its listener for other VMs, IP:port.
+	Address string `json:"address"`
+	// Control says that it has a data folder and is an initial voter of the replicated groups.
+	Control bool `json:"control,omitempty"`
+}
+
+// Defaults of the optional fields.
+const (
+	DefaultShutdownLimitSeconds = 600
+	DefaultLogLevel             = "info"
+)
