--- /dev/null
+++ b/internal/peer/call.go
@@ -0,0 +1,68 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/peer/peerpb"
+)
+
+// codeInternal marks handler errors without a code of their own.
+const codeInternal = "internal"
+
+// Call runs method on vm and returns its result. Errors: *UnreachableError if the call surely
+// did not arrive, *LostError if it may have run, *RemoteError from the handler.
+func (n *Node) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
+	if vm == n.opts.VM {
+		return n.serveCall(ctx, vm, method, payload)
+	}
+	l := n.link(vm)
+	if l == nil {
+		return nil, &UnreachableError{VM: vm, Cause: errors.New("unknown VM")}
+	}
+	if n.isCut(vm) {
+		return nil, &UnreachableError{VM: vm, Cause: errCut}
+	}
+	n.stats.CallsMade.Add(1)
+	return l.call(ctx, &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload})
+}
+
+func (l *link) call(ctx context.Context, req *peerpb.CallRequest) ([]byte, error) {
+	conn := l.takeIdle()
+	if conn == nil {
+		var err error
+		conn, err = l.dial(ctx)
+		if err != nil {
+			return nil, &UnreachableError{VM: l.vm, Cause: err}
+		}
+	}
+	resp, err := peerpb.NewDRPCPeerClient(conn).Call(ctx, req)
+	if err != nil {
+		_ = conn.Close()
+		return nil, &LostError{VM: l.vm, Cause: err}
+	}
+	l.putIdle(conn)
+	if resp.ErrorCode != "" {
+		return nil, &RemoteError{Code: resp.ErrorCode, Message: resp.ErrorMessage}
+	}
+	return resp.Payload, nil
+}
+
+// serveCall runs a handler. Errors without a code become *RemoteError with code "internal".
+func (n *Node) serveCall(ctx context.Context, from, method string, payload []byte) ([]byte, error) {
+	h, ok := n.calls[method]
+	if !ok {
+		return nil, &RemoteError{Code: "unknown_method", Message: method}
+	}
+	n.stats.CallsServed.Add(1)
+	result, err := h(ctx, from, payload)
+	if err == nil {
+		return result, nil
+	}
+	var remote *RemoteError
+	if errors.As(err, &remote) {
+		return nil, remote
+	}
+	return nil, &RemoteError{Code: codeInternal, Message: err.Error()}
+}
--- /dev/null
+++ b/internal/peer/serve.go
@@ -0,0 +1,113 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
+
+	"egretramp/internal/peer/peerpb"
+)
+
+// server implements the drpc service.
+type server struct {
+	node *Node
+}
+
+var errSilent = errors.New("the other VM fell silent")
+
+func (n *Node) serve(ctx context.Context, listener net.Listener) error {
+	mux := drpcmux.New()
+	if err := peerpb.DRPCRegisterPeer(mux, &server{node: n}); err != nil {
+		return err
+	}
+	err := drpcserver.New(mux).Serve(ctx, &countedListener{Listener: listener, stats: &n.stats})
+	if ctx.Err() != nil {
+		return nil
+	}
+	return err
+}
+
+// Call serves one call from another VM.
+func (s *server) Call(ctx context.Context, req *peerpb.CallRequest) (*peerpb.CallResponse, error) {
+	if s.node.isCut(req.From) {
+		return nil, errCut
+	}
+	result, err := s.node.serveCall(ctx, req.From, req.Method, req.Payload)
+	if err != nil {
+		var remote *RemoteError
+		errors.As(err, &remote)
+		return &peerpb.CallResponse{ErrorCode: remote.Code, ErrorMessage: remote.Message}, nil
+	}
+	return &peerpb.CallResponse{Payload: result}, nil
+}
+
+// Messages takes another VM's messages and answers its heartbeats.
+func (s *server) Messages(stream peerpb.DRPCPeer_MessagesStream) error {
+	heard := make(chan struct{}, 1)
+	failed := make(chan error, 1)
+	var wg conc.WaitGroup
+	wg.Go(func() { failed <- s.receive(stream, heard) })
+	err := s.beat(stream, heard, failed)
+	_ = stream.Close()
+	wg.Wait()
+	return err
+}
+
+func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, heard chan<- struct{}) error {
+	for {
+		envelope, err := stream.Recv()
+		if err != nil {
+			return err
+		}
+		if s.node.isCut(envelope.From) {
+			return errCut
+		}
+		signal(heard)
+		if envelope.Kind != "" {
+			s.node.deliver(envelope.From, envelope.Kind, envelope.Payload)
+		}
+	}
+}
+
+// beat sends heartbeats until the stream fails or the other side falls silent.
+func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, heard <-chan struct{}, failed <-chan error) error {
+	heartbeat := time.NewTicker(HeartbeatInterval)
+	defer heartbeat.Stop()
+	silence := time.NewTimer(SilenceLimit)
+	defer silence.Stop()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-silence.C:
+			return errSilent
+		case <-heard:
+			silence.Reset(SilenceLimit)
+			continue
+		case <-heartbeat.C:
+		}
+		if err := stream.Send(&peerpb.Envelope{From: s.node.opts.VM}); err != nil {
+			return err
+		}
+	}
+}
+
+// countedListener counts the bytes of the connections it accepts.
+type countedListener struct {
+	net.Listener
+	stats *Stats
+}
+
+// Accept wraps the next connection.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, stats: l.stats}, nil
+}
