Read settings and the operators' file strictly, with all problems at once

Both files are JSON with comments. One package decodes them from the syntax tree, so that each problem has a line and a column; bounds stand in struct tags beside the fields. Weighed: encoding/json with DisallowUnknownFields, which stops at the first problem and knows no lines.

--- /dev/null
+++ b/internal/config/parse.go
@@ -0,0 +1,57 @@
+package config
+
+import (
+	"egretramp/internal/jsonfile"
+)
+
+// Parse checks the text of an operators' file and fills in the defaults. The name stands in
+// the error, a jsonfile.Problems with all that is wrong.
+func Parse(name string, text []byte) (*File, error) {
+	f := &File{}
+	doc := jsonfile.Decode(name, text, MaxBytes, f)
+	if doc.Parsed() {
+		c := newChecker(doc, f)
+		c.checkSchemes()
+		c.checkItems()
+		c.checkKeys()
+		c.checkRoutes()
+		c.checkUpstreams()
+	}
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	f.fillDefaults()
+	return f, nil
+}
+
+func (f *File) fillDefaults() {
+	setDefault(&f.CutoffLimitSeconds, DefaultCutoffLimitSeconds)
+	for i := range f.ClientAccounts {
+		a := &f.ClientAccounts[i]
+		setDefault(&a.Weight, DefaultWeight)
+		setDefault(&a.CutoffLimitSeconds, f.CutoffLimitSeconds)
+		setDefault(&a.ProgramTokens, DefaultProgramTokens)
+		setDefault(&a.ProgramCalls, DefaultProgramCalls)
+	}
+	for i := range f.Models {
+		setDefault(&f.Models[i].MaxTokens, DefaultModelMaxTokens)
+	}
+	for i := range f.Services {
+		setDefault(&f.Services[i].TimeoutSeconds, DefaultServiceTimeoutSeconds)
+		setDefault(&f.Services[i].Concurrency, DefaultServiceConcurrency)
+	}
+	for i := range f.Routes {
+		if f.Routes[i].Service != "" {
+			setDefault(&f.Routes[i].PathPrefix, DefaultPathPrefix)
+		}
+	}
+}
+
+// setDefault fills in a field that the file leaves out. A zero in the file never gets here:
+// the checks refuse it.
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -8,13 +8,13 @@
 // File is the operators' file, JSON with comments. One file describes everything.
 type File struct {
 	// Generation orders the files: a file replaces another only with a higher one. At least 1.
-	Generation uint64 `json:"generation"`
+	Generation uint64 `json:"generation" check:"min=1,max=9007199254740991"`
 	// Schemes are the names of the naming schemes, three in a migrated deployment. Each
 	// client account, service and model may have one name in each of them.
-	Schemes []string `json:"schemes"`
+	Schemes []string `json:"schemes" check:"format=id"`
 	// CutoffLimitSeconds is how long a zone that is cut off from control goes on with keyed
 	// work under its last configuration. Seconds; default 600.
-	CutoffLimitSeconds float64 `json:"cutoff_limit_seconds,omitempty"`
+	CutoffLimitSeconds float64 `json:"cutoff_limit_seconds,omitempty" check:"above=0,max=604800"`
 	// ClientAccounts are the callers' accounts.
 	ClientAccounts []ClientAccount `json:"client_accounts"`
 	// Models are the models that engines serve.
@@ -31,26 +31,26 @@
 // limits, budgets and records hang on, and at most one name in each naming scheme.
 type Named struct {
 	// ID is the canonical ID: 1 to 64 characters of a-z, 0-9, '.', '_' and '-'.
-	ID string `json:"id"`
+	ID string `json:"id" check:"format=id"`
 	// Names maps a naming scheme to the name there. A name may also contain capitals, '/' and ':'.
-	Names map[string]string `json:"names,omitempty"`
+	Names map[string]string `json:"names,omitempty" check:"format=name"`
 }
 
 // ClientAccount is a caller's account.
 type ClientAccount struct {
 	Named
 	// RatePerSecond is the sustained request rate over the whole fleet. Requests a second, above 0.
-	RatePerSecond float64 `json:"rate_per_second"`
+	RatePerSecond float64 `json:"rate_per_second" check:"above=0,max=1000000"`
 	// Burst is how many requests may come at once over the whole fleet. Requests, at least 1.
-	Burst float64 `json:"burst"`
+	Burst float64 `json:"burst" check:"min=1,max=10000000"`
 	// Weight is the account's part in fair queueing. Default 1.
-	Weight float64 `json:"weight,omitempty"`
+	Weight float64 `json:"weight,omitempty" check:"above=0,max=1000000"`
 	// CutoffLimitSeconds overrides the file's value for this account. Seconds.
-	CutoffLimitSeconds float64 `json:"cutoff_limit_seconds,omitempty"`
+	CutoffLimitSeconds float64 `json:"cutoff_limit_seconds,omitempty" check:"above=0,max=604800"`
 	// ProgramTokens is the most tokens one program may use, sub-agents included. Default 1,000,000.
-	ProgramTokens int64 `json:"program_tokens,omitempty"`
+	ProgramTokens int64 `json:"program_tokens,omitempty" check:"min=1,max=1000000000000"`
 	// ProgramCalls is the most calls one program may make, sub-agents included. Default 1,000.
-	ProgramCalls int64 `json:"program_calls,omitempty"`
+	ProgramCalls int64 `json:"program_calls,omitempty" check:"min=1,max=1000000000"`
 	// Keys are the keys in force. A key that a later file leaves out is withdrawn for good.
 	Keys []Key `json:"keys"`
 }
@@ -58,16 +58,16 @@
 // Key is a caller's key, kept as a hash only.
 type Key struct {
 	// ID names the key in reports and withdrawals; it is unique in the file and never used again.
-	ID string `json:"id"`
+	ID string `json:"id" check:"format=id"`
 	// SHA256 is the SHA-256 of the key, 64 lower-case hex digits.
-	SHA256 string `json:"sha256"`
+	SHA256 string `json:"sha256" check:"format=sha256"`
 }
 
 // Model is a model that engines serve.
 type Model struct {
 	Named
 	// MaxTokens is the completion length reserved for a call that names none. Tokens; default 1,024.
-	MaxTokens int64 `json:"max_tokens,omitempty"`
+	MaxTokens int64 `json:"max_tokens,omitempty" check:"min=1,max=10000000"`
 }
 
 // Service is a plain or tool service.
@@ -76,29 +76,29 @@
 	// Repeatable says that every call may be repeated. Default false: only GET and HEAD may.
 	Repeatable bool `json:"repeatable,omitempty"`
 	// TimeoutSeconds ends a call that hangs. Seconds; default 30.
-	TimeoutSeconds float64 `json:"timeout_seconds,omitempty"`
+	TimeoutSeconds float64 `json:"timeout_seconds,omitempty" check:"above=0,max=86400"`
 	// Concurrency bounds the calls under way at one upstream. Default 64.
-	Concurrency int `json:"concurrency,omitempty"`
+	Concurrency int `json:"concurrency,omitempty" check:"min=1,max=100000"`
 }
 
 // Route allows calls to one model or service.
 type Route struct {
 	// ID names the route in reports.
-	ID string `json:"id"`
+	ID string `json:"id" check:"format=id"`
 	// Model is the model that the route leads to, under any of its names; "*" for all.
-	Model string `json:"model,omitempty"`
+	Model string `json:"model,omitempty" check:"format=reference"`
 	// Service is the service that the route leads to, under any of its names. A route has
 	// either a model or a service.
-	Service string `json:"service,omitempty"`
+	Service string `json:"service,omitempty" check:"format=name"`
 	// PathPrefix narrows a service route to paths below it; it starts with '/'. Default "/".
-	PathPrefix string `json:"path_prefix,omitempty"`
+	PathPrefix string `json:"path_prefix,omitempty" check:"format=path"`
 	// Open lets callers in without a key. Default false. Only service routes may be open.
 	Open bool `json:"open,omitempty"`
 	// Accounts are the client accounts that may use the route, under any of their names.
 	// Empty: all of them.
-	Accounts []string `json:"accounts,omitempty"`
+	Accounts []string `json:"accounts,omitempty" check:"format=name"`
 	// TimeoutSeconds overrides the service's timeout on this route. Seconds.
-	TimeoutSeconds float64 `json:"timeout_seconds,omitempty"`
+	TimeoutSeconds float64 `json:"timeout_seconds,omitempty" check:"above=0,max=86400"`
 }
 
 // UpstreamKind is what an upstream does.
@@ -114,23 +114,36 @@
 // UpstreamClass admits the announcements of a set of upstreams.
 type UpstreamClass struct {
 	// ID is named in announcements.
-	ID string `json:"id"`
+	ID string `json:"id" check:"format=id"`
 	// Kind is what these upstreams do.
-	Kind UpstreamKind `json:"kind"`
+	Kind UpstreamKind `json:"kind" check:"oneof=engine|service|weight_store"`
 	// Secret signs the announcements (HMAC-SHA256). At least 16 characters.
-	Secret string `json:"secret"`
+	Secret string `json:"secret" check:"minlen=16"`
 	// Serves are the models or services that the class may announce, under any name; empty: all.
-	Serves []string `json:"serves,omitempty"`
+	Serves []string `json:"serves,omitempty" check:"format=name"`
 	// Zones are the zones that the class may announce itself in; empty: all.
-	Zones []string `json:"zones,omitempty"`
+	Zones []string `json:"zones,omitempty" check:"format=host"`
 }
 
+// Bounds of a file.
+const (
+	// MaxBytes bounds its text. Bytes; about twice what 9,900 accounts with two keys each need.
+	MaxBytes = 8 << 20
+	// MaxSchemes bounds the naming schemes.
+	MaxSchemes = 3
+)
+
+// AllModels stands in a route for all models.
+const AllModels = "*"
+
 // Defaults of the optional fields.
 const (
 	DefaultCutoffLimitSeconds    = 600
+	DefaultWeight                = 1
 	DefaultProgramTokens         = 1_000_000
 	DefaultProgramCalls          = 1_000
 	DefaultModelMaxTokens        = 1_024
 	DefaultServiceTimeoutSeconds = 30
 	DefaultServiceConcurrency    = 64
+	DefaultPathPrefix            = "/"
 )
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -5,9 +5,9 @@
 // Settings is the file, JSON with comments.
 type Settings struct {
 	// VM is this VM's name, unique in the fleet: 1 to 64 characters of a-z, 0-9 and '-'.
-	VM string `json:"vm"`
+	VM string `json:"vm" check:"format=host"`
 	// Zone is the availability zone that the VM stands in.
-	Zone string `json:"zone"`
+	Zone string `json:"zone" check:"format=host"`
 	// Listen are the addresses that the daemon listens on, IP:port each.
 	Listen Listen `json:"listen"`
 	// DataFolder is where a VM with a disk keeps its state. Empty: no disk, entry role only.
@@ -15,35 +15,41 @@
 	// Peers are all VMs known at start, this one included.
 	Peers []Peer `json:"peers"`
 	// ShutdownLimitSeconds bounds a graceful shutdown. Seconds; default 600.
-	ShutdownLimitSeconds float64 `json:"shutdown_limit_seconds,omitempty"`
+	ShutdownLimitSeconds float64 `json:"shutdown_limit_seconds,omitempty" check:"above=0,max=86400"`
 	// LogLevel is debug, info, warn or error. Default info.
-	LogLevel string `json:"log_level,omitempty"`
+	LogLevel string `json:"log_level,omitempty" check:"oneof=debug|info|warn|error"`
 }
 
 // Listen are the four listeners of a daemon.
 type Listen struct {
 	// Callers takes callers' HTTP requests.
-	Callers string `json:"callers"`
+	Callers string `json:"callers" check:"format=address"`
 	// Upstreams takes upstreams' announcements.
-	Upstreams string `json:"upstreams"`
+	Upstreams string `json:"upstreams" check:"format=address"`
 	// Peers takes connections from other VMs.
-	Peers string `json:"peers"`
+	Peers string `json:"peers" check:"format=address"`
 	// Admin takes operators' requests.
-	Admin string `json:"admin"`
+	Admin string `json:"admin" check:"format=address"`
 }
 
 // Peer is one VM as known at start.
 type Peer struct {
 	// VM is its name.
-	VM string `json:"vm"`
+	VM string `json:"vm" check:"format=host"`
 	// Zone is its availability zone.
-	Zone string `json:"zone"`
+	Zone string `json:"zone" check:"format=host"`
 	// Address is its listener for other VMs, IP:port.
-	Address string `json:"address"`
+	Address string `json:"address" check:"format=address"`
 	// Control says that it has a data folder and is an initial voter of the replicated groups.
 	Control bool `json:"control,omitempty"`
 }
 
+// Bounds of a settings file.
+const (
+	MaxBytes        = 1 << 20 // bytes of text
+	MaxControlPeers = 8       // VMs that may be set aside for control
+)
+
 // Defaults of the optional fields.
 const (
 	DefaultShutdownLimitSeconds = 600
