--- /dev/null
+++ b/internal/dispatch/client.go
@@ -0,0 +1,312 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"sync"
+	"time"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/config"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+)
+
+const callTimeout = time.Second
+
+// ClientOptions configure a Client.
+type ClientOptions struct {
+	Zone    string
+	Network Network
+	Locator Locator
+	Clock   func() time.Duration // default clock.Now
+}
+
+// Client asks dispatchers for grants on behalf of calls that arrived at this VM.
+type Client struct {
+	opts ClientOptions
+
+	mu        sync.Mutex
+	waiting   map[string]*waiter
+	running   map[string]Held
+	summaries map[upstream.Pool]summary
+}
+
+type waiter struct {
+	enqueue Enqueue
+	replies chan Reply
+}
+
+type summary struct {
+	load schedule.Load
+	at   time.Duration
+}
+
+// NewClient returns a client; Run repeats its soft state.
+func NewClient(opts ClientOptions) *Client {
+	if opts.Clock == nil {
+		opts.Clock = clock.Now
+	}
+	return &Client{
+		opts:      opts,
+		waiting:   map[string]*waiter{},
+		running:   map[string]Held{},
+		summaries: map[upstream.Pool]summary{},
+	}
+}
+
+// Run refreshes the dispatchers until ctx ends.
+func (c *Client) Run(ctx context.Context) {
+	ticker := time.NewTicker(RefreshInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			c.refresh()
+		}
+	}
+}
+
+// HandleGrant takes a dispatcher's reply to a request that was queued.
+func (c *Client) HandleGrant(_ string, payload []byte) {
+	var r Reply
+	if json.Unmarshal(payload, &r) != nil {
+		return
+	}
+	c.mu.Lock()
+	w := c.waiting[r.RequestID]
+	c.mu.Unlock()
+	if w == nil {
+		return
+	}
+	select {
+	case w.replies <- r:
+	default:
+	}
+}
+
+// HandleSummary takes a dispatcher's summary.
+func (c *Client) HandleSummary(_ string, payload []byte) {
+	var s Summary
+	if json.Unmarshal(payload, &s) != nil {
+		return
+	}
+	now := c.opts.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, p := range s.Pools {
+		c.summaries[p.Pool] = summary{load: p.Load, at: now}
+	}
+}
+
+// Pools returns the live pools as last heard of, in the order of their names.
+func (c *Client) Pools() []PoolSummary {
+	now := c.opts.Clock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []PoolSummary
+	for p, s := range c.summaries {
+		if now-s.at > SummaryAge {
+			delete(c.summaries, p)
+			continue
+		}
+		all = append(all, PoolSummary{Pool: p, Load: s.load})
+	}
+	sort.Slice(all, func(i, j int) bool { return all[i].Pool.String() < all[j].Pool.String() })
+	return all
+}
+
+// Acquire waits for a grant until ctx ends. preferred is the zone that holds the program's
+// prefix, or empty. Errors: *Error.
+func (c *Client) Acquire(ctx context.Context, kind config.UpstreamKind, name, preferred string, r schedule.Request) (*Grant, error) {
+	tried := map[upstream.Pool]bool{}
+	for {
+		pools := c.order(kind, name, preferred, r.Avoid)
+		if len(pools) == 0 {
+			return nil, &Error{Code: CodeNoUpstream}
+		}
+		next := firstUntried(pools, tried)
+		if next == nil {
+			return nil, &Error{Code: CodeNoUpstream}
+		}
+		tried[*next] = true
+		grant, err := c.acquireFrom(ctx, *next, r)
+		if grant != nil {
+			return grant, nil
+		}
+		if err.Code != CodeNoUpstream {
+			return nil, err
+		}
+	}
+}
+
+func firstUntried(pools []upstream.Pool, tried map[upstream.Pool]bool) *upstream.Pool {
+	for i := range pools {
+		if !tried[pools[i]] {
+			return &pools[i]
+		}
+	}
+	return nil
+}
+
+// order returns the zones' pools for a call, the best first: the zone that holds the prefix and
+// then this VM's own zone unless they are crowded, then by the load per slot.
+func (c *Client) order(kind config.UpstreamKind, name, preferred string, _ []string) []upstream.Pool {
+	type candidate struct {
+		pool upstream.Pool
+		cost float64
+	}
+	var found []candidate
+	for _, s := range c.Pools() {
+		if s.Pool.Kind != kind || s.Pool.Name != name {
+			continue
+		}
+		found = append(found, candidate{pool: s.Pool, cost: c.cost(s, preferred)})
+	}
+	sort.SliceStable(found, func(i, j int) bool { return found[i].cost < found[j].cost })
+	pools := make([]upstream.Pool, len(found))
+	for i := range found {
+		pools[i] = found[i].pool
+	}
+	return pools
+}
+
+// Costs that weigh a zone's load against what a call loses by going elsewhere, in parts of the
+// pool's slots.
+const (
+	crossZoneCost  = 0.25
+	lostPrefixCost = 1.0
+)
+
+func (c *Client) cost(s PoolSummary, preferred string) float64 {
+	cost := float64(s.Load.Running+s.Load.Waiting) / float64(max(s.Load.Slots, 1))
+	if s.Pool.Zone != c.opts.Zone {
+		cost += crossZoneCost
+	}
+	if preferred != "" && s.Pool.Zone != preferred {
+		cost += lostPrefixCost
+	}
+	return cost
+}
+
+func (c *Client) acquireFrom(ctx context.Context, pool upstream.Pool, r schedule.Request) (*Grant, *Error) {
+	w := &waiter{enqueue: Enqueue{Pool: pool, Request: r}, replies: make(chan Reply, 4)}
+	c.mu.Lock()
+	c.waiting[r.ID] = w
+	c.mu.Unlock()
+	defer func() {
+		c.mu.Lock()
+		delete(c.waiting, r.ID)
+		c.mu.Unlock()
+	}()
+	reply, ok := c.enqueue(ctx, w.enqueue)
+	if !ok {
+		return nil, &Error{Code: CodeNoUpstream}
+	}
+	for {
+		switch reply.State {
+		case StateGranted:
+			c.hold(pool, r, reply.Grant)
+			return reply.Grant, nil
+		case StateRefused:
+			return nil, &Error{Code: CodeRefused, Reason: reply.Reason, RetryAfter: time.Duration(reply.RetryAfterMS) * time.Millisecond}
+		case StateNoUpstream:
+			return nil, &Error{Code: CodeNoUpstream}
+		}
+		var err *Error
+		reply, err = c.await(ctx, w)
+		if err != nil {
+			return nil, err
+		}
+	}
+}
+
+// await waits for a queued request's next state. It asks again at intervals, since the message
+// with the grant may be lost and the dispatcher may have changed.
+func (c *Client) await(ctx context.Context, w *waiter) (Reply, *Error) {
+	poll := time.NewTimer(RefreshInterval)
+	defer poll.Stop()
+	select {
+	case reply := <-w.replies:
+		return reply, nil
+	case <-poll.C:
+		reply, ok := c.enqueue(ctx, w.enqueue)
+		if !ok {
+			return Reply{}, &Error{Code: CodeNoUpstream}
+		}
+		return reply, nil
+	case <-ctx.Done():
+		c.send(w.enqueue.Pool, KindCancel, mustMarshal(Cancel{Pool: w.enqueue.Pool, RequestID: w.enqueue.Request.ID}))
+		return Reply{}, &Error{Code: CodeTimeout}
+	}
+}
+
+// enqueue asks the pool's dispatcher, and the next VMs of its zone if that one cannot be reached.
+func (c *Client) enqueue(ctx context.Context, e Enqueue) (Reply, bool) {
+	payload := mustMarshal(e)
+	for _, vm := range c.opts.Locator.Dispatchers(e.Pool) {
+		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
+		data, err := c.opts.Network.Call(callCtx, vm, MethodEnqueue, payload)
+		cancel()
+		if err != nil {
+			continue
+		}
+		var reply Reply
+		if json.Unmarshal(data, &reply) == nil {
+			return reply, true
+		}
+	}
+	return Reply{}, false
+}
+
+func (c *Client) hold(pool upstream.Pool, r schedule.Request, g *Grant) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.running[r.ID] = Held{Pool: pool, Request: r, Upstream: g.Upstream}
+}
+
+// Release reports the end of a granted call. It must follow every grant, once.
+func (c *Client) Release(g *Grant, o schedule.Outcome) {
+	c.mu.Lock()
+	delete(c.running, g.RequestID)
+	c.mu.Unlock()
+	c.send(g.Pool, KindFinish, mustMarshal(Finish{Pool: g.Pool, RequestID: g.RequestID, Outcome: o}))
+}
+
+// send sends a message to the pool's dispatcher.
+func (c *Client) send(pool upstream.Pool, kind string, payload []byte) {
+	ranked := c.opts.Locator.Dispatchers(pool)
+	if len(ranked) > 0 {
+		c.opts.Network.Send(ranked[0], kind, payload)
+	}
+}
+
+func (c *Client) refresh() {
+	byVM := map[string]*Refresh{}
+	add := func(pool upstream.Pool) *Refresh {
+		ranked := c.opts.Locator.Dispatchers(pool)
+		if len(ranked) == 0 {
+			return &Refresh{}
+		}
+		if byVM[ranked[0]] == nil {
+			byVM[ranked[0]] = &Refresh{}
+		}
+		return byVM[ranked[0]]
+	}
+	c.mu.Lock()
+	for _, held := range c.running {
+		r := add(held.Pool)
+		r.Running = append(r.Running, held)
+	}
+	for _, w := range c.waiting {
+		r := add(w.enqueue.Pool)
+		r.Waiting = append(r.Waiting, w.enqueue)
+	}
+	c.mu.Unlock()
+	for vm, r := range byVM {
+		c.opts.Network.Send(vm, KindRefresh, mustMarshal(r))
+	}
+}
--- /dev/null
+++ b/internal/dispatch/host.go
@@ -0,0 +1,441 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"sort"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/config"
+	"egretramp/internal/events"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+// Network carries messages and calls between VMs.
+type Network interface {
+	Send(vm, kind string, payload []byte)
+	Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error)
+}
+
+// Locator knows the zones and their live VMs.
+type Locator interface {
+	// Dispatchers returns the live VMs of the pool's zone, the pool's dispatcher first.
+	Dispatchers(pool upstream.Pool) []string
+	// VMs returns all other VMs that are alive.
+	VMs() []string
+}
+
+// HostOptions configure a Host.
+type HostOptions struct {
+	VM      string
+	Network Network
+	Locator Locator
+	// Services returns the concurrency bound of a service; 0 if there is none.
+	Concurrency func(service string) int
+	Events      *events.Logger
+	Clock       func() time.Duration // default clock.Now
+}
+
+// ErrStopped is returned after the host has stopped.
+var ErrStopped = errors.New("dispatch: the host has stopped")
+
+const (
+	eventQueue   = 1024
+	tickInterval = 100 * time.Millisecond
+)
+
+// Host runs the pools of this VM on one goroutine.
+type Host struct {
+	opts   HostOptions
+	events chan func()
+	done   chan struct{}
+
+	directory *upstream.Directory
+	pools     map[upstream.Pool]*pool
+	summary   time.Duration
+}
+
+type pool struct {
+	*schedule.Pool
+	requests map[string]*request
+}
+
+// request is one request as the dispatcher keeps it.
+type request struct {
+	from     string
+	enqueue  Enqueue
+	queuedAt time.Duration
+	heard    time.Duration
+	reply    Reply
+}
+
+// NewHost returns a host; Run drives it.
+func NewHost(opts HostOptions) *Host {
+	if opts.Clock == nil {
+		opts.Clock = clock.Now
+	}
+	return &Host{
+		opts:      opts,
+		events:    make(chan func(), eventQueue),
+		done:      make(chan struct{}),
+		directory: upstream.NewDirectory(),
+		pools:     map[upstream.Pool]*pool{},
+	}
+}
+
+// Run handles events until ctx ends.
+func (h *Host) Run(ctx context.Context) {
+	defer close(h.done)
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-h.events:
+			event()
+		case <-ticker.C:
+			h.tick()
+		}
+	}
+}
+
+// post queues an event; it is dropped once the host has stopped.
+func (h *Host) post(event func()) {
+	select {
+	case h.events <- event:
+	case <-h.done:
+	}
+}
+
+// Announce takes a verified announcement and passes it to the dispatchers of its pools.
+func (h *Host) Announce(a wire.Announcement) {
+	payload := mustMarshal(a)
+	sent := map[string]bool{}
+	for _, served := range a.Serves {
+		ranked := h.opts.Locator.Dispatchers(upstream.Pool{Zone: a.Zone, Kind: a.Kind, Name: served})
+		if len(ranked) > 0 && !sent[ranked[0]] {
+			sent[ranked[0]] = true
+			h.opts.Network.Send(ranked[0], KindAnnounce, payload)
+		}
+	}
+}
+
+// HandleAnnounce takes an announcement from another VM.
+func (h *Host) HandleAnnounce(_ string, payload []byte) {
+	var a wire.Announcement
+	if json.Unmarshal(payload, &a) != nil {
+		return
+	}
+	h.post(func() { h.offer(a) })
+}
+
+// HandleEnqueue answers a request for a grant.
+func (h *Host) HandleEnqueue(ctx context.Context, from string, payload []byte) ([]byte, error) {
+	var e Enqueue
+	if err := json.Unmarshal(payload, &e); err != nil {
+		return nil, err
+	}
+	answer := make(chan Reply, 1)
+	h.post(func() {
+		h.enqueue(from, e)
+		answer <- h.answer(e)
+	})
+	select {
+	case reply := <-answer:
+		return json.Marshal(reply)
+	case <-h.done:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// HandleCancel takes a Cancel.
+func (h *Host) HandleCancel(_ string, payload []byte) {
+	var c Cancel
+	if json.Unmarshal(payload, &c) != nil {
+		return
+	}
+	h.post(func() { h.finish(c.Pool, c.RequestID, schedule.Outcome{}) })
+}
+
+// HandleFinish takes a Finish.
+func (h *Host) HandleFinish(_ string, payload []byte) {
+	var f Finish
+	if json.Unmarshal(payload, &f) != nil {
+		return
+	}
+	h.post(func() { h.finish(f.Pool, f.RequestID, f.Outcome) })
+}
+
+// HandleRefresh takes a Refresh.
+func (h *Host) HandleRefresh(from string, payload []byte) {
+	var r Refresh
+	if json.Unmarshal(payload, &r) != nil {
+		return
+	}
+	h.post(func() { h.refresh(from, r) })
+}
+
+func (h *Host) pool(key upstream.Pool) *pool {
+	p, ok := h.pools[key]
+	if !ok {
+		p = &pool{Pool: schedule.New(schedule.Options{}), requests: map[string]*request{}}
+		h.pools[key] = p
+	}
+	return p
+}
+
+func (h *Host) offer(a wire.Announcement) {
+	now := h.opts.Clock()
+	_, known := h.directory.Get(a.Upstream)
+	change, ok := h.directory.Offer(now, a)
+	if !ok {
+		return
+	}
+	switch {
+	case change.Removed:
+		h.opts.Events.Emit(events.UpstreamLeft, zap.String("upstream", a.Upstream))
+	case !known:
+		h.opts.Events.Emit(events.UpstreamJoined, zap.String("upstream", a.Upstream), zap.String("zone", a.Zone))
+	}
+	h.apply(now, change)
+}
+
+// apply carries a change of the directory into the pools.
+func (h *Host) apply(now time.Duration, c upstream.Change) {
+	a := c.Record.Announcement
+	for _, served := range a.Serves {
+		key := upstream.Pool{Zone: a.Zone, Kind: a.Kind, Name: served}
+		p := h.pool(key)
+		if c.Removed {
+			p.RemoveReplica(now, a.Upstream)
+		} else {
+			p.SetReplica(now, h.replica(c.Record, served))
+		}
+		h.plan(now, key, p)
+	}
+}
+
+func (h *Host) replica(r upstream.Record, served string) schedule.Replica {
+	slots := r.Limits.Slots
+	if r.Kind == config.KindService && h.opts.Concurrency != nil {
+		if bound := h.opts.Concurrency(served); bound > 0 && (slots == 0 || bound < slots) {
+			slots = bound
+		}
+	}
+	return schedule.Replica{
+		Name:         r.Upstream,
+		Incarnation:  r.Incarnation,
+		Slots:        slots,
+		KVTokens:     r.Limits.KVTokens,
+		Running:      r.Load.Running,
+		Waiting:      r.Load.Waiting,
+		KVTokensUsed: r.Load.KVTokensUsed,
+		ReportedAt:   r.Heard,
+	}
+}
+
+func (h *Host) enqueue(from string, e Enqueue) {
+	now := h.opts.Clock()
+	p := h.pool(e.Pool)
+	if known, ok := p.requests[e.Request.ID]; ok {
+		known.heard = now
+		return
+	}
+	if p.Load().Replicas == 0 {
+		return
+	}
+	p.requests[e.Request.ID] = &request{
+		from:     from,
+		enqueue:  e,
+		queuedAt: now,
+		heard:    now,
+		reply:    Reply{RequestID: e.Request.ID, State: StateQueued},
+	}
+	p.Enqueue(now, e.Request)
+	h.plan(now, e.Pool, p)
+}
+
+func (h *Host) answer(e Enqueue) Reply {
+	r, ok := h.pool(e.Pool).requests[e.Request.ID]
+	if !ok {
+		return Reply{RequestID: e.Request.ID, State: StateNoUpstream}
+	}
+	return r.reply
+}
+
+// plan asks the pool what to do and does it.
+func (h *Host) plan(now time.Duration, key upstream.Pool, p *pool) {
+	plan := p.Plan(now)
+	for _, g := range plan.Grants {
+		h.grant(now, key, p, g)
+	}
+	for _, refused := range plan.Refused {
+		h.refuse(p, refused)
+	}
+}
+
+func (h *Host) grant(now time.Duration, key upstream.Pool, p *pool, g schedule.Grant) {
+	r, ok := p.requests[g.Request.ID]
+	if !ok {
+		return
+	}
+	record, _ := h.directory.Get(g.Replica)
+	r.reply = Reply{RequestID: g.Request.ID, State: StateGranted, Grant: &Grant{
+		RequestID:   g.Request.ID,
+		Pool:        key,
+		Upstream:    g.Replica,
+		Incarnation: record.Incarnation,
+		Address:     record.Address,
+		CanResume:   record.CanResume,
+		QueuedFor:   now - r.queuedAt,
+	}}
+	h.opts.Network.Send(r.from, KindGrant, mustMarshal(r.reply))
+}
+
+func (h *Host) refuse(p *pool, refused schedule.Refused) {
+	r, ok := p.requests[refused.Request.ID]
+	if !ok {
+		return
+	}
+	r.reply = Reply{
+		RequestID:    refused.Request.ID,
+		State:        StateRefused,
+		Reason:       refused.Reason,
+		RetryAfterMS: refused.RetryAfter.Milliseconds(),
+	}
+	h.opts.Network.Send(r.from, KindGrant, mustMarshal(r.reply))
+}
+
+func (h *Host) finish(key upstream.Pool, id string, o schedule.Outcome) {
+	p, ok := h.pools[key]
+	if !ok {
+		return
+	}
+	now := h.opts.Clock()
+	delete(p.requests, id)
+	p.Cancel(now, id)
+	p.Finish(now, id, o)
+	h.plan(now, key, p)
+}
+
+func (h *Host) refresh(from string, r Refresh) {
+	now := h.opts.Clock()
+	for _, e := range r.Waiting {
+		h.enqueue(from, e)
+	}
+	for _, held := range r.Running {
+		h.adopt(now, from, held)
+	}
+}
+
+// adopt counts a call that runs under another dispatcher's grant, or notes that it still runs.
+func (h *Host) adopt(now time.Duration, from string, held Held) {
+	p := h.pool(held.Pool)
+	known, ok := p.requests[held.Request.ID]
+	if ok {
+		known.heard = now
+		if known.reply.State == StateGranted {
+			return
+		}
+	}
+	p.requests[held.Request.ID] = &request{
+		from:     from,
+		enqueue:  Enqueue{Pool: held.Pool, Request: held.Request},
+		queuedAt: now,
+		heard:    now,
+		reply:    Reply{RequestID: held.Request.ID, State: StateGranted, Grant: &Grant{Upstream: held.Upstream}},
+	}
+	p.Adopt(now, held.Request, held.Upstream)
+}
+
+func (h *Host) tick() {
+	now := h.opts.Clock()
+	for _, gone := range h.directory.Expire(now) {
+		h.opts.Events.Emit(events.UpstreamSilent, zap.String("upstream", gone.Record.Upstream))
+		h.apply(now, gone)
+	}
+	for key, p := range h.pools {
+		h.forget(now, key, p)
+		h.plan(now, key, p)
+	}
+	if now-h.summary >= SummaryInterval {
+		h.summary = now
+		h.sendSummary()
+	}
+}
+
+// forget drops requests that their entry VM no longer repeats.
+func (h *Host) forget(now time.Duration, key upstream.Pool, p *pool) {
+	for id, r := range p.requests {
+		if now-r.heard > ForgetAfter {
+			h.finish(key, id, schedule.Outcome{})
+		}
+	}
+	if len(p.requests) == 0 && p.Load() == (schedule.Load{}) {
+		delete(h.pools, key)
+	}
+}
+
+func (h *Host) sendSummary() {
+	summary := h.summarise()
+	if len(summary.Pools) == 0 {
+		return
+	}
+	payload := mustMarshal(summary)
+	h.opts.Network.Send(h.opts.VM, KindSummary, payload)
+	for _, vm := range h.opts.Locator.VMs() {
+		h.opts.Network.Send(vm, KindSummary, payload)
+	}
+}
+
+func (h *Host) summarise() Summary {
+	var s Summary
+	for key, p := range h.pools {
+		load := p.Load()
+		if load.Replicas > 0 {
+			s.Pools = append(s.Pools, PoolSummary{Pool: key, Load: load})
+		}
+	}
+	sort.Slice(s.Pools, func(i, j int) bool { return s.Pools[i].Pool.String() < s.Pools[j].Pool.String() })
+	return s
+}
+
+// Dump is the host's state, for the state dump.
+type Dump struct {
+	Upstreams []upstream.Record `json:"upstreams"`
+	Pools     []PoolSummary     `json:"pools"`
+}
+
+// Dump returns the host's state.
+func (h *Host) Dump(ctx context.Context) (Dump, error) {
+	result := make(chan Dump, 1)
+	h.post(func() {
+		result <- Dump{Upstreams: h.directory.All(), Pools: h.summarise().Pools}
+	})
+	select {
+	case d := <-result:
+		return d, nil
+	case <-h.done:
+		return Dump{}, ErrStopped
+	case <-ctx.Done():
+		return Dump{}, ctx.Err()
+	}
+}
+
+// mustMarshal encodes this package's own messages, which cannot fail.
+func mustMarshal(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("dispatch: cannot encode a message: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/internal/dispatch/messages.go
@@ -0,0 +1,112 @@
+// Package dispatch runs the dispatchers of the pools that this VM is responsible for, and asks
+// the dispatchers of other VMs on behalf of calls that arrived here.
+//
+// A pool has one dispatcher among the live VMs of its zone. The queue is soft state: an entry VM
+// repeats what it waits for and what it has under way, so a dispatcher that takes over learns
+// of both, and one that no longer hears of a request forgets it.
+package dispatch
+
+import (
+	"time"
+
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+)
+
+// Methods and kinds of messages between VMs.
+const (
+	MethodEnqueue = "dispatch.enqueue"
+	KindGrant     = "dispatch.grant"
+	KindCancel    = "dispatch.cancel"
+	KindFinish    = "dispatch.finish"
+	KindRefresh   = "dispatch.refresh"
+	KindAnnounce  = "dispatch.announce"
+	KindSummary   = "dispatch.summary"
+)
+
+// Timing of the soft state.
+const (
+	// RefreshInterval is how often an entry VM repeats what it waits for and has under way.
+	RefreshInterval = time.Second
+	// ForgetAfter is how long a dispatcher keeps a request that nobody repeats.
+	ForgetAfter = 4 * time.Second
+	// SummaryInterval is how often a dispatcher tells the other VMs about its pools.
+	SummaryInterval = 500 * time.Millisecond
+	// SummaryAge is how long a summary is believed.
+	SummaryAge = 2500 * time.Millisecond
+)
+
+// State is where a request stands at its dispatcher.
+type State string
+
+// The states of a request.
+const (
+	StateQueued     State = "queued"
+	StateGranted    State = "granted"
+	StateRefused    State = "refused"
+	StateNoUpstream State = "no_upstream"
+)
+
+// Enqueue asks for a grant. Sent again with the same request ID it returns the present state.
+type Enqueue struct {
+	Pool    upstream.Pool    `json:"pool"`
+	Request schedule.Request `json:"request"`
+}
+
+// Reply answers an Enqueue and is sent as KindGrant when a queued request's state changes.
+type Reply struct {
+	RequestID    string          `json:"request_id"`
+	State        State           `json:"state"`
+	Grant        *Grant          `json:"grant,omitempty"`
+	Reason       schedule.Reason `json:"reason,omitempty"`
+	RetryAfterMS int64           `json:"retry_after_ms,omitempty"`
+}
+
+// Grant lets a call go to an upstream.
+type Grant struct {
+	RequestID   string        `json:"request_id"`
+	Pool        upstream.Pool `json:"pool"`
+	Upstream    string        `json:"upstream"`
+	Incarnation int64         `json:"incarnation"`
+	Address     string        `json:"address"`
+	CanResume   bool          `json:"can_resume,omitempty"`
+	// QueuedFor is how long the request waited at its dispatcher.
+	QueuedFor time.Duration `json:"queued_for_ns"`
+}
+
+// Cancel withdraws a request that waits or was granted but not used.
+type Cancel struct {
+	Pool      upstream.Pool `json:"pool"`
+	RequestID string        `json:"request_id"`
+}
+
+// Finish reports the end of a granted call.
+type Finish struct {
+	Pool      upstream.Pool    `json:"pool"`
+	RequestID string           `json:"request_id"`
+	Outcome   schedule.Outcome `json:"outcome"`
+}
+
+// Refresh repeats what an entry VM waits for and has under way in pools of one dispatcher.
+type Refresh struct {
+	Waiting []Enqueue `json:"waiting,omitempty"`
+	Running []Held    `json:"running,omitempty"`
+}
+
+// Held is a granted call under way.
+type Held struct {
+	Pool     upstream.Pool    `json:"pool"`
+	Request  schedule.Request `json:"request"`
+	Upstream string           `json:"upstream"`
+}
+
+// Summary tells other VMs what a dispatcher's pools look like.
+type Summary struct {
+	Pools []PoolSummary `json:"pools"`
+}
+
+// PoolSummary is one pool in short.
+type PoolSummary struct {
+	Pool upstream.Pool `json:"pool"`
+	Load schedule.Load `json:"load"`
+}
--- /dev/null
+++ b/internal/events/upstream.go
@@ -0,0 +1,12 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Events of upstreams, 1500 to 1599.
+var (
+	UpstreamJoined      = define(1500, zapcore.InfoLevel, "upstream announced itself", "")
+	UpstreamLeft        = define(1501, zapcore.InfoLevel, "upstream said goodbye", "")
+	UpstreamSilent      = define(1502, zapcore.WarnLevel, "upstream fell silent", "check the upstream's process and network")
+	AnnouncementRefused = define(1503, zapcore.WarnLevel, "announcement refused",
+		"compare the upstream's class, secret, zone and served names with the operators' file")
+)
