--- /dev/null
+++ b/internal/gateway/chatrequest.go
@@ -0,0 +1,126 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+
+	"egretramp/internal/refusal"
+)
+
+// chatRequest is a caller's chat completion. Fields that the system does not know pass unchanged.
+type chatRequest struct {
+	fields       map[string]json.RawMessage
+	model        string
+	stream       bool
+	includeUsage bool
+	maxTokens    int64 // 0: not given
+	choices      int
+	messages     []json.RawMessage
+}
+
+const (
+	maxMessages     = 10_000
+	maxTokensInCall = 10_000_000
+)
+
+// parseChat reads a chat completion's body.
+func parseChat(body []byte) (*chatRequest, *refusal.Refusal) {
+	c := &chatRequest{choices: 1}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	if err := decoder.Decode(&c.fields); err != nil || c.fields == nil {
+		return nil, badRequest("bad_json", "the body must be a JSON object")
+	}
+	if _, err := decoder.Token(); err != io.EOF {
+		return nil, badRequest("bad_json", "the body has something after its JSON object")
+	}
+	var streamOptions struct {
+		IncludeUsage bool `json:"include_usage"`
+	}
+	var maxTokens, maxCompletionTokens int64
+	for _, f := range []struct {
+		name  string
+		value any
+	}{
+		{"model", &c.model},
+		{"stream", &c.stream},
+		{"stream_options", &streamOptions},
+		{"max_tokens", &maxTokens},
+		{"max_completion_tokens", &maxCompletionTokens},
+		{"n", &c.choices},
+		{"messages", &c.messages},
+	} {
+		raw, ok := c.fields[f.name]
+		if !ok || string(raw) == "null" {
+			continue
+		}
+		if err := json.Unmarshal(raw, f.value); err != nil {
+			return nil, badRequest("bad_field", "the field "+f.name+" has the wrong type")
+		}
+	}
+	c.includeUsage = streamOptions.IncludeUsage
+	c.maxTokens = max(maxTokens, maxCompletionTokens)
+	return c, c.check()
+}
+
+func (c *chatRequest) check() *refusal.Refusal {
+	switch {
+	case c.model == "":
+		return badRequest("missing_model", "the field model is missing")
+	case len(c.messages) == 0:
+		return badRequest("missing_messages", "the field messages is missing or empty")
+	case len(c.messages) > maxMessages:
+		return badRequest("too_many_messages", "the conversation has more than 10000 messages")
+	case c.maxTokens < 0 || c.maxTokens > maxTokensInCall:
+		return badRequest("bad_field", "max_tokens must be from 1 to 10000000")
+	case c.choices < 1 || c.choices > 16:
+		return badRequest("bad_field", "n must be from 1 to 16")
+	}
+	for _, m := range c.messages {
+		if len(m) == 0 || m[0] != '{' {
+			return badRequest("bad_field", "each of the messages must be an object")
+		}
+	}
+	return nil
+}
+
+// engineBody returns the body sent to an engine: always a stream with usage, so that a broken
+// answer can be taken up again whichever form the caller asked for.
+func (c *chatRequest) engineBody(model string, maxTokens int64, messages []json.RawMessage) ([]byte, error) {
+	fields := make(map[string]any, len(c.fields)+4)
+	for name, raw := range c.fields {
+		fields[name] = raw
+	}
+	fields["model"] = model
+	fields["messages"] = messages
+	fields["stream"] = true
+	fields["stream_options"] = map[string]bool{"include_usage": true}
+	if c.maxTokens == 0 {
+		fields["max_tokens"] = maxTokens
+	}
+	return json.Marshal(fields)
+}
+
+// decoded returns the body with its JSON escapes resolved as far as a key could hide in them.
+func (c *chatRequest) decoded() []byte {
+	data, err := json.Marshal(c.fields)
+	if err != nil {
+		return nil
+	}
+	return unescape(data)
+}
+
+// unescape re-encodes JSON so that each character that can stand in a key stands for itself.
+func unescape(data []byte) []byte {
+	var value any
+	if json.Unmarshal(data, &value) != nil {
+		return nil
+	}
+	var out bytes.Buffer
+	encoder := json.NewEncoder(&out)
+	encoder.SetEscapeHTML(false)
+	if encoder.Encode(value) != nil {
+		return nil
+	}
+	return out.Bytes()
+}
--- /dev/null
+++ b/internal/gateway/refusals.go
@@ -0,0 +1,64 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/dispatch"
+	"egretramp/internal/refusal"
+)
+
+func badRequest(code, message string) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusBadRequest, Code: code, Message: message, NotRun: refusal.True}
+}
+
+func unauthorized(code, message string) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusUnauthorized, Code: code, Message: message, NotRun: refusal.True}
+}
+
+func forbidden(code, message string) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusForbidden, Code: code, Message: message, NotRun: refusal.True}
+}
+
+func notKnown(code, message string) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusNotFound, Code: code, Message: message, NotRun: refusal.True}
+}
+
+func unavailable(code, message string, retryAfter time.Duration) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusServiceUnavailable, Code: code, Message: message, NotRun: refusal.True, RetryAfter: retryAfter}
+}
+
+// failed is the answer to a call that may have run.
+func failed(code, message string, notRun refusal.NotRun) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusBadGateway, Code: code, Message: message, NotRun: notRun}
+}
+
+var errKeyWithdrawn = errors.New("the key was withdrawn while the request ran")
+
+func keyWithdrawn(notRun refusal.NotRun) *refusal.Refusal {
+	return &refusal.Refusal{Status: http.StatusUnauthorized, Code: "key_withdrawn", Message: errKeyWithdrawn.Error(), NotRun: notRun}
+}
+
+// Times to come back after a refused grant.
+const (
+	retryNoUpstream = time.Second
+	retryQueueFull  = time.Second
+)
+
+// noGrant turns a dispatcher's error into a refusal. notRun tells of earlier attempts.
+func noGrant(err error, notRun refusal.NotRun) *refusal.Refusal {
+	var e *dispatch.Error
+	r := unavailable("no_upstream", "no upstream serves this at the moment", retryNoUpstream)
+	if errors.As(err, &e) {
+		switch e.Code {
+		case dispatch.CodeRefused:
+			r = unavailable("overloaded", "too many requests wait for this upstream", max(e.RetryAfter, retryQueueFull))
+		case dispatch.CodeTimeout:
+			r = unavailable("queue_timeout", "the request waited too long for an upstream", retryQueueFull)
+		}
+	}
+	r.NotRun = notRun
+	return r
+}
--- /dev/null
+++ b/internal/gateway/services.go
@@ -0,0 +1,269 @@
+package gateway
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+
+	"egretramp/internal/config"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/refusal"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+// serviceMethods are the methods that services may be called with.
+var serviceMethods = []string{
+	http.MethodGet, http.MethodHead, http.MethodPost, http.MethodPut, http.MethodPatch, http.MethodDelete,
+}
+
+// serviceCall is one call of a plain or tool service.
+type serviceCall struct {
+	id         string
+	caller     *caller
+	service    *config.Service
+	method     string
+	path       string // escaped, with the query
+	header     http.Header
+	body       []byte
+	timeout    time.Duration
+	repeatable bool
+	notRun     refusal.NotRun
+	avoid      []string
+}
+
+// serviceAnswer is a service's whole answer.
+type serviceAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// service serves ANY /v1/services/NAME/PATH.
+func (s *Server) service(w http.ResponseWriter, r *http.Request, p httprouter.Params) {
+	call, refused := s.prepareService(w, r, p)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	ctx, done := s.inflight.add(r.Context(), call.caller)
+	defer done()
+	answer, refused := s.admitService(ctx, call)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	writeAnswer(w, answer)
+}
+
+func (s *Server) prepareService(w http.ResponseWriter, r *http.Request, p httprouter.Params) (*serviceCall, *refusal.Refusal) {
+	c, refused := s.identify(r)
+	if refused != nil {
+		return nil, refused
+	}
+	service, ok := c.snapshot.Service(p.ByName("service"))
+	if !ok {
+		return nil, notKnown("unknown_service", "no service has this name")
+	}
+	path := p.ByName("path")
+	route, ok := c.snapshot.ServiceRoute(c.account, service.ID, path)
+	switch {
+	case !ok && c.account == nil:
+		return nil, unauthorized("missing_api_key", "this call needs a key: Authorization: Bearer KEY")
+	case !ok:
+		return nil, forbidden("no_route", "no route leads this client account to the path of the service")
+	case c.account != nil:
+		if refused := s.checkCurrent(c); refused != nil {
+			return nil, refused
+		}
+	}
+	body, refused := readBody(w, r)
+	if refused != nil {
+		return nil, refused
+	}
+	if refused := checkNoKey(c, r, body, unescape(body)); refused != nil {
+		return nil, refused
+	}
+	return &serviceCall{
+		id:         newID(),
+		caller:     c,
+		service:    service,
+		method:     r.Method,
+		path:       targetPath(path, r.URL.RawQuery),
+		header:     forwardHeader(r.Header),
+		body:       body,
+		timeout:    serviceTimeout(service, route),
+		repeatable: service.Repeatable || r.Method == http.MethodGet || r.Method == http.MethodHead,
+		notRun:     refusal.True,
+	}, nil
+}
+
+func targetPath(path, query string) string {
+	target := (&url.URL{Path: path}).EscapedPath()
+	if query != "" {
+		target += "?" + query
+	}
+	return target
+}
+
+func serviceTimeout(service *config.Service, route *config.Route) time.Duration {
+	seconds := service.TimeoutSeconds
+	if route.TimeoutSeconds > 0 {
+		seconds = route.TimeoutSeconds
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// heldHeaders are not passed between callers and upstreams: what names the caller, and what
+// concerns one connection only.
+var heldHeaders = map[string]bool{
+	"Authorization": true, "Cookie": true, "Set-Cookie": true, "Host": true, "Connection": true, "Keep-Alive": true,
+	"Proxy-Authenticate": true, "Proxy-Authorization": true, "Proxy-Connection": true, "Te": true, "Trailer": true,
+	"Transfer-Encoding": true, "Upgrade": true, "Content-Length": true, "Accept-Encoding": true,
+}
+
+func forwardHeader(from http.Header) http.Header {
+	to := http.Header{}
+	dropped := map[string]bool{}
+	for _, list := range from.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			dropped[http.CanonicalHeaderKey(strings.TrimSpace(name))] = true
+		}
+	}
+	for name, values := range from {
+		if heldHeaders[name] || dropped[name] || strings.HasPrefix(name, "Egretramp-") || name == wire.HeaderAttempt {
+			continue
+		}
+		to[name] = append([]string(nil), values...)
+	}
+	return to
+}
+
+// admitService holds a caller with a key to its rate and runs the call.
+func (s *Server) admitService(ctx context.Context, call *serviceCall) (*serviceAnswer, *refusal.Refusal) {
+	if call.caller.account != nil {
+		if err := s.opts.Limiter.Draw(ctx, call.caller.account.ID, call.id); err != nil {
+			return nil, asRefusal(err)
+		}
+	}
+	answer, refused := s.runService(ctx, call)
+	if refused != nil && refused.NotRun == refusal.True && call.caller.account != nil {
+		s.opts.Limiter.GiveBack(call.id)
+	}
+	return answer, refused
+}
+
+func (s *Server) runService(ctx context.Context, call *serviceCall) (*serviceAnswer, *refusal.Refusal) {
+	ctx, cancel := context.WithTimeout(ctx, call.timeout)
+	defer cancel()
+	s.retries.earn()
+	for attempt := 1; ; attempt++ {
+		answer, refused, retry := s.attemptService(ctx, call)
+		if refused == nil {
+			return answer, nil
+		}
+		if errors.Is(context.Cause(ctx), errKeyWithdrawn) {
+			return nil, keyWithdrawn(call.notRun)
+		}
+		if !retry || attempt == maxAttempts || ctx.Err() != nil || !s.retries.take() {
+			return nil, refused
+		}
+		s.stats.Retries.Add(1)
+	}
+}
+
+func (s *Server) attemptService(ctx context.Context, call *serviceCall) (_ *serviceAnswer, refused *refusal.Refusal, retry bool) {
+	grant, err := s.acquire(ctx, config.KindService, call.service.ID, serviceRequest(call))
+	if err != nil {
+		return nil, noGrant(err, call.notRun), false
+	}
+	outcome := schedule.Outcome{Failed: true}
+	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
+	if call.caller.account != nil {
+		if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
+			outcome.Failed = false
+			return nil, withNotRun(asRefusal(err), call.notRun), false
+		}
+	}
+	answer, err := s.send(ctx, call, grant)
+	if err == nil {
+		outcome = schedule.Outcome{}
+		return answer, nil, false
+	}
+	refused, retry = serviceFailure(ctx, call, grant, err)
+	return nil, refused, retry
+}
+
+func serviceRequest(call *serviceCall) schedule.Request {
+	r := schedule.Request{ID: newID(), Weight: 1, Avoid: call.avoid}
+	if call.caller.account != nil {
+		r.Account = call.caller.account.ID
+		r.Weight = call.caller.account.Weight
+	}
+	return r
+}
+
+// send makes one attempt and reads the whole answer.
+func (s *Server) send(ctx context.Context, call *serviceCall, grant *dispatch.Grant) (*serviceAnswer, error) {
+	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+grant.Address+call.path, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, &upstream.CallError{Cause: err}
+	}
+	req.Header = call.header.Clone()
+	req.Header.Set(wire.HeaderAttempt, newID())
+	if req.Header.Get(wire.HeaderIdempotency) == "" {
+		req.Header.Set(wire.HeaderIdempotency, call.id)
+	}
+	resp, err := s.opts.Caller.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswerBytes+1))
+	if err != nil {
+		return nil, &upstream.CallError{Written: true, Cause: err}
+	}
+	if len(body) > maxAnswerBytes {
+		return nil, errAnswerTooLarge
+	}
+	header := forwardHeader(resp.Header)
+	header.Del(wire.HeaderAttempt)
+	return &serviceAnswer{status: resp.StatusCode, header: header, body: body}, nil
+}
+
+var errAnswerTooLarge = errors.New("the answer is larger than 8 MiB")
+
+func serviceFailure(ctx context.Context, call *serviceCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry bool) {
+	call.avoid = append(call.avoid, grant.Upstream)
+	var unsent *upstream.CallError
+	if errors.As(err, &unsent) && !unsent.Written {
+		return withNotRun(unavailable("upstream_unreachable", "the service could not be reached", retryNoUpstream), call.notRun), true
+	}
+	if errors.Is(err, errAnswerTooLarge) {
+		call.notRun = refusal.False
+		return failed("answer_too_large", errAnswerTooLarge.Error(), refusal.False), false
+	}
+	call.notRun = refusal.Unknown
+	if ctx.Err() != nil {
+		r := failed("upstream_timeout", "the service did not answer in time", refusal.Unknown)
+		r.Status = http.StatusGatewayTimeout
+		return r, false
+	}
+	return failed("upstream_failed", "the service broke the call off", refusal.Unknown), call.repeatable
+}
+
+func writeAnswer(w http.ResponseWriter, a *serviceAnswer) {
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	w.WriteHeader(a.status)
+	_, _ = w.Write(a.body)
+}
--- /dev/null
+++ b/internal/upstream/caller.go
@@ -0,0 +1,96 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/upstream/wire"
+)
+
+const (
+	dialTimeout  = time.Second
+	probeTimeout = time.Second
+)
+
+// Caller makes HTTP calls to upstreams. Each call has a connection of its own: a kept
+// connection may have gone silent, and net/http repeats some requests by itself on a kept
+// connection that broke, which a call that must not be repeated cannot bear.
+type Caller struct {
+	transport *http.Transport
+}
+
+// NewCaller returns a caller.
+func NewCaller() *Caller {
+	dialer := &net.Dialer{Timeout: dialTimeout}
+	return &Caller{transport: &http.Transport{
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
+	}}
+}
+
+// CallError says that an upstream did not answer a call.
+type CallError struct {
+	// Written says that bytes may have gone towards the upstream; if false, the call surely
+	// did not run.
+	Written bool
+	Cause   error
+}
+
+// Error describes the failure.
+func (e *CallError) Error() string { return "upstream did not answer: " + e.Cause.Error() }
+
+// Unwrap returns the cause.
+func (e *CallError) Unwrap() error { return e.Cause }
+
+// ErrCrossed says that an answer belongs to another attempt.
+var ErrCrossed = errors.New("the answer belongs to another attempt")
+
+// Do sends one request and returns the response once its headers came. The response must echo
+// the request's attempt. Errors: *CallError.
+func (c *Caller) Do(req *http.Request) (*http.Response, error) {
+	var connected atomic.Bool
+	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
+	if err != nil {
+		return nil, &CallError{Written: connected.Load(), Cause: err}
+	}
+	if attempt := req.Header.Get(wire.HeaderAttempt); attempt != "" && resp.Header.Get(wire.HeaderAttempt) != attempt {
+		_ = resp.Body.Close()
+		return nil, &CallError{Written: true, Cause: ErrCrossed}
+	}
+	return resp, nil
+}
+
+// Probe reports whether an upstream answers on a new connection.
+func (c *Caller) Probe(ctx context.Context, address string) bool {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, endpoint(address, "/healthz"), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// endpoint returns the URL of a path on an upstream. The path must be escaped already.
+func endpoint(address, path string) string {
+	return "http://" + address + path
+}
+
+// streamPath returns the path of a call under way on an engine.
+func streamPath(attempt string) string {
+	return "/v1/streams/" + url.PathEscape(attempt)
+}
--- /dev/null
+++ b/internal/upstream/sse.go
@@ -0,0 +1,53 @@
+package upstream
+
+import (
+	"bufio"
+	"bytes"
+	"io"
+)
+
+// maxEventBytes bounds one event of a stream.
+const maxEventBytes = 8 << 20
+
+// doneData is the payload of the event that ends a stream.
+var doneData = []byte("[DONE]")
+
+// eventReader reads the data payloads of server-sent events; other fields are ignored.
+type eventReader struct {
+	scanner *bufio.Scanner
+}
+
+func newEventReader(r io.Reader) *eventReader {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(make([]byte, 0, 4096), maxEventBytes)
+	return &eventReader{scanner: scanner}
+}
+
+// next returns the payload of the next complete event; io.ErrUnexpectedEOF if the stream ends
+// without one. An event that lacks its closing blank line is incomplete and is not returned.
+func (r *eventReader) next() ([]byte, error) {
+	var data []byte
+	started := false
+	for r.scanner.Scan() {
+		line := bytes.TrimSuffix(r.scanner.Bytes(), []byte("\r"))
+		if len(line) == 0 {
+			if started {
+				return data, nil
+			}
+			continue
+		}
+		payload, ok := bytes.CutPrefix(line, []byte("data:"))
+		if !ok {
+			continue
+		}
+		if started {
+			data = append(data, '\n')
+		}
+		data = append(data, bytes.TrimPrefix(payload, []byte(" "))...)
+		started = true
+	}
+	if err := r.scanner.Err(); err != nil {
+		return nil, err
+	}
+	return nil, io.ErrUnexpectedEOF
+}
--- /dev/null
+++ b/internal/upstream/stream.go
@@ -0,0 +1,291 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/upstream/wire"
+)
+
+// Times of streams from engines.
+const (
+	// IdleLimit is how long a stream may be idle before the engine is probed.
+	IdleLimit = 2 * time.Second
+	// StallLimit is how long a stream that cannot be resumed may be idle, though the engine answers probes.
+	StallLimit = 60 * time.Second
+	// cancelTimeout bounds the cancellation of a call.
+	cancelTimeout = 2 * time.Second
+	// maxResumes bounds the resumptions of one stream.
+	maxResumes = 16
+)
+
+// Target is an upstream and the attempt that runs there.
+type Target struct {
+	Upstream    string
+	Incarnation int64
+	Address     string
+	CanResume   bool
+	Attempt     string
+	Session     string
+	Idempotency string
+}
+
+// StatusError is an engine's refusal of a call: a status other than 200 with its body.
+type StatusError struct {
+	Status      int
+	ContentType string
+	Body        []byte
+}
+
+// Error names the status.
+func (e *StatusError) Error() string { return fmt.Sprintf("engine answered with status %d", e.Status) }
+
+// Errors of streams.
+var (
+	ErrLost      = errors.New("the engine is gone")
+	ErrBroken    = errors.New("the stream broke and cannot be resumed")
+	errIdle      = errors.New("the stream is idle")
+	errTruncated = errors.New("the stream ended early")
+)
+
+const maxErrorBody = 64 << 10
+
+// Stream is an engine's answer to one attempt. It is used by one goroutine.
+type Stream struct {
+	caller  *Caller
+	target  Target
+	body    []byte
+	next    int // number of the next chunk
+	resumes int
+	conn    *streamConn
+}
+
+// streamConn is one connection that carries the stream.
+type streamConn struct {
+	cancel  context.CancelFunc
+	opened  chan openResult
+	chunks  chan chunk
+	pending bool // headers not yet seen
+}
+
+type openResult struct {
+	err error
+}
+
+type chunk struct {
+	data []byte
+	err  error
+}
+
+// OpenStream sends a chat completion to an engine; body must ask for a stream with usage.
+// Nothing has been read yet when it returns; errors come from Next.
+func (c *Caller) OpenStream(ctx context.Context, target Target, body []byte) *Stream {
+	s := &Stream{caller: c, target: target, body: body}
+	s.conn = s.open(ctx, http.MethodPost, "/v1/chat/completions", body)
+	return s
+}
+
+// Next returns the next chunk's payload, each chunk once and in order, and io.EOF after the
+// last. Errors: *CallError if the call did not reach the engine or its answer is not its own,
+// *StatusError, ErrLost, ErrBroken, or the context's.
+func (s *Stream) Next(ctx context.Context) ([]byte, error) {
+	idleSince := time.Now()
+	for {
+		data, err := s.read(ctx)
+		switch {
+		case err == nil && bytes.Equal(data, doneData):
+			return nil, io.EOF
+		case err == nil:
+			if err := s.check(data); err != nil {
+				return nil, err
+			}
+			s.next++
+			return data, nil
+		case ctx.Err() != nil:
+			return nil, ctx.Err()
+		case s.resumes > 0 && isStatus(err):
+			return nil, errors.WithSecondaryError(ErrBroken, err)
+		case final(err):
+			return nil, err
+		}
+		if err := s.recover(ctx, err, time.Since(idleSince)); err != nil {
+			return nil, err
+		}
+	}
+}
+
+// final reports whether an error ends the attempt without a try to resume.
+func final(err error) bool {
+	var call *CallError
+	return errors.As(err, &call) && (!call.Written || errors.Is(err, ErrCrossed)) || isStatus(err)
+}
+
+// isStatus reports whether the engine refused; on a resumption it does if it does not know the attempt.
+func isStatus(err error) bool {
+	var status *StatusError
+	return errors.As(err, &status)
+}
+
+// check compares a chunk's completion ID with the attempt.
+func (s *Stream) check(data []byte) error {
+	var head struct {
+		ID string `json:"id"`
+	}
+	if err := json.Unmarshal(data, &head); err != nil {
+		return errors.Wrap(ErrBroken, "a chunk is not JSON")
+	}
+	if head.ID != wire.CompletionIDPrefix+s.target.Attempt {
+		return &CallError{Written: true, Cause: ErrCrossed}
+	}
+	return nil
+}
+
+// recover reacts to a stream that is idle or broke: it probes the engine on a new connection
+// and, where the engine can, takes the stream up again there.
+func (s *Stream) recover(ctx context.Context, cause error, idle time.Duration) error {
+	if !s.caller.Probe(ctx, s.target.Address) {
+		return errors.WithSecondaryError(ErrLost, cause)
+	}
+	if errors.Is(cause, errIdle) && !s.target.CanResume {
+		if idle > StallLimit {
+			return errors.WithSecondaryError(ErrBroken, cause)
+		}
+		return nil
+	}
+	if !s.target.CanResume || s.resumes >= maxResumes || idle > StallLimit {
+		return errors.WithSecondaryError(ErrBroken, cause)
+	}
+	s.resumes++
+	s.conn.cancel()
+	path := streamPath(s.target.Attempt) + "?from=" + strconv.Itoa(s.next)
+	s.conn = s.open(ctx, http.MethodGet, path, nil)
+	return nil
+}
+
+// read waits for the next chunk on the present connection, at most IdleLimit.
+func (s *Stream) read(ctx context.Context) ([]byte, error) {
+	idle := time.NewTimer(IdleLimit)
+	defer idle.Stop()
+	if s.conn.pending {
+		select {
+		case r := <-s.conn.opened:
+			if r.err != nil {
+				return nil, r.err
+			}
+			s.conn.pending = false
+		case <-idle.C:
+			return nil, errIdle
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+	select {
+	case c := <-s.conn.chunks:
+		return c.data, c.err
+	case <-idle.C:
+		return nil, errIdle
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (s *Stream) open(ctx context.Context, method, path string, body []byte) *streamConn {
+	ctx, cancel := context.WithCancel(ctx)
+	conn := &streamConn{
+		cancel:  cancel,
+		opened:  make(chan openResult, 1),
+		chunks:  make(chan chunk, 16),
+		pending: true,
+	}
+	go s.caller.pump(ctx, conn, s.target, method, path, body)
+	return conn
+}
+
+// pump carries one connection's chunks into its channels until it ends or ctx does.
+func (c *Caller) pump(ctx context.Context, conn *streamConn, target Target, method, path string, body []byte) {
+	resp, err := c.openResponse(ctx, target, method, path, body)
+	conn.opened <- openResult{err: err}
+	if err != nil {
+		return
+	}
+	defer func() { _ = resp.Body.Close() }()
+	events := newEventReader(resp.Body)
+	for {
+		data, err := events.next()
+		if err != nil {
+			err = errors.WithSecondaryError(errTruncated, err)
+		}
+		select {
+		case conn.chunks <- chunk{data: data, err: err}:
+		case <-ctx.Done():
+			return
+		}
+		if err != nil {
+			return
+		}
+	}
+}
+
+func (c *Caller) openResponse(ctx context.Context, target Target, method, path string, body []byte) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, method, endpoint(target.Address, path), bytes.NewReader(body))
+	if err != nil {
+		return nil, &CallError{Cause: err}
+	}
+	setHeaders(req, target)
+	if method == http.MethodPost {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	resp, err := c.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return resp, nil
+	}
+	defer func() { _ = resp.Body.Close() }()
+	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	return nil, &StatusError{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: text}
+}
+
+func setHeaders(req *http.Request, target Target) {
+	req.Header.Set(wire.HeaderAttempt, target.Attempt)
+	if target.Session != "" {
+		req.Header.Set(wire.HeaderSession, target.Session)
+	}
+	if target.Idempotency != "" {
+		req.Header.Set(wire.HeaderIdempotency, target.Idempotency)
+	}
+}
+
+// Close ends the reading. It does not cancel the call on the engine.
+func (s *Stream) Close() { s.conn.cancel() }
+
+// Cancel ends the reading and tells the engine to stop the call. It returns whether the engine
+// acknowledged.
+func (s *Stream) Cancel() bool {
+	s.conn.cancel()
+	ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
+	defer cancel()
+	return s.caller.delete(ctx, s.target.Address, streamPath(s.target.Attempt))
+}
+
+func (c *Caller) delete(ctx context.Context, address, path string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, endpoint(address, path), nil)
+	if err != nil {
+		return false
+	}
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return false
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode < http.StatusMultipleChoices || resp.StatusCode == http.StatusNotFound
+}
