--- /dev/null
+++ b/internal/events/fleet.go
@@ -0,0 +1,14 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Events of a VM's part in the fleet, 2100 to 2199.
+var (
+	FleetConfigInForce = define(2100, zapcore.InfoLevel, "configuration in force on this VM", "")
+	FleetConflict      = define(2101, zapcore.ErrorLevel, "another VM offered a state that contradicts the known one",
+		"compare the VMs' dumps; a VM from another fleet may be among the peers")
+	FleetBadConfig = define(2102, zapcore.ErrorLevel, "an accepted configuration does not pass this VM's checks",
+		"run one release on all VMs before applying files that need the newer one")
+	FleetElected  = define(2103, zapcore.InfoLevel, "this VM leads the control group", "")
+	FleetResigned = define(2104, zapcore.InfoLevel, "this VM no longer leads the control group", "")
+)
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,255 @@
+// Package fleet runs a VM's part in the fleet on one goroutine: which VMs are alive, this VM's
+// lease, the configuration in force, withdrawn keys, and the shares of the client accounts'
+// buckets. Traffic goroutines read what it publishes and ask it for permits.
+//
+// On the VM that leads the control group it also grants the leases, and proposes to register
+// and remove VMs.
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/config"
+	"egretramp/internal/control"
+	"egretramp/internal/events"
+	"egretramp/internal/membership"
+	"egretramp/internal/ratelimit"
+)
+
+// Methods and kinds of messages between VMs.
+const (
+	KindGossip   = "fleet.gossip"
+	KindLease    = "fleet.lease"
+	KindRenew    = "fleet.renew" // a lease request to control
+	KindLimit    = "fleet.limit"
+	KindDigest   = "fleet.digest"
+	MethodDelta  = "fleet.delta"
+	MethodStatus = "fleet.status"
+)
+
+const (
+	tickInterval = 50 * time.Millisecond
+	eventQueue   = 4096
+	callTimeout  = time.Second
+)
+
+// ErrStopped is returned after the fleet goroutine has ended.
+var ErrStopped = errors.New("fleet: stopped")
+
+// Network carries messages and calls between VMs.
+type Network interface {
+	Send(vm, kind string, payload []byte)
+	Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error)
+}
+
+// Leader is this VM's replica of the control group.
+type Leader interface {
+	// Leads reports whether the replica leads, and in which term.
+	Leads() (term uint64, ok bool)
+	// ReadIndex returns once the replica confirmed by a quorum that it leads and has applied
+	// all that was committed at the call.
+	ReadIndex(ctx context.Context) error
+}
+
+// Proposer brings commands into the control group's log.
+type Proposer interface {
+	Propose(ctx context.Context, command control.Command) (control.Result, error)
+}
+
+// Options configure a Fleet.
+type Options struct {
+	VM          string
+	Zone        string
+	Incarnation int64
+	Addresses   control.Addresses
+	// VMs are the VMs known at start, this one included.
+	VMs []membership.VM
+	// ControlVMs have replicas of the control group.
+	ControlVMs []string
+	Network    Network
+	// Leader is nil on a VM without the control role.
+	Leader   Leader
+	Proposer Proposer
+	// Withdrawn is called, on a goroutine of its own, after keys were withdrawn.
+	Withdrawn func()
+	Events    *events.Logger
+	Clock     func() time.Duration // default clock.Now
+}
+
+// Fleet is the state of this VM's part.
+type Fleet struct {
+	opts   Options
+	events chan func()
+	done   chan struct{}
+	tasks  *conc.WaitGroup
+	ctx    context.Context
+
+	tracker  *membership.Tracker
+	holder   *membership.Holder
+	limiter  *ratelimit.Limiter
+	follower *control.Follower
+	fetching map[string]bool
+	draws    map[string]chan ratelimit.Decision
+	leading  leading
+
+	view  atomic.Pointer[View]
+	lease atomic.Pointer[leaseView]
+	alive atomic.Pointer[aliveView]
+}
+
+// New returns a fleet; Run drives it.
+func New(opts Options) *Fleet {
+	if opts.Clock == nil {
+		opts.Clock = clock.Now
+	}
+	now := opts.Clock()
+	f := &Fleet{
+		opts:     opts,
+		events:   make(chan func(), eventQueue),
+		done:     make(chan struct{}),
+		follower: control.NewFollower(),
+		fetching: map[string]bool{},
+		draws:    map[string]chan ratelimit.Decision{},
+	}
+	f.tracker = membership.NewTracker(membership.TrackerOptions{
+		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Seed: uint64(opts.Incarnation),
+	})
+	f.tracker.SetVMs(now, opts.VMs)
+	f.holder = membership.NewHolder(now, membership.HolderOptions{
+		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation),
+		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
+	})
+	f.limiter = ratelimit.New(ratelimit.Options{
+		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Lease: f.holder,
+	})
+	f.view.Store(&View{})
+	f.publishLease(now)
+	f.publishAlive()
+	f.shareDigest()
+	return f
+}
+
+// Run handles events until ctx ends. It then gives up the lease and says goodbye.
+func (f *Fleet) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer close(f.done)
+	f.tasks, f.ctx = &tasks, ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			f.leave()
+			return
+		case event := <-f.events:
+			event()
+		case <-ticker.C:
+			f.tick()
+		}
+	}
+}
+
+// post queues an event for the control goroutine. It is dropped after the end.
+func (f *Fleet) post(event func()) {
+	select {
+	case f.events <- event:
+	case <-f.done:
+	}
+}
+
+// task runs what blocks, such as calls to other VMs, beside the control goroutine.
+func (f *Fleet) task(run func(ctx context.Context)) {
+	f.tasks.Go(func() { run(f.ctx) })
+}
+
+func (f *Fleet) tick() {
+	now := f.opts.Clock()
+	sends, changes := f.tracker.Tick(now)
+	f.sendGossip(sends)
+	f.noteAlive(changes)
+	f.sendLease(f.holder.Tick(now))
+	f.carryOut(f.limiter.Tick(now))
+	f.lead(now)
+	f.publishLease(now)
+}
+
+func (f *Fleet) leave() {
+	f.sendLease(f.holder.Release())
+	f.sendGossip(f.tracker.Leave())
+	f.publishLease(f.opts.Clock())
+}
+
+// HandleGossip takes a tracker's message.
+func (f *Fleet) HandleGossip(from string, payload []byte) {
+	var g membership.Gossip
+	if json.Unmarshal(payload, &g) != nil {
+		return
+	}
+	f.post(func() {
+		received := f.tracker.Handle(f.opts.Clock(), from, g)
+		f.sendGossip(received.Sends)
+		f.noteAlive(received.Changes)
+		if received.Digest != nil {
+			f.compare(from, received.Digest)
+		}
+	})
+}
+
+// HandleLease takes an answer to this VM's lease request, or a request of a VM of its zone.
+func (f *Fleet) HandleLease(from string, payload []byte) {
+	var m membership.LeaseMessage
+	if json.Unmarshal(payload, &m) != nil {
+		return
+	}
+	f.post(func() {
+		now := f.opts.Clock()
+		f.sendLease(f.holder.Handle(now, from, m))
+		f.settle(now)
+		f.publishLease(now)
+	})
+}
+
+// HandleLimit takes a limiter's message.
+func (f *Fleet) HandleLimit(from string, payload []byte) {
+	var m ratelimit.Message
+	if json.Unmarshal(payload, &m) != nil {
+		return
+	}
+	f.post(func() { f.carryOut(f.limiter.Handle(f.opts.Clock(), from, m)) })
+}
+
+func (f *Fleet) sendGossip(sends []membership.GossipSend) {
+	for _, s := range sends {
+		f.opts.Network.Send(s.To, KindGossip, mustMarshal(s.Gossip))
+	}
+}
+
+func (f *Fleet) sendLease(sends []membership.LeaseSend) {
+	for _, s := range sends {
+		payload := mustMarshal(s.LeaseMessage)
+		if s.To != membership.ToControl {
+			f.opts.Network.Send(s.To, KindLease, payload)
+			continue
+		}
+		for _, vm := range f.opts.ControlVMs {
+			f.opts.Network.Send(vm, KindRenew, payload)
+		}
+	}
+}
+
+// mustMarshal encodes messages of this VM, which cannot fail.
+func mustMarshal(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("fleet: cannot encode a message: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/internal/fleet/lead.go
@@ -0,0 +1,195 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretramp/internal/control"
+	"egretramp/internal/events"
+	"egretramp/internal/membership"
+)
+
+// leading is the state of the VM that leads the control group. Its grantor is nil elsewhere.
+type leading struct {
+	term       uint64
+	electing   bool
+	grantor    *membership.Grantor
+	cutoff     time.Duration
+	generation uint64
+	epoch      membership.Epoch
+	// requests wait for the next confirmation of leadership, confirming for the present one.
+	requests     []renewal
+	confirming   bool
+	incarnations map[string]uint64
+	proposing    map[string]bool
+}
+
+type renewal struct {
+	from    string
+	request membership.RenewRequest
+}
+
+func (l *leading) setEpoch(e membership.Epoch) {
+	l.epoch = e
+	if l.grantor != nil {
+		l.grantor.SetEpoch(e)
+	}
+}
+
+func (l *leading) setConfig(generation uint64, cutoff time.Duration) {
+	l.generation, l.cutoff = generation, cutoff
+	if l.grantor != nil {
+		l.grantor.SetGeneration(generation)
+		l.grantor.SetCutoffLimit(cutoff)
+	}
+}
+
+// HandleRenew takes a lease request, or a goodbye, to control.
+func (f *Fleet) HandleRenew(from string, payload []byte) {
+	var m membership.LeaseMessage
+	if f.opts.Leader == nil || json.Unmarshal(payload, &m) != nil {
+		return
+	}
+	f.post(func() { f.takeRenewal(from, m) })
+}
+
+func (f *Fleet) takeRenewal(from string, m membership.LeaseMessage) {
+	if f.leading.grantor == nil {
+		return
+	}
+	if m.Goodbye != nil {
+		f.leading.grantor.Goodbye(*m.Goodbye)
+	}
+	if m.Renew == nil {
+		return
+	}
+	f.leading.requests = append(f.leading.requests, renewal{from: from, request: *m.Renew})
+	f.confirm()
+}
+
+// confirm answers the waiting lease requests once a quorum has confirmed, after they were
+// received, that this VM leads: a deposed leader must not grant what its successor denies.
+func (f *Fleet) confirm() {
+	l := &f.leading
+	if l.confirming || len(l.requests) == 0 {
+		return
+	}
+	l.confirming = true
+	batch, term := l.requests, l.term
+	l.requests = nil
+	f.task(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := f.opts.Leader.ReadIndex(ctx)
+		f.post(func() {
+			l.confirming = false
+			if err == nil && l.grantor != nil && l.term == term {
+				f.grant(batch)
+			}
+			f.confirm()
+		})
+	})
+}
+
+func (f *Fleet) grant(batch []renewal) {
+	now := f.opts.Clock()
+	for _, r := range batch {
+		f.leading.incarnations[r.request.VM] = r.request.Incarnation
+		answer := f.leading.grantor.Renew(now, r.request)
+		payload := mustMarshal(membership.LeaseMessage{Answer: &answer})
+		f.opts.Network.Send(r.from, KindLease, payload)
+	}
+}
+
+// lead does the leader's work: it takes office after an election, and proposes the VMs to add
+// and to remove.
+func (f *Fleet) lead(now time.Duration) {
+	if f.opts.Leader == nil {
+		return
+	}
+	term, leads := f.opts.Leader.Leads()
+	l := &f.leading
+	if !leads || term != l.term && l.grantor != nil {
+		f.resign()
+	}
+	if !leads {
+		return
+	}
+	if l.grantor == nil {
+		f.takeOffice(term)
+		return
+	}
+	l.grantor.Tick(now)
+	for _, vm := range l.grantor.Removable(now) {
+		f.propose(vm, control.Command{RemoveVM: &control.RemoveVM{VM: vm, Incarnation: f.incarnation(vm)}})
+	}
+	for _, vm := range l.grantor.Joining() {
+		f.propose(vm.Name, control.Command{RegisterVM: &control.RegisterVM{
+			VM: vm.Name, Zone: vm.Zone, Incarnation: f.incarnation(vm.Name),
+		}})
+	}
+}
+
+func (f *Fleet) resign() {
+	if f.leading.grantor != nil {
+		f.opts.Events.Emit(events.FleetResigned, zap.Uint64("term", f.leading.term))
+	}
+	f.leading.grantor = nil
+	f.leading.requests = nil
+}
+
+// takeOffice makes a grantor once all entries of earlier terms are applied here.
+func (f *Fleet) takeOffice(term uint64) {
+	l := &f.leading
+	if l.electing {
+		return
+	}
+	l.electing = true
+	f.task(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, callTimeout)
+		defer cancel()
+		err := f.opts.Leader.ReadIndex(ctx)
+		f.post(func() {
+			l.electing = false
+			if now, leads := f.opts.Leader.Leads(); err != nil || !leads || now != term {
+				return
+			}
+			l.term = term
+			l.incarnations = map[string]uint64{}
+			l.proposing = map[string]bool{}
+			for _, vm := range f.follower.View().Members.VMs {
+				l.incarnations[vm.VM] = uint64(vm.Incarnation)
+			}
+			l.grantor = membership.NewGrantor(f.opts.Clock(), term, l.epoch, l.generation, l.cutoff)
+			f.opts.Events.Emit(events.FleetElected, zap.Uint64("term", term))
+		})
+	})
+}
+
+func (f *Fleet) incarnation(vm string) int64 {
+	return int64(f.leading.incarnations[vm])
+}
+
+// propose proposes a change of the membership, one at a time for each VM.
+func (f *Fleet) propose(vm string, c control.Command) {
+	l := &f.leading
+	if l.proposing[vm] {
+		return
+	}
+	l.proposing[vm] = true
+	proposing := l.proposing
+	f.task(func(ctx context.Context) {
+		ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
+		defer cancel()
+		result, err := f.opts.Proposer.Propose(ctx, c)
+		f.post(func() {
+			delete(proposing, vm)
+			if err == nil && result.Refusal != nil && c.RemoveVM != nil && l.grantor != nil {
+				l.grantor.RemovalFailed(vm)
+			}
+		})
+	})
+}
--- /dev/null
+++ b/internal/fleet/lease.go
@@ -0,0 +1,74 @@
+package fleet
+
+import (
+	"time"
+
+	"egretramp/internal/membership"
+	"egretramp/internal/upstream"
+)
+
+// leaseView is this VM's lease as traffic goroutines check it at the moment of acting.
+type leaseView struct {
+	until   time.Duration // time since boot
+	contact time.Duration // the zone's last contact with control, time since boot
+	valid   bool          // no newer epoch or configuration is waited for
+}
+
+func (f *Fleet) publishLease(now time.Duration) {
+	s := f.holder.Status(now)
+	f.lease.Store(&leaseView{
+		until:   now + s.Left,
+		contact: now - s.ContactAge,
+		valid:   s.Valid,
+	})
+}
+
+// Current reports whether this VM may serve keyed work now: its lease holds, and its zone heard
+// control within limit.
+func (f *Fleet) Current(limit time.Duration) bool {
+	l := f.lease.Load()
+	now := f.opts.Clock()
+	return l.valid && now < l.until && now-l.contact <= limit
+}
+
+// settle passes on what the lease's answers say about the other VMs.
+func (f *Fleet) settle(now time.Duration) {
+	f.limiter.SetSettled(now, f.holder.Settled())
+}
+
+// aliveView is which VMs may be given work.
+type aliveView struct {
+	zones map[string][]string
+	all   []string // without this VM
+}
+
+func (f *Fleet) noteAlive(changes []membership.Change) {
+	if len(changes) > 0 {
+		f.publishAlive()
+	}
+}
+
+func (f *Fleet) publishAlive() {
+	v := &aliveView{zones: map[string][]string{}}
+	for _, vm := range f.known(f.view.Load().Epoch) {
+		if _, ok := v.zones[vm.Zone]; ok {
+			continue
+		}
+		names := f.tracker.UsableIn(vm.Zone)
+		v.zones[vm.Zone] = names
+		for _, name := range names {
+			if name != f.opts.VM {
+				v.all = append(v.all, name)
+			}
+		}
+	}
+	f.alive.Store(v)
+}
+
+// Dispatchers returns the live VMs of a pool's zone, the pool's dispatcher first.
+func (f *Fleet) Dispatchers(pool upstream.Pool) []string {
+	return membership.Rank(pool.String(), f.alive.Load().zones[pool.Zone])
+}
+
+// VMs returns the other VMs that are alive.
+func (f *Fleet) VMs() []string { return f.alive.Load().all }
--- /dev/null
+++ b/internal/fleet/permits.go
@@ -0,0 +1,110 @@
+package fleet
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"egretramp/internal/ratelimit"
+	"egretramp/internal/refusal"
+)
+
+// carryOut sends what the limiter asks for and hands decisions to those who wait for them.
+func (f *Fleet) carryOut(e ratelimit.Effects) {
+	for _, s := range e.Sends {
+		f.opts.Network.Send(s.To, KindLimit, mustMarshal(s.Message))
+	}
+	for _, d := range e.Decisions {
+		if waiting, ok := f.draws[d.Request]; ok {
+			delete(f.draws, d.Request)
+			waiting <- d
+		}
+	}
+}
+
+// Draw takes a permit for one request of a client account. Errors: *refusal.Refusal.
+func (f *Fleet) Draw(ctx context.Context, account, request string) error {
+	d, err := f.decide(ctx, request, func(now time.Duration) ratelimit.Effects {
+		return f.limiter.Draw(now, account, request)
+	})
+	if err != nil {
+		return err
+	}
+	return refusalOf(d)
+}
+
+// Dispatch is called as a request leaves for its upstream. A permit that waited too long is
+// drawn again; until there is a token the request is held back, as long as ctx allows.
+func (f *Fleet) Dispatch(ctx context.Context, account, request string) error {
+	fresh, err := await(ctx, f, func() bool { return f.limiter.Dispatch(f.opts.Clock(), request) })
+	if err != nil {
+		return unavailable()
+	}
+	for !fresh {
+		d, err := f.decide(ctx, request, func(now time.Duration) ratelimit.Effects {
+			return f.limiter.Redraw(now, request)
+		})
+		if err != nil {
+			return err
+		}
+		if !d.Granted {
+			return refusalOf(d)
+		}
+		fresh, err = await(ctx, f, func() bool { return f.limiter.Dispatch(f.opts.Clock(), request) })
+		if err != nil {
+			return unavailable()
+		}
+	}
+	return nil
+}
+
+// GiveBack returns the permit of a request that did not run.
+func (f *Fleet) GiveBack(request string) {
+	f.post(func() { f.carryOut(f.limiter.GiveBack(f.opts.Clock(), request)) })
+}
+
+// decide starts a draw and waits for its decision.
+func (f *Fleet) decide(ctx context.Context, request string, start func(now time.Duration) ratelimit.Effects) (ratelimit.Decision, error) {
+	decided := make(chan ratelimit.Decision, 1)
+	f.post(func() {
+		f.draws[request] = decided
+		f.carryOut(start(f.opts.Clock()))
+	})
+	select {
+	case d := <-decided:
+		return d, nil
+	case <-ctx.Done():
+	case <-f.done:
+	}
+	f.post(func() {
+		delete(f.draws, request)
+		f.carryOut(f.limiter.GiveBack(f.opts.Clock(), request))
+	})
+	return ratelimit.Decision{}, unavailable()
+}
+
+// retryUnavailable is when to come back to a VM that can't decide.
+const retryUnavailable = time.Second
+
+func unavailable() *refusal.Refusal {
+	return &refusal.Refusal{
+		Status: http.StatusServiceUnavailable, Code: "unavailable", NotRun: refusal.True,
+		Message: "the VM could not decide on the request in time", RetryAfter: retryUnavailable,
+	}
+}
+
+func refusalOf(d ratelimit.Decision) error {
+	if d.Granted {
+		return nil
+	}
+	r := &refusal.Refusal{
+		Status: http.StatusTooManyRequests, Code: string(d.Reason), NotRun: refusal.True,
+		Message: "the client account's rate and burst are used up", RetryAfter: d.RetryAfter,
+	}
+	if d.Reason != ratelimit.ReasonRate {
+		r.Status = http.StatusServiceUnavailable
+		r.Message = "the VM may not admit requests of the client account now"
+		r.RetryAfter = max(d.RetryAfter, retryUnavailable)
+	}
+	return r
+}
--- /dev/null
+++ b/internal/fleet/spread.go
@@ -0,0 +1,225 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"egretramp/internal/config"
+	"egretramp/internal/control"
+	"egretramp/internal/events"
+	"egretramp/internal/membership"
+	"egretramp/internal/ratelimit"
+)
+
+// View is what traffic goroutines read. It is never changed once published.
+type View struct {
+	// Snapshot is nil before a configuration is in force.
+	Snapshot *config.Snapshot
+	// Acceptance is of the configuration in force.
+	Acceptance control.Acceptance
+	Epoch      membership.Epoch
+	withdrawn  map[string]bool // key IDs and hashes
+}
+
+// Withdrawn reports whether a key may no longer be used.
+func (v *View) Withdrawn(keyID, hash string) bool {
+	return v.withdrawn[keyID] || v.withdrawn[hash]
+}
+
+// View returns what is in force now.
+func (f *Fleet) View() *View { return f.view.Load() }
+
+// Snapshot returns the configuration in force, nil before there is one.
+func (f *Fleet) Snapshot() *config.Snapshot { return f.View().Snapshot }
+
+// Withdrawn reports whether a key may no longer be used.
+func (f *Fleet) Withdrawn(keyID, hash string) bool { return f.View().Withdrawn(keyID, hash) }
+
+// Offer takes a part of the control state that this VM learned, from its own replica or from
+// another VM.
+func (f *Fleet) Offer(d control.Delta) {
+	if d.Empty() {
+		return
+	}
+	f.post(func() { f.offer(d) })
+}
+
+func (f *Fleet) offer(d control.Delta) {
+	change := f.follower.Offer(d)
+	for _, conflict := range change.Conflicts {
+		f.opts.Events.Emit(events.FleetConflict, zap.String("conflict", conflict))
+	}
+	if !change.Config && !change.Members && len(change.Withdrawn) == 0 {
+		return
+	}
+	now := f.opts.Clock()
+	state := f.follower.View()
+	f.publish(state, change)
+	// The limiter stops what the new state takes from this VM before the holder confirms it.
+	if change.Members {
+		epoch := epochOf(state.Members)
+		f.tracker.SetVMs(now, f.known(epoch))
+		f.limiter.SetFleet(now, epoch)
+		f.holder.SetEpoch(epoch)
+		f.publishAlive()
+		f.leading.setEpoch(epoch)
+	}
+	if change.Config {
+		f.configure(now, state.Config)
+	}
+	f.shareDigest()
+	f.publishLease(now)
+	if len(change.Withdrawn) > 0 && f.opts.Withdrawn != nil {
+		f.task(func(context.Context) { f.opts.Withdrawn() })
+	}
+}
+
+// publish makes the new state visible to traffic.
+func (f *Fleet) publish(state control.View, change control.Change) {
+	last := f.view.Load()
+	next := &View{
+		Snapshot:   last.Snapshot,
+		Acceptance: state.Config.Acceptance,
+		Epoch:      epochOf(state.Members),
+		withdrawn:  map[string]bool{},
+	}
+	for _, k := range state.Withdrawn {
+		next.withdrawn[k.ID] = true
+		if k.Hash != "" {
+			next.withdrawn[k.Hash] = true
+		}
+	}
+	if change.Config {
+		file, err := config.Parse("configuration", []byte(state.Config.Text))
+		if err != nil {
+			// Checked before it was accepted; only a VM of another release can disagree.
+			f.opts.Events.Emit(events.FleetBadConfig, zap.Uint64("generation", state.Config.Generation), zap.Error(err))
+		} else {
+			next.Snapshot = config.Compile(file)
+		}
+	}
+	f.view.Store(next)
+}
+
+func (f *Fleet) configure(now time.Duration, c control.Config) {
+	snapshot := f.view.Load().Snapshot
+	if snapshot == nil || snapshot.Generation() != c.Generation {
+		return
+	}
+	limits := map[string]ratelimit.Limit{}
+	longest := seconds(snapshot.CutoffLimitSeconds())
+	for _, a := range snapshot.Accounts() {
+		limits[a.ID] = ratelimit.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst}
+		longest = max(longest, seconds(a.CutoffLimitSeconds))
+	}
+	f.limiter.Configure(now, c.Generation, limits)
+	f.holder.SetGeneration(c.Generation)
+	f.holder.SetCutoffLimit(longest)
+	f.leading.setConfig(c.Generation, longest)
+	f.opts.Events.Emit(events.FleetConfigInForce, zap.Uint64("generation", c.Generation))
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func epochOf(m control.Members) membership.Epoch {
+	e := membership.Epoch{Number: m.Epoch}
+	for _, vm := range m.VMs {
+		e.VMs = append(e.VMs, membership.VM{Name: vm.VM, Zone: vm.Zone})
+	}
+	return e
+}
+
+// known returns the VMs to track: those of the epoch and those known at start.
+func (f *Fleet) known(e membership.Epoch) []membership.VM {
+	all := append([]membership.VM(nil), e.VMs...)
+	for _, vm := range f.opts.VMs {
+		if _, ok := e.ZoneOf(vm.Name); !ok {
+			all = append(all, vm)
+		}
+	}
+	return all
+}
+
+// shareDigest puts the digest of the state on the heartbeats and sends it at once.
+func (f *Fleet) shareDigest() {
+	digest := mustMarshal(f.follower.Digest())
+	f.tracker.SetDigest(digest)
+	for _, vm := range f.opts.VMs {
+		if vm.Name != f.opts.VM {
+			f.opts.Network.Send(vm.Name, KindDigest, digest)
+		}
+	}
+}
+
+// HandleDigest takes another VM's digest.
+func (f *Fleet) HandleDigest(from string, payload []byte) {
+	f.post(func() { f.compare(from, payload) })
+}
+
+// compare fetches what another VM knows beyond this one.
+func (f *Fleet) compare(from string, payload []byte) {
+	var theirs control.Digest
+	if json.Unmarshal(payload, &theirs) != nil || f.fetching[from] {
+		return
+	}
+	own := f.follower.Digest()
+	if !ahead(theirs, own) {
+		return
+	}
+	f.fetching[from] = true
+	f.task(func(ctx context.Context) {
+		delta, err := f.fetch(ctx, from, own)
+		f.post(func() {
+			delete(f.fetching, from)
+			if err == nil {
+				f.offer(delta)
+			}
+		})
+	})
+}
+
+func ahead(theirs, own control.Digest) bool {
+	return theirs.Generation > own.Generation ||
+		theirs.Epoch > own.Epoch ||
+		theirs.WithdrawnCount > own.WithdrawnCount ||
+		theirs.WithdrawnCount == own.WithdrawnCount && theirs.WithdrawnHash != own.WithdrawnHash
+}
+
+func (f *Fleet) fetch(ctx context.Context, vm string, own control.Digest) (control.Delta, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var delta control.Delta
+	data, err := f.opts.Network.Call(ctx, vm, MethodDelta, mustMarshal(own))
+	if err != nil {
+		return delta, err
+	}
+	return delta, json.Unmarshal(data, &delta)
+}
+
+// HandleDelta serves MethodDelta: what the asking VM lacks.
+func (f *Fleet) HandleDelta(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var theirs control.Digest
+	if err := json.Unmarshal(payload, &theirs); err != nil {
+		return nil, errors.Wrap(err, "fleet: bad digest")
+	}
+	return await(ctx, f, func() []byte { return mustMarshal(f.follower.DeltaFor(theirs)) })
+}
+
+// await runs read on the control goroutine and returns its result.
+func await[T any](ctx context.Context, f *Fleet, read func() T) (T, error) {
+	result := make(chan T, 1)
+	f.post(func() { result <- read() })
+	var zero T
+	select {
+	case r := <-result:
+		return r, nil
+	case <-f.done:
+		return zero, ErrStopped
+	case <-ctx.Done():
+		return zero, ctx.Err()
+	}
+}
--- /dev/null
+++ b/internal/groups/client.go
@@ -0,0 +1,114 @@
+package groups
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/peer"
+)
+
+// Client finds the leaders of the groups. It is safe for concurrent use.
+type Client struct {
+	network    Network
+	controlVMs []string
+
+	mu      sync.Mutex
+	leaders map[uint64]string
+}
+
+// NewClient returns a client; controlVMs have the replicas, the nearest first.
+func NewClient(network Network, controlVMs []string) *Client {
+	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}}
+}
+
+// ControlVMs returns the VMs that have replicas.
+func (c *Client) ControlVMs() []string { return c.controlVMs }
+
+// Propose brings a command into a group's log and returns the state machine's answer. Errors
+// wrap ErrNotProposed or ErrUnknownOutcome.
+func (c *Client) Propose(ctx context.Context, group uint64, data []byte) ([]byte, error) {
+	return c.ask(ctx, MethodPropose, group, data)
+}
+
+// Query reads from a group's leader after it confirmed its leadership.
+func (c *Client) Query(ctx context.Context, group uint64, data []byte) ([]byte, error) {
+	result, err := c.ask(ctx, MethodQuery, group, data)
+	if errors.Is(err, ErrUnknownOutcome) {
+		return nil, errors.Mark(err, ErrNotProposed) // a query changes nothing
+	}
+	return result, err
+}
+
+// ask tries the supposed leader, then whoever the answers name, then the other VMs.
+func (c *Client) ask(ctx context.Context, method string, group uint64, data []byte) ([]byte, error) {
+	payload, err := json.Marshal(request{Group: group, Data: data})
+	if err != nil {
+		return nil, errors.Mark(err, ErrNotProposed)
+	}
+	queue := c.candidates(group)
+	tried := map[string]bool{}
+	var last error
+	for len(queue) > 0 && ctx.Err() == nil {
+		vm := queue[0]
+		queue = queue[1:]
+		if tried[vm] {
+			continue
+		}
+		tried[vm] = true
+		result, hint, err := c.try(ctx, vm, method, payload)
+		if err == nil {
+			c.setLeader(group, vm)
+			return result, nil
+		}
+		if errors.Is(err, ErrUnknownOutcome) {
+			c.setLeader(group, "")
+			return nil, err
+		}
+		last = err
+		if hint != "" {
+			queue = append([]string{hint}, queue...)
+		}
+	}
+	return nil, errors.Mark(errors.Wrapf(last, "group %d", group), ErrNotProposed)
+}
+
+// try asks one VM. The error wraps ErrUnknownOutcome if the request may have been proposed.
+func (c *Client) try(ctx context.Context, vm, method string, payload []byte) (result []byte, leader string, err error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	result, err = c.network.Call(ctx, vm, method, payload)
+	if err == nil {
+		return result, "", nil
+	}
+	var unreachable *peer.UnreachableError
+	if errors.As(err, &unreachable) {
+		return nil, "", err
+	}
+	var remote *peer.RemoteError
+	if errors.As(err, &remote) && remote.Code != codeUnknown {
+		if remote.Code == codeNotLeader {
+			leader = remote.Message
+		}
+		return nil, leader, err
+	}
+	return nil, "", errors.Mark(err, ErrUnknownOutcome)
+}
+
+func (c *Client) candidates(group uint64) []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	var all []string
+	if leader := c.leaders[group]; leader != "" {
+		all = append(all, leader)
+	}
+	return append(all, c.controlVMs...)
+}
+
+func (c *Client) setLeader(group uint64, vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leaders[group] = vm
+}
--- /dev/null
+++ b/internal/groups/groups.go
@@ -0,0 +1,147 @@
+// Package groups gives the rest of a VM access to the replicated groups: it runs the replicas
+// of a VM with the control role, and forwards commands and queries to the groups' leaders.
+package groups
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"egretramp/internal/peer"
+	"egretramp/internal/raft/raftpb"
+	"egretramp/internal/replica"
+)
+
+// The groups.
+const (
+	Control uint64 = 1
+	Program uint64 = 2
+)
+
+// Methods and kinds of messages between VMs.
+const (
+	MethodPropose = "group.propose"
+	MethodQuery   = "group.query"
+	KindRaft      = "group.raft"
+)
+
+// tryTimeout bounds one try at one VM.
+const tryTimeout = 2 * time.Second
+
+// Errors of Propose and Query.
+var (
+	// ErrNotProposed says that the command surely was not and will not be applied.
+	ErrNotProposed = errors.New("groups: no leader could be reached; the command was not proposed")
+	// ErrUnknownOutcome says that the command may be applied, now or later.
+	ErrUnknownOutcome = errors.New("groups: the outcome of the command is unknown")
+)
+
+// Network carries messages and calls between VMs.
+type Network interface {
+	Send(vm, kind string, payload []byte)
+	Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error)
+}
+
+// Queryable is a state machine that answers queries.
+type Queryable interface {
+	Query(query []byte) []byte
+}
+
+// request is a command or query for a group.
+type request struct {
+	Group uint64 `json:"group"`
+	Data  []byte `json:"data"`
+}
+
+// Transport sends raft messages of all groups between VMs.
+type Transport struct {
+	Network Network
+}
+
+// Send sends a message to the replica of its group on vm.
+func (t Transport) Send(vm string, m *raftpb.Message) {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return // the message is dropped; raft repeats what matters
+	}
+	t.Network.Send(vm, KindRaft, data)
+}
+
+// Replicas are the replicas of this VM by group; empty without the control role.
+type Replicas map[uint64]*replica.Replica
+
+// HandleRaft takes a raft message from another VM.
+func (r Replicas) HandleRaft(_ string, payload []byte) {
+	m := &raftpb.Message{}
+	if proto.Unmarshal(payload, m) != nil {
+		return
+	}
+	if local, ok := r[m.GetGroup()]; ok {
+		local.Step(m)
+	}
+}
+
+// HandlePropose serves MethodPropose.
+func (r Replicas) HandlePropose(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	local, req, err := r.find(payload)
+	if err != nil {
+		return nil, err
+	}
+	result, err := local.Propose(ctx, req.Data)
+	return result, encodeError(err)
+}
+
+// HandleQuery serves MethodQuery.
+func (r Replicas) HandleQuery(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	local, req, err := r.find(payload)
+	if err != nil {
+		return nil, err
+	}
+	var result []byte
+	err = local.LinearizableQuery(ctx, func(sm replica.StateMachine) {
+		if q, ok := sm.(Queryable); ok {
+			result = q.Query(req.Data)
+		}
+	})
+	return result, encodeError(err)
+}
+
+func (r Replicas) find(payload []byte) (*replica.Replica, *request, error) {
+	var req request
+	if err := json.Unmarshal(payload, &req); err != nil {
+		return nil, nil, err
+	}
+	local, ok := r[req.Group]
+	if !ok {
+		return nil, nil, &peer.RemoteError{Code: codeNoReplica, Message: "the VM has no replica of the group"}
+	}
+	return local, &req, nil
+}
+
+// Codes of errors between VMs. All but codeUnknown mean that nothing was proposed.
+const (
+	codeNoReplica = "no_replica"
+	codeNotLeader = "not_leader" // the message is the leader's VM, or empty
+	codeNotFormed = "not_formed"
+	codeStopped   = "stopped"
+	codeUnknown   = "unknown_outcome"
+)
+
+func encodeError(err error) error {
+	if err == nil {
+		return nil
+	}
+	var notLeader *replica.NotLeaderError
+	switch {
+	case errors.As(err, &notLeader):
+		return &peer.RemoteError{Code: codeNotLeader, Message: notLeader.LeaderVM}
+	case errors.Is(err, replica.ErrNotFormed):
+		return &peer.RemoteError{Code: codeNotFormed, Message: err.Error()}
+	case errors.Is(err, replica.ErrStopped):
+		return &peer.RemoteError{Code: codeStopped, Message: err.Error()}
+	}
+	return &peer.RemoteError{Code: codeUnknown, Message: err.Error()}
+}
