Control state machine: configuration, withdrawn keys, membership, fencing numbers

Pure values without clock, lock or random source. A file sent again gets the first answer, also after a newer one; a withdrawn key ID or hash never comes back; a key may not change its ID or hash, since that would hide a withdrawal. Withdrawals are numbered in log order, so that VMs send each other only what the other lacks. Weighed: sending the whole set on each change.

--- /dev/null
+++ b/internal/control/apply_config.go
@@ -0,0 +1,139 @@
+package control
+
+import (
+	"fmt"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
+	"egretramp/internal/jsonfile"
+)
+
+// maxHistory bounds the accepted files that a resend is recognised of; at 2,500 changes a day
+// that is about ten hours.
+const maxHistory = 1000
+
+// fileName stands in the problems of a file, whose own name the log does not carry.
+const fileName = "configuration"
+
+func (m *Machine) applyConfig(a *ApplyConfig) Result {
+	file, err := config.Parse(fileName, []byte(a.Text))
+	if err != nil {
+		return refuseFile(err)
+	}
+	// A resend comes first: it is answered as accepted even if a key of it was withdrawn
+	// since, and it changes nothing.
+	if first, ok := m.accepted(file.Generation, a.Hash); ok {
+		return Result{Applied: &Applied{Acceptance: first, InForce: m.config.Generation}}
+	}
+	if refusal := m.refuseGeneration(file.Generation); refusal != nil {
+		return Result{Refusal: refusal}
+	}
+	if refusal := m.refuseKeys(file); refusal != nil {
+		return Result{Refusal: refusal}
+	}
+	m.putInForce(file, a)
+	return Result{Applied: &Applied{Acceptance: m.config.Acceptance, InForce: m.config.Generation}}
+}
+
+func refuseFile(err error) Result {
+	result := refuse(CodeBadFile, "the file has problems")
+	if !errors.As(err, &result.Refusal.Problems) {
+		result.Refusal.Problems = jsonfile.Problems{{File: fileName, Line: 1, Column: 1, Message: err.Error()}}
+	}
+	return result
+}
+
+// accepted finds the first acceptance of a text.
+func (m *Machine) accepted(generation uint64, hash string) (Acceptance, bool) {
+	for _, a := range m.history {
+		if a.Generation == generation && a.Hash == hash {
+			return a, true
+		}
+	}
+	return Acceptance{}, false
+}
+
+func (m *Machine) refuseGeneration(generation uint64) *Refusal {
+	winner := m.config.Acceptance
+	if generation > winner.Generation {
+		return nil
+	}
+	code := CodeGenerationOld
+	message := fmt.Sprintf("generation %d is older than generation %d in force", generation, winner.Generation)
+	if generation == winner.Generation {
+		code = CodeGenerationTaken
+		message = fmt.Sprintf("generation %d is taken by another file", generation)
+	}
+	message += fmt.Sprintf(" (hash %.12s, applied by %q); base your change on it and use a higher generation",
+		winner.Hash, winner.Operator)
+	return &Refusal{Code: code, Message: message, Winner: &winner}
+}
+
+// refuseKeys refuses a file that would bring a withdrawn key back, or give a key's ID to
+// another key or the key to another ID: both would hide a withdrawal.
+func (m *Machine) refuseKeys(file *config.File) *Refusal {
+	owners := make(map[string]string, len(m.keys))
+	for id, hash := range m.keys {
+		owners[hash] = id
+	}
+	var withdrawn, reused []string
+	for _, account := range file.ClientAccounts {
+		for _, key := range account.Keys {
+			hash, known := m.keys[key.ID]
+			owner, owned := owners[key.SHA256]
+			switch {
+			case m.withdrawn.has(key.ID, key.SHA256):
+				withdrawn = append(withdrawn, key.ID)
+			case known && hash != key.SHA256, owned && owner != key.ID:
+				reused = append(reused, key.ID)
+			}
+		}
+	}
+	if len(withdrawn) > 0 {
+		return &Refusal{
+			Code:    CodeWithdrawnKey,
+			Message: fmt.Sprintf("the ID or hash of these keys is withdrawn for good: %.400q", withdrawn),
+			KeyIDs:  withdrawn,
+		}
+	}
+	if len(reused) > 0 {
+		return &Refusal{
+			Code:    CodeKeyReused,
+			Message: fmt.Sprintf("these keys have another hash or ID in generation %d in force; give a new key a new ID: %.400q", m.config.Generation, reused),
+			KeyIDs:  reused,
+		}
+	}
+	return nil
+}
+
+// putInForce replaces the configuration and withdraws the keys that the new one leaves out, in
+// the order of their IDs.
+func (m *Machine) putInForce(file *config.File, a *ApplyConfig) {
+	keys := map[string]string{}
+	for _, account := range file.ClientAccounts {
+		for _, key := range account.Keys {
+			keys[key.ID] = key.SHA256
+		}
+	}
+	for _, id := range sortedKeys(m.keys) {
+		if _, kept := keys[id]; !kept && !m.withdrawn.hasID(id) {
+			m.withdrawn.append(id, m.keys[id])
+		}
+	}
+	m.keys = keys
+	m.config = Config{
+		Acceptance: Acceptance{
+			Generation: file.Generation,
+			Hash:       a.Hash,
+			Operator:   a.Operator,
+			RequestID:  a.RequestID,
+			Index:      m.index,
+		},
+		Text: a.Text,
+	}
+	m.history = append(m.history, m.config.Acceptance)
+	if len(m.history) > maxHistory {
+		m.history = append([]Acceptance(nil), m.history[len(m.history)-maxHistory:]...)
+	}
+}
--- /dev/null
+++ b/internal/control/commands.go
@@ -0,0 +1,234 @@
+// Package control is the state machine of the control group: the configuration in force,
+// withdrawn keys, the fleet's membership and fencing numbers.
+//
+// Machine is a pure value: its state is a function of the commands applied to it in log order.
+// It has no lock, clock, socket or random source, and no result depends on map order, so all
+// replicas agree byte for byte. One goroutine drives it. Follower is the part of the state that
+// a VM outside the group keeps, merged from what other VMs offer.
+//
+// Commands and results are JSON. Whether a file is accepted depends on config.Parse, so all
+// replicas of a group must run the same checks: a release that changes them has to reach every
+// replica before the first file that makes a difference is applied.
+package control
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"unicode/utf8"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
+)
+
+// Bounds of a command.
+const (
+	// MaxTextBytes bounds a configuration's text. Bytes.
+	MaxTextBytes = config.MaxBytes
+	// MaxCommandBytes bounds an encoded command. Bytes; JSON needs up to 6 for one of the text.
+	MaxCommandBytes = 6*MaxTextBytes + 4096
+	// MaxWithdrawnIDs bounds the key IDs of one WithdrawKeys.
+	MaxWithdrawnIDs = 10_000
+	// MaxNameLength bounds names of operators, requests, VMs, resources and holders. Characters.
+	MaxNameLength = 128
+)
+
+// Command is one entry of the control group's log. Exactly one field is set.
+type Command struct {
+	ApplyConfig  *ApplyConfig  `json:"apply_config,omitempty"`
+	WithdrawKeys *WithdrawKeys `json:"withdraw_keys,omitempty"`
+	RegisterVM   *RegisterVM   `json:"register_vm,omitempty"`
+	RemoveVM     *RemoveVM     `json:"remove_vm,omitempty"`
+	IssueFencing *IssueFencing `json:"issue_fencing,omitempty"`
+}
+
+// ApplyConfig puts a configuration in force, whole or not at all.
+type ApplyConfig struct {
+	// Text is the operators' file, at most MaxTextBytes.
+	Text string `json:"text"`
+	// Hash is the lower-case hex SHA-256 of Text.
+	Hash string `json:"hash"`
+	// Operator is who applies it, as later refusals name them.
+	Operator string `json:"operator"`
+	// RequestID is the first request's that brought the file.
+	RequestID string `json:"request_id,omitempty"`
+}
+
+// WithdrawKeys makes keys stop working for good.
+type WithdrawKeys struct {
+	IDs []string `json:"ids"`
+}
+
+// RegisterVM enters a VM's start into the membership.
+type RegisterVM struct {
+	VM   string `json:"vm"`
+	Zone string `json:"zone"`
+	// Incarnation grows with each start of the VM, and is at least 1.
+	Incarnation int64     `json:"incarnation"`
+	Addresses   Addresses `json:"addresses"`
+}
+
+// Addresses are a VM's listeners, IP:port each.
+type Addresses struct {
+	Callers   string `json:"callers,omitempty"`
+	Upstreams string `json:"upstreams,omitempty"`
+	Peers     string `json:"peers,omitempty"`
+	Admin     string `json:"admin,omitempty"`
+}
+
+// RemoveVM takes a VM out of the membership. Starts after Incarnation are not affected.
+type RemoveVM struct {
+	VM          string `json:"vm"`
+	Incarnation int64  `json:"incarnation"`
+}
+
+// IssueFencing gives a holder a new fencing number for a resource.
+type IssueFencing struct {
+	Resource string `json:"resource"`
+	Holder   string `json:"holder"`
+}
+
+// ErrCommand is wrapped by the errors of a command that no machine accepts.
+var ErrCommand = errors.New("control: invalid command")
+
+// NewApplyConfig checks a file and returns the command that puts it in force. The error is a
+// jsonfile.Problems; the name stands in it.
+func NewApplyConfig(name string, text []byte, operator, requestID string) (Command, error) {
+	if _, err := config.Parse(name, text); err != nil {
+		return Command{}, err
+	}
+	return Command{ApplyConfig: &ApplyConfig{
+		Text:      string(text),
+		Hash:      HashText(string(text)),
+		Operator:  operator,
+		RequestID: requestID,
+	}}, nil
+}
+
+// HashText returns the hash that names a configuration's text.
+func HashText(text string) string {
+	sum := sha256.Sum256([]byte(text))
+	return hex.EncodeToString(sum[:])
+}
+
+// Encode returns the command as a log entry. The error wraps ErrCommand.
+func (c Command) Encode() ([]byte, error) {
+	if err := c.validate(); err != nil {
+		return nil, err
+	}
+	data, err := json.Marshal(c)
+	if err != nil {
+		return nil, invalid("it can't be encoded: %v", err)
+	}
+	return data, nil
+}
+
+// DecodeCommand reads a log entry. The error wraps ErrCommand.
+func DecodeCommand(data []byte) (Command, error) {
+	if len(data) > MaxCommandBytes {
+		return Command{}, invalid("the command has %d bytes, more than %d", len(data), MaxCommandBytes)
+	}
+	var c Command
+	decoder := json.NewDecoder(bytes.NewReader(data))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(&c); err != nil {
+		return Command{}, invalid("it can't be decoded: %v", err)
+	}
+	if decoder.More() {
+		return Command{}, invalid("bytes follow the command")
+	}
+	if err := c.validate(); err != nil {
+		return Command{}, err
+	}
+	return c, nil
+}
+
+func invalid(format string, args ...any) error {
+	return errors.Wrapf(ErrCommand, format, args...)
+}
+
+func (c Command) validate() error {
+	set := 0
+	var err error
+	for _, check := range []struct {
+		set      bool
+		validate func() error
+	}{
+		{c.ApplyConfig != nil, c.ApplyConfig.validate},
+		{c.WithdrawKeys != nil, c.WithdrawKeys.validate},
+		{c.RegisterVM != nil, c.RegisterVM.validate},
+		{c.RemoveVM != nil, c.RemoveVM.validate},
+		{c.IssueFencing != nil, c.IssueFencing.validate},
+	} {
+		if check.set {
+			set++
+			err = errors.CombineErrors(err, check.validate())
+		}
+	}
+	if set != 1 {
+		return invalid("a command has exactly one field set, not %d", set)
+	}
+	return err
+}
+
+func (a *ApplyConfig) validate() error {
+	if len(a.Text) > MaxTextBytes {
+		return invalid("the configuration has %d bytes, more than %d", len(a.Text), MaxTextBytes)
+	}
+	if a.Hash != HashText(a.Text) {
+		return invalid("the hash is not that of the configuration's text")
+	}
+	if a.RequestID != "" {
+		return firstError(checkName("operator", a.Operator), checkName("request ID", a.RequestID))
+	}
+	return checkName("operator", a.Operator)
+}
+
+func (w *WithdrawKeys) validate() error {
+	if len(w.IDs) == 0 || len(w.IDs) > MaxWithdrawnIDs {
+		return invalid("%d key IDs; allowed are 1 to %d", len(w.IDs), MaxWithdrawnIDs)
+	}
+	for _, id := range w.IDs {
+		if err := checkName("key ID", id); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r *RegisterVM) validate() error {
+	if r.Incarnation < 1 {
+		return invalid("incarnation %d is below 1", r.Incarnation)
+	}
+	return firstError(checkName("VM", r.VM), checkName("zone", r.Zone))
+}
+
+func (r *RemoveVM) validate() error {
+	if r.Incarnation < 1 {
+		return invalid("incarnation %d is below 1", r.Incarnation)
+	}
+	return checkName("VM", r.VM)
+}
+
+func (i *IssueFencing) validate() error {
+	return firstError(checkName("resource", i.Resource), checkName("holder", i.Holder))
+}
+
+func checkName(what, name string) error {
+	length := utf8.RuneCountInString(name)
+	if length < 1 || length > MaxNameLength || !utf8.ValidString(name) {
+		return invalid("%s %.40q has %d characters; allowed are 1 to %d of UTF-8", what, name, length, MaxNameLength)
+	}
+	return nil
+}
+
+func firstError(errs ...error) error {
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/invariants.go
@@ -0,0 +1,69 @@
+package control
+
+import "fmt"
+
+// floor is what a state may not fall below.
+type floor struct {
+	generation uint64
+	hash       string
+	withdrawn  int
+	epoch      uint64
+	fencing    uint64
+}
+
+// checkInvariants panics if the state fell below the last one or contradicts itself.
+func (m *Machine) checkInvariants() {
+	now := floor{
+		generation: m.config.Generation,
+		hash:       m.config.Hash,
+		withdrawn:  len(m.withdrawn.byID),
+		epoch:      m.members.epoch,
+		fencing:    m.fencing.last,
+	}
+	if err := now.above(m.floor); err != nil {
+		panic("control: " + err.Error())
+	}
+	if err := m.consistent(now.hash != m.floor.hash); err != nil {
+		panic("control: " + err.Error())
+	}
+	m.floor = now
+}
+
+// above returns an error if the state fell below an earlier one.
+func (f floor) above(earlier floor) error {
+	switch {
+	case f.generation < earlier.generation:
+		return fmt.Errorf("generation fell from %d to %d", earlier.generation, f.generation)
+	case f.generation == earlier.generation && f.hash != earlier.hash:
+		return fmt.Errorf("generation %d changed its text", f.generation)
+	case f.withdrawn < earlier.withdrawn:
+		return fmt.Errorf("withdrawn keys shrank from %d to %d", earlier.withdrawn, f.withdrawn)
+	case f.epoch < earlier.epoch:
+		return fmt.Errorf("epoch fell from %d to %d", earlier.epoch, f.epoch)
+	case f.fencing < earlier.fencing:
+		return fmt.Errorf("fencing number fell from %d to %d", earlier.fencing, f.fencing)
+	}
+	return nil
+}
+
+// consistent checks the parts against each other; newConfig says that the configuration is new.
+func (m *Machine) consistent(newConfig bool) error {
+	if uint64(len(m.withdrawn.byID)) != m.withdrawn.through {
+		return fmt.Errorf("%d withdrawn keys, but sequences through %d", len(m.withdrawn.byID), m.withdrawn.through)
+	}
+	if n := len(m.history); n > 0 && m.history[n-1] != m.config.Acceptance {
+		return fmt.Errorf("generation %d in force is not the last accepted", m.config.Generation)
+	}
+	if !newConfig {
+		return nil
+	}
+	if m.config.Text != "" && HashText(m.config.Text) != m.config.Hash {
+		return fmt.Errorf("generation %d has another hash than its text", m.config.Generation)
+	}
+	for id, hash := range m.keys {
+		if m.withdrawn.has(id, hash) {
+			return fmt.Errorf("generation %d came into force with withdrawn key %q", m.config.Generation, id)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/machine.go
@@ -0,0 +1,74 @@
+package control
+
+// Machine is one replica's state. The zero value is not usable; see New.
+type Machine struct {
+	// index is the last applied log index.
+	index   uint64
+	config  Config
+	history []Acceptance // accepted files in order, the one in force last
+	// keys are the keys of the file in force by ID, withdrawn ones included.
+	keys      map[string]string
+	withdrawn withdrawnKeys
+	members   members
+	fencing   fencing
+	// floor is the state after the last command, which the next may not fall below.
+	floor floor
+}
+
+// New returns the state of an empty log.
+func New() *Machine {
+	return &Machine{
+		keys:      map[string]string{},
+		withdrawn: newWithdrawnKeys(),
+		members:   newMembers(),
+		fencing:   newFencing(),
+	}
+}
+
+// Apply applies the log entry at index and returns its Result in JSON. It panics if the state
+// breaks an invariant afterwards: a replica must not go on from a wrong state.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	if index <= m.index {
+		return refuse(CodeAlreadyApplied, "the log index is not above the last one applied").encode()
+	}
+	m.index = index
+	command, err := DecodeCommand(data)
+	if err != nil {
+		return refuse(CodeMalformed, err.Error()).encode()
+	}
+	result := m.apply(command)
+	m.checkInvariants()
+	return result.encode()
+}
+
+func (m *Machine) apply(c Command) Result {
+	switch {
+	case c.ApplyConfig != nil:
+		return m.applyConfig(c.ApplyConfig)
+	case c.WithdrawKeys != nil:
+		return m.withdrawKeys(c.WithdrawKeys)
+	case c.RegisterVM != nil:
+		return m.members.register(c.RegisterVM)
+	case c.RemoveVM != nil:
+		return m.members.remove(c.RemoveVM)
+	default:
+		return Result{Fencing: m.fencing.issue(c.IssueFencing)}
+	}
+}
+
+func (m *Machine) withdrawKeys(w *WithdrawKeys) Result {
+	result := &Withdrawn{}
+	for _, id := range sortedUnique(w.IDs) {
+		hash, known := m.keys[id]
+		switch {
+		case m.withdrawn.hasID(id):
+			result.Already = append(result.Already, id)
+		case known:
+			m.withdrawn.append(id, hash)
+			result.Now = append(result.Now, id)
+		default:
+			result.Unknown = append(result.Unknown, id)
+		}
+	}
+	return Result{Withdrawn: result}
+}
--- /dev/null
+++ b/internal/control/members.go
@@ -0,0 +1,68 @@
+package control
+
+import "fmt"
+
+// VM is a VM of the fleet.
+type VM struct {
+	VM          string    `json:"vm"`
+	Zone        string    `json:"zone"`
+	Incarnation int64     `json:"incarnation"`
+	Addresses   Addresses `json:"addresses"`
+	// Epoch is the membership epoch that entered this incarnation.
+	Epoch uint64 `json:"epoch"`
+}
+
+// members is the fleet's membership. The epoch grows by one with each change of it.
+type members struct {
+	epoch uint64
+	vms   map[string]VM
+	// removed maps a VM that was taken out to its last incarnation, so that a late
+	// registration can't bring it back.
+	removed map[string]int64
+}
+
+func newMembers() members {
+	return members{vms: map[string]VM{}, removed: map[string]int64{}}
+}
+
+func (s *members) register(r *RegisterVM) Result {
+	if last, ok := s.removed[r.VM]; ok && r.Incarnation <= last {
+		return refuse(CodeOldIncarnation, fmt.Sprintf(
+			"VM %q was removed in incarnation %d; register with a higher one", r.VM, last))
+	}
+	vm := VM{VM: r.VM, Zone: r.Zone, Incarnation: r.Incarnation, Addresses: r.Addresses}
+	if old, ok := s.vms[r.VM]; ok {
+		vm.Epoch = old.Epoch
+		if vm == old {
+			return s.result(false)
+		}
+		if r.Incarnation <= old.Incarnation {
+			return refuse(CodeOldIncarnation, fmt.Sprintf(
+				"VM %q is registered in incarnation %d; register a change with a higher one", r.VM, old.Incarnation))
+		}
+	}
+	s.epoch++
+	vm.Epoch = s.epoch
+	s.vms[r.VM] = vm
+	delete(s.removed, r.VM)
+	return s.result(true)
+}
+
+func (s *members) remove(r *RemoveVM) Result {
+	old, ok := s.vms[r.VM]
+	if !ok {
+		return s.result(false)
+	}
+	if r.Incarnation < old.Incarnation {
+		return refuse(CodeOldIncarnation, fmt.Sprintf(
+			"VM %q is registered in incarnation %d", r.VM, old.Incarnation))
+	}
+	s.epoch++
+	delete(s.vms, r.VM)
+	s.removed[r.VM] = old.Incarnation
+	return s.result(true)
+}
+
+func (s *members) result(changed bool) Result {
+	return Result{Members: &MembersChange{Epoch: s.epoch, Changed: changed}}
+}
--- /dev/null
+++ b/internal/control/random_test.go
@@ -0,0 +1,201 @@
+package control
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/config"
+)
+
+var (
+	seeds     = flag.Int("seeds", 1000, "number of random runs")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first random run")
+)
+
+// oracle judges the answers of a run from outside, by rules of its own.
+type oracle struct {
+	accepted   map[uint64]string // generation to text
+	answers    map[string]Acceptance
+	highest    uint64
+	inForce    map[string]string // key ID to hash in the file in force
+	dead       map[string]bool   // IDs and hashes
+	fencing    uint64
+	epoch      uint64
+	registered map[string]int64
+}
+
+func (o *oracle) judge(t *testing.T, c Command, r Result) {
+	switch {
+	case c.ApplyConfig != nil:
+		o.judgeApply(t, c.ApplyConfig, r)
+	case c.WithdrawKeys != nil:
+		for _, id := range c.WithdrawKeys.IDs {
+			if hash, ok := o.inForce[id]; ok {
+				o.dead[id], o.dead[hash] = true, true
+			}
+		}
+		require.Equal(t, len(sortedUnique(c.WithdrawKeys.IDs)),
+			len(r.Withdrawn.Now)+len(r.Withdrawn.Already)+len(r.Withdrawn.Unknown))
+	case c.IssueFencing != nil:
+		require.Greater(t, r.Fencing.Number, o.fencing)
+		o.fencing = r.Fencing.Number
+	case r.Members != nil:
+		require.Equal(t, r.Members.Changed, r.Members.Epoch > o.epoch)
+		o.epoch = r.Members.Epoch
+	}
+}
+
+func (o *oracle) judgeApply(t *testing.T, a *ApplyConfig, r Result) {
+	file, err := config.Parse("f", []byte(a.Text))
+	require.NoError(t, err)
+	keys := map[string]string{}
+	touchesDead := false
+	for _, key := range file.ClientAccounts[0].Keys {
+		keys[key.ID] = key.SHA256
+		touchesDead = touchesDead || o.dead[key.ID] || o.dead[key.SHA256]
+	}
+	switch first, resend := o.answers[a.Text]; {
+	case resend:
+		require.Equal(t, first, r.Applied.Acceptance)
+	case file.Generation <= o.highest:
+		require.Equal(t, o.highest, r.Refusal.Winner.Generation)
+		require.Equal(t, HashText(o.accepted[o.highest]), r.Refusal.Winner.Hash)
+	case touchesDead:
+		require.Equal(t, CodeWithdrawnKey, r.Refusal.Code)
+	case r.Refusal != nil:
+		require.Equal(t, CodeKeyReused, r.Refusal.Code)
+	default:
+		for id, hash := range o.inForce {
+			if keys[id] == "" {
+				o.dead[id], o.dead[hash] = true, true
+			}
+		}
+		o.accepted[file.Generation], o.answers[a.Text] = a.Text, r.Applied.Acceptance
+		o.highest, o.inForce = file.Generation, keys
+	}
+}
+
+// randomCommand is what one of a few operators or VMs may send.
+func randomCommand(r *rand.Rand, highest int, sent []Command) Command {
+	switch n := r.IntN(10); {
+	case n < 5:
+		generation := max(1, highest-1+r.IntN(4))
+		keys := []string{"stay"}
+		for range r.IntN(3) {
+			key := fmt.Sprint("k", r.IntN(8))
+			if r.IntN(6) == 0 {
+				key += fmt.Sprint("=k", r.IntN(8))
+			}
+			keys = append(keys, key)
+		}
+		text := fileText(generation, keys...)
+		if _, err := config.Parse("f", []byte(text)); err == nil {
+			return applyCommand(text, fmt.Sprint("operator", r.IntN(3)))
+		}
+		return Command{IssueFencing: &IssueFencing{Resource: "e0", Holder: "a0"}}
+	case n < 6 && len(sent) > 0:
+		return sent[r.IntN(len(sent))]
+	case n < 7:
+		return Command{WithdrawKeys: &WithdrawKeys{IDs: []string{fmt.Sprint("k", r.IntN(8)), fmt.Sprint("k", r.IntN(8))}}}
+	case n < 8:
+		return Command{RegisterVM: &RegisterVM{VM: fmt.Sprint("v", r.IntN(3)), Zone: "a", Incarnation: 1 + r.Int64N(6)}}
+	case n < 9:
+		return Command{RemoveVM: &RemoveVM{VM: fmt.Sprint("v", r.IntN(3)), Incarnation: 1 + r.Int64N(6)}}
+	}
+	return Command{IssueFencing: &IssueFencing{Resource: fmt.Sprint("e", r.IntN(3)), Holder: "a1"}}
+}
+
+// TestMachine_RandomRuns drives three replicas over one log, each at its own pace and with
+// restarts from snapshots, and followers that hear from all of them in any order, late and
+// twice. The machines and followers check their invariants after each step.
+func TestMachine_RandomRuns(t *testing.T) {
+	accepted, dead := 0, 0
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			o := randomRun(t, rand.New(rand.NewPCG(seed, 0)))
+			accepted += len(o.accepted)
+			dead += len(o.dead)
+		})
+	}
+	require.Greater(t, accepted, 2**seeds, "the runs accept files")
+	require.Greater(t, dead, 2**seeds, "the runs withdraw keys")
+}
+
+func randomRun(t *testing.T, r *rand.Rand) *oracle {
+	o := &oracle{accepted: map[uint64]string{}, answers: map[string]Acceptance{}, dead: map[string]bool{}}
+	replicas := []*Machine{New(), New(), New()}
+	followers := []*Follower{NewFollower(), NewFollower(), NewFollower()}
+	var log [][]byte
+	var sent []Command
+	var answers [][]byte
+	var late []Delta
+	for range 40 {
+		c := randomCommand(r, int(o.highest), sent)
+		data, err := c.Encode()
+		require.NoError(t, err)
+		log, sent = append(log, data), append(sent, c)
+		answers = append(answers, replicas[0].Apply(uint64(len(log)), data))
+		result, err := DecodeResult(answers[len(answers)-1])
+		require.NoError(t, err)
+		o.judge(t, c, result)
+		for n := 1; n < len(replicas); n++ {
+			replicas[n] = catchUp(t, r, replicas[n], replicas[0], log, answers)
+		}
+		late = spread(t, r, o, replicas, followers, late)
+	}
+	for _, f := range followers {
+		f.Offer(replicas[0].DeltaFor(f.Digest()))
+		require.Equal(t, replicas[0].Digest(), f.Digest())
+		require.True(t, replicas[0].DeltaFor(f.Digest()).Empty())
+	}
+	return o
+}
+
+// catchUp lets a replica apply some of the entries that it lacks, sometimes after a restart
+// from its own or the leader's snapshot.
+func catchUp(t *testing.T, r *rand.Rand, m, leader *Machine, log, answers [][]byte) *Machine {
+	switch r.IntN(8) {
+	case 0:
+		m = restored(t, m)
+	case 1:
+		m = restored(t, leader)
+	}
+	for m.index < uint64(len(log)) && r.IntN(4) > 0 {
+		next := m.index
+		require.Equal(t, answers[next], m.Apply(next+1, log[next]), "replicas answer alike")
+	}
+	if m.index == leader.index {
+		want, _ := leader.Snapshot()
+		got, _ := m.Snapshot()
+		require.Equal(t, want, got, "replicas agree")
+	}
+	return m
+}
+
+// spread delivers some offers, fresh and late, and returns those still under way.
+func spread(t *testing.T, r *rand.Rand, o *oracle, replicas []*Machine, followers []*Follower, late []Delta) []Delta {
+	to := followers[r.IntN(len(followers))]
+	from := followers[r.IntN(len(followers))]
+	replica := replicas[r.IntN(len(replicas))]
+	late = append(late, replica.View().Delta(), replica.DeltaFor(to.Digest()), from.DeltaFor(to.Digest()))
+	for range 2 {
+		d := late[r.IntN(len(late))]
+		if r.IntN(3) == 0 {
+			d = Delta{Withdrawn: d.Withdrawn}
+		}
+		before := to.View()
+		change := to.Offer(d)
+		require.Empty(t, change.Conflicts)
+		for _, k := range append(before.Withdrawn, d.Withdrawn...) {
+			require.True(t, to.KeyWithdrawn(k.ID, "") && to.KeyWithdrawn("", k.Hash))
+			require.True(t, o.dead[k.ID], "only withdrawn keys are refused")
+		}
+		require.GreaterOrEqual(t, to.View().Config.Generation, before.Config.Generation)
+	}
+	return late
+}
--- /dev/null
+++ b/internal/control/view.go
@@ -0,0 +1,148 @@
+package control
+
+import (
+	"cmp"
+	"slices"
+)
+
+// Config is an accepted file with its text.
+type Config struct {
+	Acceptance
+	Text string `json:"text"`
+}
+
+// Members is the fleet's membership at an epoch, sorted by name.
+type Members struct {
+	Epoch uint64 `json:"epoch"`
+	VMs   []VM   `json:"vms"`
+}
+
+// View is a copy of the state for readers.
+type View struct {
+	// Index is the last applied log index; 0 in a follower's view.
+	Index  uint64 `json:"index"`
+	Config Config `json:"config"`
+	// Withdrawn is sorted by key ID.
+	Withdrawn []WithdrawnKey `json:"withdrawn"`
+	Members   Members        `json:"members"`
+	// Fencing is sorted by resource; empty in a follower's view.
+	Fencing []Fencing `json:"fencing"`
+}
+
+// Digest sums a state up, for comparison between VMs.
+type Digest struct {
+	Generation uint64 `json:"generation"`
+	ConfigHash string `json:"config_hash"`
+	// WithdrawnCount is the number of the first withdrawals that are known without a gap.
+	WithdrawnCount uint64 `json:"withdrawn_count"`
+	// WithdrawnHash is a hash over just these.
+	WithdrawnHash string `json:"withdrawn_hash"`
+	Epoch         uint64 `json:"epoch"`
+}
+
+// Delta is a part of a state, for spreading between VMs.
+type Delta struct {
+	Config    *Config        `json:"config,omitempty"`
+	Withdrawn []WithdrawnKey `json:"withdrawn,omitempty"`
+	Members   *Members       `json:"members,omitempty"`
+}
+
+// Empty reports whether the delta has nothing in it.
+func (d Delta) Empty() bool {
+	return d.Config == nil && len(d.Withdrawn) == 0 && d.Members == nil
+}
+
+// Delta returns the view's parts that followers keep.
+func (v View) Delta() Delta {
+	d := Delta{Withdrawn: slices.Clone(v.Withdrawn)}
+	if v.Config.Generation > 0 {
+		configuration := v.Config
+		d.Config = &configuration
+	}
+	if v.Members.Epoch > 0 {
+		d.Members = &Members{Epoch: v.Members.Epoch, VMs: slices.Clone(v.Members.VMs)}
+	}
+	return d
+}
+
+// View returns a copy of the state.
+func (m *Machine) View() View {
+	v := View{
+		Index:     m.index,
+		Config:    m.config,
+		Withdrawn: withdrawnByID(&m.withdrawn),
+		Members:   m.members.copy(),
+	}
+	for _, resource := range sortedKeys(m.fencing.byResource) {
+		v.Fencing = append(v.Fencing, m.fencing.byResource[resource])
+	}
+	return v
+}
+
+// Digest sums the state up.
+func (m *Machine) Digest() Digest {
+	return digestOf(m.config, &m.withdrawn, m.members.epoch)
+}
+
+// DeltaFor returns what a VM with the given digest lacks.
+func (m *Machine) DeltaFor(d Digest) Delta {
+	return deltaFor(d, m.config, &m.withdrawn, m.members.copy())
+}
+
+func digestOf(c Config, w *withdrawnKeys, epoch uint64) Digest {
+	return Digest{
+		Generation:     c.Generation,
+		ConfigHash:     c.Hash,
+		WithdrawnCount: w.through,
+		WithdrawnHash:  w.digestHex(),
+		Epoch:          epoch,
+	}
+}
+
+func deltaFor(d Digest, c Config, w *withdrawnKeys, m Members) Delta {
+	var delta Delta
+	if c.Generation > d.Generation {
+		delta.Config = &c
+	}
+	if m.Epoch > d.Epoch {
+		delta.Members = &m
+	}
+	switch {
+	case d.WithdrawnCount == w.through && d.WithdrawnHash != w.digestHex():
+		delta.Withdrawn = w.after(0) // no common history, so compare nothing by number
+	default:
+		delta.Withdrawn = w.after(d.WithdrawnCount)
+	}
+	return delta
+}
+
+func (s *members) copy() Members {
+	m := Members{Epoch: s.epoch}
+	for _, name := range sortedKeys(s.vms) {
+		m.VMs = append(m.VMs, s.vms[name])
+	}
+	return m
+}
+
+func withdrawnByID(w *withdrawnKeys) []WithdrawnKey {
+	keys := make([]WithdrawnKey, 0, len(w.byID))
+	for _, id := range sortedKeys(w.byID) {
+		keys = append(keys, w.byID[id])
+	}
+	return keys
+}
+
+func compare[T cmp.Ordered](a, b T) int { return cmp.Compare(a, b) }
+
+func sortedKeys[V any](m map[string]V) []string {
+	keys := make([]string, 0, len(m))
+	for key := range m {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func sortedUnique(ids []string) []string {
+	return slices.Compact(slices.Sorted(slices.Values(ids)))
+}
--- /dev/null
+++ b/internal/control/withdrawn.go
@@ -0,0 +1,105 @@
+package control
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"slices"
+)
+
+// WithdrawnKey is a key that never works again.
+type WithdrawnKey struct {
+	ID string `json:"id"`
+	// Hash is the key's SHA-256 in lower-case hex.
+	Hash string `json:"hash"`
+	// Sequence numbers the withdrawals in log order, from 1 without gaps.
+	Sequence uint64 `json:"sequence"`
+}
+
+// withdrawnKeys is a set that only grows. Machines append to it; followers add what they hear,
+// in any order.
+type withdrawnKeys struct {
+	byID       map[string]WithdrawnKey
+	hashes     map[string]bool
+	bySequence map[uint64]string // key ID
+	// through is the highest sequence up to which nothing is missing.
+	through uint64
+	// digest is the XOR of the SHA-256 of the keys with sequences 1 to through.
+	digest [sha256.Size]byte
+}
+
+func newWithdrawnKeys() withdrawnKeys {
+	return withdrawnKeys{
+		byID:       map[string]WithdrawnKey{},
+		hashes:     map[string]bool{},
+		bySequence: map[uint64]string{},
+	}
+}
+
+func (w *withdrawnKeys) hasID(id string) bool {
+	_, ok := w.byID[id]
+	return ok
+}
+
+// has reports whether the key ID or the hash is withdrawn.
+func (w *withdrawnKeys) has(id, hash string) bool {
+	return w.hasID(id) || w.hashes[hash]
+}
+
+// append withdraws a key under the next sequence number.
+func (w *withdrawnKeys) append(id, hash string) {
+	w.add(WithdrawnKey{ID: id, Hash: hash, Sequence: w.through + 1})
+}
+
+// add reports whether the ID or the hash is new. A key is withdrawn whatever its sequence number: a number
+// that another key has only means that the two sources don't share their history.
+func (w *withdrawnKeys) add(k WithdrawnKey) bool {
+	if w.hasID(k.ID) {
+		isNew := !w.hashes[k.Hash]
+		w.hashes[k.Hash] = true
+		return isNew
+	}
+	w.byID[k.ID] = k
+	w.hashes[k.Hash] = true
+	if _, taken := w.bySequence[k.Sequence]; !taken {
+		w.bySequence[k.Sequence] = k.ID
+	}
+	w.advance()
+	return true
+}
+
+// advance moves through over the sequences that are there without a gap.
+func (w *withdrawnKeys) advance() {
+	for {
+		id, ok := w.bySequence[w.through+1]
+		if !ok {
+			return
+		}
+		w.through++
+		sum := sha256.Sum256(fmt.Appendf(nil, "%d %s %s", w.through, id, w.byID[id].Hash))
+		for i := range sum {
+			w.digest[i] ^= sum[i]
+		}
+	}
+}
+
+func (w *withdrawnKeys) digestHex() string {
+	return hex.EncodeToString(w.digest[:])
+}
+
+// after returns the keys with a sequence above the given one, in the order of their sequences.
+func (w *withdrawnKeys) after(sequence uint64) []WithdrawnKey {
+	var keys []WithdrawnKey
+	for _, k := range w.byID {
+		if k.Sequence > sequence {
+			keys = append(keys, k)
+		}
+	}
+	slices.SortFunc(keys, func(a, b WithdrawnKey) int {
+		if a.Sequence != b.Sequence {
+			return compare(a.Sequence, b.Sequence)
+		}
+		return compare(a.ID, b.ID)
+	})
+	return keys
+}
