--- a/internal/jsonfile/decode.go
+++ b/internal/jsonfile/decode.go
@@ -8,6 +8,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync"
 	"unicode/utf8"
 
 	"github.com/tailscale/hujson"
@@ -24,7 +25,7 @@
 	if !d.parse(maxBytes) {
 		return d
 	}
-	r := reader{doc: d, types: map[reflect.Type][]field{}}
+	r := reader{doc: d}
 	r.value(nil, &d.root, reflect.ValueOf(target).Elem(), nil)
 	return d
 }
@@ -133,10 +134,12 @@
 
 // reader decodes one document.
 type reader struct {
-	doc   *Document
-	types map[reflect.Type][]field
+	doc *Document
 }
 
+// schemas caches the fields of schema structs, which never change: reflect.Type to []field.
+var schemas sync.Map
+
 func (r *reader) value(where *location, v *hujson.Value, out reflect.Value, checks []check) {
 	switch out.Kind() {
 	case reflect.Struct:
@@ -160,7 +163,7 @@
 		r.wrongType(where, v, "an object")
 		return
 	}
-	fields := r.fieldsOf(out.Type())
+	fields := fieldsOf(out.Type())
 	seen := make(map[string]bool, len(object.Members))
 	for i := range object.Members {
 		member := &object.Members[i]
@@ -277,9 +280,9 @@
 	return true
 }
 
-func (r *reader) fieldsOf(t reflect.Type) []field {
-	if fields, ok := r.types[t]; ok {
-		return fields
+func fieldsOf(t reflect.Type) []field {
+	if fields, ok := schemas.Load(t); ok {
+		return fields.([]field)
 	}
 	var fields []field
 	for _, f := range reflect.VisibleFields(t) {
@@ -294,7 +297,7 @@
 			checks:   parseChecks(f.Tag.Get("check")),
 		})
 	}
-	r.types[t] = fields
+	schemas.Store(t, fields)
 	return fields
 }
 
