Add stand-ins for engines, services and the weight store

The tests and the demo need upstreams that can be crashed, hung, silenced and made to answer late or crossed, and that keep their own records.

Weighed: recording bytes in the HTTP handler (misses headers and what the parser drops) against recording at the connection; the latter proves more. Controls are told apart by a connection's first bytes, so that asking whether a string arrived does not itself make it arrive.

--- /dev/null
+++ b/internal/fakes/announce.go
@@ -0,0 +1,199 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/upstream/wire"
+)
+
+// announceTimeout ends an announcement that gets no answer.
+const announceTimeout = time.Second
+
+// maxKnownVMs bounds the VMs that replies add.
+const maxKnownVMs = 32
+
+// loadSamplesPerLag is how many load samples are taken in one lag.
+const loadSamplesPerLag = 4
+
+// errDeparted says that a goodbye was announced already.
+var errDeparted = errors.New("fakes: departed")
+
+// announcer tells one VM after another about the stand-in.
+type announcer struct {
+	opts        Options
+	address     string
+	worker      worker
+	faults      *faults
+	client      *http.Client
+	incarnation int64
+
+	mu       sync.Mutex
+	left     bool // goodbye was said: nothing is announced after it
+	vms      []string
+	next     int
+	sequence uint64
+	samples  []loadReport
+}
+
+func newAnnouncer(opts Options, address string, w worker, f *faults) *announcer {
+	return &announcer{
+		opts:    opts,
+		address: address,
+		worker:  w,
+		faults:  f,
+		// A connection of its own for each announcement: one that went silent is never used again.
+		client: &http.Client{
+			Timeout:   announceTimeout,
+			Transport: &http.Transport{DisableKeepAlives: true},
+		},
+		incarnation: time.Now().UnixNano(),
+		vms:         slices.Clone(opts.AnnounceTo),
+	}
+}
+
+// run announces until ctx ends.
+func (a *announcer) run(ctx context.Context) {
+	if len(a.vms) == 0 {
+		return
+	}
+	sample := time.NewTicker(a.opts.LoadLag / loadSamplesPerLag)
+	defer sample.Stop()
+	send := time.NewTicker(a.opts.AnnounceInterval)
+	defer send.Stop()
+	a.takeSample()
+	a.tell(ctx, false)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-sample.C:
+			a.takeSample()
+		case <-send.C:
+			a.tell(ctx, false)
+		}
+	}
+}
+
+// goodbye announces the departure to the first VM that takes it.
+func (a *announcer) goodbye(ctx context.Context) {
+	a.mu.Lock()
+	a.left = true
+	a.mu.Unlock()
+	for range min(len(a.vms), maxKnownVMs) {
+		if a.tell(ctx, true) {
+			return
+		}
+	}
+}
+
+// tell sends one announcement and reports whether it was accepted. A failure moves on to the
+// next VM.
+func (a *announcer) tell(ctx context.Context, goodbye bool) bool {
+	if a.faults.get().StopAnnouncing {
+		return false
+	}
+	vm, body, err := a.build(goodbye)
+	if err != nil {
+		return false
+	}
+	reply, err := a.post(ctx, vm, body)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err != nil {
+		a.next++
+		return false
+	}
+	a.learn(reply.VMs)
+	return reply.Accepted
+}
+
+func (a *announcer) post(ctx context.Context, vm string, body []byte) (wire.AnnounceReply, error) {
+	var reply wire.AnnounceReply
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+vm+wire.PathAnnounce, bytes.NewReader(body))
+	if err != nil {
+		return reply, err
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(wire.HeaderSignature, wire.Sign(a.opts.Secret, body))
+	resp, err := a.client.Do(req)
+	if err != nil {
+		return reply, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	if err != nil {
+		return reply, err
+	}
+	if resp.StatusCode != http.StatusOK {
+		return reply, errors.Newf("fakes: announcement answered with status %d", resp.StatusCode)
+	}
+	return reply, json.Unmarshal(data, &reply)
+}
+
+func (a *announcer) build(goodbye bool) (vm string, body []byte, err error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.left && !goodbye {
+		return "", nil, errDeparted
+	}
+	a.sequence++
+	load := a.laggingLoad()
+	ann := wire.Announcement{
+		Upstream:      a.opts.Name,
+		Class:         a.opts.Class,
+		Incarnation:   a.incarnation,
+		Sequence:      a.sequence,
+		SentAtMS:      time.Now().UnixMilli(),
+		Zone:          a.opts.Zone,
+		Kind:          a.opts.Kind,
+		Address:       a.address,
+		Serves:        a.worker.serves(),
+		Goodbye:       goodbye,
+		ChecksFencing: load.hasFencing,
+		CanResume:     load.canResume,
+		Limits:        wire.Limits{Slots: load.slots, KVTokens: load.kvLimit},
+		Load:          wire.Load{Running: load.running, Waiting: load.waiting, KVTokensUsed: load.kvTokens},
+	}
+	if ann.Serves == nil {
+		ann.Serves = []string{}
+	}
+	body, err = json.Marshal(ann)
+	return a.vms[a.next%len(a.vms)], body, err
+}
+
+// learn adds VMs that a reply names. The caller holds mu.
+func (a *announcer) learn(vms []string) {
+	for _, vm := range vms {
+		if len(a.vms) < maxKnownVMs && !slices.Contains(a.vms, vm) {
+			a.vms = append(a.vms, vm)
+		}
+	}
+}
+
+func (a *announcer) takeSample() {
+	report := a.worker.load()
+	report.at = time.Now()
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.samples = append(a.samples, report)
+	for len(a.samples) > 1 && time.Since(a.samples[1].at) >= a.opts.LoadLag {
+		a.samples = a.samples[1:]
+	}
+}
+
+// laggingLoad returns the newest sample that is LoadLag old. The caller holds mu.
+func (a *announcer) laggingLoad() loadReport {
+	if len(a.samples) == 0 {
+		return a.worker.load()
+	}
+	return a.samples[0]
+}
--- /dev/null
+++ b/internal/fakes/client.go
@@ -0,0 +1,98 @@
+package fakes
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// controlTimeout ends a control request.
+const controlTimeout = 10 * time.Second
+
+// Client uses the controls of a stand-in that runs as another process.
+type Client struct {
+	addr string
+	http *http.Client
+}
+
+// NewClient returns a client of the stand-in at addr, IP:port.
+func NewClient(addr string) *Client {
+	return &Client{
+		addr: addr,
+		http: &http.Client{
+			Timeout:   controlTimeout,
+			Transport: &http.Transport{DisableKeepAlives: true},
+		},
+	}
+}
+
+// Runs returns the records of all calls that were run.
+func (c *Client) Runs(ctx context.Context) ([]Run, error) {
+	var list []Run
+	return list, c.do(ctx, http.MethodGet, "runs", nil, &list)
+}
+
+// Received asks whether s arrived.
+func (c *Client) Received(ctx context.Context, s string) (ReceivedReply, error) {
+	var reply ReceivedReply
+	return reply, c.do(ctx, http.MethodGet, "received?contains="+url.QueryEscape(s), nil, &reply)
+}
+
+// Watch has all that arrives from now on searched for the strings.
+func (c *Client) Watch(ctx context.Context, list []string) error {
+	return c.do(ctx, http.MethodPost, "watch", list, nil)
+}
+
+// SetFaults replaces the fault switches.
+func (c *Client) SetFaults(ctx context.Context, now Faults) error {
+	return c.do(ctx, http.MethodPost, "faults", now, nil)
+}
+
+// Orders returns the orders that an engine was given.
+func (c *Client) Orders(ctx context.Context) ([]OrderRecord, error) {
+	var list []OrderRecord
+	return list, c.do(ctx, http.MethodGet, "orders", nil, &list)
+}
+
+// Violations returns a weight store's counts.
+func (c *Client) Violations(ctx context.Context) (Violations, error) {
+	var v Violations
+	return v, c.do(ctx, http.MethodGet, "violations", nil, &v)
+}
+
+func (c *Client) do(ctx context.Context, method, path string, in, out any) error {
+	var body []byte
+	if in != nil {
+		data, err := json.Marshal(in)
+		if err != nil {
+			return errors.Wrap(err, "fakes: cannot encode")
+		}
+		body = data
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+controlPrefix+path, bytes.NewReader(body))
+	if err != nil {
+		return errors.Wrap(err, "fakes: bad control request")
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return errors.Wrap(err, "fakes: stand-in is not reachable")
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return errors.Wrap(err, "fakes: control answer broke off")
+	}
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("fakes: control %s answered status %d: %s", path, resp.StatusCode, data)
+	}
+	if out == nil {
+		return nil
+	}
+	return errors.Wrap(json.Unmarshal(data, out), "fakes: control answer is not understood")
+}
--- /dev/null
+++ b/internal/fakes/control.go
@@ -0,0 +1,123 @@
+package fakes
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+)
+
+// ReceivedReply answers GET /_fake/received?contains=S.
+type ReceivedReply struct {
+	// Contains says that S arrived.
+	Contains bool `json:"contains"`
+	// Complete says that the answer covers all bytes that ever arrived.
+	Complete bool `json:"complete"`
+}
+
+// Violations answers GET /_fake/violations of a weight store.
+type Violations struct {
+	Requests int `json:"requests"`
+	// Refused requests came above the rate limit.
+	Refused int `json:"refused"`
+	// Early requests came before the Retry-After of a refusal had passed.
+	Early int `json:"early"`
+}
+
+// serveControl answers the paths under /_fake/.
+func (f *Fake) serveControl(w http.ResponseWriter, r *http.Request) {
+	switch r.Method + " " + strings.TrimPrefix(r.URL.Path, controlPrefix) {
+	case "GET runs":
+		writeJSON(w, http.StatusOK, f.Runs())
+	case "GET received":
+		s := []byte(r.URL.Query().Get("contains"))
+		writeJSON(w, http.StatusOK, ReceivedReply{f.received.contains(s), f.received.complete(s)})
+	case "POST watch":
+		f.controlWatch(w, r)
+	case "GET faults":
+		writeJSON(w, http.StatusOK, f.faults.get())
+	case "POST faults":
+		f.controlFaults(w, r)
+	case "GET orders":
+		f.controlOrders(w)
+	case "GET violations":
+		f.controlViolations(w)
+	default:
+		writeError(w, http.StatusNotFound, "not_found", "no such control")
+	}
+}
+
+func (f *Fake) controlWatch(w http.ResponseWriter, r *http.Request) {
+	var list []string
+	if !readJSON(w, r, &list) {
+		return
+	}
+	for _, s := range list {
+		f.received.watch(s)
+	}
+	writeJSON(w, http.StatusOK, struct{}{})
+}
+
+func (f *Fake) controlFaults(w http.ResponseWriter, r *http.Request) {
+	var now Faults
+	if !readJSON(w, r, &now) {
+		return
+	}
+	f.SetFaults(now)
+	writeJSON(w, http.StatusOK, f.faults.get())
+}
+
+func (f *Fake) controlOrders(w http.ResponseWriter) {
+	e, ok := f.worker.(*engine)
+	if !ok {
+		writeError(w, http.StatusNotFound, "not_found", "not an engine")
+		return
+	}
+	writeJSON(w, http.StatusOK, e.orders.all())
+}
+
+func (f *Fake) controlViolations(w http.ResponseWriter) {
+	s, ok := f.worker.(*weightStore)
+	if !ok {
+		writeError(w, http.StatusNotFound, "not_found", "not a weight store")
+		return
+	}
+	writeJSON(w, http.StatusOK, s.violations())
+}
+
+func readJSON(w http.ResponseWriter, r *http.Request, v any) bool {
+	data, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err == nil {
+		err = json.Unmarshal(data, v)
+	}
+	if err != nil {
+		writeError(w, http.StatusBadRequest, "bad_request", err.Error())
+		return false
+	}
+	return true
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	data, err := json.Marshal(v)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusInternalServerError)
+		return
+	}
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_, _ = w.Write(data)
+}
+
+type errorBody struct {
+	Error errorPayload `json:"error"`
+}
+
+type errorPayload struct {
+	Message string `json:"message"`
+	Type    string `json:"type"`
+	Code    string `json:"code"`
+}
+
+func writeError(w http.ResponseWriter, status int, code, message string) {
+	writeJSON(w, status, errorBody{errorPayload{Message: message, Type: "upstream_error", Code: code}})
+}
--- /dev/null
+++ b/internal/fakes/fake_test.go
@@ -0,0 +1,195 @@
+package fakes
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/config"
+	"egretramp/internal/upstream/wire"
+)
+
+func startService(t *testing.T, o Options) *Fake {
+	o.Kind = config.KindService
+	return startFake(t, o)
+}
+
+func TestService_RecordsEveryRun(t *testing.T) {
+	f := startService(t, Options{})
+	for range 2 {
+		status, _ := get(t, "POST", f.Addr(), "/charge?work_ms=2", "body", wire.HeaderIdempotency, "k")
+		require.Equal(t, 200, status)
+	}
+	list, err := NewClient(f.Addr()).Runs(context.Background())
+	require.NoError(t, err)
+	require.Len(t, list, 2)
+	require.Equal(t, 2, list[1].Sequence)
+	require.Equal(t, "k", list[1].IdempotencyKey)
+	require.Equal(t, BodyHash([]byte("body")), list[1].BodySHA256)
+	require.GreaterOrEqual(t, list[1].EndedNS-list[1].StartedNS, int64(2*time.Millisecond))
+}
+
+func TestFake_FindsWhatArrivedAndNotWhatItWasAsked(t *testing.T) {
+	f := startService(t, Options{ReceivedLimit: 1 << 10, Watch: []string{"watched-key"}})
+	client := NewClient(f.Addr())
+	for _, s := range []string{"watched-key", "other-key"} {
+		reply, err := client.Received(context.Background(), s)
+		require.NoError(t, err)
+		require.Equal(t, ReceivedReply{Contains: false, Complete: true}, reply)
+	}
+	get(t, "POST", f.Addr(), "/x", "a watched-key and an other-key")
+	require.True(t, f.Received([]byte("watched-key")))
+	require.True(t, f.Received([]byte("other-key")))
+	get(t, "POST", f.Addr(), "/x", strings.Repeat("y", 4<<10))
+	require.True(t, f.Received([]byte("watched-key")))
+	reply, err := client.Received(context.Background(), "other-key")
+	require.NoError(t, err)
+	require.Equal(t, ReceivedReply{Contains: false, Complete: false}, reply)
+}
+
+func TestReceived_FindsWatchedStringAcrossReads(t *testing.T) {
+	r := newReceived(1<<10, []string{"secret"})
+	var a, b connLog
+	r.add(&a, []byte("xxsec"))
+	r.add(&b, []byte("ret"))
+	require.False(t, r.contains([]byte("secret")))
+	r.add(&a, []byte("ret"))
+	require.True(t, r.contains([]byte("secret")))
+}
+
+func TestFake_ControlsNeedConnectionOfTheirOwn(t *testing.T) {
+	f := startService(t, Options{})
+	client := http.Client{}
+	for i, want := range []int{200, 421} {
+		resp, err := client.Get("http://" + f.Addr() + []string{"/x", "/_fake/runs"}[i])
+		require.NoError(t, err)
+		_, _ = io.Copy(io.Discard, resp.Body)
+		resp.Body.Close()
+		require.Equal(t, want, resp.StatusCode)
+	}
+}
+
+func TestFake_CrashOnMarkedRequestResetsEverything(t *testing.T) {
+	f := startService(t, Options{Faults: Faults{CrashMark: "poison"}})
+	_, err := do(t, "POST", f.Addr(), "/x", "with poison in it")
+	require.Error(t, err)
+	_, err = net.DialTimeout("tcp", f.Addr(), time.Second)
+	require.Error(t, err)
+	require.Empty(t, f.Runs())
+}
+
+func TestFake_OpenConnectionsGoSilentNewOnesWork(t *testing.T) {
+	f := startService(t, Options{})
+	conn, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer conn.Close()
+	request := "GET /x HTTP/1.1\r\nHost: h\r\n\r\n"
+	buf := make([]byte, 4096)
+	_, err = conn.Write([]byte(request))
+	require.NoError(t, err)
+	_, err = conn.Read(buf)
+	require.NoError(t, err)
+	f.SetFaults(Faults{Silence: true})
+	_, err = conn.Write([]byte(request))
+	require.NoError(t, err)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = conn.Read(buf)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	status, _ := get(t, "GET", f.Addr(), "/y", "")
+	require.Equal(t, 200, status)
+	require.Len(t, f.Runs(), 2)
+}
+
+func TestFake_TruncatesHangsAndFails(t *testing.T) {
+	f := startService(t, Options{})
+	f.SetFaults(Faults{TruncateAfter: 1})
+	resp, err := do(t, "GET", f.Addr(), "/x", "")
+	require.NoError(t, err)
+	_, err = io.ReadAll(resp.Body)
+	resp.Body.Close()
+	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
+	f.SetFaults(Faults{ErrorRate: 1})
+	status, _ := get(t, "GET", f.Addr(), "/x", "")
+	require.Equal(t, 500, status)
+	require.Len(t, f.Runs(), 1)
+	f.SetFaults(Faults{Hang: true})
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	req, _ := http.NewRequestWithContext(ctx, "GET", "http://"+f.Addr()+"/x", nil)
+	_, err = http.DefaultClient.Do(req)
+	require.ErrorIs(t, err, context.DeadlineExceeded)
+	require.Len(t, f.Runs(), 2)
+}
+
+func TestWeightStore_RefusesAboveItsRate(t *testing.T) {
+	f := startFake(t, Options{Kind: config.KindWeightStore, WeightStore: WeightStoreOptions{RatePerSecond: 0.1, Burst: 1}})
+	for _, want := range []int{200, 429, 429} {
+		resp, err := do(t, "GET", f.Addr(), "/weights/m", "")
+		require.NoError(t, err)
+		resp.Body.Close()
+		require.Equal(t, want, resp.StatusCode)
+		require.Equal(t, want == 429, resp.Header.Get("Retry-After") != "")
+	}
+	v, err := NewClient(f.Addr()).Violations(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, Violations{Requests: 3, Refused: 2, Early: 1}, v)
+}
+
+// vm records the announcements that reach it.
+type vm struct {
+	mu   sync.Mutex
+	seen []wire.Announcement
+}
+
+func (v *vm) handler(t *testing.T, reply wire.AnnounceReply) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if !wire.Verify("a secret of the class", body, r.Header.Get(wire.HeaderSignature)) {
+			t.Error("bad signature")
+		}
+		var a wire.Announcement
+		_ = json.Unmarshal(body, &a)
+		v.mu.Lock()
+		v.seen = append(v.seen, a)
+		v.mu.Unlock()
+		_ = json.NewEncoder(w).Encode(reply)
+	}
+}
+
+func (v *vm) has(ok func(wire.Announcement) bool) func() bool {
+	return func() bool {
+		v.mu.Lock()
+		defer v.mu.Unlock()
+		return len(v.seen) > 0 && ok(v.seen[len(v.seen)-1])
+	}
+}
+
+func TestFake_AnnouncesMovesOnAndSaysGoodbye(t *testing.T) {
+	var first, second vm
+	s2 := httptest.NewServer(second.handler(t, wire.AnnounceReply{Accepted: true}))
+	defer s2.Close()
+	s1 := httptest.NewServer(first.handler(t, wire.AnnounceReply{Accepted: true, VMs: []string{s2.Listener.Addr().String()}}))
+	f := startFake(t, Options{
+		Kind: config.KindEngine, Secret: "a secret of the class", Zone: "z", Serves: []string{testModel},
+		AnnounceTo: []string{s1.Listener.Addr().String()}, AnnounceInterval: 10 * time.Millisecond,
+		StopLinger: 50 * time.Millisecond,
+	})
+	ok := func(a wire.Announcement) bool {
+		return a.Address == f.Addr() && a.ChecksFencing && a.CanResume && a.Limits.Slots == 8
+	}
+	require.Eventually(t, first.has(ok), 5*time.Second, 5*time.Millisecond)
+	s1.Close()
+	require.Eventually(t, second.has(ok), 5*time.Second, 5*time.Millisecond)
+	f.Stop(context.Background())
+	require.True(t, second.has(func(a wire.Announcement) bool { return a.Goodbye })())
+}
--- /dev/null
+++ b/internal/fakes/runs.go
@@ -0,0 +1,81 @@
+package fakes
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"sync"
+	"time"
+)
+
+// Outcome is how a run ended.
+type Outcome string
+
+// The outcomes of a run.
+const (
+	Running   Outcome = "running"
+	Finished  Outcome = "finished"
+	Cancelled Outcome = "cancelled"
+)
+
+// Run is a stand-in's record of one call that it accepted and ran. Times are Unix nanoseconds.
+type Run struct {
+	Sequence         int     `json:"sequence"`
+	Upstream         string  `json:"upstream"`
+	Attempt          string  `json:"attempt"`
+	Session          string  `json:"session,omitempty"`
+	IdempotencyKey   string  `json:"idempotency_key,omitempty"`
+	Method           string  `json:"method"`
+	Path             string  `json:"path"`
+	BodySHA256       string  `json:"body_sha256"`
+	Conversation     string  `json:"conversation,omitempty"` // Digest of an engine's call
+	PromptTokens     int     `json:"prompt_tokens,omitempty"`
+	CachedTokens     int     `json:"cached_tokens,omitempty"`
+	CompletionTokens int     `json:"completion_tokens,omitempty"`
+	StartedNS        int64   `json:"started_ns"`
+	EndedNS          int64   `json:"ended_ns,omitempty"`
+	Outcome          Outcome `json:"outcome"`
+}
+
+// BodyHash returns the hash that Run.BodySHA256 carries.
+func BodyHash(body []byte) string {
+	sum := sha256.Sum256(body)
+	return hex.EncodeToString(sum[:])
+}
+
+// runs is the list of all runs of a stand-in.
+type runs struct {
+	mu   sync.Mutex
+	list []Run
+}
+
+// start records a run and returns its sequence number, 1 for the first.
+func (r *runs) start(run Run) int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	run.Sequence = len(r.list) + 1
+	run.StartedNS = time.Now().UnixNano()
+	run.Outcome = Running
+	r.list = append(r.list, run)
+	return run.Sequence
+}
+
+// update changes the record of a run.
+func (r *runs) update(sequence int, change func(*Run)) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	change(&r.list[sequence-1])
+}
+
+// end records how a run ended.
+func (r *runs) end(sequence int, outcome Outcome) {
+	r.update(sequence, func(run *Run) {
+		run.Outcome = outcome
+		run.EndedNS = time.Now().UnixNano()
+	})
+}
+
+func (r *runs) all() []Run {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return append([]Run(nil), r.list...)
+}
