Add the workload: programs, callers, records and checks

Programs come in two deployments' shapes from one seed. The checks judge from callers' and stand-ins' records alone, so that they hold against any build of the daemon.

The rate bound is checked at the upstreams as a bucket widened by a stated jitter: between drawing a token and reaching the upstream two requests may be delayed differently. Stand-ins append their records to a file, since a check of at-most-once is blind if a crashed process takes its records along.

--- a/cmd/egretramp-fake/main.go
+++ b/cmd/egretramp-fake/main.go
@@ -34,6 +34,7 @@
 	Serves   string            `long:"serves" description:"models or services, separated by commas"`
 	Alias    map[string]string `long:"alias" key-value-delimiter:"=" description:"NAME=MODEL: a further name of a model"`
 	Watch    []string          `long:"watch" description:"byte string to look for in all that arrives"`
+	RecordTo string            `long:"record-to" description:"file that records are appended to"`
 	Seed     int64             `long:"seed" default:"1" description:"for random faults"`
 	Linger   time.Duration     `long:"stop-linger" default:"1s" description:"how long calls are taken after the goodbye"`
 	StopWait time.Duration     `long:"stop-wait" default:"10s" description:"how long calls under way may take at a graceful stop"`
@@ -99,6 +100,7 @@
 		Serves:     split(o.Serves),
 		Aliases:    o.Alias,
 		Watch:      o.Watch,
+		RecordTo:   o.RecordTo,
 		Seed:       o.Seed,
 		StopLinger: o.Linger,
 		OnCrash:    func() { os.Exit(exitCrash) },
--- a/internal/fakes/announce.go
+++ b/internal/fakes/announce.go
@@ -44,7 +44,7 @@
 	samples  []loadReport
 }
 
-func newAnnouncer(opts Options, address string, w worker, f *faults) *announcer {
+func newAnnouncer(opts Options, incarnation int64, address string, w worker, f *faults) *announcer {
 	return &announcer{
 		opts:    opts,
 		address: address,
@@ -55,7 +55,7 @@
 			Timeout:   announceTimeout,
 			Transport: &http.Transport{DisableKeepAlives: true},
 		},
-		incarnation: time.Now().UnixNano(),
+		incarnation: incarnation,
 		vms:         slices.Clone(opts.AnnounceTo),
 	}
 }
--- a/internal/fakes/fake.go
+++ b/internal/fakes/fake.go
@@ -32,6 +32,7 @@
 // Fake is one stand-in.
 type Fake struct {
 	opts     Options
+	file     *recordFile
 	received *received
 	faults   *faults
 	runs     *runs
@@ -61,11 +62,16 @@
 // New returns a stand-in that does not listen yet.
 func New(opts Options) (*Fake, error) {
 	opts.setDefaults()
+	file, err := openRecordFile(opts.RecordTo)
+	if err != nil {
+		return nil, err
+	}
 	f := &Fake{
 		opts:     opts,
-		received: newReceived(opts.ReceivedLimit, opts.Watch),
+		file:     file,
+		received: newReceived(opts.ReceivedLimit, opts.Watch, file),
 		faults:   newFaults(opts.Faults, opts.Seed),
-		runs:     &runs{},
+		runs:     &runs{incarnation: time.Now().UnixNano(), file: file},
 	}
 	f.ctx, f.cancel = context.WithCancel(context.Background())
 	switch opts.Kind {
@@ -94,7 +100,7 @@
 			return context.WithValue(ctx, connKey{}, c)
 		},
 	}
-	f.announce = newAnnouncer(f.opts, f.Addr(), f.worker, f.faults)
+	f.announce = newAnnouncer(f.opts, f.runs.incarnation, f.Addr(), f.worker, f.faults)
 	f.wg.Go(func() { _ = f.server.Serve(f.tracker) })
 	f.wg.Go(func() { f.worker.run(f.ctx) })
 	f.wg.Go(func() { f.announce.run(f.ctx) })
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
@@ -58,7 +59,7 @@
 }
 
 func TestReceived_FindsWatchedStringAcrossReads(t *testing.T) {
-	r := newReceived(1<<10, []string{"secret"})
+	r := newReceived(1<<10, []string{"secret"}, nil)
 	var a, b connLog
 	r.add(&a, []byte("xxsec"))
 	r.add(&b, []byte("ret"))
@@ -67,6 +68,22 @@
 	require.True(t, r.contains([]byte("secret")))
 }
 
+func TestFake_RecordsOutliveACrash(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "records")
+	for range 2 {
+		f := startService(t, Options{RecordTo: path, Watch: []string{"watched-key"}, Faults: Faults{CrashMark: "poison"}})
+		get(t, "POST", f.Addr(), "/x", "watched-key")
+		_, err := do(t, "POST", f.Addr(), "/poison", "")
+		require.Error(t, err)
+	}
+	all, err := ReadRecords(path)
+	require.NoError(t, err)
+	require.Len(t, all.Runs, 2)
+	require.Equal(t, Finished, all.Runs[1].Outcome)
+	require.NotEqual(t, all.Runs[0].Incarnation, all.Runs[1].Incarnation)
+	require.Equal(t, []string{"watched-key", "watched-key"}, all.Seen)
+}
+
 func TestFake_ControlsNeedConnectionOfTheirOwn(t *testing.T) {
 	f := startService(t, Options{})
 	client := http.Client{}
--- a/internal/fakes/options.go
+++ b/internal/fakes/options.go
@@ -28,6 +28,9 @@
 	Watch []string
 	// ReceivedLimit bounds the received bytes that are kept. Bytes; default 8 MiB.
 	ReceivedLimit int
+	// RecordTo is a file that records are appended to, to be read with ReadRecords after a
+	// crash. Empty: none.
+	RecordTo string
 	// Seed feeds the random choices (error rate).
 	Seed int64
 	// Faults in force from the start.
--- a/internal/fakes/received.go
+++ b/internal/fakes/received.go
@@ -15,6 +15,7 @@
 	dropped int64
 	logs    []*connLog
 	watched map[string]bool // string -> seen
+	file    *recordFile
 }
 
 // connLog holds what one connection brought.
@@ -25,8 +26,8 @@
 	listed bool
 }
 
-func newReceived(limit int, watch []string) *received {
-	r := &received{limit: limit, watched: map[string]bool{}}
+func newReceived(limit int, watch []string, file *recordFile) *received {
+	r := &received{limit: limit, watched: map[string]bool{}, file: file}
 	for _, s := range watch {
 		r.watched[s] = false
 	}
@@ -54,6 +55,7 @@
 		longest = max(longest, len(s))
 		if !seen && bytes.Contains(window, []byte(s)) {
 			r.watched[s] = true
+			r.file.write(record{Seen: s})
 		}
 	}
 	keep := min(len(window), max(longest-1, 0))
--- /dev/null
+++ b/internal/fakes/records.go
@@ -0,0 +1,99 @@
+package fakes
+
+import (
+	"bufio"
+	"encoding/json"
+	"os"
+
+	"github.com/cockroachdb/errors"
+)
+
+// maxRecord bounds one line of a record file. Bytes.
+const maxRecord = 1 << 20
+
+// record is one line of a record file: a run as it was at that time, or a watched string that
+// arrived.
+type record struct {
+	Run  *Run   `json:"run,omitempty"`
+	Seen string `json:"seen,omitempty"`
+}
+
+// Records is what a record file tells of all incarnations of a stand-in.
+type Records struct {
+	Runs []Run
+	// Seen are the watched strings that arrived.
+	Seen []string
+}
+
+// recordFile gets every record before the answer that it speaks of leaves, so that records
+// outlive a crash of the process. Nil discards them.
+type recordFile struct {
+	file *os.File
+}
+
+func openRecordFile(path string) (*recordFile, error) {
+	if path == "" {
+		return nil, nil
+	}
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, errors.Wrap(err, "fakes: cannot open the record file")
+	}
+	return &recordFile{f}, nil
+}
+
+// write appends a line. If it cannot, it panics, so that the call is not answered: later
+// checks would take the missing record for a call that did not run.
+func (f *recordFile) write(r record) {
+	if f == nil {
+		return
+	}
+	if _, err := f.file.Write(append(mustJSON(r), '\n')); err != nil {
+		panic("fakes: cannot write a record: " + err.Error())
+	}
+}
+
+// runKey names a run over all incarnations of a stand-in.
+type runKey struct {
+	incarnation int64
+	sequence    int
+}
+
+// ReadRecords reads a record file. A last line that a crash cut short is left out.
+func ReadRecords(path string) (Records, error) {
+	var all Records
+	f, err := os.Open(path)
+	if err != nil {
+		return all, errors.Wrap(err, "fakes: cannot open the record file")
+	}
+	defer f.Close()
+	at := map[runKey]int{}
+	lines := bufio.NewScanner(f)
+	lines.Buffer(nil, maxRecord)
+	for lines.Scan() {
+		var r record
+		if json.Unmarshal(lines.Bytes(), &r) != nil {
+			continue
+		}
+		all.add(r, at)
+	}
+	return all, errors.Wrap(lines.Err(), "fakes: cannot read the record file")
+}
+
+// add puts a record in place of an earlier one of the same run.
+func (all *Records) add(r record, at map[runKey]int) {
+	if r.Seen != "" {
+		all.Seen = append(all.Seen, r.Seen)
+	}
+	if r.Run == nil {
+		return
+	}
+	key := runKey{r.Run.Incarnation, r.Run.Sequence}
+	i, known := at[key]
+	if !known {
+		at[key] = len(all.Runs)
+		all.Runs = append(all.Runs, *r.Run)
+		return
+	}
+	all.Runs[i] = *r.Run
+}
--- a/internal/fakes/runs.go
+++ b/internal/fakes/runs.go
@@ -20,6 +20,7 @@
 // Run is a stand-in's record of one call that it accepted and ran. Times are Unix nanoseconds.
 type Run struct {
 	Sequence         int     `json:"sequence"`
+	Incarnation      int64   `json:"incarnation"` // start of the stand-in's process
 	Upstream         string  `json:"upstream"`
 	Attempt          string  `json:"attempt"`
 	Session          string  `json:"session,omitempty"`
@@ -44,8 +45,10 @@
 
 // runs is the list of all runs of a stand-in.
 type runs struct {
-	mu   sync.Mutex
-	list []Run
+	mu          sync.Mutex
+	incarnation int64
+	list        []Run
+	file        *recordFile
 }
 
 // start records a run and returns its sequence number, 1 for the first.
@@ -53,9 +56,11 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	run.Sequence = len(r.list) + 1
+	run.Incarnation = r.incarnation
 	run.StartedNS = time.Now().UnixNano()
 	run.Outcome = Running
 	r.list = append(r.list, run)
+	r.file.write(record{Run: &run})
 	return run.Sequence
 }
 
@@ -63,7 +68,9 @@
 func (r *runs) update(sequence int, change func(*Run)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	change(&r.list[sequence-1])
+	run := &r.list[sequence-1]
+	change(run)
+	r.file.write(record{Run: run})
 }
 
 // end records how a run ended.
--- /dev/null
+++ b/internal/workload/caller.go
@@ -0,0 +1,309 @@
+package workload
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"net/url"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"egretramp/internal/fakes"
+	"egretramp/internal/refusal"
+)
+
+// CallerOptions describe the callers of a run.
+type CallerOptions struct {
+	// VMs are the callers' listeners, IP:port.
+	VMs []string
+	// Keys are the keys by account.
+	Keys map[string]string
+	// Seed feeds the choice of VMs and probes.
+	Seed int64
+	// Attempts bounds the requests for one turn. Default 40.
+	Attempts int
+	// CallTimeout ends a request that gets no whole answer. Default 20 s.
+	CallTimeout time.Duration
+	// MaxWait cuts the wait before a turn is sent again. Default 2 s.
+	MaxWait time.Duration
+	// ProbePart is the part of turns after which a probe is sent, 0 to 1.
+	ProbePart float64
+}
+
+// errorWait is the wait after a transport error.
+const errorWait = 50 * time.Millisecond
+
+// Caller runs programs and records what it saw. It is safe for concurrent use.
+type Caller struct {
+	opts     CallerOptions
+	recorder *Recorder
+	client   *http.Client
+
+	mu     sync.Mutex
+	random *rand.Rand
+}
+
+// NewCaller returns a caller that records into recorder.
+func NewCaller(opts CallerOptions, recorder *Recorder) *Caller {
+	if opts.Attempts == 0 {
+		opts.Attempts = 40
+	}
+	if opts.CallTimeout == 0 {
+		opts.CallTimeout = 20 * time.Second
+	}
+	if opts.MaxWait == 0 {
+		opts.MaxWait = 2 * time.Second
+	}
+	return &Caller{
+		opts:     opts,
+		recorder: recorder,
+		client:   &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}},
+		random:   rand.New(rand.NewSource(opts.Seed)),
+	}
+}
+
+// Close closes the idle connections.
+func (c *Caller) Close() {
+	c.client.CloseIdleConnections()
+}
+
+// run is the state of one program under way.
+type run struct {
+	caller   *Caller
+	program  *Program
+	messages []fakes.Message
+	children conc.WaitGroup
+	failed   []string // sub-agents that did not finish
+	mu       sync.Mutex
+}
+
+// Run runs a program to its end and returns its outcome, which is recorded too.
+func (c *Caller) Run(ctx context.Context, p *Program) Outcome {
+	o := Outcome{Program: p, Start: time.Now()}
+	r := &run{caller: c, program: p, messages: []fakes.Message{{Role: "system", Content: p.System}}}
+	err := r.all(ctx)
+	o.End = time.Now()
+	o.Finished = err == nil
+	if err != nil {
+		o.Reason = err.Error()
+	}
+	c.recorder.addOutcome(o)
+	return o
+}
+
+func (r *run) all(ctx context.Context) error {
+	defer r.children.Wait()
+	if err := r.create(ctx); err != nil {
+		return err
+	}
+	for i, s := range r.program.Steps {
+		if err := wait(ctx, s.Pause); err != nil {
+			return err
+		}
+		r.startChild(ctx, s.Child)
+		if err := r.turn(ctx, i+1, s); err != nil {
+			return err
+		}
+		r.children.Wait()
+		if len(r.failed) > 0 {
+			return fmt.Errorf("sub-agent: %s", r.failed[0])
+		}
+	}
+	return r.end(ctx)
+}
+
+func (r *run) startChild(ctx context.Context, child *Program) {
+	if child == nil {
+		return
+	}
+	r.children.Go(func() {
+		o := r.caller.Run(ctx, child)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if !o.Finished {
+			r.failed = append(r.failed, o.Reason)
+		}
+	})
+}
+
+// createBody is the body of POST /v1/programs.
+type createBody struct {
+	Name       string `json:"name"`
+	Parent     string `json:"parent,omitempty"`
+	Tokens     int64  `json:"tokens,omitempty"`
+	Calls      int64  `json:"calls,omitempty"`
+	DeadlineMS int64  `json:"deadline_ms,omitempty"`
+}
+
+func (r *run) create(ctx context.Context) error {
+	p := r.program
+	body, err := json.Marshal(createBody{p.Name, p.Parent, p.Tokens, p.Calls, p.DeadlineMS})
+	if err != nil {
+		return err
+	}
+	_, err = r.resource(ctx, "create", "/v1/programs", body)
+	return err
+}
+
+func (r *run) end(ctx context.Context) error {
+	_, err := r.resource(ctx, "end", "/v1/programs/"+r.program.Name+"/end", []byte("{}"))
+	return err
+}
+
+// resource uses the programs resource, again and again until it is answered.
+func (r *run) resource(ctx context.Context, what, path string, body []byte) (Attempt, error) {
+	req := request{method: http.MethodPost, path: path, key: r.key(), body: body, service: true}
+	var last Attempt
+	for range r.caller.opts.Attempts {
+		last = r.caller.send(ctx, req)
+		if last.Status/100 == 2 {
+			return last, nil
+		}
+		if !again(last) {
+			break
+		}
+		if err := wait(ctx, r.caller.pause(last)); err != nil {
+			return last, err
+		}
+	}
+	return last, failure(what, last)
+}
+
+// turn makes one call, again and again through other VMs as long as that may help.
+func (r *run) turn(ctx context.Context, number int, s Step) error {
+	call, req := r.prepare(number, s)
+	defer r.caller.recorder.addCall(call)
+	for range r.caller.opts.Attempts {
+		a := r.caller.send(ctx, req)
+		call.Attempts = append(call.Attempts, a)
+		if a.Answered() {
+			r.accept(s, a)
+			r.probe(ctx, call, req)
+			return nil
+		}
+		if !again(a) {
+			return failure(fmt.Sprintf("turn %d", number), a)
+		}
+		if err := wait(ctx, r.caller.pause(a)); err != nil {
+			return err
+		}
+	}
+	return failure(fmt.Sprintf("turn %d, out of attempts", number), call.Attempts[len(call.Attempts)-1])
+}
+
+// chatBody is the body of a chat completion request.
+type chatBody struct {
+	Model     string          `json:"model"`
+	Messages  []fakes.Message `json:"messages"`
+	Stream    bool            `json:"stream,omitempty"`
+	MaxTokens int             `json:"max_tokens,omitempty"`
+}
+
+func (r *run) prepare(number int, s Step) (*Call, request) {
+	p := r.program
+	call := &Call{Account: p.Account, Program: p.Name, Turn: number, Kind: s.Kind}
+	req := request{method: http.MethodPost, key: r.key(), program: p.Name, turn: number}
+	if s.Kind == Service {
+		call.Service, call.BodyHash = s.ServiceID, fakes.BodyHash(s.Body)
+		req.service = true
+		req.path = "/v1/services/" + url.PathEscape(s.Name) + s.Path
+		req.body = s.Body
+		req.idemKey = fmt.Sprintf("%s-%d", p.Name, number)
+		return call, req
+	}
+	r.messages = append(r.messages, fakes.Message{Role: "user", Content: s.Text})
+	call.Model, call.MaxTokens, call.Stream = p.Model, s.MaxTokens, s.Stream
+	call.Messages = append([]fakes.Message(nil), r.messages...)
+	body, err := json.Marshal(chatBody{s.Name, call.Messages, s.Stream, s.MaxTokens})
+	if err != nil {
+		panic(err)
+	}
+	req.path, req.body, req.stream = "/v1/chat/completions", body, s.Stream
+	return call, req
+}
+
+// accept adds a chat's answer to the conversation.
+func (r *run) accept(s Step, a Attempt) {
+	if s.Kind == Chat {
+		r.messages = append(r.messages, fakes.Message{Role: "assistant", Content: a.Text})
+	}
+}
+
+func (r *run) key() string {
+	return r.caller.opts.Keys[r.program.Account]
+}
+
+// probe tests, now and then, that an answered turn is answered again from the record and that
+// a turn that is not due is refused.
+func (r *run) probe(ctx context.Context, call *Call, req request) {
+	kind, due := r.caller.drawProbe()
+	if !due {
+		return
+	}
+	if kind == ProbeAhead {
+		req.turn += 2
+	}
+	a := r.caller.send(ctx, req)
+	a.Probe = kind
+	call.Attempts = append(call.Attempts, a)
+}
+
+// again reports whether sending a turn again may help. A refusal that leaves it open whether
+// the call ran is final.
+func again(a Attempt) bool {
+	if a.Code == "" {
+		return true
+	}
+	return a.NotRun != refusal.Unknown && a.Retry > 0
+}
+
+func failure(what string, a Attempt) error {
+	return fmt.Errorf("%s: status %d, code %q, not_run %q, error %q", what, a.Status, a.Code, a.NotRun, a.Err)
+}
+
+func (c *Caller) send(ctx context.Context, req request) Attempt {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.CallTimeout)
+	defer cancel()
+	return send(ctx, c.client, c.pickVM(), req)
+}
+
+func (c *Caller) pickVM() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.opts.VMs[c.random.Intn(len(c.opts.VMs))]
+}
+
+func (c *Caller) drawProbe() (Probe, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.random.Float64() >= c.opts.ProbePart {
+		return NoProbe, false
+	}
+	if c.random.Intn(2) == 0 {
+		return ProbeAhead, true
+	}
+	return ProbeResend, true
+}
+
+// pause is how long to wait before a turn is sent again.
+func (c *Caller) pause(a Attempt) time.Duration {
+	if a.Retry > 0 {
+		return min(a.Retry, c.opts.MaxWait)
+	}
+	return errorWait
+}
+
+func wait(ctx context.Context, d time.Duration) error {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-t.C:
+		return nil
+	}
+}
--- /dev/null
+++ b/internal/workload/check_callers.go
@@ -0,0 +1,118 @@
+package workload
+
+import (
+	"encoding/json"
+	"strings"
+
+	"egretramp/internal/fakes"
+	"egretramp/internal/refusal"
+)
+
+// CheckFinished says that every program finished.
+func CheckFinished(e *Evidence) Result {
+	r := Result{Name: "programs finished"}
+	for _, o := range e.Outcomes {
+		r.Tried++
+		if !o.Finished {
+			r.violate("%s/%s: %s", o.Program.Account, o.Program.Name, o.Reason)
+		}
+	}
+	return r
+}
+
+// CheckAnswers says that every answer is the whole and right answer to its own request.
+func CheckAnswers(e *Evidence) Result {
+	r := Result{Name: "whole and own answers"}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			if !a.Answered() {
+				continue
+			}
+			r.Tried++
+			if !c.right(a) {
+				r.violate("%s through %s: answer %.80q", c, a.VM, a.Text)
+			}
+		}
+	}
+	return r
+}
+
+// right reports whether an answer is the only right one.
+func (c *Call) right(a Attempt) bool {
+	if c.Kind == Chat {
+		return a.Text == strings.Join(fakes.Answer(c.Model, c.Messages, c.MaxTokens), " ")
+	}
+	var reply fakes.ServiceReply
+	return json.Unmarshal([]byte(a.Raw), &reply) == nil && reply.BodySHA256 == c.BodyHash
+}
+
+// CheckResent says that an answered turn that is sent again gets the same answer.
+func CheckResent(e *Evidence) Result {
+	r := Result{Name: "answered turns answered from the record"}
+	for _, c := range e.Calls {
+		first := c.Answer()
+		for _, a := range c.Attempts {
+			if a.Probe != ProbeResend || first == nil || !a.Answered() {
+				continue
+			}
+			r.Tried++
+			if a.Text != first.Text || a.Raw != first.Raw {
+				r.violate("%s: %.60q, then %.60q through %s", c, first.Raw+first.Text, a.Raw+a.Text, a.VM)
+			}
+		}
+	}
+	return r
+}
+
+// CheckAhead says that a turn that is not due is refused as not run.
+func CheckAhead(e *Evidence) Result {
+	r := Result{Name: "turns ahead refused"}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			if a.Probe != ProbeAhead || a.Status == 0 {
+				continue
+			}
+			r.Tried++
+			if a.Status == 200 || a.NotRun != refusal.True {
+				r.violate("%s: status %d, not_run %q", c, a.Status, a.NotRun)
+			}
+		}
+	}
+	return r
+}
+
+// CheckRefusals says that every refusal has its code and says whether the call ran.
+func CheckRefusals(e *Evidence) Result {
+	r := Result{Name: "refusals are explicit"}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			if a.Status == 0 || a.Status == 200 {
+				continue
+			}
+			r.Tried++
+			said := a.NotRun == refusal.True || a.NotRun == refusal.False || a.NotRun == refusal.Unknown
+			if a.Code == "" || !said {
+				r.violate("%s: status %d, code %q, not_run %q", c, a.Status, a.Code, a.NotRun)
+			}
+		}
+	}
+	return r
+}
+
+// CheckKeys says that no upstream received a caller's key. A search that does not cover all
+// that arrived, or that misses what did arrive, proves nothing and counts as a violation.
+func CheckKeys(e *Evidence) Result {
+	r := Result{Name: "no key at upstreams"}
+	for _, s := range e.Searches {
+		r.Tried++
+		switch {
+		case s.Control && !s.Contains:
+			r.violate("%s: the search misses what arrived", s.Upstream)
+		case !s.Control && s.Contains:
+			r.violate("%s received a key", s.Upstream)
+		case !s.Control && !s.Complete:
+			r.violate("%s: the search does not cover all that arrived", s.Upstream)
+		}
+	}
+	return r
+}
--- /dev/null
+++ b/internal/workload/evidence.go
@@ -0,0 +1,139 @@
+package workload
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"egretramp/internal/fakes"
+)
+
+// Evidence is all that the checks look at: what callers and stand-ins recorded.
+type Evidence struct {
+	Calls    []*Call
+	Outcomes []Outcome
+	Runs     []fakes.Run
+	Searches []KeySearch
+	Bounds   map[string]RateBound // by account
+	// Jitter is how much later than the first a request may reach its upstream, after both
+	// drew their rate: the bound at the upstreams is that much wider.
+	Jitter time.Duration
+}
+
+// RateBound is an account's rate and burst.
+type RateBound struct {
+	RatePerSecond float64
+	Burst         float64
+}
+
+// KeySearch is the answer of a stand-in that was asked whether a string arrived.
+type KeySearch struct {
+	Upstream string
+	fakes.ReceivedReply
+	// Control marks a string that did arrive, which proves that the search finds something.
+	Control bool
+}
+
+// Result counts what a check tried and what violated its rule.
+type Result struct {
+	Name     string
+	Tried    int
+	Violated int
+	// Details describe the first violations.
+	Details []string
+}
+
+// maxDetails bounds the violations that are described.
+const maxDetails = 5
+
+func (r *Result) violate(format string, args ...any) {
+	r.Violated++
+	if len(r.Details) < maxDetails {
+		r.Details = append(r.Details, fmt.Sprintf(format, args...))
+	}
+}
+
+// Check is one rule.
+type Check func(*Evidence) Result
+
+// Checks are all rules, in the order in which they are reported.
+func Checks() []Check {
+	return []Check{
+		CheckFinished, CheckOrder, CheckHistory, CheckAnswers, CheckResent, CheckAhead,
+		CheckAtMostOnce, CheckNotRun, CheckRefusals, CheckKeys, CheckRate, CheckBudget,
+	}
+}
+
+// CheckAll applies all rules.
+func CheckAll(e *Evidence) []Result {
+	var results []Result
+	for _, check := range Checks() {
+		results = append(results, check(e))
+	}
+	return results
+}
+
+// programKey names a program; accounts may use the same names.
+type programKey struct {
+	account, name string
+}
+
+func (c *Call) program() programKey {
+	return programKey{c.Account, c.Program}
+}
+
+// callRuns are a call and its runs at upstreams, oldest first.
+type callRuns struct {
+	call *Call
+	runs []fakes.Run
+}
+
+// match finds each call's runs. Runs that no caller asked for come back as strangers.
+func (e *Evidence) match() (calls []*callRuns, strangers []fakes.Run) {
+	index := map[string]*callRuns{}
+	for _, c := range e.Calls {
+		cr := &callRuns{call: c}
+		calls = append(calls, cr)
+		index[c.identity()] = cr
+	}
+	for _, r := range e.Runs {
+		id := r.Conversation
+		if id == "" {
+			id = r.BodySHA256
+		}
+		if cr := index[id]; cr != nil {
+			cr.runs = append(cr.runs, r)
+			continue
+		}
+		strangers = append(strangers, r)
+	}
+	for _, cr := range calls {
+		slices.SortFunc(cr.runs, func(a, b fakes.Run) int { return cmp.Compare(a.StartedNS, b.StartedNS) })
+	}
+	return calls, strangers
+}
+
+// identity is what an upstream's record of the call can be known by.
+func (c *Call) identity() string {
+	if c.Kind == Chat {
+		return fakes.Digest(c.Model, c.Messages)
+	}
+	return c.BodyHash
+}
+
+func (c *Call) String() string {
+	return fmt.Sprintf("%s/%s turn %d", c.Account, c.Program, c.Turn)
+}
+
+// programs groups calls by program, in the order of their turns.
+func programs(calls []*callRuns) map[programKey][]*callRuns {
+	groups := map[programKey][]*callRuns{}
+	for _, cr := range calls {
+		groups[cr.call.program()] = append(groups[cr.call.program()], cr)
+	}
+	for _, g := range groups {
+		slices.SortFunc(g, func(a, b *callRuns) int { return cmp.Compare(a.call.Turn, b.call.Turn) })
+	}
+	return groups
+}
--- /dev/null
+++ b/internal/workload/program.go
@@ -0,0 +1,232 @@
+package workload
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"math/rand"
+	"slices"
+	"strings"
+	"time"
+)
+
+// StepKind is what a step calls.
+type StepKind string
+
+// The kinds of steps.
+const (
+	Chat    StepKind = "chat"
+	Service StepKind = "service"
+)
+
+// Program is a chain of dependent calls that one caller makes.
+type Program struct {
+	Account    string // canonical ID
+	Name       string
+	Parent     string // name of the program that it is a sub-agent of
+	Deployment string
+	Model      string // canonical ID
+	// System is the first message of its conversation.
+	System     string
+	Tokens     int64 // budget
+	Calls      int64 // budget
+	DeadlineMS int64
+	Steps      []Step
+}
+
+// Step is one call of a program.
+type Step struct {
+	Kind StepKind
+	// Pause is the time that the caller's own tools take before the call.
+	Pause time.Duration
+	// Name is the model or service, under any of its names.
+	Name string
+
+	Text      string // chat: the user's next message
+	MaxTokens int    // chat; 0: none is asked for
+	Stream    bool   // chat
+
+	ServiceID string // service: canonical ID
+	Path      string // service
+	Body      []byte // service: unique to the call
+
+	// Child is a sub-agent that starts before the call and must end before the next step.
+	Child *Program
+}
+
+// Generator draws programs. The same seed gives the same programs.
+type Generator struct {
+	random     *rand.Rand
+	deployment Deployment
+	names      map[string][]string
+	serial     int
+	// PauseScale multiplies the tool pauses. Default 1, with a median pause of 20 ms.
+	PauseScale float64
+	// MaxTurns cuts the longest programs, in chat turns; 0: the deployment's own bound.
+	MaxTurns int
+}
+
+// Budgets of generated programs: generous, so that none is refused for its budget.
+const (
+	programTokens     = 500_000
+	programCalls      = 400
+	programDeadlineMS = 10 * 60 * 1000
+)
+
+const (
+	medianPause  = 20 * time.Millisecond
+	pauseSpread  = 0.8 // sigma of the log-normal pause
+	maxPauseOver = 25  // longest pause, in medians
+)
+
+var textWords = strings.Fields(`wig lace fitting opera opening deposit quote carnival gate tally
+	mall beach hotel count desk morning evening counter ledger queue seat row colour curl`)
+
+// NewGenerator returns a generator of a deployment's programs.
+func NewGenerator(seed int64, d Deployment) *Generator {
+	g := &Generator{random: rand.New(rand.NewSource(seed)), deployment: d, names: map[string][]string{}, PauseScale: 1}
+	g.names[d.Model.ID] = AllNames(d.Model.Named)
+	for _, s := range d.Services {
+		g.names[s.ID] = AllNames(s.Named)
+	}
+	return g
+}
+
+// Next draws a program.
+func (g *Generator) Next() *Program {
+	a := g.account()
+	g.serial++
+	p := g.program(a, fmt.Sprintf("%s-%d", g.deployment.Name, g.serial), g.turns(g.deployment.shape.minTurns))
+	if g.random.Float64() < g.deployment.shape.childPart {
+		p.Steps[g.random.Intn(len(p.Steps))].Child = g.child(p)
+	}
+	return p
+}
+
+func (g *Generator) child(p *Program) *Program {
+	c := g.program(p.Account, p.Name+"-sub", g.turns(1))
+	c.Parent = p.Name
+	// A part of the parent's budget; the parent's own calls need the rest.
+	c.Tokens, c.Calls = programTokens/4, programCalls/4
+	return c
+}
+
+func (g *Generator) account() string {
+	total := 0.0
+	for _, a := range g.deployment.Accounts {
+		total += a.Share
+	}
+	at := g.random.Float64() * total
+	for _, a := range g.deployment.Accounts {
+		at -= a.Share
+		if at < 0 {
+			return a.ID
+		}
+	}
+	return g.deployment.Accounts[0].ID
+}
+
+// turns draws from a Pareto distribution.
+func (g *Generator) turns(least int) int {
+	s := g.deployment.shape
+	limit := s.maxTurns
+	if g.MaxTurns > 0 {
+		limit = min(limit, g.MaxTurns)
+	}
+	n := float64(least) / math.Pow(1-g.random.Float64(), 1/s.turnsTail)
+	return min(int(n), limit)
+}
+
+func (g *Generator) program(account, name string, turns int) *Program {
+	p := &Program{
+		Account:    account,
+		Name:       name,
+		Deployment: g.deployment.Name,
+		Model:      g.deployment.Model.ID,
+		System:     fmt.Sprintf("program %s of %s", name, account),
+		Tokens:     programTokens,
+		Calls:      programCalls,
+		DeadlineMS: programDeadlineMS,
+	}
+	tools := 0
+	for i := range max(turns, 1) {
+		p.Steps = append(p.Steps, g.chat())
+		if g.random.Float64() < g.deployment.shape.toolPart {
+			p.Steps = append(p.Steps, g.tool(p))
+			tools++
+		}
+		if i == 0 && tools == 0 {
+			p.Steps = append(p.Steps, g.tool(p))
+			tools++
+		}
+	}
+	return p
+}
+
+func (g *Generator) chat() Step {
+	return Step{
+		Kind:   Chat,
+		Pause:  g.pause(),
+		Name:   g.anyName(g.deployment.Model.ID),
+		Text:   g.text(),
+		Stream: g.random.Float64() < g.deployment.shape.streamPart,
+	}
+}
+
+// toolBody makes each call's body unique to account, program and step.
+type toolBody struct {
+	Account string `json:"account"`
+	Program string `json:"program"`
+	Step    int    `json:"step"`
+	Amount  int    `json:"amount"`
+}
+
+func (g *Generator) tool(p *Program) Step {
+	s := g.deployment.Services[g.random.Intn(len(g.deployment.Services))]
+	paths := g.deployment.Tools[s.ID]
+	body, err := json.Marshal(toolBody{p.Account, p.Name, len(p.Steps) + 1, g.random.Intn(1000)})
+	if err != nil {
+		panic(err)
+	}
+	return Step{
+		Kind:      Service,
+		Pause:     g.pause(),
+		Name:      g.anyName(s.ID),
+		ServiceID: s.ID,
+		Path:      paths[g.random.Intn(len(paths))],
+		Body:      body,
+	}
+}
+
+func (g *Generator) anyName(id string) string {
+	names := g.names[id]
+	return names[g.random.Intn(len(names))]
+}
+
+func (g *Generator) pause() time.Duration {
+	factor := min(math.Exp(g.random.NormFloat64()*pauseSpread), maxPauseOver)
+	return time.Duration(factor * g.PauseScale * float64(medianPause))
+}
+
+func (g *Generator) text() string {
+	typical := float64(g.deployment.shape.messageWords)
+	n := max(1, int(typical*math.Exp(g.random.NormFloat64()*pauseSpread)))
+	words := make([]string, n)
+	for i := range words {
+		words[i] = textWords[g.random.Intn(len(textWords))]
+	}
+	return strings.Join(words, " ")
+}
+
+// Mix draws n programs from each deployment and returns them in one seeded order.
+func Mix(seed int64, n int, generators ...*Generator) []*Program {
+	var all []*Program
+	for _, g := range generators {
+		for range n {
+			all = append(all, g.Next())
+		}
+	}
+	random := rand.New(rand.NewSource(seed))
+	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return slices.Clip(all)
+}
