program: state machine, ledger and attempts

Begin takes over a lapsed attempt itself, so there is no separate takeover command: a caller that comes again through another VM needs nothing but its own request. What an attempt reserved counts as used when its owner is lost, because it may have run; only a revoke gives it back. Weighed: keeping a table of command IDs for repeated proposals; the attempt and the arguments recognise them already, and old commands are refused as stale.

--- /dev/null
+++ b/internal/program/begin.go
@@ -0,0 +1,240 @@
+package program
+
+import "slices"
+
+// begin runs a turn, or says why not. The order of the checks matters: what is recorded is
+// answered first, so that a repeated request never gets a worse answer than the first one.
+func (m *Machine) begin(c *Begin, timeMS int64) *Result {
+	if reason := m.dead.reason(c.Attempt); reason != "" {
+		return m.refuseEarly(c, refuse(CodeSuperseded, "the attempt was %s", reason))
+	}
+	if m.isLost(c.Owner) {
+		return m.refuseEarly(c, refuse(CodeOwnerFenced, "VM %s was declared lost", c.Owner.VM))
+	}
+	if p := m.running[c.Attempt]; p != nil && p != m.program(c.Account, c.Program) {
+		return refuse(CodeBadCommand, "the attempt runs a turn of another program")
+	}
+	p := m.program(c.Account, c.Program)
+	made := p == nil
+	if made {
+		var res *Result
+		if p, res = m.implicit(c, timeMS); res != nil {
+			return res
+		}
+	}
+	res := m.beginOn(p, c, timeMS)
+	if made && res.Started == nil {
+		m.remove(p)
+	}
+	return res
+}
+
+// refuseEarly completes the refusal of a Begin that was not looked at further: the request may
+// have run if anything of the program's record speaks for it.
+func (m *Machine) refuseEarly(c *Begin, res *Result) *Result {
+	p := m.program(c.Account, c.Program)
+	if p == nil {
+		res.MayHaveRun = m.accounts[c.Account] != nil && m.accounts[c.Account].forgot
+		return res
+	}
+	run := p.next.running
+	res.MayHaveRun = run != nil && run.RequestHash == c.RequestHash || p.next.ranHash != "" || p.strayRan ||
+		p.ranBefore(c.RequestHash)
+	return res
+}
+
+// implicit makes the program that a first call asks for.
+func (m *Machine) implicit(c *Begin, timeMS int64) (*program, *Result) {
+	if c.Implicit == nil {
+		return nil, m.noProgram(c.Account, c.Program)
+	}
+	if m.stale(timeMS) {
+		return nil, m.refuseStale()
+	}
+	return m.make(&Create{
+		Account:    c.Account,
+		Name:       c.Program,
+		Ceiling:    c.Implicit.Ceiling,
+		DeadlineMS: c.Implicit.DeadlineMS,
+	}, c.Implicit.OneCall)
+}
+
+func (m *Machine) refuseStale() *Result {
+	return refuse(CodeStale, "the command is more than %s old; check the VM's clock", m.limits.MaxCommandAge)
+}
+
+func (m *Machine) beginOn(p *program, c *Begin, timeMS int64) *Result {
+	if run := p.next.running; run != nil && run.ID == c.Attempt {
+		return m.started(p)
+	}
+	if t := p.closedBy(c.Attempt, m.nowMS-m.limits.MaxCommandAge.Milliseconds()); t != nil {
+		return t.answer(p.numberOf(t), t.RequestHash)
+	}
+	m.fenceLapsed(p)
+	m.expireIfDue(p)
+	number := p.resolve(c)
+	if number < p.nextTurn() {
+		return p.turns[number-1].answer(number, c.RequestHash)
+	}
+	if res := m.refuseOpen(p, c, number, timeMS); res != nil {
+		res.ExpectedTurn = p.nextTurn()
+		res.MayHaveRun = res.MayHaveRun || p.mayHaveRun(c, number)
+		return res
+	}
+	return m.start(p, c)
+}
+
+// mayHaveRun reports whether an earlier attempt of a refused request, without an answer, may
+// have run.
+func (p *program) mayHaveRun(c *Begin, number uint64) bool {
+	return p.next.ranHash != "" && number == p.nextTurn() || p.strayRan && c.Turn == 0
+}
+
+// resolve returns the number of the turn that a call means. An idempotency key means the turn
+// it was recorded with. A call without a number is a recorded turn again if its conversation is
+// one that the last turn answered, or if the last turn has an unknown outcome and was the same
+// request.
+func (p *program) resolve(c *Begin) uint64 {
+	if n := p.keys[c.IdempotencyKey]; n > 0 {
+		return n
+	}
+	if c.Turn > 0 {
+		return c.Turn
+	}
+	if p.oneCall {
+		return 1
+	}
+	if len(p.turns) == 0 {
+		return 1
+	}
+	last := p.turns[len(p.turns)-1]
+	again := c.Prefix != nil || last.State == TurnUnknown
+	if again && c.IdempotencyKey == "" && last.RequestHash == c.RequestHash {
+		return uint64(len(p.turns))
+	}
+	return p.nextTurn()
+}
+
+// answer answers a closed turn from the record.
+func (t *turn) answer(number uint64, requestHash string) *Result {
+	if t.RequestHash != requestHash {
+		res := refuse(CodeTurnConflict, "turn %d was another request", number)
+		res.MayHaveRun = t.EarlierRan
+		return res
+	}
+	if t.State == TurnUnknown {
+		res := refuse(CodeUnknownOutcome, "turn %d may have run and is not run again", number)
+		res.MayHaveRun = true
+		return res
+	}
+	res := ok()
+	res.Answered = &Answered{
+		Turn:        number,
+		Attempt:     t.Attempt,
+		Status:      t.Status,
+		ContentType: t.ContentType,
+		Answer:      t.Answer,
+	}
+	return res
+}
+
+// refuseOpen returns why a turn that is not closed can't be started, or nil if it can.
+func (m *Machine) refuseOpen(p *program, c *Begin, number uint64, timeMS int64) *Result {
+	switch {
+	case p.state == StateEnded:
+		return refuse(CodeEnded, "the program has ended")
+	case p.state == StateExpired:
+		return refuse(CodeExpired, "the program has expired")
+	case p.next.running != nil:
+		return m.busy(p, c, number)
+	case number > p.nextTurn():
+		return refuse(CodeOutOfOrder, "turn %d was called, turn %d is next", number, p.nextTurn())
+	case m.stale(timeMS):
+		return m.refuseStale()
+	case c.Prefix != nil && !p.matches(c.Prefix):
+		res := refuse(CodeHistoryMismatch, "the conversation does not extend the recorded one")
+		res.RecordedMessages = len(p.history)
+		res.MayHaveRun = c.Turn == 0 && p.ranBefore(c.RequestHash)
+		return res
+	case p.bytes >= m.limits.MaxBytes:
+		return refuse(CodeTooLarge, "the record has %d bytes, the bound is %d", p.bytes, m.limits.MaxBytes)
+	}
+	left := p.remaining()
+	if left.Calls < 1 || left.Tokens < c.ReserveTokens {
+		res := refuse(CodeBudgetExceeded, "%d tokens and 1 call wanted, %d tokens and %d calls left",
+			c.ReserveTokens, left.Tokens, left.Calls)
+		res.Remaining = &left
+		return res
+	}
+	return nil
+}
+
+func (m *Machine) busy(p *program, c *Begin, number uint64) *Result {
+	run := p.next.running
+	same := run.RequestHash == c.RequestHash && run.sameIdentity(c, number == p.nextTurn())
+	res := refuse(CodeBusy, "turn %d is under way on VM %s", p.nextTurn(), run.Owner.VM)
+	res.Busy = &BusyTurn{Turn: p.nextTurn(), Attempt: run.ID, Owner: run.Owner, Same: same}
+	res.MayHaveRun = same
+	res.RetryAfterMS = max(run.LeaseUntilMS-m.nowMS, 1)
+	return res
+}
+
+// sameIdentity reports whether a call names the turn under way: by its number, by its
+// idempotency key, or, with neither, by being the next one.
+func (a *attempt) sameIdentity(c *Begin, next bool) bool {
+	if c.IdempotencyKey != "" && c.IdempotencyKey == a.IdempotencyKey {
+		return true
+	}
+	return next && (c.Turn > 0 || c.IdempotencyKey == a.IdempotencyKey)
+}
+
+// ranBefore reports whether a closed turn was the same request.
+func (p *program) ranBefore(requestHash string) bool {
+	return slices.ContainsFunc(p.turns, func(t turn) bool { return t.RequestHash == requestHash })
+}
+
+// start makes the attempt current. Its intent is durable once the command is.
+func (m *Machine) start(p *program, c *Begin) *Result {
+	if m.checked && p.next.onceStarted {
+		panic("program: invariant: a turn that is not repeatable is started twice: " + p.path())
+	}
+	if !p.reserve(c.ReserveTokens) {
+		panic("program: a reservation fails after its check: " + p.path())
+	}
+	p.begins++
+	p.next.cancelled = false
+	p.next.onceStarted = !c.Repeatable
+	p.once = p.once || !c.Repeatable
+	p.next.running = &attempt{
+		ID:             c.Attempt,
+		Owner:          c.Owner,
+		Kind:           c.Kind,
+		RequestHash:    c.RequestHash,
+		IdempotencyKey: c.IdempotencyKey,
+		Repeatable:     c.Repeatable,
+		ReserveTokens:  c.ReserveTokens,
+		Messages:       c.Messages,
+		LeaseUntilMS:   m.after(m.limits.Lease),
+		NewSession:     p.newSession(),
+	}
+	m.running[c.Attempt] = p
+	p.touch(m.nowMS)
+	return m.started(p)
+}
+
+func (m *Machine) started(p *program) *Result {
+	run := p.next.running
+	res := ok()
+	res.Started = &Started{
+		Turn:             p.nextTurn(),
+		Attempt:          run.ID,
+		LeaseUntilMS:     run.LeaseUntilMS,
+		DeadlineMS:       p.deadlineMS,
+		Remaining:        p.remaining(),
+		RecordedMessages: len(p.history),
+		Residencies:      m.validResidencies(p),
+		NewSession:       run.NewSession,
+		IdempotencyKey:   p.upstreamKey(run.RequestHash),
+	}
+	return res
+}
--- /dev/null
+++ b/internal/program/budget.go
@@ -0,0 +1,67 @@
+package program
+
+// remaining is what the program may still reserve under its own and all ancestors' budgets.
+func (p *program) remaining() Budget {
+	left := p.limit.minus(p.used).minus(p.reserved)
+	for q := p.parent; q != nil; q = q.parent {
+		left = left.lower(q.limit.minus(q.used).minus(q.reserved))
+	}
+	return left
+}
+
+// reserve sets aside one call and tokens in the program and all ancestors. It reports false,
+// and reserves nothing, if a budget would be exceeded.
+func (p *program) reserve(tokens int64) bool {
+	left := p.remaining()
+	if left.Calls < 1 || left.Tokens < tokens {
+		return false
+	}
+	for q := p; q != nil; q = q.parent {
+		q.reserved.Calls++
+		q.reserved.Tokens += tokens
+	}
+	return true
+}
+
+// release gives a reservation back unused.
+func (p *program) release(tokens int64) {
+	for q := p; q != nil; q = q.parent {
+		q.reserved.Calls--
+		q.reserved.Tokens -= tokens
+	}
+}
+
+// settle turns a reservation into use: one call, and the tokens used. Use beyond the
+// reservation is charged as far as the budgets allow; the rest is noted as overrun, so that
+// use never exceeds a budget.
+func (p *program) settle(reserved, used int64) SettledBudget {
+	p.release(reserved)
+	charged := min(used, p.remaining().Tokens)
+	overrun := used - charged
+	for q := p; q != nil; q = q.parent {
+		q.used.Calls++
+		q.used.Tokens += charged
+	}
+	p.overrun += overrun
+	return SettledBudget{ChargedTokens: charged, OverrunTokens: overrun}
+}
+
+func (b Budget) minus(o Budget) Budget {
+	return Budget{Tokens: b.Tokens - o.Tokens, Calls: b.Calls - o.Calls}
+}
+
+func (b Budget) lower(o Budget) Budget {
+	return Budget{Tokens: min(b.Tokens, o.Tokens), Calls: min(b.Calls, o.Calls)}
+}
+
+// within returns the budget bounded by a ceiling; parts that are 0 become the ceiling.
+func (b Budget) within(ceiling Budget) Budget {
+	limit := b.lower(ceiling)
+	if b.Tokens == 0 {
+		limit.Tokens = ceiling.Tokens
+	}
+	if b.Calls == 0 {
+		limit.Calls = ceiling.Calls
+	}
+	return limit
+}
--- /dev/null
+++ b/internal/program/calls.go
@@ -0,0 +1,227 @@
+package program
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
+)
+
+// Call is what an entry VM asks the ledger to begin.
+type Call struct {
+	Account     string
+	Program     string
+	Turn        uint64 // 0: the next one
+	Kind        Kind
+	RequestHash string
+	// Conversation holds the messages of a chat call that came with all of them, JSON objects
+	// each; NewMessages those of one that came with the new ones only. At most one is set.
+	Conversation   [][]byte
+	NewMessages    [][]byte
+	Repeatable     bool
+	ReserveTokens  int64
+	IdempotencyKey string
+	Implicit       *Implicit
+}
+
+// Turn is a call as begun: exactly one of Started and Answered is set.
+type Turn struct {
+	Started  *Started
+	Answered *Answered
+	// Messages is the whole conversation to send, for a started chat turn.
+	Messages [][]byte
+}
+
+// Begin begins a call with a new attempt, or answers it from the record. After any error this
+// VM must not send the call: the attempt is taken back, at once or by Flush.
+func (l *Ledger) Begin(ctx context.Context, call Call) (*Turn, error) {
+	if call.Conversation != nil && call.NewMessages != nil {
+		return nil, errors.New("program: a call has either the whole conversation or new messages")
+	}
+	turn, err := l.beginCall(ctx, &call)
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) {
+		unavailable.Identified = call.Turn > 0 || call.IdempotencyKey != ""
+	}
+	return turn, err
+}
+
+func (l *Ledger) beginCall(ctx context.Context, call *Call) (*Turn, error) {
+	cmd := Begin{
+		Account:        call.Account,
+		Program:        call.Program,
+		Turn:           call.Turn,
+		Kind:           call.Kind,
+		RequestHash:    call.RequestHash,
+		Repeatable:     call.Repeatable,
+		ReserveTokens:  call.ReserveTokens,
+		Owner:          l.opts.Owner,
+		IdempotencyKey: call.IdempotencyKey,
+		Implicit:       call.Implicit,
+	}
+	if call.Conversation != nil {
+		return l.beginConversation(ctx, cmd, call.Conversation)
+	}
+	var err error
+	if cmd.Messages, err = canonicalAll(call.NewMessages); err != nil {
+		return nil, err
+	}
+	res, err := l.begin(ctx, &cmd)
+	if err != nil {
+		return nil, err
+	}
+	if res.Answered != nil || call.Kind != KindChat {
+		return &Turn{Started: res.Started, Answered: res.Answered}, nil
+	}
+	return l.withHistory(ctx, &cmd, res.Started)
+}
+
+// withHistory reads the conversation of a turn that was begun with its new messages only.
+func (l *Ledger) withHistory(ctx context.Context, cmd *Begin, started *Started) (*Turn, error) {
+	q := ProgramQuery{Account: cmd.Account, Program: cmd.Program, History: true, Attempt: cmd.Attempt}
+	view, err := l.Read(ctx, q)
+	if err != nil {
+		l.abandon(cmd)
+		return nil, err
+	}
+	if len(view.Messages) != started.RecordedMessages+len(cmd.Messages) {
+		l.abandon(cmd) // fenced in between
+		return nil, &RefusedError{Result: Result{
+			Code:       CodeSuperseded,
+			Detail:     "the attempt is not under way",
+			MayHaveRun: true,
+		}}
+	}
+	return &Turn{Started: started, Messages: view.Messages}, nil
+}
+
+// beginConversation begins a turn that came with the whole conversation. Only the part beyond
+// the record goes into the log: the ledger guesses the record's length, and a wrong guess is
+// put right by the refusal, which tells it.
+func (l *Ledger) beginConversation(ctx context.Context, cmd Begin, conversation [][]byte) (*Turn, error) {
+	messages, err := canonicalAll(conversation)
+	if err != nil {
+		return nil, err
+	}
+	key := programKey{account: cmd.Account, name: cmd.Program}
+	recorded, err := l.recordedLength(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		n := min(recorded, len(messages))
+		cmd.Prefix = &Prefix{Messages: n, Hash: HashMessages(messages[:n])}
+		cmd.Messages = messages[n:]
+		res, err := l.begin(ctx, &cmd)
+		if err == nil {
+			if res.Started != nil {
+				l.noteRecorded(key, res.Started.RecordedMessages)
+			}
+			return &Turn{Started: res.Started, Answered: res.Answered, Messages: messages}, nil
+		}
+		actual, mismatch := mismatchLength(err)
+		if !mismatch || actual == recorded || actual > len(messages) {
+			return nil, err
+		}
+		recorded = actual
+		l.noteRecorded(key, actual)
+	}
+}
+
+// mismatchLength returns the length of the record that a history mismatch tells.
+func mismatchLength(err error) (int, bool) {
+	var refused *RefusedError
+	if !errors.As(err, &refused) || refused.Result.Code != CodeHistoryMismatch {
+		return 0, false
+	}
+	return refused.Result.RecordedMessages, true
+}
+
+// begin proposes a Begin under a new attempt. If its outcome stays unknown, the attempt waits
+// for its revocation.
+func (l *Ledger) begin(ctx context.Context, cmd *Begin) (*Result, error) {
+	cmd.Attempt = l.opts.NewAttempt()
+	res, err := l.propose(ctx, &Envelope{Begin: cmd})
+	var unavailable *UnavailableError
+	if errors.As(err, &unavailable) && unavailable.Applied {
+		l.abandon(cmd)
+	}
+	return res, err
+}
+
+// recordedLength returns the last known length of a program's history, asking if none is.
+func (l *Ledger) recordedLength(ctx context.Context, key programKey) (int, error) {
+	l.mu.Lock()
+	n, known := l.recorded[key]
+	l.mu.Unlock()
+	if known {
+		return n, nil
+	}
+	view, err := l.Read(ctx, ProgramQuery{Account: key.account, Program: key.name})
+	var refused *RefusedError
+	if errors.As(err, &refused) {
+		return 0, nil // the Begin tells what is wrong
+	}
+	if err != nil {
+		return 0, err
+	}
+	return view.RecordedMessages, nil
+}
+
+func (l *Ledger) noteRecorded(key programKey, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.recorded) >= maxRecorded {
+		clear(l.recorded)
+	}
+	l.recorded[key] = n
+}
+
+// abandon queues the revocation of an attempt that this VM will not run.
+func (l *Ledger) abandon(cmd *Begin) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if len(l.abandoned) < maxAbandoned {
+		l.abandoned = append(l.abandoned, Revoke{Account: cmd.Account, Program: cmd.Program, Attempt: cmd.Attempt})
+	}
+}
+
+// Flush revokes the attempts that this VM gave up with an unknown outcome of their Begin. It is
+// called every second or so, and returns the first error; what is left is tried next time.
+func (l *Ledger) Flush(ctx context.Context) error {
+	l.mu.Lock()
+	queue := l.abandoned
+	l.abandoned = nil
+	l.mu.Unlock()
+	for i, c := range queue {
+		_, err := l.Revoke(ctx, c)
+		var unavailable *UnavailableError
+		if errors.As(err, &unavailable) {
+			l.mu.Lock()
+			l.abandoned = append(queue[i:], l.abandoned...)
+			l.mu.Unlock()
+			return err
+		}
+		if err != nil {
+			l.opts.Events.Emit(events.ProgramRevokeRefused, zap.String("attempt", c.Attempt), zap.Error(err))
+		}
+	}
+	return nil
+}
+
+func canonicalAll(messages [][]byte) ([][]byte, error) {
+	if messages == nil {
+		return nil, nil
+	}
+	all := make([][]byte, 0, len(messages))
+	for _, message := range messages {
+		canonical, err := CanonicalMessage(message)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, canonical)
+	}
+	return all, nil
+}
--- a/internal/program/commands.go
+++ b/internal/program/commands.go
@@ -156,6 +156,9 @@
 	Outcome Outcome `json:"outcome"`
 	// UsedTokens is charged for OutcomeFailed; for OutcomeUnknown the whole reservation is.
 	UsedTokens int64 `json:"used_tokens,omitempty"`
+	// Residency is the session that the call used, if known; it is released unless the program
+	// holds it from an earlier turn.
+	Residency *Residency `json:"residency,omitempty"`
 }
 
 // Renew extends the leases of attempts under way. Its answer names those no longer current.
@@ -169,12 +172,12 @@
 	Owner Owner `json:"owner"`
 }
 
-// Cancel ends the turn under way without an answer, on the caller's word.
+// Cancel ends the turn under way without an answer, on the caller's word: a repeatable turn
+// opens again, any other has an unknown outcome. It does nothing if the turn is not under way.
 type Cancel struct {
 	Account string `json:"account"`
 	Program string `json:"program"`
-	// Turn is the turn to cancel; 0 means the one under way.
-	Turn uint64 `json:"turn,omitempty"`
+	Turn    uint64 `json:"turn"`
 }
 
 // End ends a program and its sub-agents; turns under way are cancelled.
--- /dev/null
+++ b/internal/program/invariants.go
@@ -0,0 +1,187 @@
+package program
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+)
+
+// memory is what the checks remember of the state after the command before.
+type memory struct {
+	nowMS    int64
+	programs map[*program]programMemory
+}
+
+type programMemory struct {
+	turns       int
+	messages    int
+	historyHash []byte
+	onceAttempt string // the attempt under way of a turn that is not repeatable
+}
+
+// mustHold panics if an invariant does not hold.
+func (m *Machine) mustHold() {
+	if err := m.checkInvariants(); err != nil {
+		panic("program: invariant: " + err.Error())
+	}
+	m.remember()
+}
+
+func (m *Machine) remember() {
+	m.before = memory{nowMS: m.nowMS, programs: map[*program]programMemory{}}
+	for _, a := range m.accounts {
+		for _, p := range a.programs {
+			pm := programMemory{turns: len(p.turns), messages: len(p.history), historyHash: p.historyHash}
+			if run := p.next.running; run != nil && !run.Repeatable {
+				pm.onceAttempt = run.ID
+			}
+			m.before.programs[p] = pm
+		}
+	}
+}
+
+// checkInvariants returns the first broken invariant of the state.
+func (m *Machine) checkInvariants() error {
+	if m.nowMS < m.before.nowMS {
+		return errors.New("the machine's time fell")
+	}
+	live, running := 0, 0
+	for id, a := range m.accounts {
+		for name, p := range a.programs {
+			if p.account != id || p.name != name {
+				return errors.Newf("%s is kept as %s/%s", p.path(), id, name)
+			}
+			if err := m.checkProgram(p); err != nil {
+				return errors.Wrap(err, p.path())
+			}
+			if p.state == StateLive {
+				live++
+			}
+			if p.next.running != nil {
+				running++
+			}
+		}
+		if err := checkQueues(a); err != nil {
+			return err
+		}
+	}
+	if live != len(m.live) || running != len(m.running) {
+		return errors.New("the indexes of live programs or attempts have stray entries")
+	}
+	return m.checkReleases()
+}
+
+func (m *Machine) checkProgram(p *program) error {
+	if err := p.checkBudget(); err != nil {
+		return err
+	}
+	if err := m.checkTransition(p); err != nil {
+		return err
+	}
+	run := p.next.running
+	if run != nil && m.running[run.ID] != p {
+		return errors.New("the attempt under way is not indexed")
+	}
+	if p.state == StateLive {
+		if m.live[p.base] != p {
+			return errors.New("a live program is not indexed")
+		}
+		if p.parent != nil && p.parent.state != StateLive {
+			return errors.New("a live program under an ended one")
+		}
+		return nil
+	}
+	if run != nil || len(p.residencies) > 0 {
+		return errors.New("an ended program has a turn under way or sessions")
+	}
+	return nil
+}
+
+// checkBudget checks that use and reservations are within the limit, and that the reservations
+// are those of the attempts under way in the program and its sub-agents.
+func (p *program) checkBudget() error {
+	left := p.limit.minus(p.used).minus(p.reserved)
+	if left.Tokens < 0 || left.Calls < 0 {
+		return errors.Newf("used %v and reserved %v are above the limit %v", p.used, p.reserved, p.limit)
+	}
+	var own Budget
+	if run := p.next.running; run != nil {
+		own = Budget{Tokens: run.ReserveTokens, Calls: 1}
+	}
+	for _, child := range p.children {
+		own.Tokens += child.reserved.Tokens
+		own.Calls += child.reserved.Calls
+	}
+	if own != p.reserved {
+		return errors.Newf("reserved %v, but attempts under way reserve %v", p.reserved, own)
+	}
+	return nil
+}
+
+// checkTransition compares a program with what it was before the command.
+func (m *Machine) checkTransition(p *program) error {
+	was, known := m.before.programs[p]
+	if !known {
+		if !bytes.Equal(HashMessages(p.history), p.historyHash) {
+			return errors.New("the history does not have its hash")
+		}
+		return nil
+	}
+	if len(p.turns) < was.turns || len(p.turns) > was.turns+1 {
+		return errors.Newf("closed turns went from %d to %d", was.turns, len(p.turns))
+	}
+	if len(p.history) < was.messages {
+		return errors.New("the history shrank")
+	}
+	head := was.historyHash
+	for _, message := range p.history[was.messages:] {
+		head = extendHash(head, message)
+	}
+	if !bytes.Equal(head, p.historyHash) {
+		return errors.New("the history is not an extension of what it was")
+	}
+	return m.checkOnce(p, was)
+}
+
+// checkOnce checks that an attempt of a turn that is not repeatable leaves the turn open only
+// by being revoked.
+func (m *Machine) checkOnce(p *program, was programMemory) error {
+	if was.onceAttempt == "" || len(p.turns) > was.turns {
+		return nil
+	}
+	run := p.next.running
+	if run != nil && run.ID == was.onceAttempt {
+		return nil
+	}
+	if m.dead.reason(was.onceAttempt) != deadRevoked {
+		return errors.New("a turn that is not repeatable opened again without a revoke")
+	}
+	return nil
+}
+
+func checkQueues(a *account) error {
+	for _, queue := range [][]*program{a.ended, a.endedOnce} {
+		ordered := slices.IsSortedFunc(queue, func(p, q *program) int { return int(p.endedMS - q.endedMS) })
+		if !ordered {
+			return errors.New("ended programs are out of order")
+		}
+		for _, p := range queue {
+			if p.state == StateLive || a.programs[p.name] != p {
+				return errors.Newf("%s waits for its retention but is not ended", p.path())
+			}
+		}
+	}
+	return nil
+}
+
+func (m *Machine) checkReleases() error {
+	for name, e := range m.engines {
+		for session := range e.pending {
+			if m.inUse(name, session) {
+				return errors.Newf("session %s on %s is to be released and in use", session, name)
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/program/machine.go
@@ -0,0 +1,183 @@
+package program
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+)
+
+// Machine is the state machine of one program group. It is not safe for concurrent use.
+type Machine struct {
+	limits   Limits
+	nowMS    int64
+	index    uint64 // of the last command applied
+	accounts map[string]*account
+	// live holds the programs that are not ended, by the base of their session names.
+	live map[string]*program
+	// running holds the programs with a turn under way, by the attempt.
+	running map[string]*program
+	dead    deadAttempts
+	// lost holds, for each VM declared lost, the highest incarnation that is.
+	lost    map[string]int64
+	engines map[string]*engine
+	checked bool
+	before  memory // of the checks
+}
+
+// account is what one client account has in the group.
+type account struct {
+	programs map[string]*program
+	// ended and endedOnce queue the ended programs, oldest first; endedOnce those with turns
+	// that may not be repeated, which are kept for the whole retention.
+	ended     []*program
+	endedOnce []*program
+	// forgot says that a program of the account was forgotten.
+	forgot bool
+}
+
+// New returns an empty machine. Retention is raised to twice MaxCommandAge if it is shorter.
+func New(limits Limits) *Machine {
+	limits.Retention = max(limits.Retention, 2*limits.MaxCommandAge)
+	m := &Machine{limits: limits}
+	m.reset()
+	return m
+}
+
+func (m *Machine) reset() {
+	m.nowMS = 0
+	m.index = 0
+	m.accounts = map[string]*account{}
+	m.live = map[string]*program{}
+	m.running = map[string]*program{}
+	m.dead = deadAttempts{byID: map[string]deadAttempt{}}
+	m.lost = map[string]int64{}
+	m.engines = map[string]*engine{}
+}
+
+// EnableChecks makes the machine assert its invariants after each command; it panics when one
+// does not hold. The checks walk the whole state: they are for tests and short runs.
+func (m *Machine) EnableChecks() {
+	m.checked = true
+}
+
+// Apply applies the command at index and returns a Result in JSON. A command that cannot be
+// read is answered with CodeBadCommand.
+func (m *Machine) Apply(index uint64, data []byte) []byte {
+	m.index = index
+	var env Envelope
+	var res *Result
+	if err := json.Unmarshal(data, &env); err != nil {
+		res = refuse(CodeBadCommand, "cannot read the command: %v", err)
+	} else {
+		m.nowMS = max(m.nowMS, env.TimeMS)
+		res = m.dispatch(&env)
+	}
+	if m.checked {
+		m.mustHold()
+	}
+	return encode(res)
+}
+
+// Query answers a Query in JSON without changing anything.
+func (m *Machine) Query(data []byte) []byte {
+	var q Query
+	if err := json.Unmarshal(data, &q); err != nil {
+		return encode(refuse(CodeBadCommand, "cannot read the query: %v", err))
+	}
+	return encode(m.query(&q))
+}
+
+func (m *Machine) dispatch(env *Envelope) *Result {
+	if env.count() != 1 {
+		return refuse(CodeBadCommand, "%d commands in one envelope", env.count())
+	}
+	if err := env.validate(); err != nil {
+		return refuse(CodeBadCommand, "%v", err)
+	}
+	switch {
+	case env.Create != nil:
+		return m.create(env.Create, env.TimeMS)
+	case env.Begin != nil:
+		return m.begin(env.Begin, env.TimeMS)
+	case env.Revoke != nil:
+		return m.revoke(env.Revoke)
+	case env.Complete != nil:
+		return m.complete(env.Complete)
+	case env.Fail != nil:
+		return m.fail(env.Fail)
+	case env.Renew != nil:
+		return m.renew(env.Renew)
+	case env.OwnerLost != nil:
+		return m.ownerLost(env.OwnerLost)
+	case env.Cancel != nil:
+		return m.cancel(env.Cancel)
+	case env.End != nil:
+		return m.end(env.End, env.TimeMS)
+	case env.Tick != nil:
+		return m.tick()
+	case env.ReleaseDone != nil:
+		return m.releaseDone(env.ReleaseDone)
+	case env.Report != nil:
+		return m.report(env.Report)
+	case env.EngineGone != nil:
+		return m.engineGone(env.EngineGone)
+	default:
+		return m.query(env.Query)
+	}
+}
+
+// stale reports whether a command is too old to be told from a repeated one.
+func (m *Machine) stale(timeMS int64) bool {
+	return m.nowMS-timeMS > m.limits.MaxCommandAge.Milliseconds()
+}
+
+func (m *Machine) after(d time.Duration) int64 {
+	return m.nowMS + d.Milliseconds()
+}
+
+// passed reports whether d has gone by since sinceMS.
+func (m *Machine) passed(sinceMS int64, d time.Duration) bool {
+	return m.nowMS-sinceMS >= d.Milliseconds()
+}
+
+func (m *Machine) program(accountID, name string) *program {
+	a := m.accounts[accountID]
+	if a == nil {
+		return nil
+	}
+	return a.programs[name]
+}
+
+func (m *Machine) account(id string) *account {
+	a := m.accounts[id]
+	if a == nil {
+		a = &account{programs: map[string]*program{}}
+		m.accounts[id] = a
+	}
+	return a
+}
+
+// noProgram refuses a command for a program that is not there. A turn of it may have run if
+// programs of the account were forgotten.
+func (m *Machine) noProgram(accountID, name string) *Result {
+	res := refuse(CodeNoProgram, "no program %q", name)
+	a := m.accounts[accountID]
+	res.MayHaveRun = a != nil && a.forgot
+	return res
+}
+
+func refuse(code Code, format string, args ...any) *Result {
+	return &Result{Code: code, Detail: fmt.Sprintf(format, args...)}
+}
+
+func ok() *Result {
+	return &Result{Code: CodeOK}
+}
+
+func encode(res *Result) []byte {
+	data, err := json.Marshal(res)
+	if err != nil {
+		panic("program: cannot encode a result: " + err.Error())
+	}
+	return data
+}
--- a/internal/program/results.go
+++ b/internal/program/results.go
@@ -3,7 +3,7 @@
 // Code says how a command or query ended.
 type Code string
 
-// The codes. All but CodeOK are refusals that changed nothing.
+// The codes. All but CodeOK are refusals: the command did not do what it asked for.
 const (
 	CodeOK              Code = "ok"
 	CodeBusy            Code = "busy"             // a turn of the program is under way
@@ -37,6 +37,8 @@
 	ExpectedTurn uint64 `json:"expected_turn,omitempty"`
 	// RecordedMessages is the length of the history, for CodeHistoryMismatch.
 	RecordedMessages int `json:"recorded_messages,omitempty"`
+	// Remaining is what the program may still use, for CodeBudgetExceeded.
+	Remaining *Budget `json:"remaining,omitempty"`
 	// Busy names what is under way, for CodeBusy.
 	Busy *BusyTurn `json:"busy,omitempty"`
 
--- /dev/null
+++ b/internal/program/state.go
@@ -0,0 +1,146 @@
+package program
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+)
+
+// Sizes that the record's memory is accounted with, beside the bytes of its contents.
+const (
+	programOverheadBytes = 1024
+	turnOverheadBytes    = 256
+	messageOverheadBytes = 24
+)
+
+// program is the record of one program.
+type program struct {
+	account    string
+	name       string
+	parentName string
+	parent     *program // nil: none, or forgotten
+	children   map[string]*program
+	depth      int
+	made       Create // as asked for, to recognise the command sent again
+	oneCall    bool
+	state      State
+	born       uint64 // index of the command that made it
+	base       string // of its session names
+
+	limit      Budget
+	used       Budget
+	reserved   Budget
+	overrun    int64 // tokens used beyond the budget
+	deadlineMS int64 // its own or an ancestor's; 0: none
+	createdMS  int64
+	activeMS   int64 // last begin, settlement or renewal, its sub-agents' included
+	endedMS    int64
+
+	history     [][]byte
+	historyHash []byte
+	bytes       int64
+	turns       []turn            // closed ones: turns[i] has the number i+1
+	keys        map[string]uint64 // idempotency keys of closed turns
+	once        bool              // some turn was not repeatable
+	next        openTurn
+	// strayRan says that an unanswered attempt may have run whose turn another request took.
+	strayRan    bool
+	begins      uint64 // attempts started
+	residencies []residency
+}
+
+// turn is a closed turn: answered, or with an unknown outcome.
+type turn struct {
+	Kind           Kind
+	State          TurnState
+	RequestHash    string
+	IdempotencyKey string
+	Attempt        string
+	EndedMS        int64
+	// EarlierRan says that an earlier attempt, maybe with another request, may have run.
+	EarlierRan  bool
+	Status      int
+	ContentType string
+	Answer      []byte
+	Settled     SettledBudget
+}
+
+// openTurn is the turn that comes next.
+type openTurn struct {
+	running *attempt // nil: none under way
+	// ranHash is the request of the last attempt that is over without an answer and may have
+	// run; empty if there is none.
+	ranHash string
+	// onceStarted says that an attempt of a turn that is not repeatable was started and not
+	// revoked: no other may start.
+	onceStarted bool
+	cancelled   bool
+}
+
+// attempt is the one under way.
+type attempt struct {
+	ID             string
+	Owner          Owner
+	Kind           Kind
+	RequestHash    string
+	IdempotencyKey string
+	Repeatable     bool
+	ReserveTokens  int64
+	Messages       [][]byte
+	LeaseUntilMS   int64
+	NewSession     string
+}
+
+type residency struct {
+	Residency
+	UsedMS int64
+}
+
+func (p *program) nextTurn() uint64 {
+	return uint64(len(p.turns)) + 1
+}
+
+func (p *program) sessionBase() string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s\x00%s\x00%d", p.account, p.name, p.born))
+	return hex.EncodeToString(sum[:12])
+}
+
+// newSession returns a session name that no earlier attempt had, so that the release of an old
+// session never hits a new one.
+func (p *program) newSession() string {
+	return p.base + "." + strconv.FormatUint(p.begins, 10)
+}
+
+// upstreamKey is the idempotency key sent along with all attempts of one request.
+func (p *program) upstreamKey(requestHash string) string {
+	sum := sha256.Sum256(fmt.Appendf(nil, "%s\x00%d\x00%s", p.base, p.nextTurn(), requestHash))
+	return hex.EncodeToString(sum[:16])
+}
+
+// closedBy finds the closed turn that an attempt answered or left unknown. It looks at recent
+// turns only: an older command is refused as stale.
+func (p *program) closedBy(attemptID string, sinceMS int64) *turn {
+	for i := len(p.turns) - 1; i >= 0; i-- {
+		t := &p.turns[i]
+		if t.EndedMS < sinceMS {
+			return nil
+		}
+		if t.Attempt == attemptID {
+			return t
+		}
+	}
+	return nil
+}
+
+// touch notes activity of the program for itself and its ancestors.
+func (p *program) touch(nowMS int64) {
+	for q := p; q != nil; q = q.parent {
+		q.activeMS = nowMS
+	}
+}
+
+// path names the program in errors.
+func (p *program) path() string {
+	return p.account + "/" + p.name
+}
