--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,210 @@
+package membership
+
+import (
+	"sort"
+	"time"
+)
+
+// probe is a ping under way.
+type probe struct {
+	target   string
+	deadline time.Duration
+	indirect bool   // other VMs were asked
+	client   string // the VM on whose behalf it is sent; "" for this VM's own
+	original uint64 // the client's sequence number
+}
+
+// contacts chooses whom to ping in this round.
+func (t *Tracker) contacts() []string {
+	usable := func(p *peer) bool { return p.state <= Suspect }
+	chosen := t.pick(MaxContacts, usable)
+	if t.count(usable) > MaxContacts {
+		ring := t.ring(RingContacts)
+		chosen = ring
+		seen := map[string]bool{}
+		for _, vm := range ring {
+			seen[vm] = true
+		}
+		elsewhere := func(p *peer) bool { return usable(p) && p.zone != t.opts.Zone }
+		for _, vm := range append(t.pick(2, elsewhere), t.pick(MaxContacts, usable)...) {
+			if !seen[vm] && len(chosen) < MaxContacts {
+				seen[vm] = true
+				chosen = append(chosen, vm)
+			}
+		}
+	}
+	// After a cut both sides hold each other dead; one of them has to try.
+	return append(chosen, t.pick(1, func(p *peer) bool { return p.state == Dead })...)
+}
+
+// ring returns the next n usable VMs after this one in the order of its zone.
+func (t *Tracker) ring(n int) []string {
+	var zone []string
+	for _, name := range t.order {
+		if p := t.peers[name]; p.zone == t.opts.Zone && p.state <= Suspect {
+			zone = append(zone, name)
+		}
+	}
+	start := sort.SearchStrings(zone, t.opts.VM)
+	var next []string
+	for i := 0; i < len(zone) && len(next) < n; i++ {
+		next = append(next, zone[(start+i)%len(zone)])
+	}
+	return next
+}
+
+// pick returns up to n random VMs that satisfy the condition.
+func (t *Tracker) pick(n int, ok func(*peer) bool) []string {
+	var names []string
+	for _, name := range t.order {
+		if ok(t.peers[name]) {
+			names = append(names, name)
+		}
+	}
+	for i := 0; i < n && i < len(names); i++ {
+		j := i + t.random.IntN(len(names)-i)
+		names[i], names[j] = names[j], names[i]
+	}
+	return names[:min(n, len(names))]
+}
+
+func (t *Tracker) count(ok func(*peer) bool) int {
+	n := 0
+	for _, p := range t.peers {
+		if ok(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// ping sends a ping; it starts a probe unless one is under way or the VM is held dead.
+func (t *Tracker) ping(now time.Duration, vm string) GossipSend {
+	t.sequence++
+	if _, busy := t.probing[vm]; !busy && t.peers[vm].state <= Suspect {
+		t.probing[vm] = t.sequence
+		t.probes[t.sequence] = &probe{target: vm, deadline: now + AckTimeout}
+	}
+	return t.send(vm, Gossip{Kind: GossipPing, Sequence: t.sequence, Digest: t.digest})
+}
+
+// advanceProbes asks other VMs about those that did not answer, and suspects a VM that did
+// not answer them either.
+func (t *Tracker) advanceProbes(now time.Duration) []GossipSend {
+	var sends []GossipSend
+	for _, seq := range t.dueProbes(now) {
+		pr := t.probes[seq]
+		p := t.peers[pr.target]
+		switch {
+		case pr.client != "":
+			delete(t.probes, seq)
+		case !pr.indirect:
+			pr.indirect = true
+			pr.deadline = now + AckTimeout
+			p.direct = false
+			sends = append(sends, t.askOthers(pr.target, seq)...)
+		default:
+			t.dropProbe(pr.target)
+			if p.state == Alive && !t.isolated(now) {
+				p.state = Suspect
+				p.since = now
+			}
+		}
+	}
+	return sends
+}
+
+func (t *Tracker) dueProbes(now time.Duration) []uint64 {
+	var due []uint64
+	for seq, pr := range t.probes {
+		if now >= pr.deadline {
+			due = append(due, seq)
+		}
+	}
+	sort.Slice(due, func(i, j int) bool { return due[i] < due[j] })
+	return due
+}
+
+func (t *Tracker) askOthers(target string, seq uint64) []GossipSend {
+	var sends []GossipSend
+	for _, vm := range t.pick(IndirectContacts+1, func(p *peer) bool { return p.state == Alive && p.direct }) {
+		if vm != target && len(sends) < IndirectContacts {
+			sends = append(sends, t.send(vm, Gossip{Kind: GossipPingReq, Sequence: seq, Target: target}))
+		}
+	}
+	return sends
+}
+
+// isolated reports whether this VM hears nobody; it then makes no claim about others.
+func (t *Tracker) isolated(now time.Duration) bool {
+	return now-t.lastHeard > HeardWindow
+}
+
+func (t *Tracker) expireSuspects(now time.Duration) []Change {
+	var changes []Change
+	for _, name := range t.order {
+		p := t.peers[name]
+		if p.state == Suspect && now-p.since >= SuspectTimeout && !t.isolated(now) {
+			changes = append(changes, t.claim(now, name, p.incarnation, Dead)...)
+		}
+	}
+	return changes
+}
+
+// acked ends a probe that was answered directly, and tells the VM that had asked for it.
+func (t *Tracker) acked(from string, seq uint64) []GossipSend {
+	pr := t.probes[seq]
+	if pr == nil || pr.target != from {
+		if p := t.peers[from]; p != nil && p.state == Alive {
+			t.dropProbe(from)
+			p.direct = true
+		}
+		return nil
+	}
+	delete(t.probes, seq)
+	if pr.client != "" {
+		return []GossipSend{t.send(pr.client, Gossip{
+			Kind: GossipRelay, Sequence: pr.original, Target: from,
+			Rumours: []Rumour{{VM: from, Incarnation: t.peers[from].incarnation, State: Alive}},
+		})}
+	}
+	delete(t.probing, from)
+	t.peers[from].direct = true
+	return nil
+}
+
+// relayProbe pings a VM on behalf of another.
+func (t *Tracker) relayProbe(now time.Duration, from string, g Gossip) []GossipSend {
+	if t.peers[g.Target] == nil || t.peers[from] == nil || len(t.probes)-len(t.probing) >= MaxRelays {
+		return nil
+	}
+	t.sequence++
+	t.probes[t.sequence] = &probe{target: g.Target, deadline: now + AckTimeout, client: from, original: g.Sequence}
+	return []GossipSend{t.send(g.Target, Gossip{Kind: GossipPing, Sequence: t.sequence})}
+}
+
+// relayed takes another VM's word that the target answered.
+func (t *Tracker) relayed(now time.Duration, g Gossip) []Change {
+	seq, busy := t.probing[g.Target]
+	if !busy || seq != g.Sequence {
+		return nil
+	}
+	t.dropProbe(g.Target)
+	p := t.peers[g.Target]
+	if p.state != Suspect {
+		return nil
+	}
+	return t.claim(now, g.Target, p.incarnation, Alive)
+}
+
+func (t *Tracker) dropProbe(vm string) {
+	if seq, busy := t.probing[vm]; busy {
+		delete(t.probes, seq)
+		delete(t.probing, vm)
+	}
+	for seq, pr := range t.probes {
+		if t.peers[pr.target] == nil {
+			delete(t.probes, seq)
+		}
+	}
+}
--- /dev/null
+++ b/internal/membership/rumour.go
@@ -0,0 +1,92 @@
+package membership
+
+import (
+	"math/bits"
+	"sort"
+	"time"
+)
+
+// rumourEntry is a rumour that is still to be sent so many times.
+type rumourEntry struct {
+	Rumour
+	left int
+}
+
+// send builds a message, with the rumours that were sent least and what is wrongly claimed
+// about the receiver, so that it can refute it.
+func (t *Tracker) send(to string, g Gossip) GossipSend {
+	g.Incarnation = t.incarnation
+	if p := t.peers[to]; p != nil && p.state >= Dead {
+		g.Rumours = append(g.Rumours, Rumour{VM: to, Incarnation: p.incarnation, State: p.state})
+	}
+	for i := range t.rumours {
+		if len(g.Rumours) >= MaxRumours {
+			break
+		}
+		g.Rumours = append(g.Rumours, t.rumours[i].Rumour)
+		t.rumours[i].left--
+	}
+	t.sortRumours()
+	return GossipSend{To: to, Gossip: g}
+}
+
+// spread queues a rumour in place of older ones about the same VM.
+func (t *Tracker) spread(r Rumour) {
+	times := 3 * bits.Len(uint(len(t.peers)+1))
+	for i := range t.rumours {
+		if t.rumours[i].VM == r.VM {
+			t.rumours[i] = rumourEntry{Rumour: r, left: times}
+			t.sortRumours()
+			return
+		}
+	}
+	t.rumours = append(t.rumours, rumourEntry{Rumour: r, left: times})
+	t.sortRumours()
+}
+
+func (t *Tracker) sortRumours() {
+	kept := t.rumours[:0]
+	for _, r := range t.rumours {
+		if r.left > 0 && (r.VM == t.opts.VM || t.peers[r.VM] != nil) {
+			kept = append(kept, r)
+		}
+	}
+	t.rumours = kept
+	sort.SliceStable(kept, func(i, j int) bool { return kept[i].left > kept[j].left })
+}
+
+// takeRumour weighs what another VM says about a third, or about this one.
+func (t *Tracker) takeRumour(now time.Duration, r Rumour) ([]GossipSend, []Change) {
+	if r.VM == t.opts.VM {
+		t.refute(r)
+		return nil, nil
+	}
+	p := t.peers[r.VM]
+	if p == nil || r.State > Left || r.State == Suspect || !newer(r, p) {
+		return nil, nil
+	}
+	if r.State == Dead && r.Incarnation == p.incarnation && p.everHeard && now-p.heard < HeardWindow {
+		// It was heard directly just now: it is told, and refutes the claim.
+		return []GossipSend{t.send(r.VM, Gossip{
+			Kind: GossipPing, Digest: t.digest, Rumours: []Rumour{r},
+		})}, nil
+	}
+	return nil, t.claim(now, r.VM, r.Incarnation, r.State)
+}
+
+// newer reports whether a rumour outweighs what is held.
+func newer(r Rumour, p *peer) bool {
+	if r.Incarnation != p.incarnation {
+		return r.Incarnation > p.incarnation
+	}
+	return r.State > p.state && r.State >= Dead
+}
+
+// refute answers a claim that this VM is gone with a higher incarnation.
+func (t *Tracker) refute(r Rumour) {
+	if r.State < Dead || r.Incarnation < t.incarnation {
+		return
+	}
+	t.incarnation = r.Incarnation + 1
+	t.spread(Rumour{VM: t.opts.VM, Incarnation: t.incarnation, State: Alive})
+}
