membership: leases of VMs and when a VM may be removed

A VM on the deny list is removable once its zone confirmed the list. The confirmation rides on the renewals (and on those of sponsored VMs); separate promise messages were weighed and left out. An epoch counts as settled in a zone once all its VMs confirmed it: waiting only a lease after learning the epoch is not enough, since two VMs cut off from control may renew each other's leases under the old epoch while a third hears control.

--- /dev/null
+++ b/internal/membership/holder.go
@@ -0,0 +1,287 @@
+package membership
+
+import (
+	"fmt"
+	"slices"
+	"sort"
+	"time"
+)
+
+// maxSent bounds the requests whose answers are still taken.
+const maxSent = 8
+
+// HolderOptions are the fixed properties of a Holder.
+type HolderOptions struct {
+	VM          string
+	Zone        string
+	Incarnation uint64        // higher at each start
+	CutoffLimit time.Duration // the largest of all client accounts; see SetCutoffLimit
+}
+
+// Holder keeps this VM's lease.
+//
+// The lease is measured from the sending of the request that was answered, so that it ends
+// here before whoever granted it holds it to be over. The caller checks it at the moment of
+// acting: a VM that was frozen finds its lease expired.
+type Holder struct {
+	opts          HolderOptions
+	epoch         Epoch
+	generation    uint64
+	epochSeen     uint64 // the highest epoch an answer named
+	generationMin uint64 // the configuration needed to act
+	answered      bool   // an answer was taken since the start
+	sequence      uint64
+	sent          map[uint64]time.Duration
+	nextRenew     time.Duration
+	validUntil    time.Duration // 0: never had a lease
+	contact       time.Duration // the zone's last contact with control
+	control       time.Duration // this VM's own last contact with control
+	started       time.Duration
+	deny          DenyList
+	settled       Settled
+	sponsored     map[string]sponsorship
+	rotation      int
+	released      bool
+}
+
+type sponsorship struct {
+	at        time.Duration
+	confirmed Confirmed
+}
+
+// NewHolder returns a holder without a lease.
+func NewHolder(now time.Duration, opts HolderOptions) *Holder {
+	return &Holder{
+		opts:      opts,
+		started:   now,
+		nextRenew: now,
+		sent:      map[uint64]time.Duration{},
+		sponsored: map[string]sponsorship{},
+	}
+}
+
+// SetEpoch says which membership epoch this VM now acts under. The host calls it only after
+// every other slice has stopped what the epoch takes from this VM; the next request confirms it.
+func (h *Holder) SetEpoch(e Epoch) {
+	if e.Number < h.epoch.Number {
+		return
+	}
+	h.epoch = e
+}
+
+// SetGeneration says which configuration this VM now acts under.
+func (h *Holder) SetGeneration(generation uint64) {
+	h.generation = max(h.generation, generation)
+}
+
+// SetCutoffLimit sets the largest cutoff limit of all client accounts.
+func (h *Holder) SetCutoffLimit(limit time.Duration) {
+	h.opts.CutoffLimit = limit
+}
+
+// Valid reports whether this VM may act at all at now.
+func (h *Holder) Valid(now time.Duration) bool {
+	return h.ValidWithin(now, h.opts.CutoffLimit)
+}
+
+// ValidWithin reports whether this VM may act at now, given that its zone may be cut off from
+// control for at most limit.
+func (h *Holder) ValidWithin(now, limit time.Duration) bool {
+	return !h.released && now < h.validUntil && now-h.contact <= limit && !h.behind()
+}
+
+// behind reports whether this VM has not learned what its lease requires it to know.
+func (h *Holder) behind() bool {
+	// Others may act under the newer epoch already.
+	return h.epoch.Number < h.epochSeen || h.generation < h.generationMin
+}
+
+// Settled returns what all VMs concerned are known to have confirmed.
+func (h *Holder) Settled() Settled {
+	return h.settled
+}
+
+// Wanted returns the epoch and generation that this VM has to learn, as answers named them.
+func (h *Holder) Wanted() (epoch, generation uint64) {
+	return h.epochSeen, h.generationMin
+}
+
+// Tick sends a request when one is due: to control, and to VMs of the zone while control is
+// silent.
+func (h *Holder) Tick(now time.Duration) []LeaseSend {
+	if h.released || now < h.nextRenew {
+		return nil
+	}
+	h.nextRenew = now + RenewInterval
+	h.sequence++
+	h.sent[h.sequence] = now
+	delete(h.sent, h.sequence-maxSent)
+	request := h.request(now)
+	sends := []LeaseSend{{To: ToControl, LeaseMessage: LeaseMessage{Renew: request}}}
+	if now-max(h.control, h.started) >= ControlSilence {
+		for _, vm := range h.sponsors() {
+			sends = append(sends, LeaseSend{To: vm, LeaseMessage: LeaseMessage{Renew: request}})
+		}
+	}
+	h.checkInvariants()
+	return sends
+}
+
+func (h *Holder) request(now time.Duration) *RenewRequest {
+	r := &RenewRequest{Confirmed: h.confirmed(), Zone: h.opts.Zone, Sequence: h.sequence}
+	for vm, s := range h.sponsored {
+		if now-s.at > FenceDelay {
+			delete(h.sponsored, vm)
+			continue
+		}
+		r.Sponsored = append(r.Sponsored, s.confirmed)
+	}
+	sort.Slice(r.Sponsored, func(i, j int) bool { return r.Sponsored[i].VM < r.Sponsored[j].VM })
+	return r
+}
+
+func (h *Holder) confirmed() Confirmed {
+	return Confirmed{
+		VM:          h.opts.VM,
+		Incarnation: h.opts.Incarnation,
+		Epoch:       h.epoch.Number,
+		Generation:  h.generation,
+		Deny:        h.deny.Version,
+	}
+}
+
+// sponsors returns the next VMs of the zone to ask.
+func (h *Holder) sponsors() []string {
+	var others []string
+	for _, vm := range h.epoch.InZone(h.opts.Zone) {
+		if vm != h.opts.VM {
+			others = append(others, vm)
+		}
+	}
+	if len(others) <= SponsorsAsked {
+		return others
+	}
+	var next []string
+	for range SponsorsAsked {
+		next = append(next, others[h.rotation%len(others)])
+		h.rotation++
+	}
+	return next
+}
+
+// Handle takes an answer to an own request, or a request of another VM of the zone.
+func (h *Holder) Handle(now time.Duration, from string, m LeaseMessage) []LeaseSend {
+	switch {
+	case m.Answer != nil:
+		h.takeAnswer(now, *m.Answer)
+	case m.Renew != nil:
+		return []LeaseSend{{To: from, LeaseMessage: LeaseMessage{Answer: h.sponsor(now, *m.Renew)}}}
+	}
+	return nil
+}
+
+func (h *Holder) takeAnswer(now time.Duration, a RenewAnswer) {
+	sentAt, known := h.sent[a.Sequence]
+	if !known || a.VM != h.opts.VM || a.Incarnation != h.opts.Incarnation {
+		return
+	}
+	h.learn(a)
+	if !a.Granted {
+		return
+	}
+	if a.Control {
+		h.control = max(h.control, sentAt)
+	}
+	h.contact = max(h.contact, sentAt-a.ContactAge)
+	// From the sending: the granting side counts from its later receipt.
+	h.validUntil = max(h.validUntil, sentAt+LeaseDuration)
+	h.checkInvariants()
+}
+
+// learn takes what an answer says beside the grant. None of it ever goes back.
+func (h *Holder) learn(a RenewAnswer) {
+	h.epochSeen = max(h.epochSeen, a.Epoch)
+	if !h.answered {
+		// A start may have found an older configuration than this VM acted under before.
+		h.answered = true
+		h.generationMin = a.Generation
+	}
+	h.settled.ZoneEpoch = max(h.settled.ZoneEpoch, a.Settled.ZoneEpoch)
+	h.settled.FleetEpoch = max(h.settled.FleetEpoch, a.Settled.FleetEpoch)
+	h.settled.FleetGeneration = max(h.settled.FleetGeneration, a.Settled.FleetGeneration)
+	h.generationMin = max(h.generationMin, h.settled.FleetGeneration)
+	if h.deny.Version.Less(a.Deny.Version) {
+		h.deny = DenyList{Version: a.Deny.Version, VMs: slices.Clone(a.Deny.VMs)}
+	}
+}
+
+// sponsor renews the lease of another VM of the zone if this VM's own lease is valid and
+// control has not denied it.
+func (h *Holder) sponsor(now time.Duration, r RenewRequest) *RenewAnswer {
+	a := &RenewAnswer{
+		VM: r.VM, Incarnation: r.Incarnation, Sequence: r.Sequence,
+		Epoch: h.epoch.Number, Generation: h.generation,
+		ContactAge: now - h.contact,
+		Deny:       h.deny,
+		Settled:    h.settled,
+	}
+	zone, member := h.epoch.ZoneOf(r.VM)
+	earlier := h.sponsored[r.VM].confirmed
+	switch {
+	case !h.Valid(now), !member, zone != h.opts.Zone, r.VM == h.opts.VM:
+		return a
+	case slices.Contains(h.deny.VMs, r.VM):
+		return a
+	case r.Incarnation < earlier.Incarnation:
+		return a
+	}
+	a.Granted = true
+	h.sponsored[r.VM] = sponsorship{at: now, confirmed: r.Confirmed}
+	return a
+}
+
+// Release gives the lease up for good; the goodbye may then be sent.
+func (h *Holder) Release() []LeaseSend {
+	h.released = true
+	return []LeaseSend{{To: ToControl, LeaseMessage: LeaseMessage{
+		Goodbye: &Goodbye{VM: h.opts.VM, Incarnation: h.opts.Incarnation},
+	}}}
+}
+
+// HolderStatus is a holder's state, for the state dump.
+type HolderStatus struct {
+	Valid      bool          `json:"valid"`
+	Left       time.Duration `json:"left"`        // of the lease
+	ContactAge time.Duration `json:"contact_age"` // of the zone's contact with control
+	Behind     bool          `json:"behind"`
+	Epoch      uint64        `json:"epoch"`
+	Generation uint64        `json:"generation"`
+	Deny       DenyList      `json:"deny"`
+	Settled    Settled       `json:"settled"`
+}
+
+// Status returns the state at now.
+func (h *Holder) Status(now time.Duration) HolderStatus {
+	return HolderStatus{
+		Valid:      h.Valid(now),
+		Left:       max(0, h.validUntil-now),
+		ContactAge: now - h.contact,
+		Behind:     h.behind(),
+		Epoch:      h.epoch.Number,
+		Generation: h.generation,
+		Deny:       h.deny,
+		Settled:    h.settled,
+	}
+}
+
+func (h *Holder) checkInvariants() {
+	if len(h.sent) > maxSent {
+		panic("membership: too many requests are remembered")
+	}
+	if h.validUntil > h.nextRenew+LeaseDuration {
+		panic(fmt.Sprintf("membership: lease until %v runs beyond %v after the last request", h.validUntil, LeaseDuration))
+	}
+	if h.control > h.contact {
+		panic("membership: the VM's contact with control is later than its zone's")
+	}
+}
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -37,12 +37,25 @@
 	Gossip Gossip
 }
 
-// DenyList names the VMs of a zone whose lease no VM may renew on control's behalf. A list
-// replaces another only if (Term, Sequence) is higher.
+// DenyList names the VMs whose lease no VM of their zone may renew. A list replaces another
+// only if its version is higher.
 type DenyList struct {
-	Term     uint64   `json:"term"`
-	Sequence uint64   `json:"sequence"`
-	VMs      []string `json:"vms,omitempty"`
+	Version DenyVersion `json:"version"`
+	VMs     []string    `json:"vms,omitempty"`
+}
+
+// DenyVersion orders the deny lists: Term is that of the leader that made the list.
+type DenyVersion struct {
+	Term     uint64 `json:"term"`
+	Sequence uint64 `json:"sequence"`
+}
+
+// Less reports whether v is older than w.
+func (v DenyVersion) Less(w DenyVersion) bool {
+	if v.Term != w.Term {
+		return v.Term < w.Term
+	}
+	return v.Sequence < w.Sequence
 }
 
 // Settled says what all VMs concerned have confirmed to have learned. A VM that confirmed an
@@ -53,23 +66,32 @@
 	FleetGeneration uint64 `json:"fleet_generation"` // configuration, by all VMs
 }
 
+// Confirmed is what a VM confirms to have learned and to keep to.
+type Confirmed struct {
+	VM          string      `json:"vm"`
+	Incarnation uint64      `json:"incarnation"`
+	Epoch       uint64      `json:"epoch"`      // in force at the VM
+	Generation  uint64      `json:"generation"` // of the configuration in force at the VM
+	Deny        DenyVersion `json:"deny"`       // the VM renews no lease against this list
+}
+
 // RenewRequest asks for a lease until LeaseDuration after it was sent.
 type RenewRequest struct {
-	VM          string   `json:"vm"`
-	Zone        string   `json:"zone"`
-	Incarnation uint64   `json:"incarnation"`
-	Sequence    uint64   `json:"sequence"`
-	Epoch       uint64   `json:"epoch"`               // in force at the sender
-	Generation  uint64   `json:"generation"`          // of the configuration in force at the sender
-	Sponsored   []string `json:"sponsored,omitempty"` // VMs whose lease the sender renewed of late
+	Confirmed
+	Zone     string `json:"zone"`
+	Sequence uint64 `json:"sequence"`
+	// Sponsored are the VMs whose lease the sender renewed of late, with what they confirmed.
+	Sponsored []Confirmed `json:"sponsored,omitempty"`
 }
 
 // RenewAnswer answers a RenewRequest. Control sends it only after its leader confirmed by a
 // quorum, after it received the request, that it still leads.
 type RenewAnswer struct {
-	Sequence    uint64 `json:"sequence"`
+	VM          string `json:"vm"`          // that asked
 	Incarnation uint64 `json:"incarnation"` // of the VM that asked
+	Sequence    uint64 `json:"sequence"`
 	Granted     bool   `json:"granted"`
+	Control     bool   `json:"control"`    // from control itself
 	Epoch       uint64 `json:"epoch"`      // in force at the sender
 	Generation  uint64 `json:"generation"` // in force at the sender
 	// ContactAge is how long ago the sender's zone last heard control; 0 from control itself.
@@ -78,32 +100,24 @@
 	Settled    Settled       `json:"settled"`
 }
 
-// PromiseRequest asks a VM to renew no lease of the VMs on the list.
-type PromiseRequest struct {
-	Deny DenyList `json:"deny"`
-}
-
-// PromiseAnswer says that the sender keeps to the list with these numbers.
-type PromiseAnswer struct {
+// Goodbye says that a VM has stopped and acts no more under this incarnation.
+type Goodbye struct {
 	VM          string `json:"vm"`
 	Incarnation uint64 `json:"incarnation"`
-	Term        uint64 `json:"term"`
-	Sequence    uint64 `json:"sequence"`
 }
 
 // ToControl as the receiver of a LeaseSend means the leader of the control group.
 const ToControl = ""
 
-// LeaseSend is a message that the host delivers to a VM or to control. One field is set.
+// LeaseSend is a message that the host delivers to a VM's Holder or to control.
 type LeaseSend struct {
 	To string
 	LeaseMessage
 }
 
-// LeaseMessage is one of the messages about leases, sent as JSON.
+// LeaseMessage is one of the messages about leases, sent one way as JSON. One field is set.
 type LeaseMessage struct {
-	Renew    *RenewRequest   `json:"renew,omitempty"`
-	Answer   *RenewAnswer    `json:"answer,omitempty"`
-	Promise  *PromiseRequest `json:"promise,omitempty"`
-	Promised *PromiseAnswer  `json:"promised,omitempty"`
+	Renew   *RenewRequest `json:"renew,omitempty"`
+	Answer  *RenewAnswer  `json:"answer,omitempty"`
+	Goodbye *Goodbye      `json:"goodbye,omitempty"`
 }
