ratelimit: shares, loans, borrowing, permits

A permit stays a loan until its dispatch, so the bound holds at the moment of dispatch whatever the wait in the queue. Weighed: counting the token at admission (the queue's backlog then breaks the bound), and a second bucket at dispatch (two states to hand over).

One ask at a time per account and VM, for all draws that wait: weighed against chunks held in advance, which lie idle where the traffic is not.

The part of a zone grows only once all VMs act under the same split of the buckets.

--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -20,9 +20,12 @@
 	cutoffLimit time.Duration
 	epoch       Epoch
 	generation  uint64
+	split       uint64
 	deny        DenyVersion
 	vms         map[string]*member
 	joining     map[string]VM
+	agreedSplit uint64
+	zoneEpochs  map[string]uint64 // settled, by zone
 }
 
 type member struct {
@@ -32,33 +35,37 @@
 	everHeard   bool
 	sponsored   bool // what was heard last came through a sponsor
 	epoch       uint64
-	generation  uint64
+	split       uint64
 	gone        bool                     // said goodbye
 	denied      uint64                   // sequence of the deny list since which it is on it; 0: it is not
 	promises    map[string]time.Duration // when other VMs were heard to keep to that list
 	removing    bool                     // Removable returned it
 }
 
-// NewGrantor returns a grantor for a leader elected at now in a term.
-func NewGrantor(now time.Duration, term uint64, epoch Epoch, generation uint64, cutoffLimit time.Duration) *Grantor {
-	g := &Grantor{
+// NewGrantor returns a grantor for a leader elected at now in a term. SetView follows before
+// the first request.
+func NewGrantor(now time.Duration, term uint64, cutoffLimit time.Duration) *Grantor {
+	return &Grantor{
 		elected:     now,
 		cutoffLimit: cutoffLimit,
 		deny:        DenyVersion{Term: term},
 		vms:         map[string]*member{},
 		joining:     map[string]VM{},
+		zoneEpochs:  map[string]uint64{},
 	}
-	g.SetEpoch(epoch)
-	g.SetGeneration(generation)
-	return g
 }
 
-// SetEpoch takes a membership epoch that the leader applied.
-func (g *Grantor) SetEpoch(e Epoch) {
+// SetView takes a state of the control log that the leader applied: the membership epoch, the
+// generation of the configuration, and the number of the split of the buckets. agreedSplit is
+// the last split that the log records as agreed.
+func (g *Grantor) SetView(e Epoch, generation, split, agreedSplit uint64) {
 	if e.Number < g.epoch.Number {
 		return
 	}
 	g.epoch = e
+	g.generation = max(g.generation, generation)
+	g.split = max(g.split, split)
+	g.agreedSplit = max(g.agreedSplit, agreedSplit)
 	members := map[string]bool{}
 	for _, vm := range e.VMs {
 		members[vm.Name] = true
@@ -76,11 +83,6 @@
 	g.checkInvariants()
 }
 
-// SetGeneration takes the generation of a configuration that the leader applied.
-func (g *Grantor) SetGeneration(generation uint64) {
-	g.generation = max(g.generation, generation)
-}
-
 // SetCutoffLimit sets the largest cutoff limit of all client accounts.
 func (g *Grantor) SetCutoffLimit(limit time.Duration) {
 	g.cutoffLimit = limit
@@ -103,7 +105,7 @@
 		Granted: granted, Control: true,
 		Epoch: g.epoch.Number, Generation: g.generation,
 		Deny:    g.denyList(r.Zone),
-		Settled: g.settled(r.Zone),
+		Settled: g.learnSettled(r.Zone, r.Settled),
 	}
 }
 
@@ -120,21 +122,31 @@
 		return false
 	}
 	if c.Incarnation > v.incarnation {
-		v.incarnation = c.Incarnation
-		v.gone = false
-		v.generation = 0
+		g.restarted(c, v)
 	}
 	if sponsored && v.everHeard && !v.sponsored && now-v.heard < RenewInterval {
 		return true // its own words are fresher
 	}
 	v.heard, v.everHeard, v.sponsored = now, true, sponsored
 	v.epoch = max(v.epoch, c.Epoch)
-	v.generation = max(v.generation, c.Generation)
+	v.split = max(v.split, c.Split)
 	g.lift(v)
 	g.takePromise(now, c)
 	return true
 }
 
+// restarted forgets what an earlier incarnation confirmed: the new one may act under less
+// until it has learned it, if another VM of its zone renews its lease.
+func (g *Grantor) restarted(c Confirmed, v *member) {
+	v.incarnation = c.Incarnation
+	v.gone = false
+	v.epoch = 0
+	v.split = 0
+	for _, other := range g.vms {
+		delete(other.promises, c.VM)
+	}
+}
+
 // lift takes a VM off the deny list.
 func (g *Grantor) lift(v *member) {
 	if v.denied == 0 {
@@ -270,18 +282,29 @@
 	return list
 }
 
-// settled returns what all VMs have confirmed. A VM not heard since the election counts as
-// having confirmed nothing.
-func (g *Grantor) settled(zone string) Settled {
-	s := Settled{ZoneEpoch: g.epoch.Number, FleetEpoch: g.epoch.Number, FleetGeneration: g.generation}
+// learnSettled takes the facts that a VM knows of and computes the ones that hold now. A VM
+// not heard since the election counts as having confirmed nothing.
+func (g *Grantor) learnSettled(zone string, known Settled) Settled {
+	epoch := g.epoch.Number
+	agreed := true
 	for _, v := range g.vms {
-		s.FleetEpoch = min(s.FleetEpoch, v.epoch)
-		s.FleetGeneration = min(s.FleetGeneration, v.generation)
 		if v.zone == zone {
-			s.ZoneEpoch = min(s.ZoneEpoch, v.epoch)
+			epoch = min(epoch, v.epoch)
 		}
+		agreed = agreed && v.split == g.split
+	}
+	if agreed {
+		g.agreedSplit = g.split
 	}
-	return s
+	g.agreedSplit = max(g.agreedSplit, known.AgreedSplit)
+	g.zoneEpochs[zone] = max(g.zoneEpochs[zone], epoch, known.ZoneEpoch)
+	return Settled{ZoneEpoch: g.zoneEpochs[zone], AgreedSplit: g.agreedSplit}
+}
+
+// AgreedSplit returns the last split under which all VMs acted at one moment. The host
+// records it in the control log when it grows, so that no restart forgets it.
+func (g *Grantor) AgreedSplit() uint64 {
+	return g.agreedSplit
 }
 
 func (g *Grantor) checkInvariants() {
--- a/internal/membership/holder.go
+++ b/internal/membership/holder.go
@@ -27,6 +27,7 @@
 	opts          HolderOptions
 	epoch         Epoch
 	generation    uint64
+	split         uint64
 	epochSeen     uint64 // the highest epoch an answer named
 	generationMin uint64 // the configuration needed to act
 	answered      bool   // an answer was taken since the start
@@ -60,18 +61,17 @@
 	}
 }
 
-// SetEpoch says which membership epoch this VM now acts under. The host calls it only after
-// every other slice has stopped what the epoch takes from this VM; the next request confirms it.
-func (h *Holder) SetEpoch(e Epoch) {
-	if e.Number < h.epoch.Number {
+// SetView says under which state of the control log this VM now acts: the membership epoch,
+// the generation of the configuration, and the number of the split of the buckets. The host
+// calls it only after every other slice has stopped what that state takes from this VM; the
+// next request confirms it. An older state is ignored.
+func (h *Holder) SetView(e Epoch, generation, split uint64) {
+	if e.Number < h.epoch.Number || generation < h.generation || split < h.split {
 		return
 	}
 	h.epoch = e
-}
-
-// SetGeneration says which configuration this VM now acts under.
-func (h *Holder) SetGeneration(generation uint64) {
-	h.generation = max(h.generation, generation)
+	h.generation = generation
+	h.split = split
 }
 
 // SetCutoffLimit sets the largest cutoff limit of all client accounts.
@@ -93,7 +93,7 @@
 // behind reports whether this VM has not learned what its lease requires it to know.
 func (h *Holder) behind() bool {
 	// Others may act under the newer epoch already.
-	return h.epoch.Number < h.epochSeen || h.generation < h.generationMin
+	return h.epoch.Number < h.epochSeen || h.generation < h.generationMin || h.split < h.settled.AgreedSplit
 }
 
 // Settled returns what all VMs concerned are known to have confirmed.
@@ -128,9 +128,10 @@
 }
 
 func (h *Holder) request(now time.Duration) *RenewRequest {
-	r := &RenewRequest{Confirmed: h.confirmed(), Zone: h.opts.Zone, Sequence: h.sequence}
+	r := &RenewRequest{Confirmed: h.confirmed(), Zone: h.opts.Zone, Sequence: h.sequence, Settled: h.settled}
 	for vm, s := range h.sponsored {
-		if now-s.at > FenceDelay {
+		// Reported as long as the lease may hold, so that control knows of every lease.
+		if now-s.at > SurelyOver(LeaseDuration) {
 			delete(h.sponsored, vm)
 			continue
 		}
@@ -146,6 +147,7 @@
 		Incarnation: h.opts.Incarnation,
 		Epoch:       h.epoch.Number,
 		Generation:  h.generation,
+		Split:       h.split,
 		Deny:        h.deny.Version,
 	}
 }
@@ -206,10 +208,7 @@
 		h.answered = true
 		h.generationMin = a.Generation
 	}
-	h.settled.ZoneEpoch = max(h.settled.ZoneEpoch, a.Settled.ZoneEpoch)
-	h.settled.FleetEpoch = max(h.settled.FleetEpoch, a.Settled.FleetEpoch)
-	h.settled.FleetGeneration = max(h.settled.FleetGeneration, a.Settled.FleetGeneration)
-	h.generationMin = max(h.generationMin, h.settled.FleetGeneration)
+	h.settled = h.settled.merge(a.Settled)
 	if h.deny.Version.Less(a.Deny.Version) {
 		h.deny = DenyList{Version: a.Deny.Version, VMs: slices.Clone(a.Deny.VMs)}
 	}
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -58,12 +58,20 @@
 	return v.Sequence < w.Sequence
 }
 
-// Settled says what all VMs concerned have confirmed to have learned. A VM that confirmed an
-// epoch has stopped what that epoch took from it.
+// Settled says what all VMs concerned have confirmed. Each field is a fact that stays true and
+// only grows.
 type Settled struct {
-	ZoneEpoch       uint64 `json:"zone_epoch"`       // by all VMs of the receiver's zone
-	FleetEpoch      uint64 `json:"fleet_epoch"`      // by all VMs
-	FleetGeneration uint64 `json:"fleet_generation"` // configuration, by all VMs
+	// ZoneEpoch: all VMs of the receiver's zone confirmed this epoch or a later one, and so
+	// have stopped what it took from them.
+	ZoneEpoch uint64 `json:"zone_epoch"`
+	// AgreedSplit: at one moment every VM of the fleet acted under exactly this split of the
+	// client accounts' buckets over the zones (see package ratelimit).
+	AgreedSplit uint64 `json:"agreed_split"`
+}
+
+// merge takes the later facts of both.
+func (s Settled) merge(o Settled) Settled {
+	return Settled{ZoneEpoch: max(s.ZoneEpoch, o.ZoneEpoch), AgreedSplit: max(s.AgreedSplit, o.AgreedSplit)}
 }
 
 // Confirmed is what a VM confirms to have learned and to keep to.
@@ -72,14 +80,16 @@
 	Incarnation uint64      `json:"incarnation"`
 	Epoch       uint64      `json:"epoch"`      // in force at the VM
 	Generation  uint64      `json:"generation"` // of the configuration in force at the VM
+	Split       uint64      `json:"split"`      // in force at the VM
 	Deny        DenyVersion `json:"deny"`       // the VM renews no lease against this list
 }
 
 // RenewRequest asks for a lease until LeaseDuration after it was sent.
 type RenewRequest struct {
 	Confirmed
-	Zone     string `json:"zone"`
-	Sequence uint64 `json:"sequence"`
+	Zone     string  `json:"zone"`
+	Sequence uint64  `json:"sequence"`
+	Settled  Settled `json:"settled"` // as the sender knows it; a new leader does not
 	// Sponsored are the VMs whose lease the sender renewed of late, with what they confirmed.
 	Sponsored []Confirmed `json:"sponsored,omitempty"`
 }
--- /dev/null
+++ b/internal/ratelimit/borrow.go
@@ -0,0 +1,346 @@
+package ratelimit
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// borrowing is what a VM keeps of an account while draws wait or loans are in use.
+//
+// One Ask is under way at a time; it asks for all draws that wait. So the messages on an
+// account are bounded by the time a reply takes, not by the account's traffic.
+type borrowing struct {
+	queue   []waiting
+	credits []*credit
+	ask     *askUnderWay
+	tried   []string      // zones asked in this round
+	nextAsk time.Duration // of the next round
+	lenders map[string]*lender
+}
+
+// waiting is a draw without a decision.
+type waiting struct {
+	request     string
+	deadline    time.Duration
+	cutoffLimit time.Duration
+	again       bool
+}
+
+// lender is what is known of a zone's holder.
+type lender struct {
+	left   Tokens
+	at     time.Duration // of left
+	paused time.Duration // not asked until then
+}
+
+// lateAsk is an Ask that timed out; a first Reply to it is returned whole.
+type lateAsk struct {
+	account string
+	sentAt  time.Duration
+}
+
+type askUnderWay struct {
+	id     uint64
+	zone   string
+	to     string
+	sentAt time.Duration
+}
+
+func (l *Limiter) borrowingOf(a *account) *borrowing {
+	if a.borrow == nil {
+		a.borrow = &borrowing{lenders: map[string]*lender{}}
+		l.busy[a.id] = a
+	}
+	return a.borrow
+}
+
+// enqueue adds a draw; redraws go before new draws, in their own order.
+func (b *borrowing) enqueue(w waiting) {
+	at := len(b.queue)
+	if w.again {
+		at = 0
+		for at < len(b.queue) && b.queue[at].again {
+			at++
+		}
+	}
+	b.queue = slices.Insert(b.queue, at, w)
+}
+
+func (b *borrowing) cancel(request string) {
+	b.queue = slices.DeleteFunc(b.queue, func(w waiting) bool { return w.request == request })
+}
+
+// hopeless reports whether a new draw would wait longer than DrawPatience at the account's
+// whole rate.
+func (l *Limiter) hopeless(now time.Duration, a *account) bool {
+	b := a.borrow
+	if len(b.queue) >= MaxWaiting {
+		return true
+	}
+	ahead := toTokens(float64(len(b.queue)))
+	if now < b.nextAsk {
+		// The last round found nothing: the draw itself waits for a new token too.
+		ahead += Request - min(Request, l.known(now, a))
+	}
+	return waitFor(ahead, toTokens(a.limit.RatePerSecond)) > DrawPatience
+}
+
+// known estimates the tokens of all shares.
+func (l *Limiter) known(now time.Duration, a *account) Tokens {
+	var sum Tokens
+	for _, zone := range a.zones {
+		if zone == l.opts.Zone && a.share != nil {
+			sum += a.share.Tokens(now)
+			continue
+		}
+		sum += a.borrow.estimate(now, a, zone)
+	}
+	return sum
+}
+
+// estimate works out what a zone's holder has now from what it last said.
+func (b *borrowing) estimate(now time.Duration, a *account, zone string) Tokens {
+	rate, burst := part{Of: len(a.zones)}.rateAndBurst(a.limit)
+	n := b.lenders[zone]
+	if n == nil {
+		return burst
+	}
+	if now < n.paused {
+		return 0
+	}
+	gained := Tokens(float64(rate) * (now - n.at).Seconds())
+	return min(burst, n.left+gained)
+}
+
+// pump grants what can be granted, refuses what waited too long, and asks for the rest.
+func (l *Limiter) pump(now time.Duration, a *account) {
+	b := a.borrow
+	for len(b.queue) > 0 && l.grant(now, a) {
+	}
+	for len(b.queue) > 0 && !l.opts.Lease.ValidWithin(now, b.queue[0].cutoffLimit) {
+		l.refuse(b.queue[0].request, ReasonNoLease, NoLeaseRetryAfter)
+		b.queue = b.queue[1:]
+	}
+	l.refuseOverdue(now, a)
+	if len(b.queue) > 0 && b.ask == nil && now >= b.nextAsk {
+		l.askNext(now, a)
+	}
+	l.release(now, a)
+}
+
+// grant gives the first draw its permit if a whole token can be put together.
+func (l *Limiter) grant(now time.Duration, a *account) bool {
+	b := a.borrow
+	w := b.queue[0]
+	if !l.opts.Lease.ValidWithin(now, w.cutoffLimit) {
+		return false
+	}
+	lack := Request
+	for _, c := range b.credits {
+		lack -= c.free(now)
+	}
+	if lack > 0 {
+		l.takeOwn(now, a, lack)
+	}
+	p := &permit{account: a, until: now + LoanLife}
+	need := Request
+	for _, c := range b.credits {
+		if take := min(need, c.free(now)); take > 0 {
+			p.parts = append(p.parts, permitPart{credit: c, amount: take})
+			p.until = min(p.until, c.expires)
+			need -= take
+		}
+	}
+	if need > 0 {
+		return false
+	}
+	for _, part := range p.parts {
+		part.credit.drawn += part.amount
+	}
+	b.queue = b.queue[1:]
+	l.permits[w.request] = p
+	l.out.Decisions = append(l.out.Decisions, Decision{Request: w.request, Granted: true, Until: p.until})
+	return true
+}
+
+// takeOwn lends from the own share to this VM.
+func (l *Limiter) takeOwn(now time.Duration, a *account, want Tokens) {
+	if a.share == nil {
+		return
+	}
+	id, amount := a.share.Lend(now, want)
+	if amount == 0 {
+		return
+	}
+	a.borrow.credits = append(a.borrow.credits, &credit{
+		share: a.share, loan: id, amount: amount, expires: now + LoanLife,
+	})
+}
+
+func (l *Limiter) refuseOverdue(now time.Duration, a *account) {
+	b := a.borrow
+	kept := b.queue[:0]
+	for _, w := range b.queue {
+		if now < w.deadline {
+			kept = append(kept, w)
+			continue
+		}
+		l.refuse(w.request, ReasonRate, l.retryAfter(now, a))
+	}
+	b.queue = kept
+}
+
+// refuseWaiting refuses every draw that waits.
+func (l *Limiter) refuseWaiting(_ time.Duration, a *account, reason Reason) {
+	if a.borrow == nil {
+		return
+	}
+	for _, w := range a.borrow.queue {
+		l.refuse(w.request, reason, 0)
+	}
+	a.borrow.queue = nil
+}
+
+// retryAfter works out when the shares together have a token for one more request.
+func (l *Limiter) retryAfter(now time.Duration, a *account) time.Duration {
+	need := toTokens(float64(len(a.borrow.queue)+1)) - l.known(now, a)
+	return max(time.Millisecond, waitFor(need, toTokens(a.limit.RatePerSecond)))
+}
+
+// askNext asks the next holder of this round: the own zone's first, then the one that has
+// most to lend.
+func (l *Limiter) askNext(now time.Duration, a *account) {
+	b := a.borrow
+	zone, holder := l.nextLender(now, a)
+	if zone == "" {
+		// The round is over: nobody has enough now.
+		b.tried = nil
+		lack := Request - min(Request, l.known(now, a))
+		b.nextAsk = now + max(MinAskInterval, min(waitFor(lack, toTokens(a.limit.RatePerSecond)), LoanLife))
+		return
+	}
+	b.tried = append(b.tried, zone)
+	want := toTokens(float64(len(b.queue)))
+	for _, c := range b.credits {
+		want -= c.free(now)
+	}
+	l.lastAsk++
+	b.ask = &askUnderWay{id: l.lastAsk, zone: zone, to: holder, sentAt: now}
+	l.asks[l.lastAsk] = a
+	l.send(b.ask.to, Message{Ask: &Ask{
+		ID: l.lastAsk, Incarnation: l.opts.Incarnation, Account: a.id,
+		Want: want, CutoffLimit: b.queue[0].cutoffLimit,
+	}})
+}
+
+func (l *Limiter) nextLender(now time.Duration, a *account) (zone, holder string) {
+	b := a.borrow
+	var most Tokens
+	for _, z := range a.zones {
+		vm := l.view.Fleet.Holder(a.id, z)
+		if vm == "" || vm == l.opts.VM || slices.Contains(b.tried, z) {
+			continue
+		}
+		if n := b.lenders[z]; n != nil && now < n.paused {
+			continue
+		}
+		if z == l.opts.Zone {
+			return z, vm
+		}
+		if have := b.estimate(now, a, z); zone == "" || have > most {
+			zone, holder, most = z, vm, have
+		}
+	}
+	return zone, holder
+}
+
+// takeReply takes a loan. One that comes late is returned, and a second copy is ignored.
+func (l *Limiter) takeReply(now time.Duration, from string, r Reply) {
+	if r.Incarnation != l.opts.Incarnation {
+		return
+	}
+	if ask, late := l.late[r.ID]; late {
+		// Once only: a second copy must not report back what the first may have done.
+		delete(l.late, r.ID)
+		if r.Amount > 0 {
+			l.send(from, Message{Settle: &Settle{Account: ask.account, Loan: r.Loan, Returned: r.Amount}})
+		}
+		return
+	}
+	a := l.asks[r.ID]
+	if a == nil {
+		return
+	}
+	b := a.borrow
+	ask := b.ask
+	l.endAsk(a)
+	b.lenders[ask.zone] = &lender{left: r.Left, at: now}
+	if r.NotHolder {
+		b.lenders[ask.zone].paused = now + AskTimeout
+	}
+	if r.Amount > 0 {
+		// Its life counts from the sending: the lender counts from its later receipt.
+		b.credits = append(b.credits, &credit{
+			lender: from, loan: r.Loan, amount: r.Amount, expires: ask.sentAt + LoanLife,
+		})
+	}
+	l.pump(now, a)
+}
+
+func (l *Limiter) expireAsk(now time.Duration, a *account) {
+	ask := a.borrow.ask
+	if ask == nil || now-ask.sentAt < AskTimeout {
+		return
+	}
+	l.endAsk(a)
+	l.late[ask.id] = lateAsk{account: a.id, sentAt: ask.sentAt}
+	a.borrow.lenders[ask.zone] = &lender{at: now, paused: now + LenderPause}
+}
+
+func (l *Limiter) endAsk(a *account) {
+	delete(l.asks, a.borrow.ask.id)
+	a.borrow.ask = nil
+}
+
+// release returns loans that nobody waits for, and forgets what is over.
+func (l *Limiter) release(now time.Duration, a *account) {
+	b := a.borrow
+	kept := b.credits[:0]
+	for _, c := range b.credits {
+		if unused := c.unused(); unused > 0 && (len(b.queue) == 0 || c.free(now) == 0) {
+			c.returned += unused
+			l.settleCredit(now, a, c)
+		}
+		if c.drawn > 0 || c.unused() > 0 {
+			kept = append(kept, c)
+		}
+	}
+	b.credits = kept
+	idle := len(b.queue) == 0 && len(b.credits) == 0 && b.ask == nil && now >= b.nextAsk
+	if idle && b.lendersIdle(now) {
+		a.borrow = nil
+		delete(l.busy, a.id)
+	}
+}
+
+// lendersIdle reports whether what is known of the lenders is no longer of use.
+func (b *borrowing) lendersIdle(now time.Duration) bool {
+	for _, n := range b.lenders {
+		if now-n.at < LenderPause {
+			return false
+		}
+	}
+	return true
+}
+
+func (b *borrowing) checkInvariants(a *account) {
+	if len(b.queue) > 2*MaxWaiting {
+		panic("ratelimit: too many draws wait on " + a.id)
+	}
+	for _, c := range b.credits {
+		if c.drawn < 0 || c.spent < 0 || c.returned < 0 || c.drawn+c.spent+c.returned > c.amount {
+			panic(fmt.Sprintf("ratelimit: loan of %d: %d drawn, %d spent, %d returned", c.amount, c.drawn, c.spent, c.returned))
+		}
+	}
+}
--- a/internal/ratelimit/doc.go
+++ b/internal/ratelimit/doc.go
@@ -11,14 +11,17 @@
 // The host's calls, all from one goroutine, with the time of package clock:
 //
 //	l := New(Options)
-//	l.Configure(now, generation, limits)   // canonical account IDs; names are resolved before
-//	l.SetFleet(now, epoch)                 // each membership epoch, before it is confirmed
-//	l.SetSettled(now, zoneEpoch, fleetEpoch, fleetGeneration) // after each lease renewal
+//	l.SetView(now, View{...})       // each state of the control log; account IDs are canonical
+//	l.SetSettled(now, Settled{...}) // after each lease renewal, from membership.Holder
 //	l.Draw(now, account, request)          // -> Effects; a Decision comes now or from a later step
 //	l.Handle(now, from, message)           // messages of other VMs
 //	l.Tick(now)                            // every TickInterval
 //	l.Dispatch(now, request)               // as the request leaves for its upstream: true, or draw again
+//	l.Redraw(now, request)                 // Dispatch said false: wait for another token
 //	l.GiveBack(now, request)               // the request will not run
 //
+// SetView is called before membership.Holder.SetView of the same state, because that confirms
+// to control that this VM has stopped what the state takes from it.
+//
 // Messages may be lost, repeated, reordered or late. That wastes tokens and creates none.
 package ratelimit
--- /dev/null
+++ b/internal/ratelimit/limiter.go
@@ -0,0 +1,278 @@
+package ratelimit
+
+import (
+	"fmt"
+	"time"
+)
+
+// The times and bounds of a limiter.
+const (
+	// TickInterval is how often the host calls Tick.
+	TickInterval = 20 * time.Millisecond
+	// DrawPatience is how long a draw waits for tokens that are on their way, at most.
+	DrawPatience = 750 * time.Millisecond
+	// RedrawPatience is how long a request that was admitted before waits for another token.
+	RedrawPatience = 30 * time.Second
+	// AskTimeout is how long an Ask waits for its Reply.
+	AskTimeout = 150 * time.Millisecond
+	// LenderPause is how long a lender that did not reply is passed over.
+	LenderPause = 1 * time.Second
+	// MinAskInterval is the least time between two rounds of asking about one account.
+	MinAskInterval = 5 * time.Millisecond
+	// MaxWaiting bounds the draws that wait on one account.
+	MaxWaiting = 1024
+	// NoLeaseRetryAfter is told to callers while this VM has no lease.
+	NoLeaseRetryAfter = 1 * time.Second
+	// MaxRetryAfter bounds what is told to callers.
+	MaxRetryAfter = 1 * time.Hour
+)
+
+// Limiter decides for one VM which requests are within their account's rate and burst.
+type Limiter struct {
+	opts     Options
+	view     View
+	settled  Settled
+	accounts map[string]*account
+	pending  map[string]*account // with a scheduled start or growth
+	busy     map[string]*account // with a borrowing
+	permits  map[string]*permit  // drawn ones, by request
+	lastAsk  uint64
+	asks     map[uint64]*account // under way, by the Ask's ID
+	late     map[uint64]lateAsk  // timed out, by the ID
+	answered map[askKey]Reply
+	memory   []askEntry // of answered, in the order of time
+	out      Effects
+}
+
+type askKey struct {
+	borrower    string
+	incarnation uint64
+	id          uint64
+}
+
+type askEntry struct {
+	key askKey
+	at  time.Duration
+}
+
+// New returns a limiter that refuses everything until it has a view and a lease.
+func New(opts Options) *Limiter {
+	return &Limiter{
+		opts:     opts,
+		accounts: map[string]*account{},
+		pending:  map[string]*account{},
+		busy:     map[string]*account{},
+		permits:  map[string]*permit{},
+		asks:     map[uint64]*account{},
+		late:     map[uint64]lateAsk{},
+		answered: map[askKey]Reply{},
+	}
+}
+
+// Draw asks for a token. The decision is among the effects of this step or of a later one.
+// request must not be in use. cutoffLimit is that of the account.
+func (l *Limiter) Draw(now time.Duration, id, request string, cutoffLimit time.Duration) Effects {
+	l.draw(now, id, waiting{request: request, deadline: now + DrawPatience, cutoffLimit: cutoffLimit})
+	return l.flush()
+}
+
+// Redraw asks for a token for a request that was admitted and whose permit ran out. It goes
+// before new draws.
+func (l *Limiter) Redraw(now time.Duration, id, request string, cutoffLimit time.Duration) Effects {
+	l.draw(now, id, waiting{
+		request: request, deadline: now + RedrawPatience, cutoffLimit: cutoffLimit, again: true,
+	})
+	return l.flush()
+}
+
+func (l *Limiter) draw(now time.Duration, id string, w waiting) {
+	a := l.accounts[id]
+	switch {
+	case a == nil || a.deleted:
+		l.refuse(w.request, ReasonUnknownAccount, 0)
+		return
+	case !l.opts.Lease.ValidWithin(now, w.cutoffLimit):
+		l.refuse(w.request, ReasonNoLease, NoLeaseRetryAfter)
+		return
+	}
+	b := l.borrowingOf(a)
+	if !w.again && l.hopeless(now, a) {
+		l.refuse(w.request, ReasonRate, l.retryAfter(now, a))
+		l.release(now, a)
+		return
+	}
+	b.enqueue(w)
+	l.pump(now, a)
+}
+
+// Dispatch spends the token of a request that leaves for its upstream now. If it reports
+// false the request must not leave: it draws again (Redraw).
+func (l *Limiter) Dispatch(now time.Duration, request string, cutoffLimit time.Duration) (bool, Effects) {
+	p := l.permits[request]
+	if p == nil {
+		return false, l.flush()
+	}
+	// The lease is read at the moment of spending: a VM that was frozen finds it expired.
+	if !l.opts.Lease.ValidWithin(now, cutoffLimit) || !p.dispatch(now) {
+		l.endPermit(now, request, p)
+		return false, l.flush()
+	}
+	delete(l.permits, request)
+	l.report(now, p)
+	return true, l.flush()
+}
+
+// GiveBack returns the token of a request that will not run, or ends its wait for one. A
+// request that was dispatched or gave its token back before is left alone.
+func (l *Limiter) GiveBack(now time.Duration, request string) Effects {
+	if p := l.permits[request]; p != nil {
+		l.endPermit(now, request, p)
+	}
+	for _, a := range l.busy {
+		a.borrow.cancel(request)
+	}
+	return l.flush()
+}
+
+func (l *Limiter) endPermit(now time.Duration, request string, p *permit) {
+	delete(l.permits, request)
+	if p.giveBack() {
+		l.report(now, p)
+	}
+}
+
+// report settles the loans that a permit drew on.
+func (l *Limiter) report(now time.Duration, p *permit) {
+	for _, part := range p.parts {
+		l.settleCredit(now, p.account, part.credit)
+	}
+}
+
+func (l *Limiter) settleCredit(now time.Duration, a *account, c *credit) {
+	if c.share != nil {
+		c.share.Settle(now, c.loan, c.spent, c.returned)
+		return
+	}
+	l.send(c.lender, Message{Settle: &Settle{
+		Account: a.id, Loan: c.loan, Spent: c.spent, Returned: c.returned,
+	}})
+}
+
+// Handle takes a message of another VM.
+func (l *Limiter) Handle(now time.Duration, from string, m Message) Effects {
+	switch {
+	case m.Ask != nil:
+		l.answer(now, from, *m.Ask)
+	case m.Reply != nil:
+		l.takeReply(now, from, *m.Reply)
+	case m.Settle != nil:
+		if a := l.accounts[m.Settle.Account]; a != nil && a.share != nil {
+			a.share.Settle(now, m.Settle.Loan, m.Settle.Spent, m.Settle.Returned)
+		}
+	}
+	return l.flush()
+}
+
+// answer lends to another VM. An Ask that comes again gets the same answer.
+func (l *Limiter) answer(now time.Duration, from string, ask Ask) {
+	key := askKey{borrower: from, incarnation: ask.Incarnation, id: ask.ID}
+	if r, again := l.answered[key]; again {
+		l.send(from, Message{Reply: &r})
+		return
+	}
+	r := Reply{ID: ask.ID, Incarnation: ask.Incarnation}
+	a := l.accounts[ask.Account]
+	if a == nil || a.share == nil || !l.opts.Lease.ValidWithin(now, ask.CutoffLimit) {
+		r.NotHolder = true
+		l.send(from, Message{Reply: &r})
+		return
+	}
+	r.Loan, r.Amount = a.share.Lend(now, ask.Want)
+	r.Left = a.share.Tokens(now)
+	if r.Amount > 0 {
+		l.answered[key] = r
+		l.memory = append(l.memory, askEntry{key: key, at: now})
+	}
+	l.send(from, Message{Reply: &r})
+}
+
+// Tick takes the steps that are due.
+func (l *Limiter) Tick(now time.Duration) Effects {
+	for len(l.memory) > 0 && now-l.memory[0].at > askMemory {
+		delete(l.answered, l.memory[0].key)
+		l.memory = l.memory[1:]
+	}
+	for id, ask := range l.late {
+		if now-ask.sentAt > askMemory {
+			delete(l.late, id)
+		}
+	}
+	l.startPending(now)
+	for request, p := range l.permits {
+		if now >= p.until {
+			l.endPermit(now, request, p)
+		}
+	}
+	for _, a := range l.busy {
+		l.expireAsk(now, a)
+		l.pump(now, a)
+	}
+	l.checkInvariants()
+	return l.flush()
+}
+
+func (l *Limiter) refuse(request string, reason Reason, after time.Duration) {
+	l.out.Decisions = append(l.out.Decisions, Decision{Request: request, Reason: reason, RetryAfter: after})
+}
+
+func (l *Limiter) send(to string, m Message) {
+	l.out.Sends = append(l.out.Sends, Send{To: to, Message: m})
+}
+
+func (l *Limiter) flush() Effects {
+	out := l.out
+	l.out = Effects{}
+	return out
+}
+
+// Status is a limiter's state, for the state dump.
+type Status struct {
+	Accounts int `json:"accounts"`
+	Shares   int `json:"shares"`  // held by this VM
+	Pending  int `json:"pending"` // waiting for former holders or other zones
+	Permits  int `json:"permits"`
+	Waiting  int `json:"waiting"`
+}
+
+// Status returns counts of the state.
+func (l *Limiter) Status() Status {
+	s := Status{Accounts: len(l.accounts), Pending: len(l.pending), Permits: len(l.permits)}
+	for _, a := range l.accounts {
+		if a.share != nil {
+			s.Shares++
+		}
+		if a.borrow != nil {
+			s.Waiting += len(a.borrow.queue)
+		}
+	}
+	return s
+}
+
+// checkInvariants panics if the limiter's tables contradict each other. Shares and loans
+// check themselves at each change.
+func (l *Limiter) checkInvariants() {
+	if len(l.asks) > len(l.busy) {
+		panic(fmt.Sprintf("ratelimit: %d asks for %d accounts", len(l.asks), len(l.busy)))
+	}
+	for id, a := range l.accounts {
+		if a.share != nil && !a.holder {
+			panic("ratelimit: a share of " + id + " without holding it")
+		}
+		if a.part != a.target && a.part.larger(a.target) {
+			panic("ratelimit: the part of " + id + " is larger than its view allows")
+		}
+	}
+	for _, a := range l.busy {
+		a.borrow.checkInvariants(a)
+	}
+}
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -20,17 +20,18 @@
 	Incarnation uint64 `json:"incarnation"` // of the borrower
 	Account     string `json:"account"`     // canonical ID
 	Want        Tokens `json:"want"`
+	// CutoffLimit is that of the account.
+	CutoffLimit time.Duration `json:"cutoff_limit"` // nanoseconds
 }
 
 // Reply answers an Ask. A loan holds until LoanLife after its Ask was sent.
 type Reply struct {
-	ID          uint64        `json:"id"`
-	Incarnation uint64        `json:"incarnation"` // of the borrower
-	Loan        LoanID        `json:"loan"`
-	Amount      Tokens        `json:"amount"`      // 0: nothing lent
-	Left        Tokens        `json:"left"`        // at the lender, after the loan
-	RetryAfter  time.Duration `json:"retry_after"` // until the lender has a whole request
-	NotHolder   bool          `json:"not_holder,omitempty"`
+	ID          uint64 `json:"id"`
+	Incarnation uint64 `json:"incarnation"` // of the borrower
+	Loan        LoanID `json:"loan"`
+	Amount      Tokens `json:"amount"` // 0: nothing lent
+	Left        Tokens `json:"left"`   // at the lender, after the loan
+	NotHolder   bool   `json:"not_holder,omitempty"`
 }
 
 // LoanID names a loan.
@@ -91,7 +92,7 @@
 // Fleet is the membership epoch as far as the limiter needs it; membership.Epoch is one.
 type Fleet interface {
 	EpochNumber() uint64
-	Zones() []string
+	Zones() []string                    // sorted
 	Holder(account, zone string) string // "" if the zone has no VM
 }
 
--- /dev/null
+++ b/internal/ratelimit/split.go
@@ -0,0 +1,86 @@
+package ratelimit
+
+import (
+	"hash/fnv"
+	"math"
+	"sort"
+)
+
+// part is a zone's part of a bucket: one of Of equal parts, or none if Of is 0. Index decides
+// who gets the remainders.
+type part struct {
+	Of    int
+	Index int
+}
+
+// splitZones returns the zones that hold a part of an account's bucket, best first.
+//
+// A part smaller than one request would be of no use to a zone that is cut off, so a bucket
+// with a burst below the number of zones is split over as many zones as it has requests.
+func splitZones(account string, burst float64, zones []string) []string {
+	ranked := make([]string, len(zones))
+	copy(ranked, zones)
+	sort.Slice(ranked, func(i, j int) bool {
+		a, b := zoneScore(account, ranked[i]), zoneScore(account, ranked[j])
+		if a != b {
+			return a > b
+		}
+		return ranked[i] < ranked[j]
+	})
+	return ranked[:splitWays(burst, len(zones))]
+}
+
+// splitWays returns over how many of the zones a bucket is split.
+func splitWays(burst float64, zones int) int {
+	return min(zones, max(1, int(math.Min(burst, float64(zones)))))
+}
+
+// larger reports whether p is a larger part than q.
+func (p part) larger(q part) bool {
+	switch {
+	case p.Of == 0 || p == q:
+		return false
+	case q.Of == 0:
+		return true
+	case p.Of == q.Of:
+		// Only the remainder differs, but it counts.
+		return p.Index < q.Index
+	}
+	return p.Of < q.Of
+}
+
+// rateAndBurst returns the part's share of a limit.
+func (p part) rateAndBurst(l Limit) (rate, burst Tokens) {
+	return p.of(l.RatePerSecond), p.of(l.Burst)
+}
+
+func (p part) of(amount float64) Tokens {
+	if p.Of == 0 {
+		return 0
+	}
+	whole := toTokens(amount)
+	each := whole / Tokens(p.Of)
+	if Tokens(p.Index) < whole%Tokens(p.Of) {
+		each++
+	}
+	return each
+}
+
+// toTokens converts requests to tokens; amounts beyond maxAmount are cut.
+func toTokens(requests float64) Tokens {
+	return Tokens(math.Min(math.Max(requests, 0), maxAmount) * float64(Request))
+}
+
+// maxAmount bounds rates and bursts, in requests, so that sums of tokens cannot overflow.
+const maxAmount = 1e9
+
+func zoneScore(account, zone string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(zone))
+	_, _ = h.Write([]byte{0})
+	_, _ = h.Write([]byte(account))
+	x := h.Sum64()
+	x ^= x >> 32
+	x *= 0xd6e8feb86659fd93
+	return x ^ x>>32
+}
--- /dev/null
+++ b/internal/ratelimit/view.go
@@ -0,0 +1,206 @@
+package ratelimit
+
+import (
+	"time"
+)
+
+// View is one state of the control log: membership epoch and configuration as they stood
+// together after one entry of the log.
+type View struct {
+	Fleet  Fleet
+	Limits map[string]Limit // by canonical account ID
+	// Split numbers the ways in which the buckets were split over the zones. The control
+	// state machine adds one whenever SplitChanged is true of an entry.
+	Split uint64
+	// AgreedSplit is the last split that the log records as agreed by all VMs.
+	AgreedSplit uint64
+}
+
+// Settled is what membership.Holder.Settled returns.
+type Settled struct {
+	ZoneEpoch   uint64
+	AgreedSplit uint64
+}
+
+// SplitChanged reports whether a change of the zones or the limits can give a zone a larger
+// part of some account's bucket while another zone that has not heard of it acts on its old
+// part: the zones differ, an account's bucket is split over another number of zones, or an
+// account is gone (it may come back).
+func SplitChanged(oldZones, newZones []string, oldLimits, newLimits map[string]Limit) bool {
+	if len(oldZones) != len(newZones) {
+		return true
+	}
+	for i := range oldZones {
+		if oldZones[i] != newZones[i] {
+			return true
+		}
+	}
+	for account, before := range oldLimits {
+		after, kept := newLimits[account]
+		if !kept || splitWays(before.Burst, len(newZones)) != splitWays(after.Burst, len(newZones)) {
+			return true
+		}
+	}
+	return false
+}
+
+// account is what a limiter keeps of a client account.
+type account struct {
+	id      string
+	limit   Limit
+	zones   []string // that hold a part under the view, own zone first if it does
+	part    part     // of the own zone, in force
+	target  part     // of the own zone, under the view
+	growAt  time.Duration
+	deleted bool // kept until all VMs know of it
+
+	holder  bool          // this VM holds the own zone's share under the view
+	gained  uint64        // the epoch since which it does
+	startAt time.Duration // 0: the former holder may still act
+	share   *Share        // nil until started
+
+	borrow *borrowing // nil when idle
+}
+
+// SetView takes a newer state of the control log. What it takes from this VM stops at once;
+// what it gives waits until others have surely stopped.
+func (l *Limiter) SetView(now time.Duration, v View) {
+	if l.view.Fleet != nil && (v.Split < l.view.Split || v.Fleet.EpochNumber() < l.view.Fleet.EpochNumber()) {
+		return
+	}
+	first := l.view.Fleet == nil
+	l.view = v
+	l.settled.AgreedSplit = max(l.settled.AgreedSplit, v.AgreedSplit)
+	for id, limit := range v.Limits {
+		a := l.accounts[id]
+		if a == nil {
+			a = &account{id: id}
+			l.accounts[id] = a
+			l.place(a, limit)
+			if !first || l.agreed() {
+				// No VM of another zone has a part of it under an earlier split.
+				a.part = a.target
+			}
+		}
+		a.deleted = false
+		l.place(a, limit)
+		l.assign(now, a)
+	}
+	for id, a := range l.accounts {
+		if _, kept := v.Limits[id]; !kept {
+			l.remove(now, a)
+		}
+	}
+	l.settle(now)
+	l.checkInvariants()
+}
+
+// place works out the zones and the own zone's part under the view.
+func (l *Limiter) place(a *account, limit Limit) {
+	zones := l.view.Fleet.Zones()
+	a.limit = limit
+	a.zones = splitZones(a.id, limit.Burst, zones)
+	target := part{}
+	for i, z := range a.zones {
+		if z == l.opts.Zone {
+			target = part{Of: len(a.zones), Index: i}
+			copy(a.zones[1:i+1], a.zones[:i])
+			a.zones[0] = z
+		}
+	}
+	if target != a.target {
+		a.target = target
+		a.growAt = 0
+	}
+	if !a.target.larger(a.part) {
+		a.part = a.target
+	}
+}
+
+// assign starts or stops holding the own zone's share.
+func (l *Limiter) assign(now time.Duration, a *account) {
+	holder := l.view.Fleet.Holder(a.id, l.opts.Zone) == l.opts.VM
+	switch {
+	case holder && !a.holder:
+		a.holder = true
+		a.gained = l.view.Fleet.EpochNumber()
+		a.startAt = 0
+	case !holder:
+		a.holder = false
+		a.share = nil
+	}
+	l.limitShare(now, a)
+}
+
+func (l *Limiter) limitShare(now time.Duration, a *account) {
+	if a.share != nil {
+		rate, burst := a.part.rateAndBurst(a.limit)
+		a.share.SetLimit(now, rate, burst)
+	}
+}
+
+// remove stops an account that the configuration no longer has.
+func (l *Limiter) remove(now time.Duration, a *account) {
+	a.deleted = true
+	a.holder = false
+	a.share = nil
+	a.part = part{}
+	a.target = part{}
+	l.refuseWaiting(now, a, ReasonUnknownAccount)
+	if l.agreed() {
+		delete(l.accounts, a.id)
+	}
+}
+
+// SetSettled takes what all VMs are known to have confirmed.
+func (l *Limiter) SetSettled(now time.Duration, s Settled) {
+	if s.ZoneEpoch <= l.settled.ZoneEpoch && s.AgreedSplit <= l.settled.AgreedSplit {
+		return
+	}
+	l.settled.ZoneEpoch = max(l.settled.ZoneEpoch, s.ZoneEpoch)
+	l.settled.AgreedSplit = max(l.settled.AgreedSplit, s.AgreedSplit)
+	l.settle(now)
+}
+
+// agreed reports whether all VMs acted under exactly the split of this VM's view at one moment.
+func (l *Limiter) agreed() bool {
+	return l.settled.AgreedSplit == l.view.Split
+}
+
+// settle schedules the starts and the larger parts that others no longer stand against. Both
+// wait for the loans that others made before.
+func (l *Limiter) settle(now time.Duration) {
+	for id, a := range l.accounts {
+		if a.deleted && l.agreed() {
+			delete(l.accounts, id)
+			continue
+		}
+		if a.holder && a.share == nil && a.startAt == 0 && l.settled.ZoneEpoch >= a.gained {
+			a.startAt = now + LoanHold
+			l.pending[id] = a
+		}
+		if a.part != a.target && a.growAt == 0 && l.agreed() {
+			a.growAt = now + LoanHold
+			l.pending[id] = a
+		}
+	}
+}
+
+// startPending takes the scheduled steps that are due.
+func (l *Limiter) startPending(now time.Duration) {
+	for id, a := range l.pending {
+		if a.growAt != 0 && now >= a.growAt {
+			a.part = a.target
+			a.growAt = 0
+			l.limitShare(now, a)
+		}
+		if a.holder && a.share == nil && a.startAt != 0 && now >= a.startAt {
+			rate, burst := a.part.rateAndBurst(a.limit)
+			// Empty: the former holder may have spent the whole share as it stopped.
+			a.share = NewShare(now, l.opts.Incarnation, rate, burst)
+		}
+		if a.growAt == 0 && (a.share != nil || !a.holder) {
+			delete(l.pending, id)
+		}
+	}
+}
