--- a/internal/control/apply_config.go
+++ b/internal/control/apply_config.go
@@ -122,6 +122,7 @@
 		}
 	}
 	m.keys = keys
+	m.limits = limitsOf(file)
 	m.config = Config{
 		Acceptance: Acceptance{
 			Generation: file.Generation,
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -42,6 +42,8 @@
 	RegisterVM   *RegisterVM   `json:"register_vm,omitempty"`
 	RemoveVM     *RemoveVM     `json:"remove_vm,omitempty"`
 	IssueFencing *IssueFencing `json:"issue_fencing,omitempty"`
+
+	RecordAgreedSplit *RecordAgreedSplit `json:"record_agreed_split,omitempty"`
 }
 
 // ApplyConfig puts a configuration in force, whole or not at all.
@@ -161,6 +163,7 @@
 		{c.RegisterVM != nil, c.RegisterVM.validate},
 		{c.RemoveVM != nil, c.RemoveVM.validate},
 		{c.IssueFencing != nil, c.IssueFencing.validate},
+		{c.RecordAgreedSplit != nil, c.RecordAgreedSplit.validate},
 	} {
 		if check.set {
 			set++
@@ -216,6 +219,13 @@
 	return firstError(checkName("resource", i.Resource), checkName("holder", i.Holder))
 }
 
+func (r *RecordAgreedSplit) validate() error {
+	if r.Split < 1 {
+		return invalid("split %d is below 1", r.Split)
+	}
+	return nil
+}
+
 func checkName(what, name string) error {
 	length := utf8.RuneCountInString(name)
 	if length < 1 || length > MaxNameLength || !utf8.ValidString(name) {
--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -15,6 +15,7 @@
 	config    Config
 	withdrawn withdrawnKeys
 	members   Members
+	splits    Splits
 	floor     floor
 }
 
@@ -26,6 +27,8 @@
 	Withdrawn []WithdrawnKey
 	// Members says that the membership is newer.
 	Members bool
+	// Splits says that the splits are newer.
+	Splits bool
 	// Conflicts describe parts that contradict what is known; they are left out.
 	Conflicts []string
 }
@@ -50,6 +53,10 @@
 	if d.Members != nil {
 		f.offerMembers(*d.Members, &change)
 	}
+	if d.Splits != nil && d.Splits.Revision > f.splits.Revision {
+		f.splits = *d.Splits
+		change.Splits = true
+	}
 	f.checkInvariants()
 	return change
 }
@@ -92,18 +99,19 @@
 		Config:    f.config,
 		Withdrawn: withdrawnByID(&f.withdrawn),
 		Members:   Members{Epoch: f.members.Epoch, VMs: slices.Clone(f.members.VMs)},
+		Splits:    f.splits,
 	}
 }
 
 // Digest sums the state up.
 func (f *Follower) Digest() Digest {
-	return digestOf(f.config, &f.withdrawn, f.members.Epoch)
+	return digestOf(f.config, &f.withdrawn, f.members.Epoch, f.splits)
 }
 
 // DeltaFor returns what a VM with the given digest lacks.
 func (f *Follower) DeltaFor(d Digest) Delta {
 	members := Members{Epoch: f.members.Epoch, VMs: slices.Clone(f.members.VMs)}
-	return deltaFor(d, f.config, &f.withdrawn, members)
+	return deltaFor(d, f.config, &f.withdrawn, members, f.splits)
 }
 
 // checkInvariants panics if the state fell below the last one.
@@ -113,6 +121,7 @@
 		hash:       f.config.Hash,
 		withdrawn:  len(f.withdrawn.hashes),
 		epoch:      f.members.Epoch,
+		splits:     f.splits,
 	}
 	if err := now.above(f.floor); err != nil {
 		panic("control: follower: " + err.Error())
--- a/internal/control/invariants.go
+++ b/internal/control/invariants.go
@@ -9,6 +9,7 @@
 	withdrawn  int
 	epoch      uint64
 	fencing    uint64
+	splits     Splits
 }
 
 // checkInvariants panics if the state fell below the last one or contradicts itself.
@@ -19,6 +20,7 @@
 		withdrawn:  len(m.withdrawn.byID),
 		epoch:      m.members.epoch,
 		fencing:    m.fencing.last,
+		splits:     m.splits,
 	}
 	if err := now.above(m.floor); err != nil {
 		panic("control: " + err.Error())
@@ -42,6 +44,10 @@
 		return fmt.Errorf("epoch fell from %d to %d", earlier.epoch, f.epoch)
 	case f.fencing < earlier.fencing:
 		return fmt.Errorf("fencing number fell from %d to %d", earlier.fencing, f.fencing)
+	case f.splits.Split < earlier.splits.Split || f.splits.Agreed < earlier.splits.Agreed:
+		return fmt.Errorf("splits fell from %+v to %+v", earlier.splits, f.splits)
+	case f.splits.Agreed > f.splits.Split:
+		return fmt.Errorf("split %d is agreed before it was made", f.splits.Agreed)
 	}
 	return nil
 }
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -1,5 +1,7 @@
 package control
 
+import "egretramp/internal/ratelimit"
+
 // Machine is one replica's state. The zero value is not usable; see New.
 type Machine struct {
 	// index is the last applied log index.
@@ -11,6 +13,9 @@
 	withdrawn withdrawnKeys
 	members   members
 	fencing   fencing
+	// limits are those of the configuration in force.
+	limits map[string]ratelimit.Limit
+	splits Splits
 	// floor is the state after the last command, which the next may not fall below.
 	floor floor
 }
@@ -36,7 +41,9 @@
 	if err != nil {
 		return refuse(CodeMalformed, err.Error()).encode()
 	}
+	zones, limits := m.members.zones(), m.limits
 	result := m.apply(command)
+	m.noteSplit(zones, limits)
 	m.checkInvariants()
 	return result.encode()
 }
@@ -51,6 +58,8 @@
 		return m.members.register(c.RegisterVM)
 	case c.RemoveVM != nil:
 		return m.members.remove(c.RemoveVM)
+	case c.RecordAgreedSplit != nil:
+		return m.recordAgreedSplit(c.RecordAgreedSplit)
 	default:
 		return Result{Fencing: m.fencing.issue(c.IssueFencing)}
 	}
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -255,3 +255,37 @@
 		require.Equal(t, c, decoded)
 	})
 }
+
+func TestMachine_SplitsFollowZonesAndLimits(t *testing.T) {
+	m := New()
+	apply(t, m, fileText(1, "a"), "ana")
+	require.Equal(t, uint64(0), m.View().Splits.Split, "an account that is new takes nothing from anybody")
+	do(t, m, Command{RegisterVM: &RegisterVM{VM: "a1", Zone: "a", Incarnation: 1}})
+	first := m.View()
+	require.True(t, first.Consistent())
+	require.Equal(t, uint64(1), first.Splits.Split, "a new zone takes a part of each bucket")
+	do(t, m, Command{RegisterVM: &RegisterVM{VM: "a2", Zone: "a", Incarnation: 1}})
+	require.Equal(t, first.Splits.Split, m.View().Splits.Split, "a second VM of a zone changes no split")
+
+	do(t, m, Command{RecordAgreedSplit: &RecordAgreedSplit{Split: 9}})
+	require.Zero(t, m.View().Splits.Agreed, "a split that was never made is not agreed")
+	do(t, m, Command{RecordAgreedSplit: &RecordAgreedSplit{Split: 1}})
+	require.Equal(t, uint64(1), m.View().Splits.Agreed)
+
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := New()
+	require.NoError(t, restored.Restore(data))
+	require.Equal(t, m.View(), restored.View())
+	do(t, restored, Command{RegisterVM: &RegisterVM{VM: "b1", Zone: "b", Incarnation: 1}})
+	require.Equal(t, uint64(2), restored.View().Splits.Split)
+
+	f := NewFollower()
+	f.Offer(m.View().Delta())
+	require.True(t, f.View().Consistent())
+	apply(t, m, fileText(2, "a"), "ana")
+	f.Offer(Delta{Config: m.View().Delta().Config})
+	require.False(t, f.View().Consistent(), "a configuration alone is not acted on")
+	f.Offer(m.DeltaFor(f.Digest()))
+	require.True(t, f.View().Consistent())
+}
--- a/internal/control/results.go
+++ b/internal/control/results.go
@@ -18,6 +18,8 @@
 	Members *MembersChange `json:"members,omitempty"`
 	// Fencing answers IssueFencing.
 	Fencing *Fencing `json:"fencing,omitempty"`
+	// Splits answers RecordAgreedSplit.
+	Splits *Splits `json:"splits,omitempty"`
 	// Refusal answers a command that changed nothing.
 	Refusal *Refusal `json:"refusal,omitempty"`
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -5,6 +5,8 @@
 	"encoding/json"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
 )
 
 // ErrSnapshot is wrapped by the error of a snapshot that can't be restored.
@@ -26,6 +28,7 @@
 	Removed   map[string]int64  `json:"removed"`
 	Last      uint64            `json:"last_fencing"`
 	Fencing   []Fencing         `json:"fencing"`
+	Splits    Splits            `json:"splits"`
 }
 
 // Snapshot encodes the state. Equal states give equal bytes.
@@ -43,6 +46,7 @@
 		Removed:   m.members.removed,
 		Last:      m.fencing.last,
 		Fencing:   view.Fencing,
+		Splits:    m.splits,
 	})
 	return data, errors.Wrap(err, "control: cannot encode a snapshot")
 }
@@ -63,6 +67,9 @@
 		return badSnapshot("its log index %d is below %d", s.Index, m.index)
 	}
 	restored := s.machine()
+	if err := restored.restoreLimits(); err != nil {
+		return badSnapshot("%v", err)
+	}
 	if err := restored.consistentSnapshot(m.floor); err != nil {
 		return badSnapshot("%v", err)
 	}
@@ -91,12 +98,26 @@
 		m.members.removed[vm] = incarnation
 	}
 	m.fencing.last = s.Last
+	m.splits = s.Splits
 	for _, f := range s.Fencing {
 		m.fencing.byResource[f.Resource] = f
 	}
 	return m
 }
 
+// restoreLimits reads the limits from the configuration's text.
+func (m *Machine) restoreLimits() error {
+	if m.config.Generation == 0 {
+		return nil
+	}
+	file, err := config.Parse(fileName, []byte(m.config.Text))
+	if err != nil {
+		return errors.Wrapf(err, "generation %d in force", m.config.Generation)
+	}
+	m.limits = limitsOf(file)
+	return nil
+}
+
 // consistentSnapshot checks a decoded state and sets its floor.
 func (m *Machine) consistentSnapshot(earlier floor) error {
 	m.floor = floor{
@@ -105,6 +126,7 @@
 		withdrawn:  len(m.withdrawn.byID),
 		epoch:      m.members.epoch,
 		fencing:    m.fencing.last,
+		splits:     m.splits,
 	}
 	if err := m.floor.above(earlier); err != nil {
 		return err
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -25,6 +25,7 @@
 	// Withdrawn is sorted by key ID.
 	Withdrawn []WithdrawnKey `json:"withdrawn"`
 	Members   Members        `json:"members"`
+	Splits    Splits         `json:"splits"`
 	// Fencing is sorted by resource; empty in a follower's view.
 	Fencing []Fencing `json:"fencing"`
 }
@@ -38,6 +39,13 @@
 	// WithdrawnHash is a hash over just these.
 	WithdrawnHash string `json:"withdrawn_hash"`
 	Epoch         uint64 `json:"epoch"`
+	Revision      uint64 `json:"revision"` // of the splits
+}
+
+// Consistent reports whether configuration, membership and splits belong together. A view of
+// parts that came from several VMs may not be; the next delta puts it right.
+func (v View) Consistent() bool {
+	return v.Splits.Generation == v.Config.Generation && v.Splits.Epoch == v.Members.Epoch
 }
 
 // Delta is a part of a state, for spreading between VMs.
@@ -45,11 +53,12 @@
 	Config    *Config        `json:"config,omitempty"`
 	Withdrawn []WithdrawnKey `json:"withdrawn,omitempty"`
 	Members   *Members       `json:"members,omitempty"`
+	Splits    *Splits        `json:"splits,omitempty"`
 }
 
 // Empty reports whether the delta has nothing in it.
 func (d Delta) Empty() bool {
-	return d.Config == nil && len(d.Withdrawn) == 0 && d.Members == nil
+	return d.Config == nil && len(d.Withdrawn) == 0 && d.Members == nil && d.Splits == nil
 }
 
 // Delta returns the view's parts that followers keep.
@@ -62,6 +71,10 @@
 	if v.Members.Epoch > 0 {
 		d.Members = &Members{Epoch: v.Members.Epoch, VMs: slices.Clone(v.Members.VMs)}
 	}
+	if v.Splits.Revision > 0 {
+		splits := v.Splits
+		d.Splits = &splits
+	}
 	return d
 }
 
@@ -72,6 +85,7 @@
 		Config:    m.config,
 		Withdrawn: withdrawnByID(&m.withdrawn),
 		Members:   m.members.copy(),
+		Splits:    m.splits,
 	}
 	for _, resource := range sortedKeys(m.fencing.byResource) {
 		v.Fencing = append(v.Fencing, m.fencing.byResource[resource])
@@ -81,25 +95,26 @@
 
 // Digest sums the state up.
 func (m *Machine) Digest() Digest {
-	return digestOf(m.config, &m.withdrawn, m.members.epoch)
+	return digestOf(m.config, &m.withdrawn, m.members.epoch, m.splits)
 }
 
 // DeltaFor returns what a VM with the given digest lacks.
 func (m *Machine) DeltaFor(d Digest) Delta {
-	return deltaFor(d, m.config, &m.withdrawn, m.members.copy())
+	return deltaFor(d, m.config, &m.withdrawn, m.members.copy(), m.splits)
 }
 
-func digestOf(c Config, w *withdrawnKeys, epoch uint64) Digest {
+func digestOf(c Config, w *withdrawnKeys, epoch uint64, s Splits) Digest {
 	return Digest{
 		Generation:     c.Generation,
 		ConfigHash:     c.Hash,
 		WithdrawnCount: w.through,
 		WithdrawnHash:  w.digestHex(),
 		Epoch:          epoch,
+		Revision:       s.Revision,
 	}
 }
 
-func deltaFor(d Digest, c Config, w *withdrawnKeys, m Members) Delta {
+func deltaFor(d Digest, c Config, w *withdrawnKeys, m Members, s Splits) Delta {
 	var delta Delta
 	if c.Generation > d.Generation {
 		delta.Config = &c
@@ -107,6 +122,9 @@
 	if m.Epoch > d.Epoch {
 		delta.Members = &m
 	}
+	if s.Revision > d.Revision {
+		delta.Splits = &s
+	}
 	switch {
 	case d.WithdrawnCount == w.through && d.WithdrawnHash != w.digestHex():
 		delta.Withdrawn = w.after(0) // no common history, so compare nothing by number
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -14,12 +14,12 @@
 
 // leading is the state of the VM that leads the control group. Its grantor is nil elsewhere.
 type leading struct {
-	term       uint64
-	electing   bool
-	grantor    *membership.Grantor
-	cutoff     time.Duration
-	generation uint64
-	epoch      membership.Epoch
+	term     uint64
+	electing bool
+	grantor  *membership.Grantor
+	cutoff   time.Duration
+	epoch    membership.Epoch
+	state    control.View
 	// requests wait for the next confirmation of leadership, confirming for the present one.
 	requests     []renewal
 	confirming   bool
@@ -32,19 +32,18 @@
 	request membership.RenewRequest
 }
 
-func (l *leading) setEpoch(e membership.Epoch) {
-	l.epoch = e
-	if l.grantor != nil {
-		l.grantor.SetEpoch(e)
-	}
+func (l *leading) setView(e membership.Epoch, state control.View, cutoff time.Duration) {
+	l.epoch, l.state, l.cutoff = e, state, cutoff
+	l.pass()
 }
 
-func (l *leading) setConfig(generation uint64, cutoff time.Duration) {
-	l.generation, l.cutoff = generation, cutoff
-	if l.grantor != nil {
-		l.grantor.SetGeneration(generation)
-		l.grantor.SetCutoffLimit(cutoff)
+// pass hands the state of the control log to the grantor.
+func (l *leading) pass() {
+	if l.grantor == nil {
+		return
 	}
+	l.grantor.SetView(l.epoch, l.state.Config.Generation, l.state.Splits.Split, l.state.Splits.Agreed)
+	l.grantor.SetCutoffLimit(l.cutoff)
 }
 
 // HandleRenew takes a lease request, or a goodbye, to control.
@@ -131,8 +130,14 @@
 			VM: vm.Name, Zone: vm.Zone, Incarnation: f.incarnation(vm.Name),
 		}})
 	}
+	if agreed := l.grantor.AgreedSplit(); agreed > l.state.Splits.Agreed {
+		f.propose(splitKey, control.Command{RecordAgreedSplit: &control.RecordAgreedSplit{Split: agreed}})
+	}
 }
 
+// splitKey keeps the proposals of agreed splits apart from those about VMs.
+const splitKey = "\x00split"
+
 func (f *Fleet) resign() {
 	if f.leading.grantor != nil {
 		f.opts.Events.Emit(events.FleetResigned, zap.Uint64("term", f.leading.term))
@@ -163,7 +168,8 @@
 			for _, vm := range f.follower.View().Members.VMs {
 				l.incarnations[vm.VM] = uint64(vm.Incarnation)
 			}
-			l.grantor = membership.NewGrantor(f.opts.Clock(), term, l.epoch, l.generation, l.cutoff)
+			l.grantor = membership.NewGrantor(f.opts.Clock(), term, l.cutoff)
+			l.pass()
 			f.opts.Events.Emit(events.FleetElected, zap.Uint64("term", term))
 		})
 	})
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"egretramp/internal/membership"
+	"egretramp/internal/ratelimit"
 	"egretramp/internal/upstream"
 )
 
@@ -33,7 +34,8 @@
 
 // settle passes on what the lease's answers say about the other VMs.
 func (f *Fleet) settle(now time.Duration) {
-	f.limiter.SetSettled(now, f.holder.Settled())
+	s := f.holder.Settled()
+	f.limiter.SetSettled(now, ratelimit.Settled{ZoneEpoch: s.ZoneEpoch, AgreedSplit: s.AgreedSplit})
 }
 
 // aliveView is which VMs may be given work.
--- a/internal/fleet/permits.go
+++ b/internal/fleet/permits.go
@@ -25,7 +25,7 @@
 // Draw takes a permit for one request of a client account. Errors: *refusal.Refusal.
 func (f *Fleet) Draw(ctx context.Context, account, request string) error {
 	d, err := f.decide(ctx, request, func(now time.Duration) ratelimit.Effects {
-		return f.limiter.Draw(now, account, request)
+		return f.limiter.Draw(now, account, request, f.cutoffLimit(account))
 	})
 	if err != nil {
 		return err
@@ -36,13 +36,13 @@
 // Dispatch is called as a request leaves for its upstream. A permit that waited too long is
 // drawn again; until there is a token the request is held back, as long as ctx allows.
 func (f *Fleet) Dispatch(ctx context.Context, account, request string) error {
-	fresh, err := await(ctx, f, func() bool { return f.limiter.Dispatch(f.opts.Clock(), request) })
+	fresh, err := await(ctx, f, func() bool { return f.spend(account, request) })
 	if err != nil {
 		return unavailable()
 	}
 	for !fresh {
 		d, err := f.decide(ctx, request, func(now time.Duration) ratelimit.Effects {
-			return f.limiter.Redraw(now, request)
+			return f.limiter.Redraw(now, account, request, f.cutoffLimit(account))
 		})
 		if err != nil {
 			return err
@@ -50,7 +50,7 @@
 		if !d.Granted {
 			return refusalOf(d)
 		}
-		fresh, err = await(ctx, f, func() bool { return f.limiter.Dispatch(f.opts.Clock(), request) })
+		fresh, err = await(ctx, f, func() bool { return f.spend(account, request) })
 		if err != nil {
 			return unavailable()
 		}
@@ -58,6 +58,29 @@
 	return nil
 }
 
+// spend spends a permit; false if it has to be drawn again.
+func (f *Fleet) spend(account, request string) bool {
+	fresh, effects := f.limiter.Dispatch(f.opts.Clock(), request, f.cutoffLimit(account))
+	f.carryOut(effects)
+	return fresh
+}
+
+// cutoffLimit returns the cutoff limit of an account; 0 if it is not known.
+func (f *Fleet) cutoffLimit(account string) time.Duration {
+	snapshot := f.Snapshot()
+	if snapshot == nil {
+		return 0
+	}
+	a, ok := snapshot.Account(account)
+	if !ok {
+		return 0
+	}
+	if a.CutoffLimitSeconds > 0 {
+		return seconds(a.CutoffLimitSeconds)
+	}
+	return seconds(snapshot.CutoffLimitSeconds())
+}
+
 // GiveBack returns the permit of a request that did not run.
 func (f *Fleet) GiveBack(request string) {
 	f.post(func() { f.carryOut(f.limiter.GiveBack(f.opts.Clock(), request)) })
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -53,23 +53,18 @@
 	for _, conflict := range change.Conflicts {
 		f.opts.Events.Emit(events.FleetConflict, zap.String("conflict", conflict))
 	}
-	if !change.Config && !change.Members && len(change.Withdrawn) == 0 {
+	if !change.Config && !change.Members && !change.Splits && len(change.Withdrawn) == 0 {
 		return
 	}
 	now := f.opts.Clock()
 	state := f.follower.View()
 	f.publish(state, change)
-	// The limiter stops what the new state takes from this VM before the holder confirms it.
 	if change.Members {
-		epoch := epochOf(state.Members)
-		f.tracker.SetVMs(now, f.known(epoch))
-		f.limiter.SetFleet(now, epoch)
-		f.holder.SetEpoch(epoch)
+		f.tracker.SetVMs(now, f.known(epochOf(state.Members)))
 		f.publishAlive()
-		f.leading.setEpoch(epoch)
 	}
-	if change.Config {
-		f.configure(now, state.Config)
+	if state.Consistent() {
+		f.actOn(now, state)
 	}
 	f.shareDigest()
 	f.publishLease(now)
@@ -105,22 +100,31 @@
 	f.view.Store(next)
 }
 
-func (f *Fleet) configure(now time.Duration, c control.Config) {
+// actOn makes a state of the control log the one that this VM acts under.
+func (f *Fleet) actOn(now time.Duration, state control.View) {
 	snapshot := f.view.Load().Snapshot
-	if snapshot == nil || snapshot.Generation() != c.Generation {
-		return
+	generation := state.Config.Generation
+	if snapshot != nil && snapshot.Generation() != generation {
+		return // it did not pass this VM's checks
 	}
 	limits := map[string]ratelimit.Limit{}
-	longest := seconds(snapshot.CutoffLimitSeconds())
-	for _, a := range snapshot.Accounts() {
-		limits[a.ID] = ratelimit.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst}
-		longest = max(longest, seconds(a.CutoffLimitSeconds))
-	}
-	f.limiter.Configure(now, c.Generation, limits)
-	f.holder.SetGeneration(c.Generation)
-	f.holder.SetCutoffLimit(longest)
-	f.leading.setConfig(c.Generation, longest)
-	f.opts.Events.Emit(events.FleetConfigInForce, zap.Uint64("generation", c.Generation))
+	cutoff := time.Duration(config.DefaultCutoffLimitSeconds) * time.Second
+	if snapshot != nil {
+		cutoff = seconds(snapshot.CutoffLimitSeconds())
+		for _, a := range snapshot.Accounts() {
+			limits[a.ID] = ratelimit.Limit{RatePerSecond: a.RatePerSecond, Burst: a.Burst}
+			cutoff = max(cutoff, seconds(a.CutoffLimitSeconds))
+		}
+	}
+	epoch := epochOf(state.Members)
+	// The limiter stops what the new state takes from this VM before the holder confirms it.
+	f.limiter.SetView(now, ratelimit.View{
+		Fleet: epoch, Limits: limits, Split: state.Splits.Split, AgreedSplit: state.Splits.Agreed,
+	})
+	f.holder.SetView(epoch, generation, state.Splits.Split)
+	f.holder.SetCutoffLimit(cutoff)
+	f.leading.setView(epoch, state, cutoff)
+	f.opts.Events.Emit(events.FleetStateInForce, zap.Uint64("generation", generation), zap.Uint64("epoch", epoch.Number))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -185,6 +189,7 @@
 func ahead(theirs, own control.Digest) bool {
 	return theirs.Generation > own.Generation ||
 		theirs.Epoch > own.Epoch ||
+		theirs.Revision > own.Revision ||
 		theirs.WithdrawnCount > own.WithdrawnCount ||
 		theirs.WithdrawnCount == own.WithdrawnCount && theirs.WithdrawnHash != own.WithdrawnHash
 }
