--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -4,7 +4,14 @@
 
 // campaign starts an election. Without transfer it begins with a pre-vote, which raises no term.
 func (r *Raft) campaign(transfer bool) {
-	if r.role == Leader || !r.confs.isVoter(r.id) {
+	if r.role == Leader {
+		return
+	}
+	if !r.confs.isVoter(r.id) {
+		// It may be a voter by entries that it lacks, so it must not go on taking the leader
+		// for alive: its vote may be needed.
+		r.leader = 0
+		r.resetElectionTimer()
 		return
 	}
 	if transfer {
--- a/internal/raft/invariant/invariant.go
+++ b/internal/raft/invariant/invariant.go
@@ -18,7 +18,7 @@
 	stored    map[position]fingerprint
 	committed map[uint64]uint64
 	highest   uint64
-	acked     map[string]uint64
+	acked     map[uint64]uint64
 	ackedUpTo uint64
 }
 
@@ -30,7 +30,7 @@
 func New() *Checker {
 	return &Checker{
 		leaders: map[uint64]uint64{}, stored: map[position]fingerprint{},
-		committed: map[uint64]uint64{}, acked: map[string]uint64{},
+		committed: map[uint64]uint64{}, acked: map[uint64]uint64{},
 	}
 }
 
@@ -91,8 +91,8 @@
 	return nil
 }
 
-// Acknowledged notes that the proposer of a command was told of its success.
-func (c *Checker) Acknowledged(command string, index uint64) {
+// Acknowledged notes that the proposer of a command, named by a number, was told of its success.
+func (c *Checker) Acknowledged(command, index uint64) {
 	c.acked[command] = index
 	c.ackedUpTo = max(c.ackedUpTo, index)
 }
@@ -110,10 +110,10 @@
 }
 
 // Kept checks that a replica's state holds every acknowledged command, at its index.
-func (c *Checker) Kept(replica uint64, state map[string]uint64) error {
+func (c *Checker) Kept(replica uint64, state map[uint64]uint64) error {
 	for command, index := range c.acked {
 		if state[command] != index {
-			return errors.Newf("durability: replica %x lost command %q, acknowledged at %d (it has it at %d)", replica, command, index, state[command])
+			return errors.Newf("durability: replica %x lost command %d, acknowledged at %d (it has it at %d)", replica, command, index, state[command])
 		}
 	}
 	return nil
--- a/internal/raft/storage/storage.go
+++ b/internal/raft/storage/storage.go
@@ -73,24 +73,25 @@
 	return filepath.Join(folder, fmt.Sprintf("group-%d.db", group))
 }
 
-// Open opens or makes the file of a group. A new file gets the given random replica ID.
+// Open opens or makes the file of a group. A new file gets the identity fresh, with its
+// random replica ID; an existing file must belong to the same group and VM.
 // What an existing file holds is read and checked whole, then written to a fresh file that
 // takes its place: so a free list that was damaged can't direct later writes onto live pages.
-func Open(folder string, group uint64, vm string, newID uint64) (*Store, raft.State, error) {
-	path := Path(folder, group)
+func Open(folder string, fresh *raftpb.Identity) (*Store, raft.State, error) {
+	path := Path(folder, fresh.Group)
 	if err := os.MkdirAll(folder, 0o700); err != nil {
 		return nil, raft.State{}, errors.Wrap(err, "raft storage")
 	}
-	identity := &raftpb.Identity{Group: group, Replica: newID, Vm: vm}
+	identity := fresh
 	var state raft.State
 	if _, err := os.Stat(path); err == nil {
 		identity, state, err = read(path)
 		if err != nil {
 			return nil, raft.State{}, err
 		}
-		if identity.Group != group || identity.Vm != vm {
+		if identity.Group != fresh.Group || identity.Vm != fresh.Vm {
 			return nil, raft.State{}, errors.Newf("raft storage: %s belongs to group %d of VM %q, not to group %d of VM %q",
-				path, identity.Group, identity.Vm, group, vm)
+				path, identity.Group, identity.Vm, fresh.Group, fresh.Vm)
 		}
 	} else if !errors.Is(err, os.ErrNotExist) {
 		return nil, raft.State{}, errors.Wrap(err, "raft storage")
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -51,10 +51,11 @@
 	g.foreign = map[uint64]bool{}
 }
 
-// tickGreeter greets once per heartbeat interval while the replica is not at home.
+// tickGreeter greets once per heartbeat interval while the replica knows no leader. One that
+// is bound greets too: the entry that admitted it may have been replaced by another leader.
 func (n *node) tickGreeter() error {
 	g := &n.greeter
-	if n.bound() && !n.isStranded() {
+	if n.bound() && n.raft.Leader() != 0 {
 		return nil
 	}
 	g.elapsed++
@@ -138,9 +139,9 @@
 func (n *node) handleHello(m *raftpb.Message) {
 	n.send(m.FromVm, &raftpb.Message{
 		Type: raftpb.MessageType_MESSAGE_TYPE_HELLO_REPLY, To: m.From,
-		HelloReply: &raftpb.HelloReply{InitialVms: n.options.initialVMs},
+		HelloReply: &raftpb.HelloReply{InitialVms: n.options.initialVMs, Former: n.store.Identity().Former},
 	})
-	if m.Formation == 0 {
+	if m.Formation == 0 || m.Formation == n.store.Identity().Formation {
 		n.joiners.note(m.FromVm, m.From)
 	}
 }
@@ -153,13 +154,18 @@
 	if !n.bound() || !n.isStranded() {
 		return
 	}
-	switch m.Formation {
-	case n.store.Identity().Formation:
-	case 0:
+	own := n.store.Identity().Formation
+	if m.Formation == 0 {
 		n.invite(m.From)
-	default:
-		n.noteForeign(m.From)
+	} else if m.Formation != own {
+		n.greeter.foreign[m.From] = true
+	}
+	for _, former := range m.HelloReply.GetFormer() {
+		if former.Formation != own {
+			n.greeter.foreign[former.Replica] = true
+		}
 	}
+	n.considerAbandoning()
 }
 
 // invite passes the formation on to a member that is not bound yet: the proposer may be gone.
@@ -171,11 +177,10 @@
 	}
 }
 
-// noteForeign abandons the formation once it can't have, and never can get, a majority: the
+// considerAbandoning abandons the formation once it can't have, and never can get, a majority: the
 // members that are bound elsewhere never took part, and this one holds no entry. A member
 // that merely lost its disk doesn't count, for it may have been part of a majority.
-func (n *node) noteForeign(id uint64) {
-	n.greeter.foreign[id] = true
+func (n *node) considerAbandoning() {
 	voters, out := 0, 0
 	for _, m := range n.raft.Conf().Members {
 		voters++
@@ -226,3 +231,9 @@
 	bounds := &raftpb.LogBounds{BaseIndex: snapshot.Index, BaseTerm: snapshot.Term, LastIndex: snapshot.Index}
 	return n.start(raft.State{Hard: hard, Snapshot: snapshot, Bounds: bounds})
 }
+
+// formerReplicas returns what a replica that starts anew remembers: its own past too.
+func formerReplicas(identity *raftpb.Identity) []*raftpb.FormerReplica {
+	own := &raftpb.FormerReplica{Replica: identity.Replica, Formation: identity.Formation}
+	return append(slices.Clone(identity.Former), own)
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -55,7 +55,7 @@
 		requests: make(chan func(*node), requestsSize),
 		stopped:  make(chan struct{}),
 	}
-	if err := r.open(); err != nil {
+	if err := r.open(nil); err != nil {
 		return nil, err
 	}
 	r.publish()
@@ -100,8 +100,9 @@
 	}
 }
 
-func (r *Replica) open() error {
-	store, state, err := storage.Open(r.options.Folder, r.options.Group, r.options.VM, randomID())
+func (r *Replica) open(former []*raftpb.FormerReplica) error {
+	fresh := &raftpb.Identity{Group: r.options.Group, Vm: r.options.VM, Replica: randomID(), Former: former}
+	store, state, err := storage.Open(r.options.Folder, fresh)
 	if err != nil {
 		return err
 	}
@@ -198,13 +199,14 @@
 // replica gets a new ID.
 func (r *Replica) startAnew() error {
 	path := r.store.Path()
+	former := formerReplicas(r.store.Identity())
 	if err := r.store.Close(); err != nil {
 		return err
 	}
 	if err := os.Rename(path, path+".abandoned"); err != nil {
 		return errors.Wrap(err, "replica: move the abandoned file aside")
 	}
-	return r.open()
+	return r.open(former)
 }
 
 // stop answers all that waits and closes the file.
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -123,9 +123,7 @@
 		return nil
 	}
 	if !n.bound() {
-		// A leader that speaks to this very replica ID shows that the ID belongs to its
-		// formation, and that this formation has a majority.
-		if !fromLeader(m.Type) {
+		if !provesFormation(m) {
 			return nil
 		}
 		if err := n.bind(m.Formation, nil); err != nil {
@@ -141,11 +139,16 @@
 	return nil
 }
 
-func fromLeader(t raftpb.MessageType) bool {
-	switch t {
+// provesFormation tells whether a message to this very replica ID shows that its formation
+// has, or had, a leader and so a majority. A mere candidate of a formation that never came
+// about must not bind this replica.
+func provesFormation(m *raftpb.Message) bool {
+	switch m.Type {
 	case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
 		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
 		return true
+	case raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE, raftpb.MessageType_MESSAGE_TYPE_VOTE:
+		return m.Index > formationIndex
 	}
 	return false
 }
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -1,11 +1,11 @@
 package replica
 
 import (
-	"encoding/json"
-	"fmt"
+	"encoding/binary"
 	"math/rand"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
 
 	"egretramp/internal/raft"
 	"egretramp/internal/raft/invariant"
@@ -16,20 +16,38 @@
 var errCrash = errors.New("simulated crash")
 
 // recorder is a state machine that remembers at which index it saw each command.
-type recorder struct{ seen map[string]uint64 }
+type recorder struct{ log []recorded }
 
-func newRecorder() *recorder { return &recorder{seen: map[string]uint64{}} }
+type recorded struct{ command, index uint64 }
 
 func (r *recorder) Apply(index uint64, data []byte) []byte {
-	r.seen[string(data)] = index
-	return fmt.Appendf(nil, "%d", index)
+	r.log = append(r.log, recorded{binary.BigEndian.Uint64(data), index})
+	return binary.BigEndian.AppendUint64(nil, index)
 }
 
-func (r *recorder) Snapshot() ([]byte, error) { return json.Marshal(r.seen) }
+func (r *recorder) Snapshot() ([]byte, error) {
+	data := make([]byte, 0, len(r.log)*16)
+	for _, e := range r.log {
+		data = binary.BigEndian.AppendUint64(data, e.command)
+		data = binary.BigEndian.AppendUint64(data, e.index)
+	}
+	return data, nil
+}
 
 func (r *recorder) Restore(data []byte) error {
-	r.seen = map[string]uint64{}
-	return json.Unmarshal(data, &r.seen)
+	r.log = nil
+	for ; len(data) > 0; data = data[16:] {
+		r.log = append(r.log, recorded{binary.BigEndian.Uint64(data), binary.BigEndian.Uint64(data[8:])})
+	}
+	return nil
+}
+
+// last returns the index of the newest command.
+func (r *recorder) last() uint64 {
+	if len(r.log) == 0 {
+		return 0
+	}
+	return r.log[len(r.log)-1].index
 }
 
 // fakeDisk is a store that survives the node, and may crash before or after a sync.
@@ -72,7 +90,8 @@
 
 func (d *fakeDisk) write(b storage.Batch) {
 	if b.Formation != 0 {
-		d.identity = &raftpb.Identity{Group: 1, Replica: d.identity.Replica, Vm: d.identity.Vm, Formation: b.Formation}
+		d.identity = proto.Clone(d.identity).(*raftpb.Identity)
+		d.identity.Formation = b.Formation
 	}
 	if b.Hard != nil {
 		d.state.Hard = b.Hard
@@ -124,7 +143,7 @@
 	now      int
 	faults   bool
 	nextID   uint64
-	commands int
+	commands uint64
 	losses   int
 	led      bool
 	err      error
@@ -183,7 +202,7 @@
 }
 
 func (s *simulation) boot(m *machine) {
-	m.app = newRecorder()
+	m.app = &recorder{}
 	options := nodeOptions{
 		group: 1, vm: m.vm, initialVMs: s.initial, machine: m.app,
 		electionTicks: simElectionTicks, heartbeatTicks: simHeartbeatTicks, snapshotEvery: simSnapshotEvery,
@@ -290,7 +309,9 @@
 	}
 	s.fail(err)
 	if m.node.greeter.abandoned {
+		former := formerReplicas(m.disk.identity)
 		s.wipe(m)
+		m.disk.identity.Former = former
 		s.boot(m)
 		return
 	}
@@ -322,34 +343,20 @@
 		}
 		for range s.random.Intn(3) {
 			s.commands++
-			command := fmt.Sprintf("command %d", s.commands)
-			m.node.propose([]byte(command), func(result []byte, err error) {
+			command := s.commands
+			m.node.propose(binary.BigEndian.AppendUint64(nil, command), func(result []byte, err error) {
 				if err == nil {
-					s.checker.Acknowledged(command, m.app.seen[command])
+					s.checker.Acknowledged(command, binary.BigEndian.Uint64(result))
 				}
 			})
 		}
 		if s.chance(300) {
 			floor, app, id := s.checker.ReadFloor(), m.app, m.node.raft.ID()
-			n := m.node
-			n.readIndex(func(err error) {
+			m.node.readIndex(func(err error) {
 				if err == nil {
-					s.fail(s.checker.Read(id, floor, n.applied))
-					s.fail(seesAll(app, s.checker, floor))
+					s.fail(s.checker.Read(id, floor, app.last()))
 				}
 			})
 		}
 	}
 }
-
-func seesAll(app *recorder, _ *invariant.Checker, floor uint64) error {
-	for _, index := range app.seen {
-		if index >= floor {
-			return nil
-		}
-	}
-	if floor == 0 {
-		return nil
-	}
-	return errors.Newf("the state read lacks the command acknowledged at %d", floor)
-}
--- a/internal/replica/simfaults_test.go
+++ b/internal/replica/simfaults_test.go
@@ -21,6 +21,7 @@
 const (
 	faultyTicks   = 500
 	healTicks     = 900
+	settleTicks   = 50
 	parallelSeeds = 4
 )
 
@@ -146,20 +147,26 @@
 		m.frozenUntil = 0
 		m.downUntil = 0
 	}
-	for range healTicks {
+	var err error
+	for tick := range healTicks {
 		s.step()
 		if s.err != nil {
 			return s.err
 		}
+		if tick%settleTicks == settleTicks-1 {
+			if err = s.checkConverged(); err == nil {
+				return nil
+			}
+		}
 	}
+	return err
+}
+
+func (s *simulation) checkConverged() error {
 	leader := s.leader()
 	if leader == nil {
 		return errors.New("liveness: no leader after all faults ended")
 	}
-	return s.checkConverged(leader)
-}
-
-func (s *simulation) checkConverged(leader *machine) error {
 	conf := leader.node.raft.Conf()
 	for _, member := range conf.Members {
 		if member.Learner || !s.hasDisk(member) {
@@ -184,15 +191,15 @@
 }
 
 // recentlyKnown completes a follower's state by what the leader has applied ahead of it.
-func recentlyKnown(m, leader *machine) map[string]uint64 {
-	state := map[string]uint64{}
-	for command, index := range leader.app.seen {
-		if index > m.node.applied {
-			state[command] = index
+func recentlyKnown(m, leader *machine) map[uint64]uint64 {
+	state := map[uint64]uint64{}
+	for _, e := range leader.app.log {
+		if e.index > m.node.applied {
+			state[e.command] = e.index
 		}
 	}
-	for command, index := range m.app.seen {
-		state[command] = index
+	for _, e := range m.app.log {
+		state[e.command] = e.index
 	}
 	return state
 }
