--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -54,6 +54,12 @@
 	return c.do(ctx, http.MethodPost, "faults", now, nil)
 }
 
+// Faults returns the fault switches in force.
+func (c *Client) Faults(ctx context.Context) (Faults, error) {
+	var now Faults
+	return now, c.do(ctx, http.MethodGet, "faults", nil, &now)
+}
+
 // Orders returns the orders that an engine was given.
 func (c *Client) Orders(ctx context.Context) ([]OrderRecord, error) {
 	var list []OrderRecord
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -56,6 +56,12 @@
 	reply, err := client.Received(context.Background(), "other-key")
 	require.NoError(t, err)
 	require.Equal(t, ReceivedReply{Contains: false, Complete: false}, reply)
+	require.NoError(t, client.Watch(context.Background(), []string{"other-key", "watched-key"}))
+	for s, want := range map[string]ReceivedReply{"other-key": {}, "watched-key": {Contains: true, Complete: true}} {
+		reply, err := client.Received(context.Background(), s)
+		require.NoError(t, err)
+		require.Equal(t, want, reply, "a string watched late")
+	}
 }
 
 func TestReceived_FindsWatchedStringAcrossReads(t *testing.T) {
--- a/internal/fakes/received.go
+++ b/internal/fakes/received.go
@@ -14,10 +14,17 @@
 	size    int
 	dropped int64
 	logs    []*connLog
-	watched map[string]bool // string -> seen
+	watched map[string]*watched
 	file    *recordFile
 }
 
+// watched is the state of a watched string.
+type watched struct {
+	seen bool
+	// late says that bytes had been dropped before it was watched.
+	late bool
+}
+
 // connLog holds what one connection brought.
 type connLog struct {
 	data []byte
@@ -27,9 +34,9 @@
 }
 
 func newReceived(limit int, watch []string, file *recordFile) *received {
-	r := &received{limit: limit, watched: map[string]bool{}, file: file}
+	r := &received{limit: limit, watched: map[string]*watched{}, file: file}
 	for _, s := range watch {
-		r.watched[s] = false
+		r.watched[s] = &watched{}
 	}
 	return r
 }
@@ -51,10 +58,10 @@
 func (r *received) search(l *connLog, p []byte) {
 	longest := 0
 	window := append(append([]byte(nil), l.tail...), p...)
-	for s, seen := range r.watched {
+	for s, w := range r.watched {
 		longest = max(longest, len(s))
-		if !seen && bytes.Contains(window, []byte(s)) {
-			r.watched[s] = true
+		if !w.seen && bytes.Contains(window, []byte(s)) {
+			w.seen = true
 			r.file.write(record{Seen: s})
 		}
 	}
@@ -82,19 +89,25 @@
 
 // watch searches for s from now on; what is still kept is searched at once.
 func (r *received) watch(s string) {
-	found := r.contains([]byte(s))
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.watched[s] = r.watched[s] || found
+	if r.watched[s] == nil {
+		r.watched[s] = &watched{seen: r.kept([]byte(s)), late: r.dropped > 0}
+	}
 }
 
 // contains reports whether s arrived: among the bytes kept, or earlier if s is watched.
 func (r *received) contains(s []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.watched[string(s)] {
+	if w := r.watched[string(s)]; w != nil && w.seen {
 		return true
 	}
+	return r.kept(s)
+}
+
+// kept reports whether s is among the bytes kept. The caller holds mu.
+func (r *received) kept(s []byte) bool {
 	for _, l := range r.logs {
 		if bytes.Contains(l.data, s) {
 			return true
@@ -104,10 +117,10 @@
 }
 
 // complete reports whether an answer of contains covers all bytes that ever arrived: nothing
-// was dropped, or s was watched from the start.
+// was dropped before s was watched, or at all.
 func (r *received) complete(s []byte) bool {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	_, watched := r.watched[string(s)]
-	return r.dropped == 0 || watched
+	w := r.watched[string(s)]
+	return r.dropped == 0 || w != nil && !w.late
 }
--- /dev/null
+++ b/internal/harness/admin.go
@@ -0,0 +1,76 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os/exec"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Paths of the administration listener.
+const (
+	pathStatus = "/v1/status"
+	pathVars   = "/debug/vars"
+)
+
+// adminClient never reuses a connection, so that one to a killed VM is never tried again.
+var adminClient = &http.Client{
+	Timeout:   5 * time.Second,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// Vars are the counters that the harness reads of a VM; nil where the VM has none.
+type Vars struct {
+	PeerBytesSent     *int64 `json:"peer_bytes_sent"`
+	PeerBytesReceived *int64 `json:"peer_bytes_received"`
+}
+
+// WaitReady waits until the VM answers operators, for as long as ctx lasts.
+func (v *VM) WaitReady(ctx context.Context) error {
+	return v.waitFor(ctx, func(ctx context.Context) error {
+		_, err := v.admin(ctx, pathStatus)
+		return err
+	})
+}
+
+// Vars reads the VM's counters.
+func (v *VM) Vars(ctx context.Context) (Vars, error) {
+	var vars Vars
+	data, err := v.admin(ctx, pathVars)
+	if err != nil {
+		return vars, err
+	}
+	return vars, errors.Wrap(json.Unmarshal(data, &vars), "harness: counters are not understood")
+}
+
+func (v *VM) admin(ctx context.Context, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Settings.Listen.Admin+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "harness: bad administration request")
+	}
+	resp, err := adminClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "harness: %s does not answer operators", v.Name)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "harness: answer of %s broke off", v.Name)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("harness: %s answered %s with status %d: %.200s", v.Name, path, resp.StatusCode, data)
+	}
+	return data, nil
+}
+
+// Apply applies an operators' file through a VM, waits until it is in force everywhere, and
+// returns the tool's output.
+func (f *Fleet) Apply(ctx context.Context, vm *VM, path string) (string, error) {
+	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", path, "--wait", "--admin", vm.Settings.Listen.Admin)
+	out, err := cmd.CombinedOutput()
+	return string(out), errors.Wrapf(err, "harness: egretrampctl apply failed:\n%s", indent(string(out)))
+}
--- /dev/null
+++ b/internal/harness/fleet.go
@@ -0,0 +1,223 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"egretramp/internal/settings"
+)
+
+// Names of the programs in the folder of binaries.
+const (
+	daemonProgram = "egretrampd"
+	toolProgram   = "egretrampctl"
+	fakeProgram   = "egretramp-fake"
+)
+
+// Options describe a fleet on one machine.
+type Options struct {
+	// Bin is the folder of the programs.
+	Bin string
+	// Dir is the folder of settings, data and logs.
+	Dir string
+	// Zones are the availability zones.
+	Zones []Zone
+	// ShutdownLimitSeconds is written into the settings. Seconds; 0: the daemon's default.
+	ShutdownLimitSeconds float64
+	// LogLevel is written into the settings. Empty: the daemon's default.
+	LogLevel string
+}
+
+// Zone is an availability zone with its VMs. The first Control of them have data folders.
+type Zone struct {
+	Name    string
+	VMs     int
+	Control int
+}
+
+// VM is one daemon.
+type VM struct {
+	*Process
+	Settings settings.Settings
+}
+
+// Control reports whether the VM has a data folder.
+func (v *VM) Control() bool {
+	return v.Settings.DataFolder != ""
+}
+
+// EraseData removes the data of a VM that is not running, as when its disk is lost.
+func (v *VM) EraseData() error {
+	if v.Running() {
+		return errors.Newf("harness: %s is running", v.Name)
+	}
+	if err := os.RemoveAll(v.Settings.DataFolder); err != nil {
+		return errors.Wrap(err, "harness: cannot erase the data folder")
+	}
+	return errors.Wrap(os.MkdirAll(v.Settings.DataFolder, 0o700), "harness: cannot make the data folder")
+}
+
+// Fleet is a set of VMs and stand-ins.
+type Fleet struct {
+	opts      Options
+	ports     *ports
+	VMs       []*VM
+	Upstreams []*Upstream
+}
+
+// New plans a fleet and writes the settings of its VMs. Nothing runs yet.
+func New(opts Options) (*Fleet, error) {
+	f := &Fleet{opts: opts, ports: newPorts()}
+	for _, name := range []string{daemonProgram, toolProgram, fakeProgram} {
+		if _, err := os.Stat(f.program(name)); err != nil {
+			return nil, errors.Wrap(err, "harness: a program is missing; build them first")
+		}
+	}
+	for _, dir := range []string{f.logs(), f.data()} {
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return nil, errors.Wrap(err, "harness: cannot make a folder")
+		}
+	}
+	for _, z := range opts.Zones {
+		for i := range z.VMs {
+			if err := f.addVM(z, i); err != nil {
+				return nil, err
+			}
+		}
+	}
+	return f, f.writeSettings()
+}
+
+func (f *Fleet) program(name string) string {
+	return filepath.Join(f.opts.Bin, name)
+}
+
+func (f *Fleet) logs() string {
+	return filepath.Join(f.opts.Dir, "logs")
+}
+
+func (f *Fleet) data() string {
+	return filepath.Join(f.opts.Dir, "data")
+}
+
+func (f *Fleet) addVM(z Zone, i int) error {
+	name := fmt.Sprintf("%s-vm%d", z.Name, i+1)
+	s := settings.Settings{
+		VM:                   name,
+		Zone:                 z.Name,
+		ShutdownLimitSeconds: f.opts.ShutdownLimitSeconds,
+		LogLevel:             f.opts.LogLevel,
+	}
+	l := &s.Listen
+	for _, field := range []*string{&l.Callers, &l.Upstreams, &l.Peers, &l.Admin} {
+		addr, err := f.ports.take()
+		if err != nil {
+			return err
+		}
+		*field = addr
+	}
+	if i < z.Control {
+		s.DataFolder = filepath.Join(f.data(), name)
+		if err := os.MkdirAll(s.DataFolder, 0o700); err != nil {
+			return errors.Wrap(err, "harness: cannot make a data folder")
+		}
+	}
+	process := NewProcess(name, f.logs(), f.program(daemonProgram), "--settings", f.settingsPath(name))
+	f.VMs = append(f.VMs, &VM{Process: process, Settings: s})
+	return nil
+}
+
+func (f *Fleet) settingsPath(vm string) string {
+	return filepath.Join(f.opts.Dir, vm+".json")
+}
+
+// writeSettings gives every VM the list of all.
+func (f *Fleet) writeSettings() error {
+	var peers []settings.Peer
+	for _, vm := range f.VMs {
+		s := vm.Settings
+		peers = append(peers, settings.Peer{VM: s.VM, Zone: s.Zone, Address: s.Listen.Peers, Control: vm.Control()})
+	}
+	for _, vm := range f.VMs {
+		vm.Settings.Peers = peers
+		if err := WriteJSON(f.settingsPath(vm.Name), vm.Settings); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WriteJSON writes v to a file.
+func WriteJSON(path string, v any) error {
+	data, err := json.MarshalIndent(v, "", "  ")
+	if err != nil {
+		return errors.Wrap(err, "harness: cannot encode")
+	}
+	return errors.Wrap(os.WriteFile(path, data, 0o600), "harness: cannot write a file")
+}
+
+// StartVMs starts all VMs and waits until each of them answers operators, for as long as ctx
+// lasts.
+func (f *Fleet) StartVMs(ctx context.Context) error {
+	for _, vm := range f.VMs {
+		if err := vm.Start(); err != nil {
+			return err
+		}
+	}
+	for _, vm := range f.VMs {
+		if err := vm.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// CallerAddresses returns the callers' listeners of all VMs.
+func (f *Fleet) CallerAddresses() []string {
+	var list []string
+	for _, vm := range f.VMs {
+		list = append(list, vm.Settings.Listen.Callers)
+	}
+	return list
+}
+
+// Stop ends everything that runs, the VMs first: SIGTERM, and SIGKILL for what has not ended
+// within limit. It returns the names of those that had to be killed.
+func (f *Fleet) Stop(limit time.Duration) (killed []string) {
+	var vms, upstreams []*Process
+	for _, vm := range f.VMs {
+		vms = append(vms, vm.Process)
+	}
+	for _, u := range f.Upstreams {
+		upstreams = append(upstreams, u.Process)
+	}
+	return append(stopAll(vms, limit), stopAll(upstreams, limit)...)
+}
+
+func stopAll(list []*Process, limit time.Duration) (killed []string) {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	var mu sync.Mutex
+	var wg conc.WaitGroup
+	for _, p := range list {
+		wg.Go(func() {
+			graceful, err := p.Terminate(ctx)
+			if graceful || errors.Is(err, ErrNotRunning) {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			killed = append(killed, p.Name)
+		})
+	}
+	wg.Wait()
+	return killed
+}
--- /dev/null
+++ b/internal/harness/upstream.go
@@ -0,0 +1,144 @@
+package harness
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
+	"egretramp/internal/fakes"
+)
+
+// UpstreamSpec describes a stand-in that runs as a process.
+type UpstreamSpec struct {
+	Name   string
+	Zone   string
+	Kind   config.UpstreamKind
+	Class  string
+	Secret string
+	Serves []string
+	// Aliases map further names of a model to the one that answers are derived from.
+	Aliases map[string]string
+	// Args are further arguments of egretramp-fake.
+	Args []string
+}
+
+// Upstream is a stand-in. It keeps its address over restarts.
+type Upstream struct {
+	*Process
+	Spec    UpstreamSpec
+	Address string
+	Control *fakes.Client
+	records string
+}
+
+// AddUpstream plans a stand-in, which announces itself to the VMs of its zone first.
+func (f *Fleet) AddUpstream(spec UpstreamSpec) (*Upstream, error) {
+	addr, err := f.ports.take()
+	if err != nil {
+		return nil, err
+	}
+	records := filepath.Join(f.opts.Dir, spec.Name+".records")
+	args := []string{
+		"--kind", string(spec.Kind), "--name", spec.Name, "--zone", spec.Zone,
+		"--class", spec.Class, "--secret", spec.Secret, "--listen", addr,
+		"--announce", strings.Join(f.announceTo(spec.Zone), ","),
+		"--serves", strings.Join(spec.Serves, ","), "--record-to", records,
+	}
+	for name, model := range spec.Aliases {
+		args = append(args, "--alias", name+"="+model)
+	}
+	u := &Upstream{
+		Process: NewProcess(spec.Name, f.logs(), f.program(fakeProgram), append(args, spec.Args...)...),
+		Spec:    spec,
+		Address: addr,
+		Control: fakes.NewClient(addr),
+		records: records,
+	}
+	f.Upstreams = append(f.Upstreams, u)
+	return u, nil
+}
+
+func (f *Fleet) announceTo(zone string) []string {
+	var own, others []string
+	for _, vm := range f.VMs {
+		if vm.Settings.Zone == zone {
+			own = append(own, vm.Settings.Listen.Upstreams)
+			continue
+		}
+		others = append(others, vm.Settings.Listen.Upstreams)
+	}
+	return slices.Concat(own, others)
+}
+
+// StartUpstreams starts all stand-ins, waits until they answer, and has them watch for the
+// strings.
+func (f *Fleet) StartUpstreams(ctx context.Context, watch []string) error {
+	for _, u := range f.Upstreams {
+		if err := u.Start(); err != nil {
+			return err
+		}
+	}
+	for _, u := range f.Upstreams {
+		if err := u.WaitReady(ctx); err != nil {
+			return err
+		}
+		if err := u.Control.Watch(ctx, watch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// WaitReady waits until the stand-in answers, for as long as ctx lasts.
+func (u *Upstream) WaitReady(ctx context.Context) error {
+	return u.waitFor(ctx, func(ctx context.Context) error {
+		_, err := u.Control.Faults(ctx)
+		return err
+	})
+}
+
+// Records returns what the stand-in recorded in all of its incarnations.
+func (u *Upstream) Records() (fakes.Records, error) {
+	return fakes.ReadRecords(u.records)
+}
+
+// Pause between two tries while waiting, and the limit of one try.
+const (
+	readyPause = 50 * time.Millisecond
+	readyTry   = time.Second
+)
+
+// waitFor tries again and again until a try succeeds, ctx ends, or the process does.
+func (p *Process) waitFor(ctx context.Context, try func(context.Context) error) error {
+	for {
+		limited, cancel := context.WithTimeout(ctx, readyTry)
+		err := try(limited)
+		cancel()
+		if err == nil {
+			return nil
+		}
+		select {
+		case <-p.Exited():
+			return errors.Newf("harness: %s ended; its output ends with:\n%s", p.Name, indent(p.LogTail()))
+		case <-ctx.Done():
+			return errors.Wrapf(err, "harness: %s did not get ready; its output ends with:\n%s\nlast try", p.Name, indent(p.LogTail()))
+		case <-time.After(readyPause):
+		}
+	}
+}
+
+func indent(text string) string {
+	var b strings.Builder
+	lines := bufio.NewScanner(strings.NewReader(text))
+	for lines.Scan() {
+		fmt.Fprintf(&b, "    %s\n", lines.Text())
+	}
+	return strings.TrimSuffix(b.String(), "\n")
+}
