--- /dev/null
+++ b/internal/daemon/backend.go
@@ -0,0 +1,278 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
+
+	"egretramp/internal/admin"
+	"egretramp/internal/admin/api"
+	"egretramp/internal/control"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/fleet"
+	"egretramp/internal/groups"
+	"egretramp/internal/program"
+	"egretramp/internal/replica"
+)
+
+// retryMajority is when to come back to a VM that reaches no majority.
+const retryMajority = 2 * time.Second
+
+// backend does what operators ask for.
+type backend struct {
+	daemon *Daemon
+}
+
+// Apply proposes a file.
+func (b *backend) Apply(ctx context.Context, r admin.ApplyRequest) (api.Applied, error) {
+	command, err := control.NewApplyConfig("configuration", r.Text, r.Operator, r.RequestID)
+	if err != nil {
+		return api.Applied{}, err
+	}
+	result, err := b.propose(ctx, command)
+	if err != nil {
+		return api.Applied{}, err
+	}
+	a := result.Applied
+	return api.Applied{
+		Generation: a.Generation, Hash: a.Hash, Operator: a.Operator, RequestID: a.RequestID, Newest: a.InForce,
+	}, nil
+}
+
+// WithdrawKeys withdraws keys. This VM stops serving them at once, also without a majority.
+func (b *backend) WithdrawKeys(ctx context.Context, keyIDs []string) (api.Withdrawn, error) {
+	result, err := b.propose(ctx, control.Command{WithdrawKeys: &control.WithdrawKeys{IDs: keyIDs}})
+	if err != nil {
+		return api.Withdrawn{}, err
+	}
+	w := result.Withdrawn
+	return api.Withdrawn{Now: w.Now, Already: w.Already, Unknown: w.Unknown}, nil
+}
+
+// propose proposes a command until it is answered; all of the operators' commands are idempotent.
+func (b *backend) propose(ctx context.Context, c control.Command) (control.Result, error) {
+	for {
+		result, err := controlProposer{client: b.daemon.groups}.Propose(ctx, c)
+		switch {
+		case err == nil && result.Refusal != nil:
+			return result, api.RefusalError(result.Refusal)
+		case err == nil:
+			return result, nil
+		case errors.Is(err, groups.ErrNotProposed):
+			return result, api.NoMajority(retryMajority)
+		case !errors.Is(err, groups.ErrUnknownOutcome):
+			return result, err
+		case ctx.Err() != nil:
+			return result, &api.Error{
+				Status: http.StatusGatewayTimeout, Code: api.CodeTimeout, RetryAfter: retryMajority,
+				Message: "the outcome is unknown; sending the same again is safe",
+			}
+		}
+	}
+}
+
+// Status returns what this VM knows.
+func (b *backend) Status(ctx context.Context) (api.Status, error) {
+	d := b.daemon
+	text, err := d.fleet.ConfigText(ctx)
+	if err != nil {
+		return api.Status{}, err
+	}
+	dump, err := d.fleet.Dump(ctx)
+	if err != nil {
+		return api.Status{}, err
+	}
+	members, err := d.fleet.Members(ctx)
+	if err != nil {
+		return api.Status{}, err
+	}
+	acceptance := d.fleet.View().Acceptance
+	return api.Status{
+		VM:               d.settings.VM,
+		Zone:             d.settings.Zone,
+		Version:          d.version,
+		Control:          len(d.replicas) > 0,
+		Leader:           d.controlLeader(),
+		ControlReachable: dump.Lease.Valid && dump.Lease.ContactAge < contactFresh,
+		Draining:         d.gateway.Draining(),
+		Generation:       acceptance.Generation,
+		ConfigHash:       acceptance.Hash,
+		Operator:         acceptance.Operator,
+		WithdrawnKeys:    int(dump.Digest.WithdrawnCount),
+		Epoch:            dump.Epoch.Number,
+		VMs:              b.vms(members),
+		ConfigText:       text,
+	}, nil
+}
+
+// contactFresh is how recent a contact with control has to be to call it reachable.
+const contactFresh = 5 * time.Second
+
+func (b *backend) vms(members []control.VM) []api.VM {
+	isControl := map[string]bool{}
+	for _, vm := range b.daemon.groups.ControlVMs() {
+		isControl[vm] = true
+	}
+	all := make([]api.VM, 0, len(members))
+	for _, vm := range members {
+		all = append(all, api.VM{
+			VM: vm.VM, Zone: vm.Zone, Incarnation: vm.Incarnation, Control: isControl[vm.VM],
+			Alive: b.daemon.fleet.Alive(vm.VM), Admin: vm.Addresses.Admin,
+		})
+	}
+	return all
+}
+
+// controlLeader returns the leader of the control group as far as this VM knows.
+func (d *Daemon) controlLeader() string {
+	r, ok := d.replicas[groups.Control]
+	if !ok {
+		return ""
+	}
+	vm, _ := r.Leader()
+	return vm
+}
+
+// Dump is the state of the process.
+type Dump struct {
+	VM        string                    `json:"vm"`
+	Version   string                    `json:"version"`
+	Fleet     fleet.Dump                `json:"fleet"`
+	Groups    map[uint64]replica.Status `json:"groups,omitempty"`
+	Dispatch  dispatch.Dump             `json:"dispatch"`
+	Pools     []dispatch.PoolSummary    `json:"pools"`
+	InFlight  int                       `json:"requests_in_flight"`
+	Connected map[string]bool           `json:"connected"`
+}
+
+// Dump returns the state of the process.
+func (b *backend) Dump(ctx context.Context) (any, error) {
+	d := b.daemon
+	fleetDump, err := d.fleet.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	hostDump, err := d.host.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	dump := Dump{
+		VM: d.settings.VM, Version: d.version, Fleet: fleetDump, Dispatch: hostDump,
+		Groups: map[uint64]replica.Status{}, Pools: d.dispatcher.Pools(),
+		InFlight: d.gateway.InFlight(), Connected: map[string]bool{},
+	}
+	for group, r := range d.replicas {
+		dump.Groups[group] = r.Status()
+	}
+	for _, vm := range d.node.VMs() {
+		dump.Connected[vm] = d.node.Connected(vm)
+	}
+	return dump, nil
+}
+
+// Programs lists programs.
+func (b *backend) Programs(ctx context.Context, q admin.ProgramsQuery) (api.Programs, error) {
+	snapshot := b.daemon.fleet.Snapshot()
+	if snapshot == nil {
+		return api.Programs{Programs: []api.Program{}}, nil
+	}
+	var accounts []string
+	for _, a := range snapshot.Accounts() {
+		accounts = append(accounts, a.ID)
+	}
+	if q.Account != "" {
+		a, ok := snapshot.Account(q.Account)
+		if !ok {
+			return api.Programs{}, &api.Error{Status: http.StatusNotFound, Code: api.CodeNotFound, Message: "no client account has this name"}
+		}
+		accounts = []string{a.ID}
+	}
+	list := api.Programs{Programs: []api.Program{}}
+	for _, account := range accounts {
+		if err := b.listAccount(ctx, account, q.Limit, &list); err != nil {
+			return api.Programs{}, api.NoMajority(retryMajority)
+		}
+	}
+	return list, nil
+}
+
+func (b *backend) listAccount(ctx context.Context, account string, limit int, list *api.Programs) error {
+	after := ""
+	for {
+		page, err := b.daemon.ledger.List(ctx, program.ListQuery{Account: account, After: after})
+		if err != nil {
+			return err
+		}
+		for _, p := range page.Programs {
+			list.Total++
+			if len(list.Programs) < limit {
+				list.Programs = append(list.Programs, programRow(account, p))
+			}
+			after = p.Name
+		}
+		if !page.More {
+			return nil
+		}
+	}
+}
+
+func programRow(account string, p program.Summary) api.Program {
+	return api.Program{
+		Program: p.Name, Account: account, Parent: p.Parent, State: string(p.State), Turn: int64(p.NextTurn) - 1,
+		TokensUsed: p.Used.Tokens, TokensBudget: p.Limit.Tokens, CallsUsed: p.Used.Calls, CallsBudget: p.Limit.Calls,
+	}
+}
+
+// Upstreams lists the upstreams of all pools: each dispatcher knows its own.
+func (b *backend) Upstreams(ctx context.Context) (api.Upstreams, error) {
+	vms := append([]string{b.daemon.settings.VM}, b.daemon.fleet.VMs()...)
+	found := iter.Map(vms, func(vm *string) []dispatch.Listed {
+		listed, err := b.daemon.dispatcher.ListAt(ctx, *vm)
+		if err != nil {
+			return nil // a VM that cannot be reached dispatches for nobody here
+		}
+		return listed
+	})
+	byName := map[string]dispatch.Listed{}
+	for _, listed := range found {
+		for _, l := range listed {
+			if known, ok := byName[l.Record.Upstream]; !ok || l.AgeMS < known.AgeMS {
+				byName[l.Record.Upstream] = l
+			}
+		}
+	}
+	return upstreamRows(byName), nil
+}
+
+func upstreamRows(byName map[string]dispatch.Listed) api.Upstreams {
+	rows := api.Upstreams{Upstreams: []api.Upstream{}}
+	for _, name := range sortedNames(byName) {
+		l := byName[name]
+		r := l.Record
+		rows.Upstreams = append(rows.Upstreams, api.Upstream{
+			Upstream: r.Upstream, Class: r.Class, Kind: r.Kind, Zone: r.Zone, Address: r.Address, Serves: r.Serves,
+			State: "up", Slots: r.Limits.Slots, Running: r.Load.Running, Waiting: r.Load.Waiting,
+			KVTokens: r.Limits.KVTokens, KVTokensUsed: r.Load.KVTokensUsed, ChecksFencing: r.ChecksFencing, AgeMS: l.AgeMS,
+		})
+	}
+	return rows
+}
+
+// InForce asks all VMs for their generation.
+func (b *backend) InForce(ctx context.Context) (api.InForce, error) {
+	members, err := b.daemon.fleet.Members(ctx)
+	if err != nil {
+		return api.InForce{}, err
+	}
+	return api.InForce{VMs: iter.Map(members, func(vm *control.VM) api.VMInForce {
+		row := api.VMInForce{VM: vm.VM, Zone: vm.Zone}
+		status, err := b.daemon.fleet.StatusOf(ctx, vm.VM)
+		if err == nil {
+			row.Generation, row.Reached = status.Generation, true
+		}
+		return row
+	})}, nil
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,256 @@
+// Package daemon wires the slices of one VM's process together, starts and stops them.
+package daemon
+
+import (
+	"context"
+	"net"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"egretramp/internal/control"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/events"
+	"egretramp/internal/fleet"
+	"egretramp/internal/gateway"
+	"egretramp/internal/groups"
+	"egretramp/internal/membership"
+	"egretramp/internal/peer"
+	"egretramp/internal/program"
+	"egretramp/internal/settings"
+	"egretramp/internal/upstream"
+)
+
+// Daemon is the process of one VM.
+type Daemon struct {
+	settings    *settings.Settings
+	version     string
+	incarnation int64
+	events      *events.Logger
+
+	node       *peer.Node
+	replicas   groups.Replicas
+	groups     *groups.Client
+	fleet      *fleet.Fleet
+	host       *dispatch.Host
+	dispatcher *dispatch.Client
+	gateway    *gateway.Server
+	ledger     *program.Ledger
+	listeners  listeners
+}
+
+// listeners are the four open listeners.
+type listeners struct {
+	callers, upstreams, peers, admin net.Listener
+}
+
+// Run runs the daemon until ctx ends, and then shuts it down gracefully. A second signal,
+// received on hurry, ends the shutdown early.
+func Run(ctx context.Context, s *settings.Settings, version string, hurry <-chan os.Signal) error {
+	d, err := New(s, version)
+	if err != nil {
+		return err
+	}
+	return d.Run(ctx, hurry)
+}
+
+// New builds a daemon and opens its listeners and data folder.
+func New(s *settings.Settings, version string) (*Daemon, error) {
+	level, err := zapcore.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: log level")
+	}
+	logger, err := events.New(s.VM, level)
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: cannot open the log")
+	}
+	d := &Daemon{settings: s, version: version, incarnation: time.Now().UnixNano(), events: logger}
+	// The listener for other VMs comes first: while another process of this VM's name holds
+	// it, this one must not ask for a lease.
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	if err := d.build(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		address string
+		to      *net.Listener
+	}{
+		{d.settings.Listen.Peers, &d.listeners.peers},
+		{d.settings.Listen.Admin, &d.listeners.admin},
+		{d.settings.Listen.Upstreams, &d.listeners.upstreams},
+		{d.settings.Listen.Callers, &d.listeners.callers},
+	} {
+		listener, err := net.Listen("tcp", l.address)
+		if err != nil {
+			return errors.Wrapf(err, "daemon: cannot listen on %s", l.address)
+		}
+		*l.to = listener
+	}
+	return nil
+}
+
+func (d *Daemon) build() error {
+	d.buildNetwork()
+	if err := d.buildReplicas(); err != nil {
+		return err
+	}
+	d.buildFleet()
+	d.buildDispatch()
+	d.buildLedger()
+	d.gateway = gateway.New(gateway.Options{
+		VM:         d.settings.VM,
+		Authority:  d.fleet,
+		Limiter:    d.fleet,
+		Dispatcher: d.dispatcher,
+		Caller:     upstream.NewCaller(),
+		Events:     d.events,
+	})
+	d.register()
+	publishVars(d)
+	return nil
+}
+
+func (d *Daemon) buildNetwork() {
+	peers := map[string]string{}
+	for _, p := range d.settings.Peers {
+		peers[p.VM] = p.Address
+	}
+	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events})
+	d.groups = groups.NewClient(d.node, d.controlVMs())
+}
+
+// controlVMs returns the VMs with the control role, this one first and those of its zone next.
+func (d *Daemon) controlVMs() []string {
+	var own, near, far []string
+	for _, p := range d.settings.Peers {
+		switch {
+		case !p.Control:
+		case p.VM == d.settings.VM:
+			own = append(own, p.VM)
+		case p.Zone == d.settings.Zone:
+			near = append(near, p.VM)
+		default:
+			far = append(far, p.VM)
+		}
+	}
+	return append(append(own, near...), far...)
+}
+
+func (d *Daemon) buildFleet() {
+	var vms []membership.VM
+	for _, p := range d.settings.Peers {
+		vms = append(vms, membership.VM{Name: p.VM, Zone: p.Zone})
+	}
+	opts := fleet.Options{
+		VM:          d.settings.VM,
+		Zone:        d.settings.Zone,
+		Incarnation: d.incarnation,
+		Addresses: control.Addresses{
+			Callers:   d.settings.Listen.Callers,
+			Upstreams: d.settings.Listen.Upstreams,
+			Peers:     d.settings.Listen.Peers,
+			Admin:     d.settings.Listen.Admin,
+		},
+		VMs:        vms,
+		ControlVMs: d.groups.ControlVMs(),
+		Network:    d.node,
+		Proposer:   controlProposer{client: d.groups},
+		Withdrawn:  func() { d.gateway.KeysWithdrawn() },
+		Events:     d.events,
+	}
+	if r, ok := d.replicas[groups.Control]; ok {
+		opts.Leader = leader{replica: r}
+	}
+	d.fleet = fleet.New(opts)
+}
+
+func (d *Daemon) buildDispatch() {
+	d.host = dispatch.NewHost(dispatch.HostOptions{
+		VM:          d.settings.VM,
+		Network:     d.node,
+		Locator:     d.fleet,
+		Concurrency: d.concurrency,
+		Events:      d.events,
+	})
+	d.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
+		Zone:    d.settings.Zone,
+		Network: d.node,
+		Locator: d.fleet,
+	})
+}
+
+// concurrency returns a service's bound on the calls at one upstream.
+func (d *Daemon) concurrency(service string) int {
+	snapshot := d.fleet.Snapshot()
+	if snapshot == nil {
+		return 0
+	}
+	s, ok := snapshot.Service(service)
+	if !ok {
+		return 0
+	}
+	return s.Concurrency
+}
+
+// register connects the slices to the messages and calls between VMs.
+func (d *Daemon) register() {
+	d.node.HandleMessages(groups.KindRaft, d.replicas.HandleRaft)
+	d.node.HandleCalls(groups.MethodPropose, d.replicas.HandlePropose)
+	d.node.HandleCalls(groups.MethodQuery, d.replicas.HandleQuery)
+
+	d.node.HandleMessages(fleet.KindGossip, d.fleet.HandleGossip)
+	d.node.HandleMessages(fleet.KindLease, d.fleet.HandleLease)
+	d.node.HandleMessages(fleet.KindRenew, d.fleet.HandleRenew)
+	d.node.HandleMessages(fleet.KindLimit, d.fleet.HandleLimit)
+	d.node.HandleMessages(fleet.KindDigest, d.fleet.HandleDigest)
+	d.node.HandleCalls(fleet.MethodDelta, d.fleet.HandleDelta)
+	d.node.HandleCalls(fleet.MethodStatus, d.fleet.HandleStatus)
+
+	d.node.HandleMessages(dispatch.KindAnnounce, d.host.HandleAnnounce)
+	d.node.HandleMessages(dispatch.KindCancel, d.host.HandleCancel)
+	d.node.HandleMessages(dispatch.KindFinish, d.host.HandleFinish)
+	d.node.HandleMessages(dispatch.KindRefresh, d.host.HandleRefresh)
+	d.node.HandleCalls(dispatch.MethodEnqueue, d.host.HandleEnqueue)
+	d.node.HandleCalls(dispatch.MethodList, d.host.HandleList)
+	d.node.HandleMessages(dispatch.KindGrant, d.dispatcher.HandleGrant)
+	d.node.HandleMessages(dispatch.KindSummary, d.dispatcher.HandleSummary)
+}
+
+// Run serves until ctx ends and then shuts down. The parts that others need while requests are
+// under way end last.
+func (d *Daemon) Run(ctx context.Context, hurry <-chan os.Signal) error {
+	d.events.Emit(events.DaemonStarted, zap.String("version", d.version), zap.String("zone", d.settings.Zone))
+	tasks := newTasks()
+	d.start(tasks)
+	serving := d.serveHTTP()
+	select {
+	case <-ctx.Done():
+	case <-serving.failed:
+	case <-tasks.ctx.Done():
+	}
+	d.shutdown(serving, hurry)
+	err := errors.CombineErrors(serving.err(), tasks.stop())
+	d.events.Emit(events.DaemonStopped, zap.Error(err))
+	d.events.Sync()
+	return err
+}
+
+func (d *Daemon) start(tasks *tasks) {
+	tasks.run(func(ctx context.Context) error { return d.node.Serve(ctx, d.listeners.peers) })
+	for _, r := range d.replicas {
+		tasks.run(r.Run)
+	}
+	tasks.run(func(ctx context.Context) error { d.fleet.Run(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.host.Run(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.dispatcher.Run(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.keepPrograms(ctx); return nil })
+}
--- /dev/null
+++ b/internal/daemon/http.go
@@ -0,0 +1,158 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc/pool"
+	"go.uber.org/zap"
+
+	"os"
+
+	"egretramp/internal/admin"
+	"egretramp/internal/events"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+// Bounds of the HTTP servers.
+const (
+	readHeaderTimeout = 10 * time.Second
+	callerReadTimeout = 60 * time.Second
+	idleTimeout       = 120 * time.Second
+	maxHeaderBytes    = 64 << 10
+	// drainGrace is how long a VM that shuts down still takes new requests, so that the
+	// balancer has time to notice.
+	drainGrace = 1500 * time.Millisecond
+	drainPoll  = 50 * time.Millisecond
+)
+
+// serving are the HTTP servers under way.
+type serving struct {
+	callers, upstreams *http.Server
+	stopAdmin          context.CancelFunc
+	failed             chan struct{}
+
+	mu    sync.Mutex
+	first error
+	wait  func()
+}
+
+func (s *serving) fail(err error) {
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.first == nil {
+		s.first = err
+		close(s.failed)
+	}
+}
+
+func (s *serving) err() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.first
+}
+
+func (d *Daemon) serveHTTP() *serving {
+	s := &serving{failed: make(chan struct{})}
+	s.callers = &http.Server{
+		Handler:           d.gateway,
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       callerReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	s.upstreams = &http.Server{
+		Handler:           d.upstreamRoutes(),
+		ReadHeaderTimeout: readHeaderTimeout,
+		ReadTimeout:       readHeaderTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	adminCtx, stopAdmin := context.WithCancel(context.Background())
+	s.stopAdmin = stopAdmin
+	tasks := pool.New()
+	serve := func(server *http.Server, l net.Listener) { tasks.Go(func() { s.fail(server.Serve(l)) }) }
+	serve(s.callers, d.listeners.callers)
+	serve(s.upstreams, d.listeners.upstreams)
+	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events})
+	tasks.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
+	s.wait = tasks.Wait
+	return s
+}
+
+func (d *Daemon) upstreamRoutes() http.Handler {
+	router := httprouter.New()
+	router.Handler(http.MethodPost, wire.PathAnnounce, &upstream.Intake{
+		Classes: func() upstream.Classes {
+			if snapshot := d.fleet.Snapshot(); snapshot != nil {
+				return snapshot
+			}
+			return nil
+		},
+		Accept: d.host.Announce,
+		VMs:    d.upstreamListeners,
+		Events: d.events,
+	})
+	return router
+}
+
+// upstreamListeners returns where upstreams can announce themselves.
+func (d *Daemon) upstreamListeners() []string {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	members, err := d.fleet.Members(ctx)
+	if err != nil {
+		return nil
+	}
+	var addresses []string
+	for _, vm := range members {
+		if vm.Addresses.Upstreams != "" && d.fleet.Alive(vm.VM) {
+			addresses = append(addresses, vm.Addresses.Upstreams)
+		}
+	}
+	return addresses
+}
+
+// shutdown drains the VM: it asks callers to go elsewhere, serves what comes until the balancer
+// has noticed, then waits for the requests under way, up to the limit or a second signal.
+func (d *Daemon) shutdown(s *serving, hurry <-chan os.Signal) {
+	d.events.Emit(events.DaemonDraining, zap.Int("requests", d.gateway.InFlight()))
+	d.gateway.Drain()
+	limit := time.Duration(d.settings.ShutdownLimitSeconds * float64(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	defer cancel()
+	go func() {
+		select {
+		case <-hurry:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	waitFor(ctx, drainGrace)
+	if err := s.callers.Shutdown(ctx); err != nil {
+		d.events.Emit(events.DaemonCutShort, zap.Int("requests", d.gateway.InFlight()))
+		_ = s.callers.Close()
+	}
+	for d.gateway.InFlight() > 0 && ctx.Err() == nil {
+		waitFor(ctx, drainPoll)
+	}
+	_ = s.upstreams.Close()
+	s.stopAdmin()
+	s.wait()
+}
+
+func waitFor(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/daemon/replicas.go
@@ -0,0 +1,115 @@
+package daemon
+
+import (
+	"context"
+	"os"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/control"
+	"egretramp/internal/groups"
+	"egretramp/internal/program"
+	"egretramp/internal/replica"
+)
+
+const dataFolderMode = 0o700
+
+// buildReplicas opens this VM's replicas of the groups, if it has a data folder.
+func (d *Daemon) buildReplicas() error {
+	d.replicas = groups.Replicas{}
+	if d.settings.DataFolder == "" {
+		return nil
+	}
+	if err := os.MkdirAll(d.settings.DataFolder, dataFolderMode); err != nil {
+		return errors.Wrap(err, "daemon: cannot make the data folder")
+	}
+	machines := map[uint64]replica.StateMachine{
+		groups.Control: &spreading{Machine: control.New(), offer: func(delta control.Delta) { d.fleet.Offer(delta) }},
+		groups.Program: program.New(program.DefaultLimits()),
+	}
+	for group, machine := range machines {
+		r, err := replica.New(replica.Options{
+			Group:      group,
+			VM:         d.settings.VM,
+			Folder:     d.settings.DataFolder,
+			InitialVMs: d.controlVMs(),
+			Machine:    machine,
+			Transport:  groups.Transport{Network: d.node},
+			Events:     d.events,
+		})
+		if err != nil {
+			return err
+		}
+		d.replicas[group] = r
+	}
+	return nil
+}
+
+// spreading is the control state machine of a replica; it offers each change to the fleet.
+// Only the replica's goroutine touches it.
+type spreading struct {
+	*control.Machine
+	offer   func(control.Delta)
+	offered control.Digest
+}
+
+// Apply applies a command and offers what it changed.
+func (s *spreading) Apply(index uint64, data []byte) []byte {
+	result := s.Machine.Apply(index, data)
+	s.share()
+	return result
+}
+
+// Restore restores a snapshot and offers what it brought.
+func (s *spreading) Restore(data []byte) error {
+	if err := s.Machine.Restore(data); err != nil {
+		return err
+	}
+	s.share()
+	return nil
+}
+
+func (s *spreading) share() {
+	digest := s.Digest()
+	if digest == s.offered {
+		return
+	}
+	delta := s.DeltaFor(s.offered)
+	s.offered = digest
+	s.offer(delta)
+}
+
+// leader is a replica as package fleet sees it.
+type leader struct {
+	replica *replica.Replica
+}
+
+// roleLeader is the role in a replica's status while it leads.
+const roleLeader = "leader"
+
+// Leads reports whether the replica leads, and in which term.
+func (l leader) Leads() (uint64, bool) {
+	status := l.replica.Status()
+	return status.Term, status.Role == roleLeader
+}
+
+// ReadIndex confirms that the replica leads.
+func (l leader) ReadIndex(ctx context.Context) error { return l.replica.ReadIndex(ctx) }
+
+// controlProposer brings commands into the control group's log.
+type controlProposer struct {
+	client *groups.Client
+}
+
+// Propose proposes a command and decodes its result.
+func (p controlProposer) Propose(ctx context.Context, c control.Command) (control.Result, error) {
+	data, err := c.Encode()
+	if err != nil {
+		return control.Result{}, err
+	}
+	answer, err := p.client.Propose(ctx, groups.Control, data)
+	if err != nil {
+		return control.Result{}, err
+	}
+	return control.DecodeResult(answer)
+}
--- /dev/null
+++ b/internal/daemon/vars.go
@@ -0,0 +1,34 @@
+package daemon
+
+import (
+	"expvar"
+	"maps"
+	"slices"
+)
+
+// publishVars publishes the counters. It is called once in a process.
+func publishVars(d *Daemon) {
+	counters := map[string]func() int64{
+		"peer_bytes_sent":        d.node.Stats().BytesSent.Load,
+		"peer_bytes_received":    d.node.Stats().BytesReceived.Load,
+		"peer_messages_sent":     d.node.Stats().MessagesSent.Load,
+		"peer_messages_received": d.node.Stats().MessagesReceived.Load,
+		"peer_messages_dropped":  d.node.Stats().MessagesDropped.Load,
+		"peer_calls_made":        d.node.Stats().CallsMade.Load,
+		"peer_calls_served":      d.node.Stats().CallsServed.Load,
+		"gateway_requests":       d.gateway.Stats().Requests.Load,
+		"gateway_refused":        d.gateway.Stats().Refused.Load,
+		"gateway_retries":        d.gateway.Stats().Retries.Load,
+		"gateway_in_flight":      func() int64 { return int64(d.gateway.InFlight()) },
+	}
+	for name, read := range counters {
+		if expvar.Get(name) == nil {
+			expvar.Publish(name, expvar.Func(func() any { return read() }))
+		}
+	}
+}
+
+// sortedNames returns the keys of a map, sorted.
+func sortedNames[V any](m map[string]V) []string {
+	return slices.Sorted(maps.Keys(m))
+}
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -119,6 +119,18 @@
 	return all
 }
 
+// ListAt returns the upstreams that a VM dispatches for.
+func (c *Client) ListAt(ctx context.Context, vm string) ([]Listed, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	data, err := c.opts.Network.Call(ctx, vm, MethodList, nil)
+	if err != nil {
+		return nil, err
+	}
+	var listed []Listed
+	return listed, json.Unmarshal(data, &listed)
+}
+
 // Acquire waits for a grant until ctx ends. preferred is the zone that holds the program's
 // prefix, or empty. Errors: *Error.
 func (c *Client) Acquire(ctx context.Context, kind config.UpstreamKind, name, preferred string, r schedule.Request) (*Grant, error) {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -409,6 +409,20 @@
 	return s
 }
 
+// HandleList serves MethodList: the upstreams that this VM dispatches for, as []Listed.
+func (h *Host) HandleList(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+	dump, err := h.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := h.opts.Clock()
+	listed := make([]Listed, 0, len(dump.Upstreams))
+	for _, r := range dump.Upstreams {
+		listed = append(listed, Listed{Record: r, AgeMS: (now - r.Heard).Milliseconds()})
+	}
+	return json.Marshal(listed)
+}
+
 // Dump is the host's state, for the state dump.
 type Dump struct {
 	Upstreams []upstream.Record `json:"upstreams"`
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -16,6 +16,7 @@
 // Methods and kinds of messages between VMs.
 const (
 	MethodEnqueue = "dispatch.enqueue"
+	MethodList    = "dispatch.list"
 	KindGrant     = "dispatch.grant"
 	KindCancel    = "dispatch.cancel"
 	KindFinish    = "dispatch.finish"
@@ -105,6 +106,12 @@
 	Pools []PoolSummary `json:"pools"`
 }
 
+// Listed is an upstream in a dispatcher's directory.
+type Listed struct {
+	Record upstream.Record `json:"record"`
+	AgeMS  int64           `json:"age_ms"` // since its newest announcement
+}
+
 // PoolSummary is one pool in short.
 type PoolSummary struct {
 	Pool upstream.Pool `json:"pool"`
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -190,6 +190,14 @@
 	f.task(func(ctx context.Context) {
 		ctx, cancel := context.WithTimeout(ctx, 4*callTimeout)
 		defer cancel()
+		if c.RegisterVM != nil {
+			status, err := f.StatusOf(ctx, vm)
+			if err != nil {
+				f.post(func() { delete(proposing, vm) })
+				return
+			}
+			c.RegisterVM.Addresses = status.Addresses
+		}
 		result, err := f.opts.Proposer.Propose(ctx, c)
 		f.post(func() {
 			delete(proposing, vm)
--- /dev/null
+++ b/internal/fleet/status.go
@@ -0,0 +1,117 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+
+	"egretramp/internal/control"
+	"egretramp/internal/membership"
+	"egretramp/internal/ratelimit"
+)
+
+// Status is what a VM tells other VMs of itself.
+type Status struct {
+	VM          string            `json:"vm"`
+	Zone        string            `json:"zone"`
+	Incarnation int64             `json:"incarnation"`
+	Addresses   control.Addresses `json:"addresses"`
+	// Generation is that of the configuration in force.
+	Generation uint64 `json:"generation"`
+	Epoch      uint64 `json:"epoch"`
+}
+
+// Status returns this VM's status.
+func (f *Fleet) Status() Status {
+	v := f.View()
+	return Status{
+		VM:          f.opts.VM,
+		Zone:        f.opts.Zone,
+		Incarnation: f.opts.Incarnation,
+		Addresses:   f.opts.Addresses,
+		Generation:  v.Acceptance.Generation,
+		Epoch:       v.Epoch.Number,
+	}
+}
+
+// HandleStatus serves MethodStatus.
+func (f *Fleet) HandleStatus(context.Context, string, []byte) ([]byte, error) {
+	return json.Marshal(f.Status())
+}
+
+// StatusOf asks another VM for its status.
+func (f *Fleet) StatusOf(ctx context.Context, vm string) (Status, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var s Status
+	data, err := f.opts.Network.Call(ctx, vm, MethodStatus, nil)
+	if err != nil {
+		return s, err
+	}
+	return s, json.Unmarshal(data, &s)
+}
+
+// Dump is the state of this VM's part, for the state dump.
+type Dump struct {
+	Digest  control.Digest          `json:"digest"`
+	Epoch   membership.Epoch        `json:"epoch"`
+	Splits  control.Splits          `json:"splits"`
+	Lease   membership.HolderStatus `json:"lease"`
+	Limiter ratelimit.Status        `json:"limiter"`
+	VMs     map[string]string       `json:"vms"` // state of each VM as seen from here
+	Leads   bool                    `json:"leads"`
+}
+
+// Dump returns the state.
+func (f *Fleet) Dump(ctx context.Context) (Dump, error) {
+	return await(ctx, f, func() Dump {
+		state := f.follower.View()
+		d := Dump{
+			Digest:  f.follower.Digest(),
+			Epoch:   epochOf(state.Members),
+			Splits:  state.Splits,
+			Lease:   f.holder.Status(f.opts.Clock()),
+			Limiter: f.limiter.Status(),
+			VMs:     map[string]string{},
+			Leads:   f.leading.grantor != nil,
+		}
+		for _, vm := range f.known(d.Epoch) {
+			d.VMs[vm.Name] = f.tracker.State(vm.Name).String()
+		}
+		return d
+	})
+}
+
+// Members returns the registered VMs and the VMs known at start.
+func (f *Fleet) Members(ctx context.Context) ([]control.VM, error) {
+	return await(ctx, f, func() []control.VM {
+		members := f.follower.View().Members.VMs
+		registered := map[string]bool{}
+		for _, vm := range members {
+			registered[vm.VM] = true
+		}
+		for _, vm := range f.opts.VMs {
+			if !registered[vm.Name] {
+				members = append(members, control.VM{VM: vm.Name, Zone: vm.Zone})
+			}
+		}
+		return members
+	})
+}
+
+// Alive reports whether a VM may be given work, as seen from here.
+func (f *Fleet) Alive(vm string) bool {
+	if vm == f.opts.VM {
+		return true
+	}
+	for _, name := range f.VMs() {
+		if name == vm {
+			return true
+		}
+	}
+	return false
+}
+
+// ConfigText returns the text of the configuration in force, secrets and hashes included.
+func (f *Fleet) ConfigText(ctx context.Context) (string, error) {
+	return await(ctx, f, func() string { return f.follower.View().Config.Text })
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -98,6 +98,9 @@
 // Drain makes the server ask callers to close their connections; requests are still served.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// Draining reports whether Drain was called.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
 // KeysWithdrawn ends the requests under way whose key has been withdrawn.
 func (s *Server) KeysWithdrawn() { s.inflight.endWithdrawn(s.opts.Authority.Withdrawn) }
 
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -18,6 +18,9 @@
 	ShutdownLimitSeconds float64 `json:"shutdown_limit_seconds,omitempty" check:"above=0,max=86400"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `json:"log_level,omitempty" check:"oneof=debug|info|warn|error"`
+	// FaultInjection lets the administration API cut this VM's links to other VMs. For test
+	// fleets only. Default false.
+	FaultInjection bool `json:"fault_injection,omitempty"`
 }
 
 // Listen are the four listeners of a daemon.
