--- a/internal/control/random_test.go
+++ b/internal/control/random_test.go
@@ -18,14 +18,13 @@
 
 // oracle judges the answers of a run from outside, by rules of its own.
 type oracle struct {
-	accepted   map[uint64]string // generation to text
-	answers    map[string]Acceptance
-	highest    uint64
-	inForce    map[string]string // key ID to hash in the file in force
-	dead       map[string]bool   // IDs and hashes
-	fencing    uint64
-	epoch      uint64
-	registered map[string]int64
+	accepted map[uint64]string // generation to text
+	answers  map[string]Acceptance
+	highest  uint64
+	inForce  map[string]string // key ID to hash in the file in force
+	dead     map[string]bool   // IDs and hashes
+	fencing  uint64
+	epoch    uint64
 }
 
 func (o *oracle) judge(t *testing.T, c Command, r Result) {
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/netip"
 	"net/url"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -29,6 +30,8 @@
 }
 
 func newClient(addresses []string) (*client, error) {
+	// A variable that is set but empty names no VM.
+	addresses = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == "" })
 	if len(addresses) == 0 {
 		return nil, &usageError{"name a VM with --admin ADDRESS or in EGRETRAMP_ADMIN"}
 	}
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -58,24 +58,22 @@
 		panic("ctl: options: " + err.Error())
 	}
 	t.addCommands(parser)
-	parser.SubcommandsOptional = true
 	parser.CommandHandler = execute
 	_, err := parser.ParseArgs(args)
-	if err == nil && t.Version {
+	if t.Version && isFlagError(err, flags.ErrCommandRequired) {
 		fmt.Fprintln(t.Out, "egretrampctl "+version.String())
 		return ExitOK
 	}
-	if err == nil && parser.Active == nil {
-		err = &usageError{"name a command; --help lists them"}
-	}
 	return t.exitCode(err)
 }
 
-// execute runs the named command, if any, and refuses arguments that it does not take.
+func isFlagError(err error, kind flags.ErrorType) bool {
+	var flagError *flags.Error
+	return errors.As(err, &flagError) && flagError.Type == kind
+}
+
+// execute runs a command and refuses arguments that it does not take.
 func execute(command flags.Commander, extra []string) error {
-	if command == nil {
-		return nil
-	}
 	if len(extra) > 0 {
 		return &usageError{fmt.Sprintf("unexpected argument %q", extra[0])}
 	}
@@ -113,8 +111,8 @@
 		return ExitOK
 	case errors.Is(err, errIncomplete):
 		return ExitFailed
-	case errors.As(err, &flagError) && flagError.Type == flags.ErrHelp:
-		fmt.Fprintln(t.Out, flagError.Message)
+	case isFlagError(err, flags.ErrHelp):
+		fmt.Fprintln(t.Out, err)
 		return ExitOK
 	case errors.As(err, &flagError), errors.As(err, &usage):
 		fmt.Fprintln(t.Err, "egretrampctl:", err)
