--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -269,7 +269,7 @@
 		return
 	}
 	a := l.asks[r.ID]
-	if a == nil {
+	if a == nil || a.borrow.ask.to != from {
 		return
 	}
 	b := a.borrow
--- a/internal/ratelimit/view.go
+++ b/internal/ratelimit/view.go
@@ -147,7 +147,7 @@
 	a.part = part{}
 	a.target = part{}
 	l.refuseWaiting(now, a, ReasonUnknownAccount)
-	if l.agreed() {
+	if l.agreed() && a.borrow == nil {
 		delete(l.accounts, a.id)
 	}
 }
@@ -171,7 +171,7 @@
 // wait for the loans that others made before.
 func (l *Limiter) settle(now time.Duration) {
 	for id, a := range l.accounts {
-		if a.deleted && l.agreed() {
+		if a.deleted && a.borrow == nil && l.agreed() {
 			delete(l.accounts, id)
 			continue
 		}
--- /dev/null
+++ b/internal/ratelimit/world_test.go
@@ -0,0 +1,336 @@
+package ratelimit
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"egretramp/internal/membership"
+)
+
+// The world of the random runs: VMs with a holder and a limiter each, a control leader with a
+// grantor, and messages with delays, in virtual time. It fakes the control log and the network
+// and nothing else.
+const (
+	worldTick   = 50 * time.Millisecond
+	worldCutoff = 6 * time.Second
+	maxClockPPM = 5000 // the lease margin allows 10,000
+)
+
+type event struct {
+	at    time.Duration
+	order int
+	vm    string // deferred while this VM is frozen; "" for none
+	run   func()
+}
+
+type eventQueue []event
+
+func (q eventQueue) Len() int { return len(q) }
+func (q eventQueue) Less(i, j int) bool {
+	return q[i].at < q[j].at || (q[i].at == q[j].at && q[i].order < q[j].order)
+}
+func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
+func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
+func (q *eventQueue) Pop() any {
+	last := len(*q) - 1
+	e := (*q)[last]
+	*q = (*q)[:last]
+	return e
+}
+
+type worldVM struct {
+	name, zone  string
+	incarnation uint64
+	offset      time.Duration
+	ppm         int64
+	frozenUntil time.Duration
+	running     bool
+	holder      *membership.Holder
+	limiter     *Limiter
+	view        View
+	epoch       membership.Epoch
+	generation  uint64
+	worked      int // requests given to this start
+}
+
+type state struct {
+	epoch      membership.Epoch
+	generation uint64
+	view       View
+}
+
+type outcome struct {
+	at      time.Duration
+	account string
+}
+
+type world struct {
+	random     *rand.Rand
+	now        time.Duration
+	order      int
+	queue      eventQueue
+	vms        map[string]*worldVM
+	names      []string
+	grantor    *membership.Grantor
+	term       uint64
+	leaderZone string
+	state      state
+	cut        func(a, b string) bool // between VMs; control is "control"
+	loss       float64
+	slow       float64 // chance of a delay of up to 2 s
+	dispatched []outcome
+	accepted   map[string]int
+	refused    map[string][]time.Duration // wrong or right, by account
+	afters     []time.Duration
+	requests   int
+	queueWait  func() time.Duration
+	caps       map[string][]capSample
+}
+
+// capSample is the largest rate and burst that any VM acts under at a time.
+type capSample struct {
+	at          time.Duration
+	rate, burst float64
+}
+
+func newWorld(seed uint64, zones, perZone int, limits map[string]Limit) *world {
+	w := &world{
+		random: rand.New(rand.NewPCG(seed, 7)), vms: map[string]*worldVM{}, leaderZone: "z0", term: 1,
+		cut:      func(a, b string) bool { return false },
+		accepted: map[string]int{}, refused: map[string][]time.Duration{}, caps: map[string][]capSample{},
+	}
+	w.queueWait = func() time.Duration { return 0 }
+	epoch := membership.Epoch{Number: 1}
+	for z := range zones {
+		for i := range perZone {
+			vm := membership.VM{Name: fmt.Sprintf("vm%d%d", z, i), Zone: fmt.Sprintf("z%d", z)}
+			epoch.VMs = append(epoch.VMs, vm)
+			w.vms[vm.Name] = &worldVM{
+				name: vm.Name, zone: vm.Zone,
+				offset: time.Duration(w.random.IntN(1000)) * time.Second,
+				ppm:    int64(w.random.IntN(2*maxClockPPM+1)) - maxClockPPM,
+			}
+			w.names = append(w.names, vm.Name)
+		}
+	}
+	w.state = state{epoch: epoch, generation: 1, view: View{Fleet: epoch, Limits: limits}}
+	w.elect()
+	for _, name := range w.names {
+		w.start(w.vms[name])
+	}
+	return w
+}
+
+func (w *world) elect() {
+	w.term++
+	w.grantor = membership.NewGrantor(w.now, w.term, worldCutoff)
+	w.grantor.SetView(w.state.epoch, w.state.generation, w.state.view.Split, w.state.view.AgreedSplit)
+}
+
+// commit applies an entry of the control log.
+func (w *world) commit(epoch membership.Epoch, limits map[string]Limit, generation uint64) {
+	v := w.state.view
+	if SplitChanged(v.Fleet.Zones(), epoch.Zones(), v.Limits, limits) {
+		v.Split++
+	}
+	v.Fleet, v.Limits = epoch, limits
+	w.state = state{epoch: epoch, generation: generation, view: v}
+	w.grantor.SetView(epoch, generation, v.Split, v.AgreedSplit)
+}
+
+func (w *world) start(vm *worldVM) {
+	vm.incarnation++
+	vm.running = true
+	now := vm.clock(w.now)
+	vm.holder = membership.NewHolder(now, membership.HolderOptions{
+		VM: vm.name, Zone: vm.zone, Incarnation: vm.incarnation, CutoffLimit: worldCutoff,
+	})
+	vm.limiter = New(Options{VM: vm.name, Zone: vm.zone, Incarnation: vm.incarnation, Lease: vm.holder})
+	vm.view, vm.epoch, vm.generation = View{}, membership.Epoch{}, 0
+	w.tickVM(vm, vm.incarnation)
+}
+
+func (vm *worldVM) clock(now time.Duration) time.Duration {
+	return vm.offset + now + now*time.Duration(vm.ppm)/1_000_000
+}
+
+// at schedules a step; it is put off while the VM is frozen and dropped if it restarted.
+func (w *world) at(at time.Duration, vm *worldVM, run func()) {
+	w.order++
+	e := event{at: at, order: w.order, run: run}
+	if vm != nil {
+		incarnation := vm.incarnation
+		e.vm = vm.name
+		e.run = func() {
+			if vm.running && vm.incarnation == incarnation {
+				run()
+			}
+		}
+	}
+	heap.Push(&w.queue, e)
+}
+
+func (w *world) run(until time.Duration) {
+	for len(w.queue) > 0 && w.queue[0].at <= until {
+		e := heap.Pop(&w.queue).(event)
+		w.now = max(w.now, e.at)
+		if vm := w.vms[e.vm]; vm != nil && vm.frozenUntil > w.now {
+			e.at = vm.frozenUntil
+			heap.Push(&w.queue, e)
+			continue
+		}
+		e.run()
+	}
+	w.now = until
+}
+
+// deliver carries a message with a delay; it may lose, repeat or hold it up.
+func (w *world) deliver(from, to string, take func()) {
+	copies := 1
+	if w.random.Float64() < w.loss {
+		copies = w.random.IntN(3)
+	}
+	for range copies {
+		if w.cut(from, to) {
+			continue
+		}
+		delay := 500*time.Microsecond + time.Duration(w.random.Int64N(int64(2500*time.Microsecond)))
+		if w.random.Float64() < w.slow {
+			delay = time.Duration(w.random.Int64N(int64(2 * time.Second)))
+		}
+		w.at(w.now+delay, w.vms[to], take)
+	}
+}
+
+func (w *world) tickVM(vm *worldVM, incarnation uint64) {
+	if vm.incarnation != incarnation || !vm.running {
+		return
+	}
+	now := vm.clock(w.now)
+	w.lease(vm, vm.holder.Tick(now))
+	settled := vm.holder.Settled()
+	vm.limiter.SetSettled(now, Settled(settled))
+	w.effects(vm, vm.limiter.Tick(now))
+	w.learn(vm)
+	w.at(w.now+worldTick, vm, func() { w.tickVM(vm, incarnation) })
+}
+
+// learn takes the newest state from control, or from a VM of the zone.
+func (w *world) learn(vm *worldVM) {
+	if w.random.IntN(4) == 0 {
+		w.deliver("control", vm.name, func() { w.setView(vm, w.state) })
+	}
+	other := w.vms[w.names[w.random.IntN(len(w.names))]]
+	if other.zone == vm.zone && other.running && other.epoch.Number > 0 && other.frozenUntil <= w.now {
+		s := state{epoch: other.epoch, generation: other.generation, view: other.view}
+		w.deliver(other.name, vm.name, func() { w.setView(vm, s) })
+	}
+}
+
+func (w *world) setView(vm *worldVM, s state) {
+	if s.epoch.Number < vm.epoch.Number || s.generation < vm.generation {
+		return
+	}
+	vm.epoch, vm.generation, vm.view = s.epoch, s.generation, s.view
+	vm.limiter.SetView(vm.clock(w.now), s.view)
+	vm.holder.SetView(s.epoch, s.generation, s.view.Split)
+}
+
+func (w *world) lease(vm *worldVM, sends []membership.LeaseSend) {
+	for _, s := range sends {
+		if s.To == membership.ToControl {
+			w.toControl(vm, s.LeaseMessage)
+			continue
+		}
+		to := w.vms[s.To]
+		w.deliver(vm.name, s.To, func() {
+			w.lease(to, to.holder.Handle(to.clock(w.now), vm.name, s.LeaseMessage))
+		})
+	}
+}
+
+func (w *world) toControl(vm *worldVM, m membership.LeaseMessage) {
+	if m.Renew == nil {
+		return
+	}
+	w.deliver(vm.name, "control", func() {
+		a := w.grantor.Renew(w.now, *m.Renew)
+		w.deliver("control", vm.name, func() {
+			vm.holder.Handle(vm.clock(w.now), "control", membership.LeaseMessage{Answer: &a})
+		})
+	})
+}
+
+// tickControl runs the leader: fencing, removals, joins, and the record of agreed splits.
+func (w *world) tickControl() {
+	w.grantor.Tick(w.now)
+	w.state.view.AgreedSplit = max(w.state.view.AgreedSplit, w.grantor.AgreedSplit())
+	epoch := membership.Epoch{Number: w.state.epoch.Number + 1, VMs: w.grantor.Joining()}
+	removed := w.grantor.Removable(w.now)
+	for _, vm := range w.state.epoch.VMs {
+		if !contains(removed, vm.Name) {
+			epoch.VMs = append(epoch.VMs, vm)
+		}
+	}
+	if len(removed) > 0 || len(w.grantor.Joining()) > 0 {
+		w.commit(epoch, w.state.view.Limits, w.state.generation)
+	}
+	w.at(w.now+200*time.Millisecond, nil, w.tickControl)
+}
+
+func contains(names []string, name string) bool {
+	i := sort.SearchStrings(names, name)
+	return i < len(names) && names[i] == name
+}
+
+func (w *world) effects(vm *worldVM, e Effects) {
+	for _, s := range e.Sends {
+		to := w.vms[s.To]
+		w.deliver(vm.name, s.To, func() {
+			w.effects(to, to.limiter.Handle(to.clock(w.now), vm.name, s.Message))
+		})
+	}
+	for _, d := range e.Decisions {
+		account := accountOf(d.Request)
+		if !d.Granted {
+			w.refused[account] = append(w.refused[account], w.now)
+			w.afters = append(w.afters, d.RetryAfter)
+			continue
+		}
+		w.accepted[account]++
+		w.at(w.now+w.queueWait(), vm, func() { w.dispatch(vm, account, d.Request) })
+	}
+}
+
+// dispatch is the moment at which the upstream sees a request.
+func (w *world) dispatch(vm *worldVM, account, request string) {
+	now := vm.clock(w.now)
+	ok, e := vm.limiter.Dispatch(now, request, worldCutoff)
+	w.effects(vm, e)
+	if ok {
+		w.dispatched = append(w.dispatched, outcome{at: w.now, account: account})
+		return
+	}
+	w.effects(vm, vm.limiter.Redraw(now, account, request, worldCutoff))
+}
+
+func (w *world) request(vm *worldVM, account string) {
+	w.requests++
+	id := fmt.Sprintf("%s/%d", account, w.requests)
+	w.at(w.now, vm, func() {
+		vm.worked++
+		w.effects(vm, vm.limiter.Draw(vm.clock(w.now), account, id, worldCutoff))
+	})
+}
+
+func accountOf(request string) string {
+	for i := range request {
+		if request[i] == '/' {
+			return request[:i]
+		}
+	}
+	return request
+}
