Add the demo program

It starts the fleet, applies one operators' file with two deployments, runs programs through all VMs and reports measures and checks. Memory, processor time and bytes between VMs are read twice, with and without callers, since only the second shows what control costs.

--- /dev/null
+++ b/internal/demo/demo.go
@@ -0,0 +1,234 @@
+// Package demo runs a whole small fleet on one machine: daemons and stand-ins as processes,
+// two deployments' shape of accounts and programs, and a report of measures and checks that
+// are made from callers' and stand-ins' records alone.
+package demo
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/pool"
+
+	"egretramp/internal/harness"
+	"egretramp/internal/workload"
+)
+
+// Limits of the demo's parts. Together with stopping they stay under a minute.
+const (
+	startLimit    = 10 * time.Second
+	applyLimit    = 10 * time.Second
+	warmUpLimit   = 8 * time.Second
+	programsLimit = 18 * time.Second
+	idleTime      = 3 * time.Second
+	stopLimit     = 4 * time.Second
+)
+
+const (
+	// concurrency is how many programs run at the same time.
+	concurrency = 16
+	// maxTurns cuts the longest programs, in chat turns.
+	maxTurns = 16
+	// probePart is the part of turns after which a resent or early turn is tried.
+	probePart = 0.1
+	// rateJitter is how differently two requests may be delayed on their way to an upstream.
+	rateJitter = 100 * time.Millisecond
+)
+
+// Options are the demo's own.
+type Options struct {
+	// Bin is the folder of the programs.
+	Bin string
+	// Dir is the folder of settings, data and logs; empty: a temporary one, which is removed
+	// after a run without failures.
+	Dir string
+	// Programs is how many programs each deployment runs.
+	Programs int
+	// Seed feeds the programs.
+	Seed int64
+	// Out gets the report.
+	Out io.Writer
+}
+
+// ErrFailed says that a program did not finish or a check was violated; the report names it.
+var ErrFailed = errors.New("demo: failed")
+
+// demo is one run.
+type demo struct {
+	opts    Options
+	dir     string
+	fleet   *harness.Fleet
+	warmUp  workload.Recorder
+	main    workload.Recorder
+	samples []sample
+	report  report
+}
+
+// Run runs the demo and ends all that it started, also when ctx ends first.
+func Run(ctx context.Context, opts Options) (err error) {
+	d := &demo{opts: opts, dir: opts.Dir}
+	if d.dir == "" {
+		d.dir, err = os.MkdirTemp("", "egretramp-demo-")
+		if err != nil {
+			return errors.Wrap(err, "demo: cannot make a folder")
+		}
+		defer d.removeDir(&err)
+	}
+	d.fleet, err = harness.New(harness.Options{Bin: opts.Bin, Dir: d.dir, Zones: zones})
+	if err != nil {
+		return err
+	}
+	if err := d.runAndStop(ctx); err != nil {
+		return err
+	}
+	d.report.print(opts.Out)
+	if d.report.failed() {
+		return ErrFailed
+	}
+	return nil
+}
+
+// removeDir removes the temporary folder unless the run failed.
+func (d *demo) removeDir(err *error) {
+	if *err != nil {
+		d.say("settings, logs and records are kept in %s", d.dir)
+		return
+	}
+	_ = os.RemoveAll(d.dir)
+}
+
+func (d *demo) say(format string, args ...any) {
+	fmt.Fprintf(d.opts.Out, format+"\n", args...)
+}
+
+func (d *demo) runAndStop(ctx context.Context) error {
+	err := d.run(ctx)
+	killed := d.fleet.Stop(stopLimit)
+	all := len(d.fleet.VMs) + len(d.fleet.Upstreams)
+	d.report.stopped(all, killed)
+	d.say("ended %d processes, %d of them by force %v", all, len(killed), killed)
+	return err
+}
+
+func (d *demo) run(ctx context.Context) error {
+	steps := []struct {
+		name  string
+		limit time.Duration
+		do    func(context.Context) error
+	}{
+		{"daemons and stand-ins started", startLimit, d.start},
+		{"operators' file applied", applyLimit, d.apply},
+		{"first calls answered through every VM", warmUpLimit, d.warm},
+		{"programs ended", programsLimit, d.programs},
+		{"idle for a while", 2 * idleTime, d.idle},
+		{"records collected", startLimit, d.collect},
+	}
+	for _, s := range steps {
+		begin := time.Now()
+		limited, cancel := context.WithTimeout(ctx, s.limit)
+		err := s.do(limited)
+		cancel()
+		if err != nil {
+			return err
+		}
+		d.say("%s: %.1f s", s.name, time.Since(begin).Seconds())
+	}
+	return nil
+}
+
+func (d *demo) start(ctx context.Context) error {
+	if err := addUpstreams(d.fleet); err != nil {
+		return err
+	}
+	if err := d.fleet.StartVMs(ctx); err != nil {
+		return err
+	}
+	var keys []string
+	for _, k := range workload.Keys(deployments()...) {
+		keys = append(keys, k)
+	}
+	return d.fleet.StartUpstreams(ctx, keys)
+}
+
+func (d *demo) apply(ctx context.Context) error {
+	path := filepath.Join(d.dir, "operators.json")
+	if err := harness.WriteJSON(path, workload.OperatorsFile(1, classes(), deployments()...)); err != nil {
+		return err
+	}
+	out, err := d.fleet.Apply(ctx, d.fleet.VMs[0], path)
+	if err != nil {
+		return err
+	}
+	d.say("%s", out)
+	return nil
+}
+
+// warm runs a short program of each deployment through each VM alone, so that the programs
+// that are measured meet upstreams that all VMs know.
+func (d *demo) warm(ctx context.Context) error {
+	p := pool.New().WithErrors().WithFirstError()
+	for i, vm := range d.fleet.CallerAddresses() {
+		caller := d.caller(&d.warmUp, []string{vm})
+		for _, deployment := range deployments() {
+			g := workload.NewGenerator(d.opts.Seed+int64(i), deployment)
+			g.MaxTurns = 1
+			program := g.Next()
+			program.Rename(fmt.Sprintf("warm-up-%d-%s", i, program.Name))
+			p.Go(func() error {
+				if o := caller.Run(ctx, program); !o.Finished {
+					return errors.Newf("demo: %s through %s: %s", program.Name, vm, o.Reason)
+				}
+				return nil
+			})
+		}
+	}
+	return p.Wait()
+}
+
+func (d *demo) caller(r *workload.Recorder, vms []string) *workload.Caller {
+	return workload.NewCaller(workload.CallerOptions{
+		VMs:       vms,
+		Keys:      workload.Keys(deployments()...),
+		Seed:      d.opts.Seed,
+		ProbePart: probePart,
+	}, r)
+}
+
+// programs runs the programs that are measured.
+func (d *demo) programs(ctx context.Context) error {
+	d.sample(ctx)
+	caller := d.caller(&d.main, d.fleet.CallerAddresses())
+	defer caller.Close()
+	var generators []*workload.Generator
+	for _, deployment := range deployments() {
+		g := workload.NewGenerator(d.opts.Seed, deployment)
+		g.MaxTurns = maxTurns
+		generators = append(generators, g)
+	}
+	p := pool.New().WithMaxGoroutines(concurrency)
+	for _, program := range workload.Mix(d.opts.Seed, d.opts.Programs, generators...) {
+		p.Go(func() { caller.Run(ctx, program) })
+	}
+	p.Wait()
+	d.sample(ctx)
+	for _, deployment := range deployments() {
+		d.report.results = append(d.report.results, caller.ProbeAccess(ctx, deployment))
+	}
+	return nil
+}
+
+// idle lets the fleet be, to see what it uses without callers.
+func (d *demo) idle(ctx context.Context) error {
+	d.sample(ctx)
+	select {
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-time.After(idleTime):
+	}
+	d.sample(ctx)
+	return nil
+}
--- a/internal/fakes/engine.go
+++ b/internal/fakes/engine.go
@@ -7,6 +7,9 @@
 	"time"
 )
 
+// expiryInterval is how often calls are looked through for those to cancel or forget.
+const expiryInterval = 10 * time.Millisecond
+
 // idlePoll is how often an idle engine looks for calls without a reader.
 const idlePoll = 50 * time.Millisecond
 
@@ -28,6 +31,7 @@
 	running []*call
 	calls   map[string]*call // by attempt, finished ones included until Retention
 	serial  int
+	expired time.Time // when calls were last looked through
 }
 
 func newEngine(opts Options, f *faults, r *runs) *engine {
@@ -131,6 +135,10 @@
 
 // expire cancels calls that nobody reads and forgets calls that ended long ago.
 func (e *engine) expire(now time.Time) {
+	if now.Sub(e.expired) < expiryInterval {
+		return
+	}
+	e.expired = now
 	for attempt, c := range e.calls {
 		if c.ended && now.Sub(c.endedAt) > e.opts.Engine.Retention {
 			delete(e.calls, attempt)
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -197,6 +197,28 @@
 	}
 }
 
+func TestFake_StopsAnnouncingAndAnswersLate(t *testing.T) {
+	var v vm
+	s := httptest.NewServer(v.handler(t, wire.AnnounceReply{Accepted: true}))
+	defer s.Close()
+	f := startFake(t, Options{
+		Kind: config.KindService, Secret: "a secret of the class",
+		AnnounceTo: []string{s.Listener.Addr().String()}, Faults: Faults{StopAnnouncing: true, LateMS: 30},
+	})
+	start := time.Now()
+	get(t, "GET", f.Addr(), "/x", "")
+	require.GreaterOrEqual(t, time.Since(start), 30*time.Millisecond)
+	f.Stop(context.Background())
+	require.Empty(t, v.seen)
+}
+
+func TestAnnouncer_ReportsLoadOfTheLagAgo(t *testing.T) {
+	a := announcer{opts: Options{LoadLag: time.Hour}, worker: newService(Options{}, nil, nil)}
+	a.samples = []loadReport{{at: time.Now().Add(-3 * time.Hour), running: 1}, {at: time.Now().Add(-2 * time.Hour), running: 2}}
+	a.takeSample() // running 0, too new to be reported
+	require.Equal(t, 2, a.laggingLoad().running)
+}
+
 func TestFake_AnnouncesMovesOnAndSaysGoodbye(t *testing.T) {
 	var first, second vm
 	s2 := httptest.NewServer(second.handler(t, wire.AnnounceReply{Accepted: true}))
--- a/internal/workload/caller.go
+++ b/internal/workload/caller.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"math/rand"
 	"net/http"
@@ -141,11 +140,8 @@
 
 func (r *run) create(ctx context.Context) error {
 	p := r.program
-	body, err := json.Marshal(createBody{p.Name, p.Parent, p.Tokens, p.Calls, p.DeadlineMS})
-	if err != nil {
-		return err
-	}
-	_, err = r.resource(ctx, "create", "/v1/programs", body)
+	body := mustJSON(createBody{p.Name, p.Parent, p.Tokens, p.Calls, p.DeadlineMS})
+	_, err := r.resource(ctx, "create", "/v1/programs", body)
 	return err
 }
 
@@ -218,11 +214,8 @@
 	r.messages = append(r.messages, fakes.Message{Role: "user", Content: s.Text})
 	call.Model, call.MaxTokens, call.Stream = p.Model, s.MaxTokens, s.Stream
 	call.Messages = append([]fakes.Message(nil), r.messages...)
-	body, err := json.Marshal(chatBody{s.Name, call.Messages, s.Stream, s.MaxTokens})
-	if err != nil {
-		panic(err)
-	}
-	req.path, req.body, req.stream = "/v1/chat/completions", body, s.Stream
+	body := mustJSON(chatBody{s.Name, call.Messages, s.Stream, s.MaxTokens})
+	req.path, req.body, req.stream = pathChat, body, s.Stream
 	return call, req
 }
 
--- a/internal/workload/check_runs.go
+++ b/internal/workload/check_runs.go
@@ -103,7 +103,8 @@
 	calls, _ := e.match()
 	starts := map[string][]int64{}
 	for _, cr := range calls {
-		if len(cr.runs) > 0 {
+		// Calls on routes open to all belong to no account.
+		if len(cr.runs) > 0 && cr.call.Account != "" {
 			starts[cr.call.Account] = append(starts[cr.call.Account], cr.runs[0].StartedNS)
 		}
 	}
--- a/internal/workload/exchange.go
+++ b/internal/workload/exchange.go
@@ -21,6 +21,9 @@
 	headerIdempotency = "Idempotency-Key"
 )
 
+// pathChat is the path of chat completions.
+const pathChat = "/v1/chat/completions"
+
 // maxAnswer bounds what a caller reads of one answer. Bytes.
 const maxAnswer = 64 << 20
 
--- a/internal/workload/program.go
+++ b/internal/workload/program.go
@@ -184,10 +184,7 @@
 func (g *Generator) tool(p *Program) Step {
 	s := g.deployment.Services[g.random.Intn(len(g.deployment.Services))]
 	paths := g.deployment.Tools[s.ID]
-	body, err := json.Marshal(toolBody{p.Account, p.Name, len(p.Steps) + 1, g.random.Intn(1000)})
-	if err != nil {
-		panic(err)
-	}
+	body := mustJSON(toolBody{p.Account, p.Name, len(p.Steps) + 1, g.random.Intn(1000)})
 	return Step{
 		Kind:      Service,
 		Pause:     g.pause(),
@@ -230,3 +227,36 @@
 	random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	return slices.Clip(all)
 }
+
+// Rename gives a program another name, before it runs, and its sub-agents the parent's new one.
+func (p *Program) Rename(name string) {
+	p.Name = name
+	p.System = fmt.Sprintf("program %s of %s", name, p.Account)
+	for i := range p.Steps {
+		s := &p.Steps[i]
+		if s.Kind == Service {
+			s.Body = renamedBody(s.Body, name)
+		}
+		if s.Child != nil {
+			s.Child.Parent = name
+			s.Child.Rename(name + "-sub")
+		}
+	}
+}
+
+func renamedBody(body []byte, program string) []byte {
+	var b toolBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		panic(err)
+	}
+	b.Program = program
+	return mustJSON(b)
+}
+
+func mustJSON(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("workload: cannot encode: " + err.Error())
+	}
+	return data
+}
