--- a/cmd/egretrampd/main.go
+++ b/cmd/egretrampd/main.go
@@ -2,13 +2,17 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
+	"egretramp/internal/daemon"
 	"egretramp/internal/settings"
 	"egretramp/internal/version"
 )
@@ -31,8 +35,25 @@
 	if s == nil {
 		os.Exit(code)
 	}
-	fmt.Fprintln(os.Stderr, "egretrampd: this build can only check its settings")
-	os.Exit(exitFailed)
+	if err := run(s); err != nil {
+		fmt.Fprintf(os.Stderr, "egretrampd: %v\n", err)
+		os.Exit(exitFailed)
+	}
+}
+
+// run runs the daemon until the first SIGINT or SIGTERM; a second one cuts the shutdown short.
+func run(s *settings.Settings) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGINT, syscall.SIGTERM)
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	hurry := make(chan os.Signal, 1)
+	go func() {
+		<-signals
+		stop()
+		hurry <- <-signals
+	}()
+	return daemon.Run(ctx, s, version.String(), hurry)
 }
 
 // readCommandLine returns the settings to run with, or nil and the code to exit with.
