--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -228,9 +228,14 @@
 
 // Upstreams lists the upstreams of all pools: each dispatcher knows its own.
 func (b *backend) Upstreams(ctx context.Context) (api.Upstreams, error) {
-	vms := append([]string{b.daemon.settings.VM}, b.daemon.fleet.VMs()...)
+	return upstreamRows(b.daemon.listUpstreams(ctx)), nil
+}
+
+// listUpstreams asks all dispatchers for their upstreams and returns them by name.
+func (d *Daemon) listUpstreams(ctx context.Context) map[string]dispatch.Listed {
+	vms := append([]string{d.settings.VM}, d.fleet.VMs()...)
 	found := iter.Map(vms, func(vm *string) []dispatch.Listed {
-		listed, err := b.daemon.dispatcher.ListAt(ctx, *vm)
+		listed, err := d.dispatcher.ListAt(ctx, *vm)
 		if err != nil {
 			return nil // a VM that cannot be reached dispatches for nobody here
 		}
@@ -244,7 +249,7 @@
 			}
 		}
 	}
-	return upstreamRows(byName), nil
+	return byName
 }
 
 func upstreamRows(byName map[string]dispatch.Listed) api.Upstreams {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,6 +39,7 @@
 	dispatcher *dispatch.Client
 	gateway    *gateway.Server
 	ledger     *program.Ledger
+	caller     *upstream.Caller
 	listeners  listeners
 }
 
@@ -106,12 +107,14 @@
 	d.buildFleet()
 	d.buildDispatch()
 	d.buildLedger()
+	d.caller = upstream.NewCaller()
 	d.gateway = gateway.New(gateway.Options{
 		VM:         d.settings.VM,
 		Authority:  d.fleet,
 		Limiter:    d.fleet,
 		Dispatcher: d.dispatcher,
-		Caller:     upstream.NewCaller(),
+		Caller:     d.caller,
+		Ledger:     d.ledger,
 		Events:     d.events,
 	})
 	d.register()
@@ -252,5 +255,7 @@
 	tasks.run(func(ctx context.Context) error { d.fleet.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.host.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.dispatcher.Run(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.gateway.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.keepPrograms(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.keepMemory(ctx); return nil })
 }
--- a/internal/daemon/programs.go
+++ b/internal/daemon/programs.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"egretramp/internal/control"
 	"egretramp/internal/groups"
 	"egretramp/internal/program"
 )
@@ -43,9 +44,18 @@
 	return err
 }
 
-// keepPrograms moves the program group's time on while this VM leads it, and revokes what this
-// VM gave up.
+// programKeeper does what the program group needs done at intervals.
+type programKeeper struct {
+	daemon *Daemon
+	// fenced says that the attempts of this VM's earlier starts are fenced.
+	fenced bool
+	// members are the VMs that were registered at the last look.
+	members map[string]control.VM
+}
+
+// keepPrograms drives the program group until ctx ends.
 func (d *Daemon) keepPrograms(ctx context.Context) {
+	k := &programKeeper{daemon: d, members: map[string]control.VM{}}
 	ticker := time.NewTicker(program.TickEvery)
 	defer ticker.Stop()
 	for {
@@ -53,12 +63,51 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
+			k.round(ctx)
+		}
+	}
+}
+
+// round does one round; what fails is done in the next one.
+func (k *programKeeper) round(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, program.TickEvery)
+	defer cancel()
+	d := k.daemon
+	if !k.fenced {
+		earlier := program.Owner{VM: d.settings.VM, Incarnation: d.incarnation - 1}
+		k.fenced = d.ledger.OwnerLost(ctx, earlier) == nil
+	}
+	_ = d.ledger.Flush(ctx)
+	if d.leads(groups.Program) {
+		_, _ = d.ledger.Tick(ctx)
+		k.fenceRemoved(ctx)
+	}
+}
+
+func (d *Daemon) leads(group uint64) bool {
+	r, ok := d.replicas[group]
+	return ok && r.Status().Role == roleLeader
+}
+
+// fenceRemoved fences the attempts of VMs that have left the membership: control removed them
+// because they have surely stopped.
+func (k *programKeeper) fenceRemoved(ctx context.Context) {
+	members, err := k.daemon.fleet.Registered(ctx)
+	if err != nil {
+		return
+	}
+	now := map[string]control.VM{}
+	for _, vm := range members {
+		now[vm.VM] = vm
+	}
+	for name, vm := range k.members {
+		if _, stays := now[name]; stays {
+			continue
 		}
-		limited, cancel := context.WithTimeout(ctx, program.TickEvery)
-		if r, ok := d.replicas[groups.Program]; ok && r.Status().Role == roleLeader {
-			_, _ = d.ledger.Tick(limited) // the next tick makes up for a lost one
+		owner := program.Owner{VM: name, Incarnation: vm.Incarnation}
+		if k.daemon.ledger.OwnerLost(ctx, owner) != nil {
+			now[name] = vm // again in the next round
 		}
-		_ = d.ledger.Flush(limited) // what is left is tried next time
-		cancel()
 	}
+	k.members = now
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -81,6 +81,11 @@
 	})
 }
 
+// Registered returns the VMs of the membership.
+func (f *Fleet) Registered(ctx context.Context) ([]control.VM, error) {
+	return await(ctx, f, func() []control.VM { return f.follower.View().Members.VMs })
+}
+
 // Members returns the registered VMs and the VMs known at start.
 func (f *Fleet) Members(ctx context.Context) ([]control.VM, error) {
 	return await(ctx, f, func() []control.VM {
--- /dev/null
+++ b/internal/gateway/attempts.go
@@ -0,0 +1,98 @@
+package gateway
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"egretramp/internal/program"
+)
+
+// attempts shares the list of this VM's attempts between traffic goroutines and renews their leases.
+type attempts struct {
+	mu   sync.Mutex
+	list *program.Attempts
+	lost map[string]func()
+}
+
+func newAttempts() *attempts {
+	return &attempts{
+		list: program.NewAttempts(program.DefaultLimits().Lease, program.RenewEvery),
+		lost: map[string]func(){},
+	}
+}
+
+func (a *attempts) add(id string, proposed time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list.Add(id, proposed)
+}
+
+// onLost sets what is called when an attempt's lease is lost.
+func (a *attempts) onLost(id string, stop func()) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.lost[id] = stop
+}
+
+func (a *attempts) mayWrite(id string, now time.Duration) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list.MayWrite(id, now)
+}
+
+func (a *attempts) remove(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.list.Remove(id)
+	delete(a.lost, id)
+}
+
+func (a *attempts) due(now time.Duration) []string {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.list.Due(now)
+}
+
+func (a *attempts) renewed(ids []string, sentAt time.Duration, lost []string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, id := range a.list.Renewed(ids, sentAt, lost) {
+		if stop, ok := a.lost[id]; ok {
+			stop()
+		}
+	}
+}
+
+const (
+	renewCheck   = 500 * time.Millisecond
+	renewTimeout = 2 * time.Second
+)
+
+// Run renews the leases of the attempts under way until ctx ends.
+func (s *Server) Run(ctx context.Context) {
+	ticker := time.NewTicker(renewCheck)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			s.renewDue(ctx)
+		}
+	}
+}
+
+func (s *Server) renewDue(ctx context.Context) {
+	sentAt := s.opts.Clock()
+	ids := s.attempts.due(sentAt)
+	if len(ids) == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
+	defer cancel()
+	lost, err := s.opts.Ledger.Renew(ctx, ids)
+	if err == nil {
+		s.attempts.renewed(ids, sentAt, lost)
+	}
+}
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -12,13 +12,18 @@
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
+	"egretramp/internal/program"
 	"egretramp/internal/refusal"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 )
 
-// bytesPerToken estimates prompts for scheduling; budgets never rest on it.
-const bytesPerToken = 4
+const (
+	// bytesPerToken estimates prompts for scheduling; budgets never rest on it.
+	bytesPerToken = 4
+	// reservedPerMessage covers what a chat template adds to a message. Tokens.
+	reservedPerMessage = 16
+)
 
 // chatCall is one chat completion on its way through the server.
 type chatCall struct {
@@ -26,33 +31,50 @@
 	caller  *caller
 	model   *config.Model
 	request *chatRequest
-	sink    sink
+	key     recordKey
+	// appended says that the request has the new messages of a program only.
+	appended bool
+	hash     string // names the request in the record
+	sink     sink
+	turn     *turn
+	messages []json.RawMessage // the whole conversation
 	// notRun is what can be said of all attempts so far.
 	notRun refusal.NotRun
 	avoid  []string
+	tries  int
 }
 
 // chat serves POST /v1/chat/completions.
 func (s *Server) chat(w http.ResponseWriter, r *http.Request, _ httprouter.Params) {
-	call, refused := s.prepareChat(w, r)
+	key, refused := readRecordKey(r.Header)
+	if refused != nil {
+		s.refuse(w, refused)
+		return
+	}
+	s.serveChat(w, r, key, false)
+}
+
+func (s *Server) serveChat(w http.ResponseWriter, r *http.Request, key recordKey, appended bool) {
+	call, refused := s.prepareChat(w, r, key, appended)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
 	}
-	ctx, done := s.inflight.add(r.Context(), call.caller)
+	ctx := r.Context()
+	if key.recorded() {
+		// A recorded call goes on without its caller, who finds the answer in the record.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, done := s.inflight.add(ctx, call.caller)
 	defer done()
 	ctx, cancel := context.WithTimeout(ctx, maxChatDuration)
 	defer cancel()
-	if err := s.opts.Limiter.Draw(ctx, call.caller.account.ID, call.id); err != nil {
-		s.refuse(w, asRefusal(err))
-		return
-	}
-	if refused := s.runChat(ctx, call); refused != nil {
+	if refused := s.admitChat(ctx, w, call); refused != nil {
 		s.finishRefused(call, refused)
 	}
 }
 
-func (s *Server) prepareChat(w http.ResponseWriter, r *http.Request) (*chatCall, *refusal.Refusal) {
+func (s *Server) prepareChat(w http.ResponseWriter, r *http.Request, key recordKey, appended bool) (*chatCall, *refusal.Refusal) {
 	c, refused := s.authenticate(r)
 	if refused != nil {
 		return nil, refused
@@ -65,6 +87,9 @@
 	if refused != nil {
 		return nil, refused
 	}
+	if key.recorded() && request.choices != 1 {
+		return nil, badRequest("bad_field", "a recorded call has one choice")
+	}
 	if refused := checkNoKey(c, r, body, request.decoded()); refused != nil {
 		return nil, refused
 	}
@@ -76,20 +101,94 @@
 		return nil, forbidden("no_route", "no route leads this client account to the model")
 	}
 	return &chatCall{
-		id:      newID(),
-		caller:  c,
-		model:   model,
-		request: request,
-		sink:    newSink(w, request),
-		notRun:  refusal.True,
+		id:       newID(),
+		caller:   c,
+		model:    model,
+		request:  request,
+		key:      key,
+		appended: appended,
+		hash:     program.HashRequest([]byte(model.ID), request.canonical()),
+		sink:     newSink(w, request),
+		messages: request.messages,
+		notRun:   refusal.True,
 	}, nil
 }
 
+// admitChat holds the caller to its rate, begins the turn if there is a record, and runs the call.
+func (s *Server) admitChat(ctx context.Context, w http.ResponseWriter, call *chatCall) *refusal.Refusal {
+	if err := s.opts.Limiter.Draw(ctx, call.caller.account.ID, call.id); err != nil {
+		return asRefusal(err)
+	}
+	if !call.key.recorded() {
+		return s.runChat(ctx, call)
+	}
+	turn, begun, refused := s.begin(ctx, call.ledgerCall(), call.model.ID)
+	if refused != nil {
+		return refused
+	}
+	if begun.Answered != nil {
+		s.opts.Limiter.GiveBack(call.id)
+		s.replay(w, begun.Answered)
+		return nil
+	}
+	call.turn = turn
+	call.messages = rawMessages(begun.Messages)
+	ctx, stop := turn.bind(ctx)
+	defer stop()
+	return s.runChat(ctx, call)
+}
+
+// replay sends a recorded answer, byte for byte.
+func (s *Server) replay(w http.ResponseWriter, a *program.Answered) {
+	_ = writeAnswer(w, answer{status: a.Status, contentType: a.ContentType, body: a.Answer})
+}
+
+func (c *chatCall) ledgerCall() program.Call {
+	call := c.key.call(c.caller.account, program.KindChat)
+	call.RequestHash = c.hash
+	call.Repeatable = true
+	call.ReserveTokens = c.reserve()
+	messages := make([][]byte, len(c.request.messages))
+	for i, m := range c.request.messages {
+		messages[i] = m
+	}
+	if c.appended {
+		call.NewMessages = messages
+	} else {
+		call.Conversation = messages
+	}
+	return call
+}
+
+func rawMessages(messages [][]byte) []json.RawMessage {
+	raw := make([]json.RawMessage, len(messages))
+	for i, m := range messages {
+		raw[i] = m
+	}
+	return raw
+}
+
+// reserve returns the most tokens that the call can use: a token stands for at least a byte.
+func (c *chatCall) reserve() int64 {
+	size := int64(0)
+	for _, raw := range c.request.fields {
+		size += int64(len(raw))
+	}
+	return size + reservedPerMessage*int64(len(c.request.messages)) + c.maxTokens()
+}
+
+func (c *chatCall) maxTokens() int64 {
+	if c.request.maxTokens > 0 {
+		return c.request.maxTokens
+	}
+	return c.model.MaxTokens
+}
+
 // finishRefused ends a call without its answer: by a refusal, or within a stream under way by
 // an error event.
 func (s *Server) finishRefused(call *chatCall, refused *refusal.Refusal) {
 	s.stats.Refused.Add(1)
-	if refused.NotRun == refusal.True {
+	if call.notRun == refusal.True {
 		s.opts.Limiter.GiveBack(call.id)
 	}
 	call.sink.fail(refused)
@@ -98,24 +197,38 @@
 // runChat makes attempts until one succeeds or no further one is allowed.
 func (s *Server) runChat(ctx context.Context, call *chatCall) *refusal.Refusal {
 	s.retries.earn()
-	for attempt := 1; ; attempt++ {
+	for {
+		call.tries++
 		refused, retry := s.attemptChat(ctx, call)
 		if refused == nil {
 			return nil
 		}
-		if cause := context.Cause(ctx); errors.Is(cause, errKeyWithdrawn) {
-			return keyWithdrawn(call.notRun)
+		if retry && !call.sink.started() && call.tries < maxAttempts && ctx.Err() == nil && s.retries.take() {
+			s.stats.Retries.Add(1)
+			continue
 		}
-		if !retry || call.sink.started() || attempt == maxAttempts || ctx.Err() != nil || !s.retries.take() {
-			return refused
-		}
-		s.stats.Retries.Add(1)
+		return s.settleRefused(ctx, call.turn, refused, call.notRun)
+	}
+}
+
+// settleRefused closes the turn and says why a call ended that its context cut short.
+func (s *Server) settleRefused(ctx context.Context, t *turn, refused *refusal.Refusal, notRun refusal.NotRun) *refusal.Refusal {
+	notRun = t.giveUp(notRun)
+	switch cause := context.Cause(ctx); {
+	case errors.Is(cause, errKeyWithdrawn):
+		return keyWithdrawn(notRun)
+	case errors.Is(cause, errDeadline):
+		return &refusal.Refusal{Status: http.StatusGone, Code: string(program.CodeExpired), Message: errDeadline.Error(), NotRun: notRun}
+	case errors.Is(cause, errAttemptLost):
+		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), refusal.Unknown)
 	}
+	return withNotRun(refused, notRun)
 }
 
 // attemptChat makes one attempt. retry says that another upstream may do better.
 func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry bool) {
-	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, s.scheduleRequest(call))
+	zone, _ := call.turn.home()
+	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, zone, s.scheduleRequest(call))
 	if err != nil {
 		return noGrant(err, call.notRun), false
 	}
@@ -123,42 +236,75 @@
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
 	if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
 		outcome.Failed = false
-		refused := asRefusal(err)
-		refused.NotRun = call.notRun
-		return refused, false
+		return withNotRun(asRefusal(err), call.notRun), false
+	}
+	if !call.turn.mayWrite() {
+		outcome.Failed = false
+		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), false
 	}
 	assembler := upstream.NewAssembler()
 	err = s.relay(ctx, call, grant, assembler)
-	if err == nil {
-		outcome = served(assembler)
-		return nil, false
+	if err != nil {
+		return s.chatFailure(ctx, call, grant, err)
 	}
-	return s.chatFailure(call, grant, err)
+	outcome = served(assembler)
+	return s.deliver(call, assembler), false
 }
 
-func (s *Server) acquire(ctx context.Context, kind config.UpstreamKind, name string, r schedule.Request) (*dispatch.Grant, error) {
+// deliver records the whole answer and then tells the caller that it is whole.
+func (s *Server) deliver(call *chatCall, a *upstream.Assembler) *refusal.Refusal {
+	whole, err := call.sink.answer(a)
+	if err != nil {
+		call.notRun = refusal.False
+		return failed("bad_answer", "the engine's answer could not be read", refusal.False)
+	}
+	if call.turn != nil {
+		message, err := a.Message()
+		if err == nil {
+			err = call.turn.complete(whole, message, usedTokens(a, call.reserve()))
+		}
+		if err != nil {
+			call.notRun = refusal.Unknown
+			return withNotRun(program.Refusal(err), refusal.Unknown)
+		}
+	}
+	call.sink.finish(whole)
+	return nil
+}
+
+// usedTokens returns the engine's count, or the reservation if it sent none.
+func usedTokens(a *upstream.Assembler, reserved int64) int64 {
+	usage, ok := a.Usage()
+	if !ok {
+		return reserved
+	}
+	return usage.TotalTokens
+}
+
+func (s *Server) acquire(ctx context.Context, kind config.UpstreamKind, name, zone string, r schedule.Request) (*dispatch.Grant, error) {
 	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
 	defer cancel()
-	return s.opts.Dispatcher.Acquire(ctx, kind, name, "", r)
+	return s.opts.Dispatcher.Acquire(ctx, kind, name, zone, r)
 }
 
 func (s *Server) scheduleRequest(call *chatCall) schedule.Request {
 	size := int64(0)
-	for _, m := range call.request.messages {
+	for _, m := range call.messages {
 		size += int64(len(m))
 	}
-	maxTokens := call.request.maxTokens
-	if maxTokens == 0 {
-		maxTokens = call.model.MaxTokens
-	}
-	return schedule.Request{
+	r := schedule.Request{
 		ID:           newID(),
 		Account:      call.caller.account.ID,
 		Weight:       call.caller.account.Weight,
 		PromptTokens: size / bytesPerToken,
-		MaxTokens:    maxTokens,
+		MaxTokens:    call.maxTokens(),
 		Avoid:        call.avoid,
 	}
+	if call.turn != nil {
+		r.Program = call.caller.account.ID + "/" + call.turn.program
+		_, r.Resident = call.turn.home()
+	}
+	return r
 }
 
 // served counts what an engine did for a call.
@@ -169,7 +315,7 @@
 
 // relay sends the call to the granted engine and passes its answer on.
 func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, a *upstream.Assembler) error {
-	body, err := call.request.engineBody(call.model.ID, call.model.MaxTokens, call.request.messages)
+	body, err := call.request.engineBody(call.model.ID, call.model.MaxTokens, call.messages)
 	if err != nil {
 		return err
 	}
@@ -179,6 +325,7 @@
 		Address:     grant.Address,
 		CanResume:   grant.CanResume,
 		Attempt:     newID(),
+		Session:     call.turn.session(grant),
 		Idempotency: call.id,
 	}, body)
 	defer stream.Close()
@@ -190,7 +337,7 @@
 	return err
 }
 
-// pass hands each chunk to the sink and ends the sink once the answer is whole.
+// pass hands each chunk to the sink until the answer is whole.
 func pass(ctx context.Context, stream *upstream.Stream, a *upstream.Assembler, out sink) error {
 	for {
 		data, err := stream.Next(ctx)
@@ -203,14 +350,12 @@
 		if err := a.Add(data); err != nil {
 			return err
 		}
-		if err := out.chunk(data); err != nil {
-			return err
-		}
+		out.chunk(data)
 	}
 	if !a.Finished() {
 		return upstream.ErrBroken
 	}
-	return out.finish(a)
+	return nil
 }
 
 func isLost(err error) bool {
@@ -219,7 +364,7 @@
 }
 
 // chatFailure turns a failed attempt into a refusal. A chat completion may be repeated.
-func (s *Server) chatFailure(call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry bool) {
+func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry bool) {
 	call.avoid = append(call.avoid, grant.Upstream)
 	var status *upstream.StatusError
 	if errors.As(err, &status) {
@@ -230,9 +375,8 @@
 		return withNotRun(unavailable("upstream_unreachable", "the engine could not be reached", retryNoUpstream), call.notRun), true
 	}
 	call.notRun = refusal.Unknown
-	var gone *sinkError
-	if errors.As(err, &gone) {
-		return failed("caller_gone", "the caller closed the connection", refusal.Unknown), false
+	if ctx.Err() != nil {
+		return failed("ended", "the call ended before its answer was whole", refusal.Unknown), false
 	}
 	return failed("upstream_failed", "the engine broke the answer off", refusal.Unknown), true
 }
--- a/internal/gateway/chatrequest.go
+++ b/internal/gateway/chatrequest.go
@@ -101,6 +101,15 @@
 	return json.Marshal(fields)
 }
 
+// canonical returns the request in one fixed form, so that equal requests hash alike.
+func (c *chatRequest) canonical() []byte {
+	data, err := json.Marshal(c.fields) // sorted by name; values are compacted
+	if err != nil {
+		return nil
+	}
+	return data
+}
+
 // decoded returns the body with its JSON escapes resolved as far as a key could hide in them.
 func (c *chatRequest) decoded() []byte {
 	data, err := json.Marshal(c.fields)
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -10,6 +10,7 @@
 
 	"github.com/julienschmidt/httprouter"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
 	"egretramp/internal/events"
@@ -54,7 +55,9 @@
 	Limiter    Limiter
 	Dispatcher Dispatcher
 	Caller     *upstream.Caller
+	Ledger     Ledger
 	Events     *events.Logger
+	Clock      func() time.Duration // default clock.Now
 }
 
 // Bounds on callers' requests.
@@ -71,6 +74,7 @@
 	router   *httprouter.Router
 	inflight *inflight
 	retries  *retryBudget
+	attempts *attempts
 	draining atomic.Bool
 	stats    Stats
 }
@@ -84,7 +88,10 @@
 
 // New returns a server.
 func New(opts Options) *Server {
-	s := &Server{opts: opts, inflight: newInflight(), retries: newRetryBudget()}
+	if opts.Clock == nil {
+		opts.Clock = clock.Now
+	}
+	s := &Server{opts: opts, inflight: newInflight(), retries: newRetryBudget(), attempts: newAttempts()}
 	s.router = s.routes()
 	return s
 }
@@ -113,6 +120,11 @@
 	r.MethodNotAllowed = http.HandlerFunc(methodNotAllowed)
 	r.POST("/v1/chat/completions", s.chat)
 	r.GET("/v1/models", s.models)
+	r.POST("/v1/programs", s.createProgram)
+	r.GET("/v1/programs", s.listPrograms)
+	r.GET("/v1/programs/:program", s.readProgram)
+	r.POST("/v1/programs/:program/turns", s.appendTurn)
+	r.POST("/v1/programs/:program/end", s.endProgram)
 	r.GET("/healthz", s.health)
 	for _, method := range serviceMethods {
 		r.Handle(method, "/v1/services/:service/*path", s.service)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -14,6 +14,7 @@
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
+	"egretramp/internal/program"
 	"egretramp/internal/refusal"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
@@ -36,15 +37,16 @@
 	body       []byte
 	timeout    time.Duration
 	repeatable bool
+	key        recordKey
+	turn       *turn
 	notRun     refusal.NotRun
 	avoid      []string
 }
 
-// serviceAnswer is a service's whole answer.
+// serviceAnswer is a service's whole answer. Headers other than the content type are not recorded.
 type serviceAnswer struct {
-	status int
+	answer
 	header http.Header
-	body   []byte
 }
 
 // service serves ANY /v1/services/NAME/PATH.
@@ -54,14 +56,22 @@
 		s.refuse(w, refused)
 		return
 	}
-	ctx, done := s.inflight.add(r.Context(), call.caller)
+	ctx := r.Context()
+	if call.key.recorded() {
+		// A recorded call goes on without its caller, who finds the answer in the record.
+		ctx = context.WithoutCancel(ctx)
+	}
+	ctx, done := s.inflight.add(ctx, call.caller)
 	defer done()
-	answer, refused := s.admitService(ctx, call)
+	a, refused := s.admitService(ctx, call)
 	if refused != nil {
 		s.refuse(w, refused)
 		return
 	}
-	writeAnswer(w, answer)
+	for name, values := range a.header {
+		w.Header()[name] = values
+	}
+	_ = writeAnswer(w, a.answer)
 }
 
 func (s *Server) prepareService(w http.ResponseWriter, r *http.Request, p httprouter.Params) (*serviceCall, *refusal.Refusal) {
@@ -85,6 +95,10 @@
 			return nil, refused
 		}
 	}
+	key, refused := readRecordKey(r.Header)
+	if refused != nil {
+		return nil, refused
+	}
 	body, refused := readBody(w, r)
 	if refused != nil {
 		return nil, refused
@@ -92,6 +106,10 @@
 	if refused := checkNoKey(c, r, body, unescape(body)); refused != nil {
 		return nil, refused
 	}
+	repeatable := service.Repeatable || r.Method == http.MethodGet || r.Method == http.MethodHead
+	if c.account == nil || repeatable && key.program == "" {
+		key = recordKey{} // nobody to keep a record for, or nothing that a record would guard
+	}
 	return &serviceCall{
 		id:         newID(),
 		caller:     c,
@@ -101,7 +119,8 @@
 		header:     forwardHeader(r.Header),
 		body:       body,
 		timeout:    serviceTimeout(service, route),
-		repeatable: service.Repeatable || r.Method == http.MethodGet || r.Method == http.MethodHead,
+		repeatable: repeatable,
+		key:        key,
 		notRun:     refusal.True,
 	}, nil
 }
@@ -149,16 +168,41 @@
 
 // admitService holds a caller with a key to its rate and runs the call.
 func (s *Server) admitService(ctx context.Context, call *serviceCall) (*serviceAnswer, *refusal.Refusal) {
-	if call.caller.account != nil {
-		if err := s.opts.Limiter.Draw(ctx, call.caller.account.ID, call.id); err != nil {
-			return nil, asRefusal(err)
-		}
+	if call.caller.account == nil {
+		return s.runService(ctx, call)
 	}
-	answer, refused := s.runService(ctx, call)
-	if refused != nil && refused.NotRun == refusal.True && call.caller.account != nil {
+	if err := s.opts.Limiter.Draw(ctx, call.caller.account.ID, call.id); err != nil {
+		return nil, asRefusal(err)
+	}
+	a, refused := s.recordService(ctx, call)
+	if call.notRun == refusal.True {
 		s.opts.Limiter.GiveBack(call.id)
 	}
-	return answer, refused
+	return a, refused
+}
+
+// recordService begins the turn if the call is recorded, and runs the call.
+func (s *Server) recordService(ctx context.Context, call *serviceCall) (*serviceAnswer, *refusal.Refusal) {
+	if !call.key.recorded() {
+		return s.runService(ctx, call)
+	}
+	ledgerCall := call.key.call(call.caller.account, program.KindService)
+	ledgerCall.RequestHash = program.HashRequest([]byte(call.service.ID), []byte(call.method), []byte(call.path), call.body)
+	ledgerCall.Repeatable = call.repeatable
+	turn, begun, refused := s.begin(ctx, ledgerCall, "")
+	if refused != nil {
+		return nil, refused
+	}
+	if a := begun.Answered; a != nil {
+		return &serviceAnswer{answer: answer{status: a.Status, contentType: a.ContentType, body: a.Answer}}, nil
+	}
+	call.turn = turn
+	if turn.started.IdempotencyKey != "" {
+		call.header.Set(wire.HeaderIdempotency, turn.started.IdempotencyKey)
+	}
+	ctx, stop := turn.bind(ctx)
+	defer stop()
+	return s.runService(ctx, call)
 }
 
 func (s *Server) runService(ctx context.Context, call *serviceCall) (*serviceAnswer, *refusal.Refusal) {
@@ -166,22 +210,20 @@
 	defer cancel()
 	s.retries.earn()
 	for attempt := 1; ; attempt++ {
-		answer, refused, retry := s.attemptService(ctx, call)
+		a, refused, retry := s.attemptService(ctx, call)
 		if refused == nil {
-			return answer, nil
+			return a, nil
 		}
-		if errors.Is(context.Cause(ctx), errKeyWithdrawn) {
-			return nil, keyWithdrawn(call.notRun)
-		}
-		if !retry || attempt == maxAttempts || ctx.Err() != nil || !s.retries.take() {
-			return nil, refused
+		if retry && attempt < maxAttempts && ctx.Err() == nil && s.retries.take() {
+			s.stats.Retries.Add(1)
+			continue
 		}
-		s.stats.Retries.Add(1)
+		return nil, s.settleRefused(ctx, call.turn, refused, call.notRun)
 	}
 }
 
 func (s *Server) attemptService(ctx context.Context, call *serviceCall) (_ *serviceAnswer, refused *refusal.Refusal, retry bool) {
-	grant, err := s.acquire(ctx, config.KindService, call.service.ID, serviceRequest(call))
+	grant, err := s.acquire(ctx, config.KindService, call.service.ID, "", serviceRequest(call))
 	if err != nil {
 		return nil, noGrant(err, call.notRun), false
 	}
@@ -193,13 +235,22 @@
 			return nil, withNotRun(asRefusal(err), call.notRun), false
 		}
 	}
-	answer, err := s.send(ctx, call, grant)
-	if err == nil {
-		outcome = schedule.Outcome{}
-		return answer, nil, false
+	if !call.turn.mayWrite() {
+		outcome.Failed = false
+		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), false
 	}
-	refused, retry = serviceFailure(ctx, call, grant, err)
-	return nil, refused, retry
+	a, err := s.send(ctx, call, grant)
+	if err != nil {
+		refused, retry = serviceFailure(ctx, call, grant, err)
+		return nil, refused, retry
+	}
+	outcome = schedule.Outcome{}
+	call.notRun = refusal.False
+	if err := call.turn.complete(a.answer, nil, 0); err != nil {
+		call.notRun = refusal.Unknown
+		return nil, withNotRun(program.Refusal(err), refusal.Unknown), false
+	}
+	return a, nil, false
 }
 
 func serviceRequest(call *serviceCall) schedule.Request {
@@ -236,7 +287,8 @@
 	}
 	header := forwardHeader(resp.Header)
 	header.Del(wire.HeaderAttempt)
-	return &serviceAnswer{status: resp.StatusCode, header: header, body: body}, nil
+	a := answer{status: resp.StatusCode, contentType: resp.Header.Get("Content-Type"), body: body}
+	return &serviceAnswer{answer: a, header: header}, nil
 }
 
 var errAnswerTooLarge = errors.New("the answer is larger than 8 MiB")
@@ -259,11 +311,3 @@
 	}
 	return failed("upstream_failed", "the service broke the call off", refusal.Unknown), call.repeatable
 }
-
-func writeAnswer(w http.ResponseWriter, a *serviceAnswer) {
-	for name, values := range a.header {
-		w.Header()[name] = values
-	}
-	w.WriteHeader(a.status)
-	_, _ = w.Write(a.body)
-}
--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -9,27 +9,23 @@
 	"egretramp/internal/upstream"
 )
 
-// sink takes an answer on behalf of the caller.
+// sink takes an answer on behalf of the caller. A caller that cannot be reached any more is
+// noted and does not end the call: what is recorded goes on without it.
 type sink interface {
 	// chunk takes the next chunk of the answer.
-	chunk(data []byte) error
-	// finish ends a whole answer.
-	finish(a *upstream.Assembler) error
+	chunk(data []byte)
+	// answer returns the whole answer as it is recorded.
+	answer(a *upstream.Assembler) (answer, error)
+	// finish sends what is still to be sent of the whole answer.
+	finish(a answer)
 	// fail ends the call without a whole answer.
 	fail(r *refusal.Refusal)
-	// started reports whether any part of an answer has reached the caller.
+	// started reports whether any part of an answer has been sent.
 	started() bool
+	// gone reports whether the caller cannot be reached any more.
+	gone() bool
 }
 
-// sinkError says that the caller cannot be reached any more.
-type sinkError struct{ cause error }
-
-// Error describes the failure.
-func (e *sinkError) Error() string { return "caller cannot be reached: " + e.cause.Error() }
-
-// Unwrap returns the cause.
-func (e *sinkError) Unwrap() error { return e.cause }
-
 func newSink(w http.ResponseWriter, r *chatRequest) sink {
 	if r.stream {
 		return &streamSink{w: w, control: http.NewResponseController(w), usage: r.includeUsage}
@@ -37,21 +33,34 @@
 	return &wholeSink{w: w}
 }
 
+const (
+	contentTypeStream = "text/event-stream"
+	contentTypeJSON   = "application/json"
+)
+
+var doneFrame = frame([]byte("[DONE]"))
+
 // streamSink passes chunks on as server-sent events.
 type streamSink struct {
 	w       http.ResponseWriter
 	control *http.ResponseController
 	usage   bool // the caller asked for the usage chunk
 	begun   bool
+	lost    bool
+	sent    bytes.Buffer
 }
 
 func (s *streamSink) started() bool { return s.begun }
 
-func (s *streamSink) chunk(data []byte) error {
+func (s *streamSink) gone() bool { return s.lost }
+
+func (s *streamSink) chunk(data []byte) {
 	if !s.usage && isUsageOnly(data) {
-		return nil
+		return
 	}
-	return s.event(data)
+	framed := frame(data)
+	s.sent.Write(framed)
+	s.write(framed)
 }
 
 // isUsageOnly reports whether a chunk has no choices, as the one that carries the usage.
@@ -63,20 +72,21 @@
 	return json.Unmarshal(data, &c) == nil && len(c.Choices) == 0 && len(c.Usage) > 0
 }
 
-func (s *streamSink) event(data []byte) error {
+func (s *streamSink) write(framed []byte) {
+	if s.lost {
+		return
+	}
 	if !s.begun {
 		s.begun = true
-		s.w.Header().Set("Content-Type", "text/event-stream")
+		s.w.Header().Set("Content-Type", contentTypeStream)
 		s.w.Header().Set("Cache-Control", "no-cache")
 		s.w.WriteHeader(http.StatusOK)
 	}
-	if _, err := s.w.Write(frame(data)); err != nil {
-		return &sinkError{cause: err}
-	}
-	if err := s.control.Flush(); err != nil {
-		return &sinkError{cause: err}
+	if _, err := s.w.Write(framed); err != nil {
+		s.lost = true
+		return
 	}
-	return nil
+	s.lost = s.control.Flush() != nil
 }
 
 // frame returns one event. A payload with line breaks takes several data lines.
@@ -85,7 +95,12 @@
 	return append(out, '\n', '\n')
 }
 
-func (s *streamSink) finish(*upstream.Assembler) error { return s.event([]byte("[DONE]")) }
+func (s *streamSink) answer(*upstream.Assembler) (answer, error) {
+	body := append(bytes.Clone(s.sent.Bytes()), doneFrame...)
+	return answer{status: http.StatusOK, contentType: contentTypeStream, body: body}, nil
+}
+
+func (s *streamSink) finish(answer) { s.write(doneFrame) }
 
 // fail before the first event is a refusal; later it is an error event, and the stream ends
 // without [DONE], so that nobody takes the part for the whole.
@@ -94,30 +109,30 @@
 		r.Write(s.w)
 		return
 	}
-	_ = s.event(r.JSON())
+	s.write(frame(r.JSON()))
 }
 
 // wholeSink sends the whole answer at its end.
 type wholeSink struct {
 	w     http.ResponseWriter
 	begun bool
+	lost  bool
 }
 
 func (s *wholeSink) started() bool { return s.begun }
 
-func (s *wholeSink) chunk([]byte) error { return nil }
+func (s *wholeSink) gone() bool { return s.lost }
 
-func (s *wholeSink) finish(a *upstream.Assembler) error {
-	data, err := a.Completion()
-	if err != nil {
-		return err
-	}
+func (s *wholeSink) chunk([]byte) {}
+
+func (s *wholeSink) answer(a *upstream.Assembler) (answer, error) {
+	body, err := a.Completion()
+	return answer{status: http.StatusOK, contentType: contentTypeJSON, body: body}, err
+}
+
+func (s *wholeSink) finish(a answer) {
 	s.begun = true
-	s.w.Header().Set("Content-Type", "application/json")
-	if _, err := s.w.Write(data); err != nil {
-		return &sinkError{cause: err}
-	}
-	return nil
+	s.lost = writeAnswer(s.w, a) != nil
 }
 
 func (s *wholeSink) fail(r *refusal.Refusal) {
@@ -125,3 +140,13 @@
 		r.Write(s.w)
 	}
 }
+
+// writeAnswer sends a whole answer.
+func writeAnswer(w http.ResponseWriter, a answer) error {
+	if a.contentType != "" {
+		w.Header().Set("Content-Type", a.contentType)
+	}
+	w.WriteHeader(a.status)
+	_, err := w.Write(a.body)
+	return err
+}
--- /dev/null
+++ b/internal/gateway/turn.go
@@ -0,0 +1,227 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/program"
+	"egretramp/internal/refusal"
+)
+
+// Ledger keeps the record of programs; *program.Ledger is one.
+type Ledger interface {
+	Create(ctx context.Context, c program.Create) (*program.View, error)
+	Begin(ctx context.Context, call program.Call) (*program.Turn, error)
+	Revoke(ctx context.Context, c program.Revoke) (mayHaveRun bool, err error)
+	Complete(ctx context.Context, c program.Complete) (*program.SettledBudget, error)
+	Fail(ctx context.Context, c program.Fail) error
+	Renew(ctx context.Context, attempts []string) (lost []string, err error)
+	End(ctx context.Context, c program.End) (*program.View, error)
+	Read(ctx context.Context, q program.ProgramQuery) (*program.View, error)
+	List(ctx context.Context, q program.ListQuery) (*program.ListPage, error)
+}
+
+// Headers that place a call within a program.
+const (
+	headerProgram = "Egretramp-Program"
+	headerTurn    = "Egretramp-Turn"
+)
+
+// Bounds of the ledger's work for one call.
+const (
+	// beginTimeout bounds the wait for the record of a program: a VM that reaches no majority
+	// says so at once.
+	beginTimeout  = 2500 * time.Millisecond
+	settleTimeout = 10 * time.Second
+)
+
+var (
+	errAttemptLost = errors.New("the attempt's lease was lost")
+	errDeadline    = errors.New("the program's deadline passed")
+)
+
+// recordKey places a call within the record. The zero value is a call without a record.
+type recordKey struct {
+	program     string
+	turn        uint64
+	idempotency string
+}
+
+const maxKeyBytes = 200
+
+// readRecordKey reads the headers that place a call within a program.
+func readRecordKey(h http.Header) (recordKey, *refusal.Refusal) {
+	k := recordKey{program: h.Get(headerProgram), idempotency: h.Get("Idempotency-Key")}
+	if len(k.program) > maxKeyBytes || len(k.idempotency) > maxKeyBytes {
+		return k, badRequest("bad_header", "the program's name and the idempotency key have at most 200 bytes")
+	}
+	if text := h.Get(headerTurn); text != "" {
+		n, err := strconv.ParseUint(text, 10, 63)
+		if err != nil || n == 0 || k.program == "" {
+			return k, badRequest("bad_header", headerTurn+" must be a number from 1, beside "+headerProgram)
+		}
+		k.turn = n
+	}
+	return k, nil
+}
+
+// recorded reports whether the call goes into the record.
+func (k recordKey) recorded() bool { return k.program != "" || k.idempotency != "" }
+
+// call returns the ledger's call for an account. A program that does not exist yet is made with
+// the account's ceiling; a call with only an idempotency key is a program of one call.
+func (k recordKey) call(account *config.ClientAccount, kind program.Kind) program.Call {
+	c := program.Call{
+		Account:        account.ID,
+		Program:        k.program,
+		Turn:           k.turn,
+		Kind:           kind,
+		IdempotencyKey: k.idempotency,
+		Implicit:       &program.Implicit{Ceiling: ceiling(account)},
+	}
+	if k.program == "" {
+		c.Program = program.OneCallName(k.idempotency)
+		c.Implicit.OneCall = true
+	}
+	return c
+}
+
+func ceiling(a *config.ClientAccount) program.Budget {
+	return program.Budget{Tokens: a.ProgramTokens, Calls: a.ProgramCalls}
+}
+
+// turn is one recorded call under way. A nil turn is a call without a record.
+type turn struct {
+	server  *Server
+	account string
+	program string
+	started *program.Started
+	model   string
+	// resident is the engine session that the last attempt used.
+	resident *program.Residency
+}
+
+// answer is a call's answer as it is recorded and sent.
+type answer struct {
+	status      int
+	contentType string
+	body        []byte
+}
+
+// begin begins a recorded call. It returns the turn, or the recorded answer of an earlier one.
+func (s *Server) begin(ctx context.Context, call program.Call, model string) (*turn, *program.Turn, *refusal.Refusal) {
+	proposed := s.opts.Clock()
+	limited, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	begun, err := s.opts.Ledger.Begin(limited, call)
+	if err != nil {
+		return nil, nil, program.Refusal(err)
+	}
+	if begun.Answered != nil {
+		return nil, begun, nil
+	}
+	s.attempts.add(begun.Started.Attempt, proposed)
+	return &turn{server: s, account: call.Account, program: call.Program, started: begun.Started, model: model}, begun, nil
+}
+
+// bind ties a context to the turn: it ends with the program's deadline and with the loss of the
+// attempt's lease, and no longer with the caller's connection.
+func (t *turn) bind(ctx context.Context) (context.Context, func()) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	t.server.attempts.onLost(t.started.Attempt, func() { cancel(errAttemptLost) })
+	stop := func() {
+		t.server.attempts.remove(t.started.Attempt)
+		cancel(nil)
+	}
+	if t.started.DeadlineMS == 0 {
+		return ctx, stop
+	}
+	limited, release := context.WithDeadlineCause(ctx, time.UnixMilli(t.started.DeadlineMS), errDeadline)
+	return limited, func() {
+		release()
+		stop()
+	}
+}
+
+// mayWrite reports whether bytes may go towards an upstream now.
+func (t *turn) mayWrite() bool {
+	return t == nil || t.server.attempts.mayWrite(t.started.Attempt, t.server.opts.Clock())
+}
+
+// home returns where the program's prefix is: zone and engine, empty if nowhere.
+func (t *turn) home() (zone, engine string) {
+	if t == nil {
+		return "", ""
+	}
+	for _, r := range t.started.Residencies {
+		if r.Model == t.model {
+			return program.SplitEngineName(r.Engine)
+		}
+	}
+	return "", ""
+}
+
+// session returns the session that a call to the granted engine names, and notes that it holds
+// memory there.
+func (t *turn) session(g *dispatch.Grant) string {
+	if t == nil {
+		return ""
+	}
+	engine := program.EngineName(g.Pool.Zone, g.Upstream)
+	session := t.started.NewSession
+	for _, r := range t.started.Residencies {
+		if r.Model == t.model && r.Engine == engine && r.EngineIncarnation == g.Incarnation {
+			session = r.Session
+		}
+	}
+	t.resident = &program.Residency{Model: t.model, Engine: engine, EngineIncarnation: g.Incarnation, Session: session}
+	return session
+}
+
+// complete records the answer. Only after it returned nil is the answer whole.
+func (t *turn) complete(a answer, message []byte, usedTokens int64) error {
+	if t == nil {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	c := program.Complete{
+		Account: t.account, Program: t.program, Attempt: t.started.Attempt,
+		Answer: a.body, Status: a.status, ContentType: a.contentType,
+		UsedTokens: usedTokens, Residency: t.resident,
+	}
+	if message != nil {
+		c.Messages = [][]byte{message}
+	}
+	_, err := t.server.opts.Ledger.Complete(ctx, c)
+	return err
+}
+
+// giveUp settles a turn without an answer and returns what may be said of its having run.
+func (t *turn) giveUp(notRun refusal.NotRun) refusal.NotRun {
+	if t == nil {
+		return notRun
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	if notRun != refusal.True {
+		// The lease settles it if this does not arrive.
+		_ = t.server.opts.Ledger.Fail(ctx, program.Fail{
+			Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
+		})
+		return notRun
+	}
+	mayHaveRun, err := t.server.opts.Ledger.Revoke(ctx, program.Revoke{
+		Account: t.account, Program: t.program, Attempt: t.started.Attempt,
+	})
+	if mayHaveRun && err == nil {
+		return refusal.Unknown
+	}
+	return refusal.True
+}
