--- a/internal/events/raft.go
+++ b/internal/events/raft.go
@@ -18,5 +18,6 @@
 	FormationAbandoned = define(1109, zapcore.WarnLevel, "the replica left a formation that never came about and starts anew", "")
 	FormationWaiting   = define(1110, zapcore.WarnLevel, "the group is not formed yet: not every initial VM answers",
 		"start the VMs that are named, or correct the initial VMs in the settings")
+	LearnerDropped    = define(1112, zapcore.InfoLevel, "a silent learner was dropped because its VM has a live voter", "")
 	SnapshotInstalled = define(1111, zapcore.InfoLevel, "a snapshot from the leader replaced the state", "")
 )
--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -75,6 +75,9 @@
 			}
 		}
 	}
+	if step := planCleanup(views); step != nil {
+		return step
+	}
 	for _, vm := range sortedVMs(waiting) {
 		if step := planLearner(views, vm, waiting[vm].replica, initialVMs); step != nil {
 			return step
@@ -101,6 +104,30 @@
 	return step
 }
 
+// planCleanup drops a silent learner whose VM has a live voter: a late greeting of a replica
+// that was lost since may have been admitted.
+func planCleanup(views []memberView) *admissionStep {
+	for _, learner := range views {
+		if !learner.member.Learner || !learner.silent || !hasLiveVoter(views, learner.member.Vm) {
+			continue
+		}
+		step := &admissionStep{conf: &raftpb.ConfState{}, event: events.LearnerDropped, vm: learner.member.Vm, replica: learner.member.Id}
+		for _, v := range views {
+			if v.member.Id != learner.member.Id {
+				step.conf.Members = append(step.conf.Members, proto.Clone(v.member).(*raftpb.Member))
+			}
+		}
+		return step
+	}
+	return nil
+}
+
+func hasLiveVoter(views []memberView, vm string) bool {
+	return slices.ContainsFunc(views, func(v memberView) bool {
+		return v.member.Vm == vm && !v.member.Learner && !v.silent
+	})
+}
+
 // planLearner admits a new replica of a known VM whose other replicas are silent. A learner
 // of the VM that was lost before it became a voter gives way at once.
 func planLearner(views []memberView, vm string, replica uint64, initialVMs []string) *admissionStep {
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -14,10 +14,12 @@
 )
 
 // Formation. A replica without one greets every initial VM. When all of them have answered
-// this very replica that they have none either, the VM with the smallest name proposes the
-// membership. A replica that is named in a proposal binds itself to it durably, and never to
-// another; the proposer binds itself when a bound one passes the proposal back. So a formation exists
-// once a majority of its members is bound, and a proposal that reached nobody leaves no trace.
+// this very replica that they have none either, the VM with the smallest name binds itself
+// durably to the membership and proposes it. A replica that is named in a proposal binds
+// itself too, and never to another. A formation exists once a majority of its members is bound.
+//
+// The proposer binds itself first: were it free to propose again with another membership
+// after a VM lost its disk, the members could end up in two formations.
 //
 // An answer counts only if it is addressed to this replica's ID: answers to a former replica
 // of the VM may still be on the way after its disk was lost.
@@ -103,13 +105,11 @@
 		n.noteWaiting(missing)
 		return nil
 	}
-	if len(conf.Members) == 1 {
-		return n.bind(formationNumber(conf), conf)
+	if err := n.bind(formationNumber(conf), conf); err != nil {
+		return err
 	}
 	for _, m := range conf.Members {
-		if m.Vm != n.options.vm {
-			n.sendForm(m, conf)
-		}
+		n.invite(m.Id)
 	}
 	return nil
 }
@@ -120,12 +120,7 @@
 	}
 }
 
-func (n *node) sendForm(to *raftpb.Member, conf *raftpb.ConfState) {
-	form := &raftpb.Form{Formation: formationNumber(conf), Conf: conf, Bound: n.bound()}
-	n.send(to.Vm, &raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_FORM, To: to.Id, Form: form})
-}
-
-// formationNumber is the same for the same replicas, so proposing again changes nothing.
+// formationNumber is determined by the replica IDs, which are random.
 func formationNumber(conf *raftpb.ConfState) uint64 {
 	hash := fnv.New64a()
 	for _, m := range conf.Members {
@@ -168,12 +163,15 @@
 	n.considerAbandoning()
 }
 
-// invite passes the formation on to a member that is not bound yet: the proposer may be gone.
+// invite passes the formation on to a member that is not bound yet. Any bound member does
+// it, because the proposer may be gone.
 func (n *node) invite(id uint64) {
 	for _, m := range n.raft.Conf().Members {
-		if m.Id == id && n.raft.LastIndex() == formationIndex {
-			n.sendForm(m, n.raft.Conf())
+		if m.Id != id || m.Id == n.raft.ID() || n.raft.LastIndex() != formationIndex {
+			continue
 		}
+		form := &raftpb.Form{Formation: n.store.Identity().Formation, Conf: n.raft.Conf()}
+		n.send(m.Vm, &raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_FORM, To: m.Id, Form: form})
 	}
 }
 
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -146,7 +146,10 @@
 	commands uint64
 	losses   int
 	led      bool
-	err      error
+	// lastRepair is when a replica last took the place of a lost one.
+	lastRepair  int
+	memberCount int
+	err         error
 }
 
 const (
@@ -331,6 +334,10 @@
 	m.seenCommit = n.raft.Commit()
 	if n.isLeader() {
 		s.led = true
+		if conf := n.raft.Conf(); len(conf.Members) < s.memberCount {
+			s.lastRepair = s.now
+		}
+		s.memberCount = len(n.raft.Conf().Members)
 		s.fail(s.checker.Leader(n.raft.Term(), id, n.raft.SnapshotIndex(), n.raft.LastIndex(), n.raft.TermAt))
 	}
 }
--- a/internal/replica/simfaults_test.go
+++ b/internal/replica/simfaults_test.go
@@ -37,7 +37,7 @@
 		s.cutSomeone(m)
 	case s.chance(25):
 		s.cut = map[[2]string]bool{}
-	case s.chance(20) && s.mayLoseDisk():
+	case s.chance(s.lossRate()) && s.mayLoseDisk():
 		s.losses++
 		s.crashMachine(m, 1+s.random.Intn(30))
 		s.wipe(m)
@@ -50,6 +50,15 @@
 	}
 }
 
+// lossRate is higher in the first ticks after a repair: a second VM lost right then must
+// not take an acknowledged entry with it.
+func (s *simulation) lossRate() int {
+	if s.losses > 0 && s.mayLoseDisk() && s.now-s.lastRepair < 100 {
+		return 200
+	}
+	return 20
+}
+
 // cutSomeone cuts a VM from some others, one way or both ways.
 func (s *simulation) cutSomeone(m *machine) {
 	oneWay := s.chance(500)
@@ -109,7 +118,7 @@
 }
 
 // mayLoseDisk allows a loss only if every earlier one is repaired: every replica of the
-// membership in force, committed, has its disk. With five voters two may be lost at once.
+// membership in force, committed, has its disk and is in the same formation. With five voters two may be lost at once.
 func (s *simulation) mayLoseDisk() bool {
 	if !s.led {
 		return s.losses == 0
@@ -123,7 +132,7 @@
 		if !member.Learner {
 			voters++
 		}
-		if !s.hasDisk(member) {
+		if !s.hasDisk(member, leader) {
 			lost++
 		}
 	}
@@ -131,10 +140,11 @@
 	return voters >= 3 && lost+unfinished < (voters-1)/2
 }
 
-func (s *simulation) hasDisk(member *raftpb.Member) bool {
+func (s *simulation) hasDisk(member *raftpb.Member, leader *machine) bool {
 	for _, m := range s.machines {
 		if m.vm == member.Vm {
-			return m.disk.identity.Replica == member.Id
+			formation := m.disk.identity.Formation
+			return m.disk.identity.Replica == member.Id && (formation == 0 || formation == leader.disk.identity.Formation)
 		}
 	}
 	return false
@@ -169,7 +179,7 @@
 	}
 	conf := leader.node.raft.Conf()
 	for _, member := range conf.Members {
-		if member.Learner || !s.hasDisk(member) {
+		if member.Learner || !s.hasDisk(member, leader) {
 			return errors.Newf("liveness: VM %s is not repaired", member.Vm)
 		}
 		for _, m := range s.machines {
