--- a/internal/config/parse_test.go
+++ b/internal/config/parse_test.go
@@ -25,6 +25,7 @@
     {"id": "r2", "service": "Desk:1", "path_prefix": "/hours", "open": true},
     {"id": "r3", "service": "desk", "accounts": ["carnival"]},
     {"id": "r4", "service": "desk", "path_prefix": "/admin/", "accounts": ["opera"]},
+    {"id": "r5", "service": "desk", "path_prefix": "/members"},
   ],
   "upstreams": [{"id": "engines", "kind": "engine", "secret": "0123456789abcdef", "serves": ["L"]}],
 }`
@@ -71,22 +72,38 @@
 	}
 }
 
-func TestParse_LargestDeploymentFits(t *testing.T) {
+// largestFile has the accounts of the largest deployment, with three names and two keys each.
+func largestFile() []byte {
 	var accounts []string
 	for i := range 9_900 {
 		accounts = append(accounts, fmt.Sprintf(`{"id": "account-%d", "names": {"old": "OLD/%d", "mid": "mid:%d", "new": "New-%d"},
 			"rate_per_second": 5, "burst": 10, "keys": [{"id": "k%d-1", "sha256": %q}, {"id": "k%d-2", "sha256": %q}]}`,
 			i, i, i, i, i, HashKey(fmt.Sprint(i)), i, HashKey(fmt.Sprint(-i-1))))
 	}
-	text := `{"generation": 1, "schemes": ["old", "mid", "new"], "models": [], "services": [], "routes": [], "upstreams": [],
-		"client_accounts": [` + strings.Join(accounts, ",\n") + `]}`
-	f, err := Parse("f", []byte(text))
+	return []byte(`{"generation": 1, "schemes": ["old", "mid", "new"], "models": [], "services": [], "routes": [], "upstreams": [],
+		"client_accounts": [` + strings.Join(accounts, ",\n") + `]}`)
+}
+
+func TestParse_LargestDeploymentFits(t *testing.T) {
+	f, err := Parse("f", largestFile())
 	require.NoError(t, err)
 	a, ok := Compile(f).Account("New-9000")
 	require.True(t, ok)
 	require.Equal(t, "account-9000", a.ID)
 }
 
+func BenchmarkParseAndCompile_LargestDeployment(b *testing.B) {
+	text := largestFile()
+	b.SetBytes(int64(len(text)))
+	for b.Loop() {
+		f, err := Parse("f", text)
+		if err != nil {
+			b.Fatal(err)
+		}
+		Compile(f)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add([]byte(example))
 	f.Add([]byte(`{"routes": [{"id": "a", "service": "b", "accounts": []}], "models": null}`))
--- a/internal/config/snapshot_test.go
+++ b/internal/config/snapshot_test.go
@@ -74,6 +74,8 @@
 		{carnival, "/quotes/", "r3"},
 		{opera, "/quotes", ""},
 		{opera, "/admin", "r4"},
+		{carnival, "/members", "r5"},
+		{nil, "/members", ""},
 		{carnival, "/admin/x", ""},
 	} {
 		r, ok := s.ServiceRoute(c.account, "Desk:1", c.path)
--- a/internal/control/follower_test.go
+++ b/internal/control/follower_test.go
@@ -67,10 +67,11 @@
 }
 
 func TestFollower_UnrelatedHistoriesUnite(t *testing.T) {
+	last := WithdrawnKey{ID: "c", Hash: "3", Sequence: 2}
 	f := NewFollower()
-	f.Offer(Delta{Withdrawn: []WithdrawnKey{{ID: "a", Hash: "1", Sequence: 1}}})
+	f.Offer(Delta{Withdrawn: []WithdrawnKey{{ID: "a", Hash: "1", Sequence: 1}, last}})
 	g := NewFollower()
-	g.Offer(Delta{Withdrawn: []WithdrawnKey{{ID: "b", Hash: "2", Sequence: 1}}})
+	g.Offer(Delta{Withdrawn: []WithdrawnKey{{ID: "b", Hash: "2", Sequence: 1}, last}})
 	f.Offer(g.DeltaFor(f.Digest()))
 	require.True(t, f.KeyWithdrawn("a", ""))
 	require.True(t, f.KeyWithdrawn("b", ""))
--- a/internal/control/machine_test.go
+++ b/internal/control/machine_test.go
@@ -228,7 +228,9 @@
 		_, err := c.Encode()
 		require.ErrorIs(t, err, ErrCommand)
 	}
-	_, err := NewApplyConfig("f", []byte("{}"), "ana", "")
+	_, err := DecodeCommand([]byte(`{"withdraw_keys":{"ids":["a"]}} {}`))
+	require.ErrorIs(t, err, ErrCommand)
+	_, err = NewApplyConfig("f", []byte("{}"), "ana", "")
 	require.ErrorContains(t, err, "f:1:1: generation: this field is missing")
 }
 
--- a/internal/jsonfile/decode.go
+++ b/internal/jsonfile/decode.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"encoding/json"
 	"fmt"
 	"math"
 	"reflect"
@@ -257,11 +256,10 @@
 func setLiteral(text hujson.Literal, out reflect.Value) bool {
 	switch out.Kind() {
 	case reflect.String:
-		var s string
-		if text.Kind() != '"' || json.Unmarshal(text, &s) != nil {
+		if text.Kind() != '"' {
 			return false
 		}
-		out.SetString(s)
+		out.SetString(unquote(text))
 	case reflect.Bool:
 		if text.Kind() != 't' && text.Kind() != 'f' {
 			return false
@@ -330,7 +328,16 @@
 }
 
 func memberName(member *hujson.ObjectMember) string {
-	return member.Name.Value.(hujson.Literal).String()
+	return unquote(member.Name.Value.(hujson.Literal))
+}
+
+// unquote returns the value of a string that the parser accepted. Most strings have no escapes
+// and need no further look: large files are mostly strings.
+func unquote(text hujson.Literal) string {
+	if bytes.IndexByte(text, '\\') < 0 {
+		return string(text[1 : len(text)-1])
+	}
+	return text.String()
 }
 
 func kindName(v *hujson.Value) string {
--- a/internal/jsonfile/jsonfile_test.go
+++ b/internal/jsonfile/jsonfile_test.go
@@ -68,6 +68,12 @@
 	require.Equal(t, []string{"f:2:6: invalid character 'n' after object name"}, problemsOf(t, "{\n\"id\" nul}"))
 }
 
+func TestDecode_FieldsWithProblemsKeepTheirZeroValue(t *testing.T) {
+	var s schema
+	require.Error(t, Decode("f", []byte(`{"id": "a", "rate": 11, "level": "c", "list": [{"id": "B"}]}`), 1000, &s).Err())
+	require.Equal(t, schema{inner: inner{"a"}, List: []inner{{}}}, s)
+}
+
 func TestDecode_BoundsTheListOfProblems(t *testing.T) {
 	text := "[" + strings.Repeat("{},", MaxProblems+5) + "]"
 	var target struct {
