--- a/cmd/egretramp-demo/main.go
+++ b/cmd/egretramp-demo/main.go
@@ -24,7 +24,7 @@
 type options struct {
 	Bin      string `long:"bin" description:"folder of the programs (default: that of this one)"`
 	Dir      string `long:"dir" description:"folder of settings, data, logs and records (default: a temporary one)"`
-	Programs int    `long:"programs" default:"24" description:"programs that each deployment runs"`
+	Programs int    `long:"programs" default:"36" description:"programs that each deployment runs"`
 	Seed     int64  `long:"seed" default:"1" description:"for the programs"`
 }
 
--- a/internal/demo/collect.go
+++ b/internal/demo/collect.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"egretramp/internal/config"
+	"egretramp/internal/fakes"
 	"egretramp/internal/harness"
 	"egretramp/internal/workload"
 )
@@ -65,13 +68,63 @@
 			return nil, err
 		}
 		e.Runs = append(e.Runs, records.Runs...)
+		e.Departures = append(e.Departures, records.Departures...)
+		if !u.Running() {
+			searchRecords(e, u, records)
+			continue
+		}
 		if err := search(ctx, e, u); err != nil {
 			return nil, err
 		}
 	}
+	e.Engines = d.memory
 	return e, nil
 }
 
+// awaitRelease waits until no engine holds memory of the programs, all of which have ended, or
+// the limit is over. What is held then is left to the check.
+func (d *demo) awaitRelease(ctx context.Context) error {
+	limit := time.After(releaseLimit)
+	for {
+		held, err := d.readMemory(ctx)
+		if err != nil || !held {
+			return err
+		}
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-limit:
+			return nil
+		case <-time.After(releasePoll):
+		}
+	}
+}
+
+func (d *demo) readMemory(ctx context.Context) (held bool, err error) {
+	d.memory = nil
+	for _, u := range d.fleet.Upstreams {
+		if u.Spec.Kind != config.KindEngine || !u.Running() {
+			continue
+		}
+		sessions, err := u.Control.Sessions(ctx)
+		if err != nil {
+			return false, err
+		}
+		held = held || len(sessions) > 0
+		d.memory = append(d.memory, workload.EngineMemory{Upstream: u.Name, Sessions: sessions})
+	}
+	return held, nil
+}
+
+// searchRecords looks for every key in the records of a stand-in that has ended. The keys were
+// watched from its start.
+func searchRecords(e *workload.Evidence, u *harness.Upstream, records fakes.Records) {
+	for _, key := range workload.Keys(deployments()...) {
+		reply := fakes.ReceivedReply{Contains: slices.Contains(records.Seen, key), Complete: true}
+		e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply})
+	}
+}
+
 // search asks a stand-in for every key, and, as a control, for something that did arrive.
 func search(ctx context.Context, e *workload.Evidence, u *harness.Upstream) error {
 	for _, key := range workload.Keys(deployments()...) {
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -9,23 +9,29 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
+	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"github.com/sourcegraph/conc/pool"
 
 	"egretramp/internal/harness"
 	"egretramp/internal/workload"
 )
 
-// Limits of the demo's parts. Together with stopping they stay under a minute.
+// Limits of the whole demo but its stopping, and of its parts.
 const (
+	runLimit      = 48 * time.Second
 	startLimit    = 10 * time.Second
 	applyLimit    = 10 * time.Second
 	warmUpLimit   = 8 * time.Second
 	programsLimit = 18 * time.Second
 	idleTime      = 3 * time.Second
-	stopLimit     = 4 * time.Second
+	stopLimit     = 5 * time.Second
+	releaseLimit  = 5 * time.Second
+	releasePoll   = 100 * time.Millisecond
 )
 
 const (
@@ -65,7 +71,11 @@
 	warmUp  workload.Recorder
 	main    workload.Recorder
 	samples []sample
+	memory  []workload.EngineMemory
 	report  report
+
+	mu     sync.Mutex
+	killed []string // departing stand-ins that did not end by themselves
 }
 
 // Run runs the demo and ends all that it started, also when ctx ends first.
@@ -107,7 +117,7 @@
 
 func (d *demo) runAndStop(ctx context.Context) error {
 	err := d.run(ctx)
-	killed := d.fleet.Stop(stopLimit)
+	killed := append(d.fleet.Stop(stopLimit), d.killed...)
 	all := len(d.fleet.VMs) + len(d.fleet.Upstreams)
 	d.report.stopped(all, killed)
 	d.say("ended %d processes, %d of them by force %v", all, len(killed), killed)
@@ -115,6 +125,8 @@
 }
 
 func (d *demo) run(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, runLimit)
+	defer cancel()
 	steps := []struct {
 		name  string
 		limit time.Duration
@@ -125,6 +137,7 @@
 		{"first calls answered through every VM", warmUpLimit, d.warm},
 		{"programs ended", programsLimit, d.programs},
 		{"idle for a while", 2 * idleTime, d.idle},
+		{"engine memory looked at", 2 * releaseLimit, d.awaitRelease},
 		{"records collected", startLimit, d.collect},
 	}
 	for _, s := range steps {
@@ -209,6 +222,9 @@
 		g.MaxTurns = maxTurns
 		generators = append(generators, g)
 	}
+	var leaving conc.WaitGroup
+	leaving.Go(func() { d.depart(ctx) })
+	defer leaving.Wait()
 	p := pool.New().WithMaxGoroutines(concurrency)
 	for _, program := range workload.Mix(d.opts.Seed, d.opts.Programs, generators...) {
 		p.Go(func() { caller.Run(ctx, program) })
@@ -221,6 +237,31 @@
 	return nil
 }
 
+// depart ends the departing stand-ins gracefully while programs run.
+func (d *demo) depart(ctx context.Context) {
+	select {
+	case <-ctx.Done():
+		return
+	case <-time.After(departAfter):
+	}
+	var wg conc.WaitGroup
+	for _, u := range d.fleet.Upstreams {
+		if slices.Contains(departing, u.Name) {
+			wg.Go(func() { d.departOne(ctx, u) })
+		}
+	}
+	wg.Wait()
+}
+
+func (d *demo) departOne(ctx context.Context, u *harness.Upstream) {
+	graceful, err := u.Terminate(ctx)
+	if err != nil || !graceful {
+		d.mu.Lock()
+		defer d.mu.Unlock()
+		d.killed = append(d.killed, u.Name)
+	}
+}
+
 // idle lets the fleet be, to see what it uses without callers.
 func (d *demo) idle(ctx context.Context) error {
 	d.sample(ctx)
--- a/internal/demo/plan.go
+++ b/internal/demo/plan.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"egretramp/internal/config"
@@ -18,6 +19,15 @@
 
 const enginesPerZone = 3
 
+// departing are stand-ins that say goodbye while programs run, and then take calls for
+// departLinger, so that work that still comes is seen.
+var departing = []string{"engine-south-3", "bajio-workshop-south"}
+
+const (
+	departAfter  = time.Second // after the first program starts
+	departLinger = 6 * time.Second
+)
+
 // Speed of the demo's engines.
 const (
 	stepTime    = 3 * time.Millisecond
@@ -75,12 +85,12 @@
 	for i := range enginesPerZone {
 		s := spec(config.KindEngine, fmt.Sprintf("engine-%s-%d", zone, i+1), zone, models)
 		s.Aliases = workload.ModelAliases(list...)
-		s.Args = []string{
+		s.Args = append(s.Args,
 			"--weight-store", store,
 			"--step-time", stepTime.String(),
 			"--kv-tokens", fmt.Sprint(kvTokens),
 			"--slots", fmt.Sprint(engineSlots),
-		}
+		)
 		if _, err := f.AddUpstream(s); err != nil {
 			return err
 		}
@@ -90,7 +100,11 @@
 
 func spec(kind config.UpstreamKind, name, zone string, serves []string) harness.UpstreamSpec {
 	class := string(kind) + "-class"
-	return harness.UpstreamSpec{
+	s := harness.UpstreamSpec{
 		Name: name, Zone: zone, Kind: kind, Class: class, Secret: secretOf(class), Serves: serves,
 	}
+	if slices.Contains(departing, name) {
+		s.Args = []string{"--stop-linger", departLinger.String()}
+	}
+	return s
 }
--- a/internal/fakes/announce.go
+++ b/internal/fakes/announce.go
@@ -83,16 +83,17 @@
 	}
 }
 
-// goodbye announces the departure to the first VM that takes it.
-func (a *announcer) goodbye(ctx context.Context) {
+// goodbye announces the departure to the first VM that takes it, and reports whether one did.
+func (a *announcer) goodbye(ctx context.Context) bool {
 	a.mu.Lock()
 	a.left = true
 	a.mu.Unlock()
 	for range min(len(a.vms), maxKnownVMs) {
 		if a.tell(ctx, true) {
-			return
+			return true
 		}
 	}
+	return false
 }
 
 // tell sends one announcement and reports whether it was accepted. A failure moves on to the
--- a/internal/fakes/client.go
+++ b/internal/fakes/client.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/upstream/wire"
 )
 
 // controlTimeout ends a control request.
@@ -66,6 +68,13 @@
 	return list, c.do(ctx, http.MethodGet, "orders", nil, &list)
 }
 
+// Sessions returns the sessions that hold an engine's memory.
+func (c *Client) Sessions(ctx context.Context) ([]wire.Session, error) {
+	var list wire.SessionList
+	err := c.do(ctx, http.MethodGet, "sessions", nil, &list)
+	return list.Sessions, err
+}
+
 // Violations returns a weight store's counts.
 func (c *Client) Violations(ctx context.Context) (Violations, error) {
 	var v Violations
--- a/internal/fakes/control.go
+++ b/internal/fakes/control.go
@@ -39,7 +39,9 @@
 	case "POST faults":
 		f.controlFaults(w, r)
 	case "GET orders":
-		f.controlOrders(w)
+		f.controlEngine(w, func(e *engine) any { return e.orders.all() })
+	case "GET sessions":
+		f.controlEngine(w, func(e *engine) any { return e.sessions() })
 	case "GET violations":
 		f.controlViolations(w)
 	default:
@@ -67,13 +69,13 @@
 	writeJSON(w, http.StatusOK, f.faults.get())
 }
 
-func (f *Fake) controlOrders(w http.ResponseWriter) {
+func (f *Fake) controlEngine(w http.ResponseWriter, read func(*engine) any) {
 	e, ok := f.worker.(*engine)
 	if !ok {
 		writeError(w, http.StatusNotFound, "not_found", "not an engine")
 		return
 	}
-	writeJSON(w, http.StatusOK, e.orders.all())
+	writeJSON(w, http.StatusOK, read(e))
 }
 
 func (f *Fake) controlViolations(w http.ResponseWriter) {
--- a/internal/fakes/fake.go
+++ b/internal/fakes/fake.go
@@ -127,7 +127,10 @@
 // Stop says goodbye, takes calls for StopLinger, lets those under way end for as long as ctx
 // lasts, and closes.
 func (f *Fake) Stop(ctx context.Context) {
-	f.announce.goodbye(ctx)
+	if f.announce.goodbye(ctx) {
+		d := Departure{Upstream: f.opts.Name, Incarnation: f.runs.incarnation, AtNS: time.Now().UnixNano()}
+		f.file.write(record{Departure: &d})
+	}
 	sleep(ctx, f.opts.StopLinger)
 	_ = f.server.Shutdown(ctx)
 	f.Close()
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -221,13 +221,14 @@
 
 func TestFake_AnnouncesMovesOnAndSaysGoodbye(t *testing.T) {
 	var first, second vm
+	path := filepath.Join(t.TempDir(), "records")
 	s2 := httptest.NewServer(second.handler(t, wire.AnnounceReply{Accepted: true}))
 	defer s2.Close()
 	s1 := httptest.NewServer(first.handler(t, wire.AnnounceReply{Accepted: true, VMs: []string{s2.Listener.Addr().String()}}))
 	f := startFake(t, Options{
 		Kind: config.KindEngine, Secret: "a secret of the class", Zone: "z", Serves: []string{testModel},
 		AnnounceTo: []string{s1.Listener.Addr().String()}, AnnounceInterval: 10 * time.Millisecond,
-		StopLinger: 50 * time.Millisecond,
+		StopLinger: 50 * time.Millisecond, RecordTo: path,
 	})
 	ok := func(a wire.Announcement) bool {
 		return a.Address == f.Addr() && a.ChecksFencing && a.CanResume && a.Limits.Slots == 8
@@ -237,4 +238,7 @@
 	require.Eventually(t, second.has(ok), 5*time.Second, 5*time.Millisecond)
 	f.Stop(context.Background())
 	require.True(t, second.has(func(a wire.Announcement) bool { return a.Goodbye })())
+	all, err := ReadRecords(path)
+	require.NoError(t, err)
+	require.Len(t, all.Departures, 1)
 }
--- a/internal/fakes/records.go
+++ b/internal/fakes/records.go
@@ -11,18 +11,28 @@
 // maxRecord bounds one line of a record file. Bytes.
 const maxRecord = 1 << 20
 
-// record is one line of a record file: a run as it was at that time, or a watched string that
-// arrived.
+// record is one line of a record file: a run as it was at that time, a watched string that
+// arrived, or a departure.
 type record struct {
 	Run  *Run   `json:"run,omitempty"`
 	Seen string `json:"seen,omitempty"`
+	// Departure is a goodbye that a VM accepted.
+	Departure *Departure `json:"departure,omitempty"`
+}
+
+// Departure is the end of a stand-in's announcements: a goodbye that a VM accepted.
+type Departure struct {
+	Upstream    string `json:"upstream"`
+	Incarnation int64  `json:"incarnation"`
+	AtNS        int64  `json:"at_ns"` // Unix nanoseconds
 }
 
 // Records is what a record file tells of all incarnations of a stand-in.
 type Records struct {
 	Runs []Run
 	// Seen are the watched strings that arrived.
-	Seen []string
+	Seen       []string
+	Departures []Departure
 }
 
 // recordFile gets every record before the answer that it speaks of leaves, so that records
@@ -85,6 +95,9 @@
 	if r.Seen != "" {
 		all.Seen = append(all.Seen, r.Seen)
 	}
+	if r.Departure != nil {
+		all.Departures = append(all.Departures, *r.Departure)
+	}
 	if r.Run == nil {
 		return
 	}
--- a/internal/workload/access.go
+++ b/internal/workload/access.go
@@ -52,7 +52,7 @@
 func (c *Caller) probeService(ctx context.Context, vm, service, path, key, name string) Attempt {
 	body := mustJSON(accessBody{name})
 	req := request{method: http.MethodPost, path: "/v1/services/" + service + path, key: key, body: body, service: true}
-	call := &Call{Program: name, Turn: 1, Kind: Service, Service: service, BodyHash: fakes.BodyHash(body)}
+	call := &Call{Program: name, Turn: 1, Kind: Service, Service: service, Path: path, BodyHash: fakes.BodyHash(body)}
 	return c.probeOnce(ctx, vm, req, call)
 }
 
--- a/internal/workload/caller.go
+++ b/internal/workload/caller.go
@@ -204,7 +204,7 @@
 	call := &Call{Account: p.Account, Program: p.Name, Turn: number, Kind: s.Kind}
 	req := request{method: http.MethodPost, key: r.key(), program: p.Name, turn: number}
 	if s.Kind == Service {
-		call.Service, call.BodyHash = s.ServiceID, fakes.BodyHash(s.Body)
+		call.Service, call.Path, call.BodyHash = s.ServiceID, s.Path, fakes.BodyHash(s.Body)
 		req.service = true
 		req.path = "/v1/services/" + url.PathEscape(s.Name) + s.Path
 		req.body = s.Body
--- a/internal/workload/caller_test.go
+++ b/internal/workload/caller_test.go
@@ -66,8 +66,9 @@
 func (v *testVM) forward(r *http.Request, key string) {
 	body, _ := io.ReadAll(r.Body)
 	url := "http://" + v.engine + "/v1/chat/completions"
-	if strings.Contains(r.URL.Path, "/services/") {
-		url = "http://" + v.service + r.URL.Path
+	if below, found := strings.CutPrefix(r.URL.Path, "/v1/services/"); found {
+		_, path, _ := strings.Cut(below, "/")
+		url = "http://" + v.service + "/" + path
 	}
 	req, _ := http.NewRequest(http.MethodPost, url, bytes.NewReader(body))
 	req.Header.Set(wire.HeaderAttempt, key)
@@ -117,9 +118,13 @@
 	for _, a := range d.Accounts {
 		e.Bounds[a.ID] = RateBound{1e6, 1e6}
 	}
+	// These evidences are not gathered here.
+	e.Searches = []KeySearch{{Control: true, ReceivedReply: fakes.ReceivedReply{Contains: true}}}
+	e.Departures = []fakes.Departure{{}}
+	e.Engines = []EngineMemory{{}}
 	for _, r := range CheckAll(e) {
 		require.Zero(t, r.Violated, "%s: %v", r.Name, r.Details)
-		require.True(t, r.Tried > 0 || r.Name == "no key at upstreams", r.Name)
+		require.Positive(t, r.Tried, r.Name)
 	}
 	require.Zero(t, WastedCache(e).Wasted)
 	require.Positive(t, WastedCache(e).CachedTokens)
--- a/internal/workload/check_callers.go
+++ b/internal/workload/check_callers.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net/http"
 	"strings"
 
 	"egretramp/internal/fakes"
@@ -43,7 +44,10 @@
 		return a.Text == strings.Join(fakes.Answer(c.Model, c.Messages, c.MaxTokens), " ")
 	}
 	var reply fakes.ServiceReply
-	return json.Unmarshal([]byte(a.Raw), &reply) == nil && reply.BodySHA256 == c.BodyHash
+	if json.Unmarshal([]byte(a.Raw), &reply) != nil {
+		return false
+	}
+	return reply.BodySHA256 == c.BodyHash && reply.Path == c.Path && reply.Method == http.MethodPost
 }
 
 // CheckResent says that an answered turn that is sent again gets the same answer.
--- a/internal/workload/check_test.go
+++ b/internal/workload/check_test.go
@@ -11,6 +11,7 @@
 
 	"egretramp/internal/fakes"
 	"egretramp/internal/refusal"
+	"egretramp/internal/upstream/wire"
 )
 
 // healthy returns the evidence of two short programs, in which no rule is violated: of each,
@@ -20,6 +21,8 @@
 		Bounds:   map[string]RateBound{"a": {RatePerSecond: 1, Burst: 100}},
 		Searches: []KeySearch{{"u", fakes.ReceivedReply{Complete: true}, false}, {"u", fakes.ReceivedReply{Contains: true}, true}},
 	}
+	e.Engines = []EngineMemory{{Upstream: "u"}}
+	e.Departures = []fakes.Departure{{Upstream: "u", AtNS: time.Unix(2000, 0).UnixNano()}}
 	at := time.Unix(1000, 0)
 	for _, name := range []string{"p", "q"} {
 		conv := []fakes.Message{{Role: "system", Content: name}}
@@ -40,7 +43,7 @@
 	if turn == 2 {
 		c.Kind, c.BodyHash = Service, fmt.Sprint(name, "-body")
 		run.BodySHA256 = c.BodyHash
-		raw, _ := json.Marshal(fakes.ServiceReply{BodySHA256: c.BodyHash})
+		raw, _ := json.Marshal(fakes.ServiceReply{BodySHA256: c.BodyHash, Method: "POST"})
 		answer.Text, answer.Raw = string(raw), string(raw)
 	} else {
 		*conv = append(*conv, fakes.Message{Role: "user", Content: "hello"})
@@ -81,6 +84,9 @@
 		"answer cut":              {CheckAnswers, func(e *Evidence) { e.Calls[0].Attempts[1].Text = "amber" }},
 		"answer of another":       {CheckAnswers, func(e *Evidence) { e.Calls[0].Attempts[1].Text = e.Calls[3].Attempts[1].Text }},
 		"service answer crossed":  {CheckAnswers, func(e *Evidence) { e.Calls[1].Attempts[1].Raw = e.Calls[4].Attempts[1].Raw }},
+		"service path changed":    {CheckAnswers, func(e *Evidence) { e.Calls[1].Path = "/other" }},
+		"work after goodbye":      {CheckDeparted, func(e *Evidence) { e.Departures[0].AtNS = e.Runs[0].StartedNS - int64(DepartureLimit) - 1 }},
+		"memory held":             {CheckMemory, func(e *Evidence) { e.Engines[0].Sessions = []wire.Session{{Session: "s", Tokens: 1}} }},
 		"resent answer differs":   {CheckResent, func(e *Evidence) { e.Calls[1].Attempts[2].Raw += " " }},
 		"turn ahead answered":     {CheckAhead, func(e *Evidence) { e.Calls[0].Attempts[3].Status = 200 }},
 		"turn ahead unknown":      {CheckAhead, func(e *Evidence) { e.Calls[0].Attempts[3].NotRun = refusal.Unknown }},
--- a/internal/workload/evidence.go
+++ b/internal/workload/evidence.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"egretramp/internal/fakes"
+	"egretramp/internal/upstream/wire"
 )
 
 // Evidence is all that the checks look at: what callers and stand-ins recorded.
@@ -15,7 +16,11 @@
 	Outcomes []Outcome
 	Runs     []fakes.Run
 	Searches []KeySearch
-	Bounds   map[string]RateBound // by account
+	// Departures are the goodbyes that were accepted.
+	Departures []fakes.Departure
+	// Engines are the engines' memory after all programs ended.
+	Engines []EngineMemory
+	Bounds  map[string]RateBound // by account
 	// Jitter is how much later than the first a request may reach its upstream, after both
 	// drew their rate: the bound at the upstreams is that much wider.
 	Jitter time.Duration
@@ -35,6 +40,12 @@
 	Control bool
 }
 
+// EngineMemory is what an engine held for sessions.
+type EngineMemory struct {
+	Upstream string
+	Sessions []wire.Session
+}
+
 // Result counts what a check tried and what violated its rule.
 type Result struct {
 	Name     string
@@ -62,6 +73,7 @@
 	return []Check{
 		CheckFinished, CheckOrder, CheckHistory, CheckAnswers, CheckResent, CheckAhead,
 		CheckAtMostOnce, CheckNotRun, CheckRefusals, CheckKeys, CheckRate, CheckBudget,
+		CheckDeparted, CheckMemory,
 	}
 }
 
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -64,6 +64,7 @@
 	MaxTokens int             // chat
 	Stream    bool            // chat
 	Service   string          // service: canonical ID
+	Path      string          // service: path below the service's name
 	BodyHash  string          // service
 	Attempts  []Attempt
 }
