program: seeded random runs over two replicas with invariants

The runs found: a revoke sent again after another attempt had started said that nothing ran, and so did the refusal of a Begin whose program had been forgotten.

--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -59,8 +59,11 @@
 	}, c.Implicit.OneCall)
 }
 
+// refuseStale refuses a command that may be a copy of one that was applied long ago.
 func (m *Machine) refuseStale() *Result {
-	return refuse(CodeStale, "the command is more than %s old; check the VM's clock", m.limits.MaxCommandAge)
+	res := refuse(CodeStale, "the command is more than %s old; check the VM's clock", m.limits.MaxCommandAge)
+	res.MayHaveRun = true
+	return res
 }
 
 func (m *Machine) beginOn(p *program, c *Begin, timeMS int64) *Result {
@@ -211,6 +214,7 @@
 		Kind:           c.Kind,
 		RequestHash:    c.RequestHash,
 		IdempotencyKey: c.IdempotencyKey,
+		Unnumbered:     c.Turn == 0,
 		Repeatable:     c.Repeatable,
 		ReserveTokens:  c.ReserveTokens,
 		Messages:       c.Messages,
--- a/internal/program/settle.go
+++ b/internal/program/settle.go
@@ -25,12 +25,13 @@
 	if p == nil {
 		return m.revokeAbsent(c)
 	}
+	run := p.next.running
 	m.stop(p, deadRevoked)
-	p.release(p.next.running.ReserveTokens)
+	p.release(run.ReserveTokens)
 	p.next.running = nil
 	p.next.onceStarted = false
 	res := ok()
-	res.MayHaveRun = p.next.ranHash != ""
+	res.MayHaveRun = p.next.ranHash != "" || p.strayRan && run.Unnumbered
 	if p.oneCall && !res.MayHaveRun {
 		m.remove(p)
 	}
@@ -48,7 +49,9 @@
 		m.bury(c.Attempt, deadRevoked)
 	}
 	res := ok()
-	res.MayHaveRun = p != nil && p.next.ranHash != ""
+	// Another attempt of the same request may have started since; the command does not tell
+	// which request it was, so anything that ran counts.
+	res.MayHaveRun = p != nil && (len(p.turns) > 0 || p.next.running != nil || p.next.ranHash != "" || p.strayRan)
 	return res
 }
 
--- /dev/null
+++ b/internal/program/sim_parts_test.go
@@ -0,0 +1,428 @@
+package program
+
+import (
+	"bytes"
+	"fmt"
+	"slices"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/refusal"
+)
+
+func (w *world) addCaller(name, parent string) {
+	c := &caller{name: name, root: name, parent: parent, turn: 1, got: map[uint64][]byte{}}
+	for _, p := range w.callers {
+		if p.name == parent {
+			c.root, c.depth = p.root, p.depth+1
+		}
+	}
+	c.nextTurn(w)
+	w.callers = append(w.callers, c)
+	w.create(c)
+}
+
+func (w *world) create(c *caller) {
+	budget := Budget{Tokens: simTokens, Calls: 60}
+	if c.parent != "" {
+		budget.Tokens = simTokens * 3 / 4
+	}
+	create := &Create{Account: "acc", Name: c.name, Parent: c.parent, Budget: budget, Ceiling: budget}
+	if w.chance(20) {
+		create.DeadlineMS = w.nowMS + 200_000
+	}
+	if w.chance(10) {
+		return // the caller forgot to create it
+	}
+	w.propose(pick(w, w.vms), Envelope{Create: create}, func(*Result) {})
+}
+
+func (c *caller) nextTurn(w *world) {
+	c.once = w.chance(50)
+	c.chat = !c.once || w.chance(20)
+	c.keyed = w.chance(25)
+	c.variant = 0
+	c.sentMS = 0
+}
+
+// request names what the caller asks for; upstreams count it.
+func (c *caller) request() string {
+	return fmt.Sprintf("%s/%d/%d/%v", c.name, c.turn, c.variant, c.once)
+}
+
+func (c *caller) message() []byte {
+	return fmt.Appendf(nil, `{"content":"%s","role":"user"}`, c.request())
+}
+
+// callerStep sends a turn, for the first time or again, or gives up waiting for it.
+func (w *world) callerStep() {
+	c := pick(w, w.callers)
+	if c.ended {
+		return
+	}
+	if c.waiting != nil {
+		if w.chance(10) {
+			c.waiting = nil
+		}
+		return
+	}
+	if c.sentMS > 0 && w.nowMS-c.sentMS > simWindowMS {
+		c.ended = !c.oneCall // too late to send it again
+		c.turn++
+		c.nextTurn(w)
+		return
+	}
+	if c.sentMS == 0 {
+		c.sentMS = w.nowMS
+	}
+	w.attempts++
+	id := fmt.Sprint("attempt", w.attempts)
+	vm := pick(w, w.vms)
+	call := &simCall{vm: vm, from: c, request: c.request(), begin: Begin{
+		Account: "acc", Program: c.name, Turn: c.turn, Kind: KindService, RequestHash: c.request(),
+		Repeatable: !c.once, ReserveTokens: simReserve, Attempt: id, Owner: vm.owner,
+	}}
+	b := &call.begin
+	if c.keyed {
+		b.Turn, b.IdempotencyKey = 0, c.request()
+	}
+	if c.oneCall {
+		b.Turn, b.Program = 0, OneCallName(c.request())
+		b.Implicit = &Implicit{Ceiling: Budget{Tokens: simTokens, Calls: 5}, OneCall: true}
+	}
+	if c.chat {
+		b.Kind, b.Messages = KindChat, [][]byte{c.message()}
+		if w.chance(50) && !c.oneCall {
+			b.Prefix = &Prefix{Messages: len(c.history), Hash: HashMessages(c.history)}
+		}
+	}
+	if w.chance(3) && b.Turn > 0 {
+		b.Turn += 1 + uint64(w.r.IntN(2)) // out of order
+		c.drifted = true
+		call.request = fmt.Sprintf("%s at %d", call.request, b.Turn)
+		b.RequestHash = call.request
+	}
+	if w.chance(2) && b.Prefix != nil {
+		b.Prefix.Hash = []byte("wrong")
+	}
+	c.waiting = call
+	vm.calls = append(vm.calls, call)
+	w.propose(vm, Envelope{Begin: b}, func(res *Result) { w.beginAnswered(call, res) })
+}
+
+func (w *world) beginAnswered(call *simCall, res *Result) {
+	if res.Started != nil {
+		call.started = res.Started
+		return
+	}
+	w.drop(call)
+	if res.Answered != nil {
+		w.answer(call, res.Answered.Answer)
+		return
+	}
+	w.refuse(call, &RefusedError{Result: *res})
+}
+
+func (w *world) drop(call *simCall) {
+	call.vm.calls = slices.DeleteFunc(call.vm.calls, func(c *simCall) bool { return c == call })
+}
+
+// refuse gives a refusal to the caller and checks that "not run" is true.
+func (w *world) refuse(call *simCall, err error) {
+	r := Refusal(err)
+	if r.NotRun == refusal.True {
+		w.seen["not run"]++
+		if w.runs[call.request] > 0 {
+			w.failf("%s said that %s did not run, it ran", r.Code, call.request)
+		}
+		w.claims[call.request] = w.step + 1
+	}
+	c := call.from
+	if c.waiting != call {
+		return
+	}
+	c.waiting = nil
+	switch Code(r.Code) {
+	case CodeUnknownOutcome:
+		if call.request == c.request() {
+			c.turn++
+			c.nextTurn(w)
+		}
+	case CodeEnded, CodeExpired, CodeBudgetExceeded, CodeTurnConflict:
+		c.ended = w.chance(50)
+	case CodeHistoryMismatch:
+		c.ended = w.chance(10)
+	case CodeNoProgram:
+		if c.gotMS > 0 && w.nowMS-c.gotMS < simRetentionMS-10_000 {
+			w.failf("the record of %s is lost", c.name)
+		}
+		c.drifted = c.drifted || c.gotMS > 0 || w.nowMS > simStartMS+simRetentionMS
+		w.create(c)
+	}
+}
+
+// answer gives a recorded answer to the caller: its own, and always the same.
+func (w *world) answer(call *simCall, answer []byte) {
+	w.seen["answered"]++
+	if w.made[string(answer)] != call.request {
+		w.failf("%s was answered %q", call.request, answer)
+	}
+	if first, seen := w.answers[call.request]; seen && !bytes.Equal(first, answer) {
+		w.failf("%s was answered %q, before it was %q", call.request, answer, first)
+	}
+	w.answers[call.request] = answer
+	c := call.from
+	if c.waiting != call {
+		return
+	}
+	c.waiting = nil
+	if call.request != c.request() {
+		return
+	}
+	c.got[c.turn] = answer
+	c.gotMS = w.nowMS
+	if c.chat {
+		c.history = append(c.history, c.message(), answer)
+	}
+	c.turn++
+	c.nextTurn(w)
+}
+
+// ownerStep moves one call on: revoke it, send it, or settle it.
+func (w *world) ownerStep() {
+	vm := pick(w, w.vms)
+	if len(vm.calls) == 0 {
+		return
+	}
+	call := pick(w, vm.calls)
+	switch {
+	case call.started == nil || call.settling:
+	case !call.written && w.chance(15):
+		w.revoke(call)
+	case !call.written:
+		w.send(call)
+	case w.chance(20):
+		w.failCall(call)
+	default:
+		w.completeCall(call)
+	}
+}
+
+func (w *world) revoke(call *simCall) {
+	call.settling = true
+	b := &call.begin
+	w.propose(call.vm, Envelope{Revoke: &Revoke{Account: b.Account, Program: b.Program, Attempt: b.Attempt}}, func(res *Result) {
+		w.drop(call)
+		res.Code = CodeBusy // the VM is overloaded
+		w.refuse(call, &RefusedError{Result: *res})
+	})
+}
+
+// send runs the call on an upstream, also if its attempt was fenced meanwhile.
+func (w *world) send(call *simCall) {
+	call.written = true
+	b := &call.begin
+	w.seen["ran"]++
+	if w.a.running[b.Attempt] == nil {
+		w.seen["late run"]++
+	}
+	w.runs[call.request]++
+	if w.runs[call.request] > 1 {
+		w.seen["ran again"]++
+		if !b.Repeatable {
+			w.failf("%s ran %d times", call.request, w.runs[call.request])
+		}
+	}
+	if claim, claimed := w.claims[call.request]; claimed && w.begun[b.Attempt] < claim {
+		w.failf("%s ran by %s after it was said not to", call.request, b.Attempt)
+	}
+	root := call.from.root
+	if call.from.oneCall {
+		root = b.Program
+	}
+	w.tokens[root] += simReserve
+	if w.tokens[root] > simTokens {
+		w.failf("%s used %d tokens of %d", root, w.tokens[root], simTokens)
+	}
+	if b.Kind != KindChat {
+		return
+	}
+	call.engine = pick(w, w.engines)
+	call.session = call.started.NewSession
+	for _, held := range call.started.Residencies {
+		if held.Engine == call.engine.name && held.EngineIncarnation == call.engine.incarnation {
+			call.session = held.Session
+		}
+	}
+	call.engine.sessions[call.session] = true
+}
+
+func (c *simCall) residency() *Residency {
+	if c.engine == nil {
+		return nil
+	}
+	return &Residency{Model: "m", Engine: c.engine.name, EngineIncarnation: c.engine.incarnation, Session: c.session}
+}
+
+func (w *world) failCall(call *simCall) {
+	call.settling = true
+	b := &call.begin
+	fail := &Fail{
+		Account: b.Account, Program: b.Program, Attempt: b.Attempt, Outcome: OutcomeFailed,
+		UsedTokens: simReserve, Residency: call.residency(),
+	}
+	if w.chance(50) {
+		fail.Outcome = OutcomeUnknown
+	}
+	w.propose(call.vm, Envelope{Fail: fail}, func(*Result) {
+		w.drop(call)
+		if call.from.waiting == call {
+			call.from.waiting = nil // the stream broke: the caller sends again
+		}
+	})
+}
+
+func (w *world) completeCall(call *simCall) {
+	call.settling = true
+	b := &call.begin
+	answer := fmt.Appendf(nil, `{"content":"answer of %s to %s","role":"assistant"}`, b.Attempt, call.request)
+	w.made[string(answer)] = call.request
+	complete := &Complete{
+		Account: b.Account, Program: b.Program, Attempt: b.Attempt, Answer: answer, Status: 200,
+		UsedTokens: simReserve + 50*int64(w.r.IntN(2)), Residency: call.residency(),
+	}
+	if b.Kind == KindChat {
+		complete.Messages = [][]byte{answer}
+	}
+	data := w.encode(call.vm, Envelope{Complete: complete})
+	w.pending = append(w.pending, &proposal{vm: call.vm, data: data, reply: func(res *Result) {
+		w.drop(call)
+		if res.Code != CodeOK {
+			w.refuse(call, &RefusedError{Result: *res})
+			return
+		}
+		w.answer(call, answer)
+	}})
+}
+
+// engineStep restarts an engine, reports its sessions, or releases one.
+func (w *world) engineStep() {
+	e := pick(w, w.engines)
+	vm := pick(w, w.vms)
+	if w.chance(4) {
+		if w.chance(50) {
+			gone := &EngineGone{Engine: e.name, EngineIncarnation: e.incarnation}
+			w.propose(vm, Envelope{EngineGone: gone}, func(*Result) {})
+		}
+		e.incarnation++
+		e.sessions = map[string]bool{}
+		return
+	}
+	if w.chance(50) {
+		w.propose(vm, Envelope{Report: e.report()}, func(*Result) {})
+		return
+	}
+	w.release(vm)
+}
+
+func (e *simEngine) report() *Report {
+	report := &Report{Engine: e.name, EngineIncarnation: e.incarnation}
+	for session := range e.sessions {
+		report.Sessions = append(report.Sessions, session)
+	}
+	slices.Sort(report.Sessions)
+	return report
+}
+
+func (w *world) release(vm *simVM) {
+	for _, due := range w.a.pendingReleases(&ReleasesQuery{Limit: 2}) {
+		for _, e := range w.engines {
+			if e.name == due.Engine && e.incarnation == due.EngineIncarnation {
+				delete(e.sessions, due.Session)
+				w.seen["released"]++
+			}
+		}
+		done := &ReleaseDone{Engine: due.Engine, EngineIncarnation: due.EngineIncarnation, Session: due.Session}
+		w.propose(vm, Envelope{ReleaseDone: done}, func(*Result) {})
+	}
+}
+
+// steer does what a caller does beside turns: sub-agents, cancel, end, another request.
+func (w *world) steer() {
+	c := pick(w, w.callers)
+	vm := pick(w, w.vms)
+	switch w.r.IntN(5) {
+	case 0, 1:
+		if !c.oneCall && c.depth+1 < simLimits.MaxDepth {
+			w.addCaller(fmt.Sprint("p", len(w.callers)), c.name)
+		}
+	case 2:
+		w.propose(vm, Envelope{Cancel: &Cancel{Account: "acc", Program: c.name, Turn: c.turn}}, func(*Result) {})
+	case 3:
+		if w.chance(20) {
+			w.propose(vm, Envelope{End: &End{Account: "acc", Program: c.name}}, func(*Result) {})
+		}
+	case 4:
+		if c.waiting == nil && !c.once {
+			c.variant++ // the caller changes its mind about a repeatable turn
+			c.drifted = c.drifted || c.keyed
+		}
+	}
+}
+
+// settle ends the run: no answer is lost any more, all VMs are gone, all programs end, and the
+// engines' memory has to be free.
+func (w *world) settle() {
+	w.checkHistories()
+	vm := &simVM{owner: Owner{VM: "last", Incarnation: 1}, skew: 2000}
+	for _, c := range w.callers {
+		w.nowMS += 100
+		w.apply(w.encode(vm, Envelope{End: &End{Account: "acc", Program: c.name}}))
+	}
+	for range 4 {
+		w.nowMS += 16_000
+		w.apply(w.encode(vm, Envelope{Tick: &Tick{}}))
+		for _, e := range w.engines {
+			w.apply(w.encode(vm, Envelope{Report: e.report()}))
+		}
+	}
+	for range 200 {
+		w.pending = nil
+		w.release(vm)
+		for _, p := range w.pending {
+			w.apply(p.data)
+		}
+	}
+	for _, e := range w.engines {
+		if len(e.sessions) > 0 {
+			w.failf("%s still holds %v", e.name, e.sessions)
+		}
+	}
+	for range 3 {
+		w.nowMS += 601_000
+		w.apply(w.encode(vm, Envelope{Tick: &Tick{}}))
+	}
+	if s := w.a.Stats(); s.Programs+s.Ended+s.Running != 0 {
+		w.failf("left after the retention: %+v", s)
+	}
+	w.restart()
+}
+
+// checkHistories compares the records with what the callers were answered.
+func (w *world) checkHistories() {
+	for _, c := range w.callers {
+		p := w.a.program("acc", c.name)
+		if p == nil || c.drifted {
+			continue
+		}
+		if len(p.history) < len(c.history) {
+			w.failf("%s: %d messages recorded, the caller has %d", c.name, len(p.history), len(c.history))
+		}
+		for i, message := range c.history {
+			require.Equal(w.t, string(message), string(p.history[i]), "seed %d, %s message %d", w.seed, c.name, i)
+		}
+		for turn, answer := range c.got {
+			require.Equal(w.t, string(answer), string(p.turns[turn-1].Answer), "seed %d, %s turn %d", w.seed, c.name, turn)
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/sim_test.go
@@ -0,0 +1,327 @@
+package program
+
+import (
+	"bytes"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// world is a seeded run: two replicas, entry VMs that own attempts, callers that send again
+// through other VMs, upstreams that count what ran, and a log that loses and repeats.
+type world struct {
+	t        *testing.T
+	r        *rand.Rand
+	seed     uint64
+	step     int
+	nowMS    int64
+	index    uint64
+	a, b     *Machine
+	vms      []*simVM
+	pending  []*proposal // proposed, not answered
+	delayed  [][]byte    // copies that may still arrive
+	callers  []*caller
+	engines  []*simEngine
+	attempts int
+	begun    map[string]int    // attempt -> step it was started in by the machine
+	runs     map[string]int    // request -> times an upstream ran it
+	claims   map[string]int    // request -> step of the last claim that it did not run
+	made     map[string]string // answer made by an upstream -> request
+	answers  map[string][]byte // request -> first answer that a caller saw
+	tokens   map[string]int64  // root program -> tokens that upstreams used
+	seen     map[string]int    // what the run came across
+}
+
+type simVM struct {
+	owner Owner
+	skew  int64
+	calls []*simCall
+}
+
+// simCall is a call on an entry VM.
+type simCall struct {
+	vm       *simVM
+	from     *caller
+	begin    Begin
+	request  string
+	started  *Started
+	written  bool
+	settling bool
+	engine   *simEngine
+	session  string
+}
+
+type proposal struct {
+	vm    *simVM
+	data  []byte
+	reply func(*Result)
+}
+
+// caller drives one program, one turn after the other.
+type caller struct {
+	name, root, parent string
+	depth              int
+	sentMS             int64 // when the turn was first sent; 0: not yet
+	gotMS              int64 // when it last was answered; 0: never
+	turn               uint64
+	waiting            *simCall
+	ended              bool
+	once               bool // the turn is not repeatable
+	chat               bool
+	keyed              bool // names the turn by an idempotency key
+	oneCall            bool // each turn is a program of its own
+	variant            int
+	drifted            bool              // it sent a wrong number, or dropped an unnumbered request: its own history says nothing
+	got                map[uint64][]byte // answers by turn
+	history            [][]byte
+}
+
+type simEngine struct {
+	name        string
+	incarnation int64
+	sessions    map[string]bool
+}
+
+const (
+	simTokens      = 500
+	simStartMS     = 1_000_000
+	simReserve     = 100
+	simRetentionMS = 600_000
+	// simWindowMS is how long a turn may be sent again: the retention less the age of commands.
+	simWindowMS = simRetentionMS - 120_000 - 10_000
+)
+
+var simLimits = Limits{
+	Lease: 15e9, MaxCommandAge: 120e9, IdleRelease: 60e9, IdleExpire: 600e9, Retention: simRetentionMS * 1e6,
+	ReportAge: 15e9, MaxPrograms: 7, MaxBytes: 1 << 20, MaxDepth: 4,
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{
+		t: t, seed: seed, r: rand.New(rand.NewPCG(seed, 1)), nowMS: simStartMS,
+		a: New(simLimits), b: New(simLimits),
+		begun: map[string]int{}, runs: map[string]int{}, claims: map[string]int{},
+		made: map[string]string{}, answers: map[string][]byte{}, tokens: map[string]int64{}, seen: map[string]int{},
+	}
+	w.a.EnableChecks()
+	for i := range 3 {
+		w.vms = append(w.vms, &simVM{owner: Owner{VM: fmt.Sprint("vm", i), Incarnation: 1}, skew: w.r.Int64N(4000) - 2000})
+		w.engines = append(w.engines, &simEngine{name: fmt.Sprint("engine", i), incarnation: 1, sessions: map[string]bool{}})
+	}
+	for i := range 3 {
+		w.addCaller(fmt.Sprint("p", i), "")
+	}
+	single := &caller{name: "single", turn: 1, oneCall: true, drifted: true, got: map[uint64][]byte{}}
+	single.nextTurn(w)
+	w.callers = append(w.callers, single)
+	return w
+}
+
+func (w *world) failf(format string, args ...any) {
+	w.t.Fatalf("seed %d step %d: %s", w.seed, w.step, fmt.Sprintf(format, args...))
+}
+
+func (w *world) chance(percent int) bool { return w.r.IntN(100) < percent }
+
+func pick[T any](w *world, list []T) T { return list[w.r.IntN(len(list))] }
+
+// apply applies one entry to both replicas, which must answer alike.
+func (w *world) apply(data []byte) *Result {
+	w.index++
+	one := w.a.Apply(w.index, data)
+	two := w.b.Apply(w.index, data)
+	if !bytes.Equal(one, two) {
+		w.failf("replicas differ: %s and %s", one, two)
+	}
+	var res Result
+	require.NoError(w.t, json.Unmarshal(one, &res))
+	if res.Code == CodeBadCommand {
+		w.failf("bad command: %s", res.Detail)
+	}
+	w.seen[string(res.Code)]++
+	if res.Started != nil && w.begun[res.Started.Attempt] == 0 {
+		w.begun[res.Started.Attempt] = w.step + 1
+	}
+	return &res
+}
+
+func (w *world) encode(vm *simVM, env Envelope) []byte {
+	env.TimeMS = w.nowMS + vm.skew
+	data, err := json.Marshal(env)
+	require.NoError(w.t, err)
+	return data
+}
+
+func (w *world) propose(vm *simVM, env Envelope, reply func(*Result)) {
+	w.pending = append(w.pending, &proposal{vm: vm, data: w.encode(vm, env), reply: reply})
+}
+
+// deliver lets one proposal through, loses it or its answer, or repeats it.
+func (w *world) deliver() {
+	if len(w.pending) == 0 {
+		return
+	}
+	i := w.r.IntN(len(w.pending))
+	p := w.pending[i]
+	if w.chance(10) {
+		w.delayed = append(w.delayed, p.data)
+	}
+	if w.chance(10) {
+		return // lost; proposed again
+	}
+	res := w.apply(p.data)
+	if w.chance(10) {
+		return // the answer is lost; proposed again
+	}
+	w.pending = slices.Delete(w.pending, i, i+1)
+	p.reply(res)
+}
+
+func (w *world) arriveLate() {
+	if len(w.delayed) == 0 {
+		return
+	}
+	i := w.r.IntN(len(w.delayed))
+	w.apply(w.delayed[i])
+	if w.chance(60) {
+		w.delayed = slices.Delete(w.delayed, i, i+1)
+	}
+}
+
+// die loses a VM with all that it knows; its proposals may still arrive.
+func (w *world) die() {
+	i := w.r.IntN(len(w.vms))
+	old := w.vms[i]
+	for _, c := range old.calls {
+		if c.from.waiting == c {
+			c.from.waiting = nil
+		}
+	}
+	keep := w.pending[:0:0]
+	for _, p := range w.pending {
+		if p.vm != old {
+			keep = append(keep, p)
+		} else if w.chance(50) {
+			w.delayed = append(w.delayed, p.data)
+		}
+	}
+	w.pending = keep
+	fresh := &simVM{owner: Owner{VM: old.owner.VM, Incarnation: old.owner.Incarnation + 1}, skew: w.r.Int64N(4000) - 2000}
+	w.vms[i] = fresh
+	w.seen["died"]++
+	if w.chance(50) {
+		w.propose(fresh, Envelope{OwnerLost: &OwnerLost{Owner: old.owner}}, func(*Result) {})
+	}
+}
+
+func (w *world) passTime() {
+	switch w.r.IntN(20) {
+	case 0:
+		w.nowMS += pick(w, []int64{130_000, 130_000, 130_000, 650_000})
+	case 1, 2, 3:
+		w.nowMS += 16_000
+	default:
+		w.nowMS += w.r.Int64N(3000)
+	}
+	vm := pick(w, w.vms)
+	w.apply(w.encode(vm, Envelope{Tick: &Tick{}}))
+}
+
+func (w *world) renew() {
+	vm := pick(w, w.vms)
+	ids := []string{}
+	for _, c := range vm.calls {
+		if c.started != nil {
+			ids = append(ids, c.begin.Attempt)
+		}
+	}
+	w.propose(vm, Envelope{Renew: &Renew{Owner: vm.owner, Attempts: ids}}, func(*Result) {})
+}
+
+// restart replaces a replica's state by a snapshot of either.
+func (w *world) restart() {
+	one, err := w.a.Snapshot()
+	require.NoError(w.t, err)
+	two, err := w.b.Snapshot()
+	require.NoError(w.t, err)
+	if !bytes.Equal(one, two) {
+		w.failf("snapshots differ:\n%s\n%s", one, two)
+	}
+	fresh := New(simLimits)
+	require.NoError(w.t, fresh.Restore(one))
+	if w.chance(50) {
+		fresh.EnableChecks()
+		w.a = fresh
+		return
+	}
+	w.b = fresh
+}
+
+func (w *world) run(steps int) {
+	for w.step = range steps {
+		switch n := w.r.IntN(100); {
+		case n < 25:
+			w.callerStep()
+		case n < 60:
+			w.deliver()
+		case n < 80:
+			w.ownerStep()
+		case n < 83:
+			w.arriveLate()
+		case n < 88:
+			w.passTime()
+		case n < 91:
+			w.renew()
+		case n < 96:
+			w.engineStep()
+		case n < 97:
+			w.die()
+		case n < 98:
+			w.restart()
+		default:
+			w.steer()
+		}
+	}
+	w.settle()
+}
+
+var (
+	firstSeed = flag.Uint64("first-seed", 1, "first seed of the random runs")
+	seedCount = flag.Uint64("seeds", 1000, "number of random runs")
+)
+
+func runSeeds(t *testing.T, from, to uint64) map[string]int {
+	seen := map[string]int{}
+	for seed := from; seed < to; seed++ {
+		w := newWorld(t, seed)
+		w.run(250)
+		for what, n := range w.seen {
+			seen[what] += n
+		}
+	}
+	return seen
+}
+
+// TestMachine_RandomRuns checks the rules of the package over seeded runs. Each outcome that
+// the rules are about has to come up, or the run proves nothing.
+func TestMachine_RandomRuns(t *testing.T) {
+	seen := runSeeds(t, *firstSeed, *firstSeed+*seedCount)
+	t.Log(seen)
+	if *seedCount < 1000 {
+		return // too few for each outcome to come up
+	}
+	for _, code := range []Code{
+		CodeOK, CodeBusy, CodeOutOfOrder, CodeTurnConflict, CodeBudgetExceeded, CodeHistoryMismatch, CodeUnknownOutcome,
+		CodeEnded, CodeExpired, CodeNoProgram, CodeTooMany, CodeSuperseded, CodeOwnerFenced, CodeStale,
+	} {
+		require.NotZero(t, seen[string(code)], "%s never came up", code)
+	}
+	for _, what := range []string{"ran", "ran again", "not run", "answered", "released", "late run", "died"} {
+		require.NotZero(t, seen[what], "%q never came up", what)
+	}
+}
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -85,6 +85,7 @@
 	Kind           Kind
 	RequestHash    string
 	IdempotencyKey string
+	Unnumbered     bool // the call had no turn number
 	Repeatable     bool
 	ReserveTokens  int64
 	Messages       [][]byte
