--- a/internal/membership/holder.go
+++ b/internal/membership/holder.go
@@ -30,7 +30,6 @@
 	split         uint64
 	epochSeen     uint64 // the highest epoch an answer named
 	generationMin uint64 // the configuration needed to act
-	answered      bool   // an answer was taken since the start
 	sequence      uint64
 	sent          map[uint64]time.Duration
 	nextRenew     time.Duration
@@ -187,7 +186,7 @@
 	if !known || a.VM != h.opts.VM || a.Incarnation != h.opts.Incarnation {
 		return
 	}
-	h.learn(a)
+	h.learn(now, a)
 	if !a.Granted {
 		return
 	}
@@ -201,12 +200,12 @@
 }
 
 // learn takes what an answer says beside the grant. None of it ever goes back.
-func (h *Holder) learn(a RenewAnswer) {
+func (h *Holder) learn(now time.Duration, a RenewAnswer) {
 	h.epochSeen = max(h.epochSeen, a.Epoch)
-	if !h.answered {
-		// A start may have found an older configuration than this VM acted under before.
-		h.answered = true
-		h.generationMin = a.Generation
+	if now >= h.validUntil {
+		// After a start or a lapse the configuration may have moved on by any amount; before
+		// it acts again this VM learns the one in force.
+		h.generationMin = max(h.generationMin, a.Generation)
 	}
 	h.settled = h.settled.merge(a.Settled)
 	if h.deny.Version.Less(a.Deny.Version) {
--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -50,7 +50,10 @@
 func (l *Limiter) borrowingOf(a *account) *borrowing {
 	if a.borrow == nil {
 		a.borrow = &borrowing{lenders: map[string]*lender{}}
-		l.busy[a.id] = a
+	}
+	if !a.listed {
+		a.listed = true
+		l.busy = append(l.busy, a)
 	}
 	return a.borrow
 }
@@ -143,7 +146,7 @@
 	if lack > 0 {
 		l.takeOwn(now, a, lack)
 	}
-	p := &permit{account: a, until: now + LoanLife}
+	p := &permit{request: w.request, account: a, until: now + LoanLife}
 	need := Request
 	for _, c := range b.credits {
 		if take := min(need, c.free(now)); take > 0 {
@@ -160,6 +163,7 @@
 	}
 	b.queue = b.queue[1:]
 	l.permits[w.request] = p
+	l.drawn = append(l.drawn, p)
 	l.out.Decisions = append(l.out.Decisions, Decision{Request: w.request, Granted: true, Until: p.until})
 	return true
 }
@@ -320,7 +324,6 @@
 	idle := len(b.queue) == 0 && len(b.credits) == 0 && b.ask == nil && now >= b.nextAsk
 	if idle && b.lendersIdle(now) {
 		a.borrow = nil
-		delete(l.busy, a.id)
 	}
 }
 
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -34,8 +34,9 @@
 	settled  Settled
 	accounts map[string]*account
 	pending  map[string]*account // with a scheduled start or growth
-	busy     map[string]*account // with a borrowing
+	busy     []*account          // with a borrowing, and some that just lost it
 	permits  map[string]*permit  // drawn ones, by request
+	drawn    []*permit           // the same in the order of their grants, and some that ended
 	lastAsk  uint64
 	asks     map[uint64]*account // under way, by the Ask's ID
 	late     map[uint64]lateAsk  // timed out, by the ID
@@ -61,7 +62,6 @@
 		opts:     opts,
 		accounts: map[string]*account{},
 		pending:  map[string]*account{},
-		busy:     map[string]*account{},
 		permits:  map[string]*permit{},
 		asks:     map[uint64]*account{},
 		late:     map[uint64]lateAsk{},
@@ -129,7 +129,9 @@
 		l.endPermit(now, request, p)
 	}
 	for _, a := range l.busy {
-		a.borrow.cancel(request)
+		if a.borrow != nil {
+			a.borrow.cancel(request)
+		}
 	}
 	return l.flush()
 }
@@ -208,17 +210,41 @@
 		}
 	}
 	l.startPending(now)
-	for request, p := range l.permits {
-		if now >= p.until {
-			l.endPermit(now, request, p)
+	l.expirePermits(now)
+	l.advanceBusy(now)
+	l.checkInvariants()
+	return l.flush()
+}
+
+// expirePermits takes back what was not dispatched in time.
+func (l *Limiter) expirePermits(now time.Duration) {
+	kept := l.drawn[:0]
+	for _, p := range l.drawn {
+		if p.state == permitDrawn && now >= p.until {
+			l.endPermit(now, p.request, p)
+		}
+		if p.state == permitDrawn {
+			kept = append(kept, p)
 		}
 	}
+	clear(l.drawn[len(kept):])
+	l.drawn = kept
+}
+
+func (l *Limiter) advanceBusy(now time.Duration) {
+	kept := l.busy[:0]
 	for _, a := range l.busy {
-		l.expireAsk(now, a)
-		l.pump(now, a)
+		if a.borrow != nil {
+			l.expireAsk(now, a)
+			l.pump(now, a)
+		}
+		a.listed = a.borrow != nil
+		if a.listed {
+			kept = append(kept, a)
+		}
 	}
-	l.checkInvariants()
-	return l.flush()
+	clear(l.busy[len(kept):])
+	l.busy = kept
 }
 
 func (l *Limiter) refuse(request string, reason Reason, after time.Duration) {
@@ -273,6 +299,11 @@
 		}
 	}
 	for _, a := range l.busy {
-		a.borrow.checkInvariants(a)
+		if a.borrow != nil {
+			a.borrow.checkInvariants(a)
+		}
+	}
+	if len(l.drawn) < len(l.permits) {
+		panic("ratelimit: a permit without an expiry")
 	}
 }
--- a/internal/ratelimit/permit.go
+++ b/internal/ratelimit/permit.go
@@ -17,6 +17,7 @@
 // moment of dispatch, whatever the wait: a request that waited longer has given its tokens
 // back and draws again.
 type permit struct {
+	request string
 	account *account
 	until   time.Duration
 	state   permitState
--- a/internal/ratelimit/view.go
+++ b/internal/ratelimit/view.go
@@ -1,6 +1,8 @@
 package ratelimit
 
 import (
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -60,6 +62,7 @@
 	share   *Share        // nil until started
 
 	borrow *borrowing // nil when idle
+	listed bool       // in Limiter.busy
 }
 
 // SetView takes a newer state of the control log. What it takes from this VM stops at once;
@@ -71,7 +74,8 @@
 	first := l.view.Fleet == nil
 	l.view = v
 	l.settled.AgreedSplit = max(l.settled.AgreedSplit, v.AgreedSplit)
-	for id, limit := range v.Limits {
+	for _, id := range sortedKeys(v.Limits) {
+		limit := v.Limits[id]
 		a := l.accounts[id]
 		if a == nil {
 			a = &account{id: id}
@@ -86,15 +90,20 @@
 		l.place(a, limit)
 		l.assign(now, a)
 	}
-	for id, a := range l.accounts {
+	for _, id := range sortedKeys(l.accounts) {
 		if _, kept := v.Limits[id]; !kept {
-			l.remove(now, a)
+			l.remove(now, l.accounts[id])
 		}
 	}
 	l.settle(now)
 	l.checkInvariants()
 }
 
+// sortedKeys makes the order of the effects repeatable.
+func sortedKeys[T any](m map[string]T) []string {
+	return slices.Sorted(maps.Keys(m))
+}
+
 // place works out the zones and the own zone's part under the view.
 func (l *Limiter) place(a *account, limit Limit) {
 	zones := l.view.Fleet.Zones()
