--- a/internal/harness/admin.go
+++ b/internal/harness/admin.go
@@ -29,11 +29,23 @@
 	PeerBytesReceived *int64 `json:"peer_bytes_received"`
 }
 
-// WaitReady waits until the VM answers operators, for as long as ctx lasts.
+// WaitReady waits until the VM answers operators and hears from control, for as long as ctx lasts.
 func (v *VM) WaitReady(ctx context.Context) error {
 	return v.waitFor(ctx, func(ctx context.Context) error {
-		_, err := v.admin(ctx, pathStatus)
-		return err
+		data, err := v.admin(ctx, pathStatus)
+		if err != nil {
+			return err
+		}
+		var status struct {
+			ControlReachable bool `json:"control_reachable"`
+		}
+		if err := json.Unmarshal(data, &status); err != nil {
+			return errors.Wrap(err, "harness: status is not understood")
+		}
+		if !status.ControlReachable {
+			return errors.Newf("harness: VM %s does not hear from control", v.Name)
+		}
+		return nil
 	})
 }
 
@@ -70,7 +82,7 @@
 // Apply applies an operators' file through a VM, waits until it is in force everywhere, and
 // returns the tool's output.
 func (f *Fleet) Apply(ctx context.Context, vm *VM, path string) (string, error) {
-	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", path, "--wait", "--admin", vm.Settings.Listen.Admin)
+	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", "--operator", "harness", path, "--wait", "--admin", vm.Settings.Listen.Admin)
 	out, err := cmd.CombinedOutput()
 	return string(out), errors.Wrapf(err, "harness: egretrampctl apply failed:\n%s", indent(string(out)))
 }
