--- a/internal/fakes/engine_test.go
+++ b/internal/fakes/engine_test.go
@@ -144,29 +144,31 @@
 	require.Equal(t, strings.Join(Answer(testModel, user("hello words:20"), 0), " "), text+rest)
 }
 
-func TestEngine_CancelsOnOrderAndWhenAbandoned(t *testing.T) {
-	f := startEngine(t, EngineOptions{ResumeGrace: 20 * time.Millisecond, StepTime: time.Millisecond})
-	body := chatBody(user("hello words:40000"), `,"stream":true`)
-	for _, attempt := range []string{"a1", "a2"} {
-		resp, err := do(t, "POST", f.Addr(), pathChat, body, wire.HeaderAttempt, attempt, wire.HeaderSession, attempt)
-		require.NoError(t, err)
-		if attempt == "a1" {
-			status, _ := get(t, "DELETE", f.Addr(), pathStreams+"a1", "")
-			require.Equal(t, 200, status)
-			_, _, _, done := readEvents(resp.Body)
-			require.False(t, done)
-		}
-		resp.Body.Close()
-	}
-	cancelled := func() bool {
-		runs := f.Runs()
-		return runs[0].Outcome == Cancelled && runs[1].Outcome == Cancelled
-	}
-	require.Eventually(t, cancelled, 5*time.Second, 5*time.Millisecond)
-	status, _ := get(t, "GET", f.Addr(), pathStreams+"a2?from=0", "")
+func TestEngine_CancelsOnRequest(t *testing.T) {
+	f := startEngine(t, EngineOptions{ResumeGrace: time.Hour})
+	body := chatBody(user("hello words:90000"), `,"stream":true`)
+	resp, err := do(t, "POST", f.Addr(), pathChat, body, wire.HeaderAttempt, "a1")
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	status, _ := get(t, "DELETE", f.Addr(), pathStreams+"a1", "")
+	require.Equal(t, 200, status)
+	require.Equal(t, Cancelled, f.Runs()[0].Outcome)
+	_, _, _, done := readEvents(resp.Body)
+	require.False(t, done)
+	status, _ = get(t, "GET", f.Addr(), pathStreams+"a1?from=0", "")
 	require.Equal(t, 404, status)
 }
 
+func TestEngine_CancelsAbandonedCallAfterGrace(t *testing.T) {
+	f := startEngine(t, EngineOptions{ResumeGrace: 20 * time.Millisecond})
+	body := chatBody(user("hello words:90000"), `,"stream":true`)
+	resp, err := do(t, "POST", f.Addr(), pathChat, body, wire.HeaderAttempt, "a1")
+	require.NoError(t, err)
+	resp.Body.Close()
+	cancelled := func() bool { return f.Runs()[0].Outcome == Cancelled }
+	require.Eventually(t, cancelled, 4*time.Second, 5*time.Millisecond)
+}
+
 func TestEngine_CachesPrefixUntilReleased(t *testing.T) {
 	f := startEngine(t, EngineOptions{})
 	first := user("the long first message")
@@ -210,6 +212,10 @@
 	require.LessOrEqual(t, c.used(), c.capacity)
 	_, ok = c.reserve("d", words(11), 11, now)
 	require.False(t, ok)
+	_, ok = c.reserve("d", words(7), 7, now) // evicts a, used less recently than c
+	require.True(t, ok)
+	require.Equal(t, -1, c.find("a"))
+	require.GreaterOrEqual(t, c.find("c"), 0)
 	require.Empty(t, c.eventsSince(0, now.Add(-time.Second)))
 	for _, e := range c.eventsSince(0, now) {
 		require.NotZero(t, e.Sequence%3)
@@ -233,6 +239,24 @@
 	require.Equal(t, []bool{true, false, true}, []bool{list[0].Obeyed, list[1].Obeyed, list[2].Obeyed})
 }
 
+func TestEngine_BatchesUpToItsSlots(t *testing.T) {
+	e := newEngine(Options{Engine: EngineOptions{Slots: 2, KVTokens: 100}}, newFaults(Faults{}, 0), &runs{})
+	for _, a := range []string{"a1", "a2", "a3"} {
+		c := &call{attempt: a, answer: []string{"x"}, advanced: make(chan struct{})}
+		c.run = e.runs.start(Run{})
+		require.True(t, e.submit(c))
+		require.False(t, e.submit(c), "an attempt in use")
+	}
+	now := time.Now()
+	_, busy := e.beginStep(now)
+	require.True(t, busy)
+	require.Equal(t, loadReport{running: 2, waiting: 1, kvTokens: 2, kvLimit: 100, slots: 2, canResume: true, hasFencing: true}, e.load())
+	e.endStep(now)
+	_, busy = e.beginStep(now)
+	require.True(t, busy)
+	require.Equal(t, 1, e.load().running)
+}
+
 func TestEngine_CrossesTwoAnswers(t *testing.T) {
 	f := startEngine(t, EngineOptions{})
 	f.SetFaults(Faults{Crossed: true})
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -65,7 +66,7 @@
 }
 
 func TestReceived_FindsWatchedStringAcrossReads(t *testing.T) {
-	r := newReceived(1<<10, []string{"secret"}, nil)
+	r := newReceived(4, []string{"secret"}, nil)
 	var a, b connLog
 	r.add(&a, []byte("xxsec"))
 	r.add(&b, []byte("ret"))
@@ -133,6 +134,26 @@
 	require.Len(t, f.Runs(), 2)
 }
 
+func TestFake_StreamUnderWayGoesSilent(t *testing.T) {
+	f := startEngine(t, EngineOptions{StepTime: 5 * time.Millisecond})
+	conn, err := net.Dial("tcp", f.Addr())
+	require.NoError(t, err)
+	defer conn.Close()
+	body := chatBody(user("hello words:40000"), `,"stream":true`)
+	_, err = fmt.Fprintf(conn, "POST %s HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n%s", pathChat, len(body), body)
+	require.NoError(t, err)
+	buf := make([]byte, 4096)
+	_, err = conn.Read(buf)
+	require.NoError(t, err)
+	f.SetFaults(Faults{Silence: true})
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(200*time.Millisecond)))
+	_, err = io.Copy(io.Discard, conn)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	require.NoError(t, conn.SetReadDeadline(time.Now().Add(50*time.Millisecond)))
+	_, err = conn.Read(buf)
+	require.ErrorIs(t, err, os.ErrDeadlineExceeded, "bytes came after the silence")
+}
+
 func TestFake_TruncatesHangsAndFails(t *testing.T) {
 	f := startService(t, Options{})
 	f.SetFaults(Faults{TruncateAfter: 1})
--- a/internal/harness/harness_test.go
+++ b/internal/harness/harness_test.go
@@ -65,7 +65,6 @@
 	require.Eventually(t, func() bool { return strings.Contains(state(), ") T ") }, 5*time.Second, time.Millisecond)
 	require.NoError(t, p.Thaw())
 	require.Eventually(t, func() bool { return strings.Contains(state(), ") S ") }, 5*time.Second, time.Millisecond)
-	require.NoError(t, p.Freeze()) // a frozen process is ended too
 	require.NoError(t, p.Restart(5*time.Second))
 	second, err := p.PID()
 	require.NoError(t, err)
@@ -78,6 +77,17 @@
 	require.Eventually(t, counted, 5*time.Second, time.Millisecond)
 }
 
+func TestProcess_TerminatesFrozenProcessGracefully(t *testing.T) {
+	p := shell(t, "trap 'exit 7' TERM; echo ready; while :; do sleep 0.01; done")
+	started(t, p)
+	require.NoError(t, p.Freeze())
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	graceful, err := p.Terminate(ctx)
+	require.NoError(t, err)
+	require.True(t, graceful)
+}
+
 func TestProcess_WaitEndsWhenTheProcessDoes(t *testing.T) {
 	p := shell(t, "echo cannot listen; exit 2")
 	err := p.waitFor(context.Background(), func(context.Context) error { return ErrNotRunning })
--- a/internal/workload/caller_test.go
+++ b/internal/workload/caller_test.go
@@ -156,13 +156,12 @@
 	require.Equal(t, refusal.Unknown, attempts[1].NotRun)
 }
 
-func TestReadWhole_WantsFinishReason(t *testing.T) {
-	for body, whole := range map[string]bool{
-		`{"choices":[{"message":{"content":"x"},"finish_reason":"stop"}]}`: true,
-		`{"choices":[{"message":{"content":"x"}}]}`:                        false,
-	} {
-		var a Attempt
+func TestRead_AnswerIsWholeOnlyWithFinishReason(t *testing.T) {
+	const finished, cut = `{"choices":[{"finish_reason":"stop"}]}`, `{"choices":[{"finish_reason":null}]}`
+	for body, whole := range map[string]bool{finished: true, cut: false} {
+		var a, b Attempt
 		require.NoError(t, readWhole(strings.NewReader(body), request{}, &a))
-		require.Equal(t, whole, a.Whole)
+		require.NoError(t, readStream(strings.NewReader("data: "+body+"\n\ndata: [DONE]\n\n"), &b))
+		require.Equal(t, []bool{whole, whole}, []bool{a.Whole, b.Whole})
 	}
 }
