Withdraw keys without a majority: pending withdrawals

What stops a key needs no agreement, since the set only grows. A follower takes a withdrawal before the log has it, spreads it by the digest like the rest, and lists it for a VM that reaches the control group to propose.

--- a/internal/control/follower.go
+++ b/internal/control/follower.go
@@ -93,6 +93,24 @@
 	return f.withdrawn.has(id, hash)
 }
 
+// Withdraw withdraws keys before the log has them, for a VM that reaches no majority: what
+// stops a key needs no agreement, because the set only grows. The withdrawal is pending, and
+// spreads to every VM that can be reached, until the log has it. The keys are given by ID and
+// hash.
+func (f *Follower) Withdraw(keys []WithdrawnKey) Change {
+	pending := slices.Clone(keys)
+	for i := range pending {
+		pending[i].Sequence = 0
+	}
+	return f.Offer(Delta{Withdrawn: pending})
+}
+
+// Pending returns the IDs of the withdrawals that are not in the log yet, sorted. A VM that
+// reaches the control group proposes them with WithdrawKeys.
+func (f *Follower) Pending() []string {
+	return sortedKeys(f.withdrawn.pending)
+}
+
 // View returns a copy of the state.
 func (f *Follower) View() View {
 	return View{
--- a/internal/control/follower_test.go
+++ b/internal/control/follower_test.go
@@ -83,3 +83,35 @@
 	f.config.Generation--
 	require.Panics(t, func() { f.Offer(Delta{}) })
 }
+
+func TestFollower_PendingWithdrawalWorksBeforeTheLogHasIt(t *testing.T) {
+	m := New()
+	apply(t, m, fileText(1, "a", "b"), "ana")
+	cut, near, far := NewFollower(), NewFollower(), NewFollower()
+	for _, f := range []*Follower{cut, near, far} {
+		f.Offer(m.View().Delta())
+	}
+	hash := m.keys["b"]
+	require.Len(t, cut.Withdraw([]WithdrawnKey{{ID: "b", Hash: hash}}).Withdrawn, 1)
+	require.True(t, cut.KeyWithdrawn("b", "") && cut.KeyWithdrawn("", hash))
+
+	require.True(t, cut.Digest().Ahead(near.Digest()))
+	require.False(t, near.Digest().Ahead(cut.Digest()))
+	require.Len(t, near.Offer(cut.DeltaFor(near.Digest())).Withdrawn, 1)
+	require.True(t, near.KeyWithdrawn("b", hash))
+	require.Equal(t, cut.Digest(), near.Digest())
+	far.Withdraw([]WithdrawnKey{{ID: "a", Hash: m.keys["a"]}})
+	far.Offer(cut.DeltaFor(far.Digest()))
+	cut.Offer(far.DeltaFor(cut.Digest()))
+	require.Equal(t, []string{"a", "b"}, cut.Pending(), "pending sets unite")
+
+	do(t, m, Command{WithdrawKeys: &WithdrawKeys{IDs: cut.Pending()}})
+	for _, f := range []*Follower{cut, near, far} {
+		f.Offer(m.DeltaFor(f.Digest()))
+		require.Empty(t, f.Pending())
+		require.Equal(t, m.Digest(), f.Digest())
+		require.False(t, m.Digest().Ahead(f.Digest()))
+		f.Withdraw([]WithdrawnKey{{ID: "b", Hash: hash, Sequence: 9}})
+		require.Empty(t, f.Pending(), "the log has it")
+	}
+}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -38,8 +38,20 @@
 	WithdrawnCount uint64 `json:"withdrawn_count"`
 	// WithdrawnHash is a hash over just these.
 	WithdrawnHash string `json:"withdrawn_hash"`
-	Epoch         uint64 `json:"epoch"`
-	Revision      uint64 `json:"revision"` // of the splits
+	// PendingHash is a hash over the withdrawals that are not in the log yet; empty: none.
+	PendingHash string `json:"pending_hash,omitempty"`
+	Epoch       uint64 `json:"epoch"`
+	Revision    uint64 `json:"revision"` // of the splits
+}
+
+// Ahead reports whether a state with this digest may know what one with the other lacks.
+func (d Digest) Ahead(other Digest) bool {
+	return d.Generation > other.Generation ||
+		d.Epoch > other.Epoch ||
+		d.Revision > other.Revision ||
+		d.WithdrawnCount > other.WithdrawnCount ||
+		d.WithdrawnCount == other.WithdrawnCount && d.WithdrawnHash != other.WithdrawnHash ||
+		d.PendingHash != "" && d.PendingHash != other.PendingHash
 }
 
 // Consistent reports whether configuration, membership and splits belong together. A view of
@@ -109,6 +121,7 @@
 		ConfigHash:     c.Hash,
 		WithdrawnCount: w.through,
 		WithdrawnHash:  w.digestHex(),
+		PendingHash:    w.pendingHash(),
 		Epoch:          epoch,
 		Revision:       s.Revision,
 	}
@@ -131,6 +144,9 @@
 	default:
 		delta.Withdrawn = w.after(d.WithdrawnCount)
 	}
+	if pending := w.pendingHash(); pending != d.PendingHash {
+		delta.Withdrawn = append(delta.Withdrawn, w.pendingKeys()...)
+	}
 	return delta
 }
 
--- a/internal/control/withdrawn.go
+++ b/internal/control/withdrawn.go
@@ -12,7 +12,8 @@
 	ID string `json:"id"`
 	// Hash is the key's SHA-256 in lower-case hex.
 	Hash string `json:"hash"`
-	// Sequence numbers the withdrawals in log order, from 1 without gaps.
+	// Sequence numbers the withdrawals in log order, from 1 without gaps. It is 0 while the
+	// withdrawal is pending: in effect wherever it is known, but not yet in the log.
 	Sequence uint64 `json:"sequence"`
 }
 
@@ -22,6 +23,7 @@
 	byID       map[string]WithdrawnKey
 	hashes     map[string]bool
 	bySequence map[uint64]string // key ID
+	pending    map[string]bool   // key IDs without a sequence
 	// through is the highest sequence up to which nothing is missing.
 	through uint64
 	// digest is the XOR of the SHA-256 of the keys with sequences 1 to through.
@@ -33,6 +35,7 @@
 		byID:       map[string]WithdrawnKey{},
 		hashes:     map[string]bool{},
 		bySequence: map[uint64]string{},
+		pending:    map[string]bool{},
 	}
 }
 
@@ -51,21 +54,27 @@
 	w.add(WithdrawnKey{ID: id, Hash: hash, Sequence: w.through + 1})
 }
 
-// add reports whether the ID or the hash is new. A key is withdrawn whatever its sequence number: a number
-// that another key has only means that the two sources don't share their history.
+// add reports whether the ID or the hash is new. A key is withdrawn whatever its sequence
+// number: a number that another key has only means that the two sources don't share their
+// history.
 func (w *withdrawnKeys) add(k WithdrawnKey) bool {
-	if w.hasID(k.ID) {
-		isNew := !w.hashes[k.Hash]
-		w.hashes[k.Hash] = true
+	isNew := !w.hasID(k.ID) || !w.hashes[k.Hash]
+	w.hashes[k.Hash] = true
+	old, known := w.byID[k.ID]
+	if known && (old.Sequence > 0 || k.Sequence == 0) {
 		return isNew
 	}
 	w.byID[k.ID] = k
-	w.hashes[k.Hash] = true
+	if k.Sequence == 0 {
+		w.pending[k.ID] = true
+		return isNew
+	}
+	delete(w.pending, k.ID)
 	if _, taken := w.bySequence[k.Sequence]; !taken {
 		w.bySequence[k.Sequence] = k.ID
 	}
 	w.advance()
-	return true
+	return isNew
 }
 
 // advance moves through over the sequences that are there without a gap.
@@ -76,13 +85,17 @@
 			return
 		}
 		w.through++
-		sum := sha256.Sum256(fmt.Appendf(nil, "%d %s %s", w.through, id, w.byID[id].Hash))
+		sum := w.byID[id].sum()
 		for i := range sum {
 			w.digest[i] ^= sum[i]
 		}
 	}
 }
 
+func (k WithdrawnKey) sum() [sha256.Size]byte {
+	return sha256.Sum256(fmt.Appendf(nil, "%d %s %s", k.Sequence, k.ID, k.Hash))
+}
+
 func (w *withdrawnKeys) digestHex() string {
 	return hex.EncodeToString(w.digest[:])
 }
@@ -103,3 +116,25 @@
 	})
 	return keys
 }
+
+// pendingKeys returns the withdrawals that are not in the log yet, in the order of their IDs.
+func (w *withdrawnKeys) pendingKeys() []WithdrawnKey {
+	var keys []WithdrawnKey
+	for _, id := range sortedKeys(w.pending) {
+		keys = append(keys, w.byID[id])
+	}
+	return keys
+}
+
+// pendingHash returns a hash over the pending withdrawals; empty if there are none.
+func (w *withdrawnKeys) pendingHash() string {
+	if len(w.pending) == 0 {
+		return ""
+	}
+	all := sha256.New()
+	for _, k := range w.pendingKeys() {
+		sum := k.sum()
+		_, _ = all.Write(sum[:])
+	}
+	return hex.EncodeToString(all.Sum(nil))
+}
