program: check dead attempts, held sessions and sessions in use in the runs

Hand mutations showed what the runs did not see: a buried attempt that starts again, a session dropped without a release, and the release of a session that a call uses.

--- a/internal/program/invariants.go
+++ b/internal/program/invariants.go
@@ -18,6 +18,7 @@
 	messages    int
 	historyHash []byte
 	onceAttempt string // the attempt under way of a turn that is not repeatable
+	held        []residency
 }
 
 // mustHold panics if an invariant does not hold.
@@ -33,6 +34,7 @@
 	for _, a := range m.accounts {
 		for _, p := range a.programs {
 			pm := programMemory{turns: len(p.turns), messages: len(p.history), historyHash: p.historyHash}
+			pm.held = p.residencies
 			if run := p.next.running; run != nil && !run.Repeatable {
 				pm.onceAttempt = run.ID
 			}
@@ -83,6 +85,9 @@
 	if run != nil && m.running[run.ID] != p {
 		return errors.New("the attempt under way is not indexed")
 	}
+	if run != nil && m.dead.reason(run.ID) != "" {
+		return errors.Newf("attempt %s is under way again after it was %s", run.ID, m.dead.reason(run.ID))
+	}
 	if p.state == StateLive {
 		if m.live[p.base] != p {
 			return errors.New("a live program is not indexed")
@@ -141,9 +146,26 @@
 	if !bytes.Equal(head, p.historyHash) {
 		return errors.New("the history is not an extension of what it was")
 	}
+	if err := m.checkHeld(was.held); err != nil {
+		return err
+	}
 	return m.checkOnce(p, was)
 }
 
+// checkHeld checks that a session which a program held is still held, to be released, or gone
+// with its engine's process.
+func (m *Machine) checkHeld(held []residency) error {
+	for _, r := range held {
+		if !m.exists(r.Residency) || m.inUse(r.Engine, r.Session) {
+			continue
+		}
+		if _, pending := m.engines[r.Engine].pending[r.Session]; !pending {
+			return errors.Newf("session %s on %s is neither held nor to be released", r.Session, r.Engine)
+		}
+	}
+	return nil
+}
+
 // checkOnce checks that an attempt of a turn that is not repeatable leaves the turn open only
 // by being revoked.
 func (m *Machine) checkOnce(p *program, was programMemory) error {
--- a/internal/program/sim_parts_test.go
+++ b/internal/program/sim_parts_test.go
@@ -108,6 +108,7 @@
 	c.waiting = call
 	vm.calls = append(vm.calls, call)
 	w.propose(vm, Envelope{Begin: b}, func(res *Result) { w.beginAnswered(call, res) })
+	w.pending[len(w.pending)-1].call = call
 }
 
 func (w *world) beginAnswered(call *simCall, res *Result) {
@@ -196,7 +197,11 @@
 	}
 	call := pick(w, vm.calls)
 	switch {
-	case call.started == nil || call.settling:
+	case call.settling:
+	case call.started == nil:
+		if w.chance(10) {
+			w.abandon(call)
+		}
 	case !call.written && w.chance(15):
 		w.revoke(call)
 	case !call.written:
@@ -208,11 +213,25 @@
 	}
 }
 
+// abandon gives up a call whose Begin got no answer yet. The Begin may still arrive.
+func (w *world) abandon(call *simCall) {
+	w.seen["abandoned"]++
+	w.pending = slices.DeleteFunc(w.pending, func(p *proposal) bool {
+		if p.call != call {
+			return false
+		}
+		w.delayed = append(w.delayed, p.data)
+		return true
+	})
+	w.revoke(call)
+}
+
 func (w *world) revoke(call *simCall) {
 	call.settling = true
 	b := &call.begin
 	w.propose(call.vm, Envelope{Revoke: &Revoke{Account: b.Account, Program: b.Program, Attempt: b.Attempt}}, func(res *Result) {
 		w.drop(call)
+		w.revoked[b.Attempt] = res.Code == CodeOK
 		res.Code = CodeBusy // the VM is overloaded
 		w.refuse(call, &RefusedError{Result: *res})
 	})
@@ -248,20 +267,14 @@
 		return
 	}
 	call.engine = pick(w, w.engines)
-	call.session = call.started.NewSession
+	e := call.engine
+	call.used = &Residency{Model: "m", Engine: e.name, EngineIncarnation: e.incarnation, Session: call.started.NewSession}
 	for _, held := range call.started.Residencies {
-		if held.Engine == call.engine.name && held.EngineIncarnation == call.engine.incarnation {
-			call.session = held.Session
+		if held.Engine == e.name && held.EngineIncarnation == e.incarnation {
+			call.used.Session = held.Session
 		}
 	}
-	call.engine.sessions[call.session] = true
-}
-
-func (c *simCall) residency() *Residency {
-	if c.engine == nil {
-		return nil
-	}
-	return &Residency{Model: "m", Engine: c.engine.name, EngineIncarnation: c.engine.incarnation, Session: c.session}
+	e.sessions[call.used.Session] = true
 }
 
 func (w *world) failCall(call *simCall) {
@@ -269,7 +282,7 @@
 	b := &call.begin
 	fail := &Fail{
 		Account: b.Account, Program: b.Program, Attempt: b.Attempt, Outcome: OutcomeFailed,
-		UsedTokens: simReserve, Residency: call.residency(),
+		UsedTokens: simReserve, Residency: call.used,
 	}
 	if w.chance(50) {
 		fail.Outcome = OutcomeUnknown
@@ -289,7 +302,7 @@
 	w.made[string(answer)] = call.request
 	complete := &Complete{
 		Account: b.Account, Program: b.Program, Attempt: b.Attempt, Answer: answer, Status: 200,
-		UsedTokens: simReserve + 50*int64(w.r.IntN(2)), Residency: call.residency(),
+		UsedTokens: simReserve + 50*int64(w.r.IntN(2)), Residency: call.used,
 	}
 	if b.Kind == KindChat {
 		complete.Messages = [][]byte{answer}
@@ -338,6 +351,7 @@
 	for _, due := range w.a.pendingReleases(&ReleasesQuery{Limit: 2}) {
 		for _, e := range w.engines {
 			if e.name == due.Engine && e.incarnation == due.EngineIncarnation {
+				w.checkUnused(due)
 				delete(e.sessions, due.Session)
 				w.seen["released"]++
 			}
@@ -347,6 +361,18 @@
 	}
 }
 
+// checkUnused checks that no call of a current attempt uses a session to be released.
+func (w *world) checkUnused(due Release) {
+	for _, vm := range w.vms {
+		for _, c := range vm.calls {
+			current := w.a.running[c.begin.Attempt] != nil
+			if current && c.used != nil && c.used.Session == due.Session && c.used.Engine == due.Engine {
+				w.failf("%s is released while %s uses it", due.Session, c.begin.Attempt)
+			}
+		}
+	}
+}
+
 // steer does what a caller does beside turns: sub-agents, cancel, end, another request.
 func (w *world) steer() {
 	c := pick(w, w.callers)
--- a/internal/program/sim_test.go
+++ b/internal/program/sim_test.go
@@ -31,6 +31,7 @@
 	begun    map[string]int    // attempt -> step it was started in by the machine
 	runs     map[string]int    // request -> times an upstream ran it
 	claims   map[string]int    // request -> step of the last claim that it did not run
+	revoked  map[string]bool   // attempts whose revocation was acknowledged
 	made     map[string]string // answer made by an upstream -> request
 	answers  map[string][]byte // request -> first answer that a caller saw
 	tokens   map[string]int64  // root program -> tokens that upstreams used
@@ -53,11 +54,12 @@
 	written  bool
 	settling bool
 	engine   *simEngine
-	session  string
+	used     *Residency
 }
 
 type proposal struct {
 	vm    *simVM
+	call  *simCall // of a Begin
 	data  []byte
 	reply func(*Result)
 }
@@ -106,7 +108,7 @@
 		t: t, seed: seed, r: rand.New(rand.NewPCG(seed, 1)), nowMS: simStartMS,
 		a: New(simLimits), b: New(simLimits),
 		begun: map[string]int{}, runs: map[string]int{}, claims: map[string]int{},
-		made: map[string]string{}, answers: map[string][]byte{}, tokens: map[string]int64{}, seen: map[string]int{},
+		revoked: map[string]bool{}, made: map[string]string{}, answers: map[string][]byte{}, tokens: map[string]int64{}, seen: map[string]int{},
 	}
 	w.a.EnableChecks()
 	for i := range 3 {
@@ -144,6 +146,9 @@
 		w.failf("bad command: %s", res.Detail)
 	}
 	w.seen[string(res.Code)]++
+	if res.Started != nil && w.revoked[res.Started.Attempt] {
+		w.failf("%s was started after it was revoked", res.Started.Attempt)
+	}
 	if res.Started != nil && w.begun[res.Started.Attempt] == 0 {
 		w.begun[res.Started.Attempt] = w.step + 1
 	}
@@ -321,7 +326,7 @@
 	} {
 		require.NotZero(t, seen[string(code)], "%s never came up", code)
 	}
-	for _, what := range []string{"ran", "ran again", "not run", "answered", "released", "late run", "died"} {
+	for _, what := range []string{"ran", "ran again", "not run", "answered", "released", "late run", "died", "abandoned"} {
 		require.NotZero(t, seen[what], "%q never came up", what)
 	}
 }
