--- a/internal/program/attempts.go
+++ b/internal/program/attempts.go
@@ -25,7 +25,7 @@
 }
 
 // Add notes an attempt that Begin started. proposedAt is when Begin was called: the lease
-// surely lasts from then.
+// lasts at least from then, as far as the VMs' wall clocks agree.
 func (a *Attempts) Add(id string, proposedAt time.Duration) {
 	a.byID[id] = &ownAttempt{leaseUntil: proposedAt + a.lease, renewAt: proposedAt + a.renew}
 }
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -139,13 +139,15 @@
 	return refused.Result.RecordedMessages, true
 }
 
-// begin proposes a Begin under a new attempt. If its outcome stays unknown, the attempt waits
-// for its revocation.
+// begin proposes a Begin under a new attempt. If its outcome stays unknown, or if it was
+// refused while a copy of it may still arrive, the attempt waits for its revocation.
 func (l *Ledger) begin(ctx context.Context, cmd *Begin) (*Result, error) {
 	cmd.Attempt = l.opts.NewAttempt()
 	res, err := l.propose(ctx, &Envelope{Begin: cmd})
 	var unavailable *UnavailableError
-	if errors.As(err, &unavailable) && unavailable.Applied {
+	var refused *RefusedError
+	unknown := errors.As(err, &unavailable) && unavailable.Applied
+	if unknown || errors.As(err, &refused) && refused.Repeated {
 		l.abandon(cmd)
 	}
 	return res, err
--- a/internal/program/errors.go
+++ b/internal/program/errors.go
@@ -15,6 +15,8 @@
 // RefusedError is the machine's refusal of a command.
 type RefusedError struct {
 	Result Result
+	// Repeated says that copies of the command may still arrive and be applied.
+	Repeated bool
 }
 
 // Error tells the code and its explanation.
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -18,7 +18,8 @@
 // Proposer brings a command into the group's log and returns the machine's answer.
 type Proposer interface {
 	// Propose returns an error wrapping ErrNotProposed if the command surely has not been and
-	// will not be applied; after any other error its outcome is unknown.
+	// will not be applied; after any other error its outcome is unknown. One call brings the
+	// command into the log once at most.
 	Propose(ctx context.Context, data []byte) ([]byte, error)
 }
 
@@ -280,7 +281,7 @@
 	for delay := retryMin; ; delay = min(2*delay, retryMax) {
 		answer, err := send()
 		if err == nil {
-			return decode(answer)
+			return decode(answer, applied)
 		}
 		applied = applied || !errors.Is(err, ErrNotProposed)
 		if !sleep(ctx, delay) {
@@ -303,13 +304,13 @@
 	}
 }
 
-func decode(answer []byte) (*Result, error) {
+func decode(answer []byte, repeated bool) (*Result, error) {
 	var res Result
 	if err := json.Unmarshal(answer, &res); err != nil {
 		return nil, errors.Wrap(err, "program: cannot read the group's answer")
 	}
 	if res.Code != CodeOK {
-		return nil, &RefusedError{Result: res}
+		return nil, &RefusedError{Result: res, Repeated: repeated}
 	}
 	return &res, nil
 }
