--- /dev/null
+++ b/internal/daemon/fleet_test.go
@@ -0,0 +1,237 @@
+package daemon
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/admin"
+	"egretramp/internal/config"
+	"egretramp/internal/fakes"
+	"egretramp/internal/settings"
+)
+
+// waitLimit bounds every wait; only a fault reaches it.
+const waitLimit = 40 * time.Second
+
+const (
+	keyAna     = "sk-ana-0123456789abcdef"
+	keyBob     = "sk-bob-0123456789abcdef"
+	engineRoot = "engines-secret-0123"
+	toolRoot   = "services-secret-0123"
+)
+
+// testFleet is three VMs in three zones, each with the control role, in one process.
+type testFleet struct {
+	t       *testing.T
+	daemons []*Daemon
+	stops   []context.CancelFunc
+	ended   []chan struct{}
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+func newTestFleet(t *testing.T) *testFleet {
+	t.Helper()
+	f := &testFleet{t: t}
+	var peers []settings.Peer
+	for i := range 3 {
+		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i), Address: freePort(t), Control: true})
+	}
+	for i, p := range peers {
+		s := &settings.Settings{
+			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 20, LogLevel: "error",
+			Listen: settings.Listen{Callers: freePort(t), Upstreams: freePort(t), Admin: freePort(t), Peers: peers[i].Address},
+		}
+		d, err := New(s, "test")
+		require.NoError(t, err)
+		f.run(d)
+	}
+	f.waitReady()
+	return f
+}
+
+func (f *testFleet) run(d *Daemon) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		defer close(ended)
+		if err := d.Run(ctx, make(chan os.Signal)); err != nil {
+			f.t.Errorf("VM %s: %v", d.settings.VM, err)
+		}
+	})
+	f.daemons = append(f.daemons, d)
+	f.stops = append(f.stops, cancel)
+	f.ended = append(f.ended, ended)
+	f.t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+}
+
+func (f *testFleet) eventually(what string, ok func() bool) {
+	f.t.Helper()
+	require.Eventually(f.t, ok, waitLimit, 20*time.Millisecond, what)
+}
+
+func (f *testFleet) waitReady() {
+	for _, d := range f.daemons {
+		f.eventually("VM "+d.settings.VM+" has no lease", func() bool { return d.fleet.Current(time.Minute) })
+	}
+}
+
+func (f *testFleet) apply(file config.File) {
+	f.t.Helper()
+	text, err := json.Marshal(file)
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	b := &backend{daemon: f.daemons[0]}
+	_, err = b.Apply(ctx, admin.ApplyRequest{Text: text, Operator: "test"})
+	require.NoError(f.t, err)
+	for _, d := range f.daemons {
+		f.eventually("generation is not in force", func() bool { return d.fleet.View().Acceptance.Generation >= file.Generation })
+	}
+	f.waitReady()
+}
+
+func baseFile(generation uint64) config.File {
+	return config.File{
+		Generation: generation,
+		Schemes:    []string{"ledger", "desk", "platform"},
+		ClientAccounts: []config.ClientAccount{
+			account("ana", "ANA-1", keyAna),
+			account("bob", "BOB-1", keyBob),
+		},
+		Models: []config.Model{{Named: config.Named{ID: "wig-large", Names: map[string]string{"ledger": "WIG/L"}}}},
+		Services: []config.Service{
+			{Named: config.Named{ID: "deposit"}, TimeoutSeconds: 5},
+			{Named: config.Named{ID: "catalog"}, Repeatable: true},
+		},
+		Routes: []config.Route{
+			{ID: "models", Model: "*"}, {ID: "deposit", Service: "deposit"}, {ID: "catalog", Service: "catalog", Open: true},
+		},
+		Upstreams: []config.UpstreamClass{
+			{ID: "engines", Kind: config.KindEngine, Secret: engineRoot},
+			{ID: "services", Kind: config.KindService, Secret: toolRoot},
+		},
+	}
+}
+
+func account(id, name, key string) config.ClientAccount {
+	return config.ClientAccount{
+		Named:         config.Named{ID: id, Names: map[string]string{"ledger": name}},
+		RatePerSecond: 200, Burst: 200,
+		Keys: []config.Key{{ID: "key-" + id, SHA256: config.HashKey(key)}},
+	}
+}
+
+func (f *testFleet) upstreamListeners() []string {
+	var all []string
+	for _, d := range f.daemons {
+		all = append(all, d.settings.Listen.Upstreams)
+	}
+	return all
+}
+
+func (f *testFleet) engine(name, zone string) *fakes.Fake {
+	return f.fake(fakes.Options{
+		Kind: config.KindEngine, Name: name, Zone: zone, Class: "engines", Secret: engineRoot, Serves: []string{"WIG/L"},
+	})
+}
+
+func (f *testFleet) service(name, zone, serves string) *fakes.Fake {
+	return f.fake(fakes.Options{
+		Kind: config.KindService, Name: name, Zone: zone, Class: "services", Secret: toolRoot, Serves: []string{serves},
+	})
+}
+
+func (f *testFleet) fake(o fakes.Options) *fakes.Fake {
+	f.t.Helper()
+	o.AnnounceTo = f.upstreamListeners()
+	o.Watch = []string{keyAna, keyBob}
+	o.Aliases = map[string]string{"WIG/L": "wig-large"}
+	fake, err := fakes.New(o)
+	require.NoError(f.t, err)
+	require.NoError(f.t, fake.Start())
+	f.t.Cleanup(fake.Close)
+	return fake
+}
+
+func (f *testFleet) waitPools(n int) {
+	for _, d := range f.daemons {
+		f.eventually("pools are not known", func() bool {
+			replicas := 0
+			for _, p := range d.dispatcher.Pools() {
+				replicas += p.Load.Replicas
+			}
+			return replicas >= n
+		})
+	}
+}
+
+// reply is what a caller got.
+type reply struct {
+	status int
+	header http.Header
+	body   string
+}
+
+// refusalOf reads the code and not_run of an error answer.
+func (r reply) refusal(t *testing.T) (code, notRun string) {
+	t.Helper()
+	var body struct {
+		Error struct {
+			Code   string          `json:"code"`
+			NotRun json.RawMessage `json:"not_run"`
+		} `json:"error"`
+	}
+	require.NoError(t, json.Unmarshal([]byte(r.body), &body), r.body)
+	return body.Error.Code, strings.Trim(string(body.Error.NotRun), `"`)
+}
+
+func (f *testFleet) send(vm int, method, path, key, body string, headers ...string) reply {
+	f.t.Helper()
+	r, err := f.trySend(vm, method, path, key, body, headers...)
+	require.NoError(f.t, err)
+	return r
+}
+
+func (f *testFleet) trySend(vm int, method, path, key, body string, headers ...string) (reply, error) {
+	url := "http://" + f.daemons[vm].settings.Listen.Callers + path
+	req, err := http.NewRequest(method, url, bytes.NewReader([]byte(body)))
+	if err != nil {
+		return reply{}, err
+	}
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	for i := 0; i+1 < len(headers); i += 2 {
+		req.Header.Set(headers[i], headers[i+1])
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return reply{}, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	data, err := io.ReadAll(resp.Body)
+	return reply{status: resp.StatusCode, header: resp.Header, body: string(data)}, err
+}
