Send engines the model under the name they announced; refuse at once when every upstream is avoided

A test through real daemons showed both: an engine that announced a scheme's name was asked for the canonical one and answered 404, and the retry then waited 60 s for a replica that could never come.

--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -11,6 +11,7 @@
 	"github.com/openai/openai-go/option"
 	"github.com/stretchr/testify/require"
 
+	"egretramp/internal/config"
 	"egretramp/internal/fakes"
 )
 
@@ -202,7 +203,7 @@
 	}()
 	f.eventually("the stream is not under way", func() bool { return f.daemons[2].gateway.InFlight() > 0 })
 	file := baseFile(2)
-	file.ClientAccounts[1].Keys = nil
+	file.ClientAccounts[1].Keys = []config.Key{{ID: "key-bob-2", SHA256: config.HashKey("sk-bob-second-0123456")}}
 	f.apply(file)
 	r := <-ended
 	require.Contains(t, r.body, "key_withdrawn")
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -149,7 +149,7 @@
 		if grant != nil {
 			return grant, nil
 		}
-		if err.Code != CodeNoUpstream {
+		if err.Code != CodeNoUpstream && err.Reason != schedule.ReasonAllAvoided {
 			return nil, err
 		}
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -296,6 +296,7 @@
 		Incarnation: record.Incarnation,
 		Address:     record.Address,
 		CanResume:   record.CanResume,
+		ServesAs:    record.ServesAs[key.Name],
 		QueuedFor:   now - r.queuedAt,
 	}}
 	h.opts.Network.Send(r.from, KindGrant, mustMarshal(r.reply))
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -71,6 +71,8 @@
 	Incarnation int64         `json:"incarnation"`
 	Address     string        `json:"address"`
 	CanResume   bool          `json:"can_resume,omitempty"`
+	// ServesAs is the upstream's own name of the model or service.
+	ServesAs string `json:"serves_as,omitempty"`
 	// QueuedFor is how long the request waited at its dispatcher.
 	QueuedFor time.Duration `json:"queued_for_ns"`
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -9,9 +9,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
+	"egretramp/internal/events"
 	"egretramp/internal/program"
 	"egretramp/internal/refusal"
 	"egretramp/internal/schedule"
@@ -315,7 +317,7 @@
 
 // relay sends the call to the granted engine and passes its answer on.
 func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, a *upstream.Assembler) error {
-	body, err := call.request.engineBody(call.model.ID, call.model.MaxTokens, call.messages)
+	body, err := call.request.engineBody(servesAs(grant, call.model.ID), call.model.MaxTokens, call.messages)
 	if err != nil {
 		return err
 	}
@@ -337,6 +339,14 @@
 	return err
 }
 
+// servesAs returns the upstream's own name of what it was granted for.
+func servesAs(g *dispatch.Grant, id string) string {
+	if g.ServesAs != "" {
+		return g.ServesAs
+	}
+	return id
+}
+
 // pass hands each chunk to the sink until the answer is whole.
 func pass(ctx context.Context, stream *upstream.Stream, a *upstream.Assembler, out sink) error {
 	for {
@@ -366,6 +376,7 @@
 // chatFailure turns a failed attempt into a refusal. A chat completion may be repeated.
 func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry bool) {
 	call.avoid = append(call.avoid, grant.Upstream)
+	s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
 	var status *upstream.StatusError
 	if errors.As(err, &status) {
 		return s.engineStatus(call, status)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -11,9 +11,11 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
+	"go.uber.org/zap"
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
+	"egretramp/internal/events"
 	"egretramp/internal/program"
 	"egretramp/internal/refusal"
 	"egretramp/internal/schedule"
@@ -241,6 +243,7 @@
 	}
 	a, err := s.send(ctx, call, grant)
 	if err != nil {
+		s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
 		refused, retry = serviceFailure(ctx, call, grant, err)
 		return nil, refused, retry
 	}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -71,6 +71,8 @@
 const (
 	ReasonQueueFull Reason = "queue_full"
 	ReasonTooLarge  Reason = "too_large"
+	// ReasonAllAvoided: the request must not run on any of the pool's upstreams.
+	ReasonAllAvoided Reason = "all_avoided"
 )
 
 // Plan is what the host has to carry out.
@@ -191,6 +193,10 @@
 	var plan Plan
 	var left []Request
 	for _, r := range p.waiting {
+		if p.allAvoided(r) {
+			plan.Refused = append(plan.Refused, Refused{Request: r, Reason: ReasonAllAvoided})
+			continue
+		}
 		best := p.pick(r)
 		if best == nil {
 			left = append(left, r)
@@ -210,6 +216,15 @@
 	return plan
 }
 
+func (p *Pool) allAvoided(r Request) bool {
+	for name := range p.replicas {
+		if !contains(r.Avoid, name) {
+			return false
+		}
+	}
+	return len(p.replicas) > 0
+}
+
 func (p *Pool) pick(r Request) *replicaState {
 	names := make([]string, 0, len(p.replicas))
 	for name := range p.replicas {
--- a/internal/upstream/intake.go
+++ b/internal/upstream/intake.go
@@ -102,6 +102,10 @@
 	if !ok {
 		return a, http.StatusForbidden, codeNotAllowed
 	}
+	a.ServesAs = make(map[string]string, len(served))
+	for i, id := range served {
+		a.ServesAs[id] = a.Serves[i]
+	}
 	a.Serves = served
 	return a, http.StatusOK, ""
 }
--- a/internal/upstream/wire/wire.go
+++ b/internal/upstream/wire/wire.go
@@ -59,7 +59,10 @@
 	Kind        config.UpstreamKind `json:"kind"`
 	Address     string              `json:"address"` // IP:port of its HTTP server
 	Serves      []string            `json:"serves"`  // models or services, under any name
-	Goodbye     bool                `json:"goodbye,omitempty"`
+	// ServesAs maps canonical IDs to the names in Serves as the upstream sent them. The VM that
+	// accepts an announcement sets it; what an upstream sends here is ignored.
+	ServesAs map[string]string `json:"serves_as,omitempty"`
+	Goodbye  bool              `json:"goodbye,omitempty"`
 	// ChecksFencing says that orders with an old fencing number are refused.
 	ChecksFencing bool `json:"checks_fencing,omitempty"`
 	// CanResume says that broken streams can be resumed.
