--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -23,13 +23,13 @@
 
 // Limits of the whole demo but its stopping, and of its parts.
 const (
-	runLimit      = 48 * time.Second
+	runLimit      = 45 * time.Second
 	startLimit    = 10 * time.Second
 	applyLimit    = 10 * time.Second
 	warmUpLimit   = 8 * time.Second
 	programsLimit = 18 * time.Second
 	idleTime      = 3 * time.Second
-	stopLimit     = 5 * time.Second
+	stopLimit     = 7 * time.Second
 	releaseLimit  = 5 * time.Second
 	releasePoll   = 100 * time.Millisecond
 )
--- a/internal/harness/admin.go
+++ b/internal/harness/admin.go
@@ -9,14 +9,13 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-)
 
-// Paths of the administration listener.
-const (
-	pathStatus = "/v1/status"
-	pathVars   = "/debug/vars"
+	"egretramp/internal/admin/api"
 )
 
+// operator is the name under which files are applied.
+const operator = "harness"
+
 // adminClient never reuses a connection, so that one to a killed VM is never tried again.
 var adminClient = &http.Client{
 	Timeout:   5 * time.Second,
@@ -29,18 +28,38 @@
 	PeerBytesReceived *int64 `json:"peer_bytes_received"`
 }
 
-// WaitReady waits until the VM answers operators, for as long as ctx lasts.
+// Status asks the VM what it knows of itself and the fleet.
+func (v *VM) Status(ctx context.Context) (api.Status, error) {
+	var s api.Status
+	data, err := v.admin(ctx, api.PathStatus)
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(data, &s), "harness: status is not understood")
+}
+
+// errNoControl says that a VM has not heard from the control group.
+var errNoControl = errors.New("harness: control group not reachable")
+
+// WaitReady waits until the VM answers operators and hears from the control group, for as long
+// as ctx lasts.
 func (v *VM) WaitReady(ctx context.Context) error {
 	return v.waitFor(ctx, func(ctx context.Context) error {
-		_, err := v.admin(ctx, pathStatus)
-		return err
+		s, err := v.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if !s.ControlReachable {
+			return errNoControl
+		}
+		return nil
 	})
 }
 
 // Vars reads the VM's counters.
 func (v *VM) Vars(ctx context.Context) (Vars, error) {
 	var vars Vars
-	data, err := v.admin(ctx, pathVars)
+	data, err := v.admin(ctx, api.PathVars)
 	if err != nil {
 		return vars, err
 	}
@@ -70,7 +89,8 @@
 // Apply applies an operators' file through a VM, waits until it is in force everywhere, and
 // returns the tool's output.
 func (f *Fleet) Apply(ctx context.Context, vm *VM, path string) (string, error) {
-	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", path, "--wait", "--admin", vm.Settings.Listen.Admin)
+	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", path, "--wait",
+		"--operator", operator, "--admin", vm.Settings.Listen.Admin)
 	out, err := cmd.CombinedOutput()
 	return string(out), errors.Wrapf(err, "harness: egretrampctl apply failed:\n%s", indent(string(out)))
 }
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -164,8 +164,7 @@
 	return errors.Wrap(os.WriteFile(path, data, 0o600), "harness: cannot write a file")
 }
 
-// StartVMs starts all VMs and waits until each of them answers operators, for as long as ctx
-// lasts.
+// StartVMs starts all VMs and waits until each of them is ready, for as long as ctx lasts.
 func (f *Fleet) StartVMs(ctx context.Context) error {
 	for _, vm := range f.VMs {
 		if err := vm.Start(); err != nil {
