--- a/internal/harness/admin.go
+++ b/internal/harness/admin.go
@@ -39,7 +39,7 @@
 }
 
 // errNoControl says that a VM has not heard from the control group.
-var errNoControl = errors.New("harness: control group not reachable")
+var errNoControl = errors.New("harness: VM does not hear from control")
 
 // WaitReady waits until the VM answers operators and hears from the control group, for as long
 // as ctx lasts.
