--- a/internal/workload/operators_test.go
+++ b/internal/workload/operators_test.go
@@ -11,10 +11,12 @@
 
 func TestOperatorsFile_HoldsNoKeyAndAllNames(t *testing.T) {
 	list := []Deployment{Bajio(), Colombo()}
-	f := OperatorsFile(3, []config.UpstreamClass{{ID: "c"}}, list...)
+	f := OperatorsFile(3, []config.UpstreamClass{{ID: "c", Kind: config.KindEngine, Secret: "sixteen characters"}}, list...)
 	require.Len(t, f.ClientAccounts, 16)
 	data, err := json.Marshal(f)
 	require.NoError(t, err)
+	_, err = config.Parse("operators.json", data)
+	require.NoError(t, err)
 	for id, key := range Keys(list...) {
 		require.NotContains(t, string(data), key)
 		require.Positive(t, Bounds(list...)[id].RatePerSecond)
