--- /dev/null
+++ b/internal/raft/storage/storage_test.go
@@ -0,0 +1,173 @@
+package storage
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"egretramp/internal/raft"
+	"egretramp/internal/raft/raftpb"
+)
+
+var flips = flag.Int("storage.flips", 1500, "number of damaged copies that the corruption test tries")
+
+func fresh(id uint64) *raftpb.Identity {
+	return &raftpb.Identity{Group: 1, Replica: id, Vm: "a"}
+}
+
+func entries(term, first, last uint64) []*raftpb.Entry {
+	var out []*raftpb.Entry
+	for i := first; i <= last; i++ {
+		out = append(out, &raftpb.Entry{Term: term, Index: i, Data: fmt.Appendf(nil, "command %d of term %d", i, term)})
+	}
+	return out
+}
+
+// fill writes a formation, 300 entries with a replaced tail, and a cut at 150.
+func fill(t *testing.T, s *Store) {
+	conf := &raftpb.ConfState{Members: []*raftpb.Member{{Id: 7, Vm: "a"}}}
+	require.NoError(t, s.Save(Batch{
+		Formation: 9, Hard: &raftpb.HardState{Term: 1, Commit: 1}, ReplaceLog: true,
+		Snapshot: &raftpb.Snapshot{Index: 1, Term: 1, Conf: conf}, BaseIndex: 1, BaseTerm: 1,
+	}))
+	for i := uint64(2); i <= 300; i += 10 {
+		require.NoError(t, s.Save(Batch{Entries: entries(1, i, min(i+9, 300))}))
+	}
+	require.NoError(t, s.Save(Batch{Hard: &raftpb.HardState{Term: 2, Vote: 7, Commit: 250}, Entries: entries(2, 290, 310)}))
+	snapshot := &raftpb.Snapshot{Index: 200, Term: 1, Conf: conf, Data: make([]byte, 9000)}
+	require.NoError(t, s.Save(Batch{Snapshot: snapshot, BaseIndex: 150, BaseTerm: 1}))
+}
+
+func describe(state raft.State) string {
+	text := fmt.Sprint(state.Hard, state.Bounds, state.Snapshot)
+	for _, e := range state.Entries {
+		text += fmt.Sprint(e)
+	}
+	return text
+}
+
+func TestStore_KeepsStateOverRestarts(t *testing.T) {
+	folder := t.TempDir()
+	s, state, err := Open(folder, fresh(7))
+	require.NoError(t, err)
+	require.Nil(t, state.Hard)
+	fill(t, s)
+	_, _, err = Open(folder, fresh(8))
+	require.ErrorContains(t, err, "in use by another process")
+	require.NoError(t, s.Close())
+
+	for range 3 {
+		s, state, err = Open(folder, fresh(8))
+		require.NoError(t, err)
+		require.Equal(t, uint64(7), s.Identity().Replica)
+		require.Equal(t, uint64(9), s.Identity().Formation)
+		require.True(t, proto.Equal(&raftpb.HardState{Term: 2, Vote: 7, Commit: 250}, state.Hard))
+		require.Len(t, state.Entries, 160)
+		require.Equal(t, uint64(1), state.Entries[138].Term)
+		require.Equal(t, uint64(2), state.Entries[139].Term)
+		require.Equal(t, uint64(200), state.Snapshot.Index)
+		require.Error(t, (&Store{db: s.db, identity: s.identity, bounds: s.bounds}).Save(Batch{Formation: 10}), "a second formation")
+		require.NoError(t, s.Close())
+	}
+	_, _, err = Open(folder, &raftpb.Identity{Group: 1, Vm: "b", Replica: 3})
+	require.ErrorContains(t, err, `belongs to group 1 of VM "a"`)
+}
+
+func TestStore_RefusesGap(t *testing.T) {
+	s, _, err := Open(t.TempDir(), fresh(7))
+	require.NoError(t, err)
+	fill(t, s)
+	require.ErrorContains(t, s.Save(Batch{Entries: entries(2, 312, 312)}), "doesn't follow the log")
+	require.Error(t, s.Save(Batch{Entries: entries(2, 311, 311)}), "a failed store must stay failed")
+	require.NoError(t, s.Close())
+}
+
+// TestStore_NeverLosesSilently damages copies of a file, each at one place: opening must
+// give the very same state or an error that names the file.
+func TestStore_NeverLosesSilently(t *testing.T) {
+	folder := t.TempDir()
+	s, _, err := Open(folder, fresh(7))
+	require.NoError(t, err)
+	fill(t, s)
+	require.NoError(t, s.Close())
+	path := Path(folder, 1)
+	_, state, err := read(path)
+	require.NoError(t, err)
+	want := describe(state)
+	sound, err := os.ReadFile(path)
+	require.NoError(t, err)
+
+	random := rand.New(rand.NewSource(1))
+	refused := 0
+	for i := range *flips {
+		damaged := append([]byte(nil), sound...)
+		switch at := random.Intn(len(sound)); {
+		case i%10 == 0:
+			damaged = damaged[:at]
+		case i%10 == 1:
+			clear(damaged[at:min(at+4096, len(damaged))])
+		case i%10 < 6:
+			damaged[random.Intn(4096*2)] ^= 1 << random.Intn(8)
+		default:
+			damaged[at] ^= 1 << random.Intn(8)
+		}
+		copyPath := filepath.Join(folder, "copy.db")
+		require.NoError(t, os.WriteFile(copyPath, damaged, 0o600))
+		identity, state, err := read(copyPath)
+		if err != nil {
+			var damage *DamagedError
+			require.True(t, errors.As(err, &damage), "%v", err)
+			require.ErrorContains(t, err, "copy.db")
+			refused++
+			continue
+		}
+		require.Equal(t, uint64(7), identity.Replica)
+		require.Equal(t, want, describe(state), "copy %d", i)
+	}
+	t.Logf("%d of %d damaged copies refused, the others hold the whole state", refused, *flips)
+	require.NotZero(t, refused)
+}
+
+func TestCheckState_RefusesWhatDoesNotFit(t *testing.T) {
+	sound := func() raft.State {
+		return raft.State{
+			Hard: &raftpb.HardState{Term: 2, Commit: 5}, Snapshot: &raftpb.Snapshot{Index: 4, Term: 1},
+			Bounds: &raftpb.LogBounds{BaseIndex: 3, BaseTerm: 1, LastIndex: 8}, Entries: entries(2, 4, 8),
+		}
+	}
+	require.NoError(t, raft.CheckState(sound()))
+	for want, damage := range map[string]func(*raft.State){
+		"has a gap":            func(s *raft.State) { s.Entries = append(s.Entries[:1:1], s.Entries[2:]...) },
+		"cut short":            func(s *raft.State) { s.Entries = s.Entries[:3] },
+		"behind the snapshot":  func(s *raft.State) { s.Hard.Commit = 3 },
+		"before the commit":    func(s *raft.State) { s.Hard.Commit = 9 },
+		"behind the log":       func(s *raft.State) { s.Hard.Term = 1 },
+		"gap to the snapshot":  func(s *raft.State) { s.Snapshot.Index = 2 },
+		"term falls from 2 to": func(s *raft.State) { s.Entries[2].Term = 1 },
+	} {
+		state := sound()
+		damage(&state)
+		require.ErrorContains(t, raft.CheckState(state), want)
+	}
+}
+
+func FuzzDecodeRecord(f *testing.F) {
+	good, err := encodeRecord(indexKey(3), &raftpb.Entry{Term: 1, Index: 3, Data: []byte("x")})
+	require.NoError(f, err)
+	f.Add(good)
+	f.Add([]byte{1, 2, 3})
+	f.Fuzz(func(t *testing.T, record []byte) {
+		e := &raftpb.Entry{}
+		if decodeRecord(indexKey(3), record, e) != nil {
+			return
+		}
+		require.Error(t, decodeRecord(indexKey(4), record, &raftpb.Entry{}), "a record in another's place")
+	})
+}
