--- /dev/null
+++ b/internal/replica/replica_test.go
@@ -0,0 +1,303 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"egretramp/internal/raft"
+	"egretramp/internal/raft/raftpb"
+	"egretramp/internal/raft/storage"
+)
+
+// patience bounds every wait of these tests; none is expected to come near it.
+const patience = 30 * time.Second
+
+// fleet runs replicas with real files in one process.
+type fleet struct {
+	t       testing.TB
+	vms     []string
+	folders map[string]string
+	// snapshotEvery is in entries.
+	snapshotEvery uint64
+	mu            sync.Mutex
+	running       map[string]*runningReplica
+}
+
+type runningReplica struct {
+	*Replica
+	app    *recorder
+	cancel context.CancelFunc
+	ended  chan error
+}
+
+func newFleet(t testing.TB, vms ...string) *fleet {
+	f := &fleet{t: t, vms: vms, folders: map[string]string{}, snapshotEvery: 100, running: map[string]*runningReplica{}}
+	for _, vm := range vms {
+		f.folders[vm] = t.TempDir()
+	}
+	return f
+}
+
+// Send passes the message through its encoding, as a network would.
+func (f *fleet) Send(vm string, m *raftpb.Message) {
+	data, err := proto.Marshal(m)
+	if err != nil {
+		return
+	}
+	f.mu.Lock()
+	to := f.running[vm]
+	f.mu.Unlock()
+	if decoded, err := raft.DecodeMessage(data); err == nil && to != nil {
+		to.Step(decoded)
+	}
+}
+
+func (f *fleet) start(vm string) {
+	app := &recorder{}
+	r, err := New(Options{
+		Group: 1, VM: vm, Folder: f.folders[vm], InitialVMs: f.vms, Machine: app, Transport: f,
+		TickInterval: 10 * time.Millisecond, ElectionTicks: 20, HeartbeatTicks: 3, SnapshotEvery: f.snapshotEvery,
+	})
+	require.NoError(f.t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	run := &runningReplica{Replica: r, app: app, cancel: cancel, ended: make(chan error, 1)}
+	f.mu.Lock()
+	f.running[vm] = run
+	f.mu.Unlock()
+	go func() { run.ended <- r.Run(ctx) }()
+}
+
+func (f *fleet) stop(vm string) {
+	f.mu.Lock()
+	run := f.running[vm]
+	delete(f.running, vm)
+	f.mu.Unlock()
+	run.cancel()
+	require.NoError(f.t, <-run.ended)
+}
+
+func (f *fleet) stopAll() {
+	for _, vm := range f.vms {
+		f.stop(vm)
+	}
+}
+
+// propose tries the replicas until one accepts the command.
+func (f *fleet) propose(command uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	for ctx.Err() == nil {
+		for _, run := range f.snapshot() {
+			_, err := run.Propose(ctx, binary.BigEndian.AppendUint64(nil, command))
+			var notLeader *NotLeaderError
+			if err == nil {
+				return
+			}
+			require.True(f.t, errors.As(err, &notLeader) || errors.Is(err, ErrNotFormed) || errors.Is(err, ErrUnknownOutcome), "%v", err)
+		}
+		time.Sleep(time.Millisecond)
+	}
+	f.t.Fatal("no replica accepted the command")
+}
+
+func (f *fleet) snapshot() []*runningReplica {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	var all []*runningReplica
+	for _, vm := range f.vms {
+		if run := f.running[vm]; run != nil {
+			all = append(all, run)
+		}
+	}
+	return all
+}
+
+// requireSame waits until every running replica has applied exactly the same commands, up to last.
+func (f *fleet) requireSame(last uint64) []recorded {
+	var logs [][]recorded
+	require.Eventually(f.t, func() bool {
+		logs = nil
+		for _, run := range f.snapshot() {
+			var log []recorded
+			err := run.Query(context.Background(), func(m StateMachine) { log = append(log, m.(*recorder).log...) })
+			require.NoError(f.t, err)
+			if len(log) == 0 || log[len(log)-1].command != last {
+				return false
+			}
+			logs = append(logs, log)
+		}
+		return true
+	}, patience, 5*time.Millisecond)
+	for _, log := range logs {
+		require.Equal(f.t, logs[0], log)
+	}
+	return logs[0]
+}
+
+func TestReplica_KeepsHundredsOfEntriesOverRestarts(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	for _, vm := range f.vms {
+		f.start(vm)
+	}
+	for i := uint64(1); i <= 450; i++ {
+		f.propose(i)
+	}
+	before := f.requireSame(450)
+	f.stopAll()
+	for _, vm := range f.vms {
+		f.start(vm)
+	}
+	f.propose(451)
+	after := f.requireSame(451)
+	require.Equal(t, before, after[:len(before)])
+
+	var leader *runningReplica
+	for _, run := range f.snapshot() {
+		if run.Status().Role == "leader" {
+			leader = run
+		}
+	}
+	require.NotNil(t, leader)
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	require.NoError(t, leader.LinearizableQuery(ctx, func(m StateMachine) {
+		require.Equal(t, uint64(451), m.(*recorder).log[len(after)-1].command)
+	}))
+	require.NoError(t, leader.Transfer(ctx))
+	_, err := leader.Propose(ctx, []byte("12345678"))
+	var notLeader *NotLeaderError
+	require.ErrorAs(t, err, &notLeader)
+	f.stopAll()
+	require.ErrorIs(t, leader.ReadIndex(ctx), ErrStopped)
+}
+
+func TestReplica_RepairsLostDisksOneAfterTheOther(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	for _, vm := range f.vms {
+		f.start(vm)
+	}
+	last := uint64(0)
+	for _, vm := range f.vms {
+		for range 120 {
+			last++
+			f.propose(last)
+		}
+		lost := f.running[vm].Status().Replica
+		f.stop(vm)
+		require.NoError(t, os.Remove(storage.Path(f.folders[vm], 1)))
+		f.start(vm)
+		f.waitRepaired(vm, lost)
+	}
+	log := f.requireSame(last)
+	require.Len(t, log, int(last))
+	f.stopAll()
+}
+
+// waitRepaired waits until three voters remain and none of them is the lost replica.
+func (f *fleet) waitRepaired(vm string, lost uint64) {
+	require.Eventually(f.t, func() bool {
+		for _, run := range f.snapshot() {
+			status := run.Status()
+			if status.Role != "leader" || len(status.Members) != len(f.vms) {
+				continue
+			}
+			for _, m := range status.Members {
+				if m.Learner || m.Replica == lost || (m.VM == vm && m.Match == 0) {
+					return false
+				}
+			}
+			return true
+		}
+		return false
+	}, patience, 5*time.Millisecond)
+}
+
+func TestReplica_RefusesDamagedFile(t *testing.T) {
+	f := newFleet(t, "a")
+	f.start("a")
+	f.propose(1)
+	f.stop("a")
+	path := storage.Path(f.folders["a"], 1)
+	require.NoError(t, os.Truncate(path, 8192))
+	_, err := New(Options{Group: 1, VM: "a", Folder: f.folders["a"], InitialVMs: f.vms, Machine: &recorder{}, Transport: f})
+	var damaged *storage.DamagedError
+	require.ErrorAs(t, err, &damaged)
+	require.ErrorContains(t, err, path)
+}
+
+func TestReplica_DoesNotFormWhileAnInitialVMIsAway(t *testing.T) {
+	f := newFleet(t, "a", "b", "c")
+	f.start("a")
+	f.start("b")
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	for ctx.Err() == nil {
+		_, err := f.running["a"].Propose(ctx, []byte("12345678"))
+		require.True(t, errors.Is(err, ErrNotFormed) || ctx.Err() != nil, "%v", err)
+	}
+	f.start("c")
+	f.propose(1)
+	f.requireSame(1)
+	f.stopAll()
+}
+
+func BenchmarkPropose(b *testing.B) {
+	for _, callers := range []int{1, 64} {
+		b.Run(map[int]string{1: "one caller", 64: "64 callers"}[callers], func(b *testing.B) {
+			f := newFleet(b, "a", "b", "c")
+			for _, vm := range f.vms {
+				f.start(vm)
+			}
+			f.propose(1)
+			var leader *runningReplica
+			for _, run := range f.snapshot() {
+				if run.Status().Role == "leader" {
+					leader = run
+				}
+			}
+			b.ResetTimer()
+			var group sync.WaitGroup
+			for c := range callers {
+				group.Go(func() {
+					for i := c; i < b.N; i += callers {
+						if _, err := leader.Propose(context.Background(), make([]byte, 256)); err != nil {
+							b.Error(err)
+						}
+					}
+				})
+			}
+			group.Wait()
+			b.StopTimer()
+			f.stopAll()
+		})
+	}
+}
+
+// BenchmarkRestart measures from New until 1,000 changes, all of them in the log, are applied.
+func BenchmarkRestart(b *testing.B) {
+	f := newFleet(b, "a")
+	f.snapshotEvery = 5000
+	f.start("a")
+	for i := range uint64(1000) {
+		f.propose(i)
+	}
+	f.stop("a")
+	b.ResetTimer()
+	for range b.N {
+		f.start("a")
+		for f.running["a"].Status().Applied < 1000 {
+			time.Sleep(100 * time.Microsecond)
+		}
+		b.StopTimer()
+		f.stop("a")
+		b.StartTimer()
+	}
+}
