--- a/internal/raft/storage/storage.go
+++ b/internal/raft/storage/storage.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 	"go.etcd.io/bbolt"
+	bbolterrors "go.etcd.io/bbolt/errors"
 	"google.golang.org/protobuf/proto"
 
 	"egretramp/internal/raft"
@@ -115,7 +116,7 @@
 	}()
 	db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true, Timeout: lockTimeout})
 	if err != nil {
-		if errors.Is(err, bbolt.ErrTimeout) {
+		if errors.Is(err, bbolterrors.ErrTimeout) {
 			return nil, raft.State{}, errors.Newf("raft storage: %s is in use by another process", path)
 		}
 		return nil, raft.State{}, &DamagedError{Path: path, Cause: err}
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -19,8 +19,8 @@
 }
 
 // Propose appends a command on the leader and returns what Apply returned for it. After
-// ErrUnknownOutcome, and after the end of ctx, the command may be committed or not, now or
-// later; any other error says that it was not run.
+// ErrUnknownOutcome, which is also the answer when ctx ends first, the command may be committed or not, now or
+// later; any other error says that it was not run. data must not be changed afterwards.
 func (r *Replica) Propose(ctx context.Context, data []byte) ([]byte, error) {
 	type outcome struct {
 		result []byte
@@ -125,12 +125,12 @@
 func (r *Replica) Status() Status { return *r.status.Load() }
 
 // Transfer hands leadership to another voter, for a graceful shutdown. It returns nil at
-// once if this replica doesn't lead, and ctx's error if nobody takes over in time.
+// once if this replica doesn't lead or is the only voter, and ctx's error if nobody takes over in time.
 func (r *Replica) Transfer(ctx context.Context) error {
 	for {
 		led := make(chan bool, 1)
 		err := r.submit(ctx, func(n *node) {
-			led <- n.isLeader()
+			led <- n.isLeader() && !n.isOnlyVoter()
 			if n.isLeader() {
 				n.raft.TransferLeadership()
 			}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -250,3 +250,13 @@
 
 // isLeader tells whether the node leads its group.
 func (n *node) isLeader() bool { return n.bound() && n.raft.Role() == raft.Leader }
+
+// isOnlyVoter tells whether no other replica could lead.
+func (n *node) isOnlyVoter() bool {
+	for _, m := range n.raft.Conf().Members {
+		if !m.Learner && m.Id != n.raft.ID() {
+			return false
+		}
+	}
+	return true
+}
