--- /dev/null
+++ b/internal/gateway/sink.go
@@ -0,0 +1,152 @@
+package gateway
+
+import (
+	"bytes"
+	"encoding/json"
+	"net/http"
+
+	"egretramp/internal/refusal"
+	"egretramp/internal/upstream"
+)
+
+// sink takes an answer on behalf of the caller. A caller that cannot be reached any more is
+// noted and does not end the call: what is recorded goes on without it.
+type sink interface {
+	// chunk takes the next chunk of the answer.
+	chunk(data []byte)
+	// answer returns the whole answer as it is recorded.
+	answer(a *upstream.Assembler) (answer, error)
+	// finish sends what is still to be sent of the whole answer.
+	finish(a answer)
+	// fail ends the call without a whole answer.
+	fail(r *refusal.Refusal)
+	// started reports whether any part of an answer has been sent.
+	started() bool
+	// gone reports whether the caller cannot be reached any more.
+	gone() bool
+}
+
+func newSink(w http.ResponseWriter, r *chatRequest) sink {
+	if r.stream {
+		return &streamSink{w: w, control: http.NewResponseController(w), usage: r.includeUsage}
+	}
+	return &wholeSink{w: w}
+}
+
+const (
+	contentTypeStream = "text/event-stream"
+	contentTypeJSON   = "application/json"
+)
+
+var doneFrame = frame([]byte("[DONE]"))
+
+// streamSink passes chunks on as server-sent events.
+type streamSink struct {
+	w       http.ResponseWriter
+	control *http.ResponseController
+	usage   bool // the caller asked for the usage chunk
+	begun   bool
+	lost    bool
+	sent    bytes.Buffer
+}
+
+func (s *streamSink) started() bool { return s.begun }
+
+func (s *streamSink) gone() bool { return s.lost }
+
+func (s *streamSink) chunk(data []byte) {
+	if !s.usage && isUsageOnly(data) {
+		return
+	}
+	framed := frame(data)
+	s.sent.Write(framed)
+	s.write(framed)
+}
+
+// isUsageOnly reports whether a chunk has no choices, as the one that carries the usage.
+func isUsageOnly(data []byte) bool {
+	var c struct {
+		Choices []json.RawMessage `json:"choices"`
+		Usage   json.RawMessage   `json:"usage"`
+	}
+	return json.Unmarshal(data, &c) == nil && len(c.Choices) == 0 && len(c.Usage) > 0
+}
+
+func (s *streamSink) write(framed []byte) {
+	if s.lost {
+		return
+	}
+	if !s.begun {
+		s.begun = true
+		s.w.Header().Set("Content-Type", contentTypeStream)
+		s.w.Header().Set("Cache-Control", "no-cache")
+		s.w.WriteHeader(http.StatusOK)
+	}
+	if _, err := s.w.Write(framed); err != nil {
+		s.lost = true
+		return
+	}
+	s.lost = s.control.Flush() != nil
+}
+
+// frame returns one event. A payload with line breaks takes several data lines.
+func frame(data []byte) []byte {
+	out := append([]byte("data: "), bytes.ReplaceAll(data, []byte("\n"), []byte("\ndata: "))...)
+	return append(out, '\n', '\n')
+}
+
+func (s *streamSink) answer(*upstream.Assembler) (answer, error) {
+	body := append(bytes.Clone(s.sent.Bytes()), doneFrame...)
+	return answer{status: http.StatusOK, contentType: contentTypeStream, body: body}, nil
+}
+
+func (s *streamSink) finish(answer) { s.write(doneFrame) }
+
+// fail before the first event is a refusal; later it is an error event, and the stream ends
+// without [DONE], so that nobody takes the part for the whole.
+func (s *streamSink) fail(r *refusal.Refusal) {
+	if !s.begun {
+		r.Write(s.w)
+		return
+	}
+	s.write(frame(r.JSON()))
+}
+
+// wholeSink sends the whole answer at its end.
+type wholeSink struct {
+	w     http.ResponseWriter
+	begun bool
+	lost  bool
+}
+
+func (s *wholeSink) started() bool { return s.begun }
+
+func (s *wholeSink) gone() bool { return s.lost }
+
+func (s *wholeSink) chunk([]byte) {}
+
+func (s *wholeSink) answer(a *upstream.Assembler) (answer, error) {
+	body, err := a.Completion()
+	return answer{status: http.StatusOK, contentType: contentTypeJSON, body: body}, err
+}
+
+func (s *wholeSink) finish(a answer) {
+	s.begun = true
+	s.lost = writeAnswer(s.w, a) != nil
+}
+
+func (s *wholeSink) fail(r *refusal.Refusal) {
+	if !s.begun {
+		r.Write(s.w)
+	}
+}
+
+// writeAnswer sends a whole answer.
+func writeAnswer(w http.ResponseWriter, a answer) error {
+	if a.contentType != "" {
+		w.Header().Set("Content-Type", a.contentType)
+	}
+	w.WriteHeader(a.status)
+	_, err := w.Write(a.body)
+	return err
+}
--- /dev/null
+++ b/internal/ratelimit/run_test.go
@@ -0,0 +1,243 @@
+package ratelimit
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"runtime/debug"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc/pool"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/membership"
+)
+
+var (
+	seeds     = flag.Int("limit.seeds", 1000, "how many seeds the random run tries")
+	firstSeed = flag.Uint64("limit.seed", 1, "the first seed of the random run")
+)
+
+// runFaults drives one world with faults of all kinds and an overload, and returns what is
+// wrong, or "".
+func runFaults(seed uint64) (problem string, dispatched int) {
+	w := newWorld(seed, 3, 2, map[string]Limit{"a": {RatePerSecond: 20, Burst: 9}, "b": {RatePerSecond: 3, Burst: 60}})
+	defer func() {
+		if r := recover(); r != nil {
+			problem = fmt.Sprintf("seed %d at %v: %v", seed, w.now, r)
+		}
+	}()
+	w.loss = []float64{0, 0.02, 0.2}[w.random.IntN(3)]
+	w.slow = []float64{0, 0.005, 0.05}[w.random.IntN(3)]
+	w.learning = []float64{0.25, 0.05}[w.random.IntN(2)]
+	wait := []time.Duration{time.Millisecond, 1200 * time.Millisecond}[w.random.IntN(2)]
+	w.queueWait = func() time.Duration { return time.Duration(w.random.Int64N(int64(wait))) }
+	w.tickControl()
+	w.watch()
+	w.overload("a", 25)
+	w.overload("b", 10)
+	w.faults()
+	w.run(18 * time.Second)
+	for _, account := range []string{"a", "b"} {
+		if p := w.checkBound(account); p != "" {
+			return fmt.Sprintf("seed %d: %s", seed, p), len(w.dispatched)
+		}
+	}
+	return "", len(w.dispatched)
+}
+
+// overload sends an account's requests to random VMs, in bursts.
+func (w *world) overload(account string, perSecond int) {
+	var next func()
+	next = func() {
+		vm := w.vms[w.names[w.random.IntN(len(w.names))]]
+		for range 1 + w.random.IntN(4) {
+			w.request(vm, account)
+		}
+		w.at(w.now+time.Duration(w.random.Int64N(int64(5*time.Second)))/time.Duration(perSecond), nil, next)
+	}
+	next()
+}
+
+func (w *world) faults() {
+	var next func()
+	next = func() {
+		w.fault()
+		w.at(w.now+time.Duration(w.random.Int64N(int64(2*time.Second))), nil, next)
+	}
+	w.at(3*time.Second, nil, next)
+}
+
+func (w *world) fault() {
+	vm := w.vms[w.names[w.random.IntN(len(w.names))]]
+	switch w.random.IntN(10) {
+	case 0:
+		vm.freezeNext = time.Second + time.Duration(w.random.Int64N(int64(12*time.Second)))
+	case 1, 7:
+		if w.random.IntN(2) == 0 {
+			w.lease(vm, vm.holder.Release())
+		}
+		vm.running = false
+		w.at(w.now+time.Duration(w.random.Int64N(int64(9*time.Second))), nil, func() {
+			if !vm.running {
+				vm.frozenUntil = 0
+				w.start(vm)
+			}
+		})
+	case 2:
+		zone := vm.zone
+		w.cut = func(a, b string) bool { return (w.zoneOf(a) == zone) != (w.zoneOf(b) == zone) }
+	case 3:
+		w.cut = func(a, b string) bool { return a == "control" && b == vm.name || a == vm.name && b == "control" }
+	case 4:
+		other := w.names[w.random.IntN(len(w.names))]
+		w.cut = func(a, b string) bool { return a == vm.name && b == other } // one way only
+	case 5:
+		w.cut = func(a, b string) bool { return false }
+	case 6:
+		w.elect()
+	default:
+		limits := map[string]Limit{
+			"a": {RatePerSecond: []float64{10, 20, 40}[w.random.IntN(3)], Burst: []float64{1, 2, 9}[w.random.IntN(3)]},
+			"b": {RatePerSecond: 3, Burst: []float64{2, 20, 60}[w.random.IntN(3)]},
+		}
+		epoch := w.state.epoch
+		w.commit(epoch, limits, w.state.generation+1)
+	}
+}
+
+func (w *world) zoneOf(name string) string {
+	if vm := w.vms[name]; vm != nil {
+		return vm.zone
+	}
+	return w.leaderZone
+}
+
+// watch asserts after every tick what must hold over all VMs together, and notes the limits
+// that are in force anywhere.
+func (w *world) watch() {
+	for _, account := range []string{"a", "b"} {
+		c := capSample{at: w.now}
+		var held Tokens
+		parts := 0.0
+		for z := range 3 {
+			acting := ""
+			largest := 0.0
+			for _, name := range w.names {
+				vm := w.vms[name]
+				a := vm.limiter.accounts[account]
+				if !vm.running || a == nil || !vm.holder.Valid(vm.clock(w.now)) {
+					continue
+				}
+				c.rate, c.burst = math.Max(c.rate, a.limit.RatePerSecond), math.Max(c.burst, a.limit.Burst)
+				if vm.zone != fmt.Sprintf("z%d", z) {
+					continue
+				}
+				if a.part.Of > 0 {
+					largest = math.Max(largest, 1/float64(a.part.Of))
+				}
+				if a.share == nil {
+					continue
+				}
+				if acting != "" {
+					panic(fmt.Sprintf("%s and %s both hold the share of %s", acting, name, account))
+				}
+				acting = name
+				held += a.share.Tokens(vm.clock(w.now))
+				held += a.share.outstanding
+			}
+			parts += largest
+		}
+		if parts > 1.0001 {
+			panic(fmt.Sprintf("the zones' parts of %s add up to %.2f", account, parts))
+		}
+		w.caps[account] = append(w.caps[account], c)
+		if limit := w.capAt(account, w.now); held > toTokens(limit.burst)+10 {
+			panic(fmt.Sprintf("shares of %s hold %d of a burst of %v", account, held, limit.burst))
+		}
+	}
+	w.at(w.now+worldTick, nil, w.watch)
+}
+
+// noteLimits notes the limits that a VM acts under as it lends or grants.
+func (w *world) noteLimits(vm *worldVM) {
+	for account, limit := range vm.view.Limits {
+		w.caps[account] = append(w.caps[account], capSample{at: w.now, rate: limit.RatePerSecond, burst: limit.Burst})
+	}
+}
+
+// capAt is the largest limit in force at a time or shortly before, while loans made under it
+// may still be used.
+func (w *world) capAt(account string, at time.Duration) capSample {
+	var c capSample
+	all := w.caps[account]
+	for i := len(all) - 1; i >= 0; i-- {
+		if all[i].at > at+worldTick {
+			continue
+		}
+		if all[i].at < at-LoanHold-2*worldTick {
+			break
+		}
+		c.rate, c.burst = math.Max(c.rate, all[i].rate), math.Max(c.burst, all[i].burst)
+	}
+	return c
+}
+
+// checkBound asserts for every interval that the upstreams saw at most burst plus rate times
+// its length, with the largest limits in force within it.
+func (w *world) checkBound(account string) string {
+	var at []time.Duration
+	var limits []capSample
+	for _, d := range w.dispatched {
+		if d.account == account {
+			at = append(at, d.at)
+			limits = append(limits, w.capAt(account, d.at))
+		}
+	}
+	for i := range at {
+		allowed, burst := 0.0, 0.0
+		for j := i; j < len(at); j++ {
+			burst = math.Max(burst, limits[j].burst)
+			if j > i {
+				rate := math.Max(limits[j-1].rate, limits[j].rate) * (1 + 1.1*float64(maxClockPPM)/1e6)
+				allowed += rate * (at[j] - at[j-1]).Seconds()
+			}
+			if float64(j-i+1) > burst+allowed+1e-6 {
+				return fmt.Sprintf("%d requests of %s from %v to %v, allowed %.3f", j-i+1, account, at[i], at[j], burst+allowed)
+			}
+		}
+	}
+	return ""
+}
+
+func TestLimiter_BoundHoldsUnderFaults(t *testing.T) {
+	defer debug.SetGCPercent(debug.SetGCPercent(800))
+	count := *seeds
+	if testing.Short() {
+		count = 100
+	}
+	results := pool.NewWithResults[string]().WithMaxGoroutines(4)
+	for i := range count {
+		results.Go(func() string {
+			problem, dispatched := runFaults(*firstSeed + uint64(i))
+			if problem == "" && dispatched == 0 {
+				problem = fmt.Sprintf("seed %d: nothing was dispatched", *firstSeed+uint64(i))
+			}
+			return problem
+		})
+	}
+	failed := 0
+	for _, problem := range results.Wait() {
+		if problem != "" {
+			failed++
+			if failed < 4 {
+				t.Error(problem)
+			}
+		}
+	}
+	require.Zero(t, failed, "of %d seeds", count)
+}
+
+var _ Lease = (*membership.Holder)(nil)
+var _ Fleet = membership.Epoch{}
