Mix the replica ID into the seed; wait silently where the group exists

Replicas that were given the same seed drew the same election timeouts and split the votes. A VM that returns with an empty disk no longer reports formed VMs as not answering.

--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -95,7 +95,10 @@
 		switch {
 		case vm == n.options.vm:
 			a.replica = n.store.Identity().Replica
-		case !ok || n.greeter.rounds-a.round > answerLifetimeHellos || a.formation != 0:
+		case a.formation != 0:
+			// The group exists; its leader will admit this replica.
+			return nil
+		case !ok || n.greeter.rounds-a.round > answerLifetimeHellos:
 			missing = append(missing, vm)
 			continue
 		}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -79,8 +79,9 @@
 		ID:             n.store.Identity().Replica,
 		ElectionTicks:  n.options.electionTicks,
 		HeartbeatTicks: n.options.heartbeatTicks,
-		Seed:           n.options.seed,
-		State:          state,
+		// The ID keeps replicas that were given the same seed from timing out together.
+		Seed:  n.options.seed ^ int64(n.store.Identity().Replica),
+		State: state,
 	})
 	n.raft = core
 	return err
