--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -17,6 +17,8 @@
 	AskTimeout = 150 * time.Millisecond
 	// LenderPause is how long a lender that did not reply is passed over.
 	LenderPause = 1 * time.Second
+	// lateMemory is how long a Reply may be late and is still returned.
+	lateMemory = 2 * time.Second
 	// MinAskInterval is the least time between two rounds of asking about one account.
 	MinAskInterval = 5 * time.Millisecond
 	// MaxWaiting bounds the draws that wait on one account.
@@ -40,22 +42,9 @@
 	lastAsk  uint64
 	asks     map[uint64]*account // under way, by the Ask's ID
 	late     map[uint64]lateAsk  // timed out, by the ID
-	answered map[askKey]Reply
-	memory   []askEntry // of answered, in the order of time
 	out      Effects
 }
 
-type askKey struct {
-	borrower    string
-	incarnation uint64
-	id          uint64
-}
-
-type askEntry struct {
-	key askKey
-	at  time.Duration
-}
-
 // New returns a limiter that refuses everything until it has a view and a lease.
 func New(opts Options) *Limiter {
 	return &Limiter{
@@ -65,7 +54,6 @@
 		permits:  map[string]*permit{},
 		asks:     map[uint64]*account{},
 		late:     map[uint64]lateAsk{},
-		answered: map[askKey]Reply{},
 	}
 }
 
@@ -175,13 +163,9 @@
 	return l.flush()
 }
 
-// answer lends to another VM. An Ask that comes again gets the same answer.
+// answer lends to another VM. An Ask that comes twice lends twice; the borrower uses the loan
+// of the first reply only, and the other expires.
 func (l *Limiter) answer(now time.Duration, from string, ask Ask) {
-	key := askKey{borrower: from, incarnation: ask.Incarnation, id: ask.ID}
-	if r, again := l.answered[key]; again {
-		l.send(from, Message{Reply: &r})
-		return
-	}
 	r := Reply{ID: ask.ID, Incarnation: ask.Incarnation}
 	a := l.accounts[ask.Account]
 	if a == nil || a.share == nil || !l.opts.Lease.ValidWithin(now, ask.CutoffLimit) {
@@ -191,21 +175,13 @@
 	}
 	r.Loan, r.Amount = a.share.Lend(now, ask.Want)
 	r.Left = a.share.Tokens(now)
-	if r.Amount > 0 {
-		l.answered[key] = r
-		l.memory = append(l.memory, askEntry{key: key, at: now})
-	}
 	l.send(from, Message{Reply: &r})
 }
 
 // Tick takes the steps that are due.
 func (l *Limiter) Tick(now time.Duration) Effects {
-	for len(l.memory) > 0 && now-l.memory[0].at > askMemory {
-		delete(l.answered, l.memory[0].key)
-		l.memory = l.memory[1:]
-	}
 	for id, ask := range l.late {
-		if now-ask.sentAt > askMemory {
+		if now-ask.sentAt > lateMemory {
 			delete(l.late, id)
 		}
 	}
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -14,7 +14,7 @@
 	Burst         float64 // requests
 }
 
-// Ask asks the holder of a share to lend up to Want. The same Ask may arrive twice.
+// Ask asks the holder of a share to lend up to Want.
 type Ask struct {
 	ID          uint64 `json:"id"`          // unique for (borrower, Incarnation)
 	Incarnation uint64 `json:"incarnation"` // of the borrower
--- a/internal/ratelimit/run_test.go
+++ b/internal/ratelimit/run_test.go
@@ -73,7 +73,9 @@
 	vm := w.vms[w.names[w.random.IntN(len(w.names))]]
 	switch w.random.IntN(10) {
 	case 0:
-		vm.freezeNext = time.Second + time.Duration(w.random.Int64N(int64(12*time.Second)))
+		vm.freezeNext = 700*time.Millisecond + time.Duration(w.random.Int64N(int64(2*time.Second)))
+	case 8:
+		vm.freezeNext = 8*time.Second + time.Duration(w.random.Int64N(int64(5*time.Second)))
 	case 1, 7:
 		if w.random.IntN(2) == 0 {
 			w.lease(vm, vm.holder.Release())
@@ -160,8 +162,21 @@
 	w.at(w.now+worldTick, nil, w.watch)
 }
 
-// noteLimits notes the limits that a VM acts under as it lends or grants.
-func (w *world) noteLimits(vm *worldVM) {
+// noteActing notes the limits that a VM acts under as it lends or grants, and asserts that no
+// other VM of its zone holds the same share.
+func (w *world) noteActing(vm *worldVM) {
+	for _, name := range w.names {
+		other := w.vms[name]
+		if other == vm || other.zone != vm.zone || !other.running || !other.holder.Valid(other.clock(w.now)) {
+			continue
+		}
+		for account := range vm.view.Limits {
+			a, b := vm.limiter.accounts[account], other.limiter.accounts[account]
+			if a != nil && b != nil && a.share != nil && b.share != nil {
+				panic(fmt.Sprintf("%s acts on a share of %s that %s holds too", vm.name, account, name))
+			}
+		}
+	}
 	for account, limit := range vm.view.Limits {
 		w.caps[account] = append(w.caps[account], capSample{at: w.now, rate: limit.RatePerSecond, burst: limit.Burst})
 	}
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -14,8 +14,6 @@
 	// LoanHold is how long the lender counts a loan that is not settled. It is longer than
 	// LoanLife, so that a token handed back at the end of its life still arrives in time.
 	LoanHold = 750 * time.Millisecond
-	// askMemory is how long an Ask that was answered is recognised.
-	askMemory = 2 * time.Second
 )
 
 // Share is the part of a client account's bucket that one zone holds, at its holder.
--- a/internal/ratelimit/world_test.go
+++ b/internal/ratelimit/world_test.go
@@ -297,7 +297,7 @@
 func (w *world) effects(vm *worldVM, e Effects) {
 	for _, s := range e.Sends {
 		if s.Reply != nil && s.Reply.Amount > 0 {
-			w.noteLimits(vm)
+			w.noteActing(vm)
 		}
 		to := w.vms[s.To]
 		w.deliver(vm.name, s.To, func() {
@@ -312,7 +312,7 @@
 			continue
 		}
 		w.accepted[account]++
-		w.noteLimits(vm)
+		w.noteActing(vm)
 		w.at(w.now+w.queueWait(), vm, func() { w.dispatch(vm, account, d.Request) })
 	}
 }
