--- a/internal/membership/epoch.go
+++ b/internal/membership/epoch.go
@@ -12,7 +12,8 @@
 	Zone string `json:"zone"`
 }
 
-// Epoch is the membership that the control log has agreed on. Number grows with each change.
+// Epoch is the membership that the control log has agreed on. Each change adds one to
+// Number: a VM that sees a gap knows that it missed an epoch.
 type Epoch struct {
 	Number uint64 `json:"number"`
 	VMs    []VM   `json:"vms"`
--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -317,3 +317,26 @@
 		}
 	}
 }
+
+// MemberStatus is what a grantor holds of a VM, for the state dump.
+type MemberStatus struct {
+	Incarnation uint64        `json:"incarnation"`
+	Heard       time.Duration `json:"heard"` // time since boot of the leader's VM
+	Epoch       uint64        `json:"epoch"` // confirmed
+	Split       uint64        `json:"split"` // confirmed
+	Denied      bool          `json:"denied"`
+	Promised    int           `json:"promised"` // by how many VMs
+	Removing    bool          `json:"removing"`
+}
+
+// Status returns the state of all VMs by name.
+func (g *Grantor) Status() map[string]MemberStatus {
+	all := make(map[string]MemberStatus, len(g.vms))
+	for name, v := range g.vms {
+		all[name] = MemberStatus{
+			Incarnation: v.incarnation, Heard: v.heard, Epoch: v.epoch, Split: v.split,
+			Denied: v.denied != 0, Promised: len(v.promises), Removing: v.removing,
+		}
+	}
+	return all
+}
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -91,7 +91,7 @@
 
 // Fleet is the membership epoch as far as the limiter needs it; membership.Epoch is one.
 type Fleet interface {
-	EpochNumber() uint64
+	EpochNumber() uint64                // consecutive: each change of the membership adds one
 	Zones() []string                    // sorted
 	Holder(account, zone string) string // "" if the zone has no VM
 }
--- a/internal/ratelimit/run_test.go
+++ b/internal/ratelimit/run_test.go
@@ -37,6 +37,7 @@
 	w.watch()
 	w.overload("a", 25)
 	w.overload("b", 10)
+	w.longFreezes = w.random.IntN(4) == 0
 	w.faults()
 	w.run(18 * time.Second)
 	for _, account := range []string{"a", "b"} {
@@ -71,7 +72,11 @@
 
 func (w *world) fault() {
 	vm := w.vms[w.names[w.random.IntN(len(w.names))]]
-	switch w.random.IntN(10) {
+	kind := w.random.IntN(10)
+	if w.longFreezes {
+		kind = 8
+	}
+	switch kind {
 	case 0:
 		vm.freezeNext = 700*time.Millisecond + time.Duration(w.random.Int64N(int64(2*time.Second)))
 	case 8:
--- a/internal/ratelimit/view.go
+++ b/internal/ratelimit/view.go
@@ -72,6 +72,9 @@
 		return
 	}
 	first := l.view.Fleet == nil
+	if !first && v.Fleet.EpochNumber() > l.view.Fleet.EpochNumber()+1 {
+		l.forget()
+	}
 	l.view = v
 	l.settled.AgreedSplit = max(l.settled.AgreedSplit, v.AgreedSplit)
 	for _, id := range sortedKeys(v.Limits) {
@@ -99,6 +102,18 @@
 	l.checkInvariants()
 }
 
+// forget gives up what this VM holds after it skipped an epoch: it may have been removed in
+// one, and others may have taken over and given back without asking it.
+func (l *Limiter) forget() {
+	for _, a := range l.accounts {
+		a.holder = false
+		a.share = nil
+		a.part = part{}
+		a.target = part{}
+		a.growAt = 0
+	}
+}
+
 // sortedKeys makes the order of the effects repeatable.
 func sortedKeys[T any](m map[string]T) []string {
 	return slices.Sorted(maps.Keys(m))
--- a/internal/ratelimit/world_test.go
+++ b/internal/ratelimit/world_test.go
@@ -88,7 +88,9 @@
 	afters     []time.Duration
 	requests   int
 	queueWait  func() time.Duration
-	caps       map[string][]capSample
+	// longFreezes: VMs are frozen for longer than every lease, and nothing else goes wrong.
+	longFreezes bool
+	caps        map[string][]capSample
 }
 
 // capSample is the largest rate and burst that any VM acts under at a time.
