--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -74,19 +74,15 @@
 	b.queue = slices.DeleteFunc(b.queue, func(w waiting) bool { return w.request == request })
 }
 
-// hopeless reports whether a new draw would wait longer than DrawPatience at the account's
+// hopeless reports whether a new draw would wait longer than MaxExpectedWait at the account's
 // whole rate.
 func (l *Limiter) hopeless(now time.Duration, a *account) bool {
 	b := a.borrow
 	if len(b.queue) >= MaxWaiting {
 		return true
 	}
-	ahead := toTokens(float64(len(b.queue)))
-	if now < b.nextAsk {
-		// The last round found nothing: the draw itself waits for a new token too.
-		ahead += Request - min(Request, l.known(now, a))
-	}
-	return waitFor(ahead, toTokens(a.limit.RatePerSecond)) > DrawPatience
+	need := toTokens(float64(len(b.queue)+1)) - l.known(now, a)
+	return waitFor(need, toTokens(a.limit.RatePerSecond)) > MaxExpectedWait
 }
 
 // known estimates the tokens of all shares.
@@ -116,7 +112,7 @@
 	return min(burst, n.left+gained)
 }
 
-// pump grants what can be granted, refuses what waited too long, and asks for the rest.
+// pump grants what can be granted and asks for the rest.
 func (l *Limiter) pump(now time.Duration, a *account) {
 	b := a.borrow
 	for len(b.queue) > 0 && l.grant(now, a) {
@@ -125,7 +121,6 @@
 		l.refuse(b.queue[0].request, ReasonNoLease, NoLeaseRetryAfter)
 		b.queue = b.queue[1:]
 	}
-	l.refuseOverdue(now, a)
 	if len(b.queue) > 0 && b.ask == nil && now >= b.nextAsk {
 		l.askNext(now, a)
 	}
@@ -139,13 +134,7 @@
 	if !l.opts.Lease.ValidWithin(now, w.cutoffLimit) {
 		return false
 	}
-	lack := Request
-	for _, c := range b.credits {
-		lack -= c.free(now)
-	}
-	if lack > 0 {
-		l.takeOwn(now, a, lack)
-	}
+	l.takeOwn(now, a)
 	p := &permit{request: w.request, account: a, until: now + LoanLife}
 	need := Request
 	for _, c := range b.credits {
@@ -168,12 +157,21 @@
 	return true
 }
 
-// takeOwn lends from the own share to this VM.
-func (l *Limiter) takeOwn(now time.Duration, a *account, want Tokens) {
+// takeOwn lends from the own share what is lacking, after taking back what it lent before and
+// no permit uses.
+func (l *Limiter) takeOwn(now time.Duration, a *account) {
 	if a.share == nil {
 		return
 	}
-	id, amount := a.share.Lend(now, want)
+	lack := Request
+	for _, c := range a.borrow.credits {
+		if c.share == a.share && c.drawn == 0 && c.unused() > 0 {
+			c.returned += c.unused()
+			l.settleCredit(now, a, c)
+		}
+		lack -= c.free(now)
+	}
+	id, amount := a.share.Lend(now, "", lack)
 	if amount == 0 {
 		return
 	}
@@ -221,10 +219,11 @@
 		// The round is over: nobody has enough now.
 		b.tried = nil
 		lack := Request - min(Request, l.known(now, a))
-		b.nextAsk = now + max(MinAskInterval, min(waitFor(lack, toTokens(a.limit.RatePerSecond)), LoanLife))
+		b.nextAsk = now + max(MinAskInterval, min(waitFor(lack, toTokens(a.limit.RatePerSecond)), RoundInterval))
 		return
 	}
 	b.tried = append(b.tried, zone)
+	returned := b.takeBack(a.id, holder)
 	want := toTokens(float64(len(b.queue)))
 	for _, c := range b.credits {
 		want -= c.free(now)
@@ -234,10 +233,24 @@
 	l.asks[l.lastAsk] = a
 	l.send(b.ask.to, Message{Ask: &Ask{
 		ID: l.lastAsk, Incarnation: l.opts.Incarnation, Account: a.id,
-		Want: want, CutoffLimit: b.queue[0].cutoffLimit,
+		Want: want, Returned: returned, CutoffLimit: b.queue[0].cutoffLimit,
 	}})
 }
 
+// takeBack withdraws the loans of a lender that no permit uses, to be returned with an Ask.
+func (b *borrowing) takeBack(account, holder string) []Settle {
+	var returned []Settle
+	for _, c := range b.credits {
+		if c.lender == holder && c.drawn == 0 && c.unused() > 0 {
+			c.returned += c.unused()
+			returned = append(returned, Settle{
+				Account: account, Loan: c.loan, Spent: c.spent, Returned: c.returned,
+			})
+		}
+	}
+	return returned
+}
+
 func (l *Limiter) nextLender(now time.Duration, a *account) (zone, holder string) {
 	b := a.borrow
 	var most Tokens
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -10,7 +10,12 @@
 	// TickInterval is how often the host calls Tick.
 	TickInterval = 20 * time.Millisecond
 	// DrawPatience is how long a draw waits for tokens that are on their way, at most.
-	DrawPatience = 750 * time.Millisecond
+	DrawPatience = 2 * time.Second
+	// MaxExpectedWait refuses a draw at once if the shares together need longer for its token.
+	MaxExpectedWait = 750 * time.Millisecond
+	// RoundInterval is the longest time between two rounds of asking while a draw waits; it
+	// is shorter than the life of the loans gathered so far.
+	RoundInterval = 250 * time.Millisecond
 	// RedrawPatience is how long a request that was admitted before waits for another token.
 	RedrawPatience = 30 * time.Second
 	// AskTimeout is how long an Ask waits for its Reply.
@@ -22,7 +27,7 @@
 	// MinAskInterval is the least time between two rounds of asking about one account.
 	MinAskInterval = 5 * time.Millisecond
 	// MaxWaiting bounds the draws that wait on one account.
-	MaxWaiting = 1024
+	MaxWaiting = 16_384
 	// NoLeaseRetryAfter is told to callers while this VM has no lease.
 	NoLeaseRetryAfter = 1 * time.Second
 	// MaxRetryAfter bounds what is told to callers.
@@ -76,12 +81,12 @@
 func (l *Limiter) draw(now time.Duration, id string, w waiting) {
 	a := l.accounts[id]
 	switch {
-	case a == nil || a.deleted:
-		l.refuse(w.request, ReasonUnknownAccount, 0)
-		return
 	case !l.opts.Lease.ValidWithin(now, w.cutoffLimit):
 		l.refuse(w.request, ReasonNoLease, NoLeaseRetryAfter)
 		return
+	case a == nil || a.deleted:
+		l.refuse(w.request, ReasonUnknownAccount, 0)
+		return
 	}
 	b := l.borrowingOf(a)
 	if !w.again && l.hopeless(now, a) {
@@ -173,7 +178,10 @@
 		l.send(from, Message{Reply: &r})
 		return
 	}
-	r.Loan, r.Amount = a.share.Lend(now, ask.Want)
+	for _, s := range ask.Returned {
+		a.share.Settle(now, s.Loan, s.Spent, s.Returned)
+	}
+	r.Loan, r.Amount = a.share.Lend(now, from, ask.Want)
 	r.Left = a.share.Tokens(now)
 	l.send(from, Message{Reply: &r})
 }
@@ -212,6 +220,7 @@
 	for _, a := range l.busy {
 		if a.borrow != nil {
 			l.expireAsk(now, a)
+			l.refuseOverdue(now, a)
 			l.pump(now, a)
 		}
 		a.listed = a.borrow != nil
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -20,6 +20,9 @@
 	Incarnation uint64 `json:"incarnation"` // of the borrower
 	Account     string `json:"account"`     // canonical ID
 	Want        Tokens `json:"want"`
+	// Returned are loans that the lender takes back first, so that a borrower that still
+	// lacks a part of a token keeps its place.
+	Returned []Settle `json:"returned,omitempty"`
 	// CutoffLimit is that of the account.
 	CutoffLimit time.Duration `json:"cutoff_limit"` // nanoseconds
 }
--- /dev/null
+++ b/internal/ratelimit/refusal_test.go
@@ -0,0 +1,131 @@
+package ratelimit
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// conform sends an account's requests as a bucket of its own rate and burst lets them pass:
+// the whole burst at once, and then as the tokens come.
+func (w *world) conform(account string, limit Limit, from, until time.Duration, where func(n int) *worldVM) (sent *int) {
+	sent = new(int)
+	tokens, last := limit.Burst, from
+	var next func()
+	next = func() {
+		tokens = min(limit.Burst, tokens+limit.RatePerSecond*(w.now-last).Seconds())
+		last = w.now
+		for tokens >= 1 {
+			tokens--
+			w.request(where(*sent), account)
+			*sent++
+		}
+		gap := time.Duration(w.random.Int64N(int64(2 * float64(time.Second) / limit.RatePerSecond)))
+		if w.random.IntN(20) == 0 {
+			gap = time.Duration(float64(time.Second) * limit.Burst / limit.RatePerSecond)
+		}
+		if w.now+gap < until {
+			w.at(w.now+gap, nil, next)
+		}
+	}
+	w.at(from, nil, next)
+	return sent
+}
+
+// slowClocks sets all clocks off by up to so many parts in a million: a bucket on a slow clock
+// fills slowly.
+func (w *world) slowClocks(ppm int64) {
+	for i, name := range w.names {
+		w.vms[name].ppm = ppm * int64(1-i%3)
+	}
+}
+
+var places = map[string]func(w *world) func(n int) *worldVM{
+	"one VM": func(w *world) func(int) *worldVM {
+		return func(int) *worldVM { return w.vms[w.names[0]] }
+	},
+	"even": func(w *world) func(int) *worldVM {
+		return func(n int) *worldVM { return w.vms[w.names[n%len(w.names)]] }
+	},
+	"jumping": func(w *world) func(int) *worldVM {
+		return func(n int) *worldVM {
+			zone := int(w.now/time.Second) % 3
+			return w.vms[w.names[zone*3+n%3]]
+		}
+	},
+}
+
+var limitsTried = []Limit{
+	{RatePerSecond: 50, Burst: 100}, {RatePerSecond: 20, Burst: 5}, {RatePerSecond: 10, Burst: 3},
+	{RatePerSecond: 4, Burst: 2}, {RatePerSecond: 2, Burst: 1}, {RatePerSecond: 200, Burst: 20},
+}
+
+func TestLimiter_NoWrongRefusalInHealthyFleet(t *testing.T) {
+	for place, where := range places {
+		for i, limit := range limitsTried {
+			t.Run(fmt.Sprintf("%s/%v per s, burst %v", place, limit.RatePerSecond, limit.Burst), func(t *testing.T) {
+				w := newWorld(uint64(i+1), 3, 3, map[string]Limit{"a": limit})
+				w.slowClocks(50)
+				w.tickControl()
+				// The shares start empty and are full by then.
+				from := 5*time.Second + time.Duration(limit.Burst/limit.RatePerSecond*float64(time.Second))
+				sent := w.conform("a", limit, from, from+30*time.Second, where(w))
+				w.run(from + 32*time.Second)
+				require.Zero(t, len(w.refused["a"]), "refused of %d", *sent)
+				require.Equal(t, *sent, len(w.dispatched))
+			})
+		}
+	}
+}
+
+// One account at several times its rate changes nothing for another, and is told when to come
+// back.
+func TestLimiter_OverloadStaysWithItsAccount(t *testing.T) {
+	limit := Limit{RatePerSecond: 20, Burst: 20}
+	w := newWorld(1, 3, 3, map[string]Limit{"a": limit, "b": limit})
+	w.tickControl()
+	w.overload("a", 60)
+	w.run(6 * time.Second)
+	w.refused, w.afters = map[string][]time.Duration{}, nil
+	sent := w.conform("b", limit, 6*time.Second, 36*time.Second, places["even"](w))
+	w.run(38 * time.Second)
+	require.Zero(t, len(w.refused["b"]), "refused of %d", *sent)
+	require.Greater(t, len(w.refused["a"]), 1000)
+	admitted := 0
+	for _, d := range w.dispatched {
+		if d.account == "a" && d.at > 6*time.Second {
+			admitted++
+		}
+	}
+	require.Greater(t, admitted, 19*30, "the overloaded account still gets its rate")
+	for _, after := range w.afters {
+		require.Positive(t, after)
+		require.LessOrEqual(t, after, 2*time.Second)
+	}
+}
+
+// A cut-off zone keeps its own share, and the others theirs; the account's whole rate is never
+// exceeded.
+func TestLimiter_CutKeepsShares(t *testing.T) {
+	limit := Limit{RatePerSecond: 30, Burst: 9}
+	w := newWorld(1, 3, 3, map[string]Limit{"a": limit})
+	w.tickControl()
+	w.watchOnly("a")
+	w.overload("a", 60)
+	w.run(10 * time.Second)
+	w.cut = func(a, b string) bool { return (w.zoneOf(a) == "z2") != (w.zoneOf(b) == "z2") }
+	w.dispatched = nil
+	w.run(15 * time.Second)
+	require.Empty(t, w.checkBound("a"))
+	require.Greater(t, len(w.dispatched), 30*5*85/100, "all three shares are still in use")
+}
+
+// watchOnly notes an account's limits without the checks of the faults run.
+func (w *world) watchOnly(account string) {
+	w.caps[account] = append(w.caps[account], capSample{
+		at: w.now, rate: w.state.view.Limits[account].RatePerSecond, burst: w.state.view.Limits[account].Burst,
+	})
+	w.at(w.now+worldTick, nil, func() { w.watchOnly(account) })
+}
--- a/internal/ratelimit/share.go
+++ b/internal/ratelimit/share.go
@@ -30,7 +30,12 @@
 	loans       map[uint64]*loan
 	expiry      []expiryEntry // in the order of time
 	lastLoan    uint64
-	incarnation uint64
+	// gathering is the loan of the one borrower that may take less than it asked for and a
+	// whole request. If many gathered at once, their parts would fill the burst, refilling
+	// would stop, and none would ever have a whole.
+	gathering         uint64
+	gatheringBorrower string
+	incarnation       uint64
 }
 
 type loan struct {
@@ -69,13 +74,23 @@
 	return s.tokens
 }
 
-// Lend takes up to want out of the share, as a loan. The amount may be 0.
-func (s *Share) Lend(now time.Duration, want Tokens) (LoanID, Tokens) {
+// Lend takes up to want out of the share, as a loan to a VM ("" for the holder itself). The
+// amount may be 0. Less than want comes in whole requests, but for one borrower at a time.
+func (s *Share) Lend(now time.Duration, borrower string, want Tokens) (LoanID, Tokens) {
 	s.advance(now)
 	amount := min(max(want, 0), s.tokens)
+	gathers := amount < want && amount%Request != 0
+	if gathers && s.loans[s.gathering] != nil && s.gatheringBorrower != borrower {
+		amount -= amount % Request
+		gathers = false
+	}
 	if amount == 0 {
 		return LoanID{}, 0
 	}
+	if gathers {
+		s.gathering = s.lastLoan + 1
+		s.gatheringBorrower = borrower
+	}
 	s.tokens -= amount
 	s.outstanding += amount
 	s.lastLoan++
