--- /dev/null
+++ b/internal/membership/lease_test.go
@@ -0,0 +1,209 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const testCutoff = 10 * time.Second
+
+// zone is one zone's holders and a grantor; messages arrive at once unless cut.
+type zone struct {
+	t       *testing.T
+	now     time.Duration
+	epoch   Epoch
+	grantor *Grantor
+	holders map[string]*Holder
+	cut     map[string]bool // VMs cut off from control
+	dead    map[string]bool
+}
+
+func newZone(t *testing.T, names ...string) *zone {
+	z := &zone{t: t, epoch: Epoch{Number: 1}, holders: map[string]*Holder{}, cut: map[string]bool{}, dead: map[string]bool{}}
+	for _, name := range names {
+		z.epoch.VMs = append(z.epoch.VMs, VM{Name: name, Zone: "z"})
+	}
+	z.elect(1)
+	for _, name := range names {
+		z.start(name, 1)
+	}
+	return z
+}
+
+func (z *zone) elect(term uint64) {
+	z.grantor = NewGrantor(z.now, term, testCutoff)
+	z.grantor.SetView(z.epoch, 1, 0, 0)
+}
+
+func (z *zone) start(name string, incarnation uint64) {
+	z.holders[name] = NewHolder(z.now, HolderOptions{VM: name, Zone: "z", Incarnation: incarnation, CutoffLimit: testCutoff})
+	z.holders[name].SetView(z.epoch, 1, 0)
+}
+
+func (z *zone) deliver(from string, sends []LeaseSend) {
+	for _, s := range sends {
+		switch {
+		case s.To == ToControl && !z.cut[from] && s.Renew != nil:
+			a := z.grantor.Renew(z.now, *s.Renew)
+			z.holders[from].Handle(z.now, "control", LeaseMessage{Answer: &a})
+		case s.To != ToControl && !z.dead[s.To]:
+			z.deliver(s.To, z.holders[s.To].Handle(z.now, from, s.LeaseMessage))
+		}
+	}
+}
+
+func (z *zone) run(d time.Duration) {
+	for end := z.now + d; z.now < end; z.now += 100 * time.Millisecond {
+		for _, vm := range z.epoch.VMs {
+			if !z.dead[vm.Name] {
+				z.deliver(vm.Name, z.holders[vm.Name].Tick(z.now))
+			}
+		}
+		z.grantor.Tick(z.now)
+	}
+}
+
+func (z *zone) valid(name string) bool {
+	return z.holders[name].Valid(z.now)
+}
+
+func TestHolder_LeaseCountsFromSending(t *testing.T) {
+	z := newZone(t, "a")
+	sends := z.holders["a"].Tick(0)
+	answer := z.grantor.Renew(0, *sends[0].Renew)
+	z.now = LeaseDuration + time.Second // the VM was frozen while the answer waited
+	z.holders["a"].Handle(z.now, "control", LeaseMessage{Answer: &answer})
+	require.False(t, z.valid("a"))
+}
+
+func TestHolder_LosesLeaseInSilence(t *testing.T) {
+	z := newZone(t, "a")
+	z.run(2 * time.Second)
+	require.True(t, z.valid("a"))
+	z.cut["a"] = true
+	z.run(LeaseDuration)
+	require.False(t, z.valid("a"), "it hears neither control nor a VM of its zone")
+}
+
+func TestHolder_SponsorsUntilCutoffLimit(t *testing.T) {
+	z := newZone(t, "a", "b", "c")
+	z.run(2 * time.Second)
+	z.cut["a"], z.cut["b"], z.cut["c"] = true, true, true
+	z.run(testCutoff - 2*time.Second)
+	require.True(t, z.valid("a") && z.valid("b") && z.valid("c"), "the zone renews its own leases")
+	require.False(t, z.holders["a"].ValidWithin(z.now, time.Second), "an account may allow less")
+	require.Empty(t, z.grantor.Removable(z.now), "the zone may still act")
+	z.run(4 * time.Second)
+	require.False(t, z.valid("a") || z.valid("b") || z.valid("c"), "nobody heard control for the cutoff limit")
+	z.run(SurelyOver(testCutoff))
+	require.Len(t, z.grantor.Removable(z.now), 3)
+}
+
+func TestHolder_StopsWhileBehind(t *testing.T) {
+	z := newZone(t, "a", "b")
+	z.run(time.Second)
+	next := Epoch{Number: 2, VMs: z.epoch.VMs}
+	z.grantor.SetView(next, 1, 0, 0)
+	z.run(RenewInterval + 100*time.Millisecond)
+	require.False(t, z.valid("a"), "control named an epoch that it has not learned")
+	z.holders["a"].SetView(next, 1, 0)
+	require.True(t, z.valid("a"))
+	z.run(RenewInterval + 100*time.Millisecond)
+	require.EqualValues(t, 1, z.holders["a"].Settled().ZoneEpoch, "b has not confirmed the epoch")
+	z.holders["b"].SetView(next, 1, 0)
+	z.run(2 * (RenewInterval + 100*time.Millisecond))
+	require.EqualValues(t, 2, z.holders["a"].Settled().ZoneEpoch)
+}
+
+func TestGrantor_RemovesDeadVMOnce(t *testing.T) {
+	z := newZone(t, "a", "b", "c")
+	z.run(2 * time.Second)
+	z.dead["c"] = true
+	lastLease := z.now + LeaseDuration
+	for len(z.grantor.Removable(z.now)) == 0 {
+		require.Less(t, z.now, 15*time.Second)
+		z.run(100 * time.Millisecond)
+	}
+	require.Equal(t, []string{"c"}, z.grantor.Removable(z.now))
+	require.Greater(t, z.now, lastLease)
+	require.Less(t, z.now, 2*time.Second+9*time.Second)
+	z.start("c", 2)
+	z.dead["c"] = false
+	z.run(2 * time.Second)
+	require.False(t, z.valid("c"), "no lease while its removal may be under way")
+	z.grantor.RemovalFailed("c")
+	z.run(2 * time.Second)
+	require.True(t, z.valid("c"))
+}
+
+func TestGrantor_KeepsVMThatItsZoneSponsors(t *testing.T) {
+	z := newZone(t, "a", "b")
+	z.run(2 * time.Second)
+	z.cut["b"] = true
+	z.run(8 * time.Second)
+	require.True(t, z.valid("b"), "a renews its lease")
+	require.Empty(t, z.grantor.Removable(z.now))
+}
+
+func TestHolder_KeepsPromise(t *testing.T) {
+	z := newZone(t, "a", "b")
+	z.run(2 * time.Second)
+	z.dead["b"] = true
+	z.run(5 * time.Second) // a has confirmed the deny list by now
+	z.dead["b"], z.cut["b"] = false, true
+	z.run(2 * time.Second)
+	require.False(t, z.valid("b"))
+	require.Equal(t, []string{"b"}, z.holders["a"].Status(z.now).Deny.VMs)
+	z.cut["b"] = false
+	z.run(2 * time.Second)
+	require.True(t, z.valid("b"), "control itself may take it back")
+}
+
+func TestGrantor_NewLeaderExpiresNobodyEarly(t *testing.T) {
+	z := newZone(t, "a", "b")
+	z.run(2 * time.Second)
+	z.dead["b"] = true
+	z.run(4 * time.Second)
+	z.elect(2)
+	elected := z.now
+	for len(z.grantor.Removable(z.now)) == 0 {
+		z.run(100 * time.Millisecond)
+	}
+	require.Greater(t, z.now-elected, SurelyOver(LeaseDuration))
+}
+
+func TestGrantor_GoodbyeNeedsNoWait(t *testing.T) {
+	z := newZone(t, "a", "b")
+	z.run(time.Second)
+	z.grantor.Goodbye(*z.holders["b"].Release()[0].Goodbye)
+	require.False(t, z.valid("b"))
+	require.Equal(t, []string{"b"}, z.grantor.Removable(z.now))
+}
+
+func TestRank_StableAndEven(t *testing.T) {
+	vms := []string{"a", "b", "c", "d"}
+	first := map[string]int{}
+	for i := range 4000 {
+		key := string(rune('A'+i%26)) + time.Duration(i).String()
+		ranked := Rank(key, vms)
+		first[ranked[0]]++
+		require.Equal(t, without(ranked, "b"), Rank(key, []string{"d", "c", "a"}), "the others keep their order")
+		e := Epoch{VMs: []VM{{"a", "z"}, {"b", "z"}, {"c", "z"}, {"d", "z"}, {"e", "y"}}}
+		require.Equal(t, ranked[0], e.Holder(key, "z"))
+	}
+	for _, vm := range vms {
+		require.InDelta(t, 1000, first[vm], 120)
+	}
+}
+
+func without(names []string, name string) []string {
+	var kept []string
+	for _, n := range names {
+		if n != name {
+			kept = append(kept, n)
+		}
+	}
+	return kept
+}
