--- a/internal/membership/rumour.go
+++ b/internal/membership/rumour.go
@@ -66,10 +66,10 @@
 		return nil, nil
 	}
 	if r.State == Dead && r.Incarnation == p.incarnation && p.everHeard && now-p.heard < HeardWindow {
-		// It was heard directly just now: it is told, and refutes the claim.
-		return []GossipSend{t.send(r.VM, Gossip{
-			Kind: GossipPing, Digest: t.digest, Rumours: []Rumour{r},
-		})}, nil
+		// It was heard directly just now: it is told, and refutes the claim, or does not answer.
+		ping := t.ping(now, r.VM)
+		ping.Gossip.Rumours = append([]Rumour{r}, ping.Gossip.Rumours...)
+		return []GossipSend{ping}, nil
 	}
 	return nil, t.claim(now, r.VM, r.Incarnation, r.State)
 }
--- /dev/null
+++ b/internal/membership/tracker_test.go
@@ -0,0 +1,273 @@
+package membership
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// net drives trackers in virtual time; messages take one to three ticks of 5 ms.
+type net struct {
+	random   *rand.Rand
+	now      time.Duration
+	trackers map[string]*Tracker
+	names    []string
+	vms      []VM
+	cut      func(from, to string) bool
+	frozen   map[string]bool
+	due      map[time.Duration][]func()
+	changes  []string // "observer vm state" with the time
+	changed  []time.Duration
+}
+
+const netStep = 5 * time.Millisecond
+
+func newNet(seed uint64, zones, perZone int) *net {
+	n := &net{
+		random: rand.New(rand.NewPCG(seed, 3)), trackers: map[string]*Tracker{}, frozen: map[string]bool{},
+		due: map[time.Duration][]func(){}, cut: func(string, string) bool { return false },
+	}
+	for z := range zones {
+		for i := range perZone {
+			vm := VM{Name: fmt.Sprintf("vm%d%02d", z, i), Zone: fmt.Sprintf("z%d", z)}
+			n.vms = append(n.vms, vm)
+			n.names = append(n.names, vm.Name)
+		}
+	}
+	for i, vm := range n.vms {
+		n.start(vm, 100, uint64(i))
+	}
+	return n
+}
+
+func (n *net) start(vm VM, incarnation, seed uint64) {
+	t := NewTracker(TrackerOptions{VM: vm.Name, Zone: vm.Zone, Incarnation: incarnation, Seed: seed})
+	t.SetVMs(n.now, n.vms)
+	t.SetDigest([]byte(vm.Name))
+	n.trackers[vm.Name] = t
+}
+
+func (n *net) send(from string, sends []GossipSend) {
+	for _, s := range sends {
+		if n.cut(from, s.To) || n.trackers[s.To] == nil {
+			continue
+		}
+		at := n.now + netStep*time.Duration(1+n.random.IntN(3))
+		n.due[at] = append(n.due[at], func() {
+			if n.frozen[s.To] {
+				return
+			}
+			out := n.trackers[s.To].Handle(n.now, from, s.Gossip)
+			n.note(s.To, out.Changes)
+			n.send(s.To, out.Sends)
+		})
+	}
+}
+
+func (n *net) note(observer string, changes []Change) {
+	for _, c := range changes {
+		n.changes = append(n.changes, fmt.Sprintf("%s %s %s", observer, c.VM, c.State))
+		n.changed = append(n.changed, n.now)
+	}
+}
+
+func (n *net) run(d time.Duration) {
+	for end := n.now + d; n.now < end; n.now += netStep {
+		for _, deliver := range n.due[n.now] {
+			deliver()
+		}
+		delete(n.due, n.now)
+		for i, name := range n.names {
+			// The ticks of the VMs are spread over the interval.
+			if (n.now+time.Duration(i)*7*netStep)%TickInterval == 0 && !n.frozen[name] {
+				sends, changes := n.trackers[name].Tick(n.now)
+				n.note(name, changes)
+				n.send(name, sends)
+			}
+		}
+	}
+}
+
+func (n *net) seen(vm string) map[State]int {
+	seen := map[State]int{}
+	for name, t := range n.trackers {
+		if name != vm && !n.frozen[name] {
+			seen[t.State(vm)]++
+		}
+	}
+	return seen
+}
+
+func TestTracker_DetectsSilenceWithin2s(t *testing.T) {
+	for seed := range uint64(50) {
+		n := newNet(seed, 3, 3)
+		n.run(3 * time.Second)
+		n.run(time.Duration(n.random.IntN(100)) * netStep)
+		n.frozen["vm101"] = true
+		n.run(2 * time.Second)
+		require.Equal(t, map[State]int{Dead: 8}, n.seen("vm101"), "seed %d", seed)
+		n.frozen["vm101"] = false
+		n.run(4 * time.Second)
+		require.Equal(t, map[State]int{Alive: 8}, n.seen("vm101"), "seed %d: it goes on", seed)
+	}
+}
+
+func TestTracker_CutBetweenTwoNeitherFlapsNorKills(t *testing.T) {
+	n := newNet(1, 3, 1)
+	n.run(2 * time.Second)
+	before := len(n.changes)
+	n.cut = func(from, to string) bool {
+		return from == "vm000" && to == "vm100" || from == "vm100" && to == "vm000"
+	}
+	n.run(60 * time.Second)
+	require.Equal(t, before, len(n.changes), "both hear the third")
+	require.False(t, n.trackers["vm000"].Direct("vm100"))
+	require.True(t, n.trackers["vm000"].Direct("vm200"))
+	require.True(t, n.trackers["vm000"].Usable("vm100"))
+}
+
+func TestTracker_OneWayCutKillsNobody(t *testing.T) {
+	n := newNet(1, 3, 3)
+	n.run(2 * time.Second)
+	n.cut = func(_, to string) bool { return to == "vm000" } // it can speak but not hear
+	n.run(30 * time.Second)
+	for _, name := range n.names[1:] {
+		require.True(t, n.trackers[name].Usable("vm001"), "the deaf VM's claims are not believed")
+	}
+}
+
+func TestTracker_ZoneCutAndHeal(t *testing.T) {
+	n := newNet(1, 3, 3)
+	n.run(2 * time.Second)
+	n.cut = func(from, to string) bool { return (from[2] == '2') != (to[2] == '2') }
+	n.run(4 * time.Second)
+	require.Len(t, n.trackers["vm000"].UsableIn("z2"), 0)
+	require.Len(t, n.trackers["vm200"].UsableIn("z2"), 3)
+	n.cut = func(string, string) bool { return false }
+	n.run(5 * time.Second)
+	for _, name := range n.names {
+		require.Equal(t, map[State]int{Alive: 8}, n.seen(name), name)
+	}
+}
+
+func TestTracker_GoodbyeAndReturn(t *testing.T) {
+	n := newNet(1, 3, 3)
+	n.run(2 * time.Second)
+	n.send("vm000", n.trackers["vm000"].Leave())
+	n.run(500 * time.Millisecond)
+	require.Equal(t, map[State]int{Left: 8}, n.seen("vm000"))
+	n.start(n.vms[0], 200, 9)
+	n.run(time.Second)
+	require.Equal(t, map[State]int{Alive: 8}, n.seen("vm000"), "a new incarnation is taken at once")
+}
+
+func TestTracker_HandsDigestOver(t *testing.T) {
+	n := newNet(1, 1, 2)
+	sends, _ := n.trackers["vm000"].Tick(0)
+	out := n.trackers["vm001"].Handle(0, "vm000", sends[0].Gossip)
+	require.Equal(t, "vm000", string(out.Digest))
+}
+
+// In a fleet where a VM pings only a few of the others, a death still reaches all.
+func TestTracker_DeathReachesAll(t *testing.T) {
+	n := newNet(1, 6, 16)
+	n.run(time.Second)
+	n.frozen["vm305"] = true
+	n.run(5 * time.Second)
+	seen := n.seen("vm305")
+	require.Equal(t, map[State]int{Dead: len(n.names) - 1}, seen)
+	var last []time.Duration
+	for i, c := range n.changes {
+		if n.changed[i] > time.Second && c[len(c)-4:] == "dead" {
+			last = append(last, n.changed[i]-time.Second)
+		}
+	}
+	sort.Slice(last, func(i, j int) bool { return last[i] < last[j] })
+	t.Logf("death of 1 in %d VMs: first told after %v, half after %v, all after %v",
+		len(n.names), last[0], last[len(last)/2], last[len(last)-1])
+}
+
+// BenchmarkTracker_Heartbeats drives one tracker against generated peers and reports what it
+// sends and receives, and its processor time, for each second without changes.
+func BenchmarkTracker_Heartbeats(b *testing.B) {
+	for _, vms := range []int{9, 99, 198, 396} {
+		b.Run(fmt.Sprintf("%d VMs", vms), func(b *testing.B) {
+			d := newDrive(vms)
+			d.second(120) // the news of the start have been spread
+			d.bytes, d.messages = 0, 0
+			b.ResetTimer()
+			for range b.N {
+				d.second(1)
+			}
+			b.ReportMetric(float64(d.bytes)/float64(b.N), "B/s")
+			b.ReportMetric(float64(d.messages)/float64(b.N), "messages/s")
+		})
+	}
+}
+
+// drive is one tracker and the peers that are generated around it.
+type drive struct {
+	tracker         *Tracker
+	names           []string
+	random          *rand.Rand
+	now             time.Duration
+	bytes, messages int
+}
+
+const driveIncarnation = 1_700_000_000_000_000_000
+
+func newDrive(vms int) *drive {
+	d := &drive{random: rand.New(rand.NewPCG(1, 1))}
+	var all []VM
+	for i := range vms {
+		all = append(all, VM{Name: fmt.Sprintf("vm%03d", i), Zone: fmt.Sprintf("z%d", i%3)})
+		d.names = append(d.names, all[i].Name)
+	}
+	d.tracker = NewTracker(TrackerOptions{VM: "vm000", Zone: "z0", Incarnation: driveIncarnation})
+	d.tracker.SetVMs(0, all)
+	d.tracker.SetDigest(make([]byte, 64))
+	return d
+}
+
+func (d *drive) count(g Gossip) {
+	data, err := json.Marshal(g)
+	if err != nil {
+		panic(err)
+	}
+	d.bytes += len(data)
+	d.messages++
+}
+
+func (d *drive) answer(sends []GossipSend) {
+	for _, s := range sends {
+		d.count(s.Gossip)
+		if s.Gossip.Kind != GossipPing {
+			continue
+		}
+		ack := Gossip{Kind: GossipAck, Incarnation: driveIncarnation, Sequence: s.Gossip.Sequence, Digest: make([]byte, 64)}
+		d.count(ack)
+		d.answer(d.tracker.Handle(d.now, s.To, ack).Sends)
+	}
+}
+
+func (d *drive) second(n int) {
+	for end := d.now + time.Duration(n)*time.Second; d.now < end; d.now += TickInterval {
+		sends, _ := d.tracker.Tick(d.now)
+		d.answer(sends)
+		if d.now%RoundInterval != 0 {
+			continue
+		}
+		// As many ping it as it pings.
+		for range min(MaxContacts, len(d.names)-1) {
+			from := d.names[1+d.random.IntN(len(d.names)-1)]
+			ping := Gossip{Kind: GossipPing, Incarnation: driveIncarnation, Sequence: 1_000_000, Digest: make([]byte, 64)}
+			d.count(ping)
+			d.answer(d.tracker.Handle(d.now, from, ping).Sends)
+		}
+	}
+}
