Cut links between VMs over the administration API for tests of partitions

A cut link is silent: nothing crosses it and neither side is told, as when a network drops packets. Before, the first message over a cut link closed its connection, so that both sides learned of the cut at once and the silence limits were never met. A link may be cut one way only. The path exists only where the settings allow fault injection.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -13,12 +13,14 @@
 	PathPrograms  = "/v1/programs"      // GET: Programs; ?account=NAME&limit=N
 	PathUpstreams = "/v1/upstreams"     // GET: Upstreams
 	PathInForce   = "/v1/in_force"      // GET: InForce
+	PathLinks     = "/v1/faults/links"  // POST, body: Links; only where the settings allow fault injection
 	PathVars      = "/debug/vars"       // GET: expvar
 )
 
 // Bounds of requests.
 const (
 	MaxWithdrawBytes = 2 << 20 // bytes of a WithdrawRequest
+	MaxLinksBytes    = 1 << 20 // bytes of a Links
 	MaxWaitSeconds   = 60      // of an apply
 	DefaultPrograms  = 100     // programs listed
 	MaxPrograms      = 1000
@@ -51,6 +53,14 @@
 	Unknown []string `json:"unknown"`
 }
 
+// Links are the links to other VMs that fault injection cuts; they replace those cut before.
+type Links struct {
+	// Cut are the VMs that nothing is sent to and nothing is heard from.
+	Cut []string `json:"cut"`
+	// CutTo are the VMs that nothing is sent to.
+	CutTo []string `json:"cut_to,omitempty"`
+}
+
 // Status is what one VM knows of itself and the fleet.
 type Status struct {
 	VM      string `json:"vm"`
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -37,18 +37,21 @@
 type Options struct {
 	Backend Backend
 	Logger  *events.Logger // may be nil
+	// CutLinks cuts links to other VMs. Nil, which it is outside test fleets: there is no such path.
+	CutLinks func(api.Links)
 }
 
 // Server is the administration API.
 type Server struct {
-	backend Backend
-	logger  *events.Logger
-	router  *httprouter.Router
+	backend  Backend
+	logger   *events.Logger
+	cutLinks func(api.Links)
+	router   *httprouter.Router
 }
 
 // New returns a server; see Handler and Serve.
 func New(o Options) *Server {
-	s := &Server{backend: o.Backend, logger: o.Logger, router: httprouter.New()}
+	s := &Server{backend: o.Backend, logger: o.Logger, cutLinks: o.CutLinks, router: httprouter.New()}
 	s.router.POST(api.PathApply, s.handle(s.apply))
 	s.router.POST(api.PathWithdraw, s.handle(s.withdraw))
 	s.router.GET(api.PathStatus, s.handle(s.status))
@@ -56,6 +59,9 @@
 	s.router.GET(api.PathPrograms, s.handle(s.programs))
 	s.router.GET(api.PathUpstreams, s.handle(s.upstreams))
 	s.router.GET(api.PathInForce, s.handle(s.inForce))
+	if o.CutLinks != nil {
+		s.router.POST(api.PathLinks, s.handle(s.links))
+	}
 	s.router.Handler(http.MethodGet, api.PathVars, expvar.Handler())
 	s.router.NotFound = s.fixed(http.StatusNotFound, api.CodeNotFound, "there is nothing at this path")
 	s.router.MethodNotAllowed = s.fixed(http.StatusMethodNotAllowed, api.CodeWrongMethod, "this path takes another method")
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -15,6 +15,7 @@
 	"os"
 
 	"egretramp/internal/admin"
+	"egretramp/internal/admin/api"
 	"egretramp/internal/events"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
@@ -83,12 +84,20 @@
 	serve := func(server *http.Server, l net.Listener) { tasks.Go(func() { s.fail(server.Serve(l)) }) }
 	serve(s.callers, d.listeners.callers)
 	serve(s.upstreams, d.listeners.upstreams)
-	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events})
+	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events, CutLinks: d.cutLinks()})
 	tasks.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
 	s.wait = tasks.Wait
 	return s
 }
 
+// cutLinks returns what cuts links to other VMs, or nil where the settings don't allow it.
+func (d *Daemon) cutLinks() func(api.Links) {
+	if !d.settings.FaultInjection {
+		return nil
+	}
+	return func(l api.Links) { d.node.CutLinks(l.Cut, l.CutTo) }
+}
+
 func (d *Daemon) upstreamRoutes() http.Handler {
 	router := httprouter.New()
 	router.Handler(http.MethodPost, wire.PathAnnounce, &upstream.Intake{
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -34,6 +34,8 @@
 	ShutdownLimitSeconds float64
 	// LogLevel is written into the settings. Empty: the daemon's default.
 	LogLevel string
+	// FaultInjection is written into the settings: CutLinks needs it.
+	FaultInjection bool
 }
 
 // Zone is an availability zone with its VMs. The first Control of them have data folders.
@@ -115,6 +117,7 @@
 		Zone:                 z.Name,
 		ShutdownLimitSeconds: f.opts.ShutdownLimitSeconds,
 		LogLevel:             f.opts.LogLevel,
+		FaultInjection:       f.opts.FaultInjection,
 	}
 	l := &s.Listen
 	for _, field := range []*string{&l.Callers, &l.Upstreams, &l.Peers, &l.Admin} {
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -21,8 +21,8 @@
 	if l == nil {
 		return nil, &UnreachableError{VM: vm, Cause: errors.New("unknown VM")}
 	}
-	if n.isCut(vm) {
-		return nil, &UnreachableError{VM: vm, Cause: errCut}
+	if n.cutTo(vm) {
+		return nil, &UnreachableError{VM: vm, Cause: awaitCut(ctx)}
 	}
 	n.stats.CallsMade.Add(1)
 	return l.call(ctx, &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload})
@@ -42,6 +42,11 @@
 		_ = conn.Close()
 		return nil, &LostError{VM: l.vm, Cause: err}
 	}
+	if l.node.cutFrom(l.vm) {
+		<-ctx.Done()
+		_ = conn.Close()
+		return nil, &LostError{VM: l.vm, Cause: errCut}
+	}
 	l.putIdle(conn)
 	if resp.ErrorCode != "" {
 		return nil, &RemoteError{Code: resp.ErrorCode, Message: resp.ErrorMessage}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcconn"
@@ -24,8 +23,6 @@
 	idleCallAge = 2 * time.Second
 )
 
-var errCut = errors.New("link is cut by fault injection")
-
 // link is the connection to one other VM.
 type link struct {
 	node  *Node
@@ -63,8 +60,8 @@
 }
 
 func (l *link) dial(ctx context.Context) (*drpcconn.Conn, error) {
-	if l.node.isCut(l.vm) {
-		return nil, errCut
+	if l.node.cutTo(l.vm) {
+		return nil, awaitCut(ctx)
 	}
 	l.mu.Lock()
 	address := l.address
@@ -121,7 +118,9 @@
 			if _, err := stream.Recv(); err != nil {
 				return
 			}
-			signal(heard)
+			if !l.node.cutFrom(l.vm) {
+				signal(heard)
+			}
 		}
 	})
 	return l.sendAll(ctx, stream)
@@ -141,8 +140,8 @@
 		case envelope = <-l.queue:
 		case <-heartbeat.C:
 		}
-		if l.node.isCut(l.vm) {
-			return errCut
+		if l.node.cutTo(l.vm) {
+			continue
 		}
 		if err := stream.Send(envelope); err != nil {
 			return err
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -52,7 +52,7 @@
 	messages map[string]MessageHandler
 	calls    map[string]CallHandler
 	stats    Stats
-	cut      atomic.Pointer[map[string]bool]
+	cuts     atomic.Pointer[cuts]
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -78,7 +78,7 @@
 		calls:    map[string]CallHandler{},
 		links:    map[string]*link{},
 	}
-	n.cut.Store(&map[string]bool{})
+	n.CutLinks(nil, nil)
 	for vm, address := range opts.Peers {
 		n.AddPeer(vm, address)
 	}
@@ -136,18 +136,6 @@
 	return l != nil && l.up.Load()
 }
 
-// Cut makes the node drop everything to and from the given VMs, and nothing else. It exists
-// for fault injection.
-func (n *Node) Cut(vms []string) {
-	cut := make(map[string]bool, len(vms))
-	for _, vm := range vms {
-		cut[vm] = true
-	}
-	n.cut.Store(&cut)
-}
-
-func (n *Node) isCut(vm string) bool { return (*n.cut.Load())[vm] }
-
 func (n *Node) link(vm string) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -189,7 +177,7 @@
 		return
 	}
 	l := n.link(vm)
-	if l == nil || n.isCut(vm) {
+	if l == nil || n.cutTo(vm) {
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
@@ -198,7 +186,7 @@
 
 func (n *Node) deliver(from, kind string, payload []byte) {
 	h, ok := n.messages[kind]
-	if !ok || n.isCut(from) {
+	if !ok || n.cutFrom(from) {
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -16,6 +16,9 @@
 
 const waitLimit = 20 * time.Second
 
+// cutLimit is how long a call over a cut link is tried.
+const cutLimit = 300 * time.Millisecond
+
 func listen(t *testing.T) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -182,14 +185,43 @@
 	}
 	serveNode(t, a, la)
 	serveNode(t, b, lb)
-	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
-	defer cancel()
+	call := func(from *Node, to string, limit time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), limit)
+		defer cancel()
+		_, err := from.Call(ctx, to, "echo", nil)
+		return err
+	}
+	connected := func(n *Node, to string, want bool) {
+		require.Eventually(t, func() bool { return n.Connected(to) == want }, waitLimit, 10*time.Millisecond)
+	}
+	connected(a, "b", true)
+	connected(b, "a", true)
+
 	a.Cut([]string{"b"})
-	_, err := a.Call(ctx, "b", "echo", nil)
-	require.Error(t, err)
-	_, err = b.Call(ctx, "a", "echo", nil)
-	require.Error(t, err)
+	require.Error(t, call(a, "b", cutLimit))
+	require.Error(t, call(b, "a", cutLimit))
+	connected(a, "b", false)
+	connected(b, "a", false)
 	a.Cut(nil)
-	_, err = b.Call(ctx, "a", "echo", nil)
-	require.NoError(t, err)
+	require.NoError(t, call(b, "a", waitLimit))
+	connected(b, "a", true)
+}
+
+func TestNode_OneWayCut(t *testing.T) {
+	la, lb := listen(t), listen(t)
+	peers := map[string]string{"a": la.Addr().String(), "b": lb.Addr().String()}
+	a, b := New(Options{VM: "a", Peers: peers}), New(Options{VM: "b", Peers: peers})
+	var atA, atB atomic.Int64
+	a.HandleMessages("count", func(string, []byte) { atA.Add(1) })
+	b.HandleMessages("count", func(string, []byte) { atB.Add(1) })
+	serveNode(t, a, la)
+	serveNode(t, b, lb)
+	require.Eventually(t, func() bool { return a.Connected("b") && b.Connected("a") }, waitLimit, 10*time.Millisecond)
+
+	a.CutLinks(nil, []string{"b"})
+	a.Send("b", "count", nil)
+	b.Send("a", "count", nil)
+	require.Eventually(t, func() bool { return atA.Load() == 1 }, waitLimit, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return !b.Connected("a") }, waitLimit, 10*time.Millisecond)
+	require.Zero(t, atB.Load())
 }
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,10 +35,16 @@
 
 // Call serves one call from another VM.
 func (s *server) Call(ctx context.Context, req *peerpb.CallRequest) (*peerpb.CallResponse, error) {
-	if s.node.isCut(req.From) {
+	if s.node.cutFrom(req.From) {
+		<-ctx.Done()
 		return nil, errCut
 	}
 	result, err := s.node.serveCall(ctx, req.From, req.Method, req.Payload)
+	if s.node.cutTo(req.From) {
+		// The answer is lost; the caller gives up in its own time.
+		<-ctx.Done()
+		return nil, errCut
+	}
 	if err != nil {
 		var remote *RemoteError
 		errors.As(err, &remote)
@@ -51,21 +58,23 @@
 	heard := make(chan struct{}, 1)
 	failed := make(chan error, 1)
 	var wg conc.WaitGroup
-	wg.Go(func() { failed <- s.receive(stream, heard) })
-	err := s.beat(stream, heard, failed)
+	var from atomic.Pointer[string]
+	wg.Go(func() { failed <- s.receive(stream, &from, heard) })
+	err := s.beat(stream, &from, heard, failed)
 	_ = stream.Close()
 	wg.Wait()
 	return err
 }
 
-func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, heard chan<- struct{}) error {
+func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard chan<- struct{}) error {
 	for {
 		envelope, err := stream.Recv()
 		if err != nil {
 			return err
 		}
-		if s.node.isCut(envelope.From) {
-			return errCut
+		from.Store(&envelope.From)
+		if s.node.cutFrom(envelope.From) {
+			continue
 		}
 		signal(heard)
 		if envelope.Kind != "" {
@@ -75,7 +84,7 @@
 }
 
 // beat sends heartbeats until the stream fails or the other side falls silent.
-func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, heard <-chan struct{}, failed <-chan error) error {
+func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard <-chan struct{}, failed <-chan error) error {
 	heartbeat := time.NewTicker(HeartbeatInterval)
 	defer heartbeat.Stop()
 	silence := time.NewTimer(SilenceLimit)
@@ -91,6 +100,9 @@
 			continue
 		case <-heartbeat.C:
 		}
+		if name := from.Load(); name != nil && s.node.cutTo(*name) {
+			continue
+		}
 		if err := stream.Send(&peerpb.Envelope{From: s.node.opts.VM}); err != nil {
 			return err
 		}
