--- a/internal/workload/caller.go
+++ b/internal/workload/caller.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/fakes"
@@ -31,6 +32,9 @@
 	MaxWait time.Duration
 	// ProbePart is the part of turns after which a probe is sent, 0 to 1.
 	ProbePart float64
+	// Persistent callers send a turn again when they are not told whether it ran but when to
+	// come back, and a chat, which may be repeated, also when an upstream failed it.
+	Persistent bool
 }
 
 // errorWait is the wait after a transport error.
@@ -89,17 +93,40 @@
 	o.Finished = err == nil
 	if err != nil {
 		o.Reason = err.Error()
+		o.Abandoned = errors.Is(err, errAbandoned)
+		o.Refused = refusalOf(err)
+		r.giveUp(ctx, o)
 	}
 	c.recorder.addOutcome(o)
 	return o
 }
 
+// errAbandoned ends a program whose caller leaves without ending it.
+var errAbandoned = errors.New("abandoned")
+
+// giveUpLimit is how long a caller tries to end a program that it could not finish.
+const giveUpLimit = 20 * time.Second
+
+// giveUp ends a program that did not finish, so that it holds nothing any longer.
+func (r *run) giveUp(ctx context.Context, o Outcome) {
+	if o.Abandoned {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), giveUpLimit)
+	defer cancel()
+	// A program that cannot be ended is left to its deadline.
+	_ = r.end(ctx)
+}
+
 func (r *run) all(ctx context.Context) error {
 	defer r.children.Wait()
 	if err := r.create(ctx); err != nil {
 		return err
 	}
 	for i, s := range r.program.Steps {
+		if r.program.Abandon > 0 && i == r.program.Abandon {
+			return errAbandoned
+		}
 		if err := wait(ctx, s.Pause); err != nil {
 			return err
 		}
@@ -166,7 +193,7 @@
 		if last.Status/100 == 2 {
 			return last, nil
 		}
-		if !again(last) {
+		if !r.caller.again(Resource, last) {
 			break
 		}
 		if err := wait(ctx, r.caller.pause(last)); err != nil {
@@ -188,7 +215,7 @@
 			r.probe(ctx, call, req)
 			return nil
 		}
-		if !again(a) {
+		if !r.caller.again(s.Kind, a) {
 			return failure(fmt.Sprintf("turn %d", number), a)
 		}
 		if err := wait(ctx, r.caller.pause(a)); err != nil {
@@ -257,16 +284,41 @@
 }
 
 // again reports whether sending a turn again may help. A refusal that leaves it open whether
-// the call ran is final.
-func again(a Attempt) bool {
+// the call ran is final, unless the caller is persistent: the turn's number says that it is the
+// same call.
+func (c *Caller) again(kind StepKind, a Attempt) bool {
 	if a.Code == "" {
 		return true
 	}
-	return a.NotRun != refusal.Unknown && a.Retry > 0
+	if !c.opts.Persistent {
+		return a.NotRun != refusal.Unknown && a.Retry > 0
+	}
+	failed := a.Status/100 == 5 || a.Status == http.StatusOK
+	return a.Retry > 0 || kind == Chat && failed
+}
+
+// refusedError is the refusal that ended a program.
+type refusedError struct {
+	what string
+	last Attempt
+}
+
+func (e *refusedError) Error() string {
+	a := e.last
+	return fmt.Sprintf("%s: status %d, code %q, not_run %q, error %q", e.what, a.Status, a.Code, a.NotRun, a.Err)
 }
 
 func failure(what string, a Attempt) error {
-	return fmt.Errorf("%s: status %d, code %q, not_run %q, error %q", what, a.Status, a.Code, a.NotRun, a.Err)
+	return &refusedError{what: what, last: a}
+}
+
+// refusalOf returns the last attempt of a program that a refusal ended, or nil.
+func refusalOf(err error) *Attempt {
+	var refused *refusedError
+	if !errors.As(err, &refused) {
+		return nil
+	}
+	return &refused.last
 }
 
 func (c *Caller) send(ctx context.Context, req request) Attempt {
--- a/internal/workload/caller_test.go
+++ b/internal/workload/caller_test.go
@@ -137,7 +137,7 @@
 	}
 	n := 0
 	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path == "/v1/programs" {
+		if strings.HasPrefix(r.URL.Path, "/v1/programs") {
 			return
 		}
 		_, _ = w.Write([]byte(replies[n]))
--- a/internal/workload/program.go
+++ b/internal/workload/program.go
@@ -35,6 +35,8 @@
 	// Deadline is the program's time from its creation; 0: none is asked for.
 	Deadline time.Duration
 	Steps    []Step
+	// Abandon is the step before which the caller leaves without ending the program; 0: none.
+	Abandon int
 }
 
 // Step is one call of a program.
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -87,6 +87,10 @@
 	Finished bool
 	// Reason says why it did not finish.
 	Reason string
+	// Refused is the attempt whose refusal ended the program, if one did.
+	Refused *Attempt
+	// Abandoned says that its caller left without ending it, as planned.
+	Abandoned bool
 }
 
 // Recorder keeps what callers saw. It is safe for concurrent use.
