--- a/internal/harness/admin.go
+++ b/internal/harness/admin.go
@@ -94,3 +94,8 @@
 	out, err := cmd.CombinedOutput()
 	return string(out), errors.Wrapf(err, "harness: egretrampctl apply failed:\n%s", indent(string(out)))
 }
+
+// Dump asks the VM for the state of its process, as JSON.
+func (v *VM) Dump(ctx context.Context) ([]byte, error) {
+	return v.admin(ctx, api.PathDump)
+}
--- /dev/null
+++ b/internal/soak/checks.go
@@ -0,0 +1,336 @@
+package soak
+
+import (
+	"net/http"
+	"slices"
+	"strings"
+	"time"
+
+	"egretramp/internal/fakes"
+	"egretramp/internal/refusal"
+	"egretramp/internal/workload"
+)
+
+// Limits that the checks hold the system to.
+const (
+	// inForceLimit is how long an accepted file may take to be in force, and a withdrawn key to
+	// stop, on every VM that can be reached.
+	inForceLimit = 4 * time.Second
+	// clockTolerance is for what lies between an event and its record.
+	clockTolerance = 250 * time.Millisecond
+	// memoryLimit is how long engines may hold memory after the last program ended.
+	memoryLimit = 40 * time.Second
+	// refusalLimit is how long a VM may take to say that it reaches no majority.
+	refusalLimit = 6 * time.Second
+	// poisonLimit is how many upstreams one request may take down.
+	poisonLimit = 2
+)
+
+// evidence is all that the checks look at.
+type evidence struct {
+	workload.Evidence
+	out          *outages
+	vmOf         map[string]string // VM by its callers' listener
+	accepted     []accepted
+	withdrawals  []withdrawal
+	rates        []rateChange
+	observations []observation
+	shutdowns    []shutdown
+	races        counted
+	resends      counted
+	refusals     []time.Duration
+	crashes      map[string]int
+	problems     []string
+	access       []workload.Result // calls at the end that must not be let in
+	alive        workload.Result   // new programs after all faults were healed
+	newest       workload.Result   // generations then
+}
+
+// checkAll returns a line for each promise, in the order in which the promises are made, and
+// then one for each further rule.
+func checkAll(e *evidence) []workload.Result {
+	w := &e.Evidence
+	return []workload.Result{
+		together("a program's calls run in order", workload.CheckOrder(w), checkAhead(e)),
+		together("a program's history is never lost or mixed", workload.CheckHistory(w), workload.CheckResent(w)),
+		together("a program's budget holds", workload.CheckBudget(w), checkLoops(e)),
+		together("no engine memory stays tied up ("+memoryLimit.String()+")", workload.CheckMemory(w)),
+		together("a request runs only for the account of its key", append(e.access, checkIntruders(e))...),
+		together("no upstream sees a caller's key", workload.CheckKeys(w)),
+		checkWithdrawn(e),
+		checkRate(e),
+		together("whole and own answers", workload.CheckAnswers(w)),
+		together("a refusal that says \"not run\" is true", workload.CheckNotRun(w), workload.CheckRefusals(w)),
+		together("a request that may not be repeated runs at most once", workload.CheckAtMostOnce(w)),
+		together("a departing upstream gets no new work after 3 s", workload.CheckDeparted(w)),
+		checkShutdowns(e),
+		checkInForce(e),
+		checkFinished(e),
+		together("recovers: new programs complete through every VM", e.alive),
+		together("recovers: every VM has the newest generation", e.newest),
+		checkOperators(e),
+		checkRefusedAtOnce(e),
+		checkCrashes(e),
+		checkFaults(e),
+	}
+}
+
+// together sums up results under one name.
+func together(name string, list ...workload.Result) workload.Result {
+	sum := workload.Result{Name: name}
+	for _, r := range list {
+		sum.Tried += r.Tried
+		sum.Violated += r.Violated
+		for _, d := range r.Details {
+			sum.Details = append(sum.Details, r.Name+": "+d)
+		}
+	}
+	return sum
+}
+
+// checkLoops says that a program that goes on without end is ended by its budget, for good.
+func checkLoops(e *evidence) workload.Result {
+	r := workload.Result{Name: "looping programs end"}
+	for _, o := range e.Outcomes {
+		if !strings.HasPrefix(o.Program.Name, loopPrefix) || endedUnknown(o) {
+			continue
+		}
+		r.Tried++
+		refused := o.Refused != nil && o.Refused.Code == "budget_exceeded" && o.Refused.Retry == 0
+		if !refused {
+			r.Violate("%s/%s: finished %v, %s", o.Program.Account, o.Program.Name, o.Finished, o.Reason)
+		}
+	}
+	return r
+}
+
+// endedUnknown reports whether a call that may not be repeated ended the program because nobody
+// knows whether it ran.
+func endedUnknown(o workload.Outcome) bool {
+	r := o.Refused
+	return r != nil && r.Code != "" && r.NotRun != refusal.True && r.Retry == 0
+}
+
+// checkFinished says that every program finishes, but for those whose caller left, those that
+// loop, and those that a call with an unknown outcome ended.
+func checkFinished(e *evidence) workload.Result {
+	r := workload.Result{Name: "programs finish"}
+	failed := map[string]bool{}
+	for _, o := range e.Outcomes {
+		if !o.Finished {
+			failed[o.Program.Account+"/"+o.Program.Name] = true
+		}
+	}
+	for _, o := range e.Outcomes {
+		p := o.Program
+		if o.Abandoned || expired(o) || strings.HasPrefix(p.Name, loopPrefix) || endedUnknown(o) {
+			continue
+		}
+		r.Tried++
+		child := failed[p.Account+"/"+p.Name+"-sub"]
+		if !o.Finished && !child {
+			r.Violate("%s/%s: %s", p.Account, p.Name, o.Reason)
+		}
+	}
+	return r
+}
+
+// expired reports whether a program whose caller would have left was past its short deadline
+// before that.
+func expired(o workload.Outcome) bool {
+	return strings.HasPrefix(o.Program.Name, abandonPrefix) && o.Refused != nil && o.Refused.Code == "program_expired"
+}
+
+// checkAhead says that a turn that is not due is never answered and is refused as not run. Only
+// a VM that reaches no majority may leave it open, because it does not know what is due.
+func checkAhead(e *evidence) workload.Result {
+	r := workload.Result{Name: "turns ahead refused"}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			if a.Probe != workload.ProbeAhead || a.Status == 0 {
+				continue
+			}
+			r.Tried++
+			open := a.Code == codeNoMajority && a.NotRun == refusal.Unknown
+			if a.Status == http.StatusOK || a.NotRun != refusal.True && !open {
+				r.Violate("%s: status %d, code %q, not_run %q", c, a.Status, a.Code, a.NotRun)
+			}
+		}
+	}
+	return r
+}
+
+// codeNoMajority refuses what needs a majority that the VM does not reach.
+const codeNoMajority = "programs_unavailable"
+
+// checkIntruders says that a call without a key that allows it is neither answered nor run.
+func checkIntruders(e *evidence) workload.Result {
+	r := workload.Result{Name: "calls without the right key"}
+	for _, m := range e.Match() {
+		if !strings.HasPrefix(m.Call.Account, intruderPrefix) {
+			continue
+		}
+		r.Tried++
+		if m.Call.Answer() != nil || len(m.Runs) > 0 {
+			r.Violate("%s: answered %v, ran %d times", m.Call, m.Call.Answer() != nil, len(m.Runs))
+		}
+	}
+	return r
+}
+
+// checkWithdrawn says that a withdrawn key stops, also for calls under way, on every VM that
+// can be reached.
+func checkWithdrawn(e *evidence) workload.Result {
+	r := workload.Result{Name: "a withdrawn key stops working within " + inForceLimit.String()}
+	gone := map[string]time.Time{}
+	for _, w := range e.withdrawals {
+		gone[w.account] = w.at
+	}
+	for _, m := range e.Match() {
+		at, withdrawn := gone[m.Call.Account]
+		if !withdrawn {
+			continue
+		}
+		for _, a := range m.Call.Attempts {
+			if a.End.Before(at) {
+				continue
+			}
+			r.Tried++
+			since, reachable := e.out.lastEnd(e.vmOf[a.VM], at, a.End)
+			limit := since.Add(inForceLimit + clockTolerance)
+			if !reachable || !a.End.After(limit) {
+				continue
+			}
+			ran := slices.ContainsFunc(m.Runs, startedAfter(limit))
+			if a.Answered() || ran || a.Start.Before(since) {
+				r.Violate("%s through %s ended %s after the withdrawal, %s after the VM could be reached: status %d, answered %v, error %q",
+					m.Call, e.vmOf[a.VM], a.End.Sub(at), a.End.Sub(since), a.Status, a.Answered(), a.Err)
+			}
+		}
+	}
+	return r
+}
+
+// checkShutdowns says that a VM that is asked to end does so by itself and cuts no request.
+func checkShutdowns(e *evidence) workload.Result {
+	r := workload.Result{Name: "a graceful shutdown cuts no request"}
+	for _, s := range e.shutdowns {
+		r.Tried++
+		if !s.graceful || s.code != 0 {
+			r.Violate("%s did not end by itself within %s, or with exit code %d", s.name, shutdownLimit, s.code)
+		}
+	}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			for _, s := range e.shutdowns {
+				if a.VM != s.vm || a.End.Before(s.from) || a.Start.After(s.to) {
+					continue
+				}
+				r.Tried++
+				if a.Cut() {
+					r.Violate("%s through %s, %s after SIGTERM, %s before the end: status %d, error %q",
+						c, s.name, a.Start.Sub(s.from), s.to.Sub(a.Start), a.Status, a.Err)
+				}
+			}
+		}
+	}
+	return r
+}
+
+// checkInForce says that an accepted file is in force within inForceLimit on every VM that can
+// be reached, that no VM goes back to an older one, and that a generation is one file only.
+func checkInForce(e *evidence) workload.Result {
+	r := workload.Result{Name: "an accepted configuration is in force within " + inForceLimit.String() + " and never reverts"}
+	newest := map[string]uint64{}
+	hashes := map[uint64]string{}
+	for _, a := range e.accepted {
+		hashes[a.generation] = a.hash
+	}
+	slices.SortStableFunc(e.observations, func(a, b observation) int { return a.from.Compare(b.from) })
+	for _, o := range e.observations {
+		r.Tried++
+		if o.generation != 0 && o.generation < newest[o.vm] {
+			r.Violate("%s went back from generation %d to %d", o.vm, newest[o.vm], o.generation)
+		}
+		newest[o.vm] = max(newest[o.vm], o.generation)
+		if hash, known := hashes[o.generation]; known && o.hash != hash {
+			r.Violate("%s has another file under generation %d", o.vm, o.generation)
+		}
+		if late, g := e.late(o); late > 0 {
+			r.Violate("%s has generation %d, but %d was accepted %s before", o.vm, o.generation, g, late)
+		}
+	}
+	return r
+}
+
+// late returns for how long a newer generation has been accepted that the VM should have had
+// for inForceLimit; 0 if there is none.
+func (e *evidence) late(o observation) (time.Duration, uint64) {
+	for _, a := range e.accepted {
+		if a.generation <= o.generation {
+			continue
+		}
+		since, reachable := e.out.lastEnd(o.vm, a.at, o.from)
+		if reachable && o.from.After(since.Add(inForceLimit)) {
+			return o.from.Sub(a.at), a.generation
+		}
+	}
+	return 0, 0
+}
+
+func checkOperators(e *evidence) workload.Result {
+	r := workload.Result{Name: "operators who race or resend get the right answers", Tried: e.races.tried + e.resends.tried}
+	for _, wrong := range slices.Concat(e.races.wrong, e.resends.wrong) {
+		r.Violate("%s", wrong)
+	}
+	return r
+}
+
+// checkRefusedAtOnce says that what needs a majority is refused at once where there is none.
+func checkRefusedAtOnce(e *evidence) workload.Result {
+	r := workload.Result{Name: "what needs a majority is refused within " + refusalLimit.String()}
+	for _, d := range e.refusals {
+		r.Tried++
+		if d > refusalLimit {
+			r.Violate("an apply was refused after %s", d)
+		}
+	}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			if a.Code != codeNoMajority {
+				continue
+			}
+			r.Tried++
+			took := a.End.Sub(a.Start)
+			frozen := e.out.during(e.vmOf[a.VM], a.Start, a.End)
+			if took > refusalLimit && !frozen {
+				r.Violate("%s was refused after %s: %q", c, took, a.Code)
+			}
+		}
+	}
+	return r
+}
+
+func checkCrashes(e *evidence) workload.Result {
+	r := workload.Result{Name: "a request takes down at most two upstreams"}
+	for name, n := range e.crashes {
+		r.Tried++
+		if n > poisonLimit {
+			r.Violate("%s took down %d upstreams", name, n)
+		}
+	}
+	return r
+}
+
+// checkFaults says that the faults could be carried out and everything came back from them.
+func checkFaults(e *evidence) workload.Result {
+	r := workload.Result{Name: "VMs and operators get through every fault", Tried: len(e.shutdowns) + len(e.accepted)}
+	for _, p := range e.problems {
+		r.Violate("%s", p)
+	}
+	return r
+}
+
+func startedAfter(t time.Time) func(fakes.Run) bool {
+	return func(run fakes.Run) bool { return run.StartedNS > t.UnixNano() }
+}
--- /dev/null
+++ b/internal/soak/collect.go
@@ -0,0 +1,67 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"egretramp/internal/fakes"
+	"egretramp/internal/harness"
+	"egretramp/internal/workload"
+)
+
+// evidence gathers the records of callers, stand-ins, operators and polls.
+func (s *soak) evidence(ctx context.Context) (*evidence, error) {
+	e := &evidence{out: s.inject.out, vmOf: map[string]string{}}
+	e.Calls = append(s.warmUp.Calls(), s.traffic.recorder.Calls()...)
+	e.Outcomes = append(s.warmUp.Outcomes(), s.traffic.recorder.Outcomes()...)
+	e.Bounds = workload.Bounds(newCast().deployments...)
+	e.Engines = s.memory
+	for _, vm := range s.fleet.VMs {
+		e.vmOf[vm.Settings.Listen.Callers] = vm.Name
+	}
+	for _, u := range s.fleet.Upstreams {
+		records, err := u.Records()
+		if err != nil {
+			return nil, err
+		}
+		e.Runs = append(e.Runs, records.Runs...)
+		e.Departures = append(e.Departures, records.Departures...)
+		if err := s.search(ctx, e, u, records); err != nil {
+			return nil, err
+		}
+	}
+	e.accepted, e.withdrawals, e.rates = s.operators.accepted, s.operators.withdrawals, s.operators.rates
+	e.races, e.resends, e.refusals = s.operators.races, s.operators.resends, s.operators.refusals
+	e.observations = s.poller.all()
+	e.shutdowns, e.crashes, e.problems = s.inject.shutdowns, s.inject.crashes, s.inject.problems
+	e.access, e.alive, e.newest = s.access, s.alive, s.newest
+	return e, nil
+}
+
+// search looks for every key in the records of all incarnations of a stand-in, which watched
+// for the keys from its start, and, as a control, asks for something that did arrive.
+func (s *soak) search(ctx context.Context, e *evidence, u *harness.Upstream, records fakes.Records) error {
+	for _, key := range s.cast.keys() {
+		reply := fakes.ReceivedReply{Contains: slices.Contains(records.Seen, key), Complete: true}
+		e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply})
+	}
+	runs, err := u.Control.Runs(ctx)
+	if err != nil || len(runs) == 0 {
+		return err
+	}
+	reply, err := u.Control.Received(ctx, runs[len(runs)-1].Path)
+	if err != nil {
+		return err
+	}
+	e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply, Control: true})
+	return nil
+}
+
+func encode(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("soak: cannot encode: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/internal/soak/fleet.go
@@ -0,0 +1,169 @@
+package soak
+
+import (
+	"fmt"
+	"time"
+
+	"egretramp/internal/config"
+	"egretramp/internal/harness"
+	"egretramp/internal/workload"
+)
+
+// Sizes of the soak's fleet: seven VMs in three zones, six engines, six services, one store.
+var zones = []harness.Zone{
+	{Name: "north", VMs: 3, Control: 1},
+	{Name: "middle", VMs: 2, Control: 1},
+	{Name: "south", VMs: 2, Control: 1},
+}
+
+const (
+	enginesPerZone = 2
+	stepTime       = 3 * time.Millisecond
+	kvTokens       = 40_000
+	engineSlots    = 8
+	// departLinger is how long a departing stand-in still takes calls, so that work that comes
+	// too late is seen.
+	departLinger = 5 * time.Second
+	// crashMark makes a stand-in crash on the request that contains it.
+	crashMark = "mark-that-crashes-upstreams"
+	// shutdownLimit bounds a VM's graceful shutdown.
+	shutdownLimit = 20 * time.Second
+	// serviceTimeout ends a service call that hangs.
+	serviceTimeout = 12 * time.Second
+)
+
+// Accounts beside those of generated programs.
+const (
+	leavers     = 3 // accounts whose keys are withdrawn
+	leaverRate  = 200
+	leaverBurst = 200
+	flooders    = 2 // accounts that send several times their rate
+	floodRate   = 10
+	floodBurst  = 10
+)
+
+// cast is who takes part: deployments with the further accounts.
+type cast struct {
+	deployments []workload.Deployment
+	leavers     []workload.Account
+	flooders    []workload.Account
+}
+
+func newCast() *cast {
+	c := &cast{}
+	bajio, colombo := workload.Bajio(), workload.Colombo()
+	for i := range leavers {
+		c.leavers = append(c.leavers, account(fmt.Sprintf("bajio-leaver-%d", i+1), leaverRate, leaverBurst))
+	}
+	for i := range flooders {
+		c.flooders = append(c.flooders, account(fmt.Sprintf("colombo-flooder-%d", i+1), floodRate, floodBurst))
+	}
+	for _, d := range []*workload.Deployment{&bajio, &colombo} {
+		for i := range d.Services {
+			d.Services[i].TimeoutSeconds = serviceTimeout.Seconds()
+		}
+	}
+	bajio.Accounts = append(bajio.Accounts, c.leavers...)
+	colombo.Accounts = append(colombo.Accounts, c.flooders...)
+	c.deployments = []workload.Deployment{bajio, colombo}
+	return c
+}
+
+// account has no share in the generated programs.
+func account(id string, rate, burst float64) workload.Account {
+	a := workload.Account{}
+	a.ID = id
+	a.Names = map[string]string{}
+	for _, s := range workload.Schemes {
+		a.Names[s] = s + ":" + id
+	}
+	a.RatePerSecond, a.Burst = rate, burst
+	a.SetKey("key-of-"+id, "egk_"+id+"_91d0c2aa57e34f08")
+	return a
+}
+
+func (c *cast) keys() map[string]string {
+	return workload.Keys(c.deployments...)
+}
+
+func secretOf(class string) string {
+	return "a soak secret of " + class
+}
+
+func classes() []config.UpstreamClass {
+	var list []config.UpstreamClass
+	for _, kind := range []config.UpstreamKind{config.KindEngine, config.KindService, config.KindWeightStore} {
+		id := string(kind) + "-class"
+		list = append(list, config.UpstreamClass{ID: id, Kind: kind, Secret: secretOf(id)})
+	}
+	return list
+}
+
+// addUpstreams plans the stand-ins. Each watches for every key from its start.
+func (c *cast) addUpstreams(f *harness.Fleet) error {
+	store, err := f.AddUpstream(c.spec(config.KindWeightStore, "weights", zones[0].Name, nil))
+	if err != nil {
+		return err
+	}
+	for _, z := range zones {
+		for i := range enginesPerZone {
+			s := c.engine(fmt.Sprintf("engine-%s-%d", z.Name, i+1), z.Name, store.Address)
+			if _, err := f.AddUpstream(s); err != nil {
+				return err
+			}
+		}
+		for _, d := range c.deployments {
+			id := d.Services[0].ID
+			if _, err := f.AddUpstream(c.spec(config.KindService, id+"-"+z.Name, z.Name, []string{id})); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+func (c *cast) engine(name, zone, store string) harness.UpstreamSpec {
+	var models []string
+	for i, d := range c.deployments {
+		// Each model is announced under the name of another scheme.
+		models = append(models, d.Model.Names[workload.Schemes[i]])
+	}
+	s := c.spec(config.KindEngine, name, zone, models)
+	s.Aliases = workload.ModelAliases(c.deployments...)
+	s.Args = append(s.Args, "--weight-store", store, "--step-time", stepTime.String(),
+		"--kv-tokens", fmt.Sprint(kvTokens), "--slots", fmt.Sprint(engineSlots))
+	return s
+}
+
+func (c *cast) spec(kind config.UpstreamKind, name, zone string, serves []string) harness.UpstreamSpec {
+	class := string(kind) + "-class"
+	s := harness.UpstreamSpec{
+		Name: name, Zone: zone, Kind: kind, Class: class, Secret: secretOf(class), Serves: serves,
+		Args: []string{"--stop-linger", departLinger.String(), "--crash-mark", crashMark},
+	}
+	for _, key := range c.keys() {
+		s.Args = append(s.Args, "--watch", key)
+	}
+	return s
+}
+
+// shape lists what faults may hit.
+func (c *cast) shape(f *harness.Fleet) Shape {
+	s := Shape{Keys: len(c.leavers)}
+	for _, z := range zones {
+		s.Zones = append(s.Zones, z.Name)
+	}
+	for _, vm := range f.VMs {
+		if vm.Control() {
+			s.ControlVMs = append(s.ControlVMs, vm.Name)
+			continue
+		}
+		s.EntryVMs = append(s.EntryVMs, vm.Name)
+	}
+	for _, u := range f.Upstreams {
+		if u.Spec.Kind != config.KindWeightStore {
+			s.Upstreams = append(s.Upstreams, u.Name)
+		}
+	}
+	return s
+}
--- /dev/null
+++ b/internal/soak/inject.go
@@ -0,0 +1,413 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
+	"egretramp/internal/fakes"
+	"egretramp/internal/harness"
+)
+
+// Limits of what the injector waits for.
+const (
+	readyLimit = 20 * time.Second // a VM that was started, until it hears from control
+	stopLimit  = shutdownLimit + 5*time.Second
+	// repairLimit is how long a lost disk may take to be replaced.
+	repairLimit = 20 * time.Second
+	repairPoll  = 100 * time.Millisecond
+	// restartPause is how long a crashed stand-in is gone.
+	restartPause = 500 * time.Millisecond
+)
+
+// shutdown is one SIGTERM of a VM.
+type shutdown struct {
+	vm       string // callers' listener
+	name     string
+	from, to time.Time
+	graceful bool
+	// code is the exit code of a VM that ended by itself.
+	code int
+}
+
+// injector does the faults and keeps what the checks have to know of them.
+type injector struct {
+	fleet *harness.Fleet
+	links *links
+	out   *outages
+	say   func(format string, args ...any)
+
+	mu        sync.Mutex
+	busy      map[string]bool // VMs and upstreams with a fault under way
+	done      map[Kind]int
+	shutdowns []shutdown
+	problems  []string
+	crashes   map[string]int // marked requests' crashes, by the request
+	poison    string
+	repairs   []time.Duration
+}
+
+func newInjector(f *harness.Fleet, say func(string, ...any)) *injector {
+	return &injector{
+		fleet: f, links: newLinks(f.VMs), out: newOutages(), say: say,
+		busy: map[string]bool{}, done: map[Kind]int{}, crashes: map[string]int{},
+	}
+}
+
+// take claims targets for a fault; false if one of them has another fault.
+func (i *injector) take(names ...string) bool {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, n := range names {
+		if i.busy[n] {
+			return false
+		}
+	}
+	for _, n := range names {
+		i.busy[n] = true
+	}
+	return true
+}
+
+func (i *injector) release(names ...string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	for _, n := range names {
+		delete(i.busy, n)
+	}
+}
+
+func (i *injector) count(k Kind) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.done[k]++
+}
+
+func (i *injector) problem(format string, args ...any) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.problems = append(i.problems, fmt.Sprintf(format, args...))
+}
+
+func (i *injector) vm(name string) *harness.VM {
+	for _, vm := range i.fleet.VMs {
+		if vm.Name == name {
+			return vm
+		}
+	}
+	return nil
+}
+
+func (i *injector) upstream(name string) *harness.Upstream {
+	for _, u := range i.fleet.Upstreams {
+		if u.Name == name {
+			return u
+		}
+	}
+	return nil
+}
+
+// do carries out one fault of a VM, a link or an upstream, to its end.
+func (i *injector) do(ctx context.Context, f Fault) {
+	var err error
+	switch f.Kind {
+	case KillVM, FreezeVM, RestartVM, IsolateVM, LoseDisk, LoseMajority:
+		err = i.vmFault(ctx, f)
+	case CutZone, CutPair, CutOneWay:
+		i.cutLinks(ctx, f)
+	default:
+		err = i.upstreamFault(ctx, f)
+	}
+	if err != nil && ctx.Err() == nil {
+		i.problem("%s of %s: %v", f.Kind, f.Target, err)
+	}
+}
+
+func (i *injector) cutLinks(ctx context.Context, f Fault) {
+	list := []cut{{f.Target, f.Other}}
+	var unreachable []string
+	switch f.Kind {
+	case CutPair:
+		list = between([]string{f.Target}, []string{f.Other})
+	case CutZone:
+		var others []string
+		for _, vm := range i.fleet.VMs {
+			if vm.Settings.Zone == f.Target {
+				unreachable = append(unreachable, vm.Name)
+				continue
+			}
+			others = append(others, vm.Name)
+		}
+		list = between(unreachable, others)
+	}
+	i.say("%s: %s %s for %s", f.Kind, f.Target, f.Other, f.For)
+	i.cutFor(ctx, f, list, unreachable)
+}
+
+// cutFor cuts links for the fault's time. The VMs count as unreachable until all of them and
+// their peers know that the links are healed.
+func (i *injector) cutFor(ctx context.Context, f Fault, list []cut, unreachable []string) {
+	i.count(f.Kind)
+	i.out.begin(time.Now(), unreachable...)
+	i.links.cut(list)
+	sleep(ctx, f.For)
+	i.links.heal(list)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
+	i.links.settled(limited)
+	cancel()
+	i.out.end(time.Now(), unreachable...)
+}
+
+func (i *injector) vmFault(ctx context.Context, f Fault) error {
+	names := []string{f.Target}
+	if f.Kind == LoseDisk || f.Kind == LoseMajority {
+		names = append(names, f.Other)
+	}
+	if !i.take(names...) {
+		return nil
+	}
+	defer i.release(names...)
+	vm := i.vm(f.Target)
+	i.say("%s: %v for %s", f.Kind, names, f.For)
+	switch f.Kind {
+	case KillVM:
+		return i.kill(ctx, f, vm)
+	case FreezeVM:
+		return i.freeze(ctx, f, vm)
+	case RestartVM:
+		return i.restart(ctx, f, vm)
+	case IsolateVM:
+		i.isolate(ctx, f)
+		return nil
+	case LoseDisk:
+		return i.loseDisk(ctx, f, vm, i.vm(f.Other))
+	default:
+		return i.kill(ctx, f, vm, i.vm(f.Other))
+	}
+}
+
+// kill ends VMs by force and starts them again after the fault's time.
+func (i *injector) kill(ctx context.Context, f Fault, vms ...*harness.VM) error {
+	i.count(f.Kind)
+	for _, vm := range vms {
+		i.out.begin(time.Now(), vm.Name)
+		if err := vm.Kill(); err != nil {
+			return err
+		}
+	}
+	sleep(ctx, f.For)
+	for _, vm := range vms {
+		if err := vm.Start(); err != nil {
+			return err
+		}
+	}
+	for _, vm := range vms {
+		if err := i.ready(ctx, vm); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// ready waits until a VM that was started hears from control, and ends its outage.
+func (i *injector) ready(ctx context.Context, vm *harness.VM) error {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyLimit)
+	defer cancel()
+	err := vm.WaitReady(ctx)
+	i.out.end(time.Now(), vm.Name)
+	return err
+}
+
+func (i *injector) freeze(ctx context.Context, f Fault, vm *harness.VM) error {
+	i.count(f.Kind)
+	i.out.begin(time.Now(), vm.Name)
+	if err := vm.Freeze(); err != nil {
+		return err
+	}
+	// Longer than every lease.
+	sleep(ctx, max(f.For, 4*time.Second))
+	err := vm.Thaw()
+	i.out.end(time.Now(), vm.Name)
+	return err
+}
+
+func (i *injector) restart(ctx context.Context, f Fault, vm *harness.VM) error {
+	i.count(f.Kind)
+	s := shutdown{vm: vm.Settings.Listen.Callers, name: vm.Name, from: time.Now()}
+	i.out.begin(s.from, vm.Name)
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	graceful, err := vm.Terminate(limited)
+	if err != nil {
+		return err
+	}
+	s.to, s.graceful = time.Now(), graceful
+	s.code, _ = vm.ExitCode()
+	i.mu.Lock()
+	i.shutdowns = append(i.shutdowns, s)
+	i.mu.Unlock()
+	if err := vm.Start(); err != nil {
+		return err
+	}
+	return i.ready(ctx, vm)
+}
+
+func (i *injector) isolate(ctx context.Context, f Fault) {
+	var others []string
+	for _, vm := range i.fleet.VMs {
+		others = append(others, vm.Name)
+	}
+	i.cutFor(ctx, f, between([]string{f.Target}, others), []string{f.Target})
+}
+
+// loseDisk erases the disk of a control VM, waits until its replicas are replaced, and then
+// kills a second control VM.
+func (i *injector) loseDisk(ctx context.Context, f Fault, vm, second *harness.VM) error {
+	i.count(f.Kind)
+	i.out.begin(time.Now(), vm.Name)
+	if err := vm.Kill(); err != nil {
+		return err
+	}
+	if err := vm.EraseData(); err != nil {
+		return err
+	}
+	if err := vm.Start(); err != nil {
+		return err
+	}
+	begin := time.Now()
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), repairLimit)
+	defer cancel()
+	err := awaitRepair(limited, vm)
+	i.mu.Lock()
+	i.repairs = append(i.repairs, time.Since(begin))
+	i.mu.Unlock()
+	if err := errors.CombineErrors(err, i.ready(ctx, vm)); err != nil {
+		return err
+	}
+	return i.kill(ctx, Fault{Kind: KillVM, For: f.For}, second)
+}
+
+// crashed notes a stand-in that a marked request ended.
+func (i *injector) crashed(name string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.crashes[i.poison]++
+	i.say("%s crashed on %s", name, i.poison)
+}
+
+// expect names the marked request under way.
+func (i *injector) expect(poison string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.poison = poison
+	i.crashes[poison] = 0
+}
+
+// revive starts a stand-in again whenever a marked request ended it.
+func (i *injector) revive(ctx context.Context, u *harness.Upstream) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-u.Exited():
+		}
+		if code, err := u.ExitCode(); err == nil && code == fakeCrashCode && i.take(u.Name) {
+			i.crashed(u.Name)
+			sleep(ctx, restartPause)
+			if err := u.Start(); err != nil {
+				i.problem("cannot start %s again: %v", u.Name, err)
+			}
+			i.release(u.Name)
+			continue
+		}
+		sleep(ctx, repairPoll)
+	}
+}
+
+// fakeCrashCode is the exit code of a stand-in that a marked request ended.
+const fakeCrashCode = 3
+
+func (i *injector) upstreamFault(ctx context.Context, f Fault) error {
+	if !i.take(f.Target) {
+		return nil
+	}
+	defer i.release(f.Target)
+	u := i.upstream(f.Target)
+	i.count(f.Kind)
+	i.say("%s: %s for %s", f.Kind, f.Target, f.For)
+	var faults fakes.Faults
+	switch f.Kind {
+	case Crash:
+		if err := u.Kill(); err != nil && !errors.Is(err, harness.ErrNotRunning) {
+			return err
+		}
+		sleep(ctx, f.For)
+		return u.Start()
+	case Depart:
+		return i.depart(ctx, u)
+	case Silence:
+		faults.Silence = true
+	case Hang:
+		faults.Hang = true
+	case Truncate:
+		faults.TruncateAfter = 2
+	case Late:
+		faults.LateMS = 700
+	case Cross:
+		faults.Crossed = true
+	}
+	return i.switchFor(ctx, f, u, faults)
+}
+
+// unlessEnded drops an error of a stand-in that a marked request ended meanwhile: it comes back
+// without the switches.
+func (i *injector) unlessEnded(u *harness.Upstream, err error) error {
+	if code, ended := u.ExitCode(); ended == nil && code == fakeCrashCode {
+		return nil
+	}
+	return err
+}
+
+// switchFor sets a stand-in's switches for the fault's time. The crash mark stays set.
+func (i *injector) switchFor(ctx context.Context, f Fault, u *harness.Upstream, faults fakes.Faults) error {
+	faults.CrashMark = crashMark
+	if err := u.Control.SetFaults(ctx, faults); err != nil {
+		return i.unlessEnded(u, err)
+	}
+	sleep(ctx, f.For)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyLimit)
+	defer cancel()
+	return i.unlessEnded(u, u.Control.SetFaults(ctx, fakes.Faults{CrashMark: crashMark}))
+}
+
+func (i *injector) depart(ctx context.Context, u *harness.Upstream) error {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	if _, err := u.Terminate(limited); err != nil && !errors.Is(err, harness.ErrNotRunning) {
+		return err
+	}
+	return u.Start()
+}
+
+// heal switches off all that is still on, and starts what has ended.
+func (i *injector) heal(ctx context.Context) {
+	for _, vm := range i.fleet.VMs {
+		_ = vm.Thaw()
+		if !vm.Running() {
+			_ = vm.Start()
+		}
+	}
+	for _, u := range i.fleet.Upstreams {
+		if !u.Running() {
+			_ = u.Start()
+		}
+		if u.Spec.Kind != config.KindWeightStore && u.WaitReady(ctx) == nil {
+			_ = u.Control.SetFaults(ctx, fakes.Faults{CrashMark: crashMark})
+		}
+	}
+	i.links.settled(ctx)
+}
--- /dev/null
+++ b/internal/soak/links.go
@@ -0,0 +1,137 @@
+package soak
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"egretramp/internal/admin/api"
+	"egretramp/internal/harness"
+)
+
+// linkPoll is how often links that could not be set are tried again.
+const linkPoll = 200 * time.Millisecond
+
+// cut is one cut: nothing crosses from the one VM to the other.
+type cut struct {
+	from, to string
+}
+
+// links keeps which links are cut and tells the VMs. A VM that restarts forgets its cuts, and
+// one that is frozen hears of none, so they are told again until they agree. It is safe for
+// concurrent use.
+type links struct {
+	vms []*harness.VM
+
+	mu   sync.Mutex
+	cuts map[cut]int // faults under way that cut it
+	told map[string]told
+}
+
+// told is what a process was told.
+type told struct {
+	pid   int
+	links api.Links
+}
+
+func newLinks(vms []*harness.VM) *links {
+	return &links{vms: vms, cuts: map[cut]int{}, told: map[string]told{}}
+}
+
+// between returns the cuts of all links between two sets of VMs.
+func between(a, b []string) []cut {
+	var list []cut
+	for _, x := range a {
+		for _, y := range b {
+			if x != y {
+				list = append(list, cut{x, y}, cut{y, x})
+			}
+		}
+	}
+	return list
+}
+
+func (l *links) cut(list []cut)  { l.change(list, 1) }
+func (l *links) heal(list []cut) { l.change(list, -1) }
+
+func (l *links) change(list []cut, by int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, c := range list {
+		l.cuts[c] += by
+	}
+}
+
+// of returns what a VM must cut. Each cut is made at its sender, and at its receiver too if
+// both directions are cut.
+func (l *links) of(vm string) api.Links {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	links := api.Links{Cut: []string{}}
+	for _, other := range l.vms {
+		to, from := l.cuts[cut{vm, other.Name}] > 0, l.cuts[cut{other.Name, vm}] > 0
+		switch {
+		case to && from:
+			links.Cut = append(links.Cut, other.Name)
+		case to:
+			links.CutTo = append(links.CutTo, other.Name)
+		}
+	}
+	return links
+}
+
+// tell tells one VM its cuts if it has not heard them. It reports whether the VM knows them.
+func (l *links) tell(ctx context.Context, vm *harness.VM) bool {
+	pid, err := vm.PID()
+	if err != nil {
+		return false
+	}
+	want := l.of(vm.Name)
+	l.mu.Lock()
+	known := l.told[vm.Name]
+	l.mu.Unlock()
+	same := slices.Equal(known.links.Cut, want.Cut) && slices.Equal(known.links.CutTo, want.CutTo)
+	if known.pid == pid && same {
+		return true
+	}
+	if known.pid != pid && len(want.Cut)+len(want.CutTo) == 0 {
+		return true
+	}
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if vm.CutLinks(ctx, want) != nil {
+		return false
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.told[vm.Name] = told{pid, want}
+	return true
+}
+
+// keep tells a VM its cuts until ctx ends.
+func (l *links) keep(ctx context.Context, vm *harness.VM) {
+	for ctx.Err() == nil {
+		l.tell(ctx, vm)
+		sleep(ctx, linkPoll)
+	}
+}
+
+// settled waits until all VMs that run know their cuts, or ctx ends.
+func (l *links) settled(ctx context.Context) {
+	for _, vm := range l.vms {
+		for ctx.Err() == nil && vm.Running() && !l.tell(ctx, vm) {
+			sleep(ctx, linkPoll)
+		}
+	}
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/soak/operators.go
@@ -0,0 +1,320 @@
+package soak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand"
+	"net/http"
+	"net/url"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+
+	"egretramp/internal/admin/api"
+	"egretramp/internal/config"
+	"egretramp/internal/harness"
+	"egretramp/internal/workload"
+)
+
+// Limits of an operator's patience.
+const (
+	applyTry   = 3 * time.Second
+	applyLimit = 25 * time.Second
+	applyPause = 300 * time.Millisecond
+)
+
+// accepted is a file that was accepted.
+type accepted struct {
+	generation uint64
+	hash       string
+	at         time.Time // when the first answer came
+}
+
+// withdrawal is a key that a file left out.
+type withdrawal struct {
+	account string
+	at      time.Time
+}
+
+// rateChange is a new rate and burst of an account. It is in force nowhere before from, and
+// everywhere after to.
+type rateChange struct {
+	account  string
+	bound    workload.RateBound
+	from, to time.Time
+}
+
+// operators apply files. They act one after the other, but for their races.
+type operators struct {
+	cast   *cast
+	vms    []*harness.VM
+	random *rand.Rand
+	client *http.Client
+	say    func(format string, args ...any)
+
+	turn sync.Mutex // held by whoever acts
+
+	generation uint64
+	gone       map[string]bool // accounts without their key
+	last       []byte          // the newest file accepted
+	previous   []byte          // the one before it
+
+	mu          sync.Mutex
+	accepted    []accepted
+	withdrawals []withdrawal
+	rates       []rateChange
+	races       counted
+	resends     counted
+	// refusals are how long VMs took to say that they reach no majority.
+	refusals []time.Duration
+}
+
+// counted is what was tried and what went wrong.
+type counted struct {
+	tried int
+	wrong []string
+}
+
+func (c *counted) judge(ok bool, format string, args ...any) {
+	c.tried++
+	if !ok {
+		c.wrong = append(c.wrong, fmt.Sprintf(format, args...))
+	}
+}
+
+func newOperators(c *cast, vms []*harness.VM, seed int64, say func(string, ...any)) *operators {
+	return &operators{
+		cast: c, vms: vms, say: say, gone: map[string]bool{},
+		random: rand.New(rand.NewSource(seed)),
+		client: &http.Client{Timeout: applyTry, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// file writes a file from what is wanted now.
+func (o *operators) file(generation uint64) []byte {
+	f := workload.OperatorsFile(generation, classes(), o.cast.deployments...)
+	for i := range f.ClientAccounts {
+		if o.gone[f.ClientAccounts[i].ID] {
+			f.ClientAccounts[i].Keys = []config.Key{}
+		}
+	}
+	data, err := json.MarshalIndent(f, "", " ")
+	if err != nil {
+		panic("soak: cannot encode the operators' file: " + err.Error())
+	}
+	return data
+}
+
+// apply sends a file to one VM once.
+func (o *operators) apply(ctx context.Context, vm *harness.VM, file []byte, operator string) (api.Applied, error) {
+	var applied api.Applied
+	u := "http://" + vm.Settings.Listen.Admin + api.PathApply + "?operator=" + url.QueryEscape(operator)
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, bytes.NewReader(file))
+	if err != nil {
+		return applied, err
+	}
+	begin := time.Now()
+	resp, err := o.client.Do(req)
+	if err != nil {
+		return applied, err
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return applied, err
+	}
+	if resp.StatusCode == http.StatusOK {
+		return applied, json.Unmarshal(data, &applied)
+	}
+	var body api.ErrorBody
+	if err := json.Unmarshal(data, &body); err != nil || body.Error == nil {
+		return applied, errors.Newf("soak: apply answered with status %d: %.200s", resp.StatusCode, data)
+	}
+	if body.Error.Code == api.CodeNoMajority {
+		o.mu.Lock()
+		o.refusals = append(o.refusals, time.Since(begin))
+		o.mu.Unlock()
+	}
+	return applied, body.Error
+}
+
+// answer is the answer to an apply and its time.
+type answer struct {
+	api.Applied
+	at time.Time
+}
+
+// insist sends a file through one VM after the other until it is accepted or refused for good.
+func (o *operators) insist(ctx context.Context, file []byte, operator string, first int) (answer, error) {
+	ctx, cancel := context.WithTimeout(ctx, applyLimit)
+	defer cancel()
+	for i := first; ; i++ {
+		applied, err := o.apply(ctx, o.vms[i%len(o.vms)], file, operator)
+		if err == nil || final(err) {
+			return answer{applied, time.Now()}, err
+		}
+		if ctx.Err() != nil {
+			return answer{}, errors.Wrap(err, "soak: no answer to an apply")
+		}
+		sleep(ctx, applyPause)
+	}
+}
+
+// final reports whether an apply was refused by the control group.
+func final(err error) bool {
+	var known *api.Error
+	if !errors.As(err, &known) {
+		return false
+	}
+	again := []string{api.CodeNoMajority, api.CodeTimeout, api.CodeInternal}
+	return !slices.Contains(again, known.Code)
+}
+
+func (o *operators) anyVM() int {
+	return o.random.Intn(len(o.vms))
+}
+
+// change applies the file that is wanted now.
+func (o *operators) change(ctx context.Context) error {
+	file := o.file(o.generation + 1)
+	applied, err := o.insist(ctx, file, "first-operator", o.anyVM())
+	if err != nil {
+		return err
+	}
+	o.took(applied, file)
+	return nil
+}
+
+func (o *operators) took(applied answer, file []byte) {
+	o.generation = applied.Generation
+	o.previous, o.last = o.last, file
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.accepted = append(o.accepted, accepted{applied.Generation, applied.Hash, applied.at})
+}
+
+// do carries out one act of the plan.
+func (o *operators) do(ctx context.Context, f Fault) error {
+	o.say("operators: %s", f.Kind)
+	switch f.Kind {
+	case ChangeRate:
+		return o.changeRate(ctx)
+	case Race:
+		return o.race(ctx)
+	case Resend:
+		return o.resend(ctx)
+	case WithdrawKey:
+		return o.withdraw(ctx)
+	}
+	return nil
+}
+
+func (o *operators) changeRate(ctx context.Context) error {
+	a := &o.cast.flooders[o.random.Intn(len(o.cast.flooders))]
+	a.RatePerSecond = float64(5 + o.random.Intn(15))
+	a.Burst = float64(5 + o.random.Intn(10))
+	for d := range o.cast.deployments {
+		for i := range o.cast.deployments[d].Accounts {
+			if b := &o.cast.deployments[d].Accounts[i]; b.ID == a.ID {
+				b.ClientAccount = a.ClientAccount
+			}
+		}
+	}
+	begin := time.Now()
+	if err := o.change(ctx); err != nil {
+		return err
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	bound := workload.RateBound{RatePerSecond: a.RatePerSecond, Burst: a.Burst}
+	o.rates = append(o.rates, rateChange{a.ID, bound, begin, time.Now().Add(inForceLimit)})
+	return nil
+}
+
+// race has two operators apply different files under the same generation: one wins, and the
+// other is told who.
+func (o *operators) race(ctx context.Context) error {
+	file := o.file(o.generation + 1)
+	files := [][]byte{file, append([]byte("// by the second operator\n"), file...)}
+	var applied [2]answer
+	var errs [2]error
+	at := o.anyVM()
+	var wg conc.WaitGroup
+	for i := range files {
+		wg.Go(func() {
+			applied[i], errs[i] = o.insist(ctx, files[i], fmt.Sprintf("operator-%d", i+1), at+i*3)
+		})
+	}
+	wg.Wait()
+	winner := slices.IndexFunc(errs[:], func(err error) bool { return err == nil })
+	if winner < 0 {
+		return errors.CombineErrors(errs[0], errs[1])
+	}
+	o.took(applied[winner], files[winner])
+	loser := errs[1-winner]
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.races.judge(toldWinner(loser, applied[winner]), "generation %d: %v, %v", o.generation, errs[0], errs[1])
+	return nil
+}
+
+// toldWinner reports whether the loser of a race was told which file won.
+func toldWinner(err error, won answer) bool {
+	var refused *api.Error
+	if !errors.As(err, &refused) || refused.Winner == nil {
+		return false
+	}
+	return refused.Winner.Generation == won.Generation && refused.Winner.Hash == won.Hash
+}
+
+// resend sends the newest file and the one before it again: both get their first answer. A
+// changed file under the old generation is refused.
+func (o *operators) resend(ctx context.Context) error {
+	if o.previous == nil {
+		return nil
+	}
+	newest, err := o.insist(ctx, o.last, "second-operator", o.anyVM())
+	if err != nil && !final(err) {
+		return err
+	}
+	older, errOlder := o.insist(ctx, o.previous, "second-operator", o.anyVM())
+	if errOlder != nil && !final(errOlder) {
+		return errOlder
+	}
+	changed := append([]byte("// changed\n"), o.previous...)
+	_, errChanged := o.insist(ctx, changed, "second-operator", o.anyVM())
+	if errChanged != nil && !final(errChanged) {
+		return errChanged
+	}
+	stale := toldWinner(errChanged, newest)
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.resends.judge(err == nil && newest.Generation == o.generation, "newest file: %v", err)
+	o.resends.judge(errOlder == nil && older.Generation < o.generation && older.Newest == o.generation, "older file: %+v, %v", older, errOlder)
+	o.resends.judge(stale, "changed file under an old generation: %v", errChanged)
+	return nil
+}
+
+// withdraw applies a file without the next key.
+func (o *operators) withdraw(ctx context.Context) error {
+	for _, a := range o.cast.leavers {
+		if o.gone[a.ID] {
+			continue
+		}
+		o.gone[a.ID] = true
+		if err := o.change(ctx); err != nil {
+			return err
+		}
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.withdrawals = append(o.withdrawals, withdrawal{a.ID, o.accepted[len(o.accepted)-1].at})
+		return nil
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/poll.go
@@ -0,0 +1,57 @@
+package soak
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"egretramp/internal/harness"
+)
+
+// Timing of the polls of VMs.
+const (
+	pollPause = 150 * time.Millisecond
+	pollTry   = time.Second
+)
+
+// observation is what a VM said of itself. VMs that did not answer leave none.
+type observation struct {
+	vm         string
+	from, to   time.Time // of the request
+	generation uint64
+	hash       string
+}
+
+// poller asks the VMs for the generation that is in force on them.
+type poller struct {
+	mu   sync.Mutex
+	list []observation
+}
+
+// keep polls one VM until ctx ends.
+func (p *poller) keep(ctx context.Context, vm *harness.VM) {
+	for ctx.Err() == nil {
+		p.ask(ctx, vm)
+		sleep(ctx, pollPause)
+	}
+}
+
+func (p *poller) ask(ctx context.Context, vm *harness.VM) {
+	ctx, cancel := context.WithTimeout(ctx, pollTry)
+	defer cancel()
+	o := observation{vm: vm.Name, from: time.Now()}
+	status, err := vm.Status(ctx)
+	if err != nil {
+		return
+	}
+	o.to, o.generation, o.hash = time.Now(), status.Generation, status.ConfigHash
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.list = append(p.list, o)
+}
+
+func (p *poller) all() []observation {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]observation(nil), p.list...)
+}
--- /dev/null
+++ b/internal/soak/traffic.go
@@ -0,0 +1,248 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sourcegraph/conc"
+
+	"egretramp/internal/harness"
+	"egretramp/internal/workload"
+)
+
+// Sizes of the callers' traffic.
+const (
+	workers     = 20 // programs under way at a time
+	maxTurns    = 10 // chat turns of the longest program
+	pauseScale  = 2  // of the programs' tool pauses
+	probePart   = 0.1
+	attempts    = 400 // of one turn, so that none is given up during a long fault
+	callTimeout = 15 * time.Second
+	// floodOver is how many times its rate a flooding account sends.
+	floodOver = 4
+	// leaverPause is between two calls with a key that will be withdrawn, at each VM.
+	leaverPause = 400 * time.Millisecond
+	// longWork is how long a leaver's long calls take: they are under way at the withdrawal.
+	longWork = 8 * time.Second
+	// accessPause is between two rounds of calls that must not be let in.
+	accessPause = time.Second
+)
+
+// Every so many programs one is of a special kind.
+const (
+	everyLoop    = 9  // loops until its budget ends it
+	everyAbandon = 11 // its caller leaves
+	loopCalls    = 6  // budget of a looping program
+	abandonAfter = 8 * time.Second
+)
+
+// Name prefixes of special programs.
+const (
+	loopPrefix    = "loop-"
+	abandonPrefix = "left-"
+)
+
+// traffic is all that callers do.
+type traffic struct {
+	cast     *cast
+	vms      []*harness.VM
+	seed     int64
+	recorder workload.Recorder
+	caller   *workload.Caller
+
+	mu         sync.Mutex
+	generators []*workload.Generator
+	drawn      int
+	serial     atomic.Int64
+}
+
+func newTraffic(c *cast, f *harness.Fleet, seed int64) *traffic {
+	t := &traffic{cast: c, vms: f.VMs, seed: seed}
+	t.caller = workload.NewCaller(workload.CallerOptions{
+		VMs: f.CallerAddresses(), Keys: c.keys(), Seed: seed, Attempts: attempts,
+		CallTimeout: callTimeout, ProbePart: probePart, Persistent: true,
+	}, &t.recorder)
+	for i, d := range c.deployments {
+		g := workload.NewGenerator(seed+int64(i), d)
+		g.MaxTurns, g.PauseScale = maxTurns, pauseScale
+		t.generators = append(t.generators, g)
+	}
+	return t
+}
+
+// next draws a program. Both deployments use the same names.
+func (t *traffic) next() *workload.Program {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	p := t.generators[t.drawn%len(t.generators)].Next()
+	name := fmt.Sprintf("program-%d", t.drawn/len(t.generators))
+	t.drawn++
+	switch {
+	case t.drawn%everyLoop == 0:
+		p.Rename(loopPrefix + name)
+		p.Calls = loopCalls
+		for len(p.Steps) <= loopCalls {
+			p.Steps = append(p.Steps, workload.Step{Kind: workload.Chat, Name: p.Model, Text: "again"})
+		}
+		dropChildren(p)
+	case t.drawn%everyAbandon == 0:
+		p.Rename(abandonPrefix + name)
+		p.Deadline, p.Abandon = abandonAfter, 2
+		dropChildren(p)
+	default:
+		p.Rename(name)
+	}
+	return p
+}
+
+func dropChildren(p *workload.Program) {
+	for i := range p.Steps {
+		p.Steps[i].Child = nil
+	}
+}
+
+// programs runs programs one after the other in each worker, and starts none after until ends.
+func (t *traffic) programs(ctx, until context.Context) {
+	var wg conc.WaitGroup
+	for range workers {
+		wg.Go(func() {
+			for until.Err() == nil {
+				t.caller.Run(ctx, t.next())
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// floods sends several times the rate of the flooding accounts until ctx ends.
+func (t *traffic) floods(ctx context.Context) {
+	var wg conc.WaitGroup
+	for i, a := range t.cast.flooders {
+		random := rand.New(rand.NewSource(t.seed + int64(i)))
+		service := t.cast.deployments[1].Services[0].ID
+		wg.Go(func() {
+			var calls conc.WaitGroup
+			defer calls.Wait()
+			for ctx.Err() == nil {
+				vm := t.vms[random.Intn(len(t.vms))]
+				calls.Go(func() { t.service(ctx, vm, a, service, "flood", 0) })
+				sleep(ctx, time.Second/(floodOver*floodRate))
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// serviceBody makes every single call's body unique.
+type serviceBody struct {
+	Call   string `json:"call"`
+	WorkMS int64  `json:"work_ms,omitempty"`
+}
+
+// service makes one service call. A call that is under way when ctx ends goes on.
+func (t *traffic) service(ctx context.Context, vm *harness.VM, a workload.Account, service, what string, work time.Duration) workload.Attempt {
+	name := fmt.Sprintf("%s-%s-%d", what, a.ID, t.serial.Add(1))
+	return t.caller.Once(context.WithoutCancel(ctx), workload.Single{
+		Account: a.ID, Key: a.Key, VM: vm.Settings.Listen.Callers, Name: name,
+		Service: service, Path: "/single", Body: encode(serviceBody{name, work.Milliseconds()}),
+	})
+}
+
+// leave calls with the keys that are withdrawn during the run, at every VM and until ctx ends:
+// short calls, long ones, and long streams.
+func (t *traffic) leave(ctx context.Context) {
+	d := t.cast.deployments[0]
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for _, a := range t.cast.leavers {
+		for _, vm := range t.vms {
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					t.service(ctx, vm, a, d.Services[0].ID, "leaver", 0)
+					sleep(ctx, leaverPause)
+				}
+			})
+		}
+		for i := range 2 {
+			vm := t.vms[i*3]
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					t.service(ctx, vm, a, d.Services[0].ID, "leaver-long", longWork)
+					sleep(ctx, leaverPause)
+				}
+			})
+			wg.Go(func() {
+				for ctx.Err() == nil {
+					t.stream(ctx, vm, a, d)
+					sleep(ctx, leaverPause)
+				}
+			})
+		}
+	}
+}
+
+// stream makes one long streamed call. Its length is in the words that the stand-in is asked for.
+func (t *traffic) stream(ctx context.Context, vm *harness.VM, a workload.Account, d workload.Deployment) {
+	name := fmt.Sprintf("stream-%s-%d", a.ID, t.serial.Add(1))
+	words := int(longWork / stepTime)
+	t.caller.Once(context.WithoutCancel(ctx), workload.Single{
+		Account: a.ID, Key: a.Key, VM: vm.Settings.Listen.Callers, Name: name,
+		Model: d.Model.ID, Text: fmt.Sprintf("words:%d", words), Stream: true, MaxTokens: words,
+	})
+}
+
+// intrude calls without a key, with a wrong one and with another deployment's, until ctx ends.
+// None of these calls may be answered or run.
+func (t *traffic) intrude(ctx context.Context) {
+	random := rand.New(rand.NewSource(t.seed))
+	a, b := t.cast.deployments[0], t.cast.deployments[1]
+	intruders := []workload.Account{
+		intruder("nobody", ""), intruder("wrong", "egk_wrong_key_55aa"), intruder("stranger", b.Accounts[0].Key),
+	}
+	for ctx.Err() == nil {
+		for _, who := range intruders {
+			vm := t.vms[random.Intn(len(t.vms))]
+			t.service(ctx, vm, who, a.Services[0].ID, intruderPrefix, 0)
+		}
+		sleep(ctx, accessPause)
+	}
+}
+
+const intruderPrefix = "intruder"
+
+func intruder(id, key string) workload.Account {
+	a := workload.Account{Key: key}
+	a.ID = intruderPrefix + "-" + id
+	return a
+}
+
+// poison sends one request that crashes each upstream that runs it, again and again through
+// all VMs at once, with changes of white space.
+func (t *traffic) poison(ctx context.Context, name string) {
+	d := t.cast.deployments[0]
+	a := d.Accounts[0]
+	var wg conc.WaitGroup
+	for i, vm := range t.vms {
+		wg.Go(func() {
+			for round := range poisonRounds {
+				t.caller.Once(ctx, workload.Single{
+					Account: a.ID, Key: a.Key, VM: vm.Settings.Listen.Callers, Name: name,
+					Model: d.Model.ID, Text: crashMark, Prefix: strings.Repeat(" ", i+round),
+				})
+				sleep(ctx, poisonPause)
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// Each VM gets a marked request so many times.
+const (
+	poisonRounds = 3
+	poisonPause  = 300 * time.Millisecond
+)
--- a/internal/workload/evidence.go
+++ b/internal/workload/evidence.go
@@ -58,6 +58,11 @@
 // maxDetails bounds the violations that are described.
 const maxDetails = 5
 
+// Violate counts a violation and describes it.
+func (r *Result) Violate(format string, args ...any) {
+	r.violate(format, args...)
+}
+
 func (r *Result) violate(format string, args ...any) {
 	r.Violated++
 	if len(r.Details) < maxDetails {
@@ -129,6 +134,22 @@
 	return calls, strangers
 }
 
+// CallRuns is a call and its runs at upstreams, oldest first.
+type CallRuns struct {
+	Call *Call
+	Runs []fakes.Run
+}
+
+// Match finds each call's runs.
+func (e *Evidence) Match() []CallRuns {
+	calls, _ := e.match()
+	list := make([]CallRuns, len(calls))
+	for i, cr := range calls {
+		list[i] = CallRuns{cr.call, cr.runs}
+	}
+	return list
+}
+
 // identity is what an upstream's record of the call can be known by.
 func (c *Call) identity() string {
 	if c.Kind == Chat {
--- a/internal/workload/record.go
+++ b/internal/workload/record.go
@@ -1,6 +1,8 @@
 package workload
 
 import (
+	"context"
+	"strings"
 	"sync"
 	"time"
 
@@ -30,7 +32,7 @@
 	Status int    // 0 if no answer came
 	Code   string // of a refusal
 	// NotRun of a refusal; empty if there was none.
-	NotRun refusal.NotRun
+	NotRun refusal.NotRun `json:",omitempty"`
 	// Retry is how long the refusal says to wait; 0: trying again does not help.
 	Retry time.Duration
 	// Whole says that the answer was complete.
@@ -125,3 +127,17 @@
 	defer r.mu.Unlock()
 	return append([]Outcome(nil), r.outcomes...)
 }
+
+// Cut reports whether the connection broke after the VM had accepted it. A caller's own
+// timeout is none.
+func (a Attempt) Cut() bool {
+	if a.Err == "" || a.Code != "" {
+		return false
+	}
+	for _, harmless := range []string{"connection refused", context.DeadlineExceeded.Error(), context.Canceled.Error()} {
+		if strings.Contains(a.Err, harmless) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/workload/single.go
+++ b/internal/workload/single.go
@@ -17,6 +17,8 @@
 	Model  string
 	Text   string // chat
 	Stream bool   // chat
+	// MaxTokens of a chat; 0: none is asked for.
+	MaxTokens int
 	// Service and Path of a service call.
 	Service string
 	Path    string
@@ -34,9 +36,9 @@
 		req.path = "/v1/services/" + s.Service + s.Path
 		return c.probeOnce(ctx, s.VM, req, call)
 	}
-	call.Kind, call.Model, call.Stream = Chat, s.Model, s.Stream
+	call.Kind, call.Model, call.Stream, call.MaxTokens = Chat, s.Model, s.Stream, s.MaxTokens
 	call.Messages = []fakes.Message{{Role: "system", Content: s.Name}, {Role: "user", Content: s.Text}}
-	body := mustJSON(chatBody{Model: s.Model, Messages: call.Messages, Stream: s.Stream})
+	body := mustJSON(chatBody{Model: s.Model, Messages: call.Messages, Stream: s.Stream, MaxTokens: s.MaxTokens})
 	req.path, req.stream, req.service = pathChat, s.Stream, false
 	req.body = append([]byte(s.Prefix), body...)
 	return c.probeOnce(ctx, s.VM, req, call)
