--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -47,6 +47,9 @@
 type Withdrawn struct {
 	Now     []string `json:"now"`
 	Already []string `json:"already"`
+	// Pending are withdrawn on the VMs that this side of the fleet reaches; the control group,
+	// which has no majority here, records them later.
+	Pending []string `json:"pending,omitempty"`
 	// Unknown IDs are in no accepted file.
 	Unknown []string `json:"unknown"`
 }
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -6,7 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
-	"egretramp/internal/config"
+	"egretramp/internal/ratelimit"
 )
 
 // ErrSnapshot is wrapped by the error of a snapshot that can't be restored.
@@ -29,6 +29,8 @@
 	Last      uint64            `json:"last_fencing"`
 	Fencing   []Fencing         `json:"fencing"`
 	Splits    Splits            `json:"splits"`
+
+	Limits map[string]ratelimit.Limit `json:"limits"`
 }
 
 // Snapshot encodes the state. Equal states give equal bytes.
@@ -47,6 +49,7 @@
 		Last:      m.fencing.last,
 		Fencing:   view.Fencing,
 		Splits:    m.splits,
+		Limits:    m.limits,
 	})
 	return data, errors.Wrap(err, "control: cannot encode a snapshot")
 }
@@ -67,9 +70,6 @@
 		return badSnapshot("its log index %d is below %d", s.Index, m.index)
 	}
 	restored := s.machine()
-	if err := restored.restoreLimits(); err != nil {
-		return badSnapshot("%v", err)
-	}
 	if err := restored.consistentSnapshot(m.floor); err != nil {
 		return badSnapshot("%v", err)
 	}
@@ -99,25 +99,13 @@
 	}
 	m.fencing.last = s.Last
 	m.splits = s.Splits
+	m.limits = s.Limits
 	for _, f := range s.Fencing {
 		m.fencing.byResource[f.Resource] = f
 	}
 	return m
 }
 
-// restoreLimits reads the limits from the configuration's text.
-func (m *Machine) restoreLimits() error {
-	if m.config.Generation == 0 {
-		return nil
-	}
-	file, err := config.Parse(fileName, []byte(m.config.Text))
-	if err != nil {
-		return errors.Wrapf(err, "generation %d in force", m.config.Generation)
-	}
-	m.limits = limitsOf(file)
-	return nil
-}
-
 // consistentSnapshot checks a decoded state and sets its floor.
 func (m *Machine) consistentSnapshot(earlier floor) error {
 	m.floor = floor{
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -182,6 +182,9 @@
 		return c.tool.printJSON(answer)
 	}
 	fmt.Fprintf(c.tool.Out, "withdrawn now: %s\nwithdrawn before: %s\n", list(answer.Now), list(answer.Already))
+	if len(answer.Pending) > 0 {
+		fmt.Fprintf(c.tool.Out, "withdrawn on this side of the fleet, to be recorded once it has a majority: %s\n", list(answer.Pending))
+	}
 	if len(answer.Unknown) > 0 {
 		fmt.Fprintf(c.tool.Err, "egretrampctl: no accepted file has these keys: %s\n", list(answer.Unknown))
 	}
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -42,9 +42,14 @@
 	}, nil
 }
 
-// WithdrawKeys withdraws keys. This VM stops serving them at once, also without a majority.
+// WithdrawKeys withdraws keys, without a majority on all VMs that this one reaches.
 func (b *backend) WithdrawKeys(ctx context.Context, keyIDs []string) (api.Withdrawn, error) {
 	result, err := b.propose(ctx, control.Command{WithdrawKeys: &control.WithdrawKeys{IDs: keyIDs}})
+	var refused *api.Error
+	if errors.As(err, &refused) && refused.Code == api.CodeNoMajority {
+		pending, unknown, err := b.daemon.fleet.WithdrawHere(ctx, keyIDs)
+		return api.Withdrawn{Now: []string{}, Already: []string{}, Pending: pending, Unknown: unknown}, err
+	}
 	if err != nil {
 		return api.Withdrawn{}, err
 	}
@@ -52,6 +57,9 @@
 	return api.Withdrawn{Now: w.Now, Already: w.Already, Unknown: w.Unknown}, nil
 }
 
+// proposePause is the pause before a command of unknown outcome is proposed again.
+const proposePause = 50 * time.Millisecond
+
 // propose proposes a command until it is answered; all of the operators' commands are idempotent.
 func (b *backend) propose(ctx context.Context, c control.Command) (control.Result, error) {
 	for {
@@ -71,6 +79,7 @@
 				Message: "the outcome is unknown; sending the same again is safe",
 			}
 		}
+		waitFor(ctx, proposePause)
 	}
 }
 
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -4,9 +4,6 @@
 
 // Events of a VM's part in the fleet, 2100 to 2199.
 var (
-	FleetStateInForce = define(2100, zapcore.InfoLevel, "this VM acts under a new state of the control log", "")
-	FleetConflict     = define(2101, zapcore.ErrorLevel, "another VM offered a state that contradicts the known one",
-		"compare the VMs' dumps; a VM from another fleet may be among the peers")
 	FleetBadConfig = define(2102, zapcore.ErrorLevel, "an accepted configuration does not pass this VM's checks",
 		"run one release on all VMs before applying files that need the newer one")
 	FleetElected  = define(2103, zapcore.InfoLevel, "this VM leads the control group", "")
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -130,6 +130,10 @@
 			VM: vm.Name, Zone: vm.Zone, Incarnation: f.incarnation(vm.Name),
 		}})
 	}
+	// Withdrawals that an operator made on a side without a majority come into the log now.
+	if pending := f.follower.Pending(); len(pending) > 0 {
+		f.propose(withdrawKey, control.Command{WithdrawKeys: &control.WithdrawKeys{IDs: pending}})
+	}
 	if agreed := l.grantor.AgreedSplit(); agreed > l.state.Splits.Agreed {
 		f.propose(splitKey, control.Command{RecordAgreedSplit: &control.RecordAgreedSplit{Split: agreed}})
 	}
@@ -138,6 +142,9 @@
 // splitKey keeps the proposals of agreed splits apart from those about VMs.
 const splitKey = "\x00split"
 
+// withdrawKey keeps the proposals of withdrawals apart likewise.
+const withdrawKey = "\x00withdraw"
+
 func (f *Fleet) resign() {
 	if f.leading.grantor != nil {
 		f.opts.Events.Emit(events.FleetResigned, zap.Uint64("term", f.leading.term))
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -48,11 +48,11 @@
 	f.post(func() { f.offer(d) })
 }
 
-func (f *Fleet) offer(d control.Delta) {
-	change := f.follower.Offer(d)
-	for _, conflict := range change.Conflicts {
-		f.opts.Events.Emit(events.FleetConflict, zap.String("conflict", conflict))
-	}
+func (f *Fleet) offer(d control.Delta) { f.noteChange(f.follower.Offer(d)) }
+
+// noteChange acts on what the follower learned.
+func (f *Fleet) noteChange(change control.Change) {
+	f.report(change)
 	if !change.Config && !change.Members && !change.Splits && len(change.Withdrawn) == 0 {
 		return
 	}
@@ -73,6 +73,26 @@
 	}
 }
 
+// report logs what an offer changed.
+func (f *Fleet) report(change control.Change) {
+	for _, conflict := range change.Conflicts {
+		f.opts.Events.Emit(events.StateConflict, zap.String("conflict", conflict))
+	}
+	if change.Config {
+		f.opts.Events.Emit(events.ConfigInForce, zap.Uint64("generation", f.follower.Digest().Generation))
+	}
+	if change.Members {
+		f.opts.Events.Emit(events.MembersChange, zap.Uint64("epoch", f.follower.Digest().Epoch))
+	}
+	if len(change.Withdrawn) > 0 {
+		ids := make([]string, 0, len(change.Withdrawn))
+		for _, k := range change.Withdrawn {
+			ids = append(ids, k.ID)
+		}
+		f.opts.Events.Emit(events.KeysWithdrawn, zap.Strings("key_ids", ids))
+	}
+}
+
 // publish makes the new state visible to traffic.
 func (f *Fleet) publish(state control.View, change control.Change) {
 	last := f.view.Load()
@@ -124,7 +144,6 @@
 	f.holder.SetView(epoch, generation, state.Splits.Split)
 	f.holder.SetCutoffLimit(cutoff)
 	f.leading.setView(epoch, state, cutoff)
-	f.opts.Events.Emit(events.FleetStateInForce, zap.Uint64("generation", generation), zap.Uint64("epoch", epoch.Number))
 }
 
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -171,7 +190,7 @@
 		return
 	}
 	own := f.follower.Digest()
-	if !ahead(theirs, own) {
+	if !theirs.Ahead(own) {
 		return
 	}
 	f.fetching[from] = true
@@ -186,14 +205,6 @@
 	})
 }
 
-func ahead(theirs, own control.Digest) bool {
-	return theirs.Generation > own.Generation ||
-		theirs.Epoch > own.Epoch ||
-		theirs.Revision > own.Revision ||
-		theirs.WithdrawnCount > own.WithdrawnCount ||
-		theirs.WithdrawnCount == own.WithdrawnCount && theirs.WithdrawnHash != own.WithdrawnHash
-}
-
 func (f *Fleet) fetch(ctx context.Context, vm string, own control.Digest) (control.Delta, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -116,6 +116,40 @@
 	return false
 }
 
+// WithdrawHere withdraws keys on this VM and, by way of the VMs that it reaches, on theirs,
+// without waiting for the control group; the group's leader records them once it hears of them.
+// It returns the IDs withdrawn and those that no key in force has.
+func (f *Fleet) WithdrawHere(ctx context.Context, ids []string) (withdrawn, unknown []string, err error) {
+	keys, unknown := f.findKeys(ids)
+	for _, k := range keys {
+		withdrawn = append(withdrawn, k.ID)
+	}
+	_, err = await(ctx, f, func() struct{} {
+		f.noteChange(f.follower.Withdraw(keys))
+		return struct{}{}
+	})
+	return withdrawn, unknown, err
+}
+
+func (f *Fleet) findKeys(ids []string) (found []control.WithdrawnKey, unknown []string) {
+	hashes := map[string]string{}
+	if snapshot := f.Snapshot(); snapshot != nil {
+		for _, a := range snapshot.Accounts() {
+			for _, k := range a.Keys {
+				hashes[k.ID] = k.SHA256
+			}
+		}
+	}
+	for _, id := range ids {
+		if hash, ok := hashes[id]; ok {
+			found = append(found, control.WithdrawnKey{ID: id, Hash: hash})
+		} else {
+			unknown = append(unknown, id)
+		}
+	}
+	return found, unknown
+}
+
 // ConfigText returns the text of the configuration in force, secrets and hashes included.
 func (f *Fleet) ConfigText(ctx context.Context) (string, error) {
 	return await(ctx, f, func() string { return f.follower.View().Config.Text })
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -10,8 +10,8 @@
 
 // Limit is a client account's rate and burst over the whole fleet, from the configuration.
 type Limit struct {
-	RatePerSecond float64 // requests a second
-	Burst         float64 // requests
+	RatePerSecond float64 `json:"rate_per_second"` // requests a second
+	Burst         float64 `json:"burst"`           // requests
 }
 
 // Ask asks the holder of a share to lend up to Want.
