--- /dev/null
+++ b/internal/daemon/cutoff_test.go
@@ -0,0 +1,108 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/admin"
+	"egretramp/internal/admin/api"
+	"egretramp/internal/fakes"
+)
+
+// cutOff separates a VM from all others, both ways.
+func (f *testFleet) cutOff(vm int) {
+	var others []string
+	for i, d := range f.daemons {
+		if i != vm {
+			others = append(others, d.settings.VM)
+			d.node.Cut([]string{f.daemons[vm].settings.VM})
+		}
+	}
+	f.daemons[vm].node.Cut(others)
+}
+
+func (f *testFleet) heal() {
+	for _, d := range f.daemons {
+		d.node.Cut(nil)
+	}
+}
+
+// TestFleet_IsolatedVM isolates a VM that is alone in its zone: it must stop keyed work, refuse
+// operators at once, and yet take a withdrawal that outlives the cut.
+func TestFleet_IsolatedVM(t *testing.T) {
+	f := newTestFleet(t)
+	f.apply(baseFile(1))
+	engine := f.engine("engine-2", "zone2")
+	f.waitPools(1)
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	isolated := &backend{daemon: f.daemons[2]}
+
+	f.cutOff(2)
+	f.eventually("the isolated VM still serves keyed work", func() bool {
+		return f.send(2, http.MethodGet, "/v1/models", keyAna, "").status == http.StatusServiceUnavailable
+	})
+	r := f.send(2, http.MethodPost, "/v1/chat/completions", keyAna, chatBody(t, []fakes.Message{user("x")}, false))
+	code, notRun := r.refusal(t)
+	require.Equal(t, "cut_off", code)
+	require.Equal(t, "true", notRun)
+	require.NotEmpty(t, r.header.Get("Retry-After"))
+
+	_, err := isolated.Apply(ctx, admin.ApplyRequest{Text: []byte(mustText(t, baseFile(2))), Operator: "test"})
+	var refused *api.Error
+	require.ErrorAs(t, err, &refused)
+	require.Equal(t, api.CodeNoMajority, refused.Code)
+
+	withdrawn, err := isolated.WithdrawKeys(ctx, []string{"key-bob", "key-nobody"})
+	require.NoError(t, err)
+	require.Equal(t, []string{"key-bob"}, withdrawn.Pending)
+	require.Equal(t, []string{"key-nobody"}, withdrawn.Unknown)
+
+	f.eventually("the other VMs do not go on", func() bool {
+		return f.send(0, http.MethodGet, "/v1/models", keyBob, "").status == http.StatusOK
+	})
+	f.applyOn(baseFile(3), 0, 1)
+
+	f.heal()
+	for vm, d := range f.daemons {
+		f.eventually("the withdrawal did not spread", func() bool {
+			return f.send(vm, http.MethodGet, "/v1/models", keyBob, "").status == http.StatusUnauthorized
+		})
+		f.eventually("the newer generation did not arrive", func() bool { return d.fleet.View().Acceptance.Generation == 3 })
+	}
+	f.eventually("the withdrawal was not recorded", func() bool {
+		w, err := isolated.WithdrawKeys(ctx, []string{"key-bob"})
+		return err == nil && len(w.Already) == 1
+	})
+	f.waitReady()
+	f.eventually("the returned VM does not serve", func() bool {
+		return f.send(2, http.MethodPost, "/v1/chat/completions", keyAna, chatBody(t, []fakes.Message{user("x")}, false)).status == http.StatusOK
+	})
+	require.False(t, engine.Received([]byte(keyAna)))
+}
+
+// TestFleet_HalfCut cuts the link between two VMs that both see the third: none may be taken
+// for dead, and all go on serving.
+func TestFleet_HalfCut(t *testing.T) {
+	f := newTestFleet(t)
+	f.apply(baseFile(1))
+	f.engine("engine-0", "zone0")
+	f.engine("engine-2", "zone2")
+	f.waitPools(2)
+	f.daemons[0].node.Cut([]string{"vm1"})
+	f.daemons[1].node.Cut([]string{"vm0"})
+	until := time.Now().Add(5 * time.Second)
+	for i := 0; time.Now().Before(until); i++ {
+		for vm := range f.daemons {
+			r := f.send(vm, http.MethodPost, "/v1/chat/completions", keyAna, chatBody(t, []fakes.Message{user("x")}, false))
+			require.Equal(t, http.StatusOK, r.status, "VM %d: %s", vm, r.body)
+		}
+	}
+	for _, d := range f.daemons {
+		require.True(t, d.fleet.Alive("vm0") && d.fleet.Alive("vm1"), "%s holds a VM for dead", d.settings.VM)
+	}
+}
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -100,17 +100,29 @@
 
 func (f *testFleet) apply(file config.File) {
 	f.t.Helper()
-	text, err := json.Marshal(file)
-	require.NoError(f.t, err)
+	f.applyOn(file, 0, 1, 2)
+	f.waitReady()
+}
+
+// applyOn applies a file through the first of the VMs and waits until it is in force on them.
+func (f *testFleet) applyOn(file config.File, vms ...int) {
+	f.t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
 	defer cancel()
-	b := &backend{daemon: f.daemons[0]}
-	_, err = b.Apply(ctx, admin.ApplyRequest{Text: text, Operator: "test"})
+	b := &backend{daemon: f.daemons[vms[0]]}
+	_, err := b.Apply(ctx, admin.ApplyRequest{Text: []byte(mustText(f.t, file)), Operator: "test"})
 	require.NoError(f.t, err)
-	for _, d := range f.daemons {
+	for _, vm := range vms {
+		d := f.daemons[vm]
 		f.eventually("generation is not in force", func() bool { return d.fleet.View().Acceptance.Generation >= file.Generation })
 	}
-	f.waitReady()
+}
+
+func mustText(t *testing.T, file config.File) string {
+	t.Helper()
+	text, err := json.Marshal(file)
+	require.NoError(t, err)
+	return string(text)
 }
 
 func baseFile(generation uint64) config.File {
