--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -26,6 +26,9 @@
 	joining     map[string]VM
 	agreedSplit uint64
 	zoneEpochs  map[string]uint64 // settled, by zone
+	// departed is when a VM of a zone was last found to have stopped. Up to then it may have
+	// renewed the lease of another VM of the zone.
+	departed map[string]time.Duration
 }
 
 type member struct {
@@ -52,6 +55,7 @@
 		vms:         map[string]*member{},
 		joining:     map[string]VM{},
 		zoneEpochs:  map[string]uint64{},
+		departed:    map[string]time.Duration{},
 	}
 }
 
@@ -199,10 +203,24 @@
 // Removable returns the VMs that have surely stopped, sorted. The host proposes their
 // removal; from now on they get no lease until the epoch says otherwise or RemovalFailed.
 func (g *Grantor) Removable(now time.Duration) []string {
+	for _, v := range g.vms {
+		if v.gone {
+			g.depart(now, v)
+		}
+	}
+	// All are judged before any departs, because a departure makes the others wait.
+	var stopped []*member
+	for name, v := range g.vms {
+		if g.stopped(now, name, v) {
+			stopped = append(stopped, v)
+		}
+	}
+	for _, v := range stopped {
+		g.depart(now, v)
+	}
 	var names []string
 	for name, v := range g.vms {
-		if v.gone || g.stopped(now, name, v) {
-			v.removing = true
+		if v.removing {
 			names = append(names, name)
 		}
 	}
@@ -210,6 +228,13 @@
 	return names
 }
 
+func (g *Grantor) depart(now time.Duration, v *member) {
+	if !v.removing {
+		v.removing = true
+		g.departed[v.zone] = now
+	}
+}
+
 // RemovalFailed says that the removal of a VM will surely not be committed.
 func (g *Grantor) RemovalFailed(vm string) {
 	if v := g.vms[vm]; v != nil {
@@ -219,13 +244,13 @@
 
 // stopped reports whether a VM's lease surely ran out with nobody left to renew it.
 func (g *Grantor) stopped(now time.Duration, name string, v *member) bool {
-	if v.denied == 0 {
+	if v.denied == 0 || v.removing {
 		return false
 	}
-	last := max(g.lastHeard(v), g.elected)
+	last := max(g.lastHeard(v), g.elected, g.departed[v.zone])
 	wait := SurelyOver(LeaseDuration)
 	for other, o := range g.vms {
-		if other == name || o.zone != v.zone || o.gone {
+		if other == name || o.zone != v.zone || o.removing {
 			continue
 		}
 		if at, promised := v.promises[other]; promised {
@@ -240,7 +265,7 @@
 		wait = SurelyOver(g.cutoffLimit) + SurelyOver(LeaseDuration)
 		last = max(last, g.lastHeard(o))
 		for third, t := range g.vms {
-			if t.zone != v.zone || t.denied != 0 || t.gone {
+			if t.zone != v.zone || t.denied != 0 || t.removing {
 				continue
 			}
 			at, promised := o.promises[third]
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -184,6 +184,21 @@
 	require.Equal(t, []string{"b"}, z.grantor.Removable(z.now))
 }
 
+// A VM that departs may have renewed another's lease just before.
+func TestGrantor_WaitsForLeaseThatADepartedVMRenewed(t *testing.T) {
+	z := newZone(t, "a", "b")
+	z.run(2 * time.Second)
+	z.cut["a"], z.cut["b"] = true, true
+	z.run(4 * time.Second)
+	require.True(t, z.valid("b"))
+	z.grantor.Goodbye(*z.holders["a"].Release()[0].Goodbye)
+	z.dead["a"] = true
+	for len(z.grantor.Removable(z.now)) < 2 {
+		z.run(100 * time.Millisecond)
+	}
+	require.False(t, z.valid("b"))
+}
+
 func TestRank_StableAndEven(t *testing.T) {
 	vms := []string{"a", "b", "c", "d"}
 	first := map[string]int{}
--- a/internal/ratelimit/borrow.go
+++ b/internal/ratelimit/borrow.go
@@ -121,6 +121,9 @@
 		l.refuse(b.queue[0].request, ReasonNoLease, NoLeaseRetryAfter)
 		b.queue = b.queue[1:]
 	}
+	if len(b.queue) == 0 {
+		b.tried = nil
+	}
 	if len(b.queue) > 0 && b.ask == nil && now >= b.nextAsk {
 		l.askNext(now, a)
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -38,6 +38,7 @@
 type Limiter struct {
 	opts     Options
 	view     View
+	zones    []string // of the view
 	settled  Settled
 	accounts map[string]*account
 	pending  map[string]*account // with a scheduled start or growth
@@ -196,7 +197,7 @@
 	l.startPending(now)
 	l.expirePermits(now)
 	l.advanceBusy(now)
-	l.checkInvariants()
+	l.checkBusy()
 	return l.flush()
 }
 
@@ -272,9 +273,6 @@
 // checkInvariants panics if the limiter's tables contradict each other. Shares and loans
 // check themselves at each change.
 func (l *Limiter) checkInvariants() {
-	if len(l.asks) > len(l.busy) {
-		panic(fmt.Sprintf("ratelimit: %d asks for %d accounts", len(l.asks), len(l.busy)))
-	}
 	for id, a := range l.accounts {
 		if a.share != nil && !a.holder {
 			panic("ratelimit: a share of " + id + " without holding it")
@@ -283,12 +281,20 @@
 			panic("ratelimit: the part of " + id + " is larger than its view allows")
 		}
 	}
+	l.checkBusy()
+}
+
+// checkBusy is the part of checkInvariants that a tick can afford.
+func (l *Limiter) checkBusy() {
+	if len(l.asks) > len(l.busy) {
+		panic(fmt.Sprintf("ratelimit: %d asks for %d accounts", len(l.asks), len(l.busy)))
+	}
+	if len(l.drawn) < len(l.permits) {
+		panic("ratelimit: a permit without an expiry")
+	}
 	for _, a := range l.busy {
 		if a.borrow != nil {
 			a.borrow.checkInvariants(a)
 		}
 	}
-	if len(l.drawn) < len(l.permits) {
-		panic("ratelimit: a permit without an expiry")
-	}
 }
--- a/internal/ratelimit/view.go
+++ b/internal/ratelimit/view.go
@@ -76,6 +76,7 @@
 		l.forget()
 	}
 	l.view = v
+	l.zones = v.Fleet.Zones()
 	l.settled.AgreedSplit = max(l.settled.AgreedSplit, v.AgreedSplit)
 	for _, id := range sortedKeys(v.Limits) {
 		limit := v.Limits[id]
@@ -121,9 +122,8 @@
 
 // place works out the zones and the own zone's part under the view.
 func (l *Limiter) place(a *account, limit Limit) {
-	zones := l.view.Fleet.Zones()
 	a.limit = limit
-	a.zones = splitZones(a.id, limit.Burst, zones)
+	a.zones = splitZones(a.id, limit.Burst, l.zones)
 	target := part{}
 	for i, z := range a.zones {
 		if z == l.opts.Zone {
