--- a/internal/ratelimit/compare_test.go
+++ b/internal/ratelimit/compare_test.go
@@ -88,7 +88,7 @@
 		}
 		if buckets[a.vm].take(a.at) {
 			admitted = append(admitted, a.at)
-			log = append(log, spent{at: a.at, vm: a.vm})
+			log = append(log, spent(a))
 		}
 	}
 	return admitted
--- a/internal/ratelimit/refusal_test.go
+++ b/internal/ratelimit/refusal_test.go
@@ -135,6 +135,45 @@
 	require.Greater(t, len(w.dispatched), 30*5*85/100, "all three shares are still in use")
 }
 
+// While a dead holder's share has no new holder, the others' shares serve the account: up to
+// two thirds of its rate nothing is refused.
+func TestLimiter_HolderDeath(t *testing.T) {
+	limit := Limit{RatePerSecond: 50, Burst: 60}
+	for _, used := range []float64{0.6, 1} {
+		w := newWorld(1, 3, 3, map[string]Limit{"a": limit})
+		w.tickControl()
+		w.run(10 * time.Second)
+		holder := w.vms[w.state.epoch.Holder("a", "z1")]
+		var others []*worldVM
+		for _, name := range w.names {
+			if name != holder.name {
+				others = append(others, w.vms[name])
+			}
+		}
+		offered := Limit{RatePerSecond: used * limit.RatePerSecond, Burst: 10}
+		sent := w.conform("a", offered, 10*time.Second, 40*time.Second, func(n int) *worldVM { return others[n%8] })
+		w.run(15 * time.Second)
+		holder.running = false
+		taken := time.Duration(0)
+		for taken == 0 && w.now < 40*time.Second {
+			w.run(w.now + worldTick)
+			next := w.vms[w.state.epoch.Holder("a", "z1")]
+			if a := next.limiter.accounts["a"]; next != holder && a.share != nil {
+				taken = w.now - 15*time.Second
+			}
+		}
+		w.run(45 * time.Second)
+		refused := len(w.refused["a"])
+		t.Logf("used %.0f %%: %d refused of %d; a new holder after %v", 100*used, refused, *sent, taken)
+		require.NotZero(t, taken)
+		require.Less(t, taken, 12*time.Second)
+		if used < 0.66 {
+			require.Zero(t, refused)
+		}
+		require.LessOrEqual(t, float64(refused), limit.RatePerSecond/3*taken.Seconds()+limit.Burst/3)
+	}
+}
+
 // watchOnly notes an account's limits without the checks of the faults run.
 func (w *world) watchOnly(account string) {
 	w.caps[account] = append(w.caps[account], capSample{
