--- a/internal/ratelimit/view.go
+++ b/internal/ratelimit/view.go
@@ -75,11 +75,18 @@
 	if !first && v.Fleet.EpochNumber() > l.view.Fleet.EpochNumber()+1 {
 		l.forget()
 	}
+	zones := v.Fleet.Zones()
+	sameZones := slices.Equal(zones, l.zones)
+	sameEpoch := !first && v.Fleet.EpochNumber() == l.view.Fleet.EpochNumber()
 	l.view = v
+	l.zones = zones
 	l.settled.AgreedSplit = max(l.settled.AgreedSplit, v.AgreedSplit)
 	for _, id := range sortedKeys(v.Limits) {
 		limit := v.Limits[id]
 		a := l.accounts[id]
+		if a != nil && !a.deleted && sameZones && sameEpoch && a.limit == limit {
+			continue
+		}
 		if a == nil {
 			a = &account{id: id}
 			l.accounts[id] = a
@@ -121,9 +128,8 @@
 
 // place works out the zones and the own zone's part under the view.
 func (l *Limiter) place(a *account, limit Limit) {
-	zones := l.view.Fleet.Zones()
 	a.limit = limit
-	a.zones = splitZones(a.id, limit.Burst, zones)
+	a.zones = splitZones(a.id, limit.Burst, l.zones)
 	target := part{}
 	for i, z := range a.zones {
 		if z == l.opts.Zone {
