raft: write the control group's commit index before its entries take effect

Cause: the commit index alone was never synced, since it can be learned again. But every VM acts under a configuration as its replica applies it, so a control VM killed right after it had applied generation 11 began again with generation 10 and told its zone so; with the zone cut off, all of it stayed at 10 until the heal. A withdrawn key would have come back with it. The new test failed before.

--- a/internal/daemon/replicas.go
+++ b/internal/daemon/replicas.go
@@ -34,8 +34,11 @@
 			Folder:     d.settings.DataFolder,
 			InitialVMs: d.controlVMs(),
 			Machine:    machine,
-			Transport:  groups.Transport{Network: d.node},
-			Events:     d.events,
+			// This VM acts under each configuration and withdrawal as it is applied. A start
+			// must not bring it back to an older one.
+			DurableCommit: group == groups.Control,
+			Transport:     groups.Transport{Network: d.node},
+			Events:        d.events,
 		})
 		if err != nil {
 			return err
--- /dev/null
+++ b/internal/raft/commit_test.go
@@ -0,0 +1,28 @@
+package raft
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/raft/raftpb"
+)
+
+// TestRaft_DurableCommitComesWithItsEntries: what a restart begins with holds all that was
+// handed out to be applied, also if the commit index is all that changed.
+func TestRaft_DurableCommitComesWithItsEntries(t *testing.T) {
+	r := newReplica(t, 1)
+	r.options.DurableCommit = true
+	r.Step(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, From: 2, To: 1, Term: 2, Index: 1, LogTerm: 1, Commit: 1,
+		Entries: []*raftpb.Entry{{Index: 2, Term: 2, Type: raftpb.EntryType_ENTRY_TYPE_COMMAND}},
+	})
+	flush(r)
+	r.Step(&raftpb.Message{
+		Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, From: 2, To: 1, Term: 2, Index: 2, LogTerm: 2, Commit: 2,
+	})
+	rd := r.Ready()
+	require.Len(t, rd.Committed, 1)
+	require.NotNil(t, rd.HardState, "the commit index was left to be learned again")
+	require.Equal(t, uint64(2), rd.HardState.Commit)
+}
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -75,6 +75,9 @@
 	MaxMessageBytes int
 	// Seed of the election timeouts.
 	Seed int64
+	// DurableCommit writes the commit index before the entries up to it are applied, so that a
+	// replica that starts again at once has all that it ever applied. It costs a sync.
+	DurableCommit bool
 	// State to start from.
 	State State
 }
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -58,9 +58,13 @@
 }
 
 // commitWorthSaving: the commit index alone needs no sync, because it can be learned again;
-// it is written along with something else, and must not stay behind a snapshot.
+// it is written along with something else, and must not stay behind a snapshot. With
+// DurableCommit it is written before anyone acts under the entries.
 func (r *Raft) commitWorthSaving(rd *Ready, hard *raftpb.HardState) bool {
-	return hard.Commit != r.savedHard.Commit && (rd.Snapshot != nil || len(rd.Entries) > 0)
+	if hard.Commit == r.savedHard.Commit {
+		return false
+	}
+	return r.options.DurableCommit || rd.Snapshot != nil || len(rd.Entries) > 0
 }
 
 // Advance tells that the last Ready was handled whole.
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -109,7 +109,8 @@
 	n, err := newNode(nodeOptions{
 		group: r.options.Group, vm: r.options.VM, initialVMs: r.options.InitialVMs,
 		machine: r.options.Machine, electionTicks: r.options.ElectionTicks, heartbeatTicks: r.options.HeartbeatTicks,
-		snapshotEvery: r.options.SnapshotEvery, seed: r.options.Seed, send: r.options.Transport.Send, events: r.options.Events,
+		snapshotEvery: r.options.SnapshotEvery, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
+		send: r.options.Transport.Send, events: r.options.Events,
 	}, store, state)
 	if err != nil {
 		return errors.CombineErrors(errors.Wrapf(err, "replica: %s", store.Path()), store.Close())
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -31,6 +31,7 @@
 	heartbeatTicks int
 	snapshotEvery  uint64
 	seed           int64
+	durableCommit  bool
 	send           func(vm string, m *raftpb.Message)
 	events         *events.Logger
 }
@@ -80,8 +81,9 @@
 		ElectionTicks:  n.options.electionTicks,
 		HeartbeatTicks: n.options.heartbeatTicks,
 		// The ID keeps replicas that were given the same seed from timing out together.
-		Seed:  n.options.seed ^ int64(n.store.Identity().Replica),
-		State: state,
+		Seed:          n.options.seed ^ int64(n.store.Identity().Replica),
+		DurableCommit: n.options.durableCommit,
+		State:         state,
 	})
 	n.raft = core
 	return err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -49,6 +49,10 @@
 	HeartbeatTicks int
 	// SnapshotEvery is the number of entries after which the log is cut. Default DefaultSnapshotEvery.
 	SnapshotEvery uint64
+	// DurableCommit makes a replica that starts again begin with all that it had applied, not
+	// only with what it can be sure is committed. Others may have acted under that. It costs a
+	// sync for each commit.
+	DurableCommit bool
 	// Seed seeds the election timeouts; 0 draws one.
 	Seed int64
 	// Events may be nil.
