--- /dev/null
+++ b/internal/soak/inject_upstream.go
@@ -0,0 +1,112 @@
+package soak
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/fakes"
+	"egretramp/internal/harness"
+)
+
+// fakeCrashCode is the exit code of a stand-in that a marked request ended.
+const fakeCrashCode = 3
+
+// crashed notes a stand-in that a marked request ended.
+func (i *injector) crashed(name string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.crashes[i.poison]++
+	i.say("%s crashed on %s", name, i.poison)
+}
+
+// expect names the marked request under way.
+func (i *injector) expect(poison string) {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	i.poison = poison
+	i.crashes[poison] = 0
+}
+
+// revive starts a stand-in again whenever a marked request ended it.
+func (i *injector) revive(ctx context.Context, u *harness.Upstream) {
+	for ctx.Err() == nil {
+		select {
+		case <-ctx.Done():
+			return
+		case <-u.Exited():
+		}
+		if code, err := u.ExitCode(); err == nil && code == fakeCrashCode && i.take(u.Name) {
+			i.crashed(u.Name)
+			sleep(ctx, restartPause)
+			if err := u.Start(); err != nil {
+				i.problem("cannot start %s again: %v", u.Name, err)
+			}
+			i.release(u.Name)
+			continue
+		}
+		sleep(ctx, repairPoll)
+	}
+}
+
+func (i *injector) upstreamFault(ctx context.Context, f Fault) error {
+	if !i.take(f.Target) {
+		return nil
+	}
+	defer i.release(f.Target)
+	u := i.upstream(f.Target)
+	i.count(f.Kind)
+	i.say("%s: %s for %s", f.Kind, f.Target, f.For)
+	var faults fakes.Faults
+	switch f.Kind {
+	case Crash:
+		if err := u.Kill(); err != nil && !errors.Is(err, harness.ErrNotRunning) {
+			return err
+		}
+		sleep(ctx, f.For)
+		return u.Start()
+	case Depart:
+		return i.depart(ctx, u)
+	case Silence:
+		faults.Silence = true
+	case Hang:
+		faults.Hang = true
+	case Truncate:
+		faults.TruncateAfter = 2
+	case Late:
+		faults.LateMS = 700
+	case Cross:
+		faults.Crossed = true
+	}
+	return i.switchFor(ctx, f, u, faults)
+}
+
+// unlessEnded drops an error of a stand-in that a marked request ended meanwhile: it comes back
+// without the switches.
+func (i *injector) unlessEnded(u *harness.Upstream, err error) error {
+	if code, ended := u.ExitCode(); ended == nil && code == fakeCrashCode {
+		return nil
+	}
+	return err
+}
+
+// switchFor sets a stand-in's switches for the fault's time. The crash mark stays set.
+func (i *injector) switchFor(ctx context.Context, f Fault, u *harness.Upstream, faults fakes.Faults) error {
+	faults.CrashMark = crashMark
+	if err := u.Control.SetFaults(ctx, faults); err != nil {
+		return i.unlessEnded(u, err)
+	}
+	sleep(ctx, f.For)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyLimit)
+	defer cancel()
+	return i.unlessEnded(u, u.Control.SetFaults(ctx, fakes.Faults{CrashMark: crashMark}))
+}
+
+func (i *injector) depart(ctx context.Context, u *harness.Upstream) error {
+	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopLimit)
+	defer cancel()
+	if _, err := u.Terminate(limited); err != nil && !errors.Is(err, harness.ErrNotRunning) {
+		return err
+	}
+	return u.Start()
+}
