fleet: a VM that control removed joins again under a new incarnation

Cause: a VM that is cut off until its lease surely ran out is removed from the membership, and a removed VM may register only with a higher incarnation, which it got at a start only. Weighed: letting a removed VM register with its old incarnation; it may not have noticed that others held its shares meanwhile, and would go on spending them. A restart of the process; callers on open routes would be cut.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -168,7 +168,10 @@
 		Network:    d.node,
 		Proposer:   controlProposer{client: d.groups},
 		Withdrawn:  func() { d.gateway.KeysWithdrawn() },
-		Events:     d.events,
+		Rejoins: func(incarnation int64) {
+			d.ledger.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
+		},
+		Events: d.events,
 	}
 	if r, ok := d.replicas[groups.Control]; ok {
 		opts.Leader = leader{replica: r}
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -6,6 +6,8 @@
 var (
 	FleetBadConfig = define(2102, zapcore.ErrorLevel, "an accepted configuration does not pass this VM's checks",
 		"run one release on all VMs before applying files that need the newer one")
+	FleetRejoins = define(2105, zapcore.WarnLevel, "control had removed this VM from the fleet; it asks to join again",
+		"find out why the VM was cut off for so long")
 	FleetElected  = define(2103, zapcore.InfoLevel, "this VM leads the control group", "")
 	FleetResigned = define(2104, zapcore.InfoLevel, "this VM no longer leads the control group", "")
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,7 +16,6 @@
 	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/clock"
-	"egretramp/internal/config"
 	"egretramp/internal/control"
 	"egretramp/internal/events"
 	"egretramp/internal/membership"
@@ -79,8 +78,11 @@
 	Proposer Proposer
 	// Withdrawn is called, on a goroutine of its own, after keys were withdrawn.
 	Withdrawn func()
-	Events    *events.Logger
-	Clock     func() time.Duration // default clock.Now
+	// Rejoins is called, on the control goroutine, before this VM asks for a lease under a new
+	// incarnation, because control had removed it. May be nil.
+	Rejoins func(incarnation int64)
+	Events  *events.Logger
+	Clock   func() time.Duration // default clock.Now
 }
 
 // Fleet is the state of this VM's part.
@@ -98,6 +100,10 @@
 	fetching map[string]bool
 	draws    map[string]chan ratelimit.Decision
 	leading  leading
+	// ownIncarnation is this VM's in the membership: that of its start, or of its last rejoining.
+	ownIncarnation atomic.Int64
+	// registered says that the membership had this incarnation.
+	registered bool
 
 	view  atomic.Pointer[View]
 	lease atomic.Pointer[leaseView]
@@ -122,13 +128,7 @@
 		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Seed: uint64(opts.Incarnation),
 	})
 	f.tracker.SetVMs(now, opts.VMs)
-	f.holder = membership.NewHolder(now, membership.HolderOptions{
-		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation),
-		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
-	})
-	f.limiter = ratelimit.New(ratelimit.Options{
-		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Lease: f.holder,
-	})
+	f.beginIncarnation(now, opts.Incarnation)
 	f.view.Store(&View{})
 	f.publishLease(now)
 	f.publishAlive()
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -60,6 +60,7 @@
 	state := f.follower.View()
 	f.publish(state, change)
 	if change.Members {
+		f.rejoinIfRemoved(now, state.Members)
 		f.tracker.SetVMs(now, f.known(epochOf(state.Members)))
 		f.publishAlive()
 	}
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -7,6 +7,7 @@
 	"encoding/hex"
 	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -34,7 +35,7 @@
 	Proposer Proposer
 	// Reader may be nil: queries are proposed as commands then.
 	Reader Reader
-	// Owner is this run of this VM's process.
+	// Owner is this run of this VM's process; see SetOwner.
 	Owner Owner
 	// Now returns the wall time. Default time.Now.
 	Now func() time.Time
@@ -50,6 +51,7 @@
 type Ledger struct {
 	opts LedgerOptions
 
+	owner     atomic.Pointer[Owner]
 	mu        sync.Mutex
 	recorded  map[programKey]int // last known length of histories
 	abandoned []Revoke
@@ -78,7 +80,15 @@
 	if opts.NewAttempt == nil {
 		opts.NewAttempt = randomAttempt
 	}
-	return &Ledger{opts: opts, recorded: map[programKey]int{}}
+	l := &Ledger{opts: opts, recorded: map[programKey]int{}}
+	l.SetOwner(opts.Owner)
+	return l
+}
+
+// SetOwner says under which incarnation this VM acts from now on: the attempts of one that was
+// declared lost stay fenced.
+func (l *Ledger) SetOwner(o Owner) {
+	l.owner.Store(&o)
 }
 
 func randomAttempt() string {
@@ -143,7 +153,7 @@
 
 // Renew extends the leases of attempts of this VM and returns those no longer current.
 func (l *Ledger) Renew(ctx context.Context, attempts []string) (lost []string, err error) {
-	res, err := l.propose(ctx, &Envelope{Renew: &Renew{Owner: l.opts.Owner, Attempts: attempts}})
+	res, err := l.propose(ctx, &Envelope{Renew: &Renew{Owner: *l.owner.Load(), Attempts: attempts}})
 	if err != nil {
 		return nil, err
 	}
