A VM that does not reach the leader goes on through a VM that does

Cause: lease requests, commands and queries went to the leader only by the direct link. With that one link cut, a VM alone in its zone lost its lease although it saw all others, and any VM refused every call that needs the program group. Weighed: handing the leadership to a VM that all reach; that takes an election in each half cut, and with two half cuts there may be no such VM.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -210,12 +210,14 @@
 // register connects the slices to the messages and calls between VMs.
 func (d *Daemon) register() {
 	d.node.HandleMessages(groups.KindRaft, d.replicas.HandleRaft)
-	d.node.HandleCalls(groups.MethodPropose, d.replicas.HandlePropose)
-	d.node.HandleCalls(groups.MethodQuery, d.replicas.HandleQuery)
+	server := groups.Server{Replicas: d.replicas, Network: d.node}
+	d.node.HandleCalls(groups.MethodPropose, server.HandlePropose)
+	d.node.HandleCalls(groups.MethodQuery, server.HandleQuery)
 
 	d.node.HandleMessages(fleet.KindGossip, d.fleet.HandleGossip)
 	d.node.HandleMessages(fleet.KindLease, d.fleet.HandleLease)
 	d.node.HandleMessages(fleet.KindRenew, d.fleet.HandleRenew)
+	d.node.HandleMessages(fleet.KindRelay, d.fleet.HandleRelay)
 	d.node.HandleMessages(fleet.KindLimit, d.fleet.HandleLimit)
 	d.node.HandleMessages(fleet.KindDigest, d.fleet.HandleDigest)
 	d.node.HandleCalls(fleet.MethodDelta, d.fleet.HandleDelta)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -26,7 +26,8 @@
 const (
 	KindGossip   = "fleet.gossip"
 	KindLease    = "fleet.lease"
-	KindRenew    = "fleet.renew" // a lease request to control
+	KindRenew    = "fleet.renew"       // a lease request to control
+	KindRelay    = "fleet.renew_relay" // one to be passed on to the leader
 	KindLimit    = "fleet.limit"
 	KindDigest   = "fleet.digest"
 	MethodDelta  = "fleet.delta"
@@ -209,6 +210,10 @@
 	if json.Unmarshal(payload, &m) != nil {
 		return
 	}
+	if m.Answer != nil && m.Answer.VM != f.opts.VM {
+		f.opts.Network.Send(m.Answer.VM, KindLease, payload) // relayed through this VM
+		return
+	}
 	f.post(func() {
 		now := f.opts.Clock()
 		f.sendLease(f.holder.Handle(now, from, m))
@@ -239,7 +244,28 @@
 			f.opts.Network.Send(s.To, KindLease, payload)
 			continue
 		}
+		kind := KindRenew
+		if f.holder.Status(f.opts.Clock()).ContactAge >= membership.ControlSilence {
+			kind = KindRelay // the leader may only be out of reach of this VM
+		}
 		for _, vm := range f.opts.ControlVMs {
+			f.opts.Network.Send(vm, kind, payload)
+		}
+	}
+}
+
+// HandleRelay takes a lease request to control of a VM that hears nothing from the leader. The
+// answer comes back through this VM; the lease counts from the sending all the same.
+func (f *Fleet) HandleRelay(from string, payload []byte) {
+	if f.opts.Leader == nil {
+		return
+	}
+	if _, leads := f.opts.Leader.Leads(); leads {
+		f.HandleRenew(from, payload)
+		return
+	}
+	for _, vm := range f.opts.ControlVMs {
+		if vm != f.opts.VM && vm != from {
 			f.opts.Network.Send(vm, KindRenew, payload)
 		}
 	}
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -17,11 +18,21 @@
 
 	mu      sync.Mutex
 	leaders map[uint64]string
+	relays  map[uint64]relay
 }
 
+// relay is a VM that reaches a leader which this one does not.
+type relay struct {
+	vm    string
+	until time.Time // then the leader is tried itself again
+}
+
+// relayTime is how long a relay is used before the leader is tried again.
+const relayTime = 5 * time.Second
+
 // NewClient returns a client; controlVMs have the replicas, the nearest first.
 func NewClient(network Network, controlVMs []string) *Client {
-	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}}
+	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}, relays: map[uint64]relay{}}
 }
 
 // ControlVMs returns the VMs that have replicas.
@@ -42,12 +53,70 @@
 	return result, err
 }
 
-// ask tries the supposed leader, then whoever the answers name, then the other VMs.
+// ask asks the leader, or through a VM that reaches it if this one does not.
 func (c *Client) ask(ctx context.Context, method string, group uint64, data []byte) ([]byte, error) {
-	payload, err := json.Marshal(request{Group: group, Data: data})
+	if vm := c.relay(group); vm != "" {
+		result, err := c.askRelays(ctx, []string{vm}, method, group, data)
+		if err == nil || errors.Is(err, ErrUnknownOutcome) {
+			return result, err
+		}
+		c.setRelay(group, "")
+	}
+	result, reached, err := c.askLeader(ctx, method, group, data)
+	if err == nil || errors.Is(err, ErrUnknownOutcome) || len(reached) == 0 {
+		return result, err
+	}
+	return c.askRelays(ctx, reached, method, group, data)
+}
+
+// askRelays asks VMs that do not lead the group to pass a request on.
+func (c *Client) askRelays(ctx context.Context, vms []string, method string, group uint64, data []byte) ([]byte, error) {
+	payload, err := json.Marshal(request{Group: group, Data: data, Relay: true})
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotProposed)
 	}
+	for _, vm := range vms {
+		var result []byte
+		result, _, err = c.try(ctx, vm, method, payload)
+		if err == nil {
+			c.setRelay(group, vm)
+			return result, nil
+		}
+		if errors.Is(err, ErrUnknownOutcome) {
+			return nil, err
+		}
+	}
+	return nil, errors.Mark(errors.Wrapf(err, "group %d", group), ErrNotProposed)
+}
+
+func (c *Client) relay(group uint64) string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r := c.relays[group]; time.Now().Before(r.until) {
+		return r.vm
+	}
+	return ""
+}
+
+func (c *Client) setRelay(group uint64, vm string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if vm == "" {
+		delete(c.relays, group)
+		return
+	}
+	if c.relays[group].vm != vm || time.Now().After(c.relays[group].until) {
+		c.relays[group] = relay{vm, time.Now().Add(relayTime)}
+	}
+}
+
+// askLeader tries the supposed leader, then whoever the answers name, then the other VMs. It
+// also returns the VMs that answered and named a leader which this VM did not reach.
+func (c *Client) askLeader(ctx context.Context, method string, group uint64, data []byte) (_ []byte, reached []string, _ error) {
+	payload, err := json.Marshal(request{Group: group, Data: data})
+	if err != nil {
+		return nil, nil, errors.Mark(err, ErrNotProposed)
+	}
 	queue := c.candidates(group)
 	tried := map[string]bool{}
 	var last error
@@ -61,18 +130,19 @@
 		result, hint, err := c.try(ctx, vm, method, payload)
 		if err == nil {
 			c.setLeader(group, vm)
-			return result, nil
+			return result, nil, nil
 		}
 		if errors.Is(err, ErrUnknownOutcome) {
 			c.setLeader(group, "")
-			return nil, err
+			return nil, nil, err
 		}
 		last = err
 		if hint != "" {
+			reached = append(reached, vm)
 			queue = append([]string{hint}, queue...)
 		}
 	}
-	return nil, errors.Mark(errors.Wrapf(last, "group %d", group), ErrNotProposed)
+	return nil, reached, errors.Mark(errors.Wrapf(last, "group %d", group), ErrNotProposed)
 }
 
 // try asks one VM. The error wraps ErrUnknownOutcome if the request may have been proposed.
--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -54,6 +54,9 @@
 type request struct {
 	Group uint64 `json:"group"`
 	Data  []byte `json:"data"`
+	// Relay asks a VM that does not lead the group to pass the request on to the leader,
+	// because the asking VM does not reach it.
+	Relay bool `json:"relay,omitempty"`
 }
 
 // Transport sends raft messages of all groups between VMs.
@@ -84,19 +87,55 @@
 	}
 }
 
+// Server answers other VMs' commands and queries from this VM's replicas.
+type Server struct {
+	Replicas Replicas
+	Network  Network
+}
+
 // HandlePropose serves MethodPropose.
-func (r Replicas) HandlePropose(ctx context.Context, _ string, payload []byte) ([]byte, error) {
-	local, req, err := r.find(payload)
+func (s Server) HandlePropose(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	local, req, err := s.Replicas.find(payload)
 	if err != nil {
 		return nil, err
 	}
 	result, err := local.Propose(ctx, req.Data)
+	if leader := relayTo(req, err); leader != "" {
+		return s.relay(ctx, leader, MethodPropose, req)
+	}
 	return result, encodeError(err)
 }
 
+// relayTo returns the leader that a request has to be passed on to; empty if it has not.
+func relayTo(req *request, err error) string {
+	var notLeader *replica.NotLeaderError
+	if !req.Relay || !errors.As(err, &notLeader) {
+		return ""
+	}
+	return notLeader.LeaderVM
+}
+
+// relay passes a request on, once.
+func (s Server) relay(ctx context.Context, leader, method string, req *request) ([]byte, error) {
+	payload, err := json.Marshal(request{Group: req.Group, Data: req.Data})
+	if err != nil {
+		return nil, err
+	}
+	result, err := s.Network.Call(ctx, leader, method, payload)
+	var unreachable *peer.UnreachableError
+	var remote *peer.RemoteError
+	switch {
+	case err == nil, errors.As(err, &remote):
+		return result, err
+	case errors.As(err, &unreachable):
+		return nil, &peer.RemoteError{Code: codeNotLeader}
+	}
+	return nil, &peer.RemoteError{Code: codeUnknown, Message: err.Error()}
+}
+
 // HandleQuery serves MethodQuery.
-func (r Replicas) HandleQuery(ctx context.Context, _ string, payload []byte) ([]byte, error) {
-	local, req, err := r.find(payload)
+func (s Server) HandleQuery(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	local, req, err := s.Replicas.find(payload)
 	if err != nil {
 		return nil, err
 	}
@@ -106,6 +145,9 @@
 			result = q.Query(req.Data)
 		}
 	})
+	if leader := relayTo(req, err); leader != "" {
+		return s.relay(ctx, leader, MethodQuery, req)
+	}
 	return result, encodeError(err)
 }
 
