--- /dev/null
+++ b/internal/harness/admin.go
@@ -0,0 +1,96 @@
+package harness
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"os/exec"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/admin/api"
+)
+
+// operator is the name under which files are applied.
+const operator = "harness"
+
+// adminClient never reuses a connection, so that one to a killed VM is never tried again.
+var adminClient = &http.Client{
+	Timeout:   5 * time.Second,
+	Transport: &http.Transport{DisableKeepAlives: true},
+}
+
+// Vars are the counters that the harness reads of a VM; nil where the VM has none.
+type Vars struct {
+	PeerBytesSent     *int64 `json:"peer_bytes_sent"`
+	PeerBytesReceived *int64 `json:"peer_bytes_received"`
+}
+
+// Status asks the VM what it knows of itself and the fleet.
+func (v *VM) Status(ctx context.Context) (api.Status, error) {
+	var s api.Status
+	data, err := v.admin(ctx, api.PathStatus)
+	if err != nil {
+		return s, err
+	}
+	return s, errors.Wrap(json.Unmarshal(data, &s), "harness: status is not understood")
+}
+
+// errNoControl says that a VM has not heard from the control group.
+var errNoControl = errors.New("harness: VM does not hear from control")
+
+// WaitReady waits until the VM answers operators and hears from the control group, for as long
+// as ctx lasts.
+func (v *VM) WaitReady(ctx context.Context) error {
+	return v.waitFor(ctx, func(ctx context.Context) error {
+		s, err := v.Status(ctx)
+		if err != nil {
+			return err
+		}
+		if !s.ControlReachable {
+			return errNoControl
+		}
+		return nil
+	})
+}
+
+// Vars reads the VM's counters.
+func (v *VM) Vars(ctx context.Context) (Vars, error) {
+	var vars Vars
+	data, err := v.admin(ctx, api.PathVars)
+	if err != nil {
+		return vars, err
+	}
+	return vars, errors.Wrap(json.Unmarshal(data, &vars), "harness: counters are not understood")
+}
+
+func (v *VM) admin(ctx context.Context, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Settings.Listen.Admin+path, nil)
+	if err != nil {
+		return nil, errors.Wrap(err, "harness: bad administration request")
+	}
+	resp, err := adminClient.Do(req)
+	if err != nil {
+		return nil, errors.Wrapf(err, "harness: %s does not answer operators", v.Name)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return nil, errors.Wrapf(err, "harness: answer of %s broke off", v.Name)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return nil, errors.Newf("harness: %s answered %s with status %d: %.200s", v.Name, path, resp.StatusCode, data)
+	}
+	return data, nil
+}
+
+// Apply applies an operators' file through a VM, waits until it is in force everywhere, and
+// returns the tool's output.
+func (f *Fleet) Apply(ctx context.Context, vm *VM, path string) (string, error) {
+	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", path, "--wait",
+		"--operator", operator, "--admin", vm.Settings.Listen.Admin)
+	out, err := cmd.CombinedOutput()
+	return string(out), errors.Wrapf(err, "harness: egretrampctl apply failed:\n%s", indent(string(out)))
+}
