--- a/internal/events/limits.go
+++ b/internal/events/limits.go
@@ -4,11 +4,8 @@
 
 // Events of the rate limits, 1400 to 1499.
 var (
-	RateShareStarted = define(1400, zapcore.InfoLevel, "rate shares started at this VM", "")
-	RateShareStopped = define(1401, zapcore.InfoLevel, "rate shares stopped at this VM", "")
-	RateSharePending = define(1402, zapcore.WarnLevel, "rate shares wait for VMs that have not confirmed the epoch or the split",
-		"look at the membership of the VMs named; a VM that is gone for good is removed by itself")
-	RateLenderSilent = define(1403, zapcore.WarnLevel, "another zone's share holder does not reply; its share is not borrowed from", "")
+	RateSharePending = define(1400, zapcore.WarnLevel, "rate shares wait for VMs that have not confirmed the epoch or the split",
+		"look at the membership; a VM that is gone for good is removed by itself")
 )
 
 // Events of the VM membership and the leases, 2000 to 2099.
--- a/internal/membership/holder.go
+++ b/internal/membership/holder.go
@@ -252,6 +252,7 @@
 	Left       time.Duration `json:"left"`        // of the lease
 	ContactAge time.Duration `json:"contact_age"` // of the zone's contact with control
 	Behind     bool          `json:"behind"`
+	Sponsored  bool          `json:"sponsored"` // the lease comes from a VM of the zone
 	Epoch      uint64        `json:"epoch"`
 	Generation uint64        `json:"generation"`
 	Deny       DenyList      `json:"deny"`
@@ -265,6 +266,7 @@
 		Left:       max(0, h.validUntil-now),
 		ContactAge: now - h.contact,
 		Behind:     h.behind(),
+		Sponsored:  h.Valid(now) && now-h.control > LeaseDuration,
 		Epoch:      h.epoch.Number,
 		Generation: h.generation,
 		Deny:       h.deny,
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -144,6 +144,8 @@
 	z.cut["b"] = true
 	z.run(8 * time.Second)
 	require.True(t, z.valid("b"), "a renews its lease")
+	require.True(t, z.holders["b"].Status(z.now).Sponsored)
+	require.False(t, z.holders["a"].Status(z.now).Sponsored)
 	require.Empty(t, z.grantor.Removable(z.now))
 }
 
