--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -96,6 +96,7 @@
 	limiter  *ratelimit.Limiter
 	follower *control.Follower
 	fetching map[string]bool
+	asked    map[string]time.Duration // when another VM was last asked for its digest
 	draws    map[string]chan ratelimit.Decision
 	leading  leading
 
@@ -116,6 +117,7 @@
 		done:     make(chan struct{}),
 		follower: control.NewFollower(),
 		fetching: map[string]bool{},
+		asked:    map[string]time.Duration{},
 		draws:    map[string]chan ratelimit.Decision{},
 	}
 	f.tracker = membership.NewTracker(membership.TrackerOptions{
@@ -198,7 +200,7 @@
 		f.sendGossip(received.Sends)
 		f.noteAlive(received.Changes)
 		if received.Digest != nil {
-			f.compare(from, received.Digest)
+			f.compareBrief(from, received.Digest)
 		}
 	})
 }
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"bytes"
 	"context"
+	"crypto/sha256"
 	"encoding/json"
 	"time"
 
@@ -167,30 +169,65 @@
 	return all
 }
 
-// shareDigest puts the digest of the state on the heartbeats and sends it at once.
+// brief returns a short hash of the control state, which travels on the heartbeats: VMs that
+// know the same have the same.
+func (f *Fleet) brief() []byte {
+	sum := sha256.Sum256(mustMarshal(f.follower.Digest()))
+	return sum[:briefBytes]
+}
+
+const briefBytes = 8
+
+// shareDigest puts the state's brief on the heartbeats, and tells the other VMs at once.
 func (f *Fleet) shareDigest() {
-	digest := mustMarshal(f.follower.Digest())
-	f.tracker.SetDigest(digest)
-	for _, vm := range f.opts.VMs {
-		if vm.Name != f.opts.VM {
-			f.opts.Network.Send(vm.Name, KindDigest, digest)
-		}
+	f.tracker.SetDigest(f.brief())
+	message := mustMarshal(digestMessage{Digest: f.follower.Digest()})
+	for _, vm := range f.tracker.Contacts(shareContacts) {
+		f.opts.Network.Send(vm, KindDigest, message)
 	}
 }
 
+// shareContacts is how many VMs are told at once of a change; the heartbeats tell the rest.
+const shareContacts = 16
+
+// digestMessage says what its sender knows. Ask wants the receiver's in return.
+type digestMessage struct {
+	Digest control.Digest `json:"digest"`
+	Ask    bool           `json:"ask,omitempty"`
+}
+
+// askInterval is the least time between two questions to the same VM.
+const askInterval = 200 * time.Millisecond
+
+// compareBrief asks a VM that knows something else for its digest.
+func (f *Fleet) compareBrief(from string, theirs []byte) {
+	now := f.opts.Clock()
+	if bytes.Equal(theirs, f.brief()) || now-f.asked[from] < askInterval {
+		return
+	}
+	f.asked[from] = now
+	f.opts.Network.Send(from, KindDigest, mustMarshal(digestMessage{Digest: f.follower.Digest(), Ask: true}))
+}
+
 // HandleDigest takes another VM's digest.
 func (f *Fleet) HandleDigest(from string, payload []byte) {
-	f.post(func() { f.compare(from, payload) })
+	var m digestMessage
+	if json.Unmarshal(payload, &m) != nil {
+		return
+	}
+	f.post(func() {
+		own := f.follower.Digest()
+		if m.Ask && own.Ahead(m.Digest) {
+			f.opts.Network.Send(from, KindDigest, mustMarshal(digestMessage{Digest: own}))
+		}
+		f.compare(from, m.Digest)
+	})
 }
 
 // compare fetches what another VM knows beyond this one.
-func (f *Fleet) compare(from string, payload []byte) {
-	var theirs control.Digest
-	if json.Unmarshal(payload, &theirs) != nil || f.fetching[from] {
-		return
-	}
+func (f *Fleet) compare(from string, theirs control.Digest) {
 	own := f.follower.Digest()
-	if !theirs.Ahead(own) {
+	if f.fetching[from] || !theirs.Ahead(own) {
 		return
 	}
 	f.fetching[from] = true
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -68,6 +68,11 @@
 	return names[:min(n, len(names))]
 }
 
+// Contacts returns up to n usable VMs, chosen at random.
+func (t *Tracker) Contacts(n int) []string {
+	return t.pick(n, func(p *peer) bool { return p.state <= Suspect })
+}
+
 func (t *Tracker) count(ok func(*peer) bool) int {
 	n := 0
 	for _, p := range t.peers {
