Go through a third VM while a link between two VMs is down

Ruled out: the tracker, which held nobody for dead. Messages and calls now take one hop through a VM connected to both; a call is never sent on twice.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -21,14 +21,29 @@
 	if l == nil {
 		return nil, &UnreachableError{VM: vm, Cause: errors.New("unknown VM")}
 	}
-	if n.isCut(vm) {
-		return nil, &UnreachableError{VM: vm, Cause: errCut}
-	}
 	n.stats.CallsMade.Add(1)
-	return l.call(ctx, &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload})
+	req := &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload}
+	if !l.up.Load() {
+		// A connection that is down mostly takes a whole timeout to fail.
+		if result, err, ok := n.callThroughOthers(ctx, vm, req); ok {
+			return result, err
+		}
+		return l.call(ctx, req)
+	}
+	result, err := l.call(ctx, req)
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) {
+		if result, err, ok := n.callThroughOthers(ctx, vm, req); ok {
+			return result, err
+		}
+	}
+	return result, err
 }
 
 func (l *link) call(ctx context.Context, req *peerpb.CallRequest) ([]byte, error) {
+	if l.node.isCut(l.vm) {
+		return nil, &UnreachableError{VM: l.vm, Cause: errCut}
+	}
 	conn := l.takeIdle()
 	if conn == nil {
 		var err error
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -30,7 +30,7 @@
 type link struct {
 	node  *Node
 	vm    string
-	queue chan *peerpb.Envelope
+	queue chan queued
 	up    atomic.Bool
 
 	mu      sync.Mutex
@@ -38,13 +38,19 @@
 	idle    []idleConn
 }
 
+// queued is a message that waits to be sent.
+type queued struct {
+	envelope *peerpb.Envelope
+	since    time.Time
+}
+
 type idleConn struct {
 	conn  *drpcconn.Conn
 	since time.Time
 }
 
 func newLink(n *Node, vm, address string) *link {
-	return &link{node: n, vm: vm, address: address, queue: make(chan *peerpb.Envelope, queueLength)}
+	return &link{node: n, vm: vm, address: address, queue: make(chan queued, queueLength)}
 }
 
 func (l *link) setAddress(address string) {
@@ -56,7 +62,7 @@
 func (l *link) enqueue(kind string, payload []byte) {
 	envelope := &peerpb.Envelope{From: l.node.opts.VM, Kind: kind, Payload: payload}
 	select {
-	case l.queue <- envelope:
+	case l.queue <- queued{envelope: envelope, since: time.Now()}:
 	default:
 		l.node.stats.MessagesDropped.Add(1)
 	}
@@ -138,7 +144,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case envelope = <-l.queue:
+		case next := <-l.queue:
+			if time.Since(next.since) > queueAge {
+				l.node.stats.MessagesDropped.Add(1)
+				continue
+			}
+			envelope = next.envelope
 		case <-heartbeat.C:
 		}
 		if l.node.isCut(l.vm) {
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -8,6 +8,9 @@
 //
 // Messages from one VM to another keep their order while the stream lives. Nothing is
 // delivered twice. A full queue drops messages; their senders must repeat what matters.
+//
+// While the stream to a VM is down, messages and calls to it go through a third VM that is
+// connected to both, so that one cut link between two VMs separates nobody.
 package peer
 
 import (
@@ -25,11 +28,13 @@
 
 // Timing of the message streams.
 const (
-	HeartbeatInterval = time.Second
-	SilenceLimit      = 3 * time.Second
+	HeartbeatInterval = 500 * time.Millisecond
+	SilenceLimit      = 2 * time.Second
 	DialTimeout       = time.Second
 	redialDelay       = 200 * time.Millisecond
 	queueLength       = 4096 // messages to one VM
+	// queueAge is how long a message waits for a connection; an older one is dropped.
+	queueAge = time.Second
 )
 
 // MessageHandler takes one message. It runs on the goroutine of the sender's stream and must not block.
@@ -53,6 +58,7 @@
 	calls    map[string]CallHandler
 	stats    Stats
 	cut      atomic.Pointer[map[string]bool]
+	rotation atomic.Uint64 // of the relays
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -66,6 +72,7 @@
 	MessagesSent     atomic.Int64
 	MessagesReceived atomic.Int64
 	MessagesDropped  atomic.Int64
+	MessagesRelayed  atomic.Int64 // on behalf of other VMs
 	CallsMade        atomic.Int64
 	CallsServed      atomic.Int64
 }
@@ -79,6 +86,8 @@
 		links:    map[string]*link{},
 	}
 	n.cut.Store(&map[string]bool{})
+	n.messages[kindRelay] = n.handleRelay
+	n.calls[methodRelay] = n.handleRelayedCall
 	for vm, address := range opts.Peers {
 		n.AddPeer(vm, address)
 	}
@@ -189,16 +198,19 @@
 		return
 	}
 	l := n.link(vm)
-	if l == nil || n.isCut(vm) {
+	if l == nil {
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
+	if !l.up.Load() && n.relay(vm, kind, payload) {
+		return
+	}
 	l.enqueue(kind, payload)
 }
 
 func (n *Node) deliver(from, kind string, payload []byte) {
 	h, ok := n.messages[kind]
-	if !ok || n.isCut(from) {
+	if !ok {
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -193,3 +193,59 @@
 	_, err = b.Call(ctx, "a", "echo", nil)
 	require.NoError(t, err)
 }
+
+func TestNode_ThirdVMRelaysAroundACut(t *testing.T) {
+	listeners := map[string]net.Listener{"a": listen(t), "b": listen(t), "c": listen(t)}
+	peers := map[string]string{}
+	for vm, l := range listeners {
+		peers[vm] = l.Addr().String()
+	}
+	nodes := map[string]*Node{}
+	received := make(chan string, 1024)
+	var calls atomic.Int64
+	for vm, l := range listeners {
+		n := New(Options{VM: vm, Peers: peers})
+		n.HandleMessages("note", func(from string, payload []byte) { received <- vm + from + string(payload) })
+		n.HandleCalls("echo", func(_ context.Context, from string, p []byte) ([]byte, error) {
+			calls.Add(1)
+			return append([]byte(from), p...), nil
+		})
+		n.HandleCalls("refuse", func(context.Context, string, []byte) ([]byte, error) {
+			return nil, &RemoteError{Code: "nope", Message: "refused"}
+		})
+		nodes[vm] = n
+		serveNode(t, n, l)
+	}
+	connected := func(a, b string) func() bool { return func() bool { return nodes[a].Connected(b) } }
+	for _, pair := range [][2]string{{"a", "b"}, {"b", "a"}, {"a", "c"}, {"c", "a"}, {"b", "c"}, {"c", "b"}} {
+		require.Eventually(t, connected(pair[0], pair[1]), waitLimit, 10*time.Millisecond)
+	}
+	nodes["a"].Cut([]string{"b"})
+	nodes["b"].Cut([]string{"a"})
+	require.Eventually(t, func() bool { return !nodes["a"].Connected("b") }, waitLimit, 10*time.Millisecond)
+
+	nodes["a"].Send("b", "note", []byte("x"))
+	select {
+	case got := <-received:
+		require.Equal(t, "bax", got, "delivered once, as the sender's own")
+	case <-time.After(waitLimit):
+		t.Fatal("the message was not relayed")
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+	defer cancel()
+	result, err := nodes["a"].Call(ctx, "b", "echo", []byte("x"))
+	require.NoError(t, err)
+	require.Equal(t, "ax", string(result))
+	require.Equal(t, int64(1), calls.Load())
+	_, err = nodes["a"].Call(ctx, "b", "refuse", nil)
+	var remote *RemoteError
+	require.ErrorAs(t, err, &remote)
+	require.Equal(t, "nope", remote.Code)
+
+	nodes["c"].Cut([]string{"b"})
+	require.Eventually(t, func() bool { return !nodes["c"].Connected("b") }, waitLimit, 10*time.Millisecond)
+	_, err = nodes["a"].Call(ctx, "b", "echo", nil)
+	var unreachable *UnreachableError
+	require.ErrorAs(t, err, &unreachable, "nobody reaches the isolated VM")
+	require.Empty(t, received)
+}
--- /dev/null
+++ b/internal/peer/relay.go
@@ -0,0 +1,125 @@
+package peer
+
+import (
+	"context"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"egretramp/internal/peer/peerpb"
+)
+
+const (
+	kindRelay   = "peer.relay"
+	methodRelay = "peer.relay"
+	// maxRelays bounds the VMs that one call is tried through.
+	maxRelays = 2
+)
+
+// Codes of a relay's own errors.
+const (
+	codeRelayUnreachable = "relay_unreachable" // the call surely did not arrive
+	codeRelayLost        = "relay_lost"        // it may have run
+)
+
+// relays returns up to n connected VMs other than vm, a different first one each time.
+func (n *Node) relays(vm string, most int) []string {
+	var connected []string
+	for _, name := range n.VMs() {
+		if name != vm && n.Connected(name) {
+			connected = append(connected, name)
+		}
+	}
+	if len(connected) == 0 {
+		return nil
+	}
+	start := int(n.rotation.Add(1) % uint64(len(connected)))
+	rotated := append(connected[start:len(connected):len(connected)], connected[:start]...)
+	return rotated[:min(most, len(rotated))]
+}
+
+// relay sends a message through a third VM; false if none is connected.
+func (n *Node) relay(vm, kind string, payload []byte) bool {
+	through := n.relays(vm, 1)
+	if len(through) == 0 {
+		return false
+	}
+	data, err := proto.Marshal(&peerpb.Relayed{
+		To:       vm,
+		Envelope: &peerpb.Envelope{From: n.opts.VM, Kind: kind, Payload: payload},
+	})
+	if err != nil {
+		return false
+	}
+	n.link(through[0]).enqueue(kindRelay, data)
+	return true
+}
+
+// handleRelay delivers a relayed message or passes it on to a VM that is connected. A message
+// is passed on once.
+func (n *Node) handleRelay(_ string, payload []byte) {
+	var r peerpb.Relayed
+	if proto.Unmarshal(payload, &r) != nil || r.Envelope == nil {
+		return
+	}
+	if r.To == n.opts.VM {
+		n.deliver(r.Envelope.From, r.Envelope.Kind, r.Envelope.Payload)
+		return
+	}
+	l := n.link(r.To)
+	if l == nil || !l.up.Load() {
+		n.stats.MessagesDropped.Add(1)
+		return
+	}
+	n.stats.MessagesRelayed.Add(1)
+	l.enqueue(kindRelay, payload)
+}
+
+// callThroughOthers tries a call through other VMs; ok is false if it surely did not arrive.
+func (n *Node) callThroughOthers(ctx context.Context, vm string, req *peerpb.CallRequest) (result []byte, err error, ok bool) {
+	payload, err := proto.Marshal(&peerpb.RelayedCall{To: vm, Request: req})
+	if err != nil {
+		return nil, err, false
+	}
+	for _, through := range n.relays(vm, maxRelays) {
+		outer := &peerpb.CallRequest{From: n.opts.VM, Method: methodRelay, Payload: payload}
+		result, err := n.link(through).call(ctx, outer)
+		var unreachable *UnreachableError
+		var remote *RemoteError
+		switch {
+		case errors.As(err, &unreachable):
+			continue
+		case errors.As(err, &remote) && remote.Code == codeRelayUnreachable:
+			continue
+		case errors.As(err, &remote) && remote.Code == codeRelayLost:
+			return nil, &LostError{VM: vm, Cause: remote}, true
+		}
+		return result, err, true
+	}
+	return nil, nil, false
+}
+
+// handleRelayedCall makes a call on behalf of another VM, on a direct connection only.
+func (n *Node) handleRelayedCall(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var r peerpb.RelayedCall
+	if err := proto.Unmarshal(payload, &r); err != nil || r.Request == nil {
+		return nil, &RemoteError{Code: codeRelayUnreachable, Message: "the relayed call could not be read"}
+	}
+	if r.To == n.opts.VM {
+		return n.serveCall(ctx, r.Request.From, r.Request.Method, r.Request.Payload)
+	}
+	l := n.link(r.To)
+	if l == nil || !l.up.Load() {
+		return nil, &RemoteError{Code: codeRelayUnreachable, Message: "VM " + r.To + " is not connected"}
+	}
+	result, err := l.call(ctx, &peerpb.CallRequest{From: n.opts.VM, Method: methodRelay, Payload: payload})
+	var unreachable *UnreachableError
+	var lost *LostError
+	switch {
+	case errors.As(err, &unreachable):
+		return nil, &RemoteError{Code: codeRelayUnreachable, Message: err.Error()}
+	case errors.As(err, &lost):
+		return nil, &RemoteError{Code: codeRelayLost, Message: err.Error()}
+	}
+	return result, err
+}
