program: a revoke after its program was forgotten does not say that nothing ran

Found by seed 52100: an attempt was given up before its Begin was answered, and its revoke came after the retention of a program whose turn had run.

--- a/internal/program/machine_test.go
+++ b/internal/program/machine_test.go
@@ -157,6 +157,19 @@
 	require.Equal(t, CodeTooMany, one("call:other", "u", true).Code)
 }
 
+func TestMachine_RevokeAfterRetentionSaysUnknown(t *testing.T) {
+	b := newBench(t, DefaultLimits())
+	b.create("p", "", Budget{})
+	b.begin("p", 1, "x", nil)
+	b.complete("p", "x", 1)
+	b.apply(Envelope{End: &End{Account: "a", Program: "p"}})
+	b.nowMS += DefaultLimits().Retention.Milliseconds()
+	b.apply(Envelope{Tick: &Tick{}})
+	res := b.apply(Envelope{Revoke: &Revoke{Account: "a", Program: "p", Attempt: "y"}})
+	require.Equal(t, CodeOK, res.Code)
+	require.True(t, res.MayHaveRun)
+}
+
 func TestMachine_RestoreRefusesDamage(t *testing.T) {
 	b := newBench(t, DefaultLimits())
 	b.create("p", "", Budget{})
--- a/internal/program/settle.go
+++ b/internal/program/settle.go
@@ -49,9 +49,13 @@
 		m.bury(c.Attempt, deadRevoked)
 	}
 	res := ok()
-	// Another attempt of the same request may have started since; the command does not tell
-	// which request it was, so anything that ran counts.
-	res.MayHaveRun = p != nil && (len(p.turns) > 0 || p.next.running != nil || p.next.ranHash != "" || p.strayRan)
+	// Another attempt of the same request may have started before or since; the command does not
+	// tell which request it was, so anything that ran counts, in a forgotten program too.
+	if p == nil {
+		res.MayHaveRun = m.noProgram(c.Account, c.Program).MayHaveRun
+		return res
+	}
+	res.MayHaveRun = len(p.turns) > 0 || p.next.running != nil || p.next.ranHash != "" || p.strayRan
 	return res
 }
 
