Upstreams: bound announcements, keep names to their class, drop left pools; tests under failure

Found by the new tests: a goodbye without served names, and a change of what is served, left the upstream in its pools; a resumption whose connection was refused was reported as a call that was never written, hence not run; an error event and an event above the limit were taken for a crossed answer and for a broken connection; a long answer with more than 16 stalls was given up; log probabilities and reasoning were lost in whole answers; requests waited on in pools without upstreams.

Floods were bounded by sender, upstream and class. Weighed: one bound for all, by which one class starves the others. An engine's error status need not echo the attempt; a service's must.

--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -114,8 +114,9 @@
 	}
 }
 
-// Announce takes a verified announcement and passes it to the dispatchers of its pools.
-func (h *Host) Announce(a wire.Announcement) {
+// Announce takes a verified announcement and passes it to the dispatchers of its pools. It
+// reports whether there are any: a zone without live VMs has none.
+func (h *Host) Announce(a wire.Announcement) bool {
 	payload := mustMarshal(a)
 	sent := map[string]bool{}
 	for _, served := range a.Serves {
@@ -125,6 +126,7 @@
 			h.opts.Network.Send(ranked[0], KindAnnounce, payload)
 		}
 	}
+	return len(sent) > 0 || len(a.Serves) == 0
 }
 
 // HandleAnnounce takes an announcement from another VM.
@@ -195,32 +197,60 @@
 
 func (h *Host) offer(a wire.Announcement) {
 	now := h.opts.Clock()
-	_, known := h.directory.Get(a.Upstream)
-	change, ok := h.directory.Offer(now, a)
-	if !ok {
+	change, err := h.directory.Offer(now, a)
+	if errors.Is(err, upstream.ErrNameTaken) {
+		h.opts.Events.Emit(events.UpstreamNameTaken, zap.String("upstream", a.Upstream), zap.String("class", a.Class))
+	}
+	if err != nil {
 		return
 	}
 	switch {
-	case change.Removed:
+	case change.Removed && change.Previous != nil:
 		h.opts.Events.Emit(events.UpstreamLeft, zap.String("upstream", a.Upstream))
-	case !known:
+	case !change.Removed && change.Previous == nil:
 		h.opts.Events.Emit(events.UpstreamJoined, zap.String("upstream", a.Upstream), zap.String("zone", a.Zone))
 	}
 	h.apply(now, change)
 }
 
-// apply carries a change of the directory into the pools.
+// apply carries a change of the directory into the pools: those that the upstream has left
+// drop it, whether it departed or serves something else now.
 func (h *Host) apply(now time.Duration, c upstream.Change) {
-	a := c.Record.Announcement
-	for _, served := range a.Serves {
-		key := upstream.Pool{Zone: a.Zone, Kind: a.Kind, Name: served}
-		p := h.pool(key)
-		if c.Removed {
-			p.RemoveReplica(now, a.Upstream)
-		} else {
-			p.SetReplica(now, h.replica(c.Record, served))
+	serving := map[upstream.Pool]bool{}
+	if !c.Removed {
+		for _, key := range c.Record.Pools() {
+			serving[key] = true
+			p := h.pool(key)
+			p.SetReplica(now, h.replica(c.Record, key.Name))
+			h.plan(now, key, p)
+		}
+	}
+	if c.Previous == nil {
+		return
+	}
+	for _, key := range c.Previous.Pools() {
+		if serving[key] {
+			continue
 		}
+		p := h.pool(key)
+		p.RemoveReplica(now, c.Record.Upstream)
 		h.plan(now, key, p)
+		h.turnAway(now, p)
+	}
+}
+
+// turnAway sends the requests that wait in a pool without upstreams to other pools.
+func (h *Host) turnAway(now time.Duration, p *pool) {
+	if p.Load().Replicas > 0 {
+		return
+	}
+	for id, r := range p.requests {
+		if r.reply.State != StateQueued {
+			continue
+		}
+		p.Cancel(now, id)
+		delete(p.requests, id)
+		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: id, State: StateNoUpstream}))
 	}
 }
 
--- /dev/null
+++ b/internal/dispatch/host_test.go
@@ -0,0 +1,113 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"egretramp/internal/config"
+	"egretramp/internal/events"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+// hostTest drives a host's events one by one, without its goroutine.
+type hostTest struct {
+	*Host
+	t    *testing.T
+	now  time.Duration
+	sent []Reply
+}
+
+func newHostTest(t *testing.T) *hostTest {
+	h := &hostTest{t: t}
+	h.Host = NewHost(HostOptions{
+		VM: "vm1", Network: h, Locator: h, Events: events.FromZap(zap.NewNop()),
+		Clock: func() time.Duration { return h.now },
+	})
+	return h
+}
+
+// Send implements Network.
+func (h *hostTest) Send(_, kind string, payload []byte) {
+	if kind != KindGrant {
+		return
+	}
+	var r Reply
+	require.NoError(h.t, json.Unmarshal(payload, &r))
+	h.sent = append(h.sent, r)
+}
+
+// Call implements Network.
+func (h *hostTest) Call(context.Context, string, string, []byte) ([]byte, error) { return nil, nil }
+
+// Dispatchers implements Locator.
+func (h *hostTest) Dispatchers(p upstream.Pool) []string {
+	if p.Zone != "z1" {
+		return nil
+	}
+	return []string{"vm1"}
+}
+
+// VMs implements Locator.
+func (h *hostTest) VMs() []string { return nil }
+
+func announcement(name string, sequence uint64, slots int, serves ...string) wire.Announcement {
+	return wire.Announcement{
+		Upstream: name, Class: "engines", Incarnation: 1, Sequence: sequence, Zone: "z1", Kind: config.KindEngine,
+		Address: "10.0.0.1:80", Serves: serves, Limits: wire.Limits{Slots: slots},
+	}
+}
+
+func poolOf(model string) upstream.Pool {
+	return upstream.Pool{Zone: "z1", Kind: config.KindEngine, Name: model}
+}
+
+func (h *hostTest) ask(id, model string) Reply {
+	e := Enqueue{Pool: poolOf(model), Request: schedule.Request{ID: id, Account: "ana", Weight: 1}}
+	h.enqueue("vm2", e)
+	return h.answer(e)
+}
+
+func TestHost_PoolsThatAnUpstreamLeftDropIt(t *testing.T) {
+	h := newHostTest(t)
+	h.offer(announcement("e1", 1, 1, "m1", "m2"))
+	h.offer(announcement("e2", 1, 1, "m1"))
+	require.Equal(t, StateGranted, h.ask("r1", "m2").State)
+
+	h.offer(announcement("e1", 2, 1, "m1"))
+	require.Equal(t, StateNoUpstream, h.ask("r2", "m2").State, "it serves m1 only now")
+
+	leaving := announcement("e1", 3, 1)
+	leaving.Goodbye = true
+	h.offer(leaving)
+	require.Equal(t, 1, h.pool(poolOf("m1")).Load().Replicas, "a goodbye without names leaves all pools")
+
+	h.now = upstream.SilenceLimit + 1
+	h.tick()
+	require.Equal(t, StateNoUpstream, h.ask("r3", "m1").State, "e2 fell silent")
+}
+
+func TestHost_WaitingRequestsLeaveAnEmptyPool(t *testing.T) {
+	h := newHostTest(t)
+	h.offer(announcement("e1", 1, 1, "m1"))
+	require.Equal(t, StateGranted, h.ask("r1", "m1").State)
+	require.Equal(t, StateQueued, h.ask("r2", "m1").State)
+	h.now = upstream.SilenceLimit + 1
+	h.sent = nil
+	h.tick()
+	require.Equal(t, []Reply{{RequestID: "r2", State: StateNoUpstream}}, h.sent, "another zone may serve it")
+}
+
+func TestHost_AnnounceSaysWhetherAnyoneDispatches(t *testing.T) {
+	h := newHostTest(t)
+	a := announcement("e1", 1, 1, "m1")
+	require.True(t, h.Announce(a))
+	a.Zone = "z9"
+	require.False(t, h.Announce(a))
+}
--- a/internal/events/upstream.go
+++ b/internal/events/upstream.go
@@ -9,4 +9,8 @@
 	UpstreamSilent      = define(1502, zapcore.WarnLevel, "upstream fell silent", "check the upstream's process and network")
 	AnnouncementRefused = define(1503, zapcore.WarnLevel, "announcement refused",
 		"compare the upstream's class, secret, zone and served names with the operators' file")
+	UpstreamNameTaken = define(1504, zapcore.WarnLevel, "announcement dropped: an upstream of another class has its name",
+		"give each upstream a name of its own; if the names are right, find out who holds the class's secret")
+	AnnouncementsFlooding = define(1505, zapcore.WarnLevel, "announcements refused because too many came",
+		"find the sender; other upstreams are not affected")
 )
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -331,7 +331,7 @@
 		Idempotency: call.id,
 	}, body)
 	defer stream.Close()
-	err = pass(ctx, stream, a, call.sink)
+	err = pass(ctx, stream, a, call)
 	if err != nil && !isLost(err) {
 		// The engine may still generate for this attempt, whose answer nobody will take.
 		stream.Cancel()
@@ -348,7 +348,7 @@
 }
 
 // pass hands each chunk to the sink until the answer is whole.
-func pass(ctx context.Context, stream *upstream.Stream, a *upstream.Assembler, out sink) error {
+func pass(ctx context.Context, stream *upstream.Stream, a *upstream.Assembler, call *chatCall) error {
 	for {
 		data, err := stream.Next(ctx)
 		if err == io.EOF {
@@ -360,9 +360,9 @@
 		if err := a.Add(data); err != nil {
 			return err
 		}
-		out.chunk(data)
+		call.sink.chunk(data)
 	}
-	if !a.Finished() {
+	if !a.Finished(call.request.choices) {
 		return upstream.ErrBroken
 	}
 	return nil
@@ -389,6 +389,9 @@
 	if ctx.Err() != nil {
 		return failed("ended", "the call ended before its answer was whole", refusal.Unknown), false
 	}
+	if errors.Is(err, upstream.ErrTooLarge) {
+		return failed("answer_too_large", err.Error(), refusal.Unknown), false
+	}
 	return failed("upstream_failed", "the engine broke the answer off", refusal.Unknown), true
 }
 
--- a/internal/upstream/assemble.go
+++ b/internal/upstream/assemble.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"sort"
+	"strings"
 
 	"github.com/cockroachdb/errors"
 )
@@ -23,6 +24,7 @@
 	choices map[int]*choice
 	usage   *Usage
 	raw     json.RawMessage // usage as the engine sent it
+	size    int             // of all chunks, in bytes
 }
 
 type completionHead struct {
@@ -36,10 +38,10 @@
 type streamChunk struct {
 	completionHead
 	Choices []struct {
-		Index        int             `json:"index"`
-		Delta        delta           `json:"delta"`
-		FinishReason *string         `json:"finish_reason"`
-		LogProbs     json.RawMessage `json:"logprobs"`
+		Index        int       `json:"index"`
+		Delta        delta     `json:"delta"`
+		FinishReason *string   `json:"finish_reason"`
+		LogProbs     *logProbs `json:"logprobs"`
 	} `json:"choices"`
 	Usage json.RawMessage `json:"usage"`
 }
@@ -47,30 +49,57 @@
 type delta struct {
 	Role      string          `json:"role"`
 	Content   *string         `json:"content"`
+	Reasoning *string         `json:"reasoning_content"`
 	Refusal   *string         `json:"refusal"`
 	ToolCalls []toolCallDelta `json:"tool_calls"`
 }
 
 type toolCallDelta struct {
-	Index    int    `json:"index"`
-	ID       string `json:"id"`
-	Type     string `json:"type"`
-	Function struct {
-		Name      string `json:"name"`
-		Arguments string `json:"arguments"`
-	} `json:"function"`
+	Index    int          `json:"index"`
+	ID       string       `json:"id"`
+	Type     string       `json:"type"`
+	Function toolFunction `json:"function"`
 }
 
 type choice struct {
-	role, content, refusal string
-	hasContent, hasRefusal bool
-	tools                  map[int]*toolCallDelta
-	finish                 *string
+	role                        string
+	content, reasoning, refusal text
+	tools                       map[int]*toolCall
+	logProbs                    *logProbs
+	finish                      *string
+}
+
+// text is a string that comes in parts; nil until the first one.
+type text struct{ parts *strings.Builder }
+
+func (t *text) add(part *string) {
+	if part == nil {
+		return
+	}
+	if t.parts == nil {
+		t.parts = &strings.Builder{}
+	}
+	t.parts.WriteString(*part)
+}
+
+func (t *text) whole() *string {
+	if t.parts == nil {
+		return nil
+	}
+	s := t.parts.String()
+	return &s
+}
+
+// logProbs are the log probabilities of the tokens, which come in parts as the text does.
+type logProbs struct {
+	Content []json.RawMessage `json:"content"`
+	Refusal []json.RawMessage `json:"refusal"`
 }
 
 type message struct {
 	Role      string     `json:"role"`
 	Content   *string    `json:"content"`
+	Reasoning *string    `json:"reasoning_content,omitempty"`
 	Refusal   *string    `json:"refusal,omitempty"`
 	ToolCalls []toolCall `json:"tool_calls,omitempty"`
 }
@@ -87,9 +116,10 @@
 }
 
 type wholeChoice struct {
-	Index        int     `json:"index"`
-	Message      message `json:"message"`
-	FinishReason *string `json:"finish_reason"`
+	Index        int       `json:"index"`
+	Message      message   `json:"message"`
+	LogProbs     *logProbs `json:"logprobs,omitempty"`
+	FinishReason *string   `json:"finish_reason"`
 }
 
 type completion struct {
@@ -103,11 +133,24 @@
 	return &Assembler{choices: map[int]*choice{}}
 }
 
-// ErrBadChunk says that a chunk is not of the published shape.
-var ErrBadChunk = errors.New("a chunk is not of the expected shape")
+// Errors of Add.
+var (
+	ErrBadChunk = errors.New("a chunk is not of the expected shape")
+	ErrTooLarge = errors.New("the answer's chunks are larger than 64 MiB together")
+)
+
+const (
+	// maxAnswerBytes bounds the chunks of an answer together.
+	maxAnswerBytes = 64 << 20
+	maxChoices     = 16
+)
 
-// Add takes the next chunk's payload.
+// Add takes the next chunk's payload. Errors: ErrBadChunk, ErrTooLarge.
 func (a *Assembler) Add(data []byte) error {
+	a.size += len(data)
+	if a.size > maxAnswerBytes {
+		return ErrTooLarge
+	}
 	var c streamChunk
 	if err := json.Unmarshal(data, &c); err != nil {
 		return errors.WithSecondaryError(ErrBadChunk, err)
@@ -116,8 +159,12 @@
 		a.head = c.completionHead
 	}
 	for _, part := range c.Choices {
+		if part.Index < 0 || part.Index >= maxChoices {
+			return errors.Wrap(ErrBadChunk, "choice index out of range")
+		}
 		state := a.choice(part.Index)
 		state.add(part.Delta)
+		state.addLogProbs(part.LogProbs)
 		if part.FinishReason != nil {
 			state.finish = part.FinishReason
 		}
@@ -135,7 +182,7 @@
 func (a *Assembler) choice(index int) *choice {
 	state, ok := a.choices[index]
 	if !ok {
-		state = &choice{role: "assistant", tools: map[int]*toolCallDelta{}}
+		state = &choice{role: "assistant", tools: map[int]*toolCall{}}
 		a.choices[index] = state
 	}
 	return state
@@ -145,18 +192,13 @@
 	if d.Role != "" {
 		c.role = d.Role
 	}
-	if d.Content != nil {
-		c.content += *d.Content
-		c.hasContent = true
-	}
-	if d.Refusal != nil {
-		c.refusal += *d.Refusal
-		c.hasRefusal = true
-	}
+	c.content.add(d.Content)
+	c.reasoning.add(d.Reasoning)
+	c.refusal.add(d.Refusal)
 	for _, t := range d.ToolCalls {
 		known, ok := c.tools[t.Index]
 		if !ok {
-			known = &toolCallDelta{Index: t.Index, Type: "function"}
+			known = &toolCall{Type: "function"}
 			c.tools[t.Index] = known
 		}
 		if t.ID != "" {
@@ -170,13 +212,23 @@
 	}
 }
 
-func (c *choice) message() message {
-	m := message{Role: c.role}
-	if c.hasContent {
-		m.Content = &c.content
+func (c *choice) addLogProbs(p *logProbs) {
+	if p == nil {
+		return
+	}
+	if c.logProbs == nil {
+		c.logProbs = &logProbs{}
 	}
-	if c.hasRefusal {
-		m.Refusal = &c.refusal
+	c.logProbs.Content = append(c.logProbs.Content, p.Content...)
+	c.logProbs.Refusal = append(c.logProbs.Refusal, p.Refusal...)
+}
+
+func (c *choice) message() message {
+	m := message{
+		Role:      c.role,
+		Content:   c.content.whole(),
+		Reasoning: c.reasoning.whole(),
+		Refusal:   c.refusal.whole(),
 	}
 	indexes := make([]int, 0, len(c.tools))
 	for i := range c.tools {
@@ -184,20 +236,19 @@
 	}
 	sort.Ints(indexes)
 	for _, i := range indexes {
-		t := c.tools[i]
-		m.ToolCalls = append(m.ToolCalls, toolCall{ID: t.ID, Type: t.Type, Function: toolFunction(t.Function)})
+		m.ToolCalls = append(m.ToolCalls, *c.tools[i])
 	}
 	return m
 }
 
-// Finished reports whether every choice has its finish reason: the answer is whole.
-func (a *Assembler) Finished() bool {
+// Finished reports whether the answer is whole: so many choices, each with its finish reason.
+func (a *Assembler) Finished(choices int) bool {
 	for _, c := range a.choices {
 		if c.finish == nil {
 			return false
 		}
 	}
-	return len(a.choices) > 0
+	return len(a.choices) == choices
 }
 
 // Usage returns the engine's count; false if it sent none.
@@ -224,7 +275,7 @@
 	sort.Ints(indexes)
 	for _, i := range indexes {
 		c := a.choices[i]
-		whole.Choices = append(whole.Choices, wholeChoice{Index: i, Message: c.message(), FinishReason: c.finish})
+		whole.Choices = append(whole.Choices, wholeChoice{Index: i, Message: c.message(), LogProbs: c.logProbs, FinishReason: c.finish})
 	}
 	return json.Marshal(whole)
 }
--- a/internal/upstream/caller.go
+++ b/internal/upstream/caller.go
@@ -56,16 +56,46 @@
 // Do sends one request and returns the response once its headers came. The response must echo
 // the request's attempt. Errors: *CallError.
 func (c *Caller) Do(req *http.Request) (*http.Response, error) {
+	resp, err := c.send(req)
+	if err != nil {
+		return nil, err
+	}
+	if echoed, attempt := resp.Header.Get(wire.HeaderAttempt), req.Header.Get(wire.HeaderAttempt); echoed != attempt {
+		return nil, crossed(resp)
+	}
+	return resp, nil
+}
+
+// doEngine is Do for engines: an error status may lack the attempt, as when the engine's HTTP
+// framework refused. One that names another attempt is crossed.
+func (c *Caller) doEngine(req *http.Request) (*http.Response, error) {
+	resp, err := c.send(req)
+	if err != nil {
+		return nil, err
+	}
+	echoed := resp.Header.Get(wire.HeaderAttempt)
+	if echoed == "" && resp.StatusCode >= http.StatusBadRequest {
+		return resp, nil
+	}
+	if echoed != req.Header.Get(wire.HeaderAttempt) {
+		return nil, crossed(resp)
+	}
+	return resp, nil
+}
+
+func crossed(resp *http.Response) error {
+	_ = resp.Body.Close()
+	return &CallError{Written: true, Cause: ErrCrossed}
+}
+
+// send sends one request on a connection of its own.
+func (c *Caller) send(req *http.Request) (*http.Response, error) {
 	var connected atomic.Bool
 	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, &CallError{Written: connected.Load(), Cause: err}
 	}
-	if attempt := req.Header.Get(wire.HeaderAttempt); attempt != "" && resp.Header.Get(wire.HeaderAttempt) != attempt {
-		_ = resp.Body.Close()
-		return nil, &CallError{Written: true, Cause: ErrCrossed}
-	}
 	return resp, nil
 }
 
--- /dev/null
+++ b/internal/upstream/caller_test.go
@@ -0,0 +1,136 @@
+package upstream
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/upstream/wire"
+)
+
+// rawServer accepts connections, counts those on which a request began, and does with each
+// what the test says.
+func rawServer(t *testing.T, serve func(net.Conn)) (address string, begun *atomic.Int32) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	begun = &atomic.Int32{}
+	var wg conc.WaitGroup
+	wg.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			serve(&countingConn{Conn: c, begun: begun})
+		}
+	})
+	t.Cleanup(func() { _ = l.Close(); wg.Wait() })
+	return l.Addr().String(), begun
+}
+
+type countingConn struct {
+	net.Conn
+	begun *atomic.Int32
+	seen  bool
+}
+
+func (c *countingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 && !c.seen {
+		c.seen = true
+		c.begun.Add(1)
+	}
+	return n, err
+}
+
+func (c *countingConn) reset() {
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+}
+
+func post(t *testing.T, address string) error {
+	t.Helper()
+	req, err := http.NewRequestWithContext(context.Background(), http.MethodPost, endpoint(address, "/charge"), strings.NewReader("body"))
+	require.NoError(t, err)
+	req.Header.Set(wire.HeaderAttempt, attempt)
+	req.Header.Set(wire.HeaderIdempotency, "key") // net/http repeats such requests on kept connections
+	resp, err := NewCaller().Do(req)
+	if err == nil {
+		_ = resp.Body.Close()
+	}
+	return err
+}
+
+func requireWritten(t *testing.T, err error, written bool) {
+	t.Helper()
+	var call *CallError
+	require.True(t, errors.As(err, &call), "%v", err)
+	require.Equal(t, written, call.Written)
+}
+
+func TestCaller_RefusedDialIsNotWritten(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	require.NoError(t, l.Close())
+	requireWritten(t, post(t, l.Addr().String()), false)
+}
+
+func TestCaller_WritesAtMostOnce(t *testing.T) {
+	answer := "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Request-Id: a1\r\n\r\n"
+	for name, serve := range map[string]func(*countingConn){
+		"reset before the request was read": func(c *countingConn) { c.reset() },
+		"reset after the first byte":        func(c *countingConn) { _, _ = c.Read(make([]byte, 1)); c.reset() },
+		"reset after the request":           func(c *countingConn) { _, _ = c.Read(make([]byte, 4096)); c.reset() },
+		"closed after the request":          func(c *countingConn) { _, _ = c.Read(make([]byte, 4096)); _ = c.Close() },
+		"half an answer": func(c *countingConn) {
+			_, _ = c.Read(make([]byte, 4096))
+			_, _ = io.WriteString(c, answer[:20])
+			c.reset()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			accepted := atomic.Int32{}
+			address, begun := rawServer(t, func(c net.Conn) { accepted.Add(1); serve(c.(*countingConn)) })
+			requireWritten(t, post(t, address), true)
+			require.LessOrEqual(t, begun.Load(), int32(1))
+			require.Equal(t, int32(1), accepted.Load(), "one connection, one request")
+		})
+	}
+	address, begun := rawServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, answer)
+		_ = c.Close()
+	})
+	require.NoError(t, post(t, address))
+	require.NoError(t, post(t, address))
+	require.Equal(t, int32(2), begun.Load(), "each call has its own connection")
+}
+
+func TestCaller_CrossedAnswer(t *testing.T) {
+	address, _ := rawServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nX-Request-Id: other\r\n\r\n")
+		_ = c.Close()
+	})
+	err := post(t, address)
+	require.ErrorIs(t, err, ErrCrossed)
+	requireWritten(t, err, true)
+}
+
+func TestCaller_RedirectsAreNotFollowed(t *testing.T) {
+	address, begun := rawServer(t, func(c net.Conn) {
+		_, _ = c.Read(make([]byte, 4096))
+		_, _ = io.WriteString(c, "HTTP/1.1 307 Temporary Redirect\r\nLocation: /again\r\nContent-Length: 0\r\nX-Request-Id: a1\r\n\r\n")
+		_ = c.Close()
+	})
+	require.NoError(t, post(t, address))
+	require.Equal(t, int32(1), begun.Load())
+}
--- a/internal/upstream/directory.go
+++ b/internal/upstream/directory.go
@@ -5,6 +5,8 @@
 	"sort"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"egretramp/internal/config"
 	"egretramp/internal/upstream/wire"
 )
@@ -20,8 +22,11 @@
 
 // Change says what an announcement or the passing of time did to the directory.
 type Change struct {
-	Record  Record
-	Removed bool
+	Record Record
+	// Previous is what was known before; nil for an upstream that was not in the directory.
+	// Its pools may be others than those of Record.
+	Previous *Record
+	Removed  bool
 }
 
 // Directory holds the upstreams of the pools that this VM dispatches for. It is a plain value
@@ -33,32 +38,43 @@
 	departed map[string]Record
 }
 
-// departedAge is how long a departure is remembered.
-const departedAge = time.Minute
+// departedAge is how long a departure is remembered: longer than an announcement can be played
+// back, which its time of sending allows for at most twice maxClockSkew.
+const departedAge = 3 * maxClockSkew
 
 // NewDirectory returns an empty directory.
 func NewDirectory() *Directory {
 	return &Directory{records: map[string]*Record{}, departed: map[string]Record{}}
 }
 
-// Offer takes an announcement that was verified. It returns false if it is not newer than what is known.
-func (d *Directory) Offer(now time.Duration, a wire.Announcement) (Change, bool) {
-	if last, ok := d.departed[a.Upstream]; ok && !newer(a, last.Announcement) {
-		return Change{}, false
-	}
-	known, ok := d.records[a.Upstream]
-	if ok && !newer(a, known.Announcement) {
-		return Change{}, false
+// Errors of Offer: the directory is as it was.
+var (
+	ErrNotNewer  = errors.New("the announcement is not newer than what is known")
+	ErrNameTaken = errors.New("an upstream of another class has this name")
+)
+
+// Offer takes an announcement that was verified. Errors: ErrNotNewer, ErrNameTaken. A class's
+// secret does not let its holder speak for the upstreams of another class, so a name belongs to
+// the class that uses it until that upstream has departed and been forgotten.
+func (d *Directory) Offer(now time.Duration, a wire.Announcement) (Change, error) {
+	last, wasHere := d.departed[a.Upstream]
+	known, isHere := d.records[a.Upstream]
+	switch {
+	case isHere && known.Class != a.Class, wasHere && last.Class != a.Class:
+		return Change{}, ErrNameTaken
+	case isHere && !newer(a, known.Announcement), wasHere && !newer(a, last.Announcement):
+		return Change{}, ErrNotNewer
 	}
 	record := Record{Announcement: a, Heard: now}
+	change := Change{Record: record, Previous: known, Removed: a.Goodbye}
 	if a.Goodbye {
 		d.departed[a.Upstream] = record
 		delete(d.records, a.Upstream)
-		return Change{Record: record, Removed: true}, true
+		return change, nil
 	}
 	delete(d.departed, a.Upstream)
 	d.records[a.Upstream] = &record
-	return Change{Record: record}, true
+	return change, nil
 }
 
 // newer orders announcements of one upstream by incarnation, then sequence.
@@ -78,7 +94,7 @@
 		}
 		d.departed[name] = *r
 		delete(d.records, name)
-		gone = append(gone, Change{Record: *r, Removed: true})
+		gone = append(gone, Change{Record: *r, Previous: r, Removed: true})
 	}
 	for name, r := range d.departed {
 		if now-r.Heard > departedAge {
@@ -119,3 +135,12 @@
 func (p Pool) String() string {
 	return p.Zone + "/" + string(p.Kind) + "/" + p.Name
 }
+
+// Pools returns the pools that an upstream serves.
+func (r *Record) Pools() []Pool {
+	pools := make([]Pool, 0, len(r.Serves))
+	for _, served := range r.Serves {
+		pools = append(pools, Pool{Zone: r.Zone, Kind: r.Kind, Name: served})
+	}
+	return pools
+}
--- /dev/null
+++ b/internal/upstream/intake_test.go
@@ -0,0 +1,186 @@
+package upstream
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"egretramp/internal/config"
+	"egretramp/internal/events"
+	"egretramp/internal/upstream/wire"
+)
+
+const (
+	engineSecret  = "engines-secret-0123"
+	serviceSecret = "services-secret-012"
+)
+
+type intakeTest struct {
+	*Intake
+	accepted []wire.Announcement
+	now      time.Duration
+}
+
+func newIntakeTest() *intakeTest {
+	snapshot := config.Compile(&config.File{
+		Models: []config.Model{
+			{Named: config.Named{ID: "m1", Names: map[string]string{"ledger": "M/1"}}},
+			{Named: config.Named{ID: "m2"}},
+		},
+		Services: []config.Service{{Named: config.Named{ID: "s1"}}},
+		Upstreams: []config.UpstreamClass{
+			{ID: "engines", Kind: config.KindEngine, Secret: engineSecret, Serves: []string{"m1"}, Zones: []string{"z1"}},
+			{ID: "services", Kind: config.KindService, Secret: serviceSecret},
+		},
+	})
+	in := &intakeTest{}
+	in.Intake = &Intake{
+		Classes: func() Classes { return snapshot },
+		Accept:  func(a wire.Announcement) bool { in.accepted = append(in.accepted, a); return true },
+		VMs:     func() []string { return nil },
+		Events:  events.FromZap(zap.NewNop()),
+		Clock:   func() time.Duration { return in.now },
+	}
+	return in
+}
+
+func (in *intakeTest) post(remote, secret string, body []byte) (int, string) {
+	r := httptest.NewRequest(http.MethodPost, wire.PathAnnounce, bytes.NewReader(body))
+	r.RemoteAddr = remote + ":1000"
+	r.Header.Set(wire.HeaderSignature, wire.Sign(secret, body))
+	w := httptest.NewRecorder()
+	in.ServeHTTP(w, r)
+	var reply wire.AnnounceReply
+	_ = json.Unmarshal(w.Body.Bytes(), &reply)
+	return w.Code, reply.Code
+}
+
+func fresh() wire.Announcement {
+	return wire.Announcement{
+		Upstream: "e1", Class: "engines", Incarnation: time.Now().UnixNano(), Sequence: 1, SentAtMS: time.Now().UnixMilli(),
+		Zone: "z1", Kind: config.KindEngine, Address: "10.0.0.1:80", Serves: []string{"M/1"},
+		Limits: wire.Limits{Slots: 8, KVTokens: 1000},
+	}
+}
+
+func encode(t *testing.T, a wire.Announcement) []byte {
+	body, err := json.Marshal(a)
+	require.NoError(t, err)
+	return body
+}
+
+func TestIntake_RefusesWhatIsNotGood(t *testing.T) {
+	for name, c := range map[string]struct {
+		change func(*wire.Announcement)
+		secret string
+		code   string
+	}{
+		"good":                {change: func(*wire.Announcement) {}},
+		"forged":              {change: func(*wire.Announcement) {}, secret: serviceSecret, code: codeBadSignature},
+		"empty secret":        {change: func(a *wire.Announcement) { a.Class = "nope" }, secret: "", code: codeBadSignature},
+		"replayed later":      {change: func(a *wire.Announcement) { a.SentAtMS -= 31_000 }, code: codeBadAnnouncement},
+		"from the future":     {change: func(a *wire.Announcement) { a.SentAtMS += 31_000 }, code: codeBadAnnouncement},
+		"absurd time":         {change: func(a *wire.Announcement) { a.SentAtMS = 1 << 62 }, code: codeBadAnnouncement},
+		"absurd incarnation":  {change: func(a *wire.Announcement) { a.Incarnation = 1 << 62 }, code: codeBadAnnouncement},
+		"no incarnation":      {change: func(a *wire.Announcement) { a.Incarnation = 0 }, code: codeBadAnnouncement},
+		"host name":           {change: func(a *wire.Announcement) { a.Address = "localhost:80" }, code: codeBadAnnouncement},
+		"no port":             {change: func(a *wire.Announcement) { a.Address = "10.0.0.1" }, code: codeBadAnnouncement},
+		"port 0":              {change: func(a *wire.Announcement) { a.Address = "10.0.0.1:0" }, code: codeBadAnnouncement},
+		"any address":         {change: func(a *wire.Announcement) { a.Address = "0.0.0.0:80" }, code: codeBadAnnouncement},
+		"multicast":           {change: func(a *wire.Announcement) { a.Address = "224.0.0.1:80" }, code: codeBadAnnouncement},
+		"address with path":   {change: func(a *wire.Announcement) { a.Address = "10.0.0.1:80/x" }, code: codeBadAnnouncement},
+		"slash in name":       {change: func(a *wire.Announcement) { a.Upstream = "a/b" }, code: codeBadAnnouncement},
+		"line break in name":  {change: func(a *wire.Announcement) { a.Upstream = "a\nb" }, code: codeBadAnnouncement},
+		"long name":           {change: func(a *wire.Announcement) { a.Upstream = strings.Repeat("a", 129) }, code: codeBadAnnouncement},
+		"slash in zone":       {change: func(a *wire.Announcement) { a.Zone = "z1/x" }, code: codeBadAnnouncement},
+		"absurd slots":        {change: func(a *wire.Announcement) { a.Limits.Slots = 1 << 30 }, code: codeBadAnnouncement},
+		"negative slots":      {change: func(a *wire.Announcement) { a.Limits.Slots = -1 }, code: codeBadAnnouncement},
+		"absurd KV":           {change: func(a *wire.Announcement) { a.Limits.KVTokens = 1 << 50 }, code: codeBadAnnouncement},
+		"absurd load":         {change: func(a *wire.Announcement) { a.Load.Running = 1 << 40 }, code: codeBadAnnouncement},
+		"negative load":       {change: func(a *wire.Announcement) { a.Load.Waiting = -1 }, code: codeBadAnnouncement},
+		"too many served":     {change: func(a *wire.Announcement) { a.Serves = make([]string, 65) }, code: codeBadAnnouncement},
+		"wrong kind":          {change: func(a *wire.Announcement) { a.Kind = config.KindService }, code: codeNotAllowed},
+		"wrong zone":          {change: func(a *wire.Announcement) { a.Zone = "z2" }, code: codeNotAllowed},
+		"unknown model":       {change: func(a *wire.Announcement) { a.Serves = []string{"m9"} }, code: codeNotAllowed},
+		"model not its class": {change: func(a *wire.Announcement) { a.Serves = []string{"m2"} }, code: codeNotAllowed},
+	} {
+		t.Run(name, func(t *testing.T) {
+			in := newIntakeTest()
+			a := fresh()
+			c.change(&a)
+			secret := c.secret
+			if secret == "" {
+				secret = engineSecret
+			}
+			_, code := in.post("10.0.0.9", secret, encode(t, a))
+			require.Equal(t, c.code, code)
+			require.Equal(t, c.code == "", len(in.accepted) == 1, "only what is good is passed on")
+		})
+	}
+}
+
+func TestIntake_Bodies(t *testing.T) {
+	in := newIntakeTest()
+	for _, body := range []string{"", "{", "[]", `{"upstream":1}`, strings.Repeat(" ", maxAnnouncementBytes+1)} {
+		_, code := in.post("10.0.0.9", engineSecret, []byte(body))
+		require.NotEmpty(t, code, "%.20q", body)
+	}
+	require.Empty(t, in.accepted)
+	in.Accept = func(wire.Announcement) bool { return false }
+	_, code := in.post("10.0.0.9", engineSecret, encode(t, fresh()))
+	require.Equal(t, codeNoDispatcher, code)
+}
+
+func TestIntake_NamesAreCanonicalOnce(t *testing.T) {
+	in := newIntakeTest()
+	a := fresh()
+	a.Serves = []string{"M/1", "m1"}
+	a.ServesAs = map[string]string{"m1": "something-else"}
+	_, code := in.post("10.0.0.9", engineSecret, encode(t, a))
+	require.Empty(t, code)
+	require.Equal(t, []string{"m1"}, in.accepted[0].Serves)
+	require.Equal(t, map[string]string{"m1": "M/1"}, in.accepted[0].ServesAs)
+}
+
+// TestIntake_FloodsStarveNobody floods from one upstream, one class and one sender at one
+// moment; an upstream of another class at another address is still taken.
+func TestIntake_FloodsStarveNobody(t *testing.T) {
+	in := newIntakeTest()
+	one := encode(t, fresh())
+	for range 100 {
+		in.post("10.0.0.1", engineSecret, one)
+	}
+	require.LessOrEqual(t, len(in.accepted), int(perUpstreamRate), "one upstream")
+
+	for i := range 2 * maxTracked { // names that one class makes up
+		a := fresh()
+		a.Upstream = fmt.Sprintf("made-up-%d", i)
+		in.post(fmt.Sprintf("10.1.%d.%d", i/200, i%200), engineSecret, encode(t, a))
+	}
+	require.LessOrEqual(t, len(in.accepted), int(perUpstreamRate+perClassRate), "one class")
+
+	accepted := len(in.accepted)
+	for range 2000 { // forged ones from one address
+		in.post("10.0.0.3", "not-the-secret", one)
+	}
+	require.Len(t, in.accepted, accepted)
+	status, _ := in.post("10.0.0.3", engineSecret, one)
+	require.Equal(t, http.StatusTooManyRequests, status)
+
+	healthy := fresh()
+	healthy.Upstream, healthy.Class, healthy.Kind, healthy.Serves = "s1", "services", config.KindService, []string{"s1"}
+	_, code := in.post("10.0.0.4", serviceSecret, encode(t, healthy))
+	require.Empty(t, code)
+
+	in.now += idleBucket + time.Second
+	_, code = in.post("10.0.0.1", engineSecret, one)
+	require.Empty(t, code, "the flood is over")
+}
--- a/internal/upstream/sse.go
+++ b/internal/upstream/sse.go
@@ -4,11 +4,16 @@
 	"bufio"
 	"bytes"
 	"io"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxEventBytes bounds one event of a stream.
 const maxEventBytes = 8 << 20
 
+// errEventTooLarge says that an event passed maxEventBytes. Reading it again would not help.
+var errEventTooLarge = errors.New("an event of the stream is too large")
+
 // doneData is the payload of the event that ends a stream.
 var doneData = []byte("[DONE]")
 
@@ -45,6 +50,12 @@
 		}
 		data = append(data, bytes.TrimPrefix(payload, []byte(" "))...)
 		started = true
+		if len(data) > maxEventBytes {
+			return nil, errEventTooLarge
+		}
+	}
+	if errors.Is(r.scanner.Err(), bufio.ErrTooLong) {
+		return nil, errEventTooLarge
 	}
 	if err := r.scanner.Err(); err != nil {
 		return nil, err
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/upstream/wire"
 )
@@ -23,8 +24,10 @@
 	StallLimit = 60 * time.Second
 	// cancelTimeout bounds the cancellation of a call.
 	cancelTimeout = 2 * time.Second
-	// maxResumes bounds the resumptions of one stream.
+	// maxResumes bounds the resumptions of one stream in a row that bring no chunk.
 	maxResumes = 16
+	// maxIdleDoublings bounds the growth of the idle limit.
+	maxIdleDoublings = 3
 )
 
 // Target is an upstream and the attempt that runs there.
@@ -64,8 +67,9 @@
 	target  Target
 	body    []byte
 	next    int // number of the next chunk
-	resumes int
+	resumes int // since the last chunk
 	conn    *streamConn
+	pumps   conc.WaitGroup
 }
 
 // streamConn is one connection that carries the stream.
@@ -74,6 +78,7 @@
 	opened  chan openResult
 	chunks  chan chunk
 	pending bool // headers not yet seen
+	resumed bool // an earlier connection of the same attempt was written to
 }
 
 type openResult struct {
@@ -108,12 +113,13 @@
 				return nil, err
 			}
 			s.next++
+			s.resumes = 0
 			return data, nil
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
-		case s.resumes > 0 && isStatus(err):
+		case s.conn.resumed && isStatus(err):
 			return nil, errors.WithSecondaryError(ErrBroken, err)
-		case final(err):
+		case s.final(err):
 			return nil, err
 		}
 		if err := s.recover(ctx, err, time.Since(idleSince)); err != nil {
@@ -122,10 +128,12 @@
 	}
 }
 
-// final reports whether an error ends the attempt without a try to resume.
-func final(err error) bool {
+// final reports whether an error ends the attempt without a try to resume. A resumption that
+// could not be sent says nothing of the call itself, which was sent before.
+func (s *Stream) final(err error) bool {
 	var call *CallError
-	return errors.As(err, &call) && (!call.Written || errors.Is(err, ErrCrossed)) || isStatus(err)
+	unsent := errors.As(err, &call) && !call.Written
+	return unsent && !s.conn.resumed || errors.Is(err, ErrCrossed) || isStatus(err)
 }
 
 // isStatus reports whether the engine refused; on a resumption it does if it does not know the attempt.
@@ -137,11 +145,15 @@
 // check compares a chunk's completion ID with the attempt.
 func (s *Stream) check(data []byte) error {
 	var head struct {
-		ID string `json:"id"`
+		ID    string          `json:"id"`
+		Error json.RawMessage `json:"error"`
 	}
 	if err := json.Unmarshal(data, &head); err != nil {
 		return errors.Wrap(ErrBroken, "a chunk is not JSON")
 	}
+	if len(head.Error) > 0 && string(head.Error) != "null" {
+		return errors.Wrap(ErrBroken, "the engine sent an error in place of a chunk")
+	}
 	if head.ID != wire.CompletionIDPrefix+s.target.Attempt {
 		return &CallError{Written: true, Cause: ErrCrossed}
 	}
@@ -160,19 +172,26 @@
 		}
 		return nil
 	}
-	if !s.target.CanResume || s.resumes >= maxResumes || idle > StallLimit {
+	if !s.target.CanResume || s.resumes >= maxResumes || idle > StallLimit || errors.Is(cause, errEventTooLarge) {
 		return errors.WithSecondaryError(ErrBroken, cause)
 	}
 	s.resumes++
 	s.conn.cancel()
 	path := streamPath(s.target.Attempt) + "?from=" + strconv.Itoa(s.next)
 	s.conn = s.open(ctx, http.MethodGet, path, nil)
+	s.conn.resumed = true
 	return nil
 }
 
-// read waits for the next chunk on the present connection, at most IdleLimit.
+// idleLimit grows with each resumption that brings no chunk: a call that waits within the engine
+// would otherwise use up its resumptions.
+func (s *Stream) idleLimit() time.Duration {
+	return IdleLimit << min(s.resumes, maxIdleDoublings)
+}
+
+// read waits for the next chunk on the present connection, at most idleLimit.
 func (s *Stream) read(ctx context.Context) ([]byte, error) {
-	idle := time.NewTimer(IdleLimit)
+	idle := time.NewTimer(s.idleLimit())
 	defer idle.Stop()
 	if s.conn.pending {
 		select {
@@ -205,7 +224,7 @@
 		chunks:  make(chan chunk, 16),
 		pending: true,
 	}
-	go s.caller.pump(ctx, conn, s.target, method, path, body)
+	s.pumps.Go(func() { s.caller.pump(ctx, conn, s.target, method, path, body) })
 	return conn
 }
 
@@ -243,7 +262,7 @@
 	if method == http.MethodPost {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.Do(req)
+	resp, err := c.doEngine(req)
 	if err != nil {
 		return nil, err
 	}
@@ -266,7 +285,10 @@
 }
 
 // Close ends the reading. It does not cancel the call on the engine.
-func (s *Stream) Close() { s.conn.cancel() }
+func (s *Stream) Close() {
+	s.conn.cancel()
+	s.pumps.Wait()
+}
 
 // Cancel ends the reading and tells the engine to stop the call. It returns whether the engine
 // acknowledged.
--- /dev/null
+++ b/internal/upstream/stream_test.go
@@ -0,0 +1,230 @@
+package upstream
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/upstream/wire"
+)
+
+const attempt = "a1"
+
+// script is an engine whose connections do what the test says, one function for each.
+type script struct {
+	*httptest.Server
+	opened atomic.Int32
+	froms  []string
+}
+
+func newScript(t *testing.T, conns ...func(w *engineConn)) *script {
+	s := &script{}
+	s.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			return
+		}
+		n := int(s.opened.Add(1)) - 1
+		s.froms = append(s.froms, r.URL.Query().Get("from"))
+		_, _ = io.ReadAll(r.Body)
+		if n >= len(conns) {
+			http.Error(w, "unknown attempt", http.StatusNotFound)
+			return
+		}
+		w.Header().Set(wire.HeaderAttempt, attempt)
+		conns[n](&engineConn{ResponseWriter: w, request: r, server: s})
+	}))
+	t.Cleanup(s.Close)
+	return s
+}
+
+type engineConn struct {
+	http.ResponseWriter
+	request *http.Request
+	server  *script
+}
+
+func (c *engineConn) raw(text string) {
+	_, _ = io.WriteString(c, text)
+	_ = http.NewResponseController(c.ResponseWriter).Flush()
+}
+
+func chunkText(id string, n int) string {
+	return fmt.Sprintf(`{"id":"chatcmpl-%s","choices":[],"n":%d}`, id, n)
+}
+
+func (c *engineConn) chunks(from, to int) {
+	for n := from; n < to; n++ {
+		c.raw("data: " + chunkText(attempt, n) + "\n\n")
+	}
+}
+
+func (c *engineConn) done()  { c.raw("data: [DONE]\n\n") }
+func (c *engineConn) reset() { panic(http.ErrAbortHandler) }
+func (c *engineConn) hang()  { <-c.request.Context().Done() }
+
+// resume sends the chunks that were asked for.
+func (c *engineConn) resume(to int) {
+	from, _ := strconv.Atoi(c.request.URL.Query().Get("from"))
+	c.chunks(from, to)
+}
+
+func (s *script) address() string { return strings.TrimPrefix(s.URL, "http://") }
+
+// read reads a stream to its end and returns the numbers of its chunks.
+func read(t *testing.T, address string, canResume bool) ([]string, error) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	stream := NewCaller().OpenStream(ctx, Target{Address: address, CanResume: canResume, Attempt: attempt}, []byte("{}"))
+	defer stream.Close()
+	var got []string
+	for {
+		data, err := stream.Next(ctx)
+		if err == io.EOF {
+			return got, nil
+		}
+		if err != nil {
+			return got, err
+		}
+		got = append(got, string(data))
+	}
+}
+
+func upTo(n int) []string {
+	var all []string
+	for i := range n {
+		all = append(all, chunkText(attempt, i))
+	}
+	return all
+}
+
+func TestStream_WholeWithCommentsAndFields(t *testing.T) {
+	s := newScript(t, func(c *engineConn) {
+		c.raw(": keep-alive\r\n\r\nevent: message\nid: 7\ndata:" + chunkText(attempt, 0) + "\n\n")
+		c.raw("data: {\"id\":\"chatcmpl-a1\",\ndata: \"choices\":[]}\n\n")
+		c.done()
+	})
+	got, err := read(t, s.address(), true)
+	require.NoError(t, err)
+	require.Equal(t, []string{chunkText(attempt, 0), "{\"id\":\"chatcmpl-a1\",\n\"choices\":[]}"}, got)
+}
+
+func TestStream_ResumesWithoutGapOrRepeat(t *testing.T) {
+	s := newScript(t,
+		func(c *engineConn) {
+			c.chunks(0, 3)
+			c.raw("data: {\"id\":\"chatcmpl-a1\",\"cut") // an event without its end
+			c.reset()
+		},
+		func(c *engineConn) { c.resume(5); c.reset() },
+		func(c *engineConn) { c.reset() },
+		func(c *engineConn) { c.resume(8); c.done() },
+	)
+	got, err := read(t, s.address(), true)
+	require.NoError(t, err)
+	require.Equal(t, upTo(8), got)
+	require.Equal(t, []string{"", "3", "5", "5"}, s.froms)
+}
+
+func TestStream_SilentConnectionIsResumedOnANewOne(t *testing.T) {
+	t.Parallel()
+	s := newScript(t,
+		func(c *engineConn) { c.chunks(0, 2); c.hang() },
+		func(c *engineConn) { c.resume(4); c.done() },
+	)
+	got, err := read(t, s.address(), true)
+	require.NoError(t, err)
+	require.Equal(t, upTo(4), got)
+}
+
+func TestStream_EndsWithAnError(t *testing.T) {
+	for name, c := range map[string]struct {
+		canResume bool
+		conns     []func(*engineConn)
+		want      error
+		chunks    int
+	}{
+		"truncated, cannot resume": {false, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2); c.reset() }}, ErrBroken, 2},
+		"ended without [DONE]":     {false, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2) }}, ErrBroken, 2},
+		"attempt forgotten":        {true, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2); c.reset() }}, ErrBroken, 2},
+		"crossed chunk":            {true, []func(*engineConn){func(c *engineConn) { c.chunks(0, 1); c.raw("data: " + chunkText("other", 1) + "\n\n") }}, ErrCrossed, 1},
+		"crossed answer": {true, []func(*engineConn){func(c *engineConn) {
+			c.Header().Set(wire.HeaderAttempt, "other")
+			c.chunks(0, 1)
+		}}, ErrCrossed, 0},
+		"crossed on resumption": {true, []func(*engineConn){
+			func(c *engineConn) { c.chunks(0, 1); c.reset() },
+			func(c *engineConn) { c.Header().Set(wire.HeaderAttempt, "other"); c.chunks(1, 2) },
+		}, ErrCrossed, 1},
+		"error event": {true, []func(*engineConn){func(c *engineConn) {
+			c.chunks(0, 1)
+			c.raw("data: {\"error\":{\"message\":\"out of memory\"}}\n\n")
+			c.done()
+		}}, ErrBroken, 1},
+		"not JSON":     {true, []func(*engineConn){func(c *engineConn) { c.raw("data: hello\n\n"); c.done() }}, ErrBroken, 0},
+		"endless line": {true, []func(*engineConn){func(c *engineConn) { c.raw("data: " + strings.Repeat("x", maxEventBytes+1)) }}, ErrBroken, 0},
+		"endless event": {true, []func(*engineConn){func(c *engineConn) {
+			line := "data: " + strings.Repeat("x", 1<<20) + "\n"
+			for range 10 {
+				c.raw(line)
+			}
+			c.hang()
+		}}, ErrBroken, 0},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, c.conns...)
+			got, err := read(t, s.address(), c.canResume)
+			require.ErrorIs(t, err, c.want)
+			require.Equal(t, upTo(c.chunks), append([]string(nil), got...))
+			require.LessOrEqual(t, int(s.opened.Load()), 2, "what cannot get better is not tried again")
+		})
+	}
+}
+
+// TestStream_EngineGone loses the engine between the first connection and the probe: the call
+// was written, so nothing may say that it did not run.
+func TestStream_EngineGone(t *testing.T) {
+	var s *script
+	s = newScript(t, func(c *engineConn) { c.chunks(0, 1); _ = s.Listener.Close(); c.reset() })
+	_, err := read(t, s.address(), true)
+	require.ErrorIs(t, err, ErrLost)
+}
+
+// TestStream_ResumptionNotSent refuses a resumption's connection after the probe was answered.
+func TestStream_ResumptionNotSent(t *testing.T) {
+	stream := &Stream{conn: &streamConn{resumed: true}}
+	require.False(t, stream.final(&CallError{Written: false, Cause: io.EOF}))
+	stream.conn.resumed = false
+	require.True(t, stream.final(&CallError{Written: false, Cause: io.EOF}))
+}
+
+func TestStream_RefusalByTheEngine(t *testing.T) {
+	s := newScript(t)
+	_, err := read(t, s.address(), true)
+	var status *StatusError
+	require.True(t, errors.As(err, &status))
+	require.Equal(t, http.StatusNotFound, status.Status)
+}
+
+// TestStream_ManyStallsOfALongAnswer resumes more often than a stream without progress may.
+func TestStream_ManyStallsOfALongAnswer(t *testing.T) {
+	var conns []func(*engineConn)
+	for i := range maxResumes + 4 {
+		conns = append(conns, func(c *engineConn) { c.chunks(i, i+1); c.reset() })
+	}
+	conns = append(conns, func(c *engineConn) { c.done() })
+	s := newScript(t, conns...)
+	got, err := read(t, s.address(), true)
+	require.NoError(t, err)
+	require.Equal(t, upTo(maxResumes+4), got)
+}
