--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -41,8 +41,8 @@
 }
 
 func (l *link) call(ctx context.Context, req *peerpb.CallRequest) ([]byte, error) {
-	if l.node.isCut(l.vm) {
-		return nil, &UnreachableError{VM: l.vm, Cause: errCut}
+	if l.node.cutTo(l.vm) {
+		return nil, &UnreachableError{VM: l.vm, Cause: awaitCut(ctx)}
 	}
 	conn := l.takeIdle()
 	if conn == nil {
@@ -57,6 +57,11 @@
 		_ = conn.Close()
 		return nil, &LostError{VM: l.vm, Cause: err}
 	}
+	if l.node.cutFrom(l.vm) {
+		<-ctx.Done()
+		_ = conn.Close()
+		return nil, &LostError{VM: l.vm, Cause: errCut}
+	}
 	l.putIdle(conn)
 	if resp.ErrorCode != "" {
 		return nil, &RemoteError{Code: resp.ErrorCode, Message: resp.ErrorMessage}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -57,7 +57,7 @@
 	messages map[string]MessageHandler
 	calls    map[string]CallHandler
 	stats    Stats
-	cut      atomic.Pointer[map[string]bool]
+	cuts     atomic.Pointer[cuts]
 	rotation atomic.Uint64 // of the relays
 
 	mu    sync.Mutex
@@ -85,7 +85,7 @@
 		calls:    map[string]CallHandler{},
 		links:    map[string]*link{},
 	}
-	n.cut.Store(&map[string]bool{})
+	n.CutLinks(nil, nil)
 	n.messages[kindRelay] = n.handleRelay
 	n.calls[methodRelay] = n.handleRelayedCall
 	for vm, address := range opts.Peers {
@@ -145,18 +145,6 @@
 	return l != nil && l.up.Load()
 }
 
-// Cut makes the node drop everything to and from the given VMs, and nothing else. It exists
-// for fault injection.
-func (n *Node) Cut(vms []string) {
-	cut := make(map[string]bool, len(vms))
-	for _, vm := range vms {
-		cut[vm] = true
-	}
-	n.cut.Store(&cut)
-}
-
-func (n *Node) isCut(vm string) bool { return (*n.cut.Load())[vm] }
-
 func (n *Node) link(vm string) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
