Schedule by account, program and prefix

The pool gave calls out first in, first out. Requests now wait in lanes, one for each upstream that holds prefixes and one that all share; across accounts the one with the least service comes first, within an account the request whose program ran least, with ageing. Admission counts slots and KV tokens of what the pool granted, and believes reports only for calls above that. The queue is bounded for each account, and a request that no upstream may run, or whose wait would surely be too long, is refused at once.

Weighed: one queue with a bounded look-ahead for requests that wait for an upstream; it leaves slots idle when many are held. Lanes find the first request that an upstream may run without looking at others.

--- /dev/null
+++ b/internal/schedule/fairness.go
@@ -0,0 +1,155 @@
+package schedule
+
+// Service is counted in tokens computed: a token of the prompt that was not cached counts 1, a
+// token of the answer answerWeight, and a call at least callCost.
+const (
+	answerWeight = 4.0
+	callCost     = 1.0
+)
+
+// maxLag bounds how far the counter of an account with waiting requests may fall behind the
+// virtual time while its requests are held for an upstream. Service per weight.
+const maxLag = 20_000.0
+
+// account is a client account with requests in the pool.
+type account struct {
+	name   string
+	weight float64
+	// counter is the service granted to the account, by its weight. It never falls.
+	counter float64
+	// credit is service that was charged at grants and not used; later charges use it up.
+	credit  float64
+	waiting int
+	running int
+	flows   []*flow // those with requests
+	// inBacklog is the position in Pool.backlog.
+	inBacklog int
+	// checked is the counter at the last check of the invariants.
+	checked float64
+}
+
+func (a *account) before(b *account) bool {
+	if a.counter != b.counter {
+		return a.counter < b.counter
+	}
+	return a.name < b.name
+}
+
+func (a *account) dropFlow(f *flow) {
+	for i := range a.flows {
+		if a.flows[i] == f {
+			last := len(a.flows) - 1
+			a.flows[i] = a.flows[last]
+			a.flows = a.flows[:last]
+			return
+		}
+	}
+}
+
+// account returns the account of a request. One that the pool does not know starts at the virtual
+// time: service that it did not ask for earlier is not made up for.
+func (p *Pool) account(r *Request) *account {
+	name, weight := r.Account, r.Weight
+	if p.opts.Without.Fairness {
+		name, weight = "", 1
+	}
+	a, ok := p.accounts[name]
+	if !ok {
+		a = &account{name: name, weight: 1, counter: p.virtual, inBacklog: notQueued}
+		p.accounts[name] = a
+	}
+	if weight > 0 && a.waiting == 0 {
+		a.weight = weight
+	}
+	return a
+}
+
+// addWaiting counts a waiting request of the account.
+func (p *Pool) addWaiting(a *account) {
+	a.waiting++
+	if a.waiting > 1 {
+		return
+	}
+	// An account without waiting requests has no claim on service that was granted meanwhile.
+	a.counter = max(a.counter, p.virtual)
+	p.backlog.add(a)
+	p.backlogWeight += a.weight
+}
+
+func (p *Pool) dropWaiting(a *account) {
+	a.waiting--
+	if a.waiting > 0 {
+		return
+	}
+	p.backlog.remove(a)
+	p.backlogWeight -= a.weight
+	if p.backlog.Len() == 0 {
+		p.backlogWeight = 0
+	}
+}
+
+// charge adds service to an account's counter, less what it has been charged too much.
+func (p *Pool) charge(a *account, service float64) {
+	used := min(a.credit, service)
+	a.credit -= used
+	a.counter += (service - used) / a.weight
+	for _, f := range a.flows {
+		f.lane.flows.fix(f)
+	}
+	p.backlog.fix(a)
+}
+
+// settle corrects the charge of a call that ended. A charge that was too high becomes a credit,
+// so that the counter never falls.
+func (p *Pool) settle(c *call, o Outcome) {
+	actual := callCost
+	switch {
+	case o.ServedTokens > 0:
+		actual = service(c.request.uncached(o), c.request.answered(o))
+	case o.Failed:
+		// What the upstream did before it failed is not known: the estimate stands.
+		actual = c.charged
+	}
+	if actual > c.charged {
+		p.charge(c.account, actual-c.charged)
+		return
+	}
+	c.account.credit += c.charged - actual
+}
+
+func service(uncached, answer int64) float64 {
+	return callCost + float64(uncached) + answerWeight*float64(answer)
+}
+
+// answered is the length of the answer. Tokens.
+func (r *Request) answered(o Outcome) int64 {
+	if o.CompletionTokens > 0 {
+		return o.CompletionTokens
+	}
+	return min(max(o.ServedTokens-r.PromptTokens, 0), r.MaxTokens)
+}
+
+// uncached is the part of the prompt that the engine computed. Tokens.
+func (r *Request) uncached(o Outcome) int64 {
+	return max(o.ServedTokens-r.answered(o)-o.CachedTokens, 0)
+}
+
+// sweepLimit bounds the accounts that one sweep looks at.
+const sweepLimit = 64
+
+// sweep forgets accounts that the pool needs no more. An account whose counter the virtual time
+// has reached would start there again, so forgetting it changes nothing.
+func (p *Pool) sweep() {
+	looked := 0
+	for name, a := range p.accounts {
+		if looked++; looked > sweepLimit {
+			return
+		}
+		if a.waiting == 0 && a.running == 0 && (a.counter <= p.virtual || p.idle()) {
+			delete(p.accounts, name)
+		}
+	}
+}
+
+// idle reports whether nothing waits or runs.
+func (p *Pool) idle() bool { return len(p.queue) == 0 && len(p.running) == 0 }
--- /dev/null
+++ b/internal/schedule/lane.go
@@ -0,0 +1,106 @@
+package schedule
+
+import "time"
+
+// waiting is a request in the queue.
+type waiting struct {
+	Request
+	account  *account
+	queuedAt time.Duration
+	// rank orders an account's requests, the lowest first.
+	rank time.Duration
+	flow *flow
+	// heldUntil is when the request gives up the upstream that it is held for; deadline when it
+	// is refused.
+	heldUntil time.Duration
+	deadline  time.Duration
+	// pinned says that it is held until the upstream's KV memory suffices.
+	pinned bool
+	// Positions in flow.requests, Pool.held and Pool.deadlines.
+	inFlow, inHeld, inDeadlines int
+}
+
+// flow is one account's requests in one lane, by rank.
+type flow struct {
+	account  *account
+	lane     *lane
+	requests ordered[*waiting]
+	inLane   int // position in lane.flows
+}
+
+// lane is a queue of requests that may run on the same upstreams: those of one upstream, or, in
+// the shared lane, on any. The flow of the account with the least service comes first.
+type lane struct {
+	flows     ordered[*flow]
+	byAccount map[*account]*flow
+	waiting   int
+}
+
+func newLane() *lane {
+	return &lane{
+		flows: ordered[*flow]{
+			less:     func(a, b *flow) bool { return a.account.before(b.account) },
+			position: func(f *flow) *int { return &f.inLane },
+		},
+		byAccount: map[*account]*flow{},
+	}
+}
+
+func (l *lane) add(w *waiting) {
+	f, ok := l.byAccount[w.account]
+	if !ok {
+		f = &flow{
+			account: w.account,
+			lane:    l,
+			requests: ordered[*waiting]{
+				less:     func(a, b *waiting) bool { return a.before(b) },
+				position: func(w *waiting) *int { return &w.inFlow },
+			},
+		}
+		l.byAccount[w.account] = f
+		w.account.flows = append(w.account.flows, f)
+		l.flows.add(f)
+	}
+	w.flow = f
+	f.requests.add(w)
+	l.waiting++
+}
+
+// remove takes a request out of its lane.
+func (l *lane) remove(w *waiting) {
+	f := w.flow
+	f.requests.remove(w)
+	w.flow = nil
+	l.waiting--
+	if f.requests.Len() > 0 {
+		return
+	}
+	l.flows.remove(f)
+	delete(l.byAccount, f.account)
+	f.account.dropFlow(f)
+}
+
+// first returns the request that comes first, nil if the lane is empty.
+func (l *lane) first() *waiting {
+	f := l.flows.first()
+	if f == nil {
+		return nil
+	}
+	return f.requests.first()
+}
+
+// before orders requests of one account.
+func (w *waiting) before(v *waiting) bool {
+	if w.rank != v.rank {
+		return w.rank < v.rank
+	}
+	return w.ID < v.ID
+}
+
+// precedes orders requests of any accounts.
+func (w *waiting) precedes(v *waiting) bool {
+	if w.account != v.account {
+		return w.account.before(v.account)
+	}
+	return w.before(v)
+}
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -3,254 +3,292 @@
 //
 // A Pool is the queue of one model or service in one zone. All calls towards the pool's
 // upstreams are counted here, so decisions rest on what was granted and not on the upstreams'
-// lagging reports alone.
+// lagging reports alone. A pool is driven by one goroutine.
+//
+// Requests wait in lanes: one for each upstream, for requests that are held for it, and a shared
+// one. Whatever the lane, the account with the least service comes first (fairness.go), and of
+// its requests the one with the lowest rank (order.go). A decision takes time that grows with
+// the pool's upstreams, and with the logarithm of what waits, but not with the programs.
 package schedule
 
-import (
-	"sort"
-	"time"
-)
-
-// Request is a call that waits for an upstream.
-type Request struct {
-	ID      string `json:"id"`
-	Account string `json:"account"`
-	// Weight is the account's part in fair queueing, above 0.
-	Weight float64 `json:"weight"`
-	// Program groups calls that share a prefix; empty for a call of its own.
-	Program string `json:"program,omitempty"`
-	// Root is the program's topmost ancestor; sub-agents of one program share it.
-	Root string `json:"root,omitempty"`
-	// Resident is the upstream that holds the program's prefix, as far as is known.
-	Resident string `json:"resident,omitempty"`
-	// PromptTokens and MaxTokens bound the call's size. Tokens.
-	PromptTokens int64 `json:"prompt_tokens,omitempty"`
-	MaxTokens    int64 `json:"max_tokens,omitempty"`
-	// PrefixTokens is the part of the prompt that Resident holds. Tokens.
-	PrefixTokens int64 `json:"prefix_tokens,omitempty"`
-	// Attained is the service that the program has had so far. Tokens.
-	Attained int64 `json:"attained,omitempty"`
-	// Avoid are upstreams that this call must not run on.
-	Avoid []string `json:"avoid,omitempty"`
-	// Alone asks for an upstream that serves nothing else.
-	Alone bool `json:"alone,omitempty"`
-}
-
-// Replica is an upstream as the pool sees it.
-type Replica struct {
-	Name        string
-	Incarnation int64
-	// Slots is how many calls may be under way at once.
-	Slots int
-	// KVTokens is the size of the KV cache; 0 if calls are not bounded by it. Tokens.
-	KVTokens int64
-	// Running, Waiting and KVTokensUsed are the last report, ReportedAt its time.
-	Running      int
-	Waiting      int
-	KVTokensUsed int64
-	ReportedAt   time.Duration
-}
-
-// Grant lets a request run on an upstream.
-type Grant struct {
-	Request Request
-	Replica string
-}
-
-// Refused takes a request out of the queue without a grant.
-type Refused struct {
-	Request    Request
-	Reason     Reason
-	RetryAfter time.Duration
-}
-
-// Reason says why a request was refused.
-type Reason string
-
-// The reasons.
-const (
-	ReasonQueueFull Reason = "queue_full"
-	ReasonTooLarge  Reason = "too_large"
-)
-
-// Plan is what the host has to carry out.
-type Plan struct {
-	Grants  []Grant
-	Refused []Refused
-}
-
-// Outcome is what is known of a call that ended.
-type Outcome struct {
-	// ServedTokens and CachedTokens are the engine's own count. Tokens.
-	ServedTokens int64 `json:"served_tokens,omitempty"`
-	CachedTokens int64 `json:"cached_tokens,omitempty"`
-	// Failed says that the upstream broke the call off or did not answer.
-	Failed bool `json:"failed,omitempty"`
-}
-
-// Options bound a pool.
-type Options struct {
-	// MaxWaiting is how many requests may wait. Default DefaultMaxWaiting.
-	MaxWaiting int
-}
-
-// DefaultMaxWaiting bounds the queue of a pool.
-const DefaultMaxWaiting = 4096
+import "time"
 
-type running struct {
+// call is a request that was granted.
+type call struct {
 	request Request
-	replica string
+	account *account
+	on      *replica // nil if the upstream was not known
 	since   time.Duration
-}
-
-type replicaState struct {
-	Replica
-	outstanding int
+	// charged is the service that the account was charged; kv the KV memory that was reserved.
+	charged float64
+	kv      int64
+	// cached is the part of the prompt that the upstream was taken to hold. Tokens.
+	cached int64
+	// adopted calls were granted elsewhere.
+	adopted bool
 }
 
 // Pool queues the requests of one model or service in one zone.
 type Pool struct {
 	opts     Options
-	replicas map[string]*replicaState
-	waiting  []Request
-	running  map[string]running
+	replicas map[string]*replica
+	order    []*replica // by name
+	accounts map[string]*account
+	programs *programs
+	estimate estimator
+
+	queue     map[string]*waiting // all that wait, by request ID
+	shared    *lane
+	held      ordered[*waiting] // by heldUntil
+	deadlines ordered[*waiting] // by deadline
+	alone     []*waiting        // those that must run alone, in order of arrival
+	kept      *replica          // the upstream that is kept for one of them
+	running   map[string]*call
+
+	// virtual is the largest counter at which an account was granted a call. It never falls.
+	virtual       float64
+	backlog       ordered[*account] // accounts with requests in lanes
+	backlogWeight float64
+
+	plan   Plan
+	open   []*replica // scratch of bestHeld
+	swept  time.Duration
+	counts counts
 }
 
 // New returns an empty pool.
 func New(opts Options) *Pool {
-	if opts.MaxWaiting == 0 {
-		opts.MaxWaiting = DefaultMaxWaiting
+	opts.setDefaults()
+	return &Pool{
+		opts:     opts,
+		replicas: map[string]*replica{},
+		accounts: map[string]*account{},
+		programs: newPrograms(opts.MaxPrograms),
+		queue:    map[string]*waiting{},
+		running:  map[string]*call{},
+		shared:   newLane(),
+		held: ordered[*waiting]{
+			less:     func(a, b *waiting) bool { return earlier(a.heldUntil, b.heldUntil, a, b) },
+			position: func(w *waiting) *int { return &w.inHeld },
+		},
+		deadlines: ordered[*waiting]{
+			less:     func(a, b *waiting) bool { return earlier(a.deadline, b.deadline, a, b) },
+			position: func(w *waiting) *int { return &w.inDeadlines },
+		},
+		backlog: ordered[*account]{
+			less:     func(a, b *account) bool { return a.before(b) },
+			position: func(a *account) *int { return &a.inBacklog },
+		},
 	}
-	return &Pool{opts: opts, replicas: map[string]*replicaState{}, running: map[string]running{}}
 }
 
-// SetReplica adds an upstream or takes its new report.
-func (p *Pool) SetReplica(now time.Duration, r Replica) {
-	s, ok := p.replicas[r.Name]
-	if !ok {
-		s = &replicaState{}
-		p.replicas[r.Name] = s
+func earlier(s, t time.Duration, a, b *waiting) bool {
+	if s != t {
+		return s < t
 	}
-	s.Replica = r
+	return a.ID < b.ID
 }
 
-// RemoveReplica takes an upstream out; calls granted to it go on until they finish.
-func (p *Pool) RemoveReplica(now time.Duration, name string) {
-	delete(p.replicas, name)
-}
-
-// Enqueue adds a request; one that is known already is left as it is.
+// Enqueue adds a request; one that is known already is left as it is. A request that is refused
+// at once is in the next Plan.
 func (p *Pool) Enqueue(now time.Duration, r Request) {
-	if _, ok := p.running[r.ID]; ok {
+	if p.running[r.ID] != nil || p.queue[r.ID] != nil {
 		return
 	}
-	for _, w := range p.waiting {
-		if w.ID == r.ID {
-			return
-		}
+	p.counts.enqueued++
+	a := p.account(&r)
+	if refused, ok := p.admit(&r, a); !ok {
+		p.refuse(refused.Request, refused.Reason, refused.RetryAfter)
+		return
+	}
+	w := &waiting{
+		Request:  r,
+		account:  a,
+		queuedAt: now,
+		rank:     p.rank(now, &r),
+		deadline: now + p.opts.MaxWait,
+		inFlow:   notQueued, inHeld: notQueued, inDeadlines: notQueued,
+	}
+	p.queue[r.ID] = w
+	p.deadlines.add(w)
+	if r.Alone {
+		p.alone = append(p.alone, w)
+		return
 	}
-	p.waiting = append(p.waiting, r)
+	p.addWaiting(a)
+	p.place(now, w)
 }
 
 // Cancel forgets a waiting request.
 func (p *Pool) Cancel(now time.Duration, id string) {
-	for i, w := range p.waiting {
-		if w.ID == id {
-			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
-			return
-		}
+	w, ok := p.queue[id]
+	if !ok {
+		return
+	}
+	p.counts.cancelled++
+	p.drop(w)
+}
+
+// drop takes a request out of the queue.
+func (p *Pool) drop(w *waiting) {
+	delete(p.queue, w.ID)
+	p.deadlines.remove(w)
+	if w.Alone {
+		p.dropAlone(w)
+		p.endKept(w.ID)
+		return
 	}
+	p.takeOut(w)
+	p.dropWaiting(w.account)
+}
+
+// refuse puts a refusal into the plan.
+func (p *Pool) refuse(r Request, reason Reason, retryAfter time.Duration) {
+	p.counts.refused++
+	p.plan.Refused = append(p.plan.Refused, Refused{Request: r, Reason: reason, RetryAfter: retryAfter})
 }
 
 // Adopt counts a call that another dispatcher granted.
-func (p *Pool) Adopt(now time.Duration, r Request, replica string) {
-	if _, ok := p.running[r.ID]; ok {
+func (p *Pool) Adopt(now time.Duration, r Request, name string) {
+	if p.running[r.ID] != nil {
 		return
 	}
 	p.Cancel(now, r.ID)
-	p.running[r.ID] = running{request: r, replica: replica, since: now}
-	if s, ok := p.replicas[replica]; ok {
-		s.outstanding++
+	c := &call{request: r, account: p.account(&r), on: p.replicas[name], since: now, adopted: true}
+	p.start(now, c)
+}
+
+// start counts a call that is under way from now on.
+func (p *Pool) start(now time.Duration, c *call) {
+	p.running[c.request.ID] = c
+	c.account.running++
+	if c.on == nil {
+		return
+	}
+	c.kv = c.request.kvNeed()
+	c.on.outstanding++
+	c.on.reserved += c.kv
+	c.on.history.note(now, c.on.outstanding)
+	if c.request.Program != "" {
+		p.programs.use(c.request.Program).settleOn(c.on, 0)
 	}
+	c.on.trim()
 }
 
 // Finish frees what a granted call held.
 func (p *Pool) Finish(now time.Duration, id string, o Outcome) {
-	r, ok := p.running[id]
+	c, ok := p.running[id]
 	if !ok {
 		return
 	}
 	delete(p.running, id)
-	if s, ok := p.replicas[r.replica]; ok && s.outstanding > 0 {
-		s.outstanding--
+	c.account.running--
+	p.endKept(id)
+	p.settle(c, o)
+	p.remember(now, c, o)
+	if c.on == nil {
+		return
+	}
+	c.on.history.advance(now, c.on.outstanding)
+	c.on.outstanding--
+	c.on.reserved -= c.kv
+	p.discard(c.on)
+}
+
+// remember learns from a call that ended.
+func (p *Pool) remember(now time.Duration, c *call, o Outcome) {
+	took := now - c.since
+	ran := o.ServedTokens > 0 || c.request.kvNeed() == 0
+	if ran && !o.Failed && !c.adopted {
+		p.estimate.observe(took, c.request.uncached(o), c.request.answered(o))
+	}
+	if c.request.Program == "" {
+		return
 	}
+	g := p.programs.use(c.request.Program)
+	g.attained += took
+	if g.on != c.on || c.on == nil {
+		return
+	}
+	tokens := o.ServedTokens
+	if tokens == 0 {
+		tokens = c.cached
+	}
+	g.settleOn(c.on, tokens)
 }
 
 // Plan decides what to grant and refuse now.
 func (p *Pool) Plan(now time.Duration) Plan {
-	var plan Plan
-	var left []Request
-	for _, r := range p.waiting {
-		best := p.pick(r)
-		if best == nil {
-			left = append(left, r)
-			continue
+	p.endWaits(now)
+	p.endHolds(now)
+	p.runAlone(now)
+	for {
+		p.endLaggards(now)
+		c, ok := p.next(now)
+		if !ok {
+			break
 		}
-		best.outstanding++
-		p.running[r.ID] = running{request: r, replica: best.Name, since: now}
-		plan.Grants = append(plan.Grants, Grant{Request: r, Replica: best.Name})
+		p.grant(now, c.w, c.on)
 	}
-	if len(left) > p.opts.MaxWaiting {
-		for _, r := range left[p.opts.MaxWaiting:] {
-			plan.Refused = append(plan.Refused, Refused{Request: r, Reason: ReasonQueueFull, RetryAfter: time.Second})
-		}
-		left = left[:p.opts.MaxWaiting]
+	if now-p.swept >= time.Second {
+		p.swept = now
+		p.sweep()
 	}
-	p.waiting = left
+	plan := p.plan
+	p.plan = Plan{}
 	return plan
 }
 
-func (p *Pool) pick(r Request) *replicaState {
-	names := make([]string, 0, len(p.replicas))
-	for name := range p.replicas {
-		names = append(names, name)
-	}
-	sort.Strings(names)
-	var best *replicaState
-	for _, name := range names {
-		s := p.replicas[name]
-		if s.outstanding >= s.Slots || contains(r.Avoid, name) || r.Alone && s.outstanding > 0 {
-			continue
-		}
-		if best == nil || s.outstanding < best.outstanding || s.outstanding == best.outstanding && name == r.Resident {
-			best = s
+// endWaits refuses requests that waited for too long, and all if there is no upstream.
+func (p *Pool) endWaits(now time.Duration) {
+	replicas, _ := p.present()
+	for w := p.deadlines.first(); w != nil; w = p.deadlines.first() {
+		reason := ReasonWaitTooLong
+		switch {
+		case replicas == 0:
+			reason = ReasonNoReplica
+		case w.deadline > now:
+			return
+		case w.Alone:
+			reason = ReasonNoneIdle
 		}
+		p.drop(w)
+		p.refuse(w.Request, reason, clampRetry(p.drain(w.account, w.account.waiting)))
 	}
-	return best
 }
 
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
+// grant lets a request run.
+func (p *Pool) grant(now time.Duration, w *waiting, s *replica) {
+	p.checkGrant(w, s)
+	cached := p.prefixOn(s, &w.Request)
+	charged := service(w.PromptTokens-cached, p.estimate.expectedAnswer(&w.Request))
+	if !w.Alone {
+		p.virtual = max(p.virtual, w.account.counter)
 	}
-	return false
-}
-
-// Load is the pool's state in short.
-type Load struct {
-	Replicas int `json:"replicas"`
-	Slots    int `json:"slots"`
-	Running  int `json:"running"`
-	Waiting  int `json:"waiting"`
+	p.charge(w.account, charged)
+	if w.Alone {
+		// The upstream stays kept until the call ends.
+		delete(p.queue, w.ID)
+		p.deadlines.remove(w)
+	} else {
+		p.drop(w)
+	}
+	c := &call{request: w.Request, account: w.account, on: s, since: now, charged: charged, cached: cached}
+	p.start(now, c)
+	p.counts.granted++
+	p.plan.Grants = append(p.plan.Grants, Grant{Request: w.Request, Replica: s.Name})
 }
 
 // Load returns the pool's state in short.
 func (p *Pool) Load() Load {
-	l := Load{Replicas: len(p.replicas), Running: len(p.running), Waiting: len(p.waiting)}
-	for _, s := range p.replicas {
-		l.Slots += s.Slots
+	replicas, slots := p.present()
+	l := Load{Replicas: replicas, Slots: slots, Running: len(p.running), Waiting: len(p.queue)}
+	if replicas == 0 {
+		return l
+	}
+	l.PrefillNS = p.estimate.prefill().Nanoseconds()
+	if l.Running >= l.Slots {
+		l.WaitMS = p.estimate.wait(l.Waiting+1, float64(l.Slots)).Milliseconds()
 	}
 	return l
 }
--- /dev/null
+++ b/internal/schedule/residency.go
@@ -0,0 +1,120 @@
+package schedule
+
+import (
+	"container/list"
+	"time"
+)
+
+// program is what the pool remembers of a program that had calls here.
+type program struct {
+	name string
+	// on is the upstream that holds its prefix, nil if none is known to; tokens is its length.
+	on     *replica
+	tokens int64
+	// attained is how long its calls ran.
+	attained time.Duration
+	recent   *list.Element // in programs.recent
+	onList   *list.Element // in on.programs
+}
+
+// programs remembers programs, the most recently used ones.
+type programs struct {
+	limit  int
+	byName map[string]*program
+	recent *list.List // of *program, least recently used first
+}
+
+func newPrograms(limit int) *programs {
+	return &programs{limit: limit, byName: map[string]*program{}, recent: list.New()}
+}
+
+// use returns a program and makes it the most recently used.
+func (m *programs) use(name string) *program {
+	g, ok := m.byName[name]
+	if ok {
+		m.recent.MoveToBack(g.recent)
+		return g
+	}
+	if len(m.byName) >= m.limit {
+		m.forget(m.recent.Front().Value.(*program))
+	}
+	g = &program{name: name}
+	g.recent = m.recent.PushBack(g)
+	m.byName[name] = g
+	return g
+}
+
+func (m *programs) forget(g *program) {
+	g.leave()
+	m.recent.Remove(g.recent)
+	delete(m.byName, g.name)
+}
+
+// leave notes that the prefix is on no upstream.
+func (g *program) leave() {
+	if g.on == nil {
+		return
+	}
+	g.on.programs.Remove(g.onList)
+	g.on.prefixTokens -= g.tokens
+	g.on, g.onList, g.tokens = nil, nil, 0
+}
+
+// settleOn notes that an upstream holds the prefix, which makes it the most recently used there.
+func (g *program) settleOn(s *replica, tokens int64) {
+	g.leave()
+	g.on, g.tokens = s, tokens
+	g.onList = s.programs.PushBack(g)
+	s.prefixTokens += tokens
+	s.trim()
+}
+
+// trim forgets the least recently used prefixes that the upstream has no room for. Engines evict
+// in this order; their own reports of it are late and have gaps.
+func (s *replica) trim() {
+	if s.KVTokens == 0 {
+		return
+	}
+	for s.prefixTokens+s.reserved > s.KVTokens && s.programs.Len() > 0 {
+		s.programs.Front().Value.(*program).leave()
+	}
+}
+
+// prefix returns the upstream that holds a request's prefix and how much of the prompt that is;
+// nil if there is none. What the pool saw itself outranks the request's own word.
+func (p *Pool) prefix(r *Request) (*replica, int64) {
+	if r.Program == "" || p.opts.Without.Affinity {
+		return nil, 0
+	}
+	if g, ok := p.programs.byName[r.Program]; ok {
+		return g.on, min(g.tokens, r.PromptTokens)
+	}
+	s, ok := p.replicas[r.Resident]
+	if !ok || s.removed || r.ResidentIncarnation != 0 && r.ResidentIncarnation != s.Incarnation {
+		return nil, 0
+	}
+	if r.PrefixTokens > 0 {
+		return s, min(r.PrefixTokens, r.PromptTokens)
+	}
+	return s, r.PromptTokens
+}
+
+// prefixOn returns the part of a request's prompt that an upstream holds. Tokens.
+func (p *Pool) prefixOn(s *replica, r *Request) int64 {
+	if holder, tokens := p.prefix(r); holder == s {
+		return tokens
+	}
+	return 0
+}
+
+// near returns the upstream that the topmost ancestor of a sub-agent last ran on.
+func (p *Pool) near(r *Request) *replica {
+	if r.Root == "" || r.Root == r.Program || p.opts.Without.Affinity {
+		return nil
+	}
+	g, ok := p.programs.byName[r.Root]
+	if !ok {
+		return nil
+	}
+	return g.on
+}
--- /dev/null
+++ b/internal/schedule/selector.go
@@ -0,0 +1,255 @@
+package schedule
+
+import "time"
+
+// patience is how many times the cost of computing a prefix again a request waits for the
+// upstream that holds it. It is above 1 because computing holds up all calls of the batch.
+const patience = 4
+
+// restrictedHold is how long a request that avoids upstreams, or that no upstream has the KV
+// memory for now, is held for one upstream before it is placed anew.
+const restrictedHold = time.Second
+
+// place puts a request into the lane where it waits, or refuses it.
+func (p *Pool) place(now time.Duration, w *waiting) {
+	if reason, ok := p.servable(&w.Request); !ok {
+		p.drop(w)
+		p.refuse(w.Request, reason, comeBack(reason))
+		return
+	}
+	if p.restricted(&w.Request) {
+		p.hold(w, p.leastLoaded(&w.Request), now+restrictedHold)
+		return
+	}
+	holder, tokens := p.prefix(&w.Request)
+	if holder == nil || !holder.large(&w.Request) {
+		p.shared.add(w)
+		return
+	}
+	until := p.holdEnd(now, holder, tokens)
+	if until <= now {
+		p.shared.add(w)
+		return
+	}
+	p.hold(w, holder, until)
+}
+
+// restricted reports whether a request avoids an upstream of the pool.
+func (p *Pool) restricted(r *Request) bool {
+	for _, name := range r.Avoid {
+		if s, ok := p.replicas[name]; ok && !s.removed {
+			return true
+		}
+	}
+	return false
+}
+
+// holdEnd returns when a request gives up the upstream that holds its prefix. It waits there as
+// long as that costs less than to wait elsewhere and compute the prefix again.
+func (p *Pool) holdEnd(now time.Duration, s *replica, tokens int64) time.Duration {
+	if p.opts.Without.GiveUp {
+		return now + p.opts.MaxWait
+	}
+	allowed := patience*p.estimate.compute(tokens) + p.waitElsewhere(s)
+	if s.free() {
+		return now + allowed
+	}
+	if p.estimate.wait(s.lane.waiting+1, float64(s.Slots)) > allowed {
+		return now
+	}
+	return now + allowed
+}
+
+// waitElsewhere estimates the wait of a request in the shared lane.
+func (p *Pool) waitElsewhere(except *replica) time.Duration {
+	slots := 0
+	for _, s := range p.order {
+		if s == except || s.removed {
+			continue
+		}
+		if s.free() {
+			return 0
+		}
+		slots += s.Slots
+	}
+	return p.estimate.wait(p.shared.waiting+1, float64(slots))
+}
+
+// hold puts a request into the lane of one upstream for a time.
+func (p *Pool) hold(w *waiting, s *replica, until time.Duration) {
+	w.heldUntil = until
+	p.held.add(w)
+	s.lane.add(w)
+}
+
+// takeOut takes a request out of its lane.
+func (p *Pool) takeOut(w *waiting) {
+	p.held.remove(w)
+	if w.flow != nil {
+		w.flow.lane.remove(w)
+	}
+}
+
+// endHolds moves requests whose hold ended. Those that avoid upstreams are placed anew.
+func (p *Pool) endHolds(now time.Duration) {
+	for w := p.held.first(); w != nil && w.heldUntil <= now; w = p.held.first() {
+		p.endHold(now, w)
+	}
+}
+
+func (p *Pool) endHold(now time.Duration, w *waiting) {
+	p.takeOut(w)
+	w.pinned = false
+	if p.restricted(&w.Request) {
+		p.place(now, w)
+		return
+	}
+	p.shared.add(w)
+}
+
+// endLaggards ends the holds of accounts that fell too far behind the virtual time, so that no
+// account pays for the affinity of its requests with more than maxLag of service.
+func (p *Pool) endLaggards(now time.Duration) {
+	a := p.backlog.first()
+	if a == nil || p.virtual-a.counter <= maxLag {
+		return
+	}
+	for _, f := range append([]*flow(nil), a.flows...) {
+		if f.lane != p.shared {
+			p.release(now, f)
+		}
+	}
+}
+
+// release moves a flow's requests that need no particular upstream to the shared lane.
+func (p *Pool) release(now time.Duration, f *flow) {
+	for _, w := range append([]*waiting(nil), f.requests.items...) {
+		if !p.restricted(&w.Request) && !w.pinned {
+			p.endHold(now, w)
+		}
+	}
+}
+
+// candidate is a request with the upstream that it can run on now.
+type candidate struct {
+	w  *waiting
+	on *replica
+}
+
+// next returns the request to grant next, and on which upstream; false if none can run now.
+func (p *Pool) next(now time.Duration) (candidate, bool) {
+	for {
+		best, open := p.bestHeld()
+		w := p.shared.first()
+		if w == nil || best.w != nil && best.w.precedes(w) {
+			return best, best.w != nil
+		}
+		if on := p.selectFor(w, open); on != nil {
+			return candidate{w, on}, true
+		}
+		if len(open) == 0 {
+			return best, best.w != nil
+		}
+		p.pin(now, w)
+	}
+}
+
+// pin holds a request that fits on no upstream with a free slot for the one with the most free
+// KV memory. That one takes nothing that comes later until the request fits; the others go on.
+func (p *Pool) pin(now time.Duration, w *waiting) {
+	p.takeOut(w)
+	s := p.pick(&w.Request, func(a, b *replica) bool { return a.kvFree() > b.kvFree() })
+	if s == nil {
+		p.drop(w)
+		p.refuse(w.Request, ReasonTooLarge, 0)
+		return
+	}
+	w.pinned = true
+	p.hold(w, s, now+restrictedHold)
+}
+
+// bestHeld returns the first request that is held for an upstream where it can run now, and the
+// upstreams that may take requests of the shared lane.
+func (p *Pool) bestHeld() (best candidate, open []*replica) {
+	open = p.open[:0]
+	shared := p.shared.first()
+	for _, s := range p.order {
+		if !s.free() {
+			continue
+		}
+		w := s.lane.first()
+		if w == nil {
+			open = append(open, s)
+			continue
+		}
+		fits := p.fits(s, &w.Request)
+		if fits && (best.w == nil || w.precedes(best.w)) {
+			best = candidate{w, s}
+		}
+		// An upstream whose own first request comes before the shared one is kept for it.
+		if fits || shared != nil && shared.precedes(w) {
+			open = append(open, s)
+		}
+	}
+	p.open = open
+	return best, open
+}
+
+// Weights of the selection among upstreams with a free slot, in parts of an upstream's slots.
+const (
+	prefixBonus = 4.0
+	nearBonus   = 0.25
+	memoryCost  = 0.25
+)
+
+// selectFor returns the upstream for a request of the shared lane, nil if none fits.
+func (p *Pool) selectFor(w *waiting, open []*replica) *replica {
+	var best *replica
+	holder, _ := p.prefix(&w.Request)
+	near := p.near(&w.Request)
+	bestCost := 0.0
+	for _, s := range open {
+		if !p.fits(s, &w.Request) || w.avoids(s.Name) {
+			continue
+		}
+		cost := s.cost()
+		if s == holder {
+			cost -= prefixBonus
+		}
+		if s == near {
+			cost -= nearBonus
+		}
+		if best == nil || cost < bestCost {
+			best, bestCost = s, cost
+		}
+	}
+	return best
+}
+
+// cost weighs how busy an upstream is and how full its memory.
+func (s *replica) cost() float64 {
+	cost := float64(s.busy()+s.lane.waiting) / float64(max(s.Slots, 1))
+	if s.KVTokens > 0 {
+		cost += memoryCost * float64(s.prefixTokens+s.reserved) / float64(s.KVTokens)
+	}
+	return cost
+}
+
+// leastLoaded returns the upstream with the lowest cost that a request may run on; nil if there
+// is none.
+func (p *Pool) leastLoaded(r *Request) *replica {
+	return p.pick(r, func(a, b *replica) bool { return a.cost() < b.cost() })
+}
+
+func (p *Pool) pick(r *Request, better func(a, b *replica) bool) *replica {
+	var best *replica
+	for _, s := range p.order {
+		if s.removed || s.Slots == 0 || r.avoids(s.Name) || !s.large(r) {
+			continue
+		}
+		if best == nil || better(s, best) {
+			best = s
+		}
+	}
+	return best
+}
--- /dev/null
+++ b/internal/schedule/types.go
@@ -0,0 +1,155 @@
+package schedule
+
+import "time"
+
+// Request is a call that waits for an upstream.
+type Request struct {
+	ID      string `json:"id"`
+	Account string `json:"account"`
+	// Weight is the account's part in fair queueing; 0 counts as 1.
+	Weight float64 `json:"weight"`
+	// Program groups calls that share a prefix; empty for a call of its own.
+	Program string `json:"program,omitempty"`
+	// Root is the program's topmost ancestor; sub-agents of one program share it.
+	Root string `json:"root,omitempty"`
+	// Resident is the upstream that holds the program's prefix, as far as is known.
+	Resident string `json:"resident,omitempty"`
+	// ResidentIncarnation is the incarnation of Resident that holds it; 0 if not known.
+	ResidentIncarnation int64 `json:"resident_incarnation,omitempty"`
+	// PromptTokens and MaxTokens bound the call's size. Tokens.
+	PromptTokens int64 `json:"prompt_tokens,omitempty"`
+	MaxTokens    int64 `json:"max_tokens,omitempty"`
+	// PrefixTokens is the part of the prompt that Resident holds; 0 if not known. Tokens.
+	PrefixTokens int64 `json:"prefix_tokens,omitempty"`
+	// Attained is the service that the program has had so far; 0 if not known. Tokens.
+	Attained int64 `json:"attained,omitempty"`
+	// Avoid are upstreams that this call must not run on.
+	Avoid []string `json:"avoid,omitempty"`
+	// Alone asks for an upstream that serves nothing else.
+	Alone bool `json:"alone,omitempty"`
+}
+
+// kvNeed is the most KV memory that the call can take. Tokens.
+func (r *Request) kvNeed() int64 { return r.PromptTokens + r.MaxTokens }
+
+// Replica is an upstream as the pool sees it.
+type Replica struct {
+	Name        string
+	Incarnation int64
+	// Slots is how many calls may be under way at once; with 0 it gets no new ones.
+	Slots int
+	// KVTokens is the size of the KV cache; 0 if calls are not bounded by it. Tokens.
+	KVTokens int64
+	// Running, Waiting and KVTokensUsed are the last report, ReportedAt its time.
+	Running      int
+	Waiting      int
+	KVTokensUsed int64
+	ReportedAt   time.Duration
+}
+
+// Grant lets a request run on an upstream.
+type Grant struct {
+	Request Request
+	Replica string
+}
+
+// Refused takes a request out of the queue without a grant.
+type Refused struct {
+	Request    Request
+	Reason     Reason
+	RetryAfter time.Duration
+}
+
+// Reason says why a request was refused.
+type Reason string
+
+// The reasons.
+const (
+	// ReasonQueueFull: the account has as many requests waiting as the queue has room for.
+	ReasonQueueFull Reason = "queue_full"
+	// ReasonTooLarge: no upstream of the pool has the KV memory that the call may need.
+	ReasonTooLarge Reason = "too_large"
+	// ReasonAllAvoided: the call must avoid every upstream of the pool.
+	ReasonAllAvoided Reason = "all_avoided"
+	// ReasonWaitTooLong: the account's requests ahead take longer than the longest wait.
+	ReasonWaitTooLong Reason = "wait_too_long"
+	// ReasonNoReplica: the pool has no upstream.
+	ReasonNoReplica Reason = "no_replica"
+	// ReasonNoneIdle: no upstream got idle in time for a call that must run alone.
+	ReasonNoneIdle Reason = "none_idle"
+)
+
+// Plan is what the host has to carry out.
+type Plan struct {
+	Grants  []Grant
+	Refused []Refused
+}
+
+// Outcome is what is known of a call that ended.
+type Outcome struct {
+	// ServedTokens and CachedTokens are the engine's own count: prompt and answer, and the part
+	// of the prompt that was not computed. Tokens.
+	ServedTokens int64 `json:"served_tokens,omitempty"`
+	CachedTokens int64 `json:"cached_tokens,omitempty"`
+	// CompletionTokens is the length of the answer; 0 if not known. Tokens.
+	CompletionTokens int64 `json:"completion_tokens,omitempty"`
+	// Failed says that the upstream broke the call off or did not answer.
+	Failed bool `json:"failed,omitempty"`
+}
+
+// Options bound a pool.
+type Options struct {
+	// MaxWaiting is how many requests may wait. Default DefaultMaxWaiting.
+	MaxWaiting int
+	// MaxWait is the longest wait. Default DefaultMaxWait.
+	MaxWait time.Duration
+	// MaxPrograms is how many programs are remembered. Default DefaultMaxPrograms.
+	MaxPrograms int
+	// Without switches parts of the policy off, to measure what they are worth.
+	Without Parts
+}
+
+// Parts are parts of the policy.
+type Parts struct {
+	// Fairness is fair queueing over client accounts.
+	Fairness bool
+	// Order is the order by attained service within an account.
+	Order bool
+	// Affinity sends a program's calls to the upstream that holds its prefix.
+	Affinity bool
+	// GiveUp ends the wait for that upstream when computing the prefix again costs less.
+	GiveUp bool
+	// KVAdmission bounds the calls on an upstream by its KV memory.
+	KVAdmission bool
+}
+
+// Defaults of Options.
+const (
+	DefaultMaxWaiting  = 4096
+	DefaultMaxWait     = 30 * time.Second
+	DefaultMaxPrograms = 16384
+)
+
+func (o *Options) setDefaults() {
+	if o.MaxWaiting == 0 {
+		o.MaxWaiting = DefaultMaxWaiting
+	}
+	if o.MaxWait == 0 {
+		o.MaxWait = DefaultMaxWait
+	}
+	if o.MaxPrograms == 0 {
+		o.MaxPrograms = DefaultMaxPrograms
+	}
+}
+
+// Load is the pool's state in short.
+type Load struct {
+	Replicas int `json:"replicas"`
+	Slots    int `json:"slots"`
+	Running  int `json:"running"`
+	Waiting  int `json:"waiting"`
+	// WaitMS is how long a new request would wait if all accounts shared one line. Milliseconds.
+	WaitMS int64 `json:"wait_ms,omitempty"`
+	// PrefillNS is the time to compute one token of a prompt. Nanoseconds.
+	PrefillNS int64 `json:"prefill_ns,omitempty"`
+}
