--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -135,23 +135,22 @@
 // prefix, or empty. Errors: *Error.
 func (c *Client) Acquire(ctx context.Context, kind config.UpstreamKind, name, preferred string, r schedule.Request) (*Grant, error) {
 	tried := map[upstream.Pool]bool{}
+	refused := &Error{Code: CodeNoUpstream}
 	for {
-		pools := c.order(kind, name, preferred, r.Avoid)
-		if len(pools) == 0 {
-			return nil, &Error{Code: CodeNoUpstream}
-		}
-		next := firstUntried(pools, tried)
+		next := firstUntried(c.order(kind, name, preferred, &r), tried)
 		if next == nil {
-			return nil, &Error{Code: CodeNoUpstream}
+			return nil, refused
 		}
 		tried[*next] = true
 		grant, err := c.acquireFrom(ctx, *next, r)
 		if grant != nil {
 			return grant, nil
 		}
-		if err.Code != CodeNoUpstream {
+		if err.Code == CodeTimeout {
 			return nil, err
 		}
+		// Another zone may have what this one lacks: a call is refused only if all refuse it.
+		refused = refused.sooner(err)
 	}
 }
 
@@ -164,19 +163,18 @@
 	return nil
 }
 
-// order returns the zones' pools for a call, the best first: the zone that holds the prefix and
-// then this VM's own zone unless they are crowded, then by the load per slot.
-func (c *Client) order(kind config.UpstreamKind, name, preferred string, _ []string) []upstream.Pool {
+// order returns the zones' pools for a call, the one first where it costs least time.
+func (c *Client) order(kind config.UpstreamKind, name, preferred string, r *schedule.Request) []upstream.Pool {
 	type candidate struct {
 		pool upstream.Pool
-		cost float64
+		cost time.Duration
 	}
 	var found []candidate
 	for _, s := range c.Pools() {
 		if s.Pool.Kind != kind || s.Pool.Name != name {
 			continue
 		}
-		found = append(found, candidate{pool: s.Pool, cost: c.cost(s, preferred)})
+		found = append(found, candidate{pool: s.Pool, cost: ZoneCost(s.Load, s.Pool.Zone == c.opts.Zone, s.Pool.Zone == preferred, r)})
 	}
 	sort.SliceStable(found, func(i, j int) bool { return found[i].cost < found[j].cost })
 	pools := make([]upstream.Pool, len(found))
@@ -186,24 +184,6 @@
 	return pools
 }
 
-// Costs that weigh a zone's load against what a call loses by going elsewhere, in parts of the
-// pool's slots.
-const (
-	crossZoneCost  = 0.25
-	lostPrefixCost = 1.0
-)
-
-func (c *Client) cost(s PoolSummary, preferred string) float64 {
-	cost := float64(s.Load.Running+s.Load.Waiting) / float64(max(s.Load.Slots, 1))
-	if s.Pool.Zone != c.opts.Zone {
-		cost += crossZoneCost
-	}
-	if preferred != "" && s.Pool.Zone != preferred {
-		cost += lostPrefixCost
-	}
-	return cost
-}
-
 func (c *Client) acquireFrom(ctx context.Context, pool upstream.Pool, r schedule.Request) (*Grant, *Error) {
 	w := &waiter{enqueue: Enqueue{Pool: pool, Request: r}, replies: make(chan Reply, 4)}
 	c.mu.Lock()
--- a/internal/dispatch/errors.go
+++ b/internal/dispatch/errors.go
@@ -30,3 +30,15 @@
 	}
 	return string(e.Code)
 }
+
+// sooner returns the error that lets the caller come back earlier. A refusal outranks a zone that
+// cannot be reached, since it says more.
+func (e *Error) sooner(other *Error) *Error {
+	if e.Code == CodeNoUpstream {
+		return other
+	}
+	if other.Code == CodeRefused && other.RetryAfter > 0 && (e.RetryAfter == 0 || other.RetryAfter < e.RetryAfter) {
+		return other
+	}
+	return e
+}
--- a/internal/ratelimit/messages.go
+++ b/internal/ratelimit/messages.go
@@ -10,16 +10,19 @@
 
 // Limit is a client account's rate and burst over the whole fleet, from the configuration.
 type Limit struct {
-	RatePerSecond float64 // requests a second
-	Burst         float64 // requests
+	RatePerSecond float64 `json:"rate_per_second"` // requests a second
+	Burst         float64 `json:"burst"`           // requests
 }
 
-// Ask asks the holder of a share to lend up to Want. The same Ask may arrive twice.
+// Ask asks the holder of a share to lend up to Want.
 type Ask struct {
 	ID          uint64 `json:"id"`          // unique for (borrower, Incarnation)
 	Incarnation uint64 `json:"incarnation"` // of the borrower
 	Account     string `json:"account"`     // canonical ID
 	Want        Tokens `json:"want"`
+	// Returned are loans that the lender takes back first, so that a borrower that still
+	// lacks a part of a token keeps its place.
+	Returned []Settle `json:"returned,omitempty"`
 	// CutoffLimit is that of the account.
 	CutoffLimit time.Duration `json:"cutoff_limit"` // nanoseconds
 }
@@ -91,7 +94,7 @@
 
 // Fleet is the membership epoch as far as the limiter needs it; membership.Epoch is one.
 type Fleet interface {
-	EpochNumber() uint64
+	EpochNumber() uint64                // consecutive: each change of the membership adds one
 	Zones() []string                    // sorted
 	Holder(account, zone string) string // "" if the zone has no VM
 }
--- a/internal/ratelimit/view.go
+++ b/internal/ratelimit/view.go
@@ -72,11 +72,21 @@
 		return
 	}
 	first := l.view.Fleet == nil
+	if !first && v.Fleet.EpochNumber() > l.view.Fleet.EpochNumber()+1 {
+		l.forget()
+	}
+	zones := v.Fleet.Zones()
+	sameZones := slices.Equal(zones, l.zones)
+	sameEpoch := !first && v.Fleet.EpochNumber() == l.view.Fleet.EpochNumber()
 	l.view = v
+	l.zones = zones
 	l.settled.AgreedSplit = max(l.settled.AgreedSplit, v.AgreedSplit)
 	for _, id := range sortedKeys(v.Limits) {
 		limit := v.Limits[id]
 		a := l.accounts[id]
+		if a != nil && !a.deleted && sameZones && sameEpoch && a.limit == limit {
+			continue
+		}
 		if a == nil {
 			a = &account{id: id}
 			l.accounts[id] = a
@@ -99,6 +109,18 @@
 	l.checkInvariants()
 }
 
+// forget gives up what this VM holds after it skipped an epoch: it may have been removed in
+// one, and others may have taken over and given back without asking it.
+func (l *Limiter) forget() {
+	for _, a := range l.accounts {
+		a.holder = false
+		a.share = nil
+		a.part = part{}
+		a.target = part{}
+		a.growAt = 0
+	}
+}
+
 // sortedKeys makes the order of the effects repeatable.
 func sortedKeys[T any](m map[string]T) []string {
 	return slices.Sorted(maps.Keys(m))
@@ -106,9 +128,8 @@
 
 // place works out the zones and the own zone's part under the view.
 func (l *Limiter) place(a *account, limit Limit) {
-	zones := l.view.Fleet.Zones()
 	a.limit = limit
-	a.zones = splitZones(a.id, limit.Burst, zones)
+	a.zones = splitZones(a.id, limit.Burst, l.zones)
 	target := part{}
 	for i, z := range a.zones {
 		if z == l.opts.Zone {
--- a/internal/ratelimit/world_test.go
+++ b/internal/ratelimit/world_test.go
@@ -88,7 +88,9 @@
 	afters     []time.Duration
 	requests   int
 	queueWait  func() time.Duration
-	caps       map[string][]capSample
+	// longFreezes: VMs are frozen for longer than every lease, and nothing else goes wrong.
+	longFreezes bool
+	caps        map[string][]capSample
 }
 
 // capSample is the largest rate and burst that any VM acts under at a time.
@@ -297,7 +299,7 @@
 func (w *world) effects(vm *worldVM, e Effects) {
 	for _, s := range e.Sends {
 		if s.Reply != nil && s.Reply.Amount > 0 {
-			w.noteLimits(vm)
+			w.noteActing(vm)
 		}
 		to := w.vms[s.To]
 		w.deliver(vm.name, s.To, func() {
@@ -312,7 +314,7 @@
 			continue
 		}
 		w.accepted[account]++
-		w.noteLimits(vm)
+		w.noteActing(vm)
 		w.at(w.now+w.queueWait(), vm, func() { w.dispatch(vm, account, d.Request) })
 	}
 }
