--- /dev/null
+++ b/internal/dispatch/zonecost.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"time"
+
+	"egretramp/internal/schedule"
+)
+
+// Costs that weigh one zone against another.
+const (
+	// crossZoneCost is what a call loses by going to another zone. It is far above the time of
+	// the way, so that zones don't swap calls on summaries that are half a second old.
+	crossZoneCost = 100 * time.Millisecond
+	// prefixPatience is how many times the cost of computing a prefix again a call waits in the
+	// zone that holds it: computing holds up the other calls of the batch.
+	prefixPatience = 4
+)
+
+// ZoneCost estimates the time that a call loses in a zone with the given load: the wait, the way,
+// and the prefix that has to be computed again. own is the zone where the call arrived, holds the
+// one that holds its prefix.
+func ZoneCost(l schedule.Load, own, holds bool, r *schedule.Request) time.Duration {
+	cost := time.Duration(l.WaitMS) * time.Millisecond
+	if !own {
+		cost += crossZoneCost
+	}
+	if !holds {
+		cost += prefixPatience * time.Duration(prefix(r)*l.PrefillNS)
+	}
+	return cost
+}
+
+// prefix is the part of a prompt that some upstream may hold. Tokens.
+func prefix(r *schedule.Request) int64 {
+	switch {
+	case r.Program == "" || r.Resident == "":
+		return 0
+	case r.PrefixTokens > 0:
+		return r.PrefixTokens
+	}
+	return r.PromptTokens
+}
