--- /dev/null
+++ b/cmd/egretramp-bench/main.go
@@ -0,0 +1,83 @@
+// Command egretramp-bench compares scheduling policies under one seeded load in virtual time.
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+
+	"egretramp/internal/bench"
+)
+
+// Exit codes.
+const (
+	exitFailure = 1
+	exitUsage   = 2
+)
+
+type options struct {
+	Seed     int64         `long:"seed" default:"1" description:"for the programs"`
+	Load     float64       `long:"load" default:"0.9" description:"work that arrives, as a part of what the fleet could do if each prefix were computed once"`
+	Duration time.Duration `long:"duration" default:"10m" description:"time in which programs arrive, in virtual time"`
+	Workload string        `long:"workload" default:"all" choice:"bajio" choice:"colombo" choice:"all" description:"shape of the programs"`
+	NoFaults bool          `long:"no-faults" description:"leave out the loss of an engine and of a zone"`
+	Only     []string      `long:"policy" description:"run only this policy (repeatable)"`
+	JSON     bool          `long:"json" description:"print JSON"`
+}
+
+func main() {
+	var o options
+	if _, err := flags.Parse(&o); err != nil {
+		if flags.WroteHelp(err) {
+			return
+		}
+		os.Exit(exitUsage)
+	}
+	if err := run(o); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailure)
+	}
+}
+
+// report is the comparison under one workload.
+type report struct {
+	Workload string         `json:"workload"`
+	Seed     int64          `json:"seed"`
+	Load     float64        `json:"load"`
+	Results  []bench.Result `json:"results"`
+}
+
+func run(o options) error {
+	names := []string{o.Workload}
+	if o.Workload == "all" {
+		names = []string{bench.WorkloadBajio, bench.WorkloadColombo}
+	}
+	for _, name := range names {
+		results, err := bench.Run(bench.Options{
+			Seed: o.Seed, Load: o.Load, Duration: o.Duration, Workload: name, NoFaults: o.NoFaults, Only: o.Only,
+		})
+		if err != nil {
+			return err
+		}
+		r := report{Workload: name, Seed: o.Seed, Load: o.Load, Results: results}
+		if err := r.print(o.JSON); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (r report) print(asJSON bool) error {
+	if asJSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	fmt.Printf("workload %s, seed %d, load %.2f\n%s\n", r.Workload, r.Seed, r.Load, bench.Head)
+	for _, result := range r.Results {
+		fmt.Println(result)
+	}
+	fmt.Println()
+	return nil
+}
--- /dev/null
+++ b/internal/bench/bench.go
@@ -0,0 +1,164 @@
+// Package bench compares scheduling policies under one seeded load in virtual time: no clock, no
+// network, no daemon. Engines are modelled as the stand-in engines work. All policies get the
+// same programs; what they do decides when each program's next call comes.
+package bench
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/workload"
+)
+
+// Options describe a comparison.
+type Options struct {
+	Seed int64
+	// Load is the work that arrives, as a part of what the fleet could do if each prefix were
+	// computed once.
+	Load float64
+	// Duration is the time in which programs arrive. Virtual time.
+	Duration time.Duration
+	// Workload is the deployment whose programs are drawn: WorkloadBajio or WorkloadColombo.
+	Workload string
+	// NoFaults leaves out the loss of an engine and of a zone.
+	NoFaults bool
+	// Engine is the modelled engine. Default DefaultEngine.
+	Engine EngineModel
+	// Only names the policies to run; empty: all.
+	Only []string
+}
+
+// The workloads.
+const (
+	WorkloadBajio   = "bajio"
+	WorkloadColombo = "colombo"
+)
+
+// ErrOptions is returned for options that no run can have.
+var ErrOptions = errors.New("bench: bad options")
+
+// Result is what one policy did.
+type Result struct {
+	Policy string `json:"policy"`
+	// Programs are those that finished; Unfinished ones count with their age at the end.
+	Programs   int `json:"programs"`
+	Unfinished int `json:"unfinished"`
+	// Latencies of whole programs without the account that sends too much. Milliseconds.
+	P50MS float64 `json:"p50_ms"`
+	P95MS float64 `json:"p95_ms"`
+	P99MS float64 `json:"p99_ms"`
+	// WorstAccount is the one with the largest p95 among those inside their rates.
+	WorstAccount    string  `json:"worst_account"`
+	WorstP95MS      float64 `json:"worst_p95_ms"`
+	WastedPart      float64 `json:"wasted_part"` // of prompt tokens, computed again
+	WorstShareOf    string  `json:"worst_share_of"`
+	WorstShare      float64 `json:"worst_share"` // of the max-min fair share
+	Requests        int     `json:"requests"`
+	WrongRefusals   int     `json:"wrong_refusals"` // all requests are inside their account's rate
+	Busy            float64 `json:"busy"`           // part of the engines' time spent in steps
+	Decisions       int     `json:"decisions"`
+	DecisionsPerSec float64 `json:"decisions_per_second"` // of processor time
+	OperationP99US  float64 `json:"operation_p99_us"`     // one event or plan of a pool
+}
+
+// Run runs all policies, one after the other.
+func Run(o Options) ([]Result, error) {
+	d, err := o.check()
+	if err != nil {
+		return nil, err
+	}
+	l := generate(o.Seed, d, o.Load, o.Duration, o.Engine, replicaCount)
+	var results []Result
+	for _, p := range Policies() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, p.Name) {
+			continue
+		}
+		r := newRun(o, l, p)
+		r.sim.runUntil(o.Duration)
+		busy := r.busy()
+		r.sim.runUntil(o.Duration + graceTime)
+		if r.violation != nil {
+			return results, errors.Wrapf(r.violation, "bench: policy %s breaks an invariant", p.Name)
+		}
+		result := r.result(p.Name, o.Duration+graceTime)
+		result.Busy = busy.Seconds() / o.Duration.Seconds() / replicaCount
+		results = append(results, result)
+	}
+	return results, nil
+}
+
+func (o *Options) check() (workload.Deployment, error) {
+	if o.Engine == (EngineModel{}) {
+		o.Engine = DefaultEngine
+	}
+	if o.Load <= 0 || o.Load > 3 || o.Duration < fairWindow || o.Duration > 6*time.Hour {
+		return workload.Deployment{}, errors.Wrap(ErrOptions, "the load must be above 0 and at most 3, the duration from 20s to 6h")
+	}
+	for _, name := range o.Only {
+		if !slices.ContainsFunc(Policies(), func(p Policy) bool { return p.Name == name }) {
+			return workload.Deployment{}, errors.Wrapf(ErrOptions, "no policy is called %q", name)
+		}
+	}
+	switch o.Workload {
+	case WorkloadBajio:
+		return workload.Bajio(), nil
+	case WorkloadColombo:
+		return workload.Colombo(), nil
+	}
+	return workload.Deployment{}, errors.Wrapf(ErrOptions, "no workload is called %q", o.Workload)
+}
+
+func (r *run) result(policy string, end time.Duration) Result {
+	res := Result{
+		Policy: policy, Unfinished: len(r.underWay), Requests: r.requests, WrongRefusals: r.refusals,
+		Decisions: r.decisions, OperationP99US: float64(r.operations.ValueAtQuantile(99)) / 1e3,
+	}
+	for p, start := range r.underWay {
+		r.finished(p.spec, end-start)
+	}
+	var all []time.Duration
+	for _, a := range sortedNames(r.latencies) {
+		if a == r.load.noisy {
+			continue
+		}
+		list := r.latencies[a]
+		slices.Sort(list)
+		all = append(all, list...)
+		if p95 := ms(quantile(list, 0.95)); p95 > res.WorstP95MS {
+			res.WorstAccount, res.WorstP95MS = a, p95
+		}
+	}
+	slices.Sort(all)
+	res.Programs = len(all)
+	res.P50MS, res.P95MS, res.P99MS = ms(quantile(all, 0.5)), ms(quantile(all, 0.95)), ms(quantile(all, 0.99))
+	res.WastedPart = float64(r.wastedTokens) / float64(max(r.promptTokens, 1))
+	res.WorstShareOf, res.WorstShare = r.worstShare()
+	if r.spent > 0 {
+		res.DecisionsPerSec = float64(r.decisions) / r.spent.Seconds()
+	}
+	return res
+}
+
+// busy returns the time that all engines spent in steps.
+func (r *run) busy() time.Duration {
+	total := time.Duration(0)
+	for _, e := range r.fleet.engines {
+		total += e.busy
+	}
+	return total
+}
+
+func ms(d time.Duration) float64 { return float64(d.Microseconds()) / 1e3 }
+
+// String returns the result as a line of the table whose head is Head.
+func (r Result) String() string {
+	return fmt.Sprintf("%-21s %7d %5d %9.0f %9.0f %9.0f %9.0f %6.1f%% %6.3f %-10s %6d %5.0f%% %9.0f %7.1f",
+		r.Policy, r.Programs, r.Unfinished, r.P50MS, r.P95MS, r.P99MS, r.WorstP95MS, 100*r.WastedPart,
+		r.WorstShare, r.WorstShareOf, r.WrongRefusals, 100*r.Busy, r.DecisionsPerSec, r.OperationP99US)
+}
+
+// Head is the head of the table of results.
+const Head = "policy                programs  left    p50 ms    p95 ms    p99 ms worst p95  waste  share of         refused  busy  decis/s  p99 us"
--- /dev/null
+++ b/internal/bench/load.go
@@ -0,0 +1,157 @@
+package bench
+
+import (
+	"math"
+	"math/rand"
+	"strings"
+	"time"
+
+	"egretramp/internal/workload"
+)
+
+// Sizes of the programs, in the shape of package workload's deployments.
+const (
+	systemTokens  = 500 // tokens of a program's first message
+	tokensPerWord = 10  // a word of the workload's messages stands for so many tokens
+	toolTokens    = 100 // tokens of a tool's result
+	medianAnswer  = 80.0
+	answerSpread  = 0.6 // sigma of the log-normal length
+	maxAnswer     = 256 // tokens; what callers ask for at most
+	toolTime      = 50 * time.Millisecond
+	pauseScale    = 10 // median tool pause 200 ms
+	// latePart of the turns come after a further latePause, as when a caller went away.
+	latePart  = 0.02
+	latePause = 30 * time.Second
+)
+
+// Shares of the accounts: two large ones, the others small, of which the last one sends
+// noisyFactor times its usual load and is held to noisyRate times it.
+const (
+	noisyFactor = 6.0
+	noisyRate   = 1.5
+	largeWeight = 3.0
+	largeShare  = 6.0
+	largeCount  = 2
+)
+
+// spec is a program: the same under all policies.
+type spec struct {
+	name, account string
+	weight        float64
+	noisy         bool
+	arrival       time.Duration
+	turns         []turn
+}
+
+// turn is a model call with what precedes it.
+type turn struct {
+	pause  time.Duration
+	prompt int64 // tokens that the turn adds to the prompt
+	answer int64
+	child  *spec // starts with the call and ends before the next turn
+}
+
+// load is the programs of a run.
+type load struct {
+	programs []*spec
+	accounts []string
+	weights  map[string]float64
+	// requestRate is what the noisy account is held to. Requests a second.
+	requestRate float64
+	noisy       string
+}
+
+// generate draws the programs that arrive within a duration, at a part of the fleet's capacity:
+// what it could do if each prefix were computed once.
+func generate(seed int64, d workload.Deployment, part float64, duration time.Duration, m EngineModel, replicas int) *load {
+	random := rand.New(rand.NewSource(seed))
+	last := len(d.Accounts) - 1
+	l := &load{weights: map[string]float64{}, noisy: d.Accounts[last].ID}
+	d.Accounts[last].Share *= noisyFactor
+	sent, admitted := 0.0, 0.0
+	for i := range d.Accounts {
+		a := &d.Accounts[i]
+		l.accounts = append(l.accounts, a.ID)
+		l.weights[a.ID] = 1
+		if i < largeCount {
+			l.weights[a.ID] = largeWeight
+		}
+		sent += a.Share
+		admitted += a.Share
+	}
+	admitted += d.Accounts[last].Share * (noisyRate/noisyFactor - 1)
+	g := workload.NewGenerator(seed, d)
+	g.PauseScale = pauseScale
+	work, turns := meanWork(seed, d, m)
+	perShare := part * float64(replicas) / work / admitted
+	l.requestRate = perShare * d.Accounts[last].Share / noisyFactor * noisyRate * turns
+	for t := 0.0; ; {
+		t += random.ExpFloat64() / (perShare * sent)
+		at := time.Duration(t * float64(time.Second))
+		if at >= duration {
+			return l
+		}
+		p := l.spec(random, g.Next())
+		p.arrival = at
+		l.programs = append(l.programs, p)
+	}
+}
+
+// meanWork returns a program's mean work, in seconds of one engine with a full batch, and its
+// mean number of requests.
+func meanWork(seed int64, d workload.Deployment, m EngineModel) (seconds, requests float64) {
+	const sample = 4000
+	random := rand.New(rand.NewSource(seed + 1))
+	g := workload.NewGenerator(seed+1, d)
+	l := &load{weights: map[string]float64{}}
+	for range sample {
+		w, n := l.spec(random, g.Next()).work(m)
+		seconds += w.Seconds() / sample
+		requests += float64(n) / sample
+	}
+	return seconds, requests
+}
+
+func (s *spec) work(m EngineModel) (time.Duration, int) {
+	total, requests := time.Duration(0), 0
+	for _, t := range s.turns {
+		total += time.Duration(t.prompt)*m.PrefillPerToken + time.Duration(t.answer)*m.fullStep()/time.Duration(m.Slots)
+		requests++
+		if t.child != nil {
+			w, n := t.child.work(m)
+			total += w
+			requests += n
+		}
+	}
+	return total, requests
+}
+
+// spec turns a workload program into its model calls.
+func (l *load) spec(random *rand.Rand, p *workload.Program) *spec {
+	s := &spec{name: p.Name, account: p.Account, weight: l.weights[p.Account], noisy: p.Account == l.noisy}
+	next := turn{prompt: systemTokens}
+	for _, step := range p.Steps {
+		next.pause += step.Pause
+		if step.Child != nil {
+			next.child = l.spec(random, step.Child)
+		}
+		if step.Kind == workload.Service {
+			next.pause += toolTime
+			next.prompt += toolTokens
+			continue
+		}
+		if random.Float64() < latePart {
+			next.pause += latePause
+		}
+		next.prompt += int64(tokensPerWord * len(strings.Fields(step.Text)))
+		next.answer = drawAnswer(random)
+		s.turns = append(s.turns, next)
+		next = turn{}
+	}
+	return s
+}
+
+func drawAnswer(random *rand.Rand) int64 {
+	n := medianAnswer * math.Exp(random.NormFloat64()*answerSpread)
+	return int64(min(max(n, 1), maxAnswer))
+}
--- /dev/null
+++ b/internal/bench/measures.go
@@ -0,0 +1,136 @@
+package bench
+
+import (
+	"sort"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// answerWeight is what a token of an answer counts against one of a prompt, as in the scheduler.
+const answerWeight = 4.0
+
+// fairWindow is the time over which an account's service is held against its fair share.
+const fairWindow = 20 * time.Second
+
+// measures are what a run counts.
+type measures struct {
+	latencies map[string][]time.Duration // of programs, by account
+	underWay  map[*programRun]time.Duration
+
+	promptTokens, wastedTokens int64
+	requests, refusals         int
+	decisions                  int
+	operations                 *hdrhistogram.Histogram // times of the pools' work. Nanoseconds.
+	spent                      time.Duration
+
+	weights map[string]float64
+	// pending is the work that waits, done the work of the present window, by account.
+	pending, done map[string]float64
+	gotten, fair  map[string]float64 // sums over the windows
+	isWaiting     map[*call]bool
+}
+
+func newMeasures(l *load, _ time.Duration) measures {
+	return measures{
+		latencies: map[string][]time.Duration{}, underWay: map[*programRun]time.Duration{},
+		operations: newHistogram(), weights: l.weights,
+		pending: map[string]float64{}, done: map[string]float64{},
+		gotten: map[string]float64{}, fair: map[string]float64{}, isWaiting: map[*call]bool{},
+	}
+}
+
+func (m *measures) spend(d time.Duration) {
+	m.spent += d
+	_ = m.operations.RecordValue(max(d.Nanoseconds(), 1))
+}
+
+func (m *measures) finished(s *spec, latency time.Duration) {
+	m.latencies[s.account] = append(m.latencies[s.account], latency)
+}
+
+// wait counts a call's work as demand, granted as no longer waiting.
+func (m *measures) wait(c *call) {
+	if !m.isWaiting[c] {
+		m.isWaiting[c] = true
+		m.pending[c.program.spec.account] += c.work
+	}
+}
+
+func (m *measures) granted(c *call) {
+	if m.isWaiting[c] {
+		delete(m.isWaiting, c)
+		m.pending[c.program.spec.account] -= c.work
+	}
+}
+
+// served counts a call that an engine completed.
+func (m *measures) served(c *call, j *job) {
+	m.done[c.program.spec.account] += c.work
+	m.promptTokens += j.prompt
+	m.wastedTokens += max(0, min(c.program.computed, j.prompt)-j.cached)
+}
+
+// closeWindow holds the window's service against the max-min fair shares of what was served.
+func (m *measures) closeWindow() {
+	demand, capacity := map[string]float64{}, 0.0
+	for a := range m.weights {
+		demand[a] = m.done[a] + max(m.pending[a], 0)
+		capacity += m.done[a]
+	}
+	for a, share := range maxMin(demand, m.weights, capacity) {
+		m.fair[a] += share
+		m.gotten[a] += m.done[a]
+	}
+	clear(m.done)
+}
+
+// maxMin divides a capacity by weight among demands, none of which gets more than it asks for.
+func maxMin(demand, weights map[string]float64, capacity float64) map[string]float64 {
+	names := make([]string, 0, len(demand))
+	total := 0.0
+	for name := range demand {
+		names = append(names, name)
+		total += weights[name]
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := names[i], names[j]
+		x, y := demand[a]/weights[a], demand[b]/weights[b]
+		return x < y || x == y && a < b
+	})
+	shares := map[string]float64{}
+	for _, name := range names {
+		shares[name] = min(demand[name], capacity*weights[name]/total)
+		capacity -= shares[name]
+		total -= weights[name]
+	}
+	return shares
+}
+
+// worstShare returns the account that got the smallest part of its fair share.
+func (m *measures) worstShare() (account string, part float64) {
+	part = 1
+	for _, a := range sortedNames(m.fair) {
+		if m.fair[a] > 0 && (account == "" || m.gotten[a]/m.fair[a] < part) {
+			account, part = a, m.gotten[a]/m.fair[a]
+		}
+	}
+	return account, part
+}
+
+func sortedNames[T any](m map[string]T) []string {
+	names := make([]string, 0, len(m))
+	for name := range m {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	return names
+}
+
+// quantile returns a quantile of latencies in ascending order.
+func quantile(sorted []time.Duration, q float64) time.Duration {
+	if len(sorted) == 0 {
+		return 0
+	}
+	return sorted[min(int(q*float64(len(sorted))), len(sorted)-1)]
+}
