Go on under a new incarnation after a removal; double the messages of a doubtful link

Cause: a VM that control removed while it was cut off asked to be registered under its old incarnation for ever, which the state machine rightly refuses (TestFleet_IsolatedVM, red once the cut outlasted the removal). It now takes a new incarnation, with a new lease, empty shares and a new owner for its programs. Messages on a link silent for 0.8 s now go both ways.

--- a/internal/daemon/cutoff_test.go
+++ b/internal/daemon/cutoff_test.go
@@ -62,6 +62,10 @@
 	require.Equal(t, []string{"key-bob"}, withdrawn.Pending)
 	require.Equal(t, []string{"key-nobody"}, withdrawn.Unknown)
 
+	f.eventually("the isolated VM is not removed", func() bool {
+		_, member := f.daemons[0].fleet.View().Epoch.ZoneOf("vm2")
+		return !member
+	})
 	f.eventually("the other VMs do not go on", func() bool {
 		return f.send(0, http.MethodGet, "/v1/models", keyBob, "").status == http.StatusOK
 	})
@@ -82,6 +86,10 @@
 	f.eventually("the returned VM does not serve", func() bool {
 		return f.send(2, http.MethodPost, "/v1/chat/completions", keyAna, chatBody(t, []fakes.Message{user("x")}, false)).status == http.StatusOK
 	})
+	f.eventually("the returned VM does not run programs", func() bool {
+		body := chatBody(t, []fakes.Message{user("x")}, false)
+		return f.send(2, http.MethodPost, "/v1/chat/completions", keyAna, body, headerProgram, "back").status == http.StatusOK
+	})
 	require.False(t, engine.Received([]byte(keyAna)))
 }
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -167,8 +167,11 @@
 		ControlVMs: d.groups.ControlVMs(),
 		Network:    d.node,
 		Proposer:   controlProposer{client: d.groups},
-		Withdrawn:  func() { d.gateway.KeysWithdrawn() },
-		Events:     d.events,
+		Rejoined: func(incarnation int64) {
+			d.ledger.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
+		},
+		Withdrawn: func() { d.gateway.KeysWithdrawn() },
+		Events:    d.events,
 	}
 	if r, ok := d.replicas[groups.Control]; ok {
 		opts.Leader = leader{replica: r}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -337,6 +337,12 @@
 	if !ok {
 		return
 	}
+	if refused.Reason == schedule.ReasonNoReplica {
+		// Not a refusal yet: another zone may serve it.
+		delete(p.requests, refused.Request.ID)
+		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: refused.Request.ID, State: StateNoUpstream}))
+		return
+	}
 	r.reply = Reply{
 		RequestID:    refused.Request.ID,
 		State:        StateRefused,
--- a/internal/events/fleet.go
+++ b/internal/events/fleet.go
@@ -6,6 +6,8 @@
 var (
 	FleetBadConfig = define(2102, zapcore.ErrorLevel, "an accepted configuration does not pass this VM's checks",
 		"run one release on all VMs before applying files that need the newer one")
+	FleetRemoved = define(2105, zapcore.WarnLevel, "control removed this VM; it goes on under a new incarnation",
+		"nothing if the VM was cut off or frozen; else look at its link to the control VMs")
 	FleetElected  = define(2103, zapcore.InfoLevel, "this VM leads the control group", "")
 	FleetResigned = define(2104, zapcore.InfoLevel, "this VM no longer leads the control group", "")
 )
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,7 +67,7 @@
 type Options struct {
 	VM          string
 	Zone        string
-	Incarnation int64
+	Incarnation int64 // at the start
 	Addresses   control.Addresses
 	// VMs are the VMs known at start, this one included.
 	VMs []membership.VM
@@ -77,6 +77,9 @@
 	// Leader is nil on a VM without the control role.
 	Leader   Leader
 	Proposer Proposer
+	// Rejoined is called, on a goroutine of its own, when this VM was removed from the
+	// membership and goes on under a new incarnation.
+	Rejoined func(incarnation int64)
 	// Withdrawn is called, on a goroutine of its own, after keys were withdrawn.
 	Withdrawn func()
 	Events    *events.Logger
@@ -100,6 +103,8 @@
 	draws    map[string]chan ratelimit.Decision
 	leading  leading
 
+	incarnation atomic.Int64 // of this VM; grows with each start and each removal from the membership
+
 	view  atomic.Pointer[View]
 	lease atomic.Pointer[leaseView]
 	alive atomic.Pointer[aliveView]
@@ -124,13 +129,8 @@
 		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Seed: uint64(opts.Incarnation),
 	})
 	f.tracker.SetVMs(now, opts.VMs)
-	f.holder = membership.NewHolder(now, membership.HolderOptions{
-		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation),
-		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
-	})
-	f.limiter = ratelimit.New(ratelimit.Options{
-		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Lease: f.holder,
-	})
+	f.incarnation.Store(opts.Incarnation)
+	f.begin(now)
 	f.view.Store(&View{})
 	f.publishLease(now)
 	f.publishAlive()
@@ -138,6 +138,18 @@
 	return f
 }
 
+// begin makes the parts that act under this VM's incarnation: its lease and its permits.
+func (f *Fleet) begin(now time.Duration) {
+	incarnation := uint64(f.incarnation.Load())
+	f.holder = membership.NewHolder(now, membership.HolderOptions{
+		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation,
+		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
+	})
+	f.limiter = ratelimit.New(ratelimit.Options{
+		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation, Lease: f.holder,
+	})
+}
+
 // Run handles events until ctx ends. It then gives up the lease and says goodbye.
 func (f *Fleet) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -123,11 +123,11 @@
 	}
 	l.grantor.Tick(now)
 	for _, vm := range l.grantor.Removable(now) {
-		f.propose(vm, control.Command{RemoveVM: &control.RemoveVM{VM: vm, Incarnation: f.incarnation(vm)}})
+		f.propose(vm, control.Command{RemoveVM: &control.RemoveVM{VM: vm, Incarnation: f.incarnationOf(vm)}})
 	}
 	for _, vm := range l.grantor.Joining() {
 		f.propose(vm.Name, control.Command{RegisterVM: &control.RegisterVM{
-			VM: vm.Name, Zone: vm.Zone, Incarnation: f.incarnation(vm.Name),
+			VM: vm.Name, Zone: vm.Zone, Incarnation: f.incarnationOf(vm.Name),
 		}})
 	}
 	// Withdrawals that an operator made on a side without a majority come into the log now.
@@ -182,7 +182,7 @@
 	})
 }
 
-func (f *Fleet) incarnation(vm string) int64 {
+func (f *Fleet) incarnationOf(vm string) int64 {
 	return int64(f.leading.incarnations[vm])
 }
 
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -60,7 +60,11 @@
 	}
 	now := f.opts.Clock()
 	state := f.follower.View()
+	_, was := f.view.Load().Epoch.ZoneOf(f.opts.VM)
 	f.publish(state, change)
+	if _, is := f.view.Load().Epoch.ZoneOf(f.opts.VM); was && !is {
+		f.rejoin(now)
+	}
 	if change.Members {
 		f.tracker.SetVMs(now, f.known(epochOf(state.Members)))
 		f.publishAlive()
@@ -75,6 +79,22 @@
 	}
 }
 
+// rejoin goes on under a new incarnation after control removed this VM: what it held under the
+// old one is given to others, and the old incarnation may not be registered again.
+func (f *Fleet) rejoin(now time.Duration) {
+	incarnation := max(time.Now().UnixNano(), f.incarnation.Load()+1)
+	f.incarnation.Store(incarnation)
+	f.opts.Events.Emit(events.FleetRemoved, zap.Int64("incarnation", incarnation))
+	for request, waiting := range f.draws {
+		delete(f.draws, request)
+		waiting <- ratelimit.Decision{Request: request, Reason: ratelimit.ReasonNoLease, RetryAfter: retryUnavailable}
+	}
+	f.begin(now)
+	if f.opts.Rejoined != nil {
+		f.task(func(context.Context) { f.opts.Rejoined(incarnation) })
+	}
+}
+
 // report logs what an offer changed.
 func (f *Fleet) report(change control.Change) {
 	for _, conflict := range change.Conflicts {
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -26,7 +26,7 @@
 	return Status{
 		VM:          f.opts.VM,
 		Zone:        f.opts.Zone,
-		Incarnation: f.opts.Incarnation,
+		Incarnation: f.incarnation.Load(),
 		Addresses:   f.opts.Addresses,
 		Generation:  v.Acceptance.Generation,
 		Epoch:       v.Epoch.Number,
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -23,7 +23,7 @@
 	}
 	n.stats.CallsMade.Add(1)
 	req := &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload}
-	if !l.up.Load() {
+	if !l.trusted() {
 		// A connection that is down mostly takes a whole timeout to fail.
 		if result, err, ok := n.callThroughOthers(ctx, vm, req); ok {
 			return result, err
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,6 +29,7 @@
 	vm    string
 	queue chan queued
 	up    atomic.Bool
+	heard atomic.Int64 // time of the other side's last sign of life, Unix nanoseconds
 
 	mu      sync.Mutex
 	address string
@@ -50,6 +51,11 @@
 	return &link{node: n, vm: vm, address: address, queue: make(chan queued, queueLength)}
 }
 
+// trusted reports whether the stream is up and the other side was heard lately.
+func (l *link) trusted() bool {
+	return l.up.Load() && time.Since(time.Unix(0, l.heard.Load())) < DoubtLimit
+}
+
 func (l *link) setAddress(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -174,6 +180,7 @@
 		case <-silence.C:
 			return
 		case <-heard:
+			l.heard.Store(time.Now().UnixNano())
 			if !l.up.Swap(true) {
 				l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
 			}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -6,11 +6,13 @@
 // call at a time each; a call whose context ends closes its connection, so a connection that
 // fell silent serves no second call.
 //
-// Messages from one VM to another keep their order while the stream lives. Nothing is
-// delivered twice. A full queue drops messages; their senders must repeat what matters.
+// Messages from one VM to another keep their order while the stream lives. A full queue drops
+// messages; their senders must repeat what matters.
 //
 // While the stream to a VM is down, messages and calls to it go through a third VM that is
-// connected to both, so that one cut link between two VMs separates nobody.
+// connected to both, so that one cut link between two VMs separates nobody. A stream that is
+// silent for DoubtLimit but not yet given up is doubled in this way: a message may then arrive
+// twice. Calls never do.
 package peer
 
 import (
@@ -30,6 +32,8 @@
 const (
 	HeartbeatInterval = 500 * time.Millisecond
 	SilenceLimit      = 2 * time.Second
+	// DoubtLimit is the silence after which a link is no longer trusted alone.
+	DoubtLimit = 800 * time.Millisecond
 	DialTimeout       = time.Second
 	redialDelay       = 200 * time.Millisecond
 	queueLength       = 4096 // messages to one VM
@@ -190,7 +194,8 @@
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
-	if !l.up.Load() && n.relay(vm, kind, payload) {
+	relayed := !l.trusted() && n.relay(vm, kind, payload)
+	if relayed && !l.up.Load() {
 		return
 	}
 	l.enqueue(kind, payload)
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -57,7 +57,7 @@
 		RequestHash:    call.RequestHash,
 		Repeatable:     call.Repeatable,
 		ReserveTokens:  call.ReserveTokens,
-		Owner:          l.opts.Owner,
+		Owner:          l.currentOwner(),
 		IdempotencyKey: call.IdempotencyKey,
 		Implicit:       call.Implicit,
 	}
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -34,7 +34,7 @@
 	Proposer Proposer
 	// Reader may be nil: queries are proposed as commands then.
 	Reader Reader
-	// Owner is this run of this VM's process.
+	// Owner is this run of this VM's process; see SetOwner.
 	Owner Owner
 	// Now returns the wall time. Default time.Now.
 	Now func() time.Time
@@ -51,6 +51,7 @@
 	opts LedgerOptions
 
 	mu        sync.Mutex
+	owner     Owner
 	recorded  map[programKey]int // last known length of histories
 	abandoned []Revoke
 }
@@ -78,7 +79,21 @@
 	if opts.NewAttempt == nil {
 		opts.NewAttempt = randomAttempt
 	}
-	return &Ledger{opts: opts, recorded: map[programKey]int{}}
+	return &Ledger{opts: opts, owner: opts.Owner, recorded: map[programKey]int{}}
+}
+
+// SetOwner goes on under a new incarnation of this VM, after the earlier one was declared lost.
+// The attempts begun under the earlier one are lost.
+func (l *Ledger) SetOwner(owner Owner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner = owner
+}
+
+func (l *Ledger) currentOwner() Owner {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner
 }
 
 func randomAttempt() string {
@@ -143,7 +158,7 @@
 
 // Renew extends the leases of attempts of this VM and returns those no longer current.
 func (l *Ledger) Renew(ctx context.Context, attempts []string) (lost []string, err error) {
-	res, err := l.propose(ctx, &Envelope{Renew: &Renew{Owner: l.opts.Owner, Attempts: attempts}})
+	res, err := l.propose(ctx, &Envelope{Renew: &Renew{Owner: l.currentOwner(), Attempts: attempts}})
 	if err != nil {
 		return nil, err
 	}
