Quarantine requests that crash their upstreams; eject upstreams that fail or are slow

A request is let go by the owner of its fingerprint, one unproven run at a time over the fleet. An upstream that is had alone is kept free and gets nothing beside; before, others could join the run.

Attempts that were not sent are now counted apart, and a refused connection takes the upstream out until it announces itself.

--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -16,6 +16,7 @@
 	"egretramp/internal/groups"
 	"egretramp/internal/program"
 	"egretramp/internal/replica"
+	"egretramp/internal/suspect"
 )
 
 // retryMajority is when to come back to a VM that reaches no majority.
@@ -146,6 +147,8 @@
 	Pools     []dispatch.PoolSummary    `json:"pools"`
 	InFlight  int                       `json:"requests_in_flight"`
 	Connected map[string]bool           `json:"connected"`
+	// Suspects are the requests during which upstreams were lost.
+	Suspects []suspect.Record `json:"suspects,omitempty"`
 }
 
 // Dump returns the state of the process.
@@ -162,7 +165,7 @@
 	dump := Dump{
 		VM: d.settings.VM, Version: d.version, Fleet: fleetDump, Dispatch: hostDump,
 		Groups: map[uint64]replica.Status{}, Pools: d.dispatcher.Pools(),
-		InFlight: d.gateway.InFlight(), Connected: map[string]bool{},
+		InFlight: d.gateway.InFlight(), Connected: map[string]bool{}, Suspects: d.suspects.Records(),
 	}
 	for group, r := range d.replicas {
 		dump.Groups[group] = r.Status()
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"egretramp/internal/peer"
 	"egretramp/internal/program"
 	"egretramp/internal/settings"
+	"egretramp/internal/suspect"
 	"egretramp/internal/upstream"
 )
 
@@ -40,6 +41,7 @@
 	gateway    *gateway.Server
 	ledger     *program.Ledger
 	caller     *upstream.Caller
+	suspects   *suspect.Guard
 	listeners  listeners
 }
 
@@ -108,13 +110,22 @@
 	d.buildDispatch()
 	d.buildLedger()
 	d.caller = upstream.NewCaller()
+	d.suspects = suspect.NewGuard(suspect.Options{
+		VM:      d.settings.VM,
+		Network: d.node,
+		Others:  d.fleet.VMs,
+		Rank:    membership.Rank,
+		Events:  d.events,
+	})
 	d.gateway = gateway.New(gateway.Options{
 		VM:         d.settings.VM,
+		Zone:       d.settings.Zone,
 		Authority:  d.fleet,
 		Limiter:    d.fleet,
 		Dispatcher: d.dispatcher,
 		Caller:     d.caller,
 		Ledger:     d.ledger,
+		Suspects:   d.suspects,
 		Events:     d.events,
 	})
 	d.register()
@@ -226,6 +237,12 @@
 	d.node.HandleCalls(dispatch.MethodList, d.host.HandleList)
 	d.node.HandleMessages(dispatch.KindGrant, d.dispatcher.HandleGrant)
 	d.node.HandleMessages(dispatch.KindSummary, d.dispatcher.HandleSummary)
+
+	d.node.HandleCalls(suspect.MethodAsk, d.suspects.HandleAsk)
+	d.node.HandleCalls(suspect.MethodEnd, d.suspects.HandleLost)
+	d.node.HandleMessages(suspect.KindEnd, d.suspects.HandleEnd)
+	d.node.HandleMessages(suspect.KindHold, d.suspects.HandleHold)
+	d.node.HandleMessages(suspect.KindRecords, d.suspects.HandleRecords)
 }
 
 // Run serves until ctx ends and then shuts down. The parts that others need while requests are
@@ -255,6 +272,7 @@
 	tasks.run(func(ctx context.Context) error { d.fleet.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.host.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.dispatcher.Run(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.suspects.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.gateway.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.keepPrograms(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.keepMemory(ctx); return nil })
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -19,6 +19,10 @@
 		"gateway_requests":       d.gateway.Stats().Requests.Load,
 		"gateway_refused":        d.gateway.Stats().Refused.Load,
 		"gateway_retries":        d.gateway.Stats().Retries.Load,
+		"suspect_asked":          d.suspects.Stats().Asked.Load,
+		"suspect_waited":         d.suspects.Stats().Waited.Load,
+		"suspect_strikes":        d.suspects.Stats().Strikes.Load,
+		"suspect_quarantined":    d.suspects.Stats().Quarantined.Load,
 		"gateway_in_flight":      func() int64 { return int64(d.gateway.InFlight()) },
 	}
 	for name, read := range counters {
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -277,7 +277,7 @@
 func (c *Client) hold(pool upstream.Pool, r schedule.Request, g *Grant) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.running[r.ID] = Held{Pool: pool, Request: r, Upstream: g.Upstream}
+	c.running[r.ID] = Held{Pool: pool, Request: r, Upstream: g.Upstream, Incarnation: g.Incarnation}
 }
 
 // Release reports the end of a granted call. It must follow every grant, once.
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -64,6 +64,7 @@
 type pool struct {
 	*schedule.Pool
 	requests map[string]*request
+	health   *health
 }
 
 // request is one request as the dispatcher keeps it.
@@ -189,7 +190,7 @@
 func (h *Host) pool(key upstream.Pool) *pool {
 	p, ok := h.pools[key]
 	if !ok {
-		p = &pool{Pool: schedule.New(schedule.Options{}), requests: map[string]*request{}}
+		p = &pool{Pool: schedule.New(schedule.Options{}), requests: map[string]*request{}, health: newHealth()}
 		h.pools[key] = p
 	}
 	return p
@@ -221,7 +222,8 @@
 		for _, key := range c.Record.Pools() {
 			serving[key] = true
 			p := h.pool(key)
-			p.SetReplica(now, h.replica(c.Record, key.Name))
+			p.health.announced(now, c.Record.Upstream, c.Record.Incarnation)
+			p.SetReplica(now, h.replica(now, p, c.Record, key.Name))
 			h.plan(now, key, p)
 		}
 	}
@@ -233,15 +235,16 @@
 			continue
 		}
 		p := h.pool(key)
+		p.health.remove(c.Record.Upstream)
 		p.RemoveReplica(now, c.Record.Upstream)
 		h.plan(now, key, p)
 		h.turnAway(now, p)
 	}
 }
 
-// turnAway sends the requests that wait in a pool without upstreams to other pools.
+// turnAway sends the requests that wait in a pool without usable upstreams to other pools.
 func (h *Host) turnAway(now time.Duration, p *pool) {
-	if p.Load().Replicas > 0 {
+	if !p.health.allShut(now) {
 		return
 	}
 	for id, r := range p.requests {
@@ -254,7 +257,7 @@
 	}
 }
 
-func (h *Host) replica(r upstream.Record, served string) schedule.Replica {
+func (h *Host) replica(now time.Duration, p *pool, r upstream.Record, served string) schedule.Replica {
 	slots := r.Limits.Slots
 	if r.Kind == config.KindService && h.opts.Concurrency != nil {
 		if bound := h.opts.Concurrency(served); bound > 0 && (slots == 0 || bound < slots) {
@@ -264,7 +267,7 @@
 	return schedule.Replica{
 		Name:         r.Upstream,
 		Incarnation:  r.Incarnation,
-		Slots:        slots,
+		Slots:        p.health.slots(now, r.Upstream, slots),
 		KVTokens:     r.Limits.KVTokens,
 		Running:      r.Load.Running,
 		Waiting:      r.Load.Waiting,
@@ -280,7 +283,7 @@
 		known.heard = now
 		return
 	}
-	if p.Load().Replicas == 0 {
+	if p.health.allShut(now) {
 		return
 	}
 	p.requests[e.Request.ID] = &request{
@@ -352,12 +355,40 @@
 		return
 	}
 	now := h.opts.Clock()
+	r := p.requests[id]
 	delete(p.requests, id)
 	p.Cancel(now, id)
 	p.Finish(now, id, o)
+	if r != nil && r.reply.Grant != nil {
+		h.judge(now, key, p, r.reply.Grant, o)
+	}
 	h.plan(now, key, p)
 }
 
+// judge lets a call's outcome bear on its upstream, if that has not been started anew since.
+func (h *Host) judge(now time.Duration, key upstream.Pool, p *pool, g *Grant, o schedule.Outcome) {
+	record, ok := h.directory.Get(g.Upstream)
+	if !ok || record.Incarnation != g.Incarnation || !p.health.finished(now, g.Upstream, o) {
+		return
+	}
+	h.opts.Events.Emit(events.UpstreamEjected, zap.String("upstream", g.Upstream),
+		zap.String("pool", key.String()), zap.Bool("unreachable", o.Unreachable))
+	p.SetReplica(now, h.replica(now, p, record, key.Name))
+	h.turnAway(now, p)
+}
+
+// refreshSlots opens upstreams whose ejection is over, and gives more slots to those that returned.
+func (h *Host) refreshSlots(now time.Duration, key upstream.Pool, p *pool) {
+	for name, c := range p.health.upstreams {
+		if c.returned == 0 || now-c.returned > slowStart+time.Second {
+			continue
+		}
+		if record, ok := h.directory.Get(name); ok {
+			p.SetReplica(now, h.replica(now, p, record, key.Name))
+		}
+	}
+}
+
 func (h *Host) refresh(from string, r Refresh) {
 	now := h.opts.Clock()
 	for _, e := range r.Waiting {
@@ -383,7 +414,7 @@
 		enqueue:  Enqueue{Pool: held.Pool, Request: held.Request},
 		queuedAt: now,
 		heard:    now,
-		reply:    Reply{RequestID: held.Request.ID, State: StateGranted, Grant: &Grant{Upstream: held.Upstream}},
+		reply:    Reply{RequestID: held.Request.ID, State: StateGranted, Grant: &Grant{Upstream: held.Upstream, Incarnation: held.Incarnation}},
 	}
 	p.Adopt(now, held.Request, held.Upstream)
 }
@@ -396,6 +427,7 @@
 	}
 	for key, p := range h.pools {
 		h.forget(now, key, p)
+		h.refreshSlots(now, key, p)
 		h.plan(now, key, p)
 	}
 	if now-h.summary >= SummaryInterval {
--- a/internal/dispatch/host_test.go
+++ b/internal/dispatch/host_test.go
@@ -111,3 +111,38 @@
 	a.Zone = "z9"
 	require.False(t, h.Announce(a))
 }
+
+func (h *hostTest) askAlone(id string) Reply {
+	e := Enqueue{Pool: poolOf("m1"), Request: schedule.Request{ID: id, Account: "ana", Weight: 1, Alone: true}}
+	h.enqueue("vm2", e)
+	return h.answer(e)
+}
+
+// TestHost_AloneMeansAlone fills the upstreams around a request that has to run alone.
+func TestHost_AloneMeansAlone(t *testing.T) {
+	h := newHostTest(t)
+	h.offer(announcement("e1", 1, 4, "m1"))
+	h.offer(announcement("e2", 1, 4, "m1"))
+	for _, id := range []string{"r1", "r2"} {
+		require.Equal(t, StateGranted, h.ask(id, "m1").State)
+	}
+	require.Equal(t, StateQueued, h.askAlone("x").State, "both serve another request")
+	for _, id := range []string{"r3", "r4", "r5"} {
+		require.Equal(t, StateGranted, h.ask(id, "m1").State, "one upstream goes on serving")
+	}
+	require.Equal(t, StateQueued, h.ask("r6", "m1").State, "the other one is kept free")
+	for _, id := range []string{"r1", "r2"} {
+		h.finish(poolOf("m1"), id, schedule.Outcome{})
+	}
+	x := h.askAlone("x")
+	require.Equal(t, StateGranted, x.State)
+	others := map[string]bool{}
+	for _, id := range []string{"r6", "r7", "r8", "r9", "r10"} {
+		if r := h.ask(id, "m1"); r.State == StateGranted {
+			others[r.Grant.Upstream] = true
+		}
+	}
+	require.False(t, others[x.Grant.Upstream], "nothing joins it")
+	h.finish(poolOf("m1"), "x", schedule.Outcome{})
+	require.Equal(t, StateGranted, h.ask("r10", "m1").State, "the upstream serves all again")
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -101,6 +101,8 @@
 	Pool     upstream.Pool    `json:"pool"`
 	Request  schedule.Request `json:"request"`
 	Upstream string           `json:"upstream"`
+	// Incarnation is the upstream's at the time of the grant.
+	Incarnation int64 `json:"incarnation"`
 }
 
 // Summary tells other VMs what a dispatcher's pools look like.
--- a/internal/events/upstream.go
+++ b/internal/events/upstream.go
@@ -13,4 +13,10 @@
 		"give each upstream a name of its own; if the names are right, find out who holds the class's secret")
 	AnnouncementsFlooding = define(1505, zapcore.WarnLevel, "announcements refused because too many came",
 		"find the sender; other upstreams are not affected")
+	RequestStruck = define(1510, zapcore.WarnLevel, "an upstream was lost while it ran a request; the request runs alone next",
+		"nothing, unless it comes back for the same request")
+	RequestQuarantined = define(1511, zapcore.ErrorLevel, "a request is quarantined: two upstreams were lost while they ran it",
+		"look at the upstreams' own logs for the crash; ask the client account what the request was")
+	UpstreamEjected = define(1520, zapcore.WarnLevel, "an upstream gets no calls for a while: it refused a connection, or does worse than the others of its pool",
+		"look at the upstream's own log and load")
 )
--- a/internal/fakes/fake.go
+++ b/internal/fakes/fake.go
@@ -18,6 +18,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -45,6 +46,7 @@
 	cancel   context.CancelFunc
 	wg       conc.WaitGroup
 	close    sync.Once
+	crashed  atomic.Bool
 }
 
 // worker is what the kinds of stand-ins differ in.
@@ -136,8 +138,12 @@
 	f.Close()
 }
 
+// Crashed reports whether a marked request has crashed the stand-in.
+func (f *Fake) Crashed() bool { return f.crashed.Load() }
+
 // crash is what a marked request does to the stand-in.
 func (f *Fake) crash() {
+	f.crashed.Store(true)
 	if f.opts.OnCrash != nil {
 		f.opts.OnCrash()
 		return
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -43,7 +43,6 @@
 	// notRun is what can be said of all attempts so far.
 	notRun refusal.NotRun
 	avoid  []string
-	tries  int
 }
 
 // chat serves POST /v1/chat/completions.
@@ -198,15 +197,13 @@
 
 // runChat makes attempts until one succeeds or no further one is allowed.
 func (s *Server) runChat(ctx context.Context, call *chatCall) *refusal.Refusal {
-	s.retries.earn()
+	retries := s.newRetries()
 	for {
-		call.tries++
 		refused, retry := s.attemptChat(ctx, call)
 		if refused == nil {
 			return nil
 		}
-		if retry && !call.sink.started() && call.tries < maxAttempts && ctx.Err() == nil && s.retries.take() {
-			s.stats.Retries.Add(1)
+		if !call.sink.started() && ctx.Err() == nil && retries.allow(retry) {
 			continue
 		}
 		return s.settleRefused(ctx, call.turn, refused, call.notRun)
@@ -228,29 +225,39 @@
 }
 
 // attemptChat makes one attempt. retry says that another upstream may do better.
-func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry bool) {
+func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry again) {
+	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
+	if refused != nil {
+		return refused, never
+	}
+	end := notSent
+	defer func() { leave.End(end.outcome, end.upstream) }()
 	zone, _ := call.turn.home()
-	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, zone, s.scheduleRequest(call))
+	request := s.scheduleRequest(call)
+	request.Alone = leave.Alone()
+	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, zone, request)
 	if err != nil {
-		return noGrant(err, call.notRun), false
+		return noGrant(err, call.notRun), never
 	}
-	outcome := schedule.Outcome{Failed: true}
+	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
 	if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
-		outcome.Failed = false
-		return withNotRun(asRefusal(err), call.notRun), false
+		return withNotRun(asRefusal(err), call.notRun), never
 	}
 	if !call.turn.mayWrite() {
-		outcome.Failed = false
-		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), false
+		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
 	}
 	assembler := upstream.NewAssembler()
+	begun := s.opts.Clock()
 	err = s.relay(ctx, call, grant, assembler)
+	end = s.judgeChat(ctx, grant, err)
 	if err != nil {
+		outcome = failedOutcome(ctx, err)
 		return s.chatFailure(ctx, call, grant, err)
 	}
 	outcome = served(assembler)
-	return s.deliver(call, assembler), false
+	outcome.Took = s.opts.Clock() - begun
+	return s.deliver(call, assembler), never
 }
 
 // deliver records the whole answer and then tells the caller that it is whole.
@@ -374,7 +381,7 @@
 }
 
 // chatFailure turns a failed attempt into a refusal. A chat completion may be repeated.
-func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry bool) {
+func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
 	call.avoid = append(call.avoid, grant.Upstream)
 	s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
 	var status *upstream.StatusError
@@ -383,25 +390,25 @@
 	}
 	var unsent *upstream.CallError
 	if errors.As(err, &unsent) && !unsent.Written {
-		return withNotRun(unavailable("upstream_unreachable", "the engine could not be reached", retryNoUpstream), call.notRun), true
+		return withNotRun(unavailable("upstream_unreachable", "the engine could not be reached", retryNoUpstream), call.notRun), afterUnsent
 	}
 	call.notRun = refusal.Unknown
 	if ctx.Err() != nil {
-		return failed("ended", "the call ended before its answer was whole", refusal.Unknown), false
+		return failed("ended", "the call ended before its answer was whole", refusal.Unknown), never
 	}
 	if errors.Is(err, upstream.ErrTooLarge) {
-		return failed("answer_too_large", err.Error(), refusal.Unknown), false
+		return failed("answer_too_large", err.Error(), refusal.Unknown), never
 	}
-	return failed("upstream_failed", "the engine broke the answer off", refusal.Unknown), true
+	return failed("upstream_failed", "the engine broke the answer off", refusal.Unknown), afterSent
 }
 
 // engineStatus passes an engine's refusal on. Engines refuse before they run a call.
-func (s *Server) engineStatus(call *chatCall, status *upstream.StatusError) (_ *refusal.Refusal, retry bool) {
+func (s *Server) engineStatus(call *chatCall, status *upstream.StatusError) (_ *refusal.Refusal, retry again) {
 	if status.Status == http.StatusTooManyRequests || status.Status >= http.StatusInternalServerError {
 		if status.Status != http.StatusTooManyRequests && status.Status != http.StatusServiceUnavailable {
 			call.notRun = refusal.Unknown
 		}
-		return withNotRun(unavailable("upstream_refused", "the engine refused the call", retryNoUpstream), call.notRun), true
+		return withNotRun(unavailable("upstream_refused", "the engine refused the call", retryNoUpstream), call.notRun), afterSent
 	}
 	message := "the engine refused the call"
 	var body struct {
@@ -412,7 +419,7 @@
 	if json.Unmarshal(status.Body, &body) == nil && body.Error.Message != "" {
 		message += ": " + body.Error.Message
 	}
-	return &refusal.Refusal{Status: http.StatusBadRequest, Code: "rejected_by_engine", Message: message, NotRun: call.notRun}, false
+	return &refusal.Refusal{Status: http.StatusBadRequest, Code: "rejected_by_engine", Message: message, NotRun: call.notRun}, never
 }
 
 func withNotRun(r *refusal.Refusal, n refusal.NotRun) *refusal.Refusal {
--- a/internal/gateway/retry.go
+++ b/internal/gateway/retry.go
@@ -8,6 +8,9 @@
 	retryRatio   = 0.1
 	retryReserve = 10.0
 	maxAttempts  = 3
+	// maxUnsent bounds the attempts whose upstream could not be connected to. They load no
+	// upstream, so they do not count as retries.
+	maxUnsent = 16
 )
 
 // retryBudget keeps retries from multiplying the load when upstreams fail.
@@ -37,3 +40,42 @@
 	b.tokens--
 	return true
 }
+
+// retries counts the attempts of one request.
+type retries struct {
+	server   *Server
+	attempts int
+	unsent   int
+}
+
+// newRetries begins a request.
+func (s *Server) newRetries() *retries {
+	s.retries.earn()
+	return &retries{server: s}
+}
+
+// again says whether a failed attempt may be followed by another one.
+type again int
+
+const (
+	never       again = iota
+	afterUnsent       // no connection was made
+	afterSent         // the upstream has seen the attempt, or may have
+)
+
+// allow reports whether another attempt is made.
+func (r *retries) allow(a again) bool {
+	switch a {
+	case afterUnsent:
+		r.unsent++
+		return r.unsent < maxUnsent
+	case afterSent:
+		r.attempts++
+		if r.attempts >= maxAttempts || !r.server.retries.take() {
+			return false
+		}
+		r.server.stats.Retries.Add(1)
+		return true
+	}
+	return false
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -51,11 +51,13 @@
 // Options configure a Server.
 type Options struct {
 	VM         string
+	Zone       string
 	Authority  Authority
 	Limiter    Limiter
 	Dispatcher Dispatcher
 	Caller     *upstream.Caller
 	Ledger     Ledger
+	Suspects   Suspects
 	Events     *events.Logger
 	Clock      func() time.Duration // default clock.Now
 }
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -210,50 +210,58 @@
 func (s *Server) runService(ctx context.Context, call *serviceCall) (*serviceAnswer, *refusal.Refusal) {
 	ctx, cancel := context.WithTimeout(ctx, call.timeout)
 	defer cancel()
-	s.retries.earn()
-	for attempt := 1; ; attempt++ {
+	retries := s.newRetries()
+	for {
 		a, refused, retry := s.attemptService(ctx, call)
 		if refused == nil {
 			return a, nil
 		}
-		if retry && attempt < maxAttempts && ctx.Err() == nil && s.retries.take() {
-			s.stats.Retries.Add(1)
+		if ctx.Err() == nil && retries.allow(retry) {
 			continue
 		}
 		return nil, s.settleRefused(ctx, call.turn, refused, call.notRun)
 	}
 }
 
-func (s *Server) attemptService(ctx context.Context, call *serviceCall) (_ *serviceAnswer, refused *refusal.Refusal, retry bool) {
-	grant, err := s.acquire(ctx, config.KindService, call.service.ID, "", serviceRequest(call))
+func (s *Server) attemptService(ctx context.Context, call *serviceCall) (_ *serviceAnswer, refused *refusal.Refusal, retry again) {
+	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
+	if refused != nil {
+		return nil, refused, never
+	}
+	end := notSent
+	defer func() { leave.End(end.outcome, end.upstream) }()
+	request := serviceRequest(call)
+	request.Alone = leave.Alone()
+	grant, err := s.acquire(ctx, config.KindService, call.service.ID, "", request)
 	if err != nil {
-		return nil, noGrant(err, call.notRun), false
+		return nil, noGrant(err, call.notRun), never
 	}
-	outcome := schedule.Outcome{Failed: true}
+	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
 	if call.caller.account != nil {
 		if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
-			outcome.Failed = false
-			return nil, withNotRun(asRefusal(err), call.notRun), false
+			return nil, withNotRun(asRefusal(err), call.notRun), never
 		}
 	}
 	if !call.turn.mayWrite() {
-		outcome.Failed = false
-		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), false
+		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
 	}
+	begun := s.opts.Clock()
 	a, err := s.send(ctx, call, grant)
+	end = s.judgeService(grant, err)
 	if err != nil {
+		outcome = failedOutcome(ctx, err)
 		s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
 		refused, retry = serviceFailure(ctx, call, grant, err)
 		return nil, refused, retry
 	}
-	outcome = schedule.Outcome{}
+	outcome = schedule.Outcome{Failed: a.status >= http.StatusInternalServerError, Took: s.opts.Clock() - begun}
 	call.notRun = refusal.False
 	if err := call.turn.complete(a.answer, nil, 0); err != nil {
 		call.notRun = refusal.Unknown
-		return nil, withNotRun(program.Refusal(err), refusal.Unknown), false
+		return nil, withNotRun(program.Refusal(err), refusal.Unknown), never
 	}
-	return a, nil, false
+	return a, nil, never
 }
 
 func serviceRequest(call *serviceCall) schedule.Request {
@@ -296,21 +304,24 @@
 
 var errAnswerTooLarge = errors.New("the answer is larger than 8 MiB")
 
-func serviceFailure(ctx context.Context, call *serviceCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry bool) {
+func serviceFailure(ctx context.Context, call *serviceCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
 	call.avoid = append(call.avoid, grant.Upstream)
 	var unsent *upstream.CallError
 	if errors.As(err, &unsent) && !unsent.Written {
-		return withNotRun(unavailable("upstream_unreachable", "the service could not be reached", retryNoUpstream), call.notRun), true
+		return withNotRun(unavailable("upstream_unreachable", "the service could not be reached", retryNoUpstream), call.notRun), afterUnsent
 	}
 	if errors.Is(err, errAnswerTooLarge) {
 		call.notRun = refusal.False
-		return failed("answer_too_large", errAnswerTooLarge.Error(), refusal.False), false
+		return failed("answer_too_large", errAnswerTooLarge.Error(), refusal.False), never
 	}
 	call.notRun = refusal.Unknown
 	if ctx.Err() != nil {
 		r := failed("upstream_timeout", "the service did not answer in time", refusal.Unknown)
 		r.Status = http.StatusGatewayTimeout
-		return r, false
+		return r, never
+	}
+	if call.repeatable {
+		retry = afterSent
 	}
-	return failed("upstream_failed", "the service broke the call off", refusal.Unknown), call.repeatable
+	return failed("upstream_failed", "the service broke the call off", refusal.Unknown), retry
 }
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -32,7 +32,7 @@
 	Attained int64 `json:"attained,omitempty"`
 	// Avoid are upstreams that this call must not run on.
 	Avoid []string `json:"avoid,omitempty"`
-	// Alone asks for an upstream that serves nothing else.
+	// Alone asks for an upstream that serves nothing else, before and while the call runs.
 	Alone bool `json:"alone,omitempty"`
 }
 
@@ -40,7 +40,7 @@
 type Replica struct {
 	Name        string
 	Incarnation int64
-	// Slots is how many calls may be under way at once.
+	// Slots is how many calls may be under way at once; 0: it gets none for now.
 	Slots int
 	// KVTokens is the size of the KV cache; 0 if calls are not bounded by it. Tokens.
 	KVTokens int64
@@ -88,6 +88,10 @@
 	CachedTokens int64 `json:"cached_tokens,omitempty"`
 	// Failed says that the upstream broke the call off or did not answer.
 	Failed bool `json:"failed,omitempty"`
+	// Unreachable says that the upstream refused a connection.
+	Unreachable bool `json:"unreachable,omitempty"`
+	// Took is how long the upstream worked on the call; 0 if that says nothing about it.
+	Took time.Duration `json:"took_ns,omitempty"`
 }
 
 // Options bound a pool.
@@ -108,6 +112,9 @@
 type replicaState struct {
 	Replica
 	outstanding int
+	// alone is the request that has the upstream to itself, or waits until the others there
+	// have ended; empty if there is none.
+	alone string
 }
 
 // Pool queues the requests of one model or service in one zone.
@@ -159,6 +166,7 @@
 	for i, w := range p.waiting {
 		if w.ID == id {
 			p.waiting = append(p.waiting[:i], p.waiting[i+1:]...)
+			p.endAlone(id)
 			return
 		}
 	}
@@ -173,6 +181,9 @@
 	p.running[r.ID] = running{request: r, replica: replica, since: now}
 	if s, ok := p.replicas[replica]; ok {
 		s.outstanding++
+		if r.Alone {
+			s.alone = r.ID
+		}
 	}
 }
 
@@ -183,6 +194,7 @@
 		return
 	}
 	delete(p.running, id)
+	p.endAlone(id)
 	if s, ok := p.replicas[r.replica]; ok && s.outstanding > 0 {
 		s.outstanding--
 	}
@@ -197,6 +209,9 @@
 			plan.Refused = append(plan.Refused, Refused{Request: r, Reason: ReasonAllAvoided})
 			continue
 		}
+		if r.Alone {
+			p.reserve(r)
+		}
 		best := p.pick(r)
 		if best == nil {
 			left = append(left, r)
@@ -234,7 +249,7 @@
 	var best *replicaState
 	for _, name := range names {
 		s := p.replicas[name]
-		if s.outstanding >= s.Slots || contains(r.Avoid, name) || r.Alone && s.outstanding > 0 {
+		if s.outstanding >= s.Slots || contains(r.Avoid, name) || !s.admits(r) {
 			continue
 		}
 		if best == nil || s.outstanding < best.outstanding || s.outstanding == best.outstanding && name == r.Resident {
@@ -244,6 +259,50 @@
 	return best
 }
 
+// admits reports whether a request keeps to the upstreams that are had alone.
+func (s *replicaState) admits(r Request) bool {
+	if r.Alone {
+		return s.alone == r.ID && s.outstanding == 0
+	}
+	return s.alone == ""
+}
+
+// reserve keeps the least loaded upstream free for a request that has to run alone. At most half
+// of the pool, and at least one upstream, is kept so.
+func (p *Pool) reserve(r Request) {
+	kept := 0
+	var best *replicaState
+	for _, s := range p.replicas {
+		if s.alone == r.ID && s.Slots > 0 {
+			return
+		}
+		if s.alone == r.ID {
+			s.alone = ""
+		}
+		if s.alone != "" {
+			kept++
+			continue
+		}
+		if contains(r.Avoid, s.Name) || s.Slots == 0 {
+			continue
+		}
+		if best == nil || s.outstanding < best.outstanding || s.outstanding == best.outstanding && s.Name < best.Name {
+			best = s
+		}
+	}
+	if best != nil && kept < max(1, len(p.replicas)/2) {
+		best.alone = r.ID
+	}
+}
+
+func (p *Pool) endAlone(id string) {
+	for _, s := range p.replicas {
+		if s.alone == id {
+			s.alone = ""
+		}
+	}
+}
+
 func contains(list []string, s string) bool {
 	for _, x := range list {
 		if x == s {
--- /dev/null
+++ b/internal/suspect/registry.go
@@ -0,0 +1,377 @@
+// Package suspect keeps a request that crashes each upstream that runs it from taking down more
+// than MaxLost of them.
+//
+// Requests are known by a Fingerprint. Each fingerprint has an owner among the live VMs, chosen
+// by rendezvous hashing, whose Registry lets one unproven run of it go at a time over the whole
+// fleet. A run that succeeds proves the fingerprint, and a proven one runs freely. A run during
+// which its upstream was lost is a strike; the next run asks for an upstream to itself, and
+// after MaxLost strikes the fingerprint is quarantined on all VMs.
+//
+// Registry is the state machine, a plain value; Guard connects the registries of the VMs.
+package suspect
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// MaxLost is how many upstreams may be lost to a request before it is quarantined.
+const MaxLost = 2
+
+// Times and bounds of a registry.
+const (
+	// Memory is how long strikes and quarantines last after the last loss or the last request
+	// that was turned away.
+	Memory = time.Hour
+	// ProvenFor is how long a fingerprint runs freely after a success.
+	ProvenFor = 10 * time.Minute
+	// RunLapse is how long a run is believed in that its VM no longer repeats.
+	RunLapse = 5 * time.Second
+	// maxProven bounds the proven fingerprints, maxStruck those with strikes.
+	maxProven = 65_536
+	maxStruck = 4_096
+	// sweepInterval is how often what has passed is dropped.
+	sweepInterval = 10 * time.Second
+)
+
+// Fingerprint names what is the same request but for spacing and letter case.
+type Fingerprint string
+
+// State says what a request may do.
+type State string
+
+// The states.
+const (
+	Go          State = "go"
+	Wait        State = "wait" // an unproven run of the same fingerprint is under way
+	Quarantined State = "quarantined"
+)
+
+// Ask asks for leave to run. Sent again with the same run it gets the same answer.
+type Ask struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Run         string      `json:"run"`
+	VM          string      `json:"vm"`
+}
+
+// Verdict answers an Ask.
+type Verdict struct {
+	State State `json:"state"`
+	// Alone says that the run should have an upstream to itself.
+	Alone bool `json:"alone,omitempty"`
+	// Strikes is how many strikes the registry counted; it is repeated in the run's End.
+	Strikes int `json:"strikes,omitempty"`
+}
+
+// Outcome says how a run ended.
+type Outcome string
+
+// The outcomes.
+const (
+	Succeeded Outcome = "succeeded"
+	// Unproven: the run ended without a whole answer, and its upstream lives.
+	Unproven Outcome = "unproven"
+	// Lost: the upstream was lost during the run.
+	Lost Outcome = "lost"
+)
+
+// End reports the end of a run.
+type End struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	Run         string      `json:"run"`
+	Outcome     Outcome     `json:"outcome"`
+	// Upstream is the process that ran it: a loss that two runs report counts once.
+	Upstream string `json:"upstream,omitempty"`
+	// Subject tells operators what the request was.
+	Subject string `json:"subject,omitempty"`
+	Strikes int    `json:"strikes,omitempty"`
+}
+
+// Record is what VMs tell each other of a fingerprint with strikes.
+type Record struct {
+	Fingerprint Fingerprint `json:"fingerprint"`
+	// Version grows when a success clears the strikes.
+	Version uint64 `json:"version"`
+	// Struck are the upstreams that were lost.
+	Struck  []string `json:"struck,omitempty"`
+	Subject string   `json:"subject,omitempty"`
+	// Remaining is how long the record still lasts.
+	Remaining time.Duration `json:"remaining_ns"`
+}
+
+// Quarantined reports whether the request is turned away.
+func (r Record) Quarantined() bool { return len(r.Struck) >= MaxLost }
+
+type entry struct {
+	version  uint64
+	struck   []string
+	subject  string
+	until    time.Duration // of strikes and version
+	provenAt time.Duration // 0: not proven
+	lapsed   bool          // a run's end was never reported
+	run      *run
+}
+
+type run struct {
+	id, vm string
+	heard  time.Duration
+}
+
+func (e *entry) quarantined() bool { return len(e.struck) >= MaxLost }
+
+// Registry is one VM's part. Its methods return what the Guard has to pass on.
+type Registry struct {
+	entries map[Fingerprint]*entry
+	running map[Fingerprint]*entry
+	proven  int
+	swept   time.Duration
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	return &Registry{entries: map[Fingerprint]*entry{}, running: map[Fingerprint]*entry{}}
+}
+
+func (r *Registry) entry(f Fingerprint) *entry {
+	e, ok := r.entries[f]
+	if !ok {
+		e = &entry{}
+		r.entries[f] = e
+	}
+	return e
+}
+
+// Ask decides whether a run may go.
+func (r *Registry) Ask(now time.Duration, a Ask) Verdict {
+	if r.TurnsAway(now, a.Fingerprint) {
+		return Verdict{State: Quarantined, Strikes: MaxLost}
+	}
+	e := r.entry(a.Fingerprint)
+	strikes := len(e.struck)
+	switch {
+	case strikes == 0 && e.isProven(now):
+		return Verdict{State: Go}
+	case e.run != nil && e.run.id != a.Run:
+		return Verdict{State: Wait, Strikes: strikes}
+	}
+	r.start(e, a, now)
+	r.checkInvariants(a.Fingerprint)
+	return Verdict{State: Go, Alone: strikes > 0 || e.lapsed, Strikes: strikes}
+}
+
+// TurnsAway reports whether a fingerprint is quarantined; asking prolongs the quarantine.
+func (r *Registry) TurnsAway(now time.Duration, f Fingerprint) bool {
+	e, ok := r.entries[f]
+	if !ok || !e.quarantined() || now > e.until {
+		return false
+	}
+	e.until = now + Memory
+	return true
+}
+
+func (e *entry) isProven(now time.Duration) bool {
+	return e.provenAt > 0 && now-e.provenAt <= ProvenFor
+}
+
+func (r *Registry) start(e *entry, a Ask, now time.Duration) {
+	e.run = &run{id: a.Run, vm: a.VM, heard: now}
+	r.running[a.Fingerprint] = e
+}
+
+// Hold notes that runs still go on, also those that another owner let go.
+func (r *Registry) Hold(now time.Duration, held []Ask) {
+	for _, a := range held {
+		e := r.entry(a.Fingerprint)
+		switch {
+		case e.run == nil && !e.isProven(now) && !e.quarantined():
+			r.start(e, a, now)
+		case e.run != nil && e.run.id == a.Run:
+			e.run.heard = now
+		}
+	}
+}
+
+// End takes the end of a run. It returns the fingerprint's record if that changed.
+func (r *Registry) End(now time.Duration, end End) (Record, bool) {
+	e := r.entry(end.Fingerprint)
+	if e.run != nil && e.run.id == end.Run {
+		e.run = nil
+		delete(r.running, end.Fingerprint)
+	}
+	changed := false
+	switch end.Outcome {
+	case Succeeded:
+		changed = r.succeed(now, e, end.Strikes)
+	case Lost:
+		changed = r.strike(now, e, end)
+	}
+	r.checkInvariants(end.Fingerprint)
+	return record(now, end.Fingerprint, e), changed
+}
+
+// succeed proves a fingerprint. A run that began before the newest strike proves nothing.
+func (r *Registry) succeed(now time.Duration, e *entry, strikes int) (changed bool) {
+	if e.quarantined() || strikes != len(e.struck) {
+		return false
+	}
+	if len(e.struck) > 0 {
+		e.version++
+		e.struck = nil
+		e.until = now + Memory
+		changed = true
+	}
+	if e.provenAt == 0 {
+		r.makeRoom()
+		r.proven++
+	}
+	e.provenAt = max(now, 1)
+	e.lapsed = false
+	return changed
+}
+
+// strike counts a lost upstream once.
+func (r *Registry) strike(now time.Duration, e *entry, end End) (changed bool) {
+	r.unprove(e)
+	e.until = now + Memory
+	if e.quarantined() || slices.Contains(e.struck, end.Upstream) {
+		return false
+	}
+	if len(e.struck) == 0 {
+		r.makeRoomForStruck()
+	}
+	e.struck = append(e.struck, end.Upstream)
+	e.subject = end.Subject
+	return true
+}
+
+func (r *Registry) unprove(e *entry) {
+	if e.provenAt > 0 {
+		r.proven--
+	}
+	e.provenAt = 0
+}
+
+// Merge takes another VM's record.
+func (r *Registry) Merge(now time.Duration, rec Record) {
+	e := r.entry(rec.Fingerprint)
+	if rec.Version < e.version || e.quarantined() && rec.Version != e.version {
+		return
+	}
+	if rec.Version > e.version {
+		e.version = rec.Version
+		e.struck = nil
+	}
+	for _, upstream := range rec.Struck {
+		if !e.quarantined() && !slices.Contains(e.struck, upstream) {
+			e.struck = append(e.struck, upstream)
+		}
+	}
+	if len(e.struck) > 0 {
+		r.unprove(e)
+		e.subject = rec.Subject
+	}
+	e.until = max(e.until, now+min(rec.Remaining, Memory))
+	r.checkInvariants(rec.Fingerprint)
+}
+
+func record(now time.Duration, f Fingerprint, e *entry) Record {
+	return Record{Fingerprint: f, Version: e.version, Struck: slices.Clone(e.struck), Subject: e.subject, Remaining: e.until - now}
+}
+
+// Records returns the records that last, in the order of their fingerprints.
+func (r *Registry) Records(now time.Duration) []Record {
+	var all []Record
+	for f, e := range r.entries {
+		if (len(e.struck) > 0 || e.version > 0) && e.until >= now {
+			all = append(all, record(now, f, e))
+		}
+	}
+	slices.SortFunc(all, func(a, b Record) int {
+		if a.Fingerprint < b.Fingerprint {
+			return -1
+		}
+		return 1
+	})
+	return all
+}
+
+// Tick lets runs lapse that nobody repeats, and drops what has passed.
+func (r *Registry) Tick(now time.Duration) {
+	for f, e := range r.running {
+		if now-e.run.heard > RunLapse {
+			// Its VM was lost, and with it the news of what the run did.
+			e.run = nil
+			e.lapsed = true
+			e.until = max(e.until, now+Memory)
+			delete(r.running, f)
+		}
+	}
+	if now-r.swept >= sweepInterval {
+		r.swept = now
+		r.sweep(now)
+	}
+}
+
+func (r *Registry) sweep(now time.Duration) {
+	for f, e := range r.entries {
+		if e.provenAt > 0 && !e.isProven(now) {
+			r.unprove(e)
+		}
+		if now > e.until {
+			e.struck, e.version, e.lapsed = nil, 0, false
+		}
+		if e.run == nil && e.provenAt == 0 && now > e.until {
+			delete(r.entries, f)
+		}
+	}
+}
+
+// makeRoom drops a proven fingerprint if there are too many: it has to prove itself again.
+func (r *Registry) makeRoom() {
+	if r.proven < maxProven {
+		return
+	}
+	for f, e := range r.entries {
+		if e.provenAt > 0 && e.run == nil && e.version == 0 {
+			r.unprove(e)
+			delete(r.entries, f)
+			return
+		}
+	}
+}
+
+// makeRoomForStruck drops the strike that ends first if there are too many, quarantines last.
+func (r *Registry) makeRoomForStruck() {
+	var oldest Fingerprint
+	struck := 0
+	for f, e := range r.entries {
+		if len(e.struck) == 0 {
+			continue
+		}
+		struck++
+		if o := r.entries[oldest]; o == nil || len(e.struck) < len(o.struck) || len(e.struck) == len(o.struck) && e.until < o.until {
+			oldest = f
+		}
+	}
+	if struck >= maxStruck {
+		r.entries[oldest].struck = nil
+	}
+}
+
+// checkInvariants panics if what the registry has of a fingerprint contradicts itself.
+func (r *Registry) checkInvariants(f Fingerprint) {
+	e := r.entries[f]
+	listed := r.running[f]
+	switch {
+	case (e.run != nil) != (listed == e):
+		panic(errors.AssertionFailedf("suspect: the run of %s is not listed, or listed and over", f))
+	case len(e.struck) > MaxLost:
+		panic(errors.AssertionFailedf("suspect: %s has %d strikes", f, len(e.struck)))
+	case len(e.struck) > 0 && e.provenAt > 0:
+		panic(errors.AssertionFailedf("suspect: %s is proven with strikes", f))
+	case r.proven < 0 || r.proven > maxProven:
+		panic(errors.AssertionFailedf("suspect: %d proven fingerprints", r.proven))
+	}
+}
--- a/internal/upstream/caller.go
+++ b/internal/upstream/caller.go
@@ -7,6 +7,7 @@
 	"net/http/httptrace"
 	"net/url"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -50,6 +51,9 @@
 // Unwrap returns the cause.
 func (e *CallError) Unwrap() error { return e.Cause }
 
+// Refused reports whether the upstream's machine refused the connection.
+func (e *CallError) Refused() bool { return !e.Written && errors.Is(e.Cause, syscall.ECONNREFUSED) }
+
 // ErrCrossed says that an answer belongs to another attempt.
 var ErrCrossed = errors.New("the answer belongs to another attempt")
 
@@ -99,20 +103,47 @@
 	return resp, nil
 }
 
-// Probe reports whether an upstream answers on a new connection.
-func (c *Caller) Probe(ctx context.Context, address string) bool {
+// ErrDied says that an upstream's process is gone: its machine refuses connections, or it does
+// not know a call any more that it had answered.
+var ErrDied = errors.New("the upstream's process is gone")
+
+// Probe asks whether an upstream answers on a new connection. The error wraps ErrDied if the
+// connection was refused.
+func (c *Caller) Probe(ctx context.Context, address string) error {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, endpoint(address, "/healthz"), nil)
 	if err != nil {
-		return false
+		return err
 	}
 	resp, err := c.transport.RoundTrip(req)
 	if err != nil {
-		return false
+		return markDied(err)
 	}
 	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
+	if resp.StatusCode != http.StatusOK {
+		return errors.Newf("probe answered with status %d", resp.StatusCode)
+	}
+	return nil
+}
+
+// Reach is Probe for upstreams that may have no health endpoint: it only connects.
+func (c *Caller) Reach(ctx context.Context, address string) error {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	conn, err := c.transport.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return markDied(err)
+	}
+	_ = conn.Close()
+	return nil
+}
+
+func markDied(err error) error {
+	if errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET) {
+		return errors.Mark(err, ErrDied)
+	}
+	return err
 }
 
 // endpoint returns the URL of a path on an upstream. The path must be escaped already.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -66,8 +66,10 @@
 	caller  *Caller
 	target  Target
 	body    []byte
-	next    int // number of the next chunk
-	resumes int // since the last chunk
+	next    int       // number of the next chunk
+	resumes int       // since the last chunk
+	heard   time.Time // when the last chunk came
+	cut     bool      // the last connection was broken, not silent, soon after a chunk
 	conn    *streamConn
 	pumps   conc.WaitGroup
 }
@@ -114,11 +116,12 @@
 			}
 			s.next++
 			s.resumes = 0
+			s.heard = time.Now()
 			return data, nil
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
 		case s.conn.resumed && isStatus(err):
-			return nil, errors.WithSecondaryError(ErrBroken, err)
+			return nil, s.notResumed(err)
 		case s.final(err):
 			return nil, err
 		}
@@ -142,6 +145,26 @@
 	return errors.As(err, &status)
 }
 
+// lost marks what a probe found: an engine that refuses connections has died.
+func lost(cause error) error {
+	err := errors.WithSecondaryError(ErrLost, cause)
+	if errors.Is(cause, ErrDied) {
+		return errors.Mark(err, ErrDied)
+	}
+	return err
+}
+
+// notResumed tells why an engine refused a resumption. One that broke a connection on which it
+// had just answered, and then does not know the attempt, has been started anew; without a reader
+// for longer, engines drop calls by themselves.
+func (s *Stream) notResumed(err error) error {
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound && s.cut {
+		return errors.Mark(errors.WithSecondaryError(ErrLost, err), ErrDied)
+	}
+	return errors.WithSecondaryError(ErrBroken, err)
+}
+
 // check compares a chunk's completion ID with the attempt.
 func (s *Stream) check(data []byte) error {
 	var head struct {
@@ -163,9 +186,10 @@
 // recover reacts to a stream that is idle or broke: it probes the engine on a new connection
 // and, where the engine can, takes the stream up again there.
 func (s *Stream) recover(ctx context.Context, cause error, idle time.Duration) error {
-	if !s.caller.Probe(ctx, s.target.Address) {
-		return errors.WithSecondaryError(ErrLost, cause)
+	if err := s.caller.Probe(ctx, s.target.Address); err != nil {
+		return lost(errors.CombineErrors(err, cause))
 	}
+	s.cut = !errors.Is(cause, errIdle) && time.Since(s.heard) < IdleLimit
 	if errors.Is(cause, errIdle) && !s.target.CanResume {
 		if idle > StallLimit {
 			return errors.WithSecondaryError(ErrBroken, cause)
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -156,7 +156,9 @@
 	}{
 		"truncated, cannot resume": {false, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2); c.reset() }}, ErrBroken, 2},
 		"ended without [DONE]":     {false, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2) }}, ErrBroken, 2},
-		"attempt forgotten":        {true, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2); c.reset() }}, ErrBroken, 2},
+		"started anew":             {true, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2); c.reset() }}, ErrDied, 2},
+		"started anew, lost":       {true, []func(*engineConn){func(c *engineConn) { c.chunks(0, 2); c.reset() }}, ErrLost, 2},
+		"never arrived":            {true, []func(*engineConn){func(c *engineConn) { c.reset() }}, ErrBroken, 0},
 		"crossed chunk":            {true, []func(*engineConn){func(c *engineConn) { c.chunks(0, 1); c.raw("data: " + chunkText("other", 1) + "\n\n") }}, ErrCrossed, 1},
 		"crossed answer": {true, []func(*engineConn){func(c *engineConn) {
 			c.Header().Set(wire.HeaderAttempt, "other")
@@ -184,7 +186,7 @@
 		t.Run(name, func(t *testing.T) {
 			s := newScript(t, c.conns...)
 			got, err := read(t, s.address(), c.canResume)
-			require.ErrorIs(t, err, c.want)
+			require.True(t, errors.Is(err, c.want), "%v", err)
 			require.Equal(t, upTo(c.chunks), append([]string(nil), got...))
 			require.LessOrEqual(t, int(s.opened.Load()), 2, "what cannot get better is not tried again")
 		})
@@ -197,7 +199,7 @@
 	var s *script
 	s = newScript(t, func(c *engineConn) { c.chunks(0, 1); _ = s.Listener.Close(); c.reset() })
 	_, err := read(t, s.address(), true)
-	require.ErrorIs(t, err, ErrLost)
+	require.True(t, errors.Is(err, ErrLost) && errors.Is(err, ErrDied), "%v", err)
 }
 
 // TestStream_ResumptionNotSent refuses a resumption's connection after the probe was answered.
