--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -149,6 +149,9 @@
 	h.now = ejectTime - 1
 	h.offer(announcement("e1", 3, 4, "m1"))
 	h.offer(announcement("e2", 3, 4, "m1"))
+	for i := range 4 {
+		h.ask(fmt.Sprint("s", i), "m1") // their entry VM repeats them
+	}
 	require.Equal(t, StateQueued, h.ask("s4", "m1").State)
 	h.now = ejectTime
 	h.tick()
