--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -174,14 +174,6 @@
 			c.done()
 		}}, ErrBroken, 1},
 		"not JSON":     {true, []func(*engineConn){func(c *engineConn) { c.raw("data: hello\n\n"); c.done() }}, ErrBroken, 0},
-		"endless line": {true, []func(*engineConn){func(c *engineConn) { c.raw("data: " + strings.Repeat("x", maxEventBytes+1)) }}, ErrBroken, 0},
-		"endless event": {true, []func(*engineConn){func(c *engineConn) {
-			line := "data: " + strings.Repeat("x", 1<<20) + "\n"
-			for range 10 {
-				c.raw(line)
-			}
-			c.hang()
-		}}, ErrBroken, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScript(t, c.conns...)
@@ -193,6 +185,27 @@
 	}
 }
 
+// TestStream_EventsAboveTheLimit would get the same event again on every resumption.
+func TestStream_EventsAboveTheLimit(t *testing.T) {
+	for name, send := range map[string]func(*engineConn){
+		"endless line": func(c *engineConn) { c.raw("data: " + strings.Repeat("x", maxEventBytes+1)) },
+		"endless event": func(c *engineConn) {
+			line := "data: " + strings.Repeat("x", 1<<20) + "\n"
+			for range 10 {
+				c.raw(line)
+			}
+			c.hang()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newScript(t, send, send, send)
+			_, err := read(t, s.address(), true)
+			require.True(t, errors.Is(err, ErrBroken), "%v", err)
+			require.Equal(t, int32(1), s.opened.Load())
+		})
+	}
+}
+
 // TestStream_EngineGone loses the engine between the first connection and the probe: the call
 // was written, so nothing may say that it did not run.
 func TestStream_EngineGone(t *testing.T) {
