--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -263,7 +263,7 @@
 	events := newEventReader(resp.Body)
 	for {
 		data, err := events.next()
-		if err != nil {
+		if err != nil && !errors.Is(err, errEventTooLarge) {
 			err = errors.WithSecondaryError(errTruncated, err)
 		}
 		select {
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -173,7 +173,7 @@
 			c.raw("data: {\"error\":{\"message\":\"out of memory\"}}\n\n")
 			c.done()
 		}}, ErrBroken, 1},
-		"not JSON":     {true, []func(*engineConn){func(c *engineConn) { c.raw("data: hello\n\n"); c.done() }}, ErrBroken, 0},
+		"not JSON": {true, []func(*engineConn){func(c *engineConn) { c.raw("data: hello\n\n"); c.done() }}, ErrBroken, 0},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newScript(t, c.conns...)
