Give a prefix up only for a free slot that nothing else needs

Requests gave up the upstream that holds their prefix after a time, also when all others were busy too; computing the prefixes again then took the capacity that the waiting requests lacked. Now an upstream with a free slot that no other request can use takes one from a longer line. A program's prefix is no longer noted on an upstream that left.

--- a/cmd/egretramp-bench/main.go
+++ b/cmd/egretramp-bench/main.go
@@ -23,6 +23,7 @@
 	Load     float64       `long:"load" default:"0.9" description:"work that arrives, as a part of what the fleet could do if each prefix were computed once"`
 	Duration time.Duration `long:"duration" default:"10m" description:"time in which programs arrive, in virtual time"`
 	Workload string        `long:"workload" default:"all" choice:"bajio" choice:"colombo" choice:"all" description:"shape of the programs"`
+	KVTokens int64         `long:"kv-tokens" default:"400000" description:"KV memory of an engine"`
 	NoFaults bool          `long:"no-faults" description:"leave out the loss of an engine and of a zone"`
 	Only     []string      `long:"policy" description:"run only this policy (repeatable)"`
 	JSON     bool          `long:"json" description:"print JSON"`
@@ -55,9 +56,11 @@
 	if o.Workload == "all" {
 		names = []string{bench.WorkloadBajio, bench.WorkloadColombo}
 	}
+	engine := bench.DefaultEngine
+	engine.KVTokens = o.KVTokens
 	for _, name := range names {
 		results, err := bench.Run(bench.Options{
-			Seed: o.Seed, Load: o.Load, Duration: o.Duration, Workload: name, NoFaults: o.NoFaults, Only: o.Only,
+			Seed: o.Seed, Load: o.Load, Duration: o.Duration, Workload: name, NoFaults: o.NoFaults, Only: o.Only, Engine: engine,
 		})
 		if err != nil {
 			return err
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -43,10 +43,10 @@
 // Result is what one policy did.
 type Result struct {
 	Policy string `json:"policy"`
-	// Programs are those that finished; Unfinished ones count with their age at the end.
+	// Programs and latencies leave out the account that sends too much. Of the programs, the
+	// Unfinished count with their age at the end.
 	Programs   int `json:"programs"`
 	Unfinished int `json:"unfinished"`
-	// Latencies of whole programs without the account that sends too much. Milliseconds.
 	P50MS float64 `json:"p50_ms"`
 	P95MS float64 `json:"p95_ms"`
 	P99MS float64 `json:"p99_ms"`
@@ -113,11 +113,14 @@
 
 func (r *run) result(policy string, end time.Duration) Result {
 	res := Result{
-		Policy: policy, Unfinished: len(r.underWay), Requests: r.requests, WrongRefusals: r.refusals,
+		Policy: policy, Requests: r.requests, WrongRefusals: r.refusals,
 		Decisions: r.decisions, OperationP99US: float64(r.operations.ValueAtQuantile(99)) / 1e3,
 	}
 	for p, start := range r.underWay {
 		r.finished(p.spec, end-start)
+		if !p.spec.noisy {
+			res.Unfinished++
+		}
 	}
 	var all []time.Duration
 	for _, a := range sortedNames(r.latencies) {
--- a/internal/schedule/lane.go
+++ b/internal/schedule/lane.go
@@ -10,8 +10,8 @@
 	// rank orders an account's requests, the lowest first.
 	rank time.Duration
 	flow *flow
-	// heldUntil is when the request gives up the upstream that it is held for; deadline when it
-	// is refused.
+	// heldUntil is when a request that is held for a time is placed anew; deadline is when it is
+	// refused.
 	heldUntil time.Duration
 	deadline  time.Duration
 	// pinned says that it is held until the upstream's KV memory suffices.
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -169,7 +169,7 @@
 	c.on.outstanding++
 	c.on.reserved += c.kv
 	c.on.history.note(now, c.on.outstanding)
-	if c.request.Program != "" {
+	if c.request.Program != "" && !c.on.removed {
 		p.programs.use(c.request.Program).settleOn(c.on, 0)
 	}
 	c.on.trim()
--- a/internal/schedule/selector.go
+++ b/internal/schedule/selector.go
@@ -3,8 +3,8 @@
 import "time"
 
 // patience is how many times the cost of computing a prefix again a request waits for the
-// upstream that holds it. It is above 1 because computing holds up all calls of the batch.
-const patience = 4
+// upstream that holds it, while another one has a free slot that nothing else needs.
+const patience = 2
 
 // restrictedHold is how long a request that avoids upstreams, or that no upstream has the KV
 // memory for now, is held for one upstream before it is placed anew.
@@ -21,17 +21,11 @@
 		p.hold(w, p.leastLoaded(&w.Request), now+restrictedHold)
 		return
 	}
-	holder, tokens := p.prefix(&w.Request)
-	if holder == nil || !holder.large(&w.Request) {
-		p.shared.add(w)
+	if holder, _ := p.prefix(&w.Request); holder != nil && holder.large(&w.Request) {
+		holder.lane.add(w)
 		return
 	}
-	until := p.holdEnd(now, holder, tokens)
-	if until <= now {
-		p.shared.add(w)
-		return
-	}
-	p.hold(w, holder, until)
+	p.shared.add(w)
 }
 
 // restricted reports whether a request avoids an upstream of the pool.
@@ -44,37 +38,6 @@
 	return false
 }
 
-// holdEnd returns when a request gives up the upstream that holds its prefix. It waits there as
-// long as that costs less than to wait elsewhere and compute the prefix again.
-func (p *Pool) holdEnd(now time.Duration, s *replica, tokens int64) time.Duration {
-	if p.opts.Without.GiveUp {
-		return now + p.opts.MaxWait
-	}
-	allowed := patience*p.estimate.compute(tokens) + p.waitElsewhere(s)
-	if s.free() {
-		return now + allowed
-	}
-	if p.estimate.wait(s.lane.waiting+1, float64(s.Slots)) > allowed {
-		return now
-	}
-	return now + allowed
-}
-
-// waitElsewhere estimates the wait of a request in the shared lane.
-func (p *Pool) waitElsewhere(except *replica) time.Duration {
-	slots := 0
-	for _, s := range p.order {
-		if s == except || s.removed {
-			continue
-		}
-		if s.free() {
-			return 0
-		}
-		slots += s.Slots
-	}
-	return p.estimate.wait(p.shared.waiting+1, float64(slots))
-}
-
 // hold puts a request into the lane of one upstream for a time.
 func (p *Pool) hold(w *waiting, s *replica, until time.Duration) {
 	w.heldUntil = until
@@ -90,7 +53,7 @@
 	}
 }
 
-// endHolds moves requests whose hold ended. Those that avoid upstreams are placed anew.
+// endHolds moves requests whose hold ended.
 func (p *Pool) endHolds(now time.Duration) {
 	for w := p.held.first(); w != nil && w.heldUntil <= now; w = p.held.first() {
 		p.endHold(now, w)
@@ -141,8 +104,11 @@
 	for {
 		best, open := p.bestHeld()
 		w := p.shared.first()
+		if w == nil && best.w == nil {
+			return p.giveUp(open)
+		}
 		if w == nil || best.w != nil && best.w.precedes(w) {
-			return best, best.w != nil
+			return best, true
 		}
 		if on := p.selectFor(w, open); on != nil {
 			return candidate{w, on}, true
@@ -195,6 +161,28 @@
 	return best, open
 }
 
+// giveUp returns a request that runs sooner on an upstream with a free slot that nothing else
+// needs than on the one that holds its prefix, though the prefix has to be computed again.
+func (p *Pool) giveUp(open []*replica) (candidate, bool) {
+	if len(open) == 0 || p.opts.Without.GiveUp {
+		return candidate{}, false
+	}
+	for _, s := range p.order {
+		w := s.lane.first()
+		if w == nil || w.pinned || p.restricted(&w.Request) || s.free() {
+			continue
+		}
+		wait := p.estimate.wait(s.lane.waiting, float64(s.Slots))
+		if wait <= patience*p.estimate.compute(p.prefixOn(s, &w.Request)) {
+			continue
+		}
+		if on := p.selectFor(w, open); on != nil {
+			return candidate{w, on}, true
+		}
+	}
+	return candidate{}, false
+}
+
 // Weights of the selection among upstreams with a free slot, in parts of an upstream's slots.
 const (
 	prefixBonus = 4.0
