--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -45,11 +45,13 @@
 	Policy string `json:"policy"`
 	// Programs and latencies leave out the account that sends too much. Of the programs, the
 	// Unfinished count with their age at the end.
-	Programs   int `json:"programs"`
-	Unfinished int `json:"unfinished"`
-	P50MS float64 `json:"p50_ms"`
-	P95MS float64 `json:"p95_ms"`
-	P99MS float64 `json:"p99_ms"`
+	Programs   int     `json:"programs"`
+	Unfinished int     `json:"unfinished"`
+	P50MS      float64 `json:"p50_ms"`
+	P95MS      float64 `json:"p95_ms"`
+	P99MS      float64 `json:"p99_ms"`
+	// QuoteP95MS is the p95 of programs of one call.
+	QuoteP95MS float64 `json:"quote_p95_ms"`
 	// WorstAccount is the one with the largest p95 among those inside their rates.
 	WorstAccount    string  `json:"worst_account"`
 	WorstP95MS      float64 `json:"worst_p95_ms"`
@@ -135,6 +137,8 @@
 		}
 	}
 	slices.Sort(all)
+	slices.Sort(r.quotes)
+	res.QuoteP95MS = ms(quantile(r.quotes, 0.95))
 	res.Programs = len(all)
 	res.P50MS, res.P95MS, res.P99MS = ms(quantile(all, 0.5)), ms(quantile(all, 0.95)), ms(quantile(all, 0.99))
 	res.WastedPart = float64(r.wastedTokens) / float64(max(r.promptTokens, 1))
@@ -158,10 +162,10 @@
 
 // String returns the result as a line of the table whose head is Head.
 func (r Result) String() string {
-	return fmt.Sprintf("%-21s %7d %5d %9.0f %9.0f %9.0f %9.0f %6.1f%% %6.3f %-10s %6d %5.0f%% %9.0f %7.1f",
-		r.Policy, r.Programs, r.Unfinished, r.P50MS, r.P95MS, r.P99MS, r.WorstP95MS, 100*r.WastedPart,
+	return fmt.Sprintf("%-21s %7d %5d %9.0f %9.0f %9.0f %9.0f %9.0f %6.1f%% %6.3f %-10s %6d %5.0f%% %9.0f %7.1f",
+		r.Policy, r.Programs, r.Unfinished, r.P50MS, r.P95MS, r.P99MS, r.QuoteP95MS, r.WorstP95MS, 100*r.WastedPart,
 		r.WorstShare, r.WorstShareOf, r.WrongRefusals, 100*r.Busy, r.DecisionsPerSec, r.OperationP99US)
 }
 
 // Head is the head of the table of results.
-const Head = "policy                programs  left    p50 ms    p95 ms    p99 ms worst p95  waste  share of         refused  busy  decis/s  p99 us"
+const Head = "policy                programs  left    p50 ms    p95 ms    p99 ms quote p95 worst p95  waste  share of         refused  busy  decis/s  p99 us"
--- a/internal/bench/load.go
+++ b/internal/bench/load.go
@@ -19,6 +19,8 @@
 	maxAnswer     = 256 // tokens; what callers ask for at most
 	toolTime      = 50 * time.Millisecond
 	pauseScale    = 10 // median tool pause 200 ms
+	// quotePart of the programs are one call.
+	quotePart = 0.2
 	// latePart of the turns come after a further latePause, as when a caller went away.
 	latePart  = 0.02
 	latePause = 30 * time.Second
@@ -129,6 +131,7 @@
 // spec turns a workload program into its model calls.
 func (l *load) spec(random *rand.Rand, p *workload.Program) *spec {
 	s := &spec{name: p.Name, account: p.Account, weight: l.weights[p.Account], noisy: p.Account == l.noisy}
+	quote := p.Parent == "" && random.Float64() < quotePart
 	next := turn{prompt: systemTokens}
 	for _, step := range p.Steps {
 		next.pause += step.Pause
@@ -147,10 +150,16 @@
 		next.answer = drawAnswer(random)
 		s.turns = append(s.turns, next)
 		next = turn{}
+		if quote {
+			return s
+		}
 	}
 	return s
 }
 
+// quote reports whether the program is one call.
+func (s *spec) quote() bool { return len(s.turns) == 1 && s.turns[0].child == nil }
+
 func drawAnswer(random *rand.Rand) int64 {
 	n := medianAnswer * math.Exp(random.NormFloat64()*answerSpread)
 	return int64(min(max(n, 1), maxAnswer))
--- a/internal/bench/measures.go
+++ b/internal/bench/measures.go
@@ -16,6 +16,7 @@
 // measures are what a run counts.
 type measures struct {
 	latencies map[string][]time.Duration // of programs, by account
+	quotes    []time.Duration            // latencies of programs of one call
 	underWay  map[*programRun]time.Duration
 
 	promptTokens, wastedTokens int64
@@ -47,6 +48,9 @@
 
 func (m *measures) finished(s *spec, latency time.Duration) {
 	m.latencies[s.account] = append(m.latencies[s.account], latency)
+	if s.quote() && !s.noisy {
+		m.quotes = append(m.quotes, latency)
+	}
 }
 
 // wait counts a call's work as demand, granted as no longer waiting.
--- a/internal/schedule/order.go
+++ b/internal/schedule/order.go
@@ -2,28 +2,32 @@
 
 import "time"
 
-// Order within an account: by the time that a request arrived, put off by the time that its
-// program's calls have run so far. Waiting requests age alike, so the order never changes while
-// they wait, and none is overtaken by one that arrived more than maxPutOff after it.
-const (
-	// putOffFactor is the delay for each second that the program ran.
-	putOffFactor = 1.0
-	maxPutOff    = 5 * time.Second
-)
+// Order within an account: by arrival, with a head start. A program's first call has maxHeadStart,
+// so that a short program does not wait behind long ones; a later call has the time that the
+// program's calls have run, so that a long program, which has much to lose, is not kept from its
+// end by others. Waiting requests age alike, so their order never changes while they wait, and
+// none is overtaken by one that arrived more than maxHeadStart after it.
+const maxHeadStart = 20 * time.Second
 
 // rank returns the place of a request among those of its account.
 func (p *Pool) rank(now time.Duration, r *Request) time.Duration {
 	if p.opts.Without.Order {
 		return now
 	}
-	return now + min(time.Duration(putOffFactor*float64(p.attained(r))), maxPutOff)
+	return now - min(p.headStart(r), maxHeadStart)
 }
 
-// attained returns how long a program's calls ran; for one that is not remembered it is worked
-// out from the tokens.
-func (p *Pool) attained(r *Request) time.Duration {
-	if g, ok := p.programs.byName[r.Program]; ok && r.Program != "" {
+// headStart returns how much earlier than it did a request counts as having arrived.
+func (p *Pool) headStart(r *Request) time.Duration {
+	if r.Program == "" {
+		return maxHeadStart
+	}
+	if g, ok := p.programs.byName[r.Program]; ok {
 		return g.attained
 	}
-	return p.estimate.compute(r.Attained)
+	if r.Attained == 0 && r.Resident == "" {
+		return maxHeadStart
+	}
+	// It ran elsewhere, or was forgotten here: what it had is worked out from its length.
+	return p.estimate.compute(max(r.Attained, r.PromptTokens))
 }
