--- a/cmd/egretramp-bench/main.go
+++ b/cmd/egretramp-bench/main.go
@@ -24,7 +24,7 @@
 	Duration time.Duration `long:"duration" default:"10m" description:"time in which programs arrive, in virtual time"`
 	Workload string        `long:"workload" default:"all" choice:"bajio" choice:"colombo" choice:"all" description:"shape of the programs"`
 	KVTokens int64         `long:"kv-tokens" default:"400000" description:"KV memory of an engine"`
-	NoFaults bool          `long:"no-faults" description:"leave out the loss of an engine and of a zone"`
+	NoFaults bool          `long:"no-faults" description:"leave out the slow engine and the loss of an engine and of a zone"`
 	Only     []string      `long:"policy" description:"run only this policy (repeatable)"`
 	JSON     bool          `long:"json" description:"print JSON"`
 }
--- a/internal/bench/bench.go
+++ b/internal/bench/bench.go
@@ -23,7 +23,7 @@
 	Duration time.Duration
 	// Workload is the deployment whose programs are drawn: WorkloadBajio or WorkloadColombo.
 	Workload string
-	// NoFaults leaves out the loss of an engine and of a zone.
+	// NoFaults leaves out the slow engine and the loss of an engine and of a zone.
 	NoFaults bool
 	// Engine is the modelled engine. Default DefaultEngine.
 	Engine EngineModel
--- a/internal/bench/engine.go
+++ b/internal/bench/engine.go
@@ -55,6 +55,7 @@
 	model       EngineModel
 	name, zone  string
 	up          bool
+	slowdown    time.Duration // factor of the step time
 	incarnation int64
 
 	waiting, running []*job
@@ -73,7 +74,7 @@
 }
 
 func (e *engine) start() {
-	e.up = true
+	e.up, e.slowdown = true, 1
 	e.incarnation++
 	e.idle = list.New()
 	e.idleTokens, e.reserved = 0, 0
@@ -110,6 +111,7 @@
 	}
 	e.stepping = true
 	took := e.model.StepTime + time.Duration(len(e.running))*e.model.StepPerCall + time.Duration(computed)*e.model.PrefillPerToken
+	took *= e.slowdown
 	e.busy += took
 	incarnation := e.incarnation
 	e.sim.after(took, func() {
--- a/internal/bench/run.go
+++ b/internal/bench/run.go
@@ -10,11 +10,15 @@
 	"egretramp/internal/schedule"
 )
 
-// Faults of a run, as parts of its duration, and how long what is lost stays away.
+// Faults of a run: when they come, as parts of its duration, and how long they last.
 const (
+	slowEngineAt = 0.1
 	engineLossAt = 0.35
 	zoneLossAt   = 0.65
 	lossTime     = 20 * time.Second
+	// slowTime is how long an engine's steps take slowdown times as long.
+	slowTime = 30 * time.Second
+	slowdown = 5
 )
 
 // Callers' habits.
@@ -229,8 +233,7 @@
 		r.sim.at(s.arrival, func() { r.arrive(s) })
 	}
 	if !o.NoFaults {
-		r.sim.at(time.Duration(engineLossAt*float64(o.Duration)), func() { r.fleet.loseEngine(r.fleet.engines[1], lossTime) })
-		r.sim.at(time.Duration(zoneLossAt*float64(o.Duration)), func() { r.fleet.loseZone("zone3", lossTime) })
+		r.planFaults(o.Duration)
 	}
 	for t := fairWindow; t <= o.Duration; t += fairWindow {
 		r.sim.at(t, r.closeWindow)
@@ -242,3 +245,13 @@
 func newHistogram() *hdrhistogram.Histogram {
 	return hdrhistogram.New(1, (10 * time.Second).Nanoseconds(), 3)
 }
+
+// planFaults slows an engine down, then loses another one, then a zone.
+func (r *run) planFaults(duration time.Duration) {
+	part := func(p float64) time.Duration { return time.Duration(p * float64(duration)) }
+	slow, lost := r.fleet.engines[4], r.fleet.engines[1]
+	r.sim.at(part(slowEngineAt), func() { slow.slowdown = slowdown })
+	r.sim.at(part(slowEngineAt)+slowTime, func() { slow.slowdown = 1 })
+	r.sim.at(part(engineLossAt), func() { r.fleet.loseEngine(lost, lossTime) })
+	r.sim.at(part(zoneLossAt), func() { r.fleet.loseZone("zone3", lossTime) })
+}
--- a/internal/schedule/selector.go
+++ b/internal/schedule/selector.go
@@ -4,7 +4,7 @@
 
 // patience is how many times the cost of computing a prefix again a request waits for the
 // upstream that holds it, while another one has a free slot that nothing else needs.
-const patience = 2
+const patience = 4
 
 // restrictedHold is how long a request that avoids upstreams, or that no upstream has the KV
 // memory for now, is held for one upstream before it is placed anew.
