--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -21,6 +21,7 @@
 	"egretramp/internal/peer"
 	"egretramp/internal/program"
 	"egretramp/internal/settings"
+	"egretramp/internal/suspect"
 	"egretramp/internal/upstream"
 )
 
@@ -40,6 +41,7 @@
 	gateway    *gateway.Server
 	ledger     *program.Ledger
 	caller     *upstream.Caller
+	suspects   *suspect.Guard
 	listeners  listeners
 }
 
@@ -108,13 +110,22 @@
 	d.buildDispatch()
 	d.buildLedger()
 	d.caller = upstream.NewCaller()
+	d.suspects = suspect.NewGuard(suspect.Options{
+		VM:      d.settings.VM,
+		Network: d.node,
+		Others:  d.fleet.VMs,
+		Rank:    membership.Rank,
+		Events:  d.events,
+	})
 	d.gateway = gateway.New(gateway.Options{
 		VM:         d.settings.VM,
+		Zone:       d.settings.Zone,
 		Authority:  d.fleet,
 		Limiter:    d.fleet,
 		Dispatcher: d.dispatcher,
 		Caller:     d.caller,
 		Ledger:     d.ledger,
+		Suspects:   d.suspects,
 		Events:     d.events,
 	})
 	d.register()
@@ -167,11 +178,11 @@
 		ControlVMs: d.groups.ControlVMs(),
 		Network:    d.node,
 		Proposer:   controlProposer{client: d.groups},
-		Withdrawn:  func() { d.gateway.KeysWithdrawn() },
-		Rejoins: func(incarnation int64) {
+		Rejoined: func(incarnation int64) {
 			d.ledger.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
 		},
-		Events: d.events,
+		Withdrawn: func() { d.gateway.KeysWithdrawn() },
+		Events:    d.events,
 	}
 	if r, ok := d.replicas[groups.Control]; ok {
 		opts.Leader = leader{replica: r}
@@ -210,14 +221,12 @@
 // register connects the slices to the messages and calls between VMs.
 func (d *Daemon) register() {
 	d.node.HandleMessages(groups.KindRaft, d.replicas.HandleRaft)
-	server := groups.Server{Replicas: d.replicas, Network: d.node}
-	d.node.HandleCalls(groups.MethodPropose, server.HandlePropose)
-	d.node.HandleCalls(groups.MethodQuery, server.HandleQuery)
+	d.node.HandleCalls(groups.MethodPropose, d.replicas.HandlePropose)
+	d.node.HandleCalls(groups.MethodQuery, d.replicas.HandleQuery)
 
 	d.node.HandleMessages(fleet.KindGossip, d.fleet.HandleGossip)
 	d.node.HandleMessages(fleet.KindLease, d.fleet.HandleLease)
 	d.node.HandleMessages(fleet.KindRenew, d.fleet.HandleRenew)
-	d.node.HandleMessages(fleet.KindRelay, d.fleet.HandleRelay)
 	d.node.HandleMessages(fleet.KindLimit, d.fleet.HandleLimit)
 	d.node.HandleMessages(fleet.KindDigest, d.fleet.HandleDigest)
 	d.node.HandleCalls(fleet.MethodDelta, d.fleet.HandleDelta)
@@ -231,6 +240,12 @@
 	d.node.HandleCalls(dispatch.MethodList, d.host.HandleList)
 	d.node.HandleMessages(dispatch.KindGrant, d.dispatcher.HandleGrant)
 	d.node.HandleMessages(dispatch.KindSummary, d.dispatcher.HandleSummary)
+
+	d.node.HandleCalls(suspect.MethodAsk, d.suspects.HandleAsk)
+	d.node.HandleCalls(suspect.MethodEnd, d.suspects.HandleLost)
+	d.node.HandleMessages(suspect.KindEnd, d.suspects.HandleEnd)
+	d.node.HandleMessages(suspect.KindHold, d.suspects.HandleHold)
+	d.node.HandleMessages(suspect.KindRecords, d.suspects.HandleRecords)
 }
 
 // Run serves until ctx ends and then shuts down. The parts that others need while requests are
@@ -260,6 +275,7 @@
 	tasks.run(func(ctx context.Context) error { d.fleet.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.host.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.dispatcher.Run(ctx); return nil })
+	tasks.run(func(ctx context.Context) error { d.suspects.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.gateway.Run(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.keepPrograms(ctx); return nil })
 	tasks.run(func(ctx context.Context) error { d.keepMemory(ctx); return nil })
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -64,6 +64,7 @@
 type pool struct {
 	*schedule.Pool
 	requests map[string]*request
+	health   *health
 }
 
 // request is one request as the dispatcher keeps it.
@@ -114,8 +115,9 @@
 	}
 }
 
-// Announce takes a verified announcement and passes it to the dispatchers of its pools.
-func (h *Host) Announce(a wire.Announcement) {
+// Announce takes a verified announcement and passes it to the dispatchers of its pools. It
+// reports whether there are any: a zone without live VMs has none.
+func (h *Host) Announce(a wire.Announcement) bool {
 	payload := mustMarshal(a)
 	sent := map[string]bool{}
 	for _, served := range a.Serves {
@@ -125,6 +127,7 @@
 			h.opts.Network.Send(ranked[0], KindAnnounce, payload)
 		}
 	}
+	return len(sent) > 0 || len(a.Serves) == 0
 }
 
 // HandleAnnounce takes an announcement from another VM.
@@ -187,7 +190,7 @@
 func (h *Host) pool(key upstream.Pool) *pool {
 	p, ok := h.pools[key]
 	if !ok {
-		p = &pool{Pool: schedule.New(schedule.Options{}), requests: map[string]*request{}}
+		p = &pool{Pool: schedule.New(schedule.Options{}), requests: map[string]*request{}, health: newHealth()}
 		h.pools[key] = p
 	}
 	return p
@@ -195,36 +198,66 @@
 
 func (h *Host) offer(a wire.Announcement) {
 	now := h.opts.Clock()
-	_, known := h.directory.Get(a.Upstream)
-	change, ok := h.directory.Offer(now, a)
-	if !ok {
+	change, err := h.directory.Offer(now, a)
+	if errors.Is(err, upstream.ErrNameTaken) {
+		h.opts.Events.Emit(events.UpstreamNameTaken, zap.String("upstream", a.Upstream), zap.String("class", a.Class))
+	}
+	if err != nil {
 		return
 	}
 	switch {
-	case change.Removed:
+	case change.Removed && change.Previous != nil:
 		h.opts.Events.Emit(events.UpstreamLeft, zap.String("upstream", a.Upstream))
-	case !known:
+	case !change.Removed && change.Previous == nil:
 		h.opts.Events.Emit(events.UpstreamJoined, zap.String("upstream", a.Upstream), zap.String("zone", a.Zone))
 	}
 	h.apply(now, change)
 }
 
-// apply carries a change of the directory into the pools.
+// apply carries a change of the directory into the pools: those that the upstream has left
+// drop it, whether it departed or serves something else now.
 func (h *Host) apply(now time.Duration, c upstream.Change) {
-	a := c.Record.Announcement
-	for _, served := range a.Serves {
-		key := upstream.Pool{Zone: a.Zone, Kind: a.Kind, Name: served}
-		p := h.pool(key)
-		if c.Removed {
-			p.RemoveReplica(now, a.Upstream)
-		} else {
-			p.SetReplica(now, h.replica(c.Record, served))
+	serving := map[upstream.Pool]bool{}
+	if !c.Removed {
+		for _, key := range c.Record.Pools() {
+			serving[key] = true
+			p := h.pool(key)
+			p.health.announced(now, c.Record.Upstream, c.Record.Incarnation)
+			p.SetReplica(now, h.replica(now, p, c.Record, key.Name))
+			h.plan(now, key, p)
 		}
+	}
+	if c.Previous == nil {
+		return
+	}
+	for _, key := range c.Previous.Pools() {
+		if serving[key] {
+			continue
+		}
+		p := h.pool(key)
+		p.health.remove(c.Record.Upstream)
+		p.RemoveReplica(now, c.Record.Upstream)
 		h.plan(now, key, p)
+		h.turnAway(now, p)
 	}
 }
 
-func (h *Host) replica(r upstream.Record, served string) schedule.Replica {
+// turnAway sends the requests that wait in a pool without usable upstreams to other pools.
+func (h *Host) turnAway(now time.Duration, p *pool) {
+	if !p.health.allShut(now) {
+		return
+	}
+	for id, r := range p.requests {
+		if r.reply.State != StateQueued {
+			continue
+		}
+		p.Cancel(now, id)
+		delete(p.requests, id)
+		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: id, State: StateNoUpstream}))
+	}
+}
+
+func (h *Host) replica(now time.Duration, p *pool, r upstream.Record, served string) schedule.Replica {
 	slots := r.Limits.Slots
 	if r.Kind == config.KindService && h.opts.Concurrency != nil {
 		if bound := h.opts.Concurrency(served); bound > 0 && (slots == 0 || bound < slots) {
@@ -234,7 +267,7 @@
 	return schedule.Replica{
 		Name:         r.Upstream,
 		Incarnation:  r.Incarnation,
-		Slots:        slots,
+		Slots:        p.health.slots(now, r.Upstream, slots),
 		KVTokens:     r.Limits.KVTokens,
 		Running:      r.Load.Running,
 		Waiting:      r.Load.Waiting,
@@ -250,7 +283,7 @@
 		known.heard = now
 		return
 	}
-	if p.Load().Replicas == 0 {
+	if p.health.allShut(now) {
 		return
 	}
 	p.requests[e.Request.ID] = &request{
@@ -307,6 +340,12 @@
 	if !ok {
 		return
 	}
+	if refused.Reason == schedule.ReasonNoReplica {
+		// Not a refusal yet: another zone may serve it.
+		delete(p.requests, refused.Request.ID)
+		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: refused.Request.ID, State: StateNoUpstream}))
+		return
+	}
 	r.reply = Reply{
 		RequestID:    refused.Request.ID,
 		State:        StateRefused,
@@ -322,12 +361,40 @@
 		return
 	}
 	now := h.opts.Clock()
+	r := p.requests[id]
 	delete(p.requests, id)
 	p.Cancel(now, id)
 	p.Finish(now, id, o)
+	if r != nil && r.reply.Grant != nil {
+		h.judge(now, key, p, r.reply.Grant, o)
+	}
 	h.plan(now, key, p)
 }
 
+// judge lets a call's outcome bear on its upstream, if that has not been started anew since.
+func (h *Host) judge(now time.Duration, key upstream.Pool, p *pool, g *Grant, o schedule.Outcome) {
+	record, ok := h.directory.Get(g.Upstream)
+	if !ok || record.Incarnation != g.Incarnation || !p.health.finished(now, g.Upstream, o) {
+		return
+	}
+	h.opts.Events.Emit(events.UpstreamEjected, zap.String("upstream", g.Upstream),
+		zap.String("pool", key.String()), zap.Bool("unreachable", o.Unreachable))
+	p.SetReplica(now, h.replica(now, p, record, key.Name))
+	h.turnAway(now, p)
+}
+
+// refreshSlots opens upstreams whose ejection is over, and gives more slots to those that returned.
+func (h *Host) refreshSlots(now time.Duration, key upstream.Pool, p *pool) {
+	for name, c := range p.health.upstreams {
+		if c.returned == 0 || now-c.returned > slowStart+time.Second {
+			continue
+		}
+		if record, ok := h.directory.Get(name); ok {
+			p.SetReplica(now, h.replica(now, p, record, key.Name))
+		}
+	}
+}
+
 func (h *Host) refresh(from string, r Refresh) {
 	now := h.opts.Clock()
 	for _, e := range r.Waiting {
@@ -353,7 +420,7 @@
 		enqueue:  Enqueue{Pool: held.Pool, Request: held.Request},
 		queuedAt: now,
 		heard:    now,
-		reply:    Reply{RequestID: held.Request.ID, State: StateGranted, Grant: &Grant{Upstream: held.Upstream}},
+		reply:    Reply{RequestID: held.Request.ID, State: StateGranted, Grant: &Grant{Upstream: held.Upstream, Incarnation: held.Incarnation}},
 	}
 	p.Adopt(now, held.Request, held.Upstream)
 }
@@ -366,6 +433,7 @@
 	}
 	for key, p := range h.pools {
 		h.forget(now, key, p)
+		h.refreshSlots(now, key, p)
 		h.plan(now, key, p)
 	}
 	if now-h.summary >= SummaryInterval {
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/clock"
+	"egretramp/internal/config"
 	"egretramp/internal/control"
 	"egretramp/internal/events"
 	"egretramp/internal/membership"
@@ -26,8 +27,7 @@
 const (
 	KindGossip   = "fleet.gossip"
 	KindLease    = "fleet.lease"
-	KindRenew    = "fleet.renew"       // a lease request to control
-	KindRelay    = "fleet.renew_relay" // one to be passed on to the leader
+	KindRenew    = "fleet.renew" // a lease request to control
 	KindLimit    = "fleet.limit"
 	KindDigest   = "fleet.digest"
 	MethodDelta  = "fleet.delta"
@@ -67,7 +67,7 @@
 type Options struct {
 	VM          string
 	Zone        string
-	Incarnation int64
+	Incarnation int64 // at the start
 	Addresses   control.Addresses
 	// VMs are the VMs known at start, this one included.
 	VMs []membership.VM
@@ -77,13 +77,13 @@
 	// Leader is nil on a VM without the control role.
 	Leader   Leader
 	Proposer Proposer
+	// Rejoined is called, on a goroutine of its own, when this VM was removed from the
+	// membership and goes on under a new incarnation.
+	Rejoined func(incarnation int64)
 	// Withdrawn is called, on a goroutine of its own, after keys were withdrawn.
 	Withdrawn func()
-	// Rejoins is called, on the control goroutine, before this VM asks for a lease under a new
-	// incarnation, because control had removed it. May be nil.
-	Rejoins func(incarnation int64)
-	Events  *events.Logger
-	Clock   func() time.Duration // default clock.Now
+	Events    *events.Logger
+	Clock     func() time.Duration // default clock.Now
 }
 
 // Fleet is the state of this VM's part.
@@ -99,12 +99,11 @@
 	limiter  *ratelimit.Limiter
 	follower *control.Follower
 	fetching map[string]bool
+	asked    map[string]time.Duration // when another VM was last asked for its digest
 	draws    map[string]chan ratelimit.Decision
 	leading  leading
-	// ownIncarnation is this VM's in the membership: that of its start, or of its last rejoining.
-	ownIncarnation atomic.Int64
-	// registered says that the membership had this incarnation.
-	registered bool
+
+	incarnation atomic.Int64 // of this VM; grows with each start and each removal from the membership
 
 	view  atomic.Pointer[View]
 	lease atomic.Pointer[leaseView]
@@ -123,13 +122,15 @@
 		done:     make(chan struct{}),
 		follower: control.NewFollower(),
 		fetching: map[string]bool{},
+		asked:    map[string]time.Duration{},
 		draws:    map[string]chan ratelimit.Decision{},
 	}
 	f.tracker = membership.NewTracker(membership.TrackerOptions{
 		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Seed: uint64(opts.Incarnation),
 	})
 	f.tracker.SetVMs(now, opts.VMs)
-	f.beginIncarnation(now, opts.Incarnation)
+	f.incarnation.Store(opts.Incarnation)
+	f.begin(now)
 	f.view.Store(&View{})
 	f.publishLease(now)
 	f.publishAlive()
@@ -137,6 +138,18 @@
 	return f
 }
 
+// begin makes the parts that act under this VM's incarnation: its lease and its permits.
+func (f *Fleet) begin(now time.Duration) {
+	incarnation := uint64(f.incarnation.Load())
+	f.holder = membership.NewHolder(now, membership.HolderOptions{
+		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation,
+		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
+	})
+	f.limiter = ratelimit.New(ratelimit.Options{
+		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation, Lease: f.holder,
+	})
+}
+
 // Run handles events until ctx ends. It then gives up the lease and says goodbye.
 func (f *Fleet) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
@@ -199,7 +212,7 @@
 		f.sendGossip(received.Sends)
 		f.noteAlive(received.Changes)
 		if received.Digest != nil {
-			f.compare(from, received.Digest)
+			f.compareBrief(from, received.Digest)
 		}
 	})
 }
@@ -210,10 +223,6 @@
 	if json.Unmarshal(payload, &m) != nil {
 		return
 	}
-	if m.Answer != nil && m.Answer.VM != f.opts.VM {
-		f.opts.Network.Send(m.Answer.VM, KindLease, payload) // relayed through this VM
-		return
-	}
 	f.post(func() {
 		now := f.opts.Clock()
 		f.sendLease(f.holder.Handle(now, from, m))
@@ -244,28 +253,7 @@
 			f.opts.Network.Send(s.To, KindLease, payload)
 			continue
 		}
-		kind := KindRenew
-		if f.holder.Status(f.opts.Clock()).ContactAge >= membership.ControlSilence {
-			kind = KindRelay // the leader may only be out of reach of this VM
-		}
 		for _, vm := range f.opts.ControlVMs {
-			f.opts.Network.Send(vm, kind, payload)
-		}
-	}
-}
-
-// HandleRelay takes a lease request to control of a VM that hears nothing from the leader. The
-// answer comes back through this VM; the lease counts from the sending all the same.
-func (f *Fleet) HandleRelay(from string, payload []byte) {
-	if f.opts.Leader == nil {
-		return
-	}
-	if _, leads := f.opts.Leader.Leads(); leads {
-		f.HandleRenew(from, payload)
-		return
-	}
-	for _, vm := range f.opts.ControlVMs {
-		if vm != f.opts.VM && vm != from {
 			f.opts.Network.Send(vm, KindRenew, payload)
 		}
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -27,21 +27,33 @@
 type link struct {
 	node  *Node
 	vm    string
-	queue chan *peerpb.Envelope
+	queue chan queued
 	up    atomic.Bool
+	heard atomic.Int64 // time of the other side's last sign of life, Unix nanoseconds
 
 	mu      sync.Mutex
 	address string
 	idle    []idleConn
 }
 
+// queued is a message that waits to be sent.
+type queued struct {
+	envelope *peerpb.Envelope
+	since    time.Time
+}
+
 type idleConn struct {
 	conn  *drpcconn.Conn
 	since time.Time
 }
 
 func newLink(n *Node, vm, address string) *link {
-	return &link{node: n, vm: vm, address: address, queue: make(chan *peerpb.Envelope, queueLength)}
+	return &link{node: n, vm: vm, address: address, queue: make(chan queued, queueLength)}
+}
+
+// trusted reports whether the stream is up and the other side was heard lately.
+func (l *link) trusted() bool {
+	return l.up.Load() && time.Since(time.Unix(0, l.heard.Load())) < DoubtLimit
 }
 
 func (l *link) setAddress(address string) {
@@ -53,7 +65,7 @@
 func (l *link) enqueue(kind string, payload []byte) {
 	envelope := &peerpb.Envelope{From: l.node.opts.VM, Kind: kind, Payload: payload}
 	select {
-	case l.queue <- envelope:
+	case l.queue <- queued{envelope: envelope, since: time.Now()}:
 	default:
 		l.node.stats.MessagesDropped.Add(1)
 	}
@@ -137,7 +149,12 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case envelope = <-l.queue:
+		case next := <-l.queue:
+			if time.Since(next.since) > queueAge {
+				l.node.stats.MessagesDropped.Add(1)
+				continue
+			}
+			envelope = next.envelope
 		case <-heartbeat.C:
 		}
 		if l.node.cutTo(l.vm) {
@@ -163,6 +180,7 @@
 		case <-silence.C:
 			return
 		case <-heard:
+			l.heard.Store(time.Now().UnixNano())
 			if !l.up.Swap(true) {
 				l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
 			}
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -7,7 +7,6 @@
 	"encoding/hex"
 	"encoding/json"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -51,8 +50,8 @@
 type Ledger struct {
 	opts LedgerOptions
 
-	owner     atomic.Pointer[Owner]
 	mu        sync.Mutex
+	owner     Owner
 	recorded  map[programKey]int // last known length of histories
 	abandoned []Revoke
 }
@@ -80,15 +79,21 @@
 	if opts.NewAttempt == nil {
 		opts.NewAttempt = randomAttempt
 	}
-	l := &Ledger{opts: opts, recorded: map[programKey]int{}}
-	l.SetOwner(opts.Owner)
-	return l
+	return &Ledger{opts: opts, owner: opts.Owner, recorded: map[programKey]int{}}
 }
 
-// SetOwner says under which incarnation this VM acts from now on: the attempts of one that was
-// declared lost stay fenced.
-func (l *Ledger) SetOwner(o Owner) {
-	l.owner.Store(&o)
+// SetOwner goes on under a new incarnation of this VM, after the earlier one was declared lost.
+// The attempts begun under the earlier one are lost.
+func (l *Ledger) SetOwner(owner Owner) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.owner = owner
+}
+
+func (l *Ledger) currentOwner() Owner {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.owner
 }
 
 func randomAttempt() string {
@@ -153,7 +158,7 @@
 
 // Renew extends the leases of attempts of this VM and returns those no longer current.
 func (l *Ledger) Renew(ctx context.Context, attempts []string) (lost []string, err error) {
-	res, err := l.propose(ctx, &Envelope{Renew: &Renew{Owner: *l.owner.Load(), Attempts: attempts}})
+	res, err := l.propose(ctx, &Envelope{Renew: &Renew{Owner: l.currentOwner(), Attempts: attempts}})
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/upstream/wire"
 )
@@ -23,8 +24,10 @@
 	StallLimit = 60 * time.Second
 	// cancelTimeout bounds the cancellation of a call.
 	cancelTimeout = 2 * time.Second
-	// maxResumes bounds the resumptions of one stream.
+	// maxResumes bounds the resumptions of one stream in a row that bring no chunk.
 	maxResumes = 16
+	// maxIdleDoublings bounds the growth of the idle limit.
+	maxIdleDoublings = 3
 )
 
 // Target is an upstream and the attempt that runs there.
@@ -63,9 +66,12 @@
 	caller  *Caller
 	target  Target
 	body    []byte
-	next    int // number of the next chunk
-	resumes int
+	next    int       // number of the next chunk
+	resumes int       // since the last chunk
+	heard   time.Time // when the last chunk came
+	cut     bool      // the last connection was broken, not silent, soon after a chunk
 	conn    *streamConn
+	pumps   conc.WaitGroup
 }
 
 // streamConn is one connection that carries the stream.
@@ -74,6 +80,7 @@
 	opened  chan openResult
 	chunks  chan chunk
 	pending bool // headers not yet seen
+	resumed bool // an earlier connection of the same attempt was written to
 }
 
 type openResult struct {
@@ -108,12 +115,14 @@
 				return nil, err
 			}
 			s.next++
+			s.resumes = 0
+			s.heard = time.Now()
 			return data, nil
 		case ctx.Err() != nil:
 			return nil, ctx.Err()
-		case s.resumes > 0 && isStatus(err):
-			return nil, errors.WithSecondaryError(ErrBroken, err)
-		case final(err):
+		case s.conn.resumed && isStatus(err):
+			return nil, s.notResumed(err)
+		case s.final(err):
 			return nil, err
 		}
 		if err := s.recover(ctx, err, time.Since(idleSince)); err != nil {
@@ -122,10 +131,12 @@
 	}
 }
 
-// final reports whether an error ends the attempt without a try to resume.
-func final(err error) bool {
+// final reports whether an error ends the attempt without a try to resume. A resumption that
+// could not be sent says nothing of the call itself, which was sent before.
+func (s *Stream) final(err error) bool {
 	var call *CallError
-	return errors.As(err, &call) && (!call.Written || errors.Is(err, ErrCrossed)) || isStatus(err)
+	unsent := errors.As(err, &call) && !call.Written
+	return unsent && !s.conn.resumed || errors.Is(err, ErrCrossed) || isStatus(err)
 }
 
 // isStatus reports whether the engine refused; on a resumption it does if it does not know the attempt.
@@ -134,14 +145,38 @@
 	return errors.As(err, &status)
 }
 
+// lost marks what a probe found: an engine that refuses connections has died.
+func lost(cause error) error {
+	err := errors.WithSecondaryError(ErrLost, cause)
+	if errors.Is(cause, ErrDied) {
+		return errors.Mark(err, ErrDied)
+	}
+	return err
+}
+
+// notResumed tells why an engine refused a resumption. One that broke a connection on which it
+// had just answered, and then does not know the attempt, has been started anew; without a reader
+// for longer, engines drop calls by themselves.
+func (s *Stream) notResumed(err error) error {
+	var status *StatusError
+	if errors.As(err, &status) && status.Status == http.StatusNotFound && s.cut {
+		return errors.Mark(errors.WithSecondaryError(ErrLost, err), ErrDied)
+	}
+	return errors.WithSecondaryError(ErrBroken, err)
+}
+
 // check compares a chunk's completion ID with the attempt.
 func (s *Stream) check(data []byte) error {
 	var head struct {
-		ID string `json:"id"`
+		ID    string          `json:"id"`
+		Error json.RawMessage `json:"error"`
 	}
 	if err := json.Unmarshal(data, &head); err != nil {
 		return errors.Wrap(ErrBroken, "a chunk is not JSON")
 	}
+	if len(head.Error) > 0 && string(head.Error) != "null" {
+		return errors.Wrap(ErrBroken, "the engine sent an error in place of a chunk")
+	}
 	if head.ID != wire.CompletionIDPrefix+s.target.Attempt {
 		return &CallError{Written: true, Cause: ErrCrossed}
 	}
@@ -151,28 +186,36 @@
 // recover reacts to a stream that is idle or broke: it probes the engine on a new connection
 // and, where the engine can, takes the stream up again there.
 func (s *Stream) recover(ctx context.Context, cause error, idle time.Duration) error {
-	if !s.caller.Probe(ctx, s.target.Address) {
-		return errors.WithSecondaryError(ErrLost, cause)
+	if err := s.caller.Probe(ctx, s.target.Address); err != nil {
+		return lost(errors.CombineErrors(err, cause))
 	}
+	s.cut = !errors.Is(cause, errIdle) && time.Since(s.heard) < IdleLimit
 	if errors.Is(cause, errIdle) && !s.target.CanResume {
 		if idle > StallLimit {
 			return errors.WithSecondaryError(ErrBroken, cause)
 		}
 		return nil
 	}
-	if !s.target.CanResume || s.resumes >= maxResumes || idle > StallLimit {
+	if !s.target.CanResume || s.resumes >= maxResumes || idle > StallLimit || errors.Is(cause, errEventTooLarge) {
 		return errors.WithSecondaryError(ErrBroken, cause)
 	}
 	s.resumes++
 	s.conn.cancel()
 	path := streamPath(s.target.Attempt) + "?from=" + strconv.Itoa(s.next)
 	s.conn = s.open(ctx, http.MethodGet, path, nil)
+	s.conn.resumed = true
 	return nil
 }
 
-// read waits for the next chunk on the present connection, at most IdleLimit.
+// idleLimit grows with each resumption that brings no chunk: a call that waits within the engine
+// would otherwise use up its resumptions.
+func (s *Stream) idleLimit() time.Duration {
+	return IdleLimit << min(s.resumes, maxIdleDoublings)
+}
+
+// read waits for the next chunk on the present connection, at most idleLimit.
 func (s *Stream) read(ctx context.Context) ([]byte, error) {
-	idle := time.NewTimer(IdleLimit)
+	idle := time.NewTimer(s.idleLimit())
 	defer idle.Stop()
 	if s.conn.pending {
 		select {
@@ -205,7 +248,7 @@
 		chunks:  make(chan chunk, 16),
 		pending: true,
 	}
-	go s.caller.pump(ctx, conn, s.target, method, path, body)
+	s.pumps.Go(func() { s.caller.pump(ctx, conn, s.target, method, path, body) })
 	return conn
 }
 
@@ -220,7 +263,7 @@
 	events := newEventReader(resp.Body)
 	for {
 		data, err := events.next()
-		if err != nil {
+		if err != nil && !errors.Is(err, errEventTooLarge) {
 			err = errors.WithSecondaryError(errTruncated, err)
 		}
 		select {
@@ -243,7 +286,7 @@
 	if method == http.MethodPost {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.Do(req)
+	resp, err := c.doEngine(req)
 	if err != nil {
 		return nil, err
 	}
@@ -266,7 +309,10 @@
 }
 
 // Close ends the reading. It does not cancel the call on the engine.
-func (s *Stream) Close() { s.conn.cancel() }
+func (s *Stream) Close() {
+	s.conn.cancel()
+	s.pumps.Wait()
+}
 
 // Cancel ends the reading and tells the engine to stop the call. It returns whether the engine
 // acknowledged.
