soak: a configuration reverts where a VM acts under an older one; status says whether a VM serves

The check took every generation that a VM reported for one in force. Replaced, as strictly: status now says whether the VM may serve keyed work, and any generation below an earlier one counts that it serves under, none at all included.

--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -74,14 +74,16 @@
 	// Leader is the control group's leader as far as known.
 	Leader string `json:"leader,omitempty"`
 	// ControlReachable says that the VM has heard from the control group in the last seconds.
-	ControlReachable bool   `json:"control_reachable"`
-	Draining         bool   `json:"draining"`
-	Generation       uint64 `json:"generation"`
-	ConfigHash       string `json:"config_hash"`
-	Operator         string `json:"operator"`
-	WithdrawnKeys    int    `json:"withdrawn_keys"`
-	Epoch            uint64 `json:"epoch"`
-	VMs              []VM   `json:"vms"`
+	ControlReachable bool `json:"control_reachable"`
+	// Serving says that the VM may serve keyed work now, under Generation.
+	Serving       bool   `json:"serving"`
+	Draining      bool   `json:"draining"`
+	Generation    uint64 `json:"generation"`
+	ConfigHash    string `json:"config_hash"`
+	Operator      string `json:"operator"`
+	WithdrawnKeys int    `json:"withdrawn_keys"`
+	Epoch         uint64 `json:"epoch"`
+	VMs           []VM   `json:"vms"`
 	// Config is the file in force without secrets and hashes, if the request asked for it; the
 	// server fills it in.
 	Config *config.File `json:"config,omitempty"`
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -106,6 +106,7 @@
 		Version:          d.version,
 		Control:          len(d.replicas) > 0,
 		Leader:           d.controlLeader(),
+		Serving:          dump.Lease.Valid,
 		ControlReachable: dump.Lease.Valid && dump.Lease.ContactAge < contactFresh,
 		Draining:         d.gateway.Draining(),
 		Generation:       acceptance.Generation,
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -238,7 +238,8 @@
 }
 
 // checkInForce says that an accepted file is in force within inForceLimit on every VM that can
-// be reached, that no VM goes back to an older one, and that a generation is one file only.
+// be reached, that no VM goes back to acting under an older one, and that a generation is one
+// file only. A VM that starts may hear of an older file first, but must not act under it.
 func checkInForce(e *evidence) workload.Result {
 	r := workload.Result{Name: "an accepted configuration is in force within " + inForceLimit.String() + " and never reverts"}
 	newest := map[string]uint64{}
@@ -249,10 +250,12 @@
 	slices.SortStableFunc(e.observations, func(a, b observation) int { return a.from.Compare(b.from) })
 	for _, o := range e.observations {
 		r.Tried++
-		if o.generation != 0 && o.generation < newest[o.vm] {
+		if o.serving && o.generation < newest[o.vm] {
 			r.Violate("%s went back from generation %d to %d", o.vm, newest[o.vm], o.generation)
 		}
-		newest[o.vm] = max(newest[o.vm], o.generation)
+		if o.serving {
+			newest[o.vm] = max(newest[o.vm], o.generation)
+		}
 		if hash, known := hashes[o.generation]; known && o.hash != hash {
 			r.Violate("%s has another file under generation %d", o.vm, o.generation)
 		}
--- a/internal/soak/poll.go
+++ b/internal/soak/poll.go
@@ -20,6 +20,8 @@
 	from, to   time.Time // of the request
 	generation uint64
 	hash       string
+	// serving says that the VM acted under the generation.
+	serving bool
 }
 
 // poller asks the VMs for the generation that is in force on them.
@@ -44,7 +46,7 @@
 	if err != nil {
 		return
 	}
-	o.to, o.generation, o.hash = time.Now(), status.Generation, status.ConfigHash
+	o.to, o.generation, o.hash, o.serving = time.Now(), status.Generation, status.ConfigHash, status.Serving
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.list = append(p.list, o)
