Reserve anew for each engine run of a recorded turn; count the history of an appended one

Cause, found by reading: a turn retried on another engine ran under one reservation, so the tokens of the failed run were charged to nobody, and an appended turn reserved nothing for the history that it does not carry. Each could exceed a program's budget.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -3,21 +3,13 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
-	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
-	"go.uber.org/zap"
 
 	"egretramp/internal/config"
-	"egretramp/internal/dispatch"
-	"egretramp/internal/events"
 	"egretramp/internal/program"
 	"egretramp/internal/refusal"
-	"egretramp/internal/schedule"
-	"egretramp/internal/upstream"
 )
 
 const (
@@ -42,7 +34,11 @@
 	messages []json.RawMessage // the whole conversation
 	// notRun is what can be said of all attempts so far.
 	notRun refusal.NotRun
-	avoid  []string
+	// mayHaveRun is what can be said of the last attempt.
+	mayHaveRun bool
+	// history is the size of the recorded conversation that the request does not carry. Bytes.
+	history int64
+	avoid   []string
 }
 
 // chat serves POST /v1/chat/completions.
@@ -120,23 +116,56 @@
 	if err := s.opts.Limiter.Draw(ctx, call.caller.account.ID, call.id); err != nil {
 		return asRefusal(err)
 	}
+	retries := s.newRetries()
 	if !call.key.recorded() {
-		return s.runChat(ctx, call)
+		refused, _ := s.runChat(ctx, call, retries)
+		return refused
+	}
+	if refused := s.measureHistory(ctx, call); refused != nil {
+		return refused
+	}
+	for {
+		refused, anew := s.runTurn(ctx, w, call, retries)
+		if !anew {
+			return refused
+		}
+	}
+}
+
+// measureHistory notes the size of the history that a call with only new messages extends, as
+// far as its reservation goes.
+func (s *Server) measureHistory(ctx context.Context, call *chatCall) *refusal.Refusal {
+	if !call.appended {
+		return nil
+	}
+	limited, cancel := context.WithTimeout(ctx, beginTimeout)
+	defer cancel()
+	view, err := s.opts.Ledger.Read(limited, program.ProgramQuery{Account: call.caller.account.ID, Program: call.key.program})
+	if err != nil {
+		return program.Refusal(err)
 	}
+	call.history = view.Bytes + reservedPerMessage*int64(view.RecordedMessages)
+	return nil
+}
+
+// runTurn begins the turn and runs the call under it. anew asks for another begin: an engine
+// may have run a part of the call, whose tokens stay reserved, and the next attempt needs a
+// reservation of its own.
+func (s *Server) runTurn(ctx context.Context, w http.ResponseWriter, call *chatCall, retries *retries) (_ *refusal.Refusal, anew bool) {
 	turn, begun, refused := s.begin(ctx, call.ledgerCall(), call.model.ID)
 	if refused != nil {
-		return refused
+		return withEarlier(refused, call.notRun), false
 	}
 	if begun.Answered != nil {
 		s.opts.Limiter.GiveBack(call.id)
 		s.replay(w, begun.Answered)
-		return nil
+		return nil, false
 	}
 	call.turn = turn
 	call.messages = rawMessages(begun.Messages)
 	ctx, stop := turn.bind(ctx)
 	defer stop()
-	return s.runChat(ctx, call)
+	return s.runChat(ctx, call, retries)
 }
 
 // replay sends a recorded answer, byte for byte.
@@ -171,7 +200,7 @@
 
 // reserve returns the most tokens that the call can use: a token stands for at least a byte.
 func (c *chatCall) reserve() int64 {
-	size := int64(0)
+	size := c.history
 	for _, raw := range c.request.fields {
 		size += int64(len(raw))
 	}
@@ -185,253 +214,21 @@
 	return c.model.MaxTokens
 }
 
-// finishRefused ends a call without its answer: by a refusal, or within a stream under way by
-// an error event.
-func (s *Server) finishRefused(call *chatCall, refused *refusal.Refusal) {
-	s.stats.Refused.Add(1)
-	if call.notRun == refusal.True {
-		s.opts.Limiter.GiveBack(call.id)
-	}
-	call.sink.fail(refused)
-}
-
-// runChat makes attempts until one succeeds or no further one is allowed.
-func (s *Server) runChat(ctx context.Context, call *chatCall) *refusal.Refusal {
-	retries := s.newRetries()
+// runChat makes attempts until one succeeds, no further one is allowed, or a recorded one may
+// have run and the next needs a turn begun anew.
+func (s *Server) runChat(ctx context.Context, call *chatCall, retries *retries) (_ *refusal.Refusal, anew bool) {
 	for {
+		call.mayHaveRun = false
 		refused, retry := s.attemptChat(ctx, call)
 		if refused == nil {
-			return nil
-		}
-		if !call.sink.started() && ctx.Err() == nil && retries.allow(retry) {
-			continue
-		}
-		return s.settleRefused(ctx, call.turn, refused, call.notRun)
-	}
-}
-
-// settleRefused closes the turn and says why a call ended that its context cut short.
-func (s *Server) settleRefused(ctx context.Context, t *turn, refused *refusal.Refusal, notRun refusal.NotRun) *refusal.Refusal {
-	notRun = t.giveUp(notRun)
-	switch cause := context.Cause(ctx); {
-	case errors.Is(cause, errKeyWithdrawn):
-		return keyWithdrawn(notRun)
-	case errors.Is(cause, errDeadline):
-		return &refusal.Refusal{Status: http.StatusGone, Code: string(program.CodeExpired), Message: errDeadline.Error(), NotRun: notRun}
-	case errors.Is(cause, errAttemptLost):
-		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), refusal.Unknown)
-	}
-	return withNotRun(refused, notRun)
-}
-
-// attemptChat makes one attempt. retry says that another upstream may do better.
-func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry again) {
-	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
-	if refused != nil {
-		return refused, never
-	}
-	end := notSent
-	defer func() { leave.End(end.outcome, end.upstream) }()
-	zone, _ := call.turn.home()
-	request := s.scheduleRequest(call)
-	request.Alone = leave.Alone()
-	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, zone, request)
-	if err != nil {
-		return noGrant(err, call.notRun), never
-	}
-	outcome := schedule.Outcome{}
-	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
-	if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
-		return withNotRun(asRefusal(err), call.notRun), never
-	}
-	if !call.turn.mayWrite() {
-		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
-	}
-	assembler := upstream.NewAssembler()
-	begun := s.opts.Clock()
-	err = s.relay(ctx, call, grant, assembler)
-	end = s.judgeChat(ctx, grant, err)
-	if err != nil {
-		outcome = failedOutcome(ctx, err)
-		return s.chatFailure(ctx, call, grant, err)
-	}
-	outcome = served(assembler)
-	outcome.Took = s.opts.Clock() - begun
-	return s.deliver(call, assembler), never
-}
-
-// deliver records the whole answer and then tells the caller that it is whole.
-func (s *Server) deliver(call *chatCall, a *upstream.Assembler) *refusal.Refusal {
-	whole, err := call.sink.answer(a)
-	if err != nil {
-		call.notRun = refusal.False
-		return failed("bad_answer", "the engine's answer could not be read", refusal.False)
-	}
-	if call.turn != nil {
-		message, err := a.Message()
-		if err == nil {
-			err = call.turn.complete(whole, message, usedTokens(a, call.reserve()))
-		}
-		if err != nil {
-			call.notRun = refusal.Unknown
-			return withNotRun(program.Refusal(err), refusal.Unknown)
-		}
-	}
-	call.sink.finish(whole)
-	return nil
-}
-
-// usedTokens returns the engine's count, or the reservation if it sent none.
-func usedTokens(a *upstream.Assembler, reserved int64) int64 {
-	usage, ok := a.Usage()
-	if !ok {
-		return reserved
-	}
-	return usage.TotalTokens
-}
-
-func (s *Server) acquire(ctx context.Context, kind config.UpstreamKind, name, zone string, r schedule.Request) (*dispatch.Grant, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
-	defer cancel()
-	return s.opts.Dispatcher.Acquire(ctx, kind, name, zone, r)
-}
-
-func (s *Server) scheduleRequest(call *chatCall) schedule.Request {
-	size := int64(0)
-	for _, m := range call.messages {
-		size += int64(len(m))
-	}
-	r := schedule.Request{
-		ID:           newID(),
-		Account:      call.caller.account.ID,
-		Weight:       call.caller.account.Weight,
-		PromptTokens: size / bytesPerToken,
-		MaxTokens:    call.maxTokens(),
-		Avoid:        call.avoid,
-	}
-	if call.turn != nil {
-		r.Program = call.caller.account.ID + "/" + call.turn.program
-		_, r.Resident = call.turn.home()
-	}
-	return r
-}
-
-// served counts what an engine did for a call.
-func served(a *upstream.Assembler) schedule.Outcome {
-	usage, _ := a.Usage()
-	return schedule.Outcome{ServedTokens: usage.TotalTokens, CachedTokens: usage.PromptDetails.CachedTokens}
-}
-
-// relay sends the call to the granted engine and passes its answer on.
-func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, a *upstream.Assembler) error {
-	body, err := call.request.engineBody(servesAs(grant, call.model.ID), call.model.MaxTokens, call.messages)
-	if err != nil {
-		return err
-	}
-	stream := s.opts.Caller.OpenStream(ctx, upstream.Target{
-		Upstream:    grant.Upstream,
-		Incarnation: grant.Incarnation,
-		Address:     grant.Address,
-		CanResume:   grant.CanResume,
-		Attempt:     newID(),
-		Session:     call.turn.session(grant),
-		Idempotency: call.id,
-	}, body)
-	defer stream.Close()
-	err = pass(ctx, stream, a, call)
-	if err != nil && !isLost(err) {
-		// The engine may still generate for this attempt, whose answer nobody will take.
-		stream.Cancel()
-	}
-	return err
-}
-
-// servesAs returns the upstream's own name of what it was granted for.
-func servesAs(g *dispatch.Grant, id string) string {
-	if g.ServesAs != "" {
-		return g.ServesAs
-	}
-	return id
-}
-
-// pass hands each chunk to the sink until the answer is whole.
-func pass(ctx context.Context, stream *upstream.Stream, a *upstream.Assembler, call *chatCall) error {
-	for {
-		data, err := stream.Next(ctx)
-		if err == io.EOF {
-			break
+			return nil, false
 		}
-		if err != nil {
-			return err
+		if call.sink.started() || ctx.Err() != nil || !retries.allow(retry) {
+			return s.settleRefused(ctx, call.turn, refused, call.notRun), false
 		}
-		if err := a.Add(data); err != nil {
-			return err
+		if call.turn != nil && call.mayHaveRun {
+			call.turn.giveUp(refusal.Unknown)
+			return nil, true
 		}
-		call.sink.chunk(data)
-	}
-	if !a.Finished(call.request.choices) {
-		return upstream.ErrBroken
-	}
-	return nil
-}
-
-func isLost(err error) bool {
-	var call *upstream.CallError
-	return errors.Is(err, upstream.ErrLost) || errors.As(err, &call) && !call.Written
-}
-
-// chatFailure turns a failed attempt into a refusal. A chat completion may be repeated.
-func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
-	call.avoid = append(call.avoid, grant.Upstream)
-	s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
-	var status *upstream.StatusError
-	if errors.As(err, &status) {
-		return s.engineStatus(call, status)
-	}
-	var unsent *upstream.CallError
-	if errors.As(err, &unsent) && !unsent.Written {
-		return withNotRun(unavailable("upstream_unreachable", "the engine could not be reached", retryNoUpstream), call.notRun), afterUnsent
-	}
-	call.notRun = refusal.Unknown
-	if ctx.Err() != nil {
-		return failed("ended", "the call ended before its answer was whole", refusal.Unknown), never
-	}
-	if errors.Is(err, upstream.ErrTooLarge) {
-		return failed("answer_too_large", err.Error(), refusal.Unknown), never
-	}
-	return failed("upstream_failed", "the engine broke the answer off", refusal.Unknown), afterSent
-}
-
-// engineStatus passes an engine's refusal on. Engines refuse before they run a call.
-func (s *Server) engineStatus(call *chatCall, status *upstream.StatusError) (_ *refusal.Refusal, retry again) {
-	if status.Status == http.StatusTooManyRequests || status.Status >= http.StatusInternalServerError {
-		if status.Status != http.StatusTooManyRequests && status.Status != http.StatusServiceUnavailable {
-			call.notRun = refusal.Unknown
-		}
-		return withNotRun(unavailable("upstream_refused", "the engine refused the call", retryNoUpstream), call.notRun), afterSent
-	}
-	message := "the engine refused the call"
-	var body struct {
-		Error struct {
-			Message string `json:"message"`
-		} `json:"error"`
-	}
-	if json.Unmarshal(status.Body, &body) == nil && body.Error.Message != "" {
-		message += ": " + body.Error.Message
-	}
-	return &refusal.Refusal{Status: http.StatusBadRequest, Code: "rejected_by_engine", Message: message, NotRun: call.notRun}, never
-}
-
-func withNotRun(r *refusal.Refusal, n refusal.NotRun) *refusal.Refusal {
-	r.NotRun = n
-	return r
-}
-
-// asRefusal returns err as the refusal it is.
-func asRefusal(err error) *refusal.Refusal {
-	var r *refusal.Refusal
-	if errors.As(err, &r) {
-		return r
 	}
-	return unavailable("unavailable", "the request could not be admitted", time.Second)
 }
--- /dev/null
+++ b/internal/gateway/chatattempt.go
@@ -0,0 +1,171 @@
+package gateway
+
+import (
+	"context"
+	"io"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/config"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/program"
+	"egretramp/internal/refusal"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+)
+
+// attemptChat makes one attempt. retry says that another upstream may do better.
+func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry again) {
+	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
+	if refused != nil {
+		return refused, never
+	}
+	end := notSent
+	defer func() { leave.End(end.outcome, end.upstream) }()
+	zone, _ := call.turn.home()
+	request := s.scheduleRequest(call)
+	request.Alone = leave.Alone()
+	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, zone, request)
+	if err != nil {
+		return noGrant(err, call.notRun), never
+	}
+	outcome := schedule.Outcome{}
+	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
+	if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
+		return withNotRun(asRefusal(err), call.notRun), never
+	}
+	if !call.turn.mayWrite() {
+		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
+	}
+	assembler := upstream.NewAssembler()
+	begun := s.opts.Clock()
+	err = s.relay(ctx, call, grant, assembler)
+	end = s.judgeChat(ctx, grant, err)
+	if err != nil {
+		outcome = failedOutcome(ctx, err)
+		return s.chatFailure(ctx, call, grant, err)
+	}
+	outcome = served(assembler)
+	outcome.Took = s.opts.Clock() - begun
+	return s.deliver(call, assembler), never
+}
+
+// deliver records the whole answer and then tells the caller that it is whole.
+func (s *Server) deliver(call *chatCall, a *upstream.Assembler) *refusal.Refusal {
+	whole, err := call.sink.answer(a)
+	if err != nil {
+		call.notRun = refusal.False
+		return failed("bad_answer", "the engine's answer could not be read", refusal.False)
+	}
+	if call.turn != nil {
+		message, err := a.Message()
+		if err == nil {
+			err = call.turn.complete(whole, message, usedTokens(a, call.reserve()))
+		}
+		if err != nil {
+			call.notRun = refusal.Unknown
+			return withNotRun(program.Refusal(err), refusal.Unknown)
+		}
+	}
+	call.sink.finish(whole)
+	return nil
+}
+
+// usedTokens returns the engine's count, or the reservation if it sent none.
+func usedTokens(a *upstream.Assembler, reserved int64) int64 {
+	usage, ok := a.Usage()
+	if !ok {
+		return reserved
+	}
+	return usage.TotalTokens
+}
+
+func (s *Server) acquire(ctx context.Context, kind config.UpstreamKind, name, zone string, r schedule.Request) (*dispatch.Grant, error) {
+	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
+	defer cancel()
+	return s.opts.Dispatcher.Acquire(ctx, kind, name, zone, r)
+}
+
+func (s *Server) scheduleRequest(call *chatCall) schedule.Request {
+	size := int64(0)
+	for _, m := range call.messages {
+		size += int64(len(m))
+	}
+	r := schedule.Request{
+		ID:           newID(),
+		Account:      call.caller.account.ID,
+		Weight:       call.caller.account.Weight,
+		PromptTokens: size / bytesPerToken,
+		MaxTokens:    call.maxTokens(),
+		Avoid:        call.avoid,
+	}
+	if call.turn != nil {
+		r.Program = call.caller.account.ID + "/" + call.turn.program
+		_, r.Resident = call.turn.home()
+	}
+	return r
+}
+
+// served counts what an engine did for a call.
+func served(a *upstream.Assembler) schedule.Outcome {
+	usage, _ := a.Usage()
+	return schedule.Outcome{ServedTokens: usage.TotalTokens, CachedTokens: usage.PromptDetails.CachedTokens}
+}
+
+// relay sends the call to the granted engine and passes its answer on.
+func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, a *upstream.Assembler) error {
+	body, err := call.request.engineBody(servesAs(grant, call.model.ID), call.model.MaxTokens, call.messages)
+	if err != nil {
+		return err
+	}
+	stream := s.opts.Caller.OpenStream(ctx, upstream.Target{
+		Upstream:    grant.Upstream,
+		Incarnation: grant.Incarnation,
+		Address:     grant.Address,
+		CanResume:   grant.CanResume,
+		Attempt:     newID(),
+		Session:     call.turn.session(grant),
+		Idempotency: call.id,
+	}, body)
+	defer stream.Close()
+	err = pass(ctx, stream, a, call)
+	if err != nil && !isLost(err) {
+		// The engine may still generate for this attempt, whose answer nobody will take.
+		stream.Cancel()
+	}
+	return err
+}
+
+// servesAs returns the upstream's own name of what it was granted for.
+func servesAs(g *dispatch.Grant, id string) string {
+	if g.ServesAs != "" {
+		return g.ServesAs
+	}
+	return id
+}
+
+// pass hands each chunk to the sink until the answer is whole.
+func pass(ctx context.Context, stream *upstream.Stream, a *upstream.Assembler, call *chatCall) error {
+	for {
+		data, err := stream.Next(ctx)
+		if err == io.EOF {
+			break
+		}
+		if err != nil {
+			return err
+		}
+		if err := a.Add(data); err != nil {
+			return err
+		}
+		call.sink.chunk(data)
+	}
+	if !a.Finished(call.request.choices) {
+		return upstream.ErrBroken
+	}
+	return nil
+}
+
+func isLost(err error) bool {
+	var call *upstream.CallError
+	return errors.Is(err, upstream.ErrLost) || errors.As(err, &call) && !call.Written
+}
