--- a/internal/schedule/fairness.go
+++ b/internal/schedule/fairness.go
@@ -58,12 +58,20 @@
 		a = &account{name: name, weight: 1, counter: p.virtual, inBacklog: notQueued}
 		p.accounts[name] = a
 	}
-	if weight > 0 && a.waiting == 0 {
-		a.weight = weight
+	if weight > 0 && weight != a.weight {
+		p.reweigh(a, weight)
 	}
 	return a
 }
 
+// reweigh changes an account's weight; it counts for what is charged from now on.
+func (p *Pool) reweigh(a *account, weight float64) {
+	if a.waiting > 0 {
+		p.backlogWeight += weight - a.weight
+	}
+	a.weight = weight
+}
+
 // addWaiting counts a waiting request of the account.
 func (p *Pool) addWaiting(a *account) {
 	a.waiting++
