--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -7,7 +7,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcconn"
@@ -24,27 +23,37 @@
 	idleCallAge = 2 * time.Second
 )
 
-var errCut = errors.New("link is cut by fault injection")
-
 // link is the connection to one other VM.
 type link struct {
 	node  *Node
 	vm    string
-	queue chan *peerpb.Envelope
+	queue chan queued
 	up    atomic.Bool
+	heard atomic.Int64 // time of the other side's last sign of life, Unix nanoseconds
 
 	mu      sync.Mutex
 	address string
 	idle    []idleConn
 }
 
+// queued is a message that waits to be sent.
+type queued struct {
+	envelope *peerpb.Envelope
+	since    time.Time
+}
+
 type idleConn struct {
 	conn  *drpcconn.Conn
 	since time.Time
 }
 
 func newLink(n *Node, vm, address string) *link {
-	return &link{node: n, vm: vm, address: address, queue: make(chan *peerpb.Envelope, queueLength)}
+	return &link{node: n, vm: vm, address: address, queue: make(chan queued, queueLength)}
+}
+
+// trusted reports whether the stream is up and the other side was heard lately.
+func (l *link) trusted() bool {
+	return l.up.Load() && time.Since(time.Unix(0, l.heard.Load())) < DoubtLimit
 }
 
 func (l *link) setAddress(address string) {
@@ -56,15 +65,15 @@
 func (l *link) enqueue(kind string, payload []byte) {
 	envelope := &peerpb.Envelope{From: l.node.opts.VM, Kind: kind, Payload: payload}
 	select {
-	case l.queue <- envelope:
+	case l.queue <- queued{envelope: envelope, since: time.Now()}:
 	default:
 		l.node.stats.MessagesDropped.Add(1)
 	}
 }
 
 func (l *link) dial(ctx context.Context) (*drpcconn.Conn, error) {
-	if l.node.isCut(l.vm) {
-		return nil, errCut
+	if l.node.cutTo(l.vm) {
+		return nil, awaitCut(ctx)
 	}
 	l.mu.Lock()
 	address := l.address
@@ -121,7 +130,9 @@
 			if _, err := stream.Recv(); err != nil {
 				return
 			}
-			signal(heard)
+			if !l.node.cutFrom(l.vm) {
+				signal(heard)
+			}
 		}
 	})
 	return l.sendAll(ctx, stream)
@@ -138,11 +149,16 @@
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case envelope = <-l.queue:
+		case next := <-l.queue:
+			if time.Since(next.since) > queueAge {
+				l.node.stats.MessagesDropped.Add(1)
+				continue
+			}
+			envelope = next.envelope
 		case <-heartbeat.C:
 		}
-		if l.node.isCut(l.vm) {
-			return errCut
+		if l.node.cutTo(l.vm) {
+			continue
 		}
 		if err := stream.Send(envelope); err != nil {
 			return err
@@ -164,6 +180,7 @@
 		case <-silence.C:
 			return
 		case <-heard:
+			l.heard.Store(time.Now().UnixNano())
 			if !l.up.Swap(true) {
 				l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
 			}
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -95,6 +95,10 @@
 	CompletionTokens int64 `json:"completion_tokens,omitempty"`
 	// Failed says that the upstream broke the call off or did not answer.
 	Failed bool `json:"failed,omitempty"`
+	// Unreachable says that the upstream refused a connection.
+	Unreachable bool `json:"unreachable,omitempty"`
+	// Took is how long the upstream worked on the call; 0 if that says nothing about it.
+	Took time.Duration `json:"took_ns,omitempty"`
 }
 
 // Options bound a pool.
