--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -492,28 +492,6 @@
 	return json.Marshal(listed)
 }
 
-// Dump is the host's state, for the state dump.
-type Dump struct {
-	Upstreams []upstream.Record `json:"upstreams"`
-	Pools     []PoolSummary     `json:"pools"`
-}
-
-// Dump returns the host's state.
-func (h *Host) Dump(ctx context.Context) (Dump, error) {
-	result := make(chan Dump, 1)
-	h.post(func() {
-		result <- Dump{Upstreams: h.directory.All(), Pools: h.summarise().Pools}
-	})
-	select {
-	case d := <-result:
-		return d, nil
-	case <-h.done:
-		return Dump{}, ErrStopped
-	case <-ctx.Done():
-		return Dump{}, ctx.Err()
-	}
-}
-
 // mustMarshal encodes this package's own messages, which cannot fail.
 func mustMarshal(v any) []byte {
 	data, err := json.Marshal(v)
--- a/internal/schedule/estimate.go
+++ b/internal/schedule/estimate.go
@@ -62,6 +62,14 @@
 	return time.Duration(float64(ahead) * e.mean / slots * float64(time.Second))
 }
 
+// part returns what part of a usual call a time is, at most 1; 1 if no call has ended yet.
+func (e *estimator) part(took time.Duration) float64 {
+	if e.mean <= 0 {
+		return 1
+	}
+	return min(took.Seconds()/e.mean, 1)
+}
+
 // expectedAnswer estimates the length of a request's answer. Tokens.
 func (e *estimator) expectedAnswer(r *Request) int64 {
 	if e.calls == 0 {
--- a/internal/schedule/fairness.go
+++ b/internal/schedule/fairness.go
@@ -1,5 +1,7 @@
 package schedule
 
+import "time"
+
 // Service is counted in tokens computed: a token of the prompt that was not cached counts 1, a
 // token of the answer answerWeight, and a call at least callCost.
 const (
@@ -109,14 +111,15 @@
 
 // settle corrects the charge of a call that ended. A charge that was too high becomes a credit,
 // so that the counter never falls.
-func (p *Pool) settle(c *call, o Outcome) {
-	actual := callCost
+func (p *Pool) settle(now time.Duration, c *call, o Outcome) {
+	actual := c.charged
 	switch {
 	case o.ServedTokens > 0:
 		actual = service(c.request.uncached(o), c.request.answered(o))
-	case o.Failed:
-		// What the upstream did before it failed is not known: the estimate stands.
-		actual = c.charged
+	case c.request.kvNeed() > 0:
+		// What the engine did for a call that was broken off is not known; the part that its time
+		// is of the usual one is taken.
+		actual *= p.estimate.part(now - c.since)
 	}
 	if actual > c.charged {
 		p.charge(c.account, actual-c.charged)
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -122,9 +122,17 @@
 	f.plan()
 	before := f.pool.accounts["x"].counter
 	require.Equal(t, 1001.0, before)
-	f.pool.Finish(second, "1", Outcome{ServedTokens: 1000, CachedTokens: 900})
+	f.now = second
+	f.pool.Finish(f.now, "1", Outcome{ServedTokens: 1000, CachedTokens: 900})
 	f.plan()
 	require.Equal(t, before+101, f.pool.accounts["x"].counter, "900 tokens were not computed")
+
+	f.enqueue(Request{ID: "3", Account: "x", PromptTokens: 1000})
+	before = f.pool.accounts["x"].counter
+	f.now += second / 2
+	f.pool.Finish(f.now, "2", Outcome{})
+	f.plan()
+	require.Equal(t, before+1001-1001/2.0, f.pool.accounts["x"].counter, "a call that was broken off half way counts half")
 }
 
 func TestPool_FirstCallGoesBeforeLongPrograms(t *testing.T) {
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -184,7 +184,7 @@
 	delete(p.running, id)
 	c.account.running--
 	p.endKept(id)
-	p.settle(c, o)
+	p.settle(now, c, o)
 	p.remember(now, c, o)
 	if c.on == nil {
 		return
