--- /dev/null
+++ b/internal/fleet/bench_test.go
@@ -0,0 +1,231 @@
+package fleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"egretramp/internal/control"
+	"egretramp/internal/events"
+	"egretramp/internal/membership"
+)
+
+const (
+	benchZones       = 12
+	benchIncarnation = 1_700_000_000_000_000_000
+	benchControlVMs  = 8
+	// benchWarmUp is virtual time in which the news of the start are spread. Seconds.
+	benchWarmUp = 60
+)
+
+// benchNet is one real Fleet in virtual time; the other VMs are generated and only answer.
+type benchNet struct {
+	b       *testing.B
+	fleet   *Fleet
+	names   []string
+	grantor *membership.Grantor // of the generated leader; nil if the Fleet leads
+	now     time.Duration
+	sent    map[string]*traffic
+	taken   map[string]*traffic
+	answers []func()
+}
+
+type traffic struct{ messages, bytes int }
+
+func (t *traffic) add(payload []byte) {
+	t.messages++
+	t.bytes += len(payload)
+}
+
+// Leads implements Leader.
+func (n *benchNet) Leads() (uint64, bool) { return 1, n.grantor == nil }
+
+// ReadIndex implements Leader: the quorum is instant.
+func (n *benchNet) ReadIndex(context.Context) error { return nil }
+
+// Propose implements Proposer.
+func (n *benchNet) Propose(context.Context, control.Command) (control.Result, error) {
+	return control.Result{}, ErrStopped
+}
+
+// Call implements Network.
+func (n *benchNet) Call(context.Context, string, string, []byte) ([]byte, error) {
+	return nil, ErrStopped
+}
+
+// Send implements Network.
+func (n *benchNet) Send(vm, kind string, payload []byte) {
+	n.sent[kind].add(payload)
+	if kind == KindGossip {
+		n.answerGossip(vm, payload)
+	}
+	if kind == KindRenew && vm == n.names[1] && n.grantor != nil {
+		n.answerRenew(vm, payload)
+	}
+}
+
+func (n *benchNet) answerGossip(vm string, payload []byte) {
+	var g membership.Gossip
+	require.NoError(n.b, json.Unmarshal(payload, &g))
+	if g.Kind != membership.GossipPing {
+		return
+	}
+	n.deliver(vm, KindGossip, membership.Gossip{
+		Kind: membership.GossipAck, Incarnation: benchIncarnation, Sequence: g.Sequence, Digest: n.fleet.brief(),
+	})
+}
+
+func (n *benchNet) answerRenew(vm string, payload []byte) {
+	var m membership.LeaseMessage
+	require.NoError(n.b, json.Unmarshal(payload, &m))
+	answer := n.grantor.Renew(n.now, *m.Renew)
+	n.deliver(vm, KindLease, membership.LeaseMessage{Answer: &answer})
+}
+
+// deliver hands a message of a generated VM to the Fleet once the present event is over.
+func (n *benchNet) deliver(from, kind string, message any) {
+	payload := mustMarshal(message)
+	n.taken[kind].add(payload)
+	handle := map[string]func(string, []byte){
+		KindGossip: n.fleet.HandleGossip, KindLease: n.fleet.HandleLease, KindRenew: n.fleet.HandleRenew,
+	}[kind]
+	n.answers = append(n.answers, func() { handle(from, payload) })
+}
+
+// settle runs all that waits.
+func (n *benchNet) settle() {
+	for len(n.answers) > 0 || len(n.fleet.events) > 0 {
+		waiting := n.answers
+		n.answers = nil
+		for _, answer := range waiting {
+			answer()
+		}
+		for len(n.fleet.events) > 0 {
+			(<-n.fleet.events)()
+		}
+	}
+}
+
+func newBenchNet(b *testing.B, vms int, leads bool) *benchNet {
+	n := &benchNet{b: b, sent: map[string]*traffic{}, taken: map[string]*traffic{}}
+	for _, kind := range []string{KindGossip, KindLease, KindRenew, KindLimit, KindDigest} {
+		n.sent[kind], n.taken[kind] = &traffic{}, &traffic{}
+	}
+	members := control.Members{Epoch: 1}
+	var known []membership.VM
+	for i := range vms {
+		vm := control.VM{VM: fmt.Sprintf("region-zone%02d-vm%03d", i%benchZones, i), Zone: fmt.Sprintf("region-zone%02d", i%benchZones), Incarnation: benchIncarnation}
+		members.VMs = append(members.VMs, vm)
+		known = append(known, membership.VM{Name: vm.VM, Zone: vm.Zone})
+		n.names = append(n.names, vm.VM)
+	}
+	opts := Options{
+		VM: n.names[0], Zone: members.VMs[0].Zone, Incarnation: benchIncarnation, VMs: known,
+		ControlVMs: n.names[1 : 1+benchControlVMs], Network: n, Proposer: n,
+		Events: events.FromZap(zap.NewNop()), Clock: func() time.Duration { return n.now },
+	}
+	if leads {
+		opts.Leader = n
+		opts.ControlVMs = n.names[:benchControlVMs]
+	} else {
+		n.grantor = membership.NewGrantor(0, 1, time.Hour)
+		n.grantor.SetView(epochOf(members), 0, 0, 0)
+	}
+	n.fleet = New(opts)
+	n.fleet.ctx, n.fleet.tasks = b.Context(), &conc.WaitGroup{}
+	n.fleet.offer(control.Delta{Members: &members, Splits: &control.Splits{Revision: 1, Epoch: 1}})
+	n.settle()
+	return n
+}
+
+// second runs a second of virtual time.
+func (n *benchNet) second() {
+	for end := n.now + time.Second; n.now < end; n.now += tickInterval {
+		n.fleet.tick()
+		n.settle()
+		if n.now%membership.RoundInterval == 0 {
+			n.ping()
+		}
+		if n.grantor == nil && n.now%membership.RenewInterval == 0 {
+			n.renew()
+		}
+		n.fleet.tasks.Wait()
+		n.settle()
+	}
+}
+
+// ping lets as many generated VMs ping the Fleet as it pings itself.
+func (n *benchNet) ping() {
+	step := max(1, (len(n.names)-1)/membership.MaxContacts)
+	for i := range min(membership.MaxContacts, len(n.names)-1) {
+		n.deliver(n.names[1+i*step], KindGossip, membership.Gossip{
+			Kind: membership.GossipPing, Incarnation: benchIncarnation, Sequence: 1_000_000, Digest: n.fleet.brief(),
+		})
+	}
+	n.settle()
+}
+
+// renew lets every generated VM ask the Fleet, which leads, for its lease.
+func (n *benchNet) renew() {
+	zoneOf := n.fleet.View().Epoch.ZoneOf
+	for _, vm := range n.names[1:] {
+		zone, _ := zoneOf(vm)
+		n.deliver(vm, KindRenew, membership.LeaseMessage{Renew: &membership.RenewRequest{
+			Confirmed: membership.Confirmed{VM: vm, Incarnation: benchIncarnation, Epoch: 1},
+			Zone:      zone, Sequence: uint64(n.now / membership.RenewInterval),
+		}})
+	}
+	n.settle()
+}
+
+func (n *benchNet) report() {
+	var messages, bytes int
+	for kind := range n.sent {
+		sent, taken := n.sent[kind], n.taken[kind]
+		messages += sent.messages + taken.messages
+		bytes += sent.bytes + taken.bytes
+		if kind != KindDigest && kind != KindLimit {
+			short := strings.TrimPrefix(kind, "fleet.")
+			n.b.ReportMetric(float64(sent.bytes+taken.bytes)/float64(n.b.N), short+"-B/s")
+		}
+	}
+	n.b.ReportMetric(float64(messages)/float64(n.b.N), "messages/s")
+	n.b.ReportMetric(float64(bytes)/float64(n.b.N), "B/s")
+}
+
+// BenchmarkFleet_AtRest drives one Fleet against generated VMs without changes: an entry VM and
+// the leader of the control group. An op is a second of virtual time; the time of an op includes
+// the making of the generated messages.
+func BenchmarkFleet_AtRest(b *testing.B) {
+	for _, role := range []string{"entry", "leader"} {
+		for _, vms := range []int{9, 100, 200, 400} {
+			b.Run(fmt.Sprintf("%s/%d VMs", role, vms), func(b *testing.B) {
+				n := newBenchNet(b, vms, role == "leader")
+				for range benchWarmUp {
+					n.second()
+				}
+				for kind := range n.sent {
+					*n.sent[kind], *n.taken[kind] = traffic{}, traffic{}
+				}
+				b.ResetTimer()
+				for range b.N {
+					n.second()
+				}
+				n.report()
+				if role == "entry" {
+					require.True(b, n.fleet.Current(time.Hour), "it has its lease")
+				}
+				if role == "leader" {
+					require.GreaterOrEqual(b, n.sent[KindLease].messages, b.N*(vms-1), "it grants the leases")
+				}
+			})
+		}
+	}
+}
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -19,7 +19,7 @@
 // cutLimit is how long a call over a cut link is tried.
 const cutLimit = 300 * time.Millisecond
 
-func listen(t *testing.T) net.Listener {
+func listen(t testing.TB) net.Listener {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
