--- a/internal/gateway/codes_test.go
+++ b/internal/gateway/codes_test.go
@@ -48,6 +48,7 @@
 	"StatusGone":                  http.StatusGone,
 	"StatusRequestEntityTooLarge": http.StatusRequestEntityTooLarge,
 	"StatusServiceUnavailable":    http.StatusServiceUnavailable,
+	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 }
 
 // codes collects the refusals that source files can give: code to statuses.
