soak: count the upstreams that a request takes down on each side of a cut

Two sides that cannot tell each other of a loss cannot keep one bound; package suspect promises two on each side (docs/upstreams.md). Links cut between two VMs that both see others allow nothing more.

--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -39,7 +39,8 @@
 	races        counted
 	resends      counted
 	refusals     []time.Duration
-	crashes      map[string]int
+	poisons      []poisoned
+	splits       []window
 	problems     []string
 	access       []workload.Result // calls at the end that must not be let in
 	alive        workload.Result   // new programs after all faults were healed
@@ -314,12 +315,21 @@
 	return r
 }
 
+// checkCrashes says that a request takes down at most poisonLimit upstreams, or as many on each
+// side where VMs are cut off from each other: the sides cannot tell each other. VMs that were
+// cut off have inForceLimit to find together again.
 func checkCrashes(e *evidence) workload.Result {
-	r := workload.Result{Name: "a request takes down at most two upstreams"}
-	for name, n := range e.crashes {
+	r := workload.Result{Name: "a request takes down at most two upstreams, on each side of a cut"}
+	for _, p := range e.poisons {
 		r.Tried++
-		if n > poisonLimit {
-			r.Violate("%s took down %d upstreams", name, n)
+		sides := 1
+		for _, s := range e.splits {
+			if s.from.Before(p.to) && p.from.Before(s.to.Add(inForceLimit)) {
+				sides++
+			}
+		}
+		if p.crashes > poisonLimit*sides {
+			r.Violate("%s took down %d upstreams; %d sides", p.name, p.crashes, sides)
 		}
 	}
 	return r
--- a/internal/soak/collect.go
+++ b/internal/soak/collect.go
@@ -34,7 +34,8 @@
 	e.accepted, e.withdrawals, e.rates = s.operators.accepted, s.operators.withdrawals, s.operators.rates
 	e.races, e.resends, e.refusals = s.operators.races, s.operators.resends, s.operators.refusals
 	e.observations = s.poller.all()
-	e.shutdowns, e.crashes, e.problems = s.inject.shutdowns, s.inject.crashes, s.inject.problems
+	e.shutdowns, e.problems = s.inject.shutdowns, s.inject.problems
+	e.poisons, e.splits = s.inject.poisons, s.inject.splits
 	e.access, e.alive, e.newest = s.access, s.alive, s.newest
 	return e, nil
 }
--- a/internal/soak/inject.go
+++ b/internal/soak/inject.go
@@ -46,15 +46,15 @@
 	done      map[Kind]int
 	shutdowns []shutdown
 	problems  []string
-	crashes   map[string]int // marked requests' crashes, by the request
-	poison    string
+	poisons   []poisoned
+	splits    []window // times at which some VMs were cut off from all others
 	repairs   []time.Duration
 }
 
 func newInjector(f *harness.Fleet, say func(string, ...any)) *injector {
 	return &injector{
 		fleet: f, links: newLinks(f.VMs), out: newOutages(), say: say,
-		busy: map[string]bool{}, done: map[Kind]int{}, crashes: map[string]int{},
+		busy: map[string]bool{}, done: map[Kind]int{},
 	}
 }
 
@@ -152,14 +152,21 @@
 // their peers know that the links are healed.
 func (i *injector) cutFor(ctx context.Context, f Fault, list []cut, unreachable []string) {
 	i.count(f.Kind)
-	i.out.begin(time.Now(), unreachable...)
+	split := window{from: time.Now()}
+	i.out.begin(split.from, unreachable...)
 	i.links.cut(list)
 	sleep(ctx, f.For)
 	i.links.heal(list)
 	limited, cancel := context.WithTimeout(context.WithoutCancel(ctx), 2*time.Second)
 	i.links.settled(limited)
 	cancel()
-	i.out.end(time.Now(), unreachable...)
+	split.to = time.Now()
+	i.out.end(split.to, unreachable...)
+	if len(unreachable) > 0 {
+		i.mu.Lock()
+		defer i.mu.Unlock()
+		i.splits = append(i.splits, split)
+	}
 }
 
 func (i *injector) vmFault(ctx context.Context, f Fault) error {
--- a/internal/soak/inject_upstream.go
+++ b/internal/soak/inject_upstream.go
@@ -13,20 +13,29 @@
 // fakeCrashCode is the exit code of a stand-in that a marked request ended.
 const fakeCrashCode = 3
 
-// crashed notes a stand-in that a marked request ended.
+// poisoned is a marked request and the upstreams that it ended.
+type poisoned struct {
+	window
+	name    string
+	crashes int
+}
+
+// crashed notes a stand-in that the newest marked request ended.
 func (i *injector) crashed(name string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.crashes[i.poison]++
-	i.say("%s crashed on %s", name, i.poison)
+	p := &i.poisons[len(i.poisons)-1]
+	p.crashes++
+	p.to = time.Now()
+	i.say("%s crashed on %s", name, p.name)
 }
 
 // expect names the marked request under way.
 func (i *injector) expect(poison string) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	i.poison = poison
-	i.crashes[poison] = 0
+	now := time.Now()
+	i.poisons = append(i.poisons, poisoned{window: window{now, now}, name: poison})
 }
 
 // revive starts a stand-in again whenever a marked request ended it.
