--- a/internal/soak/fleet.go
+++ b/internal/soak/fleet.go
@@ -161,8 +161,11 @@
 		s.EntryVMs = append(s.EntryVMs, vm.Name)
 	}
 	for _, u := range f.Upstreams {
-		if u.Spec.Kind != config.KindWeightStore {
-			s.Upstreams = append(s.Upstreams, u.Name)
+		switch u.Spec.Kind {
+		case config.KindEngine:
+			s.Engines = append(s.Engines, u.Name)
+		case config.KindService:
+			s.Services = append(s.Services, u.Name)
 		}
 	}
 	return s
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -61,7 +61,8 @@
 	ControlVMs []string
 	EntryVMs   []string // without the control role
 	Zones      []string
-	Upstreams  []string
+	Engines    []string
+	Services   []string
 	// Keys are how many keys can be withdrawn.
 	Keys int
 }
@@ -80,6 +81,8 @@
 	spread     time.Duration // a fault lasts up to this much longer
 }
 
+var upstreamFaults = []Kind{Silence, Crash, Hang, Truncate, Late, Cross, Depart}
+
 // firstFault is when the first faults begin.
 const firstFault = time.Second
 
@@ -94,7 +97,8 @@
 		{[]Kind{KillVM, FreezeVM, RestartVM, IsolateVM, LoseDisk, LoseMajority}, s.ControlVMs, 3 * time.Second, 2 * time.Second, 3 * time.Second},
 		{[]Kind{KillVM, FreezeVM, RestartVM, RestartVM, IsolateVM}, s.EntryVMs, 3 * time.Second, 2 * time.Second, 3 * time.Second},
 		{[]Kind{CutZone, CutPair, CutPair, CutOneWay}, s.Zones, 3 * time.Second, 5 * time.Second, 4 * time.Second},
-		{[]Kind{Silence, Crash, Hang, Truncate, Late, Cross, Depart}, s.Upstreams, time.Second, time.Second, 2 * time.Second},
+		{upstreamFaults, s.Engines, time.Second, time.Second, 2 * time.Second},
+		{upstreamFaults, s.Services, time.Second, time.Second, 2 * time.Second},
 		{[]Kind{ChangeRate, Race, Resend}, []string{""}, 0, 3 * time.Second, 0},
 	}
 	for i, l := range lanes {
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -10,7 +10,7 @@
 func testShape() Shape {
 	return Shape{
 		ControlVMs: []string{"c1", "c2", "c3"}, EntryVMs: []string{"e1", "e2"}, Zones: []string{"z1", "z2", "z3"},
-		Upstreams: []string{"u1", "u2"}, Keys: 3,
+		Engines: []string{"u1", "u2"}, Services: []string{"s1", "s2"}, Keys: 3,
 	}
 }
 
