--- a/internal/soak/inject_upstream.go
+++ b/internal/soak/inject_upstream.go
@@ -74,7 +74,7 @@
 			return err
 		}
 		sleep(ctx, f.For)
-		return u.Start()
+		return startUpstream(ctx, u)
 	case Depart:
 		return i.depart(ctx, u)
 	case Silence:
@@ -124,5 +124,15 @@
 	if _, err := u.Terminate(limited); err != nil && !errors.Is(err, harness.ErrNotRunning) {
 		return err
 	}
-	return u.Start()
+	return startUpstream(ctx, u)
+}
+
+// startUpstream starts a stand-in and waits until it answers.
+func startUpstream(ctx context.Context, u *harness.Upstream) error {
+	if err := u.Start(); err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), readyLimit)
+	defer cancel()
+	return u.WaitReady(ctx)
 }
