--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -33,10 +33,10 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	SilenceLimit      = 2 * time.Second
 	// DoubtLimit is the silence after which a link is no longer trusted alone.
-	DoubtLimit = 800 * time.Millisecond
-	DialTimeout       = time.Second
-	redialDelay       = 200 * time.Millisecond
-	queueLength       = 4096 // messages to one VM
+	DoubtLimit  = 800 * time.Millisecond
+	DialTimeout = time.Second
+	redialDelay = 200 * time.Millisecond
+	queueLength = 4096 // messages to one VM
 	// queueAge is how long a message waits for a connection; an older one is dropped.
 	queueAge = time.Second
 )
