--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -4,20 +4,26 @@
 	"context"
 	"time"
 
-	"github.com/sourcegraph/conc/iter"
+	"github.com/sourcegraph/conc/pool"
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
 	"egretramp/internal/groups"
 	"egretramp/internal/program"
+	"egretramp/internal/upstream"
 )
 
-// Times of the release of engine memory.
+// Times of the release of engine memory. A session that the record gives up is released within
+// releaseInterval and the engine's answer; one that no record knows, also after the limits'
+// ReportAge and two reports.
 const (
 	releaseInterval = time.Second
 	// reportInterval is how often an engine's sessions are compared with the record.
 	reportInterval = 5 * time.Second
 	memoryTimeout  = 3 * time.Second
+	// memoryCalls bounds the engines that are called at once. One that hangs holds up no other
+	// while there are fewer than that of them.
+	memoryCalls = 64
 )
 
 // keepMemory releases engine memory that no live program owns, until ctx ends. The leader of the
@@ -51,20 +57,51 @@
 		return
 	}
 	engines := d.engines(ctx)
-	iter.ForEach(pending, func(r *program.Release) {
-		l, ok := engines[r.Engine]
-		switch {
-		case !ok:
-			// Its dispatcher may just have changed; a process that is gone for good is noticed
-			// by its next incarnation.
-		case l.Record.Incarnation > r.EngineIncarnation:
+	byEngine := map[string][]program.Release{}
+	for _, r := range pending {
+		byEngine[r.Engine] = append(byEngine[r.Engine], r)
+	}
+	if len(pending) >= program.MaxListed {
+		// The first page may be of a few engines that do not answer.
+		byEngine = d.pendingOf(ctx, engines)
+	}
+	calls := pool.New().WithMaxGoroutines(memoryCalls)
+	for name, releases := range byEngine {
+		if l, ok := engines[name]; ok {
+			calls.Go(func() { d.releaseAt(ctx, l, releases) })
+		}
+		// Else its dispatcher may just have changed; a process that is gone for good is noticed
+		// by its next incarnation.
+	}
+	calls.Wait()
+}
+
+// pendingOf asks for each engine's pending releases.
+func (d *Daemon) pendingOf(ctx context.Context, engines map[string]dispatch.Listed) map[string][]program.Release {
+	byEngine := map[string][]program.Release{}
+	for name := range engines {
+		pending, err := d.ledger.PendingReleases(ctx, program.ReleasesQuery{Engine: name})
+		if err == nil && len(pending) > 0 {
+			byEngine[name] = pending
+		}
+	}
+	return byEngine
+}
+
+// releaseAt releases sessions of one engine until one fails; the rest comes in the next round.
+func (d *Daemon) releaseAt(ctx context.Context, l dispatch.Listed, releases []program.Release) {
+	for _, r := range releases {
+		if l.Record.Incarnation > r.EngineIncarnation {
 			_ = d.ledger.EngineGone(ctx, program.EngineGone{Engine: r.Engine, EngineIncarnation: r.EngineIncarnation})
-		case d.caller.ReleaseSession(ctx, l.Record.Address, r.Session):
-			_ = d.ledger.ReleaseDone(ctx, program.ReleaseDone{
-				Engine: r.Engine, EngineIncarnation: r.EngineIncarnation, Session: r.Session,
-			})
+			return
 		}
-	})
+		if !d.caller.ReleaseSession(ctx, l.Record.Address, r.Session) {
+			return
+		}
+		_ = d.ledger.ReleaseDone(ctx, program.ReleaseDone{
+			Engine: r.Engine, EngineIncarnation: r.EngineIncarnation, Session: r.Session,
+		})
+	}
 }
 
 // engines returns the engines of all pools by their names in the record.
@@ -86,18 +123,23 @@
 	if err != nil {
 		return
 	}
+	calls := pool.New().WithMaxGoroutines(memoryCalls)
 	for _, r := range dump.Upstreams {
-		if r.Kind != config.KindEngine {
-			continue
+		if r.Kind == config.KindEngine {
+			calls.Go(func() { d.reportEngine(ctx, r) })
 		}
-		sessions, err := d.caller.Sessions(ctx, r.Address)
-		if err != nil {
-			continue
-		}
-		report := program.Report{Engine: program.EngineName(r.Zone, r.Upstream), EngineIncarnation: r.Incarnation}
-		for _, s := range sessions {
-			report.Sessions = append(report.Sessions, s.Session)
-		}
-		_ = d.ledger.Report(ctx, report)
 	}
+	calls.Wait()
+}
+
+func (d *Daemon) reportEngine(ctx context.Context, r upstream.Record) {
+	sessions, err := d.caller.Sessions(ctx, r.Address)
+	if err != nil {
+		return
+	}
+	report := program.Report{Engine: program.EngineName(r.Zone, r.Upstream), EngineIncarnation: r.Incarnation}
+	for _, s := range sessions {
+		report.Sessions = append(report.Sessions, s.Session)
+	}
+	_ = d.ledger.Report(ctx, report)
 }
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -57,7 +57,18 @@
 func (a *attempts) renewed(ids []string, sentAt time.Duration, lost []string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, id := range a.list.Renewed(ids, sentAt, lost) {
+	a.stop(a.list.Renewed(ids, sentAt, lost))
+}
+
+// stopLapsed stops the calls of attempts whose leases could not be renewed in time.
+func (a *attempts) stopLapsed(now time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.stop(a.list.Lapsed(now))
+}
+
+func (a *attempts) stop(ids []string) {
+	for _, id := range ids {
 		if stop, ok := a.lost[id]; ok {
 			stop()
 		}
@@ -79,6 +90,7 @@
 			return
 		case <-ticker.C:
 			s.renewDue(ctx)
+			s.attempts.stopLapsed(s.opts.Clock())
 		}
 	}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -214,6 +214,7 @@
 		// The lease settles it if this does not arrive.
 		_ = t.server.opts.Ledger.Fail(ctx, program.Fail{
 			Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
+			Residency: t.resident,
 		})
 		return notRun
 	}
--- a/internal/program/attempts.go
+++ b/internal/program/attempts.go
@@ -69,6 +69,21 @@
 	return stop
 }
 
+// Lapsed returns the attempts whose leases ran out without a renewal, in the order of their IDs,
+// and forgets them. The group fences them, so their answers can't be recorded any more and their
+// calls are to be stopped.
+func (a *Attempts) Lapsed(now time.Duration) []string {
+	var lapsed []string
+	for id, own := range a.byID {
+		if now >= own.leaseUntil {
+			delete(a.byID, id)
+			lapsed = append(lapsed, id)
+		}
+	}
+	slices.Sort(lapsed)
+	return lapsed
+}
+
 // Verdict says what to do with an answer.
 type Verdict string
 
