--- a/internal/schedule/fairness.go
+++ b/internal/schedule/fairness.go
@@ -2,8 +2,9 @@
 
 import "time"
 
-// Service is counted in tokens computed: a token of the prompt that was not cached counts 1, a
-// token of the answer answerWeight, and a call at least callCost.
+// Service is counted in tokens: a token that a call adds to its program's prompt counts 1, a
+// token of the answer answerWeight, and a call at least callCost. A prefix that has to be computed
+// again does not count, since that follows from the scheduler's choices and from faults.
 const (
 	answerWeight = 4.0
 	callCost     = 1.0
@@ -115,7 +116,8 @@
 	actual := c.charged
 	switch {
 	case o.ServedTokens > 0:
-		actual = service(c.request.uncached(o), c.request.answered(o))
+		answer := c.request.answered(o)
+		actual = service(max(o.ServedTokens-answer-c.history, 0), answer)
 	case c.request.kvNeed() > 0:
 		// What the engine did for a call that was broken off is not known; the part that its time
 		// is of the usual one is taken.
@@ -128,8 +130,8 @@
 	c.account.credit += c.charged - actual
 }
 
-func service(uncached, answer int64) float64 {
-	return callCost + float64(uncached) + answerWeight*float64(answer)
+func service(added, answer int64) float64 {
+	return callCost + float64(added) + answerWeight*float64(answer)
 }
 
 // answered is the length of the answer. Tokens.
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -24,6 +24,8 @@
 	kv      int64
 	// cached is the part of the prompt that the upstream was taken to hold. Tokens.
 	cached int64
+	// history is the part of the prompt that some engine has computed before. Tokens.
+	history int64
 	// adopted calls were granted elsewhere.
 	adopted bool
 }
@@ -207,6 +209,7 @@
 	}
 	g := p.programs.use(c.request.Program)
 	g.attained += took
+	g.history = max(g.history, o.ServedTokens)
 	if g.on != c.on || c.on == nil {
 		return
 	}
@@ -260,8 +263,8 @@
 // grant lets a request run.
 func (p *Pool) grant(now time.Duration, w *waiting, s *replica) {
 	p.checkGrant(w, s)
-	cached := p.prefixOn(s, &w.Request)
-	charged := service(w.PromptTokens-cached, p.estimate.expectedAnswer(&w.Request))
+	cached, history := p.prefixOn(s, &w.Request), p.history(&w.Request)
+	charged := service(w.PromptTokens-history, p.estimate.expectedAnswer(&w.Request))
 	if !w.Alone {
 		p.virtual = max(p.virtual, w.account.counter)
 	}
@@ -273,7 +276,7 @@
 	} else {
 		p.drop(w)
 	}
-	c := &call{request: w.Request, account: w.account, on: s, since: now, charged: charged, cached: cached}
+	c := &call{request: w.Request, account: w.account, on: s, since: now, charged: charged, cached: cached, history: history}
 	p.start(now, c)
 	p.counts.granted++
 	p.plan.Grants = append(p.plan.Grants, Grant{Request: w.Request, Replica: s.Name})
--- a/internal/schedule/residency.go
+++ b/internal/schedule/residency.go
@@ -11,6 +11,8 @@
 	// on is the upstream that holds its prefix, nil if none is known to; tokens is its length.
 	on     *replica
 	tokens int64
+	// history is how much of its conversation engines have computed. Tokens.
+	history int64
 	// attained is how long its calls ran.
 	attained time.Duration
 	recent   *list.Element // in programs.recent
@@ -107,6 +109,21 @@
 	return 0
 }
 
+// history returns how much of a request's prompt engines have computed before, wherever that was.
+// Tokens.
+func (p *Pool) history(r *Request) int64 {
+	if g, ok := p.programs.byName[r.Program]; ok {
+		return min(g.history, r.PromptTokens)
+	}
+	if r.Program == "" || r.Resident == "" {
+		return 0
+	}
+	if r.PrefixTokens > 0 {
+		return min(r.PrefixTokens, r.PromptTokens)
+	}
+	return r.PromptTokens
+}
+
 // near returns the upstream that the topmost ancestor of a sub-agent last ran on.
 func (p *Pool) near(r *Request) *replica {
 	if r.Root == "" || r.Root == r.Program || p.opts.Without.Affinity {
