--- a/cmd/egretramp-bench/main.go
+++ b/cmd/egretramp-bench/main.go
@@ -1,15 +1,21 @@
-// Command egretramp-bench compares scheduling policies under one seeded load in virtual time.
+// Command egretramp-bench compares scheduling policies under one seeded load in virtual time, or,
+// with --path, measures what a call's way through a VM adds.
 package main
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
 	"os"
+	"os/signal"
+	"path/filepath"
+	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
 
 	"egretramp/internal/bench"
+	"egretramp/internal/pathbench"
 )
 
 // Exit codes.
@@ -26,6 +32,9 @@
 	KVTokens int64         `long:"kv-tokens" default:"400000" description:"KV memory of an engine"`
 	NoFaults bool          `long:"no-faults" description:"leave out the slow engine and the loss of an engine and of a zone"`
 	Only     []string      `long:"policy" description:"run only this policy (repeatable)"`
+	Path     bool          `long:"path" description:"measure the way through a VM instead, with daemons on this machine"`
+	Calls    int           `long:"calls" default:"1000" description:"with --path: calls each way"`
+	Bin      string        `long:"bin" description:"with --path: folder of the programs (default: that of this one)"`
 	JSON     bool          `long:"json" description:"print JSON"`
 }
 
@@ -37,7 +46,11 @@
 		}
 		os.Exit(exitUsage)
 	}
-	if err := run(o); err != nil {
+	work := compare
+	if o.Path {
+		work = measurePath
+	}
+	if err := work(o); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitFailure)
 	}
@@ -51,7 +64,7 @@
 	Results  []bench.Result `json:"results"`
 }
 
-func run(o options) error {
+func compare(o options) error {
 	names := []string{o.Workload}
 	if o.Workload == "all" {
 		names = []string{bench.WorkloadBajio, bench.WorkloadColombo}
@@ -84,3 +97,27 @@
 	fmt.Println()
 	return nil
 }
+
+func measurePath(o options) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if o.Bin == "" {
+		self, err := os.Executable()
+		if err != nil {
+			return err
+		}
+		o.Bin = filepath.Dir(self)
+	}
+	results, err := pathbench.Run(ctx, pathbench.Options{Bin: o.Bin, Calls: o.Calls})
+	if err != nil {
+		return err
+	}
+	if o.JSON {
+		return json.NewEncoder(os.Stdout).Encode(results)
+	}
+	fmt.Println(pathbench.Head)
+	for _, r := range results {
+		fmt.Println(r)
+	}
+	return nil
+}
