--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -64,6 +64,9 @@
 	return path
 }
 
+// documented is the example that the operators' pages refer to.
+const documented = "../../docs/examples/operators.json"
+
 func TestRun_CommandLine(t *testing.T) {
 	t.Setenv("EGRETRAMP_ADMIN", "")
 	good, bad := write(t, goodFile), write(t, "{\n \"generation\": 0}")
@@ -83,6 +86,7 @@
 		{[]string{"status", "--admin", "localhost"}, "", ExitUsage, "", "is not IP:port"},
 		{[]string{"check", good}, "", ExitOK, "no problems; generation 4", ""},
 		{[]string{"check", "-"}, goodFile, ExitOK, "-: no problems", ""},
+		{[]string{"check", documented}, "", ExitOK, "no problems; generation 1 with 2 client accounts, 1 models, 1 services, 4 routes", ""},
 		{[]string{"check", bad}, "", ExitUsage, "", bad + ":2:16: generation: impossible value 0"},
 		{[]string{"check", bad, "--json"}, "", ExitUsage, `"line": 2`, ""},
 		{[]string{"apply", bad, "--operator", "ana", "--admin", "127.0.0.1:1"}, "", ExitUsage, "", ":2:16:"},
