groups: an ended context is an error, not an empty answer

With no VM asked the cause was nil, and marking nil gives nil: Propose and Query returned no answer and no error.

--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -14,6 +14,7 @@
 		"peer_messages_sent":     d.node.Stats().MessagesSent.Load,
 		"peer_messages_received": d.node.Stats().MessagesReceived.Load,
 		"peer_messages_dropped":  d.node.Stats().MessagesDropped.Load,
+		"peer_messages_relayed":  d.node.Stats().MessagesRelayed.Load,
 		"peer_calls_made":        d.node.Stats().CallsMade.Load,
 		"peer_calls_served":      d.node.Stats().CallsServed.Load,
 		"gateway_requests":       d.gateway.Stats().Requests.Load,
--- a/internal/gateway/codes_test.go
+++ b/internal/gateway/codes_test.go
@@ -46,6 +46,7 @@
 	"StatusNotFound":              http.StatusNotFound,
 	"StatusMethodNotAllowed":      http.StatusMethodNotAllowed,
 	"StatusGone":                  http.StatusGone,
+	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 	"StatusRequestEntityTooLarge": http.StatusRequestEntityTooLarge,
 	"StatusServiceUnavailable":    http.StatusServiceUnavailable,
 }
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -50,7 +50,7 @@
 	}
 	queue := c.candidates(group)
 	tried := map[string]bool{}
-	var last error
+	last := errNobodyAsked
 	for len(queue) > 0 && ctx.Err() == nil {
 		vm := queue[0]
 		queue = queue[1:]
--- /dev/null
+++ b/internal/groups/client_test.go
@@ -0,0 +1,58 @@
+package groups
+
+import (
+	"context"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/peer"
+)
+
+// fakeNetwork answers calls by VM and notes who was asked.
+type fakeNetwork struct {
+	errors map[string]error
+	asked  []string
+}
+
+func (n *fakeNetwork) Send(string, string, []byte) {}
+
+func (n *fakeNetwork) Call(_ context.Context, vm, _ string, _ []byte) ([]byte, error) {
+	n.asked = append(n.asked, vm)
+	return []byte("from " + vm), n.errors[vm]
+}
+
+func TestClient_FollowsTheLeader(t *testing.T) {
+	network := &fakeNetwork{errors: map[string]error{
+		"a1": &peer.UnreachableError{},
+		"b1": &peer.RemoteError{Code: codeNotLeader, Message: "d1"},
+	}}
+	c := NewClient(network, []string{"a1", "b1", "c1"})
+	for range 2 {
+		answer, err := c.Propose(context.Background(), Control, nil)
+		require.NoError(t, err)
+		require.Equal(t, "from d1", string(answer))
+	}
+	require.Equal(t, []string{"a1", "b1", "d1", "d1"}, network.asked, "the leader is remembered")
+}
+
+func TestClient_UnknownOutcomeIsNotTriedElsewhere(t *testing.T) {
+	network := &fakeNetwork{errors: map[string]error{"a1": &peer.LostError{VM: "a1", Cause: context.DeadlineExceeded}}}
+	c := NewClient(network, []string{"a1", "b1"})
+	_, err := c.Propose(context.Background(), Control, nil)
+	require.True(t, errors.Is(err, ErrUnknownOutcome), err)
+	require.Equal(t, []string{"a1"}, network.asked)
+	_, err = c.Query(context.Background(), Control, nil)
+	require.True(t, errors.Is(err, ErrNotProposed), "a query changes nothing")
+}
+
+// TestClient_EndedContext asks nobody, which must not pass for an answer.
+func TestClient_EndedContext(t *testing.T) {
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	network := &fakeNetwork{}
+	_, err := NewClient(network, []string{"a1"}).Propose(ctx, Control, nil)
+	require.True(t, errors.Is(err, ErrNotProposed), err)
+	require.Empty(t, network.asked)
+}
--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -35,6 +35,8 @@
 var (
 	// ErrNotProposed says that the command surely was not and will not be applied.
 	ErrNotProposed = errors.New("groups: no leader could be reached; the command was not proposed")
+	// errNobodyAsked is the cause if the context had ended before the first VM was asked.
+	errNobodyAsked = errors.New("groups: no VM was asked")
 	// ErrUnknownOutcome says that the command may be applied, now or later.
 	ErrUnknownOutcome = errors.New("groups: the outcome of the command is unknown")
 )
