--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -112,15 +112,9 @@
 }
 
 func (s *Server) withdraw(w http.ResponseWriter, r *http.Request) (any, error) {
-	body, err := readBody(w, r, api.MaxWithdrawBytes)
-	if err != nil {
-		return nil, err
-	}
 	var request api.WithdrawRequest
-	decoder := json.NewDecoder(bytes.NewReader(body))
-	decoder.DisallowUnknownFields()
-	if err := decoder.Decode(&request); err != nil || decoder.More() {
-		return nil, badRequest("the body has to be {\"key_ids\": [...]}")
+	if err := readJSON(w, r, api.MaxWithdrawBytes, &request, `{"key_ids": [...]}`); err != nil {
+		return nil, err
 	}
 	if n := len(request.KeyIDs); n == 0 || n > control.MaxWithdrawnIDs {
 		return nil, badRequest("%d key IDs; allowed are 1 to %d", n, control.MaxWithdrawnIDs)
@@ -130,9 +124,7 @@
 			return nil, badRequest("a key ID has 1 to %d characters", control.MaxNameLength)
 		}
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	withdrawn, err := s.backend.WithdrawKeys(ctx, request.KeyIDs)
+	withdrawn, err := s.backend.WithdrawKeys(r.Context(), request.KeyIDs)
 	if err != nil {
 		return nil, err
 	}
@@ -144,9 +136,7 @@
 }
 
 func (s *Server) status(_ http.ResponseWriter, r *http.Request) (any, error) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	status, err := s.backend.Status(ctx)
+	status, err := s.backend.Status(r.Context())
 	if err != nil {
 		return nil, err
 	}
@@ -162,9 +152,7 @@
 }
 
 func (s *Server) dump(_ http.ResponseWriter, r *http.Request) (any, error) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	return s.backend.Dump(ctx)
+	return s.backend.Dump(r.Context())
 }
 
 func (s *Server) programs(_ http.ResponseWriter, r *http.Request) (any, error) {
@@ -179,21 +167,15 @@
 	if query.Account != "" && !isName(query.Account) {
 		return nil, badRequest("account has 1 to %d characters", control.MaxNameLength)
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	return s.backend.Programs(ctx, query)
+	return s.backend.Programs(r.Context(), query)
 }
 
 func (s *Server) upstreams(_ http.ResponseWriter, r *http.Request) (any, error) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	return s.backend.Upstreams(ctx)
+	return s.backend.Upstreams(r.Context())
 }
 
 func (s *Server) inForce(_ http.ResponseWriter, r *http.Request) (any, error) {
-	ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
-	defer cancel()
-	return s.backend.InForce(ctx)
+	return s.backend.InForce(r.Context())
 }
 
 func readBody(w http.ResponseWriter, r *http.Request, most int64) ([]byte, error) {
@@ -209,6 +191,20 @@
 	return body, nil
 }
 
+// readJSON reads a body of one JSON value without unknown fields; form shows what it has to be.
+func readJSON(w http.ResponseWriter, r *http.Request, most int64, value any, form string) error {
+	body, err := readBody(w, r, most)
+	if err != nil {
+		return err
+	}
+	decoder := json.NewDecoder(bytes.NewReader(body))
+	decoder.DisallowUnknownFields()
+	if err := decoder.Decode(value); err != nil || decoder.More() {
+		return badRequest("the body has to be %s", form)
+	}
+	return nil
+}
+
 func badRequest(format string, args ...any) error {
 	return &api.Error{
 		Status:  http.StatusBadRequest,
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -53,12 +53,12 @@
 func New(o Options) *Server {
 	s := &Server{backend: o.Backend, logger: o.Logger, cutLinks: o.CutLinks, router: httprouter.New()}
 	s.router.POST(api.PathApply, s.handle(s.apply))
-	s.router.POST(api.PathWithdraw, s.handle(s.withdraw))
-	s.router.GET(api.PathStatus, s.handle(s.status))
-	s.router.GET(api.PathDump, s.handle(s.dump))
-	s.router.GET(api.PathPrograms, s.handle(s.programs))
-	s.router.GET(api.PathUpstreams, s.handle(s.upstreams))
-	s.router.GET(api.PathInForce, s.handle(s.inForce))
+	s.router.POST(api.PathWithdraw, s.handle(timed(s.withdraw)))
+	s.router.GET(api.PathStatus, s.handle(timed(s.status)))
+	s.router.GET(api.PathDump, s.handle(timed(s.dump)))
+	s.router.GET(api.PathPrograms, s.handle(timed(s.programs)))
+	s.router.GET(api.PathUpstreams, s.handle(timed(s.upstreams)))
+	s.router.GET(api.PathInForce, s.handle(timed(s.inForce)))
 	if o.CutLinks != nil {
 		s.router.POST(api.PathLinks, s.handle(s.links))
 	}
@@ -123,6 +123,15 @@
 	}
 }
 
+// timed bounds an endpoint by requestTimeout. An apply that waits bounds itself.
+func timed(next answer) answer {
+	return func(w http.ResponseWriter, r *http.Request) (any, error) {
+		ctx, cancel := context.WithTimeout(r.Context(), requestTimeout)
+		defer cancel()
+		return next(w, r.WithContext(ctx))
+	}
+}
+
 // fail answers with an error. The text of an error that is not the API's own only goes to the
 // log, because nothing vouches for what is in it.
 func (s *Server) fail(w http.ResponseWriter, r *http.Request, err error) {
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -46,7 +46,7 @@
 
 func (e *usageError) Error() string { return e.text }
 
-// incomplete says that a command did what it could but not everything; the output says what.
+// errIncomplete says that a command did what it could but not everything; the output says what.
 var errIncomplete = errors.New("not complete")
 
 // Run runs the tool with the arguments after its name and returns its exit code.
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -13,8 +13,8 @@
 	"egretramp/internal/admin/api"
 )
 
-// show gets an answer and prints it, as JSON or by the given function.
-func (t *tool) show(path string, query url.Values, answer any, print func()) error {
+// show gets an answer and prints it, as JSON or by printTable.
+func (t *tool) show(path string, query url.Values, answer any, printTable func()) error {
 	client, err := newClient(t.Admin)
 	if err != nil {
 		return err
@@ -25,7 +25,7 @@
 	if t.JSON {
 		return t.printJSON(answer)
 	}
-	print()
+	printTable()
 	return nil
 }
 
@@ -83,6 +83,15 @@
 	}
 }
 
+// list prints names on one line.
+func list(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+// orNone returns s, or a word that stands for its absence.
 func orNone(s string) string {
 	if s == "" {
 		return "none"
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -11,12 +11,8 @@
 	"egretramp/internal/admin"
 	"egretramp/internal/admin/api"
 	"egretramp/internal/control"
-	"egretramp/internal/dispatch"
-	"egretramp/internal/fleet"
 	"egretramp/internal/groups"
 	"egretramp/internal/program"
-	"egretramp/internal/replica"
-	"egretramp/internal/suspect"
 )
 
 // retryMajority is when to come back to a VM that reaches no majority.
@@ -80,7 +76,7 @@
 				Message: "the outcome is unknown; sending the same again is safe",
 			}
 		}
-		waitFor(ctx, proposePause)
+		pause(ctx, proposePause)
 	}
 }
 
@@ -146,45 +142,6 @@
 	return vm
 }
 
-// Dump is the state of the process.
-type Dump struct {
-	VM        string                    `json:"vm"`
-	Version   string                    `json:"version"`
-	Fleet     fleet.Dump                `json:"fleet"`
-	Groups    map[uint64]replica.Status `json:"groups,omitempty"`
-	Dispatch  dispatch.Dump             `json:"dispatch"`
-	Pools     []dispatch.PoolSummary    `json:"pools"`
-	InFlight  int                       `json:"requests_in_flight"`
-	Connected map[string]bool           `json:"connected"`
-	// Suspects are the requests during which upstreams were lost.
-	Suspects []suspect.Record `json:"suspects,omitempty"`
-}
-
-// Dump returns the state of the process.
-func (b *backend) Dump(ctx context.Context) (any, error) {
-	d := b.daemon
-	fleetDump, err := d.fleet.Dump(ctx)
-	if err != nil {
-		return nil, err
-	}
-	hostDump, err := d.host.Dump(ctx)
-	if err != nil {
-		return nil, err
-	}
-	dump := Dump{
-		VM: d.settings.VM, Version: d.version, Fleet: fleetDump, Dispatch: hostDump,
-		Groups: map[uint64]replica.Status{}, Pools: d.dispatcher.Pools(),
-		InFlight: d.gateway.InFlight(), Connected: map[string]bool{}, Suspects: d.suspects.Records(),
-	}
-	for group, r := range d.replicas {
-		dump.Groups[group] = r.Status()
-	}
-	for _, vm := range d.node.VMs() {
-		dump.Connected[vm] = d.node.Connected(vm)
-	}
-	return dump, nil
-}
-
 // Programs lists programs.
 func (b *backend) Programs(ctx context.Context, q admin.ProgramsQuery) (api.Programs, error) {
 	snapshot := b.daemon.fleet.Snapshot()
@@ -238,46 +195,6 @@
 	}
 }
 
-// Upstreams lists the upstreams of all pools: each dispatcher knows its own.
-func (b *backend) Upstreams(ctx context.Context) (api.Upstreams, error) {
-	return upstreamRows(b.daemon.listUpstreams(ctx)), nil
-}
-
-// listUpstreams asks all dispatchers for their upstreams and returns them by name.
-func (d *Daemon) listUpstreams(ctx context.Context) map[string]dispatch.Listed {
-	vms := append([]string{d.settings.VM}, d.fleet.VMs()...)
-	found := iter.Map(vms, func(vm *string) []dispatch.Listed {
-		listed, err := d.dispatcher.ListAt(ctx, *vm)
-		if err != nil {
-			return nil // a VM that cannot be reached dispatches for nobody here
-		}
-		return listed
-	})
-	byName := map[string]dispatch.Listed{}
-	for _, listed := range found {
-		for _, l := range listed {
-			if known, ok := byName[l.Record.Upstream]; !ok || l.AgeMS < known.AgeMS {
-				byName[l.Record.Upstream] = l
-			}
-		}
-	}
-	return byName
-}
-
-func upstreamRows(byName map[string]dispatch.Listed) api.Upstreams {
-	rows := api.Upstreams{Upstreams: []api.Upstream{}}
-	for _, name := range sortedNames(byName) {
-		l := byName[name]
-		r := l.Record
-		rows.Upstreams = append(rows.Upstreams, api.Upstream{
-			Upstream: r.Upstream, Class: r.Class, Kind: r.Kind, Zone: r.Zone, Address: r.Address, Serves: r.Serves,
-			State: "up", Slots: r.Limits.Slots, Running: r.Load.Running, Waiting: r.Load.Waiting,
-			KVTokens: r.Limits.KVTokens, KVTokensUsed: r.Load.KVTokensUsed, ChecksFencing: r.ChecksFencing, AgeMS: l.AgeMS,
-		})
-	}
-	return rows
-}
-
 // InForce asks all VMs for their generation.
 func (b *backend) InForce(ctx context.Context) (api.InForce, error) {
 	members, err := b.daemon.fleet.Members(ctx)
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -272,11 +272,12 @@
 	for _, r := range d.replicas {
 		tasks.run(r.Run)
 	}
-	tasks.run(func(ctx context.Context) error { d.fleet.Run(ctx); return nil })
-	tasks.run(func(ctx context.Context) error { d.host.Run(ctx); return nil })
-	tasks.run(func(ctx context.Context) error { d.dispatcher.Run(ctx); return nil })
-	tasks.run(func(ctx context.Context) error { d.suspects.Run(ctx); return nil })
-	tasks.run(func(ctx context.Context) error { d.gateway.Run(ctx); return nil })
-	tasks.run(func(ctx context.Context) error { d.keepPrograms(ctx); return nil })
-	tasks.run(func(ctx context.Context) error { d.keepMemory(ctx); return nil })
+	tasks.runForever(d.fleet.Run)
+	tasks.runForever(d.host.Run)
+	tasks.runForever(d.dispatcher.Run)
+	tasks.runForever(d.suspects.Run)
+	tasks.runForever(d.gateway.Run)
+	tasks.runForever(d.keepPrograms)
+	tasks.runForever(d.keepReleasing)
+	tasks.runForever(d.keepReporting)
 }
--- /dev/null
+++ b/internal/daemon/dump.go
@@ -0,0 +1,49 @@
+package daemon
+
+import (
+	"context"
+
+	"egretramp/internal/dispatch"
+	"egretramp/internal/fleet"
+	"egretramp/internal/replica"
+	"egretramp/internal/suspect"
+)
+
+// Dump is the state of the process.
+type Dump struct {
+	VM        string                    `json:"vm"`
+	Version   string                    `json:"version"`
+	Fleet     fleet.Dump                `json:"fleet"`
+	Groups    map[uint64]replica.Status `json:"groups,omitempty"`
+	Dispatch  dispatch.Dump             `json:"dispatch"`
+	Pools     []dispatch.PoolSummary    `json:"pools"`
+	InFlight  int                       `json:"requests_in_flight"`
+	Connected map[string]bool           `json:"connected"`
+	// Suspects are the requests during which upstreams were lost.
+	Suspects []suspect.Record `json:"suspects,omitempty"`
+}
+
+// Dump returns the state of the process.
+func (b *backend) Dump(ctx context.Context) (any, error) {
+	d := b.daemon
+	fleetDump, err := d.fleet.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	hostDump, err := d.host.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	dump := Dump{
+		VM: d.settings.VM, Version: d.version, Fleet: fleetDump, Dispatch: hostDump,
+		Groups: map[uint64]replica.Status{}, Pools: d.dispatcher.Pools(),
+		InFlight: d.gateway.InFlight(), Connected: map[string]bool{}, Suspects: d.suspects.Records(),
+	}
+	for group, r := range d.replicas {
+		dump.Groups[group] = r.Status()
+	}
+	for _, vm := range d.node.VMs() {
+		dump.Connected[vm] = d.node.Connected(vm)
+	}
+	return dump, nil
+}
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -2,8 +2,8 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"os"
 	"sync"
 	"time"
 
@@ -12,8 +12,6 @@
 	"github.com/sourcegraph/conc/pool"
 	"go.uber.org/zap"
 
-	"os"
-
 	"egretramp/internal/admin"
 	"egretramp/internal/admin/api"
 	"egretramp/internal/events"
@@ -37,13 +35,14 @@
 type serving struct {
 	callers, upstreams *http.Server
 	stopAdmin          context.CancelFunc
-	failed             chan struct{}
+	wait               func()        // for the end of all servers
+	failed             chan struct{} // closed when the first server fails
 
 	mu    sync.Mutex
-	first error
-	wait  func()
+	first error // why it failed
 }
 
+// fail notes why a server ended, unless it was stopped.
 func (s *serving) fail(err error) {
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return
@@ -62,32 +61,33 @@
 	return s.first
 }
 
+// serveHTTP starts the servers of callers, upstreams and operators.
 func (d *Daemon) serveHTTP() *serving {
-	s := &serving{failed: make(chan struct{})}
-	s.callers = &http.Server{
-		Handler:           d.gateway,
-		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       callerReadTimeout,
-		IdleTimeout:       idleTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+	adminCtx, stopAdmin := context.WithCancel(context.Background())
+	s := &serving{
+		callers:   newServer(d.gateway, callerReadTimeout),
+		upstreams: newServer(d.upstreamRoutes(), readHeaderTimeout),
+		stopAdmin: stopAdmin,
+		failed:    make(chan struct{}),
 	}
-	s.upstreams = &http.Server{
-		Handler:           d.upstreamRoutes(),
+	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events, CutLinks: d.cutLinks()})
+	servers := pool.New()
+	servers.Go(func() { s.fail(s.callers.Serve(d.listeners.callers)) })
+	servers.Go(func() { s.fail(s.upstreams.Serve(d.listeners.upstreams)) })
+	servers.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
+	s.wait = servers.Wait
+	return s
+}
+
+// newServer returns a server that gives a request readTimeout to arrive.
+func newServer(handler http.Handler, readTimeout time.Duration) *http.Server {
+	return &http.Server{
+		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTimeout,
-		ReadTimeout:       readHeaderTimeout,
+		ReadTimeout:       readTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	adminCtx, stopAdmin := context.WithCancel(context.Background())
-	s.stopAdmin = stopAdmin
-	tasks := pool.New()
-	serve := func(server *http.Server, l net.Listener) { tasks.Go(func() { s.fail(server.Serve(l)) }) }
-	serve(s.callers, d.listeners.callers)
-	serve(s.upstreams, d.listeners.upstreams)
-	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events, CutLinks: d.cutLinks()})
-	tasks.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
-	s.wait = tasks.Wait
-	return s
 }
 
 // cutLinks returns what cuts links to other VMs, or nil where the settings don't allow it.
@@ -136,32 +136,31 @@
 func (d *Daemon) shutdown(s *serving, hurry <-chan os.Signal) {
 	d.events.Emit(events.DaemonDraining, zap.Int("requests", d.gateway.InFlight()))
 	d.gateway.Drain()
-	limit := time.Duration(d.settings.ShutdownLimitSeconds * float64(time.Second))
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	ctx, cancel := d.shutdownContext(hurry)
 	defer cancel()
-	go func() {
-		select {
-		case <-hurry:
-			cancel()
-		case <-ctx.Done():
-		}
-	}()
-	waitFor(ctx, drainGrace)
+	pause(ctx, drainGrace)
 	if err := s.callers.Shutdown(ctx); err != nil {
 		d.events.Emit(events.DaemonCutShort, zap.Int("requests", d.gateway.InFlight()))
 		_ = s.callers.Close()
 	}
 	for d.gateway.InFlight() > 0 && ctx.Err() == nil {
-		waitFor(ctx, drainPoll)
+		pause(ctx, drainPoll)
 	}
 	_ = s.upstreams.Close()
 	s.stopAdmin()
 	s.wait()
 }
 
-func waitFor(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+// shutdownContext returns a context that ends with the shutdown limit or a second signal.
+func (d *Daemon) shutdownContext(hurry <-chan os.Signal) (context.Context, context.CancelFunc) {
+	limit := time.Duration(d.settings.ShutdownLimitSeconds * float64(time.Second))
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
+	go func() {
+		select {
+		case <-hurry:
+			cancel()
+		case <-ctx.Done():
+		}
+	}()
+	return ctx, cancel
 }
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -20,26 +20,20 @@
 	memoryTimeout  = 3 * time.Second
 )
 
-// keepMemory releases engine memory that no live program owns, until ctx ends. The leader of the
-// program group releases what the record names; each dispatcher compares its engines' own lists
-// with the record.
-func (d *Daemon) keepMemory(ctx context.Context) {
-	release := time.NewTicker(releaseInterval)
-	defer release.Stop()
-	report := time.NewTicker(reportInterval)
-	defer report.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-release.C:
-			if d.leads(groups.Program) {
-				d.releaseMemory(ctx)
-			}
-		case <-report.C:
-			d.reportMemory(ctx)
+// keepReleasing releases the engine memory that the record names, wherever this VM leads the
+// program group, until ctx ends.
+func (d *Daemon) keepReleasing(ctx context.Context) {
+	repeat(ctx, releaseInterval, func(ctx context.Context) {
+		if d.leads(groups.Program) {
+			d.releaseMemory(ctx)
 		}
-	}
+	})
+}
+
+// keepReporting compares the sessions of the engines that this VM dispatches for with the
+// record, so that memory which no record names is released too, until ctx ends.
+func (d *Daemon) keepReporting(ctx context.Context) {
+	repeat(ctx, reportInterval, d.reportMemory)
 }
 
 // releaseMemory releases the sessions that are pending, all engines at once.
--- a/internal/daemon/programs.go
+++ b/internal/daemon/programs.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -56,16 +55,7 @@
 // keepPrograms drives the program group until ctx ends.
 func (d *Daemon) keepPrograms(ctx context.Context) {
 	k := &programKeeper{daemon: d, members: map[string]control.VM{}}
-	ticker := time.NewTicker(program.TickEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			k.round(ctx)
-		}
-	}
+	repeat(ctx, program.TickEvery, k.round)
 }
 
 // round does one round; what fails is done in the next one.
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
@@ -29,6 +30,36 @@
 	})
 }
 
+// runForever runs a task that ends only with its context.
+func (t *tasks) runForever(task func(context.Context)) {
+	t.run(func(ctx context.Context) error {
+		task(ctx)
+		return nil
+	})
+}
+
+// repeat does a round at each interval until ctx ends. A round that takes longer delays the next.
+func repeat(ctx context.Context, interval time.Duration, round func(context.Context)) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			round(ctx)
+		}
+	}
+}
+
+// pause waits for d or until ctx ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
 // stop ends all tasks and returns why the first one failed, nil if none did.
 func (t *tasks) stop() error {
 	t.cancel(errTasksStopped)
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -1,10 +1,6 @@
 package daemon
 
-import (
-	"expvar"
-	"maps"
-	"slices"
-)
+import "expvar"
 
 // publishVars publishes the counters. It is called once in a process.
 func publishVars(d *Daemon) {
@@ -32,8 +28,3 @@
 		}
 	}
 }
-
-// sortedNames returns the keys of a map, sorted.
-func sortedNames[V any](m map[string]V) []string {
-	return slices.Sorted(maps.Keys(m))
-}
