--- a/cmd/egretramp-fake/main.go
+++ b/cmd/egretramp-fake/main.go
@@ -5,26 +5,19 @@
 	"context"
 	"fmt"
 	"os"
-	"os/signal"
 	"strings"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"egretramp/internal/command"
 	"egretramp/internal/config"
 	"egretramp/internal/fakes"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-	exitCrash   = 3
-)
+// exitCrash is the exit code of a crash that was asked for.
+const exitCrash = 3
 
 type options struct {
-	Kind     string            `long:"kind" required:"true" choice:"engine" choice:"service" choice:"weight_store" description:"what it stands in for"`
+	Kind     string            `long:"kind" required:"true" description:"what it stands in for: engine, service or weight_store"`
 	Name     string            `long:"name" required:"true" description:"unique upstream name"`
 	Zone     string            `long:"zone" required:"true" description:"availability zone"`
 	Class    string            `long:"class" required:"true" description:"upstream class in the operators' file"`
@@ -57,21 +50,10 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailure)
-	}
+	os.Exit(command.Main(os.Args[1:], &o, func(ctx context.Context) error { return run(ctx, o) }))
 }
 
-func run(o options) error {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+func run(ctx context.Context, o options) error {
 	f, err := fakes.New(o.fake())
 	if err != nil {
 		return err
@@ -81,7 +63,6 @@
 	}
 	fmt.Println("listening", f.Addr())
 	<-ctx.Done()
-	stop()
 	limit, cancel := context.WithTimeout(context.Background(), o.StopWait)
 	defer cancel()
 	f.Stop(limit)
--- a/cmd/egretramp-soak/main.go
+++ b/cmd/egretramp-soak/main.go
@@ -1,27 +1,16 @@
-// Command egretramp-soak runs a small fleet on this machine under faults and checks every promise. It exits
-// with 0 only if no check was violated.
+// Command egretramp-soak runs a small fleet on this machine under faults and checks every
+// promise. It exits with 0 only if no check was violated.
 package main
 
 import (
 	"context"
-	"fmt"
 	"os"
-	"os/signal"
-	"path/filepath"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
-
+	"egretramp/internal/command"
 	"egretramp/internal/soak"
 )
 
-// Exit codes.
-const (
-	exitFailure = 1
-	exitUsage   = 2
-)
-
 type options struct {
 	Bin      string        `long:"bin" description:"folder of the programs (default: that of this one)"`
 	Dir      string        `long:"dir" description:"folder of settings, data, logs and records (default: a temporary one)"`
@@ -32,29 +21,15 @@
 
 func main() {
 	var o options
-	if _, err := flags.Parse(&o); err != nil {
-		if flags.WroteHelp(err) {
-			return
-		}
-		os.Exit(exitUsage)
-	}
-	if err := run(o); err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailure)
-	}
+	os.Exit(command.Main(os.Args[1:], &o, func(ctx context.Context) error { return run(ctx, o) }))
 }
 
-func run(o options) error {
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
-	if o.Bin == "" {
-		self, err := os.Executable()
-		if err != nil {
-			return err
-		}
-		o.Bin = filepath.Dir(self)
+func run(ctx context.Context, o options) error {
+	bin, err := command.Folder(o.Bin)
+	if err != nil {
+		return err
 	}
 	return soak.Run(ctx, soak.Options{
-		Bin: o.Bin, Dir: o.Dir, Seed: o.Seed, Duration: o.Duration, Verbose: o.Verbose, Out: os.Stdout,
+		Bin: bin, Dir: o.Dir, Seed: o.Seed, Duration: o.Duration, Verbose: o.Verbose, Out: os.Stdout,
 	})
 }
