--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -1,10 +1,6 @@
 package daemon
 
-import (
-	"expvar"
-	"maps"
-	"slices"
-)
+import "expvar"
 
 // publishVars publishes the counters. It is called once in a process.
 func publishVars(d *Daemon) {
@@ -14,6 +10,7 @@
 		"peer_messages_sent":     d.node.Stats().MessagesSent.Load,
 		"peer_messages_received": d.node.Stats().MessagesReceived.Load,
 		"peer_messages_dropped":  d.node.Stats().MessagesDropped.Load,
+		"peer_messages_relayed":  d.node.Stats().MessagesRelayed.Load,
 		"peer_calls_made":        d.node.Stats().CallsMade.Load,
 		"peer_calls_served":      d.node.Stats().CallsServed.Load,
 		"gateway_requests":       d.gateway.Stats().Requests.Load,
@@ -31,8 +28,3 @@
 		}
 	}
 }
-
-// sortedNames returns the keys of a map, sorted.
-func sortedNames[V any](m map[string]V) []string {
-	return slices.Sorted(maps.Keys(m))
-}
