--- a/internal/daemon/cutoff_test.go
+++ b/internal/daemon/cutoff_test.go
@@ -10,7 +10,9 @@
 
 	"egretramp/internal/admin"
 	"egretramp/internal/admin/api"
+	"egretramp/internal/config"
 	"egretramp/internal/fakes"
+	"egretramp/internal/schedule"
 )
 
 // cutOff separates a VM from all others, both ways.
@@ -106,3 +108,38 @@
 		require.True(t, d.fleet.Alive("vm0") && d.fleet.Alive("vm1"), "%s holds a VM for dead", d.settings.VM)
 	}
 }
+
+// TestFleet_HalfCutDispatcher cuts the link between the VM that an engine announces itself to
+// and its dispatcher; a third VM sees both.
+func TestFleet_HalfCutDispatcher(t *testing.T) {
+	f := newTestFleet(t)
+	f.apply(baseFile(1))
+	f.daemons[0].node.Cut([]string{"vm1"})
+	f.daemons[1].node.Cut([]string{"vm0"})
+	f.eventually("the link is still up", func() bool {
+		return !f.daemons[0].node.Connected("vm1") && !f.daemons[1].node.Connected("vm0")
+	})
+	engine, err := fakes.New(fakes.Options{
+		Kind: config.KindEngine, Name: "engine-1", Zone: "zone1", Class: "engines", Secret: engineRoot, Serves: []string{"WIG/L"},
+		Aliases: map[string]string{"WIG/L": "wig-large"}, AnnounceTo: []string{f.daemons[0].settings.Listen.Upstreams},
+	})
+	require.NoError(t, err)
+	require.NoError(t, engine.Start())
+	t.Cleanup(engine.Close)
+	f.waitPools(1)
+	grant := func(d *Daemon) error {
+		ctx, cancel := context.WithTimeout(context.Background(), waitLimit)
+		defer cancel()
+		g, err := d.dispatcher.Acquire(ctx, config.KindEngine, "wig-large", "", schedule.Request{ID: "r-" + d.settings.VM, Account: "ana", Weight: 1})
+		if err == nil {
+			d.dispatcher.Release(g, schedule.Outcome{})
+		}
+		return err
+	}
+	for _, d := range f.daemons {
+		require.NoError(t, grant(d), d.settings.VM)
+	}
+	dump, err := f.daemons[1].host.Dump(context.Background())
+	require.NoError(t, err)
+	require.Len(t, dump.Upstreams, 1, "the dispatcher of its zone knows it")
+}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,6 +33,7 @@
 	events      *events.Logger
 
 	node       *peer.Node
+	relay      *peer.Relay
 	replicas   groups.Replicas
 	groups     *groups.Client
 	fleet      *fleet.Fleet
@@ -112,7 +113,7 @@
 	d.caller = upstream.NewCaller()
 	d.suspects = suspect.NewGuard(suspect.Options{
 		VM:      d.settings.VM,
-		Network: d.node,
+		Network: d.relay,
 		Others:  d.fleet.VMs,
 		Rank:    membership.Rank,
 		Events:  d.events,
@@ -139,6 +140,7 @@
 		peers[p.VM] = p.Address
 	}
 	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events})
+	d.relay = peer.NewRelay(d.node)
 	d.groups = groups.NewClient(d.node, d.controlVMs())
 }
 
@@ -190,14 +192,14 @@
 func (d *Daemon) buildDispatch() {
 	d.host = dispatch.NewHost(dispatch.HostOptions{
 		VM:          d.settings.VM,
-		Network:     d.node,
+		Network:     d.relay,
 		Locator:     d.fleet,
 		Concurrency: d.concurrency,
 		Events:      d.events,
 	})
 	d.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
 		Zone:    d.settings.Zone,
-		Network: d.node,
+		Network: d.relay,
 		Locator: d.fleet,
 	})
 }
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -197,8 +197,16 @@
 }
 
 func (n *Node) deliver(from, kind string, payload []byte) {
+	if n.isCut(from) {
+		n.stats.MessagesDropped.Add(1)
+		return
+	}
+	n.handle(from, kind, payload)
+}
+
+func (n *Node) handle(from, kind string, payload []byte) {
 	h, ok := n.messages[kind]
-	if !ok || n.isCut(from) {
+	if !ok {
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
