--- a/internal/daemon/crash_test.go
+++ b/internal/daemon/crash_test.go
@@ -138,3 +138,40 @@
 		}
 	}
 }
+
+// TestFleet_CrashingToolCall sends a call that crashes each replica of a service whose calls may
+// not be repeated: the system itself never repeats it, its caller does.
+func TestFleet_CrashingToolCall(t *testing.T) {
+	f := newTestFleet(t)
+	f.apply(baseFile(1))
+	var services []*fakes.Fake
+	for i := range 4 {
+		s := f.service(fmt.Sprintf("deposit-%d", i), fmt.Sprintf("zone%d", i%3), "deposit")
+		s.SetFaults(fakes.Faults{CrashMark: crashMark})
+		services = append(services, s)
+	}
+	f.waitPools(4)
+	var wg conc.WaitGroup
+	replies := make([]reply, 18)
+	for i := range replies {
+		wg.Go(func() {
+			body := fmt.Sprintf(`{%s"note": "%s"}`, strings.Repeat(" ", i), crashMark)
+			replies[i], _ = f.trySend(i%3, http.MethodPost, "/v1/services/deposit/charge", keyAna, body, "Idempotency-Key", fmt.Sprintf("charge-%d", i))
+		})
+	}
+	wg.Wait()
+	crashed := countCrashed(services)
+	require.LessOrEqual(t, crashed, suspect.MaxLost)
+	ran := 0
+	for i, r := range replies {
+		code, notRun := r.refusal(t)
+		if notRun != "true" {
+			ran++
+			continue
+		}
+		require.Equal(t, "quarantined", code, "call %d", i)
+	}
+	require.Equal(t, crashed, ran, "each lost upstream belongs to one call, which is not said to have not run")
+	r := f.send(0, http.MethodPost, "/v1/services/deposit/charge", keyBob, `{"note":"fine"}`)
+	require.Equal(t, http.StatusOK, r.status, r.body)
+}
