--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -33,7 +33,6 @@
 	events      *events.Logger
 
 	node       *peer.Node
-	relay      *peer.Relay
 	replicas   groups.Replicas
 	groups     *groups.Client
 	fleet      *fleet.Fleet
@@ -113,7 +112,7 @@
 	d.caller = upstream.NewCaller()
 	d.suspects = suspect.NewGuard(suspect.Options{
 		VM:      d.settings.VM,
-		Network: d.relay,
+		Network: d.node,
 		Others:  d.fleet.VMs,
 		Rank:    membership.Rank,
 		Events:  d.events,
@@ -140,7 +139,6 @@
 		peers[p.VM] = p.Address
 	}
 	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events})
-	d.relay = peer.NewRelay(d.node)
 	d.groups = groups.NewClient(d.node, d.controlVMs())
 }
 
@@ -180,8 +178,11 @@
 		ControlVMs: d.groups.ControlVMs(),
 		Network:    d.node,
 		Proposer:   controlProposer{client: d.groups},
-		Withdrawn:  func() { d.gateway.KeysWithdrawn() },
-		Events:     d.events,
+		Rejoined: func(incarnation int64) {
+			d.ledger.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
+		},
+		Withdrawn: func() { d.gateway.KeysWithdrawn() },
+		Events:    d.events,
 	}
 	if r, ok := d.replicas[groups.Control]; ok {
 		opts.Leader = leader{replica: r}
@@ -192,14 +193,14 @@
 func (d *Daemon) buildDispatch() {
 	d.host = dispatch.NewHost(dispatch.HostOptions{
 		VM:          d.settings.VM,
-		Network:     d.relay,
+		Network:     d.node,
 		Locator:     d.fleet,
 		Concurrency: d.concurrency,
 		Events:      d.events,
 	})
 	d.dispatcher = dispatch.NewClient(dispatch.ClientOptions{
 		Zone:    d.settings.Zone,
-		Network: d.relay,
+		Network: d.node,
 		Locator: d.fleet,
 	})
 }
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -340,6 +340,12 @@
 	if !ok {
 		return
 	}
+	if refused.Reason == schedule.ReasonNoReplica {
+		// Not a refusal yet: another zone may serve it.
+		delete(p.requests, refused.Request.ID)
+		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: refused.Request.ID, State: StateNoUpstream}))
+		return
+	}
 	r.reply = Reply{
 		RequestID:    refused.Request.ID,
 		State:        StateRefused,
@@ -486,28 +492,6 @@
 	return json.Marshal(listed)
 }
 
-// Dump is the host's state, for the state dump.
-type Dump struct {
-	Upstreams []upstream.Record `json:"upstreams"`
-	Pools     []PoolSummary     `json:"pools"`
-}
-
-// Dump returns the host's state.
-func (h *Host) Dump(ctx context.Context) (Dump, error) {
-	result := make(chan Dump, 1)
-	h.post(func() {
-		result <- Dump{Upstreams: h.directory.All(), Pools: h.summarise().Pools}
-	})
-	select {
-	case d := <-result:
-		return d, nil
-	case <-h.done:
-		return Dump{}, ErrStopped
-	case <-ctx.Done():
-		return Dump{}, ctx.Err()
-	}
-}
-
 // mustMarshal encodes this package's own messages, which cannot fail.
 func mustMarshal(v any) []byte {
 	data, err := json.Marshal(v)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,7 +67,7 @@
 type Options struct {
 	VM          string
 	Zone        string
-	Incarnation int64
+	Incarnation int64 // at the start
 	Addresses   control.Addresses
 	// VMs are the VMs known at start, this one included.
 	VMs []membership.VM
@@ -77,6 +77,9 @@
 	// Leader is nil on a VM without the control role.
 	Leader   Leader
 	Proposer Proposer
+	// Rejoined is called, on a goroutine of its own, when this VM was removed from the
+	// membership and goes on under a new incarnation.
+	Rejoined func(incarnation int64)
 	// Withdrawn is called, on a goroutine of its own, after keys were withdrawn.
 	Withdrawn func()
 	Events    *events.Logger
@@ -96,9 +99,12 @@
 	limiter  *ratelimit.Limiter
 	follower *control.Follower
 	fetching map[string]bool
+	asked    map[string]time.Duration // when another VM was last asked for its digest
 	draws    map[string]chan ratelimit.Decision
 	leading  leading
 
+	incarnation atomic.Int64 // of this VM; grows with each start and each removal from the membership
+
 	view  atomic.Pointer[View]
 	lease atomic.Pointer[leaseView]
 	alive atomic.Pointer[aliveView]
@@ -116,19 +122,15 @@
 		done:     make(chan struct{}),
 		follower: control.NewFollower(),
 		fetching: map[string]bool{},
+		asked:    map[string]time.Duration{},
 		draws:    map[string]chan ratelimit.Decision{},
 	}
 	f.tracker = membership.NewTracker(membership.TrackerOptions{
 		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Seed: uint64(opts.Incarnation),
 	})
 	f.tracker.SetVMs(now, opts.VMs)
-	f.holder = membership.NewHolder(now, membership.HolderOptions{
-		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation),
-		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
-	})
-	f.limiter = ratelimit.New(ratelimit.Options{
-		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Lease: f.holder,
-	})
+	f.incarnation.Store(opts.Incarnation)
+	f.begin(now)
 	f.view.Store(&View{})
 	f.publishLease(now)
 	f.publishAlive()
@@ -136,6 +138,18 @@
 	return f
 }
 
+// begin makes the parts that act under this VM's incarnation: its lease and its permits.
+func (f *Fleet) begin(now time.Duration) {
+	incarnation := uint64(f.incarnation.Load())
+	f.holder = membership.NewHolder(now, membership.HolderOptions{
+		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation,
+		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
+	})
+	f.limiter = ratelimit.New(ratelimit.Options{
+		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation, Lease: f.holder,
+	})
+}
+
 // Run handles events until ctx ends. It then gives up the lease and says goodbye.
 func (f *Fleet) Run(ctx context.Context) {
 	var tasks conc.WaitGroup
@@ -198,7 +212,7 @@
 		f.sendGossip(received.Sends)
 		f.noteAlive(received.Changes)
 		if received.Digest != nil {
-			f.compare(from, received.Digest)
+			f.compareBrief(from, received.Digest)
 		}
 	})
 }
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -21,14 +21,29 @@
 	if l == nil {
 		return nil, &UnreachableError{VM: vm, Cause: errors.New("unknown VM")}
 	}
-	if n.isCut(vm) {
-		return nil, &UnreachableError{VM: vm, Cause: errCut}
-	}
 	n.stats.CallsMade.Add(1)
-	return l.call(ctx, &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload})
+	req := &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload}
+	if !l.trusted() {
+		// A connection that is down mostly takes a whole timeout to fail.
+		if result, err, ok := n.callThroughOthers(ctx, vm, req); ok {
+			return result, err
+		}
+		return l.call(ctx, req)
+	}
+	result, err := l.call(ctx, req)
+	var unreachable *UnreachableError
+	if errors.As(err, &unreachable) {
+		if result, err, ok := n.callThroughOthers(ctx, vm, req); ok {
+			return result, err
+		}
+	}
+	return result, err
 }
 
 func (l *link) call(ctx context.Context, req *peerpb.CallRequest) ([]byte, error) {
+	if l.node.cutTo(l.vm) {
+		return nil, &UnreachableError{VM: l.vm, Cause: awaitCut(ctx)}
+	}
 	conn := l.takeIdle()
 	if conn == nil {
 		var err error
@@ -42,6 +57,11 @@
 		_ = conn.Close()
 		return nil, &LostError{VM: l.vm, Cause: err}
 	}
+	if l.node.cutFrom(l.vm) {
+		<-ctx.Done()
+		_ = conn.Close()
+		return nil, &LostError{VM: l.vm, Cause: errCut}
+	}
 	l.putIdle(conn)
 	if resp.ErrorCode != "" {
 		return nil, &RemoteError{Code: resp.ErrorCode, Message: resp.ErrorMessage}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -6,8 +6,13 @@
 // call at a time each; a call whose context ends closes its connection, so a connection that
 // fell silent serves no second call.
 //
-// Messages from one VM to another keep their order while the stream lives. Nothing is
-// delivered twice. A full queue drops messages; their senders must repeat what matters.
+// Messages from one VM to another keep their order while the stream lives. A full queue drops
+// messages; their senders must repeat what matters.
+//
+// While the stream to a VM is down, messages and calls to it go through a third VM that is
+// connected to both, so that one cut link between two VMs separates nobody. A stream that is
+// silent for DoubtLimit but not yet given up is doubled in this way: a message may then arrive
+// twice. Calls never do.
 package peer
 
 import (
@@ -25,11 +30,15 @@
 
 // Timing of the message streams.
 const (
-	HeartbeatInterval = time.Second
-	SilenceLimit      = 3 * time.Second
+	HeartbeatInterval = 500 * time.Millisecond
+	SilenceLimit      = 2 * time.Second
+	// DoubtLimit is the silence after which a link is no longer trusted alone.
+	DoubtLimit = 800 * time.Millisecond
 	DialTimeout       = time.Second
 	redialDelay       = 200 * time.Millisecond
 	queueLength       = 4096 // messages to one VM
+	// queueAge is how long a message waits for a connection; an older one is dropped.
+	queueAge = time.Second
 )
 
 // MessageHandler takes one message. It runs on the goroutine of the sender's stream and must not block.
@@ -52,7 +61,8 @@
 	messages map[string]MessageHandler
 	calls    map[string]CallHandler
 	stats    Stats
-	cut      atomic.Pointer[map[string]bool]
+	cuts     atomic.Pointer[cuts]
+	rotation atomic.Uint64 // of the relays
 
 	mu    sync.Mutex
 	links map[string]*link
@@ -66,6 +76,7 @@
 	MessagesSent     atomic.Int64
 	MessagesReceived atomic.Int64
 	MessagesDropped  atomic.Int64
+	MessagesRelayed  atomic.Int64 // on behalf of other VMs
 	CallsMade        atomic.Int64
 	CallsServed      atomic.Int64
 }
@@ -78,7 +89,9 @@
 		calls:    map[string]CallHandler{},
 		links:    map[string]*link{},
 	}
-	n.cut.Store(&map[string]bool{})
+	n.CutLinks(nil, nil)
+	n.messages[kindRelay] = n.handleRelay
+	n.calls[methodRelay] = n.handleRelayedCall
 	for vm, address := range opts.Peers {
 		n.AddPeer(vm, address)
 	}
@@ -136,18 +149,6 @@
 	return l != nil && l.up.Load()
 }
 
-// Cut makes the node drop everything to and from the given VMs, and nothing else. It exists
-// for fault injection.
-func (n *Node) Cut(vms []string) {
-	cut := make(map[string]bool, len(vms))
-	for _, vm := range vms {
-		cut[vm] = true
-	}
-	n.cut.Store(&cut)
-}
-
-func (n *Node) isCut(vm string) bool { return (*n.cut.Load())[vm] }
-
 func (n *Node) link(vm string) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -189,22 +190,18 @@
 		return
 	}
 	l := n.link(vm)
-	if l == nil || n.isCut(vm) {
+	if l == nil {
 		n.stats.MessagesDropped.Add(1)
 		return
 	}
-	l.enqueue(kind, payload)
-}
-
-func (n *Node) deliver(from, kind string, payload []byte) {
-	if n.isCut(from) {
-		n.stats.MessagesDropped.Add(1)
+	relayed := !l.trusted() && n.relay(vm, kind, payload)
+	if relayed && !l.up.Load() {
 		return
 	}
-	n.handle(from, kind, payload)
+	l.enqueue(kind, payload)
 }
 
-func (n *Node) handle(from, kind string, payload []byte) {
+func (n *Node) deliver(from, kind string, payload []byte) {
 	h, ok := n.messages[kind]
 	if !ok {
 		n.stats.MessagesDropped.Add(1)
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -2,148 +2,124 @@
 
 import (
 	"context"
-	"encoding/json"
-	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"egretramp/internal/peer/peerpb"
 )
 
-// Methods and kinds of relayed calls and messages. Relay ones go to the VM between, relayed ones
-// from there to the VM that they are for: there is never a second VM between.
 const (
-	methodRelay   = "peer.relay"
-	methodRelayed = "peer.relayed"
-	kindRelay     = "peer.relay"
-	kindRelayed   = "peer.relayed"
+	kindRelay   = "peer.relay"
+	methodRelay = "peer.relay"
+	// maxRelays bounds the VMs that one call is tried through.
+	maxRelays = 2
 )
 
-// codeUnreachable is the code of a relay that surely did not reach the other VM.
-const codeUnreachable = "unreachable"
-
-// maxRelays is how many VMs a call is tried through.
-const maxRelays = 2
-
-// Relay sends calls and messages to a VM whose direct link is down through another VM. It is for
-// slices that need an answer from one certain VM; those that judge links use the Node itself.
-type Relay struct {
-	node *Node
-	turn atomic.Uint64
-}
-
-// relayed is a call or message on its way through another VM.
-type relayed struct {
-	From    string `json:"from"`
-	To      string `json:"to"`
-	Name    string `json:"name"` // method or kind
-	Payload []byte `json:"payload,omitempty"`
-}
-
-// NewRelay returns a relay over a node and registers its handlers there.
-func NewRelay(n *Node) *Relay {
-	r := &Relay{node: n}
-	n.HandleCalls(methodRelay, r.handleRelayCall)
-	n.HandleCalls(methodRelayed, r.handleRelayedCall)
-	n.HandleMessages(kindRelay, r.handleRelay)
-	n.HandleMessages(kindRelayed, r.handleRelayed)
-	return r
-}
+// Codes of a relay's own errors.
+const (
+	codeRelayUnreachable = "relay_unreachable" // the call surely did not arrive
+	codeRelayLost        = "relay_lost"        // it may have run
+)
 
-// through returns VMs with a live link, a different one first each time.
-func (r *Relay) through(to string) []string {
-	var up []string
-	for _, vm := range r.node.VMs() {
-		if vm != to && r.node.Connected(vm) {
-			up = append(up, vm)
+// relays returns up to n connected VMs other than vm, a different first one each time.
+func (n *Node) relays(vm string, most int) []string {
+	var connected []string
+	for _, name := range n.VMs() {
+		if name != vm && n.Connected(name) {
+			connected = append(connected, name)
 		}
 	}
-	if len(up) == 0 {
+	if len(connected) == 0 {
 		return nil
 	}
-	first := int(r.turn.Add(1) % uint64(len(up)))
-	return append(up[first:], up[:first]...)
+	start := int(n.rotation.Add(1) % uint64(len(connected)))
+	rotated := append(connected[start:len(connected):len(connected)], connected[:start]...)
+	return rotated[:min(most, len(rotated))]
 }
 
-// Send is Node.Send, through another VM if the link is down.
-func (r *Relay) Send(vm, kind string, payload []byte) {
-	if !r.node.Connected(vm) {
-		if via := r.through(vm); len(via) > 0 {
-			r.node.Send(via[0], kindRelay, r.wrap(vm, kind, payload))
-			return
-		}
+// relay sends a message through a third VM; false if none is connected.
+func (n *Node) relay(vm, kind string, payload []byte) bool {
+	through := n.relays(vm, 1)
+	if len(through) == 0 {
+		return false
+	}
+	data, err := proto.Marshal(&peerpb.Relayed{
+		To:       vm,
+		Envelope: &peerpb.Envelope{From: n.opts.VM, Kind: kind, Payload: payload},
+	})
+	if err != nil {
+		return false
 	}
-	r.node.Send(vm, kind, payload)
+	n.link(through[0]).enqueue(kindRelay, data)
+	return true
 }
 
-// Call is Node.Call, through another VM if the link is down. A call that may have arrived is not
-// sent a second time.
-func (r *Relay) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
-	var result []byte
-	err := error(&UnreachableError{VM: vm, Cause: errors.New("the link is down")})
-	if r.node.Connected(vm) {
-		result, err = r.node.Call(ctx, vm, method, payload)
+// handleRelay delivers a relayed message or passes it on to a VM that is connected. A message
+// is passed on once.
+func (n *Node) handleRelay(_ string, payload []byte) {
+	var r peerpb.Relayed
+	if proto.Unmarshal(payload, &r) != nil || r.Envelope == nil {
+		return
 	}
-	via := r.through(vm)
-	for _, between := range via[:min(len(via), maxRelays)] {
-		if !surelyNotArrived(err) || ctx.Err() != nil {
-			return result, err
-		}
-		result, err = r.node.Call(ctx, between, methodRelay, r.wrap(vm, method, payload))
+	if r.To == n.opts.VM {
+		n.deliver(r.Envelope.From, r.Envelope.Kind, r.Envelope.Payload)
+		return
 	}
-	if len(via) == 0 && surelyNotArrived(err) {
-		return r.node.Call(ctx, vm, method, payload)
+	l := n.link(r.To)
+	if l == nil || !l.up.Load() {
+		n.stats.MessagesDropped.Add(1)
+		return
 	}
-	return result, err
+	n.stats.MessagesRelayed.Add(1)
+	l.enqueue(kindRelay, payload)
 }
 
-func surelyNotArrived(err error) bool {
-	var unreachable *UnreachableError
-	var remote *RemoteError
-	return errors.As(err, &unreachable) || errors.As(err, &remote) && remote.Code == codeUnreachable
-}
-
-func (r *Relay) wrap(to, name string, payload []byte) []byte {
-	data, err := json.Marshal(relayed{From: r.node.VM(), To: to, Name: name, Payload: payload})
+// callThroughOthers tries a call through other VMs; ok is false if it surely did not arrive.
+func (n *Node) callThroughOthers(ctx context.Context, vm string, req *peerpb.CallRequest) (result []byte, err error, ok bool) {
+	payload, err := proto.Marshal(&peerpb.RelayedCall{To: vm, Request: req})
 	if err != nil {
-		panic("peer: cannot encode a relayed message: " + err.Error())
+		return nil, err, false
 	}
-	return data
+	for _, through := range n.relays(vm, maxRelays) {
+		outer := &peerpb.CallRequest{From: n.opts.VM, Method: methodRelay, Payload: payload}
+		result, err := n.link(through).call(ctx, outer)
+		var unreachable *UnreachableError
+		var remote *RemoteError
+		switch {
+		case errors.As(err, &unreachable):
+			continue
+		case errors.As(err, &remote) && remote.Code == codeRelayUnreachable:
+			continue
+		case errors.As(err, &remote) && remote.Code == codeRelayLost:
+			return nil, &LostError{VM: vm, Cause: remote}, true
+		}
+		return result, err, true
+	}
+	return nil, nil, false
 }
 
-func (r *Relay) handleRelayCall(ctx context.Context, _ string, payload []byte) ([]byte, error) {
-	var m relayed
-	if err := json.Unmarshal(payload, &m); err != nil {
-		return nil, err
+// handleRelayedCall makes a call on behalf of another VM, on a direct connection only.
+func (n *Node) handleRelayedCall(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var r peerpb.RelayedCall
+	if err := proto.Unmarshal(payload, &r); err != nil || r.Request == nil {
+		return nil, &RemoteError{Code: codeRelayUnreachable, Message: "the relayed call could not be read"}
+	}
+	if r.To == n.opts.VM {
+		return n.serveCall(ctx, r.Request.From, r.Request.Method, r.Request.Payload)
 	}
-	if !r.node.Connected(m.To) {
-		return nil, &RemoteError{Code: codeUnreachable, Message: m.To}
+	l := n.link(r.To)
+	if l == nil || !l.up.Load() {
+		return nil, &RemoteError{Code: codeRelayUnreachable, Message: "VM " + r.To + " is not connected"}
 	}
-	result, err := r.node.Call(ctx, m.To, methodRelayed, payload)
+	result, err := l.call(ctx, &peerpb.CallRequest{From: n.opts.VM, Method: methodRelay, Payload: payload})
 	var unreachable *UnreachableError
-	if errors.As(err, &unreachable) {
-		return nil, &RemoteError{Code: codeUnreachable, Message: m.To}
+	var lost *LostError
+	switch {
+	case errors.As(err, &unreachable):
+		return nil, &RemoteError{Code: codeRelayUnreachable, Message: err.Error()}
+	case errors.As(err, &lost):
+		return nil, &RemoteError{Code: codeRelayLost, Message: err.Error()}
 	}
 	return result, err
 }
-
-func (r *Relay) handleRelayedCall(ctx context.Context, _ string, payload []byte) ([]byte, error) {
-	var m relayed
-	if err := json.Unmarshal(payload, &m); err != nil {
-		return nil, err
-	}
-	return r.node.serveCall(ctx, m.From, m.Name, m.Payload)
-}
-
-func (r *Relay) handleRelay(_ string, payload []byte) {
-	var m relayed
-	if json.Unmarshal(payload, &m) == nil {
-		r.node.Send(m.To, kindRelayed, payload)
-	}
-}
-
-func (r *Relay) handleRelayed(_ string, payload []byte) {
-	var m relayed
-	if json.Unmarshal(payload, &m) != nil || m.Name == kindRelay || m.Name == kindRelayed {
-		return
-	}
-	r.node.handle(m.From, m.Name, m.Payload)
-}
