--- a/internal/gateway/codes_test.go
+++ b/internal/gateway/codes_test.go
@@ -49,7 +49,6 @@
 	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 	"StatusRequestEntityTooLarge": http.StatusRequestEntityTooLarge,
 	"StatusServiceUnavailable":    http.StatusServiceUnavailable,
-	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 }
 
 // codes collects the refusals that source files can give: code to statuses.
