--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -101,7 +101,7 @@
 	Admin string `json:"admin"`
 }
 
-// Programs lists programs under way.
+// Programs lists programs, ended ones included until they are forgotten.
 type Programs struct {
 	Programs []Program `json:"programs"`
 	// Total counts all that match, also those above the limit.
@@ -119,8 +119,8 @@
 	TokensBudget int64  `json:"tokens_budget"`
 	CallsUsed    int64  `json:"calls_used"`
 	CallsBudget  int64  `json:"calls_budget"`
-	// Engine holds the program's memory; empty: none.
-	Engine string `json:"engine,omitempty"`
+	// Engines hold memory for the program, each as ZONE/NAME.
+	Engines []string `json:"engines,omitempty"`
 	// DeadlineMS is in Unix milliseconds; 0: none.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
 }
--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -22,7 +22,7 @@
 	// Dump returns the state of this process as a value that encoding/json can write, without
 	// keys, prompts and secrets.
 	Dump(ctx context.Context) (any, error)
-	// Programs lists programs under way.
+	// Programs lists programs, ended ones included until they are forgotten.
 	Programs(ctx context.Context, query ProgramsQuery) (api.Programs, error)
 	// Upstreams lists the upstreams that this VM knows of.
 	Upstreams(ctx context.Context) (api.Upstreams, error)
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -90,7 +90,7 @@
 		{"withdraw", "make keys stop working for good", &withdrawCommand{tool: t}},
 		{"status", "show what a VM knows of itself and the fleet", &statusCommand{tool: t}},
 		{"dump", "show the state of one VM's process", &dumpCommand{tool: t}},
-		{"programs", "list programs under way", &programsCommand{tool: t}},
+		{"programs", "list programs", &programsCommand{tool: t}},
 		{"upstreams", "list the upstreams that a VM knows of", &upstreamsCommand{tool: t}},
 		{"hash-key", "read a key from standard input and print its SHA-256", &hashKeyCommand{tool: t}},
 	} {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -192,7 +192,7 @@
 	vm, other := newFakeVM(t), newFakeVM(t)
 	vm.always(api.PathStatus, 200, api.Status{VM: "a1", Zone: "a", Generation: 4, Control: true,
 		VMs: []api.VM{{VM: "a1", Zone: "a"}, {VM: "b1", Zone: "b", Admin: other.address}, {VM: "c1"}}})
-	vm.always(api.PathPrograms, 200, api.Programs{Programs: []api.Program{{Program: "p1", Account: "opera", CallsUsed: 2, CallsBudget: 9}}, Total: 3})
+	vm.always(api.PathPrograms, 200, api.Programs{Programs: []api.Program{{Program: "p1", Account: "opera", CallsUsed: 2, CallsBudget: 9, Engines: []string{"a/e1", "b/e2"}}}, Total: 3})
 	vm.always(api.PathUpstreams, 200, api.Upstreams{Upstreams: []api.Upstream{{Upstream: "e1", Kind: "engine", AgeMS: 1500, Serves: []string{"m"}}}})
 	vm.always(api.PathDump, 200, map[string]string{"of": "a1"})
 	other.always(api.PathDump, 200, map[string]string{"of": "b1"})
@@ -205,6 +205,7 @@
 		{[]string{"status"}, ExitOK, "entry and control"},
 		{[]string{"status", "--json"}, ExitOK, `"generation": 4`},
 		{[]string{"programs"}, ExitOK, "1 of 3 programs"},
+		{[]string{"programs"}, ExitOK, "a/e1, b/e2"},
 		{[]string{"programs", "--json", "--account", "opera"}, ExitOK, `"calls_budget": 9`},
 		{[]string{"upstreams"}, ExitOK, "1.5 s ago"},
 		{[]string{"dump", "a1"}, ExitOK, `"of": "a1"`},
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -99,7 +99,7 @@
 	return s
 }
 
-// programsCommand lists programs under way.
+// programsCommand lists programs.
 type programsCommand struct {
 	tool    *tool
 	Account string `long:"account" value-name:"NAME" description:"only of this client account, under any of its names"`
@@ -117,13 +117,13 @@
 }
 
 func (c *programsCommand) print(answer api.Programs) {
-	rows := [][]string{{"PROGRAM", "ACCOUNT", "STATE", "TURN", "TOKENS", "CALLS", "ENGINE"}}
+	rows := [][]string{{"PROGRAM", "ACCOUNT", "STATE", "TURN", "TOKENS", "CALLS", "ENGINES"}}
 	for _, p := range answer.Programs {
 		rows = append(rows, []string{
 			p.Program, p.Account, p.State, strconv.FormatInt(p.Turn, 10),
 			fmt.Sprintf("%d/%d", p.TokensUsed, p.TokensBudget),
 			fmt.Sprintf("%d/%d", p.CallsUsed, p.CallsBudget),
-			orNone(p.Engine),
+			list(p.Engines),
 		})
 	}
 	c.tool.table(rows)
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -192,6 +192,7 @@
 	return api.Program{
 		Program: p.Name, Account: account, Parent: p.Parent, State: string(p.State), Turn: int64(p.NextTurn) - 1,
 		TokensUsed: p.Used.Tokens, TokensBudget: p.Limit.Tokens, CallsUsed: p.Used.Calls, CallsBudget: p.Limit.Calls,
+		Engines: p.Engines, DeadlineMS: p.DeadlineMS,
 	}
 }
 
--- a/internal/program/query.go
+++ b/internal/program/query.go
@@ -120,18 +120,27 @@
 			break
 		}
 		p := a.programs[name]
-		page.Programs = append(page.Programs, Summary{
-			Name:     name,
-			Parent:   p.parentName,
-			State:    p.state,
-			NextTurn: p.nextTurn(),
-			Used:     p.used,
-			Limit:    p.limit,
-		})
+		page.Programs = append(page.Programs, p.summary(name))
 	}
 	return page
 }
 
+func (p *program) summary(name string) Summary {
+	s := Summary{
+		Name:       name,
+		Parent:     p.parentName,
+		State:      p.state,
+		NextTurn:   p.nextTurn(),
+		Used:       p.used,
+		Limit:      p.limit,
+		DeadlineMS: p.deadlineMS,
+	}
+	for _, r := range p.residencies {
+		s.Engines = append(s.Engines, r.Engine)
+	}
+	return s
+}
+
 // Stats is what the group holds, for metrics.
 type Stats struct {
 	Accounts        int   `json:"accounts"`
--- a/internal/program/residency_test.go
+++ b/internal/program/residency_test.go
@@ -37,6 +37,8 @@
 	moved := b.chatTurn("p", "z", "e2", 1)
 	require.NotEqual(t, first, moved)
 	require.Equal(t, []string{"e1@1 " + first}, b.releases())
+	listed := b.apply(Envelope{Query: &Query{List: &ListQuery{Account: "a"}}}).List.Programs
+	require.Equal(t, []string{"e2"}, listed[0].Engines)
 	b.apply(Envelope{ReleaseDone: &ReleaseDone{Engine: "e1", EngineIncarnation: 1, Session: first}})
 	require.NotEqual(t, first, b.chatTurn("p", "w", "e1", 1), "a released name is not used again")
 	require.Equal(t, []string{"e2@1 " + moved}, b.releases())
--- a/internal/program/results.go
+++ b/internal/program/results.go
@@ -175,6 +175,10 @@
 	NextTurn uint64 `json:"next_turn"`
 	Used     Budget `json:"used"`
 	Limit    Budget `json:"limit"`
+	// DeadlineMS is in Unix milliseconds; 0: none.
+	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// Engines hold memory for the program, each as EngineName names it.
+	Engines []string `json:"engines,omitempty"`
 }
 
 // Release is a session to be released on an engine.
