--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -29,17 +29,22 @@
 	// balancer has time to notice.
 	drainGrace = 1500 * time.Millisecond
 	drainPoll  = 50 * time.Millisecond
+	// drainIdle is how long a connection must have been idle before it is closed. A caller that
+	// sends on a connection at the moment it is closed learns only that the connection broke.
+	drainIdle = 5 * time.Second
 )
 
 // serving are the HTTP servers under way.
 type serving struct {
 	callers, upstreams *http.Server
+	conns              *conns
 	stopAdmin          context.CancelFunc
 	wait               func()        // for the end of all servers
 	failed             chan struct{} // closed when the first server fails
 
 	mu    sync.Mutex
 	first error // why it failed
+	done  bool  // errors of the servers are expected
 }
 
 // fail notes why a server ended, unless it was stopped.
@@ -49,12 +54,19 @@
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.first == nil {
+	if s.first == nil && !s.done {
 		s.first = err
 		close(s.failed)
 	}
 }
 
+// expectErrors says that the servers are being closed.
+func (s *serving) expectErrors() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.done = true
+}
+
 func (s *serving) err() error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,9 +79,11 @@
 	s := &serving{
 		callers:   newServer(d.gateway, callerReadTimeout),
 		upstreams: newServer(d.upstreamRoutes(), readHeaderTimeout),
+		conns:     newConns(),
 		stopAdmin: stopAdmin,
 		failed:    make(chan struct{}),
 	}
+	s.callers.ConnState = s.conns.note
 	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events, CutLinks: d.cutLinks()})
 	servers := pool.New()
 	servers.Go(func() { s.fail(s.callers.Serve(d.listeners.callers)) })
@@ -139,6 +153,13 @@
 	ctx, cancel := d.shutdownContext(hurry)
 	defer cancel()
 	pause(ctx, drainGrace)
+	s.expectErrors()
+	// The listener alone is closed: answers that began before the drain did not ask their
+	// callers to close, so their connections take one more request each.
+	_ = d.listeners.callers.Close()
+	for !s.conns.quiet(time.Now(), drainIdle) && ctx.Err() == nil {
+		pause(ctx, drainPoll)
+	}
 	if err := s.callers.Shutdown(ctx); err != nil {
 		d.events.Emit(events.DaemonCutShort, zap.Int("requests", d.gateway.InFlight()))
 		_ = s.callers.Close()
