--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -34,13 +34,13 @@
 
 // testFleet is three VMs in three zones, each with the control role, in one process.
 type testFleet struct {
-	t       *testing.T
+	t       testing.TB
 	daemons []*Daemon
 	stops   []context.CancelFunc
 	ended   []chan struct{}
 }
 
-func freePort(t *testing.T) string {
+func freePort(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -48,16 +48,20 @@
 	return l.Addr().String()
 }
 
-func newTestFleet(t *testing.T) *testFleet {
+func newTestFleet(t testing.TB) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
+	level := "warn"
+	if _, ok := t.(*testing.B); ok {
+		level = "error" // a benchmark's figures stand alone on their line
+	}
 	var peers []settings.Peer
 	for i := range 3 {
 		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i), Address: freePort(t), Control: true})
 	}
 	for i, p := range peers {
 		s := &settings.Settings{
-			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 20, LogLevel: "warn",
+			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 20, LogLevel: level,
 			Listen: settings.Listen{Callers: freePort(t), Upstreams: freePort(t), Admin: freePort(t), Peers: peers[i].Address},
 		}
 		d, err := New(s, "test")
@@ -118,7 +122,7 @@
 	}
 }
 
-func mustText(t *testing.T, file config.File) string {
+func mustText(t testing.TB, file config.File) string {
 	t.Helper()
 	text, err := json.Marshal(file)
 	require.NoError(t, err)
--- a/internal/daemon/path_test.go
+++ b/internal/daemon/path_test.go
@@ -15,7 +15,7 @@
 	"egretramp/internal/fakes"
 )
 
-func chatBody(t *testing.T, messages []fakes.Message, stream bool) string {
+func chatBody(t testing.TB, messages []fakes.Message, stream bool) string {
 	t.Helper()
 	data, err := json.Marshal(map[string]any{"model": "WIG/L", "messages": messages, "stream": stream, "max_tokens": 8})
 	require.NoError(t, err)
@@ -24,7 +24,7 @@
 
 func user(text string) fakes.Message { return fakes.Message{Role: "user", Content: text} }
 
-func wholeContent(t *testing.T, body string) string {
+func wholeContent(t testing.TB, body string) string {
 	t.Helper()
 	var c struct {
 		Choices []struct {
