--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -169,7 +169,7 @@
 	c.on.outstanding++
 	c.on.reserved += c.kv
 	c.on.history.note(now, c.on.outstanding)
-	if c.request.Program != "" {
+	if c.request.Program != "" && !c.on.removed {
 		p.programs.use(c.request.Program).settleOn(c.on, 0)
 	}
 	c.on.trim()
@@ -184,7 +184,7 @@
 	delete(p.running, id)
 	c.account.running--
 	p.endKept(id)
-	p.settle(c, o)
+	p.settle(now, c, o)
 	p.remember(now, c, o)
 	if c.on == nil {
 		return
