Ask the control VM that answered last for the lease

Cause: an entry VM sent its lease request to all control VMs each second; those that do not lead threw it away. The request now goes to the VM that answered the last one, and to all while the last one is unanswered. So an entry VM needs one renewal more, of three in a lease, to find a new leader.

Weighed: forwarding by the control VMs, which leaves their share of the cost.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -96,6 +96,7 @@
 
 	tracker  *membership.Tracker
 	holder   *membership.Holder
+	granter  granter
 	limiter  *ratelimit.Limiter
 	follower *control.Follower
 	fetching map[string]bool
@@ -141,6 +142,7 @@
 // begin makes the parts that act under this VM's incarnation: its lease and its permits.
 func (f *Fleet) begin(now time.Duration) {
 	incarnation := uint64(f.incarnation.Load())
+	f.granter = granter{}
 	f.holder = membership.NewHolder(now, membership.HolderOptions{
 		VM: f.opts.VM, Zone: f.opts.Zone, Incarnation: incarnation,
 		CutoffLimit: config.DefaultCutoffLimitSeconds * time.Second,
@@ -225,6 +227,7 @@
 	}
 	f.post(func() {
 		now := f.opts.Clock()
+		f.granter.note(from, m.Answer)
 		f.sendLease(f.holder.Handle(now, from, m))
 		f.settle(now)
 		f.publishLease(now)
@@ -253,7 +256,7 @@
 			f.opts.Network.Send(s.To, KindLease, payload)
 			continue
 		}
-		for _, vm := range f.opts.ControlVMs {
+		for _, vm := range f.granter.next(s.Renew, f.opts.ControlVMs) {
 			f.opts.Network.Send(vm, KindRenew, payload)
 		}
 	}
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -74,3 +74,33 @@
 
 // VMs returns the other VMs that are alive.
 func (f *Fleet) VMs() []string { return f.alive.Load().all }
+
+// granter is the control VM that answered this VM's lease requests last.
+type granter struct {
+	vm       string
+	answered uint64 // highest sequence of the requests that it answered
+	asked    uint64 // sequence of the last request
+}
+
+// note takes an answer to a lease request; nil is ignored.
+func (g *granter) note(from string, a *membership.RenewAnswer) {
+	if a == nil || !a.Control || a.Sequence < g.answered {
+		return
+	}
+	g.vm, g.answered = from, a.Sequence
+}
+
+// next returns the VMs that get a message to control: the one that answered the last request,
+// or all as long as none did. A goodbye, which is not answered, goes to all. So in a large fleet a
+// control VM that does not lead is spared the requests of all VMs.
+func (g *granter) next(r *membership.RenewRequest, all []string) []string {
+	if r == nil {
+		return all
+	}
+	last := g.asked
+	g.asked = r.Sequence
+	if g.vm == "" || g.answered != last {
+		return all
+	}
+	return []string{g.vm}
+}
