--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -127,3 +127,42 @@
 		})
 	}
 }
+
+// countingNetwork counts what is sent.
+type countingNetwork struct{ messages, bytes int }
+
+// Send implements Network.
+func (n *countingNetwork) Send(_, _ string, payload []byte) {
+	n.messages++
+	n.bytes += len(payload)
+}
+
+// Call implements Network.
+func (n *countingNetwork) Call(context.Context, string, string, []byte) ([]byte, error) {
+	return nil, nil
+}
+
+// BenchmarkClient_Refresh drives an entry VM with calls under way, which it repeats to their
+// dispatchers. An op is a second of virtual time.
+func BenchmarkClient_Refresh(b *testing.B) {
+	for _, calls := range []int{16, 130} {
+		b.Run(fmt.Sprintf("%d calls", calls), func(b *testing.B) {
+			network := &countingNetwork{}
+			c := NewClient(ClientOptions{Zone: "region-zone00", Network: network, Locator: newBenchHost(400)})
+			for i := range calls {
+				pool := upstream.Pool{Zone: "region-zone00", Kind: config.KindEngine, Name: fmt.Sprintf("model-%d", i%benchModels)}
+				id := fmt.Sprintf("0123456789abcdef0123-%04d", i)
+				c.hold(pool, schedule.Request{
+					ID: id, Account: "account-0123", Program: "account-0123/program-0123456789", Weight: 1,
+					PromptTokens: 20_000, MaxTokens: 2_000, Resident: "engine-zone00-0012", PrefixTokens: 19_000,
+				}, &Grant{Upstream: "engine-zone00-0012"})
+			}
+			b.ResetTimer()
+			for range b.N {
+				c.refresh()
+			}
+			b.ReportMetric(float64(network.bytes)/float64(b.N)/float64(calls), "sent-B/s/call")
+			b.ReportMetric(float64(network.bytes)/float64(b.N), "sent-B/s")
+		})
+	}
+}
