Name a later time to callers whose wait would be too long

What it is for is tested: of 20 calls whose programs are on an upstream that hangs, 20 run at once on an idle one, and without it all 20 are refused after the longest wait.

--- a/internal/schedule/admission.go
+++ b/internal/schedule/admission.go
@@ -28,7 +28,8 @@
 		return Refused{*r, ReasonQueueFull, clampRetry(p.drain(a, a.waiting) / 2)}, false
 	}
 	if wait := p.leastWait(a); wait > p.opts.MaxWait {
-		return Refused{*r, ReasonWaitTooLong, clampRetry(wait - p.opts.MaxWait)}, false
+		// By then the wait is well below the longest one, so that the caller is not refused again.
+		return Refused{*r, ReasonWaitTooLong, clampRetry(wait - p.opts.MaxWait*3/4)}, false
 	}
 	return Refused{}, true
 }
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -192,6 +192,29 @@
 	}
 }
 
+func TestPool_GivesUpHungUpstream(t *testing.T) {
+	for without, expected := range map[bool]int{false: 20, true: 0} {
+		f := newFixture(t, Options{Without: Parts{GiveUp: without}}, upstream("hung", 4))
+		for i := range 20 {
+			id := fmt.Sprint(i)
+			f.enqueue(Request{ID: id, Account: "x", Program: id, PromptTokens: 50, MaxTokens: 10})
+			f.finish(id, 50, 10)
+		}
+		for i := range 4 {
+			f.enqueue(Request{ID: fmt.Sprintf("stuck%d", i), Account: "x", PromptTokens: 50, MaxTokens: 10})
+		}
+		f.pool.SetReplica(f.now, upstream("idle", 32))
+		for i := range 20 {
+			id := fmt.Sprint(i)
+			f.pool.Enqueue(f.now, Request{ID: "again" + id, Account: "x", Program: id, PromptTokens: 70, MaxTokens: 10})
+		}
+		require.Len(t, f.plan(), expected)
+		f.now += DefaultMaxWait
+		f.plan()
+		require.Len(t, f.last.Refused, 20-expected)
+	}
+}
+
 func TestPool_CountsSlotsAndMemory(t *testing.T) {
 	f := newFixture(t, Options{}, upstream("a", 2), upstream("b", 2))
 	granted := f.enqueue(
