--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -13,8 +13,8 @@
 	"egretramp/internal/admin/api"
 )
 
-// show gets an answer and prints it, as JSON or by the given function.
-func (t *tool) show(path string, query url.Values, answer any, print func()) error {
+// show gets an answer and prints it, as JSON or by printTable.
+func (t *tool) show(path string, query url.Values, answer any, printTable func()) error {
 	client, err := newClient(t.Admin)
 	if err != nil {
 		return err
@@ -25,7 +25,7 @@
 	if t.JSON {
 		return t.printJSON(answer)
 	}
-	print()
+	printTable()
 	return nil
 }
 
@@ -83,6 +83,15 @@
 	}
 }
 
+// list prints names on one line.
+func list(names []string) string {
+	if len(names) == 0 {
+		return "none"
+	}
+	return strings.Join(names, ", ")
+}
+
+// orNone returns s, or a word that stands for its absence.
 func orNone(s string) string {
 	if s == "" {
 		return "none"
@@ -90,7 +99,7 @@
 	return s
 }
 
-// programsCommand lists programs under way.
+// programsCommand lists programs.
 type programsCommand struct {
 	tool    *tool
 	Account string `long:"account" value-name:"NAME" description:"only of this client account, under any of its names"`
@@ -108,13 +117,13 @@
 }
 
 func (c *programsCommand) print(answer api.Programs) {
-	rows := [][]string{{"PROGRAM", "ACCOUNT", "STATE", "TURN", "TOKENS", "CALLS", "ENGINE"}}
+	rows := [][]string{{"PROGRAM", "ACCOUNT", "STATE", "TURN", "TOKENS", "CALLS", "ENGINES"}}
 	for _, p := range answer.Programs {
 		rows = append(rows, []string{
 			p.Program, p.Account, p.State, strconv.FormatInt(p.Turn, 10),
 			fmt.Sprintf("%d/%d", p.TokensUsed, p.TokensBudget),
 			fmt.Sprintf("%d/%d", p.CallsUsed, p.CallsBudget),
-			orNone(p.Engine),
+			list(p.Engines),
 		})
 	}
 	c.tool.table(rows)
--- a/internal/gateway/codes_test.go
+++ b/internal/gateway/codes_test.go
@@ -46,9 +46,9 @@
 	"StatusNotFound":              http.StatusNotFound,
 	"StatusMethodNotAllowed":      http.StatusMethodNotAllowed,
 	"StatusGone":                  http.StatusGone,
+	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 	"StatusRequestEntityTooLarge": http.StatusRequestEntityTooLarge,
 	"StatusServiceUnavailable":    http.StatusServiceUnavailable,
-	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 }
 
 // codes collects the refusals that source files can give: code to statuses.
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -38,7 +38,7 @@
 	// beginTimeout bounds the wait for the record of a program: a VM that reaches no majority
 	// says so at once.
 	beginTimeout  = 2500 * time.Millisecond
-	settleTimeout = 5 * time.Second
+	settleTimeout = 4 * time.Second
 )
 
 var (
@@ -214,6 +214,7 @@
 		// The lease settles it if this does not arrive.
 		_ = t.server.opts.Ledger.Fail(ctx, program.Fail{
 			Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
+			Residency: t.resident,
 		})
 		return notRun
 	}
