Reserve KV memory for likely answers, not for the callers' limits

A call that allowed 100,000 tokens was refused as too large for an engine of 100,000, and two such calls could not run side by side, whatever they came to use.

--- a/internal/schedule/fairness.go
+++ b/internal/schedule/fairness.go
@@ -118,7 +118,7 @@
 	case o.ServedTokens > 0:
 		answer := c.request.answered(o)
 		actual = service(max(o.ServedTokens-answer-c.history, 0), answer)
-	case c.request.kvNeed() > 0:
+	case c.request.usesKV():
 		// What the engine did for a call that was broken off is not known; the part that its time
 		// is of the usual one is taken.
 		actual *= p.estimate.part(now - c.since)
--- a/internal/schedule/invariants.go
+++ b/internal/schedule/invariants.go
@@ -19,8 +19,8 @@
 		p.counts.violation = errors.Newf("request %s is granted twice", w.ID)
 	case s.removed || s.outstanding >= s.Slots:
 		p.counts.violation = errors.Newf("upstream %s gets call %d of %d", s.Name, s.outstanding+1, s.Slots)
-	case s.KVTokens > 0 && !p.opts.Without.KVAdmission && s.reserved+w.kvNeed() > s.KVTokens:
-		p.counts.violation = errors.Newf("upstream %s gets %d tokens of KV memory, of %d", s.Name, s.reserved+w.kvNeed(), s.KVTokens)
+	case s.KVTokens > 0 && !p.opts.Without.KVAdmission && s.reserved+p.kvNeed(s, &w.Request) > s.KVTokens:
+		p.counts.violation = errors.Newf("upstream %s gets %d tokens of KV memory, of %d", s.Name, s.reserved+p.kvNeed(s, &w.Request), s.KVTokens)
 	case w.avoids(s.Name):
 		p.counts.violation = errors.Newf("request %s is granted upstream %s, which it avoids", w.ID, s.Name)
 	case w.Alone && s.busy() > 0:
--- a/internal/schedule/policy_test.go
+++ b/internal/schedule/policy_test.go
@@ -234,6 +234,14 @@
 	require.Equal(t, kept, f.finish(map[string]string{granted["1"]: "1", granted["2"]: "2"}[kept], 60_000, 0)["3"])
 }
 
+func TestPool_LongLimitsDoNotFillMemory(t *testing.T) {
+	f := newFixture(t, Options{}, upstream("a", 4))
+	long := func(id string) Request { return Request{ID: id, Account: "x", PromptTokens: 10, MaxTokens: 1_000_000} }
+	require.Len(t, f.enqueue(long("1"), long("2"), long("3")), 3, "a limit is no expectation")
+	f.finish("1", 10, 60_000)
+	require.Empty(t, f.enqueue(long("4")), "answers are that long here")
+}
+
 func TestPool_BelievesReportsOnlyForOthersCalls(t *testing.T) {
 	f := newFixture(t, Options{}, upstream("a", 4))
 	f.enqueue(Request{ID: "1", Account: "x"}, Request{ID: "2", Account: "x"})
--- a/internal/schedule/pool.go
+++ b/internal/schedule/pool.go
@@ -167,7 +167,7 @@
 	if c.on == nil {
 		return
 	}
-	c.kv = c.request.kvNeed()
+	c.kv = p.kvNeed(c.on, &c.request)
 	c.on.outstanding++
 	c.on.reserved += c.kv
 	c.on.history.note(now, c.on.outstanding)
@@ -200,7 +200,7 @@
 // remember learns from a call that ended.
 func (p *Pool) remember(now time.Duration, c *call, o Outcome) {
 	took := now - c.since
-	ran := o.ServedTokens > 0 || c.request.kvNeed() == 0
+	ran := o.ServedTokens > 0 || !c.request.usesKV()
 	if ran && !o.Failed && !c.adopted {
 		p.estimate.observe(took, c.request.uncached(o), c.request.answered(o))
 	}
--- a/internal/schedule/replica.go
+++ b/internal/schedule/replica.go
@@ -46,14 +46,31 @@
 	return free
 }
 
+// Reservation for an answer: callers often allow far longer answers than they get, and reserving
+// all of that would leave an engine nearly empty.
+const (
+	minAnswerReserve    = 2048 // tokens
+	answerReserveFactor = 4    // times the usual answer
+)
+
+// kvNeed is the KV memory that is reserved for a call on an upstream. Tokens.
+func (p *Pool) kvNeed(s *replica, r *Request) int64 {
+	answer := min(r.MaxTokens, max(minAnswerReserve, answerReserveFactor*int64(p.estimate.answer)))
+	need := r.PromptTokens + answer
+	if s.KVTokens > 0 {
+		need = min(need, s.KVTokens)
+	}
+	return need
+}
+
 // fits reports whether the upstream has KV memory for a request now.
 func (p *Pool) fits(s *replica, r *Request) bool {
-	return s.KVTokens == 0 || p.opts.Without.KVAdmission || r.kvNeed() <= s.kvFree()
+	return s.KVTokens == 0 || p.opts.Without.KVAdmission || p.kvNeed(s, r) <= s.kvFree()
 }
 
 // large reports whether the upstream could ever hold a request.
 func (s *replica) large(r *Request) bool {
-	return s.KVTokens == 0 || r.kvNeed() <= s.KVTokens
+	return s.KVTokens == 0 || r.PromptTokens < s.KVTokens
 }
 
 // history keeps the largest number of the pool's own calls on an upstream in each interval of
--- a/internal/schedule/types.go
+++ b/internal/schedule/types.go
@@ -29,8 +29,8 @@
 	Alone bool `json:"alone,omitempty"`
 }
 
-// kvNeed is the most KV memory that the call can take. Tokens.
-func (r *Request) kvNeed() int64 { return r.PromptTokens + r.MaxTokens }
+// usesKV reports whether the call takes KV memory.
+func (r *Request) usesKV() bool { return r.PromptTokens+r.MaxTokens > 0 }
 
 // Replica is an upstream as the pool sees it.
 type Replica struct {
