Give new members time to be heard; answer callers before the record is settled

Three causes, found by trials and by reading. A member just admitted was held to be silent since the election and removed 50 ms later, so a zone that had lost its only VM could not come back (TestGrantor_NewMemberIsNotRemovedBeforeItWasHeard, red before). A VM removed before it learned that it was a member kept an incarnation that is never registered again; the leader now tells it. And a revocation without an answer of the record no longer lets a refusal say 'not run'.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -228,6 +228,7 @@
 	d.node.HandleMessages(fleet.KindGossip, d.fleet.HandleGossip)
 	d.node.HandleMessages(fleet.KindLease, d.fleet.HandleLease)
 	d.node.HandleMessages(fleet.KindRenew, d.fleet.HandleRenew)
+	d.node.HandleMessages(fleet.KindRemoved, d.fleet.HandleRemoved)
 	d.node.HandleMessages(fleet.KindLimit, d.fleet.HandleLimit)
 	d.node.HandleMessages(fleet.KindDigest, d.fleet.HandleDigest)
 	d.node.HandleCalls(fleet.MethodDelta, d.fleet.HandleDelta)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -167,6 +167,7 @@
 	for d.gateway.InFlight() > 0 && ctx.Err() == nil {
 		pause(ctx, drainPoll)
 	}
+	d.gateway.Wait()
 	_ = s.upstreams.Close()
 	s.stopAdmin()
 	s.wait()
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -27,7 +27,8 @@
 const (
 	KindGossip   = "fleet.gossip"
 	KindLease    = "fleet.lease"
-	KindRenew    = "fleet.renew" // a lease request to control
+	KindRenew    = "fleet.renew"   // a lease request to control
+	KindRemoved  = "fleet.removed" // the leader's word that a VM needs a new incarnation
 	KindLimit    = "fleet.limit"
 	KindDigest   = "fleet.digest"
 	MethodDelta  = "fleet.delta"
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -186,6 +186,41 @@
 	return int64(f.leading.incarnations[vm])
 }
 
+// proposalRefused reacts to a refusal by the control state machine.
+func (f *Fleet) proposalRefused(vm string, c control.Command, r *control.Refusal) {
+	switch {
+	case c.RemoveVM != nil && f.leading.grantor != nil:
+		f.leading.grantor.RemovalFailed(vm)
+	case c.RegisterVM != nil && r.Code == control.CodeOldIncarnation:
+		// The VM was removed under this incarnation, perhaps before it learned that it was a member.
+		f.opts.Network.Send(vm, KindRemoved, mustMarshal(removed{Incarnation: c.RegisterVM.Incarnation}))
+	}
+}
+
+// removed tells a VM that control will not register an incarnation of it again.
+type removed struct {
+	Incarnation int64 `json:"incarnation"`
+}
+
+// HandleRemoved takes the leader's word that this VM needs a new incarnation.
+func (f *Fleet) HandleRemoved(_ string, payload []byte) {
+	var m removed
+	if json.Unmarshal(payload, &m) != nil {
+		return
+	}
+	f.post(func() {
+		if m.Incarnation != f.incarnation.Load() {
+			return
+		}
+		now := f.opts.Clock()
+		f.rejoin(now)
+		if state := f.follower.View(); state.Consistent() {
+			f.actOn(now, state)
+		}
+		f.publishLease(now)
+	})
+}
+
 // propose proposes a change of the membership, one at a time for each VM.
 func (f *Fleet) propose(vm string, c control.Command) {
 	l := &f.leading
@@ -208,8 +243,8 @@
 		result, err := f.opts.Proposer.Propose(ctx, c)
 		f.post(func() {
 			delete(proposing, vm)
-			if err == nil && result.Refusal != nil && c.RemoveVM != nil && l.grantor != nil {
-				l.grantor.RemovalFailed(vm)
+			if err == nil && result.Refusal != nil {
+				f.proposalRefused(vm, c, result.Refusal)
 			}
 		})
 	})
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -80,6 +80,9 @@
 	renewTimeout = 2 * time.Second
 )
 
+// Wait returns once the turns that were given up are settled, as far as the record could be reached.
+func (s *Server) Wait() { s.background.Wait() }
+
 // Run renews the leases of the attempts under way until ctx ends.
 func (s *Server) Run(ctx context.Context) {
 	ticker := time.NewTicker(renewCheck)
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -227,7 +227,7 @@
 			return s.settleRefused(ctx, call.turn, refused, call.notRun), false
 		}
 		if call.turn != nil && call.mayHaveRun {
-			call.turn.giveUp(refusal.Unknown)
+			call.turn.fail() // before the next begin, which finds the turn busy otherwise
 			return nil, true
 		}
 	}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/julienschmidt/httprouter"
+	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/clock"
 	"egretramp/internal/config"
@@ -77,8 +78,10 @@
 	inflight *inflight
 	retries  *retryBudget
 	attempts *attempts
-	draining atomic.Bool
-	stats    Stats
+	// background settles turns whose callers have their answer.
+	background conc.WaitGroup
+	draining   atomic.Bool
+	stats      Stats
 }
 
 // Stats count what callers asked for and got.
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -39,6 +39,8 @@
 	// says so at once.
 	beginTimeout  = 2500 * time.Millisecond
 	settleTimeout = 4 * time.Second
+	// revokeTimeout bounds the wait for what may be said of a call of which nothing was written.
+	revokeTimeout = 2 * time.Second
 )
 
 var (
@@ -203,25 +205,40 @@
 	return err
 }
 
+// abandon settles a turn that may have run, without making the caller wait: its final answer
+// does not depend on the record, and the lease settles what this does not reach.
+func (t *turn) abandon() {
+	if t != nil {
+		t.server.background.Go(t.fail)
+	}
+}
+
+// fail settles a turn that may have run; it waits until the record has taken that.
+func (t *turn) fail() {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+	defer cancel()
+	_ = t.server.opts.Ledger.Fail(ctx, program.Fail{
+		Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
+		Residency: t.resident,
+	})
+}
+
 // giveUp settles a turn without an answer and returns what may be said of its having run.
 func (t *turn) giveUp(notRun refusal.NotRun) refusal.NotRun {
 	if t == nil {
 		return notRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
 	if notRun != refusal.True {
-		// The lease settles it if this does not arrive.
-		_ = t.server.opts.Ledger.Fail(ctx, program.Fail{
-			Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
-			Residency: t.resident,
-		})
+		t.abandon()
 		return notRun
 	}
+	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
+	defer cancel()
+	// Without an answer of the record, an earlier attempt through another VM may have run.
 	mayHaveRun, err := t.server.opts.Ledger.Revoke(ctx, program.Revoke{
 		Account: t.account, Program: t.program, Attempt: t.started.Attempt,
 	})
-	if mayHaveRun && err == nil {
+	if mayHaveRun || err != nil {
 		return refusal.Unknown
 	}
 	return refusal.True
--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -36,7 +36,9 @@
 	incarnation uint64
 	heard       time.Duration // last grant or report by a sponsor
 	everHeard   bool
-	sponsored   bool // what was heard last came through a sponsor
+	admitted    time.Duration // when Tick first saw the member; it has that long to be heard
+	seen        bool          // admitted is set
+	sponsored   bool          // what was heard last came through a sponsor
 	epoch       uint64
 	split       uint64
 	gone        bool                     // said goodbye
@@ -188,6 +190,9 @@
 func (g *Grantor) Tick(now time.Duration) {
 	changed := false
 	for _, v := range g.vms {
+		if !v.seen {
+			v.admitted, v.seen = now, true
+		}
 		if v.denied == 0 && !v.gone && now-g.lastHeard(v) >= FenceDelay {
 			v.denied = g.deny.Sequence + 1
 			v.promises = map[string]time.Duration{}
@@ -244,7 +249,7 @@
 
 // stopped reports whether a VM's lease surely ran out with nobody left to renew it.
 func (g *Grantor) stopped(now time.Duration, name string, v *member) bool {
-	if v.denied == 0 || v.removing {
+	if v.denied == 0 || v.removing || !v.seen {
 		return false
 	}
 	last := max(g.lastHeard(v), g.elected, g.departed[v.zone])
@@ -280,7 +285,7 @@
 
 func (g *Grantor) lastHeard(v *member) time.Duration {
 	if !v.everHeard {
-		return g.elected
+		return max(g.elected, v.admitted)
 	}
 	return v.heard
 }
