--- a/internal/raft/storage/save.go
+++ b/internal/raft/storage/save.go
@@ -41,7 +41,7 @@
 			return err
 		}
 	}
-	if err := writeSnapshot(meta, log, b, bounds); err != nil {
+	if err := writeSnapshot(tx.Bucket(snapshotBucket), log, b, bounds); err != nil {
 		return err
 	}
 	if err := writeEntries(log, b.Entries, bounds); err != nil {
@@ -50,11 +50,11 @@
 	return put(meta, boundsKey, bounds)
 }
 
-func writeSnapshot(meta, log *bbolt.Bucket, b Batch, bounds *raftpb.LogBounds) error {
+func writeSnapshot(snapshots, log *bbolt.Bucket, b Batch, bounds *raftpb.LogBounds) error {
 	if b.Snapshot == nil {
 		return nil
 	}
-	if err := put(meta, snapshotKey, b.Snapshot); err != nil {
+	if err := put(snapshots, snapshotKey, b.Snapshot); err != nil {
 		return err
 	}
 	if b.ReplaceLog {
--- a/internal/raft/storage/storage.go
+++ b/internal/raft/storage/storage.go
@@ -23,8 +23,12 @@
 const lockTimeout = time.Second
 
 var (
-	metaBucket  = []byte("meta")
-	logBucket   = []byte("log")
+	metaBucket = []byte("meta")
+	logBucket  = []byte("log")
+	// The snapshot has a bucket of its own: a batch writes each page anew of which it changes a
+	// part, and beside the hard state the snapshot would be written with every batch.
+	snapshotBucket = []byte("snapshot")
+
 	identityKey = []byte("identity")
 	hardKey     = []byte("hard")
 	boundsKey   = []byte("bounds")
@@ -133,8 +137,8 @@
 }
 
 func readAll(tx *bbolt.Tx) (*raftpb.Identity, raft.State, error) {
-	meta, log := tx.Bucket(metaBucket), tx.Bucket(logBucket)
-	if meta == nil || log == nil {
+	meta, log, snapshots := tx.Bucket(metaBucket), tx.Bucket(logBucket), tx.Bucket(snapshotBucket)
+	if meta == nil || log == nil || snapshots == nil {
 		return nil, raft.State{}, errors.New("a bucket is missing")
 	}
 	identity := &raftpb.Identity{}
@@ -146,10 +150,11 @@
 	}
 	state := raft.State{Hard: &raftpb.HardState{}, Snapshot: &raftpb.Snapshot{}, Bounds: &raftpb.LogBounds{}}
 	for _, part := range []struct {
-		key []byte
-		m   proto.Message
-	}{{hardKey, state.Hard}, {snapshotKey, state.Snapshot}, {boundsKey, state.Bounds}} {
-		if err := decodeRecord(part.key, meta.Get(part.key), part.m); err != nil {
+		bucket *bbolt.Bucket
+		key    []byte
+		m      proto.Message
+	}{{meta, hardKey, state.Hard}, {snapshots, snapshotKey, state.Snapshot}, {meta, boundsKey, state.Bounds}} {
+		if err := decodeRecord(part.key, part.bucket.Get(part.key), part.m); err != nil {
 			return nil, raft.State{}, err
 		}
 	}
@@ -192,7 +197,7 @@
 
 func (s *Store) fill(state raft.State) error {
 	err := s.db.Update(func(tx *bbolt.Tx) error {
-		for _, name := range [][]byte{metaBucket, logBucket} {
+		for _, name := range [][]byte{metaBucket, logBucket, snapshotBucket} {
 			if _, err := tx.CreateBucket(name); err != nil {
 				return err
 			}
--- a/internal/raft/storage/storage_test.go
+++ b/internal/raft/storage/storage_test.go
@@ -171,3 +171,20 @@
 		require.Error(t, decodeRecord(indexKey(4), record, &raftpb.Entry{}), "a record in another's place")
 	})
 }
+
+// TestStore_BatchCostsNothingForTheSnapshot bounds what a small batch writes beside a large snapshot.
+func TestStore_BatchCostsNothingForTheSnapshot(t *testing.T) {
+	s, _, err := Open(t.TempDir(), fresh(7))
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = s.Close() })
+	fill(t, s)
+	large := &raftpb.Snapshot{Index: 300, Term: 2, Conf: &raftpb.ConfState{Members: []*raftpb.Member{{Id: 7, Vm: "a"}}}, Data: make([]byte, 4<<20)}
+	require.NoError(t, s.Save(Batch{Snapshot: large, BaseIndex: 250, BaseTerm: 1}))
+	written := func() int64 {
+		stats := s.db.Stats().TxStats
+		return stats.GetPageAlloc()
+	}
+	before := written()
+	require.NoError(t, s.Save(Batch{Hard: &raftpb.HardState{Term: 2, Vote: 7, Commit: 310}, Entries: entries(2, 311, 311)}))
+	require.Less(t, written()-before, int64(256<<10), "bytes written by a batch of one entry")
+}
