--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -22,7 +22,7 @@
 	}
 	end := notSent
 	defer func() { leave.End(end.outcome, end.upstream) }()
-	zone, _ := call.turn.home()
+	zone, _, _ := call.turn.home()
 	request := s.scheduleRequest(call)
 	request.Alone = leave.Alone()
 	grant, err := s.acquire(ctx, config.KindEngine, call.model.ID, zone, request)
@@ -101,7 +101,7 @@
 	}
 	if call.turn != nil {
 		r.Program = call.caller.account.ID + "/" + call.turn.program
-		_, r.Resident = call.turn.home()
+		_, r.Resident, r.ResidentIncarnation = call.turn.home()
 	}
 	return r
 }
@@ -109,7 +109,11 @@
 // served counts what an engine did for a call.
 func served(a *upstream.Assembler) schedule.Outcome {
 	usage, _ := a.Usage()
-	return schedule.Outcome{ServedTokens: usage.TotalTokens, CachedTokens: usage.PromptDetails.CachedTokens}
+	return schedule.Outcome{
+		ServedTokens:     usage.TotalTokens,
+		CachedTokens:     usage.PromptDetails.CachedTokens,
+		CompletionTokens: usage.CompletionTokens,
+	}
 }
 
 // relay sends the call to the granted engine and passes its answer on.
--- a/internal/gateway/refusals.go
+++ b/internal/gateway/refusals.go
@@ -8,6 +8,7 @@
 
 	"egretramp/internal/dispatch"
 	"egretramp/internal/refusal"
+	"egretramp/internal/schedule"
 )
 
 func badRequest(code, message string) *refusal.Refusal {
@@ -52,10 +53,15 @@
 	var e *dispatch.Error
 	r := unavailable("no_upstream", "no upstream serves this at the moment", retryNoUpstream)
 	if errors.As(err, &e) {
-		switch e.Code {
-		case dispatch.CodeRefused:
+		switch {
+		case e.Reason == schedule.ReasonTooLarge:
+			r = &refusal.Refusal{
+				Status: http.StatusRequestEntityTooLarge, Code: "too_large_for_upstream",
+				Message: "no upstream has the memory that this call may need",
+			}
+		case e.Code == dispatch.CodeRefused:
 			r = unavailable("overloaded", "too many requests wait for this upstream", max(e.RetryAfter, retryQueueFull))
-		case dispatch.CodeTimeout:
+		case e.Code == dispatch.CodeTimeout:
 			r = unavailable("queue_timeout", "the request waited too long for an upstream", retryQueueFull)
 		}
 	}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -156,17 +156,18 @@
 	return t == nil || t.server.attempts.mayWrite(t.started.Attempt, t.server.opts.Clock())
 }
 
-// home returns where the program's prefix is: zone and engine, empty if nowhere.
-func (t *turn) home() (zone, engine string) {
+// home returns where the program's prefix is: zone, engine and its incarnation; empty if nowhere.
+func (t *turn) home() (zone, engine string, incarnation int64) {
 	if t == nil {
-		return "", ""
+		return "", "", 0
 	}
 	for _, r := range t.started.Residencies {
 		if r.Model == t.model {
-			return program.SplitEngineName(r.Engine)
+			zone, engine = program.SplitEngineName(r.Engine)
+			return zone, engine, r.EngineIncarnation
 		}
 	}
-	return "", ""
+	return "", "", 0
 }
 
 // session returns the session that a call to the granted engine names, and notes that it holds
