--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -227,7 +227,10 @@
 			return s.settleRefused(ctx, call.turn, refused, call.notRun), false
 		}
 		if call.turn != nil && call.mayHaveRun {
-			call.turn.fail() // before the next begin, which finds the turn busy otherwise
+			// Before the next begin, which finds the turn busy otherwise.
+			if err := call.turn.fail(revokeTimeout); err != nil {
+				return withNotRun(program.Refusal(err), refusal.Unknown), false
+			}
 			return nil, true
 		}
 	}
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -210,15 +210,15 @@
 // does not depend on the record, and the lease settles what this does not reach.
 func (t *turn) abandon() {
 	if t != nil {
-		t.server.background.Go(t.fail)
+		t.server.background.Go(func() { _ = t.fail(settleTimeout) })
 	}
 }
 
 // fail settles a turn that may have run; it waits until the record has taken that.
-func (t *turn) fail() {
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+func (t *turn) fail(limit time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	defer cancel()
-	_ = t.server.opts.Ledger.Fail(ctx, program.Fail{
+	return t.server.opts.Ledger.Fail(ctx, program.Fail{
 		Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
 		Residency: t.resident,
 	})
