--- /dev/null
+++ b/internal/dispatch/handlers.go
@@ -0,0 +1,96 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+// Announce takes a verified announcement and passes it to the dispatchers of its pools. It
+// reports whether there are any: a zone without live VMs has none.
+func (h *Host) Announce(a wire.Announcement) bool {
+	payload := mustMarshal(a)
+	sent := map[string]bool{}
+	for _, served := range a.Serves {
+		ranked := h.opts.Locator.Dispatchers(upstream.Pool{Zone: a.Zone, Kind: a.Kind, Name: served})
+		if len(ranked) > 0 && !sent[ranked[0]] {
+			sent[ranked[0]] = true
+			h.opts.Network.Send(ranked[0], KindAnnounce, payload)
+		}
+	}
+	return len(sent) > 0 || len(a.Serves) == 0
+}
+
+// HandleAnnounce takes an announcement from another VM.
+func (h *Host) HandleAnnounce(_ string, payload []byte) {
+	var a wire.Announcement
+	if json.Unmarshal(payload, &a) != nil {
+		return
+	}
+	h.post(func() { h.offer(a) })
+}
+
+// HandleEnqueue answers a request for a grant.
+func (h *Host) HandleEnqueue(ctx context.Context, from string, payload []byte) ([]byte, error) {
+	var e Enqueue
+	if err := json.Unmarshal(payload, &e); err != nil {
+		return nil, err
+	}
+	answer := make(chan Reply, 1)
+	h.post(func() {
+		h.enqueue(from, e)
+		answer <- h.answer(e)
+	})
+	select {
+	case reply := <-answer:
+		return json.Marshal(reply)
+	case <-h.done:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// HandleCancel takes a Cancel.
+func (h *Host) HandleCancel(_ string, payload []byte) {
+	var c Cancel
+	if json.Unmarshal(payload, &c) != nil {
+		return
+	}
+	h.post(func() { h.finish(c.Pool, c.RequestID, schedule.Outcome{}) })
+}
+
+// HandleFinish takes a Finish.
+func (h *Host) HandleFinish(_ string, payload []byte) {
+	var f Finish
+	if json.Unmarshal(payload, &f) != nil {
+		return
+	}
+	h.post(func() { h.finish(f.Pool, f.RequestID, f.Outcome) })
+}
+
+// HandleRefresh takes a Refresh.
+func (h *Host) HandleRefresh(from string, payload []byte) {
+	var r Refresh
+	if json.Unmarshal(payload, &r) != nil {
+		return
+	}
+	h.post(func() { h.refresh(from, r) })
+}
+
+// HandleList serves MethodList: the upstreams that this VM dispatches for, as []Listed.
+func (h *Host) HandleList(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+	dump, err := h.Dump(ctx)
+	if err != nil {
+		return nil, err
+	}
+	now := h.opts.Clock()
+	listed := make([]Listed, 0, len(dump.Upstreams))
+	for _, r := range dump.Upstreams {
+		listed = append(listed, Listed{Record: r, AgeMS: (now - r.Heard).Milliseconds()})
+	}
+	return json.Marshal(listed)
+}
