loopback: addresses for listeners that nothing else on the machine takes

The test fleet asked the kernel for a free port, closed it and opened it again later; in between an outgoing connection of the same process was given that port. Both lie in the kernel's range of 32768 to 60999. Ruled out: a leftover process (the test binary starts none), a second fleet of the test (tests run one after another), a real fault of the daemon. A second effect of the same cause is closed with it: a dial to a closed port in that range may connect to itself and look like a live upstream.

Now each process has an IP number of its own in 127.0.0.0/8, worked out from its process number, and a counter of ports below the kernel's range; outgoing connections start at 127.0.0.1 and so never meet a listener. The harness had a list of its own with a random start, which two processes could share; it uses the same package.

--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -19,6 +18,7 @@
 	"egretramp/internal/admin"
 	"egretramp/internal/config"
 	"egretramp/internal/fakes"
+	"egretramp/internal/loopback"
 	"egretramp/internal/settings"
 )
 
@@ -40,12 +40,11 @@
 	ended   []chan struct{}
 }
 
-func freePort(t testing.TB) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 func newTestFleet(t testing.TB) *testFleet {
@@ -57,12 +56,12 @@
 	}
 	var peers []settings.Peer
 	for i := range 3 {
-		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i), Address: freePort(t), Control: true})
+		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i), Address: freeAddress(t), Control: true})
 	}
 	for i, p := range peers {
 		s := &settings.Settings{
 			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
-			Listen: settings.Listen{Callers: freePort(t), Upstreams: freePort(t), Admin: freePort(t), Peers: peers[i].Address},
+			Listen: settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: peers[i].Address},
 		}
 		d, err := New(s, "test")
 		require.NoError(t, err)
@@ -182,6 +181,7 @@
 
 func (f *testFleet) fake(o fakes.Options) *fakes.Fake {
 	f.t.Helper()
+	o.Listen = freeAddress(f.t)
 	o.AnnounceTo = f.upstreamListeners()
 	o.Watch = []string{keyAna, keyBob}
 	o.Aliases = map[string]string{"WIG/L": "wig-large"}
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -19,6 +18,7 @@
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
+	"egretramp/internal/loopback"
 	"egretramp/internal/program"
 	"egretramp/internal/refusal"
 	"egretramp/internal/schedule"
@@ -203,10 +203,9 @@
 }
 
 func closedAddress(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	return l.Addr().String()
+	return address
 }
 
 const (
@@ -347,16 +346,16 @@
 	require.Equal(t, "key_withdrawn", code)
 }
 
-// loopback is the network of a VM that is alone.
-type loopback struct{ guard *suspect.Guard }
+// localNetwork is the network of a VM that is alone.
+type localNetwork struct{ guard *suspect.Guard }
 
-func (l *loopback) Send(_, kind string, payload []byte) {
+func (l *localNetwork) Send(_, kind string, payload []byte) {
 	if kind == suspect.KindEnd {
 		l.guard.HandleEnd("vm", payload)
 	}
 }
 
-func (l *loopback) Call(ctx context.Context, _, method string, payload []byte) ([]byte, error) {
+func (l *localNetwork) Call(ctx context.Context, _, method string, payload []byte) ([]byte, error) {
 	if method == suspect.MethodAsk {
 		return l.guard.HandleAsk(ctx, "vm", payload)
 	}
@@ -364,7 +363,7 @@
 }
 
 func freeSuspects() *suspect.Guard {
-	network := &loopback{}
+	network := &localNetwork{}
 	network.guard = suspect.NewGuard(suspect.Options{
 		VM: "vm", Network: network, Others: func() []string { return nil },
 		Rank: func(_ string, vms []string) []string { return vms },
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 
+	"egretramp/internal/loopback"
 	"egretramp/internal/settings"
 )
 
@@ -70,14 +71,13 @@
 // Fleet is a set of VMs and stand-ins.
 type Fleet struct {
 	opts      Options
-	ports     *ports
 	VMs       []*VM
 	Upstreams []*Upstream
 }
 
 // New plans a fleet and writes the settings of its VMs. Nothing runs yet.
 func New(opts Options) (*Fleet, error) {
-	f := &Fleet{opts: opts, ports: newPorts()}
+	f := &Fleet{opts: opts}
 	for _, name := range []string{daemonProgram, toolProgram, fakeProgram} {
 		if _, err := os.Stat(f.program(name)); err != nil {
 			return nil, errors.Wrap(err, "harness: a program is missing; build them first")
@@ -121,7 +121,7 @@
 	}
 	l := &s.Listen
 	for _, field := range []*string{&l.Callers, &l.Upstreams, &l.Peers, &l.Admin} {
-		addr, err := f.ports.take()
+		addr, err := loopback.Address()
 		if err != nil {
 			return err
 		}
--- a/internal/harness/upstream.go
+++ b/internal/harness/upstream.go
@@ -13,6 +13,7 @@
 
 	"egretramp/internal/config"
 	"egretramp/internal/fakes"
+	"egretramp/internal/loopback"
 )
 
 // UpstreamSpec describes a stand-in that runs as a process.
@@ -40,7 +41,7 @@
 
 // AddUpstream plans a stand-in, which announces itself to the VMs of its zone first.
 func (f *Fleet) AddUpstream(spec UpstreamSpec) (*Upstream, error) {
-	addr, err := f.ports.take()
+	addr, err := loopback.Address()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/upstream/caller_test.go
+++ b/internal/upstream/caller_test.go
@@ -13,6 +13,7 @@
 	"github.com/sourcegraph/conc"
 	"github.com/stretchr/testify/require"
 
+	"egretramp/internal/loopback"
 	"egretramp/internal/upstream/wire"
 )
 
@@ -77,10 +78,9 @@
 }
 
 func TestCaller_RefusedDialIsNotWritten(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	require.NoError(t, l.Close())
-	requireWritten(t, post(t, l.Addr().String()), false)
+	requireWritten(t, post(t, address), false)
 }
 
 func TestCaller_WritesAtMostOnce(t *testing.T) {
