gateway: refuse malformed HTTP in the one shape; names with a slash in paths

Causes: net/http answers what it cannot read by itself, in plain text, before any handler runs; and the router splits the decoded path, so a program or a service under a scheme's name such as TILL/CHARGE could not be named in a path, although such names are allowed.

Ruled out for the first: an HTTP parser of our own in front (one more parser), and http.Server's ErrorLog (sees no bytes). The listener's connections replace the answer that net/http writes in one piece, known by its fixed headers without Date; a handler's own plain text passes. For the second: the router now splits the escaped path, and handlers get the path as the caller means it, so routes of services still match decoded paths.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -15,6 +15,7 @@
 	"egretramp/internal/admin"
 	"egretramp/internal/admin/api"
 	"egretramp/internal/events"
+	"egretramp/internal/gateway"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
 )
@@ -86,7 +87,7 @@
 	s.callers.ConnState = s.conns.note
 	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events, CutLinks: d.cutLinks()})
 	servers := pool.New()
-	servers.Go(func() { s.fail(s.callers.Serve(d.listeners.callers)) })
+	servers.Go(func() { s.fail(s.callers.Serve(gateway.Listener(d.listeners.callers))) })
 	servers.Go(func() { s.fail(s.upstreams.Serve(d.listeners.upstreams)) })
 	servers.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
 	s.wait = servers.Wait
--- a/internal/gateway/codes_test.go
+++ b/internal/gateway/codes_test.go
@@ -49,6 +49,10 @@
 	"StatusUnprocessableEntity":   http.StatusUnprocessableEntity,
 	"StatusRequestEntityTooLarge": http.StatusRequestEntityTooLarge,
 	"StatusServiceUnavailable":    http.StatusServiceUnavailable,
+
+	"StatusRequestHeaderFieldsTooLarge": http.StatusRequestHeaderFieldsTooLarge,
+	"StatusNotImplemented":              http.StatusNotImplemented,
+	"StatusHTTPVersionNotSupported":     http.StatusHTTPVersionNotSupported,
 }
 
 // codes collects the refusals that source files can give: code to statuses.
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -123,16 +123,16 @@
 	r.HandleMethodNotAllowed = true
 	r.NotFound = http.HandlerFunc(notFound)
 	r.MethodNotAllowed = http.HandlerFunc(methodNotAllowed)
-	r.POST("/v1/chat/completions", s.chat)
-	r.GET("/v1/models", s.models)
-	r.POST("/v1/programs", s.createProgram)
-	r.GET("/v1/programs", s.listPrograms)
-	r.GET("/v1/programs/:program", s.readProgram)
-	r.POST("/v1/programs/:program/turns", s.appendTurn)
-	r.POST("/v1/programs/:program/end", s.endProgram)
-	r.GET("/healthz", s.health)
+	r.POST("/v1/chat/completions", unescaped(s.chat))
+	r.GET("/v1/models", unescaped(s.models))
+	r.POST("/v1/programs", unescaped(s.createProgram))
+	r.GET("/v1/programs", unescaped(s.listPrograms))
+	r.GET("/v1/programs/:program", unescaped(s.readProgram))
+	r.POST("/v1/programs/:program/turns", unescaped(s.appendTurn))
+	r.POST("/v1/programs/:program/end", unescaped(s.endProgram))
+	r.GET("/healthz", unescaped(s.health))
 	for _, method := range serviceMethods {
-		r.Handle(method, "/v1/services/:service/*path", s.service)
+		r.Handle(method, "/v1/services/:service/*path", unescaped(s.service))
 	}
 	return r
 }
@@ -143,7 +143,7 @@
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	s.router.ServeHTTP(w, r)
+	s.router.ServeHTTP(w, escaped(r))
 }
 
 // health answers the balancer: 503 while the VM drains, so that new callers go elsewhere.
