identity: certificates of a fleet's own authority, renewed without a restart

The first part of protecting the connections between VMs and of the administration API; nothing uses it yet.

A certificate names one VM or operator in a URI. Weighed: host names, which VMs on IP numbers do not have, and shared secrets, which do not tell VMs apart and need a handshake of our own. Sessions are not resumed, so that every connection checks the certificates as they are by then.

--- /dev/null
+++ b/internal/identity/identity_test.go
@@ -0,0 +1,226 @@
+package identity
+
+import (
+	"crypto/tls"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// testAuthority issues certificates into a folder of the test.
+type testAuthority struct {
+	t         *testing.T
+	authority *Authority
+	issued    Issued
+	folder    string
+}
+
+func newTestAuthority(t *testing.T) *testAuthority {
+	t.Helper()
+	a, issued, err := NewAuthority("test", time.Now())
+	require.NoError(t, err)
+	return &testAuthority{t: t, authority: a, issued: issued, folder: t.TempDir()}
+}
+
+// files writes what a process needs under a name of its own.
+func (a *testAuthority) files(name string, id Identity, lifetime time.Duration) Files {
+	a.t.Helper()
+	f := Files{
+		Certificate: filepath.Join(a.folder, name+".crt"),
+		Key:         filepath.Join(a.folder, name+".key"),
+		Authority:   filepath.Join(a.folder, name+".ca"),
+	}
+	issued, err := a.authority.Issue(id, time.Now(), lifetime)
+	require.NoError(a.t, err)
+	require.NoError(a.t, issued.Write(f.Certificate, f.Key))
+	require.NoError(a.t, os.WriteFile(f.Authority, a.issued.Certificate, 0o600))
+	return f
+}
+
+func (a *testAuthority) keeper(id Identity) *Keeper {
+	a.t.Helper()
+	k, err := Load(a.files(id.Name, id, time.Hour), nil)
+	require.NoError(a.t, err)
+	return k
+}
+
+// exchange connects a client to a listener and sends one byte each way. It returns what each
+// side saw.
+func exchange(t *testing.T, server *Keeper, opts ListenerOptions, client func(net.Conn) net.Conn) (peer Identity, served, called error) {
+	t.Helper()
+	raw, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	l := server.Listener(raw, opts)
+	defer func() { _ = l.Close() }()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		c, err := l.Accept()
+		if err != nil {
+			served = err
+			return
+		}
+		defer func() { _ = c.Close() }()
+		if _, served = io.ReadFull(c, make([]byte, 1)); served != nil {
+			return
+		}
+		peer, _ = c.(*Conn).Peer()
+		_, served = c.Write([]byte{2})
+	}()
+	c, err := net.Dial("tcp", raw.Addr().String())
+	require.NoError(t, err)
+	secured := client(c)
+	_, called = secured.Write([]byte{1})
+	answer := make([]byte, 1)
+	if called == nil {
+		_, called = io.ReadFull(secured, answer)
+	}
+	if called == nil && answer[0] != 2 {
+		called = errors.New("the answer is another one")
+	}
+	_ = secured.Close()
+	<-done
+	return peer, served, called
+}
+
+func over(k *Keeper, vm string) func(net.Conn) net.Conn {
+	return func(c net.Conn) net.Conn { return tls.Client(c, k.ClientConfig(vm)) }
+}
+
+func plain(c net.Conn) net.Conn { return c }
+
+func TestListener_KnowsTheOtherSide(t *testing.T) {
+	a := newTestAuthority(t)
+	north, south := Identity{VM, "north-1"}, Identity{VM, "south-1"}
+	peer, served, called := exchange(t, a.keeper(north), ListenerOptions{Role: VM}, over(a.keeper(south), "north-1"))
+	require.NoError(t, served)
+	require.NoError(t, called)
+	require.Equal(t, south, peer)
+}
+
+func TestListener_TurnsOthersAway(t *testing.T) {
+	a, stranger := newTestAuthority(t), newTestAuthority(t)
+	server := a.keeper(Identity{VM, "north-1"})
+	south := a.keeper(Identity{VM, "south-1"})
+	expired := a.files("expiring", Identity{VM, "south-2"}, time.Hour)
+	old, err := Load(expired, nil)
+	require.NoError(t, err)
+	old.held.certificate = a.expiredCertificate(Identity{VM, "south-2"})
+	for name, client := range map[string]func(net.Conn) net.Conn{
+		"no TLS":                    plain,
+		"an operator":               over(a.keeper(Identity{Operator, "ana"}), "north-1"),
+		"another authority's":       over(stranger.keeper(Identity{VM, "south-1"}), "north-1"),
+		"expired":                   over(old, "north-1"),
+		"dialled for another VM":    over(south, "north-2"),
+		"no certificate":            func(c net.Conn) net.Conn { return tls.Client(c, &tls.Config{InsecureSkipVerify: true}) },
+		"an older version of TLS":   over12(south),
+		"a handshake that is noise": func(c net.Conn) net.Conn { _, _ = c.Write([]byte{recordHandshake, 0, 0, 0, 0}); return c },
+	} {
+		t.Run(name, func(t *testing.T) {
+			refused := make(chan error, 1)
+			opts := ListenerOptions{Role: VM, Refused: func(_ net.Addr, err error) { refused <- err }}
+			peer, served, called := exchange(t, server, opts, client)
+			require.Error(t, served)
+			require.Error(t, called)
+			require.Zero(t, peer)
+			require.Error(t, <-refused)
+		})
+	}
+}
+
+func over12(k *Keeper) func(net.Conn) net.Conn {
+	return func(c net.Conn) net.Conn {
+		config := k.ClientConfig("north-1")
+		config.MinVersion, config.MaxVersion = tls.VersionTLS12, tls.VersionTLS12
+		return tls.Client(c, config)
+	}
+}
+
+// expiredCertificate issues a certificate whose time is over.
+func (a *testAuthority) expiredCertificate(id Identity) *tls.Certificate {
+	a.t.Helper()
+	issued, err := a.authority.Issue(id, time.Now().Add(-2*time.Hour), time.Hour)
+	require.NoError(a.t, err)
+	c, err := tls.X509KeyPair(issued.Certificate, issued.Key)
+	require.NoError(a.t, err)
+	return &c
+}
+
+func TestListener_PlainWhileChangingOver(t *testing.T) {
+	a := newTestAuthority(t)
+	server := a.keeper(Identity{VM, "north-1"})
+	opts := ListenerOptions{Role: VM, Plain: true}
+	peer, served, called := exchange(t, server, opts, plain)
+	require.NoError(t, errors.CombineErrors(served, called))
+	require.Zero(t, peer)
+	south := Identity{VM, "south-1"}
+	peer, served, called = exchange(t, server, opts, over(a.keeper(south), "north-1"))
+	require.NoError(t, errors.CombineErrors(served, called))
+	require.Equal(t, south, peer)
+}
+
+func TestKeeper_FollowsItsFiles(t *testing.T) {
+	a := newTestAuthority(t)
+	id := Identity{VM, "north-1"}
+	files := a.files("north-1", id, time.Hour)
+	var told []error
+	k, err := Load(files, func(err error) { told = append(told, err) })
+	require.NoError(t, err)
+	first := k.Expires()
+
+	renew := func(id Identity) {
+		issued, err := a.authority.Issue(id, time.Now(), 2*time.Hour)
+		require.NoError(t, err)
+		require.NoError(t, os.WriteFile(files.Certificate, append(issued.Certificate, '\n'), 0o600))
+		require.NoError(t, os.WriteFile(files.Key, append(issued.Key, '\n'), 0o600))
+	}
+	require.NoError(t, os.WriteFile(files.Certificate, []byte("half written"), 0o600))
+	require.Equal(t, first, k.Expires(), "the former files stay in use")
+	require.Len(t, told, 1)
+	require.Error(t, told[0])
+
+	renew(id)
+	require.Greater(t, k.Expires(), first)
+	require.Len(t, told, 2)
+	require.NoError(t, told[1])
+
+	renewed := k.Expires()
+	renew(Identity{VM, "south-1"})
+	require.Equal(t, renewed, k.Expires())
+	require.ErrorIs(t, told[2], ErrWrongIdentity)
+	require.Equal(t, id, k.Identity())
+}
+
+func TestLoad_RefusesWhatOthersWouldRefuse(t *testing.T) {
+	a, stranger := newTestAuthority(t), newTestAuthority(t)
+	good := a.files("a", Identity{VM, "a"}, time.Hour)
+	other := stranger.files("a", Identity{VM, "a"}, time.Hour)
+	for name, files := range map[string]Files{
+		"no such file":        {Certificate: "none", Key: good.Key, Authority: good.Authority},
+		"another key":         {Certificate: good.Certificate, Key: other.Key, Authority: good.Authority},
+		"another authority":   {Certificate: good.Certificate, Key: good.Key, Authority: other.Authority},
+		"a key for authority": {Certificate: good.Certificate, Key: good.Key, Authority: good.Key},
+	} {
+		_, err := Load(files, nil)
+		require.Error(t, err, name)
+	}
+	_, err := Load(a.files("late", Identity{VM, "late"}, -time.Minute), nil)
+	require.Error(t, err, "expired")
+}
+
+func TestIssued_NeverOverwrites(t *testing.T) {
+	a := newTestAuthority(t)
+	files := a.files("a", Identity{VM, "a"}, time.Hour)
+	issued, err := a.authority.Issue(Identity{VM, "a"}, time.Now(), time.Hour)
+	require.NoError(t, err)
+	require.ErrorIs(t, issued.Write(files.Certificate, files.Key), os.ErrExist)
+	info, err := os.Stat(files.Key)
+	require.NoError(t, err)
+	require.EqualValues(t, 0o600, info.Mode().Perm())
+}
