peer, admin, ctl: mutual TLS between VMs and for operators

Before: whoever reached a VM's peers listener could speak for any VM, and whoever reached its admin listener could apply files under any operator's name.

With the settings' tls block both listeners take only connections that prove by a certificate of the fleet's authority to be a VM or an operator. A message that names another sender than its connection's certificate is refused (event 1902), a VM is dialled as the VM that is meant, and an apply is recorded under the certificate's operator, whatever the request says. The modes accept, dial and require let a running fleet change over by three rolling restarts; each pair of neighbouring steps is tested. egretrampctl issues the certificates.

Weighed: drpc's own server loop gives handlers no connection, so peer accepts connections itself; a relaying VM vouches for what it passes on, since signing each message would cost a signature a message and gain nothing against a VM that was taken over.

Seen: go test ./internal/peer ./internal/identity ./internal/ctl ./internal/admin, TestFleet_Protected and TestNew_RefusesAnotherVMsCertificate green.

--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -48,6 +48,9 @@
 func readApply(w http.ResponseWriter, r *http.Request) (ApplyRequest, time.Duration, error) {
 	query := r.URL.Query()
 	request := ApplyRequest{Operator: query.Get("operator"), RequestID: query.Get("request_id")}
+	if proven := provenOperator(r.Context()); proven != "" {
+		request.Operator = proven
+	}
 	if !isName(request.Operator) {
 		return request, 0, badRequest("operator has to be named: 1 to %d characters", control.MaxNameLength)
 	}
@@ -131,7 +134,8 @@
 	s.logger.Emit(events.AdminWithdrawn,
 		zap.Int("now", len(withdrawn.Now)),
 		zap.Int("already", len(withdrawn.Already)),
-		zap.Int("unknown", len(withdrawn.Unknown)))
+		zap.Int("unknown", len(withdrawn.Unknown)),
+		zap.String("operator", provenOperator(r.Context())))
 	return withdrawn, nil
 }
 
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -84,6 +84,7 @@
 		WriteTimeout:      writeTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withConn,
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	var stop conc.WaitGroup
--- a/internal/ctl/apply.go
+++ b/internal/ctl/apply.go
@@ -44,7 +44,7 @@
 	if c.Timeout <= 0 {
 		return &usageError{"--timeout has to be above 0"}
 	}
-	client, err := newClient(c.tool.Admin)
+	client, err := c.tool.newClient(c.tool.Admin)
 	if err != nil {
 		return err
 	}
--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -15,6 +15,7 @@
 	"github.com/cockroachdb/errors"
 
 	"egretramp/internal/admin/api"
+	"egretramp/internal/identity"
 )
 
 // Bounds of one request.
@@ -25,11 +26,12 @@
 
 // client calls the administration API of the first VM that answers.
 type client struct {
+	scheme    string
 	addresses []string
 	http      *http.Client
 }
 
-func newClient(addresses []string) (*client, error) {
+func (t *tool) newClient(addresses []string) (*client, error) {
 	// A variable that is set but empty names no VM.
 	addresses = slices.DeleteFunc(slices.Clone(addresses), func(a string) bool { return a == "" })
 	if len(addresses) == 0 {
@@ -40,7 +42,18 @@
 			return nil, &usageError{fmt.Sprintf("--admin %q is not IP:port", address)}
 		}
 	}
-	return &client{addresses: addresses, http: &http.Client{Timeout: requestTimeout}}, nil
+	c := &client{scheme: "http", addresses: addresses, http: &http.Client{Timeout: requestTimeout}}
+	files := identity.Files{Certificate: t.Certificate, Key: t.Key, Authority: t.Authority}
+	if files == (identity.Files{}) {
+		return c, nil
+	}
+	keeper, err := identity.Load(files, nil)
+	if err != nil {
+		return nil, &usageError{"--tls-certificate, --tls-key and --tls-authority belong together: " + err.Error()}
+	}
+	c.scheme = "https"
+	c.http.Transport = &http.Transport{TLSClientConfig: keeper.ClientConfig("")}
+	return c, nil
 }
 
 // get reads an answer into value and returns the address that gave it.
@@ -81,7 +94,7 @@
 }
 
 func (c *client) callOne(ctx context.Context, address, method, path string, query url.Values, body []byte, value any) error {
-	target := url.URL{Scheme: "http", Host: address, Path: path, RawQuery: query.Encode()}
+	target := url.URL{Scheme: c.scheme, Host: address, Path: path, RawQuery: query.Encode()}
 	request, err := http.NewRequestWithContext(ctx, method, target.String(), bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "cannot make the request")
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -36,9 +36,13 @@
 	Streams `no-flag:"true"`
 	ctx     context.Context
 
-	Admin   []string `long:"admin" value-name:"ADDRESS" env:"EGRETRAMP_ADMIN" env-delim:"," description:"administration address of a VM, IP:port; if it fails the next one is tried"`
-	JSON    bool     `long:"json" description:"print answers in JSON"`
-	Version bool     `long:"version" description:"print the version and exit"`
+	Admin       []string `long:"admin" value-name:"ADDRESS" env:"EGRETRAMP_ADMIN" env-delim:"," description:"administration address of a VM, IP:port; if it fails the next one is tried"`
+	Certificate string   `long:"tls-certificate" value-name:"FILE" env:"EGRETRAMP_TLS_CERTIFICATE" description:"your certificate, for VMs that have the tls block in their settings"`
+	Key         string   `long:"tls-key" value-name:"FILE" env:"EGRETRAMP_TLS_KEY" description:"the certificate's private key"`
+	Authority   string   `long:"tls-authority" value-name:"FILE" env:"EGRETRAMP_TLS_AUTHORITY" description:"certificates of the fleet's authorities"`
+
+	JSON    bool `long:"json" description:"print answers in JSON"`
+	Version bool `long:"version" description:"print the version and exit"`
 }
 
 // usageError is a wrong command line.
@@ -92,6 +96,8 @@
 		{"dump", "show the state of one VM's process", &dumpCommand{tool: t}},
 		{"programs", "list programs", &programsCommand{tool: t}},
 		{"upstreams", "list the upstreams that a VM knows of", &upstreamsCommand{tool: t}},
+		{"make-authority", "make an authority that issues a fleet's certificates", &makeAuthorityCommand{tool: t}},
+		{"make-certificate", "issue a certificate for a VM or an operator", &makeCertificateCommand{tool: t}},
 		{"hash-key", "read a key from standard input and print its SHA-256", &hashKeyCommand{tool: t}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short, c.command); err != nil {
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -15,7 +15,7 @@
 
 // show gets an answer and prints it, as JSON or by printTable.
 func (t *tool) show(path string, query url.Values, answer any, printTable func()) error {
-	client, err := newClient(t.Admin)
+	client, err := t.newClient(t.Admin)
 	if err != nil {
 		return err
 	}
@@ -166,7 +166,7 @@
 // Execute runs the command. It finds the VM's own administration address by the status of the
 // first VM that answers. The dump is JSON either way.
 func (c *dumpCommand) Execute([]string) error {
-	client, err := newClient(c.tool.Admin)
+	client, err := c.tool.newClient(c.tool.Admin)
 	if err != nil {
 		return err
 	}
@@ -179,7 +179,7 @@
 	if err != nil {
 		return err
 	}
-	direct, err := newClient([]string{address})
+	direct, err := c.tool.newClient([]string{address})
 	if err != nil {
 		return errors.Newf("the administration address of VM %s is not known: %q", c.Args.VM, address)
 	}
--- a/internal/ctl/withdraw.go
+++ b/internal/ctl/withdraw.go
@@ -19,7 +19,7 @@
 
 // Execute runs the command.
 func (c *withdrawCommand) Execute([]string) error {
-	client, err := newClient(c.tool.Admin)
+	client, err := c.tool.newClient(c.tool.Admin)
 	if err != nil {
 		return err
 	}
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -17,6 +17,7 @@
 	"egretramp/internal/fleet"
 	"egretramp/internal/gateway"
 	"egretramp/internal/groups"
+	"egretramp/internal/identity"
 	"egretramp/internal/membership"
 	"egretramp/internal/peer"
 	"egretramp/internal/program"
@@ -32,6 +33,7 @@
 	incarnation int64
 	events      *events.Logger
 
+	protection *identity.Protection
 	node       *peer.Node
 	replicas   groups.Replicas
 	groups     *groups.Client
@@ -71,6 +73,9 @@
 		return nil, errors.Wrap(err, "daemon: cannot open the log")
 	}
 	d := &Daemon{settings: s, version: version, incarnation: time.Now().UnixNano(), events: logger}
+	if d.protection, err = loadProtection(s, logger); err != nil {
+		return nil, err
+	}
 	// The listener for other VMs comes first: while another process of this VM's name holds
 	// it, this one must not ask for a lease.
 	if err := d.listen(); err != nil {
@@ -138,7 +143,7 @@
 	for _, p := range d.settings.Peers {
 		peers[p.VM] = p.Address
 	}
-	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events})
+	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events, Protection: d.protection})
 	d.groups = groups.NewClient(d.node, d.controlVMs())
 }
 
@@ -282,4 +287,5 @@
 	tasks.runForever(d.keepPrograms)
 	tasks.runForever(d.keepReleasing)
 	tasks.runForever(d.keepReporting)
+	tasks.runForever(d.keepCertificate)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -48,6 +48,12 @@
 }
 
 func newTestFleet(t testing.TB) *testFleet {
+	t.Helper()
+	return newTestFleetWith(t, func(*settings.Settings) {})
+}
+
+// newTestFleetWith changes the settings of each VM before it starts.
+func newTestFleetWith(t testing.TB, change func(*settings.Settings)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	level := "warn"
@@ -63,6 +69,7 @@
 			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
 			Listen: settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: peers[i].Address},
 		}
+		change(s)
 		d, err := New(s, "test")
 		require.NoError(t, err)
 		f.run(d)
--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -16,6 +16,7 @@
 	"egretramp/internal/admin/api"
 	"egretramp/internal/events"
 	"egretramp/internal/gateway"
+	"egretramp/internal/identity"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
 )
@@ -89,7 +90,7 @@
 	servers := pool.New()
 	servers.Go(func() { s.fail(s.callers.Serve(gateway.Listener(d.listeners.callers))) })
 	servers.Go(func() { s.fail(s.upstreams.Serve(d.listeners.upstreams)) })
-	servers.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
+	servers.Go(func() { s.fail(operators.Serve(adminCtx, d.protection.Listener(d.listeners.admin, identity.Operator))) })
 	s.wait = servers.Wait
 	return s
 }
--- /dev/null
+++ b/internal/daemon/protection.go
@@ -0,0 +1,83 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
+	"egretramp/internal/identity"
+	"egretramp/internal/settings"
+)
+
+const (
+	// expiryNotice is how long before its end a certificate is reported.
+	expiryNotice = 14 * 24 * time.Hour
+	expiryCheck  = time.Hour
+	// refusalLogPause is the shortest time between two log lines about refused connections,
+	// which anybody on the network can cause.
+	refusalLogPause = time.Second
+)
+
+// loadProtection reads the certificates that the settings name; nil if they name none.
+func loadProtection(s *settings.Settings, log *events.Logger) (*identity.Protection, error) {
+	if !s.TLS.On() {
+		return nil, nil
+	}
+	files := identity.Files{Certificate: s.TLS.Certificate, Key: s.TLS.Key, Authority: s.TLS.Authority}
+	keeper, err := identity.Load(files, func(err error) {
+		if err != nil {
+			log.Emit(events.CertificateRejected, zap.Error(err))
+			return
+		}
+		log.Emit(events.CertificateReloaded)
+	})
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: tls")
+	}
+	own := identity.Identity{Role: identity.VM, Name: s.VM}
+	if keeper.Identity() != own {
+		return nil, errors.Newf("daemon: tls: %s is for %s, this is %s", s.TLS.Certificate, keeper.Identity(), own)
+	}
+	return &identity.Protection{
+		Keeper: keeper,
+		Mode:   identity.Mode(s.TLS.Mode),
+		Refused: logRefused(log),
+	}, nil
+}
+
+func logRefused(log *events.Logger) func(net.Addr, error) {
+	var last atomic.Int64
+	return func(remote net.Addr, err error) {
+		now := time.Now().UnixNano()
+		before := last.Load()
+		if now-before < int64(refusalLogPause) || !last.CompareAndSwap(before, now) {
+			return
+		}
+		log.Emit(events.PeerRefused, zap.Stringer("remote", remote), zap.Error(err))
+	}
+}
+
+// keepCertificate follows the certificate's files, also while no connection is opened, and
+// reports an end that is near.
+func (d *Daemon) keepCertificate(ctx context.Context) {
+	if d.protection == nil {
+		return
+	}
+	ticker := time.NewTicker(expiryCheck)
+	defer ticker.Stop()
+	for {
+		if left := time.Until(d.protection.Keeper.Expires()); left < expiryNotice {
+			d.events.Emit(events.CertificateExpiring, zap.Duration("left", left))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+	}
+}
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -1,6 +1,9 @@
 package daemon
 
-import "expvar"
+import (
+	"expvar"
+	"time"
+)
 
 // publishVars publishes the counters. It is called once in a process.
 func publishVars(d *Daemon) {
@@ -22,6 +25,9 @@
 		"suspect_quarantined":    d.suspects.Stats().Quarantined.Load,
 		"gateway_in_flight":      func() int64 { return int64(d.gateway.InFlight()) },
 	}
+	if d.protection != nil {
+		counters["certificate_expires_seconds"] = func() int64 { return int64(time.Until(d.protection.Keeper.Expires()).Seconds()) }
+	}
 	for name, read := range counters {
 		if expvar.Get(name) == nil {
 			expvar.Publish(name, expvar.Func(func() any { return read() }))
--- a/internal/events/daemon.go
+++ b/internal/events/daemon.go
@@ -9,4 +9,9 @@
 	DaemonStopped  = define(1002, zapcore.InfoLevel, "daemon stopped", "")
 	DaemonCutShort = define(1003, zapcore.WarnLevel, "graceful shutdown reached its limit with requests under way",
 		"raise shutdown_limit_seconds or end long streams first")
+	CertificateReloaded = define(1004, zapcore.InfoLevel, "the changed certificate files are in use", "")
+	CertificateRejected = define(1005, zapcore.ErrorLevel, "the certificate files changed and cannot be used; the former ones stay in use",
+		"read the error and put files in place that belong together and name this VM")
+	CertificateExpiring = define(1006, zapcore.WarnLevel, "this VM's certificate expires soon; other VMs will then refuse it",
+		"issue a new certificate and put it in place of the old files; no restart is needed")
 )
--- a/internal/identity/issue.go
+++ b/internal/identity/issue.go
@@ -132,7 +132,11 @@
 	if err := writeNew(key, i.Key, 0o600); err != nil {
 		return err
 	}
-	return writeNew(certificate, i.Certificate, 0o644)
+	if err := writeNew(certificate, i.Certificate, 0o644); err != nil {
+		// A key without its certificate is of no use, and would stop the next try.
+		return errors.CombineErrors(err, os.Remove(key))
+	}
+	return nil
 }
 
 func writeNew(path string, data []byte, mode os.FileMode) error {
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -83,7 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return drpcconn.New(&countedConn{Conn: raw, stats: &l.node.stats}), nil
+	counted := &countedConn{Conn: raw, stats: &l.node.stats}
+	return drpcconn.New(l.node.opts.Protection.Client(counted, l.vm)), nil
 }
 
 // run keeps a message stream open until ctx ends.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -13,6 +13,9 @@
 // connected to both, so that one cut link between two VMs separates nobody. A stream that is
 // silent for DoubtLimit but not yet given up is doubled in this way: a message may then arrive
 // twice. Calls never do.
+//
+// With Protection, each side proves by its certificate which VM it is, and what names another
+// sender is refused; a VM that relays vouches for what it passes on.
 package peer
 
 import (
@@ -26,6 +29,7 @@
 	"github.com/sourcegraph/conc"
 
 	"egretramp/internal/events"
+	"egretramp/internal/identity"
 )
 
 // Timing of the message streams.
@@ -53,6 +57,8 @@
 	Address string            // listener, IP:port
 	Peers   map[string]string // VM name to address; this VM may be among them
 	Events  *events.Logger
+	// Protection protects the connections; nil: they are plain, and every sender is believed.
+	Protection *identity.Protection
 }
 
 // Node is this VM's end of the connections.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -9,8 +9,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcmux"
-	"storj.io/drpc/drpcserver"
 
+	"egretramp/internal/identity"
 	"egretramp/internal/peer/peerpb"
 )
 
@@ -26,15 +26,15 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &server{node: n}); err != nil {
 		return err
 	}
-	err := drpcserver.New(mux).Serve(ctx, &countedListener{Listener: listener, stats: &n.stats})
-	if ctx.Err() != nil {
-		return nil
-	}
-	return err
+	counted := &countedListener{Listener: listener, stats: &n.stats}
+	return serveConns(ctx, n.opts.Protection.Listener(counted, identity.VM), mux)
 }
 
 // Call serves one call from another VM.
 func (s *server) Call(ctx context.Context, req *peerpb.CallRequest) (*peerpb.CallResponse, error) {
+	if err := s.checkSender(ctx, req.From); err != nil {
+		return nil, err
+	}
 	if s.node.cutFrom(req.From) {
 		<-ctx.Done()
 		return nil, errCut
@@ -72,6 +72,9 @@
 		if err != nil {
 			return err
 		}
+		if err := s.checkSender(stream.Context(), envelope.From); err != nil {
+			return err
+		}
 		from.Store(&envelope.From)
 		if s.node.cutFrom(envelope.From) {
 			continue
--- a/internal/settings/parse.go
+++ b/internal/settings/parse.go
@@ -39,6 +39,9 @@
 	if s.ShutdownLimitSeconds == 0 {
 		s.ShutdownLimitSeconds = DefaultShutdownLimitSeconds
 	}
+	if s.TLS.On() && s.TLS.Mode == "" {
+		s.TLS.Mode = DefaultTLSMode
+	}
 	if s.LogLevel == "" {
 		s.LogLevel = DefaultLogLevel
 	}
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -18,11 +18,31 @@
 	ShutdownLimitSeconds float64 `json:"shutdown_limit_seconds,omitempty" check:"above=0,max=86400"`
 	// LogLevel is debug, info, warn or error. Default info.
 	LogLevel string `json:"log_level,omitempty" check:"oneof=debug|info|warn|error"`
+	// TLS protects the connections between VMs and the administration API. Absent: neither is
+	// protected, and both belong on a network of their own.
+	TLS TLS `json:"tls,omitempty,omitzero"`
 	// FaultInjection lets the administration API cut this VM's links to other VMs. For test
 	// fleets only. Default false.
 	FaultInjection bool `json:"fault_injection,omitempty"`
 }
 
+// TLS names the files, PEM, by which a VM proves which one it is and checks others. They are
+// read again when they change.
+type TLS struct {
+	// Certificate is the path of this VM's certificate. It names the VM.
+	Certificate string `json:"certificate" check:"minlen=1"`
+	// Key is the path of the certificate's private key.
+	Key string `json:"key" check:"minlen=1"`
+	// Authority is the path of the certificates of the authorities that are trusted.
+	Authority string `json:"authority" check:"minlen=1"`
+	// Mode is accept (protected and plain connections are let in, plain ones are dialled), dial
+	// (both are let in, protected ones are dialled) or require. Default require.
+	Mode string `json:"mode,omitempty" check:"oneof=accept|dial|require"`
+}
+
+// On reports whether the file has the block.
+func (t TLS) On() bool { return t != TLS{} }
+
 // Listen are the four listeners of a daemon.
 type Listen struct {
 	// Callers takes callers' HTTP requests.
@@ -57,4 +77,5 @@
 const (
 	DefaultShutdownLimitSeconds = 600
 	DefaultLogLevel             = "info"
+	DefaultTLSMode              = "require"
 )
