--- a/internal/daemon/protection.go
+++ b/internal/daemon/protection.go
@@ -44,8 +44,8 @@
 		return nil, errors.Newf("daemon: tls: %s is for %s, this is %s", s.TLS.Certificate, keeper.Identity(), own)
 	}
 	return &identity.Protection{
-		Keeper: keeper,
-		Mode:   identity.Mode(s.TLS.Mode),
+		Keeper:  keeper,
+		Mode:    identity.Mode(s.TLS.Mode),
 		Refused: logRefused(log),
 	}, nil
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -88,7 +88,7 @@
 		}
 		defer d.removeDir(&err)
 	}
-	d.fleet, err = harness.New(harness.Options{Bin: opts.Bin, Dir: d.dir, Zones: zones})
+	d.fleet, err = harness.New(harness.Options{Bin: opts.Bin, Dir: d.dir, Zones: zones, Protected: true})
 	if err != nil {
 		return err
 	}
--- a/internal/harness/admin.go
+++ b/internal/harness/admin.go
@@ -16,10 +16,10 @@
 // operator is the name under which files are applied.
 const operator = "harness"
 
-// adminClient never reuses a connection, so that one to a killed VM is never tried again.
-var adminClient = &http.Client{
-	Timeout:   5 * time.Second,
-	Transport: &http.Transport{DisableKeepAlives: true},
+const adminTimeout = 5 * time.Second
+
+func (v *VM) adminClient() *http.Client {
+	return &http.Client{Timeout: adminTimeout, Transport: v.fleet.access.transport}
 }
 
 // Vars are the counters that the harness reads of a VM; nil where the VM has none.
@@ -67,11 +67,11 @@
 }
 
 func (v *VM) admin(ctx context.Context, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+v.Settings.Listen.Admin+path, nil)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, v.AdminURL(path), nil)
 	if err != nil {
 		return nil, errors.Wrap(err, "harness: bad administration request")
 	}
-	resp, err := adminClient.Do(req)
+	resp, err := v.adminClient().Do(req)
 	if err != nil {
 		return nil, errors.Wrapf(err, "harness: %s does not answer operators", v.Name)
 	}
@@ -89,8 +89,9 @@
 // Apply applies an operators' file through a VM, waits until it is in force everywhere, and
 // returns the tool's output.
 func (f *Fleet) Apply(ctx context.Context, vm *VM, path string) (string, error) {
-	cmd := exec.CommandContext(ctx, f.program(toolProgram), "apply", path, "--wait",
-		"--operator", operator, "--admin", vm.Settings.Listen.Admin)
+	args := append([]string{"--admin", vm.Settings.Listen.Admin}, f.access.arguments...)
+	args = append(args, "apply", path, "--wait", "--operator", operator)
+	cmd := exec.CommandContext(ctx, f.program(toolProgram), args...)
 	out, err := cmd.CombinedOutput()
 	return string(out), errors.Wrapf(err, "harness: egretrampctl apply failed:\n%s", indent(string(out)))
 }
--- a/internal/harness/fleet.go
+++ b/internal/harness/fleet.go
@@ -37,6 +37,8 @@
 	LogLevel string
 	// FaultInjection is written into the settings: CutLinks needs it.
 	FaultInjection bool
+	// Protected gives VMs and the harness certificates, and lets VMs take no other connections.
+	Protected bool
 }
 
 // Zone is an availability zone with its VMs. The first Control of them have data folders.
@@ -50,6 +52,7 @@
 type VM struct {
 	*Process
 	Settings settings.Settings
+	fleet    *Fleet
 }
 
 // Control reports whether the VM has a data folder.
@@ -71,13 +74,14 @@
 // Fleet is a set of VMs and stand-ins.
 type Fleet struct {
 	opts      Options
+	access    access
 	VMs       []*VM
 	Upstreams []*Upstream
 }
 
 // New plans a fleet and writes the settings of its VMs. Nothing runs yet.
 func New(opts Options) (*Fleet, error) {
-	f := &Fleet{opts: opts}
+	f := &Fleet{opts: opts, access: plainAccess()}
 	for _, name := range []string{daemonProgram, toolProgram, fakeProgram} {
 		if _, err := os.Stat(f.program(name)); err != nil {
 			return nil, errors.Wrap(err, "harness: a program is missing; build them first")
@@ -95,6 +99,11 @@
 			}
 		}
 	}
+	if opts.Protected {
+		if err := f.protect(); err != nil {
+			return nil, err
+		}
+	}
 	return f, f.writeSettings()
 }
 
@@ -134,7 +143,7 @@
 		}
 	}
 	process := NewProcess(name, f.logs(), f.program(daemonProgram), "--settings", f.settingsPath(name))
-	f.VMs = append(f.VMs, &VM{Process: process, Settings: s})
+	f.VMs = append(f.VMs, &VM{Process: process, Settings: s, fleet: f})
 	return nil
 }
 
--- a/internal/harness/links.go
+++ b/internal/harness/links.go
@@ -19,12 +19,11 @@
 	if err != nil {
 		return errors.Wrap(err, "harness: cannot encode")
 	}
-	url := "http://" + v.Settings.Listen.Admin + api.PathLinks
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(body))
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, v.AdminURL(api.PathLinks), bytes.NewReader(body))
 	if err != nil {
 		return errors.Wrap(err, "harness: bad administration request")
 	}
-	resp, err := adminClient.Do(req)
+	resp, err := v.adminClient().Do(req)
 	if err != nil {
 		return errors.Wrapf(err, "harness: %s does not answer operators", v.Name)
 	}
--- a/internal/soak/operators.go
+++ b/internal/soak/operators.go
@@ -88,11 +88,11 @@
 	}
 }
 
-func newOperators(c *cast, vms []*harness.VM, seed int64, say func(string, ...any)) *operators {
+func newOperators(c *cast, f *harness.Fleet, seed int64, say func(string, ...any)) *operators {
 	return &operators{
-		cast: c, vms: vms, say: say, gone: map[string]bool{},
+		cast: c, vms: f.VMs, say: say, gone: map[string]bool{},
 		random: rand.New(rand.NewSource(seed)),
-		client: &http.Client{Timeout: applyTry, Transport: &http.Transport{DisableKeepAlives: true}},
+		client: &http.Client{Timeout: applyTry, Transport: f.AdminTransport()},
 	}
 }
 
@@ -114,7 +114,7 @@
 // apply sends a file to one VM once.
 func (o *operators) apply(ctx context.Context, vm *harness.VM, file []byte, operator string) (api.Applied, error) {
 	var applied api.Applied
-	u := "http://" + vm.Settings.Listen.Admin + api.PathApply + "?operator=" + url.QueryEscape(operator)
+	u := vm.AdminURL(api.PathApply) + "?operator=" + url.QueryEscape(operator)
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, u, bytes.NewReader(file))
 	if err != nil {
 		return applied, err
--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,14 +85,15 @@
 		}
 	}
 	s.fleet, err = harness.New(harness.Options{
-		Bin: opts.Bin, Dir: s.dir, Zones: zones, FaultInjection: true,
+		Protected: true,
+		Bin:       opts.Bin, Dir: s.dir, Zones: zones, FaultInjection: true,
 		ShutdownLimitSeconds: shutdownLimit.Seconds(),
 	})
 	if err != nil {
 		return err
 	}
 	s.inject = newInjector(s.fleet, s.say)
-	s.operators = newOperators(s.cast, s.fleet.VMs, opts.Seed, s.say)
+	s.operators = newOperators(s.cast, s.fleet, opts.Seed, s.say)
 	s.traffic = newTraffic(s.cast, s.fleet, opts.Seed)
 	defer s.traffic.caller.Close()
 	err = s.runAndStop(ctx)
