gateway: one budget for all that a call waits for the record

Cause: each step of a call had a timeout of its own for the program group (history 2.5 s, begin 2.5 s, complete 4 s, settle and revoke 2 s), and none knew that another step or call had already waited in vain. A call whose begin was slow, or whose upstream took 2 s as a hung engine does, was refused after 6 s and more; one that waited for an upstream in a cut zone held its caller on top of that.

Ruled out: the groups' client and the peers. They return within the context they are given; nothing waits beyond it.

Now the Ledger measures how long the group has left this VM without an answer (from the first unanswered command, on the clock since boot). A call waits for the record at most 3 s over all its steps, and no longer than 3 s after the outage began; a step beyond that asks once, for 0.5 s. Calls that wait for an upstream are refused when the outage has lasted 3 s: what they would run could not be recorded. A call that may have been written goes on as before. The check runs apart from the renewal of leases, which blocked it for 2 s a time in an outage.

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/sourcegraph/conc"
+
 	"egretramp/internal/program"
 )
 
@@ -12,13 +14,19 @@
 type attempts struct {
 	mu   sync.Mutex
 	list *program.Attempts
-	lost map[string]func()
+	byID map[string]*ownAttempt
+}
+
+// ownAttempt is an attempt whose call is under way here.
+type ownAttempt struct {
+	stop    context.CancelCauseFunc
+	written bool // towards an upstream, or about to be
 }
 
 func newAttempts() *attempts {
 	return &attempts{
 		list: program.NewAttempts(program.DefaultLimits().Lease, program.RenewEvery),
-		lost: map[string]func(){},
+		byID: map[string]*ownAttempt{},
 	}
 }
 
@@ -28,24 +36,51 @@
 	a.list.Add(id, proposed)
 }
 
-// onLost sets what is called when an attempt's lease is lost.
-func (a *attempts) onLost(id string, stop func()) {
+// bind sets what stops the call of an attempt; the cause is errAttemptLost or errRecordUnavailable.
+func (a *attempts) bind(id string, stop context.CancelCauseFunc) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.lost[id] = stop
+	a.byID[id] = &ownAttempt{stop: stop}
 }
 
+// await notes that an attempt waits for an upstream: nothing is written until mayWrite.
+func (a *attempts) await(id string) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if own, ok := a.byID[id]; ok {
+		own.written = false
+	}
+}
+
+// mayWrite reports whether an attempt's bytes may be written now, and takes it for written if so.
 func (a *attempts) mayWrite(id string, now time.Duration) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.list.MayWrite(id, now)
+	if !a.list.MayWrite(id, now) {
+		return false
+	}
+	if own, ok := a.byID[id]; ok {
+		own.written = true
+	}
+	return true
+}
+
+// stopUnwritten stops the calls of which nothing was written.
+func (a *attempts) stopUnwritten() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, own := range a.byID {
+		if !own.written {
+			own.stop(errRecordUnavailable)
+		}
+	}
 }
 
 func (a *attempts) remove(id string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.list.Remove(id)
-	delete(a.lost, id)
+	delete(a.byID, id)
 }
 
 func (a *attempts) due(now time.Duration) []string {
@@ -69,31 +104,42 @@
 
 func (a *attempts) stop(ids []string) {
 	for _, id := range ids {
-		if stop, ok := a.lost[id]; ok {
-			stop()
+		if own, ok := a.byID[id]; ok {
+			own.stop(errAttemptLost)
 		}
 	}
 }
 
 const (
-	renewCheck   = 500 * time.Millisecond
+	checkEvery   = 500 * time.Millisecond
 	renewTimeout = 2 * time.Second
 )
 
 // Wait returns once the turns that were given up are settled, as far as the record could be reached.
 func (s *Server) Wait() { s.background.Wait() }
 
-// Run renews the leases of the attempts under way until ctx ends.
+// Run renews the leases of the attempts under way, and stops the calls that cannot be recorded
+// any more, until ctx ends.
 func (s *Server) Run(ctx context.Context) {
-	ticker := time.NewTicker(renewCheck)
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	wg.Go(func() { repeat(ctx, func() { s.renewDue(ctx) }) })
+	// Apart from the renewal, which waits while the group gives no answer.
+	repeat(ctx, func() {
+		s.attempts.stopLapsed(s.opts.Clock())
+		s.checkOutage()
+	})
+}
+
+func repeat(ctx context.Context, check func()) {
+	ticker := time.NewTicker(checkEvery)
 	defer ticker.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			s.renewDue(ctx)
-			s.attempts.stopLapsed(s.opts.Clock())
+			check()
 		}
 	}
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -31,6 +31,7 @@
 	hash     string // names the request in the record
 	sink     sink
 	turn     *turn
+	budget   *recordBudget
 	messages []json.RawMessage // the whole conversation
 	// notRun is what can be said of all attempts so far.
 	notRun refusal.NotRun
@@ -106,6 +107,7 @@
 		appended: appended,
 		hash:     program.HashRequest([]byte(model.ID), request.canonical()),
 		sink:     newSink(w, request),
+		budget:   s.newRecordBudget(),
 		messages: request.messages,
 		notRun:   refusal.True,
 	}, nil
@@ -138,8 +140,8 @@
 	if !call.appended {
 		return nil
 	}
-	limited, cancel := context.WithTimeout(ctx, beginTimeout)
-	defer cancel()
+	limited, done := call.budget.step(ctx, beginTimeout)
+	defer done()
 	view, err := s.opts.Ledger.Read(limited, program.ProgramQuery{Account: call.caller.account.ID, Program: call.key.program})
 	if err != nil {
 		return program.Refusal(err)
@@ -152,7 +154,7 @@
 // may have run a part of the call, whose tokens stay reserved, and the next attempt needs a
 // reservation of its own.
 func (s *Server) runTurn(ctx context.Context, w http.ResponseWriter, call *chatCall, retries *retries) (_ *refusal.Refusal, anew bool) {
-	turn, begun, refused := s.begin(ctx, call.ledgerCall(), call.model.ID)
+	turn, begun, refused := s.begin(ctx, call.budget, call.ledgerCall(), call.model.ID)
 	if refused != nil {
 		return withEarlier(refused, call.notRun), false
 	}
@@ -228,7 +230,7 @@
 		}
 		if call.turn != nil && call.mayHaveRun {
 			// Before the next begin, which finds the turn busy otherwise.
-			if err := call.turn.fail(revokeTimeout); err != nil {
+			if err := call.turn.settle(); err != nil {
 				return withNotRun(program.Refusal(err), refusal.Unknown), false
 			}
 			return nil, true
--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -16,6 +16,7 @@
 
 // attemptChat makes one attempt. retry says that another upstream may do better.
 func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry again) {
+	call.turn.await()
 	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
 	if refused != nil {
 		return refused, never
--- a/internal/gateway/chatfailure.go
+++ b/internal/gateway/chatfailure.go
@@ -94,6 +94,8 @@
 		return keyWithdrawn(notRun)
 	case errors.Is(cause, errDeadline):
 		return &refusal.Refusal{Status: http.StatusGone, Code: string(program.CodeExpired), Message: errDeadline.Error(), NotRun: notRun}
+	case errors.Is(cause, errRecordUnavailable):
+		return withNotRun(program.Refusal(&program.UnavailableError{}), notRun)
 	case errors.Is(cause, errAttemptLost):
 		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), refusal.Unknown)
 	}
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -149,8 +149,8 @@
 
 // respondProgram runs an operation on a program and answers with the program.
 func (s *Server) respondProgram(w http.ResponseWriter, r *http.Request, run func(context.Context) (*program.View, error)) {
-	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
-	defer cancel()
+	ctx, done := s.newRecordBudget().step(r.Context(), beginTimeout)
+	defer done()
 	view, err := run(ctx)
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
@@ -171,8 +171,8 @@
 		s.refuse(w, badRequest("bad_query", "limit must be from 1 to 1000"))
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
-	defer cancel()
+	ctx, done := s.newRecordBudget().step(r.Context(), beginTimeout)
+	defer done()
 	page, err := s.opts.Ledger.List(ctx, program.ListQuery{Account: c.account.ID, After: query.Get("after"), Limit: limit})
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
--- /dev/null
+++ b/internal/gateway/recordwait.go
@@ -0,0 +1,56 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds of what a caller waits for the record of programs.
+const (
+	// recordPatience bounds the waits of all steps of one call together. It also is how long a
+	// group may leave this VM without an answer before no call waits for it any more. A group
+	// elects a new leader within it, also after a silent partition.
+	recordPatience = 3 * time.Second
+	// recordTry bounds a step for which no patience is left: the group is asked once.
+	recordTry = 500 * time.Millisecond
+	// beginTimeout bounds the wait for the begin of a turn, and leaves some patience for its answer.
+	beginTimeout = 2500 * time.Millisecond
+	// revokeTimeout bounds the wait for what may be said of a call of which nothing was written.
+	revokeTimeout = 2 * time.Second
+	// settleTimeout bounds the settling of a turn for which no caller waits.
+	settleTimeout = 4 * time.Second
+)
+
+var errRecordUnavailable = errors.New("the record of programs gives no answer")
+
+// recordBudget is what one call may wait for the record. One goroutine uses it.
+type recordBudget struct {
+	server *Server
+	spent  time.Duration
+}
+
+func (s *Server) newRecordBudget() *recordBudget { return &recordBudget{server: s} }
+
+// step bounds one step's wait. done must be called at its end.
+func (b *recordBudget) step(ctx context.Context, most time.Duration) (_ context.Context, done func()) {
+	begun := b.server.opts.Clock()
+	ctx, cancel := context.WithTimeout(ctx, min(most, b.left()))
+	return ctx, func() {
+		cancel()
+		b.spent += b.server.opts.Clock() - begun
+	}
+}
+
+func (b *recordBudget) left() time.Duration {
+	return max(recordPatience-max(b.spent, b.server.opts.Ledger.Outage()), recordTry)
+}
+
+// checkOutage ends the calls that wait for an upstream while no call may wait for the record any
+// more: their answers could not be recorded.
+func (s *Server) checkOutage() {
+	if s.opts.Ledger.Outage() >= recordPatience {
+		s.attempts.stopUnwritten()
+	}
+}
--- /dev/null
+++ b/internal/gateway/recordwait_test.go
@@ -0,0 +1,213 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/config"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/program"
+	"egretramp/internal/refusal"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream/wire"
+)
+
+// recordLimit is how much of the 6 s within which a caller is refused may be spent on the record.
+const recordLimit = 3500 * time.Millisecond
+
+// slowLedger is a record whose answers take virtual time, and which stops answering.
+type slowLedger struct {
+	*testLedger
+	mu     sync.Mutex
+	takes  time.Duration // each answer
+	silent map[string]bool
+	outage time.Duration
+	waited time.Duration
+	// held lets the settling for which no caller waits go on, if it is not nil.
+	held chan struct{}
+}
+
+func newSlowGateway(t *testing.T, l *slowLedger, addresses ...string) *testGateway {
+	g := newTestGateway(t, addresses...)
+	l.testLedger = g.ledger
+	g.server.opts.Ledger = l
+	g.server.opts.Clock = func() time.Duration {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		return l.waited
+	}
+	return g
+}
+
+// wait passes virtual time: an answer's, or all that ctx leaves if there is none.
+func (l *slowLedger) wait(ctx context.Context, operation string) error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	deadline, _ := ctx.Deadline()
+	left := time.Until(deadline)
+	if !l.silent[operation] && l.takes <= left {
+		l.waited += l.takes
+		return nil
+	}
+	l.waited += left
+	l.outage += left
+	return &program.UnavailableError{Applied: true, Identified: true}
+}
+
+func (l *slowLedger) Outage() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.outage
+}
+
+func (l *slowLedger) Begin(ctx context.Context, c program.Call) (*program.Turn, error) {
+	if err := l.wait(ctx, "begin"); err != nil {
+		return nil, err
+	}
+	return l.testLedger.Begin(ctx, c)
+}
+
+func (l *slowLedger) Read(ctx context.Context, q program.ProgramQuery) (*program.View, error) {
+	if err := l.wait(ctx, "read"); err != nil {
+		return nil, err
+	}
+	return l.testLedger.Read(ctx, q)
+}
+
+func (l *slowLedger) Revoke(ctx context.Context, c program.Revoke) (bool, error) {
+	if err := l.wait(ctx, "revoke"); err != nil {
+		return true, err
+	}
+	return l.testLedger.Revoke(ctx, c)
+}
+
+func (l *slowLedger) Complete(ctx context.Context, c program.Complete) (*program.SettledBudget, error) {
+	if err := l.wait(ctx, "complete"); err != nil {
+		return nil, err
+	}
+	return l.testLedger.Complete(ctx, c)
+}
+
+func (l *slowLedger) Fail(ctx context.Context, c program.Fail) error {
+	if l.held != nil {
+		<-l.held
+	}
+	if err := l.wait(ctx, "fail"); err != nil {
+		return err
+	}
+	return l.testLedger.Fail(ctx, c)
+}
+
+func TestServer_WaitsForTheRecordAddUpToLessThanTheLimit(t *testing.T) {
+	var served atomic.Int64
+	whole, broken := engine(t, 1, false, &served), engine(t, 1, true, &served)
+	answers := func(operations ...string) map[string]bool {
+		silent := map[string]bool{"begin": true, "read": true, "complete": true, "fail": true, "revoke": true}
+		for _, o := range operations {
+			delete(silent, o)
+		}
+		return silent
+	}
+	for name, c := range map[string]struct {
+		path   string
+		engine string
+		ledger *slowLedger
+	}{
+		"answer not recorded":           {"/v1/chat/completions", whole, &slowLedger{takes: 2400 * time.Millisecond, silent: answers("begin"), held: make(chan struct{})}},
+		"broken run not recorded":       {"/v1/chat/completions", broken, &slowLedger{takes: 2400 * time.Millisecond, silent: answers("begin")}},
+		"unsent call not taken back":    {"/v1/chat/completions", closedAddress(t), &slowLedger{takes: 2400 * time.Millisecond, silent: answers("begin")}},
+		"history known, turn not begun": {"/v1/programs/p/turns", whole, &slowLedger{takes: 2400 * time.Millisecond, silent: answers("read")}},
+		"every answer slow":             {"/v1/programs/p/turns", whole, &slowLedger{takes: 1900 * time.Millisecond, silent: answers("read", "begin")}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := newSlowGateway(t, c.ledger, c.engine)
+			_, err := g.ledger.Create(context.Background(), program.Create{Account: "ana", Name: "p", Ceiling: program.Budget{Tokens: 10_000, Calls: 10}})
+			require.NoError(t, err)
+			_, text := g.post(t, c.path, wholeChat, headerProgram, "p", headerTurn, "1")
+			_, notRun := errorOf(t, text)
+			require.Equal(t, refusal.Unknown, notRun, text)
+			require.LessOrEqual(t, g.server.opts.Clock(), recordLimit)
+			if c.ledger.held != nil {
+				close(c.ledger.held)
+			}
+			g.server.Wait()
+		})
+	}
+}
+
+func TestServer_KnownOutageIsNotWaitedForAgain(t *testing.T) {
+	l := &slowLedger{outage: time.Minute, silent: map[string]bool{"begin": true}}
+	g := newSlowGateway(t, l, closedAddress(t))
+	status, text := g.post(t, "/v1/chat/completions", wholeChat, headerProgram, "p")
+	code, _ := errorOf(t, text)
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	require.Equal(t, "programs_unavailable", code)
+	require.LessOrEqual(t, l.waited, 500*time.Millisecond)
+}
+
+// queue never grants; queued is closed once a request waits.
+type queue struct {
+	testDispatcher
+	queued chan struct{}
+}
+
+func (q *queue) Acquire(ctx context.Context, _ config.UpstreamKind, _, _ string, _ schedule.Request) (*dispatch.Grant, error) {
+	close(q.queued)
+	<-ctx.Done()
+	return nil, &dispatch.Error{Code: dispatch.CodeTimeout}
+}
+
+func TestServer_QueuedCallIsRefusedOnceItsRecordIsOut(t *testing.T) {
+	for _, path := range []string{"/v1/chat/completions", "/v1/services/charge/x"} {
+		l := &slowLedger{silent: map[string]bool{"revoke": true}}
+		g := newSlowGateway(t, l)
+		q := &queue{queued: make(chan struct{})}
+		g.server.opts.Dispatcher = q
+		answered := make(chan string, 1)
+		go func() {
+			_, text := g.post(t, path, wholeChat, headerProgram, "p", headerTurn, "1")
+			answered <- text
+		}()
+		<-q.queued
+		g.server.checkOutage()
+		require.Empty(t, answered)
+		l.mu.Lock()
+		l.outage = time.Minute
+		l.mu.Unlock()
+		g.server.checkOutage()
+		code, notRun := errorOf(t, <-answered)
+		require.Equal(t, "programs_unavailable", code)
+		require.Equal(t, refusal.Unknown, notRun, "another attempt may have run through another VM")
+	}
+}
+
+func TestServer_CallAtItsUpstreamOutlivesAnOutage(t *testing.T) {
+	began, release := make(chan struct{}), make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		close(began)
+		<-release
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+	}))
+	t.Cleanup(s.Close)
+	l := &slowLedger{}
+	g := newSlowGateway(t, l, s.Listener.Addr().String())
+	answered := make(chan int, 1)
+	go func() {
+		status, _ := g.post(t, "/v1/services/charge/x", "{}", headerProgram, "p", headerTurn, "1")
+		answered <- status
+	}()
+	<-began
+	l.mu.Lock()
+	l.outage = time.Minute
+	l.mu.Unlock()
+	g.server.checkOutage()
+	close(release)
+	require.Equal(t, http.StatusOK, <-answered)
+}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -191,7 +191,7 @@
 	ledgerCall := call.key.call(call.caller.account, program.KindService)
 	ledgerCall.RequestHash = program.HashRequest([]byte(call.service.ID), []byte(call.method), []byte(call.path), call.body)
 	ledgerCall.Repeatable = call.repeatable
-	turn, begun, refused := s.begin(ctx, ledgerCall, "")
+	turn, begun, refused := s.begin(ctx, s.newRecordBudget(), ledgerCall, "")
 	if refused != nil {
 		return nil, refused
 	}
@@ -224,6 +224,7 @@
 }
 
 func (s *Server) attemptService(ctx context.Context, call *serviceCall) (_ *serviceAnswer, refused *refusal.Refusal, retry again) {
+	call.turn.await()
 	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
 	if refused != nil {
 		return nil, refused, never
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -25,6 +25,8 @@
 	End(ctx context.Context, c program.End) (*program.View, error)
 	Read(ctx context.Context, q program.ProgramQuery) (*program.View, error)
 	List(ctx context.Context, q program.ListQuery) (*program.ListPage, error)
+	// Outage returns how long the group has left this VM without an answer; 0 while it answers.
+	Outage() time.Duration
 }
 
 // Headers that place a call within a program.
@@ -33,16 +35,6 @@
 	headerTurn    = "Egretramp-Turn"
 )
 
-// Bounds of the ledger's work for one call.
-const (
-	// beginTimeout bounds the wait for the record of a program: a VM that reaches no majority
-	// says so at once.
-	beginTimeout  = 2500 * time.Millisecond
-	settleTimeout = 4 * time.Second
-	// revokeTimeout bounds the wait for what may be said of a call of which nothing was written.
-	revokeTimeout = 2 * time.Second
-)
-
 var (
 	errAttemptLost = errors.New("the attempt's lease was lost")
 	errDeadline    = errors.New("the program's deadline passed")
@@ -105,6 +97,7 @@
 	program string
 	started *program.Started
 	model   string
+	budget  *recordBudget
 	// resident is the engine session that the last attempt used.
 	resident *program.Residency
 }
@@ -117,10 +110,10 @@
 }
 
 // begin begins a recorded call. It returns the turn, or the recorded answer of an earlier one.
-func (s *Server) begin(ctx context.Context, call program.Call, model string) (*turn, *program.Turn, *refusal.Refusal) {
+func (s *Server) begin(ctx context.Context, budget *recordBudget, call program.Call, model string) (*turn, *program.Turn, *refusal.Refusal) {
 	proposed := s.opts.Clock()
-	limited, cancel := context.WithTimeout(ctx, beginTimeout)
-	defer cancel()
+	limited, done := budget.step(ctx, beginTimeout)
+	defer done()
 	begun, err := s.opts.Ledger.Begin(limited, call)
 	if err != nil {
 		return nil, nil, program.Refusal(err)
@@ -129,14 +122,16 @@
 		return nil, begun, nil
 	}
 	s.attempts.add(begun.Started.Attempt, proposed)
-	return &turn{server: s, account: call.Account, program: call.Program, started: begun.Started, model: model}, begun, nil
+	return &turn{
+		server: s, account: call.Account, program: call.Program, started: begun.Started, model: model, budget: budget,
+	}, begun, nil
 }
 
 // bind ties a context to the turn: it ends with the program's deadline and with the loss of the
 // attempt's lease, and no longer with the caller's connection.
 func (t *turn) bind(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t.server.attempts.onLost(t.started.Attempt, func() { cancel(errAttemptLost) })
+	t.server.attempts.bind(t.started.Attempt, cancel)
 	stop := func() {
 		t.server.attempts.remove(t.started.Attempt)
 		cancel(nil)
@@ -151,7 +146,14 @@
 	}
 }
 
-// mayWrite reports whether bytes may go towards an upstream now.
+// await notes that the turn waits for an upstream.
+func (t *turn) await() {
+	if t != nil {
+		t.server.attempts.await(t.started.Attempt)
+	}
+}
+
+// mayWrite reports whether bytes may go towards an upstream now. If so, the turn counts as written.
 func (t *turn) mayWrite() bool {
 	return t == nil || t.server.attempts.mayWrite(t.started.Attempt, t.server.opts.Clock())
 }
@@ -192,8 +194,8 @@
 	if t == nil {
 		return nil
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
-	defer cancel()
+	ctx, done := t.budget.step(context.Background(), recordPatience)
+	defer done()
 	c := program.Complete{
 		Account: t.account, Program: t.program, Attempt: t.started.Attempt,
 		Answer: a.body, Status: a.status, ContentType: a.contentType,
@@ -210,14 +212,23 @@
 // does not depend on the record, and the lease settles what this does not reach.
 func (t *turn) abandon() {
 	if t != nil {
-		t.server.background.Go(func() { _ = t.fail(settleTimeout) })
+		t.server.background.Go(func() {
+			ctx, cancel := context.WithTimeout(context.Background(), settleTimeout)
+			defer cancel()
+			_ = t.fail(ctx)
+		})
 	}
 }
 
-// fail settles a turn that may have run; it waits until the record has taken that.
-func (t *turn) fail(limit time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
+// settle settles a turn that may have run before another attempt is begun.
+func (t *turn) settle() error {
+	ctx, done := t.budget.step(context.Background(), revokeTimeout)
+	defer done()
+	return t.fail(ctx)
+}
+
+// fail waits until the record has taken that the turn may have run.
+func (t *turn) fail(ctx context.Context) error {
 	return t.server.opts.Ledger.Fail(ctx, program.Fail{
 		Account: t.account, Program: t.program, Attempt: t.started.Attempt, Outcome: program.OutcomeUnknown,
 		Residency: t.resident,
@@ -233,8 +244,8 @@
 		t.abandon()
 		return notRun
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), revokeTimeout)
-	defer cancel()
+	ctx, done := t.budget.step(context.Background(), revokeTimeout)
+	defer done()
 	// Without an answer of the record, an earlier attempt through another VM may have run.
 	mayHaveRun, err := t.server.opts.Ledger.Revoke(ctx, program.Revoke{
 		Account: t.account, Program: t.program, Attempt: t.started.Attempt,
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/events"
 )
 
@@ -40,7 +41,9 @@
 	Now func() time.Time
 	// NewAttempt returns an ID never returned before on any VM. Default: 128 random bits.
 	NewAttempt func() string
-	Events     *events.Logger
+	// Clock returns the time since boot. Default clock.Now.
+	Clock  func() time.Duration
+	Events *events.Logger
 }
 
 // Ledger is an entry VM's client of a program group. Its methods may be called concurrently.
@@ -48,7 +51,8 @@
 // outcome is sent again with the very same bytes. Errors are *RefusedError,
 // *UnavailableError, or plain ones for bad input.
 type Ledger struct {
-	opts LedgerOptions
+	opts   LedgerOptions
+	outage outage
 
 	mu        sync.Mutex
 	owner     Owner
@@ -79,6 +83,9 @@
 	if opts.NewAttempt == nil {
 		opts.NewAttempt = randomAttempt
 	}
+	if opts.Clock == nil {
+		opts.Clock = clock.Now
+	}
 	return &Ledger{opts: opts, owner: opts.Owner, recorded: map[programKey]int{}}
 }
 
@@ -102,6 +109,9 @@
 	return hex.EncodeToString(id[:])
 }
 
+// Outage returns how long the group has left this VM without an answer; 0 while it answers.
+func (l *Ledger) Outage() time.Duration { return l.outage.length(l.opts.Clock()) }
+
 // HashRequest returns the RequestHash of a request made of parts such as path and body.
 func HashRequest(parts ...[]byte) string {
 	h := sha256.New()
@@ -294,8 +304,10 @@
 func (l *Ledger) persist(ctx context.Context, send func() ([]byte, error)) (*Result, error) {
 	applied := false
 	for delay := retryMin; ; delay = min(2*delay, retryMax) {
+		l.outage.sent(l.opts.Clock())
 		answer, err := send()
 		if err == nil {
+			l.outage.answered()
 			return decode(answer, applied)
 		}
 		applied = applied || !errors.Is(err, ErrNotProposed)
