gateway: answer before the engine acknowledges the cancellation

Cause: after a broken answer the caller waited, before its refusal, until the engine acknowledged the cancellation, up to 2 s if the engine hung: held back for something that its answer does not depend on. Ruled out as a reason to wait: the result was not used, and a retry went elsewhere.

The cancellation goes on in the background. Refused after 2.0 s before with an engine that hangs, at once after (TestServer_CancellationDoesNotHold...).

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -115,7 +115,8 @@
 	renewTimeout = 2 * time.Second
 )
 
-// Wait returns once the turns that were given up are settled, as far as the record could be reached.
+// Wait returns once the turns that were given up are settled, as far as the record could be reached,
+// and the cancelled calls are acknowledged, as far as their engines answer.
 func (s *Server) Wait() { s.background.Wait() }
 
 // Run renews the leases of the attempts under way, and stops the calls that cannot be recorded
--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -135,8 +135,9 @@
 	defer stream.Close()
 	err = pass(ctx, stream, a, call)
 	if err != nil && !isLost(err) {
-		// The engine may still generate for this attempt, whose answer nobody will take.
-		stream.Cancel()
+		// The engine may still generate for this attempt, whose answer nobody will take. One that
+		// hangs does not acknowledge it, and the caller must not wait for that.
+		s.background.Go(func() { stream.Cancel() })
 	}
 	return err
 }
--- a/internal/gateway/recordwait_test.go
+++ b/internal/gateway/recordwait_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"sync"
@@ -211,3 +212,31 @@
 	close(release)
 	require.Equal(t, http.StatusOK, <-answered)
 }
+
+func TestServer_CancellationDoesNotHoldTheRefusalBack(t *testing.T) {
+	answered := make(chan struct{})
+	order := make(chan string, 1)
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		switch r.Method {
+		case http.MethodDelete:
+			select {
+			case <-answered:
+				order <- "answered first"
+			case <-r.Context().Done():
+				order <- "cancellation timed out first"
+			}
+		case http.MethodPost:
+			w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+			_, _ = io.WriteString(w, "data: not JSON\n\n")
+		}
+	}))
+	t.Cleanup(s.Close)
+	g := newTestGateway(t, s.Listener.Addr().String())
+	g.server.retries = &retryBudget{tokens: -1}
+	_, text := g.post(t, "/v1/chat/completions", wholeChat)
+	close(answered)
+	code, notRun := errorOf(t, text)
+	require.Equal(t, "upstream_failed", code)
+	require.Equal(t, refusal.Unknown, notRun)
+	require.Equal(t, "answered first", <-order)
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -78,7 +78,7 @@
 	inflight *inflight
 	retries  *retryBudget
 	attempts *attempts
-	// background settles turns whose callers have their answer.
+	// background does what no caller waits for: settling turns and cancelling calls.
 	background conc.WaitGroup
 	draining   atomic.Bool
 	stats      Stats
