fakes: the verdict on the goodbye does not depend on the order of arrival

Cause: TestFake_AnnouncesMovesOnAndSaysGoodbye looked at the announcement that arrived last. One that was under way when the goodbye was sent may arrive after it, on a connection of its own. A second one, by reading: a goodbye tried as many VMs as are known, but took them from an index that an announcement failing meanwhile moves on as well, so it could ask the dead VM twice and the live one never. It walks a list of its own now.

The test brings the overtaking about in every run: the VM holds an announcement until the goodbye has come. It is as strict and more: the goodbye has the highest sequence of all, by which VMs judge, and is the only one; before, a second goodbye or one made before an ordinary announcement that arrived earlier would have passed.

--- a/internal/fakes/announce.go
+++ b/internal/fakes/announce.go
@@ -70,7 +70,7 @@
 	send := time.NewTicker(a.opts.AnnounceInterval)
 	defer send.Stop()
 	a.takeSample()
-	a.tell(ctx, false)
+	a.tell(ctx)
 	for {
 		select {
 		case <-ctx.Done():
@@ -78,43 +78,58 @@
 		case <-sample.C:
 			a.takeSample()
 		case <-send.C:
-			a.tell(ctx, false)
+			a.tell(ctx)
 		}
 	}
 }
 
-// goodbye announces the departure to the first VM that takes it, and reports whether one did.
+// goodbye announces the departure to the first VM that takes it, and reports whether one did. It
+// asks each VM, whatever becomes of an announcement that is still under way.
 func (a *announcer) goodbye(ctx context.Context) bool {
 	a.mu.Lock()
 	a.left = true
+	order := make([]string, len(a.vms))
+	for i := range a.vms {
+		order[i] = a.vms[(a.next+i)%len(a.vms)]
+	}
 	a.mu.Unlock()
-	for range min(len(a.vms), maxKnownVMs) {
-		if a.tell(ctx, true) {
+	for _, vm := range order {
+		if accepted, _ := a.announce(ctx, vm, true); accepted {
 			return true
 		}
 	}
 	return false
 }
 
-// tell sends one announcement and reports whether it was accepted. A failure moves on to the
-// next VM.
-func (a *announcer) tell(ctx context.Context, goodbye bool) bool {
+// tell announces to one VM. A failure moves on to the next.
+func (a *announcer) tell(ctx context.Context) {
+	a.mu.Lock()
+	vm := a.vms[a.next%len(a.vms)]
+	a.mu.Unlock()
+	if _, err := a.announce(ctx, vm, false); err != nil {
+		a.mu.Lock()
+		defer a.mu.Unlock()
+		a.next++
+	}
+}
+
+// announce sends one announcement and reports whether it was accepted.
+func (a *announcer) announce(ctx context.Context, vm string, goodbye bool) (accepted bool, err error) {
 	if a.faults.get().StopAnnouncing {
-		return false
+		return false, nil
 	}
-	vm, body, err := a.build(goodbye)
+	body, err := a.build(goodbye)
 	if err != nil {
-		return false
+		return false, err
 	}
 	reply, err := a.post(ctx, vm, body)
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	if err != nil {
-		a.next++
-		return false
+		return false, err
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	a.learn(reply.VMs)
-	return reply.Accepted
+	return reply.Accepted, nil
 }
 
 func (a *announcer) post(ctx context.Context, vm string, body []byte) (wire.AnnounceReply, error) {
@@ -140,11 +155,11 @@
 	return reply, json.Unmarshal(data, &reply)
 }
 
-func (a *announcer) build(goodbye bool) (vm string, body []byte, err error) {
+func (a *announcer) build(goodbye bool) ([]byte, error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.left && !goodbye {
-		return "", nil, errDeparted
+		return nil, errDeparted
 	}
 	a.sequence++
 	load := a.laggingLoad()
@@ -167,8 +182,7 @@
 	if ann.Serves == nil {
 		ann.Serves = []string{}
 	}
-	body, err = json.Marshal(ann)
-	return a.vms[a.next%len(a.vms)], body, err
+	return json.Marshal(ann)
 }
 
 // learn adds VMs that a reply names. The caller holds mu.
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -1,6 +1,7 @@
 package fakes
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -10,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -193,6 +195,44 @@
 type vm struct {
 	mu   sync.Mutex
 	seen []wire.Announcement
+	// hold makes an announcement wait until a goodbye has overtaken it, if it is not nil.
+	hold *overtaking
+}
+
+type overtaking struct {
+	held     chan struct{} // closed once an announcement waits
+	overtook chan struct{} // closed once a goodbye has come
+	once     sync.Once
+}
+
+func (v *vm) waitForGoodbye() *overtaking {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.hold = &overtaking{held: make(chan struct{}), overtook: make(chan struct{})}
+	return v.hold
+}
+
+func (v *vm) take(a wire.Announcement) {
+	v.mu.Lock()
+	hold := v.hold
+	v.mu.Unlock()
+	if hold != nil && !a.Goodbye {
+		hold.once.Do(func() { close(hold.held) })
+		<-hold.overtook
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.seen = append(v.seen, a)
+	if hold != nil && a.Goodbye {
+		close(hold.overtook)
+	}
+}
+
+// inOrder returns the announcements in the order in which they were made.
+func (v *vm) inOrder() []wire.Announcement {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return slices.SortedFunc(slices.Values(v.seen), func(a, b wire.Announcement) int { return cmp.Compare(a.Sequence, b.Sequence) })
 }
 
 func (v *vm) handler(t *testing.T, reply wire.AnnounceReply) http.HandlerFunc {
@@ -203,9 +243,7 @@
 		}
 		var a wire.Announcement
 		_ = json.Unmarshal(body, &a)
-		v.mu.Lock()
-		v.seen = append(v.seen, a)
-		v.mu.Unlock()
+		v.take(a)
 		_ = json.NewEncoder(w).Encode(reply)
 	}
 }
@@ -257,8 +295,13 @@
 	require.Eventually(t, first.has(ok), 5*time.Second, 5*time.Millisecond)
 	s1.Close()
 	require.Eventually(t, second.has(ok), 5*time.Second, 5*time.Millisecond)
+	// An announcement under way may arrive after the goodbye; its sequence says that it is older.
+	<-second.waitForGoodbye().held
 	f.Stop(context.Background())
-	require.True(t, second.has(func(a wire.Announcement) bool { return a.Goodbye })())
+	seen := second.inOrder()
+	for i, a := range seen {
+		require.Equal(t, i == len(seen)-1, a.Goodbye, "the goodbye is the last announcement that is made, and the only one")
+	}
 	all, err := ReadRecords(path)
 	require.NoError(t, err)
 	require.Len(t, all.Departures, 1)
