gateway, upstream: nothing is sent under a token or turn that ended meanwhile

Cause: the permit's token and the turn's lease were checked before the connection was made. A VM frozen between that and the first byte (SIGSTOP) sent its calls when it went on, seconds after their tokens were spent, on top of what the other VMs spent meanwhile.

The limiter now says until when the first byte must be written, 200 ms after the token was spent on the clock since boot. The caller's connection asks at its first Write whether both the token and the turn's lease still hold; if not, nothing is written, the upstream is not blamed, and the call draws anew. What was written is now known from the first Write instead of from having a connection, and a call that failed before its first Write is sealed: the transport's writer cannot send it afterwards.

Ruled out: the check of the lease at spending was right already; it is the time from spending to writing that was unbounded. Left: a freeze within the microseconds between the check and the system call.

--- a/internal/fleet/permits.go
+++ b/internal/fleet/permits.go
@@ -34,35 +34,42 @@
 }
 
 // Dispatch is called as a request leaves for its upstream. A permit that waited too long is
-// drawn again; until there is a token the request is held back, as long as ctx allows.
-func (f *Fleet) Dispatch(ctx context.Context, account, request string) error {
-	fresh, err := await(ctx, f, func() bool { return f.spend(account, request) })
+// drawn again; until there is a token the request is held back, as long as ctx allows. The
+// request's first byte must be written before writeBy, a time since boot.
+func (f *Fleet) Dispatch(ctx context.Context, account, request string) (writeBy time.Duration, err error) {
+	s, err := await(ctx, f, func() spent { return f.spend(account, request) })
 	if err != nil {
-		return unavailable()
+		return 0, unavailable()
 	}
-	for !fresh {
+	for !s.fresh {
 		d, err := f.decide(ctx, request, func(now time.Duration) ratelimit.Effects {
 			return f.limiter.Redraw(now, account, request, f.cutoffLimit(account))
 		})
 		if err != nil {
-			return err
+			return 0, err
 		}
 		if !d.Granted {
-			return refusalOf(d)
+			return 0, refusalOf(d)
 		}
-		fresh, err = await(ctx, f, func() bool { return f.spend(account, request) })
+		s, err = await(ctx, f, func() spent { return f.spend(account, request) })
 		if err != nil {
-			return unavailable()
+			return 0, unavailable()
 		}
 	}
-	return nil
+	return s.at + ratelimit.WriteGrace, nil
 }
 
-// spend spends a permit; false if it has to be drawn again.
-func (f *Fleet) spend(account, request string) bool {
-	fresh, effects := f.limiter.Dispatch(f.opts.Clock(), request, f.cutoffLimit(account))
+// spent is the spending of a permit. If it is not fresh, the permit has to be drawn again.
+type spent struct {
+	fresh bool
+	at    time.Duration
+}
+
+func (f *Fleet) spend(account, request string) spent {
+	now := f.opts.Clock()
+	fresh, effects := f.limiter.Dispatch(now, request, f.cutoffLimit(account))
 	f.carryOut(effects)
-	return fresh
+	return spent{fresh: fresh, at: now}
 }
 
 // cutoffLimit returns the cutoff limit of an account; 0 if it is not known.
--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -32,7 +32,8 @@
 	}
 	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
-	if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
+	writeBy, err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id)
+	if err != nil {
 		return withNotRun(asRefusal(err), call.notRun), never
 	}
 	if !call.turn.mayWrite() {
@@ -40,7 +41,7 @@
 	}
 	assembler := upstream.NewAssembler()
 	begun := s.opts.Clock()
-	err = s.relay(ctx, call, grant, assembler)
+	err = s.relay(ctx, call, grant, s.mayWriteBy(writeBy, call.turn), assembler)
 	end = s.judgeChat(ctx, grant, err)
 	if err != nil {
 		outcome = failedOutcome(ctx, err)
@@ -118,7 +119,7 @@
 }
 
 // relay sends the call to the granted engine and passes its answer on.
-func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, a *upstream.Assembler) error {
+func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, mayWrite func() bool, a *upstream.Assembler) error {
 	body, err := call.request.engineBody(servesAs(grant, call.model.ID), call.model.MaxTokens, call.messages)
 	if err != nil {
 		return err
@@ -131,6 +132,7 @@
 		Attempt:     newID(),
 		Session:     call.turn.session(grant),
 		Idempotency: call.id,
+		MayWrite:    mayWrite,
 	}, body)
 	defer stream.Close()
 	err = pass(ctx, stream, a, call)
--- a/internal/gateway/chatfailure.go
+++ b/internal/gateway/chatfailure.go
@@ -18,6 +18,9 @@
 
 // chatFailure turns a failed attempt into a refusal. A chat completion may be repeated.
 func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
+	if errors.Is(err, upstream.ErrTooLate) {
+		return withNotRun(tooLate(), call.notRun), afterUnsent
+	}
 	call.avoid = append(call.avoid, grant.Upstream)
 	s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
 	var status *upstream.StatusError
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -88,7 +88,7 @@
 	if err := s.opts.Limiter.Draw(r.Context(), c.account.ID, id); err != nil {
 		return nil, asRefusal(err)
 	}
-	if err := s.opts.Limiter.Dispatch(r.Context(), c.account.ID, id); err != nil {
+	if _, err := s.opts.Limiter.Dispatch(r.Context(), c.account.ID, id); err != nil {
 		return nil, asRefusal(err)
 	}
 	return c, nil
--- a/internal/gateway/refusals.go
+++ b/internal/gateway/refusals.go
@@ -31,6 +31,11 @@
 	return &refusal.Refusal{Status: http.StatusServiceUnavailable, Code: code, Message: message, NotRun: refusal.True, RetryAfter: retryAfter}
 }
 
+// tooLate refuses a call whose leave to be sent had ended before its first byte.
+func tooLate() *refusal.Refusal {
+	return unavailable("unavailable", "the request could not be sent in time", retryControl)
+}
+
 // failed is the answer to a call that may have run.
 func failed(code, message string, notRun refusal.NotRun) *refusal.Refusal {
 	return &refusal.Refusal{Status: http.StatusBadGateway, Code: code, Message: message, NotRun: notRun}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -36,8 +36,9 @@
 	// Draw takes one request's permit. Errors: *refusal.Refusal.
 	Draw(ctx context.Context, account, request string) error
 	// Dispatch is called as the request leaves for its upstream: a permit that waited too long
-	// is drawn again, which may take time. Errors: *refusal.Refusal.
-	Dispatch(ctx context.Context, account, request string) error
+	// is drawn again, which may take time. The request's first byte must be written before
+	// writeBy, a time since boot; later it is dispatched anew. Errors: *refusal.Refusal.
+	Dispatch(ctx context.Context, account, request string) (writeBy time.Duration, err error)
 	// GiveBack returns the permit of a request that did not run.
 	GiveBack(request string)
 }
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -56,9 +57,11 @@
 // testLimiter grants all and counts.
 type testLimiter struct{ drawn, givenBack atomic.Int64 }
 
-func (l *testLimiter) Draw(context.Context, string, string) error     { l.drawn.Add(1); return nil }
-func (l *testLimiter) Dispatch(context.Context, string, string) error { return nil }
-func (l *testLimiter) GiveBack(string)                                { l.givenBack.Add(1) }
+func (l *testLimiter) Draw(context.Context, string, string) error { l.drawn.Add(1); return nil }
+func (l *testLimiter) GiveBack(string)                            { l.givenBack.Add(1) }
+func (l *testLimiter) Dispatch(context.Context, string, string) (time.Duration, error) {
+	return math.MaxInt64, nil
+}
 
 // testDispatcher grants upstreams in order, each once unless it is the last.
 type testDispatcher struct {
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -239,16 +239,19 @@
 	}
 	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
+	var mayWrite func() bool
 	if call.caller.account != nil {
-		if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
+		writeBy, err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id)
+		if err != nil {
 			return nil, withNotRun(asRefusal(err), call.notRun), never
 		}
+		mayWrite = s.mayWriteBy(writeBy, call.turn)
 	}
 	if !call.turn.mayWrite() {
 		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
 	}
 	begun := s.opts.Clock()
-	a, err := s.send(ctx, call, grant)
+	a, err := s.send(ctx, call, grant, mayWrite)
 	end = s.judgeService(grant, err)
 	if err != nil {
 		outcome = failedOutcome(ctx, err)
@@ -275,7 +278,7 @@
 }
 
 // send makes one attempt and reads the whole answer.
-func (s *Server) send(ctx context.Context, call *serviceCall, grant *dispatch.Grant) (*serviceAnswer, error) {
+func (s *Server) send(ctx context.Context, call *serviceCall, grant *dispatch.Grant, mayWrite func() bool) (*serviceAnswer, error) {
 	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+grant.Address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, &upstream.CallError{Cause: err}
@@ -285,7 +288,7 @@
 	if req.Header.Get(wire.HeaderIdempotency) == "" {
 		req.Header.Set(wire.HeaderIdempotency, call.id)
 	}
-	resp, err := s.opts.Caller.Do(req)
+	resp, err := s.opts.Caller.Do(req, mayWrite)
 	if err != nil {
 		return nil, err
 	}
@@ -306,6 +309,9 @@
 var errAnswerTooLarge = errors.New("the answer is larger than 8 MiB")
 
 func serviceFailure(ctx context.Context, call *serviceCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
+	if errors.Is(err, upstream.ErrTooLate) {
+		return withNotRun(tooLate(), call.notRun), afterUnsent
+	}
 	call.avoid = append(call.avoid, grant.Upstream)
 	var unsent *upstream.CallError
 	if errors.As(err, &unsent) && !unsent.Written {
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -99,11 +99,13 @@
 func (s *Server) isNear(g *dispatch.Grant) bool { return g.Pool.Zone == s.opts.Zone }
 
 // failedOutcome says what a failed attempt tells about its upstream's health. A caller that left,
-// a key that was withdrawn and a call that was refused as bad say nothing.
+// a key that was withdrawn, a call that was refused as bad and one that was not sent say nothing.
 func failedOutcome(ctx context.Context, err error) schedule.Outcome {
 	var status *upstream.StatusError
 	var call *upstream.CallError
 	switch {
+	case errors.Is(err, upstream.ErrTooLate):
+		return schedule.Outcome{}
 	case errors.Is(err, upstream.ErrDied), errors.As(err, &call) && call.Refused():
 		return schedule.Outcome{Failed: true, Unreachable: true}
 	case errors.As(err, &status):
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -18,6 +18,9 @@
 	RoundInterval = 250 * time.Millisecond
 	// RedrawPatience is how long a request that was admitted before waits for another token.
 	RedrawPatience = 30 * time.Second
+	// WriteGrace is how long after its token was spent a request may begin to be sent. A VM that
+	// was frozen in between finds it over, and the request draws again.
+	WriteGrace = 200 * time.Millisecond
 	// AskTimeout is how long an Ask waits for its Reply.
 	AskTimeout = 150 * time.Millisecond
 	// LenderPause is how long a lender that did not reply is passed over.
--- a/internal/upstream/caller.go
+++ b/internal/upstream/caller.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
-	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -31,7 +30,7 @@
 func NewCaller() *Caller {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	return &Caller{transport: &http.Transport{
-		DialContext:        dialer.DialContext,
+		DialContext:        dialGuarded(dialer),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 	}}
@@ -58,9 +57,10 @@
 var ErrCrossed = errors.New("the answer belongs to another attempt")
 
 // Do sends one request and returns the response once its headers came. The response must echo
-// the request's attempt. Errors: *CallError.
-func (c *Caller) Do(req *http.Request) (*http.Response, error) {
-	resp, err := c.send(req)
+// the request's attempt. mayWrite, if not nil, is asked as the first byte is written: if it
+// says no, nothing is sent and the error wraps ErrTooLate. Errors: *CallError.
+func (c *Caller) Do(req *http.Request, mayWrite func() bool) (*http.Response, error) {
+	resp, err := c.send(req, mayWrite)
 	if err != nil {
 		return nil, err
 	}
@@ -72,8 +72,8 @@
 
 // doEngine is Do for engines: an error status may lack the attempt, as when the engine's HTTP
 // framework refused. One that names another attempt is crossed.
-func (c *Caller) doEngine(req *http.Request) (*http.Response, error) {
-	resp, err := c.send(req)
+func (c *Caller) doEngine(req *http.Request, mayWrite func() bool) (*http.Response, error) {
+	resp, err := c.send(req, mayWrite)
 	if err != nil {
 		return nil, err
 	}
@@ -93,12 +93,12 @@
 }
 
 // send sends one request on a connection of its own.
-func (c *Caller) send(req *http.Request) (*http.Response, error) {
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
+func (c *Caller) send(req *http.Request, mayWrite func() bool) (*http.Response, error) {
+	guard := &firstWrite{may: mayWrite}
+	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { info.Conn.(*guardedConn).arm(guard) }}
 	resp, err := c.transport.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
-		return nil, &CallError{Written: connected.Load(), Cause: err}
+		return nil, guard.failed(err)
 	}
 	return resp, nil
 }
--- a/internal/upstream/caller_test.go
+++ b/internal/upstream/caller_test.go
@@ -62,7 +62,7 @@
 	require.NoError(t, err)
 	req.Header.Set(wire.HeaderAttempt, attempt)
 	req.Header.Set(wire.HeaderIdempotency, "key") // net/http repeats such requests on kept connections
-	resp, err := NewCaller().Do(req)
+	resp, err := NewCaller().Do(req, nil)
 	if err == nil {
 		_ = resp.Body.Close()
 	}
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -39,6 +39,8 @@
 	Attempt     string
 	Session     string
 	Idempotency string
+	// MayWrite is asked as the call's first byte is written; see Caller.Do. Nil: it always may.
+	MayWrite func() bool
 }
 
 // StatusError is an engine's refusal of a call: a status other than 200 with its body.
@@ -286,7 +288,11 @@
 	if method == http.MethodPost {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.doEngine(req)
+	var mayWrite func() bool
+	if method == http.MethodPost {
+		mayWrite = target.MayWrite
+	}
+	resp, err := c.doEngine(req, mayWrite)
 	if err != nil {
 		return nil, err
 	}
