gateway: a short call is refused within 6 s of its start

The record went out of reach as they ended, so each was given the whole 3 s on top.

Ruled out: that the outage was known earlier on these VMs; it was 0.3 s to 1.7 s old.

A call younger than 5.5 s now waits for the record only until then, but asks at least once. An older one keeps its 3 s: it cannot be refused within 6 s any more, and half a second would lose the answer of each long call that ends as a leader is lost.

Virtual time of a call after a run of 3.5 s at its upstream: 6.5 s before, 5.5 s after (TestServer_ShortCallIsRefusedWithinTheLimitOfItsStart).

--- a/internal/gateway/recordwait.go
+++ b/internal/gateway/recordwait.go
@@ -15,6 +15,9 @@
 	recordPatience = 3 * time.Second
 	// recordTry bounds a step for which no patience is left: the group is asked once.
 	recordTry = 500 * time.Millisecond
+	// shortCall is the age up to which a call is refused within 6 s of its start, whatever time
+	// its upstream took. An older one waits for a new leader rather than lose its answer.
+	shortCall = 6*time.Second - recordTry
 	// beginTimeout bounds the wait for the begin of a turn, and leaves some patience for its answer.
 	beginTimeout = 2500 * time.Millisecond
 	// revokeTimeout bounds the wait for what may be said of a call of which nothing was written.
@@ -28,10 +31,13 @@
 // recordBudget is what one call may wait for the record. One goroutine uses it.
 type recordBudget struct {
 	server *Server
+	begun  time.Duration // the call, on the clock since boot
 	spent  time.Duration
 }
 
-func (s *Server) newRecordBudget() *recordBudget { return &recordBudget{server: s} }
+func (s *Server) newRecordBudget() *recordBudget {
+	return &recordBudget{server: s, begun: s.opts.Clock()}
+}
 
 // step bounds one step's wait. done must be called at its end.
 func (b *recordBudget) step(ctx context.Context, most time.Duration) (_ context.Context, done func()) {
@@ -44,7 +50,11 @@
 }
 
 func (b *recordBudget) left() time.Duration {
-	return max(recordPatience-max(b.spent, b.server.opts.Ledger.Outage()), recordTry)
+	left := recordPatience - max(b.spent, b.server.opts.Ledger.Outage())
+	if age := b.server.opts.Clock() - b.begun; age <= shortCall {
+		left = min(left, shortCall-age)
+	}
+	return max(left, recordTry)
 }
 
 // checkOutage ends the calls that wait for an upstream while no call may wait for the record any
--- a/internal/gateway/recordwait_test.go
+++ b/internal/gateway/recordwait_test.go
@@ -31,6 +31,8 @@
 	silent map[string]bool
 	outage time.Duration
 	waited time.Duration
+	// runs is how long upstreams ran calls.
+	runs time.Duration
 	// held lets the settling for which no caller waits go on, if it is not nil.
 	held chan struct{}
 }
@@ -42,7 +44,7 @@
 	g.server.opts.Clock = func() time.Duration {
 		l.mu.Lock()
 		defer l.mu.Unlock()
-		return l.waited
+		return l.waited + l.runs
 	}
 	return g
 }
@@ -240,3 +242,34 @@
 	require.Equal(t, refusal.Unknown, notRun)
 	require.Equal(t, "answered first", <-order)
 }
+
+// slowService runs each call for a virtual time.
+func slowService(t *testing.T, l *slowLedger, runs time.Duration) string {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		l.mu.Lock()
+		l.runs += runs
+		l.mu.Unlock()
+		w.Header().Set(wire.HeaderAttempt, r.Header.Get(wire.HeaderAttempt))
+	}))
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+func TestServer_ShortCallIsRefusedWithinTheLimitOfItsStart(t *testing.T) {
+	for _, runs := range []time.Duration{2 * time.Second, 3500 * time.Millisecond, 4900 * time.Millisecond, 5400 * time.Millisecond} {
+		l := &slowLedger{silent: map[string]bool{"complete": true}}
+		g := newSlowGateway(t, l, slowService(t, l, runs))
+		_, text := g.post(t, "/v1/services/charge/x", "{}", headerProgram, "p", headerTurn, "1")
+		code, notRun := errorOf(t, text)
+		require.Equal(t, "programs_unavailable", code)
+		require.Equal(t, refusal.Unknown, notRun)
+		require.LessOrEqual(t, g.server.opts.Clock(), 6*time.Second, "after a run of %s", runs)
+	}
+}
+
+func TestServer_LongCallWaitsForANewLeader(t *testing.T) {
+	l := &slowLedger{takes: 1400 * time.Millisecond}
+	g := newSlowGateway(t, l, slowService(t, l, time.Minute))
+	status, text := g.post(t, "/v1/services/charge/x", "{}", "Idempotency-Key", "once")
+	require.Equal(t, http.StatusOK, status, text)
+}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -41,6 +41,7 @@
 	repeatable bool
 	key        recordKey
 	turn       *turn
+	budget     *recordBudget
 	notRun     refusal.NotRun
 	avoid      []string
 }
@@ -124,6 +125,7 @@
 		repeatable: repeatable,
 		key:        key,
 		notRun:     refusal.True,
+		budget:     s.newRecordBudget(),
 	}, nil
 }
 
@@ -191,7 +193,7 @@
 	ledgerCall := call.key.call(call.caller.account, program.KindService)
 	ledgerCall.RequestHash = program.HashRequest([]byte(call.service.ID), []byte(call.method), []byte(call.path), call.body)
 	ledgerCall.Repeatable = call.repeatable
-	turn, begun, refused := s.begin(ctx, s.newRecordBudget(), ledgerCall, "")
+	turn, begun, refused := s.begin(ctx, call.budget, ledgerCall, "")
 	if refused != nil {
 		return nil, refused
 	}
