groups: ask a VM that gave no answer last

The client remembers which VMs gave the last call no answer, or lost it, and asks these last. Any answer ends that; a leader among them is still found by the others' hints.

--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -17,11 +18,12 @@
 
 	mu      sync.Mutex
 	leaders map[uint64]string
+	silent  map[string]bool // VMs that gave the last call no answer
 }
 
 // NewClient returns a client; controlVMs have the replicas, the nearest first.
 func NewClient(network Network, controlVMs []string) *Client {
-	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}}
+	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}, silent: map[string]bool{}}
 }
 
 // ControlVMs returns the VMs that have replicas.
@@ -80,6 +82,8 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	result, err = c.network.Call(ctx, vm, method, payload)
+	var remote *peer.RemoteError
+	c.setSilent(vm, err != nil && !errors.As(err, &remote))
 	if err == nil {
 		return result, "", nil
 	}
@@ -87,7 +91,6 @@
 	if errors.As(err, &unreachable) {
 		return nil, "", err
 	}
-	var remote *peer.RemoteError
 	if errors.As(err, &remote) && remote.Code != codeUnknown {
 		if remote.Code == codeNotLeader {
 			leader = remote.Message
@@ -97,6 +100,7 @@
 	return nil, "", errors.Mark(err, ErrUnknownOutcome)
 }
 
+// candidates returns the VMs to ask, silent ones last: one may take all the time that a call has.
 func (c *Client) candidates(group uint64) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -104,7 +108,26 @@
 	if leader := c.leaders[group]; leader != "" {
 		all = append(all, leader)
 	}
-	return append(all, c.controlVMs...)
+	all = append(all, c.controlVMs...)
+	slices.SortStableFunc(all, func(a, b string) int { return rank(c.silent[a]) - rank(c.silent[b]) })
+	return all
+}
+
+func rank(silent bool) int {
+	if silent {
+		return 1
+	}
+	return 0
+}
+
+func (c *Client) setSilent(vm string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if silent {
+		c.silent[vm] = true
+		return
+	}
+	delete(c.silent, vm)
 }
 
 func (c *Client) setLeader(group uint64, vm string) {
