--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -32,16 +32,13 @@
 	}
 	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
-	writeBy, err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id)
-	if err != nil {
-		return withNotRun(asRefusal(err), call.notRun), never
-	}
-	if !call.turn.mayWrite() {
-		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
+	mayWrite, refused := s.spend(ctx, call.caller, call.id, call.turn)
+	if refused != nil {
+		return withNotRun(refused, call.notRun), never
 	}
 	assembler := upstream.NewAssembler()
 	begun := s.opts.Clock()
-	err = s.relay(ctx, call, grant, s.mayWriteBy(writeBy, call.turn), assembler)
+	err = s.relay(ctx, call, grant, mayWrite, assembler)
 	end = s.judgeChat(ctx, grant, err)
 	if err != nil {
 		outcome = failedOutcome(ctx, err)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -241,16 +241,9 @@
 	}
 	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
-	var mayWrite func() bool
-	if call.caller.account != nil {
-		writeBy, err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id)
-		if err != nil {
-			return nil, withNotRun(asRefusal(err), call.notRun), never
-		}
-		mayWrite = s.mayWriteBy(writeBy, call.turn)
-	}
-	if !call.turn.mayWrite() {
-		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
+	mayWrite, refused := s.spend(ctx, call.caller, call.id, call.turn)
+	if refused != nil {
+		return nil, withNotRun(refused, call.notRun), never
 	}
 	begun := s.opts.Clock()
 	a, err := s.send(ctx, call, grant, mayWrite)
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -158,12 +158,6 @@
 	return t == nil || t.server.attempts.mayWrite(t.started.Attempt, t.server.opts.Clock())
 }
 
-// mayWriteBy returns what decides at a call's first byte whether it is sent: both its token and
-// its turn's lease must hold then, also if this VM was frozen since they were checked.
-func (s *Server) mayWriteBy(writeBy time.Duration, t *turn) func() bool {
-	return func() bool { return s.opts.Clock() < writeBy && t.mayWrite() }
-}
-
 // home returns where the program's prefix is: zone, engine and its incarnation; empty if nowhere.
 func (t *turn) home() (zone, engine string, incarnation int64) {
 	if t == nil {
