--- a/internal/gateway/recordwait.go
+++ b/internal/gateway/recordwait.go
@@ -9,16 +9,16 @@
 
 // Bounds of what a caller waits for the record of programs.
 const (
-	// recordPatience bounds the waits of all steps of one call together. It also is how long a
+	// maxRecordWait bounds the waits of all steps of one call together. It also is how long a
 	// group may leave this VM without an answer before no call waits for it any more. A group
 	// elects a new leader within it, also after a silent partition.
-	recordPatience = 3 * time.Second
-	// recordTry bounds a step for which no patience is left: the group is asked once.
-	recordTry = 500 * time.Millisecond
-	// shortCall is the age up to which a call is refused within 6 s of its start, whatever time
+	maxRecordWait = 3 * time.Second
+	// minRecordWait is what a step gets once nothing is left of that: the group is asked once.
+	minRecordWait = 500 * time.Millisecond
+	// shortCallAge is the age up to which a call is refused within 6 s of its start, whatever time
 	// its upstream took. An older one waits for a new leader rather than lose its answer.
-	shortCall = 6*time.Second - recordTry
-	// beginTimeout bounds the wait for the begin of a turn, and leaves some patience for its answer.
+	shortCallAge = 6*time.Second - minRecordWait
+	// beginTimeout bounds the wait for the begin of a turn, and leaves some time to record the answer.
 	beginTimeout = 2500 * time.Millisecond
 	// revokeTimeout bounds the wait for what may be said of a call of which nothing was written.
 	revokeTimeout = 2 * time.Second
@@ -50,17 +50,17 @@
 }
 
 func (b *recordBudget) left() time.Duration {
-	left := recordPatience - max(b.spent, b.server.opts.Ledger.Outage())
-	if age := b.server.opts.Clock() - b.begun; age <= shortCall {
-		left = min(left, shortCall-age)
+	left := maxRecordWait - max(b.spent, b.server.opts.Ledger.Outage())
+	if age := b.server.opts.Clock() - b.begun; age <= shortCallAge {
+		left = min(left, shortCallAge-age)
 	}
-	return max(left, recordTry)
+	return max(left, minRecordWait)
 }
 
 // checkOutage ends the calls that wait for an upstream while no call may wait for the record any
 // more: their answers could not be recorded.
 func (s *Server) checkOutage() {
-	if s.opts.Ledger.Outage() >= recordPatience {
+	if s.opts.Ledger.Outage() >= maxRecordWait {
 		s.attempts.stopUnwritten()
 	}
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -194,7 +194,7 @@
 	if t == nil {
 		return nil
 	}
-	ctx, done := t.budget.step(context.Background(), recordPatience)
+	ctx, done := t.budget.step(context.Background(), maxRecordWait)
 	defer done()
 	c := program.Complete{
 		Account: t.account, Program: t.program, Attempt: t.started.Attempt,
