upstream: a resumption that stays silent is replaced after 2 s, not 4

The limit doubles from the second resumption on.

Waits before each resumption: 2, 4, 8, 16 s before; 2, 2, 4, 8, 16 s after.

--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -209,10 +209,11 @@
 	return nil
 }
 
-// idleLimit grows with each resumption that brings no chunk: a call that waits within the engine
-// would otherwise use up its resumptions.
+// idleLimit grows with the resumptions that bring no chunk: a call that waits within the engine
+// would otherwise use them up. The first does not count, because its connection may have gone
+// silent as well, as with an engine that hangs for a moment.
 func (s *Stream) idleLimit() time.Duration {
-	return IdleLimit << min(s.resumes, maxIdleDoublings)
+	return IdleLimit << min(max(s.resumes-1, 0), maxIdleDoublings)
 }
 
 // read waits for the next chunk on the present connection, at most idleLimit.
--- a/internal/upstream/stream_test.go
+++ b/internal/upstream/stream_test.go
@@ -243,3 +243,12 @@
 	require.NoError(t, err)
 	require.Equal(t, upTo(maxResumes+4), got)
 }
+
+func TestStream_SecondSilentConnectionIsReplacedAsSoonAsTheFirst(t *testing.T) {
+	var waits []time.Duration
+	for resumes := range 6 {
+		s := Stream{resumes: resumes}
+		waits = append(waits, s.idleLimit()/time.Second)
+	}
+	require.Equal(t, []time.Duration{2, 2, 4, 8, 16, 16}, waits)
+}
