--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -88,7 +88,7 @@
 	if err := s.opts.Limiter.Draw(r.Context(), c.account.ID, id); err != nil {
 		return nil, asRefusal(err)
 	}
-	if err := s.opts.Limiter.Dispatch(r.Context(), c.account.ID, id); err != nil {
+	if _, err := s.opts.Limiter.Dispatch(r.Context(), c.account.ID, id); err != nil {
 		return nil, asRefusal(err)
 	}
 	return c, nil
@@ -149,8 +149,8 @@
 
 // respondProgram runs an operation on a program and answers with the program.
 func (s *Server) respondProgram(w http.ResponseWriter, r *http.Request, run func(context.Context) (*program.View, error)) {
-	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
-	defer cancel()
+	ctx, done := s.newRecordBudget().step(r.Context(), beginTimeout)
+	defer done()
 	view, err := run(ctx)
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
@@ -171,8 +171,8 @@
 		s.refuse(w, badRequest("bad_query", "limit must be from 1 to 1000"))
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
-	defer cancel()
+	ctx, done := s.newRecordBudget().step(r.Context(), beginTimeout)
+	defer done()
 	page, err := s.opts.Ledger.List(ctx, program.ListQuery{Account: c.account.ID, After: query.Get("after"), Limit: limit})
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
