peer: a message is a sign of life; noting one wakes no goroutine

Cause: in an execution trace of 10 s of an entry VM at rest, the goroutines of the message streams woke 1,140 times of 3,420 to note that the other side was heard, or to send a heartbeat beside messages that had just gone. Now the reader stores the time, the watcher looks when the limit would be over, and the dialling side sends a heartbeat only when nothing else was sent for 500 ms. What is noticed and when is unchanged: silence after 2 s, doubt after 800 ms. The age of a sign of life no longer follows the wall clock.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -29,7 +29,7 @@
 	vm    string
 	queue chan queued
 	up    atomic.Bool
-	heard atomic.Int64 // time of the other side's last sign of life, Unix nanoseconds
+	heard signOfLife
 
 	mu      sync.Mutex
 	address string
@@ -53,7 +53,7 @@
 
 // trusted reports whether the stream is up and the other side was heard lately.
 func (l *link) trusted() bool {
-	return l.up.Load() && time.Since(time.Unix(0, l.heard.Load())) < DoubtLimit
+	return l.up.Load() && l.heard.age() < DoubtLimit
 }
 
 func (l *link) setAddress(address string) {
@@ -118,32 +118,47 @@
 
 // pump sends queued messages and heartbeats until the other side falls silent.
 func (l *link) pump(ctx context.Context, cancel func(), stream peerpb.DRPCPeer_MessagesClient) error {
-	heard := make(chan struct{}, 1)
+	l.heard.note()
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	// The watcher and the reader end when cancel closes the transport.
 	defer cancel()
-	wg.Go(func() { l.watch(ctx, cancel, heard) })
 	wg.Go(func() {
 		defer cancel()
-		for {
-			if _, err := stream.Recv(); err != nil {
-				return
-			}
-			if !l.node.cutFrom(l.vm) {
-				signal(heard)
-			}
-		}
+		l.heard.awaitSilence(ctx)
+	})
+	wg.Go(func() {
+		defer cancel()
+		l.receive(stream)
 	})
 	return l.sendAll(ctx, stream)
 }
 
+// receive takes the other side's heartbeats until the stream fails.
+func (l *link) receive(stream peerpb.DRPCPeer_MessagesClient) {
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return
+		}
+		if l.node.cutFrom(l.vm) {
+			continue
+		}
+		l.heard.note()
+		if !l.up.Swap(true) {
+			l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
+		}
+	}
+}
+
+// sendAll sends queued messages, and a heartbeat whenever nothing was sent for HeartbeatInterval:
+// a message is a sign of life as well.
 func (l *link) sendAll(ctx context.Context, stream peerpb.DRPCPeer_MessagesClient) error {
-	heartbeat := time.NewTicker(HeartbeatInterval)
+	heartbeat := time.NewTimer(HeartbeatInterval)
 	defer heartbeat.Stop()
 	if err := stream.Send(&peerpb.Envelope{From: l.node.opts.VM}); err != nil {
 		return err
 	}
+	sent := time.Now()
 	for {
 		envelope := &peerpb.Envelope{From: l.node.opts.VM}
 		select {
@@ -156,6 +171,11 @@
 			}
 			envelope = next.envelope
 		case <-heartbeat.C:
+			if left := HeartbeatInterval - time.Since(sent); left > 0 {
+				heartbeat.Reset(left)
+				continue
+			}
+			heartbeat.Reset(HeartbeatInterval)
 		}
 		if l.node.cutTo(l.vm) {
 			continue
@@ -163,39 +183,13 @@
 		if err := stream.Send(envelope); err != nil {
 			return err
 		}
+		sent = time.Now()
 		if envelope.Kind != "" {
 			l.node.stats.MessagesSent.Add(1)
 		}
 	}
 }
 
-func (l *link) watch(ctx context.Context, cancel func(), heard <-chan struct{}) {
-	defer cancel()
-	silence := time.NewTimer(SilenceLimit)
-	defer silence.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-silence.C:
-			return
-		case <-heard:
-			l.heard.Store(time.Now().UnixNano())
-			if !l.up.Swap(true) {
-				l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
-			}
-			silence.Reset(SilenceLimit)
-		}
-	}
-}
-
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
-	}
-}
-
 // takeIdle returns a recently used connection, or nil.
 func (l *link) takeIdle() *drpcconn.Conn {
 	l.mu.Lock()
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -53,20 +53,21 @@
 	return &peerpb.CallResponse{Payload: result}, nil
 }
 
-// Messages takes another VM's messages and answers its heartbeats.
+// Messages takes another VM's messages and sends it heartbeats.
 func (s *server) Messages(stream peerpb.DRPCPeer_MessagesStream) error {
-	heard := make(chan struct{}, 1)
+	var heard signOfLife
+	heard.note()
 	failed := make(chan error, 1)
 	var wg conc.WaitGroup
 	var from atomic.Pointer[string]
-	wg.Go(func() { failed <- s.receive(stream, &from, heard) })
-	err := s.beat(stream, &from, heard, failed)
+	wg.Go(func() { failed <- s.receive(stream, &from, &heard) })
+	err := s.beat(stream, &from, &heard, failed)
 	_ = stream.Close()
 	wg.Wait()
 	return err
 }
 
-func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard chan<- struct{}) error {
+func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard *signOfLife) error {
 	for {
 		envelope, err := stream.Recv()
 		if err != nil {
@@ -76,7 +77,7 @@
 		if s.node.cutFrom(envelope.From) {
 			continue
 		}
-		signal(heard)
+		heard.note()
 		if envelope.Kind != "" {
 			s.node.deliver(envelope.From, envelope.Kind, envelope.Payload)
 		}
@@ -84,7 +85,7 @@
 }
 
 // beat sends heartbeats until the stream fails or the other side falls silent.
-func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard <-chan struct{}, failed <-chan error) error {
+func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard *signOfLife, failed <-chan error) error {
 	heartbeat := time.NewTicker(HeartbeatInterval)
 	defer heartbeat.Stop()
 	silence := time.NewTimer(SilenceLimit)
@@ -94,9 +95,11 @@
 		case err := <-failed:
 			return err
 		case <-silence.C:
-			return errSilent
-		case <-heard:
-			silence.Reset(SilenceLimit)
+			left := heard.left()
+			if left <= 0 {
+				return errSilent
+			}
+			silence.Reset(left)
 			continue
 		case <-heartbeat.C:
 		}
--- /dev/null
+++ b/internal/peer/silence_test.go
@@ -0,0 +1,67 @@
+package peer
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/peer/peerpb"
+)
+
+// countingStream counts what is sent on a message stream.
+type countingStream struct {
+	peerpb.DRPCPeer_MessagesClient
+	heartbeats, messages atomic.Int64
+}
+
+// Send implements the stream.
+func (s *countingStream) Send(e *peerpb.Envelope) error {
+	if e.Kind == "" {
+		s.heartbeats.Add(1)
+	} else {
+		s.messages.Add(1)
+	}
+	return nil
+}
+
+func TestLink_HeartbeatOnlyWhenNothingElseWasSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		stream := &countingStream{}
+		l := newLink(New(Options{VM: "a"}), "b", "")
+		go func() { _ = l.sendAll(ctx, stream) }()
+		for range 10 {
+			time.Sleep(HeartbeatInterval - time.Millisecond)
+			l.enqueue("message", nil)
+			synctest.Wait()
+		}
+		require.EqualValues(t, 1, stream.heartbeats.Load(), "the first one alone")
+		require.EqualValues(t, 10, stream.messages.Load())
+		for n := range int64(4) {
+			time.Sleep(HeartbeatInterval)
+			synctest.Wait()
+			require.EqualValues(t, 2+n, stream.heartbeats.Load(), "one for each interval without a message")
+		}
+		cancel()
+	})
+}
+
+func TestSignOfLife_SilenceIsNoticedAtTheLimit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var heard signOfLife
+		heard.note()
+		noticed := make(chan time.Time, 1)
+		go func() {
+			heard.awaitSilence(t.Context())
+			noticed <- time.Now()
+		}()
+		time.Sleep(SilenceLimit - time.Millisecond)
+		heard.note()
+		last := time.Now()
+		require.Equal(t, last.Add(SilenceLimit), <-noticed)
+	})
+}
