Align the ticks of a process: it wakes once for all of them

Cause: the fleet's tick (50 ms), the dispatcher's (100 ms), those of both replicas (50 ms each) and two heartbeats of each link (500 ms) each woke the process at a moment of its own: 60 moments a second on an entry VM of seven, 100 on a control VM.

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -59,13 +59,14 @@
 
 // Run refreshes the dispatchers until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	ticker := time.NewTicker(RefreshInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.Align(RefreshInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.Align(RefreshInterval))
 			c.refresh()
 		}
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -95,15 +95,16 @@
 // Run handles events until ctx ends.
 func (h *Host) Run(ctx context.Context) {
 	defer close(h.done)
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.Align(tickInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-h.events:
 			event()
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.Align(tickInterval))
 			h.tick()
 		}
 	}
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -159,8 +159,8 @@
 	defer tasks.Wait()
 	defer close(f.done)
 	f.tasks, f.ctx = &tasks, ctx
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.Align(tickInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
@@ -168,7 +168,8 @@
 			return
 		case event := <-f.events:
 			event()
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.Align(tickInterval))
 			f.tick()
 		}
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcconn"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/peer/peerpb"
 )
@@ -150,10 +151,10 @@
 	}
 }
 
-// sendAll sends queued messages, and a heartbeat whenever nothing was sent for HeartbeatInterval:
+// sendAll sends queued messages, and a heartbeat before nothing was sent for HeartbeatInterval:
 // a message is a sign of life as well.
 func (l *link) sendAll(ctx context.Context, stream peerpb.DRPCPeer_MessagesClient) error {
-	heartbeat := time.NewTimer(HeartbeatInterval)
+	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
 	defer heartbeat.Stop()
 	if err := stream.Send(&peerpb.Envelope{From: l.node.opts.VM}); err != nil {
 		return err
@@ -171,11 +172,11 @@
 			}
 			envelope = next.envelope
 		case <-heartbeat.C:
-			if left := HeartbeatInterval - time.Since(sent); left > 0 {
-				heartbeat.Reset(left)
+			if left := HeartbeatInterval - time.Since(sent); left >= clock.Grid {
+				heartbeat.Reset(clock.Align(left))
 				continue
 			}
-			heartbeat.Reset(HeartbeatInterval)
+			heartbeat.Reset(clock.Align(HeartbeatInterval))
 		}
 		if l.node.cutTo(l.vm) {
 			continue
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -11,6 +11,7 @@
 	"storj.io/drpc/drpcmux"
 	"storj.io/drpc/drpcserver"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/peer/peerpb"
 )
 
@@ -86,7 +87,7 @@
 
 // beat sends heartbeats until the stream fails or the other side falls silent.
 func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard *signOfLife, failed <-chan error) error {
-	heartbeat := time.NewTicker(HeartbeatInterval)
+	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
 	defer heartbeat.Stop()
 	silence := time.NewTimer(SilenceLimit)
 	defer silence.Stop()
@@ -102,6 +103,7 @@
 			silence.Reset(left)
 			continue
 		case <-heartbeat.C:
+			heartbeat.Reset(clock.Align(HeartbeatInterval))
 		}
 		if name := from.Load(); name != nil && s.node.cutTo(*name) {
 			continue
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -128,14 +128,15 @@
 		}
 		r.stop(err)
 	}()
-	ticker := time.NewTicker(r.options.TickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.Align(r.options.TickInterval))
+	defer timer.Stop()
 	lastTick := r.options.Clock()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.Align(r.options.TickInterval))
 		case m := <-r.inbox:
 			err = r.node.step(m)
 		case request := <-r.requests:
