membership: a message just heard stands for a ping

Cause: of 45 messages a second that an entry VM of seven takes at rest, 30 are pings and acks: every two VMs ping each other in every round, so each exchange is made twice. Now a VM that was heard directly in the last 200 ms is not pinged in this round; every fourth round pings it all the same, since what is heard does not show that one's own messages arrive.

--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -37,6 +37,12 @@
 	return append(chosen, t.pick(1, func(p *peer) bool { return p.state == Dead })...)
 }
 
+// pingedBy reports whether a message of a VM stands for a ping of this round.
+func (t *Tracker) pingedBy(now time.Duration, vm string) bool {
+	p := t.peers[vm]
+	return p.state == Alive && p.direct && p.everHeard && now-p.heard < FreshLimit && now-p.pinged < ProbeInterval
+}
+
 // ring returns the next n usable VMs after this one in the order of its zone.
 func (t *Tracker) ring(n int) []string {
 	var zone []string
@@ -86,6 +92,7 @@
 // ping sends a ping; it starts a probe unless one is under way or the VM is held dead.
 func (t *Tracker) ping(now time.Duration, vm string) GossipSend {
 	t.sequence++
+	t.peers[vm].pinged = now
 	if _, busy := t.probing[vm]; !busy && t.peers[vm].state <= Suspect {
 		t.probing[vm] = t.sequence
 		t.probes[t.sequence] = &probe{target: vm, deadline: now + AckTimeout}
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -30,6 +30,12 @@
 	TickInterval = 100 * time.Millisecond
 	// RoundInterval is the time between two rounds of pings.
 	RoundInterval = 400 * time.Millisecond
+	// FreshLimit is how new a direct message must be to stand for a ping of this round. Of two
+	// VMs that ping each other in every round, it is the one whose round comes first that pings.
+	FreshLimit = RoundInterval / 2
+	// ProbeInterval is how long such messages stand for pings: they don't show that this VM's own
+	// messages arrive.
+	ProbeInterval = 4 * RoundInterval
 	// AckTimeout is how long a ping waits for an ack before other VMs are asked, and again
 	// until the VM is suspect.
 	AckTimeout = 300 * time.Millisecond
@@ -96,7 +102,8 @@
 	since       time.Duration // of the state
 	heard       time.Duration // last direct message; meaningful if everHeard
 	everHeard   bool
-	direct      bool // the last probe was answered directly
+	direct      bool          // the last probe was answered directly
+	pinged      time.Duration // by this VM
 }
 
 // NewTracker returns a tracker that knows no other VM yet.
@@ -192,6 +199,9 @@
 	if now >= t.nextRound {
 		t.nextRound = now + RoundInterval
 		for _, vm := range t.contacts() {
+			if t.pingedBy(now, vm) {
+				continue
+			}
 			sends = append(sends, t.ping(now, vm))
 		}
 	}
