dispatch: repeat calls under way by digest, whole only to a dispatcher that lacks them

Cause: an entry VM repeated each whole request of its calls under way each second, so that a new dispatcher learns of them; the dispatcher, which is almost always the same, knows them already. Now it sends 8 bytes for each ID, and the dispatcher answers with what it lacks (Lacking), which is sent whole. A new dispatcher still learns of all within a refresh and one exchange; a lost answer is made up for a second later, ForgetAfter is 4 s as before. A dispatcher of an earlier release does not read digests: while a fleet runs both releases it forgets the newer VMs' calls after 4 s (the calls themselves go on).

--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -295,30 +295,3 @@
 		c.opts.Network.Send(ranked[0], kind, payload)
 	}
 }
-
-func (c *Client) refresh() {
-	byVM := map[string]*Refresh{}
-	add := func(pool upstream.Pool) *Refresh {
-		ranked := c.opts.Locator.Dispatchers(pool)
-		if len(ranked) == 0 {
-			return &Refresh{}
-		}
-		if byVM[ranked[0]] == nil {
-			byVM[ranked[0]] = &Refresh{}
-		}
-		return byVM[ranked[0]]
-	}
-	c.mu.Lock()
-	for _, held := range c.running {
-		r := add(held.Pool)
-		r.Running = append(r.Running, held)
-	}
-	for _, w := range c.waiting {
-		r := add(w.enqueue.Pool)
-		r.Waiting = append(r.Waiting, w.enqueue)
-	}
-	c.mu.Unlock()
-	for vm, r := range byVM {
-		c.opts.Network.Send(vm, KindRefresh, mustMarshal(r))
-	}
-}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -64,8 +64,8 @@
 
 type pool struct {
 	*schedule.Pool
-	requests map[string]*request
-	health   *health
+	*requests
+	health *health
 }
 
 // request is one request as the dispatcher keeps it.
@@ -121,7 +121,7 @@
 func (h *Host) pool(key upstream.Pool) *pool {
 	p, ok := h.pools[key]
 	if !ok {
-		p = &pool{Pool: schedule.New(schedule.Options{}), requests: map[string]*request{}, health: newHealth()}
+		p = &pool{Pool: schedule.New(schedule.Options{}), requests: newRequests(), health: newHealth()}
 		h.pools[key] = p
 	}
 	return p
@@ -178,12 +178,12 @@
 	if !p.health.allShut(now) {
 		return
 	}
-	for id, r := range p.requests {
+	for id, r := range p.byID {
 		if r.reply.State != StateQueued {
 			continue
 		}
 		p.Cancel(now, id)
-		delete(p.requests, id)
+		p.drop(id)
 		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: id, State: StateNoUpstream}))
 	}
 }
@@ -210,26 +210,26 @@
 func (h *Host) enqueue(from string, e Enqueue) {
 	now := h.opts.Clock()
 	p := h.pool(e.Pool)
-	if known, ok := p.requests[e.Request.ID]; ok {
+	if known, ok := p.byID[e.Request.ID]; ok {
 		known.heard = now
 		return
 	}
 	if p.health.allShut(now) {
 		return
 	}
-	p.requests[e.Request.ID] = &request{
+	p.add(&request{
 		from:     from,
 		enqueue:  e,
 		queuedAt: now,
 		heard:    now,
 		reply:    Reply{RequestID: e.Request.ID, State: StateQueued},
-	}
+	})
 	p.Enqueue(now, e.Request)
 	h.plan(now, e.Pool, p)
 }
 
 func (h *Host) answer(e Enqueue) Reply {
-	r, ok := h.pool(e.Pool).requests[e.Request.ID]
+	r, ok := h.pool(e.Pool).byID[e.Request.ID]
 	if !ok {
 		return Reply{RequestID: e.Request.ID, State: StateNoUpstream}
 	}
@@ -248,7 +248,7 @@
 }
 
 func (h *Host) grant(now time.Duration, key upstream.Pool, p *pool, g schedule.Grant) {
-	r, ok := p.requests[g.Request.ID]
+	r, ok := p.byID[g.Request.ID]
 	if !ok {
 		return
 	}
@@ -267,13 +267,13 @@
 }
 
 func (h *Host) refuse(p *pool, refused schedule.Refused) {
-	r, ok := p.requests[refused.Request.ID]
+	r, ok := p.byID[refused.Request.ID]
 	if !ok {
 		return
 	}
 	if refused.Reason == schedule.ReasonNoReplica {
 		// Not a refusal yet: another zone may serve it.
-		delete(p.requests, refused.Request.ID)
+		p.drop(refused.Request.ID)
 		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: refused.Request.ID, State: StateNoUpstream}))
 		return
 	}
@@ -292,8 +292,8 @@
 		return
 	}
 	now := h.opts.Clock()
-	r := p.requests[id]
-	delete(p.requests, id)
+	r := p.byID[id]
+	p.drop(id)
 	p.Cancel(now, id)
 	p.Finish(now, id, o)
 	if r != nil && r.reply.Grant != nil {
@@ -326,33 +326,23 @@
 	}
 }
 
-func (h *Host) refresh(from string, r Refresh) {
-	now := h.opts.Clock()
-	for _, e := range r.Waiting {
-		h.enqueue(from, e)
-	}
-	for _, held := range r.Running {
-		h.adopt(now, from, held)
-	}
-}
-
 // adopt counts a call that runs under another dispatcher's grant, or notes that it still runs.
 func (h *Host) adopt(now time.Duration, from string, held Held) {
 	p := h.pool(held.Pool)
-	known, ok := p.requests[held.Request.ID]
+	known, ok := p.byID[held.Request.ID]
 	if ok {
 		known.heard = now
 		if known.reply.State == StateGranted {
 			return
 		}
 	}
-	p.requests[held.Request.ID] = &request{
+	p.add(&request{
 		from:     from,
 		enqueue:  Enqueue{Pool: held.Pool, Request: held.Request},
 		queuedAt: now,
 		heard:    now,
 		reply:    Reply{RequestID: held.Request.ID, State: StateGranted, Grant: &Grant{Upstream: held.Upstream, Incarnation: held.Incarnation}},
-	}
+	})
 	p.Adopt(now, held.Request, held.Upstream)
 }
 
@@ -375,12 +365,12 @@
 
 // forget drops requests that their entry VM no longer repeats.
 func (h *Host) forget(now time.Duration, key upstream.Pool, p *pool) {
-	for id, r := range p.requests {
+	for id, r := range p.byID {
 		if now-r.heard > ForgetAfter {
 			h.finish(key, id, schedule.Outcome{})
 		}
 	}
-	if len(p.requests) == 0 && p.Load() == (schedule.Load{}) {
+	if len(p.byID) == 0 && p.Load() == (schedule.Load{}) {
 		delete(h.pools, key)
 	}
 }
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -21,6 +21,7 @@
 	KindCancel    = "dispatch.cancel"
 	KindFinish    = "dispatch.finish"
 	KindRefresh   = "dispatch.refresh"
+	KindLacking   = "dispatch.lacking"
 	KindAnnounce  = "dispatch.announce"
 	KindSummary   = "dispatch.summary"
 )
@@ -96,10 +97,31 @@
 	Outcome   schedule.Outcome `json:"outcome"`
 }
 
-// Refresh repeats what an entry VM waits for and has under way in pools of one dispatcher.
+// Refresh repeats what an entry VM waits for and has under way in pools of one dispatcher: by
+// digests, and whole where the dispatcher said that it lacks it.
 type Refresh struct {
-	Waiting []Enqueue `json:"waiting,omitempty"`
-	Running []Held    `json:"running,omitempty"`
+	Pools   []PoolRefresh `json:"pools,omitempty"`
+	Waiting []Enqueue     `json:"waiting,omitempty"`
+	Running []Held        `json:"running,omitempty"`
+}
+
+// PoolRefresh names requests in one pool by the digests of their IDs.
+type PoolRefresh struct {
+	Pool    upstream.Pool `json:"pool"`
+	Waiting digests       `json:"waiting,omitempty"`
+	Running digests       `json:"running,omitempty"`
+}
+
+// Lacking answers a Refresh with the requests that the dispatcher does not know, as one that has
+// just taken over.
+type Lacking struct {
+	Pools []PoolLacking `json:"pools"`
+}
+
+// PoolLacking names the requests of one pool by the digests of their IDs.
+type PoolLacking struct {
+	Pool     upstream.Pool `json:"pool"`
+	Requests digests       `json:"requests"`
 }
 
 // Held is a granted call under way.
--- /dev/null
+++ b/internal/dispatch/refresh.go
@@ -0,0 +1,123 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"egretramp/internal/upstream"
+)
+
+// refresh repeats to each dispatcher what this VM waits for and has under way in its pools.
+func (c *Client) refresh() {
+	byPool := map[upstream.Pool]*PoolRefresh{}
+	of := func(pool upstream.Pool) *PoolRefresh {
+		if byPool[pool] == nil {
+			byPool[pool] = &PoolRefresh{Pool: pool}
+		}
+		return byPool[pool]
+	}
+	c.mu.Lock()
+	for id, held := range c.running {
+		r := of(held.Pool)
+		r.Running = r.Running.with(digestOf(id))
+	}
+	for id, w := range c.waiting {
+		r := of(w.enqueue.Pool)
+		r.Waiting = r.Waiting.with(digestOf(id))
+	}
+	c.mu.Unlock()
+	byVM := map[string]*Refresh{}
+	for pool, r := range byPool {
+		ranked := c.opts.Locator.Dispatchers(pool)
+		if len(ranked) == 0 {
+			continue
+		}
+		if byVM[ranked[0]] == nil {
+			byVM[ranked[0]] = &Refresh{}
+		}
+		byVM[ranked[0]].Pools = append(byVM[ranked[0]].Pools, *r)
+	}
+	for vm, r := range byVM {
+		c.opts.Network.Send(vm, KindRefresh, mustMarshal(r))
+	}
+}
+
+// HandleLacking answers a dispatcher that lacks some of what was repeated to it, with the whole
+// requests.
+func (c *Client) HandleLacking(from string, payload []byte) {
+	var l Lacking
+	if json.Unmarshal(payload, &l) != nil {
+		return
+	}
+	if whole := c.whole(l); len(whole.Running)+len(whole.Waiting) > 0 {
+		c.opts.Network.Send(from, KindRefresh, mustMarshal(whole))
+	}
+}
+
+// whole returns the requests that a dispatcher lacks, those that have ended since left out.
+func (c *Client) whole(l Lacking) Refresh {
+	wanted := map[upstream.Pool]map[digest]bool{}
+	for _, p := range l.Pools {
+		wanted[p.Pool] = map[digest]bool{}
+		p.Requests.each(func(d digest) { wanted[p.Pool][d] = true })
+	}
+	var r Refresh
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for id, held := range c.running {
+		if wanted[held.Pool][digestOf(id)] {
+			r.Running = append(r.Running, held)
+		}
+	}
+	for id, w := range c.waiting {
+		if wanted[w.enqueue.Pool][digestOf(id)] {
+			r.Waiting = append(r.Waiting, w.enqueue)
+		}
+	}
+	return r
+}
+
+// refresh takes what an entry VM repeats and asks for the requests that this dispatcher lacks.
+func (h *Host) refresh(from string, r Refresh) {
+	now := h.opts.Clock()
+	for _, e := range r.Waiting {
+		h.enqueue(from, e)
+	}
+	for _, held := range r.Running {
+		h.adopt(now, from, held)
+	}
+	var lacking Lacking
+	for _, p := range r.Pools {
+		if l := h.hear(now, p); len(l) > 0 {
+			lacking.Pools = append(lacking.Pools, PoolLacking{Pool: p.Pool, Requests: l})
+		}
+	}
+	if len(lacking.Pools) > 0 {
+		h.opts.Network.Send(from, KindLacking, mustMarshal(lacking))
+	}
+}
+
+// hear notes that the requests of a pool are still waiting or under way, and returns those that
+// it lacks.
+func (h *Host) hear(now time.Duration, r PoolRefresh) digests {
+	p := h.pool(r.Pool)
+	var lacking digests
+	r.Waiting.each(func(d digest) {
+		if known := p.byDigest[d]; known != nil {
+			known.heard = now
+			return
+		}
+		lacking = lacking.with(d)
+	})
+	r.Running.each(func(d digest) {
+		known := p.byDigest[d]
+		if known != nil {
+			known.heard = now
+		}
+		// A request that only waits here runs under an earlier dispatcher's grant.
+		if known == nil || known.reply.State != StateGranted {
+			lacking = lacking.with(d)
+		}
+	})
+	return lacking
+}
