peer: let the queue to a VM grow as needed

Cause: each link had a channel of 4,096 messages of 32 B ready, 131 KB, though nearly all of the 399 queues of a VM are empty.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -28,7 +28,7 @@
 type link struct {
 	node  *Node
 	vm    string
-	queue chan queued
+	queue *queue
 	up    atomic.Bool
 	heard signOfLife
 
@@ -37,19 +37,13 @@
 	idle    []idleConn
 }
 
-// queued is a message that waits to be sent.
-type queued struct {
-	envelope *peerpb.Envelope
-	since    time.Time
-}
-
 type idleConn struct {
 	conn  *drpcconn.Conn
 	since time.Time
 }
 
 func newLink(n *Node, vm, address string) *link {
-	return &link{node: n, vm: vm, address: address, queue: make(chan queued, queueLength)}
+	return &link{node: n, vm: vm, address: address, queue: newQueue()}
 }
 
 // trusted reports whether the stream is up and the other side was heard lately.
@@ -65,9 +59,7 @@
 
 func (l *link) enqueue(kind string, payload []byte) {
 	envelope := &peerpb.Envelope{From: l.node.opts.VM, Kind: kind, Payload: payload}
-	select {
-	case l.queue <- queued{envelope: envelope, since: time.Now()}:
-	default:
+	if !l.queue.push(queued{envelope: envelope, since: time.Now()}) {
 		l.node.stats.MessagesDropped.Add(1)
 	}
 }
@@ -153,44 +145,77 @@
 
 // sendAll sends queued messages, and a heartbeat before nothing was sent for HeartbeatInterval:
 // a message is a sign of life as well.
-func (l *link) sendAll(ctx context.Context, stream peerpb.DRPCPeer_MessagesClient) error {
+func (l *link) sendAll(ctx context.Context, stream messageSender) error {
 	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
 	defer heartbeat.Stop()
-	if err := stream.Send(&peerpb.Envelope{From: l.node.opts.VM}); err != nil {
+	if err := l.send(stream, &peerpb.Envelope{From: l.node.opts.VM}); err != nil {
 		return err
 	}
 	sent := time.Now()
 	for {
-		envelope := &peerpb.Envelope{From: l.node.opts.VM}
+		// Also what waited for the stream.
+		some, err := l.sendQueued(stream)
+		if err != nil {
+			return err
+		}
+		if some {
+			sent = time.Now()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case next := <-l.queue:
-			if time.Since(next.since) > queueAge {
-				l.node.stats.MessagesDropped.Add(1)
-				continue
-			}
-			envelope = next.envelope
+		case <-l.queue.wake:
 		case <-heartbeat.C:
 			if left := HeartbeatInterval - time.Since(sent); left >= clock.Grid {
 				heartbeat.Reset(clock.Align(left))
 				continue
 			}
 			heartbeat.Reset(clock.Align(HeartbeatInterval))
+			if err := l.send(stream, &peerpb.Envelope{From: l.node.opts.VM}); err != nil {
+				return err
+			}
+			sent = time.Now()
 		}
-		if l.node.cutTo(l.vm) {
-			continue
+	}
+}
+
+// messageSender is the part of a stream that sendAll needs.
+type messageSender interface {
+	Send(*peerpb.Envelope) error
+}
+
+// sendQueued sends what waits, but for messages that waited too long, and reports whether there
+// was any.
+func (l *link) sendQueued(stream messageSender) (some bool, err error) {
+	for {
+		next, ok := l.queue.pop()
+		if !ok {
+			return some, nil
 		}
-		if err := stream.Send(envelope); err != nil {
-			return err
+		if time.Since(next.since) > queueAge {
+			l.node.stats.MessagesDropped.Add(1)
+			continue
 		}
-		sent = time.Now()
-		if envelope.Kind != "" {
-			l.node.stats.MessagesSent.Add(1)
+		if err := l.send(stream, next.envelope); err != nil {
+			return some, err
 		}
+		some = true
 	}
 }
 
+func (l *link) send(stream messageSender, envelope *peerpb.Envelope) error {
+	if l.node.cutTo(l.vm) {
+		return nil
+	}
+	if err := stream.Send(envelope); err != nil {
+		return err
+	}
+	if envelope.Kind != "" {
+		l.node.stats.MessagesSent.Add(1)
+	}
+	return nil
+}
+
 // takeIdle returns a recently used connection, or nil.
 func (l *link) takeIdle() *drpcconn.Conn {
 	l.mu.Lock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -36,7 +36,6 @@
 	DoubtLimit  = 800 * time.Millisecond
 	DialTimeout = time.Second
 	redialDelay = 200 * time.Millisecond
-	queueLength = 4096 // messages to one VM
 	// queueAge is how long a message waits for a connection; an older one is dropped.
 	queueAge = time.Second
 )
--- a/internal/peer/silence_test.go
+++ b/internal/peer/silence_test.go
@@ -15,7 +15,6 @@
 
 // countingStream counts what is sent on a message stream.
 type countingStream struct {
-	peerpb.DRPCPeer_MessagesClient
 	heartbeats, messages atomic.Int64
 }
 
