Tick at 100 ms where nothing waits for the limiter

Cause: an execution trace of an entry VM at rest shows 46 moments a second at which the process wakes for 280 goroutines; 20 of them are the fleet's tick of 50 ms, which only the limiter needs, and only while draws, permits, loans or starts of shares wait. Without any the fleet ticks at the tracker's own interval of 100 ms, on a grid of 100 ms that it shares with the dispatcher and the heartbeats. The tracker takes a tick that comes a few milliseconds sooner than the last as the one it waited for (tickSlack); else a wait would go on for one more tick.

--- a/internal/clock/align.go
+++ b/internal/clock/align.go
@@ -2,23 +2,30 @@
 
 import "time"
 
-// Grid is the unit of Align.
-const Grid = 50 * time.Millisecond
+// Grid is the unit of Align, halfGrid that of waits shorter than Grid.
+const (
+	Grid     = 100 * time.Millisecond
+	halfGrid = Grid / 2
+)
 
 // started is the origin of the grid. Each process has its own, so that the VMs of a fleet don't
 // act at the same moment.
 var started = time.Now()
 
-// Align shortens a wait of at least Grid so that it ends on a multiple of Grid since the process
-// started. The repeated work of a process at rest then shares its wake-ups: each costs more than
+// Align shortens a wait so that it ends on a multiple of Grid since the process started, one
+// shorter than Grid on a multiple of half of it; a still shorter one is left as it is. The repeated work of a process at rest then shares its wake-ups: each costs more than
 // the work. Set again at each end with the same interval, it neither drifts nor is late.
 func Align(wait time.Duration) time.Duration {
+	unit := Grid
 	if wait < Grid {
+		unit = halfGrid
+	}
+	if wait < unit {
 		return wait
 	}
-	beyond := (time.Since(started) + wait) % Grid
+	beyond := (time.Since(started) + wait) % unit
 	if beyond < 0 {
-		beyond += Grid // a test's clock may be set before the process started
+		beyond += unit // a test's clock may be set before the process started
 	}
 	return wait - beyond
 }
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -36,7 +36,10 @@
 )
 
 const (
-	tickInterval = 50 * time.Millisecond
+	// tickInterval is that of a VM where nothing waits for the limiter, busyInterval of one where
+	// something does.
+	tickInterval = membership.TickInterval
+	busyInterval = 50 * time.Millisecond
 	eventQueue   = 4096
 	callTimeout  = time.Second
 )
@@ -159,7 +162,8 @@
 	defer tasks.Wait()
 	defer close(f.done)
 	f.tasks, f.ctx = &tasks, ctx
-	timer := time.NewTimer(clock.Align(tickInterval))
+	interval := tickInterval
+	timer := time.NewTimer(clock.Align(interval))
 	defer timer.Stop()
 	for {
 		select {
@@ -168,13 +172,26 @@
 			return
 		case event := <-f.events:
 			event()
+			if interval == tickInterval && f.limiter.Busy() {
+				interval = busyInterval
+				timer.Reset(clock.Align(interval))
+			}
 		case <-timer.C:
-			timer.Reset(clock.Align(tickInterval))
 			f.tick()
+			interval = f.interval()
+			timer.Reset(clock.Align(interval))
 		}
 	}
 }
 
+// interval returns the time to the next tick.
+func (f *Fleet) interval() time.Duration {
+	if f.limiter.Busy() {
+		return busyInterval
+	}
+	return tickInterval
+}
+
 // post queues an event for the control goroutine. It is dropped after the end.
 func (f *Fleet) post(event func()) {
 	select {
--- a/internal/membership/probe.go
+++ b/internal/membership/probe.go
@@ -129,7 +129,7 @@
 func (t *Tracker) dueProbes(now time.Duration) []uint64 {
 	var due []uint64
 	for seq, pr := range t.probes {
-		if now >= pr.deadline {
+		if now+tickSlack >= pr.deadline {
 			due = append(due, seq)
 		}
 	}
@@ -156,7 +156,7 @@
 	var changes []Change
 	for _, name := range t.order {
 		p := t.peers[name]
-		if p.state == Suspect && now-p.since >= SuspectTimeout && !t.isolated(now) {
+		if p.state == Suspect && now-p.since >= SuspectTimeout-tickSlack && !t.isolated(now) {
 			changes = append(changes, t.claim(now, name, p.incarnation, Dead)...)
 		}
 	}
--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -28,6 +28,9 @@
 const (
 	// TickInterval is how often the host calls Tick.
 	TickInterval = 100 * time.Millisecond
+	// tickSlack is how much sooner than intended a tick may come: a wait that ends with a tick
+	// must not go on to the next one.
+	tickSlack = 10 * time.Millisecond
 	// RoundInterval is the time between two rounds of pings.
 	RoundInterval = 400 * time.Millisecond
 	// FreshLimit is how new a direct message must be to stand for a ping of this round. Of two
@@ -196,7 +199,7 @@
 	}
 	sends := t.advanceProbes(now)
 	changes := t.expireSuspects(now)
-	if now >= t.nextRound {
+	if now+tickSlack >= t.nextRound {
 		t.nextRound = now + RoundInterval
 		for _, vm := range t.contacts() {
 			if t.pingedBy(now, vm) {
--- a/internal/membership/tracker_test.go
+++ b/internal/membership/tracker_test.go
@@ -285,3 +285,36 @@
 		}
 	}
 }
+
+func TestTracker_EarlyTickDoesNotSkipARound(t *testing.T) {
+	tracker := NewTracker(TrackerOptions{VM: "a", Zone: "z"})
+	tracker.SetVMs(0, []VM{{Name: "b", Zone: "z"}})
+	sends, _ := tracker.Tick(time.Millisecond)
+	require.Len(t, sends, 1)
+	tracker.Handle(2*time.Millisecond, "b", Gossip{Kind: GossipAck, Sequence: sends[0].Gossip.Sequence})
+	sends, _ = tracker.Tick(RoundInterval)
+	require.Len(t, sends, 1, "the first tick was a millisecond late")
+}
+
+func TestTracker_FreshMessageStandsForAPing(t *testing.T) {
+	tracker := NewTracker(TrackerOptions{VM: "a", Zone: "z"})
+	tracker.SetVMs(0, []VM{{Name: "b", Zone: "z"}})
+	now, pings := time.Duration(0), 0
+	round := func(heardBefore time.Duration) {
+		now += RoundInterval
+		tracker.Handle(now-heardBefore, "b", Gossip{Kind: GossipPing, Incarnation: 1, Sequence: 9})
+		sends, _ := tracker.Tick(now)
+		for _, s := range sends {
+			pings++
+			tracker.Handle(now+time.Millisecond, "b", Gossip{Kind: GossipAck, Incarnation: 1, Sequence: s.Gossip.Sequence})
+		}
+	}
+	for range 8 {
+		round(FreshLimit - 1)
+	}
+	require.Equal(t, 2, pings, "every fourth round all the same: what is heard says nothing of what arrives")
+	for range 4 {
+		round(FreshLimit)
+	}
+	require.Equal(t, 6, pings)
+}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -201,6 +201,9 @@
 	return l.flush()
 }
 
+// Busy reports whether something waits for a tick: draws, loans, permits or the start of a share.
+func (l *Limiter) Busy() bool { return len(l.pending)+len(l.drawn)+len(l.busy) > 0 }
+
 // expirePermits takes back what was not dispatched in time.
 func (l *Limiter) expirePermits(now time.Duration) {
 	kept := l.drawn[:0]
