replica: wake for the ticks of a heartbeat interval at once

Cause: both replicas of a control VM woke each 50 ms for one tick, though a leader sends heartbeats each second tick and nothing is due sooner. Now they wake each 100 ms, and with each message, and count the ticks that have passed. A message that comes late in that time must not shorten the follower's timeout: ticks counted after a message of the leader are no part of its silence (LeaderHeard). Without that, TestReplica_TimeBeforeAMessageIsNoSilence fails (seen). So the least election timeout is what it was, 450 to 500 ms of silence; an election may begin up to 50 ms later than before. Check-quorum, pre-vote and the numbers of ticks are unchanged; the randomised runs drive the node below this loop.

--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -8,6 +8,7 @@
 		r.becomeFollower(r.term, m.From)
 	}
 	r.electionElapsed = 0
+	r.leaderHeard = true
 	switch m.Type {
 	case raftpb.MessageType_MESSAGE_TYPE_APPEND:
 		r.handleAppend(m)
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -98,6 +98,7 @@
 	votes    map[uint64]bool
 
 	electionElapsed  int
+	leaderHeard      bool // since LeaderHeard was called last
 	heartbeatElapsed int
 	electionTimeout  int
 
@@ -294,6 +295,14 @@
 // Leader returns the leader's replica ID, 0 if it is not known.
 func (r *Raft) Leader() uint64 { return r.leader }
 
+// LeaderHeard reports whether a message of the leader came since the last call. The time until
+// then is no part of the leader's silence, so it need not be passed by Tick.
+func (r *Raft) LeaderHeard() bool {
+	heard := r.leaderHeard
+	r.leaderHeard = false
+	return heard
+}
+
 // Commit returns the index of the last entry known to be committed.
 func (r *Raft) Commit() uint64 { return r.log.commit }
 
--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -171,3 +171,15 @@
 		flush(r)
 	})
 }
+
+func TestRaft_LeaderHeardOncePerMessage(t *testing.T) {
+	r := newReplica(t, 1)
+	require.False(t, r.LeaderHeard())
+	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE, From: 2, To: 1, Term: 2})
+	require.False(t, r.LeaderHeard(), "a candidate is no leader")
+	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT, From: 2, To: 1, Term: 2})
+	require.True(t, r.LeaderHeard())
+	require.False(t, r.LeaderHeard())
+	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT, From: 3, To: 1, Term: 1})
+	require.False(t, r.LeaderHeard(), "of an older term")
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -128,7 +128,10 @@
 		}
 		r.stop(err)
 	}()
-	timer := time.NewTimer(clock.Align(r.options.TickInterval))
+	// A leader sends heartbeats at that interval and nothing is due sooner; the ticks that have
+	// passed are counted then.
+	interval := time.Duration(r.options.HeartbeatTicks) * r.options.TickInterval
+	timer := time.NewTimer(clock.Align(interval))
 	defer timer.Stop()
 	lastTick := r.options.Clock()
 	for {
@@ -136,7 +139,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-timer.C:
-			timer.Reset(clock.Align(r.options.TickInterval))
+			timer.Reset(clock.Align(interval))
 		case m := <-r.inbox:
 			err = r.node.step(m)
 		case request := <-r.requests:
@@ -189,8 +192,12 @@
 		due = r.options.ElectionTicks
 		since = now - time.Duration(due)*r.options.TickInterval
 	}
+	pass := r.node.tick
+	if r.node.leaderHeard() {
+		pass = r.node.tickJoiners
+	}
 	for range due {
-		if err := r.node.tick(); err != nil {
+		if err := pass(); err != nil {
 			return now, err
 		}
 	}
--- /dev/null
+++ b/internal/replica/host_test.go
@@ -0,0 +1,47 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/raft/raftpb"
+)
+
+// TestReplica_TimeBeforeAMessageIsNoSilence: a replica that wakes seldom counts the time since the
+// last wake-up when a message comes; the leader's silence begins only with the message.
+func TestReplica_TimeBeforeAMessageIsNoSilence(t *testing.T) {
+	for seed := range int64(20) {
+		var now time.Duration
+		f := newFleet(t, "a", "b", "c")
+		r, err := New(Options{
+			Group: 1, VM: "a", Folder: f.folders["a"], InitialVMs: f.vms, Machine: &recorder{}, Transport: f,
+			Seed: seed + 1, Clock: func() time.Duration { return now },
+		})
+		require.NoError(t, err)
+		heartbeat := &raftpb.Message{
+			Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT, Group: 1, Formation: 7, Term: 3,
+			From: 99, FromVm: "b", To: r.store.Identity().Replica,
+		}
+		var last time.Duration
+		pass := func(ticks time.Duration, message bool) {
+			now += ticks * DefaultTickInterval
+			if message {
+				require.NoError(t, r.node.step(heartbeat))
+			}
+			last, err = r.passTime(last)
+			require.NoError(t, err)
+		}
+		pass(0, true)
+		for range 5 {
+			pass(DefaultElectionTicks-1, true)
+			pass(DefaultElectionTicks-1, false)
+			require.NotZero(t, r.node.raft.Leader(), "it was silent for less than the least timeout")
+		}
+		pass(DefaultElectionTicks, false)
+		pass(DefaultElectionTicks, false)
+		require.Zero(t, r.node.raft.Leader(), "it was silent for more than the longest timeout")
+		require.NoError(t, r.store.Close())
+	}
+}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -94,7 +94,9 @@
 
 // tick passes one unit of time.
 func (n *node) tick() error {
-	n.joiners.tick()
+	if err := n.tickJoiners(); err != nil {
+		return err
+	}
 	if n.bound() {
 		n.raft.Tick()
 	}
@@ -107,6 +109,17 @@
 	return nil
 }
 
+// tickJoiners passes one unit of time that is no part of the leader's silence.
+func (n *node) tickJoiners() error {
+	n.joiners.tick()
+	return nil
+}
+
+// leaderHeard reports whether another replica that leads was heard since the last call.
+func (n *node) leaderHeard() bool {
+	return n.bound() && n.raft.LeaderHeard() && n.raft.Role() == raft.Follower
+}
+
 // step takes a message. It returns an error only if the storage fails.
 func (n *node) step(m *raftpb.Message) error {
 	if raft.CheckMessage(m) != nil || m.Group != n.options.group {
