membership: leave out of lease answers what the VM knows

The answer now carries them only where they say something new; a VM of an earlier release reads such an answer as one without news.

Left: one VM a zone that collects its zone's requests.

--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -35,6 +35,7 @@
 	sent    map[string]*traffic
 	taken   map[string]*traffic
 	answers []func()
+	known   map[string]*membership.RenewRequest // what each generated VM has learned from its answers
 }
 
 type traffic struct{ messages, bytes int }
@@ -66,6 +67,9 @@
 	if kind == KindGossip {
 		n.answerGossip(vm, payload)
 	}
+	if kind == KindLease {
+		n.learn(vm, payload)
+	}
 	if kind == KindRenew && vm == n.names[1] && n.grantor != nil {
 		n.answerRenew(vm, payload)
 	}
@@ -82,6 +86,21 @@
 	})
 }
 
+// learn lets a generated VM take an answer to its lease request as a Holder does.
+func (n *benchNet) learn(vm string, payload []byte) {
+	var m membership.LeaseMessage
+	require.NoError(n.b, json.Unmarshal(payload, &m))
+	known := n.known[vm]
+	if known == nil || m.Answer == nil {
+		return
+	}
+	if known.Deny.Less(m.Answer.Deny.Version) {
+		known.Deny = m.Answer.Deny.Version
+	}
+	known.Settled.ZoneEpoch = max(known.Settled.ZoneEpoch, m.Answer.Settled.ZoneEpoch)
+	known.Settled.AgreedSplit = max(known.Settled.AgreedSplit, m.Answer.Settled.AgreedSplit)
+}
+
 func (n *benchNet) answerRenew(vm string, payload []byte) {
 	var m membership.LeaseMessage
 	require.NoError(n.b, json.Unmarshal(payload, &m))
@@ -114,7 +133,7 @@
 }
 
 func newBenchNet(b *testing.B, vms int, leads bool) *benchNet {
-	n := &benchNet{b: b, sent: map[string]*traffic{}, taken: map[string]*traffic{}}
+	n := &benchNet{b: b, sent: map[string]*traffic{}, taken: map[string]*traffic{}, known: map[string]*membership.RenewRequest{}}
 	for _, kind := range []string{KindGossip, KindLease, KindRenew, KindLimit, KindDigest} {
 		n.sent[kind], n.taken[kind] = &traffic{}, &traffic{}
 	}
@@ -176,11 +195,16 @@
 func (n *benchNet) renew() {
 	zoneOf := n.fleet.View().Epoch.ZoneOf
 	for _, vm := range n.names[1:] {
-		zone, _ := zoneOf(vm)
-		n.deliver(vm, KindRenew, membership.LeaseMessage{Renew: &membership.RenewRequest{
-			Confirmed: membership.Confirmed{VM: vm, Incarnation: benchIncarnation, Epoch: 1},
-			Zone:      zone, Sequence: uint64(n.now / membership.RenewInterval),
-		}})
+		known := n.known[vm]
+		if known == nil {
+			zone, _ := zoneOf(vm)
+			known = &membership.RenewRequest{
+				Confirmed: membership.Confirmed{VM: vm, Incarnation: benchIncarnation, Epoch: 1}, Zone: zone,
+			}
+			n.known[vm] = known
+		}
+		known.Sequence = uint64(n.now / membership.RenewInterval)
+		n.deliver(vm, KindRenew, membership.LeaseMessage{Renew: known})
 	}
 	n.settle()
 }
--- a/internal/membership/grantor.go
+++ b/internal/membership/grantor.go
@@ -106,13 +106,18 @@
 		g.joining[r.VM] = VM{Name: r.VM, Zone: r.Zone}
 	}
 	g.checkInvariants()
-	return RenewAnswer{
+	a := RenewAnswer{
 		VM: r.VM, Incarnation: r.Incarnation, Sequence: r.Sequence,
 		Granted: granted, Control: true,
 		Epoch: g.epoch.Number, Generation: g.generation,
-		Deny:    g.denyList(r.Zone),
-		Settled: g.learnSettled(r.Zone, r.Settled),
 	}
+	if deny := g.denyList(r.Zone); r.Deny.Less(deny.Version) {
+		a.Deny = deny
+	}
+	if settled := g.learnSettled(r.Zone, r.Settled); settled != r.Settled {
+		a.Settled = settled
+	}
+	return a
 }
 
 // hear takes what a VM confirmed, and reports whether it may have a lease.
--- a/internal/membership/lease_test.go
+++ b/internal/membership/lease_test.go
@@ -178,6 +178,25 @@
 	}
 }
 
+func TestGrantor_LeavesOutWhatTheVMKnows(t *testing.T) {
+	z := newZone(t, "a", "b", "c")
+	z.run(5 * time.Second)
+	request := z.holders["a"].request(z.now)
+	answer := z.grantor.Renew(z.now, *request)
+	require.True(t, answer.Granted)
+	require.Zero(t, answer.Deny)
+	require.Zero(t, answer.Settled)
+	request.Settled = Settled{}
+	require.Equal(t, z.holders["a"].Settled(), z.grantor.Renew(z.now, *request).Settled, "it forgot")
+	z.dead["b"] = true
+	z.run(FenceDelay + 200*time.Millisecond)
+	request.Settled = z.holders["a"].Settled()
+	answer = z.grantor.Renew(z.now, *request)
+	require.Equal(t, []string{"b"}, answer.Deny.VMs, "it has an older list")
+	request.Deny = answer.Deny.Version
+	require.Zero(t, z.grantor.Renew(z.now, *request).Deny)
+}
+
 func TestGrantor_GoodbyeNeedsNoWait(t *testing.T) {
 	z := newZone(t, "a", "b")
 	z.run(time.Second)
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -89,7 +89,7 @@
 	Confirmed
 	Zone     string  `json:"zone"`
 	Sequence uint64  `json:"sequence"`
-	Settled  Settled `json:"settled"` // as the sender knows it; a new leader does not
+	Settled  Settled `json:"settled,omitzero"` // as the sender knows it; a new leader does not
 	// Sponsored are the VMs whose lease the sender renewed of late, with what they confirmed.
 	Sponsored []Confirmed `json:"sponsored,omitempty"`
 }
@@ -106,8 +106,9 @@
 	Generation  uint64 `json:"generation"` // in force at the sender
 	// ContactAge is how long ago the sender's zone last heard control; 0 from control itself.
 	ContactAge time.Duration `json:"contact_age,omitempty"` // nanoseconds
-	Deny       DenyList      `json:"deny"`
-	Settled    Settled       `json:"settled"`
+	// Deny and Settled are left out where the request shows that the VM knows them.
+	Deny    DenyList `json:"deny,omitzero"`
+	Settled Settled  `json:"settled,omitzero"`
 }
 
 // Goodbye says that a VM has stopped and acts no more under this incarnation.
