--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -15,6 +15,8 @@
 	"egretramp/internal/admin"
 	"egretramp/internal/admin/api"
 	"egretramp/internal/events"
+	"egretramp/internal/gateway"
+	"egretramp/internal/identity"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
 )
@@ -86,9 +88,9 @@
 	s.callers.ConnState = s.conns.note
 	operators := admin.New(admin.Options{Backend: &backend{daemon: d}, Logger: d.events, CutLinks: d.cutLinks()})
 	servers := pool.New()
-	servers.Go(func() { s.fail(s.callers.Serve(d.listeners.callers)) })
+	servers.Go(func() { s.fail(s.callers.Serve(gateway.Listener(d.listeners.callers))) })
 	servers.Go(func() { s.fail(s.upstreams.Serve(d.listeners.upstreams)) })
-	servers.Go(func() { s.fail(operators.Serve(adminCtx, d.listeners.admin)) })
+	servers.Go(func() { s.fail(operators.Serve(adminCtx, d.protection.Listener(d.listeners.admin, identity.Operator))) })
 	s.wait = servers.Wait
 	return s
 }
