dispatch: one VM of each zone passes summaries on; shorter summaries

Cause: a dispatcher told each of 399 VMs singly, and of 156 B of a summary of one pool half were names of fields and the zone. Now it tells the VMs of its zone as before, and one VM of each other zone, which passes the summary on there. It is another VM each time, so that one that cannot be reached costs its zone one summary of three that may be lost. A summary names its dispatcher and the time at which it was sent, so that a late one does not replace a newer one. The zone is named once and the fields have short names.

Weighed: passing each zone's summaries on through one fixed VM, which would send 200 KB/s; by turns the same is spread over the zone. Tests: the Locator of the fakes has Zones in place of VMs; a summary's dispatcher is read from the summary, and the test that names one sets it there.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -245,6 +245,7 @@
 	d.node.HandleMessages(dispatch.KindRefresh, d.host.HandleRefresh)
 	d.node.HandleCalls(dispatch.MethodEnqueue, d.host.HandleEnqueue)
 	d.node.HandleCalls(dispatch.MethodList, d.host.HandleList)
+	d.node.HandleMessages(dispatch.KindRelaySummary, d.host.HandleRelaySummary)
 	d.node.HandleMessages(dispatch.KindLacking, d.dispatcher.HandleLacking)
 	d.node.HandleMessages(dispatch.KindGrant, d.dispatcher.HandleGrant)
 	d.node.HandleMessages(dispatch.KindSummary, d.dispatcher.HandleSummary)
--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -65,8 +65,14 @@
 	return zone
 }
 
-// VMs implements Locator.
-func (h *benchHost) VMs() []string { return h.vms }
+// Zones implements Locator.
+func (h *benchHost) Zones() []string {
+	var zones []string
+	for i := range min(benchZones, len(h.vms)) {
+		zones = append(zones, fmt.Sprintf("region-zone%02d", i))
+	}
+	return zones
+}
 
 func benchAnnouncement(i int, sequence uint64) wire.Announcement {
 	return wire.Announcement{
@@ -105,6 +111,27 @@
 	}
 }
 
+// BenchmarkHost_Relay drives a VM that passes on its part of the summaries of other zones: every
+// VM of its zone is the next one in turn. An op is a second without news.
+func BenchmarkHost_Relay(b *testing.B) {
+	for _, vms := range []int{36, 400} {
+		b.Run(fmt.Sprintf("%d VMs", vms), func(b *testing.B) {
+			h := newBenchHost(vms)
+			zone := len(h.Dispatchers(upstream.Pool{Zone: "region-zone00"}))
+			pools := (benchZones - 1) * benchModels
+			for range b.N {
+				for i := range pools {
+					h.HandleRelaySummary("vm2", benchSummary(1+i/benchModels, i%benchModels))
+				}
+			}
+			// Each pool's summary comes to this VM once in zone x RemoteSummaryInterval.
+			part := 1 / (float64(b.N) * float64(zone) * RemoteSummaryInterval.Seconds())
+			b.ReportMetric(float64(h.messages)*part, "sent-messages/s")
+			b.ReportMetric(float64(h.bytes)*part, "sent-B/s")
+		})
+	}
+}
+
 // BenchmarkClient_Summaries drives one entry VM that hears the summaries of every pool of a fleet
 // of 12 zones, one message a pool, as often as their dispatchers send them without news. An op
 // is a second of virtual time.
@@ -139,7 +166,7 @@
 }
 
 func benchSummary(zone, model int) []byte {
-	return mustMarshal(Summary{Pools: []PoolSummary{{
+	return mustMarshal(Summary{From: fmt.Sprintf("region-zone%02d-vm%03d", zone, model), SentAt: time.Hour, Pools: []PoolSummary{{
 		Pool: upstream.Pool{Zone: fmt.Sprintf("region-zone%02d", zone), Kind: config.KindEngine, Name: fmt.Sprintf("model-%d", model)},
 		Load: schedule.Load{Replicas: 38, Slots: 2432, Running: 1140, Waiting: 76, WaitMS: 12, PrefillNS: 80_000},
 	}}})
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -39,9 +39,10 @@
 }
 
 type summary struct {
-	from string
-	load schedule.Load
-	at   time.Duration
+	from   string
+	load   schedule.Load
+	at     time.Duration
+	sentAt time.Duration // of the dispatcher's clock
 }
 
 // NewClient returns a client; Run repeats its soft state.
@@ -91,7 +92,7 @@
 }
 
 // HandleSummary takes a dispatcher's summary.
-func (c *Client) HandleSummary(from string, payload []byte) {
+func (c *Client) HandleSummary(_ string, payload []byte) {
 	var s Summary
 	if json.Unmarshal(payload, &s) != nil {
 		return
@@ -100,12 +101,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range s.Pools {
+		last, known := c.summaries[p.Pool]
+		same := known && last.from == s.From
+		if same && s.SentAt < last.sentAt && now-last.at <= c.believed(p.Pool) {
+			continue // it was held up on its way
+		}
 		if p.Load.Replicas > 0 {
-			c.summaries[p.Pool] = summary{from: from, load: p.Load, at: now}
+			c.summaries[p.Pool] = summary{from: s.From, load: p.Load, at: now, sentAt: s.SentAt}
 			continue
 		}
 		// A dispatcher that handed the pool over finds it empty as well.
-		if c.summaries[p.Pool].from == from {
+		if same {
 			delete(c.summaries, p.Pool)
 		}
 	}
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -26,8 +26,8 @@
 type Locator interface {
 	// Dispatchers returns the live VMs of the pool's zone, the pool's dispatcher first.
 	Dispatchers(pool upstream.Pool) []string
-	// VMs returns all other VMs that are alive.
-	VMs() []string
+	// Zones returns the zones with live VMs.
+	Zones() []string
 }
 
 // HostOptions configure a Host.
@@ -60,6 +60,7 @@
 	pools     map[upstream.Pool]*pool
 	summary   time.Duration // when the last summary was sent
 	told      map[upstream.Pool]told
+	relayed   uint64 // summaries sent to other zones
 }
 
 type pool struct {
--- a/internal/dispatch/host_test.go
+++ b/internal/dispatch/host_test.go
@@ -54,8 +54,8 @@
 	return []string{"vm1"}
 }
 
-// VMs implements Locator.
-func (h *hostTest) VMs() []string { return nil }
+// Zones implements Locator.
+func (h *hostTest) Zones() []string { return []string{"z1"} }
 
 func announcement(name string, sequence uint64, slots int, serves ...string) wire.Announcement {
 	return wire.Announcement{
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -24,6 +24,8 @@
 	KindLacking   = "dispatch.lacking"
 	KindAnnounce  = "dispatch.announce"
 	KindSummary   = "dispatch.summary"
+	// KindRelaySummary is a summary for all VMs of the receiver's zone.
+	KindRelaySummary = "dispatch.relay_summary"
 )
 
 // Timing of the soft state.
@@ -33,14 +35,14 @@
 	// ForgetAfter is how long a dispatcher keeps a request that nobody repeats.
 	ForgetAfter = 4 * time.Second
 	// SummaryInterval is how often a dispatcher tells the VMs of its zone about its pools, and
-	// the others about those with news.
+	// those of the other zones, through one VM of each, about those with news.
 	SummaryInterval = 500 * time.Millisecond
 	// SummaryAge is how long a summary of the own zone is believed.
 	SummaryAge = 2500 * time.Millisecond
 	// RemoteSummaryInterval is how often the VMs of other zones are told of pools without news.
 	RemoteSummaryInterval = 2 * time.Second
-	// RemoteSummaryAge is how long a summary of another zone is believed: two may be lost. A
-	// zone without live VMs is left out at once.
+	// RemoteSummaryAge is how long a summary of another zone is believed: two may be lost, each
+	// with another VM that passed it on. A zone without live VMs is left out at once.
 	RemoteSummaryAge = 6500 * time.Millisecond
 )
 
@@ -133,9 +135,15 @@
 	Incarnation int64 `json:"incarnation"`
 }
 
-// Summary tells other VMs what a dispatcher's pools look like.
+// Summary tells other VMs what a dispatcher's pools look like. Each VM hears many of them, so
+// its encoding names each zone once and has short names.
 type Summary struct {
-	Pools []PoolSummary `json:"pools"`
+	// From is the dispatcher.
+	From string
+	// SentAt is the dispatcher's time since boot, so that one that was held up on its way does
+	// not replace a later one.
+	SentAt time.Duration
+	Pools  []PoolSummary
 }
 
 // Listed is an upstream in a dispatcher's directory.
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -28,9 +28,7 @@
 	own := h.summarise()
 	zone := h.opts.Locator.Dispatchers(upstream.Pool{Zone: h.opts.Zone})
 	h.sendPools(own, append(without(zone, h.opts.VM), h.opts.VM))
-	others := h.opts.Locator.VMs()
-	others = slices.DeleteFunc(slices.Clone(others), func(vm string) bool { return slices.Contains(zone, vm) })
-	h.sendPools(h.news(now, own), others)
+	h.sendToZones(h.news(now, own))
 }
 
 func (h *Host) sendPools(s Summary, vms []string) {
@@ -46,7 +44,7 @@
 // news returns what the other zones have to be told now. A pool that lost its last upstream is
 // told of once, with an empty load.
 func (h *Host) news(now time.Duration, own Summary) Summary {
-	var s Summary
+	s := Summary{From: own.From, SentAt: own.SentAt}
 	present := map[upstream.Pool]bool{}
 	for _, p := range own.Pools {
 		present[p.Pool] = true
@@ -80,7 +78,7 @@
 }
 
 func (h *Host) summarise() Summary {
-	var s Summary
+	s := Summary{From: h.opts.VM, SentAt: h.opts.Clock()}
 	for key, p := range h.pools {
 		load := p.Load()
 		if load.Replicas > 0 {
--- a/internal/dispatch/summary_test.go
+++ b/internal/dispatch/summary_test.go
@@ -1,11 +1,14 @@
 package dispatch
 
 import (
+	"context"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"egretramp/internal/events"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 )
@@ -55,14 +58,14 @@
 	return nil
 }
 
-// VMs implements Locator.
-func (z zones) VMs() []string { return nil }
+// Zones implements Locator.
+func (z zones) Zones() []string { return z }
 
 func TestClient_BelievesSummaries(t *testing.T) {
 	var now time.Duration
 	c := NewClient(ClientOptions{Zone: "z0", Locator: zones{"z0", "z1"}, Clock: func() time.Duration { return now }})
 	hear := func(from, zone string, replicas int) {
-		c.HandleSummary(from, mustMarshal(Summary{Pools: []PoolSummary{
+		c.HandleSummary("relay", mustMarshal(Summary{From: from, Pools: []PoolSummary{
 			{Pool: upstream.Pool{Zone: zone, Name: "m"}, Load: schedule.Load{Replicas: replicas}},
 		}}))
 	}
@@ -90,3 +93,103 @@
 	now += RemoteSummaryAge + 1
 	require.Empty(t, known(), "silent for too long")
 }
+
+func TestClient_LateSummaryDoesNotReplaceANewerOne(t *testing.T) {
+	var now time.Duration
+	c := NewClient(ClientOptions{Zone: "z0", Locator: zones{"z0", "z1"}, Clock: func() time.Duration { return now }})
+	hear := func(from string, sentAt time.Duration, replicas int) {
+		c.HandleSummary("relay", mustMarshal(Summary{From: from, SentAt: sentAt, Pools: []PoolSummary{
+			{Pool: upstream.Pool{Zone: "z1", Name: "m"}, Load: schedule.Load{Replicas: replicas}},
+		}}))
+	}
+	known := func() int { return c.Pools()[0].Load.Replicas }
+	hear("vm1", 20*time.Second, 2)
+	hear("vm1", 19*time.Second, 3)
+	require.Equal(t, 2, known(), "it was held up by the VM that passed it on")
+	hear("vm1", 19*time.Second, 0)
+	require.Equal(t, 2, known())
+	hear("vm2", 1*time.Second, 4)
+	require.Equal(t, 4, known(), "clocks of two VMs are not compared")
+	now += RemoteSummaryAge + 1
+	hear("vm2", time.Millisecond, 5)
+	require.Equal(t, 5, known(), "its VM was started anew")
+}
+
+// zoneNet is a Locator of three zones, and a Network that carries summaries between their VMs.
+type zoneNet struct {
+	vms     map[string][]string
+	zoneOf  map[string]string
+	heard   map[string]int // summaries by VM
+	direct  int            // messages of the dispatcher to other zones
+	lost    map[string]bool
+	message Summary
+}
+
+func newZoneNet() *zoneNet {
+	n := &zoneNet{vms: map[string][]string{}, zoneOf: map[string]string{}, heard: map[string]int{}, lost: map[string]bool{}}
+	for _, zone := range []string{"z1", "z2", "z3"} {
+		for _, vm := range []string{"a", "b", "c"} {
+			n.vms[zone] = append(n.vms[zone], zone+vm)
+			n.zoneOf[zone+vm] = zone
+		}
+	}
+	return n
+}
+
+// zoneNetVM is the end of one VM.
+type zoneNetVM struct {
+	*zoneNet
+	vm string
+}
+
+// Dispatchers implements Locator.
+func (n *zoneNet) Dispatchers(p upstream.Pool) []string { return n.vms[p.Zone] }
+
+// Zones implements Locator.
+func (n *zoneNet) Zones() []string { return []string{"z1", "z2", "z3"} }
+
+// Call implements Network.
+func (n *zoneNet) Call(context.Context, string, string, []byte) ([]byte, error) { return nil, nil }
+
+// Send implements Network.
+func (v zoneNetVM) Send(vm, kind string, payload []byte) {
+	if v.lost[vm] || v.lost[v.vm] {
+		return
+	}
+	if v.zoneOf[v.vm] != v.zoneOf[vm] {
+		v.direct++
+	}
+	switch kind {
+	case KindSummary:
+		v.heard[vm]++
+		_ = v.message.UnmarshalJSON(payload)
+	case KindRelaySummary:
+		v.host(vm).HandleRelaySummary(v.vm, payload)
+	}
+}
+
+func (n *zoneNet) host(vm string) *Host {
+	return NewHost(HostOptions{
+		VM: vm, Zone: n.zoneOf[vm], Network: zoneNetVM{n, vm}, Locator: n, Events: events.FromZap(zap.NewNop()),
+		Clock: func() time.Duration { return time.Minute },
+	})
+}
+
+func TestHost_OneVMOfEachZonePassesSummariesOn(t *testing.T) {
+	n := newZoneNet()
+	h := n.host("z1a")
+	h.offer(announcement("e1", 1, 3, "m1"))
+	n.lost["z2b"] = true
+	for range 3 {
+		h.told = map[upstream.Pool]told{}
+		h.sendSummary(0)
+	}
+	require.Equal(t, h.summarise(), n.message, "nothing is lost in the encoding")
+	require.Equal(t, 5, n.direct, "one for each of the other zones, one of six lost")
+	for _, vm := range n.vms["z3"] {
+		require.Equal(t, 3, n.heard[vm], vm)
+	}
+	require.Equal(t, 2, n.heard["z2a"], "another VM passes the next one on")
+	require.Equal(t, 2, n.heard["z2c"])
+	require.Equal(t, 3, n.heard["z1b"], "the own zone is told by the dispatcher")
+}
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"time"
 
 	"egretramp/internal/membership"
@@ -41,6 +42,7 @@
 // aliveView is which VMs may be given work.
 type aliveView struct {
 	zones map[string][]string
+	names []string // of the zones with such VMs, sorted
 	all   []string // without this VM
 }
 
@@ -58,12 +60,16 @@
 		}
 		names := f.tracker.UsableIn(vm.Zone)
 		v.zones[vm.Zone] = names
+		if len(names) > 0 {
+			v.names = append(v.names, vm.Zone)
+		}
 		for _, name := range names {
 			if name != f.opts.VM {
 				v.all = append(v.all, name)
 			}
 		}
 	}
+	slices.Sort(v.names)
 	f.alive.Store(v)
 }
 
@@ -72,6 +78,9 @@
 	return membership.Rank(pool.String(), f.alive.Load().zones[pool.Zone])
 }
 
+// Zones returns the zones with live VMs, sorted.
+func (f *Fleet) Zones() []string { return f.alive.Load().names }
+
 // VMs returns the other VMs that are alive.
 func (f *Fleet) VMs() []string { return f.alive.Load().all }
 
