--- a/internal/membership/tracker.go
+++ b/internal/membership/tracker.go
@@ -28,8 +28,17 @@
 const (
 	// TickInterval is how often the host calls Tick.
 	TickInterval = 100 * time.Millisecond
+	// tickSlack is how much sooner than intended a tick may come: a wait that ends with a tick
+	// must not go on to the next one.
+	tickSlack = 10 * time.Millisecond
 	// RoundInterval is the time between two rounds of pings.
 	RoundInterval = 400 * time.Millisecond
+	// FreshLimit is how new a direct message must be to stand for a ping of this round. Of two
+	// VMs that ping each other in every round, it is the one whose round comes first that pings.
+	FreshLimit = RoundInterval / 2
+	// ProbeInterval is how long such messages stand for pings: they don't show that this VM's own
+	// messages arrive.
+	ProbeInterval = 4 * RoundInterval
 	// AckTimeout is how long a ping waits for an ack before other VMs are asked, and again
 	// until the VM is suspect.
 	AckTimeout = 300 * time.Millisecond
@@ -96,7 +105,8 @@
 	since       time.Duration // of the state
 	heard       time.Duration // last direct message; meaningful if everHeard
 	everHeard   bool
-	direct      bool // the last probe was answered directly
+	direct      bool          // the last probe was answered directly
+	pinged      time.Duration // by this VM
 }
 
 // NewTracker returns a tracker that knows no other VM yet.
@@ -189,9 +199,12 @@
 	}
 	sends := t.advanceProbes(now)
 	changes := t.expireSuspects(now)
-	if now >= t.nextRound {
+	if now+tickSlack >= t.nextRound {
 		t.nextRound = now + RoundInterval
 		for _, vm := range t.contacts() {
+			if t.pingedBy(now, vm) {
+				continue
+			}
 			sends = append(sends, t.ping(now, vm))
 		}
 	}
