dispatch: a program stays in the zone that holds its prefix, wherever its calls arrive

A call that arrived outside the zone of its prefix was charged 100 ms for going there, against 4 times the time to compute the prefix: with 500 tokens at 10 us that is 20 ms, so short programs changed zones with each call that the balancer gave to another VM, and computed their prefix anew each time.

The 100 ms keep zones from swapping calls on summaries that are half a second old. For a call with a prefix they now stand against leaving the zone of the prefix, not the one where it arrived; the way itself costs 5 ms.

TestZoneCost_ProgramStaysWithItsPrefix: red before (100 ms is not less than 20 ms), green after.

--- a/internal/dispatch/zonecost.go
+++ b/internal/dispatch/zonecost.go
@@ -8,9 +8,12 @@
 
 // Costs that weigh one zone against another.
 const (
-	// crossZoneCost is what a call loses by going to another zone. It is far above the time of
-	// the way, so that zones don't swap calls on summaries that are half a second old.
-	crossZoneCost = 100 * time.Millisecond
+	// wayCost is the time of the way to another zone and back.
+	wayCost = 5 * time.Millisecond
+	// leaveCost is added where a call leaves the zone of its prefix or, without one, the zone
+	// where it arrived. It is far above the time of the way, so that zones don't swap calls on
+	// summaries that are half a second old.
+	leaveCost = 100 * time.Millisecond
 	// prefixPatience is how many times the cost of computing a prefix again a call waits in the
 	// zone that holds it: computing holds up the other calls of the batch.
 	prefixPatience = 4
@@ -22,7 +25,14 @@
 func ZoneCost(l schedule.Load, own, holds bool, r *schedule.Request) time.Duration {
 	cost := time.Duration(l.WaitMS) * time.Millisecond
 	if !own {
-		cost += crossZoneCost
+		cost += wayCost
+	}
+	stays := own
+	if r.Program != "" && r.Resident != "" {
+		stays = holds
+	}
+	if !stays {
+		cost += leaveCost
 	}
 	if !holds {
 		cost += prefixPatience * time.Duration(prefix(r)*l.PrefillNS)
--- a/internal/dispatch/zonecost_test.go
+++ b/internal/dispatch/zonecost_test.go
@@ -15,7 +15,7 @@
 	busy := idle
 	busy.WaitMS = 250
 	require.Zero(t, ZoneCost(idle, true, true, call))
-	require.Equal(t, crossZoneCost, ZoneCost(idle, false, true, call))
+	require.Equal(t, wayCost, ZoneCost(idle, false, true, call))
 	require.Less(t, ZoneCost(busy, false, true, call), ZoneCost(idle, true, false, call),
 		"computing 1000 tokens again costs more than to wait for 250 ms")
 	call.PrefixTokens = 100
@@ -24,6 +24,20 @@
 	require.Zero(t, ZoneCost(idle, true, false, first), "a first call loses no prefix")
 }
 
+func TestZoneCost_ProgramStaysWithItsPrefix(t *testing.T) {
+	idle := schedule.Load{PrefillNS: (10 * time.Microsecond).Nanoseconds()}
+	call := &schedule.Request{Program: "p", Resident: "engine", PromptTokens: 500}
+	require.Less(t, ZoneCost(idle, false, true, call), ZoneCost(idle, true, false, call),
+		"a short prefix is not computed again because the call arrived elsewhere")
+	busy := idle
+	busy.WaitMS = 500
+	require.Greater(t, ZoneCost(busy, false, true, call), ZoneCost(idle, true, false, call))
+	first := &schedule.Request{Program: "p", PromptTokens: 500}
+	busy.WaitMS = 50
+	require.Less(t, ZoneCost(busy, true, false, first), ZoneCost(idle, false, false, first),
+		"a first call does not change zones for a short wait")
+}
+
 func TestError_SoonerKeepsTheEarliestRefusal(t *testing.T) {
 	none := &Error{Code: CodeNoUpstream}
 	late := &Error{Code: CodeRefused, RetryAfter: 5 * time.Second}
