suspect: a request takes down at most two upstreams over a cut

A VM that could not reach a fingerprint's owner or the next two decided by itself, so in the seconds before a cut was seen each VM could let a run go; each side of a cut counted strikes for itself, two a side; and an owner that had just taken over, or had been started again, knew neither strikes nor runs under way. A run whose VM was lost was forgotten and not counted.

Ruled out: upstreams judged wrongly as alive.

Now: only the owner decides, and a caller of an owner that is silent waits until that VM counts as dead. An owner that has been settled for 8 s lets a first run go by itself, as before with one ask; a run at its owner is made known to the next owner first, which is one ask too. An owner that is not settled polls the VMs that it sees. A run after a strike needs the consent of all VMs of the membership, but for those that have surely stopped; while a zone is out of reach it is turned away at once (zones_out_of_reach, 503, not run, Retry-After). A run that was lost with its VM counts as a strike. A run that waited in the queue is checked again before it starts. A VM that was started or frozen asks the others for what it missed.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -114,6 +114,7 @@
 		VM:      d.settings.VM,
 		Network: d.node,
 		Others:  d.fleet.VMs,
+		Members: d.members,
 		Rank:    membership.Rank,
 		Events:  d.events,
 	})
@@ -133,6 +134,16 @@
 	return nil
 }
 
+// members returns the VMs that may act, for the watch over crashing requests.
+func (d *Daemon) members() []suspect.Member {
+	vms := d.fleet.ActingVMs()
+	members := make([]suspect.Member, len(vms))
+	for i, vm := range vms {
+		members[i] = suspect.Member{VM: vm.Name, Zone: vm.Zone}
+	}
+	return members
+}
+
 func (d *Daemon) buildNetwork() {
 	peers := map[string]string{}
 	for _, p := range d.settings.Peers {
@@ -245,6 +256,10 @@
 
 	d.node.HandleCalls(suspect.MethodAsk, d.suspects.HandleAsk)
 	d.node.HandleCalls(suspect.MethodEnd, d.suspects.HandleLost)
+	d.node.HandleCalls(suspect.MethodPoll, d.suspects.HandlePoll)
+	d.node.HandleMessages(suspect.KindRelease, d.suspects.HandleRelease)
+	d.node.HandleMessages(suspect.KindHello, d.suspects.HandleHello)
+	d.node.HandleMessages(suspect.KindState, d.suspects.HandleState)
 	d.node.HandleMessages(suspect.KindEnd, d.suspects.HandleEnd)
 	d.node.HandleMessages(suspect.KindHold, d.suspects.HandleHold)
 	d.node.HandleMessages(suspect.KindRecords, d.suspects.HandleRecords)
--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -20,6 +20,8 @@
 		"suspect_waited":         d.suspects.Stats().Waited.Load,
 		"suspect_strikes":        d.suspects.Stats().Strikes.Load,
 		"suspect_quarantined":    d.suspects.Stats().Quarantined.Load,
+		"suspect_cut_off":        d.suspects.Stats().CutOff.Load,
+		"suspect_polls":          d.suspects.Stats().Polls.Load,
 		"gateway_in_flight":      func() int64 { return int64(d.gateway.InFlight()) },
 	}
 	for name, read := range counters {
--- a/internal/fleet/lease.go
+++ b/internal/fleet/lease.go
@@ -75,6 +75,15 @@
 // VMs returns the other VMs that are alive.
 func (f *Fleet) VMs() []string { return f.alive.Load().all }
 
+// ActingVMs returns the VMs that may act: those of the membership epoch, or those known at start
+// as long as this VM knows no epoch.
+func (f *Fleet) ActingVMs() []membership.VM {
+	if vms := f.view.Load().Epoch.VMs; len(vms) > 0 {
+		return vms
+	}
+	return f.opts.VMs
+}
+
 // granter is the control VM that answered this VM's lease requests last.
 type granter struct {
 	vm       string
--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -37,6 +37,9 @@
 	if !call.turn.mayWrite() {
 		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
 	}
+	if !leave.Valid() {
+		return staleLeave(call.notRun), afterUnsent
+	}
 	assembler := upstream.NewAssembler()
 	begun := s.opts.Clock()
 	err = s.relay(ctx, call, grant, assembler)
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -367,7 +367,8 @@
 	network := &loopback{}
 	network.guard = suspect.NewGuard(suspect.Options{
 		VM: "vm", Network: network, Others: func() []string { return nil },
-		Rank: func(_ string, vms []string) []string { return vms },
+		Rank:    func(_ string, vms []string) []string { return vms },
+		Members: func() []suspect.Member { return nil },
 	})
 	return network.guard
 }
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -246,6 +246,9 @@
 	if !call.turn.mayWrite() {
 		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
 	}
+	if !leave.Valid() {
+		return nil, staleLeave(call.notRun), afterUnsent
+	}
 	begun := s.opts.Clock()
 	a, err := s.send(ctx, call, grant)
 	end = s.judgeService(grant, err)
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -6,6 +6,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -42,12 +43,23 @@
 	switch {
 	case errors.Is(err, suspect.ErrQuarantined):
 		return nil, quarantined(notRun)
+	case errors.Is(err, suspect.ErrCutOff):
+		return nil, withNotRun(unavailable("zones_out_of_reach", err.Error()+"; it is not run before they can be reached", retryCutOff), notRun)
 	case err != nil:
 		return nil, withNotRun(unavailable("same_request_running", "the same request is under way and has not succeeded yet", retryQueueFull), notRun)
 	}
 	return leave, nil
 }
 
+// retryCutOff is when a request may come back that waits for zones to be in reach again.
+const retryCutOff = 5 * time.Second
+
+// staleLeave refuses an attempt whose leave no longer holds: an upstream was lost to the same
+// request since, or this VM stood still. Nothing of it was sent.
+func staleLeave(notRun refusal.NotRun) *refusal.Refusal {
+	return withNotRun(unavailable("same_request_running", "the same request lost an upstream meanwhile", retryQueueFull), notRun)
+}
+
 // quarantined is final: sending the request again does not help.
 func quarantined(notRun refusal.NotRun) *refusal.Refusal {
 	return &refusal.Refusal{
--- /dev/null
+++ b/internal/suspect/arbiter.go
@@ -0,0 +1,268 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+)
+
+// Poll asks VMs whether they know of a reason against a run.
+type Poll struct {
+	Owner  string   `json:"owner"`
+	Ask    Ask      `json:"ask"`
+	Record Record   `json:"record"`
+	Voters []string `json:"-"` // who is asked
+}
+
+// Ballot answers a Poll. A VM that is not busy lets no other run of the fingerprint start until
+// the polled one has ended or lapsed.
+type Ballot struct {
+	Busy   bool   `json:"busy,omitempty"` // another run is under way
+	Runs   []Ask  `json:"runs,omitempty"` // the other runs, as far as they went
+	Record Record `json:"record"`
+}
+
+// Arbiter is one VM's part in deciding which runs may go: as the owner of fingerprints, as a
+// voter in other owners' polls, and as the VM that runs requests. It does no I/O.
+//
+// An owner that has been settled for SettleTime lets a first run go by itself; if it is the run's
+// VM too, it has the next owner know of the run first, since it may die with it. An owner that is
+// not settled polls all VMs that it sees. A run after a strike needs the consent of the whole fleet, so that
+// the sides of a cut let one run go each, and none after that lost its upstream.
+type Arbiter struct {
+	vm       string
+	registry *Registry
+	view     *view
+	held     map[string]Ask    // unproven runs of this VM, by run
+	starts   map[string]string // the newest start that other VMs told of
+}
+
+// NewArbiter returns an arbiter that knows of no run.
+func NewArbiter(now time.Duration, vm string, rank RankFunc) *Arbiter {
+	return &Arbiter{
+		vm: vm, registry: NewRegistry(), view: newView(now, vm, rank),
+		held: map[string]Ask{}, starts: map[string]string{},
+	}
+}
+
+// Observe takes the other VMs that are visible, SetMembers the membership.
+func (a *Arbiter) Observe(now time.Duration, others []string) { a.view.observe(now, others) }
+
+// SetMembers takes the membership: the VMs that may act.
+func (a *Arbiter) SetMembers(members []Member) { a.view.setMembers(members) }
+
+// Owner returns the VM to ask about a fingerprint.
+func (a *Arbiter) Owner(f Fingerprint) string { return a.view.owner(f) }
+
+// Ask decides whether a run may go. With a Poll the decision is Conclude's, after the voters were
+// asked.
+func (a *Arbiter) Ask(now time.Duration, ask Ask) (Verdict, *Poll) {
+	if ask.Known != nil {
+		a.registry.Merge(now, *ask.Known)
+	}
+	v := a.registry.Ask(now, ask)
+	switch {
+	case v.State != Go || v.Proven:
+		return v, nil
+	case v.Strikes > 0 && a.view.isCutOff(), a.view.isAlone():
+		a.registry.Release(ask.Fingerprint, ask.Run)
+		return Verdict{State: CutOff, Strikes: v.Strikes}, nil
+	}
+	voters := a.voters(now, ask, v.Strikes)
+	if len(voters) == 0 {
+		return v, nil
+	}
+	a.registry.beginPoll(ask.Fingerprint, ask.Run, voters)
+	return Verdict{State: Wait, Strikes: v.Strikes}, &Poll{
+		Owner: a.vm, Ask: ask, Record: a.registry.Record(now, ask.Fingerprint), Voters: voters,
+	}
+}
+
+// voters returns the VMs whose consent a run needs.
+func (a *Arbiter) voters(now time.Duration, ask Ask, strikes int) []string {
+	holders := a.view.holders(ask.Fingerprint)
+	switch {
+	case strikes > 0, holders[0] != a.vm, !a.view.settled(now, ask.Fingerprint):
+		return a.view.others
+	case ask.VM == a.vm:
+		return holders[1:]
+	}
+	return nil
+}
+
+// Conclude decides with the ballots of a poll, by VM.
+func (a *Arbiter) Conclude(now time.Duration, p Poll, ballots map[string]Ballot) Verdict {
+	ask, f := p.Ask, p.Ask.Fingerprint
+	if !a.registry.endPoll(f, ask.Run) {
+		return Verdict{State: Wait} // its caller left meanwhile
+	}
+	busy := false
+	agreed := map[string]bool{}
+	for vm, b := range ballots {
+		a.registry.Merge(now, b.Record)
+		a.registry.Hold(now, b.Runs)
+		busy = busy || b.Busy
+		agreed[vm] = !b.Busy
+	}
+	v := a.registry.Ask(now, ask)
+	if v.State != Go || v.Proven {
+		a.registry.Release(f, ask.Run)
+		return v
+	}
+	refused := Verdict{State: Wait, Strikes: v.Strikes}
+	switch {
+	case busy || len(ballots) < len(p.Voters):
+	case v.Strikes == 0 || a.view.coversFleet(now, agreed):
+		return v
+	case a.view.isCutOff():
+		refused.State = CutOff
+	}
+	a.registry.Release(f, ask.Run)
+	return refused
+}
+
+// Vote answers another VM's poll.
+func (a *Arbiter) Vote(now time.Duration, p Poll) Ballot {
+	f := p.Ask.Fingerprint
+	a.registry.Merge(now, p.Record)
+	b := Ballot{Record: a.registry.Record(now, f), Runs: a.registry.otherRuns(f, p.Ask.Run)}
+	for id, held := range a.held {
+		if held.Fingerprint == f && id != p.Ask.Run {
+			b.Runs = append(b.Runs, held)
+		}
+	}
+	b.Busy = len(b.Runs) > 0 || a.registry.hasOther(f, p.Ask.Run)
+	if !b.Busy {
+		a.registry.mark(now, p.Ask, p.Owner)
+	}
+	return b
+}
+
+// Accept takes the verdict that lets a run of this VM go. False: this VM learned meanwhile of a
+// reason against it, so the run must not start.
+func (a *Arbiter) Accept(ask Ask, v Verdict) bool {
+	if v.Proven {
+		return !a.registry.isStruck(ask.Fingerprint)
+	}
+	if a.registry.hasOther(ask.Fingerprint, ask.Run) || a.registry.strikes(ask.Fingerprint) > v.Strikes {
+		return false
+	}
+	ask.Known = nil
+	a.held[ask.Run] = ask
+	return true
+}
+
+// IsValid reports whether a run that waited since it was let go may still start: no strike came,
+// and this VM did not stand still meanwhile.
+func (a *Arbiter) IsValid(now, since time.Duration, f Fingerprint, v Verdict) bool {
+	a.view.observe(now, a.view.others)
+	return a.view.resumed <= since && a.registry.strikes(f) <= v.Strikes
+}
+
+// Ended is what other VMs must hear of the end of a run.
+type Ended struct {
+	Record  Record
+	Changed bool     // the record did
+	Voters  []string // have the run marked
+}
+
+// End takes the end of a run.
+func (a *Arbiter) End(now time.Duration, end End) Ended {
+	delete(a.held, end.Run)
+	out := Ended{Voters: a.registry.voters(end.Fingerprint, end.Run)}
+	out.Record, out.Changed = a.registry.End(now, end)
+	return out
+}
+
+// Forget ends a run of this VM whose owner takes the end.
+func (a *Arbiter) Forget(end End) {
+	delete(a.held, end.Run)
+	a.registry.Release(end.Fingerprint, end.Run)
+}
+
+// Known returns this VM's record of a fingerprint, nil if it says nothing.
+func (a *Arbiter) Known(now time.Duration, f Fingerprint) *Record {
+	rec := a.registry.Record(now, f)
+	if rec.Version == 0 && len(rec.Struck) == 0 {
+		return nil
+	}
+	return &rec
+}
+
+// TurnsAway reports whether a fingerprint is quarantined; asking prolongs the quarantine.
+func (a *Arbiter) TurnsAway(now time.Duration, f Fingerprint) bool {
+	return a.registry.TurnsAway(now, f)
+}
+
+// Records returns the records that last.
+func (a *Arbiter) Records(now time.Duration) []Record { return a.registry.Records(now) }
+
+// Hold notes that runs of other VMs still go on.
+func (a *Arbiter) Hold(now time.Duration, held []Ask) { a.registry.Hold(now, held) }
+
+// Release forgets a run that a poll did not let go.
+func (a *Arbiter) Release(ask Ask) { a.registry.Release(ask.Fingerprint, ask.Run) }
+
+// Merge takes another VM's record.
+func (a *Arbiter) Merge(now time.Duration, rec Record) { a.registry.Merge(now, rec) }
+
+// Round is what a VM sends in each interval.
+type Round struct {
+	Holds  map[string][]Ask // its runs under way, by the VMs that must hear of them
+	Struck []Record         // changed because runs lapsed; for all VMs
+	Hello  bool             // all VMs are asked for their Snapshot
+}
+
+// Snapshot is what a VM tells one that was started or frozen.
+type Snapshot struct {
+	Records []Record `json:"records,omitempty"`
+	Runs    []Ask    `json:"runs,omitempty"`
+}
+
+// Greet notes that a VM's process was started or went on after a freeze.
+func (a *Arbiter) Greet(vm, start string) { a.starts[vm] = start }
+
+// Snapshot returns the records that last and the runs that this VM should hear of.
+func (a *Arbiter) Snapshot(now time.Duration) Snapshot {
+	return Snapshot{Records: a.registry.Records(now), Runs: a.registry.allRuns()}
+}
+
+// Learn takes another VM's state.
+func (a *Arbiter) Learn(now time.Duration, s Snapshot) {
+	for _, rec := range s.Records {
+		a.registry.Merge(now, rec)
+	}
+	a.registry.Hold(now, s.Runs)
+}
+
+// Tick lets runs lapse and repeats this VM's runs under way.
+func (a *Arbiter) Tick(now time.Duration) Round {
+	holds := map[string][]Ask{}
+	for _, ask := range a.held {
+		for _, vm := range a.view.holders(ask.Fingerprint) {
+			holds[vm] = append(holds[vm], ask)
+		}
+	}
+	a.registry.Hold(now, holds[a.vm])
+	delete(holds, a.vm)
+	struck := a.registry.Tick(now, func(f Fingerprint, r *run) lapse { return a.judgeLapse(now, f, r) })
+	return Round{Holds: holds, Struck: struck, Hello: now-a.view.resumed < helloTime}
+}
+
+// judgeLapse says what becomes of a run that its VM no longer repeats. If the VM was lost, the run
+// may have taken its upstream down and counts as a strike; but not where the VM's whole zone is
+// out of reach, which is one of the sides that lose an upstream each. A VM that was not lost
+// repeats its runs to whoever owns them now, or never began the run.
+func (a *Arbiter) judgeLapse(now time.Duration, f Fingerprint, r *run) lapse {
+	zone := a.view.zoneOf(r.vm)
+	switch {
+	case zone != "" && !a.view.seesZone(zone):
+		return lapseDropped
+	case r.vm != a.vm && !a.view.visible[r.vm]:
+		return lapseCounted
+	case a.starts[r.vm] != "" && a.starts[r.vm] != r.start:
+		return lapseCounted
+	case slices.Contains(a.view.holders(f), a.vm) && !a.view.settled(now, f):
+		return lapseLater
+	}
+	return lapseDropped
+}
--- a/internal/suspect/guard_test.go
+++ b/internal/suspect/guard_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
@@ -22,6 +23,9 @@
 	mu     sync.Mutex
 	guards map[string]*Guard
 	dead   map[string]bool
+	side   map[string]int // of a cut; all 0 without one
+	seen   bool           // whether the VMs see the cut
+	now    time.Duration
 }
 
 type port struct {
@@ -29,8 +33,33 @@
 	vm string
 }
 
+// members puts the VMs into three zones.
+func (w *wires) members() (all []Member) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for vm := range w.guards {
+		n := vm[len(vm)-1] - '0'
+		all = append(all, Member{VM: vm, Zone: fmt.Sprint("zone", (n-1)/2)})
+	}
+	return all
+}
+
+// advance lets time pass, with the guards' rounds.
+func (w *wires) advance(d time.Duration) {
+	for ; d > 0; d -= interval {
+		w.mu.Lock()
+		w.now += interval
+		w.mu.Unlock()
+		for vm := range w.guards {
+			if g := (port{w, vm}).get(vm); g != nil {
+				g.round()
+			}
+		}
+	}
+}
+
 func newWires(vms ...string) *wires {
-	w := &wires{guards: map[string]*Guard{}, dead: map[string]bool{}}
+	w := &wires{guards: map[string]*Guard{}, dead: map[string]bool{}, side: map[string]int{}}
 	for _, vm := range vms {
 		w.join(vm)
 	}
@@ -40,8 +69,14 @@
 func (w *wires) join(vm string) *Guard {
 	g := NewGuard(Options{
 		VM: vm, Network: port{w, vm}, Events: events.FromZap(zap.NewNop()),
-		Others: func() []string { return w.others(vm) },
-		Rank:   func(_ string, vms []string) []string { slices.Sort(vms); return vms },
+		Others:  func() []string { return w.others(vm) },
+		Members: w.members,
+		Clock: func() time.Duration {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			return w.now
+		},
+		Rank: func(_ string, vms []string) []string { slices.Sort(vms); return vms },
 	})
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -54,20 +89,33 @@
 	defer w.mu.Unlock()
 	var all []string
 	for name := range w.guards {
-		if name != vm && !w.dead[name] {
+		if name != vm && !w.dead[name] && (!w.seen || w.side[name] == w.side[vm]) {
 			all = append(all, name)
 		}
 	}
 	return all
 }
 
-func (w *wires) get(vm string) *Guard {
+// get returns a VM's guard, nil if the VM is dead or on another side of a cut.
+func (p port) get(vm string) *Guard {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.dead[vm] || p.side[vm] != p.side[p.vm] {
+		return nil
+	}
+	return p.guards[vm]
+}
+
+// cut separates the sides from each other; seen says whether the VMs see it.
+func (w *wires) cut(seen bool, sides ...[]string) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.dead[vm] {
-		return nil
+	w.seen = seen
+	for i, vms := range sides {
+		for _, vm := range vms {
+			w.side[vm] = i
+		}
 	}
-	return w.guards[vm]
 }
 
 func (w *wires) kill(vm string) {
@@ -87,6 +135,12 @@
 		g.HandleEnd(p.vm, payload)
 	case KindHold:
 		g.HandleHold(p.vm, payload)
+	case KindRelease:
+		g.HandleRelease(p.vm, payload)
+	case KindHello:
+		g.HandleHello(p.vm, payload)
+	case KindState:
+		g.HandleState(p.vm, payload)
 	case KindRecords:
 		g.HandleRecords(p.vm, payload)
 	}
@@ -100,6 +154,8 @@
 		return nil, errDead
 	case method == MethodEnd:
 		return g.HandleLost(ctx, p.vm, payload)
+	case method == MethodPoll:
+		return g.HandlePoll(ctx, p.vm, payload)
 	}
 	return g.HandleAsk(ctx, p.vm, payload)
 }
@@ -117,6 +173,7 @@
 	w := newWires("vm1", "vm2", "vm3")
 	enter(t, w.guards["vm2"]).End(Lost, "e1@1")
 	w.kill("vm1")
+	w.advance(StopTime + interval)
 	l := enter(t, w.guards["vm3"])
 	require.True(t, l.Alone())
 	l.End(Lost, "e2@1")
--- /dev/null
+++ b/internal/suspect/random_test.go
@@ -0,0 +1,146 @@
+package suspect
+
+import (
+	"flag"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+var (
+	firstSeed = flag.Uint64("suspect.seed", 0, "first seed of the random runs")
+	seeds     = flag.Uint64("suspect.seeds", 200, "number of random runs of a kind")
+)
+
+// cutRandomly cuts the zones into so many sides, zones drawn at random.
+func (f *simFleet) cutRandomly(sides int) {
+	order := f.random.Perm(3)
+	for i, n := range f.nodes {
+		n.side = min(order[i%3], sides-1)
+	}
+	f.cutAt = f.now
+	f.say("cut into %d sides: %v", sides, order)
+}
+
+func (f *simFleet) heal() {
+	for _, n := range f.nodes {
+		n.side = 0
+	}
+	f.say("healed")
+}
+
+// disturb kills, restarts, freezes and resumes VMs, one at a time.
+func (f *simFleet) disturb() {
+	n := f.nodes[f.random.IntN(len(f.nodes))]
+	down := f.between(500*time.Millisecond, 8*time.Second)
+	if f.random.IntN(2) == 0 {
+		f.say("%s dies for %s", n.name, down)
+		n.alive, n.diedAt = false, f.now
+		n.start++
+		f.after(down, n.boot)
+	} else {
+		f.say("%s freezes for %s", n.name, down)
+		n.frozen = true
+		f.after(down, n.resume)
+	}
+	f.after(down+f.between(0, 3*time.Second), f.disturb)
+}
+
+func (n *simNode) resume() {
+	n.frozen = false
+	held := n.held
+	n.held = nil
+	for _, do := range held {
+		do()
+	}
+}
+
+// send keeps callers sending the request through all VMs.
+func (f *simFleet) send() {
+	for _, n := range f.nodes {
+		if n.alive && f.random.IntN(3) == 0 {
+			n.call()
+		}
+	}
+	f.after(f.between(100*time.Millisecond, 2*time.Second), f.send)
+}
+
+// poisoned is a run of the seed with a request that takes down what runs it.
+func poisoned(seed uint64, sides int, faults bool) *simFleet {
+	f := newSimFleet(seed, 7)
+	f.run(f.between(0, 10*time.Second))
+	if faults {
+		f.disturb()
+	}
+	f.after(f.between(0, 4*time.Second), f.send)
+	f.run(f.between(0, 4*time.Second))
+	f.cutRandomly(sides)
+	f.run(f.between(time.Second, 20*time.Second))
+	f.heal()
+	f.run(20 * time.Second)
+	return f
+}
+
+// healthyRun is a run of the seed with a request that does no harm, which is told how long its
+// callers waited while zones were cut off.
+func healthyRun(seed uint64, sides int) *simFleet {
+	f := newSimFleet(seed, 7)
+	f.healthy = true
+	f.run(f.between(0, 10*time.Second))
+	f.cutRandomly(sides)
+	f.run(4 * time.Second) // until all VMs see the cut
+	for _, n := range f.nodes {
+		for range 3 {
+			n.call()
+		}
+	}
+	f.run(20 * time.Second)
+	return f
+}
+
+// TestFleet_ServesHealthyRequestsOnAllSides sends the same healthy request through all VMs of
+// zones that are cut off from each other. A VM that sees no other one turns it away.
+func TestFleet_ServesHealthyRequestsOnAllSides(t *testing.T) {
+	for sides := 1; sides <= 3; sides++ {
+		longest := time.Duration(0)
+		for seed := *firstSeed; seed < *firstSeed+*seeds/4; seed++ {
+			f := healthyRun(seed, sides)
+			for _, n := range f.nodes {
+				require.Equal(t, 3, n.done, "seed %d, %d sides: %s", seed, sides, n.name)
+				longest = max(longest, n.longest)
+			}
+		}
+		t.Logf("%d sides: each call had its answer within %s, runs of up to 3 s included", sides, longest)
+	}
+}
+
+// TestFleet_LosesTwoUpstreamsAtMost sends a request that takes down what runs it through all VMs
+// while zones are cut off from each other and VMs die, restart and freeze.
+func TestFleet_LosesTwoUpstreamsAtMost(t *testing.T) {
+	for _, c := range []struct {
+		sides  int
+		faults bool
+		limit  int
+	}{
+		{1, false, MaxLost}, {1, true, MaxLost}, {2, false, MaxLost}, {2, true, MaxLost}, {3, false, 3}, {3, true, 3},
+	} {
+		t.Run(fmt.Sprintf("%d sides, faults %t", c.sides, c.faults), func(t *testing.T) {
+			counts := map[int]int{}
+			orphans := 0
+			for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
+				f := poisoned(seed, c.sides, c.faults)
+				counts[f.lost]++
+				orphans += f.orphans
+				if f.lost > c.limit+f.orphans {
+					t.Errorf("seed %d: %d upstreams lost\n%s", seed, f.lost, strings.Join(f.trace, "\n"))
+					return
+				}
+			}
+			require.Positive(t, counts[1]+counts[2]+counts[3], "the request was tried")
+			t.Log("runs by upstreams lost:", counts, "lost by VMs that died near a cut:", orphans)
+		})
+	}
+}
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -2,12 +2,13 @@
 // than MaxLost of them.
 //
 // Requests are known by a Fingerprint. Each fingerprint has an owner among the live VMs, chosen
-// by rendezvous hashing, whose Registry lets one unproven run of it go at a time over the whole
-// fleet. A run that succeeds proves the fingerprint, and a proven one runs freely. A run during
-// which its upstream was lost is a strike; the next run asks for an upstream to itself, and
-// after MaxLost strikes the fingerprint is quarantined on all VMs.
+// by rendezvous hashing, that lets one unproven run of it go at a time over the whole fleet. A run
+// that succeeds proves the fingerprint, and a proven one runs freely. A run during which its
+// upstream was lost is a strike; the next run asks for an upstream to itself and needs the
+// consent of all zones, and after MaxLost strikes the fingerprint is quarantined on all VMs.
 //
-// Registry is the state machine, a plain value; Guard connects the registries of the VMs.
+// Registry has the fingerprints, Arbiter decides; both are state machines without I/O. Guard
+// connects the arbiters of the VMs.
 package suspect
 
 import (
@@ -47,6 +48,8 @@
 	Go          State = "go"
 	Wait        State = "wait" // an unproven run of the same fingerprint is under way
 	Quarantined State = "quarantined"
+	// CutOff: zones that may have lost an upstream to it are out of reach.
+	CutOff State = "cut off"
 )
 
 // Ask asks for leave to run. Sent again with the same run it gets the same answer.
@@ -54,6 +57,9 @@
 	Fingerprint Fingerprint `json:"fingerprint"`
 	Run         string      `json:"run"`
 	VM          string      `json:"vm"`
+	Start       string      `json:"start"` // of the VM's process
+	// Known is what the asking VM has of the fingerprint, if it has strikes.
+	Known *Record `json:"known,omitempty"`
 }
 
 // Verdict answers an Ask.
@@ -63,6 +69,8 @@
 	Alone bool `json:"alone,omitempty"`
 	// Strikes is how many strikes the registry counted; it is repeated in the run's End.
 	Strikes int `json:"strikes,omitempty"`
+	// Proven says that other runs may go beside it.
+	Proven bool `json:"proven,omitempty"`
 }
 
 // Outcome says how a run ended.
@@ -89,13 +97,19 @@
 	Strikes int    `json:"strikes,omitempty"`
 }
 
+// Strike is an upstream that was lost during a run, or a run whose end is unknown because its VM
+// was lost.
+type Strike struct {
+	Run      string `json:"run"`
+	Upstream string `json:"upstream,omitempty"` // empty: unknown
+}
+
 // Record is what VMs tell each other of a fingerprint with strikes.
 type Record struct {
 	Fingerprint Fingerprint `json:"fingerprint"`
 	// Version grows when a success clears the strikes.
-	Version uint64 `json:"version"`
-	// Struck are the upstreams that were lost.
-	Struck  []string `json:"struck,omitempty"`
+	Version uint64   `json:"version"`
+	Struck  []Strike `json:"struck,omitempty"`
 	Subject string   `json:"subject,omitempty"`
 	// Remaining is how long the record still lasts.
 	Remaining time.Duration `json:"remaining_ns"`
@@ -106,17 +120,43 @@
 
 type entry struct {
 	version  uint64
-	struck   []string
+	struck   []Strike
 	subject  string
 	until    time.Duration // of strikes and version
 	provenAt time.Duration // 0: not proven
-	lapsed   bool          // a run's end was never reported
-	run      *run
+	runs     []*run        // unproven ones under way; more than one where sides of a cut met
 }
 
 type run struct {
-	id, vm string
-	heard  time.Duration
+	id      string
+	vm      string
+	start   string // of the VM's process
+	heard   time.Duration
+	polling bool     // its poll is under way
+	polled  []string // the VMs that have it marked
+	marked  bool     // known by a poll of another VM only
+}
+
+// lapse is what becomes of a run that its VM no longer repeats.
+type lapse int
+
+const (
+	lapseCounted lapse = iota // as a strike
+	lapseDropped
+	lapseLater // decided at a later tick
+)
+
+func (e *entry) find(id string) *run {
+	for _, r := range e.runs {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (e *entry) hasOther(id string) bool {
+	return slices.ContainsFunc(e.runs, func(r *run) bool { return r.id != id })
 }
 
 func (e *entry) quarantined() bool { return len(e.struck) >= MaxLost }
@@ -150,15 +190,15 @@
 	}
 	e := r.entry(a.Fingerprint)
 	strikes := len(e.struck)
-	switch {
-	case strikes == 0 && e.isProven(now):
-		return Verdict{State: Go}
-	case e.run != nil && e.run.id != a.Run:
+	if strikes == 0 && e.isProven(now) {
+		return Verdict{State: Go, Proven: true}
+	}
+	if own := e.find(a.Run); e.hasOther(a.Run) || own != nil && own.polling {
 		return Verdict{State: Wait, Strikes: strikes}
 	}
 	r.start(e, a, now)
 	r.checkInvariants(a.Fingerprint)
-	return Verdict{State: Go, Alone: strikes > 0 || e.lapsed, Strikes: strikes}
+	return Verdict{State: Go, Alone: strikes > 0, Strikes: strikes}
 }
 
 // TurnsAway reports whether a fingerprint is quarantined; asking prolongs the quarantine.
@@ -175,37 +215,125 @@
 	return e.provenAt > 0 && now-e.provenAt <= ProvenFor
 }
 
+// start enters a run under way, or hears of it again.
 func (r *Registry) start(e *entry, a Ask, now time.Duration) {
-	e.run = &run{id: a.Run, vm: a.VM, heard: now}
+	if own := e.find(a.Run); own != nil {
+		own.heard, own.marked = now, false
+		return
+	}
+	e.runs = append(e.runs, &run{id: a.Run, vm: a.VM, start: a.Start, heard: now})
 	r.running[a.Fingerprint] = e
 }
 
+// mark enters a run that another VM is about to let go.
+func (r *Registry) mark(now time.Duration, a Ask, owner string) {
+	e := r.entry(a.Fingerprint)
+	if e.find(a.Run) == nil {
+		r.start(e, a, now)
+		// Of a run at its owner, no other VM but its voters knows.
+		e.find(a.Run).marked = a.VM != owner
+	}
+}
+
+// Release forgets a run that did not go.
+func (r *Registry) Release(f Fingerprint, id string) {
+	e, ok := r.entries[f]
+	if !ok {
+		return
+	}
+	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool { return r.id == id })
+	if len(e.runs) == 0 {
+		delete(r.running, f)
+	}
+}
+
+func (r *Registry) beginPoll(f Fingerprint, id string, voters []string) {
+	own := r.entry(f).find(id)
+	own.polling, own.polled = true, voters
+}
+
+// endPoll reports whether the polled run is still wanted.
+func (r *Registry) endPoll(f Fingerprint, id string) bool {
+	own := r.entry(f).find(id)
+	if own != nil {
+		own.polling = false
+	}
+	return own != nil
+}
+
+// voters returns the VMs that have a run marked.
+func (r *Registry) voters(f Fingerprint, id string) []string {
+	if e, ok := r.entries[f]; ok {
+		if own := e.find(id); own != nil {
+			return own.polled
+		}
+	}
+	return nil
+}
+
+func (r *Registry) hasOther(f Fingerprint, id string) bool {
+	e, ok := r.entries[f]
+	return ok && e.hasOther(id)
+}
+
+// otherRuns returns the runs of a fingerprint that surely went, but for one.
+func (r *Registry) otherRuns(f Fingerprint, id string) (others []Ask) {
+	e, ok := r.entries[f]
+	if !ok {
+		return nil
+	}
+	for _, r := range e.runs {
+		if r.id != id && !r.marked && !r.polling {
+			others = append(others, Ask{Fingerprint: f, Run: r.id, VM: r.vm, Start: r.start})
+		}
+	}
+	return others
+}
+
+// allRuns returns the runs of all fingerprints that surely went.
+func (r *Registry) allRuns() (all []Ask) {
+	for f := range r.running {
+		all = append(all, r.otherRuns(f, "")...)
+	}
+	return all
+}
+
+func (r *Registry) strikes(f Fingerprint) int {
+	if e, ok := r.entries[f]; ok {
+		return len(e.struck)
+	}
+	return 0
+}
+
+func (r *Registry) isStruck(f Fingerprint) bool { return r.strikes(f) > 0 }
+
+// Record returns what there is of a fingerprint.
+func (r *Registry) Record(now time.Duration, f Fingerprint) Record {
+	if e, ok := r.entries[f]; ok {
+		return record(now, f, e)
+	}
+	return Record{Fingerprint: f}
+}
+
 // Hold notes that runs still go on, also those that another owner let go.
 func (r *Registry) Hold(now time.Duration, held []Ask) {
 	for _, a := range held {
-		e := r.entry(a.Fingerprint)
-		switch {
-		case e.run == nil && !e.isProven(now) && !e.quarantined():
+		if e := r.entry(a.Fingerprint); !e.isProven(now) {
 			r.start(e, a, now)
-		case e.run != nil && e.run.id == a.Run:
-			e.run.heard = now
 		}
 	}
 }
 
 // End takes the end of a run. It returns the fingerprint's record if that changed.
 func (r *Registry) End(now time.Duration, end End) (Record, bool) {
+	r.Release(end.Fingerprint, end.Run)
 	e := r.entry(end.Fingerprint)
-	if e.run != nil && e.run.id == end.Run {
-		e.run = nil
-		delete(r.running, end.Fingerprint)
-	}
 	changed := false
 	switch end.Outcome {
 	case Succeeded:
 		changed = r.succeed(now, e, end.Strikes)
 	case Lost:
-		changed = r.strike(now, e, end)
+		changed = r.strike(now, e, Strike{Run: end.Run, Upstream: end.Upstream}, end.Subject)
 	}
 	r.checkInvariants(end.Fingerprint)
 	return record(now, end.Fingerprint, e), changed
@@ -227,22 +355,40 @@
 		r.proven++
 	}
 	e.provenAt = max(now, 1)
-	e.lapsed = false
 	return changed
 }
 
 // strike counts a lost upstream once.
-func (r *Registry) strike(now time.Duration, e *entry, end End) (changed bool) {
+func (r *Registry) strike(now time.Duration, e *entry, s Strike, subject string) (changed bool) {
 	r.unprove(e)
 	e.until = now + Memory
-	if e.quarantined() || slices.Contains(e.struck, end.Upstream) {
-		return false
-	}
 	if len(e.struck) == 0 {
 		r.makeRoomForStruck()
 	}
-	e.struck = append(e.struck, end.Upstream)
-	e.subject = end.Subject
+	if subject != "" {
+		e.subject = subject
+	}
+	return e.add(s)
+}
+
+// add adds a strike, unless the run or the upstream has one already or there are enough.
+func (e *entry) add(s Strike) (changed bool) {
+	for i, known := range e.struck {
+		switch {
+		case s.Run == known.Run:
+			changed = known.Upstream == "" && s.Upstream != ""
+			if changed {
+				e.struck[i] = s
+			}
+			return changed
+		case s.Upstream != "" && s.Upstream == known.Upstream:
+			return false
+		}
+	}
+	if e.quarantined() {
+		return false
+	}
+	e.struck = append(e.struck, s)
 	return true
 }
 
@@ -255,6 +401,9 @@
 
 // Merge takes another VM's record.
 func (r *Registry) Merge(now time.Duration, rec Record) {
+	if rec.Version == 0 && len(rec.Struck) == 0 {
+		return
+	}
 	e := r.entry(rec.Fingerprint)
 	if rec.Version < e.version || e.quarantined() && rec.Version != e.version {
 		return
@@ -263,10 +412,9 @@
 		e.version = rec.Version
 		e.struck = nil
 	}
-	for _, upstream := range rec.Struck {
-		if !e.quarantined() && !slices.Contains(e.struck, upstream) {
-			e.struck = append(e.struck, upstream)
-		}
+	for _, s := range rec.Struck {
+		e.add(s)
+		r.Release(rec.Fingerprint, s.Run)
 	}
 	if len(e.struck) > 0 {
 		r.unprove(e)
@@ -297,21 +445,34 @@
 	return all
 }
 
-// Tick lets runs lapse that nobody repeats, and drops what has passed.
-func (r *Registry) Tick(now time.Duration) {
+// Tick lets runs lapse that nobody repeats, and drops what has passed. judge says what becomes
+// of a run. It returns the records that changed.
+func (r *Registry) Tick(now time.Duration, judge func(f Fingerprint, r *run) lapse) (changed []Record) {
 	for f, e := range r.running {
-		if now-e.run.heard > RunLapse {
-			// Its VM was lost, and with it the news of what the run did.
-			e.run = nil
-			e.lapsed = true
-			e.until = max(e.until, now+Memory)
-			delete(r.running, f)
+		for _, run := range slices.Clone(e.runs) {
+			if now-run.heard > RunLapse && r.lapse(now, f, run, judge(f, run)) {
+				changed = append(changed, record(now, f, e))
+			}
 		}
 	}
 	if now-r.swept >= sweepInterval {
 		r.swept = now
 		r.sweep(now)
 	}
+	return changed
+}
+
+// lapse ends a run whose VM was lost, and with it the news of what the run did.
+func (r *Registry) lapse(now time.Duration, f Fingerprint, run *run, l lapse) (changed bool) {
+	if l == lapseLater && !run.marked {
+		return false
+	}
+	r.Release(f, run.id)
+	if l == lapseCounted && !run.marked {
+		changed = r.strike(now, r.entries[f], Strike{Run: run.id}, "")
+	}
+	r.checkInvariants(f)
+	return changed
 }
 
 func (r *Registry) sweep(now time.Duration) {
@@ -320,9 +481,9 @@
 			r.unprove(e)
 		}
 		if now > e.until {
-			e.struck, e.version, e.lapsed = nil, 0, false
+			e.struck, e.version = nil, 0
 		}
-		if e.run == nil && e.provenAt == 0 && now > e.until {
+		if len(e.runs) == 0 && e.provenAt == 0 && now > e.until {
 			delete(r.entries, f)
 		}
 	}
@@ -334,7 +495,7 @@
 		return
 	}
 	for f, e := range r.entries {
-		if e.provenAt > 0 && e.run == nil && e.version == 0 {
+		if e.provenAt > 0 && len(e.runs) == 0 && e.version == 0 {
 			r.unprove(e)
 			delete(r.entries, f)
 			return
@@ -365,8 +526,8 @@
 	e := r.entries[f]
 	listed := r.running[f]
 	switch {
-	case (e.run != nil) != (listed == e):
-		panic(errors.AssertionFailedf("suspect: the run of %s is not listed, or listed and over", f))
+	case (len(e.runs) > 0) != (listed == e):
+		panic(errors.AssertionFailedf("suspect: the runs of %s are not listed, or listed and over", f))
 	case len(e.struck) > MaxLost:
 		panic(errors.AssertionFailedf("suspect: %s has %d strikes", f, len(e.struck)))
 	case len(e.struck) > 0 && e.provenAt > 0:
