suspect: count a VM as stopped only while its zone is in sight; a witness in the run's own zone

The silence now counts from when its zone is in sight.

Event 1512 and suspect_beyond name an upstream that is lost to a quarantined request.

--- a/internal/daemon/vars.go
+++ b/internal/daemon/vars.go
@@ -21,6 +21,7 @@
 		"suspect_strikes":        d.suspects.Stats().Strikes.Load,
 		"suspect_quarantined":    d.suspects.Stats().Quarantined.Load,
 		"suspect_cut_off":        d.suspects.Stats().CutOff.Load,
+		"suspect_beyond":         d.suspects.Stats().Beyond.Load,
 		"suspect_polls":          d.suspects.Stats().Polls.Load,
 		"gateway_in_flight":      func() int64 { return int64(d.gateway.InFlight()) },
 	}
--- a/internal/events/upstream.go
+++ b/internal/events/upstream.go
@@ -17,6 +17,8 @@
 		"nothing, unless it comes back for the same request")
 	RequestQuarantined = define(1511, zapcore.ErrorLevel, "a request is quarantined: two upstreams were lost while they ran it",
 		"look at the upstreams' own logs for the crash; ask the client account what the request was")
+	RequestExceeded = define(1512, zapcore.ErrorLevel, "a further upstream was lost while it ran a quarantined request",
+		"such runs were under way already, or VMs knew nothing of each other; see which zones were cut off and which VMs were lost")
 	UpstreamEjected = define(1520, zapcore.WarnLevel, "an upstream gets no calls for a while: it refused a connection, or does worse than the others of its pool",
 		"look at the upstream's own log and load")
 )
--- a/internal/suspect/arbiter.go
+++ b/internal/suspect/arbiter.go
@@ -1,9 +1,6 @@
 package suspect
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Poll asks VMs whether they know of a reason against a run.
 type Poll struct {
@@ -25,7 +22,7 @@
 // voter in other owners' polls, and as the VM that runs requests. It does no I/O.
 //
 // An owner that has been settled for SettleTime lets a first run go by itself; if it is the run's
-// VM too, it has the next owner know of the run first, since it may die with it. An owner that is
+// VM too, it has another VM of its zone know of the run first, since the two are lost together. An owner that is
 // not settled polls all VMs that it sees. A run after a strike needs the consent of the whole fleet, so that
 // the sides of a cut let one run go each, and none after that lost its upstream.
 type Arbiter struct {
@@ -79,12 +76,12 @@
 
 // voters returns the VMs whose consent a run needs.
 func (a *Arbiter) voters(now time.Duration, ask Ask, strikes int) []string {
-	holders := a.view.holders(ask.Fingerprint)
-	switch {
-	case strikes > 0, holders[0] != a.vm, !a.view.settled(now, ask.Fingerprint):
+	f := ask.Fingerprint
+	if strikes > 0 || a.view.owner(f) != a.vm || !a.view.settled(now, f) {
 		return a.view.others
-	case ask.VM == a.vm:
-		return holders[1:]
+	}
+	if witness := a.view.witness(f, a.vm); ask.VM == a.vm && witness != "" {
+		return []string{witness}
 	}
 	return nil
 }
@@ -162,6 +159,7 @@
 type Ended struct {
 	Record  Record
 	Changed bool     // the record did
+	Beyond  bool     // an upstream beyond MaxLost was lost
 	Voters  []string // have the run marked
 }
 
@@ -169,6 +167,7 @@
 func (a *Arbiter) End(now time.Duration, end End) Ended {
 	delete(a.held, end.Run)
 	out := Ended{Voters: a.registry.voters(end.Fingerprint, end.Run)}
+	out.Beyond = end.Outcome == Lost && a.registry.isBeyond(end)
 	out.Record, out.Changed = a.registry.End(now, end)
 	return out
 }
@@ -253,15 +252,15 @@
 // out of reach, which is one of the sides that lose an upstream each. A VM that was not lost
 // repeats its runs to whoever owns them now, or never began the run.
 func (a *Arbiter) judgeLapse(now time.Duration, f Fingerprint, r *run) lapse {
-	zone := a.view.zoneOf(r.vm)
+	zone, ok := a.view.zones[r.vm]
 	switch {
-	case zone != "" && !a.view.seesZone(zone):
+	case ok && !a.view.seesZone(zone):
 		return lapseDropped
 	case r.vm != a.vm && !a.view.visible[r.vm]:
 		return lapseCounted
 	case a.starts[r.vm] != "" && a.starts[r.vm] != r.start:
 		return lapseCounted
-	case slices.Contains(a.view.holders(f), a.vm) && !a.view.settled(now, f):
+	case a.view.owner(f) == a.vm && !a.view.settled(now, f):
 		return lapseLater
 	}
 	return lapseDropped
--- a/internal/suspect/fleet_test.go
+++ b/internal/suspect/fleet_test.go
@@ -26,8 +26,8 @@
 	nodes   []*simNode
 	members []Member
 	runs    int
-	lost    int // upstreams
-	orphans int // of them those whose run's VM died shortly before or after a cut
+	lost    int             // upstreams
+	orphans []time.Duration // of them those whose run's VM was lost: when
 	cutAt   time.Duration
 	healthy bool
 	trace   []string
@@ -359,8 +359,8 @@
 		} else {
 			outcome = Lost
 			f.lost++
-			if n.start != c.start && (n.diedAt-f.cutAt).Abs() < SettleTime {
-				f.orphans++
+			if n.start != c.start {
+				f.orphans = append(f.orphans, n.diedAt)
 			}
 			f.say("%s lost its upstream", ask.Run)
 		}
--- a/internal/suspect/guard.go
+++ b/internal/suspect/guard.go
@@ -4,7 +4,6 @@
 	"context"
 	"crypto/rand"
 	"encoding/json"
-	mathrand "math/rand/v2"
 	"slices"
 	"sync"
 	"sync/atomic"
@@ -77,6 +76,7 @@
 	Quarantined atomic.Int64
 	CutOff      atomic.Int64
 	Polls       atomic.Int64
+	Beyond      atomic.Int64
 	Strikes     atomic.Int64
 }
 
@@ -114,131 +114,6 @@
 // Stats returns the counters.
 func (g *Guard) Stats() *Stats { return &g.stats }
 
-// Leave lets one run go. End must follow, once.
-type Leave struct {
-	guard   *Guard
-	ask     Ask
-	owner   string
-	verdict Verdict
-	given   time.Duration
-	subject string
-}
-
-// Alone reports whether the run should have an upstream to itself.
-func (l *Leave) Alone() bool { return l.verdict.Alone }
-
-// Valid reports whether a run that waited in a queue may still start.
-func (l *Leave) Valid() bool {
-	g := l.guard
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.arbiter.IsValid(g.opts.Clock(), l.given, l.ask.Fingerprint, l.verdict)
-}
-
-// Enter waits for leave to run a request. subject tells operators what it is. Errors:
-// ErrQuarantined, ErrCutOff, ErrWaited.
-func (g *Guard) Enter(ctx context.Context, f Fingerprint, subject string) (*Leave, error) {
-	l := &Leave{guard: g, ask: Ask{Fingerprint: f, VM: g.opts.VM, Start: g.start}, subject: subject}
-	g.stats.Asked.Add(1)
-	for wait := waitFirst; ; wait = min(2*wait, waitMax) {
-		if g.turnsAway(f) {
-			g.stats.Quarantined.Add(1)
-			return nil, ErrQuarantined
-		}
-		l.askOwner(ctx)
-		switch l.verdict.State {
-		case Go:
-			if l.accept() {
-				return l, nil
-			}
-		case Quarantined:
-			g.stats.Quarantined.Add(1)
-			return nil, ErrQuarantined
-		case CutOff:
-			g.stats.CutOff.Add(1)
-			return nil, ErrCutOff
-		}
-		if wait == waitFirst {
-			g.stats.Waited.Add(1)
-		}
-		select {
-		case <-ctx.Done():
-			l.withdraw()
-			return nil, ErrWaited
-		case <-time.After(jitter(wait)):
-		}
-	}
-}
-
-// jitter keeps VMs from asking in step.
-func jitter(d time.Duration) time.Duration { return d/2 + mathrand.N(d/2) }
-
-func (g *Guard) turnsAway(f Fingerprint) bool {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.arbiter.TurnsAway(g.opts.Clock(), f)
-}
-
-// askOwner asks the VM that owns the fingerprint now. One that cannot be reached is not replaced
-// before it counts as dead: until then, it may let runs go.
-func (l *Leave) askOwner(ctx context.Context) {
-	g := l.guard
-	g.mu.Lock()
-	now := g.observe()
-	owner := g.arbiter.Owner(l.ask.Fingerprint)
-	l.ask.Known = g.arbiter.Known(now, l.ask.Fingerprint)
-	g.mu.Unlock()
-	if l.ask.Run != "" && l.owner != owner {
-		l.withdraw()
-	}
-	if l.ask.Run == "" {
-		l.ask.Run = rand.Text()
-	}
-	l.owner = owner
-	if owner == g.opts.VM {
-		l.answered(g.decide(ctx, l.ask))
-		return
-	}
-	l.verdict = Verdict{State: Wait}
-	ctx, cancel := context.WithTimeout(ctx, askTimeout)
-	defer cancel()
-	data, err := g.opts.Network.Call(ctx, owner, MethodAsk, mustMarshal(l.ask))
-	var v Verdict
-	if err == nil && json.Unmarshal(data, &v) == nil {
-		l.answered(v)
-	}
-}
-
-// answered takes the owner's verdict. Only an ask whose answer was lost is repeated under the
-// same run: what the owner sends to forget a run must not meet a later one.
-func (l *Leave) answered(v Verdict) {
-	l.verdict = v
-	if v.State != Go {
-		l.ask.Run = ""
-	}
-}
-
-// accept starts to hold the run, or gives the leave back.
-func (l *Leave) accept() bool {
-	g := l.guard
-	g.mu.Lock()
-	l.given = g.observe()
-	ok := g.arbiter.Accept(l.ask, l.verdict)
-	g.mu.Unlock()
-	if !ok {
-		l.withdraw()
-	}
-	return ok
-}
-
-// withdraw tells the owner that the run does not go, also if its answer to the ask was lost.
-func (l *Leave) withdraw() {
-	if l.ask.Run != "" {
-		l.End(Unproven, "")
-	}
-	l.ask.Run = ""
-}
-
 // decide answers an ask as the fingerprint's owner, after a poll where one is needed.
 func (g *Guard) decide(ctx context.Context, ask Ask) Verdict {
 	g.mu.Lock()
@@ -297,43 +172,17 @@
 	}
 }
 
-// End reports the run's end. For a lost upstream it returns once the owner knows or cannot be
-// reached: the next run of the request must not ask before.
-func (l *Leave) End(outcome Outcome, upstream string) {
-	g := l.guard
-	end := End{
-		Fingerprint: l.ask.Fingerprint, Run: l.ask.Run, Outcome: outcome,
-		Upstream: upstream, Subject: l.subject, Strikes: l.verdict.Strikes,
-	}
-	if outcome == Lost || l.owner == g.opts.VM {
-		g.take(end) // a strike on this VM too, so that it outlives the owner
-	} else {
-		g.forget(end)
-	}
-	switch payload := mustMarshal(end); {
-	case l.owner == g.opts.VM:
-	case outcome == Lost:
-		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
-		defer cancel()
-		_, _ = g.opts.Network.Call(ctx, l.owner, MethodEnd, payload)
-	default:
-		g.opts.Network.Send(l.owner, KindEnd, payload)
-	}
-}
-
-// forget ends a run of this VM whose owner is another.
-func (g *Guard) forget(end End) {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.arbiter.Forget(end)
-}
-
 // take enters the end of a run and tells all VMs of a changed record.
 func (g *Guard) take(end End) {
 	g.mu.Lock()
 	ended := g.arbiter.End(g.opts.Clock(), end)
 	g.mu.Unlock()
 	g.sendTo(ended.Voters, KindRelease, Ask{Fingerprint: end.Fingerprint, Run: end.Run})
+	if ended.Beyond {
+		g.stats.Beyond.Add(1)
+		g.opts.Events.Emit(events.RequestExceeded, zap.String("request", ended.Record.Subject),
+			zap.String("fingerprint", string(end.Fingerprint)), zap.String("upstream", end.Upstream))
+	}
 	if !ended.Changed {
 		return
 	}
@@ -357,106 +206,6 @@
 		zap.String("fingerprint", string(rec.Fingerprint)), zap.Strings("upstreams", upstreams))
 }
 
-// HandleAsk serves MethodAsk.
-func (g *Guard) HandleAsk(ctx context.Context, _ string, payload []byte) ([]byte, error) {
-	var a Ask
-	if err := json.Unmarshal(payload, &a); err != nil {
-		return nil, err
-	}
-	return json.Marshal(g.decide(ctx, a))
-}
-
-// HandlePoll serves MethodPoll.
-func (g *Guard) HandlePoll(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var p Poll
-	if err := json.Unmarshal(payload, &p); err != nil {
-		return nil, err
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return json.Marshal(g.arbiter.Vote(g.observe(), p))
-}
-
-// HandleRelease takes KindRelease.
-func (g *Guard) HandleRelease(_ string, payload []byte) {
-	var a Ask
-	if json.Unmarshal(payload, &a) != nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.arbiter.Release(a)
-}
-
-// HandleLost serves MethodEnd.
-func (g *Guard) HandleLost(_ context.Context, from string, payload []byte) ([]byte, error) {
-	g.HandleEnd(from, payload)
-	return nil, nil
-}
-
-// HandleEnd takes KindEnd.
-func (g *Guard) HandleEnd(_ string, payload []byte) {
-	var end End
-	if json.Unmarshal(payload, &end) == nil {
-		g.take(end)
-	}
-}
-
-// HandleHold takes KindHold.
-func (g *Guard) HandleHold(_ string, payload []byte) {
-	var held []Ask
-	if json.Unmarshal(payload, &held) != nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.arbiter.Hold(g.opts.Clock(), held)
-}
-
-// hello is what a VM says that was started or frozen.
-type hello struct {
-	Start string `json:"start"`
-}
-
-// HandleHello takes KindHello.
-func (g *Guard) HandleHello(from string, payload []byte) {
-	var h hello
-	if json.Unmarshal(payload, &h) != nil {
-		return
-	}
-	g.mu.Lock()
-	g.arbiter.Greet(from, h.Start)
-	state := g.arbiter.Snapshot(g.opts.Clock())
-	g.mu.Unlock()
-	if len(state.Records)+len(state.Runs) > 0 {
-		g.opts.Network.Send(from, KindState, mustMarshal(state))
-	}
-}
-
-// HandleState takes KindState.
-func (g *Guard) HandleState(_ string, payload []byte) {
-	var state Snapshot
-	if json.Unmarshal(payload, &state) != nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.arbiter.Learn(g.opts.Clock(), state)
-}
-
-// HandleRecords takes KindRecords.
-func (g *Guard) HandleRecords(_ string, payload []byte) {
-	var records []Record
-	if json.Unmarshal(payload, &records) != nil {
-		return
-	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, rec := range records {
-		g.arbiter.Merge(g.opts.Clock(), rec)
-	}
-}
-
 // Run repeats the runs under way to their owners and the records to one VM after another, until
 // ctx ends.
 func (g *Guard) Run(ctx context.Context) {
--- /dev/null
+++ b/internal/suspect/handlers.go
@@ -0,0 +1,106 @@
+package suspect
+
+import (
+	"context"
+	"encoding/json"
+)
+
+// HandleAsk serves MethodAsk.
+func (g *Guard) HandleAsk(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var a Ask
+	if err := json.Unmarshal(payload, &a); err != nil {
+		return nil, err
+	}
+	return json.Marshal(g.decide(ctx, a))
+}
+
+// HandlePoll serves MethodPoll.
+func (g *Guard) HandlePoll(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	var p Poll
+	if err := json.Unmarshal(payload, &p); err != nil {
+		return nil, err
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return json.Marshal(g.arbiter.Vote(g.observe(), p))
+}
+
+// HandleRelease takes KindRelease.
+func (g *Guard) HandleRelease(_ string, payload []byte) {
+	var a Ask
+	if json.Unmarshal(payload, &a) != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arbiter.Release(a)
+}
+
+// HandleLost serves MethodEnd.
+func (g *Guard) HandleLost(_ context.Context, from string, payload []byte) ([]byte, error) {
+	g.HandleEnd(from, payload)
+	return nil, nil
+}
+
+// HandleEnd takes KindEnd.
+func (g *Guard) HandleEnd(_ string, payload []byte) {
+	var end End
+	if json.Unmarshal(payload, &end) == nil {
+		g.take(end)
+	}
+}
+
+// HandleHold takes KindHold.
+func (g *Guard) HandleHold(_ string, payload []byte) {
+	var held []Ask
+	if json.Unmarshal(payload, &held) != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arbiter.Hold(g.opts.Clock(), held)
+}
+
+// hello is what a VM says that was started or frozen.
+type hello struct {
+	Start string `json:"start"`
+}
+
+// HandleHello takes KindHello.
+func (g *Guard) HandleHello(from string, payload []byte) {
+	var h hello
+	if json.Unmarshal(payload, &h) != nil {
+		return
+	}
+	g.mu.Lock()
+	g.arbiter.Greet(from, h.Start)
+	state := g.arbiter.Snapshot(g.opts.Clock())
+	g.mu.Unlock()
+	if len(state.Records)+len(state.Runs) > 0 {
+		g.opts.Network.Send(from, KindState, mustMarshal(state))
+	}
+}
+
+// HandleState takes KindState.
+func (g *Guard) HandleState(_ string, payload []byte) {
+	var state Snapshot
+	if json.Unmarshal(payload, &state) != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.arbiter.Learn(g.opts.Clock(), state)
+}
+
+// HandleRecords takes KindRecords.
+func (g *Guard) HandleRecords(_ string, payload []byte) {
+	var records []Record
+	if json.Unmarshal(payload, &records) != nil {
+		return
+	}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for _, rec := range records {
+		g.arbiter.Merge(g.opts.Clock(), rec)
+	}
+}
--- a/internal/suspect/random_test.go
+++ b/internal/suspect/random_test.go
@@ -12,7 +12,7 @@
 
 var (
 	firstSeed = flag.Uint64("suspect.seed", 0, "first seed of the random runs")
-	seeds     = flag.Uint64("suspect.seeds", 200, "number of random runs of a kind")
+	seeds     = flag.Uint64("suspect.seeds", 300, "number of random runs of a kind")
 )
 
 // cutRandomly cuts the zones into so many sides, zones drawn at random.
@@ -32,10 +32,16 @@
 	f.say("healed")
 }
 
-// disturb kills, restarts, freezes and resumes VMs, one at a time.
+// disturb kills, restarts, freezes and resumes VMs, one at a time, mostly the request's owners.
 func (f *simFleet) disturb() {
 	n := f.nodes[f.random.IntN(len(f.nodes))]
+	if f.random.IntN(2) == 0 {
+		n = f.node(n.arbiter.Owner(print1))
+	}
 	down := f.between(500*time.Millisecond, 8*time.Second)
+	if f.random.IntN(2) == 0 {
+		down /= 3
+	}
 	if f.random.IntN(2) == 0 {
 		f.say("%s dies for %s", n.name, down)
 		n.alive, n.diedAt = false, f.now
@@ -68,6 +74,17 @@
 	f.after(f.between(100*time.Millisecond, 2*time.Second), f.send)
 }
 
+// orphanedNearCut counts the upstreams lost by runs whose VM died so close to a cut that nobody who
+// may know of the run can tell on which side of the cut it is.
+func (f *simFleet) orphanedNearCut() (n int) {
+	for _, died := range f.orphans {
+		if (died - f.cutAt).Abs() < SettleTime {
+			n++
+		}
+	}
+	return n
+}
+
 // poisoned is a run of the seed with a request that takes down what runs it.
 func poisoned(seed uint64, sides int, faults bool) *simFleet {
 	f := newSimFleet(seed, 7)
@@ -97,7 +114,7 @@
 			n.call()
 		}
 	}
-	f.run(20 * time.Second)
+	f.run(time.Minute)
 	return f
 }
 
@@ -133,8 +150,9 @@
 			for seed := *firstSeed; seed < *firstSeed+*seeds; seed++ {
 				f := poisoned(seed, c.sides, c.faults)
 				counts[f.lost]++
-				orphans += f.orphans
-				if f.lost > c.limit+f.orphans {
+				orphaned := f.orphanedNearCut()
+				orphans += orphaned
+				if f.lost > c.limit+orphaned {
 					t.Errorf("seed %d: %d upstreams lost\n%s", seed, f.lost, strings.Join(f.trace, "\n"))
 					return
 				}
@@ -144,3 +162,30 @@
 		})
 	}
 }
+
+// BenchmarkArbiter_AskEnd is an owner's part in a healthy attempt of another VM.
+func BenchmarkArbiter_AskEnd(b *testing.B) {
+	for _, vms := range []int{9, 400} {
+		b.Run(fmt.Sprint(vms, " VMs"), func(b *testing.B) {
+			names := make([]string, vms)
+			members := make([]Member, vms)
+			for i := range vms {
+				names[i] = fmt.Sprint("vm", i)
+				members[i] = Member{VM: names[i], Zone: fmt.Sprint("zone", i%3)}
+			}
+			first := func(_ string, vms []string) []string { return vms }
+			a := NewArbiter(0, names[0], first)
+			a.Observe(SettleTime, names[1:])
+			a.SetMembers(members)
+			now := 3 * SettleTime
+			for i := 0; b.Loop(); i++ {
+				f := Fingerprint(fmt.Sprintf("%032d", i%100_000))
+				v, poll := a.Ask(now, Ask{Fingerprint: f, Run: "r", VM: "vm1"})
+				if v.State != Go || poll != nil {
+					b.Fatal(v, poll)
+				}
+				a.End(now, End{Fingerprint: f, Run: "r", Outcome: Succeeded})
+			}
+		})
+	}
+}
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -127,38 +127,6 @@
 	runs     []*run        // unproven ones under way; more than one where sides of a cut met
 }
 
-type run struct {
-	id      string
-	vm      string
-	start   string // of the VM's process
-	heard   time.Duration
-	polling bool     // its poll is under way
-	polled  []string // the VMs that have it marked
-	marked  bool     // known by a poll of another VM only
-}
-
-// lapse is what becomes of a run that its VM no longer repeats.
-type lapse int
-
-const (
-	lapseCounted lapse = iota // as a strike
-	lapseDropped
-	lapseLater // decided at a later tick
-)
-
-func (e *entry) find(id string) *run {
-	for _, r := range e.runs {
-		if r.id == id {
-			return r
-		}
-	}
-	return nil
-}
-
-func (e *entry) hasOther(id string) bool {
-	return slices.ContainsFunc(e.runs, func(r *run) bool { return r.id != id })
-}
-
 func (e *entry) quarantined() bool { return len(e.struck) >= MaxLost }
 
 // Registry is one VM's part. Its methods return what the Guard has to pass on.
@@ -215,89 +183,6 @@
 	return e.provenAt > 0 && now-e.provenAt <= ProvenFor
 }
 
-// start enters a run under way, or hears of it again.
-func (r *Registry) start(e *entry, a Ask, now time.Duration) {
-	if own := e.find(a.Run); own != nil {
-		own.heard, own.marked = now, false
-		return
-	}
-	e.runs = append(e.runs, &run{id: a.Run, vm: a.VM, start: a.Start, heard: now})
-	r.running[a.Fingerprint] = e
-}
-
-// mark enters a run that another VM is about to let go.
-func (r *Registry) mark(now time.Duration, a Ask, owner string) {
-	e := r.entry(a.Fingerprint)
-	if e.find(a.Run) == nil {
-		r.start(e, a, now)
-		// Of a run at its owner, no other VM but its voters knows.
-		e.find(a.Run).marked = a.VM != owner
-	}
-}
-
-// Release forgets a run that did not go.
-func (r *Registry) Release(f Fingerprint, id string) {
-	e, ok := r.entries[f]
-	if !ok {
-		return
-	}
-	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool { return r.id == id })
-	if len(e.runs) == 0 {
-		delete(r.running, f)
-	}
-}
-
-func (r *Registry) beginPoll(f Fingerprint, id string, voters []string) {
-	own := r.entry(f).find(id)
-	own.polling, own.polled = true, voters
-}
-
-// endPoll reports whether the polled run is still wanted.
-func (r *Registry) endPoll(f Fingerprint, id string) bool {
-	own := r.entry(f).find(id)
-	if own != nil {
-		own.polling = false
-	}
-	return own != nil
-}
-
-// voters returns the VMs that have a run marked.
-func (r *Registry) voters(f Fingerprint, id string) []string {
-	if e, ok := r.entries[f]; ok {
-		if own := e.find(id); own != nil {
-			return own.polled
-		}
-	}
-	return nil
-}
-
-func (r *Registry) hasOther(f Fingerprint, id string) bool {
-	e, ok := r.entries[f]
-	return ok && e.hasOther(id)
-}
-
-// otherRuns returns the runs of a fingerprint that surely went, but for one.
-func (r *Registry) otherRuns(f Fingerprint, id string) (others []Ask) {
-	e, ok := r.entries[f]
-	if !ok {
-		return nil
-	}
-	for _, r := range e.runs {
-		if r.id != id && !r.marked && !r.polling {
-			others = append(others, Ask{Fingerprint: f, Run: r.id, VM: r.vm, Start: r.start})
-		}
-	}
-	return others
-}
-
-// allRuns returns the runs of all fingerprints that surely went.
-func (r *Registry) allRuns() (all []Ask) {
-	for f := range r.running {
-		all = append(all, r.otherRuns(f, "")...)
-	}
-	return all
-}
-
 func (r *Registry) strikes(f Fingerprint) int {
 	if e, ok := r.entries[f]; ok {
 		return len(e.struck)
@@ -315,15 +200,6 @@
 	return Record{Fingerprint: f}
 }
 
-// Hold notes that runs still go on, also those that another owner let go.
-func (r *Registry) Hold(now time.Duration, held []Ask) {
-	for _, a := range held {
-		if e := r.entry(a.Fingerprint); !e.isProven(now) {
-			r.start(e, a, now)
-		}
-	}
-}
-
 // End takes the end of a run. It returns the fingerprint's record if that changed.
 func (r *Registry) End(now time.Duration, end End) (Record, bool) {
 	r.Release(end.Fingerprint, end.Run)
@@ -371,6 +247,14 @@
 	return e.add(s)
 }
 
+// isBeyond reports whether the end of a run is one strike more than MaxLost.
+func (r *Registry) isBeyond(end End) bool {
+	e, ok := r.entries[end.Fingerprint]
+	return ok && e.quarantined() && !slices.ContainsFunc(e.struck, func(s Strike) bool {
+		return s.Run == end.Run || s.Upstream == end.Upstream
+	})
+}
+
 // add adds a strike, unless the run or the upstream has one already or there are enough.
 func (e *entry) add(s Strike) (changed bool) {
 	for i, known := range e.struck {
@@ -462,19 +346,6 @@
 	return changed
 }
 
-// lapse ends a run whose VM was lost, and with it the news of what the run did.
-func (r *Registry) lapse(now time.Duration, f Fingerprint, run *run, l lapse) (changed bool) {
-	if l == lapseLater && !run.marked {
-		return false
-	}
-	r.Release(f, run.id)
-	if l == lapseCounted && !run.marked {
-		changed = r.strike(now, r.entries[f], Strike{Run: run.id}, "")
-	}
-	r.checkInvariants(f)
-	return changed
-}
-
 func (r *Registry) sweep(now time.Duration) {
 	for f, e := range r.entries {
 		if e.provenAt > 0 && !e.isProven(now) {
--- /dev/null
+++ b/internal/suspect/runs.go
@@ -0,0 +1,143 @@
+package suspect
+
+import (
+	"slices"
+	"time"
+)
+
+type run struct {
+	id      string
+	vm      string
+	start   string // of the VM's process
+	heard   time.Duration
+	polling bool     // its poll is under way
+	polled  []string // the VMs that have it marked
+	marked  bool     // known by a poll of another VM only
+}
+
+// lapse is what becomes of a run that its VM no longer repeats.
+type lapse int
+
+const (
+	lapseCounted lapse = iota // as a strike
+	lapseDropped
+	lapseLater // decided at a later tick
+)
+
+func (e *entry) find(id string) *run {
+	for _, r := range e.runs {
+		if r.id == id {
+			return r
+		}
+	}
+	return nil
+}
+
+func (e *entry) hasOther(id string) bool {
+	return slices.ContainsFunc(e.runs, func(r *run) bool { return r.id != id })
+}
+
+// start enters a run under way, or hears of it again.
+func (r *Registry) start(e *entry, a Ask, now time.Duration) {
+	if own := e.find(a.Run); own != nil {
+		own.heard, own.marked = now, false
+		return
+	}
+	e.runs = append(e.runs, &run{id: a.Run, vm: a.VM, start: a.Start, heard: now})
+	r.running[a.Fingerprint] = e
+}
+
+// mark enters a run that another VM is about to let go.
+func (r *Registry) mark(now time.Duration, a Ask, owner string) {
+	e := r.entry(a.Fingerprint)
+	if e.find(a.Run) == nil {
+		r.start(e, a, now)
+		// Of a run at its owner, no other VM but its voters knows.
+		e.find(a.Run).marked = a.VM != owner
+	}
+}
+
+// Release forgets a run that did not go.
+func (r *Registry) Release(f Fingerprint, id string) {
+	e, ok := r.entries[f]
+	if !ok {
+		return
+	}
+	e.runs = slices.DeleteFunc(e.runs, func(r *run) bool { return r.id == id })
+	if len(e.runs) == 0 {
+		delete(r.running, f)
+	}
+}
+
+func (r *Registry) beginPoll(f Fingerprint, id string, voters []string) {
+	own := r.entry(f).find(id)
+	own.polling, own.polled = true, voters
+}
+
+// endPoll reports whether the polled run is still wanted.
+func (r *Registry) endPoll(f Fingerprint, id string) bool {
+	own := r.entry(f).find(id)
+	if own != nil {
+		own.polling = false
+	}
+	return own != nil
+}
+
+// voters returns the VMs that have a run marked.
+func (r *Registry) voters(f Fingerprint, id string) []string {
+	if e, ok := r.entries[f]; ok {
+		if own := e.find(id); own != nil {
+			return own.polled
+		}
+	}
+	return nil
+}
+
+func (r *Registry) hasOther(f Fingerprint, id string) bool {
+	e, ok := r.entries[f]
+	return ok && e.hasOther(id)
+}
+
+// otherRuns returns the runs of a fingerprint that surely went, but for one.
+func (r *Registry) otherRuns(f Fingerprint, id string) (others []Ask) {
+	e, ok := r.entries[f]
+	if !ok {
+		return nil
+	}
+	for _, r := range e.runs {
+		if r.id != id && !r.marked && !r.polling {
+			others = append(others, Ask{Fingerprint: f, Run: r.id, VM: r.vm, Start: r.start})
+		}
+	}
+	return others
+}
+
+// allRuns returns the runs of all fingerprints that surely went.
+func (r *Registry) allRuns() (all []Ask) {
+	for f := range r.running {
+		all = append(all, r.otherRuns(f, "")...)
+	}
+	return all
+}
+
+// Hold notes that runs still go on, also those that another owner let go.
+func (r *Registry) Hold(now time.Duration, held []Ask) {
+	for _, a := range held {
+		if e := r.entry(a.Fingerprint); !e.isProven(now) {
+			r.start(e, a, now)
+		}
+	}
+}
+
+// lapse ends a run whose VM was lost, and with it the news of what the run did.
+func (r *Registry) lapse(now time.Duration, f Fingerprint, run *run, l lapse) (changed bool) {
+	if l == lapseLater && !run.marked {
+		return false
+	}
+	r.Release(f, run.id)
+	if l == lapseCounted && !run.marked {
+		changed = r.strike(now, r.entries[f], Strike{Run: run.id}, "")
+	}
+	r.checkInvariants(f)
+	return changed
+}
--- a/internal/suspect/view.go
+++ b/internal/suspect/view.go
@@ -34,9 +34,11 @@
 	vm       string
 	rank     RankFunc
 	members  []Member
+	zones    map[string]string // of the members
 	others   []string
 	visible  map[string]bool
 	lostAt   map[string]time.Duration // of VMs that are no longer visible
+	zoneAt   map[string]time.Duration // since when a zone is visible
 	resumed  time.Duration            // start, or end of the last freeze
 	observed time.Duration
 }
@@ -44,6 +46,7 @@
 func newView(now time.Duration, vm string, rank RankFunc) *view {
 	return &view{
 		vm: vm, rank: rank, visible: map[string]bool{}, lostAt: map[string]time.Duration{},
+		zoneAt:  map[string]time.Duration{},
 		resumed: now, observed: now,
 	}
 }
@@ -69,26 +72,75 @@
 			v.lostAt[vm] = now
 		}
 	}
+	v.noteZones()
+}
+
+// noteZones notes since when zones are visible.
+func (v *view) noteZones() {
+	for _, m := range v.members {
+		if !v.seesZone(m.Zone) {
+			delete(v.zoneAt, m.Zone)
+		} else if _, ok := v.zoneAt[m.Zone]; !ok {
+			v.zoneAt[m.Zone] = v.observed
+		}
+	}
 }
 
 // setMembers takes the membership; VMs outside it may not act.
 func (v *view) setMembers(members []Member) {
 	v.members = members
+	v.zones = make(map[string]string, len(members))
+	for _, m := range members {
+		v.zones[m.VM] = m.Zone
+	}
 	for vm := range v.lostAt {
-		if len(members) > 0 && v.zoneOf(vm) == "" {
+		if _, ok := v.zones[vm]; !ok && len(members) > 0 {
 			delete(v.lostAt, vm)
 		}
 	}
+	v.noteZones()
 }
 
-// holders returns the VMs that hear of a fingerprint's runs, as seen from here: its owner, which
-// decides about them, and the next owner.
-func (v *view) holders(f Fingerprint) []string {
-	ranked := v.rank(string(f), append([]string{v.vm}, v.others...))
-	return ranked[:min(2, len(ranked))]
+// owner returns the VM that decides about a fingerprint's runs, as seen from here.
+func (v *view) owner(f Fingerprint) string {
+	return v.rank(string(f), append([]string{v.vm}, v.others...))[0]
 }
 
-func (v *view) owner(f Fingerprint) string { return v.holders(f)[0] }
+// witness returns the VM that hears of this VM's runs besides their owner, in case both are lost
+// or a cut comes between them: one of this VM's zone if any is visible. "" if there is none.
+func (v *view) witness(f Fingerprint, owner string) string {
+	var near, far []string
+	for _, vm := range v.others {
+		switch {
+		case vm == owner:
+		case v.zones[vm] == v.zones[v.vm]:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
+	}
+	if len(near) == 0 {
+		near = far
+	}
+	if len(near) == 0 {
+		return ""
+	}
+	return v.rank(string(f), near)[0]
+}
+
+// holders returns the VMs that hear of this VM's runs each second: their owner, the witness, and
+// the next owner where this VM is the owner.
+func (v *view) holders(f Fingerprint) []string {
+	order := v.rank(string(f), append([]string{v.vm}, v.others...))
+	holders := order[:1]
+	if order[0] == v.vm {
+		holders = order[:min(2, len(order))]
+	}
+	if witness := v.witness(f, order[0]); witness != "" && !slices.Contains(holders, witness) {
+		holders = append(slices.Clone(holders), witness)
+	}
+	return holders
+}
 
 // settled reports whether this VM has been before all VMs but those that it sees for long enough
 // to know of all runs that it should have heard of.
@@ -118,15 +170,6 @@
 	})
 }
 
-func (v *view) zoneOf(vm string) string {
-	for _, m := range v.members {
-		if m.VM == vm {
-			return m.Zone
-		}
-	}
-	return ""
-}
-
 // coversFleet reports whether no VM outside those that agreed can let a run go: all VMs of the
 // membership agreed, but for those that are silent for StopTime while others of their zone
 // agreed.
@@ -138,20 +181,16 @@
 		}
 	}
 	for _, m := range v.members {
-		if m.VM != v.vm && !agreed[m.VM] && !(zones[m.Zone] && v.hasStopped(now, m.VM)) {
+		if m.VM != v.vm && !agreed[m.VM] && !(zones[m.Zone] && v.hasStopped(now, m)) {
 			return false
 		}
 	}
 	return true
 }
 
-func (v *view) hasStopped(now time.Duration, vm string) bool {
-	if v.visible[vm] {
-		return false
-	}
-	since, ok := v.lostAt[vm]
-	if !ok {
-		since = v.resumed
-	}
-	return now-max(since, v.resumed) >= StopTime
+// hasStopped reports whether a VM has been out of sight for StopTime while its zone was in sight:
+// out of sight with its zone, it may serve its own side of a cut.
+func (v *view) hasStopped(now time.Duration, m Member) bool {
+	since := max(v.lostAt[m.VM], v.zoneAt[m.Zone], v.resumed)
+	return !v.visible[m.VM] && now-since >= StopTime
 }
