egretrampctl upstreams: show which upstreams get no calls

Cause: the listing had the word "up" written into it; dispatchers told nothing of the health that they keep. Now each listed upstream carries the worst condition of its pools: up, slow start, ejected or unreachable; the dump has them too. TestHost_ListsUpstreamsInTheirWorstCondition did not compile before (there was no such field), and expects unreachable for an upstream that refused a connection.

--- a/internal/daemon/upstreams.go
+++ b/internal/daemon/upstreams.go
@@ -16,7 +16,8 @@
 	return upstreamRows(b.daemon.listUpstreams(ctx)), nil
 }
 
-// listUpstreams asks all dispatchers for their upstreams and returns them by name.
+// listUpstreams asks all dispatchers for their upstreams and returns them by name, each in the worst
+// condition that a dispatcher has it in.
 func (d *Daemon) listUpstreams(ctx context.Context) map[string]dispatch.Listed {
 	vms := append([]string{d.settings.VM}, d.fleet.VMs()...)
 	found := iter.Map(vms, func(vm *string) []dispatch.Listed {
@@ -29,9 +30,13 @@
 	byName := map[string]dispatch.Listed{}
 	for _, listed := range found {
 		for _, l := range listed {
-			if known, ok := byName[l.Record.Upstream]; !ok || l.AgeMS < known.AgeMS {
-				byName[l.Record.Upstream] = l
+			known, ok := byName[l.Record.Upstream]
+			worst := l.Condition.Worse(known.Condition)
+			if ok && known.AgeMS <= l.AgeMS {
+				l = known
 			}
+			l.Condition = worst
+			byName[l.Record.Upstream] = l
 		}
 	}
 	return byName
@@ -44,7 +49,7 @@
 		r := l.Record
 		rows.Upstreams = append(rows.Upstreams, api.Upstream{
 			Upstream: r.Upstream, Class: r.Class, Kind: r.Kind, Zone: r.Zone, Address: r.Address, Serves: r.Serves,
-			State: "up", Slots: r.Limits.Slots, Running: r.Load.Running, Waiting: r.Load.Waiting,
+			State: string(l.Condition), Slots: r.Limits.Slots, Running: r.Load.Running, Waiting: r.Load.Waiting,
 			KVTokens: r.Limits.KVTokens, KVTokensUsed: r.Load.KVTokensUsed, ChecksFencing: r.ChecksFencing, AgeMS: l.AgeMS,
 		})
 	}
--- a/internal/dispatch/dump.go
+++ b/internal/dispatch/dump.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sort"
+	"time"
 
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
@@ -18,6 +19,8 @@
 type PoolDump struct {
 	PoolSummary
 	Queue schedule.State `json:"queue"`
+	// Conditions are those of upstreams that are not up.
+	Conditions map[string]Condition `json:"conditions,omitempty"`
 }
 
 // Dump returns the host's state.
@@ -36,9 +39,23 @@
 
 func (h *Host) dumpPools() []PoolDump {
 	dumps := make([]PoolDump, 0, len(h.pools))
+	now := h.opts.Clock()
 	for key, p := range h.pools {
-		dumps = append(dumps, PoolDump{PoolSummary{Pool: key, Load: p.Load()}, p.State()})
+		dumps = append(dumps, PoolDump{PoolSummary{Pool: key, Load: p.Load()}, p.State(), p.health.conditions(now)})
 	}
 	sort.Slice(dumps, func(i, j int) bool { return dumps[i].Pool.String() < dumps[j].Pool.String() })
 	return dumps
 }
+
+// list returns the upstreams, each in the worst condition of the pools.
+func (d Dump) list(now time.Duration) []Listed {
+	listed := make([]Listed, 0, len(d.Upstreams))
+	for _, r := range d.Upstreams {
+		worst := ConditionUp
+		for _, p := range d.Pools {
+			worst = worst.Worse(p.Conditions[r.Upstream])
+		}
+		listed = append(listed, Listed{Record: r, AgeMS: (now - r.Heard).Milliseconds(), Condition: worst})
+	}
+	return listed
+}
--- a/internal/dispatch/handlers.go
+++ b/internal/dispatch/handlers.go
@@ -87,10 +87,5 @@
 	if err != nil {
 		return nil, err
 	}
-	now := h.opts.Clock()
-	listed := make([]Listed, 0, len(dump.Upstreams))
-	for _, r := range dump.Upstreams {
-		listed = append(listed, Listed{Record: r, AgeMS: (now - r.Heard).Milliseconds()})
-	}
-	return json.Marshal(listed)
+	return json.Marshal(dump.list(h.opts.Clock()))
 }
--- a/internal/dispatch/health.go
+++ b/internal/dispatch/health.go
@@ -121,6 +121,50 @@
 // shut reports whether an upstream gets no calls now.
 func (c *condition) shut(now time.Duration) bool { return c.unreachable || now < c.ejectedUntil }
 
+// Condition says whether a pool gives an upstream calls.
+type Condition string
+
+// The conditions, from the best to the worst.
+const (
+	ConditionUp          Condition = "up"
+	ConditionSlowStart   Condition = "slow start" // it came back and gets a part of its calls
+	ConditionEjected     Condition = "ejected"
+	ConditionUnreachable Condition = "unreachable" // its process refused a connection
+)
+
+var severity = map[Condition]int{ConditionUp: 0, ConditionSlowStart: 1, ConditionEjected: 2, ConditionUnreachable: 3}
+
+// Worse returns the worse of two conditions.
+func (c Condition) Worse(other Condition) Condition {
+	if severity[other] > severity[c] {
+		return other
+	}
+	return c
+}
+
+func (c *condition) condition(now time.Duration) Condition {
+	switch {
+	case c.unreachable:
+		return ConditionUnreachable
+	case now < c.ejectedUntil:
+		return ConditionEjected
+	case c.returned > 0 && now-c.returned < slowStart:
+		return ConditionSlowStart
+	}
+	return ConditionUp
+}
+
+// conditions returns the upstreams that are not up.
+func (h *health) conditions(now time.Duration) map[string]Condition {
+	found := map[string]Condition{}
+	for name, c := range h.upstreams {
+		if state := c.condition(now); state != ConditionUp {
+			found[name] = state
+		}
+	}
+	return found
+}
+
 func (c *condition) failureRate() float64 {
 	if len(c.outcomes) == 0 {
 		return 0
--- a/internal/dispatch/health_test.go
+++ b/internal/dispatch/health_test.go
@@ -158,3 +158,17 @@
 	require.Equal(t, "e1", h.ask("s4", "m1").Grant.Upstream)
 	require.Equal(t, StateQueued, h.ask("s5", "m1").State, "one at a time at first")
 }
+
+func TestHealth_Conditions(t *testing.T) {
+	h := newHealthTest(3)
+	require.Empty(t, h.conditions(0))
+	for range ejectFailures {
+		h.finished(0, "u1", fine(time.Second))
+		h.finished(0, "u0", failure)
+	}
+	h.finished(0, "u2", schedule.Outcome{Failed: true, Unreachable: true})
+	require.Equal(t, map[string]Condition{"u0": ConditionEjected, "u2": ConditionUnreachable}, h.conditions(0))
+	h.announced(1, "u2", 1)
+	require.Equal(t, map[string]Condition{"u0": ConditionSlowStart, "u2": ConditionSlowStart}, h.conditions(ejectTime))
+	require.Empty(t, h.conditions(ejectTime+slowStart))
+}
--- a/internal/dispatch/host_test.go
+++ b/internal/dispatch/host_test.go
@@ -146,3 +146,16 @@
 	h.finish(poolOf("m1"), "x", schedule.Outcome{})
 	require.Equal(t, StateGranted, h.ask("r10", "m1").State, "the upstream serves all again")
 }
+
+func TestHost_ListsUpstreamsInTheirWorstCondition(t *testing.T) {
+	h := newHostTest(t)
+	h.offer(announcement("e1", 1, 1, "m1", "m2"))
+	h.offer(announcement("e2", 1, 1, "m3"))
+	require.Equal(t, StateGranted, h.ask("r1", "m1").State)
+	h.finish(poolOf("m1"), "r1", schedule.Outcome{Failed: true, Unreachable: true})
+	conditions := map[string]Condition{}
+	for _, l := range (Dump{Upstreams: h.directory.All(), Pools: h.dumpPools()}).list(h.now) {
+		conditions[l.Record.Upstream] = l.Condition
+	}
+	require.Equal(t, map[string]Condition{"e1": ConditionUnreachable, "e2": ConditionUp}, conditions)
+}
--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -120,6 +120,8 @@
 type Listed struct {
 	Record upstream.Record `json:"record"`
 	AgeMS  int64           `json:"age_ms"` // since its newest announcement
+	// Condition is the worst that one of the dispatcher's pools has it in.
+	Condition Condition `json:"condition"`
 }
 
 // PoolSummary is one pool in short.
