--- a/internal/suspect/arbiter.go
+++ b/internal/suspect/arbiter.go
@@ -134,9 +134,12 @@
 	return b
 }
 
-// Accept takes the verdict that lets a run of this VM go. False: this VM learned meanwhile of a
-// reason against it, so the run must not start.
-func (a *Arbiter) Accept(ask Ask, v Verdict) bool {
+// Accept takes the verdict that lets a run of this VM go, which was asked for at the time asked.
+// False: this VM stood still meanwhile or learned of a reason against it, so the run must not start.
+func (a *Arbiter) Accept(asked time.Duration, ask Ask, v Verdict) bool {
+	if a.view.resumed > asked {
+		return false
+	}
 	if v.Proven {
 		return !a.registry.isStruck(ask.Fingerprint)
 	}
@@ -148,11 +151,11 @@
 	return true
 }
 
-// IsValid reports whether a run that waited since it was let go may still start: no strike came,
+// IsValid reports whether a run that waited since it was asked for may still start: no strike came,
 // and this VM did not stand still meanwhile.
-func (a *Arbiter) IsValid(now, since time.Duration, f Fingerprint, v Verdict) bool {
+func (a *Arbiter) IsValid(now, asked time.Duration, f Fingerprint, v Verdict) bool {
 	a.view.observe(now, a.view.others)
-	return a.view.resumed <= since && a.registry.strikes(f) <= v.Strikes
+	return a.view.resumed <= asked && a.registry.strikes(f) <= v.Strikes
 }
 
 // Ended is what other VMs must hear of the end of a run.
--- a/internal/suspect/fleet_test.go
+++ b/internal/suspect/fleet_test.go
@@ -259,6 +259,7 @@
 	ask     Ask
 	owner   string
 	begun   time.Duration
+	asked   time.Duration
 	retries int
 }
 
@@ -285,6 +286,7 @@
 		n.fleet.runs++
 		c.ask = Ask{Fingerprint: print1, Run: fmt.Sprint("run", n.fleet.runs), VM: n.name, Start: fmt.Sprint(n.start)}
 	}
+	c.asked = now
 	c.ask.Known = n.arbiter.Known(now, print1)
 	c.owner = owner
 	answered := false
@@ -325,8 +327,8 @@
 	switch v.State {
 	case Go:
 		n.observe()
-		if n.arbiter.Accept(ask, v) {
-			given := n.fleet.now
+		if n.arbiter.Accept(c.asked, ask, v) {
+			given := c.asked
 			c.after(n.fleet.between(0, 300*time.Millisecond), func() { c.run(ask, v, given) })
 			return
 		}
--- a/internal/suspect/leave.go
+++ b/internal/suspect/leave.go
@@ -14,7 +14,7 @@
 	ask     Ask
 	owner   string
 	verdict Verdict
-	given   time.Duration
+	asked   time.Duration // when the owner was asked
 	subject string
 }
 
@@ -26,7 +26,7 @@
 	g := l.guard
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.arbiter.IsValid(g.opts.Clock(), l.given, l.ask.Fingerprint, l.verdict)
+	return g.arbiter.IsValid(g.opts.Clock(), l.asked, l.ask.Fingerprint, l.verdict)
 }
 
 // Enter waits for leave to run a request. subject tells operators what it is. Errors:
@@ -80,6 +80,7 @@
 	g.mu.Lock()
 	now := g.observe()
 	owner := g.arbiter.Owner(l.ask.Fingerprint)
+	l.asked = now
 	l.ask.Known = g.arbiter.Known(now, l.ask.Fingerprint)
 	g.mu.Unlock()
 	if l.ask.Run != "" && l.owner != owner {
@@ -116,8 +117,8 @@
 func (l *Leave) accept() bool {
 	g := l.guard
 	g.mu.Lock()
-	l.given = g.observe()
-	ok := g.arbiter.Accept(l.ask, l.verdict)
+	g.observe()
+	ok := g.arbiter.Accept(l.asked, l.ask, l.verdict)
 	g.mu.Unlock()
 	if !ok {
 		l.withdraw()
