--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -371,3 +371,25 @@
 	})
 	return network.guard
 }
+
+// cutOffSuspects turns each request away.
+type cutOffSuspects struct{}
+
+// Enter implements Suspects.
+func (cutOffSuspects) Enter(context.Context, suspect.Fingerprint, string) (*suspect.Leave, error) {
+	return nil, suspect.ErrCutOff
+}
+
+func TestServer_RequestThatWaitsForZonesIsNotRun(t *testing.T) {
+	var served atomic.Int64
+	g := newTestGateway(t, engine(t, 2, false, &served))
+	g.server.opts.Suspects = cutOffSuspects{}
+	status, text := g.post(t, "/v1/chat/completions", wholeChat, headerProgram, "p")
+	require.Equal(t, http.StatusServiceUnavailable, status)
+	code, notRun := errorOf(t, text)
+	require.Equal(t, "zones_out_of_reach", code)
+	require.Equal(t, refusal.True, notRun)
+	require.Contains(t, text, `"retry_after`)
+	require.Zero(t, served.Load())
+	require.Equal(t, uint64(1), g.program(t, "p").NextTurn, "the turn is open again")
+}
