--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -39,9 +39,10 @@
 }
 
 type summary struct {
-	from string
-	load schedule.Load
-	at   time.Duration
+	from   string
+	load   schedule.Load
+	at     time.Duration
+	sentAt time.Duration // of the dispatcher's clock
 }
 
 // NewClient returns a client; Run repeats its soft state.
@@ -59,13 +60,14 @@
 
 // Run refreshes the dispatchers until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	ticker := time.NewTicker(RefreshInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.Align(RefreshInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-ticker.C:
+		case <-timer.C:
+			timer.Reset(clock.Align(RefreshInterval))
 			c.refresh()
 		}
 	}
@@ -90,7 +92,7 @@
 }
 
 // HandleSummary takes a dispatcher's summary.
-func (c *Client) HandleSummary(from string, payload []byte) {
+func (c *Client) HandleSummary(_ string, payload []byte) {
 	var s Summary
 	if json.Unmarshal(payload, &s) != nil {
 		return
@@ -99,12 +101,17 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, p := range s.Pools {
+		last, known := c.summaries[p.Pool]
+		same := known && last.from == s.From
+		if same && s.SentAt < last.sentAt && now-last.at <= c.believed(p.Pool) {
+			continue // it was held up on its way
+		}
 		if p.Load.Replicas > 0 {
-			c.summaries[p.Pool] = summary{from: from, load: p.Load, at: now}
+			c.summaries[p.Pool] = summary{from: s.From, load: p.Load, at: now, sentAt: s.SentAt}
 			continue
 		}
 		// A dispatcher that handed the pool over finds it empty as well.
-		if c.summaries[p.Pool].from == from {
+		if same {
 			delete(c.summaries, p.Pool)
 		}
 	}
@@ -294,30 +301,3 @@
 		c.opts.Network.Send(ranked[0], kind, payload)
 	}
 }
-
-func (c *Client) refresh() {
-	byVM := map[string]*Refresh{}
-	add := func(pool upstream.Pool) *Refresh {
-		ranked := c.opts.Locator.Dispatchers(pool)
-		if len(ranked) == 0 {
-			return &Refresh{}
-		}
-		if byVM[ranked[0]] == nil {
-			byVM[ranked[0]] = &Refresh{}
-		}
-		return byVM[ranked[0]]
-	}
-	c.mu.Lock()
-	for _, held := range c.running {
-		r := add(held.Pool)
-		r.Running = append(r.Running, held)
-	}
-	for _, w := range c.waiting {
-		r := add(w.enqueue.Pool)
-		r.Waiting = append(r.Waiting, w.enqueue)
-	}
-	c.mu.Unlock()
-	for vm, r := range byVM {
-		c.opts.Network.Send(vm, KindRefresh, mustMarshal(r))
-	}
-}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 	"storj.io/drpc/drpcconn"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/peer/peerpb"
 )
@@ -27,33 +28,27 @@
 type link struct {
 	node  *Node
 	vm    string
-	queue chan queued
+	queue *queue
 	up    atomic.Bool
-	heard atomic.Int64 // time of the other side's last sign of life, Unix nanoseconds
+	heard signOfLife
 
 	mu      sync.Mutex
 	address string
 	idle    []idleConn
 }
 
-// queued is a message that waits to be sent.
-type queued struct {
-	envelope *peerpb.Envelope
-	since    time.Time
-}
-
 type idleConn struct {
 	conn  *drpcconn.Conn
 	since time.Time
 }
 
 func newLink(n *Node, vm, address string) *link {
-	return &link{node: n, vm: vm, address: address, queue: make(chan queued, queueLength)}
+	return &link{node: n, vm: vm, address: address, queue: newQueue()}
 }
 
 // trusted reports whether the stream is up and the other side was heard lately.
 func (l *link) trusted() bool {
-	return l.up.Load() && time.Since(time.Unix(0, l.heard.Load())) < DoubtLimit
+	return l.up.Load() && l.heard.age() < DoubtLimit
 }
 
 func (l *link) setAddress(address string) {
@@ -64,9 +59,7 @@
 
 func (l *link) enqueue(kind string, payload []byte) {
 	envelope := &peerpb.Envelope{From: l.node.opts.VM, Kind: kind, Payload: payload}
-	select {
-	case l.queue <- queued{envelope: envelope, since: time.Now()}:
-	default:
+	if !l.queue.push(queued{envelope: envelope, since: time.Now()}) {
 		l.node.stats.MessagesDropped.Add(1)
 	}
 }
@@ -119,82 +112,109 @@
 
 // pump sends queued messages and heartbeats until the other side falls silent.
 func (l *link) pump(ctx context.Context, cancel func(), stream peerpb.DRPCPeer_MessagesClient) error {
-	heard := make(chan struct{}, 1)
+	l.heard.note()
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	// The watcher and the reader end when cancel closes the transport.
 	defer cancel()
-	wg.Go(func() { l.watch(ctx, cancel, heard) })
 	wg.Go(func() {
 		defer cancel()
-		for {
-			if _, err := stream.Recv(); err != nil {
-				return
-			}
-			if !l.node.cutFrom(l.vm) {
-				signal(heard)
-			}
-		}
+		l.heard.awaitSilence(ctx)
+	})
+	wg.Go(func() {
+		defer cancel()
+		l.receive(stream)
 	})
 	return l.sendAll(ctx, stream)
 }
 
-func (l *link) sendAll(ctx context.Context, stream peerpb.DRPCPeer_MessagesClient) error {
-	heartbeat := time.NewTicker(HeartbeatInterval)
+// receive takes the other side's heartbeats until the stream fails.
+func (l *link) receive(stream peerpb.DRPCPeer_MessagesClient) {
+	for {
+		if _, err := stream.Recv(); err != nil {
+			return
+		}
+		if l.node.cutFrom(l.vm) {
+			continue
+		}
+		l.heard.note()
+		if !l.up.Swap(true) {
+			l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
+		}
+	}
+}
+
+// sendAll sends queued messages, and a heartbeat before nothing was sent for HeartbeatInterval:
+// a message is a sign of life as well.
+func (l *link) sendAll(ctx context.Context, stream messageSender) error {
+	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
 	defer heartbeat.Stop()
-	if err := stream.Send(&peerpb.Envelope{From: l.node.opts.VM}); err != nil {
+	if err := l.send(stream, &peerpb.Envelope{From: l.node.opts.VM}); err != nil {
 		return err
 	}
+	sent := time.Now()
 	for {
-		envelope := &peerpb.Envelope{From: l.node.opts.VM}
+		// Also what waited for the stream.
+		some, err := l.sendQueued(stream)
+		if err != nil {
+			return err
+		}
+		if some {
+			sent = time.Now()
+		}
 		select {
 		case <-ctx.Done():
 			return ctx.Err()
-		case next := <-l.queue:
-			if time.Since(next.since) > queueAge {
-				l.node.stats.MessagesDropped.Add(1)
+		case <-l.queue.wake:
+		case <-heartbeat.C:
+			if left := HeartbeatInterval - time.Since(sent); left >= clock.Grid {
+				heartbeat.Reset(clock.Align(left))
 				continue
 			}
-			envelope = next.envelope
-		case <-heartbeat.C:
-		}
-		if l.node.cutTo(l.vm) {
-			continue
-		}
-		if err := stream.Send(envelope); err != nil {
-			return err
-		}
-		if envelope.Kind != "" {
-			l.node.stats.MessagesSent.Add(1)
+			heartbeat.Reset(clock.Align(HeartbeatInterval))
+			if err := l.send(stream, &peerpb.Envelope{From: l.node.opts.VM}); err != nil {
+				return err
+			}
+			sent = time.Now()
 		}
 	}
 }
 
-func (l *link) watch(ctx context.Context, cancel func(), heard <-chan struct{}) {
-	defer cancel()
-	silence := time.NewTimer(SilenceLimit)
-	defer silence.Stop()
+// messageSender is the part of a stream that sendAll needs.
+type messageSender interface {
+	Send(*peerpb.Envelope) error
+}
+
+// sendQueued sends what waits, but for messages that waited too long, and reports whether there
+// was any.
+func (l *link) sendQueued(stream messageSender) (some bool, err error) {
 	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-silence.C:
-			return
-		case <-heard:
-			l.heard.Store(time.Now().UnixNano())
-			if !l.up.Swap(true) {
-				l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
-			}
-			silence.Reset(SilenceLimit)
+		next, ok := l.queue.pop()
+		if !ok {
+			return some, nil
+		}
+		if time.Since(next.since) > queueAge {
+			l.node.stats.MessagesDropped.Add(1)
+			continue
+		}
+		if err := l.send(stream, next.envelope); err != nil {
+			return some, err
 		}
+		some = true
 	}
 }
 
-func signal(c chan<- struct{}) {
-	select {
-	case c <- struct{}{}:
-	default:
+func (l *link) send(stream messageSender, envelope *peerpb.Envelope) error {
+	if l.node.cutTo(l.vm) {
+		return nil
+	}
+	if err := stream.Send(envelope); err != nil {
+		return err
+	}
+	if envelope.Kind != "" {
+		l.node.stats.MessagesSent.Add(1)
 	}
+	return nil
 }
 
 // takeIdle returns a recently used connection, or nil.
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -39,6 +39,8 @@
 	Attempt     string
 	Session     string
 	Idempotency string
+	// MayWrite is asked as the call's first byte is written; see Caller.Do. Nil: it always may.
+	MayWrite func() bool
 }
 
 // StatusError is an engine's refusal of a call: a status other than 200 with its body.
@@ -207,10 +209,11 @@
 	return nil
 }
 
-// idleLimit grows with each resumption that brings no chunk: a call that waits within the engine
-// would otherwise use up its resumptions.
+// idleLimit grows with the resumptions that bring no chunk: a call that waits within the engine
+// would otherwise use them up. The first does not count, because its connection may have gone
+// silent as well, as with an engine that hangs for a moment.
 func (s *Stream) idleLimit() time.Duration {
-	return IdleLimit << min(s.resumes, maxIdleDoublings)
+	return IdleLimit << min(max(s.resumes-1, 0), maxIdleDoublings)
 }
 
 // read waits for the next chunk on the present connection, at most idleLimit.
@@ -286,7 +289,11 @@
 	if method == http.MethodPost {
 		req.Header.Set("Content-Type", "application/json")
 	}
-	resp, err := c.doEngine(req)
+	var mayWrite func() bool
+	if method == http.MethodPost {
+		mayWrite = target.MayWrite
+	}
+	resp, err := c.doEngine(req, mayWrite)
 	if err != nil {
 		return nil, err
 	}
