--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -36,6 +36,9 @@
 	if refused != nil {
 		return withNotRun(refused, call.notRun), never
 	}
+	if !leave.Valid() {
+		return staleLeave(call.notRun), afterUnsent
+	}
 	assembler := upstream.NewAssembler()
 	begun := s.opts.Clock()
 	err = s.relay(ctx, call, grant, mayWrite, assembler)
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -245,6 +245,9 @@
 	if refused != nil {
 		return nil, withNotRun(refused, call.notRun), never
 	}
+	if !leave.Valid() {
+		return nil, staleLeave(call.notRun), afterUnsent
+	}
 	begun := s.opts.Clock()
 	a, err := s.send(ctx, call, grant, mayWrite)
 	end = s.judgeService(grant, err)
--- a/internal/suspect/guard.go
+++ b/internal/suspect/guard.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
 	"egretramp/internal/clock"
@@ -20,19 +21,26 @@
 const (
 	MethodAsk   = "suspect.ask"
 	MethodEnd   = "suspect.end" // of a run whose upstream was lost
+	MethodPoll  = "suspect.poll"
 	KindEnd     = "suspect.ended"
 	KindHold    = "suspect.hold"
+	KindRelease = "suspect.release"
 	KindRecords = "suspect.records"
+	KindHello   = "suspect.hello"
+	KindState   = "suspect.state" // answers a hello
 )
 
 // Timing of a guard.
 const (
-	callTimeout = time.Second
-	// ownerTries is how many VMs are asked before this VM decides by itself.
-	ownerTries = 3
-	waitFirst  = 20 * time.Millisecond
-	waitMax    = 500 * time.Millisecond
-	interval   = time.Second
+	// askTimeout has room for the owner's poll. A VM whose owner was lost sees it between two asks.
+	askTimeout  = 500 * time.Millisecond
+	pollTimeout = 350 * time.Millisecond
+	endTimeout  = time.Second
+	waitFirst   = 20 * time.Millisecond
+	waitMax     = 500 * time.Millisecond
+	interval    = time.Second
+	// maxPolls bounds the polls of a VM that are under way.
+	maxPolls = 64
 )
 
 // Network carries messages and calls between VMs.
@@ -47,16 +55,18 @@
 	Network Network
 	// Others returns the other VMs that are alive.
 	Others func() []string
-	// Rank orders VMs for a key by rendezvous hashing.
-	Rank   func(key string, vms []string) []string
-	Events *events.Logger
-	Clock  func() time.Duration // default clock.Now
+	// Members returns the membership: the VMs that may act.
+	Members func() []Member
+	Rank    RankFunc
+	Events  *events.Logger
+	Clock   func() time.Duration // default clock.Now
 }
 
 // Errors of Enter. No byte went towards an upstream.
 var (
 	ErrQuarantined = errors.New("the request is quarantined")
 	ErrWaited      = errors.New("the same request was under way for too long")
+	ErrCutOff      = errors.New("an upstream was lost to the request, and zones that may have lost another one are out of reach")
 )
 
 // Stats count what the guard decided.
@@ -64,6 +74,9 @@
 	Asked       atomic.Int64
 	Waited      atomic.Int64
 	Quarantined atomic.Int64
+	CutOff      atomic.Int64
+	Polls       atomic.Int64
+	Beyond      atomic.Int64
 	Strikes     atomic.Int64
 }
 
@@ -72,10 +85,12 @@
 	opts  Options
 	stats Stats
 
-	mu       sync.Mutex
-	registry *Registry
-	held     map[string]Ask // by run
-	rounds   int
+	start string // of this process
+
+	mu      sync.Mutex
+	arbiter *Arbiter
+	polls   int // under way
+	rounds  int
 }
 
 // NewGuard returns a guard; Run repeats its soft state.
@@ -83,197 +98,112 @@
 	if opts.Clock == nil {
 		opts.Clock = clock.Now
 	}
-	return &Guard{opts: opts, registry: NewRegistry(), held: map[string]Ask{}}
+	g := &Guard{opts: opts, start: rand.Text(), arbiter: NewArbiter(opts.Clock(), opts.VM, opts.Rank)}
+	g.observe()
+	g.arbiter.SetMembers(opts.Members())
+	return g
 }
 
-// Stats returns the counters.
-func (g *Guard) Stats() *Stats { return &g.stats }
-
-// Leave lets one run go. End must follow, once.
-type Leave struct {
-	guard   *Guard
-	ask     Ask
-	owner   string
-	verdict Verdict
-	subject string
+// observe brings the arbiter's view up to date and returns the time. g.mu is held.
+func (g *Guard) observe() time.Duration {
+	now := g.opts.Clock()
+	g.arbiter.Observe(now, g.opts.Others())
+	return now
 }
 
-// Alone reports whether the run should have an upstream to itself.
-func (l *Leave) Alone() bool { return l.verdict.Alone }
-
-// Enter waits for leave to run a request. subject tells operators what it is. Errors:
-// ErrQuarantined, ErrWaited.
-func (g *Guard) Enter(ctx context.Context, f Fingerprint, subject string) (*Leave, error) {
-	l := &Leave{guard: g, ask: Ask{Fingerprint: f, Run: rand.Text(), VM: g.opts.VM}, subject: subject}
-	g.stats.Asked.Add(1)
-	for wait := waitFirst; ; wait = min(2*wait, waitMax) {
-		if g.turnsAway(f) {
-			g.stats.Quarantined.Add(1)
-			return nil, ErrQuarantined
-		}
-		l.owner, l.verdict = g.ask(ctx, l.ask)
-		switch l.verdict.State {
-		case Go:
-			g.hold(l.ask)
-			return l, nil
-		case Quarantined:
-			g.stats.Quarantined.Add(1)
-			return nil, ErrQuarantined
-		}
-		if wait == waitFirst {
-			g.stats.Waited.Add(1)
-		}
-		select {
-		case <-ctx.Done():
-			// The owner may have let it go in an answer that was lost.
-			l.End(Unproven, "")
-			return nil, ErrWaited
-		case <-time.After(wait):
-		}
-	}
-}
+// Stats returns the counters.
+func (g *Guard) Stats() *Stats { return &g.stats }
 
-func (g *Guard) turnsAway(f Fingerprint) bool {
+// decide answers an ask as the fingerprint's owner, after a poll where one is needed.
+func (g *Guard) decide(ctx context.Context, ask Ask) Verdict {
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.registry.TurnsAway(g.opts.Clock(), f)
-}
-
-func (g *Guard) hold(a Ask) {
+	now := g.observe()
+	if g.polls >= maxPolls {
+		g.mu.Unlock()
+		return Verdict{State: Wait}
+	}
+	v, poll := g.arbiter.Ask(now, ask)
+	if poll == nil {
+		g.mu.Unlock()
+		return v
+	}
+	g.polls++
+	g.mu.Unlock()
+	ballots := g.poll(ctx, *poll)
 	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.held[a.Run] = a
-}
-
-// owners returns the VMs to ask about a fingerprint, its owner first.
-func (g *Guard) owners(f Fingerprint) []string {
-	vms := append([]string{g.opts.VM}, g.opts.Others()...)
-	return g.opts.Rank(string(f), vms)
-}
-
-// ask asks the owner, or the next VMs in its order, and returns which one decided.
-func (g *Guard) ask(ctx context.Context, a Ask) (owner string, v Verdict) {
-	payload := mustMarshal(a)
-	owners := g.owners(a.Fingerprint)
-	for _, vm := range owners[:min(len(owners), ownerTries)] {
-		if vm == g.opts.VM {
-			break
-		}
-		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
-		data, err := g.opts.Network.Call(callCtx, vm, MethodAsk, payload)
-		cancel()
-		if err == nil && json.Unmarshal(data, &v) == nil {
-			return vm, v
-		}
-		if ctx.Err() != nil {
-			return vm, Verdict{State: Wait}
-		}
+	g.polls--
+	v = g.arbiter.Conclude(g.observe(), *poll, ballots)
+	g.mu.Unlock()
+	if v.State != Go {
+		g.sendTo(poll.Voters, KindRelease, ask)
 	}
-	return g.opts.VM, g.decide(a)
+	return v
 }
 
-func (g *Guard) decide(a Ask) Verdict {
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	return g.registry.Ask(g.opts.Clock(), a)
+// poll returns the ballots of the VMs that answer in time.
+func (g *Guard) poll(ctx context.Context, p Poll) map[string]Ballot {
+	g.stats.Polls.Add(1)
+	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
+	defer cancel()
+	payload := mustMarshal(p)
+	var mu sync.Mutex
+	ballots := map[string]Ballot{}
+	var wg conc.WaitGroup
+	for _, vm := range p.Voters {
+		wg.Go(func() {
+			var b Ballot
+			data, err := g.opts.Network.Call(ctx, vm, MethodPoll, payload)
+			if err != nil || json.Unmarshal(data, &b) != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			ballots[vm] = b
+		})
+	}
+	wg.Wait()
+	return ballots
 }
 
-// End reports the run's end. For a lost upstream it returns once the owner knows or cannot be
-// reached: the next run of the request must not ask before.
-func (l *Leave) End(outcome Outcome, upstream string) {
-	g := l.guard
-	g.mu.Lock()
-	delete(g.held, l.ask.Run)
-	g.mu.Unlock()
-	end := End{
-		Fingerprint: l.ask.Fingerprint, Run: l.ask.Run, Outcome: outcome,
-		Upstream: upstream, Subject: l.subject, Strikes: l.verdict.Strikes,
-	}
-	payload := mustMarshal(end)
-	switch {
-	case outcome == Lost:
-		g.take(end) // on this VM too, so that the strike outlives the owner
-		if l.owner != g.opts.VM {
-			ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
-			defer cancel()
-			_, _ = g.opts.Network.Call(ctx, l.owner, MethodEnd, payload)
-		}
-	case l.owner == g.opts.VM:
-		g.take(end)
-	default:
-		g.opts.Network.Send(l.owner, KindEnd, payload)
+func (g *Guard) sendTo(vms []string, kind string, message any) {
+	payload := mustMarshal(message)
+	for _, vm := range vms {
+		g.opts.Network.Send(vm, kind, payload)
 	}
 }
 
 // take enters the end of a run and tells all VMs of a changed record.
 func (g *Guard) take(end End) {
-	now := g.opts.Clock()
 	g.mu.Lock()
-	rec, changed := g.registry.End(now, end)
+	ended := g.arbiter.End(g.opts.Clock(), end)
 	g.mu.Unlock()
-	if !changed {
-		return
+	g.sendTo(ended.Voters, KindRelease, Ask{Fingerprint: end.Fingerprint, Run: end.Run})
+	if ended.Beyond {
+		g.stats.Beyond.Add(1)
+		g.opts.Events.Emit(events.RequestExceeded, zap.String("request", ended.Record.Subject),
+			zap.String("fingerprint", string(end.Fingerprint)), zap.String("upstream", end.Upstream))
 	}
-	if len(rec.Struck) > 0 {
-		g.stats.Strikes.Add(1)
-		event := events.RequestStruck
-		if rec.Quarantined() {
-			event = events.RequestQuarantined
-		}
-		g.opts.Events.Emit(event, zap.String("request", rec.Subject),
-			zap.String("fingerprint", string(rec.Fingerprint)), zap.Strings("upstreams", rec.Struck))
-	}
-	payload := mustMarshal([]Record{rec})
-	for _, vm := range g.opts.Others() {
-		g.opts.Network.Send(vm, KindRecords, payload)
-	}
-}
-
-// HandleAsk serves MethodAsk.
-func (g *Guard) HandleAsk(_ context.Context, _ string, payload []byte) ([]byte, error) {
-	var a Ask
-	if err := json.Unmarshal(payload, &a); err != nil {
-		return nil, err
-	}
-	return json.Marshal(g.decide(a))
-}
-
-// HandleLost serves MethodEnd.
-func (g *Guard) HandleLost(_ context.Context, from string, payload []byte) ([]byte, error) {
-	g.HandleEnd(from, payload)
-	return nil, nil
-}
-
-// HandleEnd takes KindEnd.
-func (g *Guard) HandleEnd(_ string, payload []byte) {
-	var end End
-	if json.Unmarshal(payload, &end) == nil {
-		g.take(end)
-	}
-}
-
-// HandleHold takes KindHold.
-func (g *Guard) HandleHold(_ string, payload []byte) {
-	var held []Ask
-	if json.Unmarshal(payload, &held) != nil {
+	if !ended.Changed {
 		return
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	g.registry.Hold(g.opts.Clock(), held)
+	if len(ended.Record.Struck) > 0 {
+		g.reportStrike(ended.Record)
+	}
+	g.sendTo(g.opts.Others(), KindRecords, []Record{ended.Record})
 }
 
-// HandleRecords takes KindRecords.
-func (g *Guard) HandleRecords(_ string, payload []byte) {
-	var records []Record
-	if json.Unmarshal(payload, &records) != nil {
-		return
+func (g *Guard) reportStrike(rec Record) {
+	g.stats.Strikes.Add(1)
+	event := events.RequestStruck
+	if rec.Quarantined() {
+		event = events.RequestQuarantined
 	}
-	g.mu.Lock()
-	defer g.mu.Unlock()
-	for _, rec := range records {
-		g.registry.Merge(g.opts.Clock(), rec)
+	var upstreams []string
+	for _, s := range rec.Struck {
+		upstreams = append(upstreams, s.name())
 	}
+	g.opts.Events.Emit(event, zap.String("request", rec.Subject),
+		zap.String("fingerprint", string(rec.Fingerprint)), zap.Strings("upstreams", upstreams))
 }
 
 // Run repeats the runs under way to their owners and the records to one VM after another, until
@@ -281,6 +211,7 @@
 func (g *Guard) Run(ctx context.Context) {
 	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
+	g.round()
 	for {
 		select {
 		case <-ctx.Done():
@@ -292,27 +223,27 @@
 }
 
 func (g *Guard) round() {
-	now := g.opts.Clock()
-	others := g.opts.Others()
-	byOwner := map[string][]Ask{}
 	g.mu.Lock()
-	g.registry.Tick(now)
-	records := g.registry.Records(now)
-	for _, a := range g.held {
-		owner := g.owners(a.Fingerprint)[0]
-		byOwner[owner] = append(byOwner[owner], a)
-	}
-	g.registry.Hold(now, byOwner[g.opts.VM])
+	now := g.observe()
+	g.arbiter.SetMembers(g.opts.Members())
+	sends := g.arbiter.Tick(now)
+	records := g.arbiter.Records(now)
 	g.rounds++
 	round := g.rounds
 	g.mu.Unlock()
-	delete(byOwner, g.opts.VM)
-	for vm, held := range byOwner {
+	for _, rec := range sends.Struck {
+		g.reportStrike(rec)
+		g.sendTo(g.opts.Others(), KindRecords, []Record{rec})
+	}
+	if sends.Hello {
+		g.sendTo(g.opts.Others(), KindHello, hello{Start: g.start})
+	}
+	for vm, held := range sends.Holds {
 		g.opts.Network.Send(vm, KindHold, mustMarshal(held))
 	}
+	others := slices.Sorted(slices.Values(g.opts.Others()))
 	if len(records) > 0 && len(others) > 0 {
-		sorted := slices.Sorted(slices.Values(others))
-		g.opts.Network.Send(sorted[round%len(sorted)], KindRecords, mustMarshal(records))
+		g.opts.Network.Send(others[round%len(others)], KindRecords, mustMarshal(records))
 	}
 }
 
@@ -320,7 +251,7 @@
 func (g *Guard) Records() []Record {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.registry.Records(g.opts.Clock())
+	return g.arbiter.Records(g.opts.Clock())
 }
 
 // mustMarshal encodes this package's own messages, which cannot fail.
