--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -16,6 +16,7 @@
 		c.checkKeys()
 		c.checkRoutes()
 		c.checkUpstreams()
+		c.checkPlacement()
 	}
 	if err := doc.Err(); err != nil {
 		return nil, err
@@ -40,6 +41,7 @@
 		setDefault(&f.Services[i].TimeoutSeconds, DefaultServiceTimeoutSeconds)
 		setDefault(&f.Services[i].Concurrency, DefaultServiceConcurrency)
 	}
+	f.Placement.fillDefaults()
 	for i := range f.Routes {
 		if f.Routes[i].Service != "" {
 			setDefault(&f.Routes[i].PathPrefix, DefaultPathPrefix)
--- /dev/null
+++ b/internal/config/placement.go
@@ -0,0 +1,59 @@
+package config
+
+import "fmt"
+
+// fillDefaults fills in the fields that a file leaves out.
+func (p *Placement) fillDefaults() {
+	setDefault(&p.LoadsUnderWay, DefaultLoadsUnderWay)
+	setDefault(&p.LoadsPerSecond, DefaultLoadsPerSecond)
+	setDefault(&p.LoadTimeoutSeconds, DefaultLoadTimeoutSeconds)
+	setDefault(&p.MinChangeSeconds, max(DefaultMinChangeSeconds, p.LoadTimeoutSeconds))
+	setDefault(&p.PlanSeconds, DefaultPlanSeconds)
+}
+
+// checkPlacement reports adapters of nothing, and a time between changes in which an order of
+// the VM before could still be under way.
+func (c *checker) checkPlacement() {
+	p := c.file.Placement
+	loadTimeout := p.LoadTimeoutSeconds
+	setDefault(&loadTimeout, DefaultLoadTimeoutSeconds)
+	if p.MinChangeSeconds > 0 && p.MinChangeSeconds < loadTimeout {
+		c.doc.Report(fmt.Sprintf("min_change_seconds %g is below load_timeout_seconds %g", p.MinChangeSeconds, loadTimeout),
+			"at least load_timeout_seconds", "placement", "min_change_seconds")
+	}
+	for i, m := range c.file.Models {
+		c.checkAdapter(i, m)
+	}
+}
+
+func (c *checker) checkAdapter(i int, m Model) {
+	if m.AdapterOf == "" {
+		return
+	}
+	c.checkKnown(c.models, "model", m.AdapterOf, "models", i, "adapter_of")
+	base, known := c.models[m.AdapterOf]
+	if !known {
+		return
+	}
+	if c.file.Models[base.index].AdapterOf != "" {
+		c.doc.Report(fmt.Sprintf("%q is an adapter itself", m.AdapterOf), "a model that is no adapter", "models", i, "adapter_of")
+	}
+}
+
+// Placement returns how models are placed.
+func (s *Snapshot) Placement() Placement { return s.file.Placement }
+
+// MayServe reports whether a class of upstreams may serve a model, named in any way.
+func (s *Snapshot) MayServe(class, model string) bool {
+	c, known := s.classes[class]
+	m, ok := s.models[model]
+	if !known || !ok || c.Kind != KindEngine {
+		return false
+	}
+	for _, name := range c.Serves {
+		if served, ok := s.models[name]; ok && served == m {
+			return true
+		}
+	}
+	return len(c.Serves) == 0
+}
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -25,6 +25,26 @@
 	Routes []Route `json:"routes"`
 	// Upstreams are the classes of upstreams that may announce themselves.
 	Upstreams []UpstreamClass `json:"upstreams"`
+	// Placement lets the system give engines orders to load and unload models. Default: it gives none.
+	Placement Placement `json:"placement,omitempty"`
+}
+
+// Placement says how models are placed on engines.
+type Placement struct {
+	// Enabled lets orders be given. Default false.
+	Enabled bool `json:"enabled,omitempty"`
+	// LoadsUnderWay bounds the loads from the weight store that are under way in the whole fleet. Default 2.
+	LoadsUnderWay int `json:"loads_under_way,omitempty" check:"min=1,max=10000"`
+	// LoadsPerSecond bounds how often a load is begun in the whole fleet. Loads a second; default 0.5.
+	LoadsPerSecond float64 `json:"loads_per_second,omitempty" check:"above=0,max=10000"`
+	// LoadTimeoutSeconds is how long one load may take. Seconds; default 60.
+	LoadTimeoutSeconds float64 `json:"load_timeout_seconds,omitempty" check:"min=0.1,max=3600"`
+	// MinChangeSeconds is the least time between two changes of one engine, and the time in which
+	// a VM that takes over from another orders nothing. Seconds, at least LoadTimeoutSeconds;
+	// default 120, or LoadTimeoutSeconds if that is more.
+	MinChangeSeconds float64 `json:"min_change_seconds,omitempty" check:"min=0.1,max=86400"`
+	// PlanSeconds is the time between two plans. Seconds; default 5.
+	PlanSeconds float64 `json:"plan_seconds,omitempty" check:"min=0.1,max=3600"`
 }
 
 // Named is what client accounts, models and services have in common: a canonical ID, which
@@ -68,6 +88,14 @@
 	Named
 	// MaxTokens is the completion length reserved for a call that names none. Tokens; default 1,024.
 	MaxTokens int64 `json:"max_tokens,omitempty" check:"min=1,max=10000000"`
+	// MemoryMB is the memory that its weights need on an engine. Megabytes; default 0: not counted.
+	MemoryMB int64 `json:"memory_mb,omitempty" check:"min=1,max=100000000"`
+	// AdapterOf is the model, under any of its names, that this one is an adapter of: it is
+	// loaded only beside that model. Default: it is none.
+	AdapterOf string `json:"adapter_of,omitempty" check:"format=name"`
+	// KeepIn are the zones that always keep a replica. Default empty: each zone that has one
+	// keeps one.
+	KeepIn []string `json:"keep_in,omitempty" check:"format=host"`
 }
 
 // Service is a plain or tool service.
@@ -146,4 +174,10 @@
 	DefaultServiceTimeoutSeconds = 30
 	DefaultServiceConcurrency    = 64
 	DefaultPathPrefix            = "/"
+
+	DefaultLoadsUnderWay      = 2
+	DefaultLoadsPerSecond     = 0.5
+	DefaultLoadTimeoutSeconds = 60
+	DefaultMinChangeSeconds   = 120
+	DefaultPlanSeconds        = 5
 )
--- a/internal/control/apply_config.go
+++ b/internal/control/apply_config.go
@@ -123,6 +123,7 @@
 	}
 	m.keys = keys
 	m.limits = limitsOf(file)
+	m.loads.configure(file.Placement)
 	m.config = Config{
 		Acceptance: Acceptance{
 			Generation: file.Generation,
--- a/internal/control/commands.go
+++ b/internal/control/commands.go
@@ -44,6 +44,11 @@
 	IssueFencing *IssueFencing `json:"issue_fencing,omitempty"`
 
 	RecordAgreedSplit *RecordAgreedSplit `json:"record_agreed_split,omitempty"`
+
+	TakeOrders   *TakeOrders   `json:"take_orders,omitempty"`
+	GiveUpOrders *GiveUpOrders `json:"give_up_orders,omitempty"`
+	TakeLoad     *TakeLoad     `json:"take_load,omitempty"`
+	ReturnLoad   *ReturnLoad   `json:"return_load,omitempty"`
 }
 
 // ApplyConfig puts a configuration in force, whole or not at all.
@@ -164,6 +169,10 @@
 		{c.RemoveVM != nil, c.RemoveVM.validate},
 		{c.IssueFencing != nil, c.IssueFencing.validate},
 		{c.RecordAgreedSplit != nil, c.RecordAgreedSplit.validate},
+		{c.TakeOrders != nil, c.TakeOrders.validate},
+		{c.GiveUpOrders != nil, c.GiveUpOrders.validate},
+		{c.TakeLoad != nil, c.TakeLoad.validate},
+		{c.ReturnLoad != nil, c.ReturnLoad.validate},
 	} {
 		if check.set {
 			set++
--- a/internal/control/invariants.go
+++ b/internal/control/invariants.go
@@ -57,6 +57,11 @@
 	if uint64(len(m.withdrawn.byID)) != m.withdrawn.through {
 		return fmt.Errorf("%d withdrawn keys, but sequences through %d", len(m.withdrawn.byID), m.withdrawn.through)
 	}
+	for zone, right := range m.orders {
+		if right.Zone != zone || right.Number > m.fencing.last {
+			return fmt.Errorf("the right to order zone %q has number %d, the last issued is %d", zone, right.Number, m.fencing.last)
+		}
+	}
 	if n := len(m.history); n > 0 && m.history[n-1] != m.config.Acceptance {
 		return fmt.Errorf("generation %d in force is not the last accepted", m.config.Generation)
 	}
--- /dev/null
+++ b/internal/control/loads.go
@@ -0,0 +1,145 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+
+	"egretramp/internal/config"
+)
+
+// Bounds of loads.
+const (
+	// loadPermitFactor is how many times the longest load a permit lasts: the load begins within
+	// the first part.
+	loadPermitFactor = 2
+	// maxLoadElapsedMS bounds the time that one command tells of. Milliseconds.
+	maxLoadElapsedMS = 60_000
+)
+
+// TakeLoad asks for a permit to load from the weight store. Sent again under the same ID it gets
+// the same permit.
+//
+// The permits' clock goes on with these commands alone: one that waits for a permit asks again
+// and tells how long ago it learned of the clock's last move. So the clock never runs faster
+// than time does, and a permit that is over by it is over.
+type TakeLoad struct {
+	ID     string `json:"id"`
+	Zone   string `json:"zone"`
+	Number uint64 `json:"number"` // of the right to order the zone
+	// Tick is the clock's last move that the sender knows of; 0: none.
+	Tick uint64 `json:"tick,omitempty"`
+	// ElapsedMS is the time since the sender learned of Tick. Milliseconds.
+	ElapsedMS int64 `json:"elapsed_ms,omitempty"`
+}
+
+// ReturnLoad gives a permit back. Its load is over.
+type ReturnLoad struct {
+	ID string `json:"id"`
+}
+
+// LoadPermit lets one load be ordered.
+type LoadPermit struct {
+	ID   string `json:"id"`
+	Zone string `json:"zone"`
+	// UntilMS is when it runs out, on the permits' clock. Milliseconds.
+	UntilMS int64 `json:"until_ms"`
+	LastsMS int64 `json:"lasts_ms"` // how long it lasts from its grant. Milliseconds.
+}
+
+// LoadAnswer answers TakeLoad and ReturnLoad.
+type LoadAnswer struct {
+	// Granted says that the permit of the command's ID is held.
+	Granted bool `json:"granted"`
+	// LastsMS is how long the permit lasts, from the sending of the command that was first
+	// answered so. Milliseconds.
+	LastsMS int64 `json:"lasts_ms,omitempty"`
+	// Tick is the clock's last move.
+	Tick uint64 `json:"tick"`
+	// UnderWay counts the permits that are held.
+	UnderWay int `json:"under_way"`
+}
+
+// Loads is the state of the loads from the weight store.
+type Loads struct {
+	// Limit bounds the permits held; 0: no loads.
+	Limit         int     `json:"limit"`
+	RatePerSecond float64 `json:"rate_per_second"`
+	PermitMS      int64   `json:"permit_ms"` // how long a permit lasts
+	// Tokens is the rate's bucket, of at most one load.
+	Tokens  float64      `json:"tokens"`
+	Tick    uint64       `json:"tick"`
+	ClockMS int64        `json:"clock_ms"`
+	Permits []LoadPermit `json:"permits,omitempty"` // in the order of their grants
+}
+
+func (t *TakeLoad) validate() error {
+	if t.Number < 1 || t.ElapsedMS < 0 {
+		return invalid("fencing number %d, elapsed %d ms", t.Number, t.ElapsedMS)
+	}
+	return firstError(checkName("ID", t.ID), checkName("zone", t.Zone))
+}
+
+func (r *ReturnLoad) validate() error { return checkName("ID", r.ID) }
+
+// configure takes the limits of a new configuration. Permits that are held stay.
+func (l *Loads) configure(p config.Placement) {
+	l.Limit, l.RatePerSecond = 0, 0
+	if p.Enabled {
+		l.Limit, l.RatePerSecond = p.LoadsUnderWay, p.LoadsPerSecond
+		l.PermitMS = int64(loadPermitFactor * p.LoadTimeoutSeconds * 1000)
+	}
+	if l.Tick == 0 {
+		l.Tick, l.Tokens = 1, 1
+	}
+}
+
+func (m *Machine) takeLoad(t *TakeLoad) Result {
+	right, known := m.orders[t.Zone]
+	if !known || right.Number != t.Number || !m.mayOrder(right) {
+		return refuse(CodeOrdersLost, fmt.Sprintf("number %d is not the one in force in zone %q", t.Number, t.Zone))
+	}
+	m.loads.advance(t.Tick, t.ElapsedMS)
+	m.loads.take(t.ID, t.Zone)
+	return Result{Load: m.loads.answer(t.ID)}
+}
+
+func (m *Machine) returnLoad(r *ReturnLoad) Result {
+	m.loads.Permits = slices.DeleteFunc(slices.Clone(m.loads.Permits), func(p LoadPermit) bool { return p.ID == r.ID })
+	return Result{Load: m.loads.answer(r.ID)}
+}
+
+// advance moves the clock on, once for each of its moves, and ends the permits that are over.
+func (l *Loads) advance(tick uint64, elapsedMS int64) {
+	if tick != l.Tick || elapsedMS < 1 {
+		return
+	}
+	elapsedMS = min(elapsedMS, maxLoadElapsedMS)
+	l.Tick++
+	l.ClockMS += elapsedMS
+	l.Tokens = min(1, l.Tokens+l.RatePerSecond*float64(elapsedMS)/1000)
+	l.Permits = slices.DeleteFunc(slices.Clone(l.Permits), func(p LoadPermit) bool { return p.UntilMS <= l.ClockMS })
+}
+
+// take grants a permit if there is one.
+func (l *Loads) take(id, zone string) {
+	if l.find(id) >= 0 || len(l.Permits) >= l.Limit || l.Tokens < 1 {
+		return
+	}
+	l.Tokens--
+	l.Permits = append(slices.Clone(l.Permits), LoadPermit{ID: id, Zone: zone, UntilMS: l.ClockMS + l.PermitMS, LastsMS: l.PermitMS})
+	if len(l.Permits) > l.Limit {
+		panic(fmt.Sprintf("control: %d loads under way, above the limit of %d", len(l.Permits), l.Limit))
+	}
+}
+
+func (l *Loads) find(id string) int {
+	return slices.IndexFunc(l.Permits, func(p LoadPermit) bool { return p.ID == id })
+}
+
+func (l *Loads) answer(id string) *LoadAnswer {
+	a := &LoadAnswer{Tick: l.Tick, UnderWay: len(l.Permits)}
+	if i := l.find(id); i >= 0 {
+		a.Granted, a.LastsMS = true, l.Permits[i].LastsMS
+	}
+	return a
+}
--- a/internal/control/machine.go
+++ b/internal/control/machine.go
@@ -16,6 +16,9 @@
 	// limits are those of the configuration in force.
 	limits map[string]ratelimit.Limit
 	splits Splits
+	// orders are the rights to order engines, by zone.
+	orders map[string]OrderRight
+	loads  Loads
 	// floor is the state after the last command, which the next may not fall below.
 	floor floor
 }
@@ -27,6 +30,7 @@
 		withdrawn: newWithdrawnKeys(),
 		members:   newMembers(),
 		fencing:   newFencing(),
+		orders:    map[string]OrderRight{},
 	}
 }
 
@@ -60,6 +64,14 @@
 		return m.members.remove(c.RemoveVM)
 	case c.RecordAgreedSplit != nil:
 		return m.recordAgreedSplit(c.RecordAgreedSplit)
+	case c.TakeOrders != nil:
+		return m.takeOrders(c.TakeOrders)
+	case c.GiveUpOrders != nil:
+		return m.giveUpOrders(c.GiveUpOrders)
+	case c.TakeLoad != nil:
+		return m.takeLoad(c.TakeLoad)
+	case c.ReturnLoad != nil:
+		return m.returnLoad(c.ReturnLoad)
 	default:
 		return Result{Fencing: m.fencing.issue(c.IssueFencing)}
 	}
--- a/internal/control/results.go
+++ b/internal/control/results.go
@@ -20,6 +20,10 @@
 	Fencing *Fencing `json:"fencing,omitempty"`
 	// Splits answers RecordAgreedSplit.
 	Splits *Splits `json:"splits,omitempty"`
+	// Orders answers TakeOrders and GiveUpOrders.
+	Orders *OrderRight `json:"orders,omitempty"`
+	// Load answers TakeLoad and ReturnLoad.
+	Load *LoadAnswer `json:"load,omitempty"`
 	// Refusal answers a command that changed nothing.
 	Refusal *Refusal `json:"refusal,omitempty"`
 }
@@ -78,6 +82,9 @@
 	CodeWithdrawnKey    Code = "withdrawn_key"     // the file lists a withdrawn key ID or hash
 	CodeKeyReused       Code = "key_reused"        // the file gives a key ID to another key, or a key another ID
 	CodeOldIncarnation  Code = "old_incarnation"   // the VM was started again or removed since
+	CodeNotMember       Code = "not_a_member"      // the VM is not in the membership in this incarnation
+	CodeOrdersHeld      Code = "orders_held"       // another VM has the right to order the zone
+	CodeOrdersLost      Code = "orders_lost"       // the fencing number is not the one in force
 )
 
 // Refusal says why a command changed nothing.
--- a/internal/control/snapshot.go
+++ b/internal/control/snapshot.go
@@ -31,6 +31,9 @@
 	Splits    Splits            `json:"splits"`
 
 	Limits map[string]ratelimit.Limit `json:"limits"`
+
+	Orders map[string]OrderRight `json:"orders,omitempty"`
+	Loads  Loads                 `json:"loads"`
 }
 
 // Snapshot encodes the state. Equal states give equal bytes.
@@ -50,6 +53,8 @@
 		Fencing:   view.Fencing,
 		Splits:    m.splits,
 		Limits:    m.limits,
+		Orders:    m.orders,
+		Loads:     m.loads,
 	})
 	return data, errors.Wrap(err, "control: cannot encode a snapshot")
 }
@@ -100,6 +105,10 @@
 	m.fencing.last = s.Last
 	m.splits = s.Splits
 	m.limits = s.Limits
+	m.loads = s.Loads
+	for zone, right := range s.Orders {
+		m.orders[zone] = right
+	}
 	for _, f := range s.Fencing {
 		m.fencing.byResource[f.Resource] = f
 	}
--- /dev/null
+++ b/internal/placement/engines.go
@@ -0,0 +1,147 @@
+package placement
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+)
+
+// add plans one more replica of a model, on an engine with room if there is one, else in place
+// of models that can spare a replica. It reports false if no engine can be had.
+func (p *planner) add(m Model) bool {
+	var best Change
+	found := false
+	var bestEngine Engine
+	for _, e := range p.Engines {
+		unload, ok := p.option(e, m)
+		if !ok {
+			continue
+		}
+		if found && !better(e, unload, bestEngine, best.Unload) {
+			continue
+		}
+		best, bestEngine, found = Change{Engine: e.Name, Incarnation: e.Incarnation, Unload: unload, Load: m.ID}, e, true
+	}
+	if !found {
+		return false
+	}
+	p.taken[best.Engine] = true
+	for _, model := range best.Unload {
+		p.replicas[model]--
+	}
+	p.out.Changes = append(p.out.Changes, best)
+	return true
+}
+
+// better orders the engines for a load: less to unload, fewer calls to drain, fewer models, name.
+func better(a Engine, unloadA []string, b Engine, unloadB []string) bool {
+	return cmp.Or(
+		cmp.Compare(len(unloadA), len(unloadB)),
+		cmp.Compare(a.Running, b.Running),
+		cmp.Compare(len(a.Serves), len(b.Serves)),
+		cmp.Compare(a.Name, b.Name),
+	) < 0
+}
+
+// option returns what an engine has to unload to load a model; false if it can't load it.
+func (p *planner) option(e Engine, m Model) (unload []string, ok bool) {
+	if e.Blocked || p.taken[e.Name] || slices.Contains(e.Serves, m.ID) || !slices.Contains(e.Permits, m.ID) {
+		return nil, false
+	}
+	if m.AdapterOf != "" && !slices.Contains(e.Serves, m.AdapterOf) {
+		return nil, false
+	}
+	if p.hasRoom(e, e.Serves, m) {
+		return nil, true
+	}
+	kept := slices.Clone(e.Serves)
+	for _, model := range slices.Sorted(slices.Values(e.Serves)) {
+		if model == m.AdapterOf || !p.canSpare(model, e) {
+			continue
+		}
+		kept = slices.DeleteFunc(kept, func(k string) bool { return k == model })
+		unload = append(unload, model)
+		if p.hasRoom(e, kept, m) {
+			return unload, true
+		}
+	}
+	return nil, false
+}
+
+// hasRoom reports whether a model fits beside others. An engine that tells no number of models
+// holds as many as it serves, or one.
+func (p *planner) hasRoom(e Engine, beside []string, m Model) bool {
+	most := e.Models
+	if most == 0 {
+		most = max(1, len(e.Serves))
+	}
+	if len(beside) >= most {
+		return false
+	}
+	memory := m.MemoryMB
+	for _, model := range beside {
+		memory += p.models[model].MemoryMB
+	}
+	return e.MemoryMB == 0 || memory <= e.MemoryMB
+}
+
+// canSpare reports whether a replica of a model may be unloaded from an engine: the model has
+// had more replicas than it needs for a while, and this is not the last that the zone keeps.
+func (p *planner) canSpare(model string, e Engine) bool {
+	if p.Idle[model] < IdleFor || p.hasAdapter(model, e) {
+		return false
+	}
+	if p.replicas[model] > 1 {
+		return true
+	}
+	m, known := p.models[model]
+	if !known {
+		return true // the operators' file has it no more
+	}
+	return !p.keeps(m)
+}
+
+func (p *planner) hasAdapter(model string, e Engine) bool {
+	return slices.ContainsFunc(e.Serves, func(other string) bool { return p.models[other].AdapterOf == model })
+}
+
+// keeps reports whether this zone keeps its last replica of a model. A zone that is not named to
+// keep one may lose it only while a zone that is named has one, since that zone keeps it.
+func (p *planner) keeps(m Model) bool {
+	if len(m.KeepIn) == 0 || slices.Contains(m.KeepIn, p.Zone) {
+		return true
+	}
+	if p.Zones[p.Zone][m.ID].calls() > 0 {
+		return true
+	}
+	return !slices.ContainsFunc(m.KeepIn, func(zone string) bool { return p.Zones[zone][m.ID].Replicas > 0 })
+}
+
+// check asserts what must hold of every plan.
+func (p *planner) check() {
+	seen := map[string]bool{}
+	left := map[string]int{}
+	engines := map[string]Engine{}
+	for _, e := range p.Engines {
+		engines[e.Name] = e
+		for _, model := range e.Serves {
+			left[model]++
+		}
+	}
+	for _, c := range p.out.Changes {
+		e := engines[c.Engine]
+		if seen[c.Engine] || e.Blocked {
+			panic(fmt.Sprintf("placement: engine %s is changed twice or while it is blocked", c.Engine))
+		}
+		seen[c.Engine] = true
+		if !slices.Contains(e.Permits, c.Load) {
+			panic(fmt.Sprintf("placement: engine %s may not serve %s", c.Engine, c.Load))
+		}
+		for _, model := range c.Unload {
+			left[model]--
+			if m, known := p.models[model]; known && left[model] == 0 && p.keeps(m) {
+				panic(fmt.Sprintf("placement: the last replica of %s in zone %s is unloaded", model, p.Zone))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/placement/plan.go
@@ -0,0 +1,263 @@
+// Package placement places models on engines: it plans by demand which engine loads and unloads
+// what, and carries plans out by orders to the engines of a zone.
+//
+//   - MakePlan is a pure function of a Snapshot; others carry the Plan out.
+//   - Trend says how long a model has been short of replicas, or has had more than it needs.
+//   - Orderer is the state machine of the orders under way in one zone.
+//   - Runner drives both on one goroutine, as long as this VM has the right to order its zone.
+//
+// All but Runner are plain values: time is passed in, and what they ask for is carried out by others.
+package placement
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+)
+
+// The thresholds of a plan. Between idleUse and pressedUse nothing changes.
+const (
+	// pressedUse is the part of a model's slots in use above which it is short of replicas.
+	pressedUse = 0.85
+	// targetUse is the part of the slots that is in use with the wanted number of replicas.
+	targetUse = 0.7
+	// idleUse is the part of the slots in use, without one replica, up to which the model can spare it.
+	idleUse = 0.5
+	// PressedFor is how long a model is short of replicas before one is added.
+	PressedFor = 3 * time.Second
+	// IdleFor is how long a model can spare a replica before it is taken for another model.
+	IdleFor = 30 * time.Second
+)
+
+// Model is a model, adapter or version to be placed.
+type Model struct {
+	ID       string
+	MemoryMB int64 // of its weights; 0: not counted
+	// AdapterOf is the model beside which this one is loaded; empty: it is no adapter.
+	AdapterOf string
+	// KeepIn are the zones that always keep a replica; empty: each zone that has one.
+	KeepIn []string
+}
+
+// Engine is an engine of the zone.
+type Engine struct {
+	Name        string   `json:"name"`
+	Incarnation int64    `json:"incarnation"`
+	Address     string   `json:"address"`
+	Serves      []string `json:"serves"` // canonical IDs
+	// Names are the engine's own names of what it serves, by canonical ID.
+	Names    map[string]string `json:"-"`
+	Permits  []string          `json:"-"` // models that its class may serve
+	Slots    int               `json:"slots"`
+	Running  int               `json:"running"`
+	Models   int               `json:"models"`    // how many it holds at once; 0: not told
+	MemoryMB int64             `json:"memory_mb"` // for weights; 0: not told
+	// ChecksFencing says that it refuses an order with an old fencing number.
+	ChecksFencing bool `json:"checks_fencing"`
+	// Blocked says that it may not be changed now: an order is under way, or its last change is
+	// too recent.
+	Blocked bool `json:"blocked"`
+}
+
+// Demand is what the dispatchers of a zone know of a model.
+type Demand struct {
+	Replicas int `json:"replicas"`
+	Slots    int `json:"slots"`
+	Running  int `json:"running"`
+	Waiting  int `json:"waiting"`
+	// Unserved are the calls that found no replica in any zone lately.
+	Unserved int `json:"unserved,omitempty"`
+	// Coming are the loads under way.
+	Coming int `json:"coming,omitempty"`
+	// Spare is how many engines could be made to serve the model now.
+	Spare int `json:"spare,omitempty"`
+}
+
+func (d Demand) calls() int { return d.Running + d.Waiting + d.Unserved }
+
+func (d Demand) add(e Demand) Demand {
+	return Demand{
+		Replicas: d.Replicas + e.Replicas, Slots: d.Slots + e.Slots, Running: d.Running + e.Running,
+		Waiting: d.Waiting + e.Waiting, Unserved: d.Unserved + e.Unserved, Coming: d.Coming + e.Coming, Spare: d.Spare + e.Spare,
+	}
+}
+
+// ZoneDemand is the demand of a zone by model.
+type ZoneDemand map[string]Demand
+
+// Snapshot is what a plan is made of.
+type Snapshot struct {
+	// Zone is the one that the plan changes.
+	Zone   string
+	Models []Model
+	// Zones is the demand of all zones, this one included.
+	Zones   map[string]ZoneDemand
+	Engines []Engine
+	// Pressed and Idle are how long models have been short of replicas, or could spare one.
+	Pressed, Idle map[string]time.Duration
+	// MaxChanges bounds the changes of the plan.
+	MaxChanges int
+}
+
+// Change is one change of an engine: it unloads models to make room, and loads one.
+type Change struct {
+	Engine      string   `json:"engine"`
+	Incarnation int64    `json:"incarnation"`
+	Unload      []string `json:"unload,omitempty"`
+	Load        string   `json:"load"`
+}
+
+// Target is how many replicas of a model the plan wants.
+type Target struct {
+	Model  string `json:"model"`
+	Fleet  int    `json:"fleet"` // in all zones
+	Now    int    `json:"now"`   // in all zones, loads under way included
+	Zone   int    `json:"zone"`  // to be added in this zone
+	Demand Demand `json:"demand"`
+}
+
+// Plan is what is to be done in one zone.
+type Plan struct {
+	Targets []Target `json:"targets"`
+	Changes []Change `json:"changes"`
+}
+
+// MakePlan plans the changes of one zone.
+func MakePlan(s Snapshot) Plan { return newPlanner(s).plan() }
+
+// Spares returns, for each model, how many engines of the zone could be made to serve it now.
+func Spares(s Snapshot) map[string]int {
+	spares := map[string]int{}
+	for _, m := range s.Models {
+		p := newPlanner(s)
+		for p.add(m) {
+			spares[m.ID]++
+		}
+	}
+	return spares
+}
+
+func newPlanner(s Snapshot) *planner {
+	p := &planner{Snapshot: s, models: map[string]Model{}, replicas: map[string]int{}, taken: map[string]bool{}}
+	for _, m := range s.Models {
+		p.models[m.ID] = m
+	}
+	for _, e := range s.Engines {
+		for _, model := range e.Serves {
+			p.replicas[model]++
+		}
+	}
+	return p
+}
+
+// planner is the work on one plan.
+type planner struct {
+	Snapshot
+	models   map[string]Model
+	replicas map[string]int  // announced in the zone, less what the plan unloads
+	taken    map[string]bool // engines that the plan changes
+	out      Plan
+}
+
+func (p *planner) plan() Plan {
+	order := slices.Clone(p.Models)
+	// The model that is shortest of replicas chooses first.
+	slices.SortStableFunc(order, func(a, b Model) int {
+		return cmp.Or(cmp.Compare(p.use(b.ID), p.use(a.ID)), cmp.Compare(a.ID, b.ID))
+	})
+	for _, m := range order {
+		t := p.target(m)
+		p.out.Targets = append(p.out.Targets, t)
+		for range t.Zone {
+			if len(p.out.Changes) >= p.MaxChanges || !p.add(m) {
+				break
+			}
+		}
+	}
+	p.check()
+	return p.out
+}
+
+func (p *planner) fleet(model string) Demand {
+	var sum Demand
+	for _, zone := range p.Zones {
+		sum = sum.add(zone[model])
+	}
+	return sum
+}
+
+// use is the part of a model's slots that its calls need; without slots each call counts whole.
+func (p *planner) use(model string) float64 {
+	d := p.fleet(model)
+	return float64(d.calls()) / float64(max(1, d.Slots))
+}
+
+// target returns how many replicas of a model are wanted, and how many of them this zone adds.
+func (p *planner) target(m Model) Target {
+	d := p.fleet(m.ID)
+	now := d.Replicas + d.Coming
+	t := Target{Model: m.ID, Fleet: now, Now: now, Demand: d}
+	if p.Pressed[m.ID] >= PressedFor {
+		t.Fleet = max(now, wanted(d, p.slots(m.ID)))
+	}
+	t.Zone = p.deal(m, t.Fleet-now)[p.Zone]
+	t.Fleet = max(t.Fleet, now+t.Zone)
+	return t
+}
+
+// wanted returns the replicas for a demand, at most twice those there are and one.
+func wanted(d Demand, slots int) int {
+	n := int(math.Ceil(float64(d.calls()) / (targetUse * float64(slots))))
+	return min(max(n, 1), 2*(d.Replicas+d.Coming)+1)
+}
+
+// slots is the usual number of slots of a replica.
+func (p *planner) slots(model string) int {
+	if d := p.fleet(model); d.Replicas > 0 && d.Slots >= d.Replicas {
+		return d.Slots / d.Replicas
+	}
+	for _, e := range p.Engines {
+		if e.Slots > 0 {
+			return e.Slots
+		}
+	}
+	return 1
+}
+
+// deal spreads missing replicas over the zones that have engines for them: first the zones that
+// keep one and have none, then those with the most calls for each replica. All zones that know
+// the same deal alike.
+func (p *planner) deal(m Model, missing int) map[string]int {
+	deal := map[string]int{}
+	for _, zone := range m.KeepIn {
+		if d := p.Zones[zone][m.ID]; d.Replicas+d.Coming == 0 && d.Spare > 0 {
+			deal[zone]++
+			missing--
+		}
+	}
+	for ; missing > 0; missing-- {
+		zone, found := p.neediest(m.ID, deal)
+		if !found {
+			break
+		}
+		deal[zone]++
+	}
+	return deal
+}
+
+func (p *planner) neediest(model string, deal map[string]int) (string, bool) {
+	best, found, most := "", false, 0.0
+	for _, zone := range slices.Sorted(maps.Keys(p.Zones)) {
+		d := p.Zones[zone][model]
+		if d.Spare <= deal[zone] {
+			continue
+		}
+		need := float64(d.calls()+1) / float64(d.Replicas+d.Coming+deal[zone]+1)
+		if !found || need > most {
+			best, found, most = zone, true, need
+		}
+	}
+	return best, found
+}
--- /dev/null
+++ b/internal/placement/trend.go
@@ -0,0 +1,61 @@
+package placement
+
+import "time"
+
+// Trend keeps since when models have been short of replicas, and since when they could spare one.
+type Trend struct {
+	pressed, idle map[string]time.Duration
+}
+
+// NewTrend returns a trend that has seen nothing.
+func NewTrend() *Trend {
+	return &Trend{pressed: map[string]time.Duration{}, idle: map[string]time.Duration{}}
+}
+
+// Observe takes the demand of all zones at now.
+func (t *Trend) Observe(now time.Duration, models []Model, zones map[string]ZoneDemand) {
+	for _, m := range models {
+		var d Demand
+		for _, zone := range zones {
+			d = d.add(zone[m.ID])
+		}
+		note(t.pressed, m.ID, now, pressed(d))
+		note(t.idle, m.ID, now, idle(d))
+	}
+}
+
+// Pressed returns how long each model has been short of replicas.
+func (t *Trend) Pressed(now time.Duration) map[string]time.Duration { return ages(now, t.pressed) }
+
+// Idle returns how long each model could have spared a replica.
+func (t *Trend) Idle(now time.Duration) map[string]time.Duration { return ages(now, t.idle) }
+
+func note(since map[string]time.Duration, model string, now time.Duration, holds bool) {
+	_, known := since[model]
+	switch {
+	case !holds:
+		delete(since, model)
+	case !known:
+		since[model] = now
+	}
+}
+
+func ages(now time.Duration, since map[string]time.Duration) map[string]time.Duration {
+	all := make(map[string]time.Duration, len(since))
+	for model, at := range since {
+		all[model] = now - at
+	}
+	return all
+}
+
+func pressed(d Demand) bool {
+	return d.calls() > 0 && float64(d.calls()) > pressedUse*float64(d.Slots)
+}
+
+func idle(d Demand) bool {
+	if d.Replicas == 0 {
+		return false
+	}
+	without := float64(d.Slots) * float64(d.Replicas-1) / float64(d.Replicas)
+	return float64(d.calls()) <= idleUse*without
+}
--- a/internal/upstream/wire/wire.go
+++ b/internal/upstream/wire/wire.go
@@ -75,6 +75,10 @@
 type Limits struct {
 	Slots    int   `json:"slots"`               // calls in one batch
 	KVTokens int64 `json:"kv_tokens,omitempty"` // tokens of KV cache
+	// Models is how many models, adapters and versions an engine holds at once; 0: not told.
+	Models int `json:"models,omitempty"`
+	// MemoryMB is an engine's memory for weights. Megabytes; 0: not told.
+	MemoryMB int64 `json:"memory_mb,omitempty"`
 }
 
 // Load is what an upstream reports, with a lag.
@@ -128,10 +132,14 @@
 
 // Order tells an engine to load or unload a model or to change its role.
 type Order struct {
+	// ID is the same however often the order is sent; an engine carries it out once.
+	ID      string    `json:"id,omitempty"`
 	Kind    OrderKind `json:"kind"`
 	Model   string    `json:"model,omitempty"`
 	Role    string    `json:"role,omitempty"`
 	Fencing uint64    `json:"fencing"`
+	// TimeoutMS is when the engine gives the order up. Milliseconds from its receipt; 0: never.
+	TimeoutMS int64 `json:"timeout_ms,omitempty"`
 }
 
 // Sign returns the signature of an announcement's body.
