--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,6 +19,7 @@
 	"egretramp/internal/groups"
 	"egretramp/internal/membership"
 	"egretramp/internal/peer"
+	"egretramp/internal/placement"
 	"egretramp/internal/program"
 	"egretramp/internal/settings"
 	"egretramp/internal/suspect"
@@ -42,6 +43,7 @@
 	ledger     *program.Ledger
 	caller     *upstream.Caller
 	suspects   *suspect.Guard
+	placement  *placement.Runner
 	listeners  listeners
 }
 
@@ -117,12 +119,13 @@
 		Rank:    membership.Rank,
 		Events:  d.events,
 	})
+	d.buildPlacement()
 	d.gateway = gateway.New(gateway.Options{
 		VM:         d.settings.VM,
 		Zone:       d.settings.Zone,
 		Authority:  d.fleet,
 		Limiter:    d.fleet,
-		Dispatcher: d.dispatcher,
+		Dispatcher: demandCounter{d.dispatcher, d.placement},
 		Caller:     d.caller,
 		Ledger:     d.ledger,
 		Suspects:   d.suspects,
@@ -240,6 +243,7 @@
 	d.node.HandleMessages(dispatch.KindRefresh, d.host.HandleRefresh)
 	d.node.HandleCalls(dispatch.MethodEnqueue, d.host.HandleEnqueue)
 	d.node.HandleCalls(dispatch.MethodList, d.host.HandleList)
+	d.node.HandleCalls(dispatch.MethodDrain, d.host.HandleDrain)
 	d.node.HandleMessages(dispatch.KindGrant, d.dispatcher.HandleGrant)
 	d.node.HandleMessages(dispatch.KindSummary, d.dispatcher.HandleSummary)
 
@@ -278,6 +282,7 @@
 	tasks.runForever(d.host.Run)
 	tasks.runForever(d.dispatcher.Run)
 	tasks.runForever(d.suspects.Run)
+	tasks.runForever(d.placement.Run)
 	tasks.runForever(d.gateway.Run)
 	tasks.runForever(d.keepPrograms)
 	tasks.runForever(d.keepReleasing)
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -5,6 +5,7 @@
 
 	"egretramp/internal/dispatch"
 	"egretramp/internal/fleet"
+	"egretramp/internal/placement"
 	"egretramp/internal/replica"
 	"egretramp/internal/suspect"
 )
@@ -21,6 +22,8 @@
 	Connected map[string]bool           `json:"connected"`
 	// Suspects are the requests during which upstreams were lost.
 	Suspects []suspect.Record `json:"suspects,omitempty"`
+	// Placement are this VM's orders to the engines of its zone.
+	Placement placement.Status `json:"placement"`
 }
 
 // Dump returns the state of the process.
@@ -34,10 +37,14 @@
 	if err != nil {
 		return nil, err
 	}
+	placed, err := d.placement.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
 	dump := Dump{
 		VM: d.settings.VM, Version: d.version, Fleet: fleetDump, Dispatch: hostDump,
 		Groups: map[uint64]replica.Status{}, Pools: d.dispatcher.Pools(),
-		InFlight: d.gateway.InFlight(), Connected: map[string]bool{}, Suspects: d.suspects.Records(),
+		InFlight: d.gateway.InFlight(), Connected: map[string]bool{}, Suspects: d.suspects.Records(), Placement: placed,
 	}
 	for group, r := range d.replicas {
 		dump.Groups[group] = r.Status()
--- /dev/null
+++ b/internal/daemon/placement.go
@@ -0,0 +1,209 @@
+package daemon
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc/iter"
+
+	"egretramp/internal/config"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/gateway"
+	"egretramp/internal/placement"
+	"egretramp/internal/schedule"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+func (d *Daemon) buildPlacement() {
+	d.placement = placement.NewRunner(placement.Options{
+		VM:      d.settings.VM,
+		Zone:    d.settings.Zone,
+		Network: d.node,
+		Control: controlProposer{client: d.groups},
+		Fleet:   d.fleet,
+		Fabric:  fabric{daemon: d},
+		Events:  d.events,
+	})
+	d.node.HandleMessages(placement.KindUnserved, d.placement.HandleUnserved)
+	d.node.HandleMessages(placement.KindReport, d.placement.HandleReport)
+	d.node.HandleCalls(placement.MethodStatus, d.placement.HandleStatus)
+}
+
+// demandCounter is the dispatchers' client that also counts the calls that found no replica.
+type demandCounter struct {
+	gateway.Dispatcher
+	placement *placement.Runner
+}
+
+// Acquire waits for a grant.
+func (c demandCounter) Acquire(
+	ctx context.Context, kind config.UpstreamKind, name, preferred string, r schedule.Request,
+) (*dispatch.Grant, error) {
+	grant, err := c.Dispatcher.Acquire(ctx, kind, name, preferred, r)
+	var refused *dispatch.Error
+	if kind == config.KindEngine && errors.As(err, &refused) && refused.Code == dispatch.CodeNoUpstream {
+		c.placement.NoReplica(name)
+	}
+	return grant, err
+}
+
+// fabric reaches engines and dispatchers for package placement.
+type fabric struct {
+	daemon *Daemon
+}
+
+// enginePool is the pool whose dispatcher orders a zone's engines.
+func enginePool(zone string) upstream.Pool {
+	return upstream.Pool{Zone: zone, Kind: config.KindEngine}
+}
+
+// Zones returns the zones of the membership.
+func (f fabric) Zones() []string { return f.daemon.fleet.View().Epoch.Zones() }
+
+// Orderer returns the first live VM of a zone.
+func (f fabric) Orderer(zone string) string {
+	ranked := f.daemon.fleet.Dispatchers(enginePool(zone))
+	if len(ranked) == 0 {
+		return ""
+	}
+	return ranked[0]
+}
+
+// Demand returns the pools of engines as last heard of.
+func (f fabric) Demand() map[string]placement.ZoneDemand {
+	zones := map[string]placement.ZoneDemand{}
+	for _, p := range f.daemon.dispatcher.Pools() {
+		if p.Pool.Kind != config.KindEngine {
+			continue
+		}
+		if zones[p.Pool.Zone] == nil {
+			zones[p.Pool.Zone] = placement.ZoneDemand{}
+		}
+		zones[p.Pool.Zone][p.Pool.Name] = placement.Demand{
+			Replicas: p.Load.Replicas, Slots: p.Load.Slots, Running: p.Load.Running, Waiting: p.Load.Waiting,
+		}
+	}
+	return zones
+}
+
+// Engines asks the VMs of the own zone for the engines that they dispatch for. A VM that does
+// not answer would hide engines, so then there is no answer.
+func (f fabric) Engines(ctx context.Context) ([]placement.Engine, error) {
+	d := f.daemon
+	vms := d.fleet.Dispatchers(enginePool(d.settings.Zone))
+	type answer struct {
+		listed []dispatch.Listed
+		err    error
+	}
+	answers := iter.Map(vms, func(vm *string) answer {
+		listed, err := d.dispatcher.ListAt(ctx, *vm)
+		return answer{listed, err}
+	})
+	newest := map[string]dispatch.Listed{}
+	for _, a := range answers {
+		if a.err != nil {
+			return nil, errors.Wrap(a.err, "daemon: cannot list the engines")
+		}
+		for _, l := range a.listed {
+			if known, ok := newest[l.Record.Upstream]; l.Record.Kind == config.KindEngine && (!ok || newer(l, known)) {
+				newest[l.Record.Upstream] = l
+			}
+		}
+	}
+	return d.placementEngines(newest), nil
+}
+
+// newer reports whether a listing is of a later announcement.
+func newer(a, b dispatch.Listed) bool {
+	if a.Record.Incarnation != b.Record.Incarnation {
+		return a.Record.Incarnation > b.Record.Incarnation
+	}
+	return a.Record.Sequence > b.Record.Sequence
+}
+
+func (d *Daemon) placementEngines(listed map[string]dispatch.Listed) []placement.Engine {
+	snapshot := d.fleet.Snapshot()
+	var engines []placement.Engine
+	for _, l := range listed {
+		r := l.Record
+		e := placement.Engine{
+			Name: r.Upstream, Incarnation: r.Incarnation, Address: r.Address, Serves: r.Serves, Names: r.ServesAs,
+			Slots: r.Limits.Slots, Running: r.Load.Running, Models: r.Limits.Models, MemoryMB: r.Limits.MemoryMB,
+			ChecksFencing: r.ChecksFencing,
+		}
+		for _, m := range snapshot.Models() {
+			if snapshot.MayServe(r.Class, m.ID) {
+				e.Permits = append(e.Permits, m.ID)
+			}
+		}
+		engines = append(engines, e)
+	}
+	slices.SortFunc(engines, func(a, b placement.Engine) int {
+		if a.Name < b.Name {
+			return -1
+		}
+		return 1
+	})
+	return engines
+}
+
+// Drain tells all live VMs of the zone, since each may become the dispatcher of the models' pools.
+func (f fabric) Drain(ctx context.Context, e placement.Engine, models []string) (int, bool) {
+	d := f.daemon
+	vms := d.fleet.Dispatchers(enginePool(d.settings.Zone))
+	sum := 0
+	for _, model := range models {
+		pool := upstream.Pool{Zone: d.settings.Zone, Kind: config.KindEngine, Name: model}
+		drain := dispatch.Drain{
+			Pool: pool, Upstream: e.Name, Incarnation: e.Incarnation, ForMS: placement.DrainFor.Milliseconds(),
+		}
+		calls := iter.Map(vms, func(vm *string) int {
+			n, err := d.dispatcher.DrainAt(ctx, *vm, drain)
+			if err != nil {
+				return -1
+			}
+			return n
+		})
+		for _, n := range calls {
+			if n < 0 {
+				return 0, false
+			}
+			sum += n
+		}
+	}
+	return sum, len(vms) > 0
+}
+
+// Order gives an engine an order.
+func (f fabric) Order(ctx context.Context, address string, o wire.Order) placement.Outcome {
+	err := f.daemon.caller.Order(ctx, address, o)
+	switch {
+	case err == nil:
+		return placement.OutcomeDone
+	case errors.Is(err, upstream.ErrOldFencing):
+		return placement.OutcomeOld
+	case errors.Is(err, upstream.ErrOrderFailed):
+		return placement.OutcomeFailed
+	default:
+		return placement.OutcomeUnknown
+	}
+}
+
+// Placement asks the VMs that order the zones' engines what they do.
+func (b *backend) Placement(ctx context.Context) ([]placement.Status, error) {
+	f := fabric(*b)
+	all := []placement.Status{}
+	for _, zone := range f.Zones() {
+		s := placement.Status{Zone: zone, VM: f.Orderer(zone)}
+		if s.VM != "" {
+			if data, err := b.daemon.node.Call(ctx, s.VM, placement.MethodStatus, nil); err == nil {
+				_ = json.Unmarshal(data, &s)
+			}
+		}
+		all = append(all, s)
+	}
+	return all, nil
+}
--- /dev/null
+++ b/internal/daemon/placement_test.go
@@ -0,0 +1,125 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/config"
+	"egretramp/internal/fakes"
+	"egretramp/internal/upstream"
+	"egretramp/internal/upstream/wire"
+)
+
+const storeRoot = "stores-secret-01234"
+
+// placementFile lets models be placed, one load at a time.
+func placementFile(generation uint64) config.File {
+	file := baseFile(generation)
+	file.Models = append(file.Models, config.Model{Named: config.Named{ID: "wig-small"}})
+	file.Upstreams = append(file.Upstreams, config.UpstreamClass{ID: "stores", Kind: config.KindWeightStore, Secret: storeRoot})
+	file.Placement = config.Placement{
+		Enabled: true, LoadsUnderWay: 1, LoadsPerSecond: 20, LoadTimeoutSeconds: 5, MinChangeSeconds: 5, PlanSeconds: 0.25,
+	}
+	return file
+}
+
+func (f *testFleet) store() *fakes.Fake {
+	return f.fake(fakes.Options{
+		Kind: config.KindWeightStore, Name: "store", Zone: "zone0", Class: "stores", Secret: storeRoot,
+		WeightStore: fakes.WeightStoreOptions{RatePerSecond: 1000, Burst: 1000, FetchTime: 200 * time.Millisecond},
+	})
+}
+
+func (f *testFleet) placedEngine(name, zone string, store *fakes.Fake, serves ...string) *fakes.Fake {
+	return f.fake(fakes.Options{
+		Kind: config.KindEngine, Name: name, Zone: zone, Class: "engines", Secret: engineRoot, Serves: serves,
+		Engine: fakes.EngineOptions{Slots: 2, Models: 1, WeightStore: store.Addr()},
+	})
+}
+
+func (f *testFleet) askSmall(vm int) reply {
+	return f.send(vm, http.MethodPost, "/v1/chat/completions", keyAna,
+		`{"model":"wig-small","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`)
+}
+
+// TestFleet_DemandLoadsModels asks for a model that no engine serves, by more calls than one
+// engine has slots for.
+func TestFleet_DemandLoadsModels(t *testing.T) {
+	f := newTestFleet(t)
+	f.apply(placementFile(1))
+	store := f.store()
+	engines := []*fakes.Fake{f.placedEngine("a", "zone0", store, "WIG/L")}
+	for i := range 3 {
+		engines = append(engines, f.placedEngine(fmt.Sprint("b", i), fmt.Sprintf("zone%d", i), store))
+	}
+	f.eventually("wig-small is not served", func() bool { return f.askSmall(0).status == http.StatusOK })
+	f.press(t, func() bool { return len(f.serving("wig-small")) >= 2 })
+
+	violations := f.violations(store)
+	require.LessOrEqual(t, violations.MostUnderWay, 1, "no more loads at once than the limit")
+	require.GreaterOrEqual(t, violations.Requests, 2)
+	require.Zero(t, violations.Refused)
+	first := f.ordersOf(engines[0])
+	require.Empty(t, first, "the only replica of wig-large stays")
+	for _, e := range engines[1:] {
+		for _, o := range f.ordersOf(e) {
+			f.requireOldRefused(e, o)
+		}
+	}
+}
+
+// press keeps calls for wig-small under way until done.
+func (f *testFleet) press(t *testing.T, done func() bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	var callers conc.WaitGroup
+	for i := range 8 {
+		callers.Go(func() {
+			for ctx.Err() == nil {
+				_, _ = f.trySend(i%3, http.MethodPost, "/v1/chat/completions", keyAna,
+					`{"model":"wig-small","max_tokens":200,"messages":[{"role":"user","content":"`+strings.Repeat("word ", 50)+`"}]}`)
+			}
+		})
+	}
+	f.eventually("there is one replica", done)
+	cancel()
+	callers.Wait()
+}
+
+// serving returns the engines that serve a model as the VMs list them.
+func (f *testFleet) serving(model string) []string {
+	var names []string
+	for name, l := range f.daemons[0].listUpstreams(context.Background()) {
+		if l.Record.Kind == config.KindEngine && strings.Contains(strings.Join(l.Record.Serves, " "), model) {
+			names = append(names, name)
+		}
+	}
+	return names
+}
+
+func (f *testFleet) violations(store *fakes.Fake) fakes.Violations {
+	v, err := fakes.NewClient(store.Addr()).Violations(context.Background())
+	require.NoError(f.t, err)
+	return v
+}
+
+func (f *testFleet) ordersOf(e *fakes.Fake) []fakes.OrderRecord {
+	list, err := fakes.NewClient(e.Addr()).Orders(context.Background())
+	require.NoError(f.t, err)
+	return list
+}
+
+// requireOldRefused sends an order under the number before that of one that was obeyed.
+func (f *testFleet) requireOldRefused(e *fakes.Fake, o fakes.OrderRecord) {
+	err := f.daemons[0].caller.Order(context.Background(), e.Addr(), wire.Order{
+		ID: "old", Kind: wire.OrderUnloadModel, Model: o.Model, Fencing: o.Fencing - 1,
+	})
+	require.ErrorIs(f.t, err, upstream.ErrOldFencing)
+	require.NotZero(f.t, o.Fencing)
+}
--- /dev/null
+++ b/internal/dispatch/drain.go
@@ -0,0 +1,115 @@
+package dispatch
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"egretramp/internal/upstream"
+)
+
+// MethodDrain takes a Drain and answers with a Drained.
+const MethodDrain = "dispatch.drain"
+
+// Drain tells a dispatcher to grant no calls at an upstream's incarnation for a time. VMs of the
+// zone that do not dispatch for the pool keep to it as well, should they take it over.
+type Drain struct {
+	Pool        upstream.Pool `json:"pool"`
+	Upstream    string        `json:"upstream"`
+	Incarnation int64         `json:"incarnation"`
+	ForMS       int64         `json:"for_ms"`
+}
+
+// Drained answers a Drain.
+type Drained struct {
+	// Calls are under way at the upstream in the pool, as far as this VM knows.
+	Calls int `json:"calls"`
+}
+
+// drains are the drains in force.
+type drains map[drainKey]time.Duration
+
+type drainKey struct {
+	pool        upstream.Pool
+	upstream    string
+	incarnation int64
+}
+
+func (d drains) holds(now time.Duration, key upstream.Pool, name string, incarnation int64) bool {
+	return now < d[drainKey{key, name, incarnation}]
+}
+
+func (h *Host) drain(d Drain) Drained {
+	now := h.opts.Clock()
+	key := drainKey{d.Pool, d.Upstream, d.Incarnation}
+	h.drains[key] = max(h.drains[key], now+time.Duration(d.ForMS)*time.Millisecond)
+	p, ok := h.pools[d.Pool]
+	if !ok {
+		return Drained{}
+	}
+	h.refreshReplica(now, d.Pool, p, d.Upstream)
+	calls := 0
+	for _, r := range p.requests {
+		if r.reply.State == StateGranted && r.reply.Grant != nil && r.reply.Grant.Upstream == d.Upstream {
+			calls++
+		}
+	}
+	return Drained{Calls: calls}
+}
+
+// refreshReplica makes the pool see an upstream as it is now.
+func (h *Host) refreshReplica(now time.Duration, key upstream.Pool, p *pool, name string) {
+	record, ok := h.directory.Get(name)
+	if !ok {
+		return
+	}
+	for _, served := range record.Pools() {
+		if served == key {
+			p.SetReplica(now, h.replica(now, p, record, key))
+			h.plan(now, key, p)
+		}
+	}
+}
+
+// endDrains gives the upstreams whose drain is over their slots back.
+func (h *Host) endDrains(now time.Duration) {
+	for key, until := range h.drains {
+		if now < until {
+			continue
+		}
+		delete(h.drains, key)
+		if p, ok := h.pools[key.pool]; ok {
+			h.refreshReplica(now, key.pool, p, key.upstream)
+		}
+	}
+}
+
+// HandleDrain serves MethodDrain.
+func (h *Host) HandleDrain(ctx context.Context, _ string, payload []byte) ([]byte, error) {
+	var d Drain
+	if err := json.Unmarshal(payload, &d); err != nil {
+		return nil, err
+	}
+	answer := make(chan Drained, 1)
+	h.post(func() { answer <- h.drain(d) })
+	select {
+	case drained := <-answer:
+		return json.Marshal(drained)
+	case <-h.done:
+		return nil, ErrStopped
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// DrainAt asks a VM to keep to a drain and returns how many calls are under way.
+func (c *Client) DrainAt(ctx context.Context, vm string, d Drain) (int, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	data, err := c.opts.Network.Call(ctx, vm, MethodDrain, mustMarshal(d))
+	if err != nil {
+		return 0, err
+	}
+	var drained Drained
+	return drained.Calls, json.Unmarshal(data, &drained)
+}
--- a/internal/dispatch/handlers.go
+++ b/internal/dispatch/handlers.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 
+	"egretramp/internal/config"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
@@ -14,7 +15,12 @@
 func (h *Host) Announce(a wire.Announcement) bool {
 	payload := mustMarshal(a)
 	sent := map[string]bool{}
-	for _, served := range a.Serves {
+	serves := a.Serves
+	if len(serves) == 0 && a.Kind == config.KindEngine {
+		// It waits for orders; the dispatcher of the pool without a name lists it.
+		serves = []string{""}
+	}
+	for _, served := range serves {
 		ranked := h.opts.Locator.Dispatchers(upstream.Pool{Zone: a.Zone, Kind: a.Kind, Name: served})
 		if len(ranked) > 0 && !sent[ranked[0]] {
 			sent[ranked[0]] = true
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -60,6 +60,7 @@
 	pools     map[upstream.Pool]*pool
 	summary   time.Duration // when the last summary was sent
 	told      map[upstream.Pool]told
+	drains    drains
 }
 
 type pool struct {
@@ -89,6 +90,7 @@
 		directory: upstream.NewDirectory(),
 		pools:     map[upstream.Pool]*pool{},
 		told:      map[upstream.Pool]told{},
+		drains:    drains{},
 	}
 }
 
@@ -153,7 +155,7 @@
 			serving[key] = true
 			p := h.pool(key)
 			p.health.announced(now, c.Record.Upstream, c.Record.Incarnation)
-			p.SetReplica(now, h.replica(now, p, c.Record, key.Name))
+			p.SetReplica(now, h.replica(now, p, c.Record, key))
 			h.plan(now, key, p)
 		}
 	}
@@ -187,17 +189,21 @@
 	}
 }
 
-func (h *Host) replica(now time.Duration, p *pool, r upstream.Record, served string) schedule.Replica {
+func (h *Host) replica(now time.Duration, p *pool, r upstream.Record, key upstream.Pool) schedule.Replica {
 	slots := r.Limits.Slots
 	if r.Kind == config.KindService && h.opts.Concurrency != nil {
-		if bound := h.opts.Concurrency(served); bound > 0 && (slots == 0 || bound < slots) {
+		if bound := h.opts.Concurrency(key.Name); bound > 0 && (slots == 0 || bound < slots) {
 			slots = bound
 		}
 	}
+	slots = p.health.slots(now, r.Upstream, slots)
+	if h.drains.holds(now, key, r.Upstream, r.Incarnation) {
+		slots = 0
+	}
 	return schedule.Replica{
 		Name:         r.Upstream,
 		Incarnation:  r.Incarnation,
-		Slots:        p.health.slots(now, r.Upstream, slots),
+		Slots:        slots,
 		KVTokens:     r.Limits.KVTokens,
 		Running:      r.Load.Running,
 		Waiting:      r.Load.Waiting,
@@ -309,7 +315,7 @@
 	}
 	h.opts.Events.Emit(events.UpstreamEjected, zap.String("upstream", g.Upstream),
 		zap.String("pool", key.String()), zap.Bool("unreachable", o.Unreachable))
-	p.SetReplica(now, h.replica(now, p, record, key.Name))
+	p.SetReplica(now, h.replica(now, p, record, key))
 	h.turnAway(now, p)
 }
 
@@ -320,7 +326,7 @@
 			continue
 		}
 		if record, ok := h.directory.Get(name); ok {
-			p.SetReplica(now, h.replica(now, p, record, key.Name))
+			p.SetReplica(now, h.replica(now, p, record, key))
 		}
 	}
 }
@@ -361,6 +367,7 @@
 		h.opts.Events.Emit(events.UpstreamSilent, zap.String("upstream", gone.Record.Upstream))
 		h.apply(now, gone)
 	}
+	h.endDrains(now)
 	for key, p := range h.pools {
 		h.forget(now, key, p)
 		h.refreshSlots(now, key, p)
--- a/internal/fakes/announce.go
+++ b/internal/fakes/announce.go
@@ -161,8 +161,10 @@
 		Goodbye:       goodbye,
 		ChecksFencing: load.hasFencing,
 		CanResume:     load.canResume,
-		Limits:        wire.Limits{Slots: load.slots, KVTokens: load.kvLimit},
-		Load:          wire.Load{Running: load.running, Waiting: load.waiting, KVTokensUsed: load.kvTokens},
+		Limits: wire.Limits{
+			Slots: load.slots, KVTokens: load.kvLimit, Models: a.opts.Engine.Models, MemoryMB: a.opts.Engine.MemoryMB,
+		},
+		Load: wire.Load{Running: load.running, Waiting: load.waiting, KVTokensUsed: load.kvTokens},
 	}
 	if ann.Serves == nil {
 		ann.Serves = []string{}
--- a/internal/fakes/control.go
+++ b/internal/fakes/control.go
@@ -22,6 +22,8 @@
 	Refused int `json:"refused"`
 	// Early requests came before the Retry-After of a refusal had passed.
 	Early int `json:"early"`
+	// MostUnderWay is the largest number of fetches that were under way at once.
+	MostUnderWay int `json:"most_under_way"`
 }
 
 // serveControl answers the paths under /_fake/.
--- a/internal/fakes/fake_test.go
+++ b/internal/fakes/fake_test.go
@@ -186,7 +186,7 @@
 	}
 	v, err := NewClient(f.Addr()).Violations(context.Background())
 	require.NoError(t, err)
-	require.Equal(t, Violations{Requests: 3, Refused: 2, Early: 1}, v)
+	require.Equal(t, Violations{Requests: 3, Refused: 2, Early: 1, MostUnderWay: 1}, v)
 }
 
 // vm records the announcements that reach it.
--- a/internal/fakes/options.go
+++ b/internal/fakes/options.go
@@ -64,6 +64,10 @@
 	LoadTime time.Duration
 	// WeightStore is the address that models are fetched from; empty: nothing is fetched.
 	WeightStore string
+	// Models is how many models the engine holds at once; 0: any number, and none is announced.
+	Models int
+	// MemoryMB is the memory for weights that it announces. Megabytes; 0: none is announced.
+	MemoryMB int64
 	// NoResume makes the engine one that cannot resume streams.
 	NoResume bool
 }
@@ -79,6 +83,8 @@
 	RatePerSecond float64 // default 2
 	Burst         float64 // default 2
 	Bytes         int     // length of a model's weights; default 64 KiB
+	// FetchTime is how long a fetch takes. Default 0.
+	FetchTime time.Duration
 }
 
 // Faults are the fault switches of a stand-in, in JSON for POST /_fake/faults.
@@ -99,6 +105,8 @@
 	TruncateAfter int `json:"truncate_after,omitempty"`
 	// IgnoreFencing obeys orders with an old fencing number.
 	IgnoreFencing bool `json:"ignore_fencing,omitempty"`
+	// LoseOrderAnswers carries orders out and breaks the connection instead of answering.
+	LoseOrderAnswers bool `json:"lose_order_answers,omitempty"`
 	// StopAnnouncing ends announcements without a goodbye.
 	StopAnnouncing bool `json:"stop_announcing,omitempty"`
 	// ErrorRate is the part of requests answered with status 500 without being run, 0 to 1.
--- a/internal/fakes/orders.go
+++ b/internal/fakes/orders.go
@@ -19,7 +19,9 @@
 // OrderRecord is an engine's record of an order.
 type OrderRecord struct {
 	wire.Order
-	Obeyed bool  `json:"obeyed"`
+	Obeyed bool `json:"obeyed"`
+	// Repeat says that the order's ID was known.
+	Repeat bool  `json:"repeat,omitempty"`
 	AtNS   int64 `json:"at_ns"` // Unix nanoseconds
 }
 
@@ -28,16 +30,56 @@
 	mu      sync.Mutex
 	highest uint64
 	list    []OrderRecord
+	byID    map[string]*orderRun // those that are carried out or were
 }
 
-// accept records an order and decides whether to obey it.
-func (o *orders) accept(order wire.Order, check bool) bool {
+// orderRun is one order as it is carried out. done is closed when its answer is known.
+type orderRun struct {
+	done   chan struct{}
+	failed *orderFailure
+}
+
+// orderFailure is why an order was not carried out.
+type orderFailure struct {
+	status     int
+	code       string
+	retryAfter string
+}
+
+// accept records an order and decides whether to obey it. first is false for an order that is
+// carried out already, or was.
+func (o *orders) accept(order wire.Order, check bool) (run *orderRun, first bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	obeyed := !check || order.Fencing >= o.highest
 	o.highest = max(o.highest, order.Fencing)
-	o.list = append(o.list, OrderRecord{order, obeyed, time.Now().UnixNano()})
-	return obeyed
+	known := o.byID[order.ID]
+	o.list = append(o.list, OrderRecord{order, obeyed, known != nil, time.Now().UnixNano()})
+	if !obeyed {
+		return nil, false
+	}
+	if known != nil {
+		return known, false
+	}
+	run = &orderRun{done: make(chan struct{})}
+	if order.ID != "" {
+		if o.byID == nil {
+			o.byID = map[string]*orderRun{}
+		}
+		o.byID[order.ID] = run
+	}
+	return run, true
+}
+
+// finish notes an order's end. One that failed may be tried again under its ID.
+func (o *orders) finish(order wire.Order, run *orderRun, failed *orderFailure) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	run.failed = failed
+	if failed != nil {
+		delete(o.byID, order.ID)
+	}
+	close(run.done)
 }
 
 func (o *orders) all() []OrderRecord {
@@ -62,17 +104,54 @@
 		writeError(w, http.StatusBadRequest, "bad_request", "unknown kind of order")
 		return
 	}
-	if !e.orders.accept(order, !e.faults.get().IgnoreFencing) {
+	run, first := e.orders.accept(order, !e.faults.get().IgnoreFencing)
+	if run == nil {
 		writeError(w, http.StatusConflict, "old_fencing_number", "a higher fencing number was seen")
 		return
 	}
-	if order.Kind == wire.OrderLoadModel && !e.fetchWeights(r.Context(), w, order.Model) {
+	if first {
+		// Carried out to its end, also if the sender goes away.
+		e.orders.finish(order, run, e.carryOut(context.WithoutCancel(r.Context()), order))
+	}
+	<-run.done
+	if e.faults.get().LoseOrderAnswers {
+		panic(http.ErrAbortHandler)
+	}
+	if f := run.failed; f != nil {
+		w.Header().Set("Retry-After", f.retryAfter)
+		writeError(w, f.status, f.code, "the order was not carried out")
 		return
 	}
-	e.obey(order)
 	writeJSON(w, http.StatusOK, struct{}{})
 }
 
+// carryOut does what an order says, and returns why it could not.
+func (e *engine) carryOut(ctx context.Context, order wire.Order) *orderFailure {
+	if order.TimeoutMS > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, time.Duration(order.TimeoutMS)*time.Millisecond)
+		defer cancel()
+	}
+	if order.Kind == wire.OrderLoadModel {
+		if e.full(order.Model) {
+			return &orderFailure{status: http.StatusInsufficientStorage, code: "too_many_models"}
+		}
+		if f := e.fetchWeights(ctx, order.Model); f != nil {
+			return f
+		}
+	}
+	e.obey(order)
+	return nil
+}
+
+// full reports whether the engine holds as many models as it can.
+func (e *engine) full(model string) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	most := e.opts.Engine.Models
+	return most > 0 && len(e.models) >= most && !slices.Contains(e.models, model)
+}
+
 func (e *engine) obey(order wire.Order) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
@@ -85,29 +164,27 @@
 }
 
 // fetchWeights reads a model from the weight store, if there is one, and passes its refusal on.
-func (e *engine) fetchWeights(ctx context.Context, w http.ResponseWriter, model string) bool {
+func (e *engine) fetchWeights(ctx context.Context, model string) *orderFailure {
 	sleep(ctx, e.opts.Engine.LoadTime)
 	if e.opts.Engine.WeightStore == "" {
-		return true
+		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, weightFetchTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+e.opts.Engine.WeightStore+weightsPath+model, nil)
 	if err != nil {
-		writeError(w, http.StatusBadRequest, "bad_request", "no such model name")
-		return false
+		return &orderFailure{status: http.StatusBadRequest, code: "bad_request"}
 	}
 	resp, err := http.DefaultClient.Do(req)
 	if err != nil {
-		writeError(w, http.StatusBadGateway, "weight_store_unreachable", "the weight store cannot be reached")
-		return false
+		return &orderFailure{status: http.StatusBadGateway, code: "weight_store_unreachable"}
 	}
 	defer resp.Body.Close()
 	_, err = io.Copy(io.Discard, resp.Body)
 	if err != nil || resp.StatusCode != http.StatusOK {
-		w.Header().Set("Retry-After", resp.Header.Get("Retry-After"))
-		writeError(w, http.StatusServiceUnavailable, "weights_unavailable", "the weight store refused")
-		return false
+		return &orderFailure{
+			status: http.StatusServiceUnavailable, code: "weights_unavailable", retryAfter: resp.Header.Get("Retry-After"),
+		}
 	}
-	return true
+	return nil
 }
--- a/internal/fakes/weightstore.go
+++ b/internal/fakes/weightstore.go
@@ -25,6 +25,7 @@
 	// notBefore is when the last refusal allowed the next request.
 	notBefore time.Time
 	seen      Violations
+	underWay  int
 }
 
 func newWeightStore(opts Options, r *runs) *weightStore {
@@ -60,8 +61,10 @@
 		writeError(w, http.StatusTooManyRequests, "rate_limited", "above the rate limit")
 		return
 	}
+	defer s.leave()
 	n := s.runs.start(Run{Upstream: s.opts.Name, Method: r.Method, Path: r.URL.Path, BodySHA256: BodyHash(nil)})
 	w.Header().Set("Content-Type", "application/octet-stream")
+	sleep(r.Context(), s.opts.WeightStore.FetchTime)
 	_, _ = w.Write(bytes.Repeat([]byte{'w'}, s.opts.WeightStore.Bytes))
 	s.runs.end(n, Finished)
 }
@@ -79,6 +82,8 @@
 	}
 	if s.tokens >= 1 {
 		s.tokens--
+		s.underWay++
+		s.seen.MostUnderWay = max(s.seen.MostUnderWay, s.underWay)
 		return 0
 	}
 	s.seen.Refused++
@@ -86,3 +91,10 @@
 	s.notBefore = now.Add(wait)
 	return wait
 }
+
+// leave notes the end of a fetch.
+func (s *weightStore) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.underWay--
+}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -33,6 +33,9 @@
 	}
 }
 
+// Incarnation returns the incarnation under which this VM holds its lease.
+func (f *Fleet) Incarnation() int64 { return f.incarnation.Load() }
+
 // HandleStatus serves MethodStatus.
 func (f *Fleet) HandleStatus(context.Context, string, []byte) ([]byte, error) {
 	return json.Marshal(f.Status())
--- /dev/null
+++ b/internal/placement/carryout.go
@@ -0,0 +1,167 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretramp/internal/control"
+	"egretramp/internal/events"
+	"egretramp/internal/upstream/wire"
+)
+
+// carryOut does what the orderer asks for.
+func (r *Runner) carryOut(a Action) {
+	switch a.Kind {
+	case ActDrain:
+		r.drain(a)
+	case ActPermit:
+		r.takePermit(a)
+	case ActReturn:
+		r.returnPermit(a.ID)
+	case ActSend:
+		r.send(a)
+	}
+}
+
+func (r *Runner) drain(a Action) {
+	began := r.opts.Clock()
+	r.task(callTimeout, func(ctx context.Context) {
+		calls, ok := r.opts.Fabric.Drain(ctx, a.Engine, a.Models)
+		r.post(func() { r.orderer.Drained(r.opts.Clock(), began, a.ID, calls, ok) })
+	})
+}
+
+// takePermit asks control for a load permit, and tells how long ago it learned of the permits' clock.
+func (r *Runner) takePermit(a Action) {
+	right := r.orderer.Right()
+	began := r.opts.Clock()
+	take := &control.TakeLoad{ID: a.ID, Zone: r.opts.Zone, Number: right.Number, Tick: r.tick}
+	if r.tick > 0 {
+		take.ElapsedMS = (began - r.tickAt).Milliseconds()
+	}
+	r.task(callTimeout, func(ctx context.Context) {
+		result, err := r.opts.Control.Propose(ctx, control.Command{TakeLoad: take})
+		r.post(func() { r.takePermitAnswer(a.ID, began, result, err) })
+	})
+}
+
+func (r *Runner) takePermitAnswer(id string, began time.Duration, result control.Result, err error) {
+	now := r.opts.Clock()
+	if err == nil && result.Refusal != nil && result.Refusal.Code == control.CodeOrdersLost {
+		r.setRight(now, nil)
+		return
+	}
+	if err != nil || result.Load == nil {
+		r.orderer.Permit(now, began, id, -1)
+		return
+	}
+	r.learnTick(now, result.Load)
+	granted := time.Duration(0)
+	if result.Load.Granted {
+		granted = time.Duration(result.Load.LastsMS) * time.Millisecond
+	}
+	r.orderer.Permit(now, began, id, granted)
+}
+
+func (r *Runner) learnTick(now time.Duration, a *control.LoadAnswer) {
+	if a.Tick > r.tick {
+		r.tick, r.tickAt = a.Tick, now
+	}
+	r.underWay = a.UnderWay
+}
+
+// returnPermit gives a permit back; one whose return is lost runs out.
+func (r *Runner) returnPermit(id string) {
+	r.task(callTimeout, func(ctx context.Context) {
+		result, err := r.opts.Control.Propose(ctx, control.Command{ReturnLoad: &control.ReturnLoad{ID: id}})
+		if err == nil && result.Load != nil {
+			r.post(func() { r.learnTick(r.opts.Clock(), result.Load) })
+		}
+	})
+}
+
+// send sends an order. Lease and right are checked as it leaves.
+func (r *Runner) send(a Action) {
+	now := r.opts.Clock()
+	incarnation := r.incarnation
+	if !r.mayOrder(incarnation) {
+		r.orderer.Answered(now, a.ID, OutcomeUnknown)
+		return
+	}
+	order, ok := r.orderer.Send(now, a.ID)
+	r.logResults()
+	if !ok {
+		return
+	}
+	r.opts.Events.Emit(events.OrderSent, zap.String("order", order.ID), zap.String("engine", a.Engine.Name),
+		zap.String("kind", string(order.Kind)), zap.String("model", order.Model))
+	r.task(time.Duration(order.TimeoutMS)*time.Millisecond, func(ctx context.Context) {
+		outcome := OutcomeUnknown
+		if r.mayOrder(incarnation) {
+			outcome = r.opts.Fabric.Order(ctx, a.Engine.Address, order)
+		}
+		r.post(func() { r.answered(a, order, outcome) })
+	})
+}
+
+// mayOrder reports whether this VM holds its lease in the incarnation of a right.
+func (r *Runner) mayOrder(incarnation int64) bool {
+	return r.opts.Fleet.Current(contactLimit) && r.opts.Fleet.Incarnation() == incarnation
+}
+
+func (r *Runner) answered(a Action, order wire.Order, outcome Outcome) {
+	now := r.opts.Clock()
+	r.orderer.Answered(now, a.ID, outcome)
+	r.logResults()
+	if outcome == OutcomeOld {
+		r.opts.Events.Emit(events.OrderRefused, zap.String("order", order.ID), zap.String("engine", a.Engine.Name))
+		r.above = max(r.above, order.Fencing)
+		r.setRight(now, nil)
+	}
+}
+
+// logResults logs the orders that have ended since the last call.
+func (r *Runner) logResults() {
+	results := r.orderer.Results()
+	news := min(r.orderer.Ended()-r.logged, len(results))
+	r.logged = r.orderer.Ended()
+	for _, result := range results[len(results)-news:] {
+		r.opts.Events.Emit(events.OrderEnded, zap.String("order", result.ID), zap.String("engine", result.Engine),
+			zap.String("load", result.Load), zap.Strings("unload", result.Unload), zap.String("code", string(result.Code)))
+	}
+}
+
+// Status returns the state.
+func (r *Runner) Status(ctx context.Context) (Status, error) {
+	result := make(chan Status, 1)
+	r.post(func() { result <- r.status() })
+	select {
+	case s := <-result:
+		return s, nil
+	case <-r.done:
+		return Status{}, ErrStopped
+	case <-ctx.Done():
+		return Status{}, ctx.Err()
+	}
+}
+
+func (r *Runner) status() Status {
+	_, enabled := r.settings()
+	return Status{
+		Zone: r.opts.Zone, VM: r.opts.VM, Enabled: enabled, Right: r.orderer.Right(),
+		Reachable: r.opts.Fleet.Current(contactLimit), Ready: r.orderer.Ready(r.opts.Clock()), UnderWay: r.underWay,
+		Plan: r.plan, Engines: r.engines, Orders: r.orderer.Orders(), Results: r.orderer.Results(),
+	}
+}
+
+// HandleStatus serves MethodStatus.
+func (r *Runner) HandleStatus(ctx context.Context, _ string, _ []byte) ([]byte, error) {
+	s, err := r.Status(ctx)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(s)
+}
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -145,3 +145,13 @@
 		}
 	}
 }
+
+// Keeps returns the models of which the zone keeps its last replica.
+func Keeps(s Snapshot) map[string]bool {
+	p := newPlanner(s)
+	keeps := map[string]bool{}
+	for _, m := range s.Models {
+		keeps[m.ID] = p.keeps(m)
+	}
+	return keeps
+}
--- /dev/null
+++ b/internal/placement/orderer.go
@@ -0,0 +1,518 @@
+package placement
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"egretramp/internal/upstream/wire"
+)
+
+// The times of orders.
+const (
+	// drainEvery is how often a drain is renewed, and DrainFor how long a dispatcher keeps to it.
+	drainEvery = time.Second
+	DrainFor   = 10 * time.Second
+	// drainFresh is how lately all dispatchers must have agreed to a drain as an engine is told to unload.
+	drainFresh = 2 * time.Second
+	// drainQuiet is how long an engine must have had no call of a model before it is unloaded:
+	// a dispatcher that has just taken over hears of the calls under way within that time.
+	drainQuiet = 3 * time.Second
+	// drainLimit ends a change whose engine does not come free.
+	drainLimit = 10 * time.Minute
+	// permitEvery is how often a permit is asked for.
+	permitEvery = time.Second
+	// resendAfter is the pause before an order without an answer, or one that failed, is sent again.
+	resendAfter = 2 * time.Second
+	// maxFailures ends a change that an engine fails to carry out.
+	maxFailures = 5
+	// settleFor is how long an engine has to announce what it was ordered.
+	settleFor = 10 * time.Second
+	// driftPerMille bounds how much faster this VM's clock runs than the control group's.
+	driftPerMille = 10
+	// maxResults bounds the results that are kept.
+	maxResults = 32
+)
+
+// Right is the right to order the engines of a zone.
+type Right struct {
+	Number uint64        `json:"number"`
+	Since  time.Duration `json:"since"` // when it was given, time since boot
+	// First says that nobody had it before.
+	First bool `json:"first,omitempty"`
+}
+
+// Settings are the bounds of an Orderer.
+type Settings struct {
+	LoadTimeout time.Duration
+	MinChange   time.Duration
+}
+
+// Step is what an order waits for.
+type Step string
+
+// The steps of an order.
+const (
+	StepDrain  Step = "drain"
+	StepPermit Step = "permit"
+	StepUnload Step = "unload"
+	StepLoad   Step = "load"
+	StepSettle Step = "settle" // the engine announces what it was ordered
+)
+
+// Order is one change of an engine under way.
+type Order struct {
+	ID string `json:"id"`
+	Change
+	Step Step `json:"step"`
+	// Began is when the change was planned, time since boot.
+	Began    time.Duration `json:"began"`
+	Failures int           `json:"failures,omitempty"`
+
+	quiet     time.Duration // since when no call of the models to unload is under way; 0: one is
+	drained   time.Duration // when a dispatcher last agreed to the drain
+	unloaded  int           // models of Unload that are unloaded
+	asked     time.Duration // the permit was surely not given before; 0: not asked for yet
+	permitEnd time.Duration // 0: no permit
+	sent      bool          // an order was sent whose answer is not known
+	loading   bool          // the load may be under way at the engine
+	waiting   bool          // an action of the order is under way here
+	next      time.Duration // when the next action is due
+	settleBy  time.Duration
+}
+
+// Action is what an Orderer wants done. Its outcome is reported by the method of its kind.
+type Action struct {
+	Kind   ActionKind
+	ID     string
+	Engine Engine
+	Models []string // to drain
+}
+
+// ActionKind is the kind of an Action.
+type ActionKind int
+
+// The kinds of actions.
+const (
+	ActDrain  ActionKind = iota // reported by Drained
+	ActPermit                   // reported by Permit
+	ActReturn                   // gives a permit back; no report
+	ActSend                     // Send says what to send at that moment; reported by Answered
+)
+
+// Outcome is what became of a sent order.
+type Outcome int
+
+// The outcomes.
+const (
+	OutcomeDone    Outcome = iota // the engine carried it out
+	OutcomeFailed                 // the engine answered that it could not
+	OutcomeOld                    // the engine has seen a higher fencing number
+	OutcomeUnknown                // no answer
+)
+
+// Result is the end of an order.
+type Result struct {
+	ID string `json:"id"`
+	Change
+	Code  Code          `json:"code"`
+	Ended time.Duration `json:"ended"` // time since boot
+}
+
+// Code says how an order ended.
+type Code string
+
+// The ends of an order.
+const (
+	CodeDone        Code = "done"
+	CodeNotObeyed   Code = "not_obeyed"   // the engine announces something else than ordered
+	CodeFailed      Code = "failed"       // the engine failed to carry it out
+	CodeEngineGone  Code = "engine_gone"  // it fell silent or started anew
+	CodeNotDrained  Code = "not_drained"  // its calls did not end in time
+	CodeLastReplica Code = "last_replica" // what it was to unload has become the zone's last replica
+	CodePermitOver  Code = "permit_over"  // the load permit ran out
+	CodeRightLost   Code = "right_lost"   // another VM may order the zone now
+	CodeLoaded      Code = "loaded"       // it serves the model already
+)
+
+// Orderer carries out the changes of one zone's engines. It is a plain value.
+type Orderer struct {
+	settings Settings
+	right    *Right
+	serial   int
+	orders   map[string]*Order // by engine
+	engines  map[string]Engine
+	// changed is when an engine was last changed.
+	changed map[string]time.Duration
+	keeps   map[string]bool
+	returns []string
+	results []Result
+	ended   int
+}
+
+// NewOrderer returns an orderer without a right.
+func NewOrderer() *Orderer {
+	return &Orderer{orders: map[string]*Order{}, engines: map[string]Engine{}, changed: map[string]time.Duration{}}
+}
+
+// SetSettings sets the bounds.
+func (o *Orderer) SetSettings(s Settings) { o.settings = s }
+
+// Right returns the right that it acts under, nil without one.
+func (o *Orderer) Right() *Right { return o.right }
+
+// SetRight takes a right, or its loss as nil. All orders under another right end.
+func (o *Orderer) SetRight(now time.Duration, r *Right) {
+	if r != nil && o.right != nil && r.Number == o.right.Number {
+		return
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.orders)) {
+		o.end(now, o.orders[name], CodeRightLost)
+	}
+	o.right = r
+}
+
+// Ready reports whether changes may begin: a VM that takes over from another waits until no
+// order of that one can be under way, and no engine was changed too lately.
+func (o *Orderer) Ready(now time.Duration) bool {
+	return o.right != nil && (o.right.First || now-o.right.Since >= o.settings.MinChange)
+}
+
+// Blocked reports whether an engine may not be changed now.
+func (o *Orderer) Blocked(now time.Duration, engine string) bool {
+	at, changed := o.changed[engine]
+	return o.orders[engine] != nil || changed && now-at < o.settings.MinChange
+}
+
+// Leaving returns the models that an order under way takes from an engine.
+func (o *Orderer) Leaving(engine string) []string {
+	if order := o.orders[engine]; order != nil {
+		return order.Unload
+	}
+	return nil
+}
+
+// Coming returns the loads under way by model.
+func (o *Orderer) Coming() map[string]int {
+	coming := map[string]int{}
+	for _, order := range o.orders {
+		coming[order.Load]++
+	}
+	return coming
+}
+
+// Orders returns the orders under way, by engine name.
+func (o *Orderer) Orders() []Order {
+	all := make([]Order, 0, len(o.orders))
+	for _, name := range slices.Sorted(maps.Keys(o.orders)) {
+		all = append(all, *o.orders[name])
+	}
+	return all
+}
+
+// Results returns the last results, oldest first.
+func (o *Orderer) Results() []Result { return slices.Clone(o.results) }
+
+// Ended counts all results.
+func (o *Orderer) Ended() int { return o.ended }
+
+// Start begins the changes of a plan.
+func (o *Orderer) Start(now time.Duration, changes []Change) {
+	if !o.Ready(now) {
+		return
+	}
+	for _, c := range changes {
+		if o.Blocked(now, c.Engine) {
+			panic("placement: engine " + c.Engine + " is changed again too soon")
+		}
+		o.serial++
+		order := &Order{
+			ID: fmt.Sprintf("%d-%d", o.right.Number, o.serial), Change: c, Step: StepPermit, Began: now, next: now,
+		}
+		if len(c.Unload) > 0 {
+			order.Step = StepDrain
+		}
+		o.orders[c.Engine] = order
+	}
+}
+
+// Observe takes what the engines of the zone announce, and the models whose last replica the
+// zone keeps. Orders are compared with it.
+func (o *Orderer) Observe(now time.Duration, engines []Engine, keeps map[string]bool) {
+	o.engines = make(map[string]Engine, len(engines))
+	for _, e := range engines {
+		o.engines[e.Name] = e
+	}
+	o.keeps = keeps
+	for _, name := range slices.Sorted(maps.Keys(o.orders)) {
+		o.reconcile(now, o.orders[name])
+	}
+	for name, at := range o.changed {
+		if _, known := o.engines[name]; !known && now-at >= o.settings.MinChange {
+			delete(o.changed, name)
+		}
+	}
+}
+
+func (o *Orderer) reconcile(now time.Duration, order *Order) {
+	e, known := o.engines[order.Engine]
+	serves := slices.Contains(e.Serves, order.Load)
+	switch {
+	case !known || e.Incarnation != order.Incarnation:
+		// A new incarnation has forgotten what the old one was loading.
+		order.loading = order.loading && !known
+		o.end(now, order, CodeEngineGone)
+	case order.Step == StepSettle && serves:
+		o.end(now, order, CodeDone)
+	case order.Step == StepSettle && now >= order.settleBy:
+		o.end(now, order, CodeNotObeyed)
+	case serves && order.Step == StepLoad && order.loading && !order.waiting:
+		order.loading = false // the answer was lost
+		o.end(now, order, CodeDone)
+	case serves && !order.loading && order.unloaded == 0 && !order.sent:
+		o.end(now, order, CodeLoaded)
+	case order.Step == StepDrain && now-order.Began > drainLimit:
+		o.end(now, order, CodeNotDrained)
+	}
+}
+
+// end ends an order. Its permit goes back unless the load may still be under way: then it runs out.
+func (o *Orderer) end(now time.Duration, order *Order, code Code) {
+	delete(o.orders, order.Engine)
+	o.ended++
+	if order.asked > 0 && !order.loading {
+		o.returns = append(o.returns, order.ID)
+	}
+	o.results = append(o.results, Result{ID: order.ID, Change: order.Change, Code: code, Ended: now})
+	if len(o.results) > maxResults {
+		o.results = slices.Clone(o.results[len(o.results)-maxResults:])
+	}
+}
+
+// Next returns what is to be done now.
+func (o *Orderer) Next(now time.Duration) []Action {
+	var actions []Action
+	for _, id := range o.returns {
+		actions = append(actions, Action{Kind: ActReturn, ID: id})
+	}
+	o.returns = nil
+	if !o.Ready(now) {
+		return actions
+	}
+	for _, name := range slices.Sorted(maps.Keys(o.orders)) {
+		order := o.orders[name]
+		if order.waiting || now < order.next {
+			continue
+		}
+		if a, due := o.act(now, order); due {
+			order.waiting = true
+			actions = append(actions, a)
+		}
+	}
+	return actions
+}
+
+// act returns an order's next action.
+func (o *Orderer) act(now time.Duration, order *Order) (Action, bool) {
+	a := Action{ID: order.ID, Engine: o.engines[order.Engine], Models: order.Unload}
+	drainDue := len(order.Unload) > order.unloaded && now-order.drained >= drainEvery
+	switch {
+	case order.Step == StepSettle:
+		return a, false
+	case order.Step == StepDrain, drainDue:
+		a.Kind = ActDrain
+	case order.Step == StepPermit:
+		if order.asked == 0 {
+			order.asked = now
+		}
+		a.Kind = ActPermit
+	case !o.permitCovers(now, order):
+		o.end(now, order, CodePermitOver)
+		return a, false
+	default:
+		a.Kind = ActSend
+	}
+	return a, true
+}
+
+// permitCovers reports whether a load that begins now ends within its permit.
+func (o *Orderer) permitCovers(now time.Duration, order *Order) bool {
+	return order.permitEnd > 0 && now+o.settings.LoadTimeout <= order.permitEnd
+}
+
+// find returns the order of an action that has ended.
+func (o *Orderer) find(id string) *Order {
+	for _, order := range o.orders {
+		if order.ID == id {
+			order.waiting = false
+			return order
+		}
+	}
+	return nil
+}
+
+// Drained takes the dispatchers' answer to a drain that was asked for at began: how many calls
+// of the models are under way on the engine; ok is false if one did not agree.
+func (o *Orderer) Drained(now, began time.Duration, id string, calls int, ok bool) {
+	order := o.find(id)
+	if order == nil {
+		return
+	}
+	order.next = now + drainEvery
+	e := o.engines[order.Engine]
+	alone := len(e.Serves) == len(order.Unload)
+	switch {
+	case !ok, calls > 0, alone && e.Running > 0 && order.unloaded == 0:
+		order.quiet = 0
+	case order.quiet == 0 || began-order.drained > DrainFor:
+		order.quiet = began
+	}
+	if !ok {
+		return
+	}
+	order.drained = began
+	if order.quiet == 0 || began-order.quiet < drainQuiet {
+		order.Step = StepDrain
+		return
+	}
+	if order.Step == StepDrain {
+		order.Step = StepPermit
+		if order.permitEnd > 0 {
+			order.Step = StepUnload
+		}
+	}
+	order.next = now
+}
+
+// Permit takes the answer to a request for a permit that was sent at began; granted is how long
+// the permit lasts, 0 if there is none yet, negative if the answer was lost.
+func (o *Orderer) Permit(now, began time.Duration, id string, granted time.Duration) {
+	order := o.find(id)
+	if order == nil || order.Step != StepPermit {
+		return
+	}
+	order.next = now + permitEvery
+	if granted == 0 {
+		// An earlier request may still arrive and be granted, but was not before this one.
+		order.asked = began
+	}
+	if granted <= 0 {
+		return
+	}
+	order.permitEnd = order.asked + granted - granted*driftPerMille/1000
+	order.next = now
+	order.Step = StepLoad
+	if len(order.Unload) > 0 {
+		order.Step = StepUnload
+	}
+	if !o.permitCovers(now, order) {
+		o.end(now, order, CodePermitOver)
+	}
+}
+
+// Send returns the order to be sent at this moment. It is called as the first byte leaves; the
+// caller has just found that its lease and right hold.
+func (o *Orderer) Send(now time.Duration, id string) (wire.Order, bool) {
+	order := o.find(id)
+	if order == nil || !o.Ready(now) || !o.permitCovers(now, order) {
+		return wire.Order{}, false
+	}
+	order.next = now
+	e := o.engines[order.Engine]
+	w := wire.Order{ID: order.ID, Fencing: o.right.Number, TimeoutMS: o.settings.LoadTimeout.Milliseconds()}
+	switch order.Step {
+	case StepUnload:
+		model := order.Unload[order.unloaded]
+		if !o.mayUnload(now, order, model) {
+			return wire.Order{}, false
+		}
+		w.Kind, w.Model = wire.OrderUnloadModel, e.Names[model]
+		w.ID += "-unload-" + model
+	case StepLoad:
+		w.Kind, w.Model = wire.OrderLoadModel, order.Load
+		order.loading = true
+	default:
+		return wire.Order{}, false
+	}
+	o.noteChange(now, order)
+	order.waiting, order.sent = true, true
+	return w, true
+}
+
+// mayUnload checks at the moment of sending that the engine is drained and the model has another
+// replica in the zone. Otherwise the order goes back or ends.
+func (o *Orderer) mayUnload(now time.Duration, order *Order, model string) bool {
+	if order.quiet == 0 || now-order.drained >= drainFresh {
+		order.Step, order.next = StepDrain, now
+		return false
+	}
+	if !o.keeps[model] || o.others(order.Engine, model) > 0 {
+		return true
+	}
+	o.end(now, order, CodeLastReplica)
+	return false
+}
+
+// others counts the replicas of a model on other engines that no order takes it from.
+func (o *Orderer) others(engine, model string) int {
+	n := 0
+	for name, e := range o.engines {
+		if name != engine && slices.Contains(e.Serves, model) && !slices.Contains(o.Leaving(name), model) {
+			n++
+		}
+	}
+	return n
+}
+
+// noteChange counts the first order of a change that is sent, and asserts the time since the last change.
+func (o *Orderer) noteChange(now time.Duration, order *Order) {
+	at, changed := o.changed[order.Engine]
+	if changed && at >= order.Began {
+		return // of this change
+	}
+	if changed && now-at < o.settings.MinChange {
+		panic("placement: engine " + order.Engine + " is changed again too soon")
+	}
+	o.changed[order.Engine] = now
+}
+
+// Answered takes what became of an order that was sent.
+func (o *Orderer) Answered(now time.Duration, id string, outcome Outcome) {
+	order := o.find(id)
+	if order == nil {
+		return
+	}
+	order.next = now + resendAfter
+	switch outcome {
+	case OutcomeDone:
+		o.advance(now, order)
+	case OutcomeFailed:
+		order.sent, order.loading = false, false
+		order.Failures++
+		if order.Failures >= maxFailures {
+			o.end(now, order, CodeFailed)
+		}
+	case OutcomeOld:
+		order.loading = false
+		o.end(now, order, CodeRightLost)
+	case OutcomeUnknown:
+		// Sent again under the same ID.
+	}
+}
+
+func (o *Orderer) advance(now time.Duration, order *Order) {
+	order.sent, order.next = false, now
+	if order.Step == StepUnload {
+		order.unloaded++
+		if order.unloaded == len(order.Unload) {
+			order.Step = StepLoad
+		}
+		return
+	}
+	order.loading, order.sent = false, true
+	order.Step, order.settleBy = StepSettle, now+settleFor
+	// The load is over: others may begin theirs.
+	o.returns = append(o.returns, order.ID)
+	order.asked = 0
+}
--- /dev/null
+++ b/internal/placement/refusals.go
@@ -0,0 +1,51 @@
+package placement
+
+import (
+	"sync"
+	"time"
+)
+
+// refusalWindow is how long a call that found no replica counts. Seconds.
+const refusalWindow = 5
+
+// refusals counts, by model and second, the calls that found no replica. Traffic goroutines add to it.
+type refusals struct {
+	mu    sync.Mutex
+	calls map[string]map[int64]int
+}
+
+// NoReplica notes a call that found no replica of a model in any zone.
+func (r *Runner) NoReplica(model string) { r.refused.add(r.opts.Clock(), model) }
+
+func (r *refusals) add(now time.Duration, model string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.calls[model] == nil {
+		r.calls[model] = map[int64]int{}
+	}
+	r.calls[model][int64(now/time.Second)]++
+}
+
+// recent returns the calls a second of the window by model, rounded up.
+func (r *refusals) recent(now time.Duration) map[string]int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := map[string]int{}
+	oldest := int64(now/time.Second) - refusalWindow
+	for model, seconds := range r.calls {
+		sum := 0
+		for second, n := range seconds {
+			if second <= oldest {
+				delete(seconds, second)
+				continue
+			}
+			sum += n
+		}
+		if sum == 0 {
+			delete(r.calls, model)
+			continue
+		}
+		recent[model] = (sum + refusalWindow - 1) / refusalWindow
+	}
+	return recent
+}
--- /dev/null
+++ b/internal/placement/runner.go
@@ -0,0 +1,438 @@
+package placement
+
+import (
+	"context"
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/config"
+	"egretramp/internal/control"
+	"egretramp/internal/events"
+	"egretramp/internal/upstream/wire"
+)
+
+const (
+	tickInterval = 100 * time.Millisecond
+	eventQueue   = 256
+	callTimeout  = 2 * time.Second
+	// contactLimit is how lately the zone must have heard control for orders to be given.
+	contactLimit = 4 * time.Second
+	// rightEvery is how often the right is asked for while another VM has it.
+	rightEvery = 3 * time.Second
+	// giveUpAfter is how long a VM keeps the right after another became the first of its zone.
+	giveUpAfter = 10 * time.Second
+	// watchEvery is how often the engines are looked at while orders are under way.
+	watchEvery = time.Second
+	// unservedEvery is how often a VM tells of the calls that found no replica.
+	unservedEvery = time.Second
+)
+
+// ErrStopped is returned after the runner has ended.
+var ErrStopped = errors.New("placement: stopped")
+
+// Network carries messages between VMs.
+type Network interface {
+	Send(vm, kind string, payload []byte)
+}
+
+// Control brings commands into the control group's log.
+type Control interface {
+	Propose(ctx context.Context, command control.Command) (control.Result, error)
+}
+
+// Fleet is this VM's part in the fleet.
+type Fleet interface {
+	// Current reports whether this VM holds its lease and its zone heard control within limit.
+	Current(limit time.Duration) bool
+	// Incarnation is the one under which it holds the lease.
+	Incarnation() int64
+	// Snapshot is the configuration in force, nil before there is one.
+	Snapshot() *config.Snapshot
+}
+
+// Fabric reaches the engines and dispatchers.
+type Fabric interface {
+	// Zones returns the zones of the fleet.
+	Zones() []string
+	// Orderer returns the VM of a zone that orders its engines, empty if none is alive.
+	Orderer(zone string) string
+	// Demand returns what is known of the pools, by zone.
+	Demand() map[string]ZoneDemand
+	// Engines returns the engines of this VM's zone that announce themselves.
+	Engines(ctx context.Context) ([]Engine, error)
+	// Drain tells the dispatchers to send an engine no calls of models for DrainFor, and returns
+	// how many are under way; ok is false if one of the zone's VMs did not agree.
+	Drain(ctx context.Context, e Engine, models []string) (calls int, ok bool)
+	// Order sends an order.
+	Order(ctx context.Context, address string, o wire.Order) Outcome
+}
+
+// Options configure a Runner.
+type Options struct {
+	VM      string
+	Zone    string
+	Network Network
+	Control Control
+	Fleet   Fleet
+	Fabric  Fabric
+	Events  *events.Logger
+	Clock   func() time.Duration // default clock.Now
+}
+
+// Runner orders the engines of this VM's zone while it has the right to.
+type Runner struct {
+	opts   Options
+	events chan func()
+	done   chan struct{}
+	tasks  *conc.WaitGroup
+	ctx    context.Context
+
+	refused refusals
+
+	orderer  *Orderer
+	trend    *Trend
+	unserved map[string]heard[Unserved] // by VM
+	reports  map[string]heard[Report]   // by zone
+	plan     Plan
+	engines  []Engine
+	logged   int // results that are logged
+
+	incarnation int64 // of the right
+	asking      bool
+	nextAsk     time.Duration
+	above       uint64        // a fencing number that an engine refused
+	first       time.Duration // when this VM was last the first of its zone
+	listing     bool
+	nextList    time.Duration
+	nextPlan    time.Duration
+	nextTell    time.Duration
+
+	tick     uint64 // last move of the permits' clock that is known
+	tickAt   time.Duration
+	underWay int
+}
+
+// NewRunner returns a runner; Run drives it.
+func NewRunner(opts Options) *Runner {
+	if opts.Clock == nil {
+		opts.Clock = clock.Now
+	}
+	return &Runner{
+		opts: opts, events: make(chan func(), eventQueue), done: make(chan struct{}),
+		refused: refusals{calls: map[string]map[int64]int{}}, orderer: NewOrderer(), trend: NewTrend(),
+		unserved: map[string]heard[Unserved]{}, reports: map[string]heard[Report]{},
+	}
+}
+
+// Run gives orders until ctx ends. The right then passes on as this VM leaves the membership.
+func (r *Runner) Run(ctx context.Context) {
+	var tasks conc.WaitGroup
+	defer tasks.Wait()
+	defer close(r.done)
+	r.tasks, r.ctx = &tasks, ctx
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-r.events:
+			event()
+		case <-ticker.C:
+			r.onTick()
+		}
+	}
+}
+
+// post queues an event for the runner's goroutine. It is dropped after the end.
+func (r *Runner) post(event func()) {
+	select {
+	case r.events <- event:
+	case <-r.done:
+	}
+}
+
+// task runs what blocks beside the runner's goroutine.
+func (r *Runner) task(timeout time.Duration, run func(ctx context.Context)) {
+	r.tasks.Go(func() {
+		ctx, cancel := context.WithTimeout(r.ctx, timeout)
+		defer cancel()
+		run(ctx)
+	})
+}
+
+func (r *Runner) onTick() {
+	now := r.opts.Clock()
+	settings, enabled := r.settings()
+	if !enabled {
+		r.setRight(now, nil)
+		return
+	}
+	r.orderer.SetSettings(Settings{LoadTimeout: seconds(settings.LoadTimeoutSeconds), MinChange: seconds(settings.MinChangeSeconds)})
+	r.tell(now)
+	r.keepRight(now)
+	if r.orderer.Right() == nil || !r.opts.Fleet.Current(contactLimit) {
+		return
+	}
+	r.list(now, seconds(settings.PlanSeconds))
+	for _, a := range r.orderer.Next(now) {
+		r.carryOut(a)
+	}
+}
+
+func (r *Runner) settings() (config.Placement, bool) {
+	snapshot := r.opts.Fleet.Snapshot()
+	if snapshot == nil {
+		return config.Placement{}, false
+	}
+	p := snapshot.Placement()
+	return p, p.Enabled
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+func (r *Runner) setRight(now time.Duration, right *Right) {
+	was := r.orderer.Right()
+	r.orderer.SetRight(now, right)
+	switch {
+	case right != nil && (was == nil || was.Number != right.Number):
+		r.opts.Events.Emit(events.OrderRightTaken, zap.Uint64("fencing", right.Number), zap.Bool("first", right.First))
+	case right == nil && was != nil:
+		r.opts.Events.Emit(events.OrderRightLost, zap.Uint64("fencing", was.Number))
+	}
+}
+
+// keepRight asks for the right, and drops or gives it up.
+func (r *Runner) keepRight(now time.Duration) {
+	if r.orderer.Right() != nil && r.opts.Fleet.Incarnation() != r.incarnation {
+		r.setRight(now, nil)
+	}
+	mine := r.opts.Fabric.Orderer(r.opts.Zone) == r.opts.VM
+	if mine {
+		r.first = now
+	}
+	if r.asking || now < r.nextAsk || !r.opts.Fleet.Current(contactLimit) {
+		return
+	}
+	right := r.orderer.Right()
+	switch {
+	case mine && right == nil:
+		r.takeRight(now)
+	case right != nil && now-r.first > giveUpAfter && len(r.orderer.Orders()) == 0:
+		r.giveUp(now, right.Number)
+	}
+}
+
+func (r *Runner) takeRight(now time.Duration) {
+	r.asking, r.nextAsk = true, now+rightEvery
+	incarnation := r.opts.Fleet.Incarnation()
+	command := control.Command{TakeOrders: &control.TakeOrders{
+		Zone: r.opts.Zone, VM: r.opts.VM, Incarnation: incarnation, Above: r.above,
+	}}
+	r.task(callTimeout, func(ctx context.Context) {
+		result, err := r.opts.Control.Propose(ctx, command)
+		r.post(func() {
+			r.asking = false
+			if err != nil || result.Orders == nil || r.opts.Fleet.Incarnation() != incarnation {
+				return
+			}
+			r.incarnation = incarnation
+			now := r.opts.Clock()
+			r.setRight(now, &Right{Number: result.Orders.Number, Since: now, First: result.Orders.First})
+		})
+	})
+}
+
+func (r *Runner) giveUp(now time.Duration, number uint64) {
+	r.asking, r.nextAsk = true, now+rightEvery
+	r.setRight(now, nil) // before control may give it to another VM
+	command := control.Command{GiveUpOrders: &control.GiveUpOrders{Zone: r.opts.Zone, Number: number}}
+	r.task(callTimeout, func(ctx context.Context) {
+		_, _ = r.opts.Control.Propose(ctx, command)
+		r.post(func() { r.asking = false })
+	})
+}
+
+// list looks at the zone's engines, and plans when a plan is due.
+func (r *Runner) list(now time.Duration, planEvery time.Duration) {
+	every := planEvery
+	if len(r.orderer.Orders()) > 0 {
+		every = min(every, watchEvery)
+	}
+	if r.listing || now < r.nextList && now < r.nextPlan {
+		return
+	}
+	r.listing = true
+	r.nextList = now + every
+	r.task(callTimeout, func(ctx context.Context) {
+		engines, err := r.opts.Fabric.Engines(ctx)
+		r.post(func() {
+			r.listing = false
+			if err == nil {
+				r.observe(engines, planEvery)
+			}
+		})
+	})
+}
+
+func (r *Runner) observe(engines []Engine, planEvery time.Duration) {
+	now := r.opts.Clock()
+	if r.orderer.Right() == nil {
+		return
+	}
+	r.engines = engines
+	s := r.snapshot(now, planEvery)
+	r.orderer.Observe(now, engines, Keeps(s))
+	r.logResults()
+	if now < r.nextPlan {
+		return
+	}
+	r.nextPlan = now + planEvery
+	r.trend.Observe(now, s.Models, s.Zones)
+	s = r.snapshot(now, planEvery)
+	r.plan = MakePlan(s)
+	if r.opts.Fleet.Current(contactLimit) {
+		r.orderer.Start(now, r.plan.Changes)
+	}
+	r.report(s)
+}
+
+// snapshot puts together what a plan is made of.
+func (r *Runner) snapshot(now, planEvery time.Duration) Snapshot {
+	configured := r.opts.Fleet.Snapshot()
+	s := Snapshot{
+		Zone: r.opts.Zone, Models: modelsOf(configured), Zones: r.demand(now, planEvery),
+		Pressed: r.trend.Pressed(now), Idle: r.trend.Idle(now),
+		MaxChanges: max(0, configured.Placement().LoadsUnderWay-len(r.orderer.Orders())),
+	}
+	for _, e := range r.engines {
+		e.Blocked = r.orderer.Blocked(now, e.Name)
+		leaving := r.orderer.Leaving(e.Name)
+		e.Serves = slices.DeleteFunc(slices.Clone(e.Serves), func(m string) bool { return slices.Contains(leaving, m) })
+		s.Engines = append(s.Engines, e)
+	}
+	own := s.Zones[s.Zone]
+	coming := r.orderer.Coming()
+	for model, n := range Spares(s) {
+		d := own[model]
+		d.Spare = n
+		own[model] = d
+	}
+	for model, n := range coming {
+		d := own[model]
+		d.Coming = n
+		own[model] = d
+	}
+	return s
+}
+
+func modelsOf(s *config.Snapshot) []Model {
+	var models []Model
+	for _, m := range s.Models() {
+		base := ""
+		if other, ok := s.Model(m.AdapterOf); ok {
+			base = other.ID
+		}
+		models = append(models, Model{ID: m.ID, MemoryMB: m.MemoryMB, AdapterOf: base, KeepIn: m.KeepIn})
+	}
+	return models
+}
+
+// demand returns the demand of all zones as known here.
+func (r *Runner) demand(now, planEvery time.Duration) map[string]ZoneDemand {
+	zones := r.opts.Fabric.Demand()
+	for _, zone := range append(r.opts.Fabric.Zones(), r.opts.Zone) {
+		if zones[zone] == nil {
+			zones[zone] = ZoneDemand{}
+		}
+	}
+	for vm, u := range r.unserved {
+		if now-u.at > unservedAge {
+			delete(r.unserved, vm)
+			continue
+		}
+		for model, calls := range u.what.Calls {
+			add(zones, u.what.Zone, model, Demand{Unserved: calls})
+		}
+	}
+	for zone, report := range r.reports {
+		if zone == r.opts.Zone || now-report.at > reportPlans*planEvery {
+			continue
+		}
+		for model, n := range report.what.Spare {
+			add(zones, zone, model, Demand{Spare: n})
+		}
+		for model, n := range report.what.Coming {
+			add(zones, zone, model, Demand{Coming: n})
+		}
+	}
+	return zones
+}
+
+func add(zones map[string]ZoneDemand, zone, model string, d Demand) {
+	if zones[zone] == nil {
+		zones[zone] = ZoneDemand{}
+	}
+	zones[zone][model] = zones[zone][model].add(d)
+}
+
+// report tells the VMs that order the other zones.
+func (r *Runner) report(s Snapshot) {
+	payload := mustMarshal(Report{Zone: r.opts.Zone, Spare: Spares(s), Coming: r.orderer.Coming()})
+	for _, zone := range r.opts.Fabric.Zones() {
+		if vm := r.opts.Fabric.Orderer(zone); vm != "" && zone != r.opts.Zone {
+			r.opts.Network.Send(vm, KindReport, payload)
+		}
+	}
+}
+
+// tell tells the VMs that order engines of the calls that found no replica here.
+func (r *Runner) tell(now time.Duration) {
+	if now < r.nextTell {
+		return
+	}
+	r.nextTell = now + unservedEvery
+	calls := r.refused.recent(now)
+	if len(calls) == 0 {
+		return
+	}
+	payload := mustMarshal(Unserved{Zone: r.opts.Zone, Calls: calls})
+	for _, zone := range r.opts.Fabric.Zones() {
+		if vm := r.opts.Fabric.Orderer(zone); vm != "" {
+			r.opts.Network.Send(vm, KindUnserved, payload)
+		}
+	}
+}
+
+// HandleUnserved takes an Unserved.
+func (r *Runner) HandleUnserved(from string, payload []byte) {
+	var u Unserved
+	if json.Unmarshal(payload, &u) != nil {
+		return
+	}
+	r.post(func() { r.unserved[from] = heard[Unserved]{u, r.opts.Clock()} })
+}
+
+// HandleReport takes a Report.
+func (r *Runner) HandleReport(_ string, payload []byte) {
+	var report Report
+	if json.Unmarshal(payload, &report) != nil {
+		return
+	}
+	r.post(func() { r.reports[report.Zone] = heard[Report]{report, r.opts.Clock()} })
+}
+
+// mustMarshal encodes this package's own messages, which cannot fail.
+func mustMarshal(v any) []byte {
+	data, err := json.Marshal(v)
+	if err != nil {
+		panic("placement: cannot encode a message: " + err.Error())
+	}
+	return data
+}
--- /dev/null
+++ b/internal/upstream/orders.go
@@ -0,0 +1,50 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/upstream/wire"
+)
+
+// Errors of Order. Any other says that the outcome is unknown.
+var (
+	ErrOldFencing  = errors.New("the engine has seen a higher fencing number")
+	ErrOrderFailed = errors.New("the engine could not carry the order out")
+)
+
+// Order gives an engine an order and waits until it is carried out. Errors: ErrOldFencing,
+// ErrOrderFailed, or one that leaves the outcome open.
+func (c *Caller) Order(ctx context.Context, address string, o wire.Order) error {
+	body, err := json.Marshal(o)
+	if err != nil {
+		return errors.Mark(err, ErrOrderFailed)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, endpoint(address, "/v1/orders"), bytes.NewReader(body))
+	if err != nil {
+		return errors.Mark(err, ErrOrderFailed)
+	}
+	req.Header.Set("Content-Type", "application/json")
+	req.Header.Set(wire.HeaderFencing, strconv.FormatUint(o.Fencing, 10))
+	req.Header.Set(wire.HeaderIdempotency, o.ID)
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return errors.Wrap(err, "order")
+	}
+	defer func() { _ = resp.Body.Close() }()
+	switch {
+	case resp.StatusCode == http.StatusOK:
+		return nil
+	case resp.StatusCode == http.StatusConflict:
+		return ErrOldFencing
+	case resp.StatusCode == http.StatusGatewayTimeout:
+		return errors.Newf("the engine answered with status %d", resp.StatusCode)
+	default:
+		return errors.Wrapf(ErrOrderFailed, "status %d", resp.StatusCode)
+	}
+}
