placement: random runs of the orderer; a repeated order counts for the time between changes

Cause: the time between two changes of an engine was counted from the first order that was sent. Each order that is sent counts now. Also, an order may be on its way for up to a second: permits last 5 s longer, and a VM that takes over waits a second more.

--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -12,6 +12,8 @@
 	// loadPermitFactor is how many times the longest load a permit lasts: the load begins within
 	// the first part.
 	loadPermitFactor = 2
+	// loadPermitExtraMS is added for the order's way to the engine. Milliseconds.
+	loadPermitExtraMS = 5_000
 	// maxLoadElapsedMS bounds the time that one command tells of. Milliseconds.
 	maxLoadElapsedMS = 60_000
 )
@@ -86,7 +88,7 @@
 	l.Limit, l.RatePerSecond = 0, 0
 	if p.Enabled {
 		l.Limit, l.RatePerSecond = p.LoadsUnderWay, p.LoadsPerSecond
-		l.PermitMS = int64(loadPermitFactor * p.LoadTimeoutSeconds * 1000)
+		l.PermitMS = int64(loadPermitFactor*p.LoadTimeoutSeconds*1000) + loadPermitExtraMS
 	}
 	if l.Tick == 0 {
 		l.Tick, l.Tokens = 1, 1
--- a/internal/placement/orderer.go
+++ b/internal/placement/orderer.go
@@ -23,6 +23,8 @@
 	drainLimit = 10 * time.Minute
 	// permitEvery is how often a permit is asked for.
 	permitEvery = time.Second
+	// orderTransit bounds the time from the check of lease and permit to an order's receipt.
+	orderTransit = time.Second
 	// resendAfter is the pause before an order without an answer, or one that failed, is sent again.
 	resendAfter = 2 * time.Second
 	// maxFailures ends a change that an engine fails to carry out.
@@ -176,7 +178,7 @@
 // Ready reports whether changes may begin: a VM that takes over from another waits until no
 // order of that one can be under way, and no engine was changed too lately.
 func (o *Orderer) Ready(now time.Duration) bool {
-	return o.right != nil && (o.right.First || now-o.right.Since >= o.settings.MinChange)
+	return o.right != nil && (o.right.First || now-o.right.Since >= o.settings.MinChange+orderTransit)
 }
 
 // Blocked reports whether an engine may not be changed now.
@@ -338,7 +340,7 @@
 
 // permitCovers reports whether a load that begins now ends within its permit.
 func (o *Orderer) permitCovers(now time.Duration, order *Order) bool {
-	return order.permitEnd > 0 && now+o.settings.LoadTimeout <= order.permitEnd
+	return order.permitEnd > 0 && now+orderTransit+o.settings.LoadTimeout <= order.permitEnd
 }
 
 // find returns the order of an action that has ended.
@@ -465,13 +467,11 @@
 	return n
 }
 
-// noteChange counts the first order of a change that is sent, and asserts the time since the last change.
+// noteChange notes an order of a change that is sent, and asserts the time since the last change.
+// Each order counts, since the first ones may be lost.
 func (o *Orderer) noteChange(now time.Duration, order *Order) {
 	at, changed := o.changed[order.Engine]
-	if changed && at >= order.Began {
-		return // of this change
-	}
-	if changed && now-at < o.settings.MinChange {
+	if changed && at < order.Began && now-at < o.settings.MinChange {
 		panic("placement: engine " + order.Engine + " is changed again too soon")
 	}
 	o.changed[order.Engine] = now
--- /dev/null
+++ b/internal/placement/random_test.go
@@ -0,0 +1,471 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/control"
+	"egretramp/internal/membership"
+	"egretramp/internal/upstream/wire"
+)
+
+var (
+	seeds     = flag.Int("seeds", 300, "number of random runs")
+	firstSeed = flag.Uint64("first-seed", 1, "seed of the first random run")
+)
+
+const (
+	testLoadTimeout = 4 * time.Second
+	testMinChange   = 6 * time.Second
+	testTransit     = 400 * time.Millisecond
+	testLoads       = 2
+	testEngines     = 5
+)
+
+// world is one zone in virtual time: VMs with leases, the control group's machine, engines, and
+// dispatchers that keep to drains. Messages are late, lost and repeated.
+type world struct {
+	t      *testing.T
+	r      *rand.Rand
+	now    time.Duration
+	log    uint64
+	ctrl   *control.Machine
+	vms    []*testVM
+	fakes  map[string]*testEngine
+	later  []event
+	deaths bool // engines start anew
+
+	loads, unloads, takeovers, repeats int
+}
+
+type event struct {
+	at time.Duration
+	do func()
+}
+
+type testVM struct {
+	name        string
+	incarnation int64
+	lease       time.Duration
+	frozen      time.Duration // until
+	right       int64         // incarnation of the right
+	o           *Orderer
+	trend       *Trend
+	tick        uint64
+	tickAt      time.Duration
+	nextRight   time.Duration
+	nextPlan    time.Duration
+}
+
+type testEngine struct {
+	Engine
+	ignores bool
+	highest uint64
+	done    map[string]bool
+	running map[string]*execution // by order ID
+	calls   map[string]int
+	drained map[string]time.Duration
+	change  string // the last change that touched it
+	changed time.Duration
+}
+
+type execution struct {
+	number uint64
+	kind   wire.OrderKind
+	ends   time.Duration
+}
+
+func newWorld(t *testing.T, seed uint64) *world {
+	w := &world{t: t, r: rand.New(rand.NewPCG(seed, 0)), now: time.Hour, ctrl: control.New(), fakes: map[string]*testEngine{}}
+	w.deaths = w.r.IntN(2) == 0
+	file := fmt.Sprintf(`{"generation": 1, "schemes": [], "client_accounts": [], "services": [], "routes": [], "upstreams": [],
+		"models": [{"id": "m0"}, {"id": "m1"}, {"id": "m2"}],
+		"placement": {"enabled": true, "loads_under_way": %d, "loads_per_second": 1, "load_timeout_seconds": 4, "min_change_seconds": 6}}`, testLoads)
+	w.propose(control.Command{ApplyConfig: &control.ApplyConfig{Text: file, Hash: control.HashText(file), Operator: "t"}})
+	for i := range 3 {
+		vm := &testVM{name: fmt.Sprint("v", i)}
+		w.vms = append(w.vms, vm)
+		w.start(vm)
+	}
+	for i := range testEngines {
+		name := fmt.Sprint("e", i)
+		e := &testEngine{
+			Engine:  Engine{Name: name, Incarnation: 1, Slots: 4, Models: 1 + w.r.IntN(2), Permits: []string{"m0", "m1", "m2"}},
+			ignores: w.r.IntN(2) == 0, done: map[string]bool{}, running: map[string]*execution{}, calls: map[string]int{},
+			drained: map[string]time.Duration{}, changed: -time.Hour,
+		}
+		e.Serves = []string{"m0"}
+		if i == 0 {
+			e.Serves = []string{"m1"}
+		}
+		w.fakes[name] = e
+	}
+	return w
+}
+
+func (w *world) propose(c control.Command) control.Result {
+	data, err := c.Encode()
+	require.NoError(w.t, err)
+	w.log++
+	result, err := control.DecodeResult(w.ctrl.Apply(w.log, data))
+	require.NoError(w.t, err)
+	return result
+}
+
+// start starts a VM under a new incarnation, with nothing that it knew.
+func (w *world) start(vm *testVM) {
+	vm.incarnation++
+	vm.o, vm.trend, vm.tick = NewOrderer(), NewTrend(), 0
+	vm.o.SetSettings(Settings{LoadTimeout: testLoadTimeout, MinChange: testMinChange})
+	w.propose(control.Command{RegisterVM: &control.RegisterVM{VM: vm.name, Zone: "z", Incarnation: vm.incarnation}})
+	vm.lease = w.now + membership.LeaseDuration
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.later = append(w.later, event{w.now + d, do})
+}
+
+// lost tells whether a message is lost.
+func (w *world) lost() bool { return w.r.IntN(8) == 0 }
+
+func (w *world) delay() time.Duration { return time.Duration(w.r.Int64N(int64(testTransit))) }
+
+func (w *world) step() {
+	w.now += time.Duration(20+w.r.IntN(150)) * time.Millisecond
+	due := slices.DeleteFunc(slices.Clone(w.later), func(e event) bool { return e.at > w.now })
+	w.later = slices.DeleteFunc(w.later, func(e event) bool { return e.at <= w.now })
+	for _, e := range due {
+		e.do()
+	}
+	w.stepEngines()
+	for _, vm := range w.vms {
+		w.stepVM(vm)
+	}
+	w.check()
+}
+
+func (w *world) stepVM(vm *testVM) {
+	if vm.lease+membership.SurelyOver(0) < w.now && w.member(vm) {
+		w.propose(control.Command{RemoveVM: &control.RemoveVM{VM: vm.name, Incarnation: vm.incarnation}})
+	}
+	switch {
+	case w.now < vm.frozen:
+		return
+	case w.r.IntN(600) == 0:
+		vm.frozen = w.now + time.Duration(w.r.IntN(12000))*time.Millisecond
+		return
+	case w.r.IntN(1500) == 0:
+		w.start(vm) // killed and started again
+		return
+	}
+	// Orders are due with the lease as it was before the freeze; the check at sending stops them.
+	w.act(vm)
+	if !w.member(vm) {
+		o, trend := vm.o, vm.trend
+		w.start(vm)
+		vm.o, vm.trend = o, trend // the process goes on under a new incarnation
+	}
+	vm.lease = w.now + membership.LeaseDuration
+	w.keepRight(vm)
+}
+
+func (w *world) member(vm *testVM) bool {
+	for _, m := range w.ctrl.View().Members.VMs {
+		if m.VM == vm.name && m.Incarnation == vm.incarnation {
+			return true
+		}
+	}
+	return false
+}
+
+func (w *world) current(vm *testVM) bool { return w.now < vm.lease && vm.right == vm.incarnation }
+
+func (w *world) keepRight(vm *testVM) {
+	if vm.o.Right() != nil && vm.right != vm.incarnation {
+		vm.o.SetRight(w.now, nil)
+	}
+	if vm.o.Right() != nil || w.now < vm.nextRight {
+		return
+	}
+	vm.nextRight = w.now + time.Second
+	result := w.propose(control.Command{TakeOrders: &control.TakeOrders{Zone: "z", VM: vm.name, Incarnation: vm.incarnation}})
+	if result.Orders == nil || w.lost() {
+		return
+	}
+	vm.right = vm.incarnation
+	if !result.Orders.First {
+		w.takeovers++
+	}
+	vm.o.SetRight(w.now, &Right{Number: result.Orders.Number, Since: w.now, First: result.Orders.First})
+}
+
+func (w *world) act(vm *testVM) {
+	if vm.o.Right() == nil {
+		return
+	}
+	if w.now >= vm.nextPlan && w.current(vm) {
+		vm.nextPlan = w.now + time.Duration(1+w.r.IntN(5))*time.Second
+		w.plan(vm)
+	}
+	for _, a := range vm.o.Next(w.now) {
+		switch a.Kind {
+		case ActDrain:
+			w.drain(vm, a)
+		case ActPermit:
+			w.permit(vm, a)
+		case ActReturn:
+			if !w.lost() {
+				w.propose(control.Command{ReturnLoad: &control.ReturnLoad{ID: a.ID}})
+			}
+		case ActSend:
+			w.send(vm, a)
+		}
+	}
+}
+
+func (w *world) plan(vm *testVM) {
+	s := Snapshot{Zone: "z", Models: []Model{{ID: "m0"}, {ID: "m1"}, {ID: "m2"}}, Zones: map[string]ZoneDemand{"z": {}}, MaxChanges: 2}
+	var engines []Engine
+	for _, name := range slices.Sorted(maps.Keys(w.fakes)) {
+		f := w.fakes[name]
+		e := f.Engine
+		e.Serves = slices.Clone(e.Serves)
+		e.Names = map[string]string{}
+		for _, m := range e.Serves {
+			e.Names[m] = m
+			d := s.Zones["z"][m]
+			s.Zones["z"][m] = d.add(Demand{Replicas: 1, Slots: e.Slots, Running: f.calls[m]})
+		}
+		engines = append(engines, e)
+		e.Blocked = vm.o.Blocked(w.now, name)
+		e.Serves = slices.DeleteFunc(slices.Clone(e.Serves), func(m string) bool { return slices.Contains(vm.o.Leaving(name), m) })
+		s.Engines = append(s.Engines, e)
+	}
+	for m, n := range Spares(s) {
+		d := s.Zones["z"][m]
+		s.Zones["z"][m] = d.add(Demand{Spare: n, Unserved: w.r.IntN(8)})
+	}
+	vm.o.Observe(w.now, engines, Keeps(s))
+	vm.trend.Observe(w.now, s.Models, s.Zones)
+	// The policy's times are passed over: every change that it may make has to be safe.
+	s.Pressed, s.Idle = map[string]time.Duration{}, map[string]time.Duration{}
+	for _, m := range s.Models {
+		s.Pressed[m.ID], s.Idle[m.ID] = PressedFor, time.Duration(w.r.IntN(2))*IdleFor
+	}
+	s.MaxChanges = max(0, s.MaxChanges-len(vm.o.Orders()))
+	vm.o.Start(w.now, MakePlan(s).Changes)
+}
+
+func (w *world) drain(vm *testVM, a Action) {
+	began, e := w.now, w.fakes[a.Engine.Name]
+	ok := !w.lost()
+	calls := 0
+	if ok {
+		for _, m := range a.Models {
+			e.drained[m] = w.now + DrainFor
+			calls += e.calls[m]
+		}
+	}
+	o := vm.o
+	w.after(w.delay(), func() { o.Drained(w.now, began, a.ID, calls, ok) })
+}
+
+func (w *world) permit(vm *testVM, a Action) {
+	began, o, number := w.now, vm.o, vm.o.Right().Number
+	take := &control.TakeLoad{ID: a.ID, Zone: "z", Number: number, Tick: vm.tick}
+	if vm.tick > 0 {
+		take.ElapsedMS = (w.now - vm.tickAt).Milliseconds()
+	}
+	arrives := func() control.Result { return w.propose(control.Command{TakeLoad: take}) }
+	if w.r.IntN(10) == 0 {
+		w.after(10*w.delay(), func() { arrives() }) // a copy that comes late
+	}
+	if w.lost() {
+		w.after(w.delay(), func() { o.Permit(w.now, began, a.ID, -1) })
+		return
+	}
+	w.after(w.delay(), func() {
+		result := arrives()
+		if result.Load == nil {
+			o.Permit(w.now, began, a.ID, -1)
+			return
+		}
+		granted := time.Duration(0)
+		if result.Load.Granted {
+			granted = time.Duration(result.Load.LastsMS) * time.Millisecond
+		}
+		if result.Load.Tick > vm.tick {
+			vm.tick, vm.tickAt = result.Load.Tick, w.now
+		}
+		o.Permit(w.now, began, a.ID, granted)
+	})
+}
+
+func (w *world) send(vm *testVM, a Action) {
+	o := vm.o
+	if !w.current(vm) {
+		o.Answered(w.now, a.ID, OutcomeUnknown)
+		return
+	}
+	order, ok := o.Send(w.now, a.ID)
+	if !ok {
+		return
+	}
+	answer := func(outcome Outcome) {
+		if w.lost() {
+			outcome = OutcomeUnknown
+		}
+		w.after(w.delay(), func() { o.Answered(w.now, a.ID, outcome) })
+	}
+	if w.lost() {
+		answer(OutcomeUnknown)
+		return
+	}
+	incarnation := a.Engine.Incarnation
+	w.after(w.delay(), func() { w.receive(a.Engine.Name, incarnation, order, answer) })
+}
+
+// receive is an order's receipt at an engine.
+func (w *world) receive(name string, incarnation int64, o wire.Order, answer func(Outcome)) {
+	e := w.fakes[name]
+	if e.Incarnation != incarnation {
+		answer(OutcomeUnknown)
+		return
+	}
+	if !e.ignores && o.Fencing < e.highest {
+		answer(OutcomeOld)
+		return
+	}
+	require.GreaterOrEqual(w.t, o.Fencing, e.highest, "an order of a former orderer reaches an engine that ignores fencing numbers")
+	e.highest = o.Fencing
+	if e.done[o.ID] || e.running[o.ID] != nil {
+		w.repeats++
+		if e.done[o.ID] {
+			answer(OutcomeDone)
+		} else {
+			answer(OutcomeUnknown)
+		}
+		return
+	}
+	for id, x := range e.running {
+		require.Equal(w.t, o.Fencing, x.number, "two orderers act on engine %s: %s during %s", name, o.ID, id)
+	}
+	w.noteChange(e, o)
+	takes := time.Duration(w.r.Int64N(int64(testLoadTimeout)))
+	if o.Kind == wire.OrderUnloadModel {
+		w.judgeUnload(e, o.Model)
+		takes = 0
+	}
+	e.running[o.ID] = &execution{number: o.Fencing, kind: o.Kind, ends: w.now + takes}
+	w.after(takes, func() { w.finish(e, incarnation, o, answer) })
+}
+
+// noteChange judges the time since the last change of an engine.
+func (w *world) noteChange(e *testEngine, o wire.Order) {
+	change, _, _ := strings.Cut(o.ID, "-unload-")
+	if change == e.change {
+		return
+	}
+	require.GreaterOrEqual(w.t, w.now-e.changed, testMinChange-testTransit, "engine %s is changed again too soon", e.Name)
+	e.change, e.changed = change, w.now
+}
+
+func (w *world) judgeUnload(e *testEngine, model string) {
+	require.Zero(w.t, e.calls[model], "%s runs calls of %s as it is unloaded", e.Name, model)
+	w.unloads++
+	if w.deaths || !slices.Contains(e.Serves, model) {
+		return
+	}
+	others := 0
+	for _, f := range w.fakes {
+		if f != e && slices.Contains(f.Serves, model) {
+			others++
+		}
+	}
+	require.Positive(w.t, others, "the last replica of %s is unloaded", model)
+}
+
+func (w *world) finish(e *testEngine, incarnation int64, o wire.Order, answer func(Outcome)) {
+	if e.Incarnation != incarnation {
+		answer(OutcomeUnknown)
+		return
+	}
+	delete(e.running, o.ID)
+	if w.r.IntN(6) == 0 && o.Kind == wire.OrderLoadModel {
+		answer(OutcomeFailed)
+		return
+	}
+	e.done[o.ID] = true
+	e.Serves = slices.DeleteFunc(slices.Clone(e.Serves), func(m string) bool { return m == o.Model })
+	if o.Kind == wire.OrderLoadModel {
+		w.loads++
+		e.Serves = append(e.Serves, o.Model)
+	}
+	answer(OutcomeDone)
+}
+
+func (w *world) stepEngines() {
+	for _, name := range slices.Sorted(maps.Keys(w.fakes)) {
+		e := w.fakes[name]
+		if w.deaths && w.r.IntN(1500) == 0 {
+			e.Incarnation++
+			e.Serves, e.running, e.done = []string{"m0"}, map[string]*execution{}, map[string]bool{}
+			e.calls, e.highest = map[string]int{}, 0
+			e.changed, e.change = -time.Hour, ""
+		}
+		for _, m := range e.Serves {
+			if w.now >= e.drained[m] && w.r.IntN(4) == 0 {
+				e.calls[m]++
+			}
+			if e.calls[m] > 0 && w.r.IntN(3) == 0 {
+				e.calls[m]--
+			}
+		}
+		e.Running = 0
+		for _, n := range e.calls {
+			e.Running += n
+		}
+	}
+}
+
+// check judges the state after a step.
+func (w *world) check() {
+	loading := 0
+	for _, e := range w.fakes {
+		for _, x := range e.running {
+			if x.kind == wire.OrderLoadModel {
+				loading++
+			}
+		}
+	}
+	require.LessOrEqual(w.t, loading, testLoads, "loads under way")
+}
+
+// TestOrderer_RandomRuns drives three VMs that want to order one zone.
+func TestOrderer_RandomRuns(t *testing.T) {
+	var sum world
+	for i := range *seeds {
+		seed := *firstSeed + uint64(i)
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			w := newWorld(t, seed)
+			for range 3000 {
+				w.step()
+			}
+			sum.loads, sum.unloads = sum.loads+w.loads, sum.unloads+w.unloads
+			sum.takeovers, sum.repeats = sum.takeovers+w.takeovers, sum.repeats+w.repeats
+		})
+	}
+	t.Logf("loads %d, unloads %d, takeovers %d, repeats %d", sum.loads, sum.unloads, sum.takeovers, sum.repeats)
+	require.Greater(t, sum.loads, *seeds, "the runs load models")
+	require.Greater(t, sum.unloads, *seeds/4, "the runs unload models")
+	require.Greater(t, sum.takeovers, *seeds, "the right passes on")
+	require.Greater(t, sum.repeats, *seeds/20, "orders are repeated")
+}
