control, placement: tests of rights, permits and plans; time before a load earns nothing after it

Cause: the permits' clock lags behind time, so a holder that had known it for long could tell of seconds before a load and have the next one granted at once: TestMachine_LoadPermits was red with two loads within 498 ms at a rate of 2 a second. A grant is a move of the clock now, so only time after it counts. The bucket holds the loads of one second, since one load at a time would be at most one a second however high the rate.

TestOrderer_RandomRuns has engines that fall silent and longer calls now.

--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -35,7 +35,8 @@
 	Enabled bool `json:"enabled,omitempty"`
 	// LoadsUnderWay bounds the loads from the weight store that are under way in the whole fleet. Default 2.
 	LoadsUnderWay int `json:"loads_under_way,omitempty" check:"min=1,max=10000"`
-	// LoadsPerSecond bounds how often a load is begun in the whole fleet. Loads a second; default 0.5.
+	// LoadsPerSecond bounds how often a load is begun in the whole fleet; as many as fit into one
+	// second, and at least one, may come at once. Loads a second; default 0.5.
 	LoadsPerSecond float64 `json:"loads_per_second,omitempty" check:"above=0,max=10000"`
 	// LoadTimeoutSeconds is how long one load may take. Seconds; default 60.
 	LoadTimeoutSeconds float64 `json:"load_timeout_seconds,omitempty" check:"min=0.1,max=3600"`
--- a/internal/control/loads.go
+++ b/internal/control/loads.go
@@ -67,7 +67,7 @@
 	Limit         int     `json:"limit"`
 	RatePerSecond float64 `json:"rate_per_second"`
 	PermitMS      int64   `json:"permit_ms"` // how long a permit lasts
-	// Tokens is the rate's bucket, of at most one load.
+	// Tokens is the rate's bucket, of the loads of one second and at least one.
 	Tokens  float64      `json:"tokens"`
 	Tick    uint64       `json:"tick"`
 	ClockMS int64        `json:"clock_ms"`
@@ -118,7 +118,7 @@
 	elapsedMS = min(elapsedMS, maxLoadElapsedMS)
 	l.Tick++
 	l.ClockMS += elapsedMS
-	l.Tokens = min(1, l.Tokens+l.RatePerSecond*float64(elapsedMS)/1000)
+	l.Tokens = min(max(1, l.RatePerSecond), l.Tokens+l.RatePerSecond*float64(elapsedMS)/1000)
 	l.Permits = slices.DeleteFunc(slices.Clone(l.Permits), func(p LoadPermit) bool { return p.UntilMS <= l.ClockMS })
 }
 
@@ -128,6 +128,8 @@
 		return
 	}
 	l.Tokens--
+	// Time before this load earns nothing after it.
+	l.Tick++
 	l.Permits = append(slices.Clone(l.Permits), LoadPermit{ID: id, Zone: zone, UntilMS: l.ClockMS + l.PermitMS, LastsMS: l.PermitMS})
 	if len(l.Permits) > l.Limit {
 		panic(fmt.Sprintf("control: %d loads under way, above the limit of %d", len(l.Permits), l.Limit))
--- /dev/null
+++ b/internal/placement/orderer_test.go
@@ -0,0 +1,140 @@
+package placement
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/config"
+	"egretramp/internal/upstream/wire"
+)
+
+const testHour = time.Hour
+
+// swapping returns an orderer that is to put m1 in place of m0 on e1, drained and with a permit.
+func swapping() *Orderer {
+	o := NewOrderer()
+	o.SetSettings(Settings{LoadTimeout: testLoadTimeout, MinChange: testMinChange})
+	o.SetRight(testHour, &Right{Number: 7, Since: testHour, First: true})
+	o.Observe(testHour, twoReplicas(), map[string]bool{"m0": true})
+	o.Start(testHour, []Change{{Engine: "e1", Incarnation: 1, Unload: []string{"m0"}, Load: "m1"}})
+	for s := range 5 {
+		at := testHour + time.Duration(s)*time.Second
+		o.Drained(at, at, "7-1", 0, true)
+	}
+	now := testHour + 4*time.Second
+	o.Next(now)
+	o.Permit(now, now, "7-1", time.Minute)
+	return o
+}
+
+func twoReplicas() []Engine {
+	return []Engine{
+		{Name: "e1", Incarnation: 1, Serves: []string{"m0"}, Names: map[string]string{"m0": "M/0"}},
+		{Name: "e2", Incarnation: 1, Serves: []string{"m0"}},
+	}
+}
+
+func TestOrderer_UnloadsThenLoads(t *testing.T) {
+	o, now := swapping(), testHour+4*time.Second
+	unload, ok := o.Send(now, "7-1")
+	require.True(t, ok)
+	require.Equal(t, wire.Order{ID: "7-1-unload-m0", Kind: wire.OrderUnloadModel, Model: "M/0", Fencing: 7, TimeoutMS: 4000}, unload)
+	o.Answered(now, "7-1", OutcomeUnknown)
+	again, ok := o.Send(now+time.Second, "7-1")
+	require.True(t, ok)
+	require.Equal(t, unload, again, "sent again under the same ID")
+	o.Answered(now+time.Second, "7-1", OutcomeDone)
+	load, ok := o.Send(now+time.Second, "7-1")
+	require.True(t, ok)
+	require.Equal(t, wire.Order{ID: "7-1", Kind: wire.OrderLoadModel, Model: "m1", Fencing: 7, TimeoutMS: 4000}, load)
+	o.Answered(now+2*time.Second, "7-1", OutcomeDone)
+	o.Observe(now+3*time.Second, []Engine{{Name: "e1", Incarnation: 1, Serves: []string{"m1"}}}, nil)
+	require.Equal(t, CodeDone, o.Results()[0].Code)
+	require.True(t, o.Blocked(now+4*time.Second, "e1"), "no change before the least time between two")
+}
+
+func TestOrderer_LastReplicaStays(t *testing.T) {
+	o, now := swapping(), testHour+4*time.Second
+	o.Observe(now, twoReplicas()[:1], map[string]bool{"m0": true})
+	_, ok := o.Send(now, "7-1")
+	require.False(t, ok)
+	require.Equal(t, CodeLastReplica, o.Results()[0].Code)
+}
+
+func TestOrderer_StaleDrainIsRenewedFirst(t *testing.T) {
+	o, now := swapping(), testHour+4*time.Second+drainFresh
+	_, ok := o.Send(now, "7-1")
+	require.False(t, ok)
+	require.Equal(t, StepDrain, o.Orders()[0].Step)
+	o.Drained(now, now, "7-1", 1, true)
+	require.Equal(t, StepDrain, o.Orders()[0].Step, "a call is under way")
+}
+
+func TestOrderer_NewIncarnationEndsTheOrder(t *testing.T) {
+	o, now := swapping(), testHour+4*time.Second
+	engines := twoReplicas()
+	engines[0].Incarnation = 2
+	o.Observe(now, engines, nil)
+	require.Equal(t, CodeEngineGone, o.Results()[0].Code)
+	require.Equal(t, []Action{{Kind: ActReturn, ID: "7-1"}}, o.Next(now), "its load died with it")
+}
+
+func TestOrderer_PermitOfALoadUnderWayRunsOut(t *testing.T) {
+	o, now := swapping(), testHour+4*time.Second
+	_, _ = o.Send(now, "7-1")
+	o.Answered(now, "7-1", OutcomeDone)
+	_, ok := o.Send(now, "7-1")
+	require.True(t, ok)
+	o.SetRight(now, nil)
+	require.Empty(t, o.Next(now), "another load may not begin in its place")
+	require.Equal(t, CodeRightLost, o.Results()[0].Code)
+}
+
+func TestOrderer_EngineThatDoesNotObey(t *testing.T) {
+	o, now := swapping(), testHour+4*time.Second
+	_, _ = o.Send(now, "7-1")
+	o.Answered(now, "7-1", OutcomeDone)
+	_, _ = o.Send(now, "7-1")
+	o.Answered(now, "7-1", OutcomeDone)
+	o.Observe(now+settleFor, []Engine{{Name: "e1", Incarnation: 1, Serves: []string{"m0"}}}, nil)
+	require.Equal(t, CodeNotObeyed, o.Results()[0].Code)
+}
+
+// testFleet is a VM whose lease ends after some checks.
+type testFleet struct{ checks int }
+
+func (f *testFleet) Current(time.Duration) bool {
+	f.checks--
+	return f.checks >= 0
+}
+func (f *testFleet) Incarnation() int64         { return 1 }
+func (f *testFleet) Snapshot() *config.Snapshot { return nil }
+
+type testFabric struct {
+	Fabric
+	orders int
+}
+
+func (f *testFabric) Order(context.Context, string, wire.Order) Outcome {
+	f.orders++
+	return OutcomeDone
+}
+
+// TestRunner_ChecksTheLeaseAsAnOrderLeaves lets the lease end before each of the two checks: as
+// the order is made, and as it is sent.
+func TestRunner_ChecksTheLeaseAsAnOrderLeaves(t *testing.T) {
+	for checks, want := range []int{0, 0, 1} {
+		fabric := &testFabric{}
+		now := testHour + 4*time.Second
+		r := NewRunner(Options{Fleet: &testFleet{checks}, Fabric: fabric, Clock: func() time.Duration { return now }})
+		r.orderer, r.incarnation = swapping(), 1
+		r.tasks, r.ctx = &conc.WaitGroup{}, context.Background()
+		r.send(Action{Kind: ActSend, ID: "7-1"})
+		r.tasks.Wait()
+		require.Equal(t, want, fabric.orders, "with %d checks passed", checks)
+	}
+}
--- a/internal/placement/random_test.go
+++ b/internal/placement/random_test.go
@@ -74,7 +74,8 @@
 	running map[string]*execution // by order ID
 	calls   map[string]int
 	drained map[string]time.Duration
-	change  string // the last change that touched it
+	silent  time.Duration // until: it is not listed
+	change  string        // the last change that touched it
 	changed time.Duration
 }
 
@@ -241,7 +242,7 @@
 	var engines []Engine
 	for _, name := range slices.Sorted(maps.Keys(w.fakes)) {
 		f := w.fakes[name]
-		if f.zone != vm.zone {
+		if f.zone != vm.zone || w.now < f.silent {
 			continue
 		}
 		e := f.Engine
@@ -429,11 +430,14 @@
 			e.calls, e.highest = map[string]int{}, 0
 			e.changed, e.change = -time.Hour, ""
 		}
+		if w.r.IntN(800) == 0 {
+			e.silent = w.now + time.Duration(w.r.IntN(5000))*time.Millisecond
+		}
 		for _, m := range e.Serves {
-			if w.now >= e.drained[m] && w.r.IntN(4) == 0 {
+			if w.now >= e.drained[m] && e.calls[m] < 3 && w.r.IntN(4) == 0 {
 				e.calls[m]++
 			}
-			if e.calls[m] > 0 && w.r.IntN(3) == 0 {
+			if e.calls[m] > 0 && w.r.IntN(20) == 0 {
 				e.calls[m]--
 			}
 		}
