--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -12,6 +12,7 @@
 	PathDump      = "/v1/dump"          // GET: the state of this process, for people to read
 	PathPrograms  = "/v1/programs"      // GET: Programs; ?account=NAME&limit=N
 	PathUpstreams = "/v1/upstreams"     // GET: Upstreams
+	PathPlacement = "/v1/placement"     // GET: Placement
 	PathInForce   = "/v1/in_force"      // GET: InForce
 	PathLinks     = "/v1/faults/links"  // POST, body: Links; only where the settings allow fault injection
 	PathVars      = "/debug/vars"       // GET: expvar
--- a/internal/admin/backend.go
+++ b/internal/admin/backend.go
@@ -26,6 +26,8 @@
 	Programs(ctx context.Context, query ProgramsQuery) (api.Programs, error)
 	// Upstreams lists the upstreams that this VM knows of.
 	Upstreams(ctx context.Context) (api.Upstreams, error)
+	// Placement asks the VMs that order the zones' engines what they do.
+	Placement(ctx context.Context) (api.Placement, error)
 	// InForce asks all VMs for their generation.
 	InForce(ctx context.Context) (api.InForce, error)
 }
--- a/internal/admin/handlers.go
+++ b/internal/admin/handlers.go
@@ -174,6 +174,10 @@
 	return s.backend.Upstreams(r.Context())
 }
 
+func (s *Server) placement(_ http.ResponseWriter, r *http.Request) (any, error) {
+	return s.backend.Placement(r.Context())
+}
+
 func (s *Server) inForce(_ http.ResponseWriter, r *http.Request) (any, error) {
 	return s.backend.InForce(r.Context())
 }
--- a/internal/admin/server.go
+++ b/internal/admin/server.go
@@ -58,6 +58,7 @@
 	s.router.GET(api.PathDump, s.handle(timed(s.dump)))
 	s.router.GET(api.PathPrograms, s.handle(timed(s.programs)))
 	s.router.GET(api.PathUpstreams, s.handle(timed(s.upstreams)))
+	s.router.GET(api.PathPlacement, s.handle(timed(s.placement)))
 	s.router.GET(api.PathInForce, s.handle(timed(s.inForce)))
 	if o.CutLinks != nil {
 		s.router.POST(api.PathLinks, s.handle(s.links))
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -72,6 +72,10 @@
 	return api.Upstreams{Upstreams: []api.Upstream{{Upstream: "u"}}}, f.err
 }
 
+func (f *fakeBackend) Placement(context.Context) (api.Placement, error) {
+	return api.Placement{Zones: []api.PlacementZone{{Zone: "a"}}}, f.err
+}
+
 func (f *fakeBackend) InForce(context.Context) (api.InForce, error) {
 	f.polls++
 	return api.InForce{VMs: []api.VMInForce{{VM: "a1", Zone: "a", Generation: 4, Reached: f.polls >= 3}}}, f.err
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -92,6 +92,7 @@
 		{"dump", "show the state of one VM's process", &dumpCommand{tool: t}},
 		{"programs", "list programs", &programsCommand{tool: t}},
 		{"upstreams", "list the upstreams that a VM knows of", &upstreamsCommand{tool: t}},
+		{"placement", "show how models are placed, orders under way and their last results", &placementCommand{tool: t}},
 		{"hash-key", "read a key from standard input and print its SHA-256", &hashKeyCommand{tool: t}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short, c.command); err != nil {
--- a/internal/ctl/ctl_test.go
+++ b/internal/ctl/ctl_test.go
@@ -194,6 +194,10 @@
 		VMs: []api.VM{{VM: "a1", Zone: "a"}, {VM: "b1", Zone: "b", Admin: other.address}, {VM: "c1"}}})
 	vm.always(api.PathPrograms, 200, api.Programs{Programs: []api.Program{{Program: "p1", Account: "opera", CallsUsed: 2, CallsBudget: 9, Engines: []string{"a/e1", "b/e2"}}}, Total: 3})
 	vm.always(api.PathUpstreams, 200, api.Upstreams{Upstreams: []api.Upstream{{Upstream: "e1", Kind: "engine", AgeMS: 1500, Serves: []string{"m"}}}})
+	vm.always(api.PathPlacement, 200, api.Placement{Zones: []api.PlacementZone{{
+		Zone: "a", VM: "a1", State: "ordering", Fencing: 12, Targets: []api.PlacementTarget{{Model: "wig", Replicas: 1, Wanted: 3, Calls: 40}},
+		Orders: []api.PlacementOrder{{ID: "12-4", Engine: "e1", Load: "wig", State: "permit"}},
+	}}})
 	vm.always(api.PathDump, 200, map[string]string{"of": "a1"})
 	other.always(api.PathDump, 200, map[string]string{"of": "b1"})
 	t.Setenv("EGRETRAMP_ADMIN", "127.0.0.1:1,"+vm.address)
@@ -208,6 +212,8 @@
 		{[]string{"programs"}, ExitOK, "a/e1, b/e2"},
 		{[]string{"programs", "--json", "--account", "opera"}, ExitOK, `"calls_budget": 9`},
 		{[]string{"upstreams"}, ExitOK, "1.5 s ago"},
+		{[]string{"placement"}, ExitOK, "a     12-4   e1      none    wig   permit"},
+		{[]string{"placement", "--json"}, ExitOK, `"wanted": 3`},
 		{[]string{"dump", "a1"}, ExitOK, `"of": "a1"`},
 		{[]string{"dump", "b1"}, ExitOK, `"of": "b1"`},
 		{[]string{"dump", "c1"}, ExitFailed, "the administration address of VM c1 is not known"},
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/iter"
 
+	"egretramp/internal/admin/api"
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
 	"egretramp/internal/gateway"
@@ -193,17 +194,55 @@
 }
 
 // Placement asks the VMs that order the zones' engines what they do.
-func (b *backend) Placement(ctx context.Context) ([]placement.Status, error) {
+func (b *backend) Placement(ctx context.Context) (api.Placement, error) {
 	f := fabric(*b)
-	all := []placement.Status{}
+	answer := api.Placement{Zones: []api.PlacementZone{}}
 	for _, zone := range f.Zones() {
-		s := placement.Status{Zone: zone, VM: f.Orderer(zone)}
-		if s.VM != "" {
-			if data, err := b.daemon.node.Call(ctx, s.VM, placement.MethodStatus, nil); err == nil {
-				_ = json.Unmarshal(data, &s)
-			}
+		vm := f.Orderer(zone)
+		row := api.PlacementZone{Zone: zone, VM: vm, State: "unreachable"}
+		var s placement.Status
+		data, err := b.daemon.node.Call(ctx, vm, placement.MethodStatus, nil)
+		if err == nil && json.Unmarshal(data, &s) == nil {
+			row = placementRow(s)
 		}
-		all = append(all, s)
+		answer.Zones = append(answer.Zones, row)
+	}
+	return answer, nil
+}
+
+func placementRow(s placement.Status) api.PlacementZone {
+	row := api.PlacementZone{Zone: s.Zone, VM: s.VM, State: placementState(s), LoadsUnderWay: s.UnderWay}
+	if s.Right != nil {
+		row.Fencing = s.Right.Number
+	}
+	for _, t := range s.Plan.Targets {
+		calls := t.Demand.Running + t.Demand.Waiting + t.Demand.Unserved
+		row.Targets = append(row.Targets, api.PlacementTarget{Model: t.Model, Replicas: t.Now, Wanted: t.Fleet, Calls: calls})
+	}
+	for _, o := range s.Orders {
+		row.Orders = append(row.Orders, placementOrder(o.ID, o.Change, string(o.Step)))
+	}
+	for _, r := range s.Results {
+		row.Results = append(row.Results, placementOrder(r.ID, r.Change, string(r.Code)))
+	}
+	return row
+}
+
+func placementOrder(id string, c placement.Change, state string) api.PlacementOrder {
+	return api.PlacementOrder{ID: id, Engine: c.Engine, Unload: c.Unload, Load: c.Load, State: state}
+}
+
+func placementState(s placement.Status) string {
+	switch {
+	case !s.Enabled:
+		return "off"
+	case !s.Reachable:
+		return "cut_off"
+	case s.Right == nil:
+		return "no_right"
+	case !s.Ready:
+		return "waiting"
+	default:
+		return "ordering"
 	}
-	return all, nil
 }
