--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"slices"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc/iter"
@@ -153,31 +154,50 @@
 
 // Drain tells all live VMs of the zone, since each may become the dispatcher of the models' pools.
 func (f fabric) Drain(ctx context.Context, e placement.Engine, models []string) (int, bool) {
+	return f.drain(ctx, e, models, placement.DrainFor)
+}
+
+// Lift ends a drain.
+func (f fabric) Lift(ctx context.Context, e placement.Engine, models []string) {
+	_, _ = f.drain(ctx, e, models, 0)
+}
+
+func (f fabric) drain(ctx context.Context, e placement.Engine, models []string, length time.Duration) (int, bool) {
 	d := f.daemon
 	vms := d.fleet.Dispatchers(enginePool(d.settings.Zone))
 	sum := 0
 	for _, model := range models {
-		pool := upstream.Pool{Zone: d.settings.Zone, Kind: config.KindEngine, Name: model}
-		drain := dispatch.Drain{
-			Pool: pool, Upstream: e.Name, Incarnation: e.Incarnation, ForMS: placement.DrainFor.Milliseconds(),
-		}
-		calls := iter.Map(vms, func(vm *string) int {
-			n, err := d.dispatcher.DrainAt(ctx, *vm, drain)
-			if err != nil {
-				return -1
-			}
-			return n
+		calls, ok := d.drainAt(ctx, vms, dispatch.Drain{
+			Pool:     upstream.Pool{Zone: d.settings.Zone, Kind: config.KindEngine, Name: model},
+			Upstream: e.Name, Incarnation: e.Incarnation, ForMS: length.Milliseconds(),
 		})
-		for _, n := range calls {
-			if n < 0 {
-				return 0, false
-			}
-			sum += n
+		if !ok {
+			return 0, false
 		}
+		sum += calls
 	}
 	return sum, len(vms) > 0
 }
 
+// drainAt returns the calls under way that the VMs know of; ok is false if one did not agree.
+func (d *Daemon) drainAt(ctx context.Context, vms []string, drain dispatch.Drain) (calls int, ok bool) {
+	type answer struct {
+		calls int
+		err   error
+	}
+	answers := iter.Map(vms, func(vm *string) answer {
+		n, err := d.dispatcher.DrainAt(ctx, *vm, drain)
+		return answer{n, err}
+	})
+	for _, a := range answers {
+		if a.err != nil {
+			return 0, false
+		}
+		calls += a.calls
+	}
+	return calls, true
+}
+
 // Order gives an engine an order.
 func (f fabric) Order(ctx context.Context, address string, o wire.Order) placement.Outcome {
 	err := f.daemon.caller.Order(ctx, address, o)
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -17,7 +17,7 @@
 	Pool        upstream.Pool `json:"pool"`
 	Upstream    string        `json:"upstream"`
 	Incarnation int64         `json:"incarnation"`
-	ForMS       int64         `json:"for_ms"`
+	ForMS       int64         `json:"for_ms"` // 0 ends the drain. Milliseconds.
 }
 
 // Drained answers a Drain.
@@ -42,7 +42,11 @@
 func (h *Host) drain(d Drain) Drained {
 	now := h.opts.Clock()
 	key := drainKey{d.Pool, d.Upstream, d.Incarnation}
-	h.drains[key] = max(h.drains[key], now+time.Duration(d.ForMS)*time.Millisecond)
+	if d.ForMS == 0 {
+		delete(h.drains, key)
+	} else {
+		h.drains[key] = max(h.drains[key], now+time.Duration(d.ForMS)*time.Millisecond)
+	}
 	p, ok := h.pools[d.Pool]
 	if !ok {
 		return Drained{}
--- a/internal/placement/carryout.go
+++ b/internal/placement/carryout.go
@@ -21,6 +21,8 @@
 		r.takePermit(a)
 	case ActReturn:
 		r.returnPermit(a.ID)
+	case ActLift:
+		r.task(callTimeout, func(ctx context.Context) { r.opts.Fabric.Lift(ctx, a.Engine, a.Models) })
 	case ActSend:
 		r.send(a)
 	}
--- a/internal/placement/orderer.go
+++ b/internal/placement/orderer.go
@@ -100,6 +100,7 @@
 	ActDrain  ActionKind = iota // reported by Drained
 	ActPermit                   // reported by Permit
 	ActReturn                   // gives a permit back; no report
+	ActLift                     // ends a drain; no report
 	ActSend                     // Send says what to send at that moment; reported by Answered
 )
 
@@ -149,6 +150,7 @@
 	changed map[string]time.Duration
 	keeps   map[string]bool
 	returns []string
+	lifts   []Action
 	results []Result
 	ended   int
 }
@@ -283,6 +285,9 @@
 func (o *Orderer) end(now time.Duration, order *Order, code Code) {
 	delete(o.orders, order.Engine)
 	o.ended++
+	if e, known := o.engines[order.Engine]; known && order.drained > 0 && order.unloaded < len(order.Unload) && !order.sent {
+		o.lifts = append(o.lifts, Action{Kind: ActLift, ID: order.ID, Engine: e, Models: order.Unload[order.unloaded:]})
+	}
 	if order.asked > 0 && !order.loading {
 		o.returns = append(o.returns, order.ID)
 	}
@@ -298,7 +303,8 @@
 	for _, id := range o.returns {
 		actions = append(actions, Action{Kind: ActReturn, ID: id})
 	}
-	o.returns = nil
+	actions = append(actions, o.lifts...)
+	o.returns, o.lifts = nil, nil
 	if !o.Ready(now) {
 		return actions
 	}
--- a/internal/placement/random_test.go
+++ b/internal/placement/random_test.go
@@ -231,6 +231,10 @@
 			if !w.lost() {
 				w.propose(control.Command{ReturnLoad: &control.ReturnLoad{ID: a.ID}})
 			}
+		case ActLift:
+			for _, m := range a.Models {
+				delete(w.fakes[a.Engine.Name].drained, m)
+			}
 		case ActSend:
 			w.send(vm, a)
 		}
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -69,6 +69,8 @@
 	// Drain tells the dispatchers to send an engine no calls of models for DrainFor, and returns
 	// how many are under way; ok is false if one of the zone's VMs did not agree.
 	Drain(ctx context.Context, e Engine, models []string) (calls int, ok bool)
+	// Lift ends a drain before its time.
+	Lift(ctx context.Context, e Engine, models []string)
 	// Order sends an order.
 	Order(ctx context.Context, address string, o wire.Order) Outcome
 }
