--- a/internal/config/placement.go
+++ b/internal/config/placement.go
@@ -8,6 +8,8 @@
 	setDefault(&p.LoadsPerSecond, DefaultLoadsPerSecond)
 	setDefault(&p.LoadTimeoutSeconds, DefaultLoadTimeoutSeconds)
 	setDefault(&p.MinChangeSeconds, max(DefaultMinChangeSeconds, p.LoadTimeoutSeconds))
+	setDefault(&p.PressedSeconds, DefaultPressedSeconds)
+	setDefault(&p.IdleSeconds, DefaultIdleSeconds)
 	setDefault(&p.PlanSeconds, DefaultPlanSeconds)
 }
 
--- a/internal/config/placement_test.go
+++ b/internal/config/placement_test.go
@@ -25,7 +25,8 @@
 	f, err := Parse("f", []byte(placementText))
 	require.NoError(t, err)
 	require.Equal(t, Placement{
-		Enabled: true, LoadsUnderWay: 2, LoadsPerSecond: 0.5, LoadTimeoutSeconds: 300, MinChangeSeconds: 300, PlanSeconds: 5,
+		Enabled: true, LoadsUnderWay: 2, LoadsPerSecond: 0.5, LoadTimeoutSeconds: 300, MinChangeSeconds: 300,
+		PressedSeconds: 3, IdleSeconds: 30, PlanSeconds: 5,
 	}, f.Placement)
 	s := Compile(f)
 	require.True(t, s.MayServe("some", "base") && s.MayServe("all", "other"))
--- a/internal/config/types.go
+++ b/internal/config/types.go
@@ -44,6 +44,12 @@
 	// a VM that takes over from another orders nothing. Seconds, at least LoadTimeoutSeconds;
 	// default 120, or LoadTimeoutSeconds if that is more.
 	MinChangeSeconds float64 `json:"min_change_seconds,omitempty" check:"min=0.1,max=86400"`
+	// PressedSeconds is how long a model must be short of replicas before one is added. Seconds;
+	// default 3.
+	PressedSeconds float64 `json:"pressed_seconds,omitempty" check:"min=0.1,max=3600"`
+	// IdleSeconds is how long a model must have had a replica more than it needs before one is
+	// unloaded for another model. Seconds; default 30.
+	IdleSeconds float64 `json:"idle_seconds,omitempty" check:"min=0.1,max=86400"`
 	// PlanSeconds is the time between two plans. Seconds; default 5.
 	PlanSeconds float64 `json:"plan_seconds,omitempty" check:"min=0.1,max=3600"`
 }
@@ -180,5 +186,7 @@
 	DefaultLoadsPerSecond     = 0.5
 	DefaultLoadTimeoutSeconds = 60
 	DefaultMinChangeSeconds   = 120
+	DefaultPressedSeconds     = 3
+	DefaultIdleSeconds        = 30
 	DefaultPlanSeconds        = 5
 )
--- a/internal/daemon/placement_test.go
+++ b/internal/daemon/placement_test.go
@@ -75,6 +75,42 @@
 	}
 }
 
+// TestFleet_DemandSwapsModels asks for a model that only an engine in place of an idle model can
+// serve, while that engine runs a call.
+func TestFleet_DemandSwapsModels(t *testing.T) {
+	f := newTestFleet(t)
+	file := placementFile(1)
+	file.Placement.PressedSeconds, file.Placement.IdleSeconds = 0.5, 0.5
+	f.apply(file)
+	store := f.store()
+	large := []*fakes.Fake{f.placedEngine("a", "zone0", store, "WIG/L"), f.placedEngine("b", "zone0", store, "WIG/L")}
+	f.waitPools(2)
+
+	var calls conc.WaitGroup
+	for range 2 {
+		calls.Go(func() {
+			r, err := f.trySend(0, http.MethodPost, "/v1/chat/completions", keyAna,
+				`{"model":"wig-large","max_tokens":400,"messages":[{"role":"user","content":"a long one"}]}`)
+			if err != nil || r.status != http.StatusOK {
+				t.Errorf("a call of the model that is unloaded: %d %v", r.status, err)
+			}
+		})
+	}
+	f.eventually("wig-small is not served", func() bool { return f.askSmall(0).status == http.StatusOK })
+	calls.Wait()
+	require.Equal(t, http.StatusOK, f.send(0, http.MethodPost, "/v1/chat/completions", keyAna,
+		`{"model":"wig-large","max_tokens":8,"messages":[{"role":"user","content":"hello"}]}`).status, "one replica of wig-large stays")
+	first, second := f.ordersOf(large[0]), f.ordersOf(large[1])
+	orders := append(first, second...)
+	require.Len(t, orders, 2, "one engine is changed")
+	require.Equal(t, []wire.OrderKind{wire.OrderUnloadModel, wire.OrderLoadModel}, []wire.OrderKind{orders[0].Kind, orders[1].Kind})
+	require.Equal(t, "WIG/L", orders[0].Model, "the engine's own name")
+	answer, err := (&backend{daemon: f.daemons[1]}).Placement(context.Background())
+	require.NoError(t, err)
+	require.Equal(t, "ordering", answer.Zones[0].State)
+	require.Equal(t, "wig-small", answer.Zones[0].Results[0].Load)
+}
+
 // press keeps calls for wig-small under way until done.
 func (f *testFleet) press(t *testing.T, done func() bool) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/placement/engines.go
+++ b/internal/placement/engines.go
@@ -88,7 +88,8 @@
 // canSpare reports whether a replica of a model may be unloaded from an engine: the model has
 // had more replicas than it needs for a while, and this is not the last that the zone keeps.
 func (p *planner) canSpare(model string, e Engine) bool {
-	if p.Idle[model] < IdleFor || p.hasAdapter(model, e) {
+	idleFor, idle := p.Idle[model]
+	if _, known := p.models[model]; known && (!idle || idleFor < p.IdleFor) || p.hasAdapter(model, e) {
 		return false
 	}
 	if p.replicas[model] > 1 {
--- a/internal/placement/plan.go
+++ b/internal/placement/plan.go
@@ -25,10 +25,6 @@
 	targetUse = 0.7
 	// idleUse is the part of the slots in use, without one replica, up to which the model can spare it.
 	idleUse = 0.5
-	// PressedFor is how long a model is short of replicas before one is added.
-	PressedFor = 3 * time.Second
-	// IdleFor is how long a model can spare a replica before it is taken for another model.
-	IdleFor = 30 * time.Second
 )
 
 // Model is a model, adapter or version to be placed.
@@ -97,6 +93,9 @@
 	Engines []Engine
 	// Pressed and Idle are how long models have been short of replicas, or could spare one.
 	Pressed, Idle map[string]time.Duration
+	// PressedFor is how long a model is short of replicas before one is added, IdleFor how long it
+	// can spare one before that is taken for another model.
+	PressedFor, IdleFor time.Duration
 	// MaxChanges bounds the changes of the plan.
 	MaxChanges int
 }
@@ -199,7 +198,7 @@
 	d := p.fleet(m.ID)
 	now := d.Replicas + d.Coming
 	t := Target{Model: m.ID, Fleet: now, Now: now, Demand: d}
-	if p.Pressed[m.ID] >= PressedFor {
+	if pressedFor, pressed := p.Pressed[m.ID]; pressed && pressedFor >= p.PressedFor {
 		t.Fleet = max(now, wanted(d, p.slots(m.ID)))
 	}
 	t.Zone = p.deal(m, t.Fleet-now)[p.Zone]
--- a/internal/placement/plan_test.go
+++ b/internal/placement/plan_test.go
@@ -14,13 +14,13 @@
 var testModels = []Model{{ID: "m0", MemoryMB: 30}, {ID: "m1", MemoryMB: 50}, {ID: "m2", KeepIn: []string{"y"}}, {ID: "a0", AdapterOf: "m0", MemoryMB: 5}}
 
 func drawSnapshot(t *rapid.T) Snapshot {
-	s := Snapshot{Zone: "z", Models: testModels, Zones: map[string]ZoneDemand{"y": {}, "z": {}}, MaxChanges: rapid.IntRange(0, 4).Draw(t, "changes")}
+	s := Snapshot{Zone: "z", Models: testModels, Zones: map[string]ZoneDemand{"y": {}, "z": {}}, PressedFor: 1, IdleFor: 1, MaxChanges: rapid.IntRange(0, 4).Draw(t, "changes")}
 	s.Pressed, s.Idle = map[string]time.Duration{}, map[string]time.Duration{}
 	var ids []string
 	for _, m := range testModels {
 		ids = append(ids, m.ID)
-		s.Pressed[m.ID] = time.Duration(rapid.IntRange(0, 1).Draw(t, "pressed")) * PressedFor
-		s.Idle[m.ID] = time.Duration(rapid.IntRange(0, 1).Draw(t, "idle")) * IdleFor
+		s.Pressed[m.ID] = time.Duration(rapid.IntRange(0, 1).Draw(t, "pressed"))
+		s.Idle[m.ID] = time.Duration(rapid.IntRange(0, 1).Draw(t, "idle"))
 	}
 	for i := range rapid.IntRange(1, 6).Draw(t, "engines") {
 		e := Engine{
@@ -95,7 +95,7 @@
 		require.LessOrEqual(t, memory, e.MemoryMB)
 	}
 	for _, m := range c.Unload {
-		require.GreaterOrEqual(t, s.Idle[m], IdleFor)
+		require.GreaterOrEqual(t, s.Idle[m], s.IdleFor)
 	}
 	e.Serves = serves
 	return e
@@ -121,7 +121,7 @@
 			return Demand{Replicas: 1, Slots: 4, Running: rapid.IntRange(0, 30).Draw(t, zone), Spare: rapid.IntRange(0, 4).Draw(t, zone+" spare")}
 		}
 		zones := map[string]ZoneDemand{"y": {"m0": d("y")}, "z": {"m0": d("z")}}
-		pressed := map[string]time.Duration{"m0": PressedFor}
+		pressed := map[string]time.Duration{"m0": 0}
 		sum, want := 0, 0
 		for _, zone := range []string{"y", "z"} {
 			p := MakePlan(Snapshot{Zone: zone, Models: testModels[:1], Zones: zones, Pressed: pressed})
@@ -146,7 +146,8 @@
 		}}
 		trend.Observe(now, models, zones)
 		return MakePlan(Snapshot{
-			Zone: "z", Models: models, Zones: zones, Engines: engines, Pressed: trend.Pressed(now), Idle: trend.Idle(now), MaxChanges: 1,
+			Zone: "z", Models: models, Zones: zones, Engines: engines, Pressed: trend.Pressed(now), Idle: trend.Idle(now),
+			PressedFor: 3 * time.Second, IdleFor: 30 * time.Second, MaxChanges: 1,
 		})
 	}
 	at := func(s int) time.Duration { return time.Duration(s) * time.Second }
--- a/internal/placement/random_test.go
+++ b/internal/placement/random_test.go
@@ -242,7 +242,7 @@
 }
 
 func (w *world) plan(vm *testVM) {
-	s := Snapshot{Zone: vm.zone, Models: []Model{{ID: "m0"}, {ID: "m1"}, {ID: "m2"}}, Zones: map[string]ZoneDemand{vm.zone: {}}, MaxChanges: 4}
+	s := Snapshot{Zone: vm.zone, Models: []Model{{ID: "m0"}, {ID: "m1"}, {ID: "m2"}}, Zones: map[string]ZoneDemand{vm.zone: {}}, IdleFor: 1, MaxChanges: 4}
 	var engines []Engine
 	for _, name := range slices.Sorted(maps.Keys(w.fakes)) {
 		f := w.fakes[name]
@@ -265,7 +265,7 @@
 	// The policy's times are passed over: every change that it may make has to be safe.
 	s.Pressed, s.Idle = map[string]time.Duration{}, map[string]time.Duration{}
 	for _, m := range s.Models {
-		s.Pressed[m.ID], s.Idle[m.ID] = PressedFor, time.Duration(w.r.IntN(2))*IdleFor
+		s.Pressed[m.ID], s.Idle[m.ID] = 0, time.Duration(w.r.IntN(2))
 	}
 	for m, n := range Spares(s) {
 		d := s.Zones[vm.zone][m]
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -311,6 +311,7 @@
 	s := Snapshot{
 		Zone: r.opts.Zone, Models: modelsOf(configured), Zones: r.demand(now, planEvery),
 		Pressed: r.trend.Pressed(now), Idle: r.trend.Idle(now),
+		PressedFor: seconds(configured.Placement().PressedSeconds), IdleFor: seconds(configured.Placement().IdleSeconds),
 		MaxChanges: max(0, configured.Placement().LoadsUnderWay-len(r.orderer.Orders())),
 	}
 	for _, e := range r.engines {
