--- /dev/null
+++ b/internal/placement/exchange.go
@@ -0,0 +1,135 @@
+package placement
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"egretramp/internal/config"
+)
+
+// snapshot puts together what a plan is made of.
+func (r *Runner) snapshot(now, planEvery time.Duration) Snapshot {
+	configured := r.opts.Fleet.Snapshot()
+	s := Snapshot{
+		Zone: r.opts.Zone, Models: modelsOf(configured), Zones: r.demand(now, planEvery),
+		Pressed: r.trend.Pressed(now), Idle: r.trend.Idle(now),
+		PressedFor: seconds(configured.Placement().PressedSeconds), IdleFor: seconds(configured.Placement().IdleSeconds),
+		MaxChanges: max(0, configured.Placement().LoadsUnderWay-len(r.orderer.Orders())),
+	}
+	for _, e := range r.engines {
+		e.Blocked = r.orderer.Blocked(now, e.Name)
+		leaving := r.orderer.Leaving(e.Name)
+		e.Serves = slices.DeleteFunc(slices.Clone(e.Serves), func(m string) bool { return slices.Contains(leaving, m) })
+		s.Engines = append(s.Engines, e)
+	}
+	own := s.Zones[s.Zone]
+	coming := r.orderer.Coming()
+	for model, n := range Spares(s) {
+		d := own[model]
+		d.Spare = n
+		own[model] = d
+	}
+	for model, n := range coming {
+		d := own[model]
+		d.Coming = n
+		own[model] = d
+	}
+	return s
+}
+
+func modelsOf(s *config.Snapshot) []Model {
+	var models []Model
+	for _, m := range s.Models() {
+		base := ""
+		if other, ok := s.Model(m.AdapterOf); ok {
+			base = other.ID
+		}
+		models = append(models, Model{ID: m.ID, MemoryMB: m.MemoryMB, AdapterOf: base, KeepIn: m.KeepIn})
+	}
+	return models
+}
+
+// demand returns the demand of all zones as known here.
+func (r *Runner) demand(now, planEvery time.Duration) map[string]ZoneDemand {
+	zones := r.opts.Fabric.Demand()
+	for _, zone := range append(r.opts.Fabric.Zones(), r.opts.Zone) {
+		if zones[zone] == nil {
+			zones[zone] = ZoneDemand{}
+		}
+	}
+	for vm, u := range r.unserved {
+		if now-u.at > unservedAge {
+			delete(r.unserved, vm)
+			continue
+		}
+		for model, calls := range u.what.Calls {
+			add(zones, u.what.Zone, model, Demand{Unserved: calls})
+		}
+	}
+	for zone, report := range r.reports {
+		if zone == r.opts.Zone || now-report.at > reportPlans*planEvery {
+			continue
+		}
+		for model, n := range report.what.Spare {
+			add(zones, zone, model, Demand{Spare: n})
+		}
+		for model, n := range report.what.Coming {
+			add(zones, zone, model, Demand{Coming: n})
+		}
+	}
+	return zones
+}
+
+func add(zones map[string]ZoneDemand, zone, model string, d Demand) {
+	if zones[zone] == nil {
+		zones[zone] = ZoneDemand{}
+	}
+	zones[zone][model] = zones[zone][model].add(d)
+}
+
+// report tells the VMs that order the other zones.
+func (r *Runner) report(s Snapshot) {
+	payload := mustMarshal(Report{Zone: r.opts.Zone, Spare: Spares(s), Coming: r.orderer.Coming()})
+	for _, zone := range r.opts.Fabric.Zones() {
+		if vm := r.opts.Fabric.Orderer(zone); vm != "" && zone != r.opts.Zone {
+			r.opts.Network.Send(vm, KindReport, payload)
+		}
+	}
+}
+
+// tell tells the VMs that order engines of the calls that found no replica here.
+func (r *Runner) tell(now time.Duration) {
+	if now < r.nextTell {
+		return
+	}
+	r.nextTell = now + unservedEvery
+	calls := r.refused.recent(now)
+	if len(calls) == 0 {
+		return
+	}
+	payload := mustMarshal(Unserved{Zone: r.opts.Zone, Calls: calls})
+	for _, zone := range r.opts.Fabric.Zones() {
+		if vm := r.opts.Fabric.Orderer(zone); vm != "" {
+			r.opts.Network.Send(vm, KindUnserved, payload)
+		}
+	}
+}
+
+// HandleUnserved takes an Unserved.
+func (r *Runner) HandleUnserved(from string, payload []byte) {
+	var u Unserved
+	if json.Unmarshal(payload, &u) != nil {
+		return
+	}
+	r.post(func() { r.unserved[from] = heard[Unserved]{u, r.opts.Clock()} })
+}
+
+// HandleReport takes a Report.
+func (r *Runner) HandleReport(_ string, payload []byte) {
+	var report Report
+	if json.Unmarshal(payload, &report) != nil {
+		return
+	}
+	r.post(func() { r.reports[report.Zone] = heard[Report]{report, r.opts.Clock()} })
+}
