raft, replica: confirm leases with the periodic heartbeats

Cause: the leader confirms its leadership for lease requests by a read index, and each made a round of heartbeats of its own: at 7 VMs, whose requests come one by one, 7 rounds a second beside the 10 periodic ones. ReadIndexAtHeartbeat waits for the next periodic round, at most 100 ms later; the confirmation still follows the request, so what it proves is the same, and a lease counts from its request's sending, so it ends no later. Queries keep their own round.

--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -183,3 +183,31 @@
 	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT, From: 3, To: 1, Term: 1})
 	require.False(t, r.LeaderHeard(), "of an older term")
 }
+
+func TestRaft_ReadAtHeartbeatSendsNothingOfItsOwn(t *testing.T) {
+	r := newReplica(t, 1)
+	elect(r)
+	acknowledge(r, 2, 2)
+	flush(r)
+	require.NoError(t, r.ReadIndexAtHeartbeat(5))
+	require.Nil(t, r.Ready(), "no round for it")
+	old := &raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY, From: 2, To: 1, Term: r.Term()}
+	r.Step(old)
+	require.Nil(t, r.Ready(), "a reply to an earlier heartbeat confirms nothing")
+	var beat *raftpb.Message
+	for beat == nil {
+		r.Tick()
+		for _, m := range flush(r) {
+			if m.To == 2 {
+				beat = m
+			}
+		}
+	}
+	reply := proto.Clone(old).(*raftpb.Message)
+	reply.ReadSequence = beat.ReadSequence
+	r.Step(reply)
+	require.Equal(t, []Read{{ID: 5, Index: 2, OK: true}}, r.Ready().Reads)
+	r.Advance()
+	require.NoError(t, r.ReadIndex(6))
+	require.Len(t, flush(r), 2, "an urgent one has a round of its own")
+}
--- a/internal/raft/readindex.go
+++ b/internal/raft/readindex.go
@@ -14,6 +14,8 @@
 	sequence uint64
 	waiting  []waitingRead
 	done     []Read
+	// urgent is the sequence of the last read that does not wait for a periodic heartbeat.
+	urgent uint64
 	// sent is the highest sequence that heartbeats have carried.
 	sent uint64
 }
@@ -64,6 +66,16 @@
 // ReadIndex asks for the index that a linearizable read must wait for. Ready returns it
 // under the given ID.
 func (r *Raft) ReadIndex(id uint64) error {
+	if err := r.ReadIndexAtHeartbeat(id); err != nil {
+		return err
+	}
+	r.reads.urgent = r.reads.sequence
+	return nil
+}
+
+// ReadIndexAtHeartbeat is ReadIndex without a round of heartbeats of its own: the next periodic
+// ones confirm it.
+func (r *Raft) ReadIndexAtHeartbeat(id uint64) error {
 	if r.role != Leader {
 		return ErrNotLeader
 	}
@@ -72,12 +84,15 @@
 		index = r.log.commit
 	}
 	r.reads.add(id, index)
+	if r.confs.quorum() == 1 {
+		r.reads.urgent = r.reads.sequence // nobody's reply may come
+	}
 	return nil
 }
 
-// startReadRound sends one heartbeat round for the reads that came since the last one.
+// startReadRound sends one heartbeat round for the urgent reads that came since the last one.
 func (r *Raft) startReadRound(sentSequence uint64) {
-	if r.role != Leader || r.reads.sequence == sentSequence {
+	if r.role != Leader || r.reads.urgent <= sentSequence {
 		return
 	}
 	for _, m := range r.confs.current().Members {
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -49,9 +49,10 @@
 }
 
 // ReadIndex returns once this replica, as leader, has applied all that was committed before the call.
+// It waits for a periodic heartbeat, so that calls that come one by one cost no rounds of their own.
 func (r *Replica) ReadIndex(ctx context.Context) error {
 	answer := make(chan error, 1)
-	if err := r.submit(ctx, func(n *node) { n.readIndex(func(err error) { answer <- err }) }); err != nil {
+	if err := r.submit(ctx, func(n *node) { n.readIndex(false, func(err error) { answer <- err }) }); err != nil {
 		return err
 	}
 	return r.await(ctx, answer)
@@ -74,7 +75,7 @@
 func (r *Replica) LinearizableQuery(ctx context.Context, read func(StateMachine)) error {
 	answer := make(chan error, 1)
 	err := r.submit(ctx, func(n *node) {
-		n.readIndex(func(err error) {
+		n.readIndex(true, func(err error) {
 			if err == nil {
 				read(n.options.machine)
 			}
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -105,14 +105,19 @@
 	n.pending[index] = proposal{term: n.raft.Term(), done: done}
 }
 
-// readIndex calls done once all that was committed before the call is applied.
-func (n *node) readIndex(done func(error)) {
+// readIndex calls done once all that was committed before the call is applied. One that is not
+// urgent waits for the next periodic heartbeat.
+func (n *node) readIndex(urgent bool, done func(error)) {
 	if !n.bound() {
 		done(ErrNotFormed)
 		return
 	}
 	id := n.reads.add(done)
-	if err := n.raft.ReadIndex(id); err != nil {
+	ask := n.raft.ReadIndexAtHeartbeat
+	if urgent {
+		ask = n.raft.ReadIndex
+	}
+	if err := ask(id); err != nil {
 		delete(n.reads.asked, id)
 		done(n.refusal(err))
 	}
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -359,7 +359,7 @@
 		}
 		if s.chance(300) {
 			floor, app, id := s.checker.ReadFloor(), m.app, m.node.raft.ID()
-			m.node.readIndex(func(err error) {
+			m.node.readIndex(s.chance(500), func(err error) {
 				if err == nil {
 					s.fail(s.checker.Read(id, floor, app.last()))
 				}
