--- /dev/null
+++ b/internal/gateway/recordwait.go
@@ -0,0 +1,66 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Bounds of what a caller waits for the record of programs.
+const (
+	// maxRecordWait bounds the waits of all steps of one call together. It also is how long a
+	// group may leave this VM without an answer before no call waits for it any more. A group
+	// elects a new leader within it, also after a silent partition.
+	maxRecordWait = 3 * time.Second
+	// minRecordWait is what a step gets once nothing is left of that: the group is asked once.
+	minRecordWait = 500 * time.Millisecond
+	// shortCallAge is the age up to which a call is refused within 6 s of its start, whatever time
+	// its upstream took. An older one waits for a new leader rather than lose its answer.
+	shortCallAge = 6*time.Second - minRecordWait
+	// beginTimeout bounds the wait for the begin of a turn, and leaves some time to record the answer.
+	beginTimeout = 2500 * time.Millisecond
+	// revokeTimeout bounds the wait for what may be said of a call of which nothing was written.
+	revokeTimeout = 2 * time.Second
+	// settleTimeout bounds the settling of a turn for which no caller waits.
+	settleTimeout = 4 * time.Second
+)
+
+var errRecordUnavailable = errors.New("the record of programs gives no answer")
+
+// recordBudget is what one call may wait for the record. One goroutine uses it.
+type recordBudget struct {
+	server *Server
+	begun  time.Duration // the call, on the clock since boot
+	spent  time.Duration
+}
+
+func (s *Server) newRecordBudget() *recordBudget {
+	return &recordBudget{server: s, begun: s.opts.Clock()}
+}
+
+// step bounds one step's wait. done must be called at its end.
+func (b *recordBudget) step(ctx context.Context, most time.Duration) (_ context.Context, done func()) {
+	begun := b.server.opts.Clock()
+	ctx, cancel := context.WithTimeout(ctx, min(most, b.left()))
+	return ctx, func() {
+		cancel()
+		b.spent += b.server.opts.Clock() - begun
+	}
+}
+
+func (b *recordBudget) left() time.Duration {
+	left := maxRecordWait - max(b.spent, b.server.opts.Ledger.Outage())
+	if age := b.server.opts.Clock() - b.begun; age <= shortCallAge {
+		left = min(left, shortCallAge-age)
+	}
+	return max(left, minRecordWait)
+}
+
+// checkOutage ends the calls that wait for an upstream while no call may wait for the record any
+// more: their answers could not be recorded.
+func (s *Server) checkOutage() {
+	if s.opts.Ledger.Outage() >= maxRecordWait {
+		s.attempts.stopUnwritten()
+	}
+}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -41,6 +41,7 @@
 	repeatable bool
 	key        recordKey
 	turn       *turn
+	budget     *recordBudget
 	notRun     refusal.NotRun
 	avoid      []string
 }
@@ -124,6 +125,7 @@
 		repeatable: repeatable,
 		key:        key,
 		notRun:     refusal.True,
+		budget:     s.newRecordBudget(),
 	}, nil
 }
 
@@ -191,7 +193,7 @@
 	ledgerCall := call.key.call(call.caller.account, program.KindService)
 	ledgerCall.RequestHash = program.HashRequest([]byte(call.service.ID), []byte(call.method), []byte(call.path), call.body)
 	ledgerCall.Repeatable = call.repeatable
-	turn, begun, refused := s.begin(ctx, ledgerCall, "")
+	turn, begun, refused := s.begin(ctx, call.budget, ledgerCall, "")
 	if refused != nil {
 		return nil, refused
 	}
@@ -224,6 +226,7 @@
 }
 
 func (s *Server) attemptService(ctx context.Context, call *serviceCall) (_ *serviceAnswer, refused *refusal.Refusal, retry again) {
+	call.turn.await()
 	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
 	if refused != nil {
 		return nil, refused, never
@@ -238,16 +241,12 @@
 	}
 	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
-	if call.caller.account != nil {
-		if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
-			return nil, withNotRun(asRefusal(err), call.notRun), never
-		}
-	}
-	if !call.turn.mayWrite() {
-		return nil, withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
+	mayWrite, refused := s.spend(ctx, call.caller, call.id, call.turn)
+	if refused != nil {
+		return nil, withNotRun(refused, call.notRun), never
 	}
 	begun := s.opts.Clock()
-	a, err := s.send(ctx, call, grant)
+	a, err := s.send(ctx, call, grant, mayWrite)
 	end = s.judgeService(grant, err)
 	if err != nil {
 		outcome = failedOutcome(ctx, err)
@@ -274,7 +273,7 @@
 }
 
 // send makes one attempt and reads the whole answer.
-func (s *Server) send(ctx context.Context, call *serviceCall, grant *dispatch.Grant) (*serviceAnswer, error) {
+func (s *Server) send(ctx context.Context, call *serviceCall, grant *dispatch.Grant, mayWrite func() bool) (*serviceAnswer, error) {
 	req, err := http.NewRequestWithContext(ctx, call.method, "http://"+grant.Address+call.path, bytes.NewReader(call.body))
 	if err != nil {
 		return nil, &upstream.CallError{Cause: err}
@@ -284,7 +283,7 @@
 	if req.Header.Get(wire.HeaderIdempotency) == "" {
 		req.Header.Set(wire.HeaderIdempotency, call.id)
 	}
-	resp, err := s.opts.Caller.Do(req)
+	resp, err := s.opts.Caller.Do(req, mayWrite)
 	if err != nil {
 		return nil, err
 	}
@@ -305,6 +304,9 @@
 var errAnswerTooLarge = errors.New("the answer is larger than 8 MiB")
 
 func serviceFailure(ctx context.Context, call *serviceCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
+	if errors.Is(err, upstream.ErrTooLate) {
+		return withNotRun(tooLate(), call.notRun), afterUnsent
+	}
 	call.avoid = append(call.avoid, grant.Upstream)
 	var unsent *upstream.CallError
 	if errors.As(err, &unsent) && !unsent.Written {
