--- a/internal/demo/bench_test.go
+++ b/internal/demo/bench_test.go
@@ -51,11 +51,16 @@
 	if bin == "" {
 		b.Skip("set " + binVariable + " to the folder of the programs")
 	}
+	b.Run("plain", func(b *testing.B) { benchmarkAtRest(b, bin, false) })
+	b.Run("TLS", func(b *testing.B) { benchmarkAtRest(b, bin, true) })
+}
+
+func benchmarkAtRest(b *testing.B, bin string, protected bool) {
 	ctx, cancel := context.WithTimeout(b.Context(), 2*time.Minute)
 	defer cancel()
 	d := &demo{opts: Options{Bin: bin, Out: io.Discard}, dir: b.TempDir()}
 	var err error
-	d.fleet, err = harness.New(harness.Options{Bin: bin, Dir: d.dir, Zones: zones})
+	d.fleet, err = harness.New(harness.Options{Bin: bin, Dir: d.dir, Zones: zones, Protected: protected})
 	require.NoError(b, err)
 	defer d.fleet.Stop(stopLimit)
 	require.NoError(b, d.start(ctx))
