--- a/internal/admin/api/api.go
+++ b/internal/admin/api/api.go
@@ -108,6 +108,8 @@
 	Programs []Program `json:"programs"`
 	// Total counts all that match, also those above the limit.
 	Total int `json:"total"`
+	// Silent names the program groups that did not answer, whose programs are not listed.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // Program is one program, without its history.
--- a/internal/ctl/show.go
+++ b/internal/ctl/show.go
@@ -128,6 +128,9 @@
 	}
 	c.tool.table(rows)
 	fmt.Fprintf(c.tool.Out, "%d of %d programs\n", len(answer.Programs), answer.Total)
+	if len(answer.Silent) > 0 {
+		fmt.Fprintf(c.tool.Out, "not listed, for lack of an answer, are the programs of: %s\n", list(answer.Silent))
+	}
 }
 
 // upstreamsCommand lists upstreams.
--- a/internal/daemon/backend.go
+++ b/internal/daemon/backend.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -172,10 +173,15 @@
 func (b *backend) listAccount(ctx context.Context, account string, limit int, list *api.Programs) error {
 	after := ""
 	for {
-		page, err := b.daemon.ledger.List(ctx, program.ListQuery{Account: account, After: after})
+		page, err := b.daemon.programs.List(ctx, program.ListQuery{Account: account, After: after})
 		if err != nil {
 			return err
 		}
+		for _, home := range page.Silent {
+			if !slices.Contains(list.Silent, home) {
+				list.Silent = append(list.Silent, home)
+			}
+		}
 		for _, p := range page.Programs {
 			list.Total++
 			if len(list.Programs) < limit {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -39,7 +39,8 @@
 	host       *dispatch.Host
 	dispatcher *dispatch.Client
 	gateway    *gateway.Server
-	ledger     *program.Ledger
+	homes      []programHome
+	programs   *program.Shards
 	caller     *upstream.Caller
 	suspects   *suspect.Guard
 	listeners  listeners
@@ -102,13 +103,16 @@
 }
 
 func (d *Daemon) build() error {
+	if err := d.buildHomes(); err != nil {
+		return err
+	}
 	d.buildNetwork()
 	if err := d.buildReplicas(); err != nil {
 		return err
 	}
 	d.buildFleet()
 	d.buildDispatch()
-	d.buildLedger()
+	d.buildPrograms()
 	d.caller = upstream.NewCaller()
 	d.suspects = suspect.NewGuard(suspect.Options{
 		VM:      d.settings.VM,
@@ -124,7 +128,7 @@
 		Limiter:    d.fleet,
 		Dispatcher: d.dispatcher,
 		Caller:     d.caller,
-		Ledger:     d.ledger,
+		Ledger:     d.programs,
 		Suspects:   d.suspects,
 		Events:     d.events,
 	})
@@ -139,7 +143,7 @@
 		peers[p.VM] = p.Address
 	}
 	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events})
-	d.groups = groups.NewClient(d.node, d.controlVMs())
+	d.groups = groups.NewClient(d.node, d.controlVMs(), d.zoneVoters())
 }
 
 // controlVMs returns the VMs with the control role, this one first and those of its zone next.
@@ -179,7 +183,7 @@
 		Network:    d.node,
 		Proposer:   controlProposer{client: d.groups},
 		Rejoined: func(incarnation int64) {
-			d.ledger.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
+			d.programs.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
 		},
 		Withdrawn: func() { d.gateway.KeysWithdrawn() },
 		Events:    d.events,
@@ -279,7 +283,9 @@
 	tasks.runForever(d.dispatcher.Run)
 	tasks.runForever(d.suspects.Run)
 	tasks.runForever(d.gateway.Run)
-	tasks.runForever(d.keepPrograms)
-	tasks.runForever(d.keepReleasing)
+	for _, h := range d.homes {
+		tasks.runForever(func(ctx context.Context) { d.keepPrograms(ctx, h) })
+		tasks.runForever(func(ctx context.Context) { d.keepReleasing(ctx, h) })
+	}
 	tasks.runForever(d.keepReporting)
 }
--- a/internal/daemon/dump.go
+++ b/internal/daemon/dump.go
@@ -11,14 +11,16 @@
 
 // Dump is the state of the process.
 type Dump struct {
-	VM        string                    `json:"vm"`
-	Version   string                    `json:"version"`
-	Fleet     fleet.Dump                `json:"fleet"`
-	Groups    map[uint64]replica.Status `json:"groups,omitempty"`
-	Dispatch  dispatch.Dump             `json:"dispatch"`
-	Pools     []dispatch.PoolSummary    `json:"pools"`
-	InFlight  int                       `json:"requests_in_flight"`
-	Connected map[string]bool           `json:"connected"`
+	VM      string                    `json:"vm"`
+	Version string                    `json:"version"`
+	Fleet   fleet.Dump                `json:"fleet"`
+	Groups  map[uint64]replica.Status `json:"groups,omitempty"`
+	// GroupNames says what the numbers of the groups stand for, those of other zones included.
+	GroupNames map[uint64]string      `json:"group_names"`
+	Dispatch   dispatch.Dump          `json:"dispatch"`
+	Pools      []dispatch.PoolSummary `json:"pools"`
+	InFlight   int                    `json:"requests_in_flight"`
+	Connected  map[string]bool        `json:"connected"`
 	// Suspects are the requests during which upstreams were lost.
 	Suspects []suspect.Record `json:"suspects,omitempty"`
 }
@@ -36,7 +38,7 @@
 	}
 	dump := Dump{
 		VM: d.settings.VM, Version: d.version, Fleet: fleetDump, Dispatch: hostDump,
-		Groups: map[uint64]replica.Status{}, Pools: d.dispatcher.Pools(),
+		Groups: map[uint64]replica.Status{}, GroupNames: d.groupNames(), Pools: d.dispatcher.Pools(),
 		InFlight: d.gateway.InFlight(), Connected: map[string]bool{}, Suspects: d.suspects.Records(),
 	}
 	for group, r := range d.replicas {
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -32,7 +32,7 @@
 	toolRoot   = "services-secret-0123"
 )
 
-// testFleet is three VMs in three zones, each with the control role, in one process.
+// testFleet is a fleet in one process.
 type testFleet struct {
 	t       testing.TB
 	daemons []*Daemon
@@ -48,7 +48,15 @@
 	return l.Addr().String()
 }
 
+// newTestFleet makes three VMs in three zones, each with the control role.
 func newTestFleet(t testing.TB) *testFleet {
+	t.Helper()
+	return newTestFleetOf(t, 3)
+}
+
+// newTestFleetOf makes VMs vm0, vm1, ...; three zones take turns, and the first VM of each has
+// the control role.
+func newTestFleetOf(t testing.TB, vms int) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	level := "warn"
@@ -56,14 +64,17 @@
 		level = "error" // a benchmark's figures stand alone on their line
 	}
 	var peers []settings.Peer
-	for i := range 3 {
-		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i), Address: freePort(t), Control: true})
+	for i := range vms {
+		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i%3), Address: freePort(t), Control: i < 3})
 	}
 	for i, p := range peers {
 		s := &settings.Settings{
-			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
+			VM: p.VM, Zone: p.Zone, Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
 			Listen: settings.Listen{Callers: freePort(t), Upstreams: freePort(t), Admin: freePort(t), Peers: peers[i].Address},
 		}
+		if p.Control {
+			s.DataFolder = t.TempDir()
+		}
 		d, err := New(s, "test")
 		require.NoError(t, err)
 		f.run(d)
@@ -104,7 +115,11 @@
 
 func (f *testFleet) apply(file config.File) {
 	f.t.Helper()
-	f.applyOn(file, 0, 1, 2)
+	vms := make([]int, len(f.daemons))
+	for vm := range vms {
+		vms[vm] = vm
+	}
+	f.applyOn(file, vms...)
 	f.waitReady()
 }
 
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -8,7 +8,6 @@
 
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
-	"egretramp/internal/groups"
 	"egretramp/internal/program"
 	"egretramp/internal/upstream"
 )
@@ -28,10 +27,11 @@
 
 // keepReleasing releases the engine memory that the record names, wherever this VM leads the
 // program group, until ctx ends.
-func (d *Daemon) keepReleasing(ctx context.Context) {
+func (d *Daemon) keepReleasing(ctx context.Context, h programHome) {
+	releaser := &releaser{Daemon: d, ledger: d.programs.Ledgers()[h.home]}
 	repeat(ctx, releaseInterval, func(ctx context.Context) {
-		if d.leads(groups.Program) {
-			d.releaseMemory(ctx)
+		if d.leads(h.group) {
+			releaser.releaseMemory(ctx)
 		}
 	})
 }
@@ -42,27 +42,33 @@
 	repeat(ctx, reportInterval, d.reportMemory)
 }
 
+// releaser releases the engine memory that one program group gives up.
+type releaser struct {
+	*Daemon
+	ledger *program.Ledger
+}
+
 // releaseMemory releases the sessions that are pending, all engines at once.
-func (d *Daemon) releaseMemory(ctx context.Context) {
+func (r *releaser) releaseMemory(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, memoryTimeout)
 	defer cancel()
-	pending, err := d.ledger.PendingReleases(ctx, program.ReleasesQuery{})
+	pending, err := r.ledger.PendingReleases(ctx, program.ReleasesQuery{})
 	if err != nil || len(pending) == 0 {
 		return
 	}
-	engines := d.engines(ctx)
+	engines := r.engines(ctx)
 	byEngine := map[string][]program.Release{}
-	for _, r := range pending {
-		byEngine[r.Engine] = append(byEngine[r.Engine], r)
+	for _, p := range pending {
+		byEngine[p.Engine] = append(byEngine[p.Engine], p)
 	}
 	if len(pending) >= program.MaxListed {
 		// The first page may be of a few engines that do not answer.
-		byEngine = d.pendingOf(ctx, engines)
+		byEngine = r.pendingOf(ctx, engines)
 	}
 	calls := pool.New().WithMaxGoroutines(memoryCalls)
 	for name, releases := range byEngine {
 		if l, ok := engines[name]; ok {
-			calls.Go(func() { d.releaseAt(ctx, l, releases) })
+			calls.Go(func() { r.releaseAt(ctx, l, releases) })
 		}
 		// Else its dispatcher may just have changed; a process that is gone for good is noticed
 		// by its next incarnation.
@@ -71,10 +77,10 @@
 }
 
 // pendingOf asks for each engine's pending releases.
-func (d *Daemon) pendingOf(ctx context.Context, engines map[string]dispatch.Listed) map[string][]program.Release {
+func (r *releaser) pendingOf(ctx context.Context, engines map[string]dispatch.Listed) map[string][]program.Release {
 	byEngine := map[string][]program.Release{}
 	for name := range engines {
-		pending, err := d.ledger.PendingReleases(ctx, program.ReleasesQuery{Engine: name})
+		pending, err := r.ledger.PendingReleases(ctx, program.ReleasesQuery{Engine: name})
 		if err == nil && len(pending) > 0 {
 			byEngine[name] = pending
 		}
@@ -83,17 +89,17 @@
 }
 
 // releaseAt releases sessions of one engine until one fails; the rest comes in the next round.
-func (d *Daemon) releaseAt(ctx context.Context, l dispatch.Listed, releases []program.Release) {
-	for _, r := range releases {
-		if l.Record.Incarnation > r.EngineIncarnation {
-			_ = d.ledger.EngineGone(ctx, program.EngineGone{Engine: r.Engine, EngineIncarnation: r.EngineIncarnation})
+func (r *releaser) releaseAt(ctx context.Context, l dispatch.Listed, releases []program.Release) {
+	for _, p := range releases {
+		if l.Record.Incarnation > p.EngineIncarnation {
+			_ = r.ledger.EngineGone(ctx, program.EngineGone{Engine: p.Engine, EngineIncarnation: p.EngineIncarnation})
 			return
 		}
-		if !d.caller.ReleaseSession(ctx, l.Record.Address, r.Session) {
+		if !r.caller.ReleaseSession(ctx, l.Record.Address, p.Session) {
 			return
 		}
-		_ = d.ledger.ReleaseDone(ctx, program.ReleaseDone{
-			Engine: r.Engine, EngineIncarnation: r.EngineIncarnation, Session: r.Session,
+		_ = r.ledger.ReleaseDone(ctx, program.ReleaseDone{
+			Engine: p.Engine, EngineIncarnation: p.EngineIncarnation, Session: p.Session,
 		})
 	}
 }
@@ -135,5 +141,5 @@
 	for _, s := range sessions {
 		report.Sessions = append(report.Sessions, s.Session)
 	}
-	_ = d.ledger.Report(ctx, report)
+	_ = d.programs.Report(ctx, report)
 }
--- a/internal/daemon/programs.go
+++ b/internal/daemon/programs.go
@@ -10,29 +10,37 @@
 	"egretramp/internal/program"
 )
 
-func (d *Daemon) buildLedger() {
-	d.ledger = program.NewLedger(program.LedgerOptions{
-		Proposer: programGroup{client: d.groups},
-		Reader:   programGroup{client: d.groups},
-		Owner:    program.Owner{VM: d.settings.VM, Incarnation: d.incarnation},
-		Events:   d.events,
-	})
+func (d *Daemon) buildPrograms() {
+	var ledgers []*program.Ledger
+	for _, h := range d.homes {
+		g := programGroup{client: d.groups, group: h.group}
+		ledgers = append(ledgers, program.NewLedger(program.LedgerOptions{
+			Proposer: g,
+			Reader:   g,
+			Home:     h.home,
+			InSight:  func() bool { return d.inSight(h) },
+			Owner:    program.Owner{VM: d.settings.VM, Incarnation: d.incarnation},
+			Events:   d.events,
+		}))
+	}
+	d.programs = program.NewShards(program.Home(d.settings.Zone), ledgers...)
 }
 
-// programGroup is the program group as package program sees it.
+// programGroup is a program group as package program sees it.
 type programGroup struct {
 	client *groups.Client
+	group  uint64
 }
 
 // Propose brings a command into the group's log.
 func (g programGroup) Propose(ctx context.Context, data []byte) ([]byte, error) {
-	answer, err := g.client.Propose(ctx, groups.Program, data)
+	answer, err := g.client.Propose(ctx, g.group, data)
 	return answer, programError(err)
 }
 
 // Read answers a query from the group's leader.
 func (g programGroup) Read(ctx context.Context, query []byte) ([]byte, error) {
-	answer, err := g.client.Query(ctx, groups.Program, query)
+	answer, err := g.client.Query(ctx, g.group, query)
 	return answer, programError(err)
 }
 
@@ -43,18 +51,20 @@
 	return err
 }
 
-// programKeeper does what the program group needs done at intervals.
+// programKeeper does what one program group needs done at intervals.
 type programKeeper struct {
 	daemon *Daemon
+	home   programHome
+	ledger *program.Ledger
 	// fenced says that the attempts of this VM's earlier starts are fenced.
 	fenced bool
 	// members are the VMs that were registered at the last look.
 	members map[string]control.VM
 }
 
-// keepPrograms drives the program group until ctx ends.
-func (d *Daemon) keepPrograms(ctx context.Context) {
-	k := &programKeeper{daemon: d, members: map[string]control.VM{}}
+// keepPrograms drives a program group until ctx ends.
+func (d *Daemon) keepPrograms(ctx context.Context, h programHome) {
+	k := &programKeeper{daemon: d, home: h, ledger: d.programs.Ledgers()[h.home], members: map[string]control.VM{}}
 	repeat(ctx, program.TickEvery, k.round)
 }
 
@@ -65,11 +75,11 @@
 	d := k.daemon
 	if !k.fenced {
 		earlier := program.Owner{VM: d.settings.VM, Incarnation: d.incarnation - 1}
-		k.fenced = d.ledger.OwnerLost(ctx, earlier) == nil
+		k.fenced = k.ledger.OwnerLost(ctx, earlier) == nil
 	}
-	_ = d.ledger.Flush(ctx)
-	if d.leads(groups.Program) {
-		_, _ = d.ledger.Tick(ctx)
+	_ = k.ledger.Flush(ctx)
+	if d.leads(k.home.group) {
+		_, _ = k.ledger.Tick(ctx)
 		k.fenceRemoved(ctx)
 	}
 }
@@ -95,7 +105,7 @@
 			continue
 		}
 		owner := program.Owner{VM: name, Incarnation: vm.Incarnation}
-		if k.daemon.ledger.OwnerLost(ctx, owner) != nil {
+		if k.ledger.OwnerLost(ctx, owner) != nil {
 			now[name] = vm // again in the next round
 		}
 	}
--- a/internal/daemon/replicas.go
+++ b/internal/daemon/replicas.go
@@ -27,12 +27,17 @@
 		groups.Control: &spreading{Machine: control.New(), offer: func(delta control.Delta) { d.fleet.Offer(delta) }},
 		groups.Program: program.New(program.DefaultLimits()),
 	}
+	initial := map[uint64][]string{groups.Control: d.controlVMs(), groups.Program: d.controlVMs()}
+	if own, ok := d.ownHome(); ok {
+		machines[own.group] = program.NewForZone(own.home, program.DefaultLimits())
+		initial[own.group] = own.voters
+	}
 	for group, machine := range machines {
 		r, err := replica.New(replica.Options{
 			Group:      group,
 			VM:         d.settings.VM,
 			Folder:     d.settings.DataFolder,
-			InitialVMs: d.controlVMs(),
+			InitialVMs: initial[group],
 			Machine:    machine,
 			// This VM acts under each configuration and withdrawal as it is applied. A start
 			// must not bring it back to an older one.
--- /dev/null
+++ b/internal/daemon/zones_test.go
@@ -0,0 +1,161 @@
+package daemon
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/fakes"
+)
+
+// cutOffZone separates the VMs of a zone from all others, both ways.
+func (f *testFleet) cutOffZone(zone string) {
+	for _, d := range f.daemons {
+		d.node.Cut(f.beyond(d, zone))
+	}
+}
+
+// beyond returns the VMs on the other side of a cut around a zone.
+func (f *testFleet) beyond(d *Daemon, zone string) []string {
+	var vms []string
+	for _, other := range f.daemons {
+		if (other.settings.Zone == zone) != (d.settings.Zone == zone) {
+			vms = append(vms, other.settings.VM)
+		}
+	}
+	return vms
+}
+
+// restart stops a VM and starts it again behind the same cut.
+func (f *testFleet) restart(vm int, cut []string) {
+	f.t.Helper()
+	f.stops[vm]()
+	<-f.ended[vm]
+	d, err := New(f.daemons[vm].settings, "test")
+	require.NoError(f.t, err)
+	d.node.Cut(cut)
+	f.run(d)
+	last := len(f.daemons) - 1
+	f.daemons[vm], f.stops[vm], f.ended[vm] = f.daemons[last], f.stops[last], f.ended[last]
+	f.daemons, f.stops, f.ended = f.daemons[:last], f.stops[:last], f.ended[:last]
+}
+
+// createdProgram is the answer to the creation or reading of a program.
+type createdProgram struct {
+	ID         string `json:"id"`
+	Home       string `json:"home"`
+	NextTurn   int    `json:"next_turn"`
+	TokensUsed int64  `json:"tokens_used"`
+	CallsUsed  int64  `json:"calls_used"`
+	State      string `json:"state"`
+}
+
+func (r reply) program(t testing.TB) createdProgram {
+	t.Helper()
+	require.Equal(t, http.StatusOK, r.status, r.body)
+	var p createdProgram
+	require.NoError(t, json.Unmarshal([]byte(r.body), &p))
+	return p
+}
+
+func (f *testFleet) create(vm int, body string) reply {
+	return f.send(vm, http.MethodPost, "/v1/programs", keyAna, body)
+}
+
+func (f *testFleet) chatTurn(vm int, id string, turn int) reply {
+	body := chatBody(f.t, []fakes.Message{user(fmt.Sprintf("turn %d", turn))}, false)
+	return f.send(vm, http.MethodPost, "/v1/programs/"+id+"/turns", keyAna, body, headerTurn, fmt.Sprint(turn))
+}
+
+func (f *testFleet) deposit(vm int, id string, turn int) reply {
+	return f.send(vm, http.MethodPost, "/v1/services/deposit/charge", keyAna, fmt.Sprintf(`{"for":%q,"turn":%d}`, id, turn),
+		headerProgram, id, headerTurn, fmt.Sprint(turn))
+}
+
+// TestFleet_ProgramsInAZoneThatIsCutOff runs new programs in a zone that is cut off, over a
+// restart of its one control VM, beside a program of the same name on the other side.
+func TestFleet_ProgramsInAZoneThatIsCutOff(t *testing.T) {
+	f := newTestFleetOf(t, 9) // vm2 with the data folder, vm5 and vm8 are in zone2
+	file := baseFile(1)
+	file.CutoffLimitSeconds = 3600
+	f.apply(file)
+	f.engine("engine-0", "zone0")
+	f.engine("engine-2", "zone2")
+	near := f.service("deposit-0", "zone0", "deposit")
+	far := f.service("deposit-2", "zone2", "deposit")
+	f.waitPools(4)
+	old := f.create(5, `{"name":"old"}`).program(t)
+	require.Equal(t, "majority", old.Home)
+	require.Equal(t, http.StatusOK, f.deposit(5, "old", 1).status)
+
+	f.cutOffZone("zone2")
+	f.eventually("the zone still sees the majority", func() bool { return !f.daemons[5].inSight(f.daemons[5].homes[0]) })
+	t.Run("MajorityProgramIsRefusedAtOnce", func(t *testing.T) {
+		begun := time.Now()
+		r := f.deposit(5, "old", 2)
+		require.Less(t, time.Since(begun), time.Second)
+		code, notRun := r.refusal(t)
+		require.Equal(t, "programs_unavailable", code)
+		require.Equal(t, "unknown", notRun, "the turn may have run through another VM")
+		require.NotEmpty(t, r.header.Get("Retry-After"))
+		r = f.send(5, http.MethodPost, "/v1/services/deposit/charge", keyAna, "{}", headerProgram, "old")
+		code, notRun = r.refusal(t)
+		require.Equal(t, []string{"programs_unavailable", "true"}, []string{code, notRun})
+		r = f.send(5, http.MethodPost, "/v1/services/deposit/charge", keyAna, "{}", "Idempotency-Key", "plain")
+		code, _ = r.refusal(t)
+		require.Equal(t, "programs_unavailable", code, "a key may have run on the other side")
+	})
+	inZone := f.create(5, `{"name":"quote","home":"any"}`).program(t)
+	require.Equal(t, "zone:zone2", inZone.Home)
+	require.Equal(t, inZone, f.create(8, `{"name":"quote","home":"any"}`).program(t), "created again, it is the same")
+	f.succeeds("a chat turn in the zone", func() reply { return f.chatTurn(5, inZone.ID, 1) })
+	charged := f.succeeds("a deposit in the zone", func() reply { return f.deposit(8, inZone.ID, 2) })
+
+	outside := f.create(0, `{"name":"quote"}`).program(t)
+	require.Equal(t, "quote", outside.ID)
+	f.succeeds("a deposit on the other side", func() reply { return f.deposit(1, "quote", 1) })
+
+	f.restart(2, f.beyond(f.daemons[2], "zone2"))
+	f.succeeds("a chat turn after the restart", func() reply { return f.chatTurn(8, inZone.ID, 3) })
+	again := f.deposit(5, inZone.ID, 2)
+	require.Equal(t, charged.body, again.body, "answered from the record")
+
+	f.heal()
+	f.waitReady()
+	for vm := range f.daemons {
+		for _, p := range []struct {
+			id   string
+			kept int
+		}{{"old", 1}, {"quote", 1}, {inZone.ID, 3}} {
+			f.succeeds(f.daemons[vm].settings.VM+" goes on with "+p.id, func() reply { return f.deposit(vm, p.id, p.kept+vm+1) })
+		}
+	}
+	for _, id := range []string{"old", "quote"} {
+		require.Equal(t, 1+len(f.daemons)+1, f.read(4, id).NextTurn)
+	}
+	require.Equal(t, 3+len(f.daemons)+1, f.read(4, inZone.ID).NextTurn)
+	require.Len(t, append(near.Runs(), far.Runs()...), 1+1+1+3*len(f.daemons), "each deposit ran once")
+	require.Equal(t, "ended", f.send(1, http.MethodPost, "/v1/programs/"+inZone.ID+"/end", keyAna, "").program(t).State)
+}
+
+// succeeds sends a call again until it succeeds. Each refusal on the way must allow that.
+func (f *testFleet) succeeds(what string, send func() reply) reply {
+	f.t.Helper()
+	var r reply
+	for until := time.Now().Add(waitLimit); time.Now().Before(until); time.Sleep(50 * time.Millisecond) {
+		if r = send(); r.status == http.StatusOK {
+			return r
+		}
+		require.NotEmpty(f.t, r.header.Get("Retry-After"), "%s: %s", what, r.body)
+	}
+	require.Fail(f.t, what, r.body)
+	return r
+}
+
+func (f *testFleet) read(vm int, id string) createdProgram {
+	return f.send(vm, http.MethodGet, "/v1/programs/"+id, keyAna, "").program(f.t)
+}
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -106,8 +106,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	lost, err := s.opts.Ledger.Renew(ctx, ids)
-	if err == nil {
-		s.attempts.renewed(ids, sentAt, lost)
-	}
+	renewed, lost := s.opts.Ledger.Renew(ctx, ids)
+	s.attempts.renewed(renewed, sentAt, lost)
 }
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -19,12 +20,36 @@
 	Tokens     int64  `json:"tokens"`
 	Calls      int64  `json:"calls"`
 	DeadlineMS int64  `json:"deadline_ms"` // Unix milliseconds
+	// Home says where the program may live. Default: its parent's home; for a program without
+	// name, which is new for certain, any; else the majority group.
+	Home program.Placement `json:"home"`
+}
+
+// place completes the request: a program without a name gets one.
+func (c *createRequest) place() *refusal.Refusal {
+	if c.Name == "" {
+		c.Name = newID()
+		c.Home = cmp.Or(c.Home, program.PlaceAny)
+	}
+	if c.Parent == "" {
+		c.Home = cmp.Or(c.Home, program.PlaceMajority)
+	}
+	switch c.Home {
+	case "", program.PlaceMajority, program.PlaceZone, program.PlaceAny:
+	default:
+		return badRequest("bad_field", "home must be majority, zone or any")
+	}
+	if len(c.Name) > maxKeyBytes {
+		return badRequest("bad_field", "name has at most 200 bytes")
+	}
+	return nil
 }
 
 // programBody is a program as callers see it.
 type programBody struct {
 	ID           string            `json:"id"`
 	Object       string            `json:"object"`
+	Home         string            `json:"home"`
 	Parent       string            `json:"parent,omitempty"`
 	SubAgents    []string          `json:"sub_agents,omitempty"`
 	State        program.State     `json:"state"`
@@ -52,6 +77,8 @@
 	Object string           `json:"object"`
 	Data   []programSummary `json:"data"`
 	More   bool             `json:"has_more"`
+	// Silent names the homes that did not answer, whose programs are not listed.
+	Silent []string `json:"homes_without_answer,omitempty"`
 }
 
 type programSummary struct {
@@ -65,7 +92,7 @@
 
 func bodyOf(v *program.View) programBody {
 	b := programBody{
-		ID: v.Name, Object: "program", Parent: v.Parent, SubAgents: v.Children, State: v.State, NextTurn: v.NextTurn,
+		ID: v.Name, Object: "program", Home: program.HomeOf(v.Name).String(), Parent: v.Parent, SubAgents: v.Children, State: v.State, NextTurn: v.NextTurn,
 		TokensLimit: v.Limit.Tokens, TokensUsed: v.Used.Tokens, CallsLimit: v.Limit.Calls, CallsUsed: v.Used.Calls,
 		DeadlineMS: v.DeadlineMS, MessageCount: v.RecordedMessages, CreatedMS: v.CreatedMS, LastActiveMS: v.ActiveMS,
 	}
@@ -107,11 +134,11 @@
 	}
 	var request createRequest
 	if err := json.Unmarshal(body, &request); err != nil {
-		s.refuse(w, badRequest("bad_json", "the body must be a JSON object with name, parent, tokens, calls and deadline_ms"))
+		s.refuse(w, badRequest("bad_json", "the body must be a JSON object with name, home, parent, tokens, calls and deadline_ms"))
 		return
 	}
-	if request.Name == "" || len(request.Name) > maxKeyBytes {
-		s.refuse(w, badRequest("bad_field", "name must have 1 to 200 bytes"))
+	if refused := request.place(); refused != nil {
+		s.refuse(w, refused)
 		return
 	}
 	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
@@ -119,7 +146,7 @@
 			Account: c.account.ID, Name: request.Name, Parent: request.Parent,
 			Budget:  program.Budget{Tokens: request.Tokens, Calls: request.Calls},
 			Ceiling: ceiling(c.account), DeadlineMS: request.DeadlineMS,
-		})
+		}, request.Home)
 	})
 }
 
@@ -178,7 +205,7 @@
 		s.refuse(w, program.Refusal(err))
 		return
 	}
-	list := programListBody{Object: "list", Data: []programSummary{}, More: page.More}
+	list := programListBody{Object: "list", Data: []programSummary{}, More: page.More, Silent: page.Silent}
 	for _, p := range page.Programs {
 		list.Data = append(list.Data, programSummary{
 			ID: p.Name, Parent: p.Parent, State: p.State, NextTurn: p.NextTurn, TokensUsed: p.Used.Tokens, CallsUsed: p.Used.Calls,
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -93,7 +93,7 @@
 
 // testLedger is a record over a real state machine, without replication.
 type testLedger struct {
-	*program.Ledger
+	*program.Shards
 	mu      sync.Mutex
 	machine *program.Machine
 	index   uint64
@@ -104,7 +104,8 @@
 func newTestLedger() *testLedger {
 	l := &testLedger{machine: program.New(program.DefaultLimits())}
 	l.machine.EnableChecks()
-	l.Ledger = program.NewLedger(program.LedgerOptions{Proposer: l, Owner: program.Owner{VM: "vm", Incarnation: 1}})
+	l.Shards = program.NewShards(program.MajorityHome,
+		program.NewLedger(program.LedgerOptions{Proposer: l, Owner: program.Owner{VM: "vm", Incarnation: 1}}))
 	return l
 }
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -14,14 +14,14 @@
 	"egretramp/internal/refusal"
 )
 
-// Ledger keeps the record of programs; *program.Ledger is one.
+// Ledger keeps the record of programs; *program.Shards is one.
 type Ledger interface {
-	Create(ctx context.Context, c program.Create) (*program.View, error)
+	Create(ctx context.Context, c program.Create, placement program.Placement) (*program.View, error)
 	Begin(ctx context.Context, call program.Call) (*program.Turn, error)
 	Revoke(ctx context.Context, c program.Revoke) (mayHaveRun bool, err error)
 	Complete(ctx context.Context, c program.Complete) (*program.SettledBudget, error)
 	Fail(ctx context.Context, c program.Fail) error
-	Renew(ctx context.Context, attempts []string) (lost []string, err error)
+	Renew(ctx context.Context, attempts []string) (renewed, lost []string)
 	End(ctx context.Context, c program.End) (*program.View, error)
 	Read(ctx context.Context, q program.ProgramQuery) (*program.View, error)
 	List(ctx context.Context, q program.ListQuery) (*program.ListPage, error)
@@ -60,7 +60,7 @@
 // readRecordKey reads the headers that place a call within a program.
 func readRecordKey(h http.Header) (recordKey, *refusal.Refusal) {
 	k := recordKey{program: h.Get(headerProgram), idempotency: h.Get("Idempotency-Key")}
-	if len(k.program) > maxKeyBytes || len(k.idempotency) > maxKeyBytes {
+	if !program.NameFits(k.program, maxKeyBytes) || len(k.idempotency) > maxKeyBytes {
 		return k, badRequest("bad_header", "the program's name and the idempotency key have at most 200 bytes")
 	}
 	if text := h.Get(headerTurn); text != "" {
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -14,14 +14,16 @@
 type Client struct {
 	network    Network
 	controlVMs []string
+	zoneVoters map[uint64][]string
 
 	mu      sync.Mutex
 	leaders map[uint64]string
 }
 
-// NewClient returns a client; controlVMs have the replicas, the nearest first.
-func NewClient(network Network, controlVMs []string) *Client {
-	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}}
+// NewClient returns a client; controlVMs have the replicas, the nearest first, but for the
+// groups that zoneVoters names.
+func NewClient(network Network, controlVMs []string, zoneVoters map[uint64][]string) *Client {
+	return &Client{network: network, controlVMs: controlVMs, zoneVoters: zoneVoters, leaders: map[uint64]string{}}
 }
 
 // ControlVMs returns the VMs that have replicas.
@@ -104,6 +106,9 @@
 	if leader := c.leaders[group]; leader != "" {
 		all = append(all, leader)
 	}
+	if voters, ok := c.zoneVoters[group]; ok {
+		return append(all, voters...)
+	}
 	return append(all, c.controlVMs...)
 }
 
--- a/internal/groups/client_test.go
+++ b/internal/groups/client_test.go
@@ -28,7 +28,7 @@
 		"a1": &peer.UnreachableError{},
 		"b1": &peer.RemoteError{Code: codeNotLeader, Message: "d1"},
 	}}
-	c := NewClient(network, []string{"a1", "b1", "c1"})
+	c := NewClient(network, []string{"a1", "b1", "c1"}, nil)
 	for range 2 {
 		answer, err := c.Propose(context.Background(), Control, nil)
 		require.NoError(t, err)
@@ -39,7 +39,7 @@
 
 func TestClient_UnknownOutcomeIsNotTriedElsewhere(t *testing.T) {
 	network := &fakeNetwork{errors: map[string]error{"a1": &peer.LostError{VM: "a1", Cause: context.DeadlineExceeded}}}
-	c := NewClient(network, []string{"a1", "b1"})
+	c := NewClient(network, []string{"a1", "b1"}, nil)
 	_, err := c.Propose(context.Background(), Control, nil)
 	require.True(t, errors.Is(err, ErrUnknownOutcome), err)
 	require.Equal(t, []string{"a1"}, network.asked)
@@ -52,7 +52,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	cancel()
 	network := &fakeNetwork{}
-	_, err := NewClient(network, []string{"a1"}).Propose(ctx, Control, nil)
+	_, err := NewClient(network, []string{"a1"}, nil).Propose(ctx, Control, nil)
 	require.True(t, errors.Is(err, ErrNotProposed), err)
 	require.Empty(t, network.asked)
 }
--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"encoding/json"
+	"hash/fnv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -15,12 +16,23 @@
 	"egretramp/internal/replica"
 )
 
-// The groups.
+// The groups over all control VMs.
 const (
 	Control uint64 = 1
 	Program uint64 = 2
 )
 
+// zoneBase is below the numbers of all zones' groups.
+const zoneBase uint64 = 1 << 32
+
+// Zone returns the number of the program group of a zone's own control VMs. It depends on the
+// zone's name alone, so that a zone which comes or goes changes no other one's number.
+func Zone(zone string) uint64 {
+	hash := fnv.New32a()
+	hash.Write([]byte(zone))
+	return zoneBase + uint64(hash.Sum32())
+}
+
 // Methods and kinds of messages between VMs.
 const (
 	MethodPropose = "group.propose"
--- a/internal/program/begin.go
+++ b/internal/program/begin.go
@@ -34,7 +34,7 @@
 func (m *Machine) refuseEarly(c *Begin, res *Result) *Result {
 	p := m.program(c.Account, c.Program)
 	if p == nil {
-		res.MayHaveRun = m.accounts[c.Account] != nil && m.accounts[c.Account].forgot
+		res.MayHaveRun = m.noProgram(c.Account, c.Program).MayHaveRun
 		return res
 	}
 	run := p.next.running
@@ -45,7 +45,7 @@
 
 // implicit makes the program that a first call asks for.
 func (m *Machine) implicit(c *Begin, timeMS int64) (*program, *Result) {
-	if c.Implicit == nil {
+	if c.Implicit == nil || m.home != MajorityHome || HomeOf(c.Program) != MajorityHome {
 		return nil, m.noProgram(c.Account, c.Program)
 	}
 	if m.stale(timeMS) {
--- a/internal/program/calls.go
+++ b/internal/program/calls.go
@@ -142,7 +142,9 @@
 // begin proposes a Begin under a new attempt. If its outcome stays unknown, or if it was
 // refused while a copy of it may still arrive, the attempt waits for its revocation.
 func (l *Ledger) begin(ctx context.Context, cmd *Begin) (*Result, error) {
-	cmd.Attempt = l.opts.NewAttempt()
+	cmd.Attempt = l.opts.Home.tagged(l.opts.NewAttempt())
+	ctx, cancel := l.hurry(ctx)
+	defer cancel()
 	res, err := l.propose(ctx, &Envelope{Begin: cmd})
 	var unavailable *UnavailableError
 	var refused *RefusedError
--- a/internal/program/commands.go
+++ b/internal/program/commands.go
@@ -42,6 +42,8 @@
 	Ceiling Budget `json:"ceiling"`
 	// DeadlineMS ends the program. Unix milliseconds; 0: none of its own.
 	DeadlineMS int64 `json:"deadline_ms,omitempty"`
+	// Token is random, and set in commands for a zone's group only; see Machine.
+	Token string `json:"token,omitempty"`
 }
 
 // Kind is what a turn calls.
--- a/internal/program/errors.go
+++ b/internal/program/errors.go
@@ -75,6 +75,7 @@
 	CodeOwnerFenced:     http.StatusServiceUnavailable,
 	CodeStale:           http.StatusServiceUnavailable,
 	CodeBadCommand:      http.StatusBadRequest,
+	CodeNoZoneGroup:     http.StatusConflict,
 }
 
 // Refusal turns an error of a Ledger method into the answer to the caller. It speaks of calls
--- a/internal/program/invariants.go
+++ b/internal/program/invariants.go
@@ -54,6 +54,9 @@
 			if p.account != id || p.name != name {
 				return errors.Newf("%s is kept as %s/%s", p.path(), id, name)
 			}
+			if m.home != MajorityHome && (HomeOf(name) != m.home || m.isOfLostGroup(name)) {
+				return errors.Newf("%s is not of this group", p.path())
+			}
 			if err := m.checkProgram(p); err != nil {
 				return errors.Wrap(err, p.path())
 			}
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -34,6 +34,11 @@
 	Proposer Proposer
 	// Reader may be nil: queries are proposed as commands then.
 	Reader Reader
+	// Home is the group's own.
+	Home Home
+	// InSight reports whether enough of the group's VMs are connected to this one that waiting
+	// for an answer may help. Nil: always.
+	InSight func() bool
 	// Owner is this run of this VM's process; see SetOwner.
 	Owner Owner
 	// Now returns the wall time. Default time.Now.
@@ -43,7 +48,7 @@
 	Events     *events.Logger
 }
 
-// Ledger is an entry VM's client of a program group. Its methods may be called concurrently.
+// Ledger is an entry VM's client of one program group. Its methods may be called concurrently.
 // Each blocks until the group answered or the context ended; a proposal with an unknown
 // outcome is sent again with the very same bytes. Errors are *RefusedError,
 // *UnavailableError, or plain ones for bad input.
@@ -64,6 +69,9 @@
 	// retryMin and retryMax bound the delay before a proposal is sent again.
 	retryMin = 20 * time.Millisecond
 	retryMax = 500 * time.Millisecond
+	// outOfSightWait bounds the wait for a group of which no majority is connected to this VM.
+	// It leaves time for one way through other VMs.
+	outOfSightWait = 100 * time.Millisecond
 	// maxRecorded bounds the lengths of histories that a ledger keeps.
 	maxRecorded = 50_000
 	// maxAbandoned bounds the attempts that wait for their revocation. What is beyond it is left
@@ -76,6 +84,9 @@
 	if opts.Now == nil {
 		opts.Now = time.Now
 	}
+	if opts.InSight == nil {
+		opts.InSight = func() bool { return true }
+	}
 	if opts.NewAttempt == nil {
 		opts.NewAttempt = randomAttempt
 	}
@@ -114,6 +125,11 @@
 
 // Create makes a program, or finds the one made with equal arguments.
 func (l *Ledger) Create(ctx context.Context, c Create) (*View, error) {
+	if l.opts.Home != MajorityHome {
+		c.Token = newToken()
+	}
+	ctx, cancel := l.hurry(ctx)
+	defer cancel()
 	res, err := l.propose(ctx, &Envelope{Create: &c})
 	if err != nil {
 		return nil, err
@@ -182,6 +198,8 @@
 
 // End ends a program and its sub-agents.
 func (l *Ledger) End(ctx context.Context, c End) (*View, error) {
+	ctx, cancel := l.hurry(ctx)
+	defer cancel()
 	res, err := l.propose(ctx, &Envelope{End: &c})
 	if err != nil {
 		return nil, err
@@ -263,6 +281,8 @@
 
 // query reads by the Reader, or by a command if there is none.
 func (l *Ledger) query(ctx context.Context, q *Query) (*Result, error) {
+	ctx, cancel := l.hurry(ctx)
+	defer cancel()
 	if l.opts.Reader == nil {
 		return l.propose(ctx, &Envelope{Query: q})
 	}
@@ -279,6 +299,15 @@
 	})
 }
 
+// hurry bounds the wait for a group that is out of sight, so that callers who can't be served
+// learn it at once. Commands that settle what is under way are sent without it.
+func (l *Ledger) hurry(ctx context.Context) (context.Context, context.CancelFunc) {
+	if l.opts.InSight() {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, outOfSightWait)
+}
+
 // propose sends one command until it is answered. The bytes are the same each time: the
 // machine recognises a command that it has applied by them.
 func (l *Ledger) propose(ctx context.Context, env *Envelope) (*Result, error) {
--- a/internal/program/lifecycle.go
+++ b/internal/program/lifecycle.go
@@ -10,7 +10,11 @@
 // tooManyRetry is when an account that fills its bound on programs may try again.
 const tooManyRetry = time.Minute
 
-func (m *Machine) create(c *Create, timeMS int64) *Result {
+func (m *Machine) create(asked *Create, timeMS int64) *Result {
+	c, refused := m.place(asked)
+	if refused != nil {
+		return refused
+	}
 	p := m.program(c.Account, c.Name)
 	if p != nil && p.made != *c {
 		return refuse(CodeProgramConflict, "program %q was made with other arguments", c.Name)
@@ -29,6 +33,27 @@
 	return res
 }
 
+// place returns the command as the group keeps it: a zone's group gives its programs qualified
+// names, and takes the first token that it is sent as its own.
+func (m *Machine) place(c *Create) (*Create, *Result) {
+	if (m.home == MajorityHome) != (c.Token == "") {
+		return nil, refuse(CodeBadCommand, "a token belongs to the programs of a zone's group, and to no others")
+	}
+	if m.home == MajorityHome {
+		return c, nil
+	}
+	if m.token == "" {
+		m.token = c.Token
+	}
+	placed := *c
+	placed.Token = ""
+	placed.Name = qualified{zone: m.home, token: m.token, name: c.Name}.String()
+	if err := checkNames(placed.Name); err != nil {
+		return nil, refuse(CodeBadCommand, "the name with its zone: %v", err)
+	}
+	return &placed, nil
+}
+
 // make adds a program to the state, or says why not.
 func (m *Machine) make(c *Create, oneCall bool) (*program, *Result) {
 	if c.DeadlineMS > 0 && c.DeadlineMS <= m.nowMS {
--- a/internal/program/machine.go
+++ b/internal/program/machine.go
@@ -8,7 +8,10 @@
 
 // Machine is the state machine of one program group. It is not safe for concurrent use.
 type Machine struct {
-	limits   Limits
+	limits Limits
+	// home is the group's own; token, in a zone's group, tells it from one lost before.
+	home     Home
+	token    string
 	nowMS    int64
 	index    uint64 // of the last command applied
 	accounts map[string]*account
@@ -43,7 +46,15 @@
 	return m
 }
 
+// NewForZone returns an empty machine of a zone's own group.
+func NewForZone(zone Home, limits Limits) *Machine {
+	m := New(limits)
+	m.home = zone
+	return m
+}
+
 func (m *Machine) reset() {
+	m.token = ""
 	m.nowMS = 0
 	m.index = 0
 	m.accounts = map[string]*account{}
@@ -158,14 +169,25 @@
 }
 
 // noProgram refuses a command for a program that is not there. A turn of it may have run if
-// programs of the account were forgotten.
+// programs of the account were forgotten, or if the program was in a group that was lost.
 func (m *Machine) noProgram(accountID, name string) *Result {
+	if m.isOfLostGroup(name) {
+		res := refuse(CodeNoProgram, "the record of program %q was lost with the disks of its zone", name)
+		res.MayHaveRun = true
+		return res
+	}
 	res := refuse(CodeNoProgram, "no program %q", name)
 	a := m.accounts[accountID]
 	res.MayHaveRun = a != nil && a.forgot
 	return res
 }
 
+// isOfLostGroup reports whether a name was given by an earlier group of this zone.
+func (m *Machine) isOfLostGroup(name string) bool {
+	q, ok := parseQualified(name)
+	return ok && q.zone == m.home && q.token != m.token
+}
+
 func refuse(code Code, format string, args ...any) *Result {
 	return &Result{Code: code, Detail: fmt.Sprintf(format, args...)}
 }
--- a/internal/program/results.go
+++ b/internal/program/results.go
@@ -22,6 +22,8 @@
 	CodeOwnerFenced     Code = "owner_fenced" // the proposing VM's incarnation was declared lost
 	CodeStale           Code = "stale_command"
 	CodeBadCommand      Code = "bad_command"
+	// CodeNoZoneGroup: the zone has no control VM that could keep a program.
+	CodeNoZoneGroup Code = "no_zone_group"
 )
 
 // Result is the answer to an Envelope or Query.
@@ -165,6 +167,8 @@
 type ListPage struct {
 	Programs []Summary `json:"programs"`
 	More     bool      `json:"more,omitempty"`
+	// Silent names the homes that did not answer, in a page of several.
+	Silent []string `json:"silent,omitempty"`
 }
 
 // Summary is a program in a list.
--- /dev/null
+++ b/internal/program/shards.go
@@ -0,0 +1,263 @@
+package program
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// Placement says where a new program may live.
+type Placement string
+
+// The placements. A sub-agent always lives in its parent's home.
+const (
+	// PlaceMajority is the group over all control VMs, or nowhere.
+	PlaceMajority Placement = "majority"
+	// PlaceZone is the group of the entry VM's zone.
+	PlaceZone Placement = "zone"
+	// PlaceAny is the group over all control VMs, or, if it does not answer, that of the entry
+	// VM's zone. It is for names that the caller has not used before.
+	PlaceAny Placement = "any"
+)
+
+// majorityWait is how long a new program with PlaceAny waits for the majority group: longer
+// than an election.
+const majorityWait = 1500 * time.Millisecond
+
+// Shards is an entry VM's client of all program groups. Each program lives in one group for
+// life, which its name tells. Its methods may be called concurrently.
+type Shards struct {
+	zone    Home // MajorityHome if this VM's zone has no group of its own
+	ledgers map[Home]*Ledger
+}
+
+// NewShards returns the client of a VM in a zone, over one ledger for each group.
+func NewShards(zone Home, ledgers ...*Ledger) *Shards {
+	s := &Shards{ledgers: map[Home]*Ledger{}}
+	for _, l := range ledgers {
+		s.ledgers[l.opts.Home] = l
+	}
+	if s.ledgers[MajorityHome] == nil {
+		panic("program: shards without the majority group")
+	}
+	if s.ledgers[zone] != nil {
+		s.zone = zone
+	}
+	return s
+}
+
+// Ledgers returns the ledgers of all groups by home.
+func (s *Shards) Ledgers() map[Home]*Ledger { return s.ledgers }
+
+// of returns the ledger that a program's name leads to.
+func (s *Shards) of(name string) (*Ledger, error) {
+	home := HomeOf(name)
+	if l := s.ledgers[home]; l != nil {
+		return l, nil
+	}
+	return nil, &RefusedError{Result: Result{
+		Code:       CodeNoProgram,
+		Detail:     "this VM knows no control VM in zone " + string(home),
+		MayHaveRun: true,
+	}}
+}
+
+// SetOwner goes on under a new incarnation of this VM with all groups.
+func (s *Shards) SetOwner(owner Owner) {
+	for _, l := range s.ledgers {
+		l.SetOwner(owner)
+	}
+}
+
+// Create makes a program where the placement says. Its name as the answer tells it is the one
+// to use from then on.
+func (s *Shards) Create(ctx context.Context, c Create, placement Placement) (*View, error) {
+	switch {
+	case c.Parent != "":
+		return s.createBelow(ctx, c, placement)
+	case placement == PlaceZone:
+		return s.createInZone(ctx, c)
+	case placement == PlaceMajority:
+		return s.ledgers[MajorityHome].Create(ctx, c)
+	}
+	limited, cancel := context.WithTimeout(ctx, majorityWait)
+	defer cancel()
+	view, err := s.ledgers[MajorityHome].Create(limited, c)
+	var unavailable *UnavailableError
+	if !errors.As(err, &unavailable) || s.zone == MajorityHome {
+		return view, err
+	}
+	return s.createInZone(ctx, c)
+}
+
+func (s *Shards) createBelow(ctx context.Context, c Create, placement Placement) (*View, error) {
+	home := HomeOf(c.Parent)
+	if placement == PlaceZone && home != s.zone || placement == PlaceMajority && home != MajorityHome {
+		return nil, &RefusedError{Result: Result{Code: CodeBadCommand, Detail: "a sub-agent lives in the home of its parent"}}
+	}
+	l, err := s.of(c.Parent)
+	if err != nil {
+		return nil, err
+	}
+	return l.Create(ctx, c)
+}
+
+func (s *Shards) createInZone(ctx context.Context, c Create) (*View, error) {
+	if s.zone == MajorityHome {
+		return nil, &RefusedError{Result: Result{
+			Code:   CodeNoZoneGroup,
+			Detail: "this zone has no control VM of its own that could keep a program",
+		}}
+	}
+	return s.ledgers[s.zone].Create(ctx, c)
+}
+
+// Begin begins a call in its program's home.
+func (s *Shards) Begin(ctx context.Context, call Call) (*Turn, error) {
+	l, err := s.of(call.Program)
+	if err != nil {
+		return nil, err
+	}
+	return l.Begin(ctx, call)
+}
+
+// Revoke takes back an attempt of which no byte was written.
+func (s *Shards) Revoke(ctx context.Context, c Revoke) (mayHaveRun bool, err error) {
+	l, err := s.of(c.Program)
+	if err != nil {
+		return true, err
+	}
+	return l.Revoke(ctx, c)
+}
+
+// Complete records an answer.
+func (s *Shards) Complete(ctx context.Context, c Complete) (*SettledBudget, error) {
+	l, err := s.of(c.Program)
+	if err != nil {
+		return nil, err
+	}
+	return l.Complete(ctx, c)
+}
+
+// Fail settles an attempt without an answer.
+func (s *Shards) Fail(ctx context.Context, c Fail) error {
+	l, err := s.of(c.Program)
+	if err != nil {
+		return err
+	}
+	return l.Fail(ctx, c)
+}
+
+// End ends a program and its sub-agents.
+func (s *Shards) End(ctx context.Context, c End) (*View, error) {
+	l, err := s.of(c.Program)
+	if err != nil {
+		return nil, err
+	}
+	return l.End(ctx, c)
+}
+
+// Read reads a program.
+func (s *Shards) Read(ctx context.Context, q ProgramQuery) (*View, error) {
+	l, err := s.of(q.Program)
+	if err != nil {
+		return nil, err
+	}
+	return l.Read(ctx, q)
+}
+
+// Renew extends the leases of attempts, each in its home. Renewed are those whose group
+// answered, lost those of them that are no longer current.
+func (s *Shards) Renew(ctx context.Context, attempts []string) (renewed, lost []string) {
+	byHome := map[Home][]string{}
+	for _, id := range attempts {
+		byHome[homeOfID(id)] = append(byHome[homeOfID(id)], id)
+	}
+	var mu sync.Mutex
+	var wg conc.WaitGroup
+	for home, ids := range byHome {
+		l := s.ledgers[home]
+		if l == nil {
+			panic("program: an attempt of an unknown home: " + ids[0])
+		}
+		wg.Go(func() {
+			gone, err := l.Renew(ctx, ids)
+			if err != nil {
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			renewed = append(renewed, ids...)
+			lost = append(lost, gone...)
+		})
+	}
+	wg.Wait()
+	return renewed, lost
+}
+
+// List lists an account's programs of all homes in the order of their names. The page names
+// the homes that did not answer; it is an error only if none did.
+func (s *Shards) List(ctx context.Context, q ListQuery) (*ListPage, error) {
+	merged := &ListPage{Programs: []Summary{}}
+	var last error
+	var mu sync.Mutex
+	var wg conc.WaitGroup
+	for home, l := range s.ledgers {
+		wg.Go(func() {
+			page, err := l.List(ctx, q)
+			mu.Lock()
+			defer mu.Unlock()
+			if err != nil {
+				merged.Silent = append(merged.Silent, home.String())
+				last = err
+				return
+			}
+			merged.Programs = append(merged.Programs, page.Programs...)
+			merged.More = merged.More || page.More
+		})
+	}
+	wg.Wait()
+	if len(merged.Silent) == len(s.ledgers) {
+		return nil, last
+	}
+	slices.Sort(merged.Silent)
+	slices.SortFunc(merged.Programs, func(a, b Summary) int { return strings.Compare(a.Name, b.Name) })
+	if limit := limitOf(q.Limit); len(merged.Programs) > limit {
+		merged.Programs, merged.More = merged.Programs[:limit], true
+	}
+	return merged, nil
+}
+
+// Report compares an engine's sessions with the records. Each session goes to the one group
+// that may know it, so that none is released because another group does not. Sessions that
+// name no home of this fleet go to the majority group.
+func (s *Shards) Report(ctx context.Context, c Report) error {
+	byHome := map[Home][]string{MajorityHome: nil}
+	for _, session := range c.Sessions {
+		home := homeOfID(session)
+		if s.ledgers[home] == nil {
+			home = MajorityHome
+		}
+		byHome[home] = append(byHome[home], session)
+	}
+	var mu sync.Mutex
+	var all error
+	var wg conc.WaitGroup
+	for home, sessions := range byHome {
+		part := Report{Engine: c.Engine, EngineIncarnation: c.EngineIncarnation, Sessions: sessions}
+		wg.Go(func() {
+			if err := s.ledgers[home].Report(ctx, part); err != nil {
+				mu.Lock()
+				defer mu.Unlock()
+				all = errors.CombineErrors(all, err)
+			}
+		})
+	}
+	wg.Wait()
+	return all
+}
--- a/internal/program/snapshot.go
+++ b/internal/program/snapshot.go
@@ -13,6 +13,7 @@
 type snapshot struct {
 	NowMS    int64             `json:"now_ms"`
 	Index    uint64            `json:"index"`
+	Token    string            `json:"token,omitempty"`
 	Accounts []accountSnapshot `json:"accounts"`
 	Dead     []deadAttempt     `json:"dead"`
 	Lost     []Owner           `json:"lost"`
@@ -66,7 +67,7 @@
 
 // Snapshot returns the whole state.
 func (m *Machine) Snapshot() ([]byte, error) {
-	s := snapshot{NowMS: m.nowMS, Index: m.index, Dead: m.dead.queue}
+	s := snapshot{NowMS: m.nowMS, Index: m.index, Token: m.token, Dead: m.dead.queue}
 	for _, id := range slices.Sorted(maps.Keys(m.accounts)) {
 		s.Accounts = append(s.Accounts, m.accounts[id].snapshot(id))
 	}
@@ -144,6 +145,8 @@
 	fresh.checked = m.checked
 	fresh.nowMS = s.NowMS
 	fresh.index = s.Index
+	fresh.home = m.home
+	fresh.token = s.Token
 	for _, a := range s.Accounts {
 		if err := fresh.restoreAccount(&a); err != nil {
 			return err
--- a/internal/program/state.go
+++ b/internal/program/state.go
@@ -104,7 +104,7 @@
 
 func (p *program) sessionBase() string {
 	sum := sha256.Sum256(fmt.Appendf(nil, "%s\x00%s\x00%d", p.account, p.name, p.born))
-	return hex.EncodeToString(sum[:12])
+	return HomeOf(p.name).tagged(hex.EncodeToString(sum[:12]))
 }
 
 // newSession returns a session name that no earlier attempt had, so that the release of an old
--- a/internal/program/validate.go
+++ b/internal/program/validate.go
@@ -52,6 +52,12 @@
 	if strings.HasPrefix(c.Name, oneCallPrefix) {
 		return errors.Newf("program names do not begin with %q", oneCallPrefix)
 	}
+	if HomeOf(c.Name) != MajorityHome {
+		return errors.Newf("names that begin with %q and a zone are given by the system", zonePrefix)
+	}
+	if c.Token != "" && !isToken(c.Token) {
+		return errors.New("the token is not 16 hex digits")
+	}
 	if c.Parent == c.Name {
 		return errors.New("a program is not its own parent")
 	}
