Run chat completions with a key without a record when it can't be reached

Cause: a chat completion with an idempotency key and no program was refused in a zone that is cut off, although it may be repeated and is no program's turn. It now goes on and its answer says that it is not recorded. Calls that may not be repeated, and turns, stay refused. Ruled out: a one-call program in the zone's group, because the key may name a recorded answer on the other side. TestServer_OnlyRepeatableCallsGoOnWithoutRecord: 503 before, 200 after.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -153,6 +153,10 @@
 // reservation of its own.
 func (s *Server) runTurn(ctx context.Context, w http.ResponseWriter, call *chatCall, retries *retries) (_ *refusal.Refusal, anew bool) {
 	turn, begun, refused := s.begin(ctx, call.ledgerCall(), call.model.ID)
+	if refused != nil && call.goesOnUnrecorded(refused) {
+		w.Header().Set(headerRecorded, "false")
+		return s.runChat(ctx, call, retries)
+	}
 	if refused != nil {
 		return withEarlier(refused, call.notRun), false
 	}
@@ -168,6 +172,12 @@
 	return s.runChat(ctx, call, retries)
 }
 
+// goesOnUnrecorded reports whether a call whose begin was refused is run without a record: the
+// record can't be reached, and nothing but the repeated answer hangs on it.
+func (c *chatCall) goesOnUnrecorded(refused *refusal.Refusal) bool {
+	return refused.Code == string(program.CodeUnavailable) && c.key.program == "" && c.turn == nil
+}
+
 // replay sends a recorded answer, byte for byte.
 func (s *Server) replay(w http.ResponseWriter, a *program.Answered) {
 	_ = writeAnswer(w, answer{status: a.Status, contentType: a.ContentType, body: a.Answer})
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -105,10 +105,16 @@
 	l := &testLedger{machine: program.New(program.DefaultLimits())}
 	l.machine.EnableChecks()
 	l.Shards = program.NewShards(program.MajorityHome,
-		program.NewLedger(program.LedgerOptions{Proposer: l, Owner: program.Owner{VM: "vm", Incarnation: 1}}))
+		program.NewLedger(program.LedgerOptions{Proposer: l, InSight: l.inSight, Owner: program.Owner{VM: "vm", Incarnation: 1}}))
 	return l
 }
 
+func (l *testLedger) inSight() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.lose != `"begin":`
+}
+
 func (l *testLedger) Propose(_ context.Context, data []byte) ([]byte, error) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -297,6 +303,24 @@
 	require.Contains(t, text, `"not_run":"unknown"`)
 }
 
+func TestServer_OnlyRepeatableCallsGoOnWithoutRecord(t *testing.T) {
+	var served atomic.Int64
+	g := newTestGateway(t, engine(t, 2, false, &served))
+	g.ledger.lose = `"begin":`
+	status, text := g.post(t, "/v1/chat/completions", wholeChat, "Idempotency-Key", "quote")
+	require.Equal(t, http.StatusOK, status, text)
+	for path, headers := range map[string][]string{
+		"/v1/chat/completions":   {headerProgram, "p"},
+		"/v1/services/charge/x":  {"Idempotency-Key", "once"},
+		"/v1/services/charge/x/": {headerProgram, "p"},
+	} {
+		status, text = g.post(t, path, wholeChat, headers...)
+		require.Equal(t, http.StatusServiceUnavailable, status, path)
+		require.Contains(t, text, "programs_unavailable")
+	}
+	require.Equal(t, int64(1), served.Load())
+}
+
 func TestServer_BudgetEndsALoop(t *testing.T) {
 	var served atomic.Int64
 	g := newTestGateway(t, engine(t, 1, false, &served))
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -31,6 +31,8 @@
 const (
 	headerProgram = "Egretramp-Program"
 	headerTurn    = "Egretramp-Turn"
+	// headerRecorded is false in the answer to a call that was to be recorded and was not.
+	headerRecorded = "Egretramp-Recorded"
 )
 
 // Bounds of the ledger's work for one call.
