Tests, benchmarks and pages of program groups

The daemon's test runs programs in a zone that is cut off over a restart of its control VM, and starts a control VM on a folder of an earlier release. BenchmarkFleet_FirstTurnByHome and BenchmarkFleet_Rest measure what the groups cost.

--- a/internal/daemon/bench_test.go
+++ b/internal/daemon/bench_test.go
@@ -163,6 +163,37 @@
 	}
 }
 
+// BenchmarkFleet_FirstTurnByHome creates a program in each kind of home, through the VM in front
+// of the engine, and runs its first turn.
+func BenchmarkFleet_FirstTurnByHome(b *testing.B) {
+	f := newTestFleet(b)
+	f.apply(benchFile(1, 0))
+	f.fastEngine()
+	f.waitPools(1)
+	var programs atomic.Int64
+	for _, home := range []string{"majority", "zone"} {
+		b.Run(home, func(b *testing.B) {
+			benchCalls(b, f, 1, func(int) {
+				p := f.create(0, fmt.Sprintf(`{"name":"p-%d","home":%q}`, programs.Add(1), home)).program(b)
+				f.post(f.callers(0), "Authorization", "Bearer "+keyAna, headerProgram, p.ID, headerTurn, "1")
+			})
+		})
+	}
+}
+
+// BenchmarkFleet_Rest reports what three VMs cost at rest.
+func BenchmarkFleet_Rest(b *testing.B) {
+	f := newTestFleet(b)
+	f.apply(benchFile(1, 0))
+	for range b.N {
+		bytes, cpu := f.rest()
+		vms := float64(len(f.daemons))
+		b.ReportMetric(bytes/vms, "B/s/VM")
+		b.ReportMetric(cpu/vms/1e6, "cpu-ms/s/VM")
+		b.ReportMetric(float64(runtime.NumGoroutine())/vms, "goroutines/VM")
+	}
+}
+
 func (f *testFleet) callers(caller int) string {
 	return "http://" + f.daemons[caller%len(f.daemons)].settings.Listen.Callers + "/v1/chat/completions"
 }
--- a/internal/daemon/zones_test.go
+++ b/internal/daemon/zones_test.go
@@ -4,12 +4,15 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"os"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"egretramp/internal/fakes"
+	"egretramp/internal/groups"
+	"egretramp/internal/raft/storage"
 )
 
 // cutOffZone separates the VMs of a zone from all others, both ways.
@@ -33,8 +36,18 @@
 // restart stops a VM and starts it again behind the same cut.
 func (f *testFleet) restart(vm int, cut []string) {
 	f.t.Helper()
+	f.stop(vm)
+	f.startAgain(vm, cut)
+}
+
+func (f *testFleet) stop(vm int) {
 	f.stops[vm]()
 	<-f.ended[vm]
+}
+
+// startAgain starts a VM that was stopped, with the links to some VMs cut.
+func (f *testFleet) startAgain(vm int, cut []string) {
+	f.t.Helper()
 	d, err := New(f.daemons[vm].settings, "test")
 	require.NoError(f.t, err)
 	d.node.Cut(cut)
@@ -94,6 +107,9 @@
 
 	f.cutOffZone("zone2")
 	f.eventually("the zone still sees the majority", func() bool { return !f.daemons[5].inSight(f.daemons[5].homes[0]) })
+	f.succeeds("the zone goes on", func() reply {
+		return f.send(5, http.MethodPost, "/v1/chat/completions", keyAna, chatBody(t, []fakes.Message{user("a wig")}, false))
+	})
 	t.Run("MajorityProgramIsRefusedAtOnce", func(t *testing.T) {
 		begun := time.Now()
 		r := f.deposit(5, "old", 2)
@@ -108,6 +124,9 @@
 		r = f.send(5, http.MethodPost, "/v1/services/deposit/charge", keyAna, "{}", "Idempotency-Key", "plain")
 		code, _ = r.refusal(t)
 		require.Equal(t, "programs_unavailable", code, "a key may have run on the other side")
+		r = f.create(5, `{"name":"old"}`)
+		code, notRun = r.refusal(t)
+		require.Equal(t, []string{"programs_unavailable", "true"}, []string{code, notRun}, "the name may exist there")
 	})
 	inZone := f.create(5, `{"name":"quote","home":"any"}`).program(t)
 	require.Equal(t, "zone:zone2", inZone.Home)
@@ -115,6 +134,11 @@
 	f.succeeds("a chat turn in the zone", func() reply { return f.chatTurn(5, inZone.ID, 1) })
 	charged := f.succeeds("a deposit in the zone", func() reply { return f.deposit(8, inZone.ID, 2) })
 
+	f.succeeds("a chat completion with a key", func() reply {
+		body := chatBody(t, []fakes.Message{user("a quote")}, false)
+		return f.send(5, http.MethodPost, "/v1/chat/completions", keyAna, body, "Idempotency-Key", "chat")
+	})
+
 	outside := f.create(0, `{"name":"quote"}`).program(t)
 	require.Equal(t, "quote", outside.ID)
 	f.succeeds("a deposit on the other side", func() reply { return f.deposit(1, "quote", 1) })
@@ -140,6 +164,20 @@
 	require.Equal(t, 3+len(f.daemons)+1, f.read(4, inZone.ID).NextTurn)
 	require.Len(t, append(near.Runs(), far.Runs()...), 1+1+1+3*len(f.daemons), "each deposit ran once")
 	require.Equal(t, "ended", f.send(1, http.MethodPost, "/v1/programs/"+inZone.ID+"/end", keyAna, "").program(t).State)
+	t.Run("FormsOnTheFolderOfAnEarlierRelease", func(t *testing.T) { testFormsOnOldFolder(t, f) })
+}
+
+// testFormsOnOldFolder starts a control VM on a data folder that has the groups 1 and 2 only.
+func testFormsOnOldFolder(t *testing.T, f *testFleet) {
+	lost := f.create(4, `{"name":"new","home":"zone"}`).program(t)
+	f.stop(1)
+	require.NoError(t, os.Remove(storage.Path(f.daemons[1].settings.DataFolder, groups.Zone("zone1"))))
+	f.startAgain(1, nil)
+	created := f.succeeds("a program in the new group", func() reply { return f.create(4, `{"name":"new","home":"zone"}`) }).program(t)
+	require.Equal(t, lost.Home, created.Home)
+	require.NotEqual(t, lost.ID, created.ID, "the lost program's calls are no calls of the new one")
+	code, notRun := f.deposit(0, lost.ID, 1).refusal(t)
+	require.Equal(t, []string{"no_program", "unknown"}, []string{code, notRun})
 }
 
 // succeeds sends a call again until it succeeds. Each refusal on the way must allow that.
--- a/internal/program/doc.go
+++ b/internal/program/doc.go
@@ -5,7 +5,8 @@
 // order give equal states and equal answers on every replica. It has no clock; its time is
 // the highest proposer time seen so far (Unix milliseconds) and never falls.
 //
-// Ledger is the client that entry VMs use. Attempts is the entry VM's own list of the
+// Programs are spread over several groups; a program's name tells its Home, the group it lives in
+// for life. Ledger is the client of one group, Shards that of all, which entry VMs use. Attempts is the entry VM's own list of the
 // attempts it has under way.
 //
 // The contract in short: an entry VM sends a call to an upstream only after Begin answered
