--- a/internal/program/doc.go
+++ b/internal/program/doc.go
@@ -6,8 +6,8 @@
 // the highest proposer time seen so far (Unix milliseconds) and never falls.
 //
 // Programs are spread over several groups; a program's name tells its Home, the group it lives in
-// for life. Ledger is the client of one group, Shards that of all, which entry VMs use. Attempts is the entry VM's own list of the
-// attempts it has under way.
+// for life. Ledger is the client of one group, Shards that of all, which entry VMs use. Attempts
+// is the entry VM's own list of the attempts it has under way.
 //
 // The contract in short: an entry VM sends a call to an upstream only after Begin answered
 // Started for its attempt; it settles the attempt with exactly one of Revoke (no byte was
