--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"strings"
@@ -19,6 +18,7 @@
 	"egretramp/internal/admin"
 	"egretramp/internal/config"
 	"egretramp/internal/fakes"
+	"egretramp/internal/loopback"
 	"egretramp/internal/settings"
 )
 
@@ -40,23 +40,28 @@
 	ended   []chan struct{}
 }
 
-func freePort(t testing.TB) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	address, err := loopback.Address()
 	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	return address
 }
 
 // newTestFleet makes three VMs in three zones, each with the control role.
 func newTestFleet(t testing.TB) *testFleet {
 	t.Helper()
-	return newTestFleetOf(t, 3)
+	return newTestFleetWith(t, func(*settings.Settings) {})
+}
+
+// newTestFleetWith changes the settings of each VM before it starts.
+func newTestFleetWith(t testing.TB, change func(*settings.Settings)) *testFleet {
+	t.Helper()
+	return newTestFleetOf(t, 3, change)
 }
 
 // newTestFleetOf makes VMs vm0, vm1, ...; three zones take turns, and the first VM of each has
 // the control role.
-func newTestFleetOf(t testing.TB, vms int) *testFleet {
+func newTestFleetOf(t testing.TB, vms int, change func(*settings.Settings)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	level := "warn"
@@ -65,16 +70,17 @@
 	}
 	var peers []settings.Peer
 	for i := range vms {
-		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i%3), Address: freePort(t), Control: i < 3})
+		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i%3), Address: freeAddress(t), Control: i < 3})
 	}
 	for i, p := range peers {
 		s := &settings.Settings{
 			VM: p.VM, Zone: p.Zone, Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
-			Listen: settings.Listen{Callers: freePort(t), Upstreams: freePort(t), Admin: freePort(t), Peers: peers[i].Address},
+			Listen: settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: peers[i].Address},
 		}
 		if p.Control {
 			s.DataFolder = t.TempDir()
 		}
+		change(s)
 		d, err := New(s, "test")
 		require.NoError(t, err)
 		f.run(d)
@@ -197,6 +203,7 @@
 
 func (f *testFleet) fake(o fakes.Options) *fakes.Fake {
 	f.t.Helper()
+	o.Listen = freeAddress(f.t)
 	o.AnnounceTo = f.upstreamListeners()
 	o.Watch = []string{keyAna, keyBob}
 	o.Aliases = map[string]string{"WIG/L": "wig-large"}
--- a/internal/daemon/zones_test.go
+++ b/internal/daemon/zones_test.go
@@ -13,6 +13,7 @@
 	"egretramp/internal/fakes"
 	"egretramp/internal/groups"
 	"egretramp/internal/raft/storage"
+	"egretramp/internal/settings"
 )
 
 // cutOffZone separates the VMs of a zone from all others, both ways.
@@ -92,7 +93,7 @@
 // TestFleet_ProgramsInAZoneThatIsCutOff runs new programs in a zone that is cut off, over a
 // restart of its one control VM, beside a program of the same name on the other side.
 func TestFleet_ProgramsInAZoneThatIsCutOff(t *testing.T) {
-	f := newTestFleetOf(t, 9) // vm2 with the data folder, vm5 and vm8 are in zone2
+	f := newTestFleetOf(t, 9, func(*settings.Settings) {}) // vm2 with the data folder, vm5 and vm8 are in zone2
 	file := baseFile(1)
 	file.CutoffLimitSeconds = 3600
 	f.apply(file)
