program: random runs in a zone's group too

Every other seed of TestMachine_RandomRuns now runs a zone's group: qualified names, a token, no one-call programs.

--- a/internal/program/sim_parts_test.go
+++ b/internal/program/sim_parts_test.go
@@ -9,7 +9,7 @@
 )
 
 func (w *world) addCaller(name, parent string) {
-	c := &caller{name: name, root: name, parent: parent, turn: 1, got: map[uint64][]byte{}}
+	c := &caller{asked: name, name: w.named(name), root: w.named(name), parent: parent, turn: 1, got: map[uint64][]byte{}}
 	for _, p := range w.callers {
 		if p.name == parent {
 			c.root, c.depth = p.root, p.depth+1
@@ -25,7 +25,10 @@
 	if c.parent != "" {
 		budget.Tokens = simTokens * 3 / 4
 	}
-	create := &Create{Account: "acc", Name: c.name, Parent: c.parent, Budget: budget, Ceiling: budget}
+	create := &Create{Account: "acc", Name: c.asked, Parent: c.parent, Budget: budget, Ceiling: budget}
+	if w.home != MajorityHome {
+		create.Token = simToken
+	}
 	if w.chance(20) {
 		create.DeadlineMS = w.nowMS + 200_000
 	}
--- a/internal/program/sim_test.go
+++ b/internal/program/sim_test.go
@@ -18,6 +18,7 @@
 	t        *testing.T
 	r        *rand.Rand
 	seed     uint64
+	home     Home
 	step     int
 	nowMS    int64
 	index    uint64
@@ -66,6 +67,7 @@
 
 // caller drives one program, one turn after the other.
 type caller struct {
+	asked              string // the name it asked for
 	name, root, parent string
 	depth              int
 	sentMS             int64 // when the turn was first sent; 0: not yet
@@ -103,13 +105,34 @@
 	ReportAge: 15e9, MaxPrograms: 7, MaxBytes: 1 << 20, MaxDepth: 4,
 }
 
+// simHomes are the homes that runs are made for in turn; simToken is that of a zone's group.
+var simHomes = []Home{MajorityHome, "z1"}
+
+const simToken = "0123456789abcdef"
+
+func (w *world) machine() *Machine {
+	if w.home == MajorityHome {
+		return New(simLimits)
+	}
+	return NewForZone(w.home, simLimits)
+}
+
+// named returns a program's name as callers know it.
+func (w *world) named(name string) string {
+	if w.home == MajorityHome {
+		return name
+	}
+	return qualified{zone: w.home, token: simToken, name: name}.String()
+}
+
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, seed: seed, r: rand.New(rand.NewPCG(seed, 1)), nowMS: simStartMS,
-		a: New(simLimits), b: New(simLimits),
+		home: simHomes[seed%uint64(len(simHomes))],
 		begun: map[string]int{}, runs: map[string]int{}, claims: map[string]int{},
 		revoked: map[string]bool{}, made: map[string]string{}, answers: map[string][]byte{}, tokens: map[string]int64{}, seen: map[string]int{},
 	}
+	w.a, w.b = w.machine(), w.machine()
 	w.a.EnableChecks()
 	for i := range 3 {
 		w.vms = append(w.vms, &simVM{owner: Owner{VM: fmt.Sprint("vm", i), Incarnation: 1}, skew: w.r.Int64N(4000) - 2000})
@@ -118,6 +141,9 @@
 	for i := range 3 {
 		w.addCaller(fmt.Sprint("p", i), "")
 	}
+	if w.home != MajorityHome {
+		return w // one-call programs live in the majority group
+	}
 	single := &caller{name: "single", turn: 1, oneCall: true, drifted: true, got: map[uint64][]byte{}}
 	single.nextTurn(w)
 	w.callers = append(w.callers, single)
@@ -257,7 +283,7 @@
 	if !bytes.Equal(one, two) {
 		w.failf("snapshots differ:\n%s\n%s", one, two)
 	}
-	fresh := New(simLimits)
+	fresh := w.machine()
 	require.NoError(w.t, fresh.Restore(one))
 	if w.chance(50) {
 		fresh.EnableChecks()
