gateway: a numbered turn whose program can't be read may have run before

Cause: a call with new messages only reads its program before it begins, and the refusal of that read said not run: true, although the numbered turn may have run through another VM. TestServer_NumberedTurnThatCannotBeLookedUp: true before, unknown after.

--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 
 	"egretramp/internal/config"
@@ -142,6 +143,10 @@
 	defer cancel()
 	view, err := s.opts.Ledger.Read(limited, program.ProgramQuery{Account: call.caller.account.ID, Program: call.key.program})
 	if err != nil {
+		var unavailable *program.UnavailableError
+		if errors.As(err, &unavailable) {
+			unavailable.Identified = call.key.identified()
+		}
 		return program.Refusal(err)
 	}
 	call.history = view.Bytes + reservedPerMessage*int64(view.RecordedMessages)
--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -112,7 +112,7 @@
 func (l *testLedger) inSight() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.lose != `"begin":`
+	return l.lose != `"begin":` && l.lose != `"query":`
 }
 
 func (l *testLedger) Propose(_ context.Context, data []byte) ([]byte, error) {
@@ -320,6 +320,18 @@
 	require.Equal(t, int64(1), served.Load())
 }
 
+// TestServer_NumberedTurnThatCannotBeLookedUp may have run through another VM before.
+func TestServer_NumberedTurnThatCannotBeLookedUp(t *testing.T) {
+	g := newTestGateway(t)
+	g.ledger.lose = `"query":`
+	for turn, want := range map[string]refusal.NotRun{"1": refusal.Unknown, "": refusal.True} {
+		_, text := g.post(t, "/v1/programs/p/turns", wholeChat, headerTurn, turn)
+		code, notRun := errorOf(t, text)
+		require.Equal(t, "programs_unavailable", code)
+		require.Equal(t, want, notRun)
+	}
+}
+
 func TestServer_BudgetEndsALoop(t *testing.T) {
 	var served atomic.Int64
 	g := newTestGateway(t, engine(t, 1, false, &served))
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -78,6 +78,9 @@
 // recorded reports whether the call goes into the record.
 func (k recordKey) recorded() bool { return k.program != "" || k.idempotency != "" }
 
+// identified reports whether the call may be one that was sent before.
+func (k recordKey) identified() bool { return k.turn > 0 || k.idempotency != "" }
+
 // call returns the ledger's call for an account. A program that does not exist yet is made with
 // the account's ceiling; a call with only an idempotency key is a program of one call.
 func (k recordKey) call(account *config.ClientAccount, kind program.Kind) program.Call {
