--- a/internal/events/program.go
+++ b/internal/events/program.go
@@ -12,4 +12,5 @@
 		"check that the engine keeps to max_tokens")
 	ProgramOrphanSessions = define(1303, zapcore.InfoLevel, "an engine holds sessions that no program accounts for", "")
 	ProgramRevokeRefused  = define(1304, zapcore.WarnLevel, "an attempt that was never sent could not be revoked in time", "")
+	ProgramMadeInZone     = define(1305, zapcore.InfoLevel, "a program was made in the zone's own group, because the majority group did not answer", "")
 )
--- a/internal/program/shards.go
+++ b/internal/program/shards.go
@@ -9,6 +9,9 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
 )
 
 // Placement says where a new program may live.
@@ -92,7 +95,11 @@
 	if !errors.As(err, &unavailable) || s.zone == MajorityHome {
 		return view, err
 	}
-	return s.createInZone(ctx, c)
+	view, err = s.createInZone(ctx, c)
+	if err == nil {
+		s.ledgers[s.zone].opts.Events.Emit(events.ProgramMadeInZone, zap.String("account", c.Account), zap.String("program", view.Name))
+	}
+	return view, err
 }
 
 func (s *Shards) createBelow(ctx context.Context, c Create, placement Placement) (*View, error) {
