--- a/internal/dispatch/messages.go
+++ b/internal/dispatch/messages.go
@@ -21,8 +21,11 @@
 	KindCancel    = "dispatch.cancel"
 	KindFinish    = "dispatch.finish"
 	KindRefresh   = "dispatch.refresh"
+	KindLacking   = "dispatch.lacking"
 	KindAnnounce  = "dispatch.announce"
 	KindSummary   = "dispatch.summary"
+	// KindRelaySummary is a summary for all VMs of the receiver's zone.
+	KindRelaySummary = "dispatch.relay_summary"
 )
 
 // Timing of the soft state.
@@ -32,14 +35,14 @@
 	// ForgetAfter is how long a dispatcher keeps a request that nobody repeats.
 	ForgetAfter = 4 * time.Second
 	// SummaryInterval is how often a dispatcher tells the VMs of its zone about its pools, and
-	// the others about those with news.
+	// those of the other zones, through one VM of each, about those with news.
 	SummaryInterval = 500 * time.Millisecond
 	// SummaryAge is how long a summary of the own zone is believed.
 	SummaryAge = 2500 * time.Millisecond
 	// RemoteSummaryInterval is how often the VMs of other zones are told of pools without news.
 	RemoteSummaryInterval = 2 * time.Second
-	// RemoteSummaryAge is how long a summary of another zone is believed: two may be lost. A
-	// zone without live VMs is left out at once.
+	// RemoteSummaryAge is how long a summary of another zone is believed: two may be lost, each
+	// with another VM that passed it on. A zone without live VMs is left out at once.
 	RemoteSummaryAge = 6500 * time.Millisecond
 )
 
@@ -96,10 +99,31 @@
 	Outcome   schedule.Outcome `json:"outcome"`
 }
 
-// Refresh repeats what an entry VM waits for and has under way in pools of one dispatcher.
+// Refresh repeats what an entry VM waits for and has under way in pools of one dispatcher: by
+// digests, and whole where the dispatcher said that it lacks it.
 type Refresh struct {
-	Waiting []Enqueue `json:"waiting,omitempty"`
-	Running []Held    `json:"running,omitempty"`
+	Pools   []PoolRefresh `json:"pools,omitempty"`
+	Waiting []Enqueue     `json:"waiting,omitempty"`
+	Running []Held        `json:"running,omitempty"`
+}
+
+// PoolRefresh names requests in one pool by the digests of their IDs.
+type PoolRefresh struct {
+	Pool    upstream.Pool `json:"pool"`
+	Waiting digests       `json:"waiting,omitempty"`
+	Running digests       `json:"running,omitempty"`
+}
+
+// Lacking answers a Refresh with the requests that the dispatcher does not know, as one that has
+// just taken over.
+type Lacking struct {
+	Pools []PoolLacking `json:"pools"`
+}
+
+// PoolLacking names the requests of one pool by the digests of their IDs.
+type PoolLacking struct {
+	Pool     upstream.Pool `json:"pool"`
+	Requests digests       `json:"requests"`
 }
 
 // Held is a granted call under way.
@@ -111,9 +135,15 @@
 	Incarnation int64 `json:"incarnation"`
 }
 
-// Summary tells other VMs what a dispatcher's pools look like.
+// Summary tells other VMs what a dispatcher's pools look like. Each VM hears many of them, so
+// its encoding names each zone once and has short names.
 type Summary struct {
-	Pools []PoolSummary `json:"pools"`
+	// From is the dispatcher.
+	From string
+	// SentAt is the dispatcher's time since boot, so that one that was held up on its way does
+	// not replace a later one.
+	SentAt time.Duration
+	Pools  []PoolSummary
 }
 
 // Listed is an upstream in a dispatcher's directory.
--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -16,6 +16,7 @@
 
 // attemptChat makes one attempt. retry says that another upstream may do better.
 func (s *Server) attemptChat(ctx context.Context, call *chatCall) (refused *refusal.Refusal, retry again) {
+	call.turn.await()
 	leave, refused := s.enter(ctx, call.fingerprint(), call.subject(), call.notRun)
 	if refused != nil {
 		return refused, never
@@ -31,15 +32,13 @@
 	}
 	outcome := schedule.Outcome{}
 	defer func() { s.opts.Dispatcher.Release(grant, outcome) }()
-	if err := s.opts.Limiter.Dispatch(ctx, call.caller.account.ID, call.id); err != nil {
-		return withNotRun(asRefusal(err), call.notRun), never
-	}
-	if !call.turn.mayWrite() {
-		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), call.notRun), never
+	mayWrite, refused := s.spend(ctx, call.caller, call.id, call.turn)
+	if refused != nil {
+		return withNotRun(refused, call.notRun), never
 	}
 	assembler := upstream.NewAssembler()
 	begun := s.opts.Clock()
-	err = s.relay(ctx, call, grant, assembler)
+	err = s.relay(ctx, call, grant, mayWrite, assembler)
 	end = s.judgeChat(ctx, grant, err)
 	if err != nil {
 		outcome = failedOutcome(ctx, err)
@@ -117,7 +116,7 @@
 }
 
 // relay sends the call to the granted engine and passes its answer on.
-func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, a *upstream.Assembler) error {
+func (s *Server) relay(ctx context.Context, call *chatCall, grant *dispatch.Grant, mayWrite func() bool, a *upstream.Assembler) error {
 	body, err := call.request.engineBody(servesAs(grant, call.model.ID), call.model.MaxTokens, call.messages)
 	if err != nil {
 		return err
@@ -130,12 +129,14 @@
 		Attempt:     newID(),
 		Session:     call.turn.session(grant),
 		Idempotency: call.id,
+		MayWrite:    mayWrite,
 	}, body)
 	defer stream.Close()
 	err = pass(ctx, stream, a, call)
 	if err != nil && !isLost(err) {
-		// The engine may still generate for this attempt, whose answer nobody will take.
-		stream.Cancel()
+		// The engine may still generate for this attempt, whose answer nobody will take. One that
+		// hangs does not acknowledge it, and the caller must not wait for that.
+		s.background.Go(func() { stream.Cancel() })
 	}
 	return err
 }
--- a/internal/gateway/chatfailure.go
+++ b/internal/gateway/chatfailure.go
@@ -18,6 +18,9 @@
 
 // chatFailure turns a failed attempt into a refusal. A chat completion may be repeated.
 func (s *Server) chatFailure(ctx context.Context, call *chatCall, grant *dispatch.Grant, err error) (_ *refusal.Refusal, retry again) {
+	if errors.Is(err, upstream.ErrTooLate) {
+		return withNotRun(tooLate(), call.notRun), afterUnsent
+	}
 	call.avoid = append(call.avoid, grant.Upstream)
 	s.opts.Events.Emit(events.AttemptFailed, zap.String("upstream", grant.Upstream), zap.Error(err))
 	var status *upstream.StatusError
@@ -94,6 +97,8 @@
 		return keyWithdrawn(notRun)
 	case errors.Is(cause, errDeadline):
 		return &refusal.Refusal{Status: http.StatusGone, Code: string(program.CodeExpired), Message: errDeadline.Error(), NotRun: notRun}
+	case errors.Is(cause, errRecordUnavailable):
+		return withNotRun(program.Refusal(&program.UnavailableError{}), notRun)
 	case errors.Is(cause, errAttemptLost):
 		return withNotRun(unavailable(string(program.CodeSuperseded), errAttemptLost.Error(), retryControl), refusal.Unknown)
 	}
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -45,6 +45,17 @@
 	return nil
 }
 
+// homeFrom returns the home whose answer decides about the request on a VM in a zone.
+func (c *createRequest) homeFrom(zone string) program.Home {
+	switch {
+	case c.Parent != "":
+		return program.HomeOf(c.Parent)
+	case c.Home == program.PlaceMajority:
+		return program.MajorityHome
+	}
+	return program.Home(zone)
+}
+
 // programBody is a program as callers see it.
 type programBody struct {
 	ID           string            `json:"id"`
@@ -115,7 +126,7 @@
 	if err := s.opts.Limiter.Draw(r.Context(), c.account.ID, id); err != nil {
 		return nil, asRefusal(err)
 	}
-	if err := s.opts.Limiter.Dispatch(r.Context(), c.account.ID, id); err != nil {
+	if _, err := s.opts.Limiter.Dispatch(r.Context(), c.account.ID, id); err != nil {
 		return nil, asRefusal(err)
 	}
 	return c, nil
@@ -141,7 +152,7 @@
 		s.refuse(w, refused)
 		return
 	}
-	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
+	s.respondProgram(w, r, request.homeFrom(s.opts.Zone), func(ctx context.Context) (*program.View, error) {
 		return s.opts.Ledger.Create(ctx, program.Create{
 			Account: c.account.ID, Name: request.Name, Parent: request.Parent,
 			Budget:  program.Budget{Tokens: request.Tokens, Calls: request.Calls},
@@ -156,7 +167,7 @@
 		s.refuse(w, refused)
 		return
 	}
-	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
+	s.respondProgram(w, r, program.HomeOf(p.ByName("program")), func(ctx context.Context) (*program.View, error) {
 		return s.opts.Ledger.Read(ctx, program.ProgramQuery{
 			Account: c.account.ID, Program: p.ByName("program"), History: r.URL.Query().Get("history") == "true",
 		})
@@ -169,15 +180,15 @@
 		s.refuse(w, refused)
 		return
 	}
-	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
+	s.respondProgram(w, r, program.HomeOf(p.ByName("program")), func(ctx context.Context) (*program.View, error) {
 		return s.opts.Ledger.End(ctx, program.End{Account: c.account.ID, Program: p.ByName("program")})
 	})
 }
 
-// respondProgram runs an operation on a program and answers with the program.
-func (s *Server) respondProgram(w http.ResponseWriter, r *http.Request, run func(context.Context) (*program.View, error)) {
-	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
-	defer cancel()
+// respondProgram runs an operation on a program of a home and answers with the program.
+func (s *Server) respondProgram(w http.ResponseWriter, r *http.Request, home program.Home, run func(context.Context) (*program.View, error)) {
+	ctx, done := s.newRecordBudget(home).step(r.Context(), beginTimeout)
+	defer done()
 	view, err := run(ctx)
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
@@ -198,8 +209,8 @@
 		s.refuse(w, badRequest("bad_query", "limit must be from 1 to 1000"))
 		return
 	}
-	ctx, cancel := context.WithTimeout(r.Context(), beginTimeout)
-	defer cancel()
+	ctx, done := s.newRecordBudget(program.MajorityHome).step(r.Context(), beginTimeout)
+	defer done()
 	page, err := s.opts.Ledger.List(ctx, program.ListQuery{Account: c.account.ID, After: query.Get("after"), Limit: limit})
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 
 	"github.com/cockroachdb/errors"
@@ -18,12 +19,16 @@
 
 	mu      sync.Mutex
 	leaders map[uint64]string
+	silent  map[string]bool // VMs that gave the last call no answer
 }
 
 // NewClient returns a client; controlVMs have the replicas, the nearest first, but for the
 // groups that zoneVoters names.
 func NewClient(network Network, controlVMs []string, zoneVoters map[uint64][]string) *Client {
-	return &Client{network: network, controlVMs: controlVMs, zoneVoters: zoneVoters, leaders: map[uint64]string{}}
+	return &Client{
+		network: network, controlVMs: controlVMs, zoneVoters: zoneVoters,
+		leaders: map[uint64]string{}, silent: map[string]bool{},
+	}
 }
 
 // ControlVMs returns the VMs that have replicas.
@@ -82,6 +87,8 @@
 	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
 	defer cancel()
 	result, err = c.network.Call(ctx, vm, method, payload)
+	var remote *peer.RemoteError
+	c.setSilent(vm, err != nil && !errors.As(err, &remote))
 	if err == nil {
 		return result, "", nil
 	}
@@ -89,7 +96,6 @@
 	if errors.As(err, &unreachable) {
 		return nil, "", err
 	}
-	var remote *peer.RemoteError
 	if errors.As(err, &remote) && remote.Code != codeUnknown {
 		if remote.Code == codeNotLeader {
 			leader = remote.Message
@@ -99,6 +105,7 @@
 	return nil, "", errors.Mark(err, ErrUnknownOutcome)
 }
 
+// candidates returns the VMs to ask, silent ones last: one may take all the time that a call has.
 func (c *Client) candidates(group uint64) []string {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -106,10 +113,30 @@
 	if leader := c.leaders[group]; leader != "" {
 		all = append(all, leader)
 	}
-	if voters, ok := c.zoneVoters[group]; ok {
-		return append(all, voters...)
+	voters, ok := c.zoneVoters[group]
+	if !ok {
+		voters = c.controlVMs
+	}
+	all = append(all, voters...)
+	slices.SortStableFunc(all, func(a, b string) int { return rank(c.silent[a]) - rank(c.silent[b]) })
+	return all
+}
+
+func rank(silent bool) int {
+	if silent {
+		return 1
+	}
+	return 0
+}
+
+func (c *Client) setSilent(vm string, silent bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if silent {
+		c.silent[vm] = true
+		return
 	}
-	return append(all, c.controlVMs...)
+	delete(c.silent, vm)
 }
 
 func (c *Client) setLeader(group uint64, vm string) {
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -10,6 +10,7 @@
 	"github.com/sourcegraph/conc"
 	"storj.io/drpc/drpcmux"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/identity"
 	"egretramp/internal/peer/peerpb"
 )
@@ -53,20 +54,21 @@
 	return &peerpb.CallResponse{Payload: result}, nil
 }
 
-// Messages takes another VM's messages and answers its heartbeats.
+// Messages takes another VM's messages and sends it heartbeats.
 func (s *server) Messages(stream peerpb.DRPCPeer_MessagesStream) error {
-	heard := make(chan struct{}, 1)
+	var heard signOfLife
+	heard.note()
 	failed := make(chan error, 1)
 	var wg conc.WaitGroup
 	var from atomic.Pointer[string]
-	wg.Go(func() { failed <- s.receive(stream, &from, heard) })
-	err := s.beat(stream, &from, heard, failed)
+	wg.Go(func() { failed <- s.receive(stream, &from, &heard) })
+	err := s.beat(stream, &from, &heard, failed)
 	_ = stream.Close()
 	wg.Wait()
 	return err
 }
 
-func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard chan<- struct{}) error {
+func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard *signOfLife) error {
 	for {
 		envelope, err := stream.Recv()
 		if err != nil {
@@ -79,7 +81,7 @@
 		if s.node.cutFrom(envelope.From) {
 			continue
 		}
-		signal(heard)
+		heard.note()
 		if envelope.Kind != "" {
 			s.node.deliver(envelope.From, envelope.Kind, envelope.Payload)
 		}
@@ -87,8 +89,8 @@
 }
 
 // beat sends heartbeats until the stream fails or the other side falls silent.
-func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard <-chan struct{}, failed <-chan error) error {
-	heartbeat := time.NewTicker(HeartbeatInterval)
+func (s *server) beat(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], heard *signOfLife, failed <-chan error) error {
+	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
 	defer heartbeat.Stop()
 	silence := time.NewTimer(SilenceLimit)
 	defer silence.Stop()
@@ -97,11 +99,14 @@
 		case err := <-failed:
 			return err
 		case <-silence.C:
-			return errSilent
-		case <-heard:
-			silence.Reset(SilenceLimit)
+			left := heard.left()
+			if left <= 0 {
+				return errSilent
+			}
+			silence.Reset(left)
 			continue
 		case <-heartbeat.C:
+			heartbeat.Reset(clock.Align(HeartbeatInterval))
 		}
 		if name := from.Load(); name != nil && s.node.cutTo(*name) {
 			continue
--- a/internal/program/home.go
+++ b/internal/program/home.go
@@ -92,11 +92,14 @@
 	return string(h) + homeSeparator + id
 }
 
-// homeOfID returns the home that the name of an attempt or session tells.
-func homeOfID(id string) Home {
+// homeOfTagged returns the home that the name of an attempt or session tells.
+func homeOfTagged(id string) Home {
 	zone, _, ok := strings.Cut(id, homeSeparator)
 	if !ok {
 		return MajorityHome
 	}
 	return Home(zone)
 }
+
+// HomeOfAttempt returns the home of the turn that an attempt runs, which its ID alone tells.
+func HomeOfAttempt(id string) Home { return homeOfTagged(id) }
--- a/internal/program/shards.go
+++ b/internal/program/shards.go
@@ -28,8 +28,8 @@
 	PlaceAny Placement = "any"
 )
 
-// majorityWait is how long a new program with PlaceAny waits for the majority group: longer
-// than an election.
+// majorityWait is how long a new program with PlaceAny waits for the majority group, at most:
+// longer than an election. Half of what the context leaves is for the zone's group.
 const majorityWait = 1500 * time.Millisecond
 
 // Shards is an entry VM's client of all program groups. Each program lives in one group for
@@ -77,6 +77,14 @@
 	}
 }
 
+// Outage returns how long a home's group has left this VM without an answer; 0 while it answers.
+func (s *Shards) Outage(home Home) time.Duration {
+	if l := s.ledgers[home]; l != nil {
+		return l.Outage()
+	}
+	return 0
+}
+
 // Create makes a program where the placement says. Its name as the answer tells it is the one
 // to use from then on.
 func (s *Shards) Create(ctx context.Context, c Create, placement Placement) (*View, error) {
@@ -88,7 +96,11 @@
 	case placement == PlaceMajority:
 		return s.ledgers[MajorityHome].Create(ctx, c)
 	}
-	limited, cancel := context.WithTimeout(ctx, majorityWait)
+	wait := majorityWait
+	if deadline, ok := ctx.Deadline(); ok {
+		wait = min(wait, time.Until(deadline)/2)
+	}
+	limited, cancel := context.WithTimeout(ctx, wait)
 	defer cancel()
 	view, err := s.ledgers[MajorityHome].Create(limited, c)
 	var unavailable *UnavailableError
@@ -183,7 +195,8 @@
 func (s *Shards) Renew(ctx context.Context, attempts []string) (renewed, lost []string) {
 	byHome := map[Home][]string{}
 	for _, id := range attempts {
-		byHome[homeOfID(id)] = append(byHome[homeOfID(id)], id)
+		home := HomeOfAttempt(id)
+		byHome[home] = append(byHome[home], id)
 	}
 	var mu sync.Mutex
 	var wg conc.WaitGroup
@@ -246,7 +259,7 @@
 func (s *Shards) Report(ctx context.Context, c Report) error {
 	byHome := map[Home][]string{MajorityHome: nil}
 	for _, session := range c.Sessions {
-		home := homeOfID(session)
+		home := homeOfTagged(session)
 		if s.ledgers[home] == nil {
 			home = MajorityHome
 		}
--- a/internal/program/sim_test.go
+++ b/internal/program/sim_test.go
@@ -128,7 +128,7 @@
 func newWorld(t *testing.T, seed uint64) *world {
 	w := &world{
 		t: t, seed: seed, r: rand.New(rand.NewPCG(seed, 1)), nowMS: simStartMS,
-		home: simHomes[seed%uint64(len(simHomes))],
+		home:  simHomes[seed%uint64(len(simHomes))],
 		begun: map[string]int{}, runs: map[string]int{}, claims: map[string]int{},
 		revoked: map[string]bool{}, made: map[string]string{}, answers: map[string][]byte{}, tokens: map[string]int64{}, seen: map[string]int{},
 	}
--- a/internal/ratelimit/limiter.go
+++ b/internal/ratelimit/limiter.go
@@ -18,6 +18,9 @@
 	RoundInterval = 250 * time.Millisecond
 	// RedrawPatience is how long a request that was admitted before waits for another token.
 	RedrawPatience = 30 * time.Second
+	// WriteGrace is how long after its token was spent a request may begin to be sent. A VM that
+	// was frozen in between finds it over, and the request draws again.
+	WriteGrace = 200 * time.Millisecond
 	// AskTimeout is how long an Ask waits for its Reply.
 	AskTimeout = 150 * time.Millisecond
 	// LenderPause is how long a lender that did not reply is passed over.
@@ -201,6 +204,9 @@
 	return l.flush()
 }
 
+// Busy reports whether something waits for a tick: draws, loans, permits or the start of a share.
+func (l *Limiter) Busy() bool { return len(l.pending)+len(l.drawn)+len(l.busy) > 0 }
+
 // expirePermits takes back what was not dispatched in time.
 func (l *Limiter) expirePermits(now time.Duration) {
 	kept := l.drawn[:0]
