--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -42,7 +42,8 @@
 	host       *dispatch.Host
 	dispatcher *dispatch.Client
 	gateway    *gateway.Server
-	ledger     *program.Ledger
+	homes      []programHome
+	programs   *program.Shards
 	caller     *upstream.Caller
 	suspects   *suspect.Guard
 	placement  *placement.Runner
@@ -109,13 +110,16 @@
 }
 
 func (d *Daemon) build() error {
+	if err := d.buildHomes(); err != nil {
+		return err
+	}
 	d.buildNetwork()
 	if err := d.buildReplicas(); err != nil {
 		return err
 	}
 	d.buildFleet()
 	d.buildDispatch()
-	d.buildLedger()
+	d.buildPrograms()
 	d.caller = upstream.NewCaller()
 	d.suspects = suspect.NewGuard(suspect.Options{
 		VM:      d.settings.VM,
@@ -133,7 +137,7 @@
 		Limiter:    d.fleet,
 		Dispatcher: demandCounter{d.dispatcher, d.placement},
 		Caller:     d.caller,
-		Ledger:     d.ledger,
+		Ledger:     d.programs,
 		Suspects:   d.suspects,
 		Events:     d.events,
 	})
@@ -158,7 +162,7 @@
 		peers[p.VM] = p.Address
 	}
 	d.node = peer.New(peer.Options{VM: d.settings.VM, Peers: peers, Events: d.events, Protection: d.protection})
-	d.groups = groups.NewClient(d.node, d.controlVMs())
+	d.groups = groups.NewClient(d.node, d.controlVMs(), d.zoneVoters())
 }
 
 // controlVMs returns the VMs with the control role, this one first and those of its zone next.
@@ -198,7 +202,7 @@
 		Network:    d.node,
 		Proposer:   controlProposer{client: d.groups},
 		Rejoined: func(incarnation int64) {
-			d.ledger.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
+			d.programs.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
 		},
 		Withdrawn: func() { d.gateway.KeysWithdrawn() },
 		Events:    d.events,
@@ -306,8 +310,10 @@
 	tasks.runForever(d.suspects.Run)
 	tasks.runForever(d.placement.Run)
 	tasks.runForever(d.gateway.Run)
-	tasks.runForever(d.keepPrograms)
-	tasks.runForever(d.keepReleasing)
+	for _, h := range d.homes {
+		tasks.runForever(func(ctx context.Context) { d.keepPrograms(ctx, h) })
+		tasks.runForever(func(ctx context.Context) { d.keepReleasing(ctx, h) })
+	}
 	tasks.runForever(d.keepReporting)
 	tasks.runForever(d.keepCertificate)
 }
--- a/internal/daemon/fleet_test.go
+++ b/internal/daemon/fleet_test.go
@@ -32,7 +32,7 @@
 	toolRoot   = "services-secret-0123"
 )
 
-// testFleet is three VMs in three zones, each with the control role, in one process.
+// testFleet is a fleet in one process.
 type testFleet struct {
 	t       testing.TB
 	daemons []*Daemon
@@ -47,6 +47,7 @@
 	return address
 }
 
+// newTestFleet makes three VMs in three zones, each with the control role.
 func newTestFleet(t testing.TB) *testFleet {
 	t.Helper()
 	return newTestFleetWith(t, func(*settings.Settings) {})
@@ -54,6 +55,13 @@
 
 // newTestFleetWith changes the settings of each VM before it starts.
 func newTestFleetWith(t testing.TB, change func(*settings.Settings)) *testFleet {
+	t.Helper()
+	return newTestFleetOf(t, 3, change)
+}
+
+// newTestFleetOf makes VMs vm0, vm1, ...; three zones take turns, and the first VM of each has
+// the control role.
+func newTestFleetOf(t testing.TB, vms int, change func(*settings.Settings)) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t}
 	level := "warn"
@@ -61,14 +69,17 @@
 		level = "error" // a benchmark's figures stand alone on their line
 	}
 	var peers []settings.Peer
-	for i := range 3 {
-		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i), Address: freeAddress(t), Control: true})
+	for i := range vms {
+		peers = append(peers, settings.Peer{VM: fmt.Sprintf("vm%d", i), Zone: fmt.Sprintf("zone%d", i%3), Address: freeAddress(t), Control: i < 3})
 	}
 	for i, p := range peers {
 		s := &settings.Settings{
-			VM: p.VM, Zone: p.Zone, DataFolder: t.TempDir(), Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
+			VM: p.VM, Zone: p.Zone, Peers: peers, ShutdownLimitSeconds: 3, LogLevel: level,
 			Listen: settings.Listen{Callers: freeAddress(t), Upstreams: freeAddress(t), Admin: freeAddress(t), Peers: peers[i].Address},
 		}
+		if p.Control {
+			s.DataFolder = t.TempDir()
+		}
 		change(s)
 		d, err := New(s, "test")
 		require.NoError(t, err)
@@ -110,7 +121,11 @@
 
 func (f *testFleet) apply(file config.File) {
 	f.t.Helper()
-	f.applyOn(file, 0, 1, 2)
+	vms := make([]int, len(f.daemons))
+	for vm := range vms {
+		vms[vm] = vm
+	}
+	f.applyOn(file, vms...)
 	f.waitReady()
 }
 
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -65,12 +65,12 @@
 	return true
 }
 
-// stopUnwritten stops the calls of which nothing was written.
-func (a *attempts) stopUnwritten() {
+// stopUnwritten stops the calls of which nothing was written and whose record is out.
+func (a *attempts) stopUnwritten(out func(program.Home) bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	for _, own := range a.byID {
-		if !own.written {
+	for id, own := range a.byID {
+		if !own.written && out(program.HomeOfAttempt(id)) {
 			own.stop(errRecordUnavailable)
 		}
 	}
@@ -153,8 +153,6 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
-	lost, err := s.opts.Ledger.Renew(ctx, ids)
-	if err == nil {
-		s.attempts.renewed(ids, sentAt, lost)
-	}
+	renewed, lost := s.opts.Ledger.Renew(ctx, ids)
+	s.attempts.renewed(renewed, sentAt, lost)
 }
--- a/internal/gateway/chat.go
+++ b/internal/gateway/chat.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
 	"github.com/julienschmidt/httprouter"
 
 	"egretramp/internal/config"
@@ -107,7 +108,7 @@
 		appended: appended,
 		hash:     program.HashRequest([]byte(model.ID), request.canonical()),
 		sink:     newSink(w, request),
-		budget:   s.newRecordBudget(),
+		budget:   s.newRecordBudget(program.HomeOf(key.program)),
 		messages: request.messages,
 		notRun:   refusal.True,
 	}, nil
@@ -144,6 +145,10 @@
 	defer done()
 	view, err := s.opts.Ledger.Read(limited, program.ProgramQuery{Account: call.caller.account.ID, Program: call.key.program})
 	if err != nil {
+		var unavailable *program.UnavailableError
+		if errors.As(err, &unavailable) {
+			unavailable.Identified = call.key.identified()
+		}
 		return program.Refusal(err)
 	}
 	call.history = view.Bytes + reservedPerMessage*int64(view.RecordedMessages)
@@ -155,6 +160,10 @@
 // reservation of its own.
 func (s *Server) runTurn(ctx context.Context, w http.ResponseWriter, call *chatCall, retries *retries) (_ *refusal.Refusal, anew bool) {
 	turn, begun, refused := s.begin(ctx, call.budget, call.ledgerCall(), call.model.ID)
+	if refused != nil && call.goesOnUnrecorded(refused) {
+		w.Header().Set(headerRecorded, "false")
+		return s.runChat(ctx, call, retries)
+	}
 	if refused != nil {
 		return withEarlier(refused, call.notRun), false
 	}
@@ -170,6 +179,12 @@
 	return s.runChat(ctx, call, retries)
 }
 
+// goesOnUnrecorded reports whether a call whose begin was refused is run without a record: the
+// record can't be reached, and nothing but the repeated answer hangs on it.
+func (c *chatCall) goesOnUnrecorded(refused *refusal.Refusal) bool {
+	return refused.Code == string(program.CodeUnavailable) && c.key.program == "" && c.turn == nil
+}
+
 // replay sends a recorded answer, byte for byte.
 func (s *Server) replay(w http.ResponseWriter, a *program.Answered) {
 	_ = writeAnswer(w, answer{status: a.Status, contentType: a.ContentType, body: a.Answer})
--- a/internal/gateway/programs.go
+++ b/internal/gateway/programs.go
@@ -1,6 +1,7 @@
 package gateway
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -19,12 +20,47 @@
 	Tokens     int64  `json:"tokens"`
 	Calls      int64  `json:"calls"`
 	DeadlineMS int64  `json:"deadline_ms"` // Unix milliseconds
+	// Home says where the program may live. Default: its parent's home; for a program without
+	// name, which is new for certain, any; else the majority group.
+	Home program.Placement `json:"home"`
+}
+
+// place completes the request: a program without a name gets one.
+func (c *createRequest) place() *refusal.Refusal {
+	if c.Name == "" {
+		c.Name = newID()
+		c.Home = cmp.Or(c.Home, program.PlaceAny)
+	}
+	if c.Parent == "" {
+		c.Home = cmp.Or(c.Home, program.PlaceMajority)
+	}
+	switch c.Home {
+	case "", program.PlaceMajority, program.PlaceZone, program.PlaceAny:
+	default:
+		return badRequest("bad_field", "home must be majority, zone or any")
+	}
+	if len(c.Name) > maxKeyBytes {
+		return badRequest("bad_field", "name has at most 200 bytes")
+	}
+	return nil
+}
+
+// homeFrom returns the home whose answer decides about the request on a VM in a zone.
+func (c *createRequest) homeFrom(zone string) program.Home {
+	switch {
+	case c.Parent != "":
+		return program.HomeOf(c.Parent)
+	case c.Home == program.PlaceMajority:
+		return program.MajorityHome
+	}
+	return program.Home(zone)
 }
 
 // programBody is a program as callers see it.
 type programBody struct {
 	ID           string            `json:"id"`
 	Object       string            `json:"object"`
+	Home         string            `json:"home"`
 	Parent       string            `json:"parent,omitempty"`
 	SubAgents    []string          `json:"sub_agents,omitempty"`
 	State        program.State     `json:"state"`
@@ -52,6 +88,8 @@
 	Object string           `json:"object"`
 	Data   []programSummary `json:"data"`
 	More   bool             `json:"has_more"`
+	// Silent names the homes that did not answer, whose programs are not listed.
+	Silent []string `json:"homes_without_answer,omitempty"`
 }
 
 type programSummary struct {
@@ -65,7 +103,7 @@
 
 func bodyOf(v *program.View) programBody {
 	b := programBody{
-		ID: v.Name, Object: "program", Parent: v.Parent, SubAgents: v.Children, State: v.State, NextTurn: v.NextTurn,
+		ID: v.Name, Object: "program", Home: program.HomeOf(v.Name).String(), Parent: v.Parent, SubAgents: v.Children, State: v.State, NextTurn: v.NextTurn,
 		TokensLimit: v.Limit.Tokens, TokensUsed: v.Used.Tokens, CallsLimit: v.Limit.Calls, CallsUsed: v.Used.Calls,
 		DeadlineMS: v.DeadlineMS, MessageCount: v.RecordedMessages, CreatedMS: v.CreatedMS, LastActiveMS: v.ActiveMS,
 	}
@@ -107,19 +145,19 @@
 	}
 	var request createRequest
 	if err := json.Unmarshal(body, &request); err != nil {
-		s.refuse(w, badRequest("bad_json", "the body must be a JSON object with name, parent, tokens, calls and deadline_ms"))
+		s.refuse(w, badRequest("bad_json", "the body must be a JSON object with name, home, parent, tokens, calls and deadline_ms"))
 		return
 	}
-	if request.Name == "" || len(request.Name) > maxKeyBytes {
-		s.refuse(w, badRequest("bad_field", "name must have 1 to 200 bytes"))
+	if refused := request.place(); refused != nil {
+		s.refuse(w, refused)
 		return
 	}
-	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
+	s.respondProgram(w, r, request.homeFrom(s.opts.Zone), func(ctx context.Context) (*program.View, error) {
 		return s.opts.Ledger.Create(ctx, program.Create{
 			Account: c.account.ID, Name: request.Name, Parent: request.Parent,
 			Budget:  program.Budget{Tokens: request.Tokens, Calls: request.Calls},
 			Ceiling: ceiling(c.account), DeadlineMS: request.DeadlineMS,
-		})
+		}, request.Home)
 	})
 }
 
@@ -129,7 +167,7 @@
 		s.refuse(w, refused)
 		return
 	}
-	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
+	s.respondProgram(w, r, program.HomeOf(p.ByName("program")), func(ctx context.Context) (*program.View, error) {
 		return s.opts.Ledger.Read(ctx, program.ProgramQuery{
 			Account: c.account.ID, Program: p.ByName("program"), History: r.URL.Query().Get("history") == "true",
 		})
@@ -142,14 +180,14 @@
 		s.refuse(w, refused)
 		return
 	}
-	s.respondProgram(w, r, func(ctx context.Context) (*program.View, error) {
+	s.respondProgram(w, r, program.HomeOf(p.ByName("program")), func(ctx context.Context) (*program.View, error) {
 		return s.opts.Ledger.End(ctx, program.End{Account: c.account.ID, Program: p.ByName("program")})
 	})
 }
 
-// respondProgram runs an operation on a program and answers with the program.
-func (s *Server) respondProgram(w http.ResponseWriter, r *http.Request, run func(context.Context) (*program.View, error)) {
-	ctx, done := s.newRecordBudget().step(r.Context(), beginTimeout)
+// respondProgram runs an operation on a program of a home and answers with the program.
+func (s *Server) respondProgram(w http.ResponseWriter, r *http.Request, home program.Home, run func(context.Context) (*program.View, error)) {
+	ctx, done := s.newRecordBudget(home).step(r.Context(), beginTimeout)
 	defer done()
 	view, err := run(ctx)
 	if err != nil {
@@ -171,14 +209,14 @@
 		s.refuse(w, badRequest("bad_query", "limit must be from 1 to 1000"))
 		return
 	}
-	ctx, done := s.newRecordBudget().step(r.Context(), beginTimeout)
+	ctx, done := s.newRecordBudget(program.MajorityHome).step(r.Context(), beginTimeout)
 	defer done()
 	page, err := s.opts.Ledger.List(ctx, program.ListQuery{Account: c.account.ID, After: query.Get("after"), Limit: limit})
 	if err != nil {
 		s.refuse(w, program.Refusal(err))
 		return
 	}
-	list := programListBody{Object: "list", Data: []programSummary{}, More: page.More}
+	list := programListBody{Object: "list", Data: []programSummary{}, More: page.More, Silent: page.Silent}
 	for _, p := range page.Programs {
 		list.Data = append(list.Data, programSummary{
 			ID: p.Name, Parent: p.Parent, State: p.State, NextTurn: p.NextTurn, TokensUsed: p.Used.Tokens, CallsUsed: p.Used.Calls,
--- a/internal/gateway/recordwait.go
+++ b/internal/gateway/recordwait.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/program"
 )
 
 // Bounds of what a caller waits for the record of programs.
@@ -31,12 +33,13 @@
 // recordBudget is what one call may wait for the record. One goroutine uses it.
 type recordBudget struct {
 	server *Server
+	home   program.Home
 	begun  time.Duration // the call, on the clock since boot
 	spent  time.Duration
 }
 
-func (s *Server) newRecordBudget() *recordBudget {
-	return &recordBudget{server: s, begun: s.opts.Clock()}
+func (s *Server) newRecordBudget(home program.Home) *recordBudget {
+	return &recordBudget{server: s, home: home, begun: s.opts.Clock()}
 }
 
 // step bounds one step's wait. done must be called at its end.
@@ -50,7 +53,7 @@
 }
 
 func (b *recordBudget) left() time.Duration {
-	left := maxRecordWait - max(b.spent, b.server.opts.Ledger.Outage())
+	left := maxRecordWait - max(b.spent, b.server.opts.Ledger.Outage(b.home))
 	if age := b.server.opts.Clock() - b.begun; age <= shortCallAge {
 		left = min(left, shortCallAge-age)
 	}
@@ -60,7 +63,7 @@
 // checkOutage ends the calls that wait for an upstream while no call may wait for the record any
 // more: their answers could not be recorded.
 func (s *Server) checkOutage() {
-	if s.opts.Ledger.Outage() >= maxRecordWait {
-		s.attempts.stopUnwritten()
-	}
+	s.attempts.stopUnwritten(func(home program.Home) bool {
+		return s.opts.Ledger.Outage(home) >= maxRecordWait
+	})
 }
--- a/internal/gateway/recordwait_test.go
+++ b/internal/gateway/recordwait_test.go
@@ -64,7 +64,7 @@
 	return &program.UnavailableError{Applied: true, Identified: true}
 }
 
-func (l *slowLedger) Outage() time.Duration {
+func (l *slowLedger) Outage(program.Home) time.Duration {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.outage
@@ -131,7 +131,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			g := newSlowGateway(t, c.ledger, c.engine)
-			_, err := g.ledger.Create(context.Background(), program.Create{Account: "ana", Name: "p", Ceiling: program.Budget{Tokens: 10_000, Calls: 10}})
+			_, err := g.ledger.Create(context.Background(), program.Create{Account: "ana", Name: "p", Ceiling: program.Budget{Tokens: 10_000, Calls: 10}}, program.PlaceMajority)
 			require.NoError(t, err)
 			_, text := g.post(t, c.path, wholeChat, headerProgram, "p", headerTurn, "1")
 			_, notRun := errorOf(t, text)
@@ -273,3 +273,14 @@
 	status, text := g.post(t, "/v1/services/charge/x", "{}", "Idempotency-Key", "once")
 	require.Equal(t, http.StatusOK, status, text)
 }
+
+// TestAttempts_OutageOfOneGroupStopsItsCallsOnly has a call of each home wait for an upstream.
+func TestAttempts_OutageOfOneGroupStopsItsCallsOnly(t *testing.T) {
+	a := newAttempts()
+	stopped := map[string]bool{}
+	for _, id := range []string{"1f", "z1~2f"} {
+		a.bind(id, func(error) { stopped[id] = true })
+	}
+	a.stopUnwritten(func(home program.Home) bool { return home == program.MajorityHome })
+	require.Equal(t, map[string]bool{"1f": true}, stopped)
+}
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -125,7 +125,7 @@
 		repeatable: repeatable,
 		key:        key,
 		notRun:     refusal.True,
-		budget:     s.newRecordBudget(),
+		budget:     s.newRecordBudget(program.HomeOf(key.program)),
 	}, nil
 }
 
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -14,25 +14,27 @@
 	"egretramp/internal/refusal"
 )
 
-// Ledger keeps the record of programs; *program.Ledger is one.
+// Ledger keeps the record of programs; *program.Shards is one.
 type Ledger interface {
-	Create(ctx context.Context, c program.Create) (*program.View, error)
+	Create(ctx context.Context, c program.Create, placement program.Placement) (*program.View, error)
 	Begin(ctx context.Context, call program.Call) (*program.Turn, error)
 	Revoke(ctx context.Context, c program.Revoke) (mayHaveRun bool, err error)
 	Complete(ctx context.Context, c program.Complete) (*program.SettledBudget, error)
 	Fail(ctx context.Context, c program.Fail) error
-	Renew(ctx context.Context, attempts []string) (lost []string, err error)
+	Renew(ctx context.Context, attempts []string) (renewed, lost []string)
 	End(ctx context.Context, c program.End) (*program.View, error)
 	Read(ctx context.Context, q program.ProgramQuery) (*program.View, error)
 	List(ctx context.Context, q program.ListQuery) (*program.ListPage, error)
-	// Outage returns how long the group has left this VM without an answer; 0 while it answers.
-	Outage() time.Duration
+	// Outage returns how long a home's group has left this VM without an answer; 0 while it answers.
+	Outage(home program.Home) time.Duration
 }
 
 // Headers that place a call within a program.
 const (
 	headerProgram = "Egretramp-Program"
 	headerTurn    = "Egretramp-Turn"
+	// headerRecorded is false in the answer to a call that was to be recorded and was not.
+	headerRecorded = "Egretramp-Recorded"
 )
 
 var (
@@ -52,7 +54,7 @@
 // readRecordKey reads the headers that place a call within a program.
 func readRecordKey(h http.Header) (recordKey, *refusal.Refusal) {
 	k := recordKey{program: h.Get(headerProgram), idempotency: h.Get("Idempotency-Key")}
-	if len(k.program) > maxKeyBytes || len(k.idempotency) > maxKeyBytes {
+	if !program.NameFits(k.program, maxKeyBytes) || len(k.idempotency) > maxKeyBytes {
 		return k, badRequest("bad_header", "the program's name and the idempotency key have at most 200 bytes")
 	}
 	if text := h.Get(headerTurn); text != "" {
@@ -68,6 +70,9 @@
 // recorded reports whether the call goes into the record.
 func (k recordKey) recorded() bool { return k.program != "" || k.idempotency != "" }
 
+// identified reports whether the call may be one that was sent before.
+func (k recordKey) identified() bool { return k.turn > 0 || k.idempotency != "" }
+
 // call returns the ledger's call for an account. A program that does not exist yet is made with
 // the account's ceiling; a call with only an idempotency key is a program of one call.
 func (k recordKey) call(account *config.ClientAccount, kind program.Kind) program.Call {
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -15,15 +15,20 @@
 type Client struct {
 	network    Network
 	controlVMs []string
+	zoneVoters map[uint64][]string
 
 	mu      sync.Mutex
 	leaders map[uint64]string
 	silent  map[string]bool // VMs that gave the last call no answer
 }
 
-// NewClient returns a client; controlVMs have the replicas, the nearest first.
-func NewClient(network Network, controlVMs []string) *Client {
-	return &Client{network: network, controlVMs: controlVMs, leaders: map[uint64]string{}, silent: map[string]bool{}}
+// NewClient returns a client; controlVMs have the replicas, the nearest first, but for the
+// groups that zoneVoters names.
+func NewClient(network Network, controlVMs []string, zoneVoters map[uint64][]string) *Client {
+	return &Client{
+		network: network, controlVMs: controlVMs, zoneVoters: zoneVoters,
+		leaders: map[uint64]string{}, silent: map[string]bool{},
+	}
 }
 
 // ControlVMs returns the VMs that have replicas.
@@ -108,7 +113,11 @@
 	if leader := c.leaders[group]; leader != "" {
 		all = append(all, leader)
 	}
-	all = append(all, c.controlVMs...)
+	voters, ok := c.zoneVoters[group]
+	if !ok {
+		voters = c.controlVMs
+	}
+	all = append(all, voters...)
 	slices.SortStableFunc(all, func(a, b string) int { return rank(c.silent[a]) - rank(c.silent[b]) })
 	return all
 }
