--- a/internal/demo/collect.go
+++ b/internal/demo/collect.go
@@ -134,14 +134,5 @@
 		}
 		e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply})
 	}
-	runs, err := u.Control.Runs(ctx)
-	if err != nil || len(runs) == 0 {
-		return err
-	}
-	reply, err := u.Control.Received(ctx, runs[len(runs)-1].Path)
-	if err != nil {
-		return err
-	}
-	e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply, Control: true})
-	return nil
+	return e.SearchArrived(ctx, u.Name, u.Control)
 }
--- a/internal/soak/collect.go
+++ b/internal/soak/collect.go
@@ -47,16 +47,7 @@
 		reply := fakes.ReceivedReply{Contains: slices.Contains(records.Seen, key), Complete: true}
 		e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply})
 	}
-	runs, err := u.Control.Runs(ctx)
-	if err != nil || len(runs) == 0 {
-		return err
-	}
-	reply, err := u.Control.Received(ctx, runs[len(runs)-1].Path)
-	if err != nil {
-		return err
-	}
-	e.Searches = append(e.Searches, workload.KeySearch{Upstream: u.Name, ReceivedReply: reply, Control: true})
-	return nil
+	return e.SearchArrived(ctx, u.Name, u.Control)
 }
 
 func encode(v any) []byte {
--- a/internal/workload/evidence.go
+++ b/internal/workload/evidence.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"context"
 	"fmt"
 	"slices"
 	"time"
@@ -40,6 +41,21 @@
 	Control bool
 }
 
+// SearchArrived asks a stand-in for the path of its last run, which did arrive, as the control of
+// the searches for keys. A stand-in without runs is not asked.
+func (e *Evidence) SearchArrived(ctx context.Context, upstream string, control *fakes.Client) error {
+	runs, err := control.Runs(ctx)
+	if err != nil || len(runs) == 0 {
+		return err
+	}
+	reply, err := control.Received(ctx, runs[len(runs)-1].Path)
+	if err != nil {
+		return err
+	}
+	e.Searches = append(e.Searches, KeySearch{Upstream: upstream, ReceivedReply: reply, Control: true})
+	return nil
+}
+
 // EngineMemory is what an engine held for sessions.
 type EngineMemory struct {
 	Upstream string
