fleet: VMs join by name; connections follow the membership

Cause: connections between VMs came from the settings alone. A VM that the others' settings did not name asked for a lease, and the leader could neither ask it for its addresses nor answer; one that was replaced at another address needed a rolling change of all settings.

A lease request of a VM that is no member says where it is. The leader connects to it, at most 64 such VMs for 30 s each, asks it for the rest and proposes it; all VMs connect to members by the addresses of the control log, and close what they have to VMs that left. Members' requests stay as long as they were. A listener on all IPs is registered with the IP of the VM's own entry.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -11,7 +11,6 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"egretramp/internal/control"
 	"egretramp/internal/dispatch"
 	"egretramp/internal/events"
 	"egretramp/internal/fleet"
@@ -191,16 +190,12 @@
 		VM:          d.settings.VM,
 		Zone:        d.settings.Zone,
 		Incarnation: d.incarnation,
-		Addresses: control.Addresses{
-			Callers:   d.settings.Listen.Callers,
-			Upstreams: d.settings.Listen.Upstreams,
-			Peers:     d.settings.Listen.Peers,
-			Admin:     d.settings.Listen.Admin,
-		},
-		VMs:        vms,
-		ControlVMs: d.groups.ControlVMs(),
-		Network:    d.node,
-		Proposer:   controlProposer{client: d.groups},
+		Addresses:   addressesOf(d.settings),
+		VMs:         vms,
+		ControlVMs:  d.groups.ControlVMs(),
+		Network:     d.node,
+		Connections: d.node,
+		Proposer:    controlProposer{client: d.groups},
 		Rejoined: func(incarnation int64) {
 			d.programs.SetOwner(program.Owner{VM: d.settings.VM, Incarnation: incarnation})
 		},
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -67,6 +67,14 @@
 	Propose(ctx context.Context, command control.Command) (control.Result, error)
 }
 
+// Connections are this VM's connections to other VMs.
+type Connections interface {
+	// AddPeer adds a VM or changes its address.
+	AddPeer(vm, address string)
+	// RemovePeer forgets a VM.
+	RemovePeer(vm string)
+}
+
 // Options configure a Fleet.
 type Options struct {
 	VM          string
@@ -78,6 +86,8 @@
 	// ControlVMs have replicas of the control group.
 	ControlVMs []string
 	Network    Network
+	// Connections follow the membership; nil: the VMs known at start are all there are.
+	Connections Connections
 	// Leader is nil on a VM without the control role.
 	Leader   Leader
 	Proposer Proposer
@@ -101,6 +111,7 @@
 	tracker  *membership.Tracker
 	holder   *membership.Holder
 	granter  granter
+	joined   joined
 	limiter  *ratelimit.Limiter
 	follower *control.Follower
 	fetching map[string]bool
@@ -129,6 +140,7 @@
 		fetching: map[string]bool{},
 		asked:    map[string]time.Duration{},
 		draws:    map[string]chan ratelimit.Decision{},
+		joined:   joined{members: map[string]bool{}, guests: map[string]time.Duration{}},
 	}
 	f.tracker = membership.NewTracker(membership.TrackerOptions{
 		VM: opts.VM, Zone: opts.Zone, Incarnation: uint64(opts.Incarnation), Seed: uint64(opts.Incarnation),
@@ -270,6 +282,7 @@
 
 func (f *Fleet) sendLease(sends []membership.LeaseSend) {
 	for _, s := range sends {
+		f.introduce(s.Renew)
 		payload := mustMarshal(s.LeaseMessage)
 		if s.To != membership.ToControl {
 			f.opts.Network.Send(s.To, KindLease, payload)
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -65,6 +65,7 @@
 	if m.Renew == nil {
 		return
 	}
+	f.welcome(f.opts.Clock(), from, m.Renew)
 	f.leading.requests = append(f.leading.requests, renewal{from: from, request: *m.Renew})
 	f.confirm()
 }
@@ -121,6 +122,7 @@
 		f.takeOffice(term)
 		return
 	}
+	f.dismissGuests(now)
 	l.grantor.Tick(now)
 	for _, vm := range l.grantor.Removable(now) {
 		f.propose(vm, control.Command{RemoveVM: &control.RemoveVM{VM: vm, Incarnation: f.incarnationOf(vm)}})
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -66,6 +66,7 @@
 		f.rejoin(now)
 	}
 	if change.Members {
+		f.connect(state.Members.VMs)
 		f.tracker.SetVMs(now, f.known(epochOf(state.Members)))
 		f.publishAlive()
 	}
--- a/internal/membership/messages.go
+++ b/internal/membership/messages.go
@@ -90,6 +90,9 @@
 	Zone     string  `json:"zone"`
 	Sequence uint64  `json:"sequence"`
 	Settled  Settled `json:"settled,omitzero"` // as the sender knows it; a new leader does not
+	// Address is where the sender takes connections from VMs, IP:port. Only a VM that is no member
+	// says so: control may not know it.
+	Address string `json:"address,omitempty"`
 	// Sponsored are the VMs whose lease the sender renewed of late, with what they confirmed.
 	Sponsored []Confirmed `json:"sponsored,omitempty"`
 }
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -31,6 +31,7 @@
 	queue *queue
 	up    atomic.Bool
 	heard signOfLife
+	stop  context.CancelFunc // ends run; nil until it runs; guarded by the node's mutex
 
 	mu      sync.Mutex
 	address string
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -133,6 +133,20 @@
 	}
 }
 
+// RemovePeer forgets a VM and closes the connections that were dialled to it.
+func (n *Node) RemovePeer(vm string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l, ok := n.links[vm]
+	if !ok {
+		return
+	}
+	delete(n.links, vm)
+	if l.stop != nil {
+		l.stop()
+	}
+}
+
 // VMs returns the names of all other VMs, sorted.
 func (n *Node) VMs() []string {
 	n.mu.Lock()
@@ -176,18 +190,30 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	n.startLinks(ctx, &wg)
+	// From here on no link may start: wg is waited for.
+	defer n.stopLinks()
 	return n.serve(ctx, listener)
 }
 
 func (n *Node) startLinks(ctx context.Context, wg *conc.WaitGroup) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.run = func(l *link) { wg.Go(func() { l.run(ctx) }) }
+	n.run = func(l *link) {
+		linkCtx, stop := context.WithCancel(ctx)
+		l.stop = stop
+		wg.Go(func() { l.run(linkCtx) })
+	}
 	for _, l := range n.links {
 		n.run(l)
 	}
 }
 
+func (n *Node) stopLinks() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.run = nil
+}
+
 // Send queues a one-way message. It never blocks; a message to this VM itself is handled at once.
 func (n *Node) Send(vm, kind string, payload []byte) {
 	if vm == n.opts.VM {
--- a/internal/settings/types.go
+++ b/internal/settings/types.go
@@ -12,7 +12,7 @@
 	Listen Listen `json:"listen"`
 	// DataFolder is where a VM with a disk keeps its state. Empty: no disk, entry role only.
 	DataFolder string `json:"data_folder,omitempty"`
-	// Peers are all VMs known at start, this one included.
+	// Peers are the VMs known at start: all control VMs and this one. Others join by themselves.
 	Peers []Peer `json:"peers"`
 	// ShutdownLimitSeconds bounds a graceful shutdown. Seconds; default 600.
 	ShutdownLimitSeconds float64 `json:"shutdown_limit_seconds,omitempty" check:"above=0,max=86400"`
