--- a/internal/placement/orderer_test.go
+++ b/internal/placement/orderer_test.go
@@ -84,7 +84,10 @@
 	engines[0].Incarnation = 2
 	o.Observe(now, engines, nil)
 	require.Equal(t, CodeEngineGone, o.Results()[0].Code)
-	require.Equal(t, Action{Kind: ActReturn, ID: "7-1"}, o.Next(now)[0], "its load died with it")
+	require.Equal(t, []Action{
+		{Kind: ActReturn, ID: "7-1"}, // its load died with it
+		{Kind: ActLift, ID: "7-1", Engine: engines[0], Models: []string{"m0"}},
+	}, o.Next(now))
 }
 
 func TestOrderer_PermitOfALoadUnderWayRunsOut(t *testing.T) {
