--- a/internal/dispatch/bench_test.go
+++ b/internal/dispatch/bench_test.go
@@ -12,6 +12,7 @@
 
 	"egretramp/internal/config"
 	"egretramp/internal/events"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
@@ -94,7 +95,7 @@
 			for range b.N {
 				sequence++
 				for i := range size.replicas {
-					payload := mustMarshal(benchAnnouncement(i, sequence))
+					payload := message.Encode(benchAnnouncement(i, sequence))
 					received += len(payload)
 					h.HandleAnnounce("vm2", payload)
 					(<-h.events)()
@@ -166,7 +167,7 @@
 }
 
 func benchSummary(zone, model int) []byte {
-	return mustMarshal(Summary{From: fmt.Sprintf("region-zone%02d-vm%03d", zone, model), SentAt: time.Hour, Pools: []PoolSummary{{
+	return message.Encode(Summary{From: fmt.Sprintf("region-zone%02d-vm%03d", zone, model), SentAt: time.Hour, Pools: []PoolSummary{{
 		Pool: upstream.Pool{Zone: fmt.Sprintf("region-zone%02d", zone), Kind: config.KindEngine, Name: fmt.Sprintf("model-%d", model)},
 		Load: schedule.Load{Replicas: 38, Slots: 2432, Running: 1140, Waiting: 76, WaitMS: 12, PrefillNS: 80_000},
 	}}})
--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -9,6 +9,7 @@
 
 	"egretramp/internal/clock"
 	"egretramp/internal/config"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 )
@@ -257,14 +258,14 @@
 		}
 		return reply, nil
 	case <-ctx.Done():
-		c.send(w.enqueue.Pool, KindCancel, mustMarshal(Cancel{Pool: w.enqueue.Pool, RequestID: w.enqueue.Request.ID}))
+		c.send(w.enqueue.Pool, KindCancel, message.Encode(Cancel{Pool: w.enqueue.Pool, RequestID: w.enqueue.Request.ID}))
 		return Reply{}, &Error{Code: CodeTimeout}
 	}
 }
 
 // enqueue asks the pool's dispatcher, and the next VMs of its zone if that one cannot be reached.
 func (c *Client) enqueue(ctx context.Context, e Enqueue) (Reply, bool) {
-	payload := mustMarshal(e)
+	payload := message.Encode(e)
 	for _, vm := range c.opts.Locator.Dispatchers(e.Pool) {
 		callCtx, cancel := context.WithTimeout(ctx, callTimeout)
 		data, err := c.opts.Network.Call(callCtx, vm, MethodEnqueue, payload)
@@ -291,7 +292,7 @@
 	c.mu.Lock()
 	delete(c.running, g.RequestID)
 	c.mu.Unlock()
-	c.send(g.Pool, KindFinish, mustMarshal(Finish{Pool: g.Pool, RequestID: g.RequestID, Outcome: o}))
+	c.send(g.Pool, KindFinish, message.Encode(Finish{Pool: g.Pool, RequestID: g.RequestID, Outcome: o}))
 }
 
 // send sends a message to the pool's dispatcher.
--- a/internal/dispatch/drain.go
+++ b/internal/dispatch/drain.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"time"
 
+	"egretramp/internal/message"
 	"egretramp/internal/upstream"
 )
 
@@ -110,7 +111,7 @@
 func (c *Client) DrainAt(ctx context.Context, vm string, d Drain) (int, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	data, err := c.opts.Network.Call(ctx, vm, MethodDrain, mustMarshal(d))
+	data, err := c.opts.Network.Call(ctx, vm, MethodDrain, message.Encode(d))
 	if err != nil {
 		return 0, err
 	}
--- a/internal/dispatch/handlers.go
+++ b/internal/dispatch/handlers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 
 	"egretramp/internal/config"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
@@ -13,7 +14,7 @@
 // Announce takes a verified announcement and passes it to the dispatchers of its pools. It
 // reports whether there are any: a zone without live VMs has none.
 func (h *Host) Announce(a wire.Announcement) bool {
-	payload := mustMarshal(a)
+	payload := message.Encode(a)
 	sent := map[string]bool{}
 	serves := a.Serves
 	if len(serves) == 0 && a.Kind == config.KindEngine {
--- a/internal/dispatch/host.go
+++ b/internal/dispatch/host.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -11,6 +10,7 @@
 	"egretramp/internal/clock"
 	"egretramp/internal/config"
 	"egretramp/internal/events"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 	"egretramp/internal/upstream/wire"
@@ -187,7 +187,7 @@
 		}
 		p.Cancel(now, id)
 		p.drop(id)
-		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: id, State: StateNoUpstream}))
+		h.opts.Network.Send(r.from, KindGrant, message.Encode(Reply{RequestID: id, State: StateNoUpstream}))
 	}
 }
 
@@ -270,7 +270,7 @@
 		ServesAs:    record.ServesAs[key.Name],
 		QueuedFor:   now - r.queuedAt,
 	}}
-	h.opts.Network.Send(r.from, KindGrant, mustMarshal(r.reply))
+	h.opts.Network.Send(r.from, KindGrant, message.Encode(r.reply))
 }
 
 func (h *Host) refuse(p *pool, refused schedule.Refused) {
@@ -281,7 +281,7 @@
 	if refused.Reason == schedule.ReasonNoReplica {
 		// Not a refusal yet: another zone may serve it.
 		p.drop(refused.Request.ID)
-		h.opts.Network.Send(r.from, KindGrant, mustMarshal(Reply{RequestID: refused.Request.ID, State: StateNoUpstream}))
+		h.opts.Network.Send(r.from, KindGrant, message.Encode(Reply{RequestID: refused.Request.ID, State: StateNoUpstream}))
 		return
 	}
 	r.reply = Reply{
@@ -290,7 +290,7 @@
 		Reason:       refused.Reason,
 		RetryAfterMS: refused.RetryAfter.Milliseconds(),
 	}
-	h.opts.Network.Send(r.from, KindGrant, mustMarshal(r.reply))
+	h.opts.Network.Send(r.from, KindGrant, message.Encode(r.reply))
 }
 
 func (h *Host) finish(key upstream.Pool, id string, o schedule.Outcome) {
@@ -382,12 +382,3 @@
 		delete(h.pools, key)
 	}
 }
-
-// mustMarshal encodes this package's own messages, which cannot fail.
-func mustMarshal(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic("dispatch: cannot encode a message: " + err.Error())
-	}
-	return data
-}
--- a/internal/dispatch/refresh.go
+++ b/internal/dispatch/refresh.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"egretramp/internal/message"
 	"egretramp/internal/upstream"
 )
 
@@ -38,7 +39,7 @@
 		byVM[ranked[0]].Pools = append(byVM[ranked[0]].Pools, *r)
 	}
 	for vm, r := range byVM {
-		c.opts.Network.Send(vm, KindRefresh, mustMarshal(r))
+		c.opts.Network.Send(vm, KindRefresh, message.Encode(r))
 	}
 }
 
@@ -50,7 +51,7 @@
 		return
 	}
 	if whole := c.whole(l); len(whole.Running)+len(whole.Waiting) > 0 {
-		c.opts.Network.Send(from, KindRefresh, mustMarshal(whole))
+		c.opts.Network.Send(from, KindRefresh, message.Encode(whole))
 	}
 }
 
@@ -93,7 +94,7 @@
 		}
 	}
 	if len(lacking.Pools) > 0 {
-		h.opts.Network.Send(from, KindLacking, mustMarshal(lacking))
+		h.opts.Network.Send(from, KindLacking, message.Encode(lacking))
 	}
 }
 
--- a/internal/dispatch/refresh_test.go
+++ b/internal/dispatch/refresh_test.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"egretramp/internal/events"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 )
 
@@ -113,7 +114,7 @@
 	n.hold(1)
 	lacking := Lacking{Pools: []PoolLacking{{Pool: poolOf("m1"), Requests: digests{}.with(digestOf("request-0"))}}}
 	n.client.Release(&Grant{RequestID: "request-0", Pool: poolOf("m1")}, schedule.Outcome{})
-	n.client.HandleLacking("vm1", mustMarshal(lacking))
+	n.client.HandleLacking("vm1", message.Encode(lacking))
 	require.Zero(t, n.bytes)
 }
 
--- a/internal/dispatch/relay.go
+++ b/internal/dispatch/relay.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretramp/internal/config"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 )
@@ -68,7 +69,7 @@
 	if len(s.Pools) == 0 {
 		return
 	}
-	payload := mustMarshal(s)
+	payload := message.Encode(s)
 	h.relayed++
 	for _, zone := range h.opts.Locator.Zones() {
 		vms := h.opts.Locator.Dispatchers(upstream.Pool{Zone: zone})
--- a/internal/dispatch/summary.go
+++ b/internal/dispatch/summary.go
@@ -5,6 +5,7 @@
 	"sort"
 	"time"
 
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 )
@@ -35,7 +36,7 @@
 	if len(s.Pools) == 0 {
 		return
 	}
-	payload := mustMarshal(s)
+	payload := message.Encode(s)
 	for _, vm := range vms {
 		h.opts.Network.Send(vm, KindSummary, payload)
 	}
--- a/internal/dispatch/summary_test.go
+++ b/internal/dispatch/summary_test.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"egretramp/internal/events"
+	"egretramp/internal/message"
 	"egretramp/internal/schedule"
 	"egretramp/internal/upstream"
 )
@@ -65,7 +66,7 @@
 	var now time.Duration
 	c := NewClient(ClientOptions{Zone: "z0", Locator: zones{"z0", "z1"}, Clock: func() time.Duration { return now }})
 	hear := func(from, zone string, replicas int) {
-		c.HandleSummary("relay", mustMarshal(Summary{From: from, Pools: []PoolSummary{
+		c.HandleSummary("relay", message.Encode(Summary{From: from, Pools: []PoolSummary{
 			{Pool: upstream.Pool{Zone: zone, Name: "m"}, Load: schedule.Load{Replicas: replicas}},
 		}}))
 	}
@@ -98,7 +99,7 @@
 	var now time.Duration
 	c := NewClient(ClientOptions{Zone: "z0", Locator: zones{"z0", "z1"}, Clock: func() time.Duration { return now }})
 	hear := func(from string, sentAt time.Duration, replicas int) {
-		c.HandleSummary("relay", mustMarshal(Summary{From: from, SentAt: sentAt, Pools: []PoolSummary{
+		c.HandleSummary("relay", message.Encode(Summary{From: from, SentAt: sentAt, Pools: []PoolSummary{
 			{Pool: upstream.Pool{Zone: "z1", Name: "m"}, Load: schedule.Load{Replicas: replicas}},
 		}}))
 	}
--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -15,6 +15,7 @@
 	"egretramp/internal/control"
 	"egretramp/internal/events"
 	"egretramp/internal/membership"
+	"egretramp/internal/message"
 )
 
 const (
@@ -109,8 +110,8 @@
 }
 
 // deliver hands a message of a generated VM to the Fleet once the present event is over.
-func (n *benchNet) deliver(from, kind string, message any) {
-	payload := mustMarshal(message)
+func (n *benchNet) deliver(from, kind string, m any) {
+	payload := message.Encode(m)
 	n.taken[kind].add(payload)
 	handle := map[string]func(string, []byte){
 		KindGossip: n.fleet.HandleGossip, KindLease: n.fleet.HandleLease, KindRenew: n.fleet.HandleRenew,
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -20,6 +20,7 @@
 	"egretramp/internal/control"
 	"egretramp/internal/events"
 	"egretramp/internal/membership"
+	"egretramp/internal/message"
 	"egretramp/internal/ratelimit"
 )
 
@@ -276,14 +277,14 @@
 
 func (f *Fleet) sendGossip(sends []membership.GossipSend) {
 	for _, s := range sends {
-		f.opts.Network.Send(s.To, KindGossip, mustMarshal(s.Gossip))
+		f.opts.Network.Send(s.To, KindGossip, message.Encode(s.Gossip))
 	}
 }
 
 func (f *Fleet) sendLease(sends []membership.LeaseSend) {
 	for _, s := range sends {
 		f.introduce(s.Renew)
-		payload := mustMarshal(s.LeaseMessage)
+		payload := message.Encode(s.LeaseMessage)
 		if s.To != membership.ToControl {
 			f.opts.Network.Send(s.To, KindLease, payload)
 			continue
@@ -293,12 +294,3 @@
 		}
 	}
 }
-
-// mustMarshal encodes messages of this VM, which cannot fail.
-func mustMarshal(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic("fleet: cannot encode a message: " + err.Error())
-	}
-	return data
-}
--- a/internal/fleet/lead.go
+++ b/internal/fleet/lead.go
@@ -10,6 +10,7 @@
 	"egretramp/internal/control"
 	"egretramp/internal/events"
 	"egretramp/internal/membership"
+	"egretramp/internal/message"
 )
 
 // leading is the state of the VM that leads the control group. Its grantor is nil elsewhere.
@@ -99,7 +100,7 @@
 	for _, r := range batch {
 		f.leading.incarnations[r.request.VM] = r.request.Incarnation
 		answer := f.leading.grantor.Renew(now, r.request)
-		payload := mustMarshal(membership.LeaseMessage{Answer: &answer})
+		payload := message.Encode(membership.LeaseMessage{Answer: &answer})
 		f.opts.Network.Send(r.from, KindLease, payload)
 	}
 }
@@ -195,7 +196,7 @@
 		f.leading.grantor.RemovalFailed(vm)
 	case c.RegisterVM != nil && r.Code == control.CodeOldIncarnation:
 		// The VM was removed under this incarnation, perhaps before it learned that it was a member.
-		f.opts.Network.Send(vm, KindRemoved, mustMarshal(removed{Incarnation: c.RegisterVM.Incarnation}))
+		f.opts.Network.Send(vm, KindRemoved, message.Encode(removed{Incarnation: c.RegisterVM.Incarnation}))
 	}
 }
 
--- a/internal/fleet/permits.go
+++ b/internal/fleet/permits.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"egretramp/internal/message"
 	"egretramp/internal/ratelimit"
 	"egretramp/internal/refusal"
 )
@@ -12,7 +13,7 @@
 // carryOut sends what the limiter asks for and hands decisions to those who wait for them.
 func (f *Fleet) carryOut(e ratelimit.Effects) {
 	for _, s := range e.Sends {
-		f.opts.Network.Send(s.To, KindLimit, mustMarshal(s.Message))
+		f.opts.Network.Send(s.To, KindLimit, message.Encode(s.Message))
 	}
 	for _, d := range e.Decisions {
 		if waiting, ok := f.draws[d.Request]; ok {
--- a/internal/fleet/spread.go
+++ b/internal/fleet/spread.go
@@ -14,6 +14,7 @@
 	"egretramp/internal/control"
 	"egretramp/internal/events"
 	"egretramp/internal/membership"
+	"egretramp/internal/message"
 	"egretramp/internal/ratelimit"
 )
 
@@ -193,7 +194,7 @@
 // brief returns a short hash of the control state, which travels on the heartbeats: VMs that
 // know the same have the same.
 func (f *Fleet) brief() []byte {
-	sum := sha256.Sum256(mustMarshal(f.follower.Digest()))
+	sum := sha256.Sum256(message.Encode(f.follower.Digest()))
 	return sum[:briefBytes]
 }
 
@@ -202,7 +203,7 @@
 // shareDigest puts the state's brief on the heartbeats, and tells the other VMs at once.
 func (f *Fleet) shareDigest() {
 	f.tracker.SetDigest(f.brief())
-	message := mustMarshal(digestMessage{Digest: f.follower.Digest()})
+	message := message.Encode(digestMessage{Digest: f.follower.Digest()})
 	for _, vm := range f.tracker.Contacts(shareContacts) {
 		f.opts.Network.Send(vm, KindDigest, message)
 	}
@@ -227,7 +228,7 @@
 		return
 	}
 	f.asked[from] = now
-	f.opts.Network.Send(from, KindDigest, mustMarshal(digestMessage{Digest: f.follower.Digest(), Ask: true}))
+	f.opts.Network.Send(from, KindDigest, message.Encode(digestMessage{Digest: f.follower.Digest(), Ask: true}))
 }
 
 // HandleDigest takes another VM's digest.
@@ -239,7 +240,7 @@
 	f.post(func() {
 		own := f.follower.Digest()
 		if m.Ask && own.Ahead(m.Digest) {
-			f.opts.Network.Send(from, KindDigest, mustMarshal(digestMessage{Digest: own}))
+			f.opts.Network.Send(from, KindDigest, message.Encode(digestMessage{Digest: own}))
 		}
 		f.compare(from, m.Digest)
 	})
@@ -267,7 +268,7 @@
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	var delta control.Delta
-	data, err := f.opts.Network.Call(ctx, vm, MethodDelta, mustMarshal(own))
+	data, err := f.opts.Network.Call(ctx, vm, MethodDelta, message.Encode(own))
 	if err != nil {
 		return delta, err
 	}
@@ -280,7 +281,7 @@
 	if err := json.Unmarshal(payload, &theirs); err != nil {
 		return nil, errors.Wrap(err, "fleet: bad digest")
 	}
-	return await(ctx, f, func() []byte { return mustMarshal(f.follower.DeltaFor(theirs)) })
+	return await(ctx, f, func() []byte { return message.Encode(f.follower.DeltaFor(theirs)) })
 }
 
 // await runs read on the control goroutine and returns its result.
--- a/internal/placement/exchange.go
+++ b/internal/placement/exchange.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"egretramp/internal/config"
+	"egretramp/internal/message"
 )
 
 // snapshot puts together what a plan is made of.
@@ -90,7 +91,7 @@
 
 // report tells the VMs that order the other zones.
 func (r *Runner) report(s Snapshot) {
-	payload := mustMarshal(Report{Zone: r.opts.Zone, Spare: Spares(s), Coming: r.orderer.Coming()})
+	payload := message.Encode(Report{Zone: r.opts.Zone, Spare: Spares(s), Coming: r.orderer.Coming()})
 	for _, zone := range r.opts.Fabric.Zones() {
 		if vm := r.opts.Fabric.Orderer(zone); vm != "" && zone != r.opts.Zone {
 			r.opts.Network.Send(vm, KindReport, payload)
@@ -108,7 +109,7 @@
 	if len(calls) == 0 {
 		return
 	}
-	payload := mustMarshal(Unserved{Zone: r.opts.Zone, Calls: calls})
+	payload := message.Encode(Unserved{Zone: r.opts.Zone, Calls: calls})
 	for _, zone := range r.opts.Fabric.Zones() {
 		if vm := r.opts.Fabric.Orderer(zone); vm != "" {
 			r.opts.Network.Send(vm, KindUnserved, payload)
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -303,12 +302,3 @@
 	}
 	r.report(s)
 }
-
-// mustMarshal encodes this package's own messages, which cannot fail.
-func mustMarshal(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic("placement: cannot encode a message: " + err.Error())
-	}
-	return data
-}
--- a/internal/suspect/guard.go
+++ b/internal/suspect/guard.go
@@ -15,6 +15,7 @@
 
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
+	"egretramp/internal/message"
 )
 
 // Methods and kinds of messages between VMs.
@@ -145,7 +146,7 @@
 	g.stats.Polls.Add(1)
 	ctx, cancel := context.WithTimeout(ctx, pollTimeout)
 	defer cancel()
-	payload := mustMarshal(p)
+	payload := message.Encode(p)
 	var mu sync.Mutex
 	ballots := map[string]Ballot{}
 	var wg conc.WaitGroup
@@ -165,8 +166,8 @@
 	return ballots
 }
 
-func (g *Guard) sendTo(vms []string, kind string, message any) {
-	payload := mustMarshal(message)
+func (g *Guard) sendTo(vms []string, kind string, m any) {
+	payload := message.Encode(m)
 	for _, vm := range vms {
 		g.opts.Network.Send(vm, kind, payload)
 	}
@@ -239,11 +240,11 @@
 		g.sendTo(g.opts.Others(), KindHello, hello{Start: g.start})
 	}
 	for vm, held := range sends.Holds {
-		g.opts.Network.Send(vm, KindHold, mustMarshal(held))
+		g.opts.Network.Send(vm, KindHold, message.Encode(held))
 	}
 	others := slices.Sorted(slices.Values(g.opts.Others()))
 	if len(records) > 0 && len(others) > 0 {
-		g.opts.Network.Send(others[round%len(others)], KindRecords, mustMarshal(records))
+		g.opts.Network.Send(others[round%len(others)], KindRecords, message.Encode(records))
 	}
 }
 
@@ -253,12 +254,3 @@
 	defer g.mu.Unlock()
 	return g.arbiter.Records(g.opts.Clock())
 }
-
-// mustMarshal encodes this package's own messages, which cannot fail.
-func mustMarshal(v any) []byte {
-	data, err := json.Marshal(v)
-	if err != nil {
-		panic("suspect: cannot encode a message: " + err.Error())
-	}
-	return data
-}
--- a/internal/suspect/handlers.go
+++ b/internal/suspect/handlers.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+
+	"egretramp/internal/message"
 )
 
 // HandleAsk serves MethodAsk.
@@ -77,7 +79,7 @@
 	state := g.arbiter.Snapshot(g.opts.Clock())
 	g.mu.Unlock()
 	if len(state.Records)+len(state.Runs) > 0 {
-		g.opts.Network.Send(from, KindState, mustMarshal(state))
+		g.opts.Network.Send(from, KindState, message.Encode(state))
 	}
 }
 
--- a/internal/suspect/leave.go
+++ b/internal/suspect/leave.go
@@ -6,6 +6,8 @@
 	"encoding/json"
 	mathrand "math/rand/v2"
 	"time"
+
+	"egretramp/internal/message"
 )
 
 // Leave lets one run go. End must follow, once.
@@ -97,7 +99,7 @@
 	l.verdict = Verdict{State: Wait}
 	ctx, cancel := context.WithTimeout(ctx, askTimeout)
 	defer cancel()
-	data, err := g.opts.Network.Call(ctx, owner, MethodAsk, mustMarshal(l.ask))
+	data, err := g.opts.Network.Call(ctx, owner, MethodAsk, message.Encode(l.ask))
 	var v Verdict
 	if err == nil && json.Unmarshal(data, &v) == nil {
 		l.answered(v)
@@ -147,7 +149,7 @@
 	} else {
 		g.forget(end)
 	}
-	switch payload := mustMarshal(end); {
+	switch payload := message.Encode(end); {
 	case l.owner == g.opts.VM:
 	case outcome == Lost:
 		ctx, cancel := context.WithTimeout(context.Background(), endTimeout)
