clock: one repeated task, aligned; placement rests where nothing enables it

Six loops over a ticker stood in five packages, three of them off the grid that the other ticks of a process share, and placement looked ten times a second at a configuration that does not enable it. They use clock.Repeat; placement looks once a second until it is enabled. A round's own time counts as part of the interval, as with a ticker (TestRepeat_KeepsTheIntervalAndEnds, seen red with the first form, 1.3 s for 1 s).

--- a/internal/clock/align.go
+++ b/internal/clock/align.go
@@ -1,6 +1,9 @@
 package clock
 
-import "time"
+import (
+	"context"
+	"time"
+)
 
 // Grid is the unit of Align, halfGrid that of waits shorter than Grid.
 const (
@@ -13,8 +16,9 @@
 var started = time.Now()
 
 // Align shortens a wait so that it ends on a multiple of Grid since the process started, one
-// shorter than Grid on a multiple of half of it; a still shorter one is left as it is. The repeated work of a process at rest then shares its wake-ups: each costs more than
-// the work. Set again at each end with the same interval, it neither drifts nor is late.
+// shorter than Grid on a multiple of half of it; a still shorter one is left as it is. The
+// repeated work of a process at rest then shares its wake-ups: each costs more than the work. Set
+// again at each end with the same interval, it neither drifts nor is late.
 func Align(wait time.Duration) time.Duration {
 	unit := Grid
 	if wait < Grid {
@@ -29,3 +33,20 @@
 	}
 	return wait - beyond
 }
+
+// Repeat does a round at the end of each interval, aligned, until ctx ends. A round that takes
+// longer than an interval delays the next.
+func Repeat(ctx context.Context, interval time.Duration, round func()) {
+	timer := time.NewTimer(Align(interval))
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+			begin := time.Now()
+			round()
+			timer.Reset(Align(max(interval-time.Since(begin), 0)))
+		}
+	}
+}
--- a/internal/clock/align_test.go
+++ b/internal/clock/align_test.go
@@ -1,6 +1,7 @@
 package clock
 
 import (
+	"context"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -25,3 +26,22 @@
 		require.Equal(t, halfGrid-1, Align(halfGrid-1), "a short wait is left alone")
 	})
 }
+
+func TestRepeat_KeepsTheIntervalAndEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		var at []time.Duration
+		begin := time.Now()
+		Repeat(ctx, time.Second, func() {
+			at = append(at, time.Since(begin))
+			time.Sleep(time.Duration(len(at)%2) * 300 * time.Millisecond)
+			if len(at) == 5 {
+				cancel()
+			}
+		})
+		require.Len(t, at, 5)
+		for i := 1; i < len(at); i++ {
+			require.Equal(t, time.Second, (at[i] - at[i-1]).Round(Grid))
+		}
+	})
+}
--- a/internal/daemon/memory.go
+++ b/internal/daemon/memory.go
@@ -6,6 +6,7 @@
 
 	"github.com/sourcegraph/conc/pool"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/config"
 	"egretramp/internal/dispatch"
 	"egretramp/internal/program"
@@ -29,7 +30,7 @@
 // program group, until ctx ends.
 func (d *Daemon) keepReleasing(ctx context.Context, h programHome) {
 	releaser := &releaser{Daemon: d, ledger: d.programs.Ledgers()[h.home]}
-	repeat(ctx, releaseInterval, func(ctx context.Context) {
+	clock.Repeat(ctx, releaseInterval, func() {
 		if d.leads(h.group) {
 			releaser.releaseMemory(ctx)
 		}
@@ -39,7 +40,7 @@
 // keepReporting compares the sessions of the engines that this VM dispatches for with the
 // record, so that memory which no record names is released too, until ctx ends.
 func (d *Daemon) keepReporting(ctx context.Context) {
-	repeat(ctx, reportInterval, d.reportMemory)
+	clock.Repeat(ctx, reportInterval, func() { d.reportMemory(ctx) })
 }
 
 // releaser releases the engine memory that one program group gives up.
--- a/internal/daemon/programs.go
+++ b/internal/daemon/programs.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/control"
 	"egretramp/internal/groups"
 	"egretramp/internal/program"
@@ -65,7 +66,7 @@
 // keepPrograms drives a program group until ctx ends.
 func (d *Daemon) keepPrograms(ctx context.Context, h programHome) {
 	k := &programKeeper{daemon: d, home: h, ledger: d.programs.Ledgers()[h.home], members: map[string]control.VM{}}
-	repeat(ctx, program.TickEvery, k.round)
+	clock.Repeat(ctx, program.TickEvery, func() { k.round(ctx) })
 }
 
 // round does one round; what fails is done in the next one.
--- a/internal/daemon/tasks.go
+++ b/internal/daemon/tasks.go
@@ -38,20 +38,6 @@
 	})
 }
 
-// repeat does a round at each interval until ctx ends. A round that takes longer delays the next.
-func repeat(ctx context.Context, interval time.Duration, round func(context.Context)) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			round(ctx)
-		}
-	}
-}
-
 // pause waits for d or until ctx ends.
 func pause(ctx context.Context, d time.Duration) {
 	select {
--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -7,6 +7,7 @@
 
 	"github.com/sourcegraph/conc"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/program"
 )
 
@@ -124,27 +125,14 @@
 func (s *Server) Run(ctx context.Context) {
 	var wg conc.WaitGroup
 	defer wg.Wait()
-	wg.Go(func() { repeat(ctx, func() { s.renewDue(ctx) }) })
+	wg.Go(func() { clock.Repeat(ctx, checkEvery, func() { s.renewDue(ctx) }) })
 	// Apart from the renewal, which waits while the group gives no answer.
-	repeat(ctx, func() {
+	clock.Repeat(ctx, checkEvery, func() {
 		s.attempts.stopLapsed(s.opts.Clock())
 		s.checkOutage()
 	})
 }
 
-func repeat(ctx context.Context, check func()) {
-	ticker := time.NewTicker(checkEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			check()
-		}
-	}
-}
-
 func (s *Server) renewDue(ctx context.Context) {
 	sentAt := s.opts.Clock()
 	ids := s.attempts.due(sentAt)
--- a/internal/placement/runner.go
+++ b/internal/placement/runner.go
@@ -17,6 +17,8 @@
 
 const (
 	tickInterval = 100 * time.Millisecond
+	// restInterval is the time between two looks at the configuration while it enables nothing.
+	restInterval = time.Second
 	eventQueue   = 256
 	callTimeout  = 2 * time.Second
 	// contactLimit is how lately the zone must have heard control for orders to be given.
@@ -136,16 +138,16 @@
 	defer tasks.Wait()
 	defer close(r.done)
 	r.tasks, r.ctx = &tasks, ctx
-	ticker := time.NewTicker(tickInterval)
-	defer ticker.Stop()
+	timer := time.NewTimer(clock.Align(restInterval))
+	defer timer.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return
 		case event := <-r.events:
 			event()
-		case <-ticker.C:
-			r.onTick()
+		case <-timer.C:
+			timer.Reset(clock.Align(r.onTick()))
 		}
 	}
 }
@@ -167,23 +169,25 @@
 	})
 }
 
-func (r *Runner) onTick() {
+// onTick does what is due and returns when to look again.
+func (r *Runner) onTick() time.Duration {
 	now := r.opts.Clock()
 	settings, enabled := r.settings()
 	if !enabled {
 		r.setRight(now, nil)
-		return
+		return restInterval
 	}
 	r.orderer.SetSettings(Settings{LoadTimeout: seconds(settings.LoadTimeoutSeconds), MinChange: seconds(settings.MinChangeSeconds)})
 	r.tell(now)
 	r.keepRight(now)
 	if r.orderer.Right() == nil || !r.opts.Fleet.Current(contactLimit) {
-		return
+		return tickInterval
 	}
 	r.list(now, seconds(settings.PlanSeconds))
 	for _, a := range r.orderer.Next(now) {
 		r.carryOut(a)
 	}
+	return tickInterval
 }
 
 func (r *Runner) settings() (config.Placement, bool) {
--- a/internal/suspect/guard.go
+++ b/internal/suspect/guard.go
@@ -210,17 +210,8 @@
 // Run repeats the runs under way to their owners and the records to one VM after another, until
 // ctx ends.
 func (g *Guard) Run(ctx context.Context) {
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
 	g.round()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.C:
-			g.round()
-		}
-	}
+	clock.Repeat(ctx, interval, g.round)
 }
 
 func (g *Guard) round() {
