--- a/internal/soak/soak.go
+++ b/internal/soak/soak.go
@@ -85,8 +85,7 @@
 		}
 	}
 	s.fleet, err = harness.New(harness.Options{
-		Protected: true,
-		Bin:       opts.Bin, Dir: s.dir, Zones: zones, FaultInjection: true,
+		Bin: opts.Bin, Dir: s.dir, Zones: zones, FaultInjection: true, Protected: true,
 		ShutdownLimitSeconds: shutdownLimit.Seconds(),
 	})
 	if err != nil {
