--- a/internal/dispatch/client.go
+++ b/internal/dispatch/client.go
@@ -61,17 +61,7 @@
 
 // Run refreshes the dispatchers until ctx ends.
 func (c *Client) Run(ctx context.Context) {
-	timer := time.NewTimer(clock.Align(RefreshInterval))
-	defer timer.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-timer.C:
-			timer.Reset(clock.Align(RefreshInterval))
-			c.refresh()
-		}
-	}
+	clock.Repeat(ctx, RefreshInterval, c.refresh)
 }
 
 // HandleGrant takes a dispatcher's reply to a request that was queued.
