--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -166,6 +166,12 @@
 	return resp.StatusCode, string(data)
 }
 
+// settled ends the server and waits until the record has what callers were answered before.
+func (g *testGateway) settled() {
+	g.Close()
+	g.server.Wait()
+}
+
 func (g *testGateway) program(t *testing.T, name string) *program.View {
 	t.Helper()
 	v, err := g.ledger.Read(context.Background(), program.ProgramQuery{Account: "ana", Program: name})
@@ -234,6 +240,7 @@
 	require.Equal(t, "upstream_failed", code)
 	require.Equal(t, refusal.Unknown, notRun)
 	require.NotContains(t, text, "[DONE]", "nobody may take the part for the whole")
+	g.settled()
 	view := g.program(t, "p")
 	require.Equal(t, uint64(1), view.NextTurn, "the turn is open again")
 	require.Zero(t, view.RecordedMessages)
