--- a/cmd/egretrampd/main.go
+++ b/cmd/egretrampd/main.go
@@ -26,11 +26,15 @@
 
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"this VM's settings, JSON with comments"`
+	Platform bool   `long:"platform" description:"run on the users' platform; its settings file is named by EGRETRAMP_SETTINGS"`
 	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "--platform" {
+		os.Exit(runOnPlatform(os.Stdout, os.Stderr))
+	}
 	s, code := readCommandLine(os.Args[1:], os.Stdout, os.Stderr)
 	if s == nil {
 		os.Exit(code)
@@ -74,6 +78,8 @@
 	case o.Version:
 		fmt.Fprintln(out, "egretrampd "+version.String())
 		return nil, exitOK
+	case o.Platform:
+		return nil, refuse(errOut, errors.New("--platform takes no other options"))
 	case len(rest) > 0:
 		return nil, refuse(errOut, errors.Newf("unexpected argument %q", rest[0]))
 	case o.Settings == "":
--- a/internal/events/events.go
+++ b/internal/events/events.go
@@ -61,6 +61,15 @@
 	return &Logger{zap: z.With(zap.String("vm", vm))}, nil
 }
 
+// NewTo returns a logger that writes JSON lines to an output, with the VM's name in each.
+func NewTo(vm string, level zapcore.Level, output zapcore.WriteSyncer) *Logger {
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeTime = zapcore.ISO8601TimeEncoder
+	encoding.EncodeDuration = zapcore.MillisDurationEncoder
+	core := zapcore.NewCore(zapcore.NewJSONEncoder(encoding), output, level)
+	return &Logger{zap: zap.New(core).With(zap.String("vm", vm))}
+}
+
 // FromZap returns a logger that writes to z; tests pass an observer.
 func FromZap(z *zap.Logger) *Logger {
 	return &Logger{zap: z}
--- /dev/null
+++ b/internal/events/node.go
@@ -0,0 +1,23 @@
+package events
+
+import "go.uber.org/zap/zapcore"
+
+// Events of VMs that find each other by seeds, 2400 to 2499.
+var (
+	NodeStarted      = define(2400, zapcore.InfoLevel, "VM started", "")
+	NodeStopping     = define(2401, zapcore.InfoLevel, "VM stops: it is not ready any more and serves what still comes", "")
+	NodeStopped      = define(2402, zapcore.InfoLevel, "VM stopped", "")
+	NodeReloaded     = define(2403, zapcore.InfoLevel, "the settings were read again", "")
+	NodeReloadFailed = define(2404, zapcore.ErrorLevel, "the settings can't be read; the former ones stay in use", "correct the settings file")
+	NodeControlHeard = define(2405, zapcore.InfoLevel, "a control VM answers", "")
+	NodeControlLost  = define(2406, zapcore.WarnLevel, "a control VM doesn't answer", "")
+	NodeDocument     = define(2407, zapcore.InfoLevel, "a configuration came into force on this VM", "")
+	NodeBadDocument  = define(2408, zapcore.ErrorLevel, "a configuration from the control group can't be read", "compare the releases of the VMs")
+	NodeUpstream     = define(2409, zapcore.InfoLevel, "an upstream's registration changed", "")
+	NodeExpired      = define(2410, zapcore.WarnLevel, "an upstream stopped registering", "")
+	NodeStoreFormed  = define(2411, zapcore.InfoLevel, "the VMs that form the store group were chosen", "")
+	NodeOrder        = define(2412, zapcore.InfoLevel, "an operator's order was answered", "")
+	NodeEndFailed    = define(2413, zapcore.WarnLevel, "a turn's reservation could not be settled; it counts with all its tokens", "")
+	NodeReplica      = define(2414, zapcore.ErrorLevel, "the replica of this VM failed", "read the error; the process ends and starts again")
+	NodeLogDropped   = define(2415, zapcore.WarnLevel, "log lines were dropped because they came faster than they could be written", "")
+)
--- a/internal/events/raft.go
+++ b/internal/events/raft.go
@@ -19,5 +19,6 @@
 	FormationWaiting   = define(1110, zapcore.WarnLevel, "the group is not formed yet: not every initial VM answers",
 		"start the VMs that are named, or correct the initial VMs in the settings")
 	LearnerDropped    = define(1112, zapcore.InfoLevel, "a silent learner was dropped because its VM has a live voter", "")
+	VoterRemoved      = define(1113, zapcore.InfoLevel, "a voter was taken out of the group", "")
 	SnapshotInstalled = define(1111, zapcore.InfoLevel, "a snapshot from the leader replaced the state", "")
 )
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -2,11 +2,12 @@
 
 import (
 	"context"
-	"encoding/json"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 
 	"egretramp/internal/peer"
 )
@@ -15,7 +16,8 @@
 type Client struct {
 	network    Network
 	controlVMs []string
-	zoneVoters map[uint64][]string
+	vms        func(group uint64) []string // the VMs to ask, the nearest first
+	tryTimeout time.Duration
 
 	mu      sync.Mutex
 	leaders map[uint64]string
@@ -25,9 +27,39 @@
 // NewClient returns a client; controlVMs have the replicas, the nearest first, but for the
 // groups that zoneVoters names.
 func NewClient(network Network, controlVMs []string, zoneVoters map[uint64][]string) *Client {
-	return &Client{
-		network: network, controlVMs: controlVMs, zoneVoters: zoneVoters,
-		leaders: map[uint64]string{}, silent: map[string]bool{},
+	vms := func(group uint64) []string {
+		if voters, ok := zoneVoters[group]; ok {
+			return voters
+		}
+		return controlVMs
+	}
+	c := NewOpenClient(network, vms, tryTimeout)
+	c.controlVMs = controlVMs
+	return c
+}
+
+// NewOpenClient returns a client of groups whose VMs change; vms returns those to ask now. One
+// try at one VM is bounded by tryTimeout.
+func NewOpenClient(network Network, vms func(group uint64) []string, tryTimeout time.Duration) *Client {
+	return &Client{network: network, vms: vms, tryTimeout: tryTimeout, leaders: map[uint64]string{}, silent: map[string]bool{}}
+}
+
+// retryPause is the time between two rounds of ProposeRepeatedly; an election takes some of them.
+const retryPause = 40 * time.Millisecond
+
+// ProposeRepeatedly proposes a command that may be applied more than once until its result is
+// known or ctx ends.
+func (c *Client) ProposeRepeatedly(ctx context.Context, group uint64, data []byte) ([]byte, error) {
+	for {
+		result, err := c.Propose(ctx, group, data)
+		if err == nil {
+			return result, nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(retryPause):
+		}
 	}
 }
 
@@ -51,7 +83,7 @@
 
 // ask tries the supposed leader, then whoever the answers name, then the other VMs.
 func (c *Client) ask(ctx context.Context, method string, group uint64, data []byte) ([]byte, error) {
-	payload, err := json.Marshal(request{Group: group, Data: data})
+	payload, err := cbor.Marshal(request{Group: group, Data: data})
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotProposed)
 	}
@@ -84,7 +116,7 @@
 
 // try asks one VM. The error wraps ErrUnknownOutcome if the request may have been proposed.
 func (c *Client) try(ctx context.Context, vm, method string, payload []byte) (result []byte, leader string, err error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, c.tryTimeout)
 	defer cancel()
 	result, err = c.network.Call(ctx, vm, method, payload)
 	var remote *peer.RemoteError
@@ -113,11 +145,7 @@
 	if leader := c.leaders[group]; leader != "" {
 		all = append(all, leader)
 	}
-	voters, ok := c.zoneVoters[group]
-	if !ok {
-		voters = c.controlVMs
-	}
-	all = append(all, voters...)
+	all = append(all, c.vms(group)...)
 	slices.SortStableFunc(all, func(a, b string) int { return rank(c.silent[a]) - rank(c.silent[b]) })
 	return all
 }
--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -4,11 +4,11 @@
 
 import (
 	"context"
-	"encoding/json"
 	"hash/fnv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/protobuf/proto"
 
 	"egretramp/internal/peer"
@@ -64,10 +64,16 @@
 	Query(query []byte) []byte
 }
 
+// Finisher is a state machine that adds to a command's result what only the proposer needs. It
+// runs on the leader, after the command was applied.
+type Finisher interface {
+	Finish(command, result []byte) []byte
+}
+
 // request is a command or query for a group.
 type request struct {
-	Group uint64 `json:"group"`
-	Data  []byte `json:"data"`
+	Group uint64 `cbor:"1,keyasint"`
+	Data  []byte `cbor:"2,keyasint"`
 }
 
 // Transport sends raft messages of all groups between VMs.
@@ -105,6 +111,14 @@
 		return nil, err
 	}
 	result, err := local.Propose(ctx, req.Data)
+	if err != nil {
+		return nil, encodeError(err)
+	}
+	err = local.Query(ctx, func(sm replica.StateMachine) {
+		if f, ok := sm.(Finisher); ok {
+			result = f.Finish(req.Data, result)
+		}
+	})
 	return result, encodeError(err)
 }
 
@@ -125,7 +139,7 @@
 
 func (r Replicas) find(payload []byte) (*replica.Replica, *request, error) {
 	var req request
-	if err := json.Unmarshal(payload, &req); err != nil {
+	if err := cbor.Unmarshal(payload, &req); err != nil {
 		return nil, nil, err
 	}
 	local, ok := r[req.Group]
--- /dev/null
+++ b/internal/httpwire/server.go
@@ -0,0 +1,233 @@
+// Package httpwire serves HTTP/1.1 to callers whose requests are forwarded unchanged. net/http
+// parses heads and bodies; this package owns the connections, because the forwarding path needs
+// what net/http's server hides: requests whose framing is ambiguous are refused, an answer can be
+// broken off so that it can't look complete, and the departure of a caller is seen at once.
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+)
+
+// Limits bound what a caller may send and how long it may take.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration // for the head, from its first byte
+	IdleTimeout    time.Duration // between requests
+}
+
+// bodyTimeout bounds the reading of one body; callers give up long before.
+const bodyTimeout = 30 * time.Second
+
+// writeTimeout bounds one write to a caller that doesn't read.
+const writeTimeout = 10 * time.Second
+
+// lingerTimeout is how long a connection is drained after an answer that ends it, so that the
+// answer isn't lost to a reset.
+const lingerTimeout = 500 * time.Millisecond
+
+// ErrCallerGone is the cause of a context whose caller closed the connection.
+var ErrCallerGone = errors.New("httpwire: the caller closed the connection")
+
+// Request is one request as it was sent.
+type Request struct {
+	Method  string
+	Target  string // path and query, unchanged
+	Path    string // undecoded path
+	Host    string
+	Header  http.Header
+	Body    []byte
+	Arrived time.Time
+	close   bool
+}
+
+// Handler answers requests. It must end every response that it begins.
+type Handler interface {
+	Serve(ctx context.Context, w *Response, r *Request)
+	// Malformed answers a request that can't be read, before its connection is closed.
+	Malformed(w *Response, status int, reason string)
+}
+
+// Server serves connections.
+type Server struct {
+	handler  Handler
+	limits   func() Limits
+	draining atomic.Bool
+
+	mu    sync.Mutex
+	conns map[*serverConn]struct{}
+}
+
+// New returns a server; limits is asked at each request.
+func New(handler Handler, limits func() Limits) *Server {
+	return &Server{handler: handler, limits: limits, conns: map[*serverConn]struct{}{}}
+}
+
+// Serve accepts connections until the listener is closed, and returns when all have ended.
+func (s *Server) Serve(listener net.Listener) error {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for {
+		raw, err := listener.Accept()
+		if err != nil {
+			if errors.Is(err, net.ErrClosed) {
+				return nil
+			}
+			// Out of descriptors, or the connection was reset before it was taken.
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		c := &serverConn{server: s, raw: raw}
+		s.track(c, true)
+		wg.Go(func() {
+			defer s.track(c, false)
+			c.run()
+		})
+	}
+}
+
+// Drain announces in every further answer that its connection ends.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Open returns the number of open connections and of those with a request under way.
+func (s *Server) Open() (conns, busy int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if c.busy.Load() {
+			busy++
+		}
+	}
+	return len(s.conns), busy
+}
+
+// CloseIdle closes the connections on which no request is under way.
+func (s *Server) CloseIdle() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for c := range s.conns {
+		if !c.busy.Load() {
+			_ = c.raw.Close()
+		}
+	}
+}
+
+func (s *Server) track(c *serverConn, open bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if open {
+		s.conns[c] = struct{}{}
+	} else {
+		delete(s.conns, c)
+	}
+}
+
+type serverConn struct {
+	server *Server
+	raw    net.Conn
+	reader *bufio.Reader
+	busy   atomic.Bool
+}
+
+// readerSize holds the largest head that operators are expected to allow, so that it can be
+// checked before it is parsed.
+const readerSize = 17 << 10
+
+func (c *serverConn) run() {
+	defer func() { _ = c.raw.Close() }()
+	for first := true; ; first = false {
+		limits := c.server.limits()
+		wait := limits.IdleTimeout
+		if first {
+			wait = max(limits.HeaderTimeout, limits.IdleTimeout)
+		}
+		if c.raw.SetReadDeadline(time.Now().Add(wait)) != nil {
+			return
+		}
+		if c.reader == nil {
+			c.reader = bufio.NewReaderSize(c.raw, readerSize)
+		}
+		if _, err := c.reader.Peek(1); err != nil {
+			return
+		}
+		c.busy.Store(true)
+		again := c.serveOne(limits)
+		c.busy.Store(false)
+		if !again {
+			return
+		}
+	}
+}
+
+// serveOne reads and answers one request, and reports whether the connection may go on.
+func (c *serverConn) serveOne(limits Limits) bool {
+	request, failure := c.read(limits)
+	if failure != nil {
+		if failure.status != 0 {
+			w := &Response{conn: c, writer: bufio.NewWriter(c.raw), close: true}
+			c.server.handler.Malformed(w, failure.status, failure.reason)
+			c.linger()
+		}
+		return false
+	}
+	w := &Response{conn: c, writer: bufio.NewWriterSize(c.raw, 4<<10), head: request.Method == http.MethodHead}
+	w.close = request.close || c.server.draining.Load()
+	ctx, cancel := context.WithCancelCause(context.Background())
+	stop := c.watch(cancel)
+	c.server.handler.Serve(ctx, w, request)
+	stop()
+	cancel(nil)
+	if !w.ended {
+		w.Abort()
+	}
+	if w.failed {
+		return false
+	}
+	if w.close {
+		c.linger()
+		return false
+	}
+	return true
+}
+
+// watch cancels the request's context when the caller closes the connection. The returned
+// function ends the watch.
+func (c *serverConn) watch(cancel context.CancelCauseFunc) (stop func()) {
+	done := make(chan struct{})
+	var stopping atomic.Bool
+	_ = c.raw.SetReadDeadline(time.Time{})
+	go func() {
+		defer close(done)
+		// A pipelined request is left in the buffer.
+		if _, err := c.reader.Peek(1); err != nil && !stopping.Load() {
+			cancel(ErrCallerGone)
+		}
+	}()
+	return func() {
+		stopping.Store(true)
+		_ = c.raw.SetReadDeadline(time.Unix(1, 0))
+		<-done
+	}
+}
+
+// linger ends the writing side and reads on for a while.
+func (c *serverConn) linger() {
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok || tcp.CloseWrite() != nil {
+		return
+	}
+	if tcp.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, io.LimitReader(c.reader, 8<<20)) // what is read here belongs to no request
+}
--- /dev/null
+++ b/internal/node/control.go
@@ -0,0 +1,306 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"egretramp/internal/catalog"
+	"egretramp/internal/clock"
+	"egretramp/internal/events"
+	"egretramp/internal/groups"
+	"egretramp/internal/registry"
+	"egretramp/internal/replica"
+	"egretramp/internal/routing"
+)
+
+const (
+	// missedBeats is the number of registrations after whose absence an upstream counts as gone.
+	missedBeats = 3.5
+	// controlTry bounds one try at the control group's leader.
+	controlTry = 700 * time.Millisecond
+	// orderTime bounds an order: its sender goes to another VM after a second without an answer.
+	orderTime = 950 * time.Millisecond
+	// formDelay is how long the leader waits for more store VMs before it forms their group with
+	// fewer than wanted.
+	formDelay = 3 * time.Second
+)
+
+// Errors of orders.
+var (
+	ErrUnknownVM   = errors.New("node: no such store VM")
+	ErrTooFewLeft  = errors.New("node: too few store VMs would be left")
+	ErrUnavailable = errors.New("node: the group's leader can't be reached")
+)
+
+// control replicates the operators' document and tells all VMs what changes.
+type control struct {
+	node      *Node
+	hub       *hub
+	registrar *registry.Registrar
+	groups    *groups.Client
+	replica   atomic.Pointer[replica.Replica]
+	replicas  groups.Replicas
+	permits   *coordinator
+	table     atomic.Pointer[routing.Snapshot]
+	formWait  time.Duration // since when too few store VMs are known, 0 for not yet
+}
+
+func newControl(n *Node) (*control, error) {
+	c := &control{node: n}
+	c.registrar = registry.NewRegistrar(time.Duration(missedBeats*float64(n.settings.Heartbeat)), clock.Now)
+	c.hub = newHub(epoch(), n.self, clock.Now, c.registrar, c.voters)
+	r, err := replica.New(replica.Options{
+		Group: groups.Control, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: c.initialVMs(),
+		Open: replica.OpenMembership{
+			Voters: n.settings.Voters(), JoinOnly: !n.settings.FirstStart, Contacts: n.watcher.control, Zone: c.hub.zone,
+		},
+		Machine: catalog.New(c.changed), Transport: groups.Transport{Network: n.network}, Events: n.events,
+	})
+	if err != nil {
+		return nil, err
+	}
+	c.replica.Store(r)
+	c.replicas = groups.Replicas{groups.Control: r}
+	c.groups = groups.NewOpenClient(n.network, func(uint64) []string {
+		return append([]string{n.self.VM}, n.watcher.control()...)
+	}, controlTry)
+	c.permits = &coordinator{clock: clock.Now, leads: c.leads, known: c.hub.entries, table: c.table.Load}
+	n.network.HandleMessages(groups.KindRaft, c.replicas.HandleRaft)
+	n.network.HandleCalls(groups.MethodPropose, c.replicas.HandlePropose)
+	n.network.HandleCalls(groups.MethodQuery, c.replicas.HandleQuery)
+	n.network.HandleCalls(methodWatch, c.hub.handleWatch)
+	n.network.HandleCalls(methodPermit, c.permits.handle)
+	return c, nil
+}
+
+// initialVMs are the seeds at the first start. A VM that is none of them joins.
+func (c *control) initialVMs() []string {
+	s := c.node.settings
+	if !s.FirstStart || !slices.Contains(s.Seeds, s.Peers) {
+		return nil
+	}
+	return s.Seeds
+}
+
+func (c *control) voters() []string {
+	r := c.replica.Load()
+	if r == nil {
+		return nil
+	}
+	var vms []string
+	for _, m := range r.Status().Members {
+		vms = append(vms, m.VM)
+	}
+	return vms
+}
+
+// roleLeader is the role in a replica's status while it leads.
+const roleLeader = "leader"
+
+func (c *control) leads() (term uint64, leader string, leads bool) {
+	status := c.replica.Load().Status()
+	return status.Term, status.Leader, status.Role == roleLeader
+}
+
+// changed takes a new state of the group, on the replica's goroutine.
+func (c *control) changed(s catalog.State) {
+	if old := c.table.Load(); s.Document.Version > 0 && (old == nil || old.Version < s.Document.Version) {
+		table, err := c.node.opts.Decode(s.Document.Data)
+		if err != nil {
+			c.node.events.Emit(events.NodeBadDocument, zap.Uint64("configuration", s.Document.Version), zap.Error(err))
+		} else {
+			c.table.Store(table)
+		}
+	}
+	c.hub.setState(s)
+}
+
+func (c *control) start(ctx context.Context, wg *conc.WaitGroup) error {
+	r := c.replica.Load()
+	wg.Go(func() {
+		err := r.Run(ctx)
+		if err != nil {
+			c.node.events.Emit(events.NodeReplica, zap.Error(err))
+		}
+		c.node.fail(err)
+	})
+	return c.node.serveHTTP(ctx, wg, c.node.settings.Control, c.node.opts.ControlHandler(c))
+}
+
+func (c *control) accept(string, watchResponse) {}
+
+func (c *control) documentVersion() uint64 { return 0 }
+
+func (c *control) tend() {
+	for _, id := range c.registrar.Expire() {
+		c.node.events.Emit(events.NodeExpired, zap.String("upstream", id))
+	}
+	c.hub.tend()
+	c.formStore()
+}
+
+// formStore chooses the VMs that form the store group, once.
+func (c *control) formStore() {
+	_, _, leads := c.leads()
+	running, state := c.hub.stores()
+	if !leads || len(state.StoreVMs) > 0 || len(running) == 0 {
+		return
+	}
+	now := clock.Now()
+	if c.formWait == 0 {
+		c.formWait = now
+	}
+	want := c.node.settings.Voters()
+	if len(running) < want && now-c.formWait < formDelay {
+		return
+	}
+	chosen := spread(running, want)
+	command := catalog.Command{FormStore: &catalog.FormStore{VMs: chosen}}
+	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
+	defer cancel()
+	if _, err := c.propose(ctx, command); err == nil {
+		c.node.events.Emit(events.NodeStoreFormed, zap.Strings("vms", chosen))
+	}
+}
+
+// spread chooses n VMs from as many zones as possible.
+func spread(vms []vmInfo, n int) []string {
+	var chosen []string
+	inZone := map[string]int{}
+	left := slices.Clone(vms)
+	for len(chosen) < n && len(left) > 0 {
+		best := 0
+		for i, vm := range left {
+			if inZone[vm.Zone] < inZone[left[best].Zone] {
+				best = i
+			}
+		}
+		chosen = append(chosen, left[best].VM)
+		inZone[left[best].Zone]++
+		left = slices.Delete(left, best, best+1)
+	}
+	slices.Sort(chosen)
+	return chosen
+}
+
+func (c *control) propose(ctx context.Context, command catalog.Command) (catalog.Result, error) {
+	data, err := command.Encode()
+	if err != nil {
+		return catalog.Result{}, err
+	}
+	answer, err := c.groups.ProposeRepeatedly(ctx, groups.Control, data)
+	if err != nil {
+		return catalog.Result{}, errors.Mark(err, ErrUnavailable)
+	}
+	return catalog.DecodeResult(answer)
+}
+
+// PutDocument implements ControlService.
+func (c *control) PutDocument(ctx context.Context, d catalog.Document) (catalog.Result, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	result, err := c.propose(ctx, catalog.Command{PutDocument: &catalog.PutDocument{Version: d.Version, Data: d.Data}})
+	c.node.events.Emit(events.NodeOrder, zap.String("order", "configuration"), zap.Uint64("configuration", d.Version),
+		zap.Int("outcome", int(result.Outcome)), zap.Uint64("in_force", result.InForce), zap.Error(err))
+	return result, err
+}
+
+// Document implements ControlService.
+func (c *control) Document(ctx context.Context) (catalog.Document, error) {
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	answer, err := c.groups.Query(ctx, groups.Control, nil)
+	if err != nil {
+		return catalog.Document{}, errors.Mark(err, ErrUnavailable)
+	}
+	return catalog.DecodeDocument(answer)
+}
+
+// Register implements ControlService.
+func (c *control) Register(u registry.Upstream) {
+	if c.registrar.Register(u) {
+		c.node.events.Emit(events.NodeUpstream, zap.String("upstream", u.ID), zap.String("service", u.Service),
+			zap.String("address", u.Address), zap.Int("state", int(u.State)), zap.Int64("born", u.Born), zap.Int64("sequence", u.Sequence))
+	}
+}
+
+// Leave implements ControlService.
+func (c *control) Leave(id string) {
+	c.registrar.Leave(id)
+	c.node.events.Emit(events.NodeUpstream, zap.String("upstream", id), zap.Int("state", int(registry.Gone)))
+}
+
+// Empty implements ControlService.
+func (c *control) Empty(ctx context.Context, name string) error {
+	err := c.empty(ctx, name)
+	c.node.events.Emit(events.NodeOrder, zap.String("order", "empty"), zap.String("name", name), zap.Error(err))
+	return err
+}
+
+func (c *control) empty(ctx context.Context, name string) error {
+	vm, ok := c.hub.vmByName(name)
+	if !ok {
+		return ErrUnknownVM
+	}
+	running, state := c.hub.stores()
+	if slices.Contains(state.Emptying, vm) {
+		return nil
+	}
+	staying := 0
+	for _, s := range running {
+		if s.VM != vm && !slices.Contains(state.Emptying, s.VM) {
+			staying++
+		}
+	}
+	if staying < c.node.settings.Voters() {
+		return ErrTooFewLeft
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	_, err := c.propose(ctx, catalog.Command{Empty: &catalog.Empty{VM: vm}})
+	return err
+}
+
+// Emptied implements ControlService.
+func (c *control) Emptied(ctx context.Context, name string) (bool, error) {
+	vm, ok := c.hub.vmByName(name)
+	if !ok {
+		return false, ErrUnknownVM
+	}
+	running, state := c.hub.stores()
+	if !slices.Contains(state.Emptying, vm) {
+		return false, ErrUnknownVM
+	}
+	ctx, cancel := context.WithTimeout(ctx, orderTime)
+	defer cancel()
+	for _, s := range running {
+		answer, err := c.node.network.Call(ctx, s.VM, methodStatus, nil)
+		if err != nil {
+			continue // only the leader's answer counts, and it may be another one
+		}
+		status, err := decode[storeStatus](answer)
+		if err == nil && status.Leads {
+			return !slices.Contains(status.Members, vm), nil
+		}
+	}
+	return false, ErrUnavailable
+}
+
+// drain hands the leadership on and serves until nothing is under way.
+func (c *control) drain(ctx context.Context) {
+	limited, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	if err := c.replica.Load().Transfer(limited); err != nil {
+		c.node.events.Emit(events.NodeOrder, zap.String("order", "transfer"), zap.Error(err))
+	}
+	wait(ctx, controlLinger)
+}
+
+// controlLinger is how long a control VM that stops still passes on what it acknowledged.
+const controlLinger = 500 * time.Millisecond
--- /dev/null
+++ b/internal/node/entry.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/events"
+	"egretramp/internal/groups"
+	"egretramp/internal/httpwire"
+	"egretramp/internal/proxy"
+	"egretramp/internal/quota"
+	"egretramp/internal/registry"
+	"egretramp/internal/routing"
+)
+
+const (
+	// drainNotice is how long a VM that stops goes on as before, but not ready: the balancer
+	// needs two checks, a second apart, to notice.
+	drainNotice = 2500 * time.Millisecond
+	drainPoll   = 50 * time.Millisecond
+	// idleClose is how long before the end of the grace period idle connections are closed.
+	idleClose = 600 * time.Millisecond
+)
+
+// entry carries callers' requests.
+type entry struct {
+	node      *Node
+	directory *registry.Directory
+	table     atomic.Pointer[routing.Snapshot]
+	ledger    *ledger
+	permits   *permits
+	proxy     *proxy.Server
+	server    *httpwire.Server
+	stopping  atomic.Bool
+}
+
+func newEntry(n *Node) *entry {
+	e := &entry{node: n}
+	e.directory = registry.NewDirectory(func(u registry.Upstream) { e.proxy.Gone(u) })
+	storeVMs := func(uint64) []string {
+		view := n.watcher.stores()
+		var vms []string
+		for _, s := range append(view.running, view.silent...) {
+			vms = append(vms, s.VM)
+		}
+		return vms
+	}
+	e.ledger = newLedger(groups.NewOpenClient(n.network, storeVMs, storeTry), n.events)
+	e.permits = &permits{
+		self: n.self.VM, calls: n.network, control: n.watcher.control, table: e.table.Load,
+		clock: clock.Now, holder: quota.NewHolder(),
+	}
+	e.proxy = proxy.New(proxy.Options{
+		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
+		Ledger: e.ledger, Limiter: e.permits, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
+	})
+	e.server = httpwire.New(e.proxy, e.limits)
+	return e
+}
+
+// defaultLimits hold until there is a configuration.
+var defaultLimits = httpwire.Limits{
+	MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
+}
+
+func (e *entry) limits() httpwire.Limits {
+	table := e.table.Load()
+	if table == nil {
+		return defaultLimits
+	}
+	l := httpwire.Limits{
+		MaxHeaderBytes: table.Limits.MaxHeaderBytes, MaxBodyBytes: table.Limits.MaxBodyBytes,
+		HeaderTimeout: table.Limits.HeaderTimeout, IdleTimeout: table.Limits.IdleTimeout,
+	}
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = defaultLimits.MaxHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = defaultLimits.MaxBodyBytes
+	}
+	if l.HeaderTimeout <= 0 {
+		l.HeaderTimeout = defaultLimits.HeaderTimeout
+	}
+	if l.IdleTimeout <= 0 {
+		l.IdleTimeout = defaultLimits.IdleTimeout
+	}
+	return l
+}
+
+func (e *entry) start(ctx context.Context, wg *conc.WaitGroup) error {
+	listener, err := e.node.opts.Listen(e.node.settings.Callers)
+	if err != nil {
+		return errors.Wrap(err, "node: cannot listen for callers")
+	}
+	if err := e.node.serveHTTP(ctx, wg, e.node.settings.Ready, e.node.opts.ReadyHandler(e.ready)); err != nil {
+		return errors.CombineErrors(err, listener.Close())
+	}
+	wg.Go(func() { e.node.fail(e.server.Serve(listener)) })
+	wg.Go(func() { e.closeAtEnd(ctx, listener) })
+	for range settleWorkers {
+		wg.Go(func() { e.ledger.settle(ctx) })
+	}
+	wg.Go(func() { clock.Repeat(ctx, permitInterval, e.permits.tend) })
+	return nil
+}
+
+func (e *entry) closeAtEnd(ctx context.Context, listener net.Listener) {
+	<-ctx.Done()
+	_ = listener.Close()
+	e.server.CloseIdle()
+}
+
+// ready reports whether callers should be sent here.
+func (e *entry) ready() bool { return e.table.Load() != nil && !e.stopping.Load() }
+
+func (e *entry) documentVersion() uint64 {
+	if t := e.table.Load(); t != nil {
+		return t.Version
+	}
+	return 0
+}
+
+// accept takes a control VM's news. The configuration never goes back within a process.
+func (e *entry) accept(from string, r watchResponse) {
+	if r.Document != nil && r.Document.Version > e.documentVersion() {
+		e.enforce(from, r.Document.Version, r.Document.Data)
+	}
+	for _, u := range e.directory.Merge(from, r.Upstreams) {
+		e.node.events.Emit(events.NodeUpstream, zap.String("upstream", u.ID), zap.String("service", u.Service),
+			zap.String("address", u.Address), zap.Int("state", int(u.State)), zap.Bool("expired", u.Expired),
+			zap.Int64("born", u.Born), zap.Int64("sequence", u.Sequence), zap.String("control", from))
+	}
+}
+
+func (e *entry) enforce(from string, version uint64, data []byte) {
+	table, err := e.node.opts.Decode(data)
+	if err != nil {
+		e.node.events.Emit(events.NodeBadDocument, zap.Uint64("configuration", version), zap.Error(err))
+		return
+	}
+	for {
+		old := e.table.Load()
+		if old != nil && old.Version >= table.Version {
+			return
+		}
+		if e.table.CompareAndSwap(old, table) {
+			break
+		}
+	}
+	e.node.events.Emit(events.NodeDocument, zap.Uint64("configuration", version), zap.String("control", from))
+}
+
+func (e *entry) tend() { e.proxy.Tend() }
+
+// drain stops being ready, serves what still comes, and ends when no caller is connected.
+func (e *entry) drain(ctx context.Context) {
+	e.stopping.Store(true)
+	wait(ctx, drainNotice)
+	e.server.Drain()
+	deadline, _ := ctx.Deadline()
+	for ctx.Err() == nil {
+		conns, busy := e.server.Open()
+		if conns == 0 || busy == 0 && time.Until(deadline) < idleClose {
+			break
+		}
+		wait(ctx, drainPoll)
+	}
+	e.server.CloseIdle()
+	// What was to be settled later is settled now, as far as time allows.
+	for len(e.ledger.later) > 0 && ctx.Err() == nil {
+		wait(ctx, drainPoll)
+	}
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/internal/node/ledger.go
@@ -0,0 +1,91 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
+	"egretramp/internal/groups"
+	"egretramp/internal/turns"
+)
+
+const (
+	// storeTry bounds one try at one store VM: a few syncs and crossings, and a busy processor.
+	storeTry = 400 * time.Millisecond
+	// settleTime is for how long the settlement of a turn is tried.
+	settleTime = 20 * time.Second
+	// settleQueue is the number of settlements that wait; further ones are dropped, and their
+	// reservations count whole.
+	settleQueue = 4096
+	// settleWorkers is the number of settlements under way.
+	settleWorkers = 8
+)
+
+// groupStore is the number of the store group.
+const groupStore uint64 = 2
+
+// ledger is an entry VM's access to the store group.
+type ledger struct {
+	groups *groups.Client
+	events *events.Logger
+	later  chan turns.End
+}
+
+func newLedger(client *groups.Client, log *events.Logger) *ledger {
+	return &ledger{groups: client, events: log, later: make(chan turns.End, settleQueue)}
+}
+
+// Begin implements proxy.Ledger.
+func (l *ledger) Begin(ctx context.Context, b turns.Begin) (turns.Result, error) {
+	return l.run(ctx, turns.Command{Begin: &b})
+}
+
+// End implements proxy.Ledger.
+func (l *ledger) End(ctx context.Context, e turns.End) error {
+	_, err := l.run(ctx, turns.Command{End: &e})
+	return err
+}
+
+// EndLater implements proxy.Ledger.
+func (l *ledger) EndLater(e turns.End) {
+	select {
+	case l.later <- e:
+	default:
+		l.events.Emit(events.NodeEndFailed, zap.String("request", e.Request), zap.String("reason", "queue full"))
+	}
+}
+
+func (l *ledger) run(ctx context.Context, c turns.Command) (turns.Result, error) {
+	c.Now = time.Now().UnixMilli()
+	data, err := c.Encode()
+	if err != nil {
+		return turns.Result{}, err
+	}
+	answer, err := l.groups.ProposeRepeatedly(ctx, groupStore, data)
+	if err != nil {
+		return turns.Result{}, err
+	}
+	return turns.DecodeResult(answer)
+}
+
+// settle works through the queue until ctx ends; what is left then is tried once more.
+func (l *ledger) settle(ctx context.Context) {
+	for {
+		select {
+		case e := <-l.later:
+			l.settleOne(e)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (l *ledger) settleOne(e turns.End) {
+	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
+	defer cancel()
+	if err := l.End(ctx, e); err != nil {
+		l.events.Emit(events.NodeEndFailed, zap.String("request", e.Request), zap.Error(err))
+	}
+}
--- /dev/null
+++ b/internal/node/messages.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+
+	"egretramp/internal/catalog"
+	"egretramp/internal/registry"
+)
+
+// Methods between VMs.
+const (
+	methodWatch  = "node.watch"
+	methodPermit = "node.permit"
+	methodStatus = "node.status"
+)
+
+// vmInfo is what a VM says of itself.
+type vmInfo struct {
+	VM     string `cbor:"1,keyasint"` // address
+	Name   string `cbor:"2,keyasint"`
+	Role   Role   `cbor:"3,keyasint"`
+	Zone   string `cbor:"4,keyasint"`
+	Silent bool   `cbor:"5,keyasint,omitempty"` // not heard lately by the VM that reports it
+}
+
+// watchRequest asks a control VM for what changed since the versions that are known from it.
+type watchRequest struct {
+	From      vmInfo `cbor:"1,keyasint"`
+	Epoch     uint64 `cbor:"2,keyasint"` // of the control VM's process
+	Upstreams uint64 `cbor:"3,keyasint"`
+	Fleet     uint64 `cbor:"4,keyasint"`
+	Document  uint64 `cbor:"5,keyasint"` // the version of the operators' document that the VM has
+	WaitMs    int64  `cbor:"6,keyasint"`
+}
+
+type watchResponse struct {
+	Epoch            uint64              `cbor:"1,keyasint"`
+	Upstreams        []registry.Upstream `cbor:"2,keyasint,omitempty"`
+	UpstreamsVersion uint64              `cbor:"3,keyasint"`
+	Fleet            *fleetState         `cbor:"4,keyasint,omitempty"`
+	FleetVersion     uint64              `cbor:"5,keyasint"`
+	Document         *catalog.Document   `cbor:"6,keyasint,omitempty"`
+}
+
+// fleetState is a control VM's view of the fleet.
+type fleetState struct {
+	Control  []vmInfo `cbor:"1,keyasint"`
+	Stores   []vmInfo `cbor:"2,keyasint"`
+	StoreVMs []string `cbor:"3,keyasint"` // form the store group
+	Emptying []string `cbor:"4,keyasint"`
+	Entries  int      `cbor:"5,keyasint"`
+}
+
+// storeStatus answers methodStatus on a store VM.
+type storeStatus struct {
+	Leads   bool     `cbor:"1,keyasint"`
+	Members []string `cbor:"2,keyasint"` // VMs, learners included
+}
+
+func encode(v any) []byte {
+	data, err := cbor.Marshal(v)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "node: cannot encode %T", v))
+	}
+	return data
+}
+
+func decode[T any](data []byte) (T, error) {
+	var v T
+	err := cbor.Unmarshal(data, &v)
+	return v, errors.Wrapf(err, "node: decode %T", v)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,313 @@
+package node
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/events"
+	"egretramp/internal/peer"
+)
+
+const (
+	// tendInterval is the period of the work that every VM repeats.
+	tendInterval = 500 * time.Millisecond
+	// reloadInterval is how often the settings file is read again; it may change without a signal.
+	reloadInterval = 2 * time.Second
+	// memoryShare is the part of the allowed memory that the runtime may fill before it collects
+	// garbage without regard to its cost. The rest is for stacks, maps of files and sockets.
+	memoryShare = 0.7
+	// peerRetention is for how long a connection to a VM that nobody names any more is kept.
+	peerRetention = 10 * time.Second
+)
+
+// Node is the process of one VM.
+type Node struct {
+	opts     Options
+	settings Settings
+	self     vmInfo
+	events   *events.Logger
+	network  *network
+	watcher  *watcher
+	metrics  *prometheus.Registry
+	role     role
+	failed   chan error // the first error that ends the process
+	reload   chan struct{}
+	dropped  int64 // log lines, as last reported
+}
+
+// role is what a VM does beside the work that all share.
+type role interface {
+	// start starts the role's work, which ends with ctx.
+	start(ctx context.Context, wg *conc.WaitGroup) error
+	accept(from string, r watchResponse)
+	documentVersion() uint64
+	tend()
+	// drain prepares the end of the process; it returns when nothing is under way any more, or
+	// when ctx ends.
+	drain(ctx context.Context)
+}
+
+// New builds a node; Run starts it.
+func New(opts Options) (*Node, error) {
+	s := opts.Settings
+	if opts.Listen == nil {
+		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
+	}
+	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	n := &Node{
+		opts: opts, settings: s, events: opts.Events,
+		self:    vmInfo{VM: s.Peers, Name: s.Name, Role: s.Role, Zone: s.Zone},
+		metrics: prometheus.NewRegistry(),
+		failed:  make(chan error, 1),
+		reload:  make(chan struct{}, 1),
+	}
+	n.metrics.MustRegister(collectors.NewGoCollector())
+	n.network = &network{
+		Node: peer.New(peer.Options{VM: s.Peers, Events: opts.Events}),
+		used: map[string]time.Duration{},
+	}
+	n.watcher = &watcher{
+		self: n.self, calls: n.network, clock: clock.Now, events: opts.Events,
+		contacts: map[string]*contact{}, seeds: s.Seeds, peers: n.network.want,
+	}
+	var err error
+	switch s.Role {
+	case Entry:
+		n.role = newEntry(n)
+	case Control:
+		n.role, err = newControl(n)
+	case Store:
+		n.role = newStore(n)
+	default:
+		err = errors.Newf("node: unknown role %q", s.Role)
+	}
+	if err != nil {
+		return nil, err
+	}
+	n.watcher.accept = n.role.accept
+	n.watcher.document = n.role.documentVersion
+	return n, nil
+}
+
+// Reload makes the node read its settings again soon.
+func (n *Node) Reload() {
+	select {
+	case n.reload <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until ctx ends and shuts down gracefully, or returns why it can't go on.
+func (n *Node) Run(ctx context.Context) error {
+	n.events.Emit(events.NodeStarted, zap.String("version", n.opts.Version), zap.String("role", string(n.settings.Role)),
+		zap.String("zone", n.settings.Zone), zap.Strings("seeds", n.settings.Seeds), zap.Bool("first_start", n.settings.FirstStart),
+		zap.Int("processors", runtime.GOMAXPROCS(0)))
+	work, end := context.WithCancel(context.Background())
+	defer end()
+	listener, err := n.opts.Listen(n.settings.Peers)
+	if err != nil {
+		return errors.Wrap(err, "node: cannot listen for other VMs")
+	}
+	var wg conc.WaitGroup
+	wg.Go(func() { n.fail(n.network.Serve(work, listener)) })
+	if err := n.role.start(work, &wg); err != nil {
+		end()
+		wg.Wait()
+		return err
+	}
+	if err := n.serveMetrics(work, &wg); err != nil {
+		end()
+		wg.Wait()
+		return err
+	}
+	wg.Go(func() { n.watcher.run(work) })
+	wg.Go(func() { clock.Repeat(work, tendInterval, n.tend) })
+	wg.Go(func() { n.keepSettings(work) })
+	select {
+	case <-ctx.Done():
+		n.events.Emit(events.NodeStopping)
+		limited, cancel := context.WithTimeout(context.Background(), n.settings.Grace-graceMargin)
+		n.role.drain(limited)
+		cancel()
+	case err = <-n.failed:
+	}
+	end()
+	if err == nil {
+		wg.Wait()
+	}
+	n.events.Emit(events.NodeStopped, zap.Error(err))
+	return err
+}
+
+// graceMargin is left of the grace period for the end of the process itself.
+const graceMargin = 700 * time.Millisecond
+
+// fail ends the process with an error, if it is one.
+func (n *Node) fail(err error) {
+	if err == nil || errors.Is(err, context.Canceled) {
+		return
+	}
+	select {
+	case n.failed <- err:
+	default:
+	}
+}
+
+func (n *Node) tend() {
+	n.watcher.tend()
+	n.network.tend()
+	n.role.tend()
+	if n.opts.LinesDropped != nil {
+		if dropped := n.opts.LinesDropped(); dropped > n.dropped {
+			n.events.Emit(events.NodeLogDropped, zap.Int64("lines", dropped-n.dropped))
+			n.dropped = dropped
+		}
+	}
+}
+
+// keepSettings reads the settings again when it is told to, and now and then.
+func (n *Node) keepSettings(ctx context.Context) {
+	ticker := time.NewTicker(reloadInterval)
+	defer ticker.Stop()
+	for {
+		asked := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-n.reload:
+			asked = true
+		}
+		s, err := n.opts.Reload()
+		if err != nil {
+			n.events.Emit(events.NodeReloadFailed, zap.Error(err))
+			continue
+		}
+		changed := !equalStrings(s.Seeds, n.settings.Seeds)
+		n.settings.Seeds = s.Seeds
+		if changed {
+			n.watcher.setSeeds(s.Seeds)
+		}
+		if changed || asked {
+			n.events.Emit(events.NodeReloaded, zap.Strings("seeds", s.Seeds))
+		}
+	}
+}
+
+func equalStrings(a, b []string) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i] != b[i] {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) serveMetrics(ctx context.Context, wg *conc.WaitGroup) error {
+	if n.settings.Metrics == "" {
+		return nil
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
+	return n.serveHTTP(ctx, wg, n.settings.Metrics, mux)
+}
+
+const (
+	httpReadTimeout = 10 * time.Second
+	httpIdleTimeout = 30 * time.Second
+	// httpEnd bounds the end of a server at shutdown.
+	httpEnd = 300 * time.Millisecond
+)
+
+// serveHTTP serves a handler until ctx ends.
+func (n *Node) serveHTTP(ctx context.Context, wg *conc.WaitGroup, address string, handler http.Handler) error {
+	listener, err := n.opts.Listen(address)
+	if err != nil {
+		return errors.Wrapf(err, "node: cannot listen on %s", address)
+	}
+	server := &http.Server{Handler: handler, ReadTimeout: httpReadTimeout, IdleTimeout: httpIdleTimeout}
+	wg.Go(func() {
+		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+			n.fail(err)
+		}
+	})
+	wg.Go(func() {
+		<-ctx.Done()
+		limited, cancel := context.WithTimeout(context.Background(), httpEnd)
+		defer cancel()
+		if server.Shutdown(limited) != nil {
+			_ = server.Close() // what is still open is of no use any more
+		}
+	})
+	return nil
+}
+
+// network is the peer node, which also connects to VMs that are named for the first time.
+type network struct {
+	*peer.Node
+	mu   sync.Mutex
+	used map[string]time.Duration // when a VM was last named
+}
+
+// Send sends a message, after connecting if need be.
+func (w *network) Send(vm, kind string, payload []byte) {
+	w.ensure(vm)
+	w.Node.Send(vm, kind, payload)
+}
+
+// Call makes a call, after connecting if need be.
+func (w *network) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
+	w.ensure(vm)
+	return w.Node.Call(ctx, vm, method, payload)
+}
+
+func (w *network) ensure(vm string) {
+	w.mu.Lock()
+	_, known := w.used[vm]
+	w.used[vm] = clock.Now()
+	w.mu.Unlock()
+	if !known {
+		w.AddPeer(vm, vm)
+	}
+}
+
+func (w *network) want(vms []string) {
+	for _, vm := range vms {
+		w.ensure(vm)
+	}
+}
+
+// tend closes the connections to VMs that were not named for a while.
+func (w *network) tend() {
+	w.mu.Lock()
+	var unused []string
+	for vm, at := range w.used {
+		if clock.Now()-at > peerRetention {
+			unused = append(unused, vm)
+			delete(w.used, vm)
+		}
+	}
+	w.mu.Unlock()
+	for _, vm := range unused {
+		w.RemovePeer(vm)
+	}
+}
+
+func epoch() uint64 { return uint64(time.Now().UnixNano()) ^ uint64(os.Getpid())<<48 }
--- /dev/null
+++ b/internal/node/watch.go
@@ -0,0 +1,296 @@
+package node
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
+)
+
+const (
+	// watchSlack is what a watch may take beyond its wait before it counts as lost.
+	watchSlack = 700 * time.Millisecond
+	// watchRetry is the pause after a watch that failed.
+	watchRetry = 200 * time.Millisecond
+	// contactRetention is for how long a control VM that nobody reports and that doesn't answer
+	// is still asked.
+	contactRetention = 15 * time.Second
+)
+
+// caller makes calls to other VMs.
+type caller interface {
+	Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error)
+}
+
+// watcher keeps watches at all control VMs and merges what they report. It is safe for
+// concurrent use.
+type watcher struct {
+	self   vmInfo
+	calls  caller
+	clock  func() time.Duration
+	events *events.Logger
+	// accept takes an answer; document returns the version of the document that this VM has.
+	accept   func(from string, r watchResponse)
+	document func() uint64
+	// peers is told the VMs to stay connected to.
+	peers func(vms []string)
+
+	mu       sync.Mutex
+	contacts map[string]*contact
+	seeds    []string
+	wg       *conc.WaitGroup
+	ctx      context.Context
+}
+
+// contact is a control VM.
+type contact struct {
+	vm       string
+	epoch    uint64
+	upstream uint64
+	version  uint64
+	fleet    fleetState
+	heard    time.Duration // 0 if never
+	reported time.Duration // last time that another control VM or the seeds named it
+	lost     bool
+	stop     context.CancelFunc
+}
+
+// run watches until ctx ends.
+func (w *watcher) run(ctx context.Context) {
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	w.mu.Lock()
+	w.wg, w.ctx = &wg, ctx
+	w.mu.Unlock()
+	w.setSeeds(w.seeds)
+	<-ctx.Done()
+	w.mu.Lock()
+	w.wg = nil
+	w.mu.Unlock()
+}
+
+// setSeeds names control VMs that may be new.
+func (w *watcher) setSeeds(seeds []string) {
+	w.mu.Lock()
+	w.seeds = seeds
+	for _, vm := range seeds {
+		w.report(vm)
+	}
+	w.mu.Unlock()
+	w.publishPeers()
+}
+
+// report notes that a control VM was named. The mutex is held.
+func (w *watcher) report(vm string) {
+	if vm == w.self.VM || w.wg == nil {
+		return
+	}
+	c := w.contacts[vm]
+	if c == nil {
+		ctx, stop := context.WithCancel(w.ctx)
+		c = &contact{vm: vm, stop: stop}
+		w.contacts[vm] = c
+		w.wg.Go(func() { w.watch(ctx, c) })
+	}
+	c.reported = w.clock()
+}
+
+func (w *watcher) watch(ctx context.Context, c *contact) {
+	for ctx.Err() == nil {
+		if !w.once(ctx, c) {
+			select {
+			case <-ctx.Done():
+			case <-time.After(watchRetry):
+			}
+		}
+	}
+}
+
+// once makes one watch and reports whether it was answered.
+func (w *watcher) once(ctx context.Context, c *contact) bool {
+	w.mu.Lock()
+	request := watchRequest{
+		From: w.self, Epoch: c.epoch, Upstreams: c.upstream, Fleet: c.version,
+		Document: w.document(), WaitMs: watchWait.Milliseconds(),
+	}
+	w.mu.Unlock()
+	limited, cancel := context.WithTimeout(ctx, watchWait+watchSlack)
+	answer, err := w.calls.Call(limited, c.vm, methodWatch, encode(request))
+	cancel()
+	var response watchResponse
+	if err == nil {
+		response, err = decode[watchResponse](answer)
+	}
+	if err != nil {
+		w.note(c, err)
+		return false
+	}
+	w.note(c, nil)
+	w.mu.Lock()
+	c.epoch, c.version = response.Epoch, response.FleetVersion
+	if w.self.Role == Entry {
+		c.upstream = response.UpstreamsVersion
+	}
+	if response.Fleet != nil {
+		c.fleet = *response.Fleet
+		for _, vm := range c.fleet.Control {
+			if !vm.Silent {
+				w.report(vm.VM)
+			}
+		}
+	}
+	w.mu.Unlock()
+	w.accept(c.vm, response)
+	if response.Fleet != nil {
+		w.publishPeers()
+	}
+	return true
+}
+
+// note records whether a control VM answers, and logs when that changes.
+func (w *watcher) note(c *contact, err error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if err == nil {
+		if c.lost || c.heard == 0 {
+			w.events.Emit(events.NodeControlHeard, zap.String("control", c.vm))
+		}
+		c.heard, c.lost = w.clock(), false
+		return
+	}
+	if !c.lost && w.ctx.Err() == nil {
+		w.events.Emit(events.NodeControlLost, zap.String("control", c.vm), zap.Error(err))
+	}
+	c.lost = true
+}
+
+// tend forgets control VMs that are gone.
+func (w *watcher) tend() {
+	w.mu.Lock()
+	now := w.clock()
+	forgot := false
+	for vm, c := range w.contacts {
+		if slices.Contains(w.seeds, vm) || now-c.reported < contactRetention || now-c.heard < contactRetention {
+			continue
+		}
+		c.stop()
+		delete(w.contacts, vm)
+		forgot = true
+	}
+	w.mu.Unlock()
+	if forgot {
+		w.publishPeers()
+	}
+}
+
+// control returns the control VMs, those that answer first.
+func (w *watcher) control() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var answering, others []string
+	for vm, c := range w.contacts {
+		if c.heard > 0 && !c.lost {
+			answering = append(answering, vm)
+		} else {
+			others = append(others, vm)
+		}
+	}
+	slices.Sort(answering)
+	slices.Sort(others)
+	return append(answering, others...)
+}
+
+// answering returns the number of control VMs that answer.
+func (w *watcher) answering() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, c := range w.contacts {
+		if c.heard > 0 && !c.lost {
+			n++
+		}
+	}
+	return n
+}
+
+// storesView is the union of what the control VMs report about store VMs.
+type storesView struct {
+	running  []vmInfo
+	silent   []vmInfo
+	forming  []string
+	emptying []string
+}
+
+// stores returns the store VMs, as far as any control VM that answers knows them.
+func (w *watcher) stores() storesView {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	var view storesView
+	running := map[string]bool{}
+	known := map[string]vmInfo{}
+	for _, c := range w.contacts {
+		if c.heard == 0 {
+			continue
+		}
+		for _, s := range c.fleet.Stores {
+			known[s.VM] = s
+			running[s.VM] = running[s.VM] || !s.Silent && !c.lost
+		}
+		if len(c.fleet.StoreVMs) > 0 {
+			view.forming = c.fleet.StoreVMs
+		}
+		if len(c.fleet.Emptying) > len(view.emptying) {
+			view.emptying = c.fleet.Emptying
+		}
+	}
+	for vm, info := range known {
+		if running[vm] {
+			view.running = append(view.running, info)
+		} else {
+			view.silent = append(view.silent, info)
+		}
+	}
+	byZone := func(a, b vmInfo) int {
+		if near := rank(a.Zone != w.self.Zone) - rank(b.Zone != w.self.Zone); near != 0 {
+			return near
+		}
+		if a.VM < b.VM {
+			return -1
+		}
+		return 1
+	}
+	slices.SortFunc(view.running, byZone)
+	slices.SortFunc(view.silent, byZone)
+	return view
+}
+
+func rank(last bool) int {
+	if last {
+		return 1
+	}
+	return 0
+}
+
+// publishPeers passes on which VMs to stay connected to.
+func (w *watcher) publishPeers() {
+	if w.peers == nil {
+		return
+	}
+	var vms []string
+	w.mu.Lock()
+	for vm := range w.contacts {
+		vms = append(vms, vm)
+	}
+	w.mu.Unlock()
+	if w.self.Role != Control {
+		for _, s := range w.stores().running {
+			vms = append(vms, s.VM)
+		}
+	}
+	w.peers(vms)
+}
--- /dev/null
+++ b/internal/proxy/metrics.go
@@ -0,0 +1,83 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+
+	"egretramp/internal/routing"
+)
+
+// latencyBuckets are in seconds: from a good answer of a plain service to a route's timeout.
+var latencyBuckets = []float64{.005, .01, .02, .05, .1, .2, .4, .8, 1.5, 3, 6}
+
+// Metrics count requests. A nil *Metrics counts nothing.
+type Metrics struct {
+	answers  *prometheus.CounterVec
+	refusals *prometheus.CounterVec
+	failures *prometheus.CounterVec
+	gone     prometheus.Counter
+	first    *prometheus.HistogramVec
+	total    *prometheus.HistogramVec
+	begin    prometheus.Histogram
+}
+
+// NewMetrics registers the counters.
+func NewMetrics(r prometheus.Registerer) *Metrics {
+	m := &Metrics{
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretramp_answers_total", Help: "Answers of upstreams that were passed on, by status."}, []string{"status"}),
+		refusals: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretramp_refusals_total", Help: "Requests that this VM answered itself, by reason."}, []string{"reason"}),
+		failures: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretramp_attempt_failures_total", Help: "Tries at an upstream that brought no answer, by outcome."}, []string{"outcome"}),
+		gone: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "egretramp_callers_gone_total", Help: "Requests whose caller closed the connection before the answer was complete."}),
+		first: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "egretramp_first_byte_seconds", Help: "Time from a request's arrival to the first byte of its answer.", Buckets: latencyBuckets}, []string{"kind"}),
+		total: prometheus.NewHistogramVec(prometheus.HistogramOpts{
+			Name: "egretramp_answer_seconds", Help: "Time from a request's arrival to the end of its answer.", Buckets: latencyBuckets}, []string{"kind"}),
+		begin: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "egretramp_turn_begin_seconds", Help: "Time to reserve a turn's budget and fetch its conversation.", Buckets: latencyBuckets}),
+	}
+	r.MustRegister(m.answers, m.refusals, m.failures, m.gone, m.first, m.total, m.begin)
+	return m
+}
+
+func kindName(k routing.Kind) string {
+	return [...]string{"idempotent", "non_idempotent", "streaming"}[k]
+}
+
+func (m *Metrics) answered(kind routing.Kind, status int, first, total time.Duration) {
+	if m == nil {
+		return
+	}
+	m.answers.WithLabelValues(strconv.Itoa(status)).Inc()
+	m.first.WithLabelValues(kindName(kind)).Observe(first.Seconds())
+	m.total.WithLabelValues(kindName(kind)).Observe(total.Seconds())
+}
+
+func (m *Metrics) refused(r Reason) {
+	if m != nil {
+		m.refusals.WithLabelValues(r.String()).Inc()
+	}
+}
+
+func (m *Metrics) attemptFailed(o outcome) {
+	if m != nil {
+		m.failures.WithLabelValues(o.String()).Inc()
+	}
+}
+
+func (m *Metrics) callerGone() {
+	if m != nil {
+		m.gone.Inc()
+	}
+}
+
+func (m *Metrics) begun(took time.Duration) {
+	if m != nil {
+		m.begin.Observe(took.Seconds())
+	}
+}
--- /dev/null
+++ b/internal/proxy/names.go
@@ -0,0 +1,12 @@
+package proxy
+
+// String returns the name of the reason in log lines and metrics.
+func (r Reason) String() string {
+	return [...]string{
+		"no_configuration", "no_route", "bad_key", "over_rate", "budget_spent", "unknown_turn",
+		"store_unavailable", "no_upstream", "too_late", "malformed", "failed", "timed_out",
+	}[r]
+}
+
+// String returns the name of the outcome in log lines and metrics.
+func (o outcome) String() string { return [...]string{"answered", "not_sent", "not_run", "lost"}[o] }
--- /dev/null
+++ b/internal/proxy/run.go
@@ -0,0 +1,210 @@
+package proxy
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
+
+	"egretramp/internal/balance"
+	"egretramp/internal/events"
+	"egretramp/internal/httpwire"
+	"egretramp/internal/registry"
+	"egretramp/internal/routing"
+)
+
+// outcome of one try.
+type outcome int
+
+const (
+	answered outcome = iota // the caller has its final answer, or is gone
+	notSent                 // no byte can have reached the upstream
+	notRun                  // the upstream states that it didn't run the request
+	lost                    // the request may have run
+)
+
+const (
+	// maxRefusals is how many upstreams may turn one request down before the caller is told.
+	maxRefusals = 3
+	// maxSameUpstream is how often a repeatable request is sent to one upstream.
+	maxSameUpstream = 2
+	// prefillPerMilli is the usual speed at which engines read a prompt, in tokens a
+	// millisecond; it only weighs affinity against queues.
+	prefillPerMilli = 80
+	// plainGain is what an upstream that handled the object lately saves.
+	plainGain = 15 * time.Millisecond
+)
+
+// run sends the request until it has an answer or none can come.
+func (x *exchange) run() {
+	sends := map[string]int{}
+	for {
+		if err := context.Cause(x.ctx); err != nil {
+			x.giveUp(err)
+			return
+		}
+		u, ok := x.pick(sends)
+		if !ok {
+			x.refuse(x.exhausted())
+			return
+		}
+		sends[u.ID]++
+		x.upstream = u.ID
+		result, err := x.try(u)
+		if result == answered {
+			return
+		}
+		x.note(u, result, err)
+		switch result {
+		case notSent:
+			x.tried[u.ID] = true
+		case notRun:
+			x.tried[u.ID] = true
+			x.refusedBy++
+			if x.refusedBy >= maxRefusals {
+				x.refuse(x.exhausted())
+				return
+			}
+		case lost:
+			x.usedOn[u.ID] = true
+			if !x.route.Repeatable() || sends[u.ID] >= maxSameUpstream {
+				x.tried[u.ID] = true
+			}
+			if !x.route.Repeatable() {
+				x.refuse(x.failedAfter(err))
+				return
+			}
+		}
+	}
+}
+
+func (x *exchange) note(u registry.Upstream, result outcome, err error) {
+	if result == notSent && x.ctx.Err() != nil {
+		return
+	}
+	x.server.health.failed(u.ID, result)
+	x.server.opts.Metrics.attemptFailed(result)
+	x.server.opts.Events.Emit(events.ProxyAttemptFailed, append(x.fields(),
+		zap.Stringer("outcome", result), zap.Int64("born", u.Born), zap.Error(err))...)
+}
+
+// giveUp ends a request whose time is up or whose caller left.
+func (x *exchange) giveUp(cause error) {
+	if errors.Is(cause, httpwire.ErrCallerGone) {
+		x.leave(cause)
+		return
+	}
+	if len(x.usedOn) > 0 || x.w.Begun() {
+		x.refuse(Refusal{Reason: TimedOut})
+		return
+	}
+	x.refuse(Refusal{Reason: TooLate})
+}
+
+// leave ends a request whose caller can't be answered.
+func (x *exchange) leave(cause error) {
+	x.settle()
+	x.server.opts.Metrics.callerGone()
+	x.server.opts.Events.Emit(events.ProxyCallerGone, append(x.fields(), zap.Error(cause))...)
+	x.w.Abort()
+}
+
+// exhausted is the refusal when no upstream is left to try.
+func (x *exchange) exhausted() Refusal {
+	if len(x.usedOn) > 0 || x.w.Begun() {
+		return Refusal{Reason: Failed, Detail: "every upstream that may run it failed"}
+	}
+	after := upstreamRetryAfter
+	if x.hint > 0 {
+		after = x.hint
+	}
+	return Refusal{Reason: NoUpstream, RetryAfter: after}
+}
+
+func (x *exchange) failedAfter(err error) Refusal {
+	if x.ctx.Err() != nil {
+		return Refusal{Reason: TimedOut}
+	}
+	return Refusal{Reason: Failed, Detail: err.Error()}
+}
+
+// pick chooses the next upstream. Once as many as allowed may have run the request, only those
+// are left, so that it runs on no further one.
+func (x *exchange) pick(sends map[string]int) (registry.Upstream, bool) {
+	s := x.server
+	upstreams := s.opts.Directory.View().Services[x.service.Name]
+	candidates := make([]balance.Candidate, len(upstreams))
+	exhausted := len(x.usedOn) >= max(x.route.MaxAttempts, 1)
+	for i, u := range upstreams {
+		candidates[i] = s.health.candidate(u)
+		candidates[i].Local = u.Zone == s.opts.Zone
+		candidates[i].Unconfirmed = u.State != registry.Ready
+		candidates[i].Tried = x.tried[u.ID] || (exhausted && !x.usedOn[u.ID])
+		if sends[u.ID] > 0 {
+			candidates[i].Failing = true
+		}
+	}
+	request := balance.Request{Draw: rand.Float64(), Service: s.health.usual(x.service.Name)}
+	switch {
+	case x.route.Kind == routing.Streaming && x.call.Program != "":
+		request.Affinity = x.call.Program
+		request.AffinityGain = time.Duration(x.call.PromptTokens/prefillPerMilli) * time.Millisecond
+	case x.route.Sticky && x.call.Object != "":
+		request.Affinity, request.AffinityGain = x.call.Object, plainGain
+	}
+	i := balance.Pick(candidates, request)
+	if i < 0 {
+		return registry.Upstream{}, false
+	}
+	return upstreams[i], true
+}
+
+// try sends the request to one upstream.
+func (x *exchange) try(u registry.Upstream) (outcome, error) {
+	s := x.server
+	conn, err := s.pool.Get(x.ctx, u.Address)
+	if err != nil {
+		return notSent, err
+	}
+	// Any blocking read or write ends with the request.
+	stop := context.AfterFunc(x.ctx, func() { _ = conn.Close() })
+	defer stop()
+	s.health.begin(u.ID)
+	defer s.health.end(u.ID)
+	started := time.Now()
+	a := &attempt{exchange: x, conn: conn, upstream: u, started: started}
+	result, err := a.exchange1()
+	if !a.reusable || !stop() {
+		_ = conn.Close()
+	} else {
+		s.pool.Put(conn, a.header)
+	}
+	if cause := context.Cause(x.ctx); result == lost && cause != nil && errors.Is(cause, httpwire.ErrCallerGone) {
+		x.leave(cause)
+		return answered, nil
+	}
+	return result, err
+}
+
+// answer passes a complete answer on.
+func (x *exchange) answer(status int, header http.Header, body []byte) {
+	x.settle()
+	x.finish(status, x.w.Whole(status, header, body))
+}
+
+// finish notes how a request that got an upstream's answer ended.
+func (x *exchange) finish(status int, err error) {
+	s := x.server
+	age := time.Since(x.request.Arrived)
+	if err != nil {
+		s.opts.Metrics.callerGone()
+		s.opts.Events.Emit(events.ProxyCallerGone, append(x.fields(), zap.Error(err))...)
+		return
+	}
+	s.opts.Metrics.answered(x.route.Kind, status, x.first, age)
+	s.opts.Events.Emit(events.ProxyAnswered, append(x.fields(), zap.Int("status", status),
+		zap.Duration("first", x.first), zap.Int64("events", x.handed))...)
+}
--- /dev/null
+++ b/internal/quota/holder.go
@@ -0,0 +1,130 @@
+package quota
+
+import (
+	"time"
+)
+
+const (
+	// reserveTime is for how long the permits at hand should last at the recent use.
+	reserveTime = 400 * time.Millisecond
+	// minReserve keeps the first requests of an idle account from waiting.
+	minReserve = 2
+	// useHalfLife is the time in which the memory of use halves.
+	useHalfLife = time.Second
+	// maxReserveShare bounds the permits at hand, as a share of the account's burst, so that idle
+	// VMs don't keep what others need.
+	maxReserveShare = 0.1
+	// shareBurstTime is the burst of a VM that has lost the coordinator, as a time at its rate.
+	shareBurstTime = time.Second
+	// defaultWait is when to come back if the coordinator didn't say.
+	defaultWait = 250 * time.Millisecond
+)
+
+// Holder holds an entry VM's permits. It is not safe for concurrent use.
+type Holder struct {
+	accounts map[string]*holding
+	holders  int // entry VMs that share the limits, as last told
+	contact  time.Duration
+	heard    bool
+}
+
+type holding struct {
+	permits float64
+	use     float64 // decaying count of requests
+	at      time.Duration
+	wait    time.Duration // when to come back, as told last
+	told    time.Duration
+	share   bucket // while the coordinator is lost
+	shares  bool
+}
+
+// NewHolder returns a holder without permits.
+func NewHolder() *Holder { return &Holder{accounts: map[string]*holding{}} }
+
+func (h *Holder) holding(account string, now time.Duration) *holding {
+	a := h.accounts[account]
+	if a == nil {
+		a = &holding{at: now}
+		h.accounts[account] = a
+	}
+	// A linear decay is near enough to a half-life for an estimate.
+	gone := float64(now-a.at) / float64(2*useHalfLife)
+	a.use *= max(0, 1-gone)
+	a.at = now
+	return a
+}
+
+// Take takes a permit for one request of an account.
+func (h *Holder) Take(now time.Duration, account string, limit Rate) bool {
+	a := h.holding(account, now)
+	a.use++
+	if a.permits >= 1 {
+		a.permits--
+		return true
+	}
+	if !h.Lost(now) {
+		a.shares = false
+		return false
+	}
+	if h.holders == 0 {
+		return false // never in contact: nothing says how many share the limit
+	}
+	rate := limit.PerSecond / float64(h.holders)
+	if !a.shares {
+		a.shares = true
+		a.share = bucket{filled: now, tokens: 0}
+	}
+	a.share.fill(now, Rate{PerSecond: rate, Burst: rate * shareBurstTime.Seconds()})
+	if a.share.tokens < 1 {
+		a.wait, a.told = time.Duration(float64(time.Second)*(1-a.share.tokens)/max(rate, 0.01)), now
+		return false
+	}
+	a.share.tokens--
+	return true
+}
+
+// Lost reports whether the coordinator was not heard for too long.
+func (h *Holder) Lost(now time.Duration) bool { return !h.heard || now-h.contact > ContactLimit }
+
+// Wait returns when an account without permits may have one.
+func (h *Holder) Wait(now time.Duration, account string) time.Duration {
+	a := h.accounts[account]
+	if a == nil || a.wait <= 0 || now-a.told > a.wait {
+		return defaultWait
+	}
+	return a.wait - (now - a.told)
+}
+
+// Wants returns what to ask for; rate returns an account's limit. urgent is an account whose
+// request waits, empty for none.
+func (h *Holder) Wants(now time.Duration, urgent string, rate func(account string) (Rate, bool)) map[string]float64 {
+	wants := map[string]float64{}
+	for account := range h.accounts {
+		limit, ok := rate(account)
+		if !ok {
+			delete(h.accounts, account)
+			continue
+		}
+		a := h.holding(account, now)
+		perSecond := a.use / useHalfLife.Seconds()
+		reserve := max(min(perSecond*reserveTime.Seconds(), limit.Burst*maxReserveShare), minReserve)
+		if a.use < 0.05 && account != urgent {
+			continue
+		}
+		if missing := reserve - a.permits; missing >= reserve/2 || account == urgent {
+			wants[account] = max(missing, 1)
+		}
+	}
+	return wants
+}
+
+// Granted takes the coordinator's answer.
+func (h *Holder) Granted(now time.Duration, g Grant) {
+	h.contact, h.heard, h.holders = now, true, g.Holders
+	for account, permits := range g.Permits {
+		a := h.holding(account, now)
+		a.permits += permits
+		a.shares = false
+		a.wait, a.told = time.Duration(g.Waits[account])*time.Millisecond, now
+	}
+}
--- a/internal/raft/storage/storage.go
+++ b/internal/raft/storage/storage.go
@@ -178,23 +178,36 @@
 	if err := os.Remove(fresh); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return nil, errors.Wrap(err, "raft storage")
 	}
-	db, err := bbolt.Open(fresh, 0o600, &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType})
+	db, err := openDatabase(fresh)
 	if err != nil {
-		return nil, errors.Wrapf(err, "raft storage: %s", fresh)
+		return nil, err
 	}
 	s := &Store{path: path, db: db, identity: identity, bounds: &raftpb.LogBounds{}}
 	if err := s.fill(state); err != nil {
 		return nil, errors.CombineErrors(err, db.Close())
 	}
+	// The database maps its file by name when it grows, so it is closed before the rename and
+	// opened under the final name.
+	if err := db.Close(); err != nil {
+		return nil, errors.Wrapf(err, "raft storage: %s", fresh)
+	}
 	if err := os.Rename(fresh, path); err != nil {
-		return nil, errors.CombineErrors(errors.Wrap(err, "raft storage"), db.Close())
+		return nil, errors.Wrap(err, "raft storage")
 	}
 	if err := syncFolder(filepath.Dir(path)); err != nil {
-		return nil, errors.CombineErrors(err, db.Close())
+		return nil, err
+	}
+	if s.db, err = openDatabase(path); err != nil {
+		return nil, err
 	}
 	return s, nil
 }
 
+func openDatabase(path string) (*bbolt.DB, error) {
+	db, err := bbolt.Open(path, 0o600, &bbolt.Options{Timeout: lockTimeout, FreelistType: bbolt.FreelistMapType})
+	return db, errors.Wrapf(err, "raft storage: %s", path)
+}
+
 func (s *Store) fill(state raft.State) error {
 	err := s.db.Update(func(tx *bbolt.Tx) error {
 		for _, name := range [][]byte{metaBucket, logBucket, snapshotBucket} {
--- /dev/null
+++ b/internal/registry/registrar.go
@@ -0,0 +1,118 @@
+package registry
+
+import (
+	"sync"
+	"time"
+)
+
+// Registrar holds the registrations that one control VM received. It is safe for concurrent use.
+type Registrar struct {
+	lifetime time.Duration
+	clock    func() time.Duration
+
+	mu      sync.Mutex
+	entries map[string]*registration
+	version uint64
+	changed chan struct{} // closed and replaced at each change
+}
+
+type registration struct {
+	upstream Upstream
+	heard    time.Duration
+	version  uint64 // of the last change that matters to callers
+}
+
+// NewRegistrar returns an empty registrar. An upstream that was not heard for lifetime counts as gone.
+func NewRegistrar(lifetime time.Duration, clock func() time.Duration) *Registrar {
+	return &Registrar{lifetime: lifetime, clock: clock, entries: map[string]*registration{}, changed: make(chan struct{})}
+}
+
+// Register takes a registration and reports whether it changed what callers act by.
+func (r *Registrar) Register(u Upstream) (changed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	known := r.entries[u.ID]
+	if known == nil {
+		known = &registration{}
+		r.entries[u.ID] = known
+	} else {
+		if !u.newer(&known.upstream) {
+			return false
+		}
+		if known.upstream.State == Gone && !known.upstream.Expired && u.Born == known.upstream.Born {
+			return false // an incarnation that left doesn't come back
+		}
+		if u.sameUse(&known.upstream) {
+			known.upstream.Sequence = u.Sequence
+			known.heard = now
+			return false
+		}
+	}
+	known.upstream = u
+	known.heard = now
+	r.touch(known)
+	return true
+}
+
+// Leave notes that an upstream says goodbye. Unknown IDs are remembered too: the goodbye may
+// have arrived at another VM than the registrations.
+func (r *Registrar) Leave(id string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	known := r.entries[id]
+	if known == nil {
+		known = &registration{upstream: Upstream{ID: id}}
+		r.entries[id] = known
+	}
+	if known.upstream.State == Gone && !known.upstream.Expired {
+		return
+	}
+	known.upstream.State = Gone
+	known.upstream.Expired = false
+	known.heard = r.clock()
+	r.touch(known)
+}
+
+// Expire marks the upstreams that fell silent and forgets those that are long gone. It returns
+// the IDs of the newly silent ones.
+func (r *Registrar) Expire() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	var silent []string
+	for id, known := range r.entries {
+		age := now - known.heard
+		switch {
+		case known.upstream.State == Gone && age > goneRetention:
+			delete(r.entries, id)
+		case known.upstream.State != Gone && age > r.lifetime:
+			known.upstream.State = Gone
+			known.upstream.Expired = true
+			silent = append(silent, id)
+			r.touch(known)
+		}
+	}
+	return silent
+}
+
+func (r *Registrar) touch(known *registration) {
+	r.version++
+	known.version = r.version
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// Since returns the entries that changed after a version, the present version, and a channel
+// that is closed at the next change.
+func (r *Registrar) Since(version uint64) ([]Upstream, uint64, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var changes []Upstream
+	for _, known := range r.entries {
+		if known.version > version {
+			changes = append(changes, known.upstream)
+		}
+	}
+	return changes, r.version, r.changed
+}
--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -50,6 +50,8 @@
 // memberView is what the leader knows of a member.
 type memberView struct {
 	member *raftpb.Member
+	// silentTicks is the time since the member was heard, in ticks.
+	silentTicks int
 	// silent: not heard for an election timeout. caughtUp: holds all that is committed.
 	silent   bool
 	caughtUp bool
@@ -172,7 +174,7 @@
 	}
 	views := n.memberViews()
 	n.noteClaims(views)
-	step := planAdmission(views, n.joiners, n.options.initialVMs)
+	step := n.planStep(views)
 	if step == nil {
 		return
 	}
@@ -182,13 +184,24 @@
 	n.emit(step.event, zap.String("peer", step.vm), zap.Uint64("replica", step.replica))
 }
 
+func (n *node) planStep(views []memberView) *admissionStep {
+	if n.options.membership.Voters == 0 {
+		return planAdmission(views, n.joiners, n.options.initialVMs)
+	}
+	return planOpen(views, n.joiners, openPolicy{
+		OpenMembership: n.options.membership, self: n.raft.ID(), lostTicks: lostVoterElections * n.options.electionTicks,
+	})
+}
+
 func (n *node) memberViews() []memberView {
 	var views []memberView
 	for _, m := range n.raft.Conf().Members {
+		silentTicks := n.raft.SilentTicks(m.Id)
 		views = append(views, memberView{
-			member:   m,
-			silent:   m.Id != n.raft.ID() && n.raft.SilentTicks(m.Id) > n.options.electionTicks,
-			caughtUp: n.raft.CaughtUp(m.Id),
+			member:      m,
+			silentTicks: silentTicks,
+			silent:      m.Id != n.raft.ID() && silentTicks > n.options.electionTicks,
+			caughtUp:    n.raft.CaughtUp(m.Id),
 		})
 	}
 	return views
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -66,7 +66,7 @@
 	}
 	g.elapsed = 0
 	g.rounds++
-	for _, vm := range n.options.initialVMs {
+	for _, vm := range n.greeted() {
 		if vm != n.options.vm {
 			n.send(vm, &raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HELLO, Hello: &raftpb.Hello{InitialVms: n.options.initialVMs}})
 		}
@@ -77,6 +77,21 @@
 	return n.proposeFormation()
 }
 
+// greeted returns the VMs that may know the group's leader.
+func (n *node) greeted() []string {
+	vms := slices.Clone(n.options.initialVMs)
+	if n.options.membership.Contacts != nil {
+		vms = append(vms, n.options.membership.Contacts()...)
+	}
+	if n.bound() {
+		for _, m := range n.raft.Conf().Members {
+			vms = append(vms, m.Vm)
+		}
+	}
+	slices.Sort(vms)
+	return slices.Compact(vms)
+}
+
 // isStranded tells whether the replica is bound to a formation but nothing ever came of it here.
 func (n *node) isStranded() bool {
 	return n.raft.Leader() == 0 && n.raft.LastIndex() <= formationIndex
@@ -85,7 +100,7 @@
 // proposeFormation sends the membership if this VM has the smallest name and all VMs agree
 // to be empty.
 func (n *node) proposeFormation() error {
-	if len(n.options.initialVMs) == 0 || n.options.initialVMs[0] != n.options.vm {
+	if len(n.options.initialVMs) == 0 || n.options.initialVMs[0] != n.options.vm || n.options.membership.JoinOnly {
 		return nil
 	}
 	conf := &raftpb.ConfState{}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -107,7 +107,7 @@
 		return err
 	}
 	n, err := newNode(nodeOptions{
-		group: r.options.Group, vm: r.options.VM, initialVMs: r.options.InitialVMs,
+		group: r.options.Group, vm: r.options.VM, initialVMs: r.options.InitialVMs, membership: r.options.Open,
 		machine: r.options.Machine, electionTicks: r.options.ElectionTicks, heartbeatTicks: r.options.HeartbeatTicks,
 		snapshotEvery: r.options.SnapshotEvery, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
 		send: r.options.Transport.Send, events: r.options.Events,
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -26,6 +26,7 @@
 	group          uint64
 	vm             string
 	initialVMs     []string
+	membership     OpenMembership
 	machine        StateMachine
 	electionTicks  int
 	heartbeatTicks int
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -37,6 +37,8 @@
 	Folder string
 	// InitialVMs are the VMs that form the group, this one included.
 	InitialVMs []string
+	// Open lets VMs join that are not among InitialVMs; the zero value keeps the group closed.
+	Open OpenMembership
 	// Machine is the state machine, in its empty state.
 	Machine StateMachine
 	// Transport sends to other VMs.
@@ -61,6 +63,20 @@
 	Clock func() time.Duration
 }
 
+// OpenMembership lets a group choose its voters among the VMs that greet it.
+type OpenMembership struct {
+	// Voters is the number of voters to keep; 0 closes the group to other VMs than the initial ones.
+	Voters int
+	// JoinOnly keeps this replica from proposing a formation: the group exists already.
+	JoinOnly bool
+	// Contacts returns VMs to greet besides InitialVMs; nil: none.
+	Contacts func() []string
+	// Zone returns a VM's zone, empty if it is not known; nil: all are alike.
+	Zone func(vm string) string
+	// Leaving reports whether a VM must give up its replica; nil: none does.
+	Leaving func(vm string) bool
+}
+
 // Defaults of Options.
 const (
 	DefaultTickInterval          = 50 * time.Millisecond
--- /dev/null
+++ b/internal/routing/table.go
@@ -0,0 +1,212 @@
+// Package routing holds the operators' routing table: which requests go to which services, who
+// may send them, and how they may be repeated. A Table is what was read; a Snapshot is a checked
+// Table that answers look-ups. Both are immutable.
+package routing
+
+import (
+	"sort"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// Kind says how often a request may run.
+type Kind int
+
+// Kinds of requests.
+const (
+	Idempotent    Kind = iota // may run more than once
+	NonIdempotent             // at most once for each client attempt
+	Streaming                 // answered by a series of events; at most once unless resumable
+)
+
+// Target is one of the services that share a route's requests.
+type Target struct {
+	Service string
+	Weight  int
+}
+
+// Route maps a host and path prefix to services.
+type Route struct {
+	Name       string
+	Host       string
+	PathPrefix string // begins and ends with a slash
+	Kind       Kind
+	// Timeout is the longest time that a request may be kept waiting.
+	Timeout time.Duration
+	// TargetLatency is the time to the answer, or to a stream's first event, that callers hope for.
+	TargetLatency time.Duration
+	// EventGap is the longest pause between events that callers hope for.
+	EventGap time.Duration
+	Priority int // 0 is the highest
+	Targets  []Target
+	// MaxAttempts is the number of upstreams that one client attempt may be sent to.
+	MaxAttempts int
+	// Stateful turns carry only their new input; the system keeps what was said before.
+	Stateful bool
+	// Retention is how long a turn and its program are kept.
+	Retention time.Duration
+	Anonymous bool // no key is needed
+	Sticky    bool // an upstream that handled the object lately is faster
+	Resumable bool // a stream may go on at another upstream
+}
+
+// Repeatable reports whether a request may run more than once.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || (r.Kind == Streaming && r.Resumable)
+}
+
+// Engine describes the model engines of a service.
+type Engine struct {
+	Slots          int
+	KVTokens       int
+	TokensPerEvent int
+}
+
+// Service is a group of upstreams that are alike.
+type Service struct {
+	Name       string
+	HealthPath string
+	// MaxConns is the number of connections that one upstream accepts from all VMs together.
+	MaxConns int
+	Engine   *Engine // nil for plain services
+}
+
+// Account is a client account.
+type Account struct {
+	Name     string
+	Keys     []string
+	Priority int
+	Rate     float64 // requests a second over all VMs, 0 for no limit
+	Burst    float64 // requests
+}
+
+// Limits bound what a caller may send.
+type Limits struct {
+	MaxHeaderBytes int
+	MaxBodyBytes   int
+	HeaderTimeout  time.Duration
+	IdleTimeout    time.Duration
+}
+
+// Table is one version of the operators' configuration.
+type Table struct {
+	Version  uint64
+	Routes   []Route
+	Services []Service
+	Accounts []Account
+	Limits   Limits
+}
+
+// Snapshot answers look-ups in a checked table.
+type Snapshot struct {
+	Table
+	hosts    map[string][]*Route // longest prefix first
+	services map[string]*Service
+	keys     map[string]*Account
+}
+
+// Compile checks a table and returns its snapshot. The error says what is invalid.
+func Compile(t Table) (*Snapshot, error) {
+	s := &Snapshot{Table: t, hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Account{}}
+	for i := range t.Services {
+		service := &t.Services[i]
+		if service.Name == "" || s.services[service.Name] != nil {
+			return nil, errors.Newf("services[%d]: the name %q is empty or stands twice", i, service.Name)
+		}
+		s.services[service.Name] = service
+	}
+	for i := range t.Routes {
+		if err := s.addRoute(&t.Routes[i]); err != nil {
+			return nil, errors.Wrapf(err, "routes[%d] (%s)", i, t.Routes[i].Name)
+		}
+	}
+	for i := range t.Accounts {
+		account := &t.Accounts[i]
+		for _, key := range account.Keys {
+			if s.keys[key] != nil {
+				return nil, errors.Newf("tenants[%d] (%s): a key stands twice", i, account.Name)
+			}
+			s.keys[key] = account
+		}
+	}
+	return s, nil
+}
+
+func (s *Snapshot) addRoute(r *Route) error {
+	if r.Host == "" || !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		return errors.Newf("host %q or path prefix %q is not valid", r.Host, r.PathPrefix)
+	}
+	if r.Timeout <= 0 {
+		return errors.New("the timeout must be above 0")
+	}
+	total := 0
+	for _, target := range r.Targets {
+		if s.services[target.Service] == nil {
+			return errors.Newf("service %q is unknown", target.Service)
+		}
+		if target.Weight < 0 {
+			return errors.Newf("service %q has a negative weight", target.Service)
+		}
+		total += target.Weight
+	}
+	if total == 0 {
+		return errors.New("the weights add up to 0")
+	}
+	host := strings.ToLower(r.Host)
+	routes := s.hosts[host]
+	at := sort.Search(len(routes), func(i int) bool { return len(routes[i].PathPrefix) <= len(r.PathPrefix) })
+	for _, other := range routes {
+		if other.PathPrefix == r.PathPrefix {
+			return errors.Newf("route %s has the same host and path prefix", other.Name)
+		}
+	}
+	routes = append(routes, nil)
+	copy(routes[at+1:], routes[at:])
+	routes[at] = r
+	s.hosts[host] = routes
+	return nil
+}
+
+// Route returns the route with the longest prefix that begins the path. host may carry a port.
+func (s *Snapshot) Route(host, path string) (*Route, bool) {
+	host = strings.ToLower(host)
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for _, r := range s.hosts[host] {
+		if strings.HasPrefix(path, r.PathPrefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service returns a service by name.
+func (s *Snapshot) Service(name string) (*Service, bool) {
+	service, ok := s.services[name]
+	return service, ok
+}
+
+// Account returns the account that holds a key.
+func (s *Snapshot) Account(key string) (*Account, bool) {
+	account, ok := s.keys[key]
+	return account, ok
+}
+
+// Pick chooses one of the route's services by weight; draw is uniform in [0, 1).
+func (r *Route) Pick(draw float64) string {
+	total := 0
+	for _, t := range r.Targets {
+		total += t.Weight
+	}
+	point := draw * float64(total)
+	for _, t := range r.Targets {
+		point -= float64(t.Weight)
+		if point < 0 {
+			return t.Service
+		}
+	}
+	return r.Targets[len(r.Targets)-1].Service
+}
--- /dev/null
+++ b/internal/turns/snapshot.go
@@ -0,0 +1,60 @@
+package turns
+
+import (
+	"github.com/cockroachdb/errors"
+	"github.com/fxamacker/cbor/v2"
+)
+
+// snapshot is the whole state, as lists: CBOR maps with composite keys are not portable.
+type snapshot struct {
+	Now      int64           `cbor:"1,keyasint"`
+	Swept    int64           `cbor:"2,keyasint"`
+	Programs []programRecord `cbor:"3,keyasint"`
+	Turns    []turnRecord    `cbor:"4,keyasint"`
+}
+
+type programRecord struct {
+	Key     programKey `cbor:"1,keyasint"`
+	Program *program   `cbor:"2,keyasint"`
+}
+
+type turnRecord struct {
+	Key  turnKey `cbor:"1,keyasint"`
+	Turn *turn   `cbor:"2,keyasint"`
+}
+
+// Snapshot returns the whole state.
+func (m *Machine) Snapshot() ([]byte, error) {
+	s := snapshot{Now: m.now, Swept: m.swept}
+	for key, p := range m.programs {
+		s.Programs = append(s.Programs, programRecord{key, p})
+	}
+	for key, t := range m.turns {
+		s.Turns = append(s.Turns, turnRecord{key, t})
+	}
+	data, err := cbor.Marshal(s)
+	return data, errors.Wrap(err, "turns: encode a snapshot")
+}
+
+// Restore replaces the state by that of a snapshot.
+func (m *Machine) Restore(data []byte) error {
+	var s snapshot
+	if err := cbor.Unmarshal(data, &s); err != nil {
+		return errors.Wrap(err, "turns: decode a snapshot")
+	}
+	*m = *New()
+	m.now, m.swept = s.Now, s.Swept
+	for _, r := range s.Programs {
+		if r.Program.Reserved == nil {
+			r.Program.Reserved = map[string]int64{}
+		}
+		if r.Program.Settled == nil {
+			r.Program.Settled = map[string]bool{}
+		}
+		m.programs[r.Key] = r.Program
+	}
+	for _, r := range s.Turns {
+		m.turns[r.Key] = r.Turn
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/upconn/pool.go
@@ -0,0 +1,210 @@
+// Package upconn keeps connections to upstreams. A connection carries one request at a time and
+// is closed on any doubt. Nothing is repeated here: what was sent and what was not is reported
+// to the caller, who knows whether a request may run again.
+package upconn
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+const (
+	// dialTimeout bounds the opening of a connection. It leaves time for another upstream.
+	dialTimeout = 700 * time.Millisecond
+	// ackTimeout is how long sent bytes may stay unacknowledged before a connection counts as lost.
+	ackTimeout = 1500 * time.Millisecond
+	// idleMargin is by how much sooner than the upstream this side gives up an idle connection.
+	idleMargin = 500 * time.Millisecond
+	// defaultIdle is the idle time of an upstream that doesn't state one.
+	defaultIdle = 4 * time.Second
+	// maxIdle bounds the idle time of a connection: something between the ends may forget it.
+	maxIdle = 15 * time.Second
+	// maxIdlePerUpstream bounds the idle connections to one upstream.
+	maxIdlePerUpstream = 16
+	readBufferBytes    = 4 << 10
+)
+
+// Conn is a connection to an upstream.
+type Conn struct {
+	net.Conn
+	Reader  *bufio.Reader
+	address string
+	// Reused tells whether a request was sent on it before.
+	Reused    bool
+	idleSince time.Time
+	idleLimit time.Duration
+}
+
+// Pool holds the idle connections to all upstreams. It is safe for concurrent use.
+type Pool struct {
+	mu     sync.Mutex
+	idle   map[string][]*Conn // by address, the last used at the end
+	opened atomic.Int64
+}
+
+// NewPool returns an empty pool.
+func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+
+// Opened returns the number of connections opened so far.
+func (p *Pool) Opened() int64 { return p.opened.Load() }
+
+// Get returns an idle connection to the address, or a new one. With an error nothing was sent.
+func (p *Pool) Get(ctx context.Context, address string) (*Conn, error) {
+	for {
+		c := p.takeIdle(address)
+		if c == nil {
+			return p.dial(ctx, address)
+		}
+		if c.clean() {
+			return c, nil
+		}
+		_ = c.Close()
+	}
+}
+
+func (p *Pool) takeIdle(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	list := p.idle[address]
+	if len(list) == 0 {
+		return nil
+	}
+	c := list[len(list)-1]
+	p.idle[address] = list[:len(list)-1]
+	return c
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	dialer := net.Dialer{
+		Timeout:         dialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
+	}
+	raw, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "upconn: connect")
+	}
+	p.opened.Add(1)
+	if err := setAckTimeout(raw); err != nil {
+		return nil, errors.CombineErrors(err, raw.Close())
+	}
+	return &Conn{Conn: raw, Reader: bufio.NewReaderSize(raw, readBufferBytes), address: address, idleLimit: defaultIdle}, nil
+}
+
+func setAckTimeout(c net.Conn) error {
+	tcp, ok := c.(*net.TCPConn)
+	if !ok {
+		return nil
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "upconn: socket options")
+	}
+	var failed error
+	err = raw.Control(func(fd uintptr) {
+		failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(ackTimeout.Milliseconds()))
+	})
+	return errors.Wrap(errors.CombineErrors(err, failed), "upconn: set TCP_USER_TIMEOUT")
+}
+
+// clean reports whether an idle connection is neither closed, nor old, nor has bytes that belong
+// to no request.
+func (c *Conn) clean() bool {
+	if time.Since(c.idleSince) > c.idleLimit || c.Reader.Buffered() > 0 {
+		return false
+	}
+	tcp, ok := c.Conn.(*net.TCPConn)
+	if !ok {
+		return true
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, err := unix.Read(int(fd), b[:])
+		quiet = errors.Is(err, unix.EAGAIN)
+		return true // never wait
+	})
+	return err == nil && quiet
+}
+
+// Put returns a connection after a complete answer, whose header says how long it may idle.
+func (p *Pool) Put(c *Conn, answer http.Header) {
+	if c.Reader.Buffered() > 0 {
+		_ = c.Close()
+		return
+	}
+	if limit, ok := keepAliveTimeout(answer); ok {
+		c.idleLimit = min(max(limit-idleMargin, 0), maxIdle)
+	}
+	c.Reused = true
+	c.idleSince = time.Now()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.idle[c.address]) >= maxIdlePerUpstream {
+		_ = c.Close()
+		return
+	}
+	p.idle[c.address] = append(p.idle[c.address], c)
+}
+
+// keepAliveTimeout reads "Keep-Alive: timeout=5".
+func keepAliveTimeout(h http.Header) (time.Duration, bool) {
+	for _, part := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, found := strings.Cut(strings.TrimSpace(part), "=")
+		if !found || !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		return time.Duration(seconds) * time.Second, err == nil
+	}
+	return 0, false
+}
+
+// Drop closes the idle connections to an address, when its upstream is gone.
+func (p *Pool) Drop(address string) {
+	p.mu.Lock()
+	list := p.idle[address]
+	delete(p.idle, address)
+	p.mu.Unlock()
+	for _, c := range list {
+		_ = c.Close()
+	}
+}
+
+// CloseOld closes the idle connections that may not be used any more.
+func (p *Pool) CloseOld() {
+	p.mu.Lock()
+	var old []*Conn
+	for address, list := range p.idle {
+		kept := list[:0]
+		for _, c := range list {
+			if time.Since(c.idleSince) > c.idleLimit {
+				old = append(old, c)
+			} else {
+				kept = append(kept, c)
+			}
+		}
+		if len(kept) == 0 {
+			delete(p.idle, address)
+		} else {
+			p.idle[address] = kept
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		_ = c.Close()
+	}
+}
