node: requests that wait for permits ask again unless there is a shortage

Cause: a round of permits may not have asked for the waiting request's account, and gave too few for several calls that came at once; they were refused although inside the rate. Ruled out: loss of the coordinator (no such event).

--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -19,5 +19,7 @@
 	NodeOrder        = define(2412, zapcore.InfoLevel, "an operator's order was answered", "")
 	NodeEndFailed    = define(2413, zapcore.WarnLevel, "a turn's reservation could not be settled; it counts with all its tokens", "")
 	NodeReplica      = define(2414, zapcore.ErrorLevel, "the replica of this VM failed", "read the error; the process ends and starts again")
+	PermitsLost      = define(2416, zapcore.WarnLevel, "the coordinator of rates doesn't answer; this VM goes on with its share", "")
+	PermitsHeard     = define(2417, zapcore.InfoLevel, "the coordinator of rates answers", "")
 	NodeLogDropped   = define(2415, zapcore.WarnLevel, "log lines were dropped because they came faster than they could be written", "")
 )
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -55,7 +55,7 @@
 	e.ledger = newLedger(groups.NewOpenClient(n.network, storeVMs, storeTry), n.events)
 	e.permits = &permits{
 		self: n.self.VM, calls: n.network, control: n.watcher.control, table: e.table.Load,
-		clock: clock.Now, holder: quota.NewHolder(),
+		clock: clock.Now, events: n.events, holder: quota.NewHolder(),
 	}
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -6,7 +6,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
+	"egretramp/internal/events"
 	"egretramp/internal/peer"
 	"egretramp/internal/quota"
 	"egretramp/internal/routing"
@@ -31,14 +33,19 @@
 	control func() []string
 	table   func() *routing.Snapshot
 	clock   func() time.Duration
+	events  *events.Logger
 
 	mu     sync.Mutex
 	holder *quota.Holder
 	leader string
 	round  *permitRound // under way, nil for none
+	lost   bool         // the coordinator, as last reported
 }
 
-type permitRound struct{ done chan struct{} }
+type permitRound struct {
+	done chan struct{}
+	asks map[string]bool // accounts
+}
 
 func rateOf(table *routing.Snapshot) func(string) (quota.Rate, bool) {
 	rates := map[string]quota.Rate{}
@@ -59,44 +66,54 @@
 // Take implements proxy.Limiter.
 func (p *permits) Take(ctx context.Context, account *routing.Account) (bool, time.Duration) {
 	limit := quota.Rate{PerSecond: account.Rate, Burst: account.Burst}
+	deadline := time.After(permitWait)
 	p.mu.Lock()
-	if p.holder.Take(p.clock(), account.Name, limit) {
-		p.mu.Unlock()
-		return true, 0
-	}
-	if !p.holder.Lost(p.clock()) || p.round != nil {
+	defer p.mu.Unlock()
+	for {
+		if p.holder.Take(p.clock(), account.Name, limit) {
+			return true, 0
+		}
+		if p.lost && p.round == nil {
+			break
+		}
 		// Permits may be had for the asking.
 		round := p.start(account.Name)
 		p.mu.Unlock()
+		ended := false
 		select {
 		case <-round.done:
-		case <-time.After(permitWait):
+			ended = true
+		case <-deadline:
 		case <-ctx.Done():
 		}
 		p.mu.Lock()
 		if p.holder.Take(p.clock(), account.Name, limit) {
-			p.mu.Unlock()
 			return true, 0
 		}
+		// Without a shortage the permits went to others that waited for the same round.
+		if !ended || round.asks[account.Name] && p.holder.Short(account.Name) {
+			break
+		}
 	}
-	defer p.mu.Unlock()
 	return false, p.holder.Wait(p.clock(), account.Name)
 }
 
-// start begins a round of asking, or joins the one under way. The mutex is held.
+// start begins a round of asking, or joins the one under way, which may not ask for the account.
+// The mutex is held.
 func (p *permits) start(urgent string) *permitRound {
 	if p.round != nil {
 		return p.round
 	}
-	round := &permitRound{done: make(chan struct{})}
-	p.round = round
 	wants := p.holder.Wants(p.clock(), urgent, rateOf(p.table()))
+	round := &permitRound{done: make(chan struct{}), asks: map[string]bool{urgent: true}}
+	for account := range wants {
+		round.asks[account] = true
+	}
+	p.round = round
 	go func() {
-		grant, ok := p.ask(quota.Request{VM: p.self, Wants: wants})
+		grant, err := p.ask(quota.Request{VM: p.self, Wants: wants})
 		p.mu.Lock()
-		if ok {
-			p.holder.Granted(p.clock(), grant)
-		}
+		p.heard(grant, err)
 		p.round = nil
 		p.mu.Unlock()
 		close(round.done)
@@ -104,8 +121,28 @@
 	return round
 }
 
+// heard notes the end of a round. The mutex is held.
+func (p *permits) heard(grant quota.Grant, err error) {
+	if err == nil {
+		p.holder.Granted(p.clock(), grant)
+	}
+	lost := p.holder.Lost(p.clock())
+	if lost == p.lost {
+		return
+	}
+	p.lost = lost
+	if lost {
+		p.events.Emit(events.PermitsLost, zap.Error(err))
+	} else {
+		p.events.Emit(events.PermitsHeard, zap.String("coordinator", p.leader), zap.Int("holders", grant.Holders))
+	}
+}
+
+// errNoCoordinator says that no control VM is known, or that none leads.
+var errNoCoordinator = errors.New("node: no coordinator was found")
+
 // ask calls the coordinator, and finds it first if need be.
-func (p *permits) ask(r quota.Request) (quota.Grant, bool) {
+func (p *permits) ask(r quota.Request) (quota.Grant, error) {
 	p.mu.Lock()
 	queue := p.control()
 	if p.leader != "" {
@@ -116,6 +153,7 @@
 	defer cancel()
 	payload := encode(r)
 	tried := map[string]bool{}
+	last := errNoCoordinator
 	for len(queue) > 0 && ctx.Err() == nil {
 		vm := queue[0]
 		queue = queue[1:]
@@ -125,20 +163,17 @@
 		tried[vm] = true
 		answer, err := p.calls.Call(ctx, vm, methodPermit, payload)
 		if err == nil {
-			grant, err := decode[quota.Grant](answer)
-			if err != nil {
-				return quota.Grant{}, false
-			}
 			p.setLeader(vm)
-			return grant, true
+			return decode[quota.Grant](answer)
 		}
+		last = err
 		p.setLeader("")
 		var remote *peer.RemoteError
 		if errors.As(err, &remote) && remote.Code == codeNotCoordinator && remote.Message != "" {
 			queue = append([]string{remote.Message}, queue...)
 		}
 	}
-	return quota.Grant{}, false
+	return quota.Grant{}, last
 }
 
 func (p *permits) setLeader(vm string) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -367,6 +367,12 @@
 	if x.call.Program != "" {
 		fields = append(fields, zap.String("program", x.call.Program))
 	}
+	if x.account != nil {
+		fields = append(fields, zap.String("account", x.account.Name))
+	}
+	if x.call.Previous != "" {
+		fields = append(fields, zap.String("previous", x.call.Previous))
+	}
 	if x.upstream != "" {
 		fields = append(fields, zap.String("upstream", x.upstream), zap.Int("refused_by", x.refusedBy), zap.Int("used", len(x.usedOn)))
 	}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -7,8 +7,8 @@
 const (
 	// reserveTime is for how long the permits at hand should last at the recent use.
 	reserveTime = 400 * time.Millisecond
-	// minReserve keeps the first requests of an idle account from waiting.
-	minReserve = 2
+	// minReserve lets the first calls of an idle account, which mostly come several at once, pass.
+	minReserve = 5
 	// useHalfLife is the time in which the memory of use halves.
 	useHalfLife = time.Second
 	// maxReserveShare bounds the permits at hand, as a share of the account's burst, so that idle
@@ -34,6 +34,7 @@
 	at      time.Duration
 	wait    time.Duration // when to come back, as told last
 	told    time.Duration
+	short   bool // the coordinator gave less than was asked for
 	share   bucket // while the coordinator is lost
 	shares  bool
 }
@@ -66,6 +67,7 @@
 		a.shares = false
 		return false
 	}
+	a.short = false
 	if h.holders == 0 {
 		return false // never in contact: nothing says how many share the limit
 	}
@@ -95,6 +97,12 @@
 	return a.wait - (now - a.told)
 }
 
+// Short reports whether the coordinator's last grant was less than what was asked for.
+func (h *Holder) Short(account string) bool {
+	a := h.accounts[account]
+	return a != nil && a.short
+}
+
 // Wants returns what to ask for; rate returns an account's limit. urgent is an account whose
 // request waits, empty for none.
 func (h *Holder) Wants(now time.Duration, urgent string, rate func(account string) (Rate, bool)) map[string]float64 {
@@ -112,7 +120,7 @@
 			continue
 		}
 		if missing := reserve - a.permits; missing >= reserve/2 || account == urgent {
-			wants[account] = max(missing, 1)
+			wants[account] = max(missing, minReserve)
 		}
 	}
 	return wants
@@ -125,6 +133,7 @@
 		a := h.holding(account, now)
 		a.permits += permits
 		a.shares = false
+		_, a.short = g.Waits[account]
 		a.wait, a.told = time.Duration(g.Waits[account])*time.Millisecond, now
 	}
 }
