proxy: new programs are refused while those under way are slow; programs stay at their upstream

Ruled out: the entry VMs' processor (0.04 of a core), the store (begin p95 below 30 ms), uneven upstreams (max/mean 1.2).

Admission by the slowdown of turns under way (internal/admission); a prompt read again weighs four times its own time, since all turns at the engine wait meanwhile; a program's upstream is remembered.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -26,10 +26,15 @@
 
 // Request is what the choice depends on.
 type Request struct {
-	// Affinity names what the upstream may still hold, empty for nothing.
+	// Affinity names what upstreams may still hold, empty for nothing.
 	Affinity string
+	// Home is the upstream that holds it, as far as this VM knows; empty if it doesn't.
+	Home string
 	// AffinityGain is the time that an upstream which holds it saves.
 	AffinityGain time.Duration
+	// New requests have left nothing at any upstream yet; their affinity only says where other
+	// VMs will look first.
+	New bool
 	// Service is the usual time of a request at an idle upstream.
 	Service time.Duration
 	// Draw is uniform in [0, 1) and breaks ties.
@@ -37,9 +42,11 @@
 }
 
 const (
-	// crossZoneCost is what leaving the zone costs: two crossings, and bytes that are paid for.
-	// It is far above the crossings, since an upstream of the zone is only left under load.
-	crossZoneCost = 40 * time.Millisecond
+	// crossZoneCost is what leaving the zone costs: two crossings for each turn that follows, and
+	// bytes that are paid for.
+	crossZoneCost = 25 * time.Millisecond
+	// newGain is what the upstream saves at which other VMs will look first, for new programs.
+	newGain = 12 * time.Millisecond
 	// failingCost keeps requests away from a failing upstream while any other is usable.
 	failingCost = 2 * time.Second
 	// unconfirmedCost is above failingCost: it may be gone altogether.
@@ -52,7 +59,13 @@
 // A request with an affinity has a home among the local upstreams, the same on every VM without
 // any exchange (rendezvous hashing), which it leaves when the queue there costs more than it saves.
 func Pick(candidates []Candidate, r Request) int {
-	home := homeOf(candidates, r.Affinity)
+	home := knownHome(candidates, r.Home)
+	if home < 0 {
+		home = homeOf(candidates, r.Affinity)
+	}
+	if r.New {
+		r.AffinityGain = newGain
+	}
 	best, bestCost := -1, time.Duration(0)
 	for i, c := range candidates {
 		if c.Tried {
@@ -90,6 +103,15 @@
 	return cost
 }
 
+func knownHome(candidates []Candidate, id string) int {
+	for i, c := range candidates {
+		if id != "" && c.ID == id {
+			return i
+		}
+	}
+	return -1
+}
+
 func homeOf(candidates []Candidate, affinity string) int {
 	if affinity == "" {
 		return -1
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -176,6 +176,7 @@
 // stream passes events on as they arrive. What is cut off within an event is not passed on.
 func (a *attempt) stream(response *http.Response) (outcome, error) {
 	reader := bufio.NewReaderSize(response.Body, 2<<10)
+	var last time.Time
 	for {
 		event, err := readEvent(reader)
 		if err != nil && !errors.Is(err, io.EOF) {
@@ -192,6 +193,13 @@
 			a.server.health.succeeded(a.upstream, a.service.Name, time.Since(a.started), response.StatusCode)
 			a.w.Begin(response.StatusCode, response.Header)
 		}
+		now := time.Now()
+		if last.IsZero() {
+			a.server.observeFirst(a.service.Name, now.Sub(a.started), a.call.PromptTokens)
+		} else {
+			a.server.observePace(a.upstream.ID, a.service.Name, now.Sub(last))
+		}
+		last = now
 		id, data := parseEvent(event)
 		a.lastEvent = id
 		a.handed++
--- a/internal/proxy/names.go
+++ b/internal/proxy/names.go
@@ -3,7 +3,7 @@
 // String returns the name of the reason in log lines and metrics.
 func (r Reason) String() string {
 	return [...]string{
-		"no_configuration", "no_route", "bad_key", "over_rate", "budget_spent", "unknown_turn",
+		"no_configuration", "no_route", "bad_key", "over_rate", "budget_spent", "unknown_turn", "overloaded",
 		"store_unavailable", "no_upstream", "too_late", "malformed", "failed", "timed_out",
 	}[r]
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,11 +11,13 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"egretramp/internal/admission"
 	"egretramp/internal/events"
 	"egretramp/internal/httpwire"
 	"egretramp/internal/registry"
@@ -37,14 +39,21 @@
 	HasBudget    bool
 	Budget       int64 // tokens that all turns of the program may generate
 	PromptTokens int64
-	MostTokens   int64  // tokens that this turn may generate
-	Previous     string // the turn that this one continues
+	Prompt       []PromptPart // in order; shared parts first, the request's own last
+	MostTokens   int64        // tokens that this turn may generate
+	Previous     string       // the turn that this one continues
 	LastEventID  string
 	Object       string // what the request concerns, for affinity
 	// Header holds what is passed on: neither the system's own headers nor the key.
 	Header http.Header
 }
 
+// PromptPart is a part of a prompt that requests may share.
+type PromptPart struct {
+	ID     string
+	Tokens int64
+}
+
 // Send is one try at an upstream.
 type Send struct {
 	Upstream    registry.Upstream
@@ -72,6 +81,7 @@
 	OverRate
 	BudgetSpent
 	UnknownTurn
+	Overloaded       // a new program would be too late, or make others late
 	StoreUnavailable // a majority of the store group can't be reached
 	NoUpstream       // none is known, or all refused
 	TooLate          // the time was up before the request was sent
@@ -135,11 +145,15 @@
 	pool   *upconn.Pool
 	health *health
 	active atomic.Int64
+	homes  *homes
+
+	admissionMu sync.Mutex
+	admission   map[string]*admission.Controller // by service
 }
 
 // New returns a server.
 func New(opts Options) *Server {
-	return &Server{opts: opts, pool: upconn.NewPool(), health: newHealth()}
+	return &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), homes: newHomes(), admission: map[string]*admission.Controller{}}
 }
 
 // Gone closes the connections to an upstream that left.
@@ -148,6 +162,7 @@
 // Tend does the periodic work of the connections and of the upstreams' records.
 func (s *Server) Tend() {
 	s.pool.CloseOld()
+	s.homes.sweep()
 	s.health.forget(s.opts.Directory.View())
 }
 
@@ -170,6 +185,8 @@
 	body     []byte
 	deadline time.Time
 	reserved bool // the program's budget holds tokens for this turn
+	known    bool // the program is under way
+	admitted bool // it is, or may begin
 
 	tried     map[string]bool // upstreams that refused or failed
 	usedOn    map[string]bool // upstreams that may have run the request
@@ -250,6 +267,8 @@
 // begin reserves the budget of a turn and fetches the conversation that it continues.
 func (x *exchange) begin() *Refusal {
 	x.body = x.request.Body
+	x.known = x.server.knows(x)
+	x.admitted = x.known || x.server.admits(x)
 	if x.route.Kind != routing.Streaming || x.call.Program == "" || (!x.route.Stateful && !x.call.HasBudget) {
 		return nil
 	}
@@ -276,6 +295,11 @@
 		return &Refusal{Reason: UnknownTurn}
 	}
 	x.reserved = true
+	x.known = x.known || result.Known
+	if !x.known && !x.admitted && !x.server.admits(x) {
+		return &Refusal{Reason: Overloaded, RetryAfter: x.overloadWait()}
+	}
+	x.server.underWay(x)
 	if len(result.Chain) > 0 {
 		size := len(x.request.Body)
 		for _, part := range result.Chain {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -34,6 +34,9 @@
 	// prefillPerMilli is the usual speed at which engines read a prompt, in tokens a
 	// millisecond; it only weighs affinity against queues.
 	prefillPerMilli = 80
+	// prefillHarm is by how much reading a prompt again costs more than the time of its own turn:
+	// all turns that run on the upstream wait meanwhile.
+	prefillHarm = 4
 	// plainGain is what an upstream that handled the object lately saves.
 	plainGain = 15 * time.Millisecond
 )
@@ -151,7 +154,9 @@
 	switch {
 	case x.route.Kind == routing.Streaming && x.call.Program != "":
 		request.Affinity = x.call.Program
-		request.AffinityGain = time.Duration(x.call.PromptTokens/prefillPerMilli) * time.Millisecond
+		request.Home = s.homes.of(x.call.Program)
+		request.AffinityGain = time.Duration(prefillHarm*x.call.PromptTokens/prefillPerMilli) * time.Millisecond
+		request.New = !x.known
 	case x.route.Sticky && x.call.Object != "":
 		request.Affinity, request.AffinityGain = x.call.Object, plainGain
 	}
@@ -159,6 +164,9 @@
 	if i < 0 {
 		return registry.Upstream{}, false
 	}
+	if request.Affinity != "" && x.call.Program != "" {
+		s.homes.set(x.call.Program, upstreams[i].ID)
+	}
 	return upstreams[i], true
 }
 
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -34,7 +34,7 @@
 	at      time.Duration
 	wait    time.Duration // when to come back, as told last
 	told    time.Duration
-	short   bool // the coordinator gave less than was asked for
+	short   bool   // the coordinator gave less than was asked for
 	share   bucket // while the coordinator is lost
 	shares  bool
 }
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -71,6 +71,8 @@
 	// Chain is the conversation that a begun turn continues: inputs and outputs by turns, the
 	// oldest first. The leader adds it; it is no part of the applied result.
 	Chain [][]byte `cbor:"2,keyasint,omitempty"`
+	// Known tells that the program had a turn before.
+	Known bool `cbor:"5,keyasint,omitempty"`
 	// Used and Reserved are the program's tokens when BudgetSpent was decided.
 	Used     int64 `cbor:"3,keyasint,omitempty"`
 	Reserved int64 `cbor:"4,keyasint,omitempty"`
@@ -159,18 +161,19 @@
 		return Result{Outcome: UnknownTurn}
 	}
 	if !b.HasBudget {
-		return Result{}
+		return Result{Known: b.Previous != ""}
 	}
 	p := m.program(b.Account, b.Program)
+	known := len(p.Reserved) > 0 || p.Used > 0
 	if _, reserved := p.Reserved[b.Request]; reserved || p.Settled[b.Request] {
-		return Result{}
+		return Result{Known: known}
 	}
 	reserved := p.reserved()
 	if p.Used+reserved+b.Most > b.Budget {
 		return Result{Outcome: BudgetSpent, Used: p.Used, Reserved: reserved}
 	}
 	p.Reserved[b.Request] = b.Most
-	return Result{}
+	return Result{Known: known}
 }
 
 func (p *program) reserved() int64 {
