--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -23,9 +23,13 @@
 	growInterval = 200 * time.Millisecond
 	growFactor   = 1.05
 	growStep     = 0.5
+	// easySlowdown is the time of turns at which upstreams are far from busy; growth is fast then,
+	// since a trouble that passed leaves a limit that is much too low.
+	easySlowdown = 1.15
+	easyFactor   = 1.5
 	// growUsage is the part of the limit that must be in use for it to grow.
 	growUsage = 0.7
-	minLimit  = 2
+	minLimit  = 4
 	maxLimit  = 1 << 12
 	// activeTime is for how long a program counts after its last request: tools and pauses lie
 	// between its turns.
@@ -123,6 +127,10 @@
 	}
 	if now-c.grown >= growInterval && active >= growUsage*c.limit {
 		c.grown = now
-		c.limit = min(maxLimit, c.limit*growFactor+growStep)
+		factor := growFactor
+		if c.slowdown < easySlowdown {
+			factor = easyFactor
+		}
+		c.limit = min(maxLimit, c.limit*factor+growStep)
 	}
 }
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -107,7 +107,8 @@
 			return nil, err
 		}
 		last = err
-		if hint != "" {
+		// Others may name a leader that has fallen silent until they elect a new one.
+		if hint != "" && !c.isSilent(hint) {
 			queue = append([]string{hint}, queue...)
 		}
 	}
@@ -167,6 +168,12 @@
 	delete(c.silent, vm)
 }
 
+func (c *Client) isSilent(vm string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.silent[vm]
+}
+
 func (c *Client) setLeader(group uint64, vm string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -61,6 +61,7 @@
 			Voters: n.settings.Voters(), JoinOnly: !n.settings.FirstStart, Contacts: n.watcher.control, Zone: c.hub.zone,
 		},
 		Machine: catalog.New(c.changed), Transport: groups.Transport{Network: n.network}, Events: n.events,
+		ElectionTicks: electionTicks,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,9 @@
 	memoryShare = 0.7
 	// peerRetention is for how long a connection to a VM that nobody names any more is kept.
 	peerRetention = 10 * time.Second
+	// electionTicks is the least election timeout, in ticks of the replicas (50 ms): three
+	// heartbeats, since callers wait for an election.
+	electionTicks = 6
 )
 
 // Node is the process of one VM.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -109,7 +109,7 @@
 			Voters: n.settings.Voters(), JoinOnly: forming == nil, Contacts: s.contacts, Zone: s.zone, Leaving: s.leaving,
 		},
 		Machine: turns.New(), Transport: groups.Transport{Network: n.network},
-		SnapshotEvery: storeSnapshotEvery, Events: n.events,
+		SnapshotEvery: storeSnapshotEvery, Events: n.events, ElectionTicks: electionTicks,
 	})
 	if err != nil {
 		return err
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -19,8 +19,9 @@
 )
 
 const (
-	// dialTimeout bounds the opening of a connection. It leaves time for another upstream.
-	dialTimeout = 700 * time.Millisecond
+	// dialTimeout bounds the opening of a connection: many times the way between zones, and short
+	// enough to try another upstream in time.
+	dialTimeout = 250 * time.Millisecond
 	// ackTimeout is how long sent bytes may stay unacknowledged before a connection counts as lost.
 	ackTimeout = 1500 * time.Millisecond
 	// idleMargin is by how much sooner than the upstream this side gives up an idle connection.
