--- a/internal/node/ledger.go
+++ b/internal/node/ledger.go
@@ -30,11 +30,17 @@
 type ledger struct {
 	groups *groups.Client
 	events *events.Logger
-	later  chan turns.End
+	later  chan settlement
+}
+
+// settlement is a turn's end that nobody waits for.
+type settlement struct {
+	end  turns.End
+	done func(turns.Result) // nil for nobody
 }
 
 func newLedger(client *groups.Client, log *events.Logger) *ledger {
-	return &ledger{groups: client, events: log, later: make(chan turns.End, settleQueue)}
+	return &ledger{groups: client, events: log, later: make(chan settlement, settleQueue)}
 }
 
 // Begin implements proxy.Ledger.
@@ -43,15 +49,14 @@
 }
 
 // End implements proxy.Ledger.
-func (l *ledger) End(ctx context.Context, e turns.End) error {
-	_, err := l.run(ctx, turns.Command{End: &e})
-	return err
+func (l *ledger) End(ctx context.Context, e turns.End) (turns.Result, error) {
+	return l.run(ctx, turns.Command{End: &e})
 }
 
 // EndLater implements proxy.Ledger.
-func (l *ledger) EndLater(e turns.End) {
+func (l *ledger) EndLater(e turns.End, done func(turns.Result)) {
 	select {
-	case l.later <- e:
+	case l.later <- settlement{e, done}:
 	default:
 		l.events.Emit(events.NodeEndFailed, zap.String("request", e.Request), zap.String("reason", "queue full"))
 	}
@@ -74,18 +79,23 @@
 func (l *ledger) settle(ctx context.Context) {
 	for {
 		select {
-		case e := <-l.later:
-			l.settleOne(e)
+		case s := <-l.later:
+			l.settleOne(s)
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-func (l *ledger) settleOne(e turns.End) {
+func (l *ledger) settleOne(s settlement) {
 	ctx, cancel := context.WithTimeout(context.Background(), settleTime)
 	defer cancel()
-	if err := l.End(ctx, e); err != nil {
-		l.events.Emit(events.NodeEndFailed, zap.String("request", e.Request), zap.Error(err))
+	result, err := l.End(ctx, s.end)
+	if err != nil {
+		l.events.Emit(events.NodeEndFailed, zap.String("request", s.end.Request), zap.Error(err))
+		return
+	}
+	if s.done != nil {
+		s.done(result)
 	}
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -227,14 +227,18 @@
 // end of its answer, so its end waits until the turn is durable.
 func (a *attempt) finishStream(status int) error {
 	if a.reserved && a.route.Stateful {
-		if err := a.server.opts.Ledger.End(a.ctx, a.end(a.tokens(), true)); err != nil {
+		result, err := a.server.opts.Ledger.End(a.ctx, a.reserveNext(a.end(a.tokens(), true)))
+		if err != nil {
 			// It may be recorded or not: the caller must not take it for complete.
 			a.refuse(Refusal{Reason: StoreUnavailable, Detail: err.Error()})
 			return err
 		}
 		a.reserved = false
+		a.keepLine(result)
+	} else if a.reserved {
+		a.reserved = false
+		a.server.opts.Ledger.EndLater(a.reserveNext(a.end(a.tokens(), false)), a.keepLine)
 	}
-	a.settle()
 	a.finish(status, a.w.Finish())
 	return nil
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -116,9 +116,10 @@
 	// Begin returns an error if the outcome isn't known; repeating it is harmless.
 	Begin(ctx context.Context, b turns.Begin) (turns.Result, error)
 	// End returns once the turn is settled and recorded durably.
-	End(ctx context.Context, e turns.End) error
-	// EndLater settles in the background, for turns whose answer doesn't wait for it.
-	EndLater(e turns.End)
+	End(ctx context.Context, e turns.End) (turns.Result, error)
+	// EndLater settles in the background, for turns whose answer doesn't wait for it. done is
+	// called with the result, nil for nobody.
+	EndLater(e turns.End, done func(turns.Result))
 }
 
 // Limiter holds client accounts to their rate over all VMs.
@@ -146,6 +147,7 @@
 	health *health
 	active atomic.Int64
 	homes  *homes
+	lines  *lines
 
 	admissionMu sync.Mutex
 	admission   map[string]*admission.Controller // by service
@@ -153,7 +155,7 @@
 
 // New returns a server.
 func New(opts Options) *Server {
-	return &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), homes: newHomes(), admission: map[string]*admission.Controller{}}
+	return &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), homes: newHomes(), lines: newLines(), admission: map[string]*admission.Controller{}}
 }
 
 // Gone closes the connections to an upstream that left.
@@ -163,6 +165,9 @@
 func (s *Server) Tend() {
 	s.pool.CloseOld()
 	s.homes.sweep()
+	for _, e := range s.lines.sweep() {
+		s.opts.Ledger.EndLater(e, nil)
+	}
 	s.health.forget(s.opts.Directory.View())
 }
 
@@ -185,6 +190,8 @@
 	body     []byte
 	deadline time.Time
 	reserved bool // the program's budget holds tokens for this turn
+	// reservation is the name of one that the turn before made; empty: the turn's own.
+	reservation string
 	known    bool // the program is under way
 	admitted bool // it is, or may begin
 
@@ -272,6 +279,10 @@
 	if x.route.Kind != routing.Streaming || x.call.Program == "" || (!x.route.Stateful && !x.call.HasBudget) {
 		return nil
 	}
+	if x.continueLine() {
+		x.server.underWay(x)
+		return nil
+	}
 	started := time.Now()
 	b := turns.Begin{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
@@ -285,7 +296,7 @@
 	x.server.opts.Metrics.begun(x.began)
 	if err != nil {
 		// A reservation may have come about; nobody will use it.
-		x.server.opts.Ledger.EndLater(x.end(0, false))
+		x.server.opts.Ledger.EndLater(x.end(0, false), nil)
 		return &Refusal{Reason: StoreUnavailable, Detail: err.Error(), RetryAfter: storeRetryAfter}
 	}
 	switch result.Outcome {
@@ -325,7 +336,7 @@
 func (x *exchange) end(tokens int64, record bool) turns.End {
 	e := turns.End{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
-		Tokens: tokens, Retention: x.route.Retention,
+		Tokens: tokens, Retention: x.route.Retention, Reservation: x.reservation,
 	}
 	if record {
 		e.Record, e.Previous, e.Input, e.Output = true, x.call.Previous, x.request.Body, x.output
@@ -337,7 +348,7 @@
 func (x *exchange) settle() {
 	if x.reserved {
 		x.reserved = false
-		x.server.opts.Ledger.EndLater(x.end(x.tokens(), false))
+		x.server.opts.Ledger.EndLater(x.end(x.tokens(), false), nil)
 	}
 }
 
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -55,8 +55,21 @@
 	Input     []byte        `cbor:"7,keyasint,omitempty"`
 	Output    []byte        `cbor:"8,keyasint,omitempty"`
 	Retention time.Duration `cbor:"9,keyasint,omitempty"`
+	// Reservation names the reservation to settle, if it isn't that of Request.
+	Reservation string `cbor:"10,keyasint,omitempty"`
+	// NextMost asks for a reservation of so many tokens for the turn that will follow, under the
+	// name NextReservation(Request). Budget is the program's, as in Begin.
+	NextMost int64 `cbor:"11,keyasint,omitempty"`
+	Budget   int64 `cbor:"12,keyasint,omitempty"`
 }
 
+// NextReservation names the reservation that the end of a turn made for the one that follows.
+func NextReservation(request string) string { return "next:" + request }
+
+// nextHeadroom is how many turns a budget must hold for one to be reserved ahead: near its end a
+// reservation that another VM holds would stop a program too early.
+const nextHeadroom = 3
+
 // Command is one log entry: one of its fields is set.
 type Command struct {
 	// Now is the sender's wall clock, in Unix milliseconds.
@@ -68,6 +81,8 @@
 // Result is the answer to a command.
 type Result struct {
 	Outcome Outcome `cbor:"1,keyasint,omitempty"`
+	// Next tells that the reservation for the following turn was made.
+	Next bool `cbor:"6,keyasint,omitempty"`
 	// Chain is the conversation that a begun turn continues: inputs and outputs by turns, the
 	// oldest first. The leader adds it; it is no part of the applied result.
 	Chain [][]byte `cbor:"2,keyasint,omitempty"`
@@ -151,7 +166,7 @@
 	case c.Begin != nil:
 		return m.begin(c.Begin).Encode()
 	case c.End != nil:
-		m.end(c.End)
+		return m.end(c.End).Encode()
 	}
 	return Result{}.Encode()
 }
@@ -195,26 +210,39 @@
 	return p
 }
 
-func (m *Machine) end(e *End) {
+func (m *Machine) end(e *End) Result {
+	var r Result
 	if e.Program != "" {
-		p := m.program(e.Account, e.Program)
-		p.Expires = max(p.Expires, m.now+(e.Retention+retentionSlack).Milliseconds())
-		if !p.Settled[e.Request] {
-			p.Settled[e.Request] = true
-			delete(p.Reserved, e.Request)
-			p.Used += e.Tokens
-		}
-	}
-	if !e.Record {
-		return
+		r.Next = m.settle(e)
 	}
 	key := turnKey{e.Account, e.Request}
-	if m.turns[key] != nil {
-		return
+	if e.Record && m.turns[key] == nil {
+		expires := m.now + (e.Retention + retentionSlack).Milliseconds()
+		m.turns[key] = &turn{Previous: e.Previous, Input: e.Input, Output: e.Output, Expires: expires}
+		m.extend(e.Account, e.Previous, expires)
+	}
+	return r
+}
+
+// settle replaces a reservation by what was used, and reserves for the next turn if asked to.
+func (m *Machine) settle(e *End) (next bool) {
+	p := m.program(e.Account, e.Program)
+	p.Expires = max(p.Expires, m.now+(e.Retention+retentionSlack).Milliseconds())
+	reservation := e.Reservation
+	if reservation == "" {
+		reservation = e.Request
+	}
+	following := NextReservation(e.Request)
+	if !p.Settled[reservation] {
+		p.Settled[reservation] = true
+		delete(p.Reserved, reservation)
+		p.Used += e.Tokens
+		if e.NextMost > 0 && p.Used+p.reserved()+nextHeadroom*e.NextMost <= e.Budget {
+			p.Reserved[following] = e.NextMost
+		}
 	}
-	expires := m.now + (e.Retention + retentionSlack).Milliseconds()
-	m.turns[key] = &turn{Previous: e.Previous, Input: e.Input, Output: e.Output, Expires: expires}
-	m.extend(e.Account, e.Previous, expires)
+	_, next = p.Reserved[following]
+	return next && e.NextMost > 0
 }
 
 // extend keeps a turn's chain for as long as the turn.
