--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -36,7 +36,7 @@
 	activeTime = time.Second
 	// rankFactor is the part of the limit that programs of the next lower rank may fill: they are
 	// refused first.
-	rankFactor = 0.75
+	rankFactor = 0.85
 	// sampleTime is the time over which the slowdown is averaged.
 	sampleTime = 250 * time.Millisecond
 	// staleTime is the age at which the slowdown is no longer believed.
--- a/internal/groups/client.go
+++ b/internal/groups/client.go
@@ -81,12 +81,22 @@
 	return result, err
 }
 
-// ask tries the supposed leader, then whoever the answers name, then the other VMs.
+// Call makes a call that only a group's leader serves. Its handler refuses with NotLeader.
+func (c *Client) Call(ctx context.Context, method string, group uint64, payload []byte) ([]byte, error) {
+	return c.find(ctx, method, group, payload)
+}
+
+// ask sends a request for a group. Errors as those of find.
 func (c *Client) ask(ctx context.Context, method string, group uint64, data []byte) ([]byte, error) {
 	payload, err := cbor.Marshal(request{Group: group, Data: data})
 	if err != nil {
 		return nil, errors.Mark(err, ErrNotProposed)
 	}
+	return c.find(ctx, method, group, payload)
+}
+
+// find tries the supposed leader, then whoever the answers name, then the other VMs.
+func (c *Client) find(ctx context.Context, method string, group uint64, payload []byte) ([]byte, error) {
 	queue := c.candidates(group)
 	tried := map[string]bool{}
 	last := errNobodyAsked
--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -158,6 +158,11 @@
 	codeUnknown   = "unknown_outcome"
 )
 
+// NotLeader is the answer to Client.Call of a VM that doesn't lead; leader may be empty.
+func NotLeader(leader string) error {
+	return &peer.RemoteError{Code: codeNotLeader, Message: leader}
+}
+
 func encodeError(err error) error {
 	if err == nil {
 		return nil
@@ -165,7 +170,7 @@
 	var notLeader *replica.NotLeaderError
 	switch {
 	case errors.As(err, &notLeader):
-		return &peer.RemoteError{Code: codeNotLeader, Message: notLeader.LeaderVM}
+		return NotLeader(notLeader.LeaderVM)
 	case errors.Is(err, replica.ErrNotFormed):
 		return &peer.RemoteError{Code: codeNotFormed, Message: err.Error()}
 	case errors.Is(err, replica.ErrStopped):
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -54,8 +54,9 @@
 	}
 	e.ledger = newLedger(groups.NewOpenClient(n.network, storeVMs, storeTry), n.events)
 	e.permits = &permits{
-		self: n.self.VM, calls: n.network, control: n.watcher.control, table: e.table.Load,
-		clock: clock.Now, events: n.events, holder: quota.NewHolder(),
+		self: n.self.VM, table: e.table.Load,
+		groups: groups.NewOpenClient(n.network, func(uint64) []string { return n.watcher.control() }, permitTry),
+		clock:  clock.Now, events: n.events, holder: quota.NewHolder(),
 	}
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
--- a/internal/node/ledger.go
+++ b/internal/node/ledger.go
@@ -2,10 +2,12 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/groups"
 	"egretramp/internal/turns"
@@ -14,6 +16,11 @@
 const (
 	// storeTry bounds one try at one store VM: a few syncs and crossings, and a busy processor.
 	storeTry = 400 * time.Millisecond
+	// beginTime bounds the begin of a turn: an election and a few tries.
+	beginTime = 1200 * time.Millisecond
+	// outageTime is the time without success after which turns get only probeTime.
+	outageTime = 300 * time.Millisecond
+	probeTime  = 45 * time.Millisecond
 	// settleTime is for how long the settlement of a turn is tried.
 	settleTime = 20 * time.Second
 	// settleQueue is the number of settlements that wait; further ones are dropped, and their
@@ -31,6 +38,8 @@
 	groups *groups.Client
 	events *events.Logger
 	later  chan settlement
+	// failing is the time since boot since when no turn could begin, 0 if the last one could.
+	failing atomic.Int64
 }
 
 // settlement is a turn's end that nobody waits for.
@@ -43,9 +52,22 @@
 	return &ledger{groups: client, events: log, later: make(chan settlement, settleQueue)}
 }
 
-// Begin implements proxy.Ledger.
+// Begin implements proxy.Ledger. Once the store group was out of reach for a while, a turn gets
+// one short try: its caller is better off to come back than to wait.
 func (l *ledger) Begin(ctx context.Context, b turns.Begin) (turns.Result, error) {
-	return l.run(ctx, turns.Command{Begin: &b})
+	limit := beginTime
+	if since := l.failing.Load(); since != 0 && clock.Now()-time.Duration(since) > outageTime {
+		limit = probeTime
+	}
+	ctx, cancel := context.WithTimeout(ctx, limit)
+	defer cancel()
+	result, err := l.run(ctx, turns.Command{Begin: &b})
+	if err != nil {
+		l.failing.CompareAndSwap(0, int64(clock.Now()))
+		return turns.Result{}, err
+	}
+	l.failing.Store(0)
+	return result, nil
 }
 
 // End implements proxy.Ledger.
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -5,39 +5,35 @@
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"egretramp/internal/events"
-	"egretramp/internal/peer"
+	"egretramp/internal/groups"
 	"egretramp/internal/quota"
 	"egretramp/internal/routing"
 )
 
 const (
-	// permitTry bounds a call to the coordinator; a VM without an answer uses its own share.
-	permitTry = 250 * time.Millisecond
+	// permitTry bounds one call to a control VM, permitTime the search for the one that leads; a
+	// VM without an answer uses its own share.
+	permitTry  = 100 * time.Millisecond
+	permitTime = 300 * time.Millisecond
 	// permitInterval is the time between requests for permits while there is use.
 	permitInterval = 200 * time.Millisecond
 	// permitWait bounds how long a request waits for a permit that may be on its way.
 	permitWait = 300 * time.Millisecond
 )
 
-// permitCodes of errors between VMs.
-const codeNotCoordinator = "not_coordinator" // the message is the coordinator's VM, or empty
-
 // permits are an entry VM's permits. It is safe for concurrent use.
 type permits struct {
-	self    string
-	calls   caller
-	control func() []string
-	table   func() *routing.Snapshot
-	clock   func() time.Duration
-	events  *events.Logger
+	self   string
+	groups *groups.Client
+	table  func() *routing.Snapshot
+	clock  func() time.Duration
+	events *events.Logger
 
 	mu     sync.Mutex
 	holder *quota.Holder
-	leader string
 	round  *permitRound // under way, nil for none
 	lost   bool         // the coordinator, as last reported
 }
@@ -134,52 +130,19 @@
 	if lost {
 		p.events.Emit(events.PermitsLost, zap.Error(err))
 	} else {
-		p.events.Emit(events.PermitsHeard, zap.String("coordinator", p.leader), zap.Int("holders", grant.Holders))
+		p.events.Emit(events.PermitsHeard, zap.Int("holders", grant.Holders))
 	}
 }
 
-// errNoCoordinator says that no control VM is known, or that none leads.
-var errNoCoordinator = errors.New("node: no coordinator was found")
-
-// ask calls the coordinator, and finds it first if need be.
+// ask calls the coordinator, which is the leader of the control group.
 func (p *permits) ask(r quota.Request) (quota.Grant, error) {
-	p.mu.Lock()
-	queue := p.control()
-	if p.leader != "" {
-		queue = append([]string{p.leader}, queue...)
-	}
-	p.mu.Unlock()
-	ctx, cancel := context.WithTimeout(context.Background(), permitTry)
+	ctx, cancel := context.WithTimeout(context.Background(), permitTime)
 	defer cancel()
-	payload := encode(r)
-	tried := map[string]bool{}
-	last := errNoCoordinator
-	for len(queue) > 0 && ctx.Err() == nil {
-		vm := queue[0]
-		queue = queue[1:]
-		if tried[vm] {
-			continue
-		}
-		tried[vm] = true
-		answer, err := p.calls.Call(ctx, vm, methodPermit, payload)
-		if err == nil {
-			p.setLeader(vm)
-			return decode[quota.Grant](answer)
-		}
-		last = err
-		p.setLeader("")
-		var remote *peer.RemoteError
-		if errors.As(err, &remote) && remote.Code == codeNotCoordinator && remote.Message != "" {
-			queue = append([]string{remote.Message}, queue...)
-		}
+	answer, err := p.groups.Call(ctx, methodPermit, groups.Control, encode(r))
+	if err != nil {
+		return quota.Grant{}, err
 	}
-	return quota.Grant{}, last
-}
-
-func (p *permits) setLeader(vm string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.leader = vm
+	return decode[quota.Grant](answer)
 }
 
 // tend asks in time for what will be needed, and keeps in contact with the coordinator.
@@ -212,7 +175,7 @@
 	}
 	term, leader, leads := c.leads()
 	if !leads {
-		return nil, &peer.RemoteError{Code: codeNotCoordinator, Message: leader}
+		return nil, groups.NotLeader(leader)
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -37,8 +37,10 @@
 	HeartbeatInterval = 500 * time.Millisecond
 	SilenceLimit      = 2 * time.Second
 	// DoubtLimit is the silence after which a link is no longer trusted alone.
-	DoubtLimit  = 800 * time.Millisecond
-	DialTimeout = time.Second
+	DoubtLimit = 800 * time.Millisecond
+	// DialTimeout is many times the way between regions. A dial to a VM that has no power yet must
+	// end soon, so that the next one finds it up.
+	DialTimeout = 400 * time.Millisecond
 	redialDelay = 200 * time.Millisecond
 	// queueAge is how long a message waits for a connection; an older one is dropped.
 	queueAge = time.Second
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -192,8 +192,8 @@
 	reserved bool // the program's budget holds tokens for this turn
 	// reservation is the name of one that the turn before made; empty: the turn's own.
 	reservation string
-	known    bool // the program is under way
-	admitted bool // it is, or may begin
+	known       bool // the program is under way
+	admitted    bool // it is, or may begin
 
 	tried     map[string]bool // upstreams that refused or failed
 	usedOn    map[string]bool // upstreams that may have run the request
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -74,7 +74,8 @@
 	rate := limit.PerSecond / float64(h.holders)
 	if !a.shares {
 		a.shares = true
-		a.share = bucket{filled: now, tokens: 0}
+		// The coordinator keeps the share of a VM free from when it was last heard on.
+		a.share = bucket{filled: max(h.contact, now-shareBurstTime)}
 	}
 	a.share.fill(now, Rate{PerSecond: rate, Burst: rate * shareBurstTime.Seconds()})
 	if a.share.tokens < 1 {
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -9,6 +9,7 @@
 package turns
 
 import (
+	"encoding/binary"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -46,14 +47,16 @@
 
 // End settles a turn's reservation and may record the turn.
 type End struct {
-	Account   string        `cbor:"1,keyasint"`
-	Program   string        `cbor:"2,keyasint"`
-	Request   string        `cbor:"3,keyasint"`
-	Tokens    int64         `cbor:"4,keyasint"` // tokens that were handed to the caller
-	Record    bool          `cbor:"5,keyasint,omitempty"`
-	Previous  string        `cbor:"6,keyasint,omitempty"`
-	Input     []byte        `cbor:"7,keyasint,omitempty"`
-	Output    []byte        `cbor:"8,keyasint,omitempty"`
+	Account  string `cbor:"1,keyasint"`
+	Program  string `cbor:"2,keyasint"`
+	Request  string `cbor:"3,keyasint"`
+	Tokens   int64  `cbor:"4,keyasint"` // tokens that were handed to the caller
+	Record   bool   `cbor:"5,keyasint,omitempty"`
+	Previous string `cbor:"6,keyasint,omitempty"`
+	// Input and Output follow the encoded command, so that a decoded one shares their bytes with
+	// the log entry: the log and the state then hold them once.
+	Input     []byte        `cbor:"-"`
+	Output    []byte        `cbor:"-"`
 	Retention time.Duration `cbor:"9,keyasint,omitempty"`
 	// Reservation names the reservation to settle, if it isn't that of Request.
 	Reservation string `cbor:"10,keyasint,omitempty"`
@@ -131,10 +134,47 @@
 	return &Machine{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}}
 }
 
+// lengthsSize is the size of the two lengths that begin a log entry: those of the encoded
+// command and of the input. The rest is the output.
+const lengthsSize = 8
+
+var errShortCommand = errors.New("turns: a command is cut short")
+
 // Encode returns the command as a log entry.
 func (c Command) Encode() ([]byte, error) {
-	data, err := cbor.Marshal(c)
-	return data, errors.Wrap(err, "turns: encode a command")
+	head, err := cbor.Marshal(c)
+	if err != nil {
+		return nil, errors.Wrap(err, "turns: encode a command")
+	}
+	var input, output []byte
+	if c.End != nil {
+		input, output = c.End.Input, c.End.Output
+	}
+	data := make([]byte, 0, lengthsSize+len(head)+len(input)+len(output))
+	data = binary.BigEndian.AppendUint32(data, uint32(len(head)))
+	data = binary.BigEndian.AppendUint32(data, uint32(len(input)))
+	return append(append(append(data, head...), input...), output...), nil
+}
+
+// decodeCommand reads a log entry. The command shares the entry's bytes.
+func decodeCommand(data []byte) (Command, error) {
+	var c Command
+	if len(data) < lengthsSize {
+		return c, errShortCommand
+	}
+	head, input := uint64(binary.BigEndian.Uint32(data)), uint64(binary.BigEndian.Uint32(data[4:]))
+	body := data[lengthsSize:]
+	if head+input > uint64(len(body)) {
+		return c, errShortCommand
+	}
+	if err := cbor.Unmarshal(body[:head], &c); err != nil {
+		return c, errors.Wrap(err, "turns: decode a command")
+	}
+	if c.End != nil {
+		c.End.Input = body[head : head+input : head+input]
+		c.End.Output = body[head+input:]
+	}
+	return c, nil
 }
 
 // DecodeResult reads what Apply returned.
@@ -155,8 +195,8 @@
 
 // Apply runs one committed command.
 func (m *Machine) Apply(_ uint64, data []byte) []byte {
-	var c Command
-	if err := cbor.Unmarshal(data, &c); err != nil {
+	c, err := decodeCommand(data)
+	if err != nil {
 		// Every replica skips it alike.
 		return Result{Outcome: UnknownTurn}.Encode()
 	}
@@ -304,8 +344,8 @@
 
 // Finish adds the conversation to the result of a turn that was begun.
 func (m *Machine) Finish(command, result []byte) []byte {
-	var c Command
-	if cbor.Unmarshal(command, &c) != nil || c.Begin == nil || c.Begin.Previous == "" {
+	c, err := decodeCommand(command)
+	if err != nil || c.Begin == nil || c.Begin.Previous == "" {
 		return result
 	}
 	r, err := DecodeResult(result)
