raft/wal: the store's log is an append-only file

One sync a batch instead of two, no map of the file, no copy at start; the log is cut by size as well.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -13,17 +13,23 @@
 
 	"egretramp/internal/events"
 	"egretramp/internal/groups"
+	"egretramp/internal/raft"
 	"egretramp/internal/raft/raftpb"
-	"egretramp/internal/raft/storage"
+	"egretramp/internal/raft/wal"
 	"egretramp/internal/replica"
 	"egretramp/internal/turns"
 
 	"google.golang.org/protobuf/proto"
 )
 
-// storeSnapshotEvery is the number of log entries between two snapshots, which hold every kept
-// conversation: a few minutes of a usual load.
-const storeSnapshotEvery = 20000
+const (
+	// storeSnapshotEvery is the number of log entries between two snapshots, each of which holds
+	// every kept conversation.
+	storeSnapshotEvery = 100000
+	// storeLogShare is the part of the VM's memory that the log may fill before it is cut. While a
+	// snapshot is taken, log, state and snapshot are in memory.
+	storeLogShare = 0.4
+)
 
 // store replicates budgets and conversations.
 type store struct {
@@ -86,7 +92,7 @@
 	s.mu.Lock()
 	s.ctx, s.wg = ctx, wg
 	s.mu.Unlock()
-	if _, err := os.Stat(storage.Path(s.node.settings.DataFolder, groupStore)); err == nil {
+	if _, err := os.Stat(wal.Path(s.node.settings.DataFolder, groupStore)); err == nil {
 		return s.open(nil)
 	}
 	return nil
@@ -108,8 +114,11 @@
 		Open: replica.OpenMembership{
 			Voters: n.settings.Voters(), JoinOnly: forming == nil, Contacts: s.contacts, Zone: s.zone, Leaving: s.leaving,
 		},
+		OpenStore: func(folder string, fresh *raftpb.Identity) (replica.Store, raft.State, error) {
+			return wal.Open(folder, fresh)
+		},
 		Machine: turns.New(), Transport: groups.Transport{Network: n.network},
-		SnapshotEvery: storeSnapshotEvery, Events: n.events, ElectionTicks: electionTicks,
+		SnapshotEvery: storeSnapshotEvery, SnapshotBytes: int64(storeLogShare * float64(n.settings.MemoryBytes)), Events: n.events, ElectionTicks: electionTicks,
 	})
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/raft/wal/wal.go
@@ -0,0 +1,331 @@
+// Package wal keeps the durable state of one replica in an append-only file: one Save appends
+// one batch of records and syncs once. It suits groups whose log carries much data: nothing is
+// mapped into memory, and an entry is written once until a snapshot takes its place.
+//
+// A record has its length, a checksum, a kind and its content. A batch ends with a marker that
+// names where it began, so a batch counts whole or not at all. A batch is synced before the next
+// is written: only the last one can be cut short by a loss of power, and is then dropped. Any
+// other damage is refused, as package storage does.
+package wal
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+	"google.golang.org/protobuf/proto"
+
+	"egretramp/internal/raft"
+	"egretramp/internal/raft/raftpb"
+	"egretramp/internal/raft/storage"
+)
+
+// Store is the open file of one replica.
+type Store struct {
+	path   string
+	file   *os.File
+	size   int64 // up to the end of the last batch
+	state  contents
+	failed error
+}
+
+// contents is what the file holds, with the places of the entries instead of the entries.
+type contents struct {
+	identity *raftpb.Identity
+	hard     *raftpb.HardState
+	snapshot *raftpb.Snapshot // data only while the file is read
+	bounds   *raftpb.LogBounds
+	entries  []place // of the entries after bounds.BaseIndex
+}
+
+// place is where an entry's content stands in the file.
+type place struct {
+	offset int64
+	length int
+}
+
+// Path returns the file of a group in a data folder.
+func Path(folder string, group uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("group-%d.wal", group))
+}
+
+// Open opens or makes the file of a group. A new file gets the identity fresh, with its random
+// replica ID; an existing file must belong to the same group and VM.
+func Open(folder string, fresh *raftpb.Identity) (*Store, raft.State, error) {
+	if err := os.MkdirAll(folder, 0o700); err != nil {
+		return nil, raft.State{}, errors.Wrap(err, "raft wal")
+	}
+	s := &Store{path: Path(folder, fresh.Group)}
+	_, err := os.Stat(s.path)
+	if errors.Is(err, os.ErrNotExist) {
+		s.state = contents{identity: fresh, bounds: &raftpb.LogBounds{}}
+		return s, raft.State{}, s.rewrite(nil)
+	}
+	if err != nil {
+		return nil, raft.State{}, errors.Wrap(err, "raft wal")
+	}
+	state, err := s.read()
+	if err != nil {
+		return nil, raft.State{}, err
+	}
+	identity := s.state.identity
+	if identity.Group != fresh.Group || identity.Vm != fresh.Vm {
+		return nil, raft.State{}, errors.CombineErrors(errors.Newf("raft wal: %s belongs to group %d of VM %q, not to group %d of VM %q",
+			s.path, identity.Group, identity.Vm, fresh.Group, fresh.Vm), s.file.Close())
+	}
+	return s, state, nil
+}
+
+// Identity returns the replica's identity. It must not be changed.
+func (s *Store) Identity() *raftpb.Identity { return s.state.identity }
+
+// Path returns the file.
+func (s *Store) Path() string { return s.path }
+
+// Close closes the file.
+func (s *Store) Close() error { return errors.Wrapf(s.file.Close(), "raft wal: %s", s.path) }
+
+// Save writes a batch durably. After an error the outcome on disk is unknown, so every later
+// call returns the error too and the replica must stop.
+func (s *Store) Save(b storage.Batch) error {
+	if s.failed != nil {
+		return s.failed
+	}
+	if err := s.save(b); err != nil {
+		s.failed = errors.Wrapf(err, "raft wal: write %s", s.path)
+	}
+	return s.failed
+}
+
+func (s *Store) save(b storage.Batch) error {
+	next := s.state
+	if b.Formation != 0 && b.Formation != next.identity.Formation {
+		if next.identity.Formation != 0 {
+			return errors.Newf("the replica belongs to formation %x already", next.identity.Formation)
+		}
+		next.identity = proto.Clone(next.identity).(*raftpb.Identity)
+		next.identity.Formation = b.Formation
+	}
+	if b.Hard != nil {
+		next.hard = b.Hard
+	}
+	if b.Snapshot != nil {
+		return s.saveSnapshot(next, b)
+	}
+	w := newBatch(s.size)
+	if next.identity != s.state.identity {
+		w.message(kindIdentity, next.identity)
+	}
+	if b.Hard != nil {
+		w.message(kindHard, b.Hard)
+	}
+	places, err := next.append(w, b.Entries)
+	if err != nil {
+		return err
+	}
+	next.entries = places
+	if err := s.write(w); err != nil {
+		return err
+	}
+	s.state = next
+	return nil
+}
+
+// append adds entries to a batch, and returns the places of all entries after that.
+func (c *contents) append(w *batch, entries []*raftpb.Entry) ([]place, error) {
+	places := c.entries
+	for _, e := range entries {
+		at := int(e.Index) - int(c.bounds.BaseIndex) - 1
+		if at < 0 || at > len(places) {
+			return nil, errors.Newf("entry %d doesn't follow on those held (%d after %d)", e.Index, len(places), c.bounds.BaseIndex)
+		}
+		offset, length := w.message(kindEntry, e)
+		places = append(places[:at], place{offset, length})
+	}
+	return places, w.err
+}
+
+// saveSnapshot writes a file that begins with the snapshot.
+func (s *Store) saveSnapshot(next contents, b storage.Batch) error {
+	kept := next.entries
+	next.bounds = &raftpb.LogBounds{BaseIndex: b.BaseIndex, BaseTerm: b.BaseTerm}
+	if b.ReplaceLog {
+		kept = nil
+	} else if skip := int(b.BaseIndex) - int(s.state.bounds.BaseIndex); skip > 0 {
+		kept = kept[min(skip, len(kept)):]
+	}
+	next.snapshot, next.entries = b.Snapshot, kept
+	old := s.state
+	s.state = next
+	if err := s.rewrite(b.Entries); err != nil {
+		s.state = old
+		return err
+	}
+	return nil
+}
+
+// rewrite writes the state to a fresh file, with entries added, and puts it in place.
+func (s *Store) rewrite(added []*raftpb.Entry) error {
+	fresh := s.path + ".new"
+	file, err := os.OpenFile(fresh, os.O_RDWR|os.O_CREATE|os.O_TRUNC, 0o600)
+	if err != nil {
+		return err
+	}
+	w := newBatch(0)
+	w.flush = file
+	if err := s.fill(w, added); err != nil {
+		return errors.CombineErrors(err, file.Close())
+	}
+	return s.replace(file, w)
+}
+
+// fill writes the whole state. The file may be large, so it is written in pieces.
+func (s *Store) fill(w *batch, added []*raftpb.Entry) error {
+	w.raw([]byte(magic))
+	c := &s.state
+	w.message(kindIdentity, c.identity)
+	if c.hard != nil {
+		w.message(kindHard, c.hard)
+	}
+	if c.snapshot != nil {
+		w.message(kindSnapshot, &raftpb.Snapshot{Index: c.snapshot.Index, Term: c.snapshot.Term, Conf: c.snapshot.Conf})
+		w.record(kindSnapshotData, c.snapshot.Data)
+	}
+	w.message(kindBounds, c.bounds)
+	places := make([]place, 0, len(c.entries)+len(added))
+	for _, p := range c.entries {
+		content := make([]byte, p.length)
+		if _, err := s.file.ReadAt(content, p.offset); err != nil {
+			return errors.Wrap(err, "read an entry back")
+		}
+		offset, length := w.record(kindEntry, content)
+		places = append(places, place{offset, length})
+	}
+	c.entries = places
+	places, err := c.append(w, added)
+	if err != nil {
+		return err
+	}
+	c.entries, c.snapshot = places, nil
+	w.marker()
+	return w.err
+}
+
+// replace puts a file that was written whole in the place of the present one.
+func (s *Store) replace(file *os.File, w *batch) error {
+	w.flushAll()
+	err := w.err
+	if err == nil {
+		err = file.Sync()
+	}
+	if err == nil {
+		err = os.Rename(file.Name(), s.path)
+	}
+	if err == nil {
+		err = syncFolder(filepath.Dir(s.path))
+	}
+	if err != nil {
+		return errors.CombineErrors(err, file.Close())
+	}
+	if s.file != nil {
+		err = s.file.Close()
+	}
+	s.file, s.size = file, w.end()
+	return err
+}
+
+func (s *Store) write(w *batch) error {
+	w.marker()
+	if w.err != nil {
+		return w.err
+	}
+	if _, err := s.file.WriteAt(w.data, s.size); err != nil {
+		return err
+	}
+	if err := unix.Fdatasync(int(s.file.Fd())); err != nil {
+		return errors.Wrap(err, "sync")
+	}
+	s.size += int64(len(w.data))
+	return nil
+}
+
+func syncFolder(folder string) error {
+	f, err := os.Open(folder)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(f.Sync(), f.Close())
+}
+
+// batch gathers the records of one write.
+type batch struct {
+	start   int64 // of the batch in the file
+	data    []byte
+	flushed int64     // bytes of the batch before data
+	flush   io.Writer // takes data when much has gathered; nil: the batch is written at once
+	err     error
+}
+
+// flushBytes is the size at which a batch with a flush is written out.
+const flushBytes = 256 << 10
+
+func newBatch(start int64) *batch { return &batch{start: start} }
+
+// end returns the offset at which the next record begins.
+func (w *batch) end() int64 { return w.start + w.flushed + int64(len(w.data)) }
+
+func (w *batch) raw(p []byte) {
+	if w.flush == nil || len(p) < flushBytes {
+		w.data = append(w.data, p...)
+	}
+	if w.flush == nil || len(w.data)+len(p) < flushBytes {
+		return
+	}
+	w.flushAll()
+	if len(p) >= flushBytes {
+		w.put(p) // without a copy
+	}
+}
+
+func (w *batch) flushAll() {
+	w.put(w.data)
+	w.data = w.data[:0]
+}
+
+func (w *batch) put(p []byte) {
+	if w.err != nil || len(p) == 0 {
+		return
+	}
+	_, w.err = w.flush.Write(p)
+	w.flushed += int64(len(p))
+}
+
+// message adds a record and returns the place of its content.
+func (w *batch) message(kind byte, m proto.Message) (offset int64, length int) {
+	content, err := proto.Marshal(m)
+	if err != nil {
+		w.err = errors.CombineErrors(w.err, err)
+	}
+	return w.record(kind, content)
+}
+
+func (w *batch) record(kind byte, content []byte) (offset int64, length int) {
+	var head [headSize]byte
+	binary.BigEndian.PutUint32(head[0:], uint32(len(content)))
+	binary.BigEndian.PutUint32(head[4:], checksum(kind, content))
+	head[8] = kind
+	w.raw(head[:])
+	offset = w.end()
+	w.raw(content)
+	return offset, len(content)
+}
+
+// marker ends the batch.
+func (w *batch) marker() {
+	content := binary.BigEndian.AppendUint64([]byte(markerMagic), uint64(w.start))
+	w.record(kindMarker, content)
+}
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -39,7 +39,7 @@
 	stopped  chan struct{}
 	stopOnce sync.Once
 
-	store *storage.Store
+	store Store
 	node  *node
 }
 
@@ -78,6 +78,11 @@
 	if o.SnapshotEvery == 0 {
 		o.SnapshotEvery = DefaultSnapshotEvery
 	}
+	if o.OpenStore == nil {
+		o.OpenStore = func(folder string, fresh *raftpb.Identity) (Store, raft.State, error) {
+			return storage.Open(folder, fresh)
+		}
+	}
 	if o.Clock == nil {
 		o.Clock = clock.Now
 	}
@@ -102,14 +107,14 @@
 
 func (r *Replica) open(former []*raftpb.FormerReplica) error {
 	fresh := &raftpb.Identity{Group: r.options.Group, Vm: r.options.VM, Replica: randomID(), Former: former}
-	store, state, err := storage.Open(r.options.Folder, fresh)
+	store, state, err := r.options.OpenStore(r.options.Folder, fresh)
 	if err != nil {
 		return err
 	}
 	n, err := newNode(nodeOptions{
 		group: r.options.Group, vm: r.options.VM, initialVMs: r.options.InitialVMs, membership: r.options.Open,
 		machine: r.options.Machine, electionTicks: r.options.ElectionTicks, heartbeatTicks: r.options.HeartbeatTicks,
-		snapshotEvery: r.options.SnapshotEvery, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
+		snapshotEvery: r.options.SnapshotEvery, snapshotBytes: r.options.SnapshotBytes, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
 		send: r.options.Transport.Send, events: r.options.Events,
 	}, store, state)
 	if err != nil {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -31,6 +31,7 @@
 	electionTicks  int
 	heartbeatTicks int
 	snapshotEvery  uint64
+	snapshotBytes  int64
 	seed           int64
 	durableCommit  bool
 	send           func(vm string, m *raftpb.Message)
@@ -41,17 +42,19 @@
 // storage, formation, admission and the state machine. After each call that may change
 // something the caller calls flush.
 type node struct {
-	options  nodeOptions
-	store    store
-	raft     *raft.Raft
-	applied  uint64
-	vms      map[uint64]string
-	pending  proposals
-	reads    pendingReads
-	greeter  greeter
-	joiners  joiners
-	wasLead  bool
-	leadTerm uint64
+	options nodeOptions
+	store   store
+	raft    *raft.Raft
+	applied uint64
+	// appliedBytes are those of the entries applied since the last snapshot.
+	appliedBytes int64
+	vms          map[uint64]string
+	pending      proposals
+	reads        pendingReads
+	greeter      greeter
+	joiners      joiners
+	wasLead      bool
+	leadTerm     uint64
 }
 
 // newNode starts a node from its durable state, which is empty if it has no formation.
@@ -238,6 +241,7 @@
 		panic(errors.Newf("replica: entry %d applied after %d", e.Index, n.applied))
 	}
 	n.applied = e.Index
+	n.appliedBytes += int64(len(e.Data))
 	var result []byte
 	if e.Type == raftpb.EntryType_ENTRY_TYPE_COMMAND {
 		result = n.options.machine.Apply(e.Index, e.Data)
@@ -245,17 +249,27 @@
 	n.pending.applied(e.Index, e.Term, result)
 }
 
+// largeLogKept is the number of entries that stay in a log that is cut for its size.
+const largeLogKept = 500
+
 // compact takes a snapshot when enough entries were applied since the last. Half as many
 // entries stay in the log for replicas that are a little behind.
 func (n *node) compact() error {
-	if n.applied < n.raft.SnapshotIndex()+n.options.snapshotEvery {
+	many := n.applied >= n.raft.SnapshotIndex()+n.options.snapshotEvery
+	large := n.options.snapshotBytes > 0 && n.appliedBytes >= n.options.snapshotBytes
+	if !many && !large {
 		return nil
 	}
 	data, err := n.options.machine.Snapshot()
 	if err != nil {
 		return errors.Wrapf(err, "take a snapshot at %d", n.applied)
 	}
-	c := n.raft.Compact(n.applied, data, n.options.snapshotEvery/2)
+	keep := n.options.snapshotEvery / 2
+	if large {
+		keep = largeLogKept
+	}
+	n.appliedBytes = 0
+	c := n.raft.Compact(n.applied, data, keep)
 	if c == nil {
 		return nil
 	}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -7,7 +7,9 @@
 	"time"
 
 	"egretramp/internal/events"
+	"egretramp/internal/raft"
 	"egretramp/internal/raft/raftpb"
+	"egretramp/internal/raft/storage"
 )
 
 // StateMachine is what the log drives. Only the replica's goroutine touches it. Apply must
@@ -21,6 +23,15 @@
 	Restore(data []byte) error
 }
 
+// Store is the durable state of a replica.
+type Store interface {
+	Identity() *raftpb.Identity
+	Save(storage.Batch) error
+	// Path is the file, for messages.
+	Path() string
+	Close() error
+}
+
 // Transport sends messages to the replica of the same group on another VM. Send is best
 // effort and must not block; messages may be lost, repeated, delayed and reordered.
 type Transport interface {
@@ -37,6 +48,8 @@
 	Folder string
 	// InitialVMs are the VMs that form the group, this one included.
 	InitialVMs []string
+	// OpenStore opens the replica's durable state. Default storage.Open.
+	OpenStore func(folder string, fresh *raftpb.Identity) (Store, raft.State, error)
 	// Open lets VMs join that are not among InitialVMs; the zero value keeps the group closed.
 	Open OpenMembership
 	// Machine is the state machine, in its empty state.
@@ -51,6 +64,9 @@
 	HeartbeatTicks int
 	// SnapshotEvery is the number of entries after which the log is cut. Default DefaultSnapshotEvery.
 	SnapshotEvery uint64
+	// SnapshotBytes is the size of applied entries after which the log is cut, whatever their
+	// number; 0 for no such bound.
+	SnapshotBytes int64
 	// DurableCommit makes a replica that starts again begin with all that it had applied, not
 	// only with what it can be sure is committed. Others may have acted under that. It costs a
 	// sync for each commit.
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -18,7 +18,7 @@
 
 // retentionSlack is added to how long turns and programs are kept: the clocks of the VMs that
 // send commands may differ by seconds.
-const retentionSlack = 30 * time.Second
+const retentionSlack = 8 * time.Second
 
 // maxChain bounds the turns of one chain, against a loop in damaged state.
 const maxChain = 4096
