--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -56,7 +56,7 @@
 	e.permits = &permits{
 		self: n.self.VM, table: e.table.Load,
 		groups: groups.NewOpenClient(n.network, func(uint64) []string { return n.watcher.control() }, permitTry),
-		clock:  clock.Now, events: n.events, holder: quota.NewHolder(),
+		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
 	}
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -34,8 +34,10 @@
 
 	mu     sync.Mutex
 	holder *quota.Holder
-	round  *permitRound // under way, nil for none
-	lost   bool         // the coordinator, as last reported
+	// waiting are the requests that wait for a permit, by account.
+	waiting map[string]int
+	round   *permitRound // under way, nil for none
+	lost    bool         // the coordinator, as last reported
 }
 
 type permitRound struct {
@@ -60,20 +62,29 @@
 }
 
 // Take implements proxy.Limiter.
-func (p *permits) Take(ctx context.Context, account *routing.Account) (bool, time.Duration) {
+func (p *permits) Take(ctx context.Context, account *routing.Account, begins bool) (bool, time.Duration) {
 	limit := quota.Rate{PerSecond: account.Rate, Burst: account.Burst}
-	deadline := time.After(permitWait)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for {
-		if p.holder.Take(p.clock(), account.Name, limit) {
-			return true, 0
+	if begins && !p.holder.TakesNew(p.clock(), account.Name) {
+		return false, p.holder.Wait(p.clock(), account.Name)
+	}
+	if p.holder.Take(p.clock(), account.Name, limit) {
+		return true, 0
+	}
+	deadline := time.After(permitWait)
+	p.waiting[account.Name]++
+	defer func() {
+		if p.waiting[account.Name]--; p.waiting[account.Name] == 0 {
+			delete(p.waiting, account.Name)
 		}
+	}()
+	for {
 		if p.lost && p.round == nil {
 			break
 		}
 		// Permits may be had for the asking.
-		round := p.start(account.Name)
+		round := p.start()
 		p.mu.Unlock()
 		ended := false
 		select {
@@ -94,20 +105,20 @@
 	return false, p.holder.Wait(p.clock(), account.Name)
 }
 
-// start begins a round of asking, or joins the one under way, which may not ask for the account.
-// The mutex is held.
-func (p *permits) start(urgent string) *permitRound {
+// start begins a round of asking, or joins the one under way, which may not ask for an account
+// whose request waits since. The mutex is held.
+func (p *permits) start() *permitRound {
 	if p.round != nil {
 		return p.round
 	}
-	wants := p.holder.Wants(p.clock(), urgent, rateOf(p.table()))
-	round := &permitRound{done: make(chan struct{}), asks: map[string]bool{urgent: true}}
+	wants, returns := p.holder.Wants(p.clock(), p.waiting, rateOf(p.table()))
+	round := &permitRound{done: make(chan struct{}), asks: map[string]bool{}}
 	for account := range wants {
 		round.asks[account] = true
 	}
 	p.round = round
 	go func() {
-		grant, err := p.ask(quota.Request{VM: p.self, Wants: wants})
+		grant, err := p.ask(quota.Request{VM: p.self, Wants: wants, Returns: returns})
 		p.mu.Lock()
 		p.heard(grant, err)
 		p.round = nil
@@ -150,7 +161,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.table() != nil {
-		p.start("")
+		p.start()
 	}
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -124,8 +124,9 @@
 
 // Limiter holds client accounts to their rate over all VMs.
 type Limiter interface {
-	// Take takes a permit for one request, and otherwise says when there may be one.
-	Take(ctx context.Context, account *routing.Account) (ok bool, retryAfter time.Duration)
+	// Take takes a permit for one request, and otherwise says when there may be one. begins tells
+	// a request that begins a program: while permits are scarce, those under way come first.
+	Take(ctx context.Context, account *routing.Account, begins bool) (ok bool, retryAfter time.Duration)
 }
 
 // Options configure a Server.
@@ -263,8 +264,9 @@
 		wait = min(wait, x.call.Deadline)
 	}
 	x.deadline = x.request.Arrived.Add(wait)
+	x.known = s.knows(x)
 	if x.account != nil && x.account.Rate > 0 {
-		if ok, after := s.opts.Limiter.Take(x.ctx, x.account); !ok {
+		if ok, after := s.opts.Limiter.Take(x.ctx, x.account, !x.known); !ok {
 			return &Refusal{Reason: OverRate, RetryAfter: after}
 		}
 	}
@@ -274,7 +276,6 @@
 // begin reserves the budget of a turn and fetches the conversation that it continues.
 func (x *exchange) begin() *Refusal {
 	x.body = x.request.Body
-	x.known = x.server.knows(x)
 	x.admitted = x.known || x.server.admits(x)
 	if x.route.Kind != routing.Streaming || x.call.Program == "" || (!x.route.Stateful && !x.call.HasBudget) {
 		return nil
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -27,6 +27,8 @@
 type Request struct {
 	VM    string             `cbor:"1,keyasint"`
 	Wants map[string]float64 `cbor:"2,keyasint"` // permits by account
+	// Returns are permits that were not used. They may be lost on the way, never doubled.
+	Returns map[string]float64 `cbor:"3,keyasint,omitempty"`
 }
 
 // Grant is the coordinator's answer.
@@ -34,6 +36,8 @@
 	Permits map[string]float64 `cbor:"1,keyasint"`
 	// Waits is when an account that got less than it wants may have a permit, in milliseconds.
 	Waits map[string]int64 `cbor:"2,keyasint,omitempty"`
+	// Levels are how full the buckets are that permits were asked from, 0 to 1.
+	Levels map[string]float64 `cbor:"4,keyasint,omitempty"`
 	// Holders is the number of entry VMs that share the limits.
 	Holders int `cbor:"3,keyasint"`
 }
@@ -71,7 +75,12 @@
 		}
 	}
 	holders := max(heard+silent, known)
-	g := Grant{Permits: map[string]float64{}, Waits: map[string]int64{}, Holders: holders}
+	for account, unused := range r.Returns {
+		if b := c.buckets[account]; b != nil {
+			b.tokens += max(unused, 0) // fill bounds it by the burst
+		}
+	}
+	g := Grant{Permits: map[string]float64{}, Waits: map[string]int64{}, Levels: map[string]float64{}, Holders: holders}
 	for account, wanted := range r.Wants {
 		limit, ok := rate(account)
 		if !ok {
@@ -87,6 +96,7 @@
 		give := min(max(wanted, 0), b.tokens)
 		b.tokens -= give
 		g.Permits[account] = give
+		g.Levels[account] = b.tokens / max(limit.Burst, 1)
 		if give < wanted && limit.PerSecond > 0 {
 			g.Waits[account] = int64(1000 * (1 - b.tokens) / limit.PerSecond)
 		}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -7,8 +7,6 @@
 const (
 	// reserveTime is for how long the permits at hand should last at the recent use.
 	reserveTime = 400 * time.Millisecond
-	// minReserve lets the first calls of an idle account, which mostly come several at once, pass.
-	minReserve = 5
 	// useHalfLife is the time in which the memory of use halves.
 	useHalfLife = time.Second
 	// maxReserveShare bounds the permits at hand, as a share of the account's burst, so that idle
@@ -16,6 +14,11 @@
 	maxReserveShare = 0.1
 	// shareBurstTime is the burst of a VM that has lost the coordinator, as a time at its rate.
 	shareBurstTime = time.Second
+	// newLevel is how full an account's bucket must be for new work: what is left belongs to work
+	// under way, which would be lost as a whole with one request. It is a part of the burst.
+	newLevel = 0.3
+	// levelAge is the age at which a level is no longer believed.
+	levelAge = 600 * time.Millisecond
 	// defaultWait is when to come back if the coordinator didn't say.
 	defaultWait = 250 * time.Millisecond
 )
@@ -34,8 +37,9 @@
 	at      time.Duration
 	wait    time.Duration // when to come back, as told last
 	told    time.Duration
-	short   bool   // the coordinator gave less than was asked for
-	share   bucket // while the coordinator is lost
+	level   float64 // of the coordinator's bucket, as told last
+	short   bool    // the coordinator gave less than was asked for
+	share   bucket  // while the coordinator is lost
 	shares  bool
 }
 
@@ -86,6 +90,12 @@
 	return true
 }
 
+// TakesNew reports whether an account may begin new work that will need further permits.
+func (h *Holder) TakesNew(now time.Duration, account string) bool {
+	a := h.accounts[account]
+	return a == nil || a.told == 0 || now-a.told > levelAge || a.level >= newLevel
+}
+
 // Lost reports whether the coordinator was not heard for too long.
 func (h *Holder) Lost(now time.Duration) bool { return !h.heard || now-h.contact > ContactLimit }
 
@@ -104,10 +114,10 @@
 	return a != nil && a.short
 }
 
-// Wants returns what to ask for; rate returns an account's limit. urgent is an account whose
-// request waits, empty for none.
-func (h *Holder) Wants(now time.Duration, urgent string, rate func(account string) (Rate, bool)) map[string]float64 {
-	wants := map[string]float64{}
+// Wants returns how many permits of each account to ask for, and how many to give back. waiting
+// are the requests that wait for one; rate returns an account's limit.
+func (h *Holder) Wants(now time.Duration, waiting map[string]int, rate func(account string) (Rate, bool)) (wants, returns map[string]float64) {
+	wants, returns = map[string]float64{}, map[string]float64{}
 	for account := range h.accounts {
 		limit, ok := rate(account)
 		if !ok {
@@ -115,16 +125,18 @@
 			continue
 		}
 		a := h.holding(account, now)
-		perSecond := a.use / useHalfLife.Seconds()
-		reserve := max(min(perSecond*reserveTime.Seconds(), limit.Burst*maxReserveShare), minReserve)
-		if a.use < 0.05 && account != urgent {
-			continue
-		}
-		if missing := reserve - a.permits; missing >= reserve/2 || account == urgent {
-			wants[account] = max(missing, minReserve)
+		reserve := min(a.use/useHalfLife.Seconds()*reserveTime.Seconds(), limit.Burst*maxReserveShare)
+		need := float64(waiting[account]) + reserve - a.permits
+		switch {
+		case waiting[account] > 0 || need > max(reserve/2, 1):
+			wants[account] = max(need, float64(waiting[account]))
+		case need < -max(reserve, 1):
+			// Others may need what lies idle here.
+			returns[account] = -need
+			a.permits += need
 		}
 	}
-	return wants
+	return wants, returns
 }
 
 // Granted takes the coordinator's answer.
@@ -135,6 +147,7 @@
 		a.permits += permits
 		a.shares = false
 		_, a.short = g.Waits[account]
+		a.level = g.Levels[account]
 		a.wait, a.told = time.Duration(g.Waits[account])*time.Millisecond, now
 	}
 }
