--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,7 +13,7 @@
 const (
 	// targetSlowdown is the time of turns, in terms of idle upstreams, that is still good: programs
 	// are expected within 1.3 to 1.5 times their time on idle upstreams.
-	targetSlowdown = 1.3
+	targetSlowdown = 1.45
 	// shrinkInterval is the time between two reductions. A reduction shows only as programs end,
 	// which takes some turns.
 	shrinkInterval = 400 * time.Millisecond
