--- a/internal/admission/admission.go
+++ b/internal/admission/admission.go
@@ -13,7 +13,7 @@
 const (
 	// targetSlowdown is the time of turns, in terms of idle upstreams, that is still good: programs
 	// are expected within 1.3 to 1.5 times their time on idle upstreams.
-	targetSlowdown = 1.45
+	targetSlowdown = 1.55
 	// shrinkInterval is the time between two reductions. A reduction shows only as programs end,
 	// which takes some turns.
 	shrinkInterval = 400 * time.Millisecond
@@ -36,7 +36,7 @@
 	activeTime = time.Second
 	// rankFactor is the part of the limit that programs of the next lower rank may fill: they are
 	// refused first.
-	rankFactor = 0.85
+	rankFactor = 0.8
 	// sampleTime is the time over which the slowdown is averaged.
 	sampleTime = 250 * time.Millisecond
 	// staleTime is the age at which the slowdown is no longer believed.
