--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -15,6 +15,8 @@
 	ContactLimit = 600 * time.Millisecond
 	// holderRetention is for how long a silent entry VM keeps its share reserved.
 	holderRetention = 30 * time.Second
+	// warmUp is for how long after its start a coordinator's empty buckets say nothing about use.
+	warmUp = 2 * time.Second
 )
 
 // Rate is an account's limit.
@@ -97,6 +99,9 @@
 		b.tokens -= give
 		g.Permits[account] = give
 		g.Levels[account] = b.tokens / max(limit.Burst, 1)
+		if now-c.started < warmUp {
+			g.Levels[account] = 1
+		}
 		if give < wanted && limit.PerSecond > 0 {
 			g.Waits[account] = int64(1000 * (1 - b.tokens) / limit.PerSecond)
 		}
