--- /dev/null
+++ b/internal/admission/admission_test.go
@@ -0,0 +1,163 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// The model of the load tests: engines share their speed among the turns under way beyond their
+// capacity. A program has some turns with pauses between; it is in time within its aim.
+const (
+	tick       = 10 * time.Millisecond
+	turnTime   = 150 * time.Millisecond // on idle engines
+	pauseTime  = 60 * time.Millisecond
+	capacity   = 30.0 // turns at full speed
+	aimFactor  = 1.5
+	aimSlack   = 200 * time.Millisecond
+	turnsOfOne = 5
+)
+
+type program struct {
+	id       string
+	begun    time.Duration
+	turns    int
+	left     float64       // of the present turn
+	pause    time.Duration // until the next turn
+	turnFrom time.Duration
+}
+
+// play runs a load, in programs a second at each moment, and returns how many programs were in
+// time, late and refused.
+func play(seed uint64, load func(now time.Duration) float64, admits func(now time.Duration) bool, c *Controller) (inTime, late, refused int) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	var under []*program
+	next := 0
+	for now := time.Duration(0); now < 30*time.Second; now += tick {
+		for n := load(now) * tick.Seconds(); n > 0; n-- {
+			if n < 1 && r.Float64() > n {
+				break
+			}
+			next++
+			p := &program{id: string(rune(next)), begun: now, turns: turnsOfOne, left: turnTime.Seconds(), turnFrom: now}
+			if !admits(now) {
+				refused++
+				continue
+			}
+			c.UnderWay(now, p.id)
+			under = append(under, p)
+		}
+		running := 0.0
+		for _, p := range under {
+			if p.pause <= 0 {
+				running++
+			}
+		}
+		speed := min(1, capacity/max(running, 1))
+		kept := under[:0]
+		for _, p := range under {
+			if p.pause > 0 {
+				if p.pause -= tick; p.pause <= 0 {
+					p.left, p.turnFrom = turnTime.Seconds(), now
+					c.UnderWay(now, p.id)
+				}
+				kept = append(kept, p)
+				continue
+			}
+			c.Observe(now, 1/speed)
+			if p.left -= tick.Seconds() * speed; p.left > 0 {
+				kept = append(kept, p)
+				continue
+			}
+			if p.turns--; p.turns > 0 {
+				p.pause = pauseTime
+				kept = append(kept, p)
+				continue
+			}
+			ideal := turnsOfOne*turnTime + (turnsOfOne-1)*pauseTime
+			if now-p.begun <= time.Duration(aimFactor*float64(ideal))+aimSlack {
+				inTime++
+			} else {
+				late++
+			}
+		}
+		under = kept
+	}
+	return inTime, late, refused
+}
+
+// full is the load, in programs a second, that the engines just bear.
+var full = capacity / (turnsOfOne * turnTime.Seconds())
+
+func constant(x float64) func(time.Duration) float64 {
+	return func(time.Duration) float64 { return x * full }
+}
+
+// burst is a load of 0.8 with 6 s of three times as much.
+func burst(now time.Duration) float64 {
+	if now > 5*time.Second && now < 11*time.Second {
+		return 2.4 * full
+	}
+	return 0.8 * full
+}
+
+// TestController_KeepsProgramsInTimeUnderOverload replays loads above capacity against letting
+// all in, which makes nearly all late.
+func TestController_KeepsProgramsInTimeUnderOverload(t *testing.T) {
+	for name, load := range map[string]func(time.Duration) float64{"1.4 times": constant(1.4), "twice": constant(2), "burst": burst} {
+		var gains []float64
+		for seed := range uint64(9) {
+			c, ignored := New(), New()
+			inTime, _, _ := play(seed, load, func(now time.Duration) bool { return c.Admits(now, 0) }, c)
+			all, _, _ := play(seed, load, func(time.Duration) bool { return true }, ignored)
+			gains = append(gains, float64(inTime)/float64(max(all, 1)))
+		}
+		sort.Float64s(gains)
+		require.Greater(t, gains[len(gains)/2], 1.5, "%s: %v", name, gains)
+	}
+}
+
+func TestController_RefusesNothingWithRoom(t *testing.T) {
+	for seed := range uint64(5) {
+		c := New()
+		_, _, refused := play(seed, constant(0.7), func(now time.Duration) bool { return c.Admits(now, 0) }, c)
+		require.Zero(t, refused)
+	}
+}
+
+// TestController_RecoversAfterTrouble: a few seconds of very slow turns, as when a zone is lost,
+// must not leave a limit that refuses programs on idle engines.
+func TestController_RecoversAfterTrouble(t *testing.T) {
+	c := New()
+	now := time.Second
+	for ; now < 4*time.Second; now += tick {
+		c.Observe(now, 10)
+		c.UnderWay(now, "p")
+	}
+	require.Less(t, c.Limit(), 10.0)
+	trouble := now
+	for i := 0; c.Limit() < 40; i++ {
+		c.Observe(now, 1)
+		for j := range 60 {
+			c.UnderWay(now, string(rune(j)))
+		}
+		now += tick
+	}
+	require.Less(t, now-trouble, 3*time.Second)
+}
+
+func TestController_LessUrgentProgramsAreRefusedFirst(t *testing.T) {
+	c := New()
+	c.limit = 10
+	for i := range 9 {
+		c.UnderWay(0, string(rune('a'+i)))
+	}
+	require.True(t, c.Admits(0, 0))
+	require.False(t, c.Admits(0, 1))
+	require.True(t, c.Knows("a"))
+	require.True(t, c.Admits(2*activeTime, 1), "they ended")
+	require.False(t, c.Knows("a"))
+}
--- /dev/null
+++ b/internal/balance/balance_test.go
@@ -0,0 +1,93 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func fleet(n int) []Candidate {
+	var cs []Candidate
+	for i := range n {
+		cs = append(cs, Candidate{ID: fmt.Sprint("u", i), Local: i < n/2, Slots: 10, Slowness: 1})
+	}
+	return cs
+}
+
+func turn(program string) Request {
+	return Request{Affinity: program, AffinityGain: 200 * time.Millisecond, Service: 150 * time.Millisecond}
+}
+
+func TestPick_VMsAgreeOnAHomeWithoutExchange(t *testing.T) {
+	homes := map[string]int{}
+	for i := range 300 {
+		cs := fleet(6)
+		a := Pick(cs, turn(fmt.Sprint("p", i)))
+		for j := range cs {
+			cs[j].Inflight = (i + j) % 3 // another VM's own load
+		}
+		require.Equal(t, a, Pick(cs, turn(fmt.Sprint("p", i))))
+		require.True(t, cs[a].Local)
+		homes[cs[a].ID]++
+	}
+	require.Len(t, homes, 3)
+	for id, n := range homes {
+		require.InDelta(t, 100, n, 35, id)
+	}
+}
+
+func TestPick_LeavesASlowOrFullHome(t *testing.T) {
+	cs := fleet(6)
+	home := Pick(cs, turn("p"))
+	cs[home].Slowness = 4
+	require.NotEqual(t, home, Pick(cs, turn("p")), "four times slower")
+	cs[home].Slowness = 1
+	cs[home].Inflight = 40
+	require.NotEqual(t, home, Pick(cs, turn("p")), "a queue of three rounds")
+	cs[home].Inflight = 5
+	require.Equal(t, home, Pick(cs, turn("p")), "half full is worth it")
+	cs[home].Failing = true
+	require.NotEqual(t, home, Pick(cs, turn("p")))
+}
+
+func TestPick_KnownHomeGoesFirst(t *testing.T) {
+	cs := fleet(6)
+	r := turn("p")
+	r.Home = cs[5].ID
+	require.Equal(t, 5, Pick(cs, r), "also in another zone")
+	r.Home = "gone"
+	require.Equal(t, Pick(cs, turn("p")), Pick(cs, r))
+}
+
+func TestPick_NewProgramsGoWhereThereIsRoom(t *testing.T) {
+	cs := fleet(6)
+	r := turn("p")
+	home := Pick(cs, r)
+	cs[home].Inflight = 4
+	require.Equal(t, home, Pick(cs, r))
+	r.New = true
+	require.NotEqual(t, home, Pick(cs, r))
+}
+
+func TestPick_LastResorts(t *testing.T) {
+	cs := fleet(2)
+	cs[0].Tried = true
+	cs[1].Failing, cs[1].Unconfirmed = true, true
+	require.Equal(t, 1, Pick(cs, Request{}), "better than nothing")
+	cs[1].Tried = true
+	require.Equal(t, -1, Pick(cs, Request{}))
+	require.Equal(t, -1, Pick(nil, turn("p")))
+}
+
+func TestPick_SpreadsPlainRequests(t *testing.T) {
+	counts := map[int]int{}
+	for i := range 300 {
+		counts[Pick(fleet(6), Request{Service: 20 * time.Millisecond, Draw: float64(i) / 300})]++
+	}
+	require.Len(t, counts, 3, "the zone's own")
+	for i, n := range counts {
+		require.InDelta(t, 100, n, 40, i)
+	}
+}
--- /dev/null
+++ b/internal/catalog/machine_test.go
@@ -0,0 +1,51 @@
+package catalog
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func apply(t *testing.T, m *Machine, c Command) Result {
+	data, err := c.Encode()
+	require.NoError(t, err)
+	r, err := DecodeResult(m.Apply(1, data))
+	require.NoError(t, err)
+	return r
+}
+
+func put(version uint64, data string) Command {
+	return Command{PutDocument: &PutDocument{Version: version, Data: []byte(data)}}
+}
+
+func TestMachine_HighestVersionIsInForce(t *testing.T) {
+	var published []State
+	m := New(func(s State) { published = append(published, s) })
+	require.Equal(t, Result{InForce, 5}, apply(t, m, put(5, "five")))
+	require.Equal(t, Result{InForce, 5}, apply(t, m, put(5, "five")), "sent again")
+	require.Equal(t, Result{Conflict, 5}, apply(t, m, put(5, "other")))
+	require.Equal(t, Result{Superseded, 5}, apply(t, m, put(4, "four")))
+	require.Equal(t, Result{InForce, 9}, apply(t, m, put(9, "nine")))
+	require.Equal(t, Result{Superseded, 9}, apply(t, m, put(5, "five")))
+	require.Len(t, published, 2)
+
+	d, err := DecodeDocument(m.Query(nil))
+	require.NoError(t, err)
+	require.Equal(t, Document{9, []byte("nine")}, d)
+}
+
+func TestMachine_SnapshotHoldsAll(t *testing.T) {
+	m := New(nil)
+	apply(t, m, put(2, "two"))
+	apply(t, m, Command{FormStore: &FormStore{VMs: []string{"a", "b"}}})
+	apply(t, m, Command{FormStore: &FormStore{VMs: []string{"c"}}})
+	apply(t, m, Command{Empty: &Empty{VM: "b"}})
+	apply(t, m, Command{Empty: &Empty{VM: "b"}})
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := New(nil)
+	require.NoError(t, restored.Restore(data))
+	require.Equal(t, m.State(), restored.State())
+	require.Equal(t, State{Document{2, []byte("two")}, []string{"a", "b"}, []string{"b"}}, restored.State())
+	require.Error(t, restored.Restore([]byte("?")))
+}
--- /dev/null
+++ b/internal/httpwire/server_test.go
@@ -0,0 +1,199 @@
+package httpwire
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/loopback"
+)
+
+// echo answers with what it was asked, and notes how each request ended.
+type echo struct {
+	requests chan *Request
+	serve    func(ctx context.Context, w *Response, r *Request)
+}
+
+func (e *echo) Serve(ctx context.Context, w *Response, r *Request) {
+	e.requests <- r
+	if e.serve != nil {
+		e.serve(ctx, w, r)
+		return
+	}
+	_ = w.Whole(http.StatusOK, http.Header{"X-Made-By": {"echo"}, "Connection": {"close"}}, []byte(r.Method+" "+r.Target+" "+string(r.Body)))
+}
+
+func (e *echo) Malformed(w *Response, status int, reason string) {
+	_ = w.Whole(status, nil, []byte(reason))
+}
+
+func start(t *testing.T, serve func(ctx context.Context, w *Response, r *Request)) (*Server, *echo, string) {
+	address, err := loopback.Address()
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	e := &echo{requests: make(chan *Request, 100), serve: serve}
+	s := New(e, func() Limits {
+		return Limits{MaxHeaderBytes: 2 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: time.Second}
+	})
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.CloseIdle()
+		<-done
+	})
+	return s, e, address
+}
+
+func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
+	c, err := net.Dial("tcp", address)
+	require.NoError(t, err)
+	require.NoError(t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	t.Cleanup(func() { _ = c.Close() })
+	return c, bufio.NewReader(c)
+}
+
+func answer(t *testing.T, r *bufio.Reader) (int, string) {
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(response.Body)
+	require.NoError(t, err)
+	return response.StatusCode, string(body)
+}
+
+func TestServer_PassesRequestsUnchanged(t *testing.T) {
+	_, _, address := start(t, nil)
+	c, r := dial(t, address)
+	for _, target := range []string{"/a%2Fb/../c", "/x?", "/x?a=%20&&b", "//double/", "/Case/%7e"} {
+		_, err := io.WriteString(c, "POST "+target+" HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n")
+		require.NoError(t, err)
+		status, body := answer(t, r)
+		require.Equal(t, 200, status)
+		require.Equal(t, "POST "+target+" abcde", body)
+	}
+}
+
+// TestServer_RefusesAmbiguousFraming: what another reader could frame differently is refused and
+// its connection closed, so that no part of it is taken for a request of its own.
+func TestServer_RefusesAmbiguousFraming(t *testing.T) {
+	hidden := "GET /hidden HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, head := range map[string]string{
+		"both lengths":       "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"two lengths":        "Content-Length: 0\r\nContent-Length: 5\r\n\r\n",
+		"same length twice":  "Content-Length: 0\r\nContent-Length: 0\r\n\r\n",
+		"two codings":        "Transfer-Encoding: chunked\r\nTransfer-Encoding: identity\r\n\r\n0\r\n\r\n",
+		"unknown coding":     "Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n",
+		"list of codings":    "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+		"space before colon": "Transfer-Encoding : chunked\r\n\r\n0\r\n\r\n",
+		"folded":             "X-A: 1\r\n Transfer-Encoding: chunked\r\n\r\n",
+		"bare line feed":     "X-A: 1\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"bare return":        "X-A: 1\rContent-Length: 5\r\n\r\n",
+		"signed length":      "Content-Length: +0\r\n\r\n",
+		"bad chunk":          "Transfer-Encoding: chunked\r\n\r\n0x1\r\na\r\n0\r\n\r\n",
+	} {
+		_, e, address := start(t, nil)
+		c, r := dial(t, address)
+		_, err := io.WriteString(c, "POST / HTTP/1.1\r\nHost: h\r\n"+head+hidden)
+		require.NoError(t, err, name)
+		status, _ := answer(t, r)
+		require.Equal(t, http.StatusBadRequest, status, name)
+		_, err = r.ReadByte()
+		require.ErrorIs(t, err, io.EOF, name)
+		require.Empty(t, e.requests, name)
+	}
+}
+
+func TestServer_BoundsWhatACallerSends(t *testing.T) {
+	for name, c := range map[string]struct {
+		sent   string
+		status int
+	}{
+		"large head":         {"GET / HTTP/1.1\r\nHost: h\r\nX-A: " + strings.Repeat("a", 3<<10) + "\r\n\r\n", 431},
+		"large body":         {"POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1025\r\n\r\n", 413},
+		"large chunked body": {"POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n800\r\n" + strings.Repeat("a", 2048) + "\r\n0\r\n\r\n", 413},
+		"no path":            {"GET http://h/ HTTP/1.1\r\nHost: h\r\n\r\n", 400},
+	} {
+		_, _, address := start(t, nil)
+		conn, r := dial(t, address)
+		_, err := io.WriteString(conn, c.sent)
+		require.NoError(t, err, name)
+		status, _ := answer(t, r)
+		require.Equal(t, c.status, status, name)
+	}
+	_, _, address := start(t, nil)
+	conn, r := dial(t, address)
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHos")
+	require.NoError(t, err)
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF, "a head that doesn't come is given up without an answer")
+}
+
+func TestServer_SeesACallerLeave(t *testing.T) {
+	ended := make(chan error, 1)
+	_, _, address := start(t, func(ctx context.Context, w *Response, _ *Request) {
+		<-ctx.Done()
+		ended <- context.Cause(ctx)
+		w.Abort()
+	})
+	c, _ := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	require.NoError(t, c.Close())
+	require.ErrorIs(t, <-ended, ErrCallerGone)
+}
+
+func TestServer_AbortedAnswersAreNotComplete(t *testing.T) {
+	_, _, address := start(t, func(_ context.Context, w *Response, _ *Request) {
+		w.Begin(http.StatusOK, nil)
+		_ = w.Chunk([]byte("data: 1\n\n"))
+		w.Abort()
+	})
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	_, err = io.ReadAll(response.Body)
+	require.True(t, errors.Is(err, io.ErrUnexpectedEOF), "%v", err)
+}
+
+func TestServer_PipelinedRequestsAreServedInOrder(t *testing.T) {
+	_, _, address := start(t, nil)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	for _, want := range []string{"GET /1 ", "GET /2 "} {
+		_, body := answer(t, r)
+		require.Equal(t, want, body)
+	}
+}
+
+func TestServer_DrainEndsConnectionsAfterAnAnswer(t *testing.T) {
+	s, _, address := start(t, nil)
+	c, r := dial(t, address)
+	_, err := io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	answer(t, r)
+	s.Drain()
+	_, err = io.WriteString(c, "GET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+	require.NoError(t, err)
+	response, err := http.ReadResponse(r, nil)
+	require.NoError(t, err)
+	require.True(t, response.Close)
+	_, err = io.Copy(io.Discard, response.Body)
+	require.NoError(t, err)
+	_, err = r.ReadByte()
+	require.ErrorIs(t, err, io.EOF)
+}
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -38,6 +38,7 @@
 	wait    time.Duration // when to come back, as told last
 	told    time.Duration
 	level   float64 // of the coordinator's bucket, as told last
+	leveled bool    // level was told
 	short   bool    // the coordinator gave less than was asked for
 	share   bucket  // while the coordinator is lost
 	shares  bool
@@ -93,7 +94,7 @@
 // TakesNew reports whether an account may begin new work that will need further permits.
 func (h *Holder) TakesNew(now time.Duration, account string) bool {
 	a := h.accounts[account]
-	return a == nil || a.told == 0 || now-a.told > levelAge || a.level >= newLevel
+	return a == nil || !a.leveled || now-a.told > levelAge || a.level >= newLevel
 }
 
 // Lost reports whether the coordinator was not heard for too long.
@@ -147,7 +148,7 @@
 		a.permits += permits
 		a.shares = false
 		_, a.short = g.Waits[account]
-		a.level = g.Levels[account]
+		a.level, a.leveled = g.Levels[account], true
 		a.wait, a.told = time.Duration(g.Waits[account])*time.Millisecond, now
 	}
 }
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,158 @@
+package quota
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+const (
+	windowTime = 5 * time.Second
+	step       = 10 * time.Millisecond
+)
+
+// fleet plays entry VMs and coordinators in virtual time.
+type fleet struct {
+	limit       Rate
+	now         time.Duration
+	coordinator *Coordinator
+	holders     []*Holder
+	cut         []bool // from the coordinator
+	known       int
+	passed      []time.Duration // when requests passed
+	refused     int
+}
+
+func newFleet(vms int, limit Rate) *fleet {
+	f := &fleet{limit: limit, coordinator: NewCoordinator(0), cut: make([]bool, vms), known: vms}
+	for range vms {
+		f.holders = append(f.holders, NewHolder())
+	}
+	return f
+}
+
+func (f *fleet) rate(string) (Rate, bool) { return f.limit, true }
+
+func (f *fleet) exchange(i int, waiting int) {
+	if f.cut[i] {
+		return
+	}
+	wants, returns := f.holders[i].Wants(f.now, map[string]int{"a": waiting}, f.rate)
+	g := f.coordinator.Grant(f.now, Request{VM: string(rune('A' + i)), Wants: wants, Returns: returns}, f.known, f.rate)
+	f.holders[i].Granted(f.now, g)
+}
+
+// request is one request at a VM, which asks for a permit if it has none.
+func (f *fleet) request(i int) {
+	h := f.holders[i]
+	ok := h.Take(f.now, "a", f.limit)
+	if !ok && !h.Lost(f.now) {
+		f.exchange(i, 1)
+		ok = h.Take(f.now, "a", f.limit)
+	}
+	if ok {
+		f.passed = append(f.passed, f.now)
+	} else {
+		f.refused++
+	}
+}
+
+// run plays demand, in requests a second over all VMs, with most of it at the first ones.
+func (f *fleet) run(r *rand.Rand, d time.Duration, demand float64) {
+	for end := f.now + d; f.now < end; f.now += step {
+		for n := demand * step.Seconds(); n > 0; n-- {
+			if n >= 1 || r.Float64() < n {
+				i := min(r.IntN(len(f.holders)), r.IntN(len(f.holders)))
+				f.request(i)
+			}
+		}
+		if f.now%(200*time.Millisecond) == 0 {
+			for i := range f.holders {
+				f.exchange(i, 0)
+			}
+		}
+	}
+}
+
+// worst returns the most requests in any window.
+func (f *fleet) worst() int {
+	most, from := 0, 0
+	for i, at := range f.passed {
+		for at-f.passed[from] > windowTime {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return most
+}
+
+func (f *fleet) allowed() float64 {
+	return (f.limit.PerSecond*windowTime.Seconds()+f.limit.Burst)*1.1 + 20
+}
+
+// TestQuota_HoldsOverCutsAndCoordinators: whatever is cut off and however often the coordinator
+// changes, the sum stays within the limit that operators allow for.
+func TestQuota_HoldsOverCutsAndCoordinators(t *testing.T) {
+	for seed := range uint64(300) {
+		r := rand.New(rand.NewPCG(seed, 1))
+		f := newFleet(2+r.IntN(20), Rate{PerSecond: 20 + 200*r.Float64(), Burst: 20 + 200*r.Float64()})
+		for range 12 {
+			f.run(r, time.Duration(200+r.IntN(2500))*time.Millisecond, f.limit.PerSecond*(0.3+4*r.Float64()))
+			switch r.IntN(4) {
+			case 0:
+				f.coordinator = NewCoordinator(f.now)
+			case 1:
+				for i := range f.cut {
+					f.cut[i] = r.IntN(3) == 0
+				}
+			case 2:
+				clear(f.cut)
+			}
+		}
+		require.LessOrEqual(t, float64(f.worst()), f.allowed(), "seed %d", seed)
+	}
+}
+
+// TestQuota_ServesWhatIsInsideTheLimit: uneven demand of nine tenths of the rate is served, also
+// by many VMs that share a small limit.
+func TestQuota_ServesWhatIsInsideTheLimit(t *testing.T) {
+	for _, vms := range []int{1, 9, 64} {
+		r := rand.New(rand.NewPCG(7, uint64(vms)))
+		f := newFleet(vms, Rate{PerSecond: 10, Burst: 10})
+		f.run(r, 2*time.Second, 1) // the buckets fill
+		f.passed, f.refused = nil, 0
+		f.run(r, 60*time.Second, 0.9*10)
+		share := float64(f.refused) / float64(f.refused+len(f.passed))
+		require.Less(t, share, 0.12, "%d VMs: refused %d, passed %d", vms, f.refused, len(f.passed))
+	}
+}
+
+// TestQuota_CutOffVMsGoOn: a third of the VMs, cut off for 6 s, serve about their share.
+func TestQuota_CutOffVMsGoOn(t *testing.T) {
+	r := rand.New(rand.NewPCG(3, 3))
+	f := newFleet(9, Rate{PerSecond: 90, Burst: 90})
+	f.run(r, 5*time.Second, 45)
+	for i := range 3 {
+		f.cut[6+i] = true
+	}
+	f.run(r, 2*time.Second, 45)
+	before := len(f.passed)
+	for range 400 {
+		f.request(6 + r.IntN(3))
+		f.now += step
+	}
+	require.Greater(t, len(f.passed)-before, 90, "a share of 30 a second for 4 s")
+}
+
+func TestHolder_NewWorkLeavesTheLastPermits(t *testing.T) {
+	h := NewHolder()
+	require.True(t, h.TakesNew(0, "a"), "nothing is known yet")
+	h.Granted(0, Grant{Permits: map[string]float64{"a": 1}, Levels: map[string]float64{"a": 0.1}, Holders: 1})
+	require.False(t, h.TakesNew(time.Millisecond, "a"))
+	require.True(t, h.Take(time.Millisecond, "a", Rate{PerSecond: 1, Burst: 10}), "work under way goes on")
+	require.True(t, h.TakesNew(levelAge+time.Millisecond, "a"), "too old to go by")
+	h.Granted(time.Second, Grant{Permits: map[string]float64{"a": 1}, Levels: map[string]float64{"a": 0.5}, Holders: 1})
+	require.True(t, h.TakesNew(time.Second, "a"))
+}
--- /dev/null
+++ b/internal/registry/registry_test.go
@@ -0,0 +1,122 @@
+package registry
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+type fakeClock struct{ now time.Duration }
+
+func (c *fakeClock) Now() time.Duration { return c.now }
+
+func up(id string, born, sequence int64, state State) Upstream {
+	return Upstream{ID: id, Service: "s", Address: "10.0.0.1:80", Born: born, Sequence: sequence, State: state}
+}
+
+func TestRegistrar_LateWordsChangeNothing(t *testing.T) {
+	clock := &fakeClock{}
+	r := NewRegistrar(4*time.Second, clock.Now)
+	require.True(t, r.Register(up("a", 1, 5, Ready)))
+	require.False(t, r.Register(up("a", 1, 5, Draining)), "the same sequence")
+	require.False(t, r.Register(up("a", 1, 6, Ready)), "nothing new")
+	require.True(t, r.Register(up("a", 1, 8, Draining)))
+	require.False(t, r.Register(up("a", 1, 7, Ready)), "late")
+	r.Leave("a")
+	require.False(t, r.Register(up("a", 1, 9, Ready)), "it left")
+	require.True(t, r.Register(up("a", 2, 1, Ready)), "a new incarnation under the same ID")
+}
+
+func TestRegistrar_ExpiresTheSilent(t *testing.T) {
+	clock := &fakeClock{}
+	r := NewRegistrar(4*time.Second, clock.Now)
+	r.Register(up("a", 1, 1, Ready))
+	clock.now = 3 * time.Second
+	require.Empty(t, r.Expire())
+	clock.now = 5 * time.Second
+	require.Equal(t, []string{"a"}, r.Expire())
+	require.Empty(t, r.Expire())
+	require.True(t, r.Register(up("a", 1, 2, Ready)), "it was only cut off")
+	clock.now += 2 * goneRetention
+	r.Expire()
+	clock.now += 2 * goneRetention
+	r.Expire()
+	changes, _, _ := r.Since(0)
+	require.Empty(t, changes, "forgotten in the end")
+}
+
+func TestRegistrar_WakesWatchers(t *testing.T) {
+	r := NewRegistrar(time.Second, (&fakeClock{}).Now)
+	_, version, changed := r.Since(0)
+	r.Register(up("a", 1, 1, Ready))
+	<-changed
+	changes, next, _ := r.Since(version)
+	require.Len(t, changes, 1)
+	changes, _, _ = r.Since(next)
+	require.Empty(t, changes)
+}
+
+func TestDirectory_OnlyItsVoucherExpiresAnUpstream(t *testing.T) {
+	d := NewDirectory(nil)
+	d.Merge("c1", []Upstream{up("a", 1, 4, Ready)})
+	d.Merge("c2", []Upstream{up("a", 1, 21, Ready)})
+	gone := up("a", 1, 20, Gone)
+	gone.Expired = true
+	d.Merge("c1", []Upstream{gone})
+	require.Len(t, d.View().Services["s"], 1, "another VM hears it")
+	gone.Sequence = 25
+	d.Merge("c2", []Upstream{gone})
+	require.Empty(t, d.View().Services["s"])
+	d.Merge("c1", []Upstream{up("a", 1, 26, Ready)})
+	require.Len(t, d.View().Services["s"], 1, "it was only cut off")
+}
+
+func TestDirectory_TellsWhatWasRemoved(t *testing.T) {
+	var removed []string
+	d := NewDirectory(func(u Upstream) { removed = append(removed, fmt.Sprint(u.ID, u.Born)) })
+	d.Merge("c1", []Upstream{up("a", 1, 1, Ready)})
+	d.Merge("c1", []Upstream{up("a", 1, 2, Draining)})
+	d.Merge("c1", []Upstream{up("a", 1, 3, Draining)})
+	d.Merge("c1", []Upstream{up("b", 1, 1, Ready)})
+	d.Merge("c1", []Upstream{up("b", 2, 1, Ready)})
+	require.Equal(t, []string{"a1", "b1"}, removed)
+}
+
+func TestDirectory_AddressBelongsToTheLatest(t *testing.T) {
+	d := NewDirectory(nil)
+	d.Merge("c1", []Upstream{up("new", 9, 1, Ready)})
+	d.Merge("c2", []Upstream{up("old", 1, 50, Ready)}) // delayed by a partition
+	list := d.View().Services["s"]
+	require.Len(t, list, 1)
+	require.Equal(t, "new", list[0].ID)
+}
+
+// TestDirectory_OrderDoesNotMatter delivers the words of one upstream through several control
+// VMs in any order: the newest word stands, and a goodbye is final for its incarnation.
+func TestDirectory_OrderDoesNotMatter(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var words []Upstream
+		last := Upstream{}
+		for born := int64(1); born <= int64(rapid.IntRange(1, 3).Draw(t, "incarnations")); born++ {
+			for sequence := int64(1); sequence <= int64(rapid.IntRange(1, 5).Draw(t, "words")); sequence++ {
+				last = up("a", born, sequence, State(rapid.IntRange(0, 1).Draw(t, "state")))
+				words = append(words, last)
+			}
+		}
+		d := NewDirectory(nil)
+		for _, u := range rapid.Permutation(words).Draw(t, "order") {
+			d.Merge(rapid.SampledFrom([]string{"c1", "c2", "c3"}).Draw(t, "via"), []Upstream{u})
+		}
+		require.Equal(t, last.State == Ready, len(d.View().Services["s"]) == 1)
+		goodbye := last
+		goodbye.State = Gone
+		d.Merge("c1", []Upstream{goodbye})
+		for _, u := range words {
+			d.Merge("c2", []Upstream{u})
+		}
+		require.Empty(t, d.View().Services["s"])
+	})
+}
--- /dev/null
+++ b/internal/turns/machine_test.go
@@ -0,0 +1,152 @@
+package turns
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func apply(t require.TestingT, m *Machine, c Command) Result {
+	data, err := c.Encode()
+	require.NoError(t, err)
+	result := m.Finish(data, m.Apply(1, data))
+	r, err := DecodeResult(result)
+	require.NoError(t, err)
+	return r
+}
+
+func TestMachine_KeepsATreeOfTurns(t *testing.T) {
+	m := New()
+	record := func(account, request, previous, input, output string) {
+		apply(t, m, Command{Now: 1, End: &End{Account: account, Request: request, Program: "p", Previous: previous,
+			Record: true, Input: []byte(input), Output: []byte(output), Retention: time.Minute}})
+	}
+	begin := func(account, previous string) Result {
+		return apply(t, m, Command{Now: 2, Begin: &Begin{Account: account, Program: "p", Request: "r", Previous: previous}})
+	}
+	record("one", "t1", "", "in1", "out1")
+	record("one", "t2", "t1", "in2", "out2")
+	record("one", "t3", "t1", "in3", "out3")
+	text := func(r Result) (s string) {
+		for _, part := range r.Chain {
+			s += string(part) + " "
+		}
+		return s
+	}
+	require.Equal(t, "in1 out1 in2 out2 ", text(begin("one", "t2")))
+	require.Equal(t, "in1 out1 in3 out3 ", text(begin("one", "t3")))
+	require.Equal(t, UnknownTurn, begin("two", "t2").Outcome, "another account's turn")
+	require.Equal(t, UnknownTurn, begin("one", "t9").Outcome)
+	record("one", "t2", "t1", "forged", "forged")
+	require.Equal(t, "in1 out1 in2 out2 ", text(begin("one", "t2")), "a turn is recorded once")
+}
+
+func TestMachine_KeepsAChainAsLongAsItsLastTurn(t *testing.T) {
+	m := New()
+	end := func(now int64, request, previous string) {
+		apply(t, m, Command{Now: now, End: &End{Account: "a", Request: request, Previous: previous, Record: true,
+			Input: []byte(request), Retention: time.Minute}})
+	}
+	end(1000, "t1", "")
+	end(55_000, "t2", "t1")
+	r := apply(t, m, Command{Now: 110_000, Begin: &Begin{Account: "a", Request: "r", Previous: "t2"}})
+	require.Equal(t, Begun, r.Outcome)
+	require.Len(t, r.Chain, 4)
+	r = apply(t, m, Command{Now: 300_000, Begin: &Begin{Account: "a", Request: "r", Previous: "t2"}})
+	require.Equal(t, UnknownTurn, r.Outcome)
+	programs, turns := m.Size()
+	require.Zero(t, turns)
+	require.Zero(t, programs)
+}
+
+func TestMachine_EndReservesForTheNextTurn(t *testing.T) {
+	m := New()
+	b := func(request string) Result {
+		return apply(t, m, Command{Begin: &Begin{Account: "a", Program: "p", Request: request, HasBudget: true, Budget: 1000, Most: 300}})
+	}
+	e := func(request, reservation string, tokens int64) Result {
+		return apply(t, m, Command{End: &End{Account: "a", Program: "p", Request: request, Reservation: reservation, Tokens: tokens, NextMost: 300, Budget: 1000}})
+	}
+	require.Equal(t, Result{}, b("t1"))
+	require.True(t, e("t1", "", 50).Next)
+	require.True(t, e("t1", "", 50).Next, "repeated")
+	require.True(t, e("t2", NextReservation("t1"), 50).Next)
+	require.False(t, e("t3", NextReservation("t2"), 50).Next, "too little is left to reserve ahead")
+	require.Equal(t, Begun, b("t4").Outcome)
+	require.Equal(t, Begun, b("t5").Outcome)
+	require.Equal(t, BudgetSpent, b("t6").Outcome, "150 used, 600 reserved")
+	require.Equal(t, Begun, b("t5").Outcome, "repeated")
+	e("t4", "", 0)
+	require.Equal(t, Begun, b("t6").Outcome)
+}
+
+// TestMachine_NeverHandsOutMoreThanTheBudget plays turns that begin, end, are repeated and are
+// lost, on VMs that know nothing of each other: what could be handed to callers never exceeds
+// the budget.
+func TestMachine_NeverHandsOutMoreThanTheBudget(t *testing.T) {
+	const most = 100
+	rapid.Check(t, func(t *rapid.T) {
+		m := New()
+		budget := int64(rapid.IntRange(0, 2000).Draw(t, "budget"))
+		var handed int64
+		open := map[string]bool{} // reservations that may be used, by name
+		for i := range rapid.IntRange(1, 80).Draw(t, "steps") {
+			names := make([]string, 0, len(open))
+			for name := range open {
+				names = append(names, name)
+			}
+			if len(names) == 0 || rapid.Bool().Draw(t, "begin") {
+				request := fmt.Sprint("r", i)
+				c := Command{Begin: &Begin{Account: "a", Program: "p", Request: request, HasBudget: true, Budget: budget, Most: most}}
+				for range rapid.IntRange(1, 2).Draw(t, "repeats") {
+					open[request] = apply(t, m, c).Outcome == Begun
+				}
+				if !open[request] {
+					delete(open, request)
+				}
+				continue
+			}
+			name := rapid.SampledFrom(names).Draw(t, "which")
+			delete(open, name)
+			tokens := int64(rapid.IntRange(0, most).Draw(t, "tokens"))
+			handed += tokens
+			if rapid.IntRange(0, 9).Draw(t, "lost") == 0 {
+				continue // its VM is gone: never settled
+			}
+			request := name
+			if rapid.Bool().Draw(t, "continued") {
+				request = fmt.Sprint("c", i)
+			}
+			c := Command{End: &End{Account: "a", Program: "p", Request: request, Reservation: name, Tokens: tokens, NextMost: most, Budget: budget}}
+			if apply(t, m, c).Next {
+				open[NextReservation(request)] = true
+			}
+			apply(t, m, c)
+		}
+		require.LessOrEqual(t, handed+int64(len(open))*most, max(budget, 0))
+	})
+}
+
+func TestMachine_SnapshotHoldsAll(t *testing.T) {
+	m := New()
+	apply(t, m, Command{Now: 5, Begin: &Begin{Account: "a", Program: "p", Request: "r1", HasBudget: true, Budget: 500, Most: 300}})
+	apply(t, m, Command{Now: 6, End: &End{Account: "a", Program: "q", Request: "r2", Tokens: 7, Record: true, Input: []byte("in"), Output: []byte("out")}})
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := New()
+	require.NoError(t, restored.Restore(data))
+	require.Equal(t, m, restored)
+	require.Error(t, restored.Restore([]byte("?")))
+}
+
+func TestMachine_SkipsWhatItCannotRead(t *testing.T) {
+	m := New()
+	for _, data := range [][]byte{nil, []byte("short"), {0, 0, 0, 9, 0, 0, 0, 0, 1}, {0, 0, 0, 1, 0, 0, 0, 0, 0xff}} {
+		r, err := DecodeResult(m.Apply(1, data))
+		require.NoError(t, err)
+		require.Equal(t, UnknownTurn, r.Outcome)
+	}
+}
