--- /dev/null
+++ b/internal/proxy/proxy_test.go
@@ -0,0 +1,497 @@
+package proxy
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/httpwire"
+	"egretramp/internal/loopback"
+	"egretramp/internal/registry"
+	"egretramp/internal/routing"
+	"egretramp/internal/turns"
+)
+
+// testProtocol has headers of its own, so that these tests know no platform.
+type testProtocol struct{}
+
+func (testProtocol) ReadCall(r *httpwire.Request) (Call, error) {
+	c := Call{
+		RequestID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Program: r.Header.Get("Program"), Line: r.Header.Get("Program"),
+		Previous: r.Header.Get("Previous"), LastEventID: r.Header.Get("Last"), Header: http.Header{"Id": r.Header["Id"]},
+	}
+	if c.Program != "" {
+		c.HasBudget, c.Budget, c.MostTokens = true, 1000, 100
+	}
+	if c.RequestID == "" {
+		return c, errors.New("no ID")
+	}
+	return c, nil
+}
+
+func (testProtocol) WriteSend(c *Call, s Send) http.Header {
+	h := c.Header.Clone()
+	h.Set("Account", s.Account)
+	h.Set("Left", s.TimeLeft.String())
+	h.Set("Last", s.LastEventID)
+	return h
+}
+
+func (testProtocol) ReadReply(_ int, h http.Header) Reply {
+	return Reply{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+}
+
+func (testProtocol) WriteRefusal(r Refusal) (int, http.Header, []byte) {
+	status := 502
+	switch {
+	case r.Reason == Malformed:
+		status = r.Status
+	case r.Reason == NoRoute || r.Reason == UnknownTurn:
+		status = 404
+	case r.Reason == BadKey:
+		status = 401
+	case r.Reason == BudgetSpent:
+		status = 402
+	case r.Reason == OverRate:
+		status = 429
+	case r.Reason < Failed:
+		status = 503
+	case r.Reason == TimedOut:
+		status = 504
+	}
+	return status, http.Header{"Reason": {r.Reason.String()}}, nil
+}
+
+// memoryLedger is a store group of one, without a network.
+type memoryLedger struct {
+	mu      sync.Mutex
+	machine *turns.Machine
+	begins  int
+	fail    error // of End
+}
+
+func (l *memoryLedger) run(c turns.Command) (turns.Result, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	data, err := c.Encode()
+	if err != nil {
+		return turns.Result{}, err
+	}
+	return turns.DecodeResult(l.machine.Finish(data, l.machine.Apply(1, data)))
+}
+
+func (l *memoryLedger) Begin(_ context.Context, b turns.Begin) (turns.Result, error) {
+	l.begins++
+	return l.run(turns.Command{Now: 1, Begin: &b})
+}
+
+func (l *memoryLedger) End(_ context.Context, e turns.End) (turns.Result, error) {
+	if l.fail != nil {
+		return turns.Result{}, l.fail
+	}
+	return l.run(turns.Command{Now: 1, End: &e})
+}
+
+func (l *memoryLedger) EndLater(e turns.End, done func(turns.Result)) {
+	r, err := l.End(context.Background(), e)
+	if err == nil && done != nil {
+		done(r)
+	}
+}
+
+type openLimiter struct{ refuse bool }
+
+func (l *openLimiter) Take(context.Context, *routing.Account, bool) (bool, time.Duration) {
+	return !l.refuse, time.Second
+}
+
+// seen is one request that reached an upstream.
+type seen struct {
+	upstream, id, target, account, last, body string
+}
+
+// rig is an entry VM's server with upstreams on loopback.
+type rig struct {
+	t         *testing.T
+	address   string
+	ledger    *memoryLedger
+	limiter   *openLimiter
+	directory *registry.Directory
+	server    *Server
+
+	mu       sync.Mutex
+	requests []seen
+}
+
+func newRig(t *testing.T) *rig {
+	g := &rig{t: t, ledger: &memoryLedger{machine: turns.New()}, limiter: &openLimiter{}, directory: registry.NewDirectory(nil)}
+	target := []routing.Target{{Service: "s", Weight: 1}}
+	table, err := routing.Compile(routing.Table{
+		Version:  1,
+		Services: []routing.Service{{Name: "s", Engine: &routing.Engine{TokensPerEvent: 10}}, {Name: "nobody"}},
+		Routes: []routing.Route{
+			{Name: "safe", Host: "h", PathPrefix: "/safe/", Kind: routing.Idempotent, Timeout: 2 * time.Second, MaxAttempts: 2, Targets: target},
+			{Name: "once", Host: "h", PathPrefix: "/once/", Kind: routing.NonIdempotent, Timeout: time.Second, MaxAttempts: 1, Targets: target},
+			{Name: "open", Host: "h", PathPrefix: "/open/", Kind: routing.Idempotent, Timeout: time.Second, Targets: target, Anonymous: true},
+			{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Targets: target},
+			{Name: "resumed", Host: "h", PathPrefix: "/resumed/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Resumable: true, Targets: target},
+			{Name: "kept", Host: "h", PathPrefix: "/kept/", Kind: routing.Streaming, Timeout: 2 * time.Second, Stateful: true, Retention: time.Minute, Targets: target},
+			{Name: "none", Host: "h", PathPrefix: "/none/", Timeout: time.Second, Targets: []routing.Target{{Service: "nobody", Weight: 1}}},
+		},
+		Accounts: []routing.Account{{Name: "acc", Keys: []string{"key"}, Rate: 5, Burst: 5}},
+	})
+	require.NoError(t, err)
+	g.server = New(Options{
+		Zone: "z", Protocol: testProtocol{}, Table: func() *routing.Snapshot { return table },
+		Directory: g.directory, Ledger: g.ledger, Limiter: g.limiter,
+	})
+	g.address = listen(t, func(l net.Listener) {
+		_ = httpwire.New(g.server, func() httpwire.Limits {
+			return httpwire.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+		}).Serve(l)
+	})
+	return g
+}
+
+func listen(t *testing.T, serve func(net.Listener)) string {
+	address, err := loopback.Address()
+	require.NoError(t, err)
+	l, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go serve(l)
+	return address
+}
+
+// upstream adds an upstream that answers each request by writing raw bytes; returning false
+// resets the connection.
+func (g *rig) upstream(id string, answer func(r *http.Request, c net.Conn) bool) {
+	address := listen(g.t, func(l net.Listener) {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go g.serveUpstream(id, c, answer)
+		}
+	})
+	g.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: "z", Slots: 4, Born: 1, Sequence: 1}})
+}
+
+func (g *rig) serveUpstream(id string, c net.Conn, answer func(r *http.Request, c net.Conn) bool) {
+	defer func() { _ = c.Close() }()
+	reader := bufio.NewReader(c)
+	for {
+		r, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		g.mu.Lock()
+		g.requests = append(g.requests, seen{id, r.Header.Get("Id"), r.RequestURI, r.Header.Get("Account"), r.Header.Get("Last"), string(body)})
+		g.mu.Unlock()
+		if !answer(r, c) {
+			_ = c.(*net.TCPConn).SetLinger(0)
+			return
+		}
+	}
+}
+
+func (g *rig) seen() []seen {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return append([]seen(nil), g.requests...)
+}
+
+func signed(r *http.Request) string {
+	return "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: " + r.Header.Get("Id") + "\r\n"
+}
+
+func whole(body string) func(*http.Request, net.Conn) bool {
+	return func(r *http.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "%sContent-Length: %d\r\n\r\n%s", signed(r), len(body), body)
+		return err == nil
+	}
+}
+
+func eventChunks(from, to int) string {
+	s := ""
+	for i := from; i <= to; i++ {
+		event := fmt.Sprintf("id: %d\ndata: word%d\n\n", i, i)
+		s += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+	}
+	return s
+}
+
+func stream(to int) func(*http.Request, net.Conn) bool {
+	return func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, to)+"0\r\n\r\n")
+		return err == nil
+	}
+}
+
+type reply struct {
+	status int
+	reason string
+	body   string
+	err    error // of the body
+}
+
+func (g *rig) call(id, path string, headers ...string) reply {
+	g.t.Helper()
+	c, err := net.Dial("tcp", g.address)
+	require.NoError(g.t, err)
+	defer func() { _ = c.Close() }()
+	require.NoError(g.t, c.SetDeadline(time.Now().Add(5*time.Second)))
+	body := "asked " + id
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nContent-Length: %d\r\n", path, id, len(body))
+	for _, h := range headers {
+		head += h + "\r\n"
+	}
+	_, err = io.WriteString(c, head+"\r\n"+body)
+	require.NoError(g.t, err)
+	response, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil {
+		return reply{err: err}
+	}
+	answer, err := io.ReadAll(response.Body)
+	return reply{response.StatusCode, response.Header.Get("Reason"), string(answer), err}
+}
+
+func TestServer_PassesAnswersOn(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", whole("answer"))
+	require.Equal(t, reply{200, "", "answer", nil}, g.call("1", "/safe/a?b=%20"))
+	require.Equal(t, []seen{{"u", "1", "/safe/a?b=%20", "acc", "", "asked 1"}}, g.seen())
+	require.Equal(t, 404, g.call("2", "/other/").status)
+	require.Equal(t, 503, g.call("3", "/none/").status)
+	g.limiter.refuse = true
+	require.Equal(t, 429, g.call("4", "/safe/").status)
+	require.Len(t, g.seen(), 1)
+}
+
+func TestServer_WithoutAConfigurationNothingIsDenied(t *testing.T) {
+	g := newRig(t)
+	g.server.opts.Table = func() *routing.Snapshot { return nil }
+	require.Equal(t, reply{503, "no_configuration", "", nil}, g.call("1", "/other/"))
+}
+
+// TestServer_RepeatsOnlyWhatMayBeRepeated breaks off each first answer.
+func TestServer_RepeatsOnlyWhatMayBeRepeated(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		status int
+		tries  int
+	}{{"/safe/", 200, 2}, {"/once/", 502, 1}, {"/stream/", 502, 1}} {
+		for name, broken := range map[string]string{
+			"reset": "", "garbage": "\x00\x01 no answer\r\n\r\n", "cut body": "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: 1\r\nContent-Length: 100\r\n\r\nshort",
+			"unsigned": "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 2\r\n\r\nok", "cut chunk": "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nid",
+		} {
+			g := newRig(t)
+			first := true
+			var mu sync.Mutex
+			answer := func(r *http.Request, c net.Conn) bool {
+				mu.Lock()
+				defer mu.Unlock()
+				if first {
+					first = false
+					_, _ = io.WriteString(c, broken)
+					return false
+				}
+				return whole("answer")(r, c)
+			}
+			g.upstream("u", answer)
+			g.upstream("v", answer)
+			require.Equal(t, c.status, g.call("1", c.path).status, "%s %s", c.path, name)
+			require.Len(t, g.seen(), c.tries, "%s %s", c.path, name)
+		}
+	}
+}
+
+// TestServer_NotRunIsTriedElsewhere: an upstream's word that it didn't run a request allows any
+// request to go to another one, and otherwise a refusal that promises it.
+func TestServer_NotRunIsTriedElsewhere(t *testing.T) {
+	full := func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 503 Full\r\nNot-Run: yes\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
+	g := newRig(t)
+	g.upstream("full", full)
+	require.Equal(t, reply{503, "no_upstream", "", nil}, g.call("1", "/once/"))
+	g.upstream("free", whole("answer"))
+	for i := range 10 {
+		require.Equal(t, 200, g.call(fmt.Sprint("n", i), "/once/").status)
+	}
+}
+
+func TestServer_FailuresOfUpstreamsKeepTheirStatus(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		_, err := io.WriteString(c, "HTTP/1.1 500 Broken\r\nSigned: yes\r\nId: "+r.Header.Get("Id")+"\r\nContent-Length: 3\r\n\r\nbad")
+		return err == nil
+	})
+	require.Equal(t, reply{500, "", "bad", nil}, g.call("1", "/once/"))
+	require.Equal(t, reply{500, "", "bad", nil}, g.call("2", "/stream/"))
+	require.Len(t, g.seen(), 2)
+}
+
+// TestServer_ForeignAnswersReachNobody: a second answer on a kept connection belongs to no
+// request.
+func TestServer_ForeignAnswersReachNobody(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		id := r.Header.Get("Id")
+		body := "answer " + id
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: %s\r\nContent-Length: %d\r\n\r\n%s", id, len(body), body)
+		go func() { // late, on the idle connection
+			time.Sleep(5 * time.Millisecond)
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: %s\r\nContent-Length: 5\r\n\r\nextra", id)
+		}()
+		return err == nil
+	})
+	for i := range 20 {
+		id := fmt.Sprint("r", i)
+		require.Equal(t, reply{200, "", "answer " + id, nil}, g.call(id, "/safe/"))
+		time.Sleep(time.Duration(i) * time.Millisecond)
+	}
+}
+
+func TestServer_StreamsWholeEventsOnly(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 2)+"a\r\nid: 3\ndata\r\n")
+		return false
+	})
+	r := g.call("1", "/stream/")
+	require.Equal(t, 200, r.status)
+	require.ErrorIs(t, r.err, io.ErrUnexpectedEOF, "it must not look complete")
+	require.Equal(t, "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\n", r.body)
+}
+
+func TestServer_ResumesAfterTheLastWholeEvent(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		if r.Header.Get("Last") == "" {
+			_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 2)+"a\r\nid: 3\ndata\r\n")
+			return false
+		}
+		_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(3, 4)+"0\r\n\r\n")
+		return err == nil
+	})
+	r := g.call("1", "/resumed/")
+	require.NoError(t, r.err)
+	require.Equal(t, "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\nid: 3\ndata: word3\n\nid: 4\ndata: word4\n\n", r.body)
+	require.Equal(t, "2", g.seen()[1].last)
+}
+
+func TestServer_TimeoutsAnswerInTime(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", func(*http.Request, net.Conn) bool {
+		time.Sleep(3 * time.Second)
+		return false
+	})
+	begin := time.Now()
+	require.Equal(t, 504, g.call("1", "/once/").status)
+	require.InDelta(t, 1, time.Since(begin).Seconds(), 0.3)
+}
+
+func TestServer_CancelsWorkWhenTheCallerLeaves(t *testing.T) {
+	g := newRig(t)
+	gone := make(chan struct{})
+	g.upstream("u", func(_ *http.Request, c net.Conn) bool {
+		_ = c.SetReadDeadline(time.Now().Add(3 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); errors.Is(err, io.EOF) || strings.Contains(err.Error(), "reset") {
+			close(gone)
+		}
+		return false
+	})
+	c, err := net.Dial("tcp", g.address)
+	require.NoError(t, err)
+	_, err = io.WriteString(c, "GET /once/ HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: key\r\n\r\n")
+	require.NoError(t, err)
+	for len(g.seen()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	require.NoError(t, c.Close())
+	select {
+	case <-gone:
+	case <-time.After(500 * time.Millisecond):
+		t.Fatal("the upstream still works half a second later")
+	}
+}
+
+// TestServer_KeepsConversations: the upstream gets the inputs and outputs of the whole chain.
+func TestServer_KeepsConversations(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", stream(2))
+	require.Equal(t, 200, g.call("t1", "/kept/", "Program: p").status)
+	require.Equal(t, 200, g.call("t2", "/kept/", "Program: p", "Previous: t1").status)
+	require.Equal(t, 200, g.call("t3", "/kept/", "Program: q", "Previous: t1").status)
+	said := "word1\nword2\n"
+	requests := g.seen()
+	require.Equal(t, "asked t1", requests[0].body)
+	require.Equal(t, "asked t1"+said+"asked t2", requests[1].body)
+	require.Equal(t, "asked t1"+said+"asked t3", requests[2].body)
+	require.Equal(t, 2, g.ledger.begins, "the second turn began with what the first left here")
+	require.Equal(t, reply{404, "unknown_turn", "", nil}, g.call("t4", "/kept/", "Program: p", "Previous: t9"))
+}
+
+func TestServer_UnrecordedTurnsDoNotLookComplete(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", stream(2))
+	g.ledger.fail = errors.New("no majority")
+	r := g.call("t1", "/kept/", "Program: p")
+	require.Equal(t, 200, r.status)
+	require.Error(t, r.err)
+}
+
+func TestServer_BudgetsEnd(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", stream(9)) // 90 tokens
+	served := 0
+	for i := range 30 {
+		r := g.call(fmt.Sprint("t", i), "/stream/", "Program: p")
+		if r.status == 402 {
+			continue
+		}
+		require.Equal(t, 200, r.status)
+		served++
+	}
+	require.Equal(t, 11, served, "the twelfth could exceed 1,000")
+	require.Len(t, g.seen(), served)
+}
+
+func TestServer_KeysAreChecked(t *testing.T) {
+	g := newRig(t)
+	g.upstream("u", whole("answer"))
+	c, err := net.Dial("tcp", g.address)
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for _, call := range []struct {
+		path, key string
+		status    int
+	}{{"/safe/", "wrong", 401}, {"/safe/", "", 401}, {"/open/", "", 200}, {"/safe/", "key", 200}} {
+		_, err = fmt.Fprintf(c, "GET %s HTTP/1.1\r\nHost: h\r\nId: 1\r\nKey: %s\r\n\r\n", call.path, call.key)
+		require.NoError(t, err)
+		response, err := http.ReadResponse(r, nil)
+		require.NoError(t, err)
+		require.Equal(t, call.status, response.StatusCode, call)
+		_, err = io.Copy(io.Discard, response.Body)
+		require.NoError(t, err)
+	}
+	require.Len(t, g.seen(), 2)
+}
