--- a/cmd/egretrampd/main.go
+++ b/cmd/egretrampd/main.go
@@ -26,7 +26,7 @@
 
 type options struct {
 	Settings string `long:"settings" value-name:"FILE" description:"this VM's settings, JSON with comments"`
-	Platform bool   `long:"platform" description:"run on the users' platform; its settings file is named by EGRETRAMP_SETTINGS"`
+	Platform bool   `long:"platform" description:"run on the users' platform, with the settings file that its environment names"`
 	Check    bool   `long:"check-settings" description:"check the settings file and exit"`
 	Version  bool   `long:"version" description:"print the version and exit"`
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,7 +70,9 @@
 	if opts.Listen == nil {
 		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
-	debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	if s.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * memoryShare))
+	}
 	n := &Node{
 		opts: opts, settings: s, events: opts.Events,
 		self:    vmInfo{VM: s.Peers, Name: s.Name, Role: s.Role, Zone: s.Zone},
