--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -99,6 +99,7 @@
 		{"placement", "show how models are placed, orders under way and their last results", &placementCommand{tool: t}},
 		{"make-authority", "make an authority that issues a fleet's certificates", &makeAuthorityCommand{tool: t}},
 		{"make-certificate", "issue a certificate for a VM or an operator", &makeCertificateCommand{tool: t}},
+		{"explain", "tell the story of one request from the log files of VMs", &explainCommand{tool: t}},
 		{"hash-key", "read a key from standard input and print its SHA-256", &hashKeyCommand{tool: t}},
 	} {
 		if _, err := parser.AddCommand(c.name, c.short, c.short, c.command); err != nil {
--- a/internal/daemon/vars_test.go
+++ b/internal/daemon/vars_test.go
@@ -12,7 +12,7 @@
 func TestOperatingPage_ListsCounters(t *testing.T) {
 	source, err := os.ReadFile("vars.go")
 	require.NoError(t, err)
-	page, err := os.ReadFile("../../docs/OPERATING.md")
+	page, err := os.ReadFile("../../docs/OPERATIONS.md")
 	require.NoError(t, err)
 	names := regexp.MustCompile(`"([a-z]+_[a-z_]+)":`).FindAllSubmatch(source, -1)
 	require.NotEmpty(t, names)
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -69,6 +70,15 @@
 	return s.controller(x.service.Name).Admits(clock.Now(), x.rank())
 }
 
+// loadOf describes what an admission was decided on, for log lines.
+func (s *Server) loadOf(service string) string {
+	s.admissionMu.Lock()
+	defer s.admissionMu.Unlock()
+	c := s.controller(service)
+	return fmt.Sprintf("turns take %.2f times as long as on idle upstreams; %d programs under way, limit %.1f",
+		c.Slowdown(), c.Active(clock.Now()), c.Limit())
+}
+
 // underWay notes that the request's program is served here.
 func (s *Server) underWay(x *exchange) {
 	if x.call.Program == "" || x.route.Kind != routing.Streaming {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -309,7 +309,7 @@
 	x.reserved = true
 	x.known = x.known || result.Known
 	if !x.known && !x.admitted && !x.server.admits(x) {
-		return &Refusal{Reason: Overloaded, RetryAfter: x.overloadWait()}
+		return &Refusal{Reason: Overloaded, Detail: x.server.loadOf(x.service.Name), RetryAfter: x.overloadWait()}
 	}
 	x.server.underWay(x)
 	if len(result.Chain) > 0 {
