--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -164,18 +164,18 @@
 	return nil
 }
 
-// Query returns the document in force, CBOR-encoded; the query itself is empty.
+// Query returns the whole state, CBOR-encoded; the query itself is empty.
 func (m *Machine) Query([]byte) []byte {
-	data, err := cbor.Marshal(m.document)
+	data, err := cbor.Marshal(m.State())
 	if err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "catalog: cannot encode the document"))
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "catalog: cannot encode the state"))
 	}
 	return data
 }
 
-// DecodeDocument reads the answer to a query.
-func DecodeDocument(data []byte) (Document, error) {
-	var d Document
-	err := cbor.Unmarshal(data, &d)
-	return d, errors.Wrap(err, "catalog: decode the document")
+// DecodeState reads the answer to a query.
+func DecodeState(data []byte) (State, error) {
+	var s State
+	err := cbor.Unmarshal(data, &s)
+	return s, errors.Wrap(err, "catalog: decode the state")
 }
--- a/internal/catalog/machine_test.go
+++ b/internal/catalog/machine_test.go
@@ -29,9 +29,9 @@
 	require.Equal(t, Result{Superseded, 9}, apply(t, m, put(5, "five")))
 	require.Len(t, published, 2)
 
-	d, err := DecodeDocument(m.Query(nil))
+	state, err := DecodeState(m.Query(nil))
 	require.NoError(t, err)
-	require.Equal(t, Document{9, []byte("nine")}, d)
+	require.Equal(t, Document{9, []byte("nine")}, state.Document)
 }
 
 func TestMachine_SnapshotHoldsAll(t *testing.T) {
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -184,7 +185,11 @@
 	w.close = request.close || c.server.draining.Load()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stop := c.watch(cancel)
-	c.server.handler.Serve(ctx, w, request)
+	// The watch looks first: a caller that left while this VM was frozen or busy needs no answer.
+	runtime.Gosched()
+	if ctx.Err() == nil {
+		c.server.handler.Serve(ctx, w, request)
+	}
 	stop()
 	cancel(nil)
 	if !w.ended {
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -142,7 +142,7 @@
 
 func TestServer_SeesACallerLeave(t *testing.T) {
 	ended := make(chan error, 1)
-	_, _, address := start(t, func(ctx context.Context, w *Response, _ *Request) {
+	_, e, address := start(t, func(ctx context.Context, w *Response, _ *Request) {
 		<-ctx.Done()
 		ended <- context.Cause(ctx)
 		w.Abort()
@@ -150,6 +150,7 @@
 	c, _ := dial(t, address)
 	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	require.NoError(t, err)
+	<-e.requests // one that left before would not be served at all
 	require.NoError(t, c.Close())
 	require.ErrorIs(t, <-ended, ErrCallerGone)
 }
@@ -197,3 +198,28 @@
 	_, err = r.ReadByte()
 	require.ErrorIs(t, err, io.EOF)
 }
+
+// TestServer_DropsRequestsOfCallersThatLeft: what a caller sent before it left is not served once
+// this VM gets to it.
+func TestServer_DropsRequestsOfCallersThatLeft(t *testing.T) {
+	release := make(chan struct{})
+	_, e, address := start(t, func(_ context.Context, w *Response, r *Request) {
+		if r.Path == "/1" {
+			<-release
+		}
+		_ = w.Whole(http.StatusOK, nil, nil)
+	})
+	for range 20 {
+		c, err := net.Dial("tcp", address)
+		require.NoError(t, err)
+		_, err = io.WriteString(c, "GET /1 HTTP/1.1\r\nHost: h\r\n\r\nGET /2 HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		require.NoError(t, c.Close())
+	}
+	time.Sleep(50 * time.Millisecond)
+	close(release)
+	time.Sleep(100 * time.Millisecond)
+	for range len(e.requests) {
+		require.Equal(t, "/1", (<-e.requests).Path)
+	}
+}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -48,11 +48,12 @@
 	replicas  groups.Replicas
 	permits   *coordinator
 	table     atomic.Pointer[routing.Snapshot]
+	started   time.Duration
 	formWait  time.Duration // since when too few store VMs are known, 0 for not yet
 }
 
 func newControl(n *Node) (*control, error) {
-	c := &control{node: n}
+	c := &control{node: n, started: clock.Now()}
 	c.registrar = registry.NewRegistrar(time.Duration(missedBeats*float64(n.settings.Heartbeat)), clock.Now)
 	c.hub = newHub(epoch(), n.self, clock.Now, c.registrar, c.voters)
 	r, err := replica.New(replica.Options{
@@ -214,13 +215,32 @@
 
 // Document implements ControlService.
 func (c *control) Document(ctx context.Context) (catalog.Document, error) {
+	state, err := c.confirmed(ctx)
+	return state.Document, err
+}
+
+// confirmed returns the group's state as a majority confirms it after the call.
+func (c *control) confirmed(ctx context.Context) (catalog.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
 	answer, err := c.groups.Query(ctx, groups.Control, nil)
 	if err != nil {
-		return catalog.Document{}, errors.Mark(err, ErrUnavailable)
+		return catalog.State{}, errors.Mark(err, ErrUnavailable)
 	}
-	return catalog.DecodeDocument(answer)
+	return catalog.DecodeState(answer)
+}
+
+// storeVM returns the store VM with an operators' name. A control VM that has just started has
+// not heard all VMs yet, and can't say that there is none.
+func (c *control) storeVM(name string) (string, error) {
+	vm, ok := c.hub.vmByName(name)
+	switch {
+	case ok:
+		return vm, nil
+	case clock.Now()-c.started < memberSilence:
+		return "", ErrUnavailable
+	}
+	return "", ErrUnknownVM
 }
 
 // Register implements ControlService.
@@ -245,14 +265,18 @@
 }
 
 func (c *control) empty(ctx context.Context, name string) error {
-	vm, ok := c.hub.vmByName(name)
-	if !ok {
-		return ErrUnknownVM
+	vm, err := c.storeVM(name)
+	if err != nil {
+		return err
+	}
+	state, err := c.confirmed(ctx)
+	if err != nil {
+		return err
 	}
-	running, state := c.hub.stores()
 	if slices.Contains(state.Emptying, vm) {
 		return nil
 	}
+	running, _ := c.hub.stores()
 	staying := 0
 	for _, s := range running {
 		if s.VM != vm && !slices.Contains(state.Emptying, s.VM) {
@@ -264,17 +288,21 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
-	_, err := c.propose(ctx, catalog.Command{Empty: &catalog.Empty{VM: vm}})
+	_, err = c.propose(ctx, catalog.Command{Empty: &catalog.Empty{VM: vm}})
 	return err
 }
 
 // Emptied implements ControlService.
 func (c *control) Emptied(ctx context.Context, name string) (bool, error) {
-	vm, ok := c.hub.vmByName(name)
-	if !ok {
-		return false, ErrUnknownVM
+	vm, err := c.storeVM(name)
+	if err != nil {
+		return false, err
 	}
-	running, state := c.hub.stores()
+	state, err := c.confirmed(ctx)
+	if err != nil {
+		return false, err
+	}
+	running, _ := c.hub.stores()
 	if !slices.Contains(state.Emptying, vm) {
 		return false, ErrUnknownVM
 	}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -25,8 +25,6 @@
 	// needs two checks, a second apart, to notice.
 	drainNotice = 2500 * time.Millisecond
 	drainPoll   = 50 * time.Millisecond
-	// idleClose is how long before the end of the grace period idle connections are closed.
-	idleClose = 600 * time.Millisecond
 )
 
 // entry carries callers' requests.
@@ -38,6 +36,7 @@
 	permits   *permits
 	proxy     *proxy.Server
 	server    *httpwire.Server
+	listener  net.Listener // for callers
 	stopping  atomic.Bool
 }
 
@@ -103,6 +102,7 @@
 	if err := e.node.serveHTTP(ctx, wg, e.node.settings.Ready, e.node.opts.ReadyHandler(e.ready)); err != nil {
 		return errors.CombineErrors(err, listener.Close())
 	}
+	e.listener = listener
 	wg.Go(func() { e.node.fail(e.server.Serve(listener)) })
 	wg.Go(func() { e.closeAtEnd(ctx, listener) })
 	for range settleWorkers {
@@ -160,26 +160,44 @@
 
 func (e *entry) tend() { e.proxy.Tend() }
 
-// drain stops being ready, serves what still comes, and ends when no caller is connected.
+// drain stops being ready, serves what still comes, and ends when nothing is under way. New
+// connections are taken only as long as a request on them can end in time.
 func (e *entry) drain(ctx context.Context) {
 	e.stopping.Store(true)
 	wait(ctx, drainNotice)
 	e.server.Drain()
 	deadline, _ := ctx.Deadline()
+	refusing := false
 	for ctx.Err() == nil {
 		conns, busy := e.server.Open()
-		if conns == 0 || busy == 0 && time.Until(deadline) < idleClose {
+		if !refusing && (conns == 0 || time.Until(deadline) < e.longestRequest()) {
+			refusing = true
+			_ = e.listener.Close()
+			e.server.CloseIdle()
+			continue
+		}
+		if refusing && busy == 0 {
 			break
 		}
 		wait(ctx, drainPoll)
 	}
-	e.server.CloseIdle()
 	// What was to be settled later is settled now, as far as time allows.
 	for len(e.ledger.later) > 0 && ctx.Err() == nil {
 		wait(ctx, drainPoll)
 	}
 }
 
+// longestRequest is the time that a request may take by the configuration in force.
+func (e *entry) longestRequest() time.Duration {
+	longest := time.Duration(0)
+	if table := e.table.Load(); table != nil {
+		for i := range table.Routes {
+			longest = max(longest, table.Routes[i].Timeout)
+		}
+	}
+	return longest
+}
+
 func wait(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
