--- a/Makefile
+++ b/Makefile
@@ -22,7 +22,7 @@
 	bin/egretramp-bench
 
 lint:
-	@unformatted=$$(gofmt -l cmd internal); \
+	@unformatted=$$(gofmt -l cmd internal platform); \
 	if [ -n "$$unformatted" ]; then echo "gofmt would change: $$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -62,13 +62,6 @@
 	h.wake()
 }
 
-// document returns the newest document that this VM knows.
-func (h *hub) document() catalog.Document {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	return h.state.Document
-}
-
 func (h *hub) wake() {
 	close(h.changed)
 	h.changed = make(chan struct{})
@@ -144,7 +137,7 @@
 		slices.Equal(a.StoreVMs, b.StoreVMs) && slices.Equal(a.Emptying, b.Emptying) && a.Entries == b.Entries
 }
 
-// entries returns the number of entry VMs that are running, and all that are remembered.
+// entries returns the number of entry VMs that are running.
 func (h *hub) entries() int {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -205,19 +205,6 @@
 	return append(answering, others...)
 }
 
-// answering returns the number of control VMs that answer.
-func (w *watcher) answering() int {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	n := 0
-	for _, c := range w.contacts {
-		if c.heard > 0 && !c.lost {
-			n++
-		}
-	}
-	return n
-}
-
 // storesView is the union of what the control VMs report about store VMs.
 type storesView struct {
 	running  []vmInfo
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -42,8 +42,8 @@
 	written  chan error // the result of a write beside; nil if the write is over
 }
 
-// exchange1 sends the request and passes the answer on.
-func (a *attempt) exchange1() (outcome, error) {
+// roundTrip sends the request and passes the answer on.
+func (a *attempt) roundTrip() (outcome, error) {
 	sent, err := a.send()
 	if err != nil {
 		if sent {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -184,7 +184,7 @@
 	defer s.health.end(u.ID)
 	started := time.Now()
 	a := &attempt{exchange: x, conn: conn, upstream: u, started: started}
-	result, err := a.exchange1()
+	result, err := a.roundTrip()
 	if !a.reusable || !stop() {
 		_ = conn.Close()
 	} else {
