--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -20,8 +20,11 @@
 	permitTime = 300 * time.Millisecond
 	// permitInterval is the time between requests for permits while there is use.
 	permitInterval = 200 * time.Millisecond
-	// permitWait bounds how long a request waits for a permit that may be on its way.
+	// permitWait bounds how long a request waits for a permit that is on its way, or that its
+	// account's rate brings in that time.
 	permitWait = 300 * time.Millisecond
+	// minPermitWait keeps waiting requests from asking all the time.
+	minPermitWait = 20 * time.Millisecond
 )
 
 // permits are an entry VM's permits. It is safe for concurrent use.
@@ -72,7 +75,7 @@
 	if p.holder.Take(p.clock(), account.Name, limit) {
 		return true, 0
 	}
-	deadline := time.After(permitWait)
+	started, deadline := time.Now(), time.After(permitWait)
 	p.waiting[account.Name]++
 	defer func() {
 		if p.waiting[account.Name]--; p.waiting[account.Name] == 0 {
@@ -97,8 +100,25 @@
 		if p.holder.Take(p.clock(), account.Name, limit) {
 			return true, 0
 		}
+		if !ended {
+			break
+		}
 		// Without a shortage the permits went to others that waited for the same round.
-		if !ended || round.asks[account.Name] && p.holder.Short(account.Name) {
+		if !round.asks[account.Name] || !p.holder.Short(account.Name) {
+			continue
+		}
+		// The refusal of one call can end a whole program, so one that may pass soon waits for it.
+		soon := p.holder.Wait(p.clock(), account.Name)
+		if begins || time.Since(started)+soon > permitWait {
+			break
+		}
+		p.mu.Unlock()
+		select {
+		case <-time.After(max(soon, minPermitWait)):
+		case <-ctx.Done():
+		}
+		p.mu.Lock()
+		if ctx.Err() != nil {
 			break
 		}
 	}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -15,6 +15,9 @@
 	ContactLimit = 600 * time.Millisecond
 	// holderRetention is for how long a silent entry VM keeps its share reserved.
 	holderRetention = 30 * time.Second
+	// headStart is the time at the rate that a new coordinator's buckets begin with: accounts go on,
+	// and the allowance for windows bears that much beside what the predecessor gave out.
+	headStart = 250 * time.Millisecond
 	// warmUp is for how long after its start a coordinator's empty buckets say nothing about use.
 	warmUp = 2 * time.Second
 )
@@ -49,7 +52,8 @@
 	filled time.Duration
 }
 
-// Coordinator gives out permits. Its buckets start empty: a predecessor may have given out all.
+// Coordinator gives out permits. Its buckets start nearly empty: a predecessor may have given out
+// all.
 type Coordinator struct {
 	buckets map[string]*bucket
 	holders map[string]time.Duration // when an entry VM was heard last
@@ -91,7 +95,7 @@
 		limit.PerSecond *= float64(heard) / float64(holders)
 		b := c.buckets[account]
 		if b == nil {
-			b = &bucket{filled: c.started}
+			b = &bucket{filled: c.started - headStart}
 			c.buckets[account] = b
 		}
 		b.fill(now, limit)
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -33,7 +33,7 @@
 
 type holding struct {
 	permits float64
-	use     float64 // decaying count of requests
+	use     float64 // decaying count of requests that passed
 	at      time.Duration
 	wait    time.Duration // when to come back, as told last
 	told    time.Duration
@@ -63,9 +63,9 @@
 // Take takes a permit for one request of an account.
 func (h *Holder) Take(now time.Duration, account string, limit Rate) bool {
 	a := h.holding(account, now)
-	a.use++
 	if a.permits >= 1 {
 		a.permits--
+		a.use++
 		return true
 	}
 	if !h.Lost(now) {
@@ -88,6 +88,7 @@
 		return false
 	}
 	a.share.tokens--
+	a.use++
 	return true
 }
 
