--- /dev/null
+++ b/internal/events/output_test.go
@@ -0,0 +1,64 @@
+package events
+
+import (
+	"bytes"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// stuckWriter writes nothing until it is released, like a pipe that nobody reads.
+type stuckWriter struct {
+	release chan struct{}
+	mu      sync.Mutex
+	written bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.release
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.written.Write(p)
+}
+
+func (w *stuckWriter) lines() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return strings.Count(w.written.String(), "\n")
+}
+
+func TestOutput_NeverBlocks(t *testing.T) {
+	w := &stuckWriter{release: make(chan struct{})}
+	o := NewOutput(w)
+	log := NewTo("vm", zapcore.InfoLevel, o)
+	const lines = 20_000
+	begin := time.Now()
+	for range lines {
+		log.Emit(ProxyRefused, zap.String("request", "0123456789abcdef"), zap.String("reason", "over_rate"))
+	}
+	require.Less(t, time.Since(begin), 2*time.Second, "a line waited for its reader")
+	require.Positive(t, o.Dropped())
+	log.Sync()
+	require.Less(t, time.Since(begin), 3*time.Second, "the end of the process waited for the reader")
+
+	close(w.release)
+	kept := lines - int(o.Dropped())
+	require.Eventually(t, func() bool { return w.lines() >= kept }, 5*time.Second, 10*time.Millisecond)
+	require.Equal(t, kept, w.lines(), "what was not dropped is written whole and once")
+}
+
+func TestOutput_WritesSoon(t *testing.T) {
+	w := &stuckWriter{release: make(chan struct{})}
+	close(w.release)
+	log := NewTo("vm", zapcore.InfoLevel, NewOutput(w))
+	log.Emit(NodeStarted)
+	log.Emit(NodeStopped)
+	log.Sync()
+	require.Equal(t, 2, w.lines())
+	require.Contains(t, w.written.String(), `"vm":"vm","event":2400`)
+}
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -150,6 +150,8 @@
 	lastRepair  int
 	memberCount int
 	err         error
+	// open is set where the group chooses its voters; see simopen_test.go.
+	open *openFleet
 }
 
 const (
@@ -211,6 +213,9 @@
 		electionTicks: simElectionTicks, heartbeatTicks: simHeartbeatTicks, snapshotEvery: simSnapshotEvery,
 		seed: s.random.Int63(), send: func(vm string, message *raftpb.Message) { s.transmit(m.vm, vm, message) },
 	}
+	if s.open != nil {
+		s.open.configure(s, m, &options)
+	}
 	n, err := newNode(options, m.disk, m.disk.state)
 	if err != nil {
 		s.fail(errors.Wrapf(err, "VM %s does not restart", m.vm))
@@ -274,7 +279,10 @@
 func (s *simulation) step() {
 	s.now++
 	s.deliver()
-	if s.faults {
+	switch {
+	case s.open != nil:
+		s.open.step(s)
+	case s.faults:
 		s.injectFaults()
 	}
 	s.request()
--- /dev/null
+++ b/internal/replica/simopen_test.go
@@ -0,0 +1,260 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+// openFleet makes a simulation play a group that chooses its voters: machines come, are lost for
+// good and replaced under other names, lose their disks, and are emptied and taken away, amid the
+// crashes, freezes and cuts of the other simulation.
+type openFleet struct {
+	voters  int
+	started int // machines so far; names are never used again
+	leaving map[string]bool
+	wiped   map[string]bool // they only join
+	counts  openCounts
+}
+
+// openCounts say what a run did.
+type openCounts struct{ replaced, wiped, emptied, added int }
+
+const openSpares = 2
+
+func newOpenSimulation(seed int64) *simulation {
+	s := newSimulation(seed)
+	s.open = &openFleet{voters: len(s.initial), started: len(s.initial), leaving: map[string]bool{}, wiped: map[string]bool{}}
+	for _, m := range s.machines {
+		s.boot(m)
+	}
+	for range s.random.Intn(openSpares + 1) {
+		s.open.add(s)
+	}
+	return s
+}
+
+func (f *openFleet) configure(s *simulation, m *machine, o *nodeOptions) {
+	first := slices.Contains(s.initial, m.vm) && !f.wiped[m.vm]
+	if !first {
+		o.initialVMs = nil
+	}
+	o.membership = OpenMembership{
+		Voters: f.voters, JoinOnly: !first,
+		Contacts: func() []string {
+			var vms []string
+			for _, other := range s.machines {
+				vms = append(vms, other.vm)
+			}
+			return vms
+		},
+		Leaving: func(vm string) bool { return f.leaving[vm] },
+	}
+}
+
+func (f *openFleet) add(s *simulation) {
+	f.started++
+	s.addMachine(fmt.Sprintf("n%03d", f.started))
+}
+
+// step ends what is complete and starts faults and orders.
+func (f *openFleet) step(s *simulation) {
+	f.takeAwayEmptied(s)
+	if leader := s.leader(); leader != nil && f.leaving[leader.vm] && s.now%5 == 0 {
+		leader.node.raft.TransferLeadership()
+	}
+	if !s.faults {
+		return
+	}
+	m := s.machines[s.random.Intn(len(s.machines))]
+	switch {
+	case s.chance(8) && m.node != nil:
+		s.crashMachine(m, 1+s.random.Intn(80))
+	case s.chance(8):
+		m.frozenUntil = s.now + 1 + s.random.Intn(60)
+	case s.chance(10):
+		s.cutSomeone(m)
+	case s.chance(30):
+		s.cut = map[[2]string]bool{}
+	case s.chance(15) && f.mayLose(s, m):
+		f.counts.wiped++
+		s.crashMachine(m, 1+s.random.Intn(30))
+		s.wipe(m)
+		f.wiped[m.vm] = true
+	case s.chance(15) && f.mayLose(s, m):
+		f.counts.replaced++
+		f.remove(s, m)
+		f.add(s)
+	case s.chance(5) && len(s.machines) < f.voters+openSpares+1:
+		f.counts.added++
+		f.add(s)
+	case s.chance(10) && len(s.machines)-len(f.leaving) > f.voters && len(f.leaving) == 0:
+		f.leaving[m.vm] = true
+	case s.chance(10):
+		s.transferLeadership()
+	}
+}
+
+func (f *openFleet) remove(s *simulation, gone *machine) {
+	s.machines = slices.DeleteFunc(s.machines, func(m *machine) bool { return m == gone })
+	delete(f.leaving, gone.vm)
+}
+
+// mayLose allows the loss of a disk if no more are lost then, of voters and learners, than the
+// voters wanted bear. A learner counts as well: it may become a voter in that very moment.
+func (f *openFleet) mayLose(s *simulation, m *machine) bool {
+	leader := s.leader()
+	if !s.led || leader == nil || leader.node.raft.ChangePending() || leader.node.raft.Term() < f.highestTerm(s) {
+		return false
+	}
+	voters, lost := 0, 1
+	for _, member := range leader.node.raft.Conf().Members {
+		if !member.Learner {
+			voters++
+		}
+		if member.Vm != m.vm && !s.hasDisk(member, leader) {
+			lost++
+		}
+	}
+	return voters >= f.voters && lost <= (f.voters-1)/2
+}
+
+func (f *openFleet) highestTerm(s *simulation) uint64 {
+	highest := uint64(0)
+	for _, m := range s.machines {
+		if m.node != nil && m.node.bound() {
+			highest = max(highest, m.node.raft.Term())
+		}
+	}
+	return highest
+}
+
+// takeAwayEmptied removes a machine that is to be emptied once the group has committed that it
+// holds nothing, as operators do at once.
+func (f *openFleet) takeAwayEmptied(s *simulation) {
+	leader := s.leader()
+	if leader == nil || leader.node.raft.ChangePending() || leader.node.raft.Term() < f.highestTerm(s) {
+		return
+	}
+	for vm := range f.leaving {
+		member := false
+		for _, m := range leader.node.raft.Conf().Members {
+			member = member || m.Vm == vm
+		}
+		if member || leader.vm == vm {
+			continue
+		}
+		for _, m := range s.machines {
+			if m.vm == vm {
+				f.counts.emptied++
+				f.remove(s, m)
+				break
+			}
+		}
+	}
+}
+
+// checkOpen tells whether the group has the voters that it wants, all with their disks.
+func (s *simulation) checkOpen() error {
+	leader := s.leader()
+	if leader == nil {
+		return errors.New("liveness: no leader after all faults ended")
+	}
+	voters := 0
+	for _, member := range leader.node.raft.Conf().Members {
+		if member.Learner {
+			continue
+		}
+		voters++
+		if !s.hasDisk(member, leader) {
+			return errors.Newf("liveness: voter %s is not replaced", member.Vm)
+		}
+		for _, m := range s.machines {
+			if m.vm != member.Vm {
+				continue
+			}
+			if m.node.applied+50 < leader.node.applied {
+				return errors.Newf("liveness: VM %s applied %d, the leader %d", m.vm, m.node.applied, leader.node.applied)
+			}
+			if err := s.checker.Kept(member.Id, recentlyKnown(m, leader)); err != nil {
+				return err
+			}
+		}
+	}
+	switch {
+	case voters != s.open.voters:
+		return errors.Newf("liveness: %d voters, %d are wanted", voters, s.open.voters)
+	case len(s.open.leaving) > 0:
+		return errors.Newf("liveness: %v is not emptied", s.open.leaving)
+	case s.checker.AckedCount() == 0:
+		return errors.New("liveness: nothing was acknowledged")
+	}
+	return nil
+}
+
+func runOpenSeed(seed int64) (s *simulation, err error) {
+	s = newOpenSimulation(seed)
+	defer func() {
+		if r := recover(); r != nil {
+			err = errors.Newf("tick %d: %v", s.now, r)
+		}
+	}()
+	for range faultyTicks {
+		if s.step(); s.err != nil {
+			return s, errors.Wrapf(s.err, "tick %d", s.now)
+		}
+	}
+	s.faults = false
+	for _, m := range s.machines {
+		m.frozenUntil, m.downUntil = 0, 0
+	}
+	for tick := range healTicks {
+		if s.step(); s.err != nil {
+			return s, errors.Wrapf(s.err, "tick %d", s.now)
+		}
+		if tick%settleTicks == settleTicks-1 {
+			if err = s.checkOpen(); err == nil {
+				return s, nil
+			}
+		}
+	}
+	return s, err
+}
+
+func TestSimulation_OpenGroupsKeepTheirPromises(t *testing.T) {
+	var group sync.WaitGroup
+	var lock sync.Mutex
+	var failures []string
+	var done openCounts
+	acked := 0
+	for worker := range parallelSeeds {
+		group.Go(func() {
+			for i := worker; i < *seedCount; i += parallelSeeds {
+				seed := *firstSeed + int64(i)
+				s, err := runOpenSeed(seed)
+				lock.Lock()
+				acked += s.checker.AckedCount()
+				c := s.open.counts
+				done = openCounts{done.replaced + c.replaced, done.wiped + c.wiped, done.emptied + c.emptied, done.added + c.added}
+				if err != nil {
+					failures = append(failures, fmt.Sprintf("seed %d: %v", seed, err))
+				}
+				lock.Unlock()
+			}
+		})
+	}
+	group.Wait()
+	for _, f := range failures[:min(len(failures), 10)] {
+		t.Log(f)
+	}
+	t.Logf("%d seeds, %d acknowledged commands, %+v", *seedCount, acked, done)
+	require.Empty(t, failures, "run a seed alone with -raft.first=SEED -raft.seeds=1")
+	require.NotZero(t, done.replaced)
+	require.NotZero(t, done.wiped)
+	require.NotZero(t, done.emptied)
+	require.NotZero(t, done.added)
+}
