--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 SEED ?= 1
 DURATION ?= 30s
 
-.PHONY: all build demo test soak bench lint generate
+.PHONY: all build demo test soak platform-soak bench lint generate
 
 all: build
 
@@ -18,6 +18,9 @@
 soak: build
 	bin/egretramp-soak --seed $(SEED) --duration $(DURATION)
 
+platform-soak: build
+	bin/egretramp-platform-soak --seed $(SEED) --duration $(DURATION)
+
 bench: build
 	bin/egretramp-bench
 
