--- a/internal/replica/simfaults_test.go
+++ b/internal/replica/simfaults_test.go
@@ -182,16 +182,8 @@
 		if member.Learner || !s.hasDisk(member, leader) {
 			return errors.Newf("liveness: VM %s is not repaired", member.Vm)
 		}
-		for _, m := range s.machines {
-			if m.vm != member.Vm {
-				continue
-			}
-			if m.node.applied+50 < leader.node.applied {
-				return errors.Newf("liveness: VM %s applied %d, the leader %d", m.vm, m.node.applied, leader.node.applied)
-			}
-			if err := s.checker.Kept(member.Id, recentlyKnown(m, leader)); err != nil {
-				return err
-			}
+		if err := s.checkFollows(member, leader); err != nil {
+			return err
 		}
 	}
 	if s.checker.AckedCount() == 0 {
@@ -200,6 +192,22 @@
 	return nil
 }
 
+// checkFollows tells whether a member's machine is near the leader and has all that was acknowledged.
+func (s *simulation) checkFollows(member *raftpb.Member, leader *machine) error {
+	for _, m := range s.machines {
+		if m.vm != member.Vm {
+			continue
+		}
+		if m.node.applied+50 < leader.node.applied {
+			return errors.Newf("liveness: VM %s applied %d, the leader %d", m.vm, m.node.applied, leader.node.applied)
+		}
+		if err := s.checker.Kept(member.Id, recentlyKnown(m, leader)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // recentlyKnown completes a follower's state by what the leader has applied ahead of it.
 func recentlyKnown(m, leader *machine) map[uint64]uint64 {
 	state := map[uint64]uint64{}
--- a/internal/replica/simopen_test.go
+++ b/internal/replica/simopen_test.go
@@ -173,16 +173,8 @@
 		if !s.hasDisk(member, leader) {
 			return errors.Newf("liveness: voter %s is not replaced", member.Vm)
 		}
-		for _, m := range s.machines {
-			if m.vm != member.Vm {
-				continue
-			}
-			if m.node.applied+50 < leader.node.applied {
-				return errors.Newf("liveness: VM %s applied %d, the leader %d", m.vm, m.node.applied, leader.node.applied)
-			}
-			if err := s.checker.Kept(member.Id, recentlyKnown(m, leader)); err != nil {
-				return err
-			}
+		if err := s.checkFollows(member, leader); err != nil {
+			return err
 		}
 	}
 	switch {
