registry: upstreams that come back to a control VM are reported again; silent ones are a last resort

Ruled out: store and control groups (leaders were there, turns began within 7 ms; every refusal was no_upstream). A control VM that sees registrations missing reports the upstream anew.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -1,12 +1,14 @@
 package registry
 
 import (
+	"maps"
 	"sort"
 	"sync"
 	"sync/atomic"
 )
 
-// View is an immutable list of the upstreams that may get work, by service, ordered by ID.
+// View is an immutable list of the upstreams that may get work, by service, ordered by ID. They
+// are Ready, or all Gone where a service has none that is ready: those may still be there.
 type View struct {
 	Services map[string][]Upstream
 }
@@ -94,11 +96,12 @@
 }
 
 // publish makes the list anew. Of two upstreams at one address only the one that started later
-// can still be there.
+// can still be there. A service all of whose upstreams fell silent keeps them: they may only be
+// cut off from the control VMs.
 func (d *Directory) publish() {
 	latest := map[string]*merged{}
 	for _, known := range d.entries {
-		if known.upstream.State == Gone {
+		if known.upstream.State == Gone && !known.upstream.Expired {
 			continue
 		}
 		at := latest[known.upstream.Address]
@@ -112,6 +115,13 @@
 			view.Services[known.upstream.Service] = append(view.Services[known.upstream.Service], known.upstream)
 		}
 	}
+	silent := map[string][]Upstream{}
+	for _, known := range latest {
+		if u := known.upstream; u.State == Gone && len(view.Services[u.Service]) == 0 {
+			silent[u.Service] = append(silent[u.Service], u)
+		}
+	}
+	maps.Copy(view.Services, silent)
 	for _, list := range view.Services {
 		sort.Slice(list, func(i, j int) bool { return list[i].ID < list[j].ID })
 	}
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -43,7 +43,10 @@
 		if known.upstream.State == Gone && !known.upstream.Expired && u.Born == known.upstream.Born {
 			return false // an incarnation that left doesn't come back
 		}
-		if u.sameUse(&known.upstream) {
+		// Where registrations are missing, another control VM got them. It will take the upstream for
+		// silent, so entry VMs must learn that it is heard here.
+		missed := u.Sequence > known.upstream.Sequence+1
+		if u.sameUse(&known.upstream) && !missed {
 			known.upstream.Sequence = u.Sequence
 			known.heard = now
 			return false
