gateway: calls that wait for an upstream are refused before a stopped process ends

The log of the VM: "graceful shutdown reached its limit with requests under way"; no engine had run the call meanwhile. Ruled out: a slow engine (no run in the records), the record (no outage). Waits for an upstream now end 2.5 s before the process does, with a refusal that says not run. Test: TestServer_DrainEndsWaits; without the bound the call waits for the whole 60 s.

--- a/internal/daemon/http.go
+++ b/internal/daemon/http.go
@@ -151,8 +151,9 @@
 // has noticed, then waits for the requests under way, up to the limit or a second signal.
 func (d *Daemon) shutdown(s *serving, hurry <-chan os.Signal) {
 	d.events.Emit(events.DaemonDraining, zap.Int("requests", d.gateway.InFlight()))
-	d.gateway.Drain()
-	ctx, cancel := d.shutdownContext(hurry)
+	limit := time.Duration(d.settings.ShutdownLimitSeconds * float64(time.Second))
+	d.gateway.Drain(limit)
+	ctx, cancel := shutdownContext(limit, hurry)
 	defer cancel()
 	pause(ctx, drainGrace)
 	s.expectErrors()
@@ -176,8 +177,7 @@
 }
 
 // shutdownContext returns a context that ends with the shutdown limit or a second signal.
-func (d *Daemon) shutdownContext(hurry <-chan os.Signal) (context.Context, context.CancelFunc) {
-	limit := time.Duration(d.settings.ShutdownLimitSeconds * float64(time.Second))
+func shutdownContext(limit time.Duration, hurry <-chan os.Signal) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(context.Background(), limit)
 	go func() {
 		select {
--- a/internal/gateway/chatattempt.go
+++ b/internal/gateway/chatattempt.go
@@ -83,7 +83,7 @@
 }
 
 func (s *Server) acquire(ctx context.Context, kind config.UpstreamKind, name, zone string, r schedule.Request) (*dispatch.Grant, error) {
-	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
+	ctx, cancel := s.awaiting(ctx)
 	defer cancel()
 	return s.opts.Dispatcher.Acquire(ctx, kind, name, zone, r)
 }
--- /dev/null
+++ b/internal/gateway/drain_test.go
@@ -0,0 +1,62 @@
+package gateway
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/config"
+	"egretramp/internal/dispatch"
+	"egretramp/internal/program"
+	"egretramp/internal/refusal"
+	"egretramp/internal/schedule"
+)
+
+// busyDispatcher never has a grant: its requests wait until they give up.
+type busyDispatcher struct {
+	*testDispatcher
+	waiting chan struct{}
+}
+
+func (d *busyDispatcher) Acquire(ctx context.Context, _ config.UpstreamKind, _, _ string, _ schedule.Request) (*dispatch.Grant, error) {
+	d.waiting <- struct{}{}
+	<-ctx.Done()
+	return nil, &dispatch.Error{Code: dispatch.CodeTimeout}
+}
+
+// TestServer_DrainEndsWaits: a call that waits for an upstream while its VM is stopped learns
+// before the process ends that it has not run. Found by the soak's seed 503.
+func TestServer_DrainEndsWaits(t *testing.T) {
+	for _, before := range []bool{true, false} { // the call comes before the drain, or after
+		g := newTestGateway(t, "")
+		busy := &busyDispatcher{g.dispatcher, make(chan struct{}, 1)}
+		g.server.opts.Dispatcher = busy
+		_, err := g.ledger.Create(context.Background(), program.Create{Account: "ana", Name: "p", Ceiling: program.Budget{Tokens: 10_000, Calls: 10}}, program.PlaceMajority)
+		require.NoError(t, err)
+		const left = 300 * time.Millisecond
+		drain := func() { g.server.Drain(drainMargin + left) }
+		if !before {
+			drain()
+		}
+		started := time.Now()
+		texts := make(chan string, 1)
+		go func() {
+			_, text := g.post(t, "/v1/chat/completions", wholeChat, headerProgram, "p", headerTurn, "1")
+			texts <- text
+		}()
+		<-busy.waiting
+		if before {
+			drain()
+		}
+		select {
+		case text := <-texts:
+			_, notRun := errorOf(t, text)
+			require.Equal(t, refusal.True, notRun, text)
+		case <-time.After(left + drainMargin):
+			t.Fatal("the call still waits when the process ends")
+		}
+		require.GreaterOrEqual(t, time.Since(started), left/2)
+	}
+}
--- a/internal/gateway/server.go
+++ b/internal/gateway/server.go
@@ -82,7 +82,10 @@
 	// background does what no caller waits for: settling turns and cancelling calls.
 	background conc.WaitGroup
 	draining   atomic.Bool
-	stats      Stats
+	// waits ends when calls may not wait for upstreams any more.
+	waits    context.Context
+	endWaits context.CancelFunc
+	stats    Stats
 }
 
 // Stats count what callers asked for and got.
@@ -98,6 +101,7 @@
 		opts.Clock = clock.Now
 	}
 	s := &Server{opts: opts, inflight: newInflight(), retries: newRetryBudget(), attempts: newAttempts()}
+	s.waits, s.endWaits = context.WithCancel(context.Background())
 	s.router = s.routes()
 	return s
 }
@@ -108,9 +112,6 @@
 // InFlight returns how many requests are under way.
 func (s *Server) InFlight() int { return s.inflight.count() }
 
-// Drain makes the server ask callers to close their connections; requests are still served.
-func (s *Server) Drain() { s.draining.Store(true) }
-
 // Draining reports whether Drain was called.
 func (s *Server) Draining() bool { return s.draining.Load() }
 
--- a/internal/gateway/suspects.go
+++ b/internal/gateway/suspects.go
@@ -37,7 +37,7 @@
 
 // enter waits for leave to run a request.
 func (s *Server) enter(ctx context.Context, f suspect.Fingerprint, subject string, notRun refusal.NotRun) (*suspect.Leave, *refusal.Refusal) {
-	ctx, cancel := context.WithTimeout(ctx, maxQueueWait)
+	ctx, cancel := s.awaiting(ctx)
 	defer cancel()
 	leave, err := s.opts.Suspects.Enter(ctx, f, subject)
 	switch {
