reach: zones that fall silent are given up, and VMs apart from the store are not ready

An entry VM now judges each 100 ms which zones are silent while others speak, ends what hangs there (resumed elsewhere if the route allows), and is not ready while a partition separates it from the store. One silent connection is weak evidence (VMs that aren't used are let go after 10 s, so most zones have one): it needs 1.2 s.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -16,6 +16,7 @@
 	"egretramp/internal/httpwire"
 	"egretramp/internal/proxy"
 	"egretramp/internal/quota"
+	"egretramp/internal/reach"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
 )
@@ -38,10 +39,12 @@
 	server    *httpwire.Server
 	listener  net.Listener // for callers
 	stopping  atomic.Bool
+	reach     *reach.Judge // used by one goroutine
+	isolated  atomic.Bool
 }
 
 func newEntry(n *Node) *entry {
-	e := &entry{node: n}
+	e := &entry{node: n, reach: reach.New(n.settings.Zone)}
 	e.directory = registry.NewDirectory(func(u registry.Upstream) { e.proxy.Gone(u) })
 	storeVMs := func(uint64) []string {
 		view := n.watcher.stores()
@@ -59,7 +62,7 @@
 	}
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
-		Ledger: e.ledger, Limiter: e.permits, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
+		Ledger: e.ledger, Limiter: e.permits, Isolated: e.isolated.Load, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
 	e.server = httpwire.New(e.proxy, e.limits)
 	return e
@@ -109,6 +112,7 @@
 		wg.Go(func() { e.ledger.settle(ctx) })
 	}
 	wg.Go(func() { clock.Repeat(ctx, permitInterval, e.permits.tend) })
+	wg.Go(func() { clock.Repeat(ctx, reach.Interval, e.judgeZones) })
 	return nil
 }
 
@@ -119,7 +123,52 @@
 }
 
 // ready reports whether callers should be sent here.
-func (e *entry) ready() bool { return e.table.Load() != nil && !e.stopping.Load() }
+func (e *entry) ready() bool {
+	return e.table.Load() != nil && !e.stopping.Load() && !e.isolated.Load()
+}
+
+// judgeZones finds the availability zones that can't be reached, and whether most can't.
+func (e *entry) judgeZones() {
+	seen := map[string]*reach.Observation{}
+	of := func(zone string) *reach.Observation {
+		if seen[zone] == nil {
+			seen[zone] = &reach.Observation{Zone: zone}
+		}
+		return seen[zone]
+	}
+	for vm, zone := range e.node.watcher.zones() {
+		o := of(zone)
+		if age, up := e.node.network.Heard(vm); up {
+			o.Expected++
+			o.Heard = o.Heard || age <= reach.Interval
+		}
+	}
+	for zone, traffic := range e.proxy.ZoneTraffic() {
+		if o := seen[zone]; o != nil { // a zone without VMs can't be judged when it has no traffic
+			o.Expected += traffic.Waiting
+			o.Heard = o.Heard || traffic.Heard
+		}
+	}
+	observations := make([]reach.Observation, 0, len(seen))
+	for _, o := range seen {
+		observations = append(observations, *o)
+	}
+	for _, change := range e.reach.Round(clock.Now(), observations) {
+		e.proxy.SetReachable(change.Zone, change.Reachable)
+		event := events.ZoneUnreachable
+		if change.Reachable {
+			event = events.ZoneReachable
+		}
+		e.node.events.Emit(event, zap.String("zone", change.Zone), zap.Duration("silent", change.Silent))
+	}
+	if isolated := e.reach.Isolated(!e.ledger.silent()); isolated != e.isolated.Swap(isolated) {
+		event := events.NodeNotIsolated
+		if isolated {
+			event = events.NodeIsolated
+		}
+		e.node.events.Emit(event)
+	}
+}
 
 func (e *entry) documentVersion() uint64 {
 	if t := e.table.Load(); t != nil {
--- a/internal/node/ledger.go
+++ b/internal/node/ledger.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,9 +17,13 @@
 	storeTry = 400 * time.Millisecond
 	// beginTime bounds the begin of a turn: an election and a few tries.
 	beginTime = 1200 * time.Millisecond
-	// outageTime is the time without success after which turns get only probeTime.
-	outageTime = 300 * time.Millisecond
+	// outageTime is the time without an answer after which turns get only probeTime: one turn has
+	// waited for an election in vain, and some more.
+	outageTime = beginTime + 300*time.Millisecond
 	probeTime  = 45 * time.Millisecond
+	// silenceTime is the time without an answer after which the store counts as out of reach
+	// beside a partition: about an election.
+	silenceTime = 700 * time.Millisecond
 	// settleTime is for how long the settlement of a turn is tried.
 	settleTime = 20 * time.Second
 	// settleQueue is the number of settlements that wait; further ones are dropped, and their
@@ -38,8 +41,7 @@
 	groups *groups.Client
 	events *events.Logger
 	later  chan settlement
-	// failing is the time since boot since when no turn could begin, 0 if the last one could.
-	failing atomic.Int64
+	outage groups.Outage
 }
 
 // settlement is a turn's end that nobody waits for.
@@ -56,20 +58,17 @@
 // one short try: its caller is better off to come back than to wait.
 func (l *ledger) Begin(ctx context.Context, b turns.Begin) (turns.Result, error) {
 	limit := beginTime
-	if since := l.failing.Load(); since != 0 && clock.Now()-time.Duration(since) > outageTime {
+	if l.outage.Length(clock.Now()) > outageTime {
 		limit = probeTime
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	result, err := l.run(ctx, turns.Command{Begin: &b})
-	if err != nil {
-		l.failing.CompareAndSwap(0, int64(clock.Now()))
-		return turns.Result{}, err
-	}
-	l.failing.Store(0)
-	return result, nil
+	return l.run(ctx, turns.Command{Begin: &b})
 }
 
+// silent reports whether the store group has given no answer for silenceTime.
+func (l *ledger) silent() bool { return l.outage.Length(clock.Now()) >= silenceTime }
+
 // End implements proxy.Ledger.
 func (l *ledger) End(ctx context.Context, e turns.End) (turns.Result, error) {
 	return l.run(ctx, turns.Command{End: &e})
@@ -90,10 +89,12 @@
 	if err != nil {
 		return turns.Result{}, err
 	}
+	l.outage.Sent(clock.Now())
 	answer, err := l.groups.ProposeRepeatedly(ctx, groupStore, data)
 	if err != nil {
 		return turns.Result{}, err
 	}
+	l.outage.Answered()
 	return turns.DecodeResult(answer)
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -256,6 +256,24 @@
 	return view
 }
 
+// zones returns the availability zones of the control and store VMs, as far as they are known. A
+// VM that is silent counts on: its zone may be cut off.
+func (w *watcher) zones() map[string]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	zones := map[string]string{}
+	for _, c := range w.contacts {
+		for _, vms := range [][]vmInfo{c.fleet.Control, c.fleet.Stores} {
+			for _, vm := range vms {
+				if vm.Zone != "" && vm.VM != w.self.VM {
+					zones[vm.VM] = vm.Zone
+				}
+			}
+		}
+	}
+	return zones
+}
+
 func rank(last bool) int {
 	if last {
 		return 1
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -170,6 +170,15 @@
 	return l != nil && l.up.Load()
 }
 
+// Heard reports how long ago vm was heard on the message stream to it; up is false if there is none.
+func (n *Node) Heard(vm string) (age time.Duration, up bool) {
+	l := n.link(vm)
+	if l == nil || !l.up.Load() {
+		return 0, false
+	}
+	return l.heard.age(), true
+}
+
 func (n *Node) link(vm string) *link {
 	n.mu.Lock()
 	defer n.mu.Unlock()
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -14,6 +14,7 @@
 
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
+	"egretramp/internal/groups"
 )
 
 // Proposer brings a command into the group's log and returns the machine's answer.
@@ -57,7 +58,7 @@
 // *UnavailableError, or plain ones for bad input.
 type Ledger struct {
 	opts   LedgerOptions
-	outage outage
+	outage groups.Outage
 
 	mu        sync.Mutex
 	owner     Owner
@@ -121,7 +122,7 @@
 }
 
 // Outage returns how long the group has left this VM without an answer; 0 while it answers.
-func (l *Ledger) Outage() time.Duration { return l.outage.length(l.opts.Clock()) }
+func (l *Ledger) Outage() time.Duration { return l.outage.Length(l.opts.Clock()) }
 
 // HashRequest returns the RequestHash of a request made of parts such as path and body.
 func HashRequest(parts ...[]byte) string {
@@ -333,10 +334,10 @@
 func (l *Ledger) persist(ctx context.Context, send func() ([]byte, error)) (*Result, error) {
 	applied := false
 	for delay := retryMin; ; delay = min(2*delay, retryMax) {
-		l.outage.sent(l.opts.Clock())
+		l.outage.Sent(l.opts.Clock())
 		answer, err := send()
 		if err == nil {
-			l.outage.answered()
+			l.outage.Answered()
 			return decode(answer, applied)
 		}
 		applied = applied || !errors.Is(err, ErrNotProposed)
--- a/internal/program/outage_test.go
+++ b/internal/program/outage_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/groups"
 )
 
 func TestLedger_OutageLastsFromTheFirstUnansweredCommand(t *testing.T) {
@@ -25,7 +27,7 @@
 		now += time.Second
 	}
 	require.Equal(t, 4*time.Second, l.Outage())
-	now += outageMemory
+	now += groups.OutageMemory
 	require.Zero(t, l.Outage(), "it was long ago")
 	ask()
 	now += 2 * time.Second
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -36,6 +36,7 @@
 	*exchange
 	conn     *upconn.Conn
 	upstream registry.Upstream
+	zone     *zone // the upstream's
 	started  time.Time
 	header   http.Header
 	reusable bool
@@ -129,6 +130,7 @@
 		if err != nil {
 			return nil, Reply{}, errors.Wrap(err, "proxy: read the answer")
 		}
+		a.zone.heard.Store(true)
 		if response.StatusCode/100 == 1 {
 			continue
 		}
@@ -188,6 +190,7 @@
 			}
 			break
 		}
+		a.zone.heard.Store(true)
 		if !a.w.Begun() {
 			a.first = time.Since(a.request.Arrived)
 			a.server.health.succeeded(a.upstream, a.service.Name, time.Since(a.started), response.StatusCode)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -137,8 +137,10 @@
 	Directory *registry.Directory
 	Ledger    Ledger
 	Limiter   Limiter
-	Events    *events.Logger
-	Metrics   *Metrics
+	// Isolated reports whether a partition separates this VM from the store; nil for never.
+	Isolated func() bool
+	Events   *events.Logger
+	Metrics  *Metrics
 }
 
 // Server handles requests.
@@ -146,6 +148,7 @@
 	opts   Options
 	pool   *upconn.Pool
 	health *health
+	zones  *zones
 	active atomic.Int64
 	homes  *homes
 	lines  *lines
@@ -156,7 +159,7 @@
 
 // New returns a server.
 func New(opts Options) *Server {
-	return &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), homes: newHomes(), lines: newLines(), admission: map[string]*admission.Controller{}}
+	return &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), zones: newZones(), homes: newHomes(), lines: newLines(), admission: map[string]*admission.Controller{}}
 }
 
 // Gone closes the connections to an upstream that left.
@@ -198,6 +201,7 @@
 
 	tried     map[string]bool // upstreams that refused or failed
 	usedOn    map[string]bool // upstreams that may have run the request
+	cutOff    map[string]bool // those of usedOn whose zone can't be reached any more
 	refusedBy int             // upstreams that stated that they didn't run it
 	hint      time.Duration   // when the last refusal said to come back
 	lastEvent string          // ID of the last event passed on
@@ -214,7 +218,7 @@
 	defer s.active.Add(-1)
 	x := &exchange{
 		server: s, ctx: ctx, w: w, request: r,
-		tried: map[string]bool{}, usedOn: map[string]bool{},
+		tried: map[string]bool{}, usedOn: map[string]bool{}, cutOff: map[string]bool{},
 	}
 	if refusal := x.admit(); refusal != nil {
 		x.refuse(*refusal)
@@ -243,7 +247,7 @@
 	s := x.server
 	x.table = s.opts.Table()
 	if x.table == nil {
-		return &Refusal{Reason: NoConfiguration, RetryAfter: time.Second}
+		return &Refusal{Reason: NoConfiguration, RetryAfter: configurationRetryAfter}
 	}
 	var err error
 	if x.call, err = s.opts.Protocol.ReadCall(x.request); err != nil {
@@ -298,7 +302,7 @@
 	if err != nil {
 		// A reservation may have come about; nobody will use it.
 		x.server.opts.Ledger.EndLater(x.end(0, false), nil)
-		return &Refusal{Reason: StoreUnavailable, Detail: err.Error(), RetryAfter: storeRetryAfter}
+		return &Refusal{Reason: StoreUnavailable, Detail: err.Error(), RetryAfter: x.server.storeRetryAfter()}
 	}
 	switch result.Outcome {
 	case turns.BudgetSpent:
@@ -365,10 +369,22 @@
 const (
 	// storeRetryAfter is about the time that a store group takes to elect a leader.
 	storeRetryAfter = 600 * time.Millisecond
+	// configurationRetryAfter is about the time in which a VM that starts is told the configuration.
+	configurationRetryAfter = 250 * time.Millisecond
+	// isolatedRetryAfter is when callers of a VM that is cut off may find another one: the balancer
+	// takes a VM out after two checks a second apart.
+	isolatedRetryAfter = time.Second
 	// upstreamRetryAfter is about the time that a busy upstream takes for a few requests.
 	upstreamRetryAfter = 150 * time.Millisecond
 )
 
+func (s *Server) storeRetryAfter() time.Duration {
+	if s.opts.Isolated != nil && s.opts.Isolated() {
+		return isolatedRetryAfter
+	}
+	return storeRetryAfter
+}
+
 // refuse answers with a refusal, or breaks off what has begun.
 func (x *exchange) refuse(r Refusal) {
 	s := x.server
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -176,6 +176,10 @@
 // upstream adds an upstream that answers each request by writing raw bytes; returning false
 // resets the connection.
 func (g *rig) upstream(id string, answer func(r *http.Request, c net.Conn) bool) {
+	g.upstreamIn("z", id, answer)
+}
+
+func (g *rig) upstreamIn(zone, id string, answer func(r *http.Request, c net.Conn) bool) {
 	address := listen(g.t, func(l net.Listener) {
 		for {
 			c, err := l.Accept()
@@ -185,7 +189,7 @@
 			go g.serveUpstream(id, c, answer)
 		}
 	})
-	g.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: "z", Slots: 4, Born: 1, Sequence: 1}})
+	g.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: zone, Slots: 4, Born: 1, Sequence: 1}})
 }
 
 func (g *rig) serveUpstream(id string, c net.Conn, answer func(r *http.Request, c net.Conn) bool) {
@@ -495,3 +499,57 @@
 	}
 	require.Len(t, g.seen(), 2)
 }
+
+// TestServer_ZoneCutOff: what hangs at an upstream whose zone can't be reached any more ends at
+// once, and goes on elsewhere if it may.
+func TestServer_ZoneCutOff(t *testing.T) {
+	for _, c := range []struct {
+		path   string
+		status int
+		body   string
+	}{
+		{"/safe/", 200, "near"},
+		{"/resumed/", 200, "id: 1\ndata: word1\n\nid: 2\ndata: word2\n\n"},
+		{"/once/", 502, ""},
+		{"/stream/", 502, ""},
+	} {
+		g := newRig(t)
+		reached := make(chan struct{})
+		hang := make(chan struct{})
+		t.Cleanup(func() { close(hang) })
+		g.upstreamIn("far", "f", func(r *http.Request, c net.Conn) bool {
+			if r.RequestURI == "/resumed/" {
+				_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 1))
+			}
+			close(reached)
+			<-hang
+			return false
+		})
+		replies := make(chan reply, 1)
+		started := time.Now()
+		go func() { replies <- g.call("1", c.path) }()
+		<-reached
+		if c.path == "/resumed/" {
+			require.Eventually(t, func() bool { return g.server.ZoneTraffic()["far"].Heard }, time.Second, time.Millisecond)
+		}
+		require.Equal(t, 1, g.server.ZoneTraffic()["far"].Waiting)
+		g.upstream("n", func(r *http.Request, c net.Conn) bool {
+			if r.URL.Path == "/resumed/" {
+				_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(2, 2)+"0\r\n\r\n")
+				return err == nil
+			}
+			return whole("near")(r, c)
+		})
+		g.server.SetReachable("far", false)
+		got := <-replies
+		require.Equal(t, c.status, got.status, c.path)
+		require.Equal(t, c.body, got.body, c.path)
+		require.Less(t, time.Since(started), 500*time.Millisecond, "the route's timeout is not waited for")
+		require.Zero(t, g.server.ZoneTraffic()["far"].Waiting)
+
+		// New requests stay away while there is another zone.
+		require.Equal(t, 200, g.call("2", "/safe/").status)
+		last := g.seen()[len(g.seen())-1]
+		require.Equal(t, "n", last.upstream)
+	}
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -73,6 +74,9 @@
 			}
 		case lost:
 			x.usedOn[u.ID] = true
+			if errors.Is(err, errZoneUnreachable) {
+				x.cutOff[u.ID] = true
+			}
 			if !x.route.Repeatable() || sends[u.ID] >= maxSameUpstream {
 				x.tried[u.ID] = true
 			}
@@ -135,17 +139,18 @@
 }
 
 // pick chooses the next upstream. Once as many as allowed may have run the request, only those
-// are left, so that it runs on no further one.
+// are left, so that it runs on no further one. Upstreams that were cut off don't count.
 func (x *exchange) pick(sends map[string]int) (registry.Upstream, bool) {
 	s := x.server
 	upstreams := s.opts.Directory.View().Services[x.service.Name]
 	candidates := make([]balance.Candidate, len(upstreams))
-	exhausted := len(x.usedOn) >= max(x.route.MaxAttempts, 1)
+	exhausted := len(x.usedOn)-len(x.cutOff) >= max(x.route.MaxAttempts, 1)
 	for i, u := range upstreams {
 		candidates[i] = s.health.candidate(u)
 		candidates[i].Local = u.Zone == s.opts.Zone
 		candidates[i].Unconfirmed = u.State != registry.Ready
-		candidates[i].Tried = x.tried[u.ID] || (exhausted && !x.usedOn[u.ID])
+		candidates[i].Failing = candidates[i].Failing || !s.zones.reachable(u.Zone)
+		candidates[i].Tried = x.tried[u.ID] || x.cutOff[u.ID] || (exhausted && !x.usedOn[u.ID])
 		if sends[u.ID] > 0 {
 			candidates[i].Failing = true
 		}
@@ -183,8 +188,14 @@
 	s.health.begin(u.ID)
 	defer s.health.end(u.ID)
 	started := time.Now()
-	a := &attempt{exchange: x, conn: conn, upstream: u, started: started}
+	var cut atomic.Bool
+	zone := s.zones.begin(u.Zone, conn, &cut)
+	a := &attempt{exchange: x, conn: conn, upstream: u, zone: zone, started: started}
 	result, err := a.roundTrip()
+	zone.end(conn)
+	if cut.Load() && result != answered {
+		err = errZoneUnreachable
+	}
 	if !a.reusable || !stop() {
 		_ = conn.Close()
 	} else {
--- /dev/null
+++ b/internal/reach/reach.go
@@ -0,0 +1,145 @@
+// Package reach decides which availability zones this VM can't reach, from signs of life of any
+// kind: whatever VMs and upstreams of a zone have sent. A partition drops packets silently, so
+// connections into it stay open for seconds; callers whose requests hang there need to know sooner.
+//
+// A Judge is a plain value: its owner brings the observations of each round and acts on what
+// changed. It is not safe for concurrent use.
+package reach
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// Interval is the time between two rounds.
+	Interval = 100 * time.Millisecond
+	// speakingRounds is how lately another zone must have spoken, or this VM itself may be cut
+	// off, frozen or starved: one heartbeat's time.
+	speakingRounds = 5
+	// lateRound is the time between rounds beyond which this VM itself did not run in between, so
+	// that silence says nothing.
+	lateRound = 3 * Interval
+)
+
+// silentRounds returns the silence after which a zone counts as unreachable, by the number of
+// connections on which something was due; 0 is never. VMs send a heartbeat each 500 ms, which a busy
+// process delays by a round or two; a single connection may hang, and a single VM may be frozen.
+func silentRounds(expected int) int {
+	switch {
+	case expected >= 3:
+		return 7
+	case expected == 2:
+		return 9
+	case expected == 1:
+		return 12
+	}
+	return 0
+}
+
+// Observation is what was seen of one zone since the round before.
+type Observation struct {
+	Zone  string
+	Heard bool // a byte came from a VM or an upstream there
+	// Expected is the number of connections on which something is due: those that carry
+	// heartbeats, and those with a request that waits for its answer.
+	Expected int
+}
+
+// Change is a zone that became unreachable, or reachable again.
+type Change struct {
+	Zone      string
+	Reachable bool
+	Silent    time.Duration // how long nothing was heard
+}
+
+// Judge holds what was heard of each zone.
+type Judge struct {
+	own   string
+	round int
+	at    time.Duration // of the last round
+	zones map[string]*zone
+}
+
+type zone struct {
+	heard       int // the last round in which it spoke
+	unreachable bool
+}
+
+// New returns the judge of a VM in a zone.
+func New(own string) *Judge { return &Judge{own: own, zones: map[string]*zone{}} }
+
+// Round takes the observations of all zones that are known now and returns what changed. now is
+// a steady clock's time.
+func (j *Judge) Round(now time.Duration, observations []Observation) []Change {
+	late := j.round > 0 && now-j.at > lateRound
+	j.round++
+	j.at = now
+	known := map[string]bool{}
+	for _, o := range observations {
+		known[o.Zone] = true
+		z := j.zones[o.Zone]
+		if z == nil {
+			z = &zone{heard: j.round}
+			j.zones[o.Zone] = z
+		}
+		if o.Heard || late && !z.unreachable {
+			z.heard = j.round
+		}
+	}
+	for name := range j.zones {
+		if !known[name] {
+			delete(j.zones, name)
+		}
+	}
+	var changes []Change
+	for _, o := range observations {
+		z := j.zones[o.Zone]
+		silent, limit := j.round-z.heard, silentRounds(o.Expected)
+		switch {
+		case z.unreachable && silent == 0:
+			z.unreachable = false
+			changes = append(changes, Change{Zone: o.Zone, Reachable: true})
+		case !z.unreachable && limit > 0 && silent >= limit && j.othersSpeak(o.Zone):
+			z.unreachable = true
+			changes = append(changes, Change{Zone: o.Zone, Silent: time.Duration(silent) * Interval})
+		}
+	}
+	slices.SortFunc(changes, func(a, b Change) int {
+		if a.Zone < b.Zone {
+			return -1
+		}
+		return 1
+	})
+	return changes
+}
+
+func (j *Judge) othersSpeak(silent string) bool {
+	for name, z := range j.zones {
+		if name != silent && j.round-z.heard <= speakingRounds {
+			return true
+		}
+	}
+	return false
+}
+
+// Unreachable reports whether a zone can't be reached.
+func (j *Judge) Unreachable(name string) bool {
+	z := j.zones[name]
+	return z != nil && z.unreachable
+}
+
+// Isolated reports whether a partition separates this VM from the store, so that callers are better
+// off at a VM elsewhere. It doesn't matter how many zones are on this side: the store's majority
+// may be in one.
+func (j *Judge) Isolated(storeAnswers bool) bool {
+	if storeAnswers || j.Unreachable(j.own) {
+		return false // beside the latter this VM alone may be cut off
+	}
+	for _, z := range j.zones {
+		if z.unreachable {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/reach/reach_test.go
@@ -0,0 +1,146 @@
+package reach
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// world plays rounds of a VM in zone a.
+type world struct {
+	judge  *Judge
+	now    time.Duration
+	rounds int
+	zones  []string
+	silent map[string]bool // nothing comes from there
+	// links is the number of connections into each zone, default 2.
+	links map[string]int
+}
+
+func newWorld(zones ...string) *world {
+	return &world{judge: New("a"), zones: zones, silent: map[string]bool{}, links: map[string]int{}}
+}
+
+// play plays rounds with heartbeats each fifth round, and returns what changed.
+func (w *world) play(rounds int) []Change {
+	var changes []Change
+	for range rounds {
+		w.now += Interval
+		w.rounds++
+		var observations []Observation
+		for _, z := range w.zones {
+			links, set := w.links[z]
+			if !set {
+				links = 2
+			}
+			observations = append(observations, Observation{Zone: z, Heard: w.rounds%5 == 0 && !w.silent[z], Expected: links})
+		}
+		changes = append(changes, w.judge.Round(w.now, observations)...)
+	}
+	return changes
+}
+
+func TestJudge_ZoneFallsSilent(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	require.Empty(t, w.play(50))
+	w.silent["c"] = true
+	changes := w.play(12)
+	require.Len(t, changes, 1)
+	require.Equal(t, "c", changes[0].Zone)
+	require.False(t, changes[0].Reachable)
+	require.True(t, w.judge.Unreachable("c"))
+
+	w.links["c"] = 0 // the connections were given up
+	require.Empty(t, w.play(40))
+	w.silent["c"], w.links["c"] = false, 2
+	changes = w.play(5)
+	require.Len(t, changes, 1)
+	require.True(t, changes[0].Reachable)
+}
+
+// TestJudge_IsolatedWithoutTheStore: where the store answers callers are served, however few zones
+// there are; on the other side they are not, however many.
+func TestJudge_IsolatedWithoutTheStore(t *testing.T) {
+	for _, cut := range [][]string{{"c"}, {"b", "c"}, {"b", "c", "d"}} {
+		w := newWorld("a", "b", "c", "d")
+		w.play(20)
+		require.False(t, w.judge.Isolated(false), "no partition: the store elects a leader")
+		for _, z := range cut {
+			w.silent[z] = true
+		}
+		w.play(12)
+		require.True(t, w.judge.Isolated(false))
+		require.False(t, w.judge.Isolated(true))
+		for _, z := range cut {
+			w.silent[z] = false
+		}
+		w.play(5)
+		require.False(t, w.judge.Isolated(false))
+	}
+}
+
+func TestJudge_OwnSilenceSaysNothing(t *testing.T) {
+	for name, disturb := range map[string]func(w *world){
+		"cut off alone": func(w *world) { w.silent["a"], w.silent["b"], w.silent["c"] = true, true, true },
+		"frozen":        func(w *world) { w.now += 5 * time.Second; w.rounds = 0 },
+		"the VMs of a zone ended": func(w *world) {
+			w.silent["c"] = true
+			w.links["c"] = 0
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld("a", "b", "c")
+			w.play(20)
+			disturb(w)
+			require.Empty(t, w.play(40))
+			require.False(t, w.judge.Isolated(false))
+		})
+	}
+}
+
+// TestJudge_FewConnectionsNeedLonger: the fewer connections are silent, the likelier it is that
+// the zone is not.
+func TestJudge_FewConnectionsNeedLonger(t *testing.T) {
+	for expected, silent := range map[int]time.Duration{1: 12 * Interval, 2: 9 * Interval, 3: 7 * Interval, 10: 7 * Interval} {
+		w := newWorld("a", "b")
+		w.play(20) // ends with heartbeats
+		w.silent["b"], w.links["b"] = true, expected
+		require.Empty(t, w.play(int(silent/Interval)-1))
+		changes := w.play(1)
+		require.Len(t, changes, 1)
+		require.Equal(t, silent, changes[0].Silent)
+	}
+}
+
+func TestJudge_ForgetsZonesThatAreGone(t *testing.T) {
+	w := newWorld("a", "b", "c")
+	w.play(20)
+	w.silent["c"] = true
+	w.play(12)
+	require.True(t, w.judge.Unreachable("c"))
+	w.zones = []string{"a", "b"}
+	w.play(1)
+	require.False(t, w.judge.Unreachable("c"))
+	require.False(t, w.judge.Isolated(false))
+}
+
+// Whatever happens, a zone that speaks is reachable, and one that is silent beside others that
+// speak is found out within a second.
+func TestJudge_RandomRuns(t *testing.T) {
+	for seed := range uint64(300) {
+		random := rand.New(rand.NewPCG(seed, 1))
+		w := newWorld("a", "b", "c", "d")
+		w.play(20)
+		for range 20 {
+			z := w.zones[1+random.IntN(3)]
+			w.silent[z] = !w.silent[z]
+			w.play(10 + random.IntN(20))
+			w.play((5 - w.rounds%5) % 5) // up to the next heartbeats
+			for _, name := range w.zones {
+				require.Equal(t, w.silent[name], w.judge.Unreachable(name), "seed %d, zone %s", seed, name)
+			}
+		}
+	}
+}
