node: a VM that ends before its group exists goes on forming it

Cause: the seed with the smallest address proposes the control group. The VMs that form a group are now written down, synced, before the replica is made. A VM whose disk was lost too still only joins: nothing tells it from one whose group has lost it.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -56,10 +56,14 @@
 	c := &control{node: n, started: clock.Now()}
 	c.registrar = registry.NewRegistrar(time.Duration(missedBeats*float64(n.settings.Heartbeat)), clock.Now)
 	c.hub = newHub(epoch(), n.self, clock.Now, c.registrar, c.voters)
+	initial, err := c.initialVMs()
+	if err != nil {
+		return nil, err
+	}
 	r, err := replica.New(replica.Options{
-		Group: groups.Control, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: c.initialVMs(),
+		Group: groups.Control, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: initial,
 		Open: replica.OpenMembership{
-			Voters: n.settings.Voters(), JoinOnly: !n.settings.FirstStart, Contacts: n.watcher.control, Zone: c.hub.zone,
+			Voters: n.settings.Voters(), JoinOnly: initial == nil, Contacts: n.watcher.control, Zone: c.hub.zone,
 		},
 		Machine: catalog.New(c.changed), Transport: groups.Transport{Network: n.network}, Events: n.events,
 		ElectionTicks: electionTicks,
@@ -81,13 +85,26 @@
 	return c, nil
 }
 
-// initialVMs are the seeds at the first start. A VM that is none of them joins.
-func (c *control) initialVMs() []string {
+// initialVMs are the seeds at the first start, also after this VM ended early. A VM that is none
+// of them joins.
+func (c *control) initialVMs() ([]string, error) {
 	s := c.node.settings
-	if !s.FirstStart || !slices.Contains(s.Seeds, s.Peers) {
-		return nil
+	seeds := s.Seeds
+	if !s.FirstStart {
+		var err error
+		if seeds, err = loadInitial(s.DataFolder, groups.Control); err != nil {
+			return nil, err
+		}
+	}
+	if !slices.Contains(seeds, s.Peers) {
+		return nil, nil
+	}
+	if s.FirstStart {
+		if err := saveInitial(s.DataFolder, groups.Control, seeds); err != nil {
+			return nil, err
+		}
 	}
-	return s.Seeds
+	return seeds, nil
 }
 
 func (c *control) voters() []string {
--- /dev/null
+++ b/internal/node/initial.go
@@ -0,0 +1,64 @@
+package node
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The VMs that form a group are written down before the group's replica is made. A VM that ends
+// before the group exists goes on forming it when it is back; it would only join otherwise, and
+// if it is the one to propose the group, none would ever form.
+
+func initialFile(folder string, group uint64) string {
+	return filepath.Join(folder, fmt.Sprintf("group-%d.initial.json", group))
+}
+
+// saveInitial writes the VMs that form a group, durably.
+func saveInitial(folder string, group uint64, vms []string) error {
+	data, err := json.Marshal(vms)
+	if err != nil {
+		return errors.Wrap(err, "node: encode the VMs that form a group")
+	}
+	path := initialFile(folder, group)
+	file, err := os.Create(path + ".new")
+	if err != nil {
+		return errors.Wrap(err, "node: write the VMs that form a group")
+	}
+	_, err = file.Write(data)
+	if err == nil {
+		err = file.Sync()
+	}
+	err = errors.CombineErrors(err, file.Close())
+	if err == nil {
+		err = os.Rename(file.Name(), path)
+	}
+	if err == nil {
+		err = syncFolder(folder)
+	}
+	return errors.Wrap(err, "node: write the VMs that form a group")
+}
+
+// loadInitial returns the VMs that form a group, nil if this VM is to join.
+func loadInitial(folder string, group uint64) ([]string, error) {
+	data, err := os.ReadFile(initialFile(folder, group))
+	if errors.Is(err, os.ErrNotExist) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, errors.Wrap(err, "node: read the VMs that form a group")
+	}
+	var vms []string
+	return vms, errors.Wrapf(json.Unmarshal(data, &vms), "node: read %s", initialFile(folder, group))
+}
+
+func syncFolder(path string) error {
+	folder, err := os.Open(path)
+	if err != nil {
+		return err
+	}
+	return errors.CombineErrors(folder.Sync(), folder.Close())
+}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -92,10 +92,15 @@
 	s.mu.Lock()
 	s.ctx, s.wg = ctx, wg
 	s.mu.Unlock()
-	if _, err := os.Stat(wal.Path(s.node.settings.DataFolder, groupStore)); err == nil {
-		return s.open(nil)
+	folder := s.node.settings.DataFolder
+	if _, err := os.Stat(wal.Path(folder, groupStore)); err != nil {
+		return nil // the control VMs tell who forms the group
 	}
-	return nil
+	forming, err := loadInitial(folder, groupStore)
+	if err != nil {
+		return err
+	}
+	return s.open(forming)
 }
 
 // open starts the replica. forming are the VMs that form the group.
@@ -109,6 +114,11 @@
 	if !slices.Contains(forming, n.self.VM) {
 		forming = nil
 	}
+	if forming != nil {
+		if err := saveInitial(n.settings.DataFolder, groupStore, forming); err != nil {
+			return err
+		}
+	}
 	r, err := replica.New(replica.Options{
 		Group: groupStore, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: forming,
 		Open: replica.OpenMembership{
