node: the store is divided into groups by client account

Programs were late (2,663 shift-ask: 1,310 in time). Ruled out: the disk (1 ms), the engines (first event 16 ms after the begin), entry VMs (0.019 of 0.19 cores). The store has max(1, VMs - voters) groups now, chosen once; an account belongs to one by rendezvous hashing, since turns may continue any turn of their account. A group is kept by its voters and LostDisks spares instead of all VMs. With three store VMs it is one group as before.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -1,5 +1,5 @@
 // Package catalog is the state machine of the control group of a fleet that finds its VMs by
-// seeds: the operators' document in force, the VMs that form the store group, and the store VMs
+// seeds: the operators' document in force, the VMs that form the groups of the store, and the store VMs
 // that are being emptied.
 package catalog
 
@@ -17,9 +17,9 @@
 	Data    []byte `cbor:"2,keyasint"`
 }
 
-// FormStore names the VMs that form the store group. Only the first one counts.
+// FormStore names the VMs that form each group of the store. Only the first one counts.
 type FormStore struct {
-	VMs []string `cbor:"1,keyasint"`
+	Groups [][]string `cbor:"1,keyasint"`
 }
 
 // Empty orders that a VM gives up what it stores.
@@ -60,7 +60,7 @@
 // Machine is the state machine. Its owner calls it from one goroutine.
 type Machine struct {
 	document Document
-	storeVMs []string
+	stores   [][]string
 	emptying []string
 	// changed is told each new state, nil for nobody.
 	changed func(State)
@@ -69,8 +69,9 @@
 // State is what the machine holds. It must not be changed.
 type State struct {
 	Document Document `cbor:"1,keyasint"`
-	StoreVMs []string `cbor:"2,keyasint"`
-	Emptying []string `cbor:"3,keyasint"`
+	// Stores are the VMs that form each group of the store.
+	Stores   [][]string `cbor:"2,keyasint"`
+	Emptying []string   `cbor:"3,keyasint"`
 }
 
 // New returns an empty machine that passes each new state to changed.
@@ -109,8 +110,8 @@
 	case c.PutDocument != nil:
 		return m.put(c.PutDocument)
 	case c.FormStore != nil:
-		if len(m.storeVMs) == 0 {
-			m.storeVMs = c.FormStore.VMs
+		if len(m.stores) == 0 {
+			m.stores = c.FormStore.Groups
 			m.publish()
 		}
 	case c.Empty != nil:
@@ -138,7 +139,7 @@
 
 // State returns the present state.
 func (m *Machine) State() State {
-	return State{Document: m.document, StoreVMs: m.storeVMs, Emptying: m.emptying}
+	return State{Document: m.document, Stores: m.stores, Emptying: m.emptying}
 }
 
 func (m *Machine) publish() {
@@ -159,7 +160,7 @@
 	if err := cbor.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "catalog: decode a snapshot")
 	}
-	m.document, m.storeVMs, m.emptying = s.Document, s.StoreVMs, s.Emptying
+	m.document, m.stores, m.emptying = s.Document, s.Stores, s.Emptying
 	m.publish()
 	return nil
 }
--- a/internal/catalog/machine_test.go
+++ b/internal/catalog/machine_test.go
@@ -37,8 +37,8 @@
 func TestMachine_SnapshotHoldsAll(t *testing.T) {
 	m := New(nil)
 	apply(t, m, put(2, "two"))
-	apply(t, m, Command{FormStore: &FormStore{VMs: []string{"a", "b"}}})
-	apply(t, m, Command{FormStore: &FormStore{VMs: []string{"c"}}})
+	apply(t, m, Command{FormStore: &FormStore{Groups: [][]string{{"a", "b"}, {"b", "c"}}}})
+	apply(t, m, Command{FormStore: &FormStore{Groups: [][]string{{"c"}}}})
 	apply(t, m, Command{Empty: &Empty{VM: "b"}})
 	apply(t, m, Command{Empty: &Empty{VM: "b"}})
 	data, err := m.Snapshot()
@@ -46,6 +46,6 @@
 	restored := New(nil)
 	require.NoError(t, restored.Restore(data))
 	require.Equal(t, m.State(), restored.State())
-	require.Equal(t, State{Document{2, []byte("two")}, []string{"a", "b"}, []string{"b"}}, restored.State())
+	require.Equal(t, State{Document{2, []byte("two")}, [][]string{{"a", "b"}, {"b", "c"}}, []string{"b"}}, restored.State())
 	require.Error(t, restored.Restore([]byte("?")))
 }
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -17,6 +17,7 @@
 	"egretramp/internal/registry"
 	"egretramp/internal/replica"
 	"egretramp/internal/routing"
+	"egretramp/internal/shard"
 )
 
 const (
@@ -29,6 +30,9 @@
 	// formDelay is how long the leader waits for more store VMs before it forms their group with
 	// fewer than wanted.
 	formDelay = 3 * time.Second
+	// formSettle is how long no further store VM must have come: VMs of a fleet start together.
+	formSettle = 400 * time.Millisecond
+	formPoll   = 100 * time.Millisecond
 )
 
 // Errors of orders.
@@ -50,6 +54,9 @@
 	table     atomic.Pointer[routing.Snapshot]
 	started   time.Duration
 	formWait  time.Duration // since when too few store VMs are known, 0 for not yet
+	// formSeen is the number of store VMs that were known last, formChanged since when.
+	formSeen    int
+	formChanged time.Duration
 }
 
 func newControl(n *Node) (*control, error) {
@@ -149,9 +156,27 @@
 		}
 		c.node.fail(err)
 	})
+	wg.Go(func() { c.awaitStore(ctx) })
 	return c.node.serveHTTP(ctx, wg, c.node.settings.Control, c.node.opts.ControlHandler(c))
 }
 
+// awaitStore sees to it that the store is formed; that is once in the life of a fleet.
+func (c *control) awaitStore(ctx context.Context) {
+	ticker := time.NewTicker(formPoll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if _, state := c.hub.stores(); len(state.Stores) > 0 {
+			return
+		}
+		c.formStore()
+	}
+}
+
 func (c *control) accept(string, watchResponse) {}
 
 func (c *control) documentVersion() uint64 { return 0 }
@@ -161,53 +186,40 @@
 		c.node.events.Emit(events.NodeExpired, zap.String("upstream", id))
 	}
 	c.hub.tend()
-	c.formStore()
 }
 
-// formStore chooses the VMs that form the store group, once.
+// formStore chooses the VMs that form the groups of the store, once. Their number follows from that
+// of the VMs, so it waits until no more come.
 func (c *control) formStore() {
 	_, _, leads := c.leads()
 	running, state := c.hub.stores()
-	if !leads || len(state.StoreVMs) > 0 || len(running) == 0 {
+	if !leads || len(state.Stores) > 0 || len(running) == 0 {
 		return
 	}
 	now := clock.Now()
 	if c.formWait == 0 {
 		c.formWait = now
 	}
+	if len(running) != c.formSeen {
+		c.formSeen, c.formChanged = len(running), now
+	}
 	want := c.node.settings.Voters()
-	if len(running) < want && now-c.formWait < formDelay {
+	if len(running) < want && now-c.formWait < formDelay || now-c.formChanged < formSettle {
 		return
 	}
-	chosen := spread(running, want)
-	command := catalog.Command{FormStore: &catalog.FormStore{VMs: chosen}}
+	var vms []shard.VM
+	for _, vm := range running {
+		vms = append(vms, shard.VM{Name: vm.VM, Zone: vm.Zone})
+	}
+	chosen := shard.Place(vms, want, shard.Count(len(vms), want))
+	command := catalog.Command{FormStore: &catalog.FormStore{Groups: chosen}}
 	ctx, cancel := context.WithTimeout(context.Background(), orderTime)
 	defer cancel()
 	if _, err := c.propose(ctx, command); err == nil {
-		c.node.events.Emit(events.NodeStoreFormed, zap.Strings("vms", chosen))
+		c.node.events.Emit(events.NodeStoreFormed, zap.Any("groups", chosen))
 	}
 }
 
-// spread chooses n VMs from as many zones as possible.
-func spread(vms []vmInfo, n int) []string {
-	var chosen []string
-	inZone := map[string]int{}
-	left := slices.Clone(vms)
-	for len(chosen) < n && len(left) > 0 {
-		best := 0
-		for i, vm := range left {
-			if inZone[vm.Zone] < inZone[left[best].Zone] {
-				best = i
-			}
-		}
-		chosen = append(chosen, left[best].VM)
-		inZone[left[best].Zone]++
-		left = slices.Delete(left, best, best+1)
-	}
-	slices.Sort(chosen)
-	return chosen
-}
-
 func (c *control) propose(ctx context.Context, command catalog.Command) (catalog.Result, error) {
 	data, err := command.Encode()
 	if err != nil {
@@ -325,17 +337,30 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, orderTime)
 	defer cancel()
+	// Each group's leader has to say that the VM is no member.
+	free := map[uint64]bool{}
 	for _, s := range running {
 		answer, err := c.node.network.Call(ctx, s.VM, methodStatus, nil)
 		if err != nil {
-			continue // only the leader's answer counts, and it may be another one
+			continue // another one may lead
 		}
 		status, err := decode[storeStatus](answer)
-		if err == nil && status.Leads {
-			return !slices.Contains(status.Members, vm), nil
+		if err != nil {
+			return false, err
+		}
+		for _, g := range status.Groups {
+			if g.Leads && slices.Contains(g.Members, vm) {
+				return false, nil
+			}
+			free[g.Group] = free[g.Group] || g.Leads
+		}
+	}
+	for i := range state.Stores {
+		if !free[storeGroup(i)] {
+			return false, ErrUnavailable
 		}
 	}
-	return false, ErrUnavailable
+	return true, nil
 }
 
 // drain hands the leadership on and serves until nothing is under way.
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -46,15 +47,21 @@
 func newEntry(n *Node) *entry {
 	e := &entry{node: n, reach: reach.New(n.settings.Zone)}
 	e.directory = registry.NewDirectory(func(u registry.Upstream) { e.proxy.Gone(u) })
-	storeVMs := func(uint64) []string {
+	storeVMs := func(group uint64) []string {
 		view := n.watcher.stores()
 		var vms []string
+		if i := int(group - firstStore); i < len(view.shards) {
+			vms = append(vms, view.keepers(i, n.settings.Keepers())...)
+		}
 		for _, s := range append(view.running, view.silent...) {
-			vms = append(vms, s.VM)
+			if !slices.Contains(vms, s.VM) {
+				vms = append(vms, s.VM)
+			}
 		}
 		return vms
 	}
-	e.ledger = newLedger(groups.NewOpenClient(n.network, storeVMs, storeTry), n.events)
+	shards := func() int { return len(n.watcher.stores().shards) }
+	e.ledger = newLedger(groups.NewOpenClient(n.network, storeVMs, storeTry), shards, n.events)
 	e.permits = &permits{
 		self: n.self.VM, table: e.table.Load,
 		groups: groups.NewOpenClient(n.network, func(uint64) []string { return n.watcher.control() }, permitTry),
@@ -140,7 +147,8 @@
 		o := of(zone)
 		if age, up := e.node.network.Heard(vm); up {
 			o.Expected++
-			o.Heard = o.Heard || age <= reach.Interval
+			o.Vouched = o.Vouched || age <= reach.Interval
+			o.Heard = o.Vouched
 		}
 	}
 	for zone, traffic := range e.proxy.ZoneTraffic() {
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -95,7 +95,7 @@
 
 func (h *hub) view() fleetState {
 	now := h.clock()
-	view := fleetState{StoreVMs: h.state.StoreVMs, Emptying: h.state.Emptying}
+	view := fleetState{Shards: h.state.Stores, Emptying: h.state.Emptying}
 	voters := h.voters()
 	known := map[string]bool{}
 	add := func(info vmInfo) {
@@ -134,7 +134,7 @@
 
 func equalFleet(a, b fleetState) bool {
 	return slices.Equal(a.Control, b.Control) && slices.Equal(a.Stores, b.Stores) &&
-		slices.Equal(a.StoreVMs, b.StoreVMs) && slices.Equal(a.Emptying, b.Emptying) && a.Entries == b.Entries
+		slices.EqualFunc(a.Shards, b.Shards, slices.Equal[[]string]) && slices.Equal(a.Emptying, b.Emptying) && a.Entries == b.Entries
 }
 
 // entries returns the number of entry VMs that are running.
--- a/internal/node/ledger.go
+++ b/internal/node/ledger.go
@@ -4,11 +4,13 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/zap"
 
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/groups"
+	"egretramp/internal/shard"
 	"egretramp/internal/turns"
 )
 
@@ -24,6 +26,8 @@
 	// silenceTime is the time without an answer after which the store counts as out of reach
 	// beside a partition: about an election.
 	silenceTime = 700 * time.Millisecond
+	// formedPoll is the time between two looks for the store's groups, at the start of a fleet.
+	formedPoll = 40 * time.Millisecond
 	// settleTime is for how long the settlement of a turn is tried.
 	settleTime = 20 * time.Second
 	// settleQueue is the number of settlements that wait; further ones are dropped, and their
@@ -33,12 +37,18 @@
 	settleWorkers = 8
 )
 
-// groupStore is the number of the store group.
-const groupStore uint64 = 2
+// firstStore is the number of the store's first group; the others follow.
+const firstStore uint64 = 2
+
+func storeGroup(i int) uint64 { return firstStore + uint64(i) }
+
+var errNotFormed = errors.New("node: the store isn't formed, or not known yet")
 
 // ledger is an entry VM's access to the store group.
 type ledger struct {
 	groups *groups.Client
+	// shards returns the number of groups that the store has, 0 if it isn't known.
+	shards func() int
 	events *events.Logger
 	later  chan settlement
 	outage groups.Outage
@@ -50,8 +60,8 @@
 	done func(turns.Result) // nil for nobody
 }
 
-func newLedger(client *groups.Client, log *events.Logger) *ledger {
-	return &ledger{groups: client, events: log, later: make(chan settlement, settleQueue)}
+func newLedger(client *groups.Client, shards func() int, log *events.Logger) *ledger {
+	return &ledger{groups: client, shards: shards, events: log, later: make(chan settlement, settleQueue)}
 }
 
 // Begin implements proxy.Ledger. Once the store group was out of reach for a while, a turn gets
@@ -63,7 +73,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
-	return l.run(ctx, turns.Command{Begin: &b})
+	return l.run(ctx, b.Account, turns.Command{Begin: &b})
 }
 
 // silent reports whether the store group has given no answer for silenceTime.
@@ -71,7 +81,7 @@
 
 // End implements proxy.Ledger.
 func (l *ledger) End(ctx context.Context, e turns.End) (turns.Result, error) {
-	return l.run(ctx, turns.Command{End: &e})
+	return l.run(ctx, e.Account, turns.Command{End: &e})
 }
 
 // EndLater implements proxy.Ledger.
@@ -83,14 +93,19 @@
 	}
 }
 
-func (l *ledger) run(ctx context.Context, c turns.Command) (turns.Result, error) {
+// run brings a command to the group that keeps the account.
+func (l *ledger) run(ctx context.Context, account string, c turns.Command) (turns.Result, error) {
 	c.Now = time.Now().UnixMilli()
 	data, err := c.Encode()
 	if err != nil {
 		return turns.Result{}, err
 	}
 	l.outage.Sent(clock.Now())
-	answer, err := l.groups.ProposeRepeatedly(ctx, groupStore, data)
+	count, err := l.formed(ctx)
+	if err != nil {
+		return turns.Result{}, err
+	}
+	answer, err := l.groups.ProposeRepeatedly(ctx, storeGroup(shard.Of(account, count)), data)
 	if err != nil {
 		return turns.Result{}, err
 	}
@@ -98,6 +113,20 @@
 	return turns.DecodeResult(answer)
 }
 
+// formed returns the number of groups, once it is known.
+func (l *ledger) formed(ctx context.Context) (int, error) {
+	for {
+		if count := l.shards(); count > 0 {
+			return count, nil
+		}
+		select {
+		case <-ctx.Done():
+			return 0, errNotFormed
+		case <-time.After(formedPoll):
+		}
+	}
+}
+
 // settle works through the queue until ctx ends; what is left then is tried once more.
 func (l *ledger) settle(ctx context.Context) {
 	for {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -45,17 +45,23 @@
 
 // fleetState is a control VM's view of the fleet.
 type fleetState struct {
-	Control  []vmInfo `cbor:"1,keyasint"`
-	Stores   []vmInfo `cbor:"2,keyasint"`
-	StoreVMs []string `cbor:"3,keyasint"` // form the store group
-	Emptying []string `cbor:"4,keyasint"`
-	Entries  int      `cbor:"5,keyasint"`
+	Control  []vmInfo   `cbor:"1,keyasint"`
+	Stores   []vmInfo   `cbor:"2,keyasint"`
+	Shards   [][]string `cbor:"3,keyasint"` // the VMs that form each group of the store
+	Emptying []string   `cbor:"4,keyasint"`
+	Entries  int        `cbor:"5,keyasint"`
 }
 
 // storeStatus answers methodStatus on a store VM.
 type storeStatus struct {
-	Leads   bool     `cbor:"1,keyasint"`
-	Members []string `cbor:"2,keyasint"` // VMs, learners included
+	Groups []groupStatus `cbor:"1,keyasint"`
+}
+
+// groupStatus is a replica's view of its group.
+type groupStatus struct {
+	Group   uint64   `cbor:"1,keyasint"`
+	Leads   bool     `cbor:"2,keyasint"`
+	Members []string `cbor:"3,keyasint"` // VMs, learners included
 }
 
 func encode(v any) []byte {
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -68,6 +68,10 @@
 // LostDisks disks.
 func (s *Settings) Voters() int { return 2*s.LostDisks + 1 }
 
+// Keepers is the number of VMs that hold a group of the store: its voters, and as many to take their
+// places as may be lost at once.
+func (s *Settings) Keepers() int { return s.Voters() + s.LostDisks }
+
 // ControlService is what a control VM does for operators and upstreams.
 type ControlService interface {
 	// PutDocument puts a checked document in force. An error means that the outcome is unknown.
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -2,12 +2,12 @@
 
 import (
 	"context"
+	"maps"
 	"os"
 	"slices"
 	"sync"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -18,8 +18,6 @@
 	"egretramp/internal/raft/wal"
 	"egretramp/internal/replica"
 	"egretramp/internal/turns"
-
-	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -29,85 +27,79 @@
 	// storeLogShare is the part of the VM's memory that the log may fill before it is cut. While a
 	// snapshot is taken, log, state and snapshot are in memory.
 	storeLogShare = 0.4
+	// maxGroups bounds the groups whose files are looked for at the start.
+	maxGroups = 256
 )
 
-// store replicates budgets and conversations.
+// store replicates budgets and conversations: it holds a replica of each group of the store that
+// it is to keep.
 type store struct {
 	node *Node
 
-	mu      sync.Mutex
-	replica *replica.Replica // nil until the VMs that form the group are known
-	ctx     context.Context
-	wg      *conc.WaitGroup
+	mu       sync.Mutex
+	replicas map[uint64]*replica.Replica
+	ctx      context.Context
+	wg       *conc.WaitGroup
 }
 
 func newStore(n *Node) *store {
-	s := &store{node: n}
-	n.network.HandleMessages(groups.KindRaft, s.handleRaft)
+	s := &store{node: n, replicas: map[uint64]*replica.Replica{}}
+	n.network.HandleMessages(groups.KindRaft, func(from string, payload []byte) { s.all().HandleRaft(from, payload) })
 	n.network.HandleCalls(groups.MethodPropose, func(ctx context.Context, from string, payload []byte) ([]byte, error) {
-		return s.replicas().HandlePropose(ctx, from, payload)
+		return s.all().HandlePropose(ctx, from, payload)
 	})
 	n.network.HandleCalls(methodStatus, s.handleStatus)
 	return s
 }
 
-func (s *store) current() *replica.Replica {
+// all returns the replicas of this VM.
+func (s *store) all() groups.Replicas {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.replica
-}
-
-func (s *store) replicas() groups.Replicas {
-	if r := s.current(); r != nil {
-		return groups.Replicas{groupStore: r}
-	}
-	return nil
-}
-
-func (s *store) handleRaft(_ string, payload []byte) {
-	r := s.current()
-	if r == nil {
-		return
-	}
-	m := &raftpb.Message{}
-	if proto.Unmarshal(payload, m) == nil {
-		r.Step(m)
-	}
+	return maps.Clone(s.replicas)
 }
 
 func (s *store) handleStatus(context.Context, string, []byte) ([]byte, error) {
-	r := s.current()
-	if r == nil {
-		return nil, errors.New("node: no replica yet")
-	}
-	status := r.Status()
-	answer := storeStatus{Leads: status.Role == roleLeader}
-	for _, m := range status.Members {
-		answer.Members = append(answer.Members, m.VM)
+	var answer storeStatus
+	for group, r := range s.all() {
+		status := r.Status()
+		g := groupStatus{Group: group, Leads: status.Role == roleLeader}
+		for _, m := range status.Members {
+			g.Members = append(g.Members, m.VM)
+		}
+		answer.Groups = append(answer.Groups, g)
 	}
 	return encode(answer), nil
 }
 
+// start opens the replicas that this VM held before. Those that it is to hold besides follow from
+// what the control VMs tell.
 func (s *store) start(ctx context.Context, wg *conc.WaitGroup) error {
 	s.mu.Lock()
 	s.ctx, s.wg = ctx, wg
 	s.mu.Unlock()
 	folder := s.node.settings.DataFolder
-	if _, err := os.Stat(wal.Path(folder, groupStore)); err != nil {
-		return nil // the control VMs tell who forms the group
-	}
-	forming, err := loadInitial(folder, groupStore)
-	if err != nil {
-		return err
+	for i := range maxGroups {
+		if _, err := os.Stat(wal.Path(folder, storeGroup(i))); err != nil {
+			continue
+		}
+		forming, err := loadInitial(folder, storeGroup(i))
+		if err == nil {
+			err = s.open(i, forming)
+		}
+		if err != nil {
+			return err
+		}
 	}
-	return s.open(forming)
+	return nil
 }
 
-// open starts the replica. forming are the VMs that form the group.
-func (s *store) open(forming []string) error {
+// open starts the replica of a group. forming are the VMs that form it.
+func (s *store) open(i int, forming []string) error {
+	group := storeGroup(i)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.replica != nil {
+	if s.replicas[group] != nil {
 		return nil
 	}
 	n := s.node
@@ -115,12 +107,12 @@
 		forming = nil
 	}
 	if forming != nil {
-		if err := saveInitial(n.settings.DataFolder, groupStore, forming); err != nil {
+		if err := saveInitial(n.settings.DataFolder, group, forming); err != nil {
 			return err
 		}
 	}
 	r, err := replica.New(replica.Options{
-		Group: groupStore, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: forming,
+		Group: group, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: forming,
 		Open: replica.OpenMembership{
 			Voters: n.settings.Voters(), JoinOnly: forming == nil, Contacts: s.contacts, Zone: s.zone, Leaving: s.leaving,
 		},
@@ -128,12 +120,12 @@
 			return wal.Open(folder, fresh)
 		},
 		Machine: turns.New(), Transport: groups.Transport{Network: n.network},
-		SnapshotEvery: storeSnapshotEvery, SnapshotBytes: int64(storeLogShare * float64(n.settings.MemoryBytes)), Events: n.events, ElectionTicks: electionTicks,
+		SnapshotEvery: storeSnapshotEvery, SnapshotBytes: s.logBytes(), Events: n.events, ElectionTicks: electionTicks,
 	})
 	if err != nil {
 		return err
 	}
-	s.replica = r
+	s.replicas[group] = r
 	ctx := s.ctx
 	s.wg.Go(func() {
 		err := r.Run(ctx)
@@ -145,6 +137,18 @@
 	return nil
 }
 
+// logBytes is what the log of one group may fill, so that those of all groups that this VM may come to
+// hold fit into its memory.
+func (s *store) logBytes() int64 {
+	view := s.node.watcher.stores()
+	held := 1
+	if vms := len(view.running) + len(view.silent); vms > 0 {
+		held = max(1, (len(view.shards)*s.node.settings.Keepers()+vms-1)/vms)
+	}
+	return int64(storeLogShare * float64(s.node.settings.MemoryBytes) / float64(held))
+}
+
+// contacts are the VMs that may know a group's leader: any may have become a member.
 func (s *store) contacts() []string {
 	var vms []string
 	for _, v := range s.node.watcher.stores().running {
@@ -167,10 +171,19 @@
 	return slices.Contains(s.node.watcher.stores().emptying, vm)
 }
 
+// accept opens the replicas that this VM is to hold by now.
 func (s *store) accept(string, watchResponse) {
-	forming := s.node.watcher.stores().forming
-	if s.current() == nil && len(forming) > 0 {
-		if err := s.open(forming); err != nil {
+	view := s.node.watcher.stores()
+	self := s.node.self.VM
+	held := s.all()
+	for i, forming := range view.shards {
+		if held[storeGroup(i)] != nil || slices.Contains(view.emptying, self) {
+			continue
+		}
+		if !slices.Contains(forming, self) && !slices.Contains(view.keepers(i, s.node.settings.Keepers()), self) {
+			continue
+		}
+		if err := s.open(i, forming); err != nil {
 			s.node.fail(err)
 		}
 	}
@@ -181,24 +194,28 @@
 // transferTime bounds a change of leadership.
 const transferTime = time.Second
 
-// tend hands on the leadership of a VM that is being emptied.
+// tend hands on the leaderships of a VM that is being emptied.
 func (s *store) tend() {
-	r := s.current()
-	if r == nil || r.Status().Role != roleLeader || !s.leaving(s.node.self.VM) {
-		return
+	if s.leaving(s.node.self.VM) {
+		s.transfer(context.Background())
 	}
-	s.transfer(context.Background())
 }
 
+// transfer hands on all leaderships.
 func (s *store) transfer(ctx context.Context) {
-	r := s.current()
-	if r == nil {
-		return
-	}
 	limited, cancel := context.WithTimeout(ctx, transferTime)
 	defer cancel()
-	if err := r.Transfer(limited); err != nil {
-		s.node.events.Emit(events.NodeOrder, zap.String("order", "transfer"), zap.Error(err))
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	for _, r := range s.all() {
+		if r.Status().Role != roleLeader {
+			continue
+		}
+		wg.Go(func() {
+			if err := r.Transfer(limited); err != nil {
+				s.node.events.Emit(events.NodeOrder, zap.String("order", "transfer"), zap.Error(err))
+			}
+		})
 	}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"egretramp/internal/events"
+	"egretramp/internal/shard"
 )
 
 const (
@@ -209,10 +210,22 @@
 type storesView struct {
 	running  []vmInfo
 	silent   []vmInfo
-	forming  []string
+	shards   [][]string // the VMs that form each group
 	emptying []string
 }
 
+// keepers returns the VMs that are to keep a group of the store, counted from 0, with spares
+// beside the voters.
+func (v *storesView) keepers(group, wanted int) []string {
+	var atHand []shard.VM
+	for _, vm := range v.running {
+		if !slices.Contains(v.emptying, vm.VM) {
+			atHand = append(atHand, shard.VM{Name: vm.VM, Zone: vm.Zone})
+		}
+	}
+	return shard.Keepers(group, v.shards[group], atHand, wanted)
+}
+
 // stores returns the store VMs, as far as any control VM that answers knows them.
 func (w *watcher) stores() storesView {
 	w.mu.Lock()
@@ -228,8 +241,8 @@
 			known[s.VM] = s
 			running[s.VM] = running[s.VM] || !s.Silent && !c.lost
 		}
-		if len(c.fleet.StoreVMs) > 0 {
-			view.forming = c.fleet.StoreVMs
+		if len(c.fleet.Shards) > 0 {
+			view.shards = c.fleet.Shards
 		}
 		if len(c.fleet.Emptying) > len(view.emptying) {
 			view.emptying = c.fleet.Emptying
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -14,9 +14,10 @@
 const (
 	// Interval is the time between two rounds.
 	Interval = 100 * time.Millisecond
-	// speakingRounds is how lately another zone must have spoken, or this VM itself may be cut
-	// off, frozen or starved: one heartbeat's time.
-	speakingRounds = 5
+	// missedRounds is the silence in which a zone has missed a heartbeat. A VM elsewhere must have
+	// spoken after it: the VMs of all zones may have lost their power together, and this VM itself may be
+	// cut off, frozen or starved.
+	missedRounds = 6
 	// lateRound is the time between rounds beyond which this VM itself did not run in between, so
 	// that silence says nothing.
 	lateRound = 3 * Interval
@@ -41,6 +42,8 @@
 type Observation struct {
 	Zone  string
 	Heard bool // a byte came from a VM or an upstream there
+	// Vouched says that it came from a VM: VMs send heartbeats, upstreams only answer.
+	Vouched bool
 	// Expected is the number of connections on which something is due: those that carry
 	// heartbeats, and those with a request that waits for its answer.
 	Expected int
@@ -63,6 +66,7 @@
 
 type zone struct {
 	heard       int // the last round in which it spoke
+	vouched     int // the last round in which a VM of it did
 	unreachable bool
 }
 
@@ -86,6 +90,9 @@
 		if o.Heard || late && !z.unreachable {
 			z.heard = j.round
 		}
+		if o.Vouched {
+			z.vouched = j.round
+		}
 	}
 	for name := range j.zones {
 		if !known[name] {
@@ -100,7 +107,7 @@
 		case z.unreachable && silent == 0:
 			z.unreachable = false
 			changes = append(changes, Change{Zone: o.Zone, Reachable: true})
-		case !z.unreachable && limit > 0 && silent >= limit && j.othersSpeak(o.Zone):
+		case !z.unreachable && limit > 0 && silent >= limit && j.othersSpoke(o.Zone, z.heard+missedRounds):
 			z.unreachable = true
 			changes = append(changes, Change{Zone: o.Zone, Silent: time.Duration(silent) * Interval})
 		}
@@ -114,9 +121,10 @@
 	return changes
 }
 
-func (j *Judge) othersSpeak(silent string) bool {
+// othersSpoke reports whether a VM of another zone spoke in that round or later.
+func (j *Judge) othersSpoke(silent string, round int) bool {
 	for name, z := range j.zones {
-		if name != silent && j.round-z.heard <= speakingRounds {
+		if name != silent && z.vouched >= round {
 			return true
 		}
 	}
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -17,10 +17,13 @@
 	silent map[string]bool // nothing comes from there
 	// links is the number of connections into each zone, default 2.
 	links map[string]int
+	// traffic comes from upstreams of a zone in each round.
+	traffic map[string]bool
+	phase   map[string]int // of the heartbeats
 }
 
 func newWorld(zones ...string) *world {
-	return &world{judge: New("a"), zones: zones, silent: map[string]bool{}, links: map[string]int{}}
+	return &world{judge: New("a"), zones: zones, silent: map[string]bool{}, links: map[string]int{}, traffic: map[string]bool{}, phase: map[string]int{}}
 }
 
 // play plays rounds with heartbeats each fifth round, and returns what changed.
@@ -35,7 +38,8 @@
 			if !set {
 				links = 2
 			}
-			observations = append(observations, Observation{Zone: z, Heard: w.rounds%5 == 0 && !w.silent[z], Expected: links})
+			beat := (w.rounds+w.phase[z])%5 == 0 && !w.silent[z]
+			observations = append(observations, Observation{Zone: z, Heard: beat || w.traffic[z], Vouched: beat, Expected: links})
 		}
 		changes = append(changes, w.judge.Round(w.now, observations)...)
 	}
@@ -85,17 +89,27 @@
 	for name, disturb := range map[string]func(w *world){
 		"cut off alone": func(w *world) { w.silent["a"], w.silent["b"], w.silent["c"] = true, true, true },
 		"frozen":        func(w *world) { w.now += 5 * time.Second; w.rounds = 0 },
+		"all VMs lose power, while upstreams go on here": func(w *world) {
+			w.play(3)
+			for _, z := range w.zones {
+				w.silent[z] = true
+			}
+			w.traffic["a"] = true
+		},
 		"the VMs of a zone ended": func(w *world) {
 			w.silent["c"] = true
 			w.links["c"] = 0
 		},
 	} {
 		t.Run(name, func(t *testing.T) {
-			w := newWorld("a", "b", "c")
-			w.play(20)
-			disturb(w)
-			require.Empty(t, w.play(40))
-			require.False(t, w.judge.Isolated(false))
+			for phase := range 25 {
+				w := newWorld("a", "b", "c")
+				w.phase["b"], w.phase["c"] = phase%5, phase/5
+				w.play(20)
+				disturb(w)
+				require.Empty(t, w.play(40))
+				require.False(t, w.judge.Isolated(false))
+			}
 		})
 	}
 }
@@ -105,7 +119,8 @@
 func TestJudge_FewConnectionsNeedLonger(t *testing.T) {
 	for expected, silent := range map[int]time.Duration{1: 12 * Interval, 2: 9 * Interval, 3: 7 * Interval, 10: 7 * Interval} {
 		w := newWorld("a", "b")
-		w.play(20) // ends with heartbeats
+		w.phase["a"] = 4
+		w.play(20) // ends with b's heartbeat; a's comes six rounds later again
 		w.silent["b"], w.links["b"] = true, expected
 		require.Empty(t, w.play(int(silent/Interval)-1))
 		changes := w.play(1)
--- /dev/null
+++ b/internal/shard/shard.go
@@ -0,0 +1,116 @@
+// Package shard decides how the store is divided: into how many groups, which client account's
+// turns are kept by which of them, and which VMs keep a group. Its functions are pure; all VMs come
+// to the same answers from the same view of the fleet.
+//
+// An account is kept by one group, whole: a turn may continue any other turn of its account, also
+// one of another program. The number of groups is fixed when the store is formed, since every
+// account would move otherwise.
+package shard
+
+import (
+	"hash/fnv"
+	"slices"
+)
+
+// VM is a store VM.
+type VM struct {
+	Name string
+	Zone string
+}
+
+// Count returns the number of groups for a number of VMs, where each group has that many voters.
+// Each VM beyond those of one group is room for one more leader, which bears most of a group's load.
+func Count(vms, voters int) int { return max(1, vms-voters) }
+
+// Of returns the group that keeps an account, counted from 0.
+func Of(account string, count int) int {
+	best, bestWeight := 0, uint64(0)
+	for i := range count {
+		if w := weight(account, uint64(i)); i == 0 || w > bestWeight {
+			best, bestWeight = i, w
+		}
+	}
+	return best
+}
+
+// Place chooses the VMs that form each of count groups: voters VMs from as many zones as possible,
+// with the groups spread evenly over the VMs.
+func Place(vms []VM, voters, count int) [][]string {
+	groups := make([][]string, count)
+	used := map[string]int{}
+	for i := range groups {
+		var chosen []string
+		inZone := map[string]int{}
+		left := slices.Clone(vms)
+		slices.SortFunc(left, byName)
+		for len(chosen) < voters && len(left) > 0 {
+			best := 0
+			for j, vm := range left {
+				if before(inZone[vm.Zone], used[vm.Name], inZone[left[best].Zone], used[left[best].Name]) {
+					best = j
+				}
+			}
+			vm := left[best]
+			chosen = append(chosen, vm.Name)
+			inZone[vm.Zone]++
+			used[vm.Name]++
+			left = slices.Delete(left, best, best+1)
+		}
+		slices.Sort(chosen)
+		groups[i] = chosen
+	}
+	return groups
+}
+
+func before(zone, uses, otherZone, otherUses int) bool {
+	return zone < otherZone || zone == otherZone && uses < otherUses
+}
+
+// Keepers returns the VMs that are to keep a group now: of those that formed it the ones that
+// are at hand, then others up to wanted, from the zones that have the fewest. They need not be
+// members yet; members beyond them stay as they are.
+func Keepers(group int, forming []string, atHand []VM, wanted int) []string {
+	var keepers []string
+	inZone := map[string]int{}
+	var left []VM
+	for _, vm := range atHand {
+		if slices.Contains(forming, vm.Name) {
+			keepers = append(keepers, vm.Name)
+			inZone[vm.Zone]++
+		} else {
+			left = append(left, vm)
+		}
+	}
+	slices.SortFunc(left, byName)
+	for len(keepers) < wanted && len(left) > 0 {
+		best := 0
+		for j, vm := range left {
+			mine, other := inZone[vm.Zone], inZone[left[best].Zone]
+			if mine < other || mine == other && weight(vm.Name, uint64(group)) > weight(left[best].Name, uint64(group)) {
+				best = j
+			}
+		}
+		keepers = append(keepers, left[best].Name)
+		inZone[left[best].Zone]++
+		left = slices.Delete(left, best, best+1)
+	}
+	return keepers
+}
+
+func byName(a, b VM) int {
+	if a.Name < b.Name {
+		return -1
+	}
+	return 1
+}
+
+// weight is the rendezvous weight of a number for a name.
+func weight(name string, n uint64) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(name))
+	// FNV alone spreads its last bytes badly over the high bits.
+	x := hash.Sum64() + (n+1)*0x9e3779b97f4a7c15
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"fmt"
 	"net/http"
 	"slices"
 	"strings"
@@ -299,8 +300,8 @@
 			r.Violate("an apply was refused after %s", d)
 		}
 	}
-	for _, c := range e.Calls {
-		for _, a := range c.Attempts {
+	for _, m := range e.Match() {
+		for _, a := range m.Call.Attempts {
 			if a.Code != codeNoMajority {
 				continue
 			}
@@ -308,13 +309,34 @@
 			took := a.End.Sub(a.Start)
 			frozen := e.out.during(e.vmOf[a.VM], a.Start, a.End)
 			if took > refusalLimit && !frozen {
-				r.Violate("%s was refused after %s: %q", c, took, a.Code)
+				r.Violate("%s was refused after %s: %q; runs at upstreams meanwhile: %s", m.Call, took, a.Code, runsDuring(m.Runs, a))
 			}
 		}
 	}
 	return r
 }
 
+// runsDuring describes the runs of a call during one attempt, in times since its start: whether
+// the attempt waited for an upstream's answer or for this system.
+func runsDuring(runs []fakes.Run, a workload.Attempt) string {
+	var spans []string
+	for _, run := range runs {
+		started := time.Unix(0, run.StartedNS)
+		if started.Before(a.Start) || started.After(a.End) {
+			continue
+		}
+		end := "never"
+		if run.EndedNS > 0 {
+			end = time.Unix(0, run.EndedNS).Sub(a.Start).String()
+		}
+		spans = append(spans, fmt.Sprintf("%s from %s to %s (%s)", run.Upstream, started.Sub(a.Start), end, run.Outcome))
+	}
+	if len(spans) == 0 {
+		return "none"
+	}
+	return strings.Join(spans, ", ")
+}
+
 // checkCrashes says that a request takes down at most poisonLimit upstreams over the whole fleet.
 // A violation names the sides that VMs were cut into meanwhile, since sides cannot tell each
 // other; VMs that were cut off have inForceLimit to find together again.
