--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -197,14 +197,14 @@
 // members that are bound elsewhere never took part, and this one holds no entry. A member
 // that merely lost its disk doesn't count, for it may have been part of a majority.
 func (n *node) considerAbandoning() {
-	voters, out := 0, 0
+	voters, foreign := 0, 0
 	for _, m := range n.raft.Conf().Members {
 		voters++
-		if n.greeter.foreign[m.Id] || m.Id == n.store.Identity().Replica {
-			out++
+		if n.greeter.foreign[m.Id] {
+			foreign++
 		}
 	}
-	if voters > 1 && voters-out < voters/2+1 {
+	if out := foreign + 1; foreign > 0 && voters-out < voters/2+1 {
 		n.greeter.abandoned = true
 		n.emit(events.FormationAbandoned, zap.Uint64("formation", n.store.Identity().Formation))
 	}
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -254,6 +254,20 @@
 	f.stopAll()
 }
 
+// TestReplica_GroupsOfAnySizeForm: one of two must not take the formation for lost because it holds no
+// entry yet.
+func TestReplica_GroupsOfAnySizeForm(t *testing.T) {
+	for size := 1; size <= 5; size++ {
+		f := newFleet(t, []string{"a", "b", "c", "d", "e"}[:size]...)
+		for _, vm := range f.vms {
+			f.start(vm)
+		}
+		f.propose(1)
+		f.requireSame(1)
+		f.stopAll()
+	}
+}
+
 func BenchmarkPropose(b *testing.B) {
 	for _, callers := range []int{1, 64} {
 		b.Run(map[int]string{1: "one caller", 64: "64 callers"}[callers], func(b *testing.B) {
