gateway: a call that waited for long for an upstream doesn't wait for its record as well

A call in the queue was ended once its record had been out for 3 s, whatever it had waited before. Test: TestServer_LongQueuedCallIsRefusedSooner, red before (it waited on).

--- a/internal/gateway/attempts.go
+++ b/internal/gateway/attempts.go
@@ -20,6 +20,7 @@
 
 // ownAttempt is an attempt whose call is under way here.
 type ownAttempt struct {
+	begun   time.Duration // the call, on the clock since boot
 	stop    context.CancelCauseFunc
 	written bool // towards an upstream, or about to be
 }
@@ -38,10 +39,10 @@
 }
 
 // bind sets what stops the call of an attempt; the cause is errAttemptLost or errRecordUnavailable.
-func (a *attempts) bind(id string, stop context.CancelCauseFunc) {
+func (a *attempts) bind(id string, begun time.Duration, stop context.CancelCauseFunc) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.byID[id] = &ownAttempt{stop: stop}
+	a.byID[id] = &ownAttempt{begun: begun, stop: stop}
 }
 
 // await notes that an attempt waits for an upstream: nothing is written until mayWrite.
@@ -67,11 +68,11 @@
 }
 
 // stopUnwritten stops the calls of which nothing was written and whose record is out.
-func (a *attempts) stopUnwritten(out func(program.Home) bool) {
+func (a *attempts) stopUnwritten(out func(home program.Home, begun time.Duration) bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, own := range a.byID {
-		if !own.written && out(program.HomeOfAttempt(id)) {
+		if !own.written && out(program.HomeOfAttempt(id), own.begun) {
 			own.stop(errRecordUnavailable)
 		}
 	}
--- a/internal/gateway/recordwait.go
+++ b/internal/gateway/recordwait.go
@@ -61,9 +61,12 @@
 }
 
 // checkOutage ends the calls that wait for an upstream while no call may wait for the record any
-// more: their answers could not be recorded.
+// more: their answers could not be recorded. One that has waited for long already is ended as soon as
+// its record gives no answer: all its waits together are to stay below the limit.
 func (s *Server) checkOutage() {
-	s.attempts.stopUnwritten(func(home program.Home) bool {
-		return s.opts.Ledger.Outage(home) >= maxRecordWait
+	now := s.opts.Clock()
+	s.attempts.stopUnwritten(func(home program.Home, begun time.Duration) bool {
+		outage := s.opts.Ledger.Outage(home)
+		return outage >= maxRecordWait || outage >= minRecordWait && now-begun >= shortCallAge
 	})
 }
--- a/internal/gateway/recordwait_test.go
+++ b/internal/gateway/recordwait_test.go
@@ -191,6 +191,40 @@
 	}
 }
 
+// TestServer_LongQueuedCallIsRefusedSooner: a call that has waited for an upstream for long doesn't wait for
+// its record as well.
+func TestServer_LongQueuedCallIsRefusedSooner(t *testing.T) {
+	for waited, refused := range map[time.Duration]bool{shortCallAge - time.Second: false, shortCallAge: true} {
+		l := &slowLedger{}
+		g := newSlowGateway(t, l)
+		q := &queue{queued: make(chan struct{})}
+		g.server.opts.Dispatcher = q
+		answered := make(chan string, 1)
+		go func() {
+			_, text := g.post(t, "/v1/chat/completions", wholeChat, headerProgram, "p", headerTurn, "1")
+			answered <- text
+		}()
+		<-q.queued
+		l.mu.Lock()
+		l.runs, l.outage = waited, minRecordWait
+		l.mu.Unlock()
+		g.server.checkOutage()
+		select {
+		case text := <-answered:
+			code, _ := errorOf(t, text)
+			require.True(t, refused, "after %s", waited)
+			require.Equal(t, "programs_unavailable", code)
+		case <-time.After(100 * time.Millisecond):
+			require.False(t, refused, "after %s", waited)
+			l.mu.Lock()
+			l.outage = time.Minute
+			l.mu.Unlock()
+			g.server.checkOutage()
+			<-answered
+		}
+	}
+}
+
 func TestServer_CallAtItsUpstreamOutlivesAnOutage(t *testing.T) {
 	began, release := make(chan struct{}), make(chan struct{})
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -279,8 +313,8 @@
 	a := newAttempts()
 	stopped := map[string]bool{}
 	for _, id := range []string{"1f", "z1~2f"} {
-		a.bind(id, func(error) { stopped[id] = true })
+		a.bind(id, 0, func(error) { stopped[id] = true })
 	}
-	a.stopUnwritten(func(home program.Home) bool { return home == program.MajorityHome })
+	a.stopUnwritten(func(home program.Home, _ time.Duration) bool { return home == program.MajorityHome })
 	require.Equal(t, map[string]bool{"1f": true}, stopped)
 }
--- a/internal/gateway/turn.go
+++ b/internal/gateway/turn.go
@@ -136,7 +136,7 @@
 // attempt's lease, and no longer with the caller's connection.
 func (t *turn) bind(ctx context.Context) (context.Context, func()) {
 	ctx, cancel := context.WithCancelCause(ctx)
-	t.server.attempts.bind(t.started.Attempt, cancel)
+	t.server.attempts.bind(t.started.Attempt, t.budget.begun, cancel)
 	stop := func() {
 		t.server.attempts.remove(t.started.Attempt)
 		cancel(nil)
