--- a/internal/soak/checks.go
+++ b/internal/soak/checks.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egretramp/internal/fakes"
+	"egretramp/internal/program"
 	"egretramp/internal/refusal"
 	"egretramp/internal/workload"
 )
@@ -291,7 +292,9 @@
 	return r
 }
 
-// checkRefusedAtOnce says that what needs a majority is refused at once where there is none.
+// checkRefusedAtOnce says that what needs a majority is refused at once where there is none. There is
+// one as long as it answers: a call that waits for an upstream meanwhile is refused in time if that is so
+// from the last recorded answer through the same VM on.
 func checkRefusedAtOnce(e *evidence) workload.Result {
 	r := workload.Result{Name: "what needs a majority is refused within " + refusalLimit.String()}
 	for _, d := range e.refusals {
@@ -300,22 +303,50 @@
 			r.Violate("an apply was refused after %s", d)
 		}
 	}
+	recorded := recordedAnswers(e)
 	for _, m := range e.Match() {
 		for _, a := range m.Call.Attempts {
 			if a.Code != codeNoMajority {
 				continue
 			}
 			r.Tried++
-			took := a.End.Sub(a.Start)
+			since := a.Start
+			for _, at := range recorded[recordPlace{a.VM, program.HomeOf(m.Call.Program)}] {
+				if at.After(since) && at.Before(a.End) {
+					since = at
+				}
+			}
+			took := a.End.Sub(since)
 			frozen := e.out.during(e.vmOf[a.VM], a.Start, a.End)
 			if took > refusalLimit && !frozen {
-				r.Violate("%s was refused after %s: %q; runs at upstreams meanwhile: %s", m.Call, took, a.Code, runsDuring(m.Runs, a))
+				r.Violate("%s was refused after %s, %s after its record last answered: %q; runs at upstreams meanwhile: %s",
+					m.Call, a.End.Sub(a.Start), took, a.Code, runsDuring(m.Runs, a))
 			}
 		}
 	}
 	return r
 }
 
+// recordPlace is a VM and the group of whose answers it depends.
+type recordPlace struct {
+	vm   string
+	home program.Home
+}
+
+// recordedAnswers returns when calls of programs were answered, which their group has to record before.
+func recordedAnswers(e *evidence) map[recordPlace][]time.Time {
+	answers := map[recordPlace][]time.Time{}
+	for _, c := range e.Calls {
+		for _, a := range c.Attempts {
+			if c.Program != "" && c.Turn > 0 && a.Answered() {
+				place := recordPlace{a.VM, program.HomeOf(c.Program)}
+				answers[place] = append(answers[place], a.End)
+			}
+		}
+	}
+	return answers
+}
+
 // runsDuring describes the runs of a call during one attempt, in times since its start: whether
 // the attempt waited for an upstream's answer or for this system.
 func runsDuring(runs []fakes.Run, a workload.Attempt) string {
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// TestChecks_QueuedCallOutlivesItsMajority is the case of seed 501: a call waited 12 s for an upstream to run it
+// alone, through a VM whose other calls were recorded until 1.2 s before it was refused.
+func TestChecks_QueuedCallOutlivesItsMajority(t *testing.T) {
+	e := planted()
+	a := refused(1, codeNoMajority, refusal.Unknown)
+	a.End = second(13.2)
+	e.call("keeper", "x", a)
+	e.call("keeper", "y", attempt(10, 12, 200))
+	require.Zero(t, checkRefusedAtOnce(e).Violated)
+}
+
 func TestChecks_SeePlantedViolations(t *testing.T) {
 	for name, c := range map[string]struct {
 		line  string // of the report
@@ -125,6 +136,18 @@
 			a.End = second(8)
 			e.call("leaver", "x", a)
 		}},
+		"slow turn, its record answered long before": {"needs a majority", func(e *evidence) {
+			a := refused(1, codeNoMajority, refusal.True)
+			a.End = second(9)
+			e.call("keeper", "x", a)
+			e.call("keeper", "y", attempt(1, 2.5, 200))
+		}},
+		"slow turn, another record answered": {"needs a majority", func(e *evidence) {
+			a := refused(1, codeNoMajority, refusal.True)
+			a.End = second(9)
+			e.call("keeper", "zone:z:0123456789abcdef:x", a)
+			e.call("keeper", "y", attempt(1, 8, 200))
+		}},
 		"ahead": {"in order", func(e *evidence) {
 			a := refused(1, "busy", refusal.Unknown)
 			a.Probe = workload.ProbeAhead
