--- /dev/null
+++ b/internal/balance/load_test.go
@@ -0,0 +1,247 @@
+package balance
+
+import (
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// This file replays load patterns in virtual time, with the choice of this package against simpler
+// ones, over engines as entry VMs see them: each VM knows its own requests and what it measured only.
+
+const (
+	loadVMs      = 7
+	loadEngines  = 9
+	loadSlots    = 12
+	turnWork     = 150 * time.Millisecond // on an idle engine, beside the prompt
+	promptWork   = 12 * time.Millisecond  // reading a prompt of a thousand tokens
+	loadTurns    = 5
+	betweenTurns = 60 * time.Millisecond
+	// slowMemory is the weight of the newest sample in a VM's measure of an engine.
+	slowMemory = 0.2
+)
+
+// policy chooses an engine.
+type policy func(candidates []Candidate, r Request) int
+
+// leastInflight sends each turn to the engine with the fewest requests of this VM, the nearest first.
+func leastInflight(candidates []Candidate, r Request) int {
+	best := -1
+	for i, c := range candidates {
+		if best < 0 || c.Inflight < candidates[best].Inflight || c.Inflight == candidates[best].Inflight && c.Local && !candidates[best].Local {
+			best = i
+		}
+	}
+	return best
+}
+
+// byHash sends each program to one engine, whatever happens there.
+func byHash(candidates []Candidate, r Request) int {
+	best := 0
+	for i, c := range candidates {
+		if Weight(r.Affinity, c.ID) > Weight(r.Affinity, candidates[best].ID) {
+			best = i
+		}
+	}
+	return best
+}
+
+type event struct {
+	at  time.Duration
+	run func()
+}
+
+type events []event
+
+func (e events) Len() int           { return len(e) }
+func (e events) Less(i, j int) bool { return e[i].at < e[j].at }
+func (e events) Swap(i, j int)      { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)        { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	last := (*e)[len(*e)-1]
+	*e = (*e)[:len(*e)-1]
+	return last
+}
+
+type loadEngine struct {
+	id      string
+	zone    int
+	slow    float64 // how many times as long a turn takes
+	running int
+	waiting []func()
+	kept    map[string]int // turns of a program whose prompts are kept here
+}
+
+type loadWorld struct {
+	random  *rand.Rand
+	now     time.Duration
+	queue   events
+	engines []*loadEngine
+	// measured is each VM's moving average of an engine's turns, over the work of an idle one.
+	measured [loadVMs][]float64
+	inflight [loadVMs][]int
+	home     [loadVMs]map[string]string
+	choose   policy
+	took     []time.Duration // of programs
+	read     time.Duration   // work of prompts
+}
+
+func newLoadWorld(seed uint64, choose policy) *loadWorld {
+	w := &loadWorld{random: rand.New(rand.NewPCG(seed, 9)), choose: choose}
+	for i := range loadEngines {
+		w.engines = append(w.engines, &loadEngine{id: fmt.Sprint("e", i), zone: i % 3, slow: 1, kept: map[string]int{}})
+	}
+	for vm := range loadVMs {
+		w.inflight[vm] = make([]int, loadEngines)
+		w.home[vm] = map[string]string{}
+		for range loadEngines {
+			w.measured[vm] = append(w.measured[vm], 1)
+		}
+	}
+	return w
+}
+
+func (w *loadWorld) after(d time.Duration, run func()) { heap.Push(&w.queue, event{w.now + d, run}) }
+
+// turn runs a program's next turn.
+func (w *loadWorld) turn(vm int, program string, n int, begun time.Duration) {
+	candidates := make([]Candidate, loadEngines)
+	for i, e := range w.engines {
+		candidates[i] = Candidate{ID: e.id, Local: e.zone == vm%3, Slots: loadSlots, Inflight: w.inflight[vm][i], Slowness: w.measured[vm][i]}
+	}
+	i := w.choose(candidates, Request{
+		Affinity: program, Home: w.home[vm][program], AffinityGain: 4 * time.Duration(n) * promptWork, New: n == 1,
+		Service: turnWork, Draw: w.random.Float64(),
+	})
+	e := w.engines[i]
+	w.home[vm][program] = e.id
+	w.inflight[vm][i]++
+	sent := w.now
+	start := func() {
+		e.running++
+		prompt := time.Duration(n-min(e.kept[program], n-1)) * promptWork
+		w.read += prompt
+		e.kept[program] = n
+		work := time.Duration(float64(turnWork+prompt) * e.slow)
+		w.after(work, func() {
+			e.running--
+			if len(e.waiting) > 0 {
+				next := e.waiting[0]
+				e.waiting = e.waiting[1:]
+				next()
+			}
+			w.inflight[vm][i]--
+			w.measured[vm][i] += slowMemory * (float64(w.now-sent)/float64(turnWork) - w.measured[vm][i])
+			if n == loadTurns {
+				w.took = append(w.took, w.now-begun)
+				return
+			}
+			w.after(betweenTurns, func() { w.turn(vm, program, n+1, begun) })
+		})
+	}
+	if e.running < loadSlots {
+		start()
+	} else {
+		e.waiting = append(e.waiting, start)
+	}
+}
+
+// play begins programs at a rate, a second, through VMs that zone chooses, and ends when all are done.
+func (w *loadWorld) play(length time.Duration, rate float64, vm func() int) {
+	for at := time.Duration(0); at < length; at += time.Duration(w.random.ExpFloat64() / rate * float64(time.Second)) {
+		name := fmt.Sprint("p", len(w.queue))
+		heap.Push(&w.queue, event{at, func() { w.turn(vm(), name, 1, w.now) }})
+	}
+	for len(w.queue) > 0 {
+		e := heap.Pop(&w.queue).(event)
+		w.now = e.at
+		e.run()
+	}
+}
+
+// late is the share of programs over 1.5 times their time on idle engines.
+func (w *loadWorld) late() float64 {
+	ideal := loadTurns*(turnWork+promptWork) + (loadTurns-1)*betweenTurns
+	n := 0
+	for _, took := range w.took {
+		if took > ideal*3/2 {
+			n++
+		}
+	}
+	return float64(n) / float64(len(w.took))
+}
+
+func anyVM(w *loadWorld) func() int { return func() int { return w.random.IntN(loadVMs) } }
+
+// capacity is the rate of programs that all engines bear.
+var capacity = loadEngines * loadSlots / (loadTurns * (turnWork + promptWork)).Seconds()
+
+// compare plays a pattern with Pick and with a baseline, and returns the shares of late programs and
+// the work of reading prompts, all over five seeds.
+func compare(baseline policy, pattern func(w *loadWorld)) (late, baseLate float64, read, baseRead time.Duration) {
+	for seed := range uint64(5) {
+		w, b := newLoadWorld(seed, Pick), newLoadWorld(seed, baseline)
+		pattern(w)
+		pattern(b)
+		late += w.late() / 5
+		baseLate += b.late() / 5
+		read += w.read
+		baseRead += b.read
+	}
+	return late, baseLate, read, baseRead
+}
+
+// TestPick_FifthOfEnginesSlow: two of nine engines turn three times as slow for 6 s. Programs leave
+// them, also those that have their prompts there.
+func TestPick_FifthOfEnginesSlow(t *testing.T) {
+	pattern := func(w *loadWorld) {
+		for _, i := range []int{2, 6} {
+			heap.Push(&w.queue, event{2 * time.Second, func() { w.engines[i].slow = 3 }})
+			heap.Push(&w.queue, event{8 * time.Second, func() { w.engines[i].slow = 1 }})
+		}
+		w.play(10*time.Second, 0.6*capacity, anyVM(w))
+	}
+	for name, baseline := range map[string]policy{"by hash": byHash, "least in flight": leastInflight} {
+		late, base, _, _ := compare(baseline, pattern)
+		t.Logf("%s: late %.3f, baseline %.3f", name, late, base)
+		require.Less(t, late, base*2/3, name)
+	}
+}
+
+// TestPick_ProgramsKeepTheirPrompts: at a moderate load, prompts are read at most half as often as by the
+// choice that looks at queues alone.
+func TestPick_ProgramsKeepTheirPrompts(t *testing.T) {
+	late, base, read, baseRead := compare(leastInflight, func(w *loadWorld) { w.play(10*time.Second, 0.6*capacity, anyVM(w)) })
+	t.Logf("late %.3f, baseline %.3f; prompts %v, baseline %v", late, base, read, baseRead)
+	require.Less(t, read, baseRead/2)
+}
+
+// TestPick_CallersShiftZones: four fifths of all callers come through one zone's VMs for 5 s. Its
+// engines alone don't bear them, so the others take their part.
+func TestPick_CallersShiftZones(t *testing.T) {
+	local := func(candidates []Candidate, r Request) int { // never leaves the zone
+		var near []Candidate
+		var index []int
+		for i, c := range candidates {
+			if c.Local {
+				near = append(near, c)
+				index = append(index, i)
+			}
+		}
+		return index[Pick(near, r)]
+	}
+	late, base, _, _ := compare(local, func(w *loadWorld) {
+		w.play(10*time.Second, 0.7*capacity, func() int {
+			if w.now > 3*time.Second && w.now < 8*time.Second && w.random.Float64() < 0.8 {
+				return []int{0, 3, 6}[w.random.IntN(3)]
+			}
+			return w.random.IntN(loadVMs)
+		})
+	})
+	t.Logf("late %.3f, baseline %.3f", late, base)
+	require.Less(t, late, base*2/3)
+}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -202,3 +202,33 @@
 	t.Logf("refused by one VM %.3f, by 64 VMs %.3f", one, many)
 	require.LessOrEqual(t, many, one+0.03)
 }
+
+// TestQuota_CallersOfFewVMsAgainstEqualShares: an account whose callers come through two of nine VMs gets its
+// rate. With an equal share of it for each VM, the way of a VM that lost the coordinator, most is refused.
+func TestQuota_CallersOfFewVMsAgainstEqualShares(t *testing.T) {
+	refused := func(cut bool) float64 {
+		r := rand.New(rand.NewPCG(5, 5))
+		f := newFleet(9, Rate{PerSecond: 90, Burst: 90})
+		f.run(r, 2*time.Second, 9)
+		for i := range f.cut {
+			f.cut[i] = cut
+		}
+		f.now += 2 * ContactLimit
+		f.passed, f.refused = nil, 0
+		for end := f.now + 20*time.Second; f.now < end; f.now += step {
+			if r.Float64() < 0.9*90*step.Seconds() {
+				f.request(r.IntN(2))
+			}
+			if f.now%(200*time.Millisecond) == 0 {
+				for i := range f.holders {
+					f.exchange(i, 0)
+				}
+			}
+		}
+		return float64(f.refused) / float64(f.refused+len(f.passed))
+	}
+	ours, shares := refused(false), refused(true)
+	t.Logf("refused %.3f, with equal shares %.3f", ours, shares)
+	require.Less(t, ours, 0.05)
+	require.Greater(t, shares, 0.5)
+}
