peer: a relay that is taken down ends no caller; node: a panic ends the process

With panics made visible: nil pointer in callThroughOthers. A call goes through two VMs in turn; while the first took its time to fail, the second, a store VM that was not used for 10 s, was removed. The wait group kept the panic, so the watch's goroutine was gone without a line. Ruled out: a call that hangs (timers of 3 s showed no stack), a lost registration (7 of 9 VMs had it within 0.1 s). Relays are held as links now. A panic in a VM's standing goroutines is logged with its stack and ends the process, which starts anew. Tests: TestNode_RelayIsTakenDownMeanwhile (panicked before), TestNode_GuardedPanicEndsTheProcess.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -116,10 +116,10 @@
 	wg.Go(func() { e.node.fail(e.server.Serve(listener)) })
 	wg.Go(func() { e.closeAtEnd(ctx, listener) })
 	for range settleWorkers {
-		wg.Go(func() { e.ledger.settle(ctx) })
+		wg.Go(e.node.guard(func() { e.ledger.settle(ctx) }))
 	}
-	wg.Go(func() { clock.Repeat(ctx, permitInterval, e.permits.tend) })
-	wg.Go(func() { clock.Repeat(ctx, reach.Interval, e.judgeZones) })
+	wg.Go(e.node.guard(func() { clock.Repeat(ctx, permitInterval, e.permits.tend) }))
+	wg.Go(e.node.guard(func() { clock.Repeat(ctx, reach.Interval, e.judgeZones) }))
 	return nil
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -88,7 +88,7 @@
 	}
 	n.watcher = &watcher{
 		self: n.self, calls: n.network, clock: clock.Now, events: opts.Events,
-		contacts: map[string]*contact{}, seeds: s.Seeds, peers: n.network.want,
+		contacts: map[string]*contact{}, seeds: s.Seeds, peers: n.network.want, guard: n.guard,
 	}
 	var err error
 	switch s.Role {
@@ -140,9 +140,9 @@
 		wg.Wait()
 		return err
 	}
-	wg.Go(func() { n.watcher.run(work) })
-	wg.Go(func() { clock.Repeat(work, tendInterval, n.tend) })
-	wg.Go(func() { n.keepSettings(work) })
+	wg.Go(n.guard(func() { n.watcher.run(work) }))
+	wg.Go(n.guard(func() { clock.Repeat(work, tendInterval, n.tend) }))
+	wg.Go(n.guard(func() { n.keepSettings(work) }))
 	select {
 	case <-ctx.Done():
 		n.events.Emit(events.NodeStopping)
@@ -173,6 +173,19 @@
 	}
 }
 
+// guard makes a panic end the process: the wait group of its goroutine keeps it until the end, and what
+// the goroutine did would be missing without a trace.
+func (n *Node) guard(f func()) func() {
+	return func() {
+		defer func() {
+			if p := recover(); p != nil {
+				n.fail(errors.Newf("node: %v\n%s", p, debug.Stack()))
+			}
+		}()
+		f()
+	}
+}
+
 func (n *Node) tend() {
 	n.watcher.tend()
 	n.network.tend()
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,18 @@
+package node
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestNode_GuardedPanicEndsTheProcess(t *testing.T) {
+	n := &Node{failed: make(chan error, 1)}
+	n.guard(func() {})()
+	require.Empty(t, n.failed)
+	n.guard(func() {
+		var none map[string]int
+		none["x"]++
+	})()
+	require.ErrorContains(t, <-n.failed, "nil map")
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -40,6 +40,7 @@
 	document func() uint64
 	// peers is told the VMs to stay connected to.
 	peers func(vms []string)
+	guard func(func()) func()
 
 	mu       sync.Mutex
 	contacts map[string]*contact
@@ -96,7 +97,7 @@
 		ctx, stop := context.WithCancel(w.ctx)
 		c = &contact{vm: vm, stop: stop}
 		w.contacts[vm] = c
-		w.wg.Go(func() { w.watch(ctx, c) })
+		w.wg.Go(w.guard(func() { w.watch(ctx, c) }))
 	}
 	c.reported = w.clock()
 }
--- a/internal/peer/node_test.go
+++ b/internal/peer/node_test.go
@@ -307,3 +307,36 @@
 		t.Fatal("the message was lost")
 	}
 }
+
+// TestNode_RelayIsTakenDownMeanwhile: a VM that doesn't reach the other one takes its time to say so; the
+// next one to be asked may have been removed by then.
+func TestNode_RelayIsTakenDownMeanwhile(t *testing.T) {
+	a := New(Options{VM: "a"})
+	serveNode(t, a, listen(t))
+	asked, answer := make(chan string, 2), make(chan struct{})
+	for _, vm := range []string{"c", "d"} {
+		l := listen(t)
+		n := New(Options{VM: vm})
+		n.calls[methodRelay] = func(context.Context, string, []byte) ([]byte, error) {
+			asked <- vm
+			<-answer
+			return nil, &RemoteError{Code: codeRelayUnreachable, Message: "not connected"}
+		}
+		serveNode(t, n, l)
+		a.AddPeer(vm, l.Addr().String())
+	}
+	for _, vm := range []string{"c", "d"} {
+		require.Eventually(t, func() bool { return a.Connected(vm) }, waitLimit, time.Millisecond)
+	}
+	a.AddPeer("b", "127.0.0.1:1") // nobody listens there
+	failed := make(chan error, 1)
+	go func() {
+		_, err := a.Call(context.Background(), "b", "echo", nil)
+		failed <- err
+	}()
+	other := map[string]string{"c": "d", "d": "c"}
+	a.RemovePeer(other[<-asked])
+	close(answer)
+	var unreachable *UnreachableError
+	require.ErrorAs(t, <-failed, &unreachable)
+}
--- a/internal/peer/relay.go
+++ b/internal/peer/relay.go
@@ -22,12 +22,13 @@
 	codeRelayLost        = "relay_lost"        // it may have run
 )
 
-// relays returns up to n connected VMs other than vm, a different first one each time.
-func (n *Node) relays(vm string, most int) []string {
-	var connected []string
+// relays returns the links to up to most connected VMs other than vm, a different first one each time.
+// They may be taken down at any time; what is sent on them then is lost.
+func (n *Node) relays(vm string, most int) []*link {
+	var connected []*link
 	for _, name := range n.VMs() {
-		if name != vm && n.Connected(name) {
-			connected = append(connected, name)
+		if l := n.link(name); name != vm && l != nil && l.up.Load() {
+			connected = append(connected, l)
 		}
 	}
 	if len(connected) == 0 {
@@ -51,7 +52,7 @@
 	if err != nil {
 		return false
 	}
-	n.link(through[0]).enqueue(kindRelay, data)
+	through[0].enqueue(kindRelay, data)
 	return true
 }
 
@@ -83,7 +84,7 @@
 	}
 	for _, through := range n.relays(vm, maxRelays) {
 		outer := &peerpb.CallRequest{From: n.opts.VM, Method: methodRelay, Payload: payload}
-		result, err := n.link(through).call(ctx, outer)
+		result, err := through.call(ctx, outer)
 		var unreachable *UnreachableError
 		var remote *RemoteError
 		switch {
