--- a/internal/gateway/drain_test.go
+++ b/internal/gateway/drain_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -60,3 +61,13 @@
 		require.GreaterOrEqual(t, time.Since(started), left/2)
 	}
 }
+
+// TestServer_DrainServesWhatNeedNotWait: also in its last moments a VM serves a call whose upstream is free.
+func TestServer_DrainServesWhatNeedNotWait(t *testing.T) {
+	var served atomic.Int64
+	g := newTestGateway(t, engine(t, 1, false, &served))
+	g.server.Drain(0)
+	require.Eventually(t, func() bool { return g.server.waits.Err() != nil }, time.Second, time.Millisecond)
+	status, text := g.post(t, "/v1/chat/completions", wholeChat)
+	require.Equal(t, 200, status, text)
+}
