suspect, proxy: a silent host counts as crashed until its successor proves it

Callers saw: a request that crashes its upstreams went on to further ones for as long as the first of them were down, if their hosts fell silent instead of refusing connections.

Cause: only a refused connection or the registration of a successor counted as a crash. A host that doesn't respond gave no evidence until it was back, and attempts that this VM ended itself (deadline, caller gone) were never probed.

Change: attempts that end here are probed unless the upstream has responded since they began. An upstream whose host doesn't respond, in a zone that is within reach, gives an unconfirmed strike: it spreads with the record, counts for 15 s, is confirmed by the successor's registration, and goes with a success. Unlike a strike it can't quarantine a sound request for an hour.

--- a/internal/events/proxy.go
+++ b/internal/events/proxy.go
@@ -16,4 +16,5 @@
 	ProxyQuarantined     = define(2306, zapcore.ErrorLevel, "a request is quarantined: three upstreams crashed during its attempts",
 		"check the upstreams' own logs for the crash; ask the client account what the request was")
 	ProxyStrikesCleared = define(2307, zapcore.InfoLevel, "a request during which upstreams crashed has succeeded; the crashes no longer count against it", "")
+	ProxyUpstreamSilent = define(2308, zapcore.InfoLevel, "an upstream's host fell silent during an attempt, which counts as a crash for some seconds", "")
 )
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -141,6 +141,7 @@
 			return nil, Reply{}, errors.Wrap(err, "proxy: read the answer")
 		}
 		a.zone.received.Store(true)
+		a.server.health.recordHeard(a.upstream.ID)
 		if response.StatusCode/100 == 1 {
 			continue
 		}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -22,18 +22,24 @@
 	crashProbeWait = 50 * time.Millisecond
 	// failedRunRetention is how long after a failed attempt the registration of another process in the
 	// upstream's place shows that the upstream crashed. It covers the time until a crashed upstream is back.
-	failedRunRetention = 15 * time.Second
+	failedRunRetention = suspect.UnconfirmedRetention
+	// minSilence is how long an upstream must not have responded before an attempt that this VM ended itself
+	// is probed.
+	minSilence = 300 * time.Millisecond
 	// maxFailedRuns bounds the failed attempts that are kept.
 	maxFailedRuns = 1024
 )
 
 // crashDetector determines which failed attempts crashed their upstream and reports these to the tracker.
 // A lost response alone is no crash: it takes a host that refuses connections, or the registration of
-// another process in the upstream's place. It is safe for concurrent use.
+// another process in the upstream's place. A host that doesn't respond to connections counts as crashed for
+// some seconds. It is safe for concurrent use.
 type crashDetector struct {
 	tracker   *suspect.Tracker
 	directory *registry.Directory
 	pool      *upconn.Pool
+	health    *health
+	zones     *zones
 	events    *events.Logger
 	metrics   *Metrics
 
@@ -47,7 +53,9 @@
 	fingerprint suspect.Fingerprint
 	subject     string // describes the request to operators
 	upstream    registry.Upstream
+	startedAt   time.Time
 	endedAt     time.Time
+	endedHere   bool // this VM closed the connection: the deadline passed or the caller disconnected
 }
 
 // probe determines in the background whether the upstream of a failed attempt still accepts connections.
@@ -56,9 +64,21 @@
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		if upconn.RefusedByHost(d.pool.Probe(context.Background(), run.upstream.Address)) && !d.directory.Leaving(run.upstream) {
+		if run.endedHere {
+			time.Sleep(time.Until(run.startedAt.Add(minSilence)))
+			if d.health.heardSince(run.upstream.ID, run.startedAt) {
+				d.watch(run)
+				return
+			}
+		}
+		err := d.pool.Probe(context.Background(), run.upstream.Address)
+		switch {
+		case err == nil || d.directory.Leaving(run.upstream):
+		case upconn.RefusedByHost(err):
 			d.recordCrash(run)
 			return
+		case d.zones.reachable(run.upstream.Zone):
+			d.recordSilence(run, err)
 		}
 		d.watch(run)
 	}()
@@ -106,17 +126,35 @@
 	}
 }
 
+// strike returns the strike of a run whose upstream crashed.
+func (r *failedRun) strike() suspect.Strike {
+	return suspect.Strike{Run: r.request + "/" + r.upstream.ID, Upstream: fmt.Sprintf("%s@%d", r.upstream.ID, r.upstream.Born)}
+}
+
+// logFields returns the fields that describe a run in log lines.
+func (r *failedRun) logFields() []zap.Field {
+	return []zap.Field{
+		zap.String("request", r.request), zap.String("subject", r.subject), zap.String("fingerprint", string(r.fingerprint)),
+		zap.String("upstream", r.upstream.ID), zap.Int64("born", r.upstream.Born), zap.String("address", r.upstream.Address),
+		zap.Duration("after", time.Since(r.endedAt)),
+	}
+}
+
+// recordSilence records that the upstream's host doesn't respond, as after a loss of power.
+func (d *crashDetector) recordSilence(run failedRun, cause error) {
+	record, counted := d.tracker.Silent(run.fingerprint, run.strike(), run.subject)
+	d.events.Emit(events.ProxyUpstreamSilent, append(run.logFields(), zap.Bool("counted", counted),
+		zap.Int("strikes", len(record.Struck)), zap.Int("unconfirmed", len(record.Unconfirmed)), zap.Error(cause))...)
+}
+
 func (d *crashDetector) recordCrash(run failedRun) {
-	process := fmt.Sprintf("%s@%d", run.upstream.ID, run.upstream.Born)
-	record, counted := d.tracker.Lost(run.fingerprint, suspect.Strike{Run: run.request + "/" + run.upstream.ID, Upstream: process}, run.subject)
+	record, counted := d.tracker.Lost(run.fingerprint, run.strike(), run.subject)
 	d.metrics.upstreamCrashed(counted)
 	event := events.ProxyUpstreamCrashed
 	if counted && len(record.Struck) == suspect.MaxCrashes {
 		event = events.ProxyQuarantined
 	}
-	d.events.Emit(event, zap.String("request", run.request), zap.String("subject", run.subject), zap.String("fingerprint", string(run.fingerprint)),
-		zap.String("upstream", run.upstream.ID), zap.Int64("born", run.upstream.Born), zap.String("address", run.upstream.Address),
-		zap.Duration("after", time.Since(run.endedAt)), zap.Bool("counted", counted), zap.Int("strikes", len(record.Struck)))
+	d.events.Emit(event, append(run.logFields(), zap.Bool("counted", counted), zap.Int("strikes", len(record.Struck)))...)
 }
 
 // recordSuccess records that an attempt got a complete response.
@@ -145,32 +183,37 @@
 	return x.fingerprint
 }
 
-// isQuarantined reports whether the request has crashed too many upstreams to be sent to another one.
-func (x *exchange) isQuarantined() bool {
+// isQuarantined reports whether the request has crashed too many upstreams to be sent to another one, and
+// after which time it may be sent again.
+func (x *exchange) isQuarantined() (retryAfter time.Duration, rejected bool) {
 	tracker := x.server.opts.Suspects
-	return !tracker.Empty() && tracker.Rejects(x.requestFingerprint())
+	if tracker.Empty() {
+		return 0, false
+	}
+	return tracker.Rejection(x.requestFingerprint())
 }
 
 // quarantineRefusal returns the refusal of a quarantined request.
-func (x *exchange) quarantineRefusal() Refusal {
+func (x *exchange) quarantineRefusal(retryAfter time.Duration) Refusal {
 	if len(x.mayHaveRun) > 0 || x.w.Begun() {
 		return Refusal{Reason: Failed, Detail: "the request crashed its upstreams and is quarantined"}
 	}
-	return Refusal{Reason: Quarantined, RetryAfter: suspect.StrikeRetention}
+	return Refusal{Reason: Quarantined, RetryAfter: retryAfter}
 }
 
 // detectCrash starts to determine whether an attempt that may have run crashed its upstream. The returned
 // channel is closed when that is known, or when it can't be determined yet.
-func (x *exchange) detectCrash(u registry.Upstream, cause error) <-chan struct{} {
+func (x *exchange) detectCrash(u registry.Upstream, started time.Time, cause error) <-chan struct{} {
 	d := x.server.crashes
 	run := failedRun{
-		request: x.call.RequestID, fingerprint: x.requestFingerprint(), upstream: u, endedAt: time.Now(),
-		subject: "client account " + x.accountName() + ", route " + x.route.Name + ", " + x.request.Method,
+		request: x.call.RequestID, fingerprint: x.requestFingerprint(), upstream: u, startedAt: started, endedAt: time.Now(),
+		endedHere: x.ctx.Err() != nil,
+		subject:   "client account " + x.accountName() + ", route " + x.route.Name + ", " + x.request.Method,
 	}
-	if x.ctx.Err() == nil && !errors.Is(cause, errZoneUnreachable) {
+	if !errors.Is(cause, errZoneUnreachable) {
 		return d.probe(run)
 	}
-	// The connection was closed by this VM, which shows nothing about the upstream.
+	// A partition, which shows nothing about the upstream.
 	d.watch(run)
 	done := make(chan struct{})
 	close(done)
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -165,3 +166,36 @@
 	}
 	require.True(t, g.server.opts.Suspects.Empty())
 }
+
+// TestServer_DisconnectedCallersCostConnections guards against a new connection to an upstream for each caller
+// that disconnects, while the upstream goes on responding.
+func TestServer_DisconnectedCallersCostConnections(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		if strings.HasPrefix(r.URL.Path, "/once/") {
+			time.Sleep(2 * time.Second) // longer than the route's timeout
+			return false
+		}
+		_, err := c.Write([]byte(signed(r) + "Content-Length: 4\r\n\r\nfine"))
+		return err == nil
+	})
+	stop := make(chan struct{})
+	var others sync.WaitGroup
+	others.Go(func() {
+		for n := 0; ; n++ {
+			select {
+			case <-stop:
+				return
+			case <-time.After(50 * time.Millisecond):
+				g.callWithBody(fmt.Sprint("s", n), "/safe/x", "sound")
+			}
+		}
+	})
+	require.Equal(t, 504, g.sendPoison("/once/x", 1).status)
+	opened := g.server.pool.Opened()
+	time.Sleep(minSilence)
+	close(stop)
+	others.Wait()
+	require.Equal(t, opened, g.server.pool.Opened())
+	require.True(t, g.server.opts.Suspects.Empty())
+}
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -53,6 +53,7 @@
 	latencyAt           time.Time     // last sample of latency
 	consecutiveFailures int
 	avoidUntil          time.Time // the upstream counts as failing until then
+	heardAt             time.Time // last response or event
 	service             string
 }
 
@@ -82,6 +83,21 @@
 	h.stats(id).inflight--
 }
 
+// recordHeard records that bytes of a response were received.
+func (h *health) recordHeard(id string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stats(id).heardAt = time.Now()
+}
+
+// heardSince reports whether bytes of a response were received after t.
+func (h *health) heardSince(id string, t time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	r := h.upstreams[id]
+	return r != nil && r.heardAt.After(t)
+}
+
 // recordSuccess records a response and the time to its first byte. A status of 500 or above counts
 // as a failure.
 func (h *health) recordSuccess(u registry.Upstream, service string, latency time.Duration, status int) {
@@ -111,6 +127,7 @@
 	}
 	r.eventGap += time.Duration(eventGapWeight * float64(gap-r.eventGap))
 	r.eventGapAt = time.Now()
+	r.heardAt = r.eventGapAt
 	idleGap := time.Duration(float64(h.idleEventGaps[service]) * idleEventGapGrowth)
 	if r.eventGap > minEventGap && (idleGap == 0 || r.eventGap < idleGap) {
 		idleGap = r.eventGap
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -173,7 +173,9 @@
 		opts.Suspects = suspect.NewTracker(clock.Now)
 	}
 	s := &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
-	s.crashes = &crashDetector{tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, events: opts.Events, metrics: opts.Metrics}
+	s.crashes = &crashDetector{
+		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, events: opts.Events, metrics: opts.Metrics,
+	}
 	return s
 }
 
@@ -284,8 +286,8 @@
 			return &Refusal{Reason: BadKey}
 		}
 	}
-	if x.isQuarantined() {
-		r := x.quarantineRefusal()
+	if retryAfter, rejected := x.isQuarantined(); rejected {
+		r := x.quarantineRefusal(retryAfter)
 		return &r
 	}
 	x.service, _ = x.table.Service(x.route.Pick(rand.Float64()))
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -50,8 +50,8 @@
 			x.abandon(err)
 			return
 		}
-		if x.isQuarantined() {
-			x.refuse(x.quarantineRefusal())
+		if retryAfter, rejected := x.isQuarantined(); rejected {
+			x.refuse(x.quarantineRefusal(retryAfter))
 			return
 		}
 		u, ok := x.pickUpstream(sends)
@@ -61,6 +61,7 @@
 		}
 		sends[u.ID]++
 		x.upstream = u.ID
+		started := time.Now()
 		result, err := x.tryUpstream(u)
 		if result == answered {
 			return
@@ -78,7 +79,7 @@
 			}
 		case maybeRun:
 			x.mayHaveRun[u.ID] = true
-			crashResult := x.detectCrash(u, err)
+			crashResult := x.detectCrash(u, started, err)
 			if errors.Is(err, errZoneUnreachable) {
 				x.zoneUnreachable[u.ID] = true
 			}
@@ -211,7 +212,7 @@
 		s.pool.Put(conn, a.responseHeader)
 	}
 	if cause := context.Cause(x.ctx); result == maybeRun && cause != nil && errors.Is(cause, httpwire.ErrCallerGone) {
-		x.detectCrash(u, err)
+		x.detectCrash(u, started, err)
 		x.abortCallerGone(cause)
 		return answered, nil
 	}
--- a/internal/suspect/registry.go
+++ b/internal/suspect/registry.go
@@ -125,6 +125,8 @@
 	Subject string   `json:"subject,omitempty"`
 	// Remaining is the time until the record expires.
 	Remaining time.Duration `json:"remaining_ns"`
+	// Unconfirmed are the strikes of a Tracker that aren't confirmed. They expire by themselves.
+	Unconfirmed []UnconfirmedStrike `json:"unconfirmed,omitempty"`
 }
 
 // Quarantined reports whether the record has enough strikes for the request to be rejected.
--- a/internal/suspect/tracker.go
+++ b/internal/suspect/tracker.go
@@ -33,6 +33,9 @@
 // successRetention after it don't count. Otherwise several upstreams that are lost at once, as in a power
 // loss, would quarantine a request that is sent often.
 //
+// Silent reports an upstream whose host fell silent, which may have crashed. Such a strike counts until it
+// expires, so that the request doesn't go on meanwhile.
+//
 // Tracker is safe for concurrent use.
 type Tracker struct {
 	clock func() time.Duration
@@ -42,9 +45,12 @@
 	mu        sync.Mutex
 	registry  *Registry
 	successes recentSuccesses
-	changes   map[Fingerprint]change
-	version   uint64
-	changed   chan struct{} // closed and replaced on each change
+	// unconfirmed holds the strikes of Silent, subjects the description of their requests.
+	unconfirmed map[Fingerprint][]unconfirmed
+	subjects    map[Fingerprint]string
+	changes     map[Fingerprint]change
+	version     uint64
+	changed     chan struct{} // closed and replaced on each change
 }
 
 // change holds the versions of a record's last changes, 0 for none.
@@ -59,6 +65,7 @@
 		clock:    clock,
 		registry: newRegistry(policy{maxLost: MaxCrashes, maxStruck: maxTracked, clearsQuarantine: true}),
 		changes:  map[Fingerprint]change{}, changed: make(chan struct{}),
+		unconfirmed: map[Fingerprint][]unconfirmed{}, subjects: map[Fingerprint]string{},
 	}
 }
 
@@ -67,20 +74,27 @@
 
 // Rejects reports whether a fingerprint is quarantined; each call extends the quarantine.
 func (t *Tracker) Rejects(f Fingerprint) bool {
+	_, rejected := t.Rejection(f)
+	return rejected
+}
+
+// Rejection is Rejects, and returns after which time the request may be sent again.
+func (t *Tracker) Rejection(f Fingerprint) (retryAfter time.Duration, rejected bool) {
 	if t.Empty() {
-		return false
+		return 0, false
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	now := t.clock()
 	before := t.registry.Record(now, f).Remaining
 	if !t.registry.Rejects(now, f) {
-		return false
+		suspended := t.suspendedFor(now, f)
+		return suspended, suspended > 0
 	}
 	if StrikeRetention-before > refreshInterval {
 		t.markChanged(f, true)
 	}
-	return true
+	return StrikeRetention, true
 }
 
 // Lost records that an upstream process ended during a run. subject describes the request to operators.
@@ -90,13 +104,13 @@
 	defer t.mu.Unlock()
 	now := t.clock()
 	if t.successes.contains(now, f) {
-		return t.registry.Record(now, f), false
+		return t.record(now, f), false
 	}
 	counted := t.registry.strike(now, t.registry.entry(f), s, subject)
 	if counted {
 		t.markChanged(f, true)
 	}
-	return t.registry.Record(now, f), counted
+	return t.record(now, f), counted
 }
 
 // Succeeded records that a run ended with a complete response. It reports whether that cleared strikes.
@@ -110,9 +124,10 @@
 
 // clear removes the strikes of a fingerprint, if it has some. t.mu must be held.
 func (t *Tracker) clear(now time.Duration, f Fingerprint) bool {
-	if !t.registry.hasStrikes(f) {
+	if !t.registry.hasStrikes(f) && len(t.unconfirmed[f]) == 0 {
 		return false
 	}
+	t.forgetUnconfirmed(f)
 	t.registry.clear(now, f, clearedRetention)
 	t.markChanged(f, true)
 	return true
@@ -130,16 +145,21 @@
 		f := rec.Fingerprint
 		before := t.registry.Record(now, f)
 		t.registry.Merge(now, rec)
-		after := t.registry.Record(now, f)
-		if !after.differs(before) {
+		if rec.Version > before.Version {
+			t.forgetUnconfirmed(f)
+		}
+		added := rec.Version >= before.Version && t.addUnconfirmed(now, f, rec.Unconfirmed)
+		if added {
+			t.subjects[f] = rec.Subject
+		}
+		if !added && !t.registry.Record(now, f).differs(before) {
 			continue
 		}
 		t.markChanged(f, false)
 		if t.successes.contains(now, f) {
 			t.clear(now, f)
-			after = t.registry.Record(now, f)
 		}
-		changed = append(changed, after)
+		changed = append(changed, t.record(now, f))
 	}
 	return changed
 }
@@ -192,7 +212,7 @@
 	var records []Record
 	for f, c := range t.changes {
 		if versionOf(c) > version {
-			records = append(records, t.registry.Record(now, f))
+			records = append(records, t.record(now, f))
 		}
 	}
 	slices.SortFunc(records, func(a, b Record) int { return strings.Compare(string(a.Fingerprint), string(b.Fingerprint)) })
@@ -203,9 +223,13 @@
 func (t *Tracker) Sweep() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.registry.sweep(t.clock())
+	now := t.clock()
+	t.registry.sweep(now)
+	for f := range t.unconfirmed {
+		t.dropUnconfirmed(now, f)
+	}
 	for f := range t.changes {
-		if e := t.registry.entries[f]; e == nil || len(e.struck) == 0 && e.version == 0 {
+		if e := t.registry.entries[f]; (e == nil || len(e.struck) == 0 && e.version == 0) && len(t.unconfirmed[f]) == 0 {
 			delete(t.changes, f)
 		}
 	}
