quota, proxy, node: rate limits that upstreams state hold across all VMs

Callers saw nothing yet; upstreams short of capacity got a multiple of the requests a second that they had stated.

Cause: nothing read the header. A rule of the whole fleet had no owner.

Change: the permits that keep client accounts' rates over the fleet now keep upstreams' limits as well. Entry VMs report what responses state, with its age; the coordinator passes it on and grants whole permits that expire after 0.5 s, to whoever asks, so a busy VM gets all of a limit. Without a coordinator a VM uses its share, which the coordinator keeps free. Every send takes a permit: retries, resumed streams, calls. Lower limits are in force at once, higher ones and the end only by a response to a request sent later. Placement knows what is left: while others have no limit, large requests get the permits; what fits nowhere is rejected at once, less urgent new programs first, and programs under way wait up to 0.8 s. The home of a line of turns is kept for each line, not for the program, whose sub-agents used to move it.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -72,10 +72,11 @@
 		self: n.self.VM, table: e.table.Load,
 		groups: groups.NewDynamicClient(n.network, func(uint64) []string { return n.watcher.controlVMs() }, permitAttemptTimeout),
 		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
+		upstreams: newUpstreamLimits(),
 	}
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
-		Ledger: e.ledger, Limiter: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
+		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
 	e.server = httpwire.New(e.proxy, e.limits)
 	return e
@@ -229,7 +230,10 @@
 	e.node.events.Emit(events.NodeConfigInForce, zap.Uint64("configuration", version), zap.String("control", from))
 }
 
-func (e *entry) maintain() { e.proxy.Sweep() }
+func (e *entry) maintain() {
+	e.proxy.Sweep()
+	e.permits.forgetUpstreams(e.directory.View())
+}
 
 // drain reports that the VM isn't ready, serves the requests that still arrive, and returns when none
 // is in progress. New connections are accepted only while a request on them can finish before the
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -28,7 +29,8 @@
 	minPermitWait = 20 * time.Millisecond
 )
 
-// permitLimiter holds an entry VM's permits and implements proxy.Limiter. It is safe for concurrent use.
+// permitLimiter holds an entry VM's permits and implements proxy.Limiter and proxy.UpstreamLimiter. It is safe
+// for concurrent use.
 type permitLimiter struct {
 	self   string
 	groups *groups.Client
@@ -42,12 +44,17 @@
 	waiting         map[string]int
 	round           *permitRound // in progress, nil for none
 	coordinatorLost bool         // as last logged
+	upstreams       *upstreamLimits
+	// limitCount is the number of entries of upstreams.table.
+	limitCount atomic.Int64
 }
 
 // permitRound is one request for permits to the coordinator.
 type permitRound struct {
 	done     chan struct{}
 	accounts map[string]bool // whose permits are requested
+	// upstreams are the upstream processes for which permits are requested.
+	upstreams map[string]bool
 }
 
 // rateLookup returns a function that returns an account's rate limit, false if it has none.
@@ -135,15 +142,24 @@
 		return p.round
 	}
 	wants, returns := p.holder.Wants(p.clock(), p.waiting, rateLookup(p.table()))
-	round := &permitRound{done: make(chan struct{}), accounts: map[string]bool{}}
+	round := &permitRound{done: make(chan struct{}), accounts: map[string]bool{}, upstreams: map[string]bool{}}
 	for account := range wants {
 		round.accounts[account] = true
 	}
+	upstreams, reported := p.upstreams.request(p.clock())
+	for process, n := range upstreams.Wants {
+		round.upstreams[process] = n > 0
+	}
 	p.round = round
 	go func() {
-		grant, err := p.requestGrant(quota.Request{VM: p.self, Wants: wants, Returns: returns})
+		grant, err := p.requestGrant(quota.Request{VM: p.self, Wants: wants, Returns: returns, Upstreams: upstreams})
 		p.mu.Lock()
 		p.handleGrant(grant, err)
+		if err == nil {
+			p.upstreams.handleGrant(p.clock(), grant, reported)
+			p.countLimits()
+		}
+		p.upstreams.failed = err != nil
 		p.round = nil
 		p.mu.Unlock()
 		close(round.done)
@@ -198,6 +214,7 @@
 	mu         sync.Mutex
 	term       uint64
 	grants     *quota.Coordinator
+	upstreams  *quota.UpstreamCoordinator
 	rates      func(string) (quota.Rate, bool)
 	ratedTable *routing.Snapshot
 }
@@ -217,9 +234,16 @@
 	now := c.clock()
 	if c.grants == nil || c.term != term {
 		c.term, c.grants = term, quota.NewCoordinator(now)
+		c.upstreams = quota.NewUpstreamCoordinator(now, term)
 	}
 	if table := c.table(); table != c.ratedTable || c.rates == nil {
 		c.ratedTable, c.rates = table, rateLookup(table)
 	}
-	return encode(c.grants.Grant(now, r, c.entryCount(), c.rates)), nil
+	known := c.entryCount()
+	grant := c.grants.Grant(now, r, known, c.rates)
+	if r.Upstreams != nil {
+		upstreams := c.upstreams.Grant(now, r.VM, *r.Upstreams, known)
+		grant.Upstreams = &upstreams
+	}
+	return encode(grant), nil
 }
--- /dev/null
+++ b/internal/node/upstreamlimits.go
@@ -0,0 +1,191 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
+	"egretramp/internal/proxy"
+	"egretramp/internal/quota"
+	"egretramp/internal/registry"
+)
+
+const (
+	// minUpstreamWait is the shortest time after which a VM asks again for a permit that it didn't get.
+	minUpstreamWait = 10 * time.Millisecond
+)
+
+// upstreamLimits is the part of a permitLimiter that enforces the rate limits that upstreams state. The mutex
+// of the permitLimiter protects it.
+type upstreamLimits struct {
+	table  *quota.LimitTable
+	holder *quota.Holder
+	// waiting is the number of requests that wait for a permit, by upstream process.
+	waiting map[string]int
+	// reported is the version of the table that the coordinator has acknowledged.
+	reported uint64
+	// epoch and version describe the statements that were received from the coordinator.
+	epoch, version uint64
+	// malformed holds the upstreams whose malformed statement was logged.
+	malformed map[string]bool
+	// failed is set while the last request to the coordinator failed.
+	failed bool
+}
+
+func newUpstreamLimits() *upstreamLimits {
+	return &upstreamLimits{
+		table: quota.NewLimitTable(), holder: quota.NewUpstreamHolder(), waiting: map[string]int{}, malformed: map[string]bool{},
+	}
+}
+
+// request returns the part of a request for permits that concerns upstreams, and the version of the table
+// that it reports.
+func (l *upstreamLimits) request(now time.Duration) (*quota.UpstreamRequest, uint64) {
+	limits, version := l.table.Since(now, l.reported)
+	return &quota.UpstreamRequest{
+		Wants: l.holder.UpstreamWants(now, l.waiting, l.table.Rate), Limits: limits, Epoch: l.epoch, Version: l.version,
+	}, version
+}
+
+// handleGrant processes the response to a request that reported a version of the table.
+func (l *upstreamLimits) handleGrant(now time.Duration, g quota.Grant, reported uint64) {
+	if g.Upstreams == nil {
+		l.holder.SetHolders(g.Holders) // a coordinator of an earlier release: this VM uses its own share
+		return
+	}
+	l.holder.ApplyGrant(now, quota.Grant{
+		Permits: g.Upstreams.Permits, Waits: g.Upstreams.Waits, Levels: g.Upstreams.Levels, Holders: g.Holders,
+	})
+	l.reported = reported
+	if l.epoch != g.Upstreams.Epoch {
+		l.epoch, l.reported = g.Upstreams.Epoch, 0
+	}
+	l.table.Merge(now, g.Upstreams.Limits)
+	l.version = g.Upstreams.Version
+}
+
+// ObserveLimit implements proxy.UpstreamLimiter.
+func (p *permitLimiter) ObserveLimit(u registry.Upstream, stated proxy.RateLimit, sentAt time.Time) {
+	if stated.State == proxy.LimitUnknown || stated.State == proxy.Unlimited && p.limitCount.Load() == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, process := p.clock(), u.Process()
+	sent := now - time.Since(sentAt)
+	fields := []zap.Field{zap.String("upstream", u.ID), zap.Int64("born", u.Born)}
+	switch stated.State {
+	case proxy.Limited:
+		if p.upstreams.table.State(now, process, stated.PerSecond, sent) {
+			p.events.Emit(events.UpstreamLimitStated, append(fields, zap.Float64("per_second", stated.PerSecond))...)
+		}
+	case proxy.Unlimited:
+		if p.upstreams.table.End(now, process, sent) {
+			p.events.Emit(events.UpstreamLimitEnded, fields...)
+		}
+	case proxy.MalformedLimit:
+		if !p.upstreams.malformed[process] {
+			p.upstreams.malformed[process] = true
+			p.events.Emit(events.UpstreamLimitMalformed, append(fields, zap.String("value", stated.Text))...)
+		}
+	}
+	p.countLimits()
+}
+
+// countLimits updates the number of limits for the fast path of requests. p.mu must be held.
+func (p *permitLimiter) countLimits() { p.limitCount.Store(int64(p.upstreams.table.Len())) }
+
+// UpstreamRoom implements proxy.UpstreamLimiter.
+func (p *permitLimiter) UpstreamRoom(u registry.Upstream) quota.Room {
+	if p.limitCount.Load() == 0 {
+		return quota.Room{Free: true, Level: 1}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	now, process := p.clock(), u.Process()
+	limit, limited := p.upstreams.table.Rate(process)
+	if !limited {
+		return quota.Room{Free: true, Level: 1}
+	}
+	room := p.upstreams.holder.Room(now, process, limit)
+	if room.Free && p.upstreams.failed && !p.upstreams.holder.Held(now, process) && !p.upstreams.holder.Lost(now) {
+		room.Free, room.Wait = false, permitInterval
+	}
+	return room
+}
+
+// TakeUpstream implements proxy.UpstreamLimiter.
+func (p *permitLimiter) TakeUpstream(ctx context.Context, u registry.Upstream) bool {
+	if p.limitCount.Load() == 0 {
+		return true
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	l, process := p.upstreams, u.Process()
+	limit, limited := l.table.Rate(process)
+	if !limited || l.holder.Take(p.clock(), process, limit) {
+		return true
+	}
+	if l.holder.Lost(p.clock()) {
+		return false
+	}
+	l.waiting[process]++
+	defer func() {
+		if l.waiting[process]--; l.waiting[process] == 0 {
+			delete(l.waiting, process)
+		}
+	}()
+	for {
+		round := p.startRound()
+		p.mu.Unlock()
+		select {
+		case <-round.done:
+		case <-ctx.Done():
+		}
+		p.mu.Lock()
+		if l.holder.Take(p.clock(), process, limit) {
+			return true
+		}
+		// The round may have begun before this request did, or others that wait took the permits.
+		if ctx.Err() != nil || l.failed || round.upstreams[process] && l.holder.Short(process) {
+			l.holder.Postpone(p.clock(), process, minUpstreamWait)
+			return false
+		}
+	}
+}
+
+// ReturnUpstream implements proxy.UpstreamLimiter.
+func (p *permitLimiter) ReturnUpstream(u registry.Upstream) {
+	if p.limitCount.Load() == 0 {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if _, limited := p.upstreams.table.Rate(u.Process()); limited {
+		p.upstreams.holder.Return(p.clock(), u.Process())
+	}
+}
+
+// forgetUpstreams removes the limits of upstreams that are gone.
+func (p *permitLimiter) forgetUpstreams(view *registry.View) {
+	if p.limitCount.Load() == 0 {
+		return
+	}
+	running := map[string]bool{}
+	for _, list := range view.Services {
+		for _, u := range list {
+			running[u.Process()] = true
+		}
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.upstreams.table.Prune(p.clock(), func(process string) bool { return running[process] })
+	for process := range p.upstreams.malformed {
+		if !running[process] {
+			delete(p.upstreams.malformed, process)
+		}
+	}
+	p.countLimits()
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -147,6 +147,7 @@
 		}
 		reply := a.server.opts.Protocol.ReadReply(response.StatusCode, response.Header)
 		if reply.RequestID == a.call.RequestID {
+			a.server.opts.Upstreams.ObserveLimit(a.upstream, reply.RateLimit, a.started)
 			return response, reply, nil
 		}
 		// A late response to an earlier request on this connection: discard it.
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"slices"
 	"sync"
 	"time"
@@ -128,7 +127,7 @@
 
 // strike returns the strike of a run whose upstream crashed.
 func (r *failedRun) strike() suspect.Strike {
-	return suspect.Strike{Run: r.request + "/" + r.upstream.ID, Upstream: fmt.Sprintf("%s@%d", r.upstream.ID, r.upstream.Born)}
+	return suspect.Strike{Run: r.request + "/" + r.upstream.ID, Upstream: r.upstream.Process()}
 }
 
 // logFields returns the fields that describe a run in log lines.
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -15,6 +15,8 @@
 	maxFailureBackoff = 3 * time.Second
 	// latencyWeight is the weight of the newest sample in the moving averages.
 	latencyWeight = 0.2
+	// sizeWeight is the weight of the newest sample in the moving average of expected sizes.
+	sizeWeight = 0.02
 	// defaultLatency is a service's expected latency before there is a sample.
 	defaultLatency = 30 * time.Millisecond
 	// eventGapWeight is the weight of the newest gap between events in the moving average; it is
@@ -42,6 +44,7 @@
 	upstreams     map[string]*upstreamStats // by upstream ID
 	latencies     map[string]time.Duration  // by service; moving average of the time to the response
 	idleEventGaps map[string]time.Duration  // by service; time between events on idle upstreams
+	sizes         map[string]float64        // by service; moving average of the expected work of requests
 }
 
 // upstreamStats holds the observations of one upstream.
@@ -58,7 +61,20 @@
 }
 
 func newHealth() *health {
-	return &health{upstreams: map[string]*upstreamStats{}, latencies: map[string]time.Duration{}, idleEventGaps: map[string]time.Duration{}}
+	return &health{upstreams: map[string]*upstreamStats{}, latencies: map[string]time.Duration{}, idleEventGaps: map[string]time.Duration{}, sizes: map[string]float64{}}
+}
+
+// relativeSize returns the expected work of a request relative to the service's average, and adds it to it.
+func (h *health) relativeSize(service string, work float64) float64 {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	average, known := h.sizes[service]
+	if !known {
+		average = work
+	}
+	average += sizeWeight * (work - average)
+	h.sizes[service] = average
+	return work / average
 }
 
 // stats returns an upstream's record, creating it if needed. The mutex is held.
--- /dev/null
+++ b/internal/proxy/limits.go
@@ -0,0 +1,154 @@
+package proxy
+
+import (
+	"context"
+	"time"
+
+	"egretramp/internal/balance"
+	"egretramp/internal/quota"
+	"egretramp/internal/registry"
+	"egretramp/internal/routing"
+)
+
+// maxPermitWait bounds how long a request of a program under way waits for upstreams that are at their rate
+// limit, since the rejection of one request can end the program.
+const maxPermitWait = 800 * time.Millisecond
+
+// Fill levels of an upstream's rate limit that a request requires.
+const (
+	// minNewLevel is what the most urgent new programs require, and levelPerRank is added for each rank of
+	// less urgent ones. The rest is left to programs under way.
+	minNewLevel  = 0.3
+	levelPerRank = 0.2
+	maxNewLevel  = 0.8
+	// fullSize is the size, relative to the average, of requests that require no level while upstreams without
+	// a limit have room. A limit counts requests whatever their size, so the large ones use it best.
+	fullSize = 1.6
+	// promptTokensPerOutputToken is how many tokens of a prompt a busy engine reads in the time that it spends
+	// on one token of a response.
+	promptTokensPerOutputToken = 25
+)
+
+// begins reports whether the request begins a program.
+func (x *exchange) begins() bool {
+	return !x.programActive && len(x.mayHaveRun) == 0 && !x.w.Begun()
+}
+
+// urgencyLevel returns the fill level that the request's urgency requires.
+func (x *exchange) urgencyLevel() float64 {
+	if !x.begins() {
+		return 0
+	}
+	return min(minNewLevel+levelPerRank*float64(x.urgencyRank()), maxNewLevel)
+}
+
+// newPromptTokens returns the tokens of the prompt that no upstream has read yet.
+func (x *exchange) newPromptTokens() int64 {
+	if parts := x.call.Prompt; len(parts) > 0 {
+		return parts[len(parts)-1].Tokens
+	}
+	return x.call.PromptTokens
+}
+
+// relativeSize returns the work that the request is expected to cause on an engine, relative to the service's
+// average, 1 if unknown.
+func (x *exchange) relativeSize() float64 {
+	if x.route.Kind != routing.Streaming || x.call.ExpectedTokens == 0 {
+		return 1
+	}
+	if x.size == 0 {
+		x.size = x.server.health.relativeSize(x.service.Name, float64(x.call.ExpectedTokens)+float64(x.newPromptTokens())/promptTokensPerOutputToken)
+	}
+	return x.size
+}
+
+// applyLimits marks the candidates that have no room for the request within their rate limit as tried. If no
+// candidate is left, wait is the time until one may have room.
+func (x *exchange) applyLimits(upstreams []registry.Upstream, candidates []balance.Candidate) (wait time.Duration) {
+	rooms := map[int]quota.Room{}
+	unlimited := false
+	for i, u := range upstreams {
+		if candidates[i].Tried {
+			continue
+		}
+		room := x.server.opts.Upstreams.UpstreamRoom(u)
+		if room.Limited {
+			rooms[i] = room
+		}
+		unlimited = unlimited || !room.Limited && !candidates[i].Failing
+	}
+	minLevel := x.urgencyLevel()
+	if unlimited {
+		minLevel = max(minLevel, 1-x.relativeSize()/fullSize)
+	}
+	for i, room := range rooms {
+		if after, fits := roomWait(room, minLevel); !fits {
+			candidates[i].Tried = true
+			wait = earlier(wait, after)
+		}
+	}
+	return wait
+}
+
+// fitsSomewhere reports whether an upstream may take the request, and if all are at their rate limit, after
+// which time one may.
+func (x *exchange) fitsSomewhere() (wait time.Duration, ok bool) {
+	minLevel := x.urgencyLevel()
+	for _, u := range x.server.opts.Directory.View().Services[x.service.Name] {
+		room := x.server.opts.Upstreams.UpstreamRoom(u)
+		after, fits := roomWait(room, minLevel)
+		if !room.Limited || fits {
+			return 0, true
+		}
+		wait = earlier(wait, after)
+	}
+	return wait, wait == 0
+}
+
+// roomWait reports whether there is room for a request that requires a fill level, and if not, the time until
+// there may be.
+func roomWait(room quota.Room, minLevel float64) (wait time.Duration, fits bool) {
+	if room.Level < minLevel {
+		wait = time.Duration((minLevel - room.Level) * float64(room.FillTime))
+	}
+	if !room.Free {
+		wait = max(wait, room.Wait)
+	}
+	return wait, wait == 0
+}
+
+// mayWait reports whether the request may wait for a permit. One that begins a program doesn't wait, nor one
+// that would wait too long.
+func (x *exchange) mayWait(wait time.Duration) bool {
+	return !x.begins() && x.permitWait+wait <= maxPermitWait && wait < time.Until(x.deadline)
+}
+
+// awaitPermit waits until an upstream may have a permit.
+func (x *exchange) awaitPermit(wait time.Duration) {
+	x.permitWait += wait
+	select {
+	case <-x.ctx.Done():
+	case <-time.After(wait):
+	}
+}
+
+// earlier returns the shorter of two waits, of which 0 means none.
+func earlier(a, b time.Duration) time.Duration {
+	if a == 0 || b < a {
+		return b
+	}
+	return a
+}
+
+// noUpstreamLimits is an UpstreamLimiter without limits.
+type noUpstreamLimits struct{}
+
+func (noUpstreamLimits) ObserveLimit(registry.Upstream, RateLimit, time.Time) {}
+
+func (noUpstreamLimits) UpstreamRoom(registry.Upstream) quota.Room {
+	return quota.Room{Free: true, Level: 1}
+}
+
+func (noUpstreamLimits) TakeUpstream(context.Context, registry.Upstream) bool { return true }
+
+func (noUpstreamLimits) ReturnUpstream(registry.Upstream) {}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -21,6 +21,7 @@
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/httpwire"
+	"egretramp/internal/quota"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
 	"egretramp/internal/suspect"
@@ -43,9 +44,11 @@
 	PromptTokens int64
 	Prompt       []PromptPart // in order; shared parts first, those of this request alone last
 	MaxTokens    int64        // tokens that this turn may generate
-	Previous     string       // ID of the turn that this one continues
-	LastEventID  string       // a resumed stream continues after this event
-	Object       string       // the object that the request concerns, for affinity
+	// ExpectedTokens is the caller's estimate of the tokens that this turn generates, 0 if unknown.
+	ExpectedTokens int64
+	Previous       string // ID of the turn that this one continues
+	LastEventID    string // a resumed stream continues after this event
+	Object         string // the object that the request concerns, for affinity
 	// Header holds the headers to forward, without the system's own headers and the key.
 	Header http.Header
 }
@@ -70,6 +73,25 @@
 	Signed     bool          // produced by the upstream itself, not by an intermediary
 	NotRun     bool          // the request has not run and will not
 	RetryAfter time.Duration // 0 for no hint
+	RateLimit  RateLimit
+}
+
+// LimitState is what a response says of its upstream's rate limit.
+type LimitState int
+
+// The values of a LimitState.
+const (
+	LimitUnknown   LimitState = iota // nothing: the response isn't the named upstream's own
+	Unlimited                        // the upstream has no limit
+	Limited                          // the upstream takes RateLimit.PerSecond
+	MalformedLimit                   // a value that can't be parsed, which changes nothing
+)
+
+// RateLimit is the rate at which an upstream takes requests from all VMs together.
+type RateLimit struct {
+	State     LimitState
+	PerSecond float64 // requests a second
+	Text      string  // the value that can't be parsed, shortened
 }
 
 // Reason is why this VM refuses a request.
@@ -86,6 +108,7 @@
 	Overloaded                     // a new program would miss its deadline, or make others miss theirs
 	StoreUnavailable               // a majority of the store group can't be reached
 	NoUpstream                     // no upstream is known, or all declined
+	UpstreamsLimited               // every upstream is at the rate limit that it states
 	TooLate                        // the deadline passed before the request was sent
 	Malformed                      // the request could not be parsed
 	Quarantined                    // the request crashed too many upstreams
@@ -135,6 +158,18 @@
 	Take(ctx context.Context, account *routing.Account, begins bool) (ok bool, retryAfter time.Duration)
 }
 
+// UpstreamLimiter enforces the rate limits that upstreams state in their responses, across all VMs.
+type UpstreamLimiter interface {
+	// ObserveLimit records what a response to a request that was sent at sentAt says of the limit.
+	ObserveLimit(u registry.Upstream, stated RateLimit, sentAt time.Time)
+	// UpstreamRoom returns without waiting what is left of an upstream's rate.
+	UpstreamRoom(u registry.Upstream) quota.Room
+	// TakeUpstream takes a permit to send one request, which may take a round trip to another VM.
+	TakeUpstream(ctx context.Context, u registry.Upstream) bool
+	// ReturnUpstream returns the permit of a request that was not sent.
+	ReturnUpstream(u registry.Upstream)
+}
+
 // Options configures a Server.
 type Options struct {
 	Zone      string // this VM's
@@ -143,6 +178,8 @@
 	Directory *registry.Directory
 	Ledger    Ledger
 	Limiter   Limiter
+	// Upstreams enforces the rate limits of upstreams; nil for none.
+	Upstreams UpstreamLimiter
 	// Suspects counts the upstreams that requests crash; nil for a tracker of this server's own.
 	Suspects *suspect.Tracker
 	// Isolated reports whether a partition separates this VM from the store; nil means never.
@@ -172,6 +209,9 @@
 	if opts.Suspects == nil {
 		opts.Suspects = suspect.NewTracker(clock.Now)
 	}
+	if opts.Upstreams == nil {
+		opts.Upstreams = noUpstreamLimits{}
+	}
 	s := &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, events: opts.Events, metrics: opts.Metrics,
@@ -222,6 +262,8 @@
 	excluded        map[string]bool // upstreams that declined or failed and are not tried again
 	mayHaveRun      map[string]bool // upstreams that may have run the request
 	zoneUnreachable map[string]bool // those of mayHaveRun whose zone became unreachable
+	size            float64         // see relativeSize, 0 until it is called
+	permitWait      time.Duration   // time spent waiting for a permit of an upstream
 	refusals        int             // upstreams that stated that they did not run the request
 	retryAfterHint  time.Duration   // the longest retry hint of these upstreams
 	lastEventID     string          // of the last event that was forwarded
@@ -297,6 +339,9 @@
 	}
 	x.deadline = x.request.Arrived.Add(timeout)
 	x.programActive = s.isProgramActive(x)
+	if wait, ok := x.fitsSomewhere(); !ok && x.begins() {
+		return &Refusal{Reason: UpstreamsLimited, RetryAfter: wait}
+	}
 	if x.account != nil && x.account.Rate > 0 {
 		limited, cancel := context.WithDeadline(x.ctx, x.deadline)
 		defer cancel()
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -54,11 +54,18 @@
 			x.refuse(x.quarantineRefusal(retryAfter))
 			return
 		}
-		u, ok := x.pickUpstream(sends)
+		u, ok, wait := x.pickUpstream(sends)
+		if !ok && wait > 0 && x.mayWait(wait) {
+			x.awaitPermit(wait)
+			continue
+		}
 		if !ok {
-			x.refuse(x.exhaustedRefusal())
+			x.refuse(x.exhaustedRefusal(wait))
 			return
 		}
+		if !x.server.opts.Upstreams.TakeUpstream(x.ctx, u) {
+			continue
+		}
 		sends[u.ID]++
 		x.upstream = u.ID
 		started := time.Now()
@@ -69,12 +76,13 @@
 		x.recordFailure(u, result, err)
 		switch result {
 		case notSent:
+			x.server.opts.Upstreams.ReturnUpstream(u)
 			x.excluded[u.ID] = true
 		case notRun:
 			x.excluded[u.ID] = true
 			x.refusals++
 			if x.refusals >= maxRefusals {
-				x.refuse(x.exhaustedRefusal())
+				x.refuse(x.exhaustedRefusal(0))
 				return
 			}
 		case maybeRun:
@@ -128,11 +136,15 @@
 	x.w.Abort()
 }
 
-// exhaustedRefusal returns the refusal when no upstream is left to try.
-func (x *exchange) exhaustedRefusal() Refusal {
+// exhaustedRefusal returns the refusal when no upstream is left to try. limitedFor is the time until one that
+// is at its rate limit may take the request, 0 if there is none.
+func (x *exchange) exhaustedRefusal(limitedFor time.Duration) Refusal {
 	if len(x.mayHaveRun) > 0 || x.w.Begun() {
 		return Refusal{Reason: Failed, Detail: "every upstream that may run it failed"}
 	}
+	if limitedFor > 0 {
+		return Refusal{Reason: UpstreamsLimited, RetryAfter: limitedFor}
+	}
 	after := upstreamRetryAfter
 	if x.retryAfterHint > 0 {
 		after = x.retryAfterHint
@@ -149,8 +161,9 @@
 }
 
 // pickUpstream selects the next upstream. Once MaxAttempts upstreams may have run the request, only
-// those remain, so that it runs on no further one. Upstreams in unreachable zones don't count.
-func (x *exchange) pickUpstream(sends map[string]int) (registry.Upstream, bool) {
+// those remain, so that it runs on no further one. Upstreams in unreachable zones don't count. If there is none
+// and some are at their rate limit, wait is the time until the first of these may take the request.
+func (x *exchange) pickUpstream(sends map[string]int) (picked registry.Upstream, ok bool, wait time.Duration) {
 	s := x.server
 	upstreams := s.opts.Directory.View().Services[x.service.Name]
 	candidates := make([]balance.Candidate, len(upstreams))
@@ -165,11 +178,12 @@
 			candidates[i].Failing = true
 		}
 	}
-	request := balance.Request{Draw: rand.Float64(), Service: s.health.expectedDuration(x.service.Name)}
+	wait = x.applyLimits(upstreams, candidates)
+	request := balance.Request{Draw: rand.Float64(), Service: time.Duration(x.relativeSize() * float64(s.health.expectedDuration(x.service.Name)))}
 	switch {
 	case x.route.Kind == routing.Streaming && x.call.Program != "":
 		request.Affinity = x.call.Program
-		request.Home = s.lastUpstreams.get(x.call.Program)
+		request.Home = x.home()
 		request.AffinityGain = time.Duration(prefillCostFactor*x.call.PromptTokens/prefillTokensPerMilli) * time.Millisecond
 		request.New = !x.programActive
 	case x.route.Sticky && x.call.Object != "":
@@ -177,12 +191,24 @@
 	}
 	i := balance.Pick(candidates, request)
 	if i < 0 {
-		return registry.Upstream{}, false
+		return registry.Upstream{}, false, wait
 	}
 	if request.Affinity != "" && x.call.Program != "" {
-		s.lastUpstreams.set(x.call.Program, upstreams[i].ID)
+		s.lastUpstreams.set(x.homeKey(), upstreams[i].ID)
+	}
+	return upstreams[i], true, 0
+}
+
+// homeKey identifies the request's line of turns.
+func (x *exchange) homeKey() string { return x.call.Program + "/" + x.call.Line }
+
+// home returns the upstream that is likely to hold the state of the request's line of turns: that of its last
+// turn, or for a line's first turn that of the program's main line.
+func (x *exchange) home() string {
+	if home := x.server.lastUpstreams.get(x.homeKey()); home != "" {
+		return home
 	}
-	return upstreams[i], true
+	return x.server.lastUpstreams.get(x.call.Program + "/" + x.call.Program)
 }
 
 // tryUpstream makes one attempt at an upstream.
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -5,10 +5,17 @@
 // that it has no contact with: a partitioned zone keeps serving, and the total stays within the
 // limit.
 //
+// The same permits enforce the rates that upstreams state in their responses (UpstreamCoordinator,
+// LimitTable). These permits are whole and short-lived, since an upstream's limit may be below one request
+// a second for all VMs together.
+//
 // Both sides perform no I/O and read no clock; their owners provide the time and the network.
 package quota
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 const (
 	// ContactTimeout is the time without contact after which each side considers the other one
@@ -38,6 +45,8 @@
 	// Returns are unused permits by account. They may be lost in transit, but are never counted
 	// twice.
 	Returns map[string]float64 `cbor:"3,keyasint,omitempty"`
+	// Upstreams concerns the rate limits of upstreams.
+	Upstreams *UpstreamRequest `cbor:"4,keyasint,omitempty"`
 }
 
 // Grant is the coordinator's response to a Request.
@@ -50,6 +59,8 @@
 	Levels map[string]float64 `cbor:"4,keyasint,omitempty"`
 	// Holders is the number of entry VMs that share the limits.
 	Holders int `cbor:"3,keyasint"`
+	// Upstreams is the response to Request.Upstreams.
+	Upstreams *UpstreamGrant `cbor:"5,keyasint,omitempty"`
 }
 
 type bucket struct {
@@ -63,6 +74,8 @@
 	buckets map[string]*bucket
 	holders map[string]time.Duration // time of the last request, by entry VM
 	started time.Duration
+	// wholePermits restricts grants to whole permits. emptyStart makes new buckets start empty.
+	wholePermits, emptyStart bool
 }
 
 // NewCoordinator returns a coordinator that starts now.
@@ -101,23 +114,38 @@
 		b := c.buckets[account]
 		if b == nil {
 			b = &bucket{refilledAt: c.started - initialFillTime}
+			if c.emptyStart {
+				b.refilledAt = now
+			}
 			c.buckets[account] = b
 		}
 		b.refill(now, limit)
 		give := min(max(wanted, 0), b.tokens)
+		if c.wholePermits {
+			give = math.Floor(give)
+		}
 		b.tokens -= give
 		g.Permits[account] = give
 		g.Levels[account] = b.tokens / max(limit.Burst, 1)
-		if now-c.started < warmUpTime {
+		if now-c.started < warmUpTime && !c.emptyStart {
 			g.Levels[account] = 1
 		}
-		if give < wanted && limit.PerSecond > 0 {
+		if (give < wanted || c.wholePermits && b.tokens < 1) && limit.PerSecond > 0 {
 			g.Waits[account] = int64(1000 * (1 - b.tokens) / limit.PerSecond)
 		}
 	}
 	return g
 }
 
+// forgetUnlimited removes the buckets of accounts without a limit.
+func (c *Coordinator) forgetUnlimited(rate func(account string) (Rate, bool)) {
+	for account := range c.buckets {
+		if _, limited := rate(account); !limited {
+			delete(c.buckets, account)
+		}
+	}
+}
+
 func (b *bucket) refill(now time.Duration, limit Rate) {
 	b.tokens += limit.PerSecond * (now - b.refilledAt).Seconds()
 	b.tokens = min(b.tokens, max(limit.Burst, 1))
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -31,11 +31,14 @@
 	holders   int           // entry VMs that share the limits, as of the last grant
 	contact   time.Duration // time of the last grant
 	connected bool          // a grant has been received
+	// permitLifetime is how long permits may be used after the grant, 0 for no limit.
+	permitLifetime time.Duration
 }
 
 type holding struct {
 	permits    float64
-	recentUse  float64 // decaying count of admitted requests
+	grantedAt  time.Duration // time of the last grant of permits
+	recentUse  float64       // decaying count of admitted requests
 	decayedAt  time.Duration
 	retryAfter time.Duration // from the last grant, or from the own share
 	updatedAt  time.Duration
@@ -65,6 +68,7 @@
 // Take consumes a permit for one request of an account and reports whether there was one.
 func (h *Holder) Take(now time.Duration, account string, limit Rate) bool {
 	a := h.holding(account, now)
+	h.expire(now, a)
 	if a.permits >= 1 {
 		a.permits--
 		a.recentUse++
@@ -139,6 +143,7 @@
 			continue
 		}
 		a := h.holding(account, now)
+		h.expire(now, a)
 		reserve := min(a.recentUse/useHalfLife.Seconds()*reserveTime.Seconds(), limit.Burst*maxReserveShare)
 		need := float64(waiting[account]) + reserve - a.permits
 		switch {
@@ -158,7 +163,11 @@
 	h.contact, h.connected, h.holders = now, true, g.Holders
 	for account, permits := range g.Permits {
 		a := h.holding(account, now)
+		h.expire(now, a)
 		a.permits += permits
+		if permits > 0 {
+			a.grantedAt = now
+		}
 		a.usingShare = false
 		_, a.short = g.Waits[account]
 		a.level, a.hasLevel = g.Levels[account], true
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -5,6 +5,7 @@
 package registry
 
 import (
+	"fmt"
 	"time"
 )
 
@@ -33,6 +34,9 @@
 	Expired bool `cbor:"9,keyasint"`
 }
 
+// Process returns a text that identifies the upstream's process.
+func (u *Upstream) Process() string { return fmt.Sprintf("%s@%d", u.ID, u.Born) }
+
 // newer reports whether u supersedes old, an entry with the same ID.
 func (u *Upstream) newer(old *Upstream) bool {
 	if u.Born != old.Born {
