proxy, balance: upstreams at their rate limit are nobody's home

Turns that visited a limited upstream became its home, so the next turn, without a permit there, had its whole prompt read by a third one. Large responses now visit limited upstreams, and the line's home stays. New programs that are rejected come back spread over time; a coordinator that has forgotten a limit gets it again; a gauge counts the limits.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -21,6 +21,9 @@
 	Failing bool
 	// Tried is set if this request was already sent to the upstream.
 	Tried bool
+	// Limited is set if the upstream states a rate limit while others have none: it may have no room for later
+	// turns, and is nobody's home.
+	Limited bool
 	// Unconfirmed is set if no control VM currently confirms that the upstream exists.
 	Unconfirmed bool
 }
@@ -125,10 +128,10 @@
 	}
 	best, bestWeight, anyLocal := -1, uint64(0), false
 	for _, c := range candidates {
-		anyLocal = anyLocal || c.Local
+		anyLocal = anyLocal || c.Local && !c.Limited
 	}
 	for i, c := range candidates {
-		if c.Unconfirmed || (anyLocal && !c.Local) {
+		if c.Unconfirmed || c.Limited || (anyLocal && !c.Local) {
 			continue
 		}
 		if weight := Weight(affinity, c.ID); best < 0 || weight > bestWeight {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -78,6 +79,9 @@
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
 		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
+	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
+	}, func() float64 { return float64(e.permits.limitCount.Load()) }))
 	e.server = httpwire.New(e.proxy, e.limits)
 	return e
 }
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -156,7 +156,7 @@
 		p.mu.Lock()
 		p.handleGrant(grant, err)
 		if err == nil {
-			p.upstreams.handleGrant(p.clock(), grant, reported)
+			p.upstreams.handleGrant(p.clock(), grant, upstreams.Wants, reported)
 			p.countLimits()
 		}
 		p.upstreams.failed = err != nil
--- a/internal/node/upstreamlimits.go
+++ b/internal/node/upstreamlimits.go
@@ -15,6 +15,9 @@
 const (
 	// minUpstreamWait is the shortest time after which a VM asks again for a permit that it didn't get.
 	minUpstreamWait = 10 * time.Millisecond
+	// maxUpstreamRounds is how many requests to the coordinator one request may wait for: the one in progress,
+	// one to a new coordinator, which doesn't know the limit yet, and one more.
+	maxUpstreamRounds = 4
 )
 
 // upstreamLimits is the part of a permitLimiter that enforces the rate limits that upstreams state. The mutex
@@ -50,7 +53,7 @@
 }
 
 // handleGrant processes the response to a request that reported a version of the table.
-func (l *upstreamLimits) handleGrant(now time.Duration, g quota.Grant, reported uint64) {
+func (l *upstreamLimits) handleGrant(now time.Duration, g quota.Grant, wants map[string]float64, reported uint64) {
 	if g.Upstreams == nil {
 		l.holder.SetHolders(g.Holders) // a coordinator of an earlier release: this VM uses its own share
 		return
@@ -62,6 +65,11 @@
 	if l.epoch != g.Upstreams.Epoch {
 		l.epoch, l.reported = g.Upstreams.Epoch, 0
 	}
+	for upstream := range wants {
+		if _, known := g.Upstreams.Permits[upstream]; !known {
+			l.reported = 0 // the coordinator has forgotten the limit
+		}
+	}
 	l.table.Merge(now, g.Upstreams.Limits)
 	l.version = g.Upstreams.Version
 }
@@ -137,7 +145,7 @@
 			delete(l.waiting, process)
 		}
 	}()
-	for {
+	for range maxUpstreamRounds {
 		round := p.startRound()
 		p.mu.Unlock()
 		select {
@@ -150,10 +158,11 @@
 		}
 		// The round may have begun before this request did, or others that wait took the permits.
 		if ctx.Err() != nil || l.failed || round.upstreams[process] && l.holder.Short(process) {
-			l.holder.Postpone(p.clock(), process, minUpstreamWait)
-			return false
+			break
 		}
 	}
+	l.holder.Postpone(p.clock(), process, minUpstreamWait)
+	return false
 }
 
 // ReturnUpstream implements proxy.UpstreamLimiter.
@@ -170,9 +179,6 @@
 
 // forgetUpstreams removes the limits of upstreams that are gone.
 func (p *permitLimiter) forgetUpstreams(view *registry.View) {
-	if p.limitCount.Load() == 0 {
-		return
-	}
 	running := map[string]bool{}
 	for _, list := range view.Services {
 		for _, u := range list {
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -23,10 +23,7 @@
 	maxNewLevel  = 0.8
 	// fullSize is the size, relative to the average, of requests that require no level while upstreams without
 	// a limit have room. A limit counts requests whatever their size, so the large ones use it best.
-	fullSize = 1.6
-	// promptTokensPerOutputToken is how many tokens of a prompt a busy engine reads in the time that it spends
-	// on one token of a response.
-	promptTokensPerOutputToken = 25
+	fullSize = 2
 )
 
 // begins reports whether the request begins a program.
@@ -42,14 +39,6 @@
 	return min(minNewLevel+levelPerRank*float64(x.urgencyRank()), maxNewLevel)
 }
 
-// newPromptTokens returns the tokens of the prompt that no upstream has read yet.
-func (x *exchange) newPromptTokens() int64 {
-	if parts := x.call.Prompt; len(parts) > 0 {
-		return parts[len(parts)-1].Tokens
-	}
-	return x.call.PromptTokens
-}
-
 // relativeSize returns the work that the request is expected to cause on an engine, relative to the service's
 // average, 1 if unknown.
 func (x *exchange) relativeSize() float64 {
@@ -57,7 +46,7 @@
 		return 1
 	}
 	if x.size == 0 {
-		x.size = x.server.health.relativeSize(x.service.Name, float64(x.call.ExpectedTokens)+float64(x.newPromptTokens())/promptTokensPerOutputToken)
+		x.size = x.server.health.relativeSize(x.service.Name, float64(x.call.ExpectedTokens))
 	}
 	return x.size
 }
@@ -82,6 +71,7 @@
 		minLevel = max(minLevel, 1-x.relativeSize()/fullSize)
 	}
 	for i, room := range rooms {
+		candidates[i].Limited = unlimited
 		if after, fits := roomWait(room, minLevel); !fits {
 			candidates[i].Tried = true
 			wait = earlier(wait, after)
@@ -105,6 +95,15 @@
 	return wait, wait == 0
 }
 
+// limitedRefusal returns the refusal while all upstreams are at their rate limit. wait is the time until one may
+// take the request. New programs come back later, and not all at once.
+func (x *exchange) limitedRefusal(wait time.Duration) Refusal {
+	if x.begins() {
+		wait = max(wait, x.overloadRetryDelay())
+	}
+	return Refusal{Reason: UpstreamsLimited, RetryAfter: wait}
+}
+
 // roomWait reports whether there is room for a request that requires a fill level, and if not, the time until
 // there may be.
 func roomWait(room quota.Room, minLevel float64) (wait time.Duration, fits bool) {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -339,8 +339,11 @@
 	}
 	x.deadline = x.request.Arrived.Add(timeout)
 	x.programActive = s.isProgramActive(x)
-	if wait, ok := x.fitsSomewhere(); !ok && x.begins() {
-		return &Refusal{Reason: UpstreamsLimited, RetryAfter: wait}
+	if x.begins() {
+		if wait, ok := x.fitsSomewhere(); !ok {
+			r := x.limitedRefusal(wait)
+			return &r
+		}
 	}
 	if x.account != nil && x.account.Rate > 0 {
 		limited, cancel := context.WithDeadline(x.ctx, x.deadline)
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -143,7 +143,7 @@
 		return Refusal{Reason: Failed, Detail: "every upstream that may run it failed"}
 	}
 	if limitedFor > 0 {
-		return Refusal{Reason: UpstreamsLimited, RetryAfter: limitedFor}
+		return x.limitedRefusal(limitedFor)
 	}
 	after := upstreamRetryAfter
 	if x.retryAfterHint > 0 {
@@ -193,7 +193,7 @@
 	if i < 0 {
 		return registry.Upstream{}, false, wait
 	}
-	if request.Affinity != "" && x.call.Program != "" {
+	if request.Affinity != "" && x.call.Program != "" && !candidates[i].Limited {
 		s.lastUpstreams.set(x.homeKey(), upstreams[i].ID)
 	}
 	return upstreams[i], true, 0
