--- a/internal/quota/upstreams_test.go
+++ b/internal/quota/upstreams_test.go
@@ -124,11 +124,16 @@
 		r := rand.New(rand.NewPCG(seed, 2))
 		perSecond := []float64{0.01, 0.4, 3, 8, 40, 150}[r.IntN(6)] * (0.7 + 0.6*r.Float64())
 		f := newLimitedFleet(2+r.IntN(30), perSecond)
-		demand := func() float64 { return max(perSecond, 2) * (0.3 + 5*r.Float64()) }
-		f.run(r, time.Second, demand()) // the limit becomes known
+		demand := func() float64 {
+			if r.IntN(3) == 0 {
+				return 0
+			}
+			return max(perSecond, 2) * (0.3 + 5*r.Float64())
+		}
+		f.run(r, time.Second, max(10, perSecond)) // the limit becomes known
 		f.passed = nil
 		for range 12 {
-			f.run(r, time.Duration(200+r.IntN(2500))*time.Millisecond, demand())
+			f.run(r, time.Duration(200+r.IntN(4000))*time.Millisecond, demand())
 			switch r.IntN(5) {
 			case 0:
 				f.replaceCoordinator()
