proxy: a panic while a request is served is logged and answered

Callers would see their connection closed without an answer, and no log line would say why: the server's goroutines hold a panic back until the VM stops.

Now the panic is logged with its stack (event 2309), the connection to the upstream is closed, and the caller gets 502, or a stream that breaks off.

--- a/internal/events/proxy.go
+++ b/internal/events/proxy.go
@@ -17,4 +17,5 @@
 		"check the upstreams' own logs for the crash; ask the client account what the request was")
 	ProxyStrikesCleared = define(2307, zapcore.InfoLevel, "a request during which upstreams crashed has succeeded; the crashes no longer count against it", "")
 	ProxyUpstreamSilent = define(2308, zapcore.InfoLevel, "an upstream's host fell silent during an attempt, which counts as a crash for some seconds", "")
+	ProxyPanic          = define(2309, zapcore.ErrorLevel, "a panic while a request was served; the request was ended", "report the line, which has the stack")
 )
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -51,6 +51,9 @@
 // Begun reports whether a response was begun or sent.
 func (w *Response) Begun() bool { return w.begun || w.ended }
 
+// Ended reports whether the response is complete or was cut off.
+func (w *Response) Ended() bool { return w.ended }
+
 // Chunk sends a part of the body without delay.
 func (w *Response) Chunk(p []byte) error {
 	if len(p) > 0 && !w.isHead {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -11,6 +11,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"runtime/debug"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -286,6 +287,7 @@
 		excluded:      map[string]bool{}, mayHaveRun: map[string]bool{}, zoneUnreachable: map[string]bool{},
 	}
 	defer x.outputBuffers.release()
+	defer x.recoverPanic()
 	if refusal := x.authorize(); refusal != nil {
 		x.refuse(*refusal)
 		return
@@ -300,6 +302,20 @@
 	x.forward()
 }
 
+// recoverPanic logs a panic while the request was served, and ends the request. The server's goroutines would
+// report it only when the VM stops.
+func (x *exchange) recoverPanic() {
+	p := recover()
+	if p == nil {
+		return
+	}
+	x.server.opts.Events.Emit(events.ProxyPanic, append(x.logFields(), zap.Any("panic", p), zap.ByteString("stack", debug.Stack()))...)
+	if x.w.Ended() {
+		return
+	}
+	x.refuse(Refusal{Reason: Failed, Detail: "a panic; see the line before"})
+}
+
 // Malformed answers a request that could not be parsed. It implements httpwire.Handler.
 func (s *Server) Malformed(w *httpwire.Response, status int, reason string) {
 	s.opts.Events.Emit(events.ProxyMalformed, zap.Int("status", status), zap.String("reason", reason))
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -227,7 +227,15 @@
 	var closedUnreachable atomic.Bool
 	zone := s.zones.addAttempt(u.Zone, conn, &closedUnreachable)
 	a := &attempt{exchange: x, conn: conn, upstream: u, zone: zone, started: started, buffers: bufferLease{shared: &s.buffers}}
+	finished := false
+	defer func() {
+		if !finished { // a panic
+			zone.removeAttempt(conn)
+			_ = conn.Close()
+		}
+	}()
 	result, err := a.roundTrip()
+	finished = true
 	zone.removeAttempt(conn)
 	if closedUnreachable.Load() && result != answered {
 		err = errZoneUnreachable
