proxy, quota: names and small faults found by reading the diff

A room whose wait was 0 counted as free; the longest wait for a permit stood twice; constants of package quota stand together.

--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -22,9 +22,6 @@
 	// permitInterval is the time between regular requests for permits. Requests that wait for a permit
 	// cause further ones.
 	permitInterval = 200 * time.Millisecond
-	// maxPermitWait bounds how long a request of a running program waits for a permit that its
-	// account's rate yields within that time, since the rejection of one call can end the program.
-	maxPermitWait = 800 * time.Millisecond
 	// minPermitWait limits how often waiting requests cause requests for permits.
 	minPermitWait = 20 * time.Millisecond
 )
@@ -85,7 +82,7 @@
 	if p.holder.Take(p.clock(), account.Name, limit) {
 		return true, 0
 	}
-	started, deadline := time.Now(), time.After(maxPermitWait)
+	started, deadline := time.Now(), time.After(quota.MaxPermitWait)
 	p.waiting[account.Name]++
 	defer func() {
 		if p.waiting[account.Name]--; p.waiting[account.Name] == 0 {
@@ -119,7 +116,7 @@
 		}
 		// The rejection of one call can end a whole program, so a call that gets a permit soon waits.
 		soon := p.holder.Wait(p.clock(), account.Name)
-		if begins || time.Since(started)+soon > maxPermitWait {
+		if begins || time.Since(started)+soon > quota.MaxPermitWait {
 			break
 		}
 		p.mu.Unlock()
--- a/internal/node/upstreamlimits.go
+++ b/internal/node/upstreamlimits.go
@@ -15,8 +15,8 @@
 const (
 	// minUpstreamWait is the shortest time after which a VM asks again for a permit that it didn't get.
 	minUpstreamWait = 10 * time.Millisecond
-	// maxUpstreamRounds is how many requests to the coordinator one request may wait for: the one in progress,
-	// one to a new coordinator, which doesn't know the limit yet, and one more.
+	// maxUpstreamRounds is how many rounds one request may wait for: the one in progress, one with a new
+	// coordinator, one that reports the limit to it, and one more in case others took the permits.
 	maxUpstreamRounds = 4
 )
 
@@ -108,14 +108,14 @@
 // UpstreamRoom implements proxy.UpstreamLimiter.
 func (p *permitLimiter) UpstreamRoom(u registry.Upstream) quota.Room {
 	if p.limitCount.Load() == 0 {
-		return quota.Room{Free: true, Level: 1}
+		return quota.Unlimited
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, process := p.clock(), u.Process()
 	limit, limited := p.upstreams.table.Rate(process)
 	if !limited {
-		return quota.Room{Free: true, Level: 1}
+		return quota.Unlimited
 	}
 	room := p.upstreams.holder.Room(now, process, limit)
 	if room.Free && p.upstreams.failed && !p.upstreams.holder.Held(now, process) && !p.upstreams.holder.Lost(now) {
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -44,7 +44,7 @@
 	upstreams     map[string]*upstreamStats // by upstream ID
 	latencies     map[string]time.Duration  // by service; moving average of the time to the response
 	idleEventGaps map[string]time.Duration  // by service; time between events on idle upstreams
-	sizes         map[string]float64        // by service; moving average of the expected work of requests
+	sizes         map[string]float64        // by service; moving average of the expected tokens of responses
 }
 
 // upstreamStats holds the observations of one upstream.
@@ -64,17 +64,17 @@
 	return &health{upstreams: map[string]*upstreamStats{}, latencies: map[string]time.Duration{}, idleEventGaps: map[string]time.Duration{}, sizes: map[string]float64{}}
 }
 
-// relativeSize returns the expected work of a request relative to the service's average, and adds it to it.
-func (h *health) relativeSize(service string, work float64) float64 {
+// relativeSize returns the expected tokens of a response relative to the service's average, and adds them to it.
+func (h *health) relativeSize(service string, tokens int64) float64 {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	average, known := h.sizes[service]
 	if !known {
-		average = work
+		average = float64(tokens)
 	}
-	average += sizeWeight * (work - average)
+	average += sizeWeight * (float64(tokens) - average)
 	h.sizes[service] = average
-	return work / average
+	return float64(tokens) / average
 }
 
 // stats returns an upstream's record, creating it if needed. The mutex is held.
--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -10,10 +10,6 @@
 	"egretramp/internal/routing"
 )
 
-// maxPermitWait bounds how long a request of a program under way waits for upstreams that are at their rate
-// limit, since the rejection of one request can end the program.
-const maxPermitWait = 800 * time.Millisecond
-
 // Fill levels of an upstream's rate limit that a request requires.
 const (
 	// minNewLevel is what the most urgent new programs require, and levelPerRank is added for each rank of
@@ -21,11 +17,14 @@
 	minNewLevel  = 0.3
 	levelPerRank = 0.2
 	maxNewLevel  = 0.8
-	// fullSize is the size, relative to the average, of requests that require no level while upstreams without
-	// a limit have room. A limit counts requests whatever their size, so the large ones use it best.
+	// fullSize is the size, relative to the average, of requests that require no level while other upstreams
+	// have no limit. A limit counts requests whatever their size, so the large ones use it best.
 	fullSize = 2
 )
 
+// minRoomWait is the shortest wait for a permit.
+const minRoomWait = time.Millisecond
+
 // begins reports whether the request begins a program.
 func (x *exchange) begins() bool {
 	return !x.programActive && len(x.mayHaveRun) == 0 && !x.w.Begun()
@@ -39,14 +38,13 @@
 	return min(minNewLevel+levelPerRank*float64(x.urgencyRank()), maxNewLevel)
 }
 
-// relativeSize returns the work that the request is expected to cause on an engine, relative to the service's
-// average, 1 if unknown.
+// relativeSize returns the expected length of the response, relative to the service's average, 1 if unknown.
 func (x *exchange) relativeSize() float64 {
 	if x.route.Kind != routing.Streaming || x.call.ExpectedTokens == 0 {
 		return 1
 	}
 	if x.size == 0 {
-		x.size = x.server.health.relativeSize(x.service.Name, float64(x.call.ExpectedTokens))
+		x.size = x.server.health.relativeSize(x.service.Name, x.call.ExpectedTokens)
 	}
 	return x.size
 }
@@ -72,9 +70,9 @@
 	}
 	for i, room := range rooms {
 		candidates[i].Limited = unlimited
-		if after, fits := roomWait(room, minLevel); !fits {
+		if !hasRoom(room, minLevel) {
 			candidates[i].Tried = true
-			wait = earlier(wait, after)
+			wait = earlier(wait, roomWait(room, minLevel))
 		}
 	}
 	return wait
@@ -86,11 +84,10 @@
 	minLevel := x.urgencyLevel()
 	for _, u := range x.server.opts.Directory.View().Services[x.service.Name] {
 		room := x.server.opts.Upstreams.UpstreamRoom(u)
-		after, fits := roomWait(room, minLevel)
-		if !room.Limited || fits {
+		if !room.Limited || hasRoom(room, minLevel) {
 			return 0, true
 		}
-		wait = earlier(wait, after)
+		wait = earlier(wait, roomWait(room, minLevel))
 	}
 	return wait, wait == 0
 }
@@ -104,22 +101,19 @@
 	return Refusal{Reason: UpstreamsLimited, RetryAfter: wait}
 }
 
-// roomWait reports whether there is room for a request that requires a fill level, and if not, the time until
-// there may be.
-func roomWait(room quota.Room, minLevel float64) (wait time.Duration, fits bool) {
-	if room.Level < minLevel {
-		wait = time.Duration((minLevel - room.Level) * float64(room.FillTime))
-	}
-	if !room.Free {
-		wait = max(wait, room.Wait)
-	}
-	return wait, wait == 0
+// hasRoom reports whether there is room for a request that requires a fill level.
+func hasRoom(room quota.Room, minLevel float64) bool { return room.Free && room.Level >= minLevel }
+
+// roomWait returns the time until there may be room for a request that requires a fill level.
+func roomWait(room quota.Room, minLevel float64) time.Duration {
+	filled := time.Duration((minLevel - room.Level) * float64(room.FillTime))
+	return max(filled, room.Wait, minRoomWait)
 }
 
 // mayWait reports whether the request may wait for a permit. One that begins a program doesn't wait, nor one
 // that would wait too long.
 func (x *exchange) mayWait(wait time.Duration) bool {
-	return !x.begins() && x.permitWait+wait <= maxPermitWait && wait < time.Until(x.deadline)
+	return !x.begins() && x.permitWait+wait <= quota.MaxPermitWait && wait < time.Until(x.deadline)
 }
 
 // awaitPermit waits until an upstream may have a permit.
@@ -145,7 +139,7 @@
 func (noUpstreamLimits) ObserveLimit(registry.Upstream, RateLimit, time.Time) {}
 
 func (noUpstreamLimits) UpstreamRoom(registry.Upstream) quota.Room {
-	return quota.Room{Free: true, Level: 1}
+	return quota.Unlimited
 }
 
 func (noUpstreamLimits) TakeUpstream(context.Context, registry.Upstream) bool { return true }
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -4,6 +4,10 @@
 	"time"
 )
 
+// MaxPermitWait bounds how long a request of a running program waits for a permit that the limit yields
+// within that time, since the rejection of one request can end the program.
+const MaxPermitWait = 800 * time.Millisecond
+
 const (
 	// reserveTime is how long the held permits should last at the recent rate of use.
 	reserveTime = 400 * time.Millisecond
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -131,10 +131,10 @@
 }
 
 // Prune removes the entries that were not stated for limitRetention, except for limits of upstreams that keep
-// reports as running.
+// reports as running; nil means that none is.
 func (t *LimitTable) Prune(now time.Duration, keep func(upstream string) bool) {
 	for upstream, e := range t.entries {
-		if now-e.statedAt > limitRetention && (e.ended || !keep(upstream)) {
+		if now-e.statedAt > limitRetention && (e.ended || keep == nil || !keep(upstream)) {
 			delete(t.entries, upstream)
 		}
 	}
--- a/internal/quota/upstreams.go
+++ b/internal/quota/upstreams.go
@@ -5,9 +5,15 @@
 	"time"
 )
 
-// upstreamPermitLifetime is how long a permit for a request to an upstream may be used. It bounds the
-// requests that VMs can send beyond what the coordinator has granted recently.
-const upstreamPermitLifetime = 500 * time.Millisecond
+const (
+	// upstreamPermitLifetime is how long a permit for a request to an upstream may be used. It bounds the
+	// requests that VMs can send beyond what the coordinator has granted recently.
+	upstreamPermitLifetime = 500 * time.Millisecond
+	// unknownLevel is the level of a bucket without a recent grant.
+	unknownLevel = 0.5
+	// minRecentUse is the decaying count of use from which an upstream's level is requested.
+	minRecentUse = 0.1
+)
 
 // UpstreamRequest is the part of an entry VM's request that concerns rate limits of upstreams.
 type UpstreamRequest struct {
@@ -34,18 +40,17 @@
 // UpstreamCoordinator grants permits for requests to upstreams that state a rate limit. VMs report the limits
 // and receive those that others report. It is not safe for concurrent use.
 type UpstreamCoordinator struct {
-	epoch     uint64
-	grants    *Coordinator
-	limits    *LimitTable
-	prunedAt  time.Duration
-	keepNever func(string) bool
+	epoch    uint64
+	grants   *Coordinator
+	limits   *LimitTable
+	prunedAt time.Duration
 }
 
 // NewUpstreamCoordinator returns a coordinator that starts now. epoch differs from that of each other one.
 func NewUpstreamCoordinator(now time.Duration, epoch uint64) *UpstreamCoordinator {
 	grants := NewCoordinator(now)
 	grants.wholePermits, grants.emptyStart = true, true
-	return &UpstreamCoordinator{epoch: epoch, grants: grants, limits: NewLimitTable(), keepNever: func(string) bool { return false }}
+	return &UpstreamCoordinator{epoch: epoch, grants: grants, limits: NewLimitTable()}
 }
 
 // Grant handles a request of an entry VM; see Coordinator.Grant.
@@ -53,7 +58,7 @@
 	c.limits.Merge(now, r.Limits)
 	if now-c.prunedAt > limitRetention {
 		c.prunedAt = now
-		c.limits.Prune(now, c.keepNever)
+		c.limits.Prune(now, nil)
 		c.grants.forgetUnlimited(c.limits.Rate)
 	}
 	g := c.grants.Grant(now, Request{VM: vm, Wants: r.Wants}, known, c.limits.Rate)
@@ -99,8 +104,8 @@
 	Wait time.Duration
 }
 
-// unknownLevel is the level of a bucket without a recent grant.
-const unknownLevel = 0.5
+// Unlimited is the Room of an upstream without a limit.
+var Unlimited = Room{Free: true, Level: 1}
 
 // Room returns what is left of a limit.
 func (h *Holder) Room(now time.Duration, key string, limit Rate) Room {
@@ -164,9 +169,6 @@
 	return wants
 }
 
-// minRecentUse is the decaying count of use from which an upstream's level is requested.
-const minRecentUse = 0.1
-
 // Held reports whether a permit is held.
 func (h *Holder) Held(now time.Duration, key string) bool {
 	a := h.accounts[key]
