--- a/internal/proxy/last_upstreams.go
+++ b/internal/proxy/last_upstreams.go
@@ -5,15 +5,15 @@
 	"time"
 )
 
-// lastUpstreamTTL is how long a program's upstream is remembered after its last turn: longer than
+// lastUpstreamTTL is how long the upstream of a line of turns is remembered after its last turn: longer than
 // pauses and tool calls between turns, shorter than engines keep unused cache entries.
 const lastUpstreamTTL = 10 * time.Second
 
-// lastUpstreams maps each program to the upstream that served its last turn and may still hold its
+// lastUpstreams maps each line of turns to the upstream that served its last turn and may still hold its
 // prompt in cache. It is safe for concurrent use.
 type lastUpstreams struct {
-	mu        sync.Mutex
-	byProgram map[string]lastUpstream
+	mu     sync.Mutex
+	byLine map[string]lastUpstream
 }
 
 type lastUpstream struct {
@@ -21,26 +21,26 @@
 	lastUsed time.Time
 }
 
-func newLastUpstreams() *lastUpstreams { return &lastUpstreams{byProgram: map[string]lastUpstream{}} }
+func newLastUpstreams() *lastUpstreams { return &lastUpstreams{byLine: map[string]lastUpstream{}} }
 
-func (h *lastUpstreams) get(program string) string {
+func (h *lastUpstreams) get(line string) string {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.byProgram[program].upstream
+	return h.byLine[line].upstream
 }
 
-func (h *lastUpstreams) set(program, upstream string) {
+func (h *lastUpstreams) set(line, upstream string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.byProgram[program] = lastUpstream{upstream: upstream, lastUsed: time.Now()}
+	h.byLine[line] = lastUpstream{upstream: upstream, lastUsed: time.Now()}
 }
 
 func (h *lastUpstreams) sweep() {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	for program, entry := range h.byProgram {
+	for line, entry := range h.byLine {
 		if time.Since(entry.lastUsed) > lastUpstreamTTL {
-			delete(h.byProgram, program)
+			delete(h.byLine, line)
 		}
 	}
 }
