--- a/internal/node/upstreamlimits_test.go
+++ b/internal/node/upstreamlimits_test.go
@@ -218,3 +218,44 @@
 	require.Equal(t, int64(len(upstreams)), taken.Load())
 	require.LessOrEqual(t, network.calls-before, 2)
 }
+
+// TestPermits_LimitOfAnotherProcess guards against a limit that outlives its process: a later one under the same ID or
+// at the same address has none until it states one.
+func TestPermits_LimitOfAnotherProcess(t *testing.T) {
+	var term atomic.Uint64
+	p := newPermitNetwork(1, &term).limiter("a")
+	u := registry.Upstream{ID: "u", Address: "10.0.0.1:1", Born: 1}
+	p.observe(u, 5)
+	p.exchange()
+	require.True(t, p.UpstreamRoom(u).Limited)
+	for _, later := range []registry.Upstream{{ID: "u", Address: u.Address, Born: 2}, {ID: "v", Address: u.Address, Born: 3}} {
+		require.Equal(t, quota.Unlimited, p.UpstreamRoom(later))
+		for range 50 {
+			require.True(t, p.TakeUpstream(context.Background(), later))
+		}
+	}
+	p.observe(registry.Upstream{ID: "v", Address: u.Address, Born: 3}, 9)
+	rate, _ := p.upstreams.table.Rate(u.Process())
+	require.Equal(t, 5.0, rate.PerSecond)
+}
+
+// TestPermits_MalformedLimitIsObeyed guards against a value that can't be parsed, or a response that says nothing of
+// the limit, which starts, changes or ends one.
+func TestPermits_MalformedLimitIsObeyed(t *testing.T) {
+	var term atomic.Uint64
+	p := newPermitNetwork(1, &term).limiter("a")
+	limited, other := registry.Upstream{ID: "u", Born: 1}, registry.Upstream{ID: "v", Born: 1}
+	p.observe(limited, 5)
+	for _, stated := range []proxy.RateLimit{{State: proxy.MalformedLimit, Text: "many"}, {State: proxy.LimitUnknown}} {
+		for _, u := range []registry.Upstream{limited, other} {
+			p.ObserveLimit(u, stated, time.Now())
+			p.ObserveLimit(u, stated, time.Now())
+		}
+	}
+	rate, _ := p.upstreams.table.Rate(limited.Process())
+	require.Equal(t, 5.0, rate.PerSecond)
+	require.False(t, p.UpstreamRoom(other).Limited)
+	require.Len(t, p.upstreams.malformed, 2, "logged once for each process")
+	p.forgetUpstreams(&registry.View{})
+	require.Empty(t, p.upstreams.malformed)
+}
