proxy: an upstream's connection returns to the pool before its caller gets the end of the response

Cause: the request's context ends when the caller closes its connection, and closes the upstream's connection with it. A caller that closes as soon as it has the response does so before the connection is back in the pool. A stack trace at each dial shows the additional connection in a sound request's attempt, not in a probe.

The response has been read to its end by then, so the connection is released before the end of the response is sent, for streams before their turn is recorded.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -38,6 +38,8 @@
 type attempt struct {
 	*exchange
 	conn           *upconn.Conn
+	connReleased   bool
+	stopClosing    func() bool // stops the end of the request's context from closing conn; false if it has ended
 	upstream       registry.Upstream
 	zone           *zone // the upstream's zone
 	started        time.Time
@@ -83,6 +85,7 @@
 		return maybeRun, errUnsignedSuccess
 	}
 	a.updateReusable(response, nil)
+	a.releaseConn()
 	a.timeToFirstByte = time.Since(a.request.Arrived)
 	a.server.health.recordSuccess(a.upstream, a.service.Name, time.Since(a.started), response.StatusCode)
 	a.respond(response.StatusCode, response.Header, body)
@@ -92,6 +95,21 @@
 	return answered, nil
 }
 
+// releaseConn returns the connection to the pool, or closes it unless it is reusable. Once a response is read
+// it is called before the caller gets the response's end: the request's context may end right after it.
+func (a *attempt) releaseConn() {
+	if a.connReleased {
+		return
+	}
+	a.connReleased = true
+	a.zone.removeAttempt(a.conn)
+	if !a.stopClosing() || !a.reusable {
+		_ = a.conn.Close()
+		return
+	}
+	a.server.pool.Put(a.conn, a.responseHeader)
+}
+
 // send writes the request and reports whether any byte of it may have been sent.
 func (a *attempt) send() (sent bool, err error) {
 	timeLeft := time.Until(a.deadline)
@@ -244,6 +262,7 @@
 		}
 	}
 	a.updateReusable(response, nil)
+	a.releaseConn()
 	if !a.w.Begun() {
 		a.w.Begin(response.StatusCode, response.Header)
 	}
--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -199,3 +199,17 @@
 	require.Equal(t, opened, g.server.pool.Opened())
 	require.True(t, g.server.opts.Suspects.Empty())
 }
+
+// TestServer_CallerClosesAfterResponseCostsConnection guards against a new connection to an upstream after each
+// caller that disconnects as soon as it has the response.
+func TestServer_CallerClosesAfterResponseCostsConnection(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		_, err := c.Write([]byte(signed(r) + "Content-Length: 4\r\n\r\nfine"))
+		return err == nil
+	})
+	for n := range 500 {
+		require.Equal(t, 200, g.callWithBody(fmt.Sprint("s", n), "/safe/x", "sound").status)
+	}
+	require.EqualValues(t, 1, g.server.pool.Opened())
+}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -218,33 +218,20 @@
 	if err != nil {
 		return notSent, err
 	}
-	// Closing the connection ends blocked reads and writes when the request's context ends.
-	stop := context.AfterFunc(x.ctx, func() { _ = conn.Close() })
-	defer stop()
 	s.health.requestStarted(u.ID)
 	defer s.health.requestEnded(u.ID)
 	started := time.Now()
 	var closedUnreachable atomic.Bool
 	zone := s.zones.addAttempt(u.Zone, conn, &closedUnreachable)
 	a := &attempt{exchange: x, conn: conn, upstream: u, zone: zone, started: started, buffers: bufferLease{shared: &s.buffers}}
-	finished := false
-	defer func() {
-		if !finished { // a panic
-			zone.removeAttempt(conn)
-			_ = conn.Close()
-		}
-	}()
+	// Closing the connection ends blocked reads and writes when the request's context ends.
+	a.stopClosing = context.AfterFunc(x.ctx, func() { _ = conn.Close() })
+	defer a.releaseConn()
 	result, err := a.roundTrip()
-	finished = true
-	zone.removeAttempt(conn)
+	a.releaseConn()
 	if closedUnreachable.Load() && result != answered {
 		err = errZoneUnreachable
 	}
-	if !a.reusable || !stop() {
-		_ = conn.Close()
-	} else {
-		s.pool.Put(conn, a.responseHeader)
-	}
 	if cause := context.Cause(x.ctx); result == maybeRun && cause != nil && errors.Is(cause, httpwire.ErrCallerGone) {
 		x.detectCrash(u, started, err)
 		x.abortCallerGone(cause)
