quota: permits for upstreams with a rate limit are requested for waiting requests only

Cause: a VM added the reserve that it holds for accounts' rates to what its waiting requests lack, and rounded up: one waiting request asked for two permits. The second was lost after 0.5 s unless another request came for it, and the level of the bucket didn't show it. Class of fault: what one mechanism does for its first use was taken over unseen by its second.

A VM asks now for what its waiting requests lack.

--- a/internal/quota/upstreams.go
+++ b/internal/quota/upstreams.go
@@ -154,16 +154,21 @@
 	}
 }
 
-// UpstreamWants returns how many permits to request for each upstream with a limit that this VM uses. waiting
-// is the number of requests that wait for a permit, by upstream.
+// UpstreamWants returns how many permits to request for each upstream with a limit that this VM uses: those that
+// waiting requests lack, since a permit that isn't used expires. waiting is the number of requests that wait for
+// a permit, by upstream.
 func (h *Holder) UpstreamWants(now time.Duration, waiting map[string]int, rate func(upstream string) (Rate, bool)) map[string]float64 {
-	wants, _ := h.Wants(now, waiting, rate)
-	for upstream, n := range wants {
-		wants[upstream] = math.Ceil(n)
-	}
-	for upstream, a := range h.accounts {
-		if _, wanted := wants[upstream]; !wanted && a.recentUse > minRecentUse {
-			wants[upstream] = 0
+	wants := map[string]float64{}
+	for upstream := range h.accounts {
+		if _, limited := rate(upstream); !limited {
+			delete(h.accounts, upstream)
+			continue
+		}
+		a := h.holding(upstream, now)
+		h.expire(now, a)
+		missing := math.Ceil(float64(waiting[upstream]) - a.permits)
+		if missing > 0 || a.recentUse > minRecentUse {
+			wants[upstream] = max(missing, 0)
 		}
 	}
 	return wants
--- a/internal/quota/upstreams_test.go
+++ b/internal/quota/upstreams_test.go
@@ -23,6 +23,7 @@
 	coordinator *UpstreamCoordinator
 	epochs      uint64
 	vms         []*limitedVM
+	minLevel    float64         // the fill level that requests require
 	passed      []time.Duration // times of requests
 	refused     int
 }
@@ -75,6 +76,10 @@
 // request simulates one request at a VM and its response.
 func (f *limitedFleet) request(vm *limitedVM) {
 	limit, limited := vm.table.Rate(limitedUpstream)
+	if limited && vm.holder.Room(f.now, limitedUpstream, limit).Level < f.minLevel {
+		f.refused++
+		return
+	}
 	ok := !limited || vm.holder.Take(f.now, limitedUpstream, limit)
 	if !ok && vm.holder.Room(f.now, limitedUpstream, limit).Free && !vm.holder.Lost(f.now) {
 		f.exchange(vm, 1)
@@ -263,3 +268,19 @@
 	require.False(t, h.Held(now+1, "u"))
 	require.False(t, h.Take(now+1, "u", limit))
 }
+
+// TestUpstreams_PermitsExpireUnused guards against permits that VMs request in advance and don't use: while
+// there are more requests than the limit allows, the upstream gets what it takes.
+func TestUpstreams_PermitsExpireUnused(t *testing.T) {
+	for seed := range uint64(20) {
+		r := rand.New(rand.NewPCG(seed, 5))
+		perSecond := 5 + 5*r.Float64()
+		f := newLimitedFleet(7, perSecond)
+		f.minLevel = 0.4
+		f.run(r, 2*time.Second, 10)
+		f.passed = nil
+		const span = 20 * time.Second
+		f.run(r, span, 3*perSecond)
+		require.Greater(t, float64(len(f.passed)), 0.95*perSecond*span.Seconds(), "seed %d", seed)
+	}
+}
