turns, proxy: the store knows which upstream holds a line's prompt in cache

Cause: an entry VM knew the upstream of a line's last turn only if it had served that turn itself.

The end of a turn now states the home of its line, and the begin of a turn, which asks the store whenever the VM didn't serve the one before, returns it.

TestServer_TurnThroughOtherVMMissesCache fails before.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -273,6 +273,8 @@
 	outputBuffers   bufferLease
 	timeToFirstByte time.Duration       // from the request's arrival to the first byte of the response
 	upstream        string              // ID of the last upstream tried
+	storedHome      string              // the home that the store knows, empty if it wasn't asked or knows none
+	newHome         string              // the upstream that will hold the line's prompt, empty if that doesn't change
 	turnBeginTime   time.Duration       // time that the store took to begin the turn
 	fingerprint     suspect.Fingerprint // empty until requestFingerprint is called
 }
@@ -386,7 +388,7 @@
 	started := time.Now()
 	b := turns.Begin{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
-		Budget: x.call.Budget, HasBudget: x.call.HasBudget, MaxTokens: x.call.MaxTokens,
+		Budget: x.call.Budget, HasBudget: x.call.HasBudget, MaxTokens: x.call.MaxTokens, Line: x.call.Line,
 	}
 	if x.route.Stateful {
 		b.Previous = x.call.Previous
@@ -406,6 +408,7 @@
 		return &Refusal{Reason: UnknownTurn}
 	}
 	x.reserved = true
+	x.storedHome = result.Home
 	x.programActive = x.programActive || result.Known
 	if !x.programActive && !x.admitted && !x.server.admitsNewProgram(x) {
 		return &Refusal{Reason: Overloaded, Detail: x.server.describeLoad(x.service.Name), RetryAfter: x.overloadRetryDelay()}
@@ -438,6 +441,7 @@
 	e := turns.End{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
 		Tokens: tokens, Retention: x.route.Retention, Reservation: x.reservation,
+		Line: x.call.Line, Home: x.newHome,
 	}
 	if record {
 		e.Record, e.Previous, e.Input, e.Output = true, x.call.Previous, x.request.Body, x.output
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -33,6 +34,10 @@
 	if c.Program != "" {
 		c.HasBudget, c.Budget, c.MaxTokens = true, 1000, 100
 	}
+	if line := r.Header.Get("Line"); line != "" {
+		c.Line = line
+	}
+	c.PromptTokens, _ = strconv.ParseInt(r.Header.Get("Prompt"), 10, 64) // 0 if it is missing
 	if c.RequestID == "" {
 		return c, errors.New("no ID")
 	}
@@ -156,16 +161,22 @@
 		Accounts: []routing.Account{{Name: "acc", Keys: []string{"key"}, Rate: 5, Burst: 5}},
 	})
 	require.NoError(t, err)
+	g.startVM("z", table)
+	return g
+}
+
+// startVM starts an entry VM's server, which the calls that follow go to.
+func (g *fixture) startVM(zone string, table *routing.Snapshot) {
 	g.server = New(Options{
-		Zone: "z", Protocol: testProtocol{}, Table: func() *routing.Snapshot { return table },
+		Zone: zone, Protocol: testProtocol{}, Table: func() *routing.Snapshot { return table },
 		Directory: g.directory, Ledger: g.ledger, Limiter: g.limiter,
 	})
-	g.address = listen(t, func(l net.Listener) {
-		_ = httpwire.New(g.server, func() httpwire.Limits {
+	server := g.server
+	g.address = listen(g.t, func(l net.Listener) {
+		_ = httpwire.New(server, func() httpwire.Limits {
 			return httpwire.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
 		}).Serve(l)
 	})
-	return g
 }
 
 func listen(t *testing.T, serve func(net.Listener)) string {
@@ -467,6 +478,35 @@
 	require.Equal(t, reply{404, "unknown_turn", "", nil}, g.call("t4", "/kept/", "Program: p", "Previous: t9"))
 }
 
+// TestServer_TurnThroughOtherVMMissesCache guards against turns that go to another upstream than the one that holds
+// their prompt in cache because they arrive at another VM.
+func TestServer_TurnThroughOtherVMMissesCache(t *testing.T) {
+	g := newFixture(t)
+	for _, id := range []string{"z1", "z2", "z3"} {
+		g.upstream(id, streamEvents(2))
+	}
+	for _, id := range []string{"y1", "y2", "y3"} {
+		g.upstreamIn("y", id, streamEvents(2))
+	}
+	first, firstAddress := g.server, g.address
+	g.startVM("y", first.opts.Table())
+	second := g.address
+	turn := func(address, id string, headers ...string) (upstream string) {
+		g.address = address
+		require.Equal(t, 200, g.call(id, "/stream/", append(headers, "Prompt: 2000")...).status)
+		requests := g.receivedRequests()
+		return requests[len(requests)-1].upstream
+	}
+	for i := range 10 {
+		program := fmt.Sprint("Program: p", i)
+		home := turn(firstAddress, fmt.Sprint("a", i), program)
+		require.Equal(t, "z", home[:1], "a new program stays in its zone")
+		require.Equal(t, home, turn(second, fmt.Sprint("b", i), program), "the next turn")
+		require.Equal(t, home, turn(second, fmt.Sprint("c", i), program, "Line: sub-agent"), "a sub-agent, whose prompt begins with the program's")
+		require.Equal(t, home, turn(firstAddress, fmt.Sprint("d", i), program, "Line: sub-agent"))
+	}
+}
+
 func TestServer_AbortsStreamIfTurnIsNotRecorded(t *testing.T) {
 	g := newFixture(t)
 	g.upstream("u", streamEvents(2))
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -195,6 +195,7 @@
 	}
 	if request.Affinity != "" && x.call.Program != "" && !candidates[i].Limited {
 		s.lastUpstreams.set(x.homeKey(), upstreams[i].ID)
+		x.newHome = upstreams[i].ID
 	}
 	return upstreams[i], true, 0
 }
@@ -203,8 +204,12 @@
 func (x *exchange) homeKey() string { return x.call.Program + "/" + x.call.Line }
 
 // home returns the upstream that is likely to hold the state of the request's line of turns: that of its last
-// turn, or for a line's first turn that of the program's main line.
+// turn, or for a line's first turn that of the program's main line. The store, if it was asked, also knows the
+// turns that other VMs served.
 func (x *exchange) home() string {
+	if x.storedHome != "" {
+		return x.storedHome
+	}
 	if home := x.server.lastUpstreams.get(x.homeKey()); home != "" {
 		return home
 	}
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -24,6 +24,9 @@
 // endless loop.
 const maxChainLength = 4096
 
+// maxHomes bounds the lines of a program whose homes are stored.
+const maxHomes = 64
+
 // Outcome is the result code of Begin.
 type Outcome int
 
@@ -44,6 +47,8 @@
 	// HasBudget distinguishes a budget of 0 from no budget.
 	HasBudget bool  `cbor:"7,keyasint,omitempty"`
 	MaxTokens int64 `cbor:"6,keyasint,omitempty"` // the most tokens that the turn may generate
+	// Line is the line of turns within the program. The main line has the program's name.
+	Line string `cbor:"8,keyasint,omitempty"`
 }
 
 // End settles a turn's reservation and may record the turn.
@@ -65,6 +70,10 @@
 	// turn, under the name NextReservation(Request). Budget is the program's, as in Begin.
 	NextMaxTokens int64 `cbor:"11,keyasint,omitempty"`
 	Budget        int64 `cbor:"12,keyasint,omitempty"`
+	// Line is the line of turns within the program, and Home the ID of the upstream that holds its prompt in
+	// cache, empty if the turn hasn't changed it.
+	Line string `cbor:"13,keyasint,omitempty"`
+	Home string `cbor:"14,keyasint,omitempty"`
 }
 
 // NextReservation returns the name of the reservation that End makes for the turn that follows
@@ -94,6 +103,9 @@
 	Chain [][]byte `cbor:"2,keyasint,omitempty"`
 	// Known reports that the program had a turn before.
 	Known bool `cbor:"5,keyasint,omitempty"`
+	// Home is the upstream that holds the line's prompt in cache, or for a line's first turn that of the
+	// program's main line; empty if unknown.
+	Home string `cbor:"7,keyasint,omitempty"`
 	// Used and Reserved are the program's used and reserved tokens, set with BudgetSpent.
 	Used     int64 `cbor:"3,keyasint,omitempty"`
 	Reserved int64 `cbor:"4,keyasint,omitempty"`
@@ -110,6 +122,8 @@
 	// Settled is the set of settled reservations, so that a repeated Begin doesn't reserve again.
 	Settled map[string]bool `cbor:"3,keyasint,omitempty"`
 	Expires int64           `cbor:"4,keyasint"`
+	// Homes are the upstreams that hold the prompts of lines in cache, at most maxHomes.
+	Homes map[string]string `cbor:"5,keyasint,omitempty"`
 }
 
 type turnKey struct {
@@ -223,15 +237,38 @@
 	}
 	p := m.program(b.Account, b.Program)
 	known := len(p.Reserved) > 0 || p.Used > 0
+	begun := Result{Known: known, Home: p.home(b)}
 	if _, reserved := p.Reserved[b.Request]; reserved || p.Settled[b.Request] {
-		return Result{Known: known}
+		return begun
 	}
 	reserved := p.totalReserved()
 	if p.Used+reserved+b.MaxTokens > b.Budget {
 		return Result{Outcome: BudgetSpent, Used: p.Used, Reserved: reserved}
 	}
 	p.Reserved[b.Request] = b.MaxTokens
-	return Result{Known: known}
+	return begun
+}
+
+// home returns the home of a turn's line, or that of the program's main line.
+func (p *program) home(b *Begin) string {
+	if home := p.Homes[b.Line]; home != "" {
+		return home
+	}
+	return p.Homes[b.Program]
+}
+
+// setHome stores the home of a turn's line, unless the program has too many lines.
+func (p *program) setHome(e *End) {
+	if e.Home == "" {
+		return
+	}
+	if _, known := p.Homes[e.Line]; !known && len(p.Homes) >= maxHomes {
+		return
+	}
+	if p.Homes == nil {
+		p.Homes = map[string]string{}
+	}
+	p.Homes[e.Line] = e.Home
 }
 
 func (p *program) totalReserved() int64 {
@@ -281,6 +318,7 @@
 		p.Settled[reservation] = true
 		delete(p.Reserved, reservation)
 		p.Used += e.Tokens
+		p.setHome(e)
 		if e.NextMaxTokens > 0 && p.Used+p.totalReserved()+nextHeadroom*e.NextMaxTokens <= e.Budget {
 			p.Reserved[following] = e.NextMaxTokens
 		}
--- a/internal/turns/machine_test.go
+++ b/internal/turns/machine_test.go
@@ -83,6 +83,41 @@
 	require.Equal(t, Begun, b("t6").Outcome)
 }
 
+func TestMachine_KnowsHomesOfLines(t *testing.T) {
+	m := New()
+	home := func(program, line string) string {
+		request := fmt.Sprint("asks", program, line, m.clock)
+		return apply(t, m, Command{Begin: &Begin{Account: "a", Program: program, Request: request, Line: line, HasBudget: true, Budget: 1 << 40}}).Home
+	}
+	end := func(request, program, line, home string) {
+		apply(t, m, Command{Now: m.clock + 1, End: &End{Account: "a", Program: program, Request: request, Line: line, Home: home}})
+	}
+	require.Empty(t, home("p", "p"))
+	end("t1", "p", "p", "u1")
+	require.Equal(t, "u1", home("p", "p"))
+	require.Equal(t, "u1", home("p", "sub"), "a line's first turn goes to the main line's home")
+	require.Empty(t, home("q", "q"))
+	end("t2", "p", "sub", "u2")
+	end("t3", "p", "p", "")
+	require.Equal(t, "u1", home("p", "p"), "a turn that changes nothing")
+	require.Equal(t, "u2", home("p", "sub"))
+	end("t4", "p", "p", "u3")
+	end("t1", "p", "p", "u1")
+	require.Equal(t, "u3", home("p", "p"), "a repeated End is older")
+
+	for i := range 2 * maxHomes {
+		end(fmt.Sprint("s", i), "p", fmt.Sprint("sub", i), "u4")
+	}
+	end("t5", "p", "p", "u5")
+	require.Equal(t, "u5", home("p", "p"))
+	require.Len(t, m.programs[programKey{"a", "p"}].Homes, maxHomes)
+	data, err := m.Snapshot()
+	require.NoError(t, err)
+	restored := New()
+	require.NoError(t, restored.Restore(data))
+	require.Equal(t, m, restored)
+}
+
 // TestMachine_NeverExceedsBudget applies random Begin and End commands of independent VMs, some
 // repeated and some missing because their VM failed. The tokens delivered plus those that open
 // reservations allow must never exceed the budget.
