balance, proxy: a prompt that is read again weighs what all requests on the upstream lose

Cause: leaving the home weighed four times the prompt's time, but up to 12 turns share a busy engine and all wait.

--- a/internal/balance/balance.go
+++ b/internal/balance/balance.go
@@ -35,8 +35,11 @@
 	Affinity string
 	// Home is the upstream that holds the state; empty if this VM has no record of it.
 	Home string
-	// AffinityGain is the time saved by an upstream that holds the state.
+	// AffinityGain is the time saved by an upstream that holds the state: that of this request and of the others
+	// that run there and would wait meanwhile.
 	AffinityGain time.Duration
+	// OwnGain is the part of AffinityGain that this request saves.
+	OwnGain time.Duration
 	// New is set if no upstream holds any state yet; the affinity then only determines which
 	// upstream other VMs will prefer later.
 	New bool
@@ -46,6 +49,10 @@
 	Draw float64
 }
 
+// PromptCostFactor is the cost of reading a prompt again, as a multiple of the time that it takes: all requests
+// that run on the upstream wait meanwhile.
+const PromptCostFactor = 12
+
 const (
 	// crossZoneCost is the cost of leaving the zone: two crossings for each later turn, and
 	// billed traffic.
@@ -96,7 +103,11 @@
 		cost += time.Duration(float64(r.Service) * float64(c.Inflight-slots+1) / float64(slots))
 	}
 	if r.Affinity != "" && !home {
-		cost += r.AffinityGain
+		if c.Limited {
+			cost += r.OwnGain // few others run there
+		} else {
+			cost += r.AffinityGain
+		}
 	}
 	if !c.Local {
 		cost += crossZoneCost
--- a/internal/balance/balance_test.go
+++ b/internal/balance/balance_test.go
@@ -52,6 +52,20 @@
 	require.NotEqual(t, home, Pick(cs, turn("p")))
 }
 
+// TestPick_LimitedUpstreamsCostOnlyTheRequestItself: what the others there would lose doesn't keep a request from an
+// upstream at its rate limit.
+func TestPick_LimitedUpstreamsCostOnlyTheRequestItself(t *testing.T) {
+	cs := fleet(2)
+	r := turn("p")
+	r.Home, r.OwnGain = cs[0].ID, 20*time.Millisecond
+	cs[0].Inflight, cs[1].Local = 5, true
+	require.Equal(t, 0, Pick(cs, r))
+	cs[1].Limited = true
+	require.Equal(t, 1, Pick(cs, r))
+	cs[0].Inflight = 0
+	require.Equal(t, 0, Pick(cs, r))
+}
+
 func TestPick_PrefersKnownHome(t *testing.T) {
 	cs := fleet(6)
 	r := turn("p")
--- a/internal/balance/load_test.go
+++ b/internal/balance/load_test.go
@@ -75,6 +75,7 @@
 	running     int
 	waiting     []func()
 	cachedTurns map[string]int // by program: the turns whose prompts are cached here
+	promptTime  time.Duration  // spent on prompts so far
 }
 
 type loadSim struct {
@@ -90,6 +91,8 @@
 	choose     policy
 	durations  []time.Duration // durations of the finished programs
 	promptTime time.Duration   // total time of prefill
+	// promptsDelayOthers makes all turns that run on an engine wait while it reads a prompt.
+	promptsDelayOthers bool
 }
 
 func newLoadSim(seed uint64, choose policy) *loadSim {
@@ -116,7 +119,7 @@
 		candidates[i] = Candidate{ID: e.id, Local: e.zone == vm%3, Slots: loadSlots, Inflight: w.inflight[vm][i], Slowness: w.measured[vm][i]}
 	}
 	i := w.choose(candidates, Request{
-		Affinity: program, Home: w.home[vm][program], AffinityGain: 4 * time.Duration(n) * promptWork, New: n == 1,
+		Affinity: program, Home: w.home[vm][program], AffinityGain: PromptCostFactor * time.Duration(n) * promptWork, New: n == 1,
 		Service: turnWork, Draw: w.random.Float64(),
 	})
 	e := w.engines[i]
@@ -128,8 +131,16 @@
 		prompt := time.Duration(n-min(e.cachedTurns[program], n-1)) * promptWork
 		w.promptTime += prompt
 		e.cachedTurns[program] = n
+		e.promptTime += prompt
+		seen := e.promptTime
 		work := time.Duration(float64(turnWork+prompt) * e.slow)
-		w.after(work, func() {
+		var finish func()
+		finish = func() {
+			if delay := e.promptTime - seen; w.promptsDelayOthers && delay > 0 {
+				seen = e.promptTime
+				w.after(delay, finish)
+				return
+			}
 			e.running--
 			if len(e.waiting) > 0 {
 				next := e.waiting[0]
@@ -143,7 +154,8 @@
 				return
 			}
 			w.after(betweenTurns, func() { w.turn(vm, program, n+1, begun) })
-		})
+		}
+		w.after(work, finish)
 	}
 	if e.running < loadSlots {
 		start()
@@ -223,6 +235,21 @@
 	require.Less(t, read, baseRead/2)
 }
 
+// TestPick_PromptsReadAgainDelayOthers: busy engines, where each prompt that is read again holds up the other
+// turns. Weighing only what the moved turn loses makes over twice as many programs late.
+func TestPick_PromptsReadAgainDelayOthers(t *testing.T) {
+	ownGain := func(candidates []Candidate, r Request) int {
+		r.AffinityGain /= PromptCostFactor
+		return Pick(candidates, r)
+	}
+	late, base, read, baseRead := compare(ownGain, func(w *loadSim) {
+		w.promptsDelayOthers = true
+		w.simulate(10*time.Second, 0.4*capacity, anyVM(w))
+	})
+	t.Logf("late %.3f, baseline %.3f; prompts %v, baseline %v", late, base, read, baseRead)
+	require.Less(t, late, base/2)
+}
+
 // TestPick_CallersConcentrateInOneZone: four fifths of all callers use the VMs of one zone for 5 s.
 // Its engines cannot handle that load alone, so engines in other zones must share it.
 func TestPick_CallersConcentrateInOneZone(t *testing.T) {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -35,9 +35,6 @@
 	// prefillTokensPerMilli is the typical prefill speed of engines, in tokens per millisecond. It
 	// only weighs affinity against queueing.
 	prefillTokensPerMilli = 80
-	// prefillCostFactor is the cost of reading a prompt again, as a multiple of the time that its own
-	// turn loses: all turns running on the upstream wait meanwhile.
-	prefillCostFactor = 4
 	// objectAffinityGain is the time saved by an upstream that handled the object recently.
 	objectAffinityGain = 15 * time.Millisecond
 )
@@ -184,7 +181,8 @@
 	case x.route.Kind == routing.Streaming && x.call.Program != "":
 		request.Affinity = x.call.Program
 		request.Home = x.home()
-		request.AffinityGain = time.Duration(prefillCostFactor*x.call.PromptTokens/prefillTokensPerMilli) * time.Millisecond
+		request.OwnGain = time.Duration(x.call.PromptTokens/prefillTokensPerMilli) * time.Millisecond
+		request.AffinityGain = balance.PromptCostFactor * request.OwnGain
 		request.New = !x.programActive
 	case x.route.Sticky && x.call.Object != "":
 		request.Affinity, request.AffinityGain = x.call.Object, objectAffinityGain
