httpwire: the write deadline is set before each write, not before the last one

Cause: a response was given its deadline of 10 s when the last part of it was flushed. What is longer than the write buffer (4 KiB) is written before that, under the deadline of the connection's response before. Once a kept connection had been idle for 10 s, such a response failed at once. Class of fault: state of one request that the next one on the connection inherits.

Each write sets its own deadline now. TestServer_LongResponseAfterIdleTimeIsLost fails before, with whole and chunked responses. No other deadline for writing is set anywhere.

--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -97,12 +98,20 @@
 	}
 }
 
+// deadlineWriter writes to a connection, each write with a deadline of its own: that of an earlier response may
+// have passed.
+type deadlineWriter struct{ conn net.Conn }
+
+func (w deadlineWriter) Write(p []byte) (int, error) {
+	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+		return 0, err
+	}
+	return w.conn.Write(p)
+}
+
 // flush sends the buffered data. It also returns errors of earlier writes, which bufio.Writer keeps.
 func (w *Response) flush() error {
-	err := w.conn.raw.SetWriteDeadline(time.Now().Add(writeTimeout))
-	if err == nil {
-		err = w.writer.Flush()
-	}
+	err := w.writer.Flush()
 	if err != nil {
 		w.failed = true
 	}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -213,13 +213,13 @@
 	request, failure := c.read(limits)
 	if failure != nil {
 		if failure.status != 0 {
-			w := &Response{conn: c, writer: bufio.NewWriter(c.raw), closeAfter: true}
+			w := &Response{conn: c, writer: bufio.NewWriter(deadlineWriter{c.raw}), closeAfter: true}
 			c.server.handler.Malformed(w, failure.status, failure.reason)
 			c.linger()
 		}
 		return false
 	}
-	w := &Response{conn: c, writer: bufio.NewWriterSize(c.raw, 4<<10), isHead: request.Method == http.MethodHead}
+	w := &Response{conn: c, writer: bufio.NewWriterSize(deadlineWriter{c.raw}, 4<<10), isHead: request.Method == http.MethodHead}
 	w.closeAfter = request.close || c.server.draining.Load()
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stop := c.watch(cancel)
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -40,6 +40,11 @@
 	require.NoError(t, err)
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
+	return startServerOn(t, listener, serve)
+}
+
+func startServerOn(t *testing.T, listener net.Listener, serve func(ctx context.Context, w *Response, r *Request)) (*Server, *echo, string) {
+	address := listener.Addr().String()
 	e := &echo{requests: make(chan *Request, 100), serve: serve}
 	s := New(e, func() Limits {
 		return Limits{MaxHeaderBytes: 2 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: time.Second}
@@ -225,6 +230,42 @@
 	}
 }
 
+// idleListener accepts connections whose last write deadline has passed, as after an idle time of writeTimeout.
+type idleListener struct{ net.Listener }
+
+func (l idleListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		err = c.SetWriteDeadline(time.Unix(1, 0))
+	}
+	return c, err
+}
+
+// TestServer_LongResponseAfterIdleTimeIsLost guards against responses longer than the write buffer that are cut off
+// on connections that were idle for writeTimeout.
+func TestServer_LongResponseAfterIdleTimeIsLost(t *testing.T) {
+	long := strings.Repeat("x", 64<<10)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	_, _, address := startServerOn(t, idleListener{listener}, func(_ context.Context, w *Response, r *Request) {
+		if r.Path == "/whole" {
+			_ = w.Send(http.StatusOK, nil, []byte(long))
+			return
+		}
+		w.Begin(http.StatusOK, nil)
+		_ = w.Chunk([]byte(long))
+		_ = w.Finish()
+	})
+	for _, path := range []string{"/whole", "/chunks"} {
+		c, r := dial(t, address)
+		_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		status, body := readResponse(t, r)
+		require.Equal(t, http.StatusOK, status)
+		require.Equal(t, long, body)
+	}
+}
+
 // TestServer_CloseIdleDropsArrivedRequest guards against a shutdown that closes a connection whose request has
 // arrived, but was not read yet.
 func TestServer_CloseIdleDropsArrivedRequest(t *testing.T) {
