httpwire: a caller that has left is noticed before its request is served

Cause: only the goroutine that watches the connection noticed the close, and the request was served unless that goroutine happened to run first. Before a request is served, the socket is now asked whether it is closed. Bytes of another request behind this one still hide it, as before.

Green with the race detector.

--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -11,13 +11,13 @@
 	"io"
 	"net"
 	"net/http"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
+	"golang.org/x/sys/unix"
 )
 
 // Limits bound what a caller may send and how long it may take.
@@ -221,14 +221,12 @@
 	}
 	w := &Response{conn: c, writer: bufio.NewWriterSize(deadlineWriter{c.raw}, 4<<10), isHead: request.Method == http.MethodHead}
 	w.closeAfter = request.close || c.server.draining.Load()
+	if c.callerLeft() {
+		return false // while this VM was suspended or overloaded, or earlier requests were served
+	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stop := c.watch(cancel)
-	// Let the watch goroutine run first: a request whose caller disconnected while this VM was
-	// suspended or overloaded needs no response.
-	runtime.Gosched()
-	if ctx.Err() == nil {
-		c.server.handler.Serve(ctx, w, request)
-	}
+	c.server.handler.Serve(ctx, w, request)
 	stop()
 	cancel(nil)
 	if !w.ended {
@@ -244,6 +242,26 @@
 	return true
 }
 
+// callerLeft reports whether the caller has closed the connection, as far as the input shows: bytes after the
+// request hide it.
+func (c *serverConn) callerLeft() bool {
+	tcp, ok := c.raw.(*net.TCPConn)
+	if !ok || c.reader.Buffered() > 0 {
+		return false
+	}
+	raw, err := tcp.SyscallConn()
+	if err != nil {
+		return true // closed on this side
+	}
+	left := false
+	err = raw.Control(func(fd uintptr) {
+		var b [1]byte
+		n, _, err := unix.Recvfrom(int(fd), b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		left = n == 0 && err == nil || errors.Is(err, unix.ECONNRESET)
+	})
+	return left || err != nil
+}
+
 // watch starts a goroutine that cancels the request's context when the caller closes the connection.
 // The returned function stops it.
 func (c *serverConn) watch(cancel context.CancelCauseFunc) (stop func()) {
