proxy: a response is read into segments instead of a buffer that is allocated again as it grows

Cause: a buffer that doubles holds up to twice the body's 16 MiB, and for a moment the half before as well; what it left behind counts until a busy processor gets to collect it. One body without end allocated 67 MB.

A body is read into segments of at most 64 KiB, joined once it is complete. The end of a body is told from one that breaks off by the reader's own error (TestBufferLease_TruncatedBodyLooksComplete). TestBufferLease_EndlessBodyAllocatesSeveralTimes: 67 MB before, under 20 MiB after.

--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -15,8 +15,10 @@
 	maxSharedBytes = 16 << 20
 	// ownBytes is the size up to which a response doesn't depend on the buffers of others.
 	ownBytes = 64 << 10
-	// bodyReadBytes is the step in which a body is read.
-	bodyReadBytes = 16 << 10
+	// minSegmentBytes and maxSegmentBytes are the sizes of the first and of the largest segments in which a body is
+	// read.
+	minSegmentBytes = 1 << 10
+	maxSegmentBytes = 64 << 10
 )
 
 var (
@@ -58,19 +60,42 @@
 	l.size, l.reserved = 0, 0
 }
 
-// readAll reads r to its end within the lease.
+// readAll reads r to its end within the lease. It reads into segments, which are joined only once the body is
+// complete: a buffer that grows would take several times the memory of a body that never ends.
 func (l *bufferLease) readAll(r io.Reader) ([]byte, error) {
-	var body bytes.Buffer
-	for {
-		n, err := io.CopyN(&body, r, bodyReadBytes)
-		if growErr := l.grow(int(n)); growErr != nil {
+	var segments [][]byte
+	for size := minSegmentBytes; ; size = min(2*size, maxSegmentBytes) {
+		segment, err := readSegment(r, size)
+		if growErr := l.grow(len(segment)); growErr != nil {
 			return nil, growErr
 		}
+		segments = append(segments, segment)
 		if errors.Is(err, io.EOF) {
-			return body.Bytes(), nil
+			return joinSegments(segments), nil
 		}
 		if err != nil {
 			return nil, err
 		}
 	}
 }
+
+// readSegment reads size bytes. It returns fewer only together with the error of the last read: io.ReadFull would
+// not tell the end of a body from one that breaks off.
+func readSegment(r io.Reader, size int) ([]byte, error) {
+	segment, read := make([]byte, size), 0
+	for read < size {
+		n, err := r.Read(segment[read:])
+		read += n
+		if err != nil {
+			return segment[:read], err
+		}
+	}
+	return segment, nil
+}
+
+func joinSegments(segments [][]byte) []byte {
+	if len(segments) == 1 {
+		return segments[0]
+	}
+	return bytes.Join(segments, nil)
+}
--- a/internal/proxy/endless_test.go
+++ b/internal/proxy/endless_test.go
@@ -12,6 +12,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -97,7 +98,9 @@
 				}
 				wg.Wait()
 				close(stop)
-				require.Less(t, <-peak, uint64(smallestMemory))
+				most := <-peak
+				t.Logf("the heap's peak is %d MiB", most>>20)
+				require.Less(t, most, uint64(smallestMemory))
 				sends := int64(len(g.receivedRequests()))
 				require.Eventually(t, func() bool { return closed.Load() == sends }, 2*time.Second, 10*time.Millisecond, "the connections are closed")
 			})
@@ -129,6 +132,37 @@
 	return result
 }
 
+// TestBufferLease_EndlessBodyAllocatesSeveralTimes guards against a buffer that is allocated again as it grows, which
+// takes several times the memory of a body that never ends.
+func TestBufferLease_EndlessBodyAllocatesSeveralTimes(t *testing.T) {
+	lease := bufferLease{shared: &sharedBuffers{}}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	_, err := lease.readAll(endlessReader{})
+	runtime.ReadMemStats(&after)
+	require.ErrorIs(t, err, errResponseTooLarge)
+	require.Less(t, after.TotalAlloc-before.TotalAlloc, uint64(maxResponseBytes*5/4))
+}
+
+type endlessReader struct{}
+
+func (endlessReader) Read(p []byte) (int, error) { return len(p), nil }
+
+// TestBufferLease_TruncatedBodyLooksComplete guards against a body that breaks off anywhere and is taken for whole.
+func TestBufferLease_TruncatedBodyLooksComplete(t *testing.T) {
+	for size := range 5 << 10 {
+		lease := bufferLease{shared: &sharedBuffers{}}
+		data := bytes.Repeat([]byte("x"), size)
+		got, err := lease.readAll(bytes.NewReader(data))
+		require.NoError(t, err)
+		require.True(t, bytes.Equal(data, got), size)
+		for _, broken := range []error{io.ErrUnexpectedEOF, net.ErrClosed} {
+			_, err := lease.readAll(io.MultiReader(bytes.NewReader(data), iotest.ErrReader(broken)))
+			require.ErrorIs(t, err, broken)
+		}
+	}
+}
+
 // TestServer_LargeResponsesAreForwarded checks that the bounds leave room for large responses.
 func TestServer_LargeResponsesAreForwarded(t *testing.T) {
 	g := newFixture(t)
