upstream: a refused permission to send is found in the error's chain

Cause: the write that the permission stops closes the connection, and the read on it may report first. That error was only marked with ErrSendPermissionExpired, which cockroachdb's Is finds and the standard library's doesn't. Nothing was sent in either case, and the gateway uses the former.

--- a/internal/upstream/writeguard.go
+++ b/internal/upstream/writeguard.go
@@ -47,7 +47,8 @@
 	defer g.mu.Unlock()
 	g.sealed = true
 	if g.denied {
-		return &CallError{Cause: errors.Mark(err, ErrSendPermissionExpired)}
+		// err is that of the rejected write, or of the read on the connection that was closed for it.
+		return &CallError{Cause: errors.WithSecondaryError(ErrSendPermissionExpired, err)}
 	}
 	return &CallError{Written: g.written, Cause: err}
 }
--- a/internal/upstream/writeguard_test.go
+++ b/internal/upstream/writeguard_test.go
@@ -26,6 +26,16 @@
 	require.Zero(t, requests.Load())
 }
 
+// TestWriteGuard_ReadErrorHidesRefusedPermission guards against an error that doesn't tell why nothing was sent, when
+// the read on the closed connection reports first.
+func TestWriteGuard_ReadErrorHidesRefusedPermission(t *testing.T) {
+	g := writeGuard{permitted: func() bool { return false }}
+	require.False(t, g.allowWrite())
+	err := g.callError(net.ErrClosed)
+	require.ErrorIs(t, err, ErrSendPermissionExpired)
+	require.False(t, err.Written)
+}
+
 func TestWriteGuard_NoWriteAfterFailure(t *testing.T) {
 	var f writeGuard
 	require.False(t, f.callError(errors.New("the call was cancelled")).Written)
