--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -221,8 +221,10 @@
 	}
 	w := &Response{conn: c, writer: bufio.NewWriterSize(deadlineWriter{c.raw}, 4<<10), isHead: request.Method == http.MethodHead}
 	w.closeAfter = request.close || c.server.draining.Load()
+	// A caller that left while this VM was suspended or overloaded, or while its earlier requests were served,
+	// needs no response.
 	if c.callerLeft() {
-		return false // while this VM was suspended or overloaded, or earlier requests were served
+		return false
 	}
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stop := c.watch(cancel)
--- a/internal/turns/machine_test.go
+++ b/internal/turns/machine_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -118,6 +119,41 @@
 	require.Equal(t, m, restored)
 }
 
+// TestMachine_ReleaseWithoutHomes guards against commands, results and snapshots that VMs of the release before homes
+// were stored can't read, and the other way round.
+func TestMachine_ReleaseWithoutHomes(t *testing.T) {
+	type oldProgram struct {
+		Used     int64            `cbor:"1,keyasint"`
+		Reserved map[string]int64 `cbor:"2,keyasint"`
+		Expires  int64            `cbor:"4,keyasint"`
+	}
+	type oldResult struct {
+		Outcome      Outcome `cbor:"1,keyasint,omitempty"`
+		Known        bool    `cbor:"5,keyasint,omitempty"`
+		NextReserved bool    `cbor:"6,keyasint,omitempty"`
+	}
+	m := New()
+	apply(t, m, Command{Begin: &Begin{Account: "a", Program: "p", Request: "r", HasBudget: true, Budget: 500, MaxTokens: 300, Line: "p"}})
+	apply(t, m, Command{End: &End{Account: "a", Program: "p", Request: "r", Tokens: 7, Line: "p", Home: "u", NextMaxTokens: 100, Budget: 500}})
+	p := m.programs[programKey{"a", "p"}]
+	data, err := cbor.Marshal(p)
+	require.NoError(t, err)
+	var old oldProgram
+	require.NoError(t, cbor.Unmarshal(data, &old))
+	require.Equal(t, oldProgram{Used: 7, Reserved: p.Reserved, Expires: p.Expires}, old)
+	var result oldResult
+	require.NoError(t, cbor.Unmarshal(Result{Known: true, Home: "u", NextReserved: true}.Encode(), &result))
+	require.Equal(t, oldResult{Known: true, NextReserved: true}, result)
+
+	data, err = cbor.Marshal(old)
+	require.NoError(t, err)
+	var restored program
+	require.NoError(t, cbor.Unmarshal(data, &restored))
+	require.Empty(t, restored.home(&Begin{Program: "p", Line: "p"}))
+	restored.setHome(&End{Line: "p", Home: "u2"})
+	require.Equal(t, "u2", restored.home(&Begin{Program: "p", Line: "p"}))
+}
+
 // TestMachine_NeverExceedsBudget applies random Begin and End commands of independent VMs, some
 // repeated and some missing because their VM failed. The tokens delivered plus those that open
 // reservations allow must never exceed the budget.
