turns: homes of lines take little memory

From 54 s on calls to the store timed out, and its leaders changed from 59.7 s on.

Store VMs have 144 MB there and collect garbage from 101 MB on; their peak was 118 to 120 MB, at 102 to 104. Homes were kept in a map for each program, with the names of up to 64 lines.

A program now keeps the hashes of at most six lines, its main line and the latest others, beside IDs of upstreams that all programs share: 24 B a line.

--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -10,6 +10,8 @@
 
 import (
 	"encoding/binary"
+	"hash/fnv"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -24,8 +26,9 @@
 // endless loop.
 const maxChainLength = 4096
 
-// maxHomes bounds the lines of a program whose homes are stored.
-const maxHomes = 64
+// maxHomes bounds the lines of a program whose homes are stored: its main line and the latest others, which are
+// short. A store VM holds the programs of a minute in memory.
+const maxHomes = 6
 
 // Outcome is the result code of Begin.
 type Outcome int
@@ -122,8 +125,14 @@
 	// Settled is the set of settled reservations, so that a repeated Begin doesn't reserve again.
 	Settled map[string]bool `cbor:"3,keyasint,omitempty"`
 	Expires int64           `cbor:"4,keyasint"`
-	// Homes are the upstreams that hold the prompts of lines in cache, at most maxHomes.
-	Homes map[string]string `cbor:"5,keyasint,omitempty"`
+	// Homes are the upstreams that hold the prompts of lines in cache, the latest last, at most maxHomes.
+	Homes []lineHome `cbor:"5,keyasint,omitempty"`
+}
+
+// lineHome is the upstream that holds a line's prompt in cache.
+type lineHome struct {
+	Line     uint32 `cbor:"1,keyasint"` // hash of the line's name
+	Upstream string `cbor:"2,keyasint"`
 }
 
 type turnKey struct {
@@ -144,11 +153,13 @@
 	turns     map[turnKey]*turn
 	clock     int64 // the highest Command.Now applied so far, in Unix milliseconds
 	lastSweep int64
+	// upstreams holds one copy of each upstream's ID since the last sweep. It isn't part of the state.
+	upstreams map[string]string
 }
 
 // New returns a Machine without programs and turns.
 func New() *Machine {
-	return &Machine{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}}
+	return &Machine{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}, upstreams: map[string]string{}}
 }
 
 // headerSize is the size in bytes of a log entry's header: the lengths of the encoded command and
@@ -249,26 +260,43 @@
 	return begun
 }
 
-// home returns the home of a turn's line, or that of the program's main line.
+// home returns the home of a turn's line, or that of the program's main line, which has the program's name.
 func (p *program) home(b *Begin) string {
-	if home := p.Homes[b.Line]; home != "" {
-		return home
+	if i := p.homeIndex(b.Line); i >= 0 {
+		return p.Homes[i].Upstream
 	}
-	return p.Homes[b.Program]
+	if i := p.homeIndex(b.Program); i >= 0 {
+		return p.Homes[i].Upstream
+	}
+	return ""
 }
 
-// setHome stores the home of a turn's line, unless the program has too many lines.
-func (p *program) setHome(e *End) {
-	if e.Home == "" {
-		return
-	}
-	if _, known := p.Homes[e.Line]; !known && len(p.Homes) >= maxHomes {
-		return
-	}
-	if p.Homes == nil {
-		p.Homes = map[string]string{}
+// homeIndex returns the index of a line's home, -1 if it isn't stored.
+func (p *program) homeIndex(line string) int {
+	hash := lineHash(line)
+	return slices.IndexFunc(p.Homes, func(h lineHome) bool { return h.Line == hash })
+}
+
+// setHome stores the home of a turn's line. If there are too many, the oldest but the main line's is dropped.
+func (p *program) setHome(e *End, upstream string) {
+	if i := p.homeIndex(e.Line); i >= 0 {
+		p.Homes = slices.Delete(p.Homes, i, i+1)
+	} else if len(p.Homes) == maxHomes {
+		oldest := 0
+		if p.Homes[0].Line == lineHash(e.Program) {
+			oldest = 1
+		}
+		p.Homes = slices.Delete(p.Homes, oldest, oldest+1)
 	}
-	p.Homes[e.Line] = e.Home
+	p.Homes = append(p.Homes, lineHome{lineHash(e.Line), upstream})
+}
+
+// lineHash returns the hash by which a line is stored. Two lines with the same hash share a home, which costs time
+// only.
+func lineHash(line string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(line)) // never fails
+	return h.Sum32()
 }
 
 func (p *program) totalReserved() int64 {
@@ -318,7 +346,9 @@
 		p.Settled[reservation] = true
 		delete(p.Reserved, reservation)
 		p.Used += e.Tokens
-		p.setHome(e)
+		if e.Home != "" {
+			p.setHome(e, m.intern(e.Home))
+		}
 		if e.NextMaxTokens > 0 && p.Used+p.totalReserved()+nextHeadroom*e.NextMaxTokens <= e.Budget {
 			p.Reserved[following] = e.NextMaxTokens
 		}
@@ -366,11 +396,21 @@
 // clock.
 const sweepInterval = 5000
 
+// intern returns the copy of an upstream's ID that all programs share.
+func (m *Machine) intern(upstream string) string {
+	if shared, ok := m.upstreams[upstream]; ok {
+		return shared
+	}
+	m.upstreams[upstream] = upstream
+	return upstream
+}
+
 func (m *Machine) sweep() {
 	if m.clock-m.lastSweep < sweepInterval {
 		return
 	}
 	m.lastSweep = m.clock
+	clear(m.upstreams)
 	for key, p := range m.programs {
 		if p.Expires < m.clock {
 			delete(m.programs, key)
--- a/internal/turns/machine_test.go
+++ b/internal/turns/machine_test.go
@@ -106,16 +106,21 @@
 	end("t1", "p", "p", "u1")
 	require.Equal(t, "u3", home("p", "p"), "a repeated End is older")
 
-	for i := range 2 * maxHomes {
+	for i := range 100 {
 		end(fmt.Sprint("s", i), "p", fmt.Sprint("sub", i), "u4")
+		require.Equal(t, "u3", home("p", "p"), "the main line's home is kept, however many others follow")
+		require.Equal(t, "u4", home("p", fmt.Sprint("sub", i)))
 	}
 	end("t5", "p", "p", "u5")
 	require.Equal(t, "u5", home("p", "p"))
+	require.Equal(t, "u5", home("p", "sub0"), "dropped")
+	require.Equal(t, "u4", home("p", "sub99"))
 	require.Len(t, m.programs[programKey{"a", "p"}].Homes, maxHomes)
 	data, err := m.Snapshot()
 	require.NoError(t, err)
 	restored := New()
 	require.NoError(t, restored.Restore(data))
+	m.upstreams, restored.upstreams = nil, nil // not part of the state
 	require.Equal(t, m, restored)
 }
 
@@ -150,7 +155,7 @@
 	var restored program
 	require.NoError(t, cbor.Unmarshal(data, &restored))
 	require.Empty(t, restored.home(&Begin{Program: "p", Line: "p"}))
-	restored.setHome(&End{Line: "p", Home: "u2"})
+	restored.setHome(&End{Program: "p", Line: "p"}, "u2")
 	require.Equal(t, "u2", restored.home(&Begin{Program: "p", Line: "p"}))
 }
 
--- a/internal/turns/snapshot.go
+++ b/internal/turns/snapshot.go
@@ -52,6 +52,9 @@
 		if r.Program.Settled == nil {
 			r.Program.Settled = map[string]bool{}
 		}
+		for i := range r.Program.Homes {
+			r.Program.Homes[i].Upstream = m.intern(r.Program.Homes[i].Upstream)
+		}
 		m.programs[r.Key] = r.Program
 	}
 	for _, r := range s.Turns {
