--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -209,7 +209,7 @@
 	for _, u := range changed {
 		e.node.events.Emit(events.NodeUpstreamChanged, zap.String("upstream", u.ID), zap.String("service", u.Service),
 			zap.String("address", u.Address), zap.Int("state", int(u.State)), zap.Bool("expired", u.Expired),
-			zap.Int64("born", u.Born), zap.Int64("sequence", u.Sequence), zap.String("control", from))
+			zap.Int64("born", u.Born), zap.Int64("sequence", u.Sequence), zap.String("build", u.Build), zap.String("control", from))
 	}
 	if len(changed) > 0 {
 		e.proxy.ReviewCrashes()
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -49,7 +49,9 @@
 	ExpectedTokens int64
 	Previous       string // ID of the turn that this one continues
 	LastEventID    string // a resumed stream continues after this event
-	Object         string // the object that the request concerns, for affinity
+	// Resumes is the request ID of the client attempt that brought the first event of a resumed stream.
+	Resumes string
+	Object  string // the object that the request concerns, for affinity
 	// Header holds the headers to forward, without the system's own headers and the key.
 	Header http.Header
 }
@@ -273,6 +275,7 @@
 	outputBuffers   bufferLease
 	timeToFirstByte time.Duration       // from the request's arrival to the first byte of the response
 	upstream        string              // ID of the last upstream tried
+	upstreamBuild   string              // its build
 	storedHome      string              // the home that the store knows, empty if it wasn't asked or knows none
 	newHome         string              // the upstream that will hold the line's prompt, empty if that doesn't change
 	turnBeginTime   time.Duration       // time that the store took to begin the turn
@@ -527,7 +530,10 @@
 		fields = append(fields, zap.String("previous", x.call.Previous))
 	}
 	if x.upstream != "" {
-		fields = append(fields, zap.String("upstream", x.upstream), zap.Int("refused_by", x.refusals), zap.Int("used", len(x.mayHaveRun)))
+		fields = append(fields, zap.String("upstream", x.upstream), zap.String("build", x.upstreamBuild), zap.Int("refused_by", x.refusals), zap.Int("used", len(x.mayHaveRun)))
+	}
+	if x.call.LastEventID != "" || x.call.Resumes != "" {
+		fields = append(fields, zap.String("resumes", x.call.Resumes), zap.String("after", x.call.LastEventID))
 	}
 	if x.turnBeginTime > 0 {
 		fields = append(fields, zap.Duration("begin", x.turnBeginTime))
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -64,7 +64,7 @@
 			continue
 		}
 		sends[u.ID]++
-		x.upstream = u.ID
+		x.upstream, x.upstreamBuild = u.ID, u.Build
 		started := time.Now()
 		result, err := x.tryUpstream(u)
 		if result == answered {
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -32,6 +32,9 @@
 	// Expired marks a Gone entry whose registrations stopped, so that a later registration of the
 	// same incarnation restores it.
 	Expired bool `cbor:"9,keyasint"`
+	// Build is the version of the upstream's software, empty if it doesn't state one. Upstreams of several builds
+	// may serve side by side, and what they write doesn't fit together.
+	Build string `cbor:"10,keyasint,omitempty"`
 }
 
 // Process returns a text that identifies the upstream's process.
@@ -48,7 +51,7 @@
 // sameForCallers reports whether u and old agree in everything that matters to callers of the upstream.
 func (u *Upstream) sameForCallers(old *Upstream) bool {
 	return u.Born == old.Born && u.State == old.State && u.Service == old.Service &&
-		u.Address == old.Address && u.Zone == old.Zone && u.Slots == old.Slots
+		u.Address == old.Address && u.Zone == old.Zone && u.Slots == old.Slots && u.Build == old.Build
 }
 
 const (
