--- /dev/null
+++ b/internal/proxy/builds_test.go
@@ -0,0 +1,129 @@
+package proxy
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/registry"
+)
+
+// setBuild registers an upstream again, with a build and a state.
+func (g *fixture) setBuild(id, build string, state registry.State) {
+	for _, u := range g.directory.View().Services["s"] {
+		if u.ID == id {
+			u.Build, u.State, u.Sequence = build, state, u.Sequence+1
+			g.directory.Merge("c", []registry.Upstream{u})
+			return
+		}
+	}
+	require.Fail(g.t, "no such upstream", id)
+}
+
+// streamFrom writes the events after the one that the request resumes from, and breaks the connection off after
+// the event with the number brokenAfter, unless it is 0.
+func streamFrom(build string, brokenAfter int) func(*http.Request, net.Conn) bool {
+	return func(r *http.Request, c net.Conn) bool {
+		after := 0
+		_, _ = fmt.Sscan(r.Header.Get("Last"), &after) // stays 0 for a stream that begins
+		out := signed(r) + "Transfer-Encoding: chunked\r\n\r\n"
+		for i := after + 1; i <= 4; i++ {
+			event := fmt.Sprintf("id: %d\ndata: %s-%d\n\n", i, build, i)
+			out += fmt.Sprintf("%x\r\n%s\r\n", len(event), event)
+			if i == brokenAfter {
+				_, _ = io.WriteString(c, out)
+				time.Sleep(20 * time.Millisecond) // a reset discards what isn't read yet
+				return false
+			}
+		}
+		_, err := io.WriteString(c, out+"0\r\n\r\n")
+		return err == nil
+	}
+}
+
+// words returns the data of the events in a response.
+func words(body string) []string {
+	var all []string
+	for line := range strings.Lines(body) {
+		if data, ok := strings.CutPrefix(line, "data: "); ok {
+			all = append(all, strings.TrimSpace(data))
+		}
+	}
+	return all
+}
+
+// TestServer_StreamIsNotResumedAtAnotherBuild breaks a stream off after two events: the VM goes on at an upstream
+// of the same build, or not at all.
+func TestServer_StreamIsNotResumedAtAnotherBuild(t *testing.T) {
+	for _, second := range []string{"v1", "v2", ""} {
+		t.Run("the other upstream is of build "+second, func(t *testing.T) {
+			g := newFixture(t)
+			g.upstream("a", streamFrom("v1", 2))
+			g.setBuild("a", "v1", registry.Ready)
+			g.server.health.recordFailure("b", maybeRun) // the stream begins at a
+			g.upstream("b", streamFrom(second, 0))
+			g.setBuild("b", second, registry.Ready)
+			r := g.call("1", "/resumed/", "Program: p")
+			if second == "v1" {
+				require.NoError(t, r.err)
+				require.Equal(t, []string{"v1-1", "v1-2", "v1-3", "v1-4"}, words(r.body))
+				return
+			}
+			require.Error(t, r.err, "the response must not look complete")
+			require.Equal(t, []string{"v1-1", "v1-2"}, words(r.body))
+			for _, received := range g.receivedRequests() {
+				require.NotEqual(t, "b", received.upstream)
+			}
+		})
+	}
+}
+
+// TestServer_CallerResumesOnlyAtTheSameBuild begins a stream on one entry VM and resumes it on another, which
+// knows of it only what the store holds.
+func TestServer_CallerResumesOnlyAtTheSameBuild(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("a", func(r *http.Request, c net.Conn) bool {
+		return r.Header.Get("Last") == "" && streamFrom("v1", 2)(r, c)
+	})
+	g.setBuild("a", "v1", registry.Ready)
+	require.Equal(t, []string{"v1-1", "v1-2"}, words(g.call("1", "/resumed/", "Program: p").body))
+	g.directory.Merge("c", []registry.Upstream{{ID: "a", State: registry.Gone}})
+	for i := range 4 {
+		g.upstream(fmt.Sprint("new", i), streamFrom("v2", 0))
+		g.setBuild(fmt.Sprint("new", i), "v2", registry.Ready)
+	}
+	g.startVM("z", g.server.opts.Table())
+	started := time.Now()
+	for i, headers := range [][]string{
+		{"Resumes: 1", "Last: 2"},                // its build has left
+		{"Resumes: 1", "Last: 2", "Key: other"},  // another account's
+		{"Resumes: unheard-of", "Last: 2"},       // nobody's
+		{"Last: 2"},                              // unnamed
+		{"Resumes: 1", "Last: 2", "Program: p2"}, // the program doesn't matter
+	} {
+		r := g.call(fmt.Sprint("refused", i), "/resumed/", headers...)
+		require.Equal(t, 503, r.status, headers)
+		require.Empty(t, words(r.body))
+	}
+	require.Less(t, time.Since(started), time.Second, "what can't be resumed is refused at once")
+	require.Len(t, g.receivedRequests(), 2, "the first attempt, and its resumption at the same upstream")
+
+	for i := range 2 {
+		g.upstream(fmt.Sprint("old", i), streamFrom("v1", 3))
+		g.setBuild(fmt.Sprint("old", i), "v1", registry.Ready)
+	}
+	require.Equal(t, 503, g.call("foreign", "/resumed/", "Resumes: 1", "Last: 2", "Key: other").status, "it is another account's")
+	r := g.call("2", "/resumed/", "Resumes: 1", "Last: 2")
+	require.NoError(t, r.err)
+	require.Equal(t, []string{"v1-3", "v1-4"}, words(r.body))
+	for _, first := range []string{"1", "2"} { // take-ups name the first attempt; a later one is understood as well
+		r = g.call("3 of "+first, "/resumed/", "Resumes: "+first, "Last: 3")
+		require.Equal(t, []string{"v1-4"}, words(r.body))
+	}
+}
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -29,7 +29,7 @@
 func (testProtocol) ReadCall(r *httpwire.Request) (Call, error) {
 	c := Call{
 		RequestID: r.Header.Get("Id"), Key: r.Header.Get("Key"), Program: r.Header.Get("Program"), Line: r.Header.Get("Program"),
-		Previous: r.Header.Get("Previous"), LastEventID: r.Header.Get("Last"), Header: http.Header{"Id": r.Header["Id"]},
+		Previous: r.Header.Get("Previous"), LastEventID: r.Header.Get("Last"), Resumes: r.Header.Get("Resumes"), Header: http.Header{"Id": r.Header["Id"]},
 	}
 	if c.Program != "" {
 		c.HasBudget, c.Budget, c.MaxTokens = true, 1000, 100
@@ -158,7 +158,7 @@
 			{Name: "kept", Host: "h", PathPrefix: "/kept/", Kind: routing.Streaming, Timeout: 2 * time.Second, Stateful: true, Retention: time.Minute, Targets: target},
 			{Name: "none", Host: "h", PathPrefix: "/none/", Timeout: time.Second, Targets: []routing.Target{{Service: "nobody", Weight: 1}}},
 		},
-		Accounts: []routing.Account{{Name: "acc", Keys: []string{"key"}, Rate: 5, Burst: 5}},
+		Accounts: []routing.Account{{Name: "acc", Keys: []string{"key"}, Rate: 5, Burst: 5}, {Name: "other", Keys: []string{"other"}}},
 	})
 	require.NoError(t, err)
 	g.startVM("z", table)
@@ -284,10 +284,15 @@
 	require.NoError(g.t, err)
 	defer func() { _ = c.Close() }()
 	require.NoError(g.t, c.SetDeadline(time.Now().Add(5*time.Second)))
-	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nContent-Length: %d\r\n", path, id, len(body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nContent-Length: %d\r\n", path, id, len(body))
+	key := "Key: key\r\n"
 	for _, h := range headers {
+		if strings.HasPrefix(h, "Key: ") {
+			key = ""
+		}
 		head += h + "\r\n"
 	}
+	head += key
 	_, err = io.WriteString(c, head+"\r\n"+body)
 	require.NoError(g.t, err)
 	response, err := http.ReadResponse(bufio.NewReader(c), nil)
