proxy, turns: a stream goes on only at the build that began it

Callers who took up a stream got the rest from an upstream of another build: the text was joined from two versions, with status 200. Cause: nothing compared builds, and nothing knew which build had written the beginning once its entry VM was lost.

While the upstream reads the prompt, the entry VM records in the store which service and build write the stream (turns.Stream, by client account and request ID). The first event waits for the record, at most 100 ms unless an earlier attempt's record names another build. The begin of a resumed stream looks the origin up and stores it for the new attempt too, and only upstreams of that build are candidates, those included that announced their shutdown less than half of the drain time ago. What has no origin, or no upstream of its build, is refused at once with 503: unknown_stream, build_gone. An upstream whose process was replaced ends its streams, and their origin is forgotten. A resumption within a response keeps to the build as well.

The fixture's upstreams state a build now, as registrations do; the test protocol passes the caller's last event on as the platform's does.

--- a/internal/events/proxy.go
+++ b/internal/events/proxy.go
@@ -18,4 +18,6 @@
 	ProxyStrikesCleared = define(2307, zapcore.InfoLevel, "a request during which upstreams crashed has succeeded; the crashes no longer count against it", "")
 	ProxyUpstreamSilent = define(2308, zapcore.InfoLevel, "an upstream's host fell silent during an attempt, which counts as a crash for some seconds", "")
 	ProxyPanic          = define(2309, zapcore.ErrorLevel, "a panic while a request was served; the request was ended", "report the line, which has the stack")
+
+	ProxyOriginUnrecorded = define(2310, zapcore.WarnLevel, "the build that writes a stream could not be recorded; the stream can't be resumed by its caller", "check that the store VMs respond and run the same release")
 )
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -77,7 +77,7 @@
 	}
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
-		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
+		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
--- a/internal/node/ledger.go
+++ b/internal/node/ledger.go
@@ -78,6 +78,18 @@
 	return l.propose(ctx, b.Account, turns.Command{Begin: &b})
 }
 
+// RecordStream implements proxy.Ledger.RecordStream. When the store hasn't responded for outageThreshold, there is
+// one short attempt.
+func (l *ledger) RecordStream(ctx context.Context, s turns.Stream) (bool, error) {
+	if l.outage.Duration(clock.Now()) > outageThreshold {
+		limited, cancel := context.WithTimeout(ctx, probeTimeout)
+		defer cancel()
+		ctx = limited
+	}
+	result, err := l.propose(ctx, s.Account, turns.Command{Stream: &s})
+	return result.Recorded, err
+}
+
 // unreachable reports whether the store has not responded for unreachableThreshold.
 func (l *ledger) unreachable() bool { return l.outage.Duration(clock.Now()) >= unreachableThreshold }
 
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -45,6 +45,7 @@
 	started        time.Time
 	responseHeader http.Header
 	reusable       bool
+	forwarded      bool       // an event of this attempt was forwarded
 	writeResult    chan error // result of the concurrent body write; nil if none is in progress
 	buffers        bufferLease
 }
@@ -235,6 +236,9 @@
 			break
 		}
 		a.zone.received.Store(true)
+		if err := a.confirmOrigin(); err != nil {
+			return a.streamInterrupted(err)
+		}
 		if !a.w.Begun() {
 			a.timeToFirstByte = time.Since(a.request.Arrived)
 			a.server.health.recordSuccess(a.upstream, a.service.Name, time.Since(a.started), response.StatusCode)
@@ -250,6 +254,7 @@
 		id, data := parseEvent(event)
 		a.lastEventID = id
 		a.eventsSent++
+		a.forwarded = true
 		if a.route.Stateful {
 			if err := a.outputBuffers.grow(len(data) + 1); err != nil {
 				return a.streamInterrupted(err)
--- a/internal/proxy/builds_test.go
+++ b/internal/proxy/builds_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
 	"egretramp/internal/registry"
@@ -64,12 +65,14 @@
 	for _, second := range []string{"v1", "v2", ""} {
 		t.Run("the other upstream is of build "+second, func(t *testing.T) {
 			g := newFixture(t)
-			g.upstream("a", streamFrom("v1", 2))
+			g.upstream("a", func(r *http.Request, c net.Conn) bool {
+				return r.Header.Get("Last") == "" && streamFrom("v1", 2)(r, c)
+			})
 			g.setBuild("a", "v1", registry.Ready)
 			g.server.health.recordFailure("b", maybeRun) // the stream begins at a
 			g.upstream("b", streamFrom(second, 0))
 			g.setBuild("b", second, registry.Ready)
-			r := g.call("1", "/resumed/", "Program: p")
+			r := g.call("1", "/resumed-twice/", "Program: p")
 			if second == "v1" {
 				require.NoError(t, r.err)
 				require.Equal(t, []string{"v1-1", "v1-2", "v1-3", "v1-4"}, words(r.body))
@@ -127,3 +130,102 @@
 		require.Equal(t, []string{"v1-4"}, words(r.body))
 	}
 }
+
+// TestServer_ReplacedUpstreamEndsTheStream replaces the process of an upstream while it writes: from then on the
+// build of its events isn't certain.
+func TestServer_ReplacedUpstreamEndsTheStream(t *testing.T) {
+	g := newFixture(t)
+	replace := make(chan struct{})
+	g.upstream("a", func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 2))
+		<-replace
+		time.Sleep(30 * time.Millisecond)
+		_, _ = io.WriteString(c, eventChunks(3, 4)+"0\r\n\r\n")
+		return true
+	})
+	go func() {
+		time.Sleep(50 * time.Millisecond)
+		for _, u := range g.directory.View().Services["s"] {
+			u.Born, u.Sequence, u.Build = u.Born+1, 1, "v2"
+			g.directory.Merge("c", []registry.Upstream{u})
+		}
+		close(replace)
+	}()
+	r := g.call("1", "/resumed/", "Program: p")
+	require.Error(t, r.err)
+	require.Equal(t, []string{"word1", "word2"}, words(r.body))
+	g.upstream("b", streamFrom("v1", 0))
+	require.Eventually(t, func() bool {
+		return g.call(fmt.Sprint("after ", time.Now().UnixNano()), "/resumed/", "Resumes: 1", "Last: 2").status == 503
+	}, time.Second, 10*time.Millisecond, "neither build may go on")
+}
+
+// TestServer_FirstEventWaitsForItsOrigin delays the store: the origin is recorded while the upstream reads the prompt,
+// and the first event waits for a slow store for a bounded time.
+func TestServer_FirstEventWaitsForItsOrigin(t *testing.T) {
+	g := newFixture(t)
+	const prefill = 300 * time.Millisecond
+	g.upstream("a", func(r *http.Request, c net.Conn) bool {
+		time.Sleep(prefill)
+		return streamFrom("v1", 0)(r, c)
+	})
+	for _, c := range []struct{ store, atLeast, atMost time.Duration }{
+		{prefill / 2, prefill, prefill + prefill/2},
+		{prefill + maxRecordWait/2, prefill + maxRecordWait/2, 2 * prefill},
+		{5 * prefill, prefill + maxRecordWait, 5 * prefill},
+	} {
+		g.ledger.setRecordDelay(c.store)
+		started := time.Now()
+		r := g.call(fmt.Sprint(c.store), "/resumed/")
+		took := time.Since(started)
+		require.Equal(t, 200, r.status)
+		require.GreaterOrEqual(t, took, c.atLeast)
+		require.Less(t, took, c.atMost, "the store takes %s", c.store)
+	}
+}
+
+// TestServer_UnrecordedOriginOfAnotherBuild lets an attempt fail before its first event. The next one may be of
+// another build only if that replaces the record of the first.
+func TestServer_UnrecordedOriginOfAnotherBuild(t *testing.T) {
+	for _, failing := range []bool{false, true} {
+		g := newFixture(t)
+		g.upstream("a", func(*http.Request, net.Conn) bool {
+			if failing {
+				g.ledger.setRecordError(errors.New("no store"))
+			}
+			return false
+		})
+		g.server.health.recordFailure("b", maybeRun)
+		g.upstream("b", streamFrom("v2", 0))
+		g.setBuild("b", "v2", registry.Ready)
+		r := g.call("1", "/resumed-twice/")
+		if failing {
+			require.NotEqual(t, 200, r.status)
+			require.Empty(t, words(r.body))
+			continue
+		}
+		require.Equal(t, []string{"v2-1", "v2-2", "v2-3", "v2-4"}, words(r.body))
+		require.Equal(t, []string{"v2-3", "v2-4"}, words(g.call("2", "/resumed/", "Resumes: 1", "Last: 2").body))
+	}
+}
+
+// TestServer_LeavingUpstreamFinishesStreams checks that an upstream that has announced its shutdown still goes on
+// with streams of its build that no other can resume, for a part of the time that it serves on.
+func TestServer_LeavingUpstreamFinishesStreams(t *testing.T) {
+	g := newFixture(t)
+	g.server.opts.Drain = 800 * time.Millisecond
+	g.upstream("a", streamFrom("v1", 0))
+	require.Len(t, words(g.call("1", "/resumed/").body), 4)
+	g.upstream("b", streamFrom("v2", 0))
+	g.setBuild("b", "v2", registry.Ready)
+	for _, u := range g.directory.View().Services["s"] {
+		if u.ID == "a" {
+			u.State, u.Sequence, u.Leaving = registry.Draining, 2, time.Millisecond
+			g.directory.Merge("c", []registry.Upstream{u})
+		}
+	}
+	require.Equal(t, []string{"v1-3", "v1-4"}, words(g.call("2", "/resumed/", "Resumes: 1", "Last: 2").body))
+	require.Equal(t, []string{"v2-1", "v2-2", "v2-3", "v2-4"}, words(g.call("3", "/resumed/").body), "new streams begin elsewhere")
+	time.Sleep(400 * time.Millisecond)
+	require.Equal(t, 503, g.call("4", "/resumed/", "Resumes: 1", "Last: 2").status)
+}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -12,6 +12,9 @@
 // latencyBuckets are in seconds, from a fast response of a plain service to a route's timeout.
 var latencyBuckets = []float64{.005, .01, .02, .05, .1, .2, .4, .8, 1.5, 3, 6}
 
+// recordWaitBuckets are in seconds, up to maxRecordWait.
+var recordWaitBuckets = []float64{.0005, .002, .005, .01, .02, .05, .1}
+
 // Metrics counts requests and records their latencies. A nil *Metrics does nothing.
 type Metrics struct {
 	answers     *prometheus.CounterVec
@@ -22,6 +25,8 @@
 	firstByte   *prometheus.HistogramVec
 	total       *prometheus.HistogramVec
 	turnBegin   prometheus.Histogram
+	unrecorded  prometheus.Counter
+	recordWait  prometheus.Histogram
 }
 
 // NewMetrics returns metrics that are registered with r.
@@ -43,8 +48,12 @@
 			Name: "egretramp_answer_seconds", Help: "Time from a request's arrival to the end of its answer.", Buckets: latencyBuckets}, []string{"kind"}),
 		turnBegin: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "egretramp_turn_begin_seconds", Help: "Time to reserve a turn's budget and fetch its conversation.", Buckets: latencyBuckets}),
+		unrecorded: prometheus.NewCounter(prometheus.CounterOpts{
+			Name: "egretramp_origins_unrecorded_total", Help: "Streams whose origin could not be recorded, so that their callers can't resume them."}),
+		recordWait: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name: "egretramp_origin_wait_seconds", Help: "Time that the first event of a stream waited for the record of the stream's origin.", Buckets: recordWaitBuckets}),
 	}
-	r.MustRegister(m.answers, m.refusals, m.failures, m.callersGone, m.crashes, m.firstByte, m.total, m.turnBegin)
+	r.MustRegister(m.answers, m.refusals, m.failures, m.callersGone, m.crashes, m.firstByte, m.total, m.turnBegin, m.unrecorded, m.recordWait)
 	return m
 }
 
@@ -91,3 +100,15 @@
 		m.turnBegin.Observe(took.Seconds())
 	}
 }
+
+func (m *Metrics) originUnrecorded() {
+	if m != nil {
+		m.unrecorded.Inc()
+	}
+}
+
+func (m *Metrics) originAwaited(wait time.Duration) {
+	if m != nil {
+		m.recordWait.Observe(wait.Seconds())
+	}
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,6 +110,8 @@
 	UnknownTurn                    // the turn to continue is not stored
 	Overloaded                     // a new program would miss its deadline, or make others miss theirs
 	StoreUnavailable               // a majority of the store group can't be reached
+	UnknownStream                  // the origin of the stream to resume is not stored
+	BuildGone                      // no upstream is left of the build that wrote the stream to resume
 	NoUpstream                     // no upstream is known, or all declined
 	UpstreamsLimited               // every upstream is at the rate limit that it states
 	TooLate                        // the deadline passed before the request was sent
@@ -151,6 +153,9 @@
 	// EndLater settles a turn in the background, for turns whose response doesn't wait for it. done
 	// is called with the result unless it is nil.
 	EndLater(e turns.End, done func(turns.Result))
+	// RecordStream records the origin of a stream and reports whether it is recorded durably. With an error, it may
+	// be recorded later. It is idempotent.
+	RecordStream(ctx context.Context, s turns.Stream) (recorded bool, err error)
 }
 
 // Limiter enforces the rate limits of client accounts across all VMs.
@@ -187,13 +192,16 @@
 	Suspects *suspect.Tracker
 	// Isolated reports whether a partition separates this VM from the store; nil means never.
 	Isolated func() bool
-	Events   *events.Logger
-	Metrics  *Metrics
+	// Drain is how long an upstream serves after it announced its shutdown.
+	Drain   time.Duration
+	Events  *events.Logger
+	Metrics *Metrics
 }
 
 // Server forwards requests to upstreams. It implements httpwire.Handler.
 type Server struct {
 	opts          Options
+	started       time.Time
 	pool          *upconn.Pool
 	health        *health
 	zones         *zones
@@ -215,7 +223,7 @@
 	if opts.Upstreams == nil {
 		opts.Upstreams = noUpstreamLimits{}
 	}
-	s := &Server{opts: opts, pool: upconn.NewPool(), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
+	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, events: opts.Events, metrics: opts.Metrics,
 	}
@@ -271,6 +279,8 @@
 	retryAfterHint  time.Duration   // the longest retry hint of these upstreams
 	lastEventID     string          // of the last event that was forwarded
 	eventsSent      int64           // events that were forwarded
+	origin          origin          // what wrote the stream so far; zero for a stream without events
+	originRecord    *originRecord   // the last record of the origin, nil for none
 	output          []byte          // data of the events, as stored in the conversation
 	outputBuffers   bufferLease
 	timeToFirstByte time.Duration       // from the request's arrival to the first byte of the response
@@ -353,13 +363,16 @@
 		r := x.quarantineRefusal(retryAfter)
 		return &r
 	}
+	if x.resumes() && x.call.Resumes == "" {
+		return &Refusal{Reason: UnknownStream, Detail: "the request doesn't name the attempt that began the stream"}
+	}
 	x.service, _ = x.table.Service(x.route.Pick(rand.Float64()))
 	timeout := x.route.Timeout
 	if x.call.Deadline > 0 {
 		timeout = min(timeout, x.call.Deadline)
 	}
 	x.deadline = x.request.Arrived.Add(timeout)
-	x.programActive = s.isProgramActive(x)
+	x.programActive = s.isProgramActive(x) || x.resumes()
 	if x.begins() {
 		if wait, ok := x.fitsSomewhere(); !ok {
 			r := x.limitedRefusal(wait)
@@ -381,10 +394,11 @@
 func (x *exchange) beginTurn() *Refusal {
 	x.body = x.request.Body
 	x.admitted = x.programActive || x.server.admitsNewProgram(x)
-	if x.route.Kind != routing.Streaming || x.call.Program == "" || (!x.route.Stateful && !x.call.HasBudget) {
+	isTurn := x.route.Kind == routing.Streaming && x.call.Program != "" && (x.route.Stateful || x.call.HasBudget)
+	if !isTurn && !x.resumes() {
 		return nil
 	}
-	if x.beginFromCache() {
+	if !x.resumes() && x.beginFromCache() {
 		x.server.markProgramActive(x)
 		return nil
 	}
@@ -396,12 +410,17 @@
 	if x.route.Stateful {
 		b.Previous = x.call.Previous
 	}
+	if x.resumes() {
+		b.Resumes, b.Retention = x.call.Resumes, x.originRetention()
+	}
 	result, err := x.server.opts.Ledger.Begin(x.ctx, b)
 	x.turnBeginTime = time.Since(started)
 	x.server.opts.Metrics.turnBegun(x.turnBeginTime)
 	if err != nil {
 		// A reservation may have been made: release it, since it won't be used.
-		x.server.opts.Ledger.EndLater(x.endCommand(0, false), nil)
+		if isTurn {
+			x.server.opts.Ledger.EndLater(x.endCommand(0, false), nil)
+		}
 		return &Refusal{Reason: StoreUnavailable, Detail: err.Error(), RetryAfter: x.server.storeRetryAfter()}
 	}
 	switch result.Outcome {
@@ -409,8 +428,15 @@
 		return &Refusal{Reason: BudgetSpent}
 	case turns.UnknownTurn:
 		return &Refusal{Reason: UnknownTurn}
+	case turns.UnknownStream:
+		return &Refusal{Reason: UnknownStream}
+	}
+	x.reserved = isTurn
+	if x.resumes() {
+		if refusal := x.resumeAt(result.Origin); refusal != nil {
+			return refusal
+		}
 	}
-	x.reserved = true
 	x.storedHome = result.Home
 	x.programActive = x.programActive || result.Known
 	if !x.programActive && !x.admitted && !x.server.admitsNewProgram(x) {
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -48,7 +49,7 @@
 	h := c.Header.Clone()
 	h.Set("Account", s.Account)
 	h.Set("Left", s.TimeLeft.String())
-	h.Set("Last", s.LastEventID)
+	h.Set("Last", cmp.Or(s.LastEventID, c.LastEventID))
 	return h
 }
 
@@ -83,6 +84,21 @@
 	machine *turns.Machine
 	begins  int
 	endErr  error // returned by End
+	// recordErr is returned by RecordStream, after recordDelay.
+	recordErr   error
+	recordDelay time.Duration
+}
+
+func (l *memoryLedger) setRecordError(err error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recordErr = err
+}
+
+func (l *memoryLedger) setRecordDelay(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.recordDelay = d
 }
 
 func (l *memoryLedger) apply(c turns.Command) (turns.Result, error) {
@@ -107,6 +123,18 @@
 	return l.apply(turns.Command{Now: 1, End: &e})
 }
 
+func (l *memoryLedger) RecordStream(_ context.Context, s turns.Stream) (bool, error) {
+	l.mu.Lock()
+	err, delay := l.recordErr, l.recordDelay
+	l.mu.Unlock()
+	time.Sleep(delay)
+	if err != nil {
+		return false, err
+	}
+	r, err := l.apply(turns.Command{Now: 1, Stream: &s})
+	return r.Recorded, err
+}
+
 func (l *memoryLedger) EndLater(e turns.End, done func(turns.Result)) {
 	r, err := l.End(context.Background(), e)
 	if err == nil && done != nil {
@@ -155,6 +183,7 @@
 			{Name: "open", Host: "h", PathPrefix: "/open/", Kind: routing.Idempotent, Timeout: time.Second, Targets: target, Anonymous: true},
 			{Name: "stream", Host: "h", PathPrefix: "/stream/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Targets: target},
 			{Name: "resumed", Host: "h", PathPrefix: "/resumed/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Resumable: true, Targets: target},
+			{Name: "resumed twice", Host: "h", PathPrefix: "/resumed-twice/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Resumable: true, Targets: target},
 			{Name: "kept", Host: "h", PathPrefix: "/kept/", Kind: routing.Streaming, Timeout: 2 * time.Second, Stateful: true, Retention: time.Minute, Targets: target},
 			{Name: "none", Host: "h", PathPrefix: "/none/", Timeout: time.Second, Targets: []routing.Target{{Service: "nobody", Weight: 1}}},
 		},
@@ -205,7 +234,7 @@
 			go g.serveUpstream(id, c, answer)
 		}
 	})
-	g.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: zone, Slots: 4, Born: 1, Sequence: 1}})
+	g.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: zone, Slots: 4, Born: 1, Sequence: 1, Build: "v1"}})
 }
 
 func (g *fixture) serveUpstream(id string, c net.Conn, answer func(r *http.Request, c net.Conn) bool) {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -142,6 +142,9 @@
 	if limitedFor > 0 {
 		return x.limitedRefusal(limitedFor)
 	}
+	if r, gone := x.buildGone(); gone {
+		return r
+	}
 	after := upstreamRetryAfter
 	if x.retryAfterHint > 0 {
 		after = x.retryAfterHint
@@ -162,7 +165,7 @@
 // and some are at their rate limit, wait is the time until the first of these may take the request.
 func (x *exchange) pickUpstream(sends map[string]int) (picked registry.Upstream, ok bool, wait time.Duration) {
 	s := x.server
-	upstreams := s.opts.Directory.View().Services[x.service.Name]
+	upstreams := x.upstreams()
 	candidates := make([]balance.Candidate, len(upstreams))
 	exhausted := len(x.mayHaveRun)-len(x.zoneUnreachable) >= max(x.route.MaxAttempts, 1)
 	for i, u := range upstreams {
@@ -170,7 +173,7 @@
 		candidates[i].Local = u.Zone == s.opts.Zone
 		candidates[i].Unconfirmed = u.State != registry.Ready
 		candidates[i].Failing = candidates[i].Failing || !s.zones.reachable(u.Zone)
-		candidates[i].Tried = x.excluded[u.ID] || x.zoneUnreachable[u.ID] || (exhausted && !x.mayHaveRun[u.ID])
+		candidates[i].Tried = x.excluded[u.ID] || !x.mayContinue(u) || x.zoneUnreachable[u.ID] || (exhausted && !x.mayHaveRun[u.ID])
 		if sends[u.ID] > 0 {
 			candidates[i].Failing = true
 		}
@@ -191,7 +194,7 @@
 	if i < 0 {
 		return registry.Upstream{}, false, wait
 	}
-	if request.Affinity != "" && x.call.Program != "" && !candidates[i].Limited {
+	if request.Affinity != "" && x.call.Program != "" && !candidates[i].Limited && upstreams[i].State != registry.Draining {
 		s.lastUpstreams.set(x.homeKey(), upstreams[i].ID)
 		x.newHome = upstreams[i].ID
 	}
@@ -230,6 +233,7 @@
 	// Closing the connection ends blocked reads and writes when the request's context ends.
 	a.stopClosing = context.AfterFunc(x.ctx, func() { _ = conn.Close() })
 	defer a.releaseConn()
+	x.recordOrigin(u)
 	result, err := a.roundTrip()
 	a.releaseConn()
 	if closedUnreachable.Load() && result != answered {
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -5,6 +5,7 @@
 	"sort"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // View is an immutable list of the upstreams that may receive work, by service, ordered by ID. They
@@ -26,6 +27,8 @@
 type directoryEntry struct {
 	upstream Upstream
 	source   string // the control VM that reported this entry
+	// leavingSince is when a draining upstream announced its shutdown, zero if unknown.
+	leavingSince time.Time
 }
 
 // NewDirectory returns an empty directory; onRemoved may be nil.
@@ -61,6 +64,21 @@
 	return known.upstream.State == Draining || known.upstream.State == Gone && !known.upstream.Expired
 }
 
+// LeavingFor returns the upstreams of a service that announced their shutdown less than limit ago and still serve.
+func (d *Directory) LeavingFor(service string, limit time.Duration) []Upstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var leaving []Upstream
+	for _, known := range d.latest {
+		u := known.upstream
+		if u.Service == service && u.State == Draining && !known.leavingSince.IsZero() && time.Since(known.leavingSince) < limit {
+			leaving = append(leaving, u)
+		}
+	}
+	sort.Slice(leaving, func(i, j int) bool { return leaving[i].ID < leaving[j].ID })
+	return leaving
+}
+
 // Merge applies the changes that the control VM source reports and returns those that it accepted.
 func (d *Directory) Merge(source string, changes []Upstream) (accepted []Upstream) {
 	if len(changes) == 0 {
@@ -94,7 +112,7 @@
 		if u.State == Gone && u.Expired {
 			return nil, false
 		}
-		d.entries[u.ID] = &directoryEntry{upstream: u, source: source}
+		d.entries[u.ID] = &directoryEntry{upstream: u, source: source, leavingSince: announcedAt(&u)}
 		return nil, true
 	}
 	was := known.upstream
@@ -116,10 +134,21 @@
 	case u.Born < was.Born || (u.Born == was.Born && u.Sequence <= was.Sequence && !was.Expired):
 		return nil, false
 	}
+	if was.State != Draining || was.Born != u.Born {
+		known.leavingSince = announcedAt(&u)
+	}
 	known.upstream, known.source = u, source
 	return &was, true
 }
 
+// announcedAt returns when an upstream announced its shutdown, zero if it hasn't or if that isn't known.
+func announcedAt(u *Upstream) time.Time {
+	if u.State != Draining || u.Leaving <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(-u.Leaving)
+}
+
 // publish rebuilds the list. Of two upstreams with the same address only the one that started later
 // can still be running. A service whose upstreams have all expired keeps them: they may only be
 // unreachable from the control VMs.
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -19,7 +19,9 @@
 type registration struct {
 	upstream Upstream
 	lastSeen time.Duration
-	version  uint64 // of the last change that matters to callers
+	// leavingSince is when the upstream announced its shutdown here, 0 if it may have done so elsewhere before.
+	leavingSince time.Duration
+	version      uint64 // of the last change that matters to callers
 }
 
 // NewRegistrar returns an empty registrar. An upstream that has not registered for lifetime counts as
@@ -53,12 +55,27 @@
 			return false
 		}
 	}
+	known.leavingSince = leavingSince(known, &u, now)
 	known.upstream = u
 	known.lastSeen = now
 	r.markChanged(known)
 	return true
 }
 
+// leavingSince returns when an upstream that registers announced its shutdown, 0 if it hasn't or if an earlier
+// registration may have reached another control VM.
+func leavingSince(known *registration, u *Upstream, now time.Duration) time.Duration {
+	switch {
+	case u.State != Draining || u.Born != known.upstream.Born:
+		return 0
+	case known.upstream.State == Draining:
+		return known.leavingSince
+	case known.upstream.State == Ready && u.Sequence == known.upstream.Sequence+1:
+		return now
+	}
+	return 0
+}
+
 // Leave records that an upstream has announced its shutdown. Unknown IDs are recorded too, since the
 // announcement may arrive at another VM than the registrations.
 func (r *Registrar) Leave(id string) {
@@ -115,7 +132,11 @@
 	var changes []Upstream
 	for _, known := range r.entries {
 		if known.version > version {
-			changes = append(changes, known.upstream)
+			u := known.upstream
+			if known.leavingSince > 0 {
+				u.Leaving = max(r.clock()-known.leavingSince, 1)
+			}
+			changes = append(changes, u)
 		}
 	}
 	return changes, r.version, r.changed
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -35,6 +35,8 @@
 	// Build is the version of the upstream's software, empty if it doesn't state one. Upstreams of several builds
 	// may serve side by side, and what they write doesn't fit together.
 	Build string `cbor:"10,keyasint,omitempty"`
+	// Leaving is how long ago a Draining upstream announced its shutdown, when the entry was sent; 0 if unknown.
+	Leaving time.Duration `cbor:"11,keyasint,omitempty"`
 }
 
 // Process returns a text that identifies the upstream's process.
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -173,3 +173,47 @@
 	d.Merge("c1", []Upstream{gone, other})
 	require.Empty(t, d.View().Services["s"], "they announced their shutdown")
 }
+
+// TestRegistrar_AgeOfAnnouncements checks that only a control VM that saw the change of state states its age:
+// another one may learn of it seconds after it was acknowledged.
+func TestRegistrar_AgeOfAnnouncements(t *testing.T) {
+	now := time.Second
+	leavingAt := func(r *Registrar) time.Duration {
+		changes, _, _ := r.Since(0)
+		require.Len(t, changes, 1)
+		return changes[0].Leaving
+	}
+	u := Upstream{ID: "u", Service: "s", Address: "a", Born: 1, Sequence: 1}
+	seen, late := NewRegistrar(time.Minute, func() time.Duration { return now }), NewRegistrar(time.Minute, func() time.Duration { return now })
+	seen.Register(u)
+	require.Zero(t, leavingAt(seen))
+	u.State, u.Sequence = Draining, 2
+	seen.Register(u)
+	now += 300 * time.Millisecond
+	u.Sequence = 4 // the one between went to another control VM
+	seen.Register(u)
+	late.Register(u)
+	require.Equal(t, 300*time.Millisecond, leavingAt(seen))
+	require.Zero(t, leavingAt(late))
+}
+
+func TestDirectory_LeavingFor(t *testing.T) {
+	d := NewDirectory(nil)
+	u := Upstream{ID: "u", Service: "s", Address: "a", Born: 1, Sequence: 2, State: Draining, Leaving: 400 * time.Millisecond}
+	unknown := Upstream{ID: "v", Service: "s", Address: "b", Born: 1, Sequence: 2, State: Draining}
+	d.Merge("c1", []Upstream{u, unknown, {ID: "w", Service: "s", Address: "c", Born: 1, Sequence: 1}})
+	ids := func(limit time.Duration) []string {
+		var all []string
+		for _, u := range d.LeavingFor("s", limit) {
+			all = append(all, u.ID)
+		}
+		return all
+	}
+	require.Equal(t, []string{"u"}, ids(time.Minute), "the others are ready, or left at an unknown time")
+	require.Empty(t, ids(300*time.Millisecond))
+	u.Sequence, u.Leaving = 3, 1
+	d.Merge("c2", []Upstream{u})
+	require.Empty(t, ids(300*time.Millisecond), "a later registration doesn't renew the announcement")
+	d.Merge("c1", []Upstream{{ID: "u", State: Gone}})
+	require.Empty(t, ids(time.Minute))
+}
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -1,5 +1,5 @@
 // Package turns implements the replicated state machine of the store group: the token budgets of
-// programs, and the recorded turns of conversations. A turn refers to the turn that it continues,
+// programs, the recorded turns of conversations, and the origins of streams that may be resumed. A turn refers to the turn that it continues,
 // so conversations are trees; several turns may continue the same one.
 //
 // The VM that runs a turn sends Begin first, which reserves the largest number of tokens that the
@@ -35,9 +35,10 @@
 
 // The outcomes of Begin.
 const (
-	Begun       Outcome = iota // the tokens are reserved, if the program has a budget
-	BudgetSpent                // the program's remaining budget is smaller than the turn's reservation
-	UnknownTurn                // the account has no turn with the ID in Previous
+	Begun         Outcome = iota // the tokens are reserved, if the program has a budget
+	BudgetSpent                  // the program's remaining budget is smaller than the turn's reservation
+	UnknownTurn                  // the account has no turn with the ID in Previous
+	UnknownStream                // the account has no stream with the ID in Resumes, or its origin isn't certain
 )
 
 // Begin reserves tokens for a turn.
@@ -52,6 +53,10 @@
 	MaxTokens int64 `cbor:"6,keyasint,omitempty"` // the most tokens that the turn may generate
 	// Line is the line of turns within the program. The main line has the program's name.
 	Line string `cbor:"8,keyasint,omitempty"`
+	// Resumes is the ID of the client attempt that began the stream to resume, empty for a new stream. Retention
+	// is how long the stream's origin is kept from now on.
+	Resumes   string        `cbor:"9,keyasint,omitempty"`
+	Retention time.Duration `cbor:"10,keyasint,omitempty"`
 }
 
 // End settles a turn's reservation and may record the turn.
@@ -88,12 +93,14 @@
 // program fail with BudgetSpent too early.
 const nextHeadroom = 3
 
-// Command is the content of one log entry. Either Begin or End is set.
+// Command is the content of one log entry. One of Begin, End and Stream is set.
 type Command struct {
 	// Now is the sender's wall clock, in Unix milliseconds.
 	Now   int64  `cbor:"1,keyasint"`
 	Begin *Begin `cbor:"2,keyasint,omitempty"`
 	End   *End   `cbor:"3,keyasint,omitempty"`
+	// Stream is ignored by releases that don't know it: their Result has no Recorded.
+	Stream *Stream `cbor:"4,keyasint,omitempty"`
 }
 
 // Result is the result of applying a command.
@@ -109,6 +116,10 @@
 	// Home is the upstream that holds the line's prompt in cache, or for a line's first turn that of the
 	// program's main line; empty if unknown.
 	Home string `cbor:"7,keyasint,omitempty"`
+	// Origin is that of the stream that the request resumes.
+	Origin string `cbor:"8,keyasint,omitempty"`
+	// Recorded reports that the origin of a Stream is stored.
+	Recorded bool `cbor:"9,keyasint,omitempty"`
 	// Used and Reserved are the program's used and reserved tokens, set with BudgetSpent.
 	Used     int64 `cbor:"3,keyasint,omitempty"`
 	Reserved int64 `cbor:"4,keyasint,omitempty"`
@@ -151,15 +162,16 @@
 type Machine struct {
 	programs  map[programKey]*program
 	turns     map[turnKey]*turn
+	streams   map[streamKey]stream
 	clock     int64 // the highest Command.Now applied so far, in Unix milliseconds
 	lastSweep int64
-	// upstreams holds one copy of each upstream's ID since the last sweep. It isn't part of the state.
-	upstreams map[string]string
+	// names holds one copy of each upstream's ID and of each origin since the last sweep. It isn't part of the state.
+	names map[string]string
 }
 
 // New returns a Machine without programs and turns.
 func New() *Machine {
-	return &Machine{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}, upstreams: map[string]string{}}
+	return &Machine{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}, streams: map[streamKey]stream{}, names: map[string]string{}}
 }
 
 // headerSize is the size in bytes of a log entry's header: the lengths of the encoded command and
@@ -235,6 +247,8 @@
 		return m.begin(c.Begin).Encode()
 	case c.End != nil:
 		return m.end(c.End).Encode()
+	case c.Stream != nil:
+		return Result{Recorded: m.recordStream(c.Stream)}.Encode()
 	}
 	return Result{}.Encode()
 }
@@ -243,12 +257,18 @@
 	if b.Previous != "" && m.turns[turnKey{b.Account, b.Previous}] == nil {
 		return Result{Outcome: UnknownTurn}
 	}
+	origin := ""
+	if b.Resumes != "" {
+		if origin = m.resumeStream(b); origin == "" {
+			return Result{Outcome: UnknownStream}
+		}
+	}
 	if !b.HasBudget {
-		return Result{Known: b.Previous != ""}
+		return Result{Known: b.Previous != "" || b.Resumes != "", Origin: origin}
 	}
 	p := m.program(b.Account, b.Program)
 	known := len(p.Reserved) > 0 || p.Used > 0
-	begun := Result{Known: known, Home: p.home(b)}
+	begun := Result{Known: known, Home: p.home(b), Origin: origin}
 	if _, reserved := p.Reserved[b.Request]; reserved || p.Settled[b.Request] {
 		return begun
 	}
@@ -396,13 +416,13 @@
 // clock.
 const sweepInterval = 5000
 
-// intern returns the copy of an upstream's ID that all programs share.
-func (m *Machine) intern(upstream string) string {
-	if shared, ok := m.upstreams[upstream]; ok {
+// intern returns the copy of an upstream's ID or an origin that all programs and streams share.
+func (m *Machine) intern(name string) string {
+	if shared, ok := m.names[name]; ok {
 		return shared
 	}
-	m.upstreams[upstream] = upstream
-	return upstream
+	m.names[name] = name
+	return name
 }
 
 func (m *Machine) sweep() {
@@ -410,7 +430,8 @@
 		return
 	}
 	m.lastSweep = m.clock
-	clear(m.upstreams)
+	clear(m.names)
+	m.sweepStreams()
 	for key, p := range m.programs {
 		if p.Expires < m.clock {
 			delete(m.programs, key)
--- a/internal/turns/machine_test.go
+++ b/internal/turns/machine_test.go
@@ -120,7 +120,7 @@
 	require.NoError(t, err)
 	restored := New()
 	require.NoError(t, restored.Restore(data))
-	m.upstreams, restored.upstreams = nil, nil // not part of the state
+	m.names, restored.names = nil, nil // not part of the state
 	require.Equal(t, m, restored)
 }
 
--- a/internal/turns/snapshot.go
+++ b/internal/turns/snapshot.go
@@ -12,6 +12,7 @@
 	Swept    int64           `cbor:"2,keyasint"`
 	Programs []programRecord `cbor:"3,keyasint"`
 	Turns    []turnRecord    `cbor:"4,keyasint"`
+	Streams  []streamRecord  `cbor:"5,keyasint,omitempty"`
 }
 
 type programRecord struct {
@@ -24,6 +25,11 @@
 	Turn *turn   `cbor:"2,keyasint"`
 }
 
+type streamRecord struct {
+	Key    []byte `cbor:"1,keyasint"` // a streamKey
+	Stream stream `cbor:"2,keyasint"`
+}
+
 // Snapshot returns the encoded state of the machine.
 func (m *Machine) Snapshot() ([]byte, error) {
 	s := snapshot{Now: m.clock, Swept: m.lastSweep}
@@ -33,6 +39,9 @@
 	for key, t := range m.turns {
 		s.Turns = append(s.Turns, turnRecord{key, t})
 	}
+	for key, stream := range m.streams {
+		s.Streams = append(s.Streams, streamRecord{key[:], stream})
+	}
 	data, err := cbor.Marshal(s)
 	return data, errors.Wrap(err, "turns: encode a snapshot")
 }
@@ -57,6 +66,13 @@
 		}
 		m.programs[r.Key] = r.Program
 	}
+	for _, r := range s.Streams {
+		if len(r.Key) != len(streamKey{}) {
+			continue // written by a release with another key; the stream can't be resumed
+		}
+		r.Stream.Origin = m.intern(r.Stream.Origin)
+		m.streams[streamKey(r.Key)] = r.Stream
+	}
 	for _, r := range s.Turns {
 		m.turns[r.Key] = r.Turn
 	}
