--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -76,7 +76,7 @@
 		upstreams: newUpstreamLimits(),
 	}
 	e.proxy = proxy.New(proxy.Options{
-		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory,
+		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: n.opts.DialUpstream,
 		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -18,6 +18,7 @@
 	"egretramp/internal/proxy"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/upconn"
 )
 
 // Role is the kind of work that a VM does.
@@ -108,5 +109,7 @@
 	// LinesDropped returns the number of log lines dropped so far. It is nil if lines are never dropped.
 	LinesDropped func() int64
 	Listen       func(address string) (net.Listener, error) // default net.Listen
+	// DialUpstream opens a direct connection to an upstream; default upconn.Dial.
+	DialUpstream upconn.DialFunc
 	Version      string
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -184,8 +184,10 @@
 	Protocol  Protocol
 	Table     func() *routing.Snapshot // returns nil before a configuration is received
 	Directory *registry.Directory
-	Ledger    Ledger
-	Limiter   Limiter
+	// Dial opens connections to upstreams; nil for upconn.Dial.
+	Dial    upconn.DialFunc
+	Ledger  Ledger
+	Limiter Limiter
 	// Upstreams enforces the rate limits of upstreams; nil for none.
 	Upstreams UpstreamLimiter
 	// Suspects counts the upstreams that requests crash; nil for a tracker of this server's own.
@@ -223,7 +225,10 @@
 	if opts.Upstreams == nil {
 		opts.Upstreams = noUpstreamLimits{}
 	}
-	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
+	if opts.Dial == nil {
+		opts.Dial = upconn.Dial
+	}
+	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, events: opts.Events, metrics: opts.Metrics,
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -49,15 +49,20 @@
 	idleLimit time.Duration // longest time that it may be idle
 }
 
+// DialFunc opens a connection to an upstream. An error means that nothing was sent.
+type DialFunc func(ctx context.Context, address string) (net.Conn, error)
+
 // Pool holds the idle connections to all upstreams. It is safe for concurrent use.
 type Pool struct {
+	dialFunc DialFunc
+
 	mu     sync.Mutex
 	idle   map[string][]*Conn // by address, the most recently used last
 	opened atomic.Int64
 }
 
-// NewPool returns an empty pool.
-func NewPool() *Pool { return &Pool{idle: map[string][]*Conn{}} }
+// NewPool returns an empty pool that opens connections with dial.
+func NewPool(dial DialFunc) *Pool { return &Pool{dialFunc: dial, idle: map[string][]*Conn{}} }
 
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
@@ -91,7 +96,8 @@
 	return c
 }
 
-func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+// Dial opens a connection to an address directly, and sets its timeouts.
+func Dial(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{
 		Timeout:         dialTimeout,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2},
@@ -100,10 +106,18 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "upconn: connect")
 	}
-	p.opened.Add(1)
 	if err := setAckTimeout(raw); err != nil {
 		return nil, errors.CombineErrors(err, raw.Close())
 	}
+	return raw, nil
+}
+
+func (p *Pool) dial(ctx context.Context, address string) (*Conn, error) {
+	raw, err := p.dialFunc(ctx, address)
+	if err != nil {
+		return nil, err
+	}
+	p.opened.Add(1)
 	limit := &limitedReader{conn: raw, left: math.MaxInt64}
 	return &Conn{
 		Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address, idleLimit: defaultIdle,
