detour, node: an entry VM that reaches no upstream goes through another one

Callers of entry VMs that a partition separated from all upstreams got 502, 503 or nothing until their deadline, while the other entry VMs reached the upstreams: the VM dialled one after the other, 250 ms each, and stayed ready, as it had its store and its configuration.

A dial that fails or takes 60 ms is tried through another entry VM as well (peer.Tunnel, package detour). Request, budget, permits, deadline and retries stay with the first VM; the other one only passes bytes on, dials directly, so there is one hop, and passes a reset on as a reset. What fails both ways is an upstream that is down or pauses. If direct dials fail to several upstreams that other VMs reach and succeed to none, the VM counts as cut off: all its connections take the detour, idle direct ones are closed, and attempts that received nothing for 300 ms and may be repeated end. Connections that are open but silent are noticed by the check of the path to an upstream that requests wait for. Control VMs name up to eight entry VMs that run and aren't cut off themselves. A refused dial counts as a crash only if the upstream refuses another VM too, or if none can be asked.

--- /dev/null
+++ b/internal/node/detours.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
+	"go.uber.org/zap"
+
+	"egretramp/internal/clock"
+	"egretramp/internal/detour"
+	"egretramp/internal/events"
+	"egretramp/internal/peer"
+	"egretramp/internal/registry"
+	"egretramp/internal/upconn"
+)
+
+const (
+	// maxServedTunnels bounds the tunnels that an entry VM serves at the same time, and thereby their memory.
+	maxServedTunnels = 256
+	// maxDetourVMs is the number of entry VMs that a control VM names for detours, half of them in the zone of the VM
+	// that asks if there are as many.
+	maxDetourVMs = 8
+	// detourVMsTimeout bounds the request for them to one control VM.
+	detourVMsTimeout = 80 * time.Millisecond
+	// detourVMsAge is how long the response is used before it is renewed.
+	detourVMsAge = 2 * time.Second
+	// pathCheckInterval is the time between two checks of the paths to upstreams.
+	pathCheckInterval = 100 * time.Millisecond
+)
+
+// entryVMsResponse is a control VM's response to methodEntryVMs: VMs that reach upstreams, as far as it knows, the
+// nearest to the sender of the request first.
+type entryVMsResponse struct {
+	VMs []string `cbor:"1,keyasint"`
+}
+
+// entryVMsRequest is a request of an entry VM.
+type entryVMsRequest struct {
+	From vmInfo `cbor:"1,keyasint"`
+}
+
+// handleEntryVMs serves methodEntryVMs.
+func (h *hub) handleEntryVMs(_ context.Context, _ string, payload []byte) ([]byte, error) {
+	r, err := decode[entryVMsRequest](payload)
+	if err != nil {
+		return nil, err
+	}
+	return encode(entryVMsResponse{VMs: h.entryVMs(r.From)}), nil
+}
+
+// entryVMs returns random entry VMs that run and reach upstreams, those in the zone of the VM that asks first.
+func (h *hub) entryVMs(from vmInfo) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var near, far []string
+	for vm, m := range h.members {
+		silent := m.watching == 0 && h.clock()-m.lastSeen > memberTimeout
+		switch {
+		case m.info.Role != Entry || vm == from.VM || silent || m.info.CutOff:
+		case m.info.Zone == from.Zone:
+			near = append(near, vm)
+		default:
+			far = append(far, vm)
+		}
+	}
+	for _, list := range [][]string{near, far} {
+		rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	}
+	near = near[:min(len(near), max(maxDetourVMs/2, maxDetourVMs-len(far)))]
+	far = far[:min(len(far), maxDetourVMs-len(near))]
+	return append(near, far...)
+}
+
+// detours connects an entry VM to upstreams that a partition separates it from, and serves other VMs that are in this
+// situation.
+type detours struct {
+	node      *Node
+	dialer    *detour.Dialer
+	direct    upconn.DialFunc
+	directory *registry.Directory
+	served    atomic.Int64 // tunnels in progress for other VMs
+
+	mu        sync.Mutex
+	vms       []string // other entry VMs
+	askedAt   time.Duration
+	renewing  bool
+	lastKnown bool // the last request was answered; as last logged
+}
+
+func newDetours(e *entry) *detours {
+	n := e.node
+	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, lastKnown: true}
+	if d.direct == nil {
+		d.direct = upconn.Dial
+	}
+	d.dialer = detour.New(detour.Options{
+		Direct: d.direct,
+		Tunnel: func(ctx context.Context, vm, address string) (net.Conn, error) {
+			t, err := n.network.OpenTunnel(ctx, vm, address)
+			if err != nil {
+				return nil, err // a nil *peer.Tunnel would be a non-nil net.Conn
+			}
+			return t, nil
+		},
+		VMs: d.otherVMs, Upstreams: d.addresses, Clock: clock.Now, Events: n.events,
+		OnChange: func(cut, _ bool) {
+			if !cut {
+				e.proxy.DropDetours()
+			}
+		},
+	})
+	n.watcher.cutOff = d.dialer.Cut
+	n.network.HandleTunnels(d.serve)
+	n.metrics.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "egretramp_tunnels_served", Help: "Connections to upstreams that are open for other entry VMs.",
+		}, func() float64 { return float64(d.served.Load()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Name: "egretramp_detours_total", Help: "Connections to upstreams opened through other entry VMs.",
+		}, func() float64 { return float64(d.dialer.Detours()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Name: "egretramp_cut_off", Help: "1 while this VM reaches no upstream itself.",
+		}, func() float64 {
+			if d.dialer.Cut() {
+				return 1
+			}
+			return 0
+		}),
+	)
+	return d
+}
+
+// checkPaths is called each pathCheckInterval.
+func (e *entry) checkPaths() {
+	address, silent := e.proxy.AwaitedUpstream()
+	e.detours.dialer.Check(address, silent)
+	if e.detours.dialer.Silenced() {
+		e.proxy.EndSilentAttempts()
+	}
+}
+
+// addresses returns the addresses of the upstreams that serve.
+func (d *detours) addresses() []string {
+	var all []string
+	for _, list := range d.directory.View().Services {
+		for _, u := range list {
+			all = append(all, u.Address)
+		}
+	}
+	return all
+}
+
+// countedTunnel counts an upstream's connection as served until it is closed.
+type countedTunnel struct {
+	net.Conn
+	served *atomic.Int64
+	once   sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedTunnel) Close() error {
+	c.once.Do(func() { c.served.Add(-1) })
+	return c.Conn.Close()
+}
+
+// serve opens a connection to an upstream for another VM. It dials directly only, so a request takes one detour.
+func (d *detours) serve(ctx context.Context, _, address string) (net.Conn, error) {
+	switch {
+	case !d.directory.Knows(address):
+		return nil, &peer.RemoteError{Code: detour.CodeUnknown, Message: "no upstream at " + address}
+	case d.dialer.Cut():
+		return nil, &peer.RemoteError{Code: detour.CodeUnreachable, Message: "this VM reaches no upstream itself"}
+	case d.served.Add(1) > maxServedTunnels:
+		d.served.Add(-1)
+		return nil, &peer.RemoteError{Code: detour.CodeOverloaded, Message: "too many tunnels"}
+	}
+	conn, err := d.direct(ctx, address)
+	if err == nil {
+		return &countedTunnel{Conn: conn, served: &d.served}, nil
+	}
+	d.served.Add(-1)
+	code := detour.CodeUnreachable
+	if upconn.RefusedByHost(err) {
+		code = detour.CodeRefused
+	}
+	return nil, &peer.RemoteError{Code: code, Message: err.Error()}
+}
+
+// otherVMs returns entry VMs to ask for a detour. Only the first call waits for a control VM's response.
+func (d *detours) otherVMs(ctx context.Context) []string {
+	d.mu.Lock()
+	vms, age := d.vms, clock.Now()-d.askedAt
+	renew := !d.renewing && (len(vms) == 0 || age > detourVMsAge)
+	if renew {
+		d.renewing = true
+	}
+	d.mu.Unlock()
+	switch {
+	case renew && len(vms) == 0:
+		return d.renewVMs(ctx)
+	case renew:
+		go d.renewVMs(context.WithoutCancel(ctx))
+	}
+	return vms
+}
+
+// renewVMs asks the control VMs, one after the other, and returns the first response. The former VMs stay in use if none
+// responds.
+func (d *detours) renewVMs(ctx context.Context) []string {
+	var vms []string
+	err := errors.New("node: no control VM is known")
+	for _, control := range d.node.watcher.controlVMs() {
+		if vms, err = d.askForVMs(ctx, control); err == nil {
+			break
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.renewing, d.askedAt = false, clock.Now()
+	if err == nil {
+		d.vms = vms
+	} else if d.lastKnown {
+		d.node.events.Emit(events.DetourVMsUnknown, zap.Error(err))
+	}
+	d.lastKnown = err == nil
+	return d.vms
+}
+
+func (d *detours) askForVMs(ctx context.Context, control string) ([]string, error) {
+	ctx, cancel := context.WithTimeout(ctx, detourVMsTimeout)
+	defer cancel()
+	answer, err := d.node.network.Call(ctx, control, methodEntryVMs, encode(entryVMsRequest{From: d.node.self}))
+	if err != nil {
+		return nil, err
+	}
+	r, err := decode[entryVMsResponse](answer)
+	return r.VMs, err
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -46,6 +46,7 @@
 	stopping  atomic.Bool
 	reach     *reach.Detector // used by one goroutine
 	isolated  atomic.Bool
+	detours   *detours
 }
 
 func newEntry(n *Node) *entry {
@@ -75,8 +76,9 @@
 		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
 		upstreams: newUpstreamLimits(),
 	}
+	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
-		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: n.opts.DialUpstream,
+		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut,
 		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -132,6 +134,7 @@
 	wg.Go(e.node.failOnPanic(func() { e.reporter.run(ctx) }))
 	wg.Go(e.node.failOnPanic(func() { clock.Repeat(ctx, permitInterval, e.permits.renew) }))
 	wg.Go(e.node.failOnPanic(func() { clock.Repeat(ctx, reach.Interval, e.detectUnreachableZones) }))
+	wg.Go(e.node.failOnPanic(func() { clock.Repeat(ctx, pathCheckInterval, e.checkPaths) }))
 	return nil
 }
 
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -15,6 +15,8 @@
 	methodPermit = "node.permit"
 	methodStatus = "node.status"
 	methodStrike = "node.strike"
+	// methodEntryVMs asks a control VM for entry VMs that reach upstreams.
+	methodEntryVMs = "node.entry_vms"
 )
 
 // vmInfo describes a VM. All fields but Silent are reported by the VM itself.
@@ -24,6 +26,7 @@
 	Role   Role   `cbor:"3,keyasint"`
 	Zone   string `cbor:"4,keyasint"`
 	Silent bool   `cbor:"5,keyasint,omitempty"` // no recent watch request at the reporting VM
+	CutOff bool   `cbor:"6,keyasint,omitempty"` // an entry VM that reaches no upstream itself
 }
 
 // watchRequest requests the changes at a control VM since the given versions. It is also the sender's
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -41,6 +41,8 @@
 	// setPeers sets the VMs to stay connected to.
 	setPeers    func(vms []string)
 	failOnPanic func(func()) func()
+	// cutOff reports whether this VM reaches no upstream itself; nil means never.
+	cutOff func() bool
 
 	mu       sync.Mutex
 	contacts map[string]*contact
@@ -124,6 +126,7 @@
 		Document: w.documentVersion(), WaitMs: watchWait.Milliseconds(), Suspects: c.suspectsVersion,
 	}
 	w.mu.Unlock()
+	request.From.CutOff = w.cutOff != nil && w.cutOff()
 	limited, cancel := context.WithTimeout(ctx, watchWait+watchTimeoutMargin)
 	answer, err := w.calls.Call(limited, c.vm, methodWatch, encode(request))
 	cancel()
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -72,13 +72,16 @@
 
 // dial opens a connection, protected as configured. Its bytes are counted below TLS.
 func (l *link) dial(ctx context.Context) (*drpcconn.Conn, error) {
+	return l.dialWith(ctx, net.Dialer{Timeout: DialTimeout})
+}
+
+func (l *link) dialWith(ctx context.Context, dialer net.Dialer) (*drpcconn.Conn, error) {
 	if l.node.cutTo(l.vm) {
 		return nil, awaitCutTimeout(ctx)
 	}
 	l.mu.Lock()
 	address := l.address
 	l.mu.Unlock()
-	dialer := net.Dialer{Timeout: DialTimeout}
 	raw, err := dialer.DialContext(ctx, "tcp", address)
 	if err != nil {
 		return nil, err
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -1,7 +1,9 @@
 // Package peer implements communication between the VMs of a fleet: one-way messages, which may
 // be lost, and calls.
 //
-// Both run over drpc. Each VM keeps one message stream open to every other VM. Both sides send a
+// A tunnel is a connection to an upstream that another VM opens and whose bytes it passes on both ways.
+//
+// All run over drpc. Each VM keeps one message stream open to every other VM. Both sides send a
 // heartbeat every HeartbeatInterval; a side that receives nothing for HeartbeatTimeout ends the
 // stream, and the dialing side opens a new connection. Calls use separate connections, one call
 // at a time on each. A call whose context ends closes its connection, so an unresponsive
@@ -73,6 +75,7 @@
 	opts     Options
 	messages map[string]MessageHandler
 	calls    map[string]CallHandler
+	tunnels  TunnelHandler // nil if this VM opens no tunnels
 	stats    Stats
 	cuts     atomic.Pointer[cuts]
 	rotation atomic.Uint64 // rotates the order of relay candidates
@@ -92,6 +95,7 @@
 	MessagesRelayed  atomic.Int64 // on behalf of other VMs
 	CallsMade        atomic.Int64
 	CallsServed      atomic.Int64
+	TunnelsServed    atomic.Int64
 }
 
 // New returns a node. Register all handlers before calling Run or Serve.
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -42,6 +42,7 @@
 	stopClosing    func() bool // stops the end of the request's context from closing conn; false if it has ended
 	upstream       registry.Upstream
 	zone           *zone // the upstream's zone
+	pending        *pendingAttempt
 	started        time.Time
 	responseHeader http.Header
 	reusable       bool
@@ -159,7 +160,7 @@
 		if err != nil {
 			return nil, Reply{}, errors.Wrap(err, "proxy: read the answer")
 		}
-		a.zone.received.Store(true)
+		a.recordReceived()
 		a.server.health.recordHeard(a.upstream.ID)
 		if response.StatusCode/100 == 1 {
 			continue
@@ -182,6 +183,15 @@
 	return nil, Reply{}, errStaleResponse
 }
 
+// recordReceived records that bytes from the upstream were received.
+func (a *attempt) recordReceived() {
+	a.zone.received.Store(true)
+	a.pending.received.set()
+	if !a.pending.detour {
+		a.server.zones.receivedDirectly.set()
+	}
+}
+
 // readBody reads the complete body.
 func (a *attempt) readBody(response *http.Response) ([]byte, error) {
 	body, err := a.buffers.readAll(response.Body)
@@ -235,7 +245,7 @@
 			}
 			break
 		}
-		a.zone.received.Store(true)
+		a.recordReceived()
 		if err := a.confirmOrigin(); err != nil {
 			return a.streamInterrupted(err)
 		}
--- a/internal/proxy/crash.go
+++ b/internal/proxy/crash.go
@@ -39,6 +39,7 @@
 	pool      *upconn.Pool
 	health    *health
 	zones     *zones
+	cutOff    func() bool // a partition separates this VM from all upstreams
 	events    *events.Logger
 	metrics   *Metrics
 
@@ -76,7 +77,7 @@
 		case upconn.RefusedByHost(err):
 			d.recordCrash(run)
 			return
-		case d.zones.reachable(run.upstream.Zone):
+		case d.zones.reachable(run.upstream.Zone) && !d.cutOff():
 			d.recordSilence(run, err)
 		}
 		d.watch(run)
@@ -209,7 +210,7 @@
 		endedHere: x.ctx.Err() != nil,
 		subject:   "client account " + x.accountName() + ", route " + x.route.Name + ", " + x.request.Method,
 	}
-	if !errors.Is(cause, errZoneUnreachable) {
+	if !errors.Is(cause, errZoneUnreachable) && !errors.Is(cause, errPathLost) {
 		return d.probe(run)
 	}
 	// A partition, which shows nothing about the upstream.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -185,7 +185,10 @@
 	Table     func() *routing.Snapshot // returns nil before a configuration is received
 	Directory *registry.Directory
 	// Dial opens connections to upstreams; nil for upconn.Dial.
-	Dial    upconn.DialFunc
+	Dial upconn.DialFunc
+	// CutOff reports whether a partition separates this VM from all upstreams, so that it reaches them only through
+	// other VMs; nil means never.
+	CutOff  func() bool
 	Ledger  Ledger
 	Limiter Limiter
 	// Upstreams enforces the rate limits of upstreams; nil for none.
@@ -225,12 +228,15 @@
 	if opts.Upstreams == nil {
 		opts.Upstreams = noUpstreamLimits{}
 	}
+	if opts.CutOff == nil {
+		opts.CutOff = func() bool { return false }
+	}
 	if opts.Dial == nil {
 		opts.Dial = upconn.Dial
 	}
 	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
 	s.crashes = &crashDetector{
-		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, events: opts.Events, metrics: opts.Metrics,
+		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, cutOff: opts.CutOff, events: opts.Events, metrics: opts.Metrics,
 	}
 	return s
 }
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -4,7 +4,6 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -227,17 +226,17 @@
 	s.health.requestStarted(u.ID)
 	defer s.health.requestEnded(u.ID)
 	started := time.Now()
-	var closedUnreachable atomic.Bool
-	zone := s.zones.addAttempt(u.Zone, conn, &closedUnreachable)
-	a := &attempt{exchange: x, conn: conn, upstream: u, zone: zone, started: started, buffers: bufferLease{shared: &s.buffers}}
+	pending := &pendingAttempt{upstream: u, detour: conn.IsDetour(), repeatable: x.route.Repeatable()}
+	zone := s.zones.addAttempt(conn, pending)
+	a := &attempt{exchange: x, conn: conn, upstream: u, zone: zone, pending: pending, started: started, buffers: bufferLease{shared: &s.buffers}}
 	// Closing the connection ends blocked reads and writes when the request's context ends.
 	a.stopClosing = context.AfterFunc(x.ctx, func() { _ = conn.Close() })
 	defer a.releaseConn()
 	x.recordOrigin(u)
 	result, err := a.roundTrip()
 	a.releaseConn()
-	if closedUnreachable.Load() && result != answered {
-		err = errZoneUnreachable
+	if reason := pending.closed.Load(); reason != nil && result != answered {
+		err = *reason
 	}
 	if cause := context.Cause(x.ctx); result == maybeRun && cause != nil && errors.Is(cause, httpwire.ErrCallerGone) {
 		x.detectCrash(u, started, err)
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -3,12 +3,18 @@
 import (
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"egretramp/internal/clock"
+	"egretramp/internal/registry"
 	"egretramp/internal/upconn"
 )
 
+// errPathLost ends an attempt on a connection that a partition between this VM and the upstreams has silenced.
+var errPathLost = errors.New("proxy: a partition separates this VM from the upstreams")
+
 var errZoneUnreachable = errors.New("proxy: the upstream's availability zone can't be reached")
 
 // zones tracks, for each availability zone, whether bytes were received from its upstreams and which
@@ -16,35 +22,55 @@
 type zones struct {
 	mu     sync.Mutex
 	byName map[string]*zone
+	// receivedDirectly is when bytes were last received on a connection that leads to its upstream directly.
+	receivedDirectly atomicTime
 }
 
 // zone is the state of one availability zone.
 type zone struct {
-	mu          *sync.Mutex                   // that of zones
-	received    atomic.Bool                   // bytes were received since the last call of ZoneTraffic
-	pending     map[*upconn.Conn]*atomic.Bool // closedUnreachable of each attempt
+	mu          *sync.Mutex // that of zones
+	received    atomic.Bool // bytes were received since the last call of ZoneTraffic
+	pending     map[*upconn.Conn]*pendingAttempt
 	unreachable bool
 }
 
+// pendingAttempt is an attempt that may wait for bytes from its upstream.
+type pendingAttempt struct {
+	upstream   registry.Upstream
+	detour     bool // the connection leads through another VM
+	repeatable bool
+	received   atomicTime // when bytes were last received; the start of the attempt before
+	// closed is why the connection was closed from outside the attempt, nil if it wasn't.
+	closed atomic.Pointer[error]
+}
+
+// atomicTime is a monotonic time that several goroutines use.
+type atomicTime struct{ nanos atomic.Int64 }
+
+func (t *atomicTime) set() { t.nanos.Store(int64(clock.Now())) }
+
+// age returns the time since the last set.
+func (t *atomicTime) age() time.Duration { return clock.Now() - time.Duration(t.nanos.Load()) }
+
 func newZones() *zones { return &zones{byName: map[string]*zone{}} }
 
 // get returns a zone, creating it if needed. The mutex is held.
 func (zs *zones) get(name string) *zone {
 	z := zs.byName[name]
 	if z == nil {
-		z = &zone{mu: &zs.mu, pending: map[*upconn.Conn]*atomic.Bool{}}
+		z = &zone{mu: &zs.mu, pending: map[*upconn.Conn]*pendingAttempt{}}
 		zs.byName[name] = z
 	}
 	return z
 }
 
-// addAttempt registers an attempt on a connection to a zone. closedUnreachable is set before the
-// connection is closed because the zone is unreachable.
-func (zs *zones) addAttempt(name string, conn *upconn.Conn, closedUnreachable *atomic.Bool) *zone {
+// addAttempt registers an attempt on a connection to its upstream's zone.
+func (zs *zones) addAttempt(conn *upconn.Conn, p *pendingAttempt) *zone {
+	p.received.set()
 	zs.mu.Lock()
 	defer zs.mu.Unlock()
-	z := zs.get(name)
-	z.pending[conn] = closedUnreachable
+	z := zs.get(p.upstream.Zone)
+	z.pending[conn] = p
 	return z
 }
 
@@ -71,14 +97,14 @@
 	z.unreachable = !reachable
 	var conns []*upconn.Conn
 	if !reachable {
-		for conn, closedUnreachable := range z.pending {
-			closedUnreachable.Store(true)
+		for conn, p := range z.pending {
+			p.closed.Store(&errZoneUnreachable)
 			conns = append(conns, conn)
 		}
 	}
 	zs.mu.Unlock()
 	for _, conn := range conns {
-		_ = conn.Close() // the attempt reads the reason from closedUnreachable
+		_ = conn.Close() // the attempt reads the reason from closed
 	}
 }
 
@@ -115,3 +141,46 @@
 		}
 	}
 }
+
+// AwaitedUpstream returns the address of the upstream that a request has waited for the longest on a direct connection,
+// and for how long nothing was received from it and on any other direct connection. The address is empty if no
+// request waits.
+func (s *Server) AwaitedUpstream() (address string, silent time.Duration) {
+	zs := s.zones
+	zs.mu.Lock()
+	defer zs.mu.Unlock()
+	for _, z := range zs.byName {
+		for _, p := range z.pending {
+			if age := p.received.age(); !p.detour && age > silent {
+				address, silent = p.upstream.Address, age
+			}
+		}
+	}
+	return address, min(silent, zs.receivedDirectly.age())
+}
+
+// pathLossDelay is how long an attempt must have received nothing before it ends because its path is lost.
+const pathLossDelay = 300 * time.Millisecond
+
+// EndSilentAttempts ends the attempts on direct connections that have received nothing for pathLossDelay and may be
+// repeated through another VM, and closes idle direct connections. It is called while a partition drops this VM's
+// packets to upstreams. Attempts that may not be repeated go on waiting: the partition may end in time.
+func (s *Server) EndSilentAttempts() {
+	s.pool.DropDirect()
+	var conns []*upconn.Conn
+	s.zones.mu.Lock()
+	for _, z := range s.zones.byName {
+		for conn, p := range z.pending {
+			if !p.detour && p.repeatable && p.received.age() >= pathLossDelay && p.closed.CompareAndSwap(nil, &errPathLost) {
+				conns = append(conns, conn)
+			}
+		}
+	}
+	s.zones.mu.Unlock()
+	for _, conn := range conns {
+		_ = conn.Close() // the attempt reads the reason from closed
+	}
+}
+
+// DropDetours closes idle connections through other VMs, so that requests use direct ones again.
+func (s *Server) DropDetours() { s.pool.DropDetours() }
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -53,6 +53,13 @@
 	return latest != nil && latest.upstream.ID != u.ID && latest.upstream.Born > u.Born
 }
 
+// Knows reports whether an upstream that may be running is registered at the address.
+func (d *Directory) Knows(address string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.latest[address] != nil
+}
+
 // Leaving reports whether an upstream has announced its shutdown.
 func (d *Directory) Leaving(u Upstream) bool {
 	d.mu.Lock()
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -52,6 +52,19 @@
 // DialFunc opens a connection to an upstream. An error means that nothing was sent.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
+// Detour is a connection to an upstream through another VM.
+type Detour interface {
+	net.Conn
+	// Idle reports whether the connection is open and no byte waits to be read.
+	Idle() bool
+}
+
+// IsDetour reports whether the connection leads through another VM.
+func (c *Conn) IsDetour() bool {
+	_, ok := c.Conn.(Detour)
+	return ok
+}
+
 // Pool holds the idle connections to all upstreams. It is safe for concurrent use.
 type Pool struct {
 	dialFunc DialFunc
@@ -192,6 +205,9 @@
 	if time.Since(c.idleSince) > c.idleLimit || c.Reader.Buffered() > 0 {
 		return false
 	}
+	if detour, ok := c.Conn.(Detour); ok {
+		return detour.Idle()
+	}
 	tcp, ok := c.Conn.(*net.TCPConn)
 	if !ok {
 		return true
@@ -263,12 +279,23 @@
 
 // CloseExpired closes the idle connections that exceeded their idle limit.
 func (p *Pool) CloseExpired() {
+	p.closeIdle(func(c *Conn) bool { return time.Since(c.idleSince) > c.idleLimit })
+}
+
+// DropDirect closes the idle connections that lead to their upstreams directly, DropDetours all others.
+func (p *Pool) DropDirect() { p.closeIdle(func(c *Conn) bool { return !c.IsDetour() }) }
+
+// DropDetours closes the idle connections that lead through other VMs.
+func (p *Pool) DropDetours() { p.closeIdle((*Conn).IsDetour) }
+
+// closeIdle closes the idle connections that match.
+func (p *Pool) closeIdle(match func(*Conn) bool) {
 	p.mu.Lock()
 	var expired []*Conn
 	for address, list := range p.idle {
 		kept := list[:0]
 		for _, c := range list {
-			if time.Since(c.idleSince) > c.idleLimit {
+			if match(c) {
 				expired = append(expired, c)
 			} else {
 				kept = append(kept, c)
