detour, peer: an entry VM that stops ends the requests of other VMs in order

A VM that was stopped while partitioned VMs reached upstreams through it would have cut their requests off. It now opens no further connections for others, tells them not to use the open ones again, and waits for these within its grace period. VMs that are cut off themselves or stopping aren't asked again for a second, so that requests without any way are refused at once.

--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -205,7 +205,7 @@
 // TestDialer_DeadUpstreams checks that neither upstreams that are down nor other VMs that are of no help make this VM
 // count as cut off, and which errors prove that an upstream's process has ended.
 func TestDialer_DeadUpstreams(t *testing.T) {
-	unreachable := &peer.RemoteError{Code: CodeUnreachable}
+	unreachable := &peer.RemoteError{Code: CodeUnavailable}
 	lost := &peer.UnreachableError{VM: "vm1", Cause: context.DeadlineExceeded}
 	for name, c := range map[string]struct {
 		direct, down, vm error
@@ -232,7 +232,7 @@
 // TestDialer_SharesLoad checks that detours are spread over the VMs that open them, and that one of no help costs
 // little.
 func TestDialer_SharesLoad(t *testing.T) {
-	n := &network{direct: unix.ECONNREFUSED, vms: map[string]error{"vm0": &peer.RemoteError{Code: CodeUnreachable}}}
+	n := &network{direct: unix.ECONNREFUSED, vms: map[string]error{"vm0": &peer.RemoteError{Code: CodeUnavailable}}}
 	d := n.dialer("vm0", "vm1", "vm2", "vm3", "vm4")
 	d.goodUntil["vm1"], d.goodUntil["vm2"], d.goodUntil["vm3"] = time.Hour, time.Hour, time.Hour
 	for range 300 {
@@ -275,3 +275,25 @@
 		return d.Cut()
 	}, 3*time.Second, 20*time.Millisecond)
 }
+
+// TestDialer_NoWayIsKnownAtOnce cuts a VM off while no other VM is of help either: after the first dial, requests must
+// not wait for dials that can't succeed.
+func TestDialer_NoWayIsKnownAtOnce(t *testing.T) {
+	n := &network{direct: os.ErrDeadlineExceeded}
+	d := n.dialer("vm1", "vm2")
+	_, err := d.Dial(context.Background(), "u1")
+	require.NoError(t, err)
+	require.Eventually(t, d.Cut, 2*time.Second, time.Millisecond)
+	n.mu.Lock()
+	n.vms = map[string]error{"vm1": &peer.RemoteError{Code: CodeUnavailable}, "vm2": &peer.RemoteError{Code: CodeUnavailable}}
+	n.mu.Unlock()
+	_, err = d.Dial(context.Background(), "u1")
+	require.Error(t, err)
+	started := time.Now()
+	for range 20 {
+		_, err := d.Dial(context.Background(), "u2")
+		require.Error(t, err)
+		require.False(t, upconn.RefusedByHost(err))
+	}
+	require.Less(t, time.Since(started), 200*time.Millisecond)
+}
--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -30,7 +30,7 @@
 	maxVMs = 3
 	// goodFor is how long a VM that opened a detour is preferred.
 	goodFor = 2 * time.Second
-	// badFor is how long a VM that failed to open a detour is asked last.
+	// badFor is how long a VM that could not be reached, or reaches no upstream itself, isn't asked again.
 	badFor = time.Second
 	// surveyInterval is the shortest time between two surveys.
 	surveyInterval = 300 * time.Millisecond
@@ -45,6 +45,7 @@
 const (
 	CodeRefused     = "upstream_refused"     // the upstream's host refused the connection
 	CodeUnreachable = "upstream_unreachable" // this VM doesn't reach the upstream either
+	CodeUnavailable = "vm_unavailable"       // this VM reaches no upstream itself, or is stopping
 	CodeUnknown     = "upstream_unknown"     // no upstream is registered at the address
 	CodeOverloaded  = "too_many_tunnels"
 )
@@ -211,10 +212,15 @@
 	return errors.Newf("detour: neither directly (%v) nor through another VM (%v)", direct.err, detour.err)
 }
 
-// isUnreachable reports whether another VM failed to reach the upstream.
+// isUnreachable reports whether another VM doesn't reach the upstream either.
 func isUnreachable(err error) bool {
+	return hasCode(err, CodeUnreachable) || hasCode(err, CodeUnavailable)
+}
+
+// hasCode reports whether another VM answered with an error code.
+func hasCode(err error, code string) bool {
 	var remote *peer.RemoteError
-	return errors.As(err, &remote) && remote.Code == CodeUnreachable
+	return errors.As(err, &remote) && remote.Code == code
 }
 
 // closeWhenOpen closes a connection that isn't needed any more.
@@ -355,7 +361,6 @@
 	ctx, cancel := context.WithTimeout(ctx, detourTimeout)
 	defer cancel()
 	vms := d.order(d.opts.VMs(ctx))
-	vms = vms[:min(len(vms), maxVMs)]
 	if len(vms) == 0 {
 		return nil, errNoDetour
 	}
@@ -399,15 +404,14 @@
 // tunnel opens a connection through one VM.
 func (d *Dialer) tunnel(ctx context.Context, vm, address string) dialed {
 	conn, err := d.opts.Tunnel(ctx, vm, address)
-	var remote *peer.RemoteError
-	refused := errors.As(err, &remote) && remote.Code == CodeRefused
+	refused := hasCode(err, CodeRefused)
 	now := d.opts.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if err == nil || refused {
 		d.goodUntil[vm] = now + goodFor
 		delete(d.badUntil, vm)
-	} else if !errors.Is(ctx.Err(), context.Canceled) { // canceled: another VM was faster
+	} else if !hasCode(err, CodeUnreachable) && !errors.Is(ctx.Err(), context.Canceled) { // canceled: another VM was faster
 		d.badUntil[vm] = now + badFor
 		delete(d.goodUntil, vm)
 	}
@@ -421,23 +425,22 @@
 	return dialed{err: err}
 }
 
-// order returns the VMs in the order in which they are asked: those that opened a detour lately in random order, so
-// that they share the load, then the others, then those that failed lately.
+// order returns the VMs to ask for a detour, in this order: those that opened one lately, at random so that they share
+// the load, then the others, but none that was of no help lately. There are at most maxVMs.
 func (d *Dialer) order(vms []string) []string {
 	now := d.opts.Clock()
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	var good, other, bad []string
+	var good, other []string
 	for _, vm := range vms {
 		switch {
 		case d.goodUntil[vm] > now:
 			good = append(good, vm)
-		case d.badUntil[vm] > now:
-			bad = append(bad, vm)
-		default:
+		case d.badUntil[vm] <= now:
 			other = append(other, vm)
 		}
 	}
 	rand.Shuffle(len(good), func(i, j int) { good[i], good[j] = good[j], good[i] })
-	return slices.Concat(good, other, bad)
+	ordered := append(good, other...)
+	return ordered[:min(len(ordered), maxVMs)]
 }
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -85,6 +85,7 @@
 	direct    upconn.DialFunc
 	directory *registry.Directory
 	served    atomic.Int64 // tunnels in progress for other VMs
+	stopping  atomic.Bool
 
 	mu        sync.Mutex
 	vms       []string // other entry VMs
@@ -115,7 +116,7 @@
 			}
 		},
 	})
-	n.watcher.cutOff = d.dialer.Cut
+	n.watcher.cutOff = func() bool { return d.stopping.Load() || d.dialer.Cut() }
 	n.network.HandleTunnels(d.serve)
 	n.metrics.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -145,6 +146,12 @@
 	}
 }
 
+// drain opens no more connections for other VMs, and makes them send no further requests through the open ones.
+func (d *detours) drain() {
+	d.stopping.Store(true)
+	d.node.network.DrainTunnels()
+}
+
 // addresses returns the addresses of the upstreams that serve.
 func (d *detours) addresses() []string {
 	var all []string
@@ -174,8 +181,10 @@
 	switch {
 	case !d.directory.Knows(address):
 		return nil, &peer.RemoteError{Code: detour.CodeUnknown, Message: "no upstream at " + address}
+	case d.stopping.Load():
+		return nil, &peer.RemoteError{Code: detour.CodeUnavailable, Message: "this VM is stopping"}
 	case d.dialer.Cut():
-		return nil, &peer.RemoteError{Code: detour.CodeUnreachable, Message: "this VM reaches no upstream itself"}
+		return nil, &peer.RemoteError{Code: detour.CodeUnavailable, Message: "this VM reaches no upstream itself"}
 	case d.served.Add(1) > maxServedTunnels:
 		d.served.Add(-1)
 		return nil, &peer.RemoteError{Code: detour.CodeOverloaded, Message: "too many tunnels"}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -247,6 +247,7 @@
 // deadline.
 func (e *entry) drain(ctx context.Context) {
 	e.stopping.Store(true)
+	e.detours.drain()
 	sleep(ctx, notReadyDelay)
 	e.server.Drain()
 	deadline, _ := ctx.Deadline()
@@ -264,8 +265,8 @@
 		}
 		sleep(ctx, drainPollInterval)
 	}
-	// Wait for queued settlements until the deadline.
-	for len(e.ledger.settlements) > 0 && ctx.Err() == nil {
+	// Wait for queued settlements and for the requests of other VMs until the deadline.
+	for (len(e.ledger.settlements) > 0 || e.detours.served.Load() > 0) && ctx.Err() == nil {
 		sleep(ctx, drainPollInterval)
 	}
 }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -26,7 +26,7 @@
 	Role   Role   `cbor:"3,keyasint"`
 	Zone   string `cbor:"4,keyasint"`
 	Silent bool   `cbor:"5,keyasint,omitempty"` // no recent watch request at the reporting VM
-	CutOff bool   `cbor:"6,keyasint,omitempty"` // an entry VM that reaches no upstream itself
+	CutOff bool   `cbor:"6,keyasint,omitempty"` // an entry VM that reaches no upstream itself, or is stopping
 }
 
 // watchRequest requests the changes at a control VM since the given versions. It is also the sender's
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -76,6 +76,7 @@
 	messages map[string]MessageHandler
 	calls    map[string]CallHandler
 	tunnels  TunnelHandler // nil if this VM opens no tunnels
+	served   servedTunnels
 	stats    Stats
 	cuts     atomic.Pointer[cuts]
 	rotation atomic.Uint64 // rotates the order of relay candidates
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net"
+	"slices"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -46,6 +49,7 @@
 	conn     *drpcconn.Conn
 	pending  atomic.Bool // bytes from the upstream wait to be read
 	ended    atomic.Bool
+	draining atomic.Bool // the other VM is stopping
 	failure  atomic.Pointer[error]
 }
 
@@ -146,6 +150,9 @@
 			t.ended.Store(true)
 			_ = t.far.Close()
 			return
+		case frame.Draining:
+			t.draining.Store(true)
+			continue
 		}
 		t.pending.Store(true)
 		_, err = t.far.Write(frame.Data)
@@ -180,8 +187,9 @@
 	return errors.CombineErrors(err, t.conn.Close())
 }
 
-// Idle reports whether the tunnel is open and no byte from the upstream waits to be read.
-func (t *Tunnel) Idle() bool { return !t.ended.Load() && !t.pending.Load() }
+// Idle reports whether the tunnel may carry another request: it is open, the other VM isn't stopping, and no byte from
+// the upstream waits to be read.
+func (t *Tunnel) Idle() bool { return !t.ended.Load() && !t.draining.Load() && !t.pending.Load() }
 
 // Tunnel serves a tunnel of another VM.
 func (s *server) Tunnel(stream peerpb.DRPCPeer_TunnelStream) error {
@@ -214,6 +222,7 @@
 	if err := stream.Send(&peerpb.TunnelFrame{}); err != nil {
 		return err
 	}
+	defer s.node.served.add(stream)()
 	wg.Go(func() { sendToUpstream(stream, conn) })
 	return receiveFromUpstream(stream, conn)
 }
@@ -260,3 +269,43 @@
 		}
 	}
 }
+
+// servedTunnels holds the tunnels that this VM serves. It is safe for concurrent use.
+type servedTunnels struct {
+	mu       sync.Mutex
+	streams  map[peerpb.DRPCPeer_TunnelStream]bool
+	draining bool
+}
+
+// add adds a tunnel and returns the function that removes it.
+func (s *servedTunnels) add(stream peerpb.DRPCPeer_TunnelStream) (remove func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.draining {
+		sendDraining(stream)
+	}
+	if s.streams == nil {
+		s.streams = map[peerpb.DRPCPeer_TunnelStream]bool{}
+	}
+	s.streams[stream] = true
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.streams, stream)
+	}
+}
+
+// DrainTunnels tells the VMs whose tunnels this VM serves to send no further requests through them.
+func (n *Node) DrainTunnels() {
+	n.served.mu.Lock()
+	n.served.draining = true
+	streams := slices.Collect(maps.Keys(n.served.streams))
+	n.served.mu.Unlock()
+	for _, stream := range streams {
+		sendDraining(stream)
+	}
+}
+
+func sendDraining(stream peerpb.DRPCPeer_TunnelStream) {
+	_ = stream.Send(&peerpb.TunnelFrame{Draining: true}) // fails only if the tunnel has ended
+}
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -16,6 +16,7 @@
 type tunnelFixture struct {
 	a        *Node
 	b        string // its address, which is its name too
+	nodeB    *Node
 	stopB    context.CancelFunc
 	upstream net.Listener
 }
@@ -25,6 +26,7 @@
 	f := &tunnelFixture{a: New(Options{VM: "a"}), b: listenerB.Addr().String(), upstream: listen(t)}
 	t.Cleanup(func() { _ = f.upstream.Close() })
 	b := New(Options{VM: f.b})
+	f.nodeB = b
 	b.HandleTunnels(func(ctx context.Context, from, address string) (net.Conn, error) {
 		if from != "a" {
 			return nil, errors.New("the wrong VM")
@@ -147,3 +149,26 @@
 	require.ErrorAs(t, err, &remote)
 	require.Equal(t, codeTunnelUnsupported, remote.Code)
 }
+
+// TestTunnel_DrainingEndsInOrder checks that a VM that stops lets the request in a tunnel end, while the tunnel takes no
+// further one.
+func TestTunnel_DrainingEndsInOrder(t *testing.T) {
+	f := newTunnelFixture(t)
+	near, far := f.open(t)
+	require.Eventually(t, func() bool { return f.nodeB.Stats().TunnelsServed.Load() == 1 }, waitTimeout, time.Millisecond)
+	go func() {
+		_, _ = io.WriteString(far, "first half, ")
+		f.nodeB.DrainTunnels()
+		_, _ = io.WriteString(far, "second half")
+		_ = far.Close()
+	}()
+	read, err := io.ReadAll(near)
+	require.NoError(t, err)
+	require.Equal(t, "first half, second half", string(read))
+	near, _ = f.open(t)
+	require.True(t, near.Idle())
+	require.Eventually(t, func() bool {
+		f.nodeB.DrainTunnels() // a tunnel is known to the VM shortly after it is open
+		return !near.Idle()
+	}, waitTimeout, 10*time.Millisecond)
+}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -55,7 +55,7 @@
 // Detour is a connection to an upstream through another VM.
 type Detour interface {
 	net.Conn
-	// Idle reports whether the connection is open and no byte waits to be read.
+	// Idle reports whether the connection may carry another request: it is open, and no byte waits to be read.
 	Idle() bool
 }
 
@@ -277,9 +277,12 @@
 	}
 }
 
-// CloseExpired closes the idle connections that exceeded their idle limit.
+// CloseExpired closes the idle connections that exceeded their idle limit, and detours that may not be used again.
 func (p *Pool) CloseExpired() {
-	p.closeIdle(func(c *Conn) bool { return time.Since(c.idleSince) > c.idleLimit })
+	p.closeIdle(func(c *Conn) bool {
+		detour, ok := c.Conn.(Detour)
+		return time.Since(c.idleSince) > c.idleLimit || ok && !detour.Idle()
+	})
 }
 
 // DropDirect closes the idle connections that lead to their upstreams directly, DropDetours all others.
