upconn: connections through other VMs end with the partition

A VM went on through other VMs after a partition had healed: a detour that is used all the time never expires in the pool. It is used again only while its address is detoured.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -95,6 +95,9 @@
 	return cut
 }
 
+// Detoured reports whether connections to an upstream should lead through another VM at present.
+func (d *Dialer) Detoured(address string) bool { return d.paths.Detoured(d.opts.Clock(), address) }
+
 // Silenced reports whether this VM reaches no upstream itself because packets are dropped, so that open connections
 // bring nothing either.
 func (d *Dialer) Silenced() bool {
@@ -129,7 +132,7 @@
 // other way round while the direct path is known to fail. An error wraps ECONNREFUSED only if the upstream's host
 // refused another VM too, or if none could be asked.
 func (d *Dialer) Dial(ctx context.Context, address string) (net.Conn, error) {
-	if d.paths.Detoured(d.opts.Clock(), address) {
+	if d.Detoured(address) {
 		conn, err := d.dialDetour(ctx, address)
 		if err == nil || upconn.RefusedByHost(err) || d.Cut() {
 			return conn, err
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -78,7 +78,7 @@
 	}
 	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
-		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut,
+		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
 		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -188,9 +188,11 @@
 	Dial upconn.DialFunc
 	// CutOff reports whether a partition separates this VM from all upstreams, so that it reaches them only through
 	// other VMs; nil means never.
-	CutOff  func() bool
-	Ledger  Ledger
-	Limiter Limiter
+	CutOff func() bool
+	// Detoured reports whether connections to an upstream's address should lead through another VM; nil means never.
+	Detoured func(address string) bool
+	Ledger   Ledger
+	Limiter  Limiter
 	// Upstreams enforces the rate limits of upstreams; nil for none.
 	Upstreams UpstreamLimiter
 	// Suspects counts the upstreams that requests crash; nil for a tracker of this server's own.
@@ -231,10 +233,13 @@
 	if opts.CutOff == nil {
 		opts.CutOff = func() bool { return false }
 	}
+	if opts.Detoured == nil {
+		opts.Detoured = func(string) bool { return false }
+	}
 	if opts.Dial == nil {
 		opts.Dial = upconn.Dial
 	}
-	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
+	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial, opts.Detoured), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, cutOff: opts.CutOff, events: opts.Events, metrics: opts.Metrics,
 	}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -68,14 +68,19 @@
 // Pool holds the idle connections to all upstreams. It is safe for concurrent use.
 type Pool struct {
 	dialFunc DialFunc
+	// detoured reports whether connections to an address should lead through another VM at present.
+	detoured func(address string) bool
 
 	mu     sync.Mutex
 	idle   map[string][]*Conn // by address, the most recently used last
 	opened atomic.Int64
 }
 
-// NewPool returns an empty pool that opens connections with dial.
-func NewPool(dial DialFunc) *Pool { return &Pool{dialFunc: dial, idle: map[string][]*Conn{}} }
+// NewPool returns an empty pool that opens connections with dial. Detours that dial returns are used again only while
+// detoured reports that connections to their address should lead through another VM.
+func NewPool(dial DialFunc, detoured func(address string) bool) *Pool {
+	return &Pool{dialFunc: dial, detoured: detoured, idle: map[string][]*Conn{}}
+}
 
 // Opened returns the number of connections opened so far.
 func (p *Pool) Opened() int64 { return p.opened.Load() }
@@ -88,7 +93,7 @@
 		if c == nil {
 			return p.dial(ctx, address)
 		}
-		if c.reusable() {
+		if c.reusable() && (!c.IsDetour() || p.detoured(address)) {
 			return c, nil
 		}
 		_ = c.Close()
