--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -246,15 +246,15 @@
 			break
 		}
 		a.recordReceived()
+		now := time.Now() // a wait for the store says nothing about the upstream
 		if err := a.confirmOrigin(); err != nil {
 			return a.streamInterrupted(err)
 		}
 		if !a.w.Begun() {
 			a.timeToFirstByte = time.Since(a.request.Arrived)
-			a.server.health.recordSuccess(a.upstream, a.service.Name, time.Since(a.started), response.StatusCode)
+			a.server.health.recordSuccess(a.upstream, a.service.Name, now.Sub(a.started), response.StatusCode)
 			a.w.Begin(response.StatusCode, response.Header)
 		}
-		now := time.Now()
 		if lastEventAt.IsZero() {
 			a.server.observeFirstEvent(a.service.Name, now.Sub(a.started), a.call.PromptTokens)
 		} else {
--- a/internal/proxy/builds_test.go
+++ b/internal/proxy/builds_test.go
@@ -229,3 +229,20 @@
 	time.Sleep(400 * time.Millisecond)
 	require.Equal(t, 503, g.call("4", "/resumed/", "Resumes: 1", "Last: 2").status)
 }
+
+// TestServer_SlowStoreIsNoSlowUpstream guards against the admission of programs that takes the wait for the record of an
+// origin for the time that the upstream took.
+func TestServer_SlowStoreIsNoSlowUpstream(t *testing.T) {
+	const storeDelay = 80 * time.Millisecond
+	g := newFixture(t)
+	g.upstream("a", streamFrom("v1", 0))
+	g.ledger.setRecordDelay(storeDelay)
+	for i := range 4 {
+		started := time.Now()
+		require.Equal(t, 200, g.call(fmt.Sprint(i), "/resumed/").status)
+		require.GreaterOrEqual(t, time.Since(started), storeDelay)
+	}
+	g.server.health.mu.Lock()
+	defer g.server.health.mu.Unlock()
+	require.Less(t, g.server.health.upstreams["a"].latency, storeDelay/2)
+}
