proxy, turns: a stream whose caller doesn't say which attempt began it goes on if all its account's streams are of one build

The store returns the origins of all streams that it holds of the account. If they are of one build, the stream goes on there; if of two, or of one that isn't certain, it is refused as before.

--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -379,9 +379,6 @@
 		r := x.quarantineRefusal(retryAfter)
 		return &r
 	}
-	if x.resumes() && x.call.Resumes == "" {
-		return &Refusal{Reason: UnknownStream, Detail: "the request doesn't name the attempt that began the stream"}
-	}
 	x.service, _ = x.table.Service(x.route.Pick(rand.Float64()))
 	timeout := x.route.Timeout
 	if x.call.Deadline > 0 {
@@ -428,6 +425,7 @@
 	}
 	if x.resumes() {
 		b.Resumes, b.Retention = x.call.Resumes, x.originRetention()
+		b.ResumesUnnamed = x.call.Resumes == ""
 	}
 	result, err := x.server.opts.Ledger.Begin(x.ctx, b)
 	x.turnBeginTime = time.Since(started)
@@ -449,7 +447,7 @@
 	}
 	x.reserved = isTurn
 	if x.resumes() {
-		if refusal := x.resumeAt(result.Origin); refusal != nil {
+		if refusal := x.resumeAt(x.resumedOrigin(result)); refusal != nil {
 			return refusal
 		}
 	}
--- a/internal/proxy/streams.go
+++ b/internal/proxy/streams.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"strings"
 	"time"
 
@@ -89,20 +90,48 @@
 // originRetention is how long the origin of a stream is stored.
 func (x *exchange) originRetention() time.Duration { return x.route.Timeout + resumeWindow }
 
+// resumedOrigin returns the origin of the stream that the request resumes, empty if it isn't known. If the caller doesn't
+// say which of its account's streams it resumes, the origin is known only if they all have the same one, as far as the
+// route's services are concerned.
+func (x *exchange) resumedOrigin(r turns.Result) string {
+	if x.call.Resumes != "" {
+		return r.Origin
+	}
+	found := ""
+	for _, stored := range r.Origins {
+		o, known := decodeOrigin(stored)
+		if known && !x.leadsTo(o.service) {
+			continue
+		}
+		if !known || found != "" {
+			return ""
+		}
+		found = stored
+	}
+	return found
+}
+
+// leadsTo reports whether the route leads to a service.
+func (x *exchange) leadsTo(service string) bool {
+	return slices.ContainsFunc(x.route.Targets, func(t routing.Target) bool { return t.Service == service && t.Weight > 0 })
+}
+
 // resumeAt makes the request go on at the origin that the store returned.
 func (x *exchange) resumeAt(stored string) *Refusal {
 	o, known := decodeOrigin(stored)
 	if !known {
 		return &Refusal{Reason: UnknownStream}
 	}
-	for _, target := range x.route.Targets {
-		if target.Service == o.service && target.Weight > 0 {
-			x.service, _ = x.table.Service(o.service)
-			x.origin = o
-			return nil
-		}
+	if !x.leadsTo(o.service) {
+		return &Refusal{Reason: BuildGone, Detail: "the route no longer leads to the service that wrote the stream"}
 	}
-	return &Refusal{Reason: BuildGone, Detail: "the route no longer leads to the service that wrote the stream"}
+	x.service, _ = x.table.Service(o.service)
+	x.origin = o
+	if x.call.Resumes == "" { // a named stream's origin is stored for this attempt by the begin
+		x.originRecord = &originRecord{origin: o, done: make(chan struct{})}
+		x.sendRecord(x.call.RequestID, x.originRecord)
+	}
+	return nil
 }
 
 // upstreams returns the upstreams of the request's service. For a stream that is resumed, they include those that
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -57,6 +57,8 @@
 	// is how long the stream's origin is kept from now on.
 	Resumes   string        `cbor:"9,keyasint,omitempty"`
 	Retention time.Duration `cbor:"10,keyasint,omitempty"`
+	// ResumesUnnamed is set if the request resumes a stream and doesn't say which.
+	ResumesUnnamed bool `cbor:"11,keyasint,omitempty"`
 }
 
 // End settles a turn's reservation and may record the turn.
@@ -118,6 +120,8 @@
 	Home string `cbor:"7,keyasint,omitempty"`
 	// Origin is that of the stream that the request resumes.
 	Origin string `cbor:"8,keyasint,omitempty"`
+	// Origins are those of all streams of the account, if the request doesn't say which it resumes.
+	Origins []string `cbor:"10,keyasint,omitempty"`
 	// Recorded reports that the origin of a Stream is stored.
 	Recorded bool `cbor:"9,keyasint,omitempty"`
 	// Used and Reserved are the program's used and reserved tokens, set with BudgetSpent.
@@ -263,12 +267,16 @@
 			return Result{Outcome: UnknownStream}
 		}
 	}
+	var origins []string
+	if b.ResumesUnnamed {
+		origins = m.accountOrigins(b.Account)
+	}
 	if !b.HasBudget {
-		return Result{Known: b.Previous != "" || b.Resumes != "", Origin: origin}
+		return Result{Known: b.Previous != "" || b.Resumes != "", Origin: origin, Origins: origins}
 	}
 	p := m.program(b.Account, b.Program)
 	known := len(p.Reserved) > 0 || p.Used > 0
-	begun := Result{Known: known, Home: p.home(b), Origin: origin}
+	begun := Result{Known: known, Home: p.home(b), Origin: origin, Origins: origins}
 	if _, reserved := p.Reserved[b.Request]; reserved || p.Settled[b.Request] {
 		return begun
 	}
--- a/internal/turns/streams.go
+++ b/internal/turns/streams.go
@@ -2,6 +2,7 @@
 
 import (
 	"hash/fnv"
+	"slices"
 	"time"
 )
 
@@ -28,6 +29,7 @@
 	Origin  string `cbor:"1,keyasint"`
 	Attempt int64  `cbor:"2,keyasint,omitempty"`
 	Expires int64  `cbor:"3,keyasint"`
+	Account uint64 `cbor:"4,keyasint,omitempty"` // hash of the account's name
 }
 
 func newStreamKey(account, request string) streamKey {
@@ -38,6 +40,12 @@
 	return streamKey(h.Sum(nil))
 }
 
+func accountHash(account string) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(account)) // never fails
+	return h.Sum64()
+}
+
 // recordStream stores the origin of a stream and reports whether the stored origin is the given one.
 func (m *Machine) recordStream(s *Stream) bool {
 	key := newStreamKey(s.Account, s.Request)
@@ -50,6 +58,7 @@
 	}
 	m.streams[key] = stream{
 		Origin: m.intern(s.Origin), Attempt: s.Attempt, Expires: m.clock + (s.Retention + retentionSlack).Milliseconds(),
+		Account: accountHash(s.Account),
 	}
 	return true
 }
@@ -70,6 +79,20 @@
 	return known.Origin
 }
 
+// accountOrigins returns the origins of all streams of an account, each once and in order. If one isn't certain, an
+// empty one is among them.
+func (m *Machine) accountOrigins(account string) []string {
+	var origins []string
+	hash := accountHash(account)
+	for _, s := range m.streams {
+		if s.Account == hash && s.Expires >= m.clock && !slices.Contains(origins, s.Origin) {
+			origins = append(origins, s.Origin)
+		}
+	}
+	slices.Sort(origins)
+	return origins
+}
+
 // sweepStreams removes expired origins.
 func (m *Machine) sweepStreams() {
 	for key, s := range m.streams {
--- a/internal/turns/streams_test.go
+++ b/internal/turns/streams_test.go
@@ -76,3 +76,19 @@
 	applyAt(t, m, (time.Second + retentionSlack + sweepInterval*time.Millisecond).Milliseconds(), record("later", "v1", 0))
 	require.Len(t, m.streams, 2, "the one that was resumed is kept, and the new one")
 }
+
+func TestMachine_OriginsOfAnAccount(t *testing.T) {
+	m := New()
+	unnamed := Command{Begin: &Begin{Account: "acc", Request: "r", ResumesUnnamed: true}}
+	require.Empty(t, applyAt(t, m, 1, unnamed).Origins)
+	applyAt(t, m, 1, record("1", "v1", 0))
+	applyAt(t, m, 1, record("2", "v1", 0))
+	other := record("3", "v3", 0)
+	other.Stream.Account = "other"
+	applyAt(t, m, 1, other)
+	require.Equal(t, []string{"v1"}, applyAt(t, m, 2, unnamed).Origins)
+	applyAt(t, m, 2, record("4", "v2", 0))
+	require.Equal(t, []string{"v1", "v2"}, applyAt(t, m, 3, unnamed).Origins)
+	applyAt(t, m, 3, record("4", "", 1))
+	require.Equal(t, []string{"", "v1"}, applyAt(t, m, 4, unnamed).Origins, "one isn't certain")
+}
