--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -138,64 +138,58 @@
 			return conn, err
 		}
 	}
-	direct := make(chan dialed, 1)
+	directDue := make(chan dialed, 1)
 	go func() {
 		conn, err := d.opts.Direct(ctx, address)
-		direct <- dialed{conn, err}
+		directDue <- dialed{conn, err}
 	}()
 	timer := time.NewTimer(headStart)
 	defer timer.Stop()
-	var first *dialed
+	var direct *dialed
 	select {
-	case r := <-direct:
-		if r.err == nil {
-			return r.conn, nil
+	case r := <-directDue:
+		if r.err == nil || ctx.Err() != nil {
+			return r.conn, r.err
 		}
-		first = &r
+		direct = &r
 	case <-timer.C:
 	}
-	if ctx.Err() != nil && first != nil {
-		return nil, first.err
-	}
-	return d.race(ctx, address, direct, first)
+	return d.race(ctx, address, directDue, direct)
 }
 
-// race opens a detour beside a direct dial that has failed, or whose result is due on direct, and returns the
-// connection that is open first.
-func (d *Dialer) race(ctx context.Context, address string, direct <-chan dialed, failed *dialed) (net.Conn, error) {
-	detour := make(chan dialed, 1)
+// race opens a detour beside a direct dial, whose result is due on directDue unless direct holds it already, and
+// returns the connection that is open first.
+func (d *Dialer) race(ctx context.Context, address string, directDue <-chan dialed, direct *dialed) (net.Conn, error) {
+	detourDue := make(chan dialed, 1)
 	go func() {
 		conn, err := d.dialDetour(ctx, address)
-		detour <- dialed{conn, err}
+		detourDue <- dialed{conn, err}
 	}()
-	if failed == nil {
+	var detour *dialed
+	for direct == nil || detour == nil {
 		select {
-		case r := <-direct:
+		case r := <-directDue:
+			direct = &r
 			if r.err == nil {
-				go closeWhenOpen(detour)
+				if detour == nil {
+					go closeWhenOpen(detourDue)
+				}
 				d.observe(Attempt{Address: address, Direct: Connected})
 				return r.conn, nil
 			}
-			failed = &r
-		case r := <-detour:
+		case r := <-detourDue:
+			detour = &r
 			if r.err == nil {
-				go d.observeLate(address, direct)
+				if direct == nil {
+					go d.observeLate(address, directDue)
+				} else {
+					d.observe(Attempt{Address: address, Direct: direct.result(), Detour: Connected})
+				}
 				return r.conn, nil
 			}
-			d2 := <-direct
-			if d2.err == nil {
-				d.observe(Attempt{Address: address, Direct: Connected})
-				return d2.conn, nil
-			}
-			return nil, d.failure(ctx, address, d2, r)
 		}
 	}
-	r := <-detour
-	if r.err != nil {
-		return nil, d.failure(ctx, address, *failed, r)
-	}
-	d.observe(Attempt{Address: address, Direct: failed.result(), Detour: Connected})
-	return r.conn, nil
+	return nil, d.failure(ctx, address, *direct, *detour)
 }
 
 // failure returns the error when both ways failed.
@@ -211,7 +205,7 @@
 	if refused {
 		return detour.err
 	}
-	// %v: the refusal may come from the partition, not from the upstream's host.
+	// Doesn't wrap the direct dial's error: a refusal may come from the partition, not from the upstream's host.
 	return errors.Newf("detour: neither directly (%v) nor through another VM (%v)", direct.err, detour.err)
 }
 
