--- a/internal/detour/detour_test.go
+++ b/internal/detour/detour_test.go
@@ -234,7 +234,8 @@
 func TestDialer_SharesLoad(t *testing.T) {
 	n := &network{direct: unix.ECONNREFUSED, vms: map[string]error{"vm0": &peer.RemoteError{Code: CodeUnavailable}}}
 	d := n.dialer("vm0", "vm1", "vm2", "vm3", "vm4")
-	d.goodUntil["vm1"], d.goodUntil["vm2"], d.goodUntil["vm3"] = time.Hour, time.Hour, time.Hour
+	later := clock.Now() + time.Hour
+	d.goodUntil["vm1"], d.goodUntil["vm2"], d.goodUntil["vm3"] = later, later, later
 	for range 300 {
 		_, err := d.Dial(context.Background(), "u1")
 		require.NoError(t, err)
