proxy, registry: an upstream whose responses say that it leaves gets no further requests

Cause: only registrations told that an upstream leaves. A VM that no control VM reaches, or an upstream that says so in its responses first, went on. Change: Server-Leaving is recorded in the directory entry of the upstream's process, as its announcement: no registration of that process revokes it, an expired entry that announced its shutdown is no last resort any more. Watch requests carry the notices to control VMs, which spread them. A service without a ready upstream goes on at leaving ones for half of the drain time. VMs that serve tunnels refuse and drain those to leaving upstreams.

--- a/internal/events/proxy.go
+++ b/internal/events/proxy.go
@@ -20,4 +20,5 @@
 	ProxyPanic          = define(2309, zapcore.ErrorLevel, "a panic while a request was served; the request was ended", "report the line, which has the stack")
 
 	ProxyOriginUnrecorded = define(2310, zapcore.WarnLevel, "the build that writes a stream could not be recorded; the stream can't be resumed by its caller", "check that the store VMs respond and run the same release")
+	ProxyUpstreamLeaving  = define(2311, zapcore.InfoLevel, "a response says that its upstream leaves, which no registration has said yet; other upstreams get its requests", "")
 )
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -16,6 +16,7 @@
 	"egretramp/internal/detour"
 	"egretramp/internal/events"
 	"egretramp/internal/peer"
+	"egretramp/internal/proxy"
 	"egretramp/internal/registry"
 	"egretramp/internal/upconn"
 )
@@ -84,8 +85,10 @@
 	dialer    *detour.Dialer
 	direct    upconn.DialFunc
 	directory *registry.Directory
-	served    atomic.Int64 // tunnels in progress for other VMs
-	stopping  atomic.Bool
+	// leavingLimit is how long an upstream that leaves is still connected to.
+	leavingLimit time.Duration
+	served       atomic.Int64 // tunnels in progress for other VMs
+	stopping     atomic.Bool
 
 	mu        sync.Mutex
 	vms       []string // other entry VMs
@@ -96,7 +99,7 @@
 
 func newDetours(e *entry) *detours {
 	n := e.node
-	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, lastKnown: true}
+	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, leavingLimit: proxy.LeavingLimit(n.settings.Drain), lastKnown: true}
 	if d.direct == nil {
 		d.direct = upconn.Dial
 	}
@@ -179,7 +182,7 @@
 // serve opens a connection to an upstream for another VM. It dials directly only, so a request takes one detour.
 func (d *detours) serve(ctx context.Context, _, address string) (net.Conn, error) {
 	switch {
-	case !d.directory.Knows(address):
+	case !d.directory.MayServe(address, d.leavingLimit):
 		return nil, &peer.RemoteError{Code: detour.CodeUnknown, Message: "no upstream at " + address}
 	case d.stopping.Load():
 		return nil, &peer.RemoteError{Code: detour.CodeUnavailable, Message: "this VM is stopping"}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -54,7 +54,11 @@
 	e.reporter = &strikeReporter{
 		tracker: e.suspects, calls: n.network, epochs: n.watcher.controlEpochs, reported: map[string]reportedStrikes{},
 	}
-	e.directory = registry.NewDirectory(func(u registry.Upstream) { e.proxy.DropUpstream(u) })
+	e.directory = registry.NewDirectory(func(u registry.Upstream) {
+		e.proxy.DropUpstream(u)
+		go n.network.DrainTunnelsTo(u.Address) // waits for VMs that don't read
+	})
+	n.watcher.leavingSince = e.directory.LeavingSince
 	storeVMs := func(group uint64) []string {
 		view := n.watcher.stores()
 		var vms []string
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -199,6 +199,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if len(r.Leaving) > 0 {
+		h.registrar.RecordLeaving(r.Leaving)
+	}
 	h.recordWatch(r.From, 1)
 	defer h.recordWatch(r.From, -1)
 	if r.Epoch != h.epoch {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -39,6 +39,9 @@
 	Document  uint64 `cbor:"5,keyasint"` // the sender's version of the operators' document
 	WaitMs    int64  `cbor:"6,keyasint"`
 	Suspects  uint64 `cbor:"7,keyasint"`
+	// Leaving are the upstreams of which the sender has learnt from their responses that they leave, since its last
+	// request that this process of the control VM answered.
+	Leaving []registry.LeavingNotice `cbor:"8,keyasint,omitempty"`
 }
 
 // watchResponse contains the changes since the versions in a watchRequest.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"egretramp/internal/events"
+	"egretramp/internal/registry"
 	"egretramp/internal/shard"
 )
 
@@ -43,6 +44,8 @@
 	failOnPanic func(func()) func()
 	// cutOff reports whether this VM reaches no upstream itself; nil means never.
 	cutOff func() bool
+	// leavingSince returns the notices of upstreams that leave, which were added after a version; nil means none.
+	leavingSince func(version uint64) ([]registry.LeavingNotice, uint64)
 
 	mu       sync.Mutex
 	contacts map[string]*contact
@@ -59,6 +62,7 @@
 	upstreamsVersion uint64
 	fleetVersion     uint64
 	suspectsVersion  uint64
+	leavingVersion   uint64 // of the notices that the control VM has received
 	fleet            fleetState
 	lastAnswered     time.Duration // time of the last response, 0 if none
 	lastNamed        time.Duration // when a control VM's report or the seeds last included it
@@ -125,7 +129,11 @@
 		From: w.self, Epoch: c.epoch, Upstreams: c.upstreamsVersion, Fleet: c.fleetVersion,
 		Document: w.documentVersion(), WaitMs: watchWait.Milliseconds(), Suspects: c.suspectsVersion,
 	}
+	leavingVersion := c.leavingVersion
 	w.mu.Unlock()
+	if w.leavingSince != nil {
+		request.Leaving, leavingVersion = w.leavingSince(leavingVersion)
+	}
 	request.From.CutOff = w.cutOff != nil && w.cutOff()
 	limited, cancel := context.WithTimeout(ctx, watchWait+watchTimeoutMargin)
 	answer, err := w.calls.Call(limited, c.vm, methodWatch, encode(request))
@@ -140,6 +148,10 @@
 	}
 	w.recordResult(c, nil)
 	w.mu.Lock()
+	c.leavingVersion = leavingVersion
+	if c.epoch != response.Epoch {
+		c.leavingVersion = 0 // another process, which may not have the earlier notices
+	}
 	c.epoch, c.fleetVersion = response.Epoch, response.FleetVersion
 	if w.self.Role == Entry {
 		c.upstreamsVersion = response.UpstreamsVersion
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -222,7 +222,7 @@
 	if err := stream.Send(&peerpb.TunnelFrame{}); err != nil {
 		return err
 	}
-	defer s.node.served.add(stream)()
+	defer s.node.served.add(stream, first.Address)()
 	wg.Go(func() { sendToUpstream(stream, conn) })
 	return receiveFromUpstream(stream, conn)
 }
@@ -273,21 +273,21 @@
 // servedTunnels holds the tunnels that this VM serves. It is safe for concurrent use.
 type servedTunnels struct {
 	mu       sync.Mutex
-	streams  map[peerpb.DRPCPeer_TunnelStream]bool
+	streams  map[peerpb.DRPCPeer_TunnelStream]string // the upstream's address
 	draining bool
 }
 
 // add adds a tunnel and returns the function that removes it.
-func (s *servedTunnels) add(stream peerpb.DRPCPeer_TunnelStream) (remove func()) {
+func (s *servedTunnels) add(stream peerpb.DRPCPeer_TunnelStream, address string) (remove func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.draining {
 		sendDraining(stream)
 	}
 	if s.streams == nil {
-		s.streams = map[peerpb.DRPCPeer_TunnelStream]bool{}
+		s.streams = map[peerpb.DRPCPeer_TunnelStream]string{}
 	}
-	s.streams[stream] = true
+	s.streams[stream] = address
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -306,6 +306,21 @@
 	}
 }
 
+// DrainTunnelsTo does the same for the tunnels that lead to an upstream's address.
+func (n *Node) DrainTunnelsTo(address string) {
+	n.served.mu.Lock()
+	var streams []peerpb.DRPCPeer_TunnelStream
+	for stream, to := range n.served.streams {
+		if to == address {
+			streams = append(streams, stream)
+		}
+	}
+	n.served.mu.Unlock()
+	for _, stream := range streams {
+		sendDraining(stream)
+	}
+}
+
 func sendDraining(stream peerpb.DRPCPeer_TunnelStream) {
 	_ = stream.Send(&peerpb.TunnelFrame{Draining: true}) // fails only if the tunnel has ended
 }
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -172,3 +172,19 @@
 		return !near.Idle()
 	}, waitTimeout, 10*time.Millisecond)
 }
+
+// TestTunnel_DrainingOneUpstream checks that only the tunnels that lead to the upstream take no further requests.
+func TestTunnel_DrainingOneUpstream(t *testing.T) {
+	f := newTunnelFixture(t)
+	near, _ := f.open(t)
+	require.Eventually(t, func() bool { return f.nodeB.Stats().TunnelsServed.Load() == 1 }, waitTimeout, time.Millisecond)
+	for range 5 {
+		f.nodeB.DrainTunnelsTo("another upstream")
+		time.Sleep(2 * time.Millisecond)
+	}
+	require.True(t, near.Idle())
+	require.Eventually(t, func() bool {
+		f.nodeB.DrainTunnelsTo(f.upstream.Addr().String())
+		return !near.Idle()
+	}, waitTimeout, 10*time.Millisecond)
+}
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -9,7 +9,9 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
+	"egretramp/internal/events"
 	"egretramp/internal/httpwire"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
@@ -168,6 +170,9 @@
 		reply := a.server.opts.Protocol.ReadReply(response.StatusCode, response.Header)
 		if reply.RequestID == a.call.RequestID {
 			a.server.opts.Upstreams.ObserveLimit(a.upstream, reply.RateLimit, a.started)
+			if reply.Leaving {
+				a.recordLeaving()
+			}
 			return response, reply, nil
 		}
 		// A late response to an earlier request on this connection: discard it.
@@ -183,6 +188,13 @@
 	return nil, Reply{}, errStaleResponse
 }
 
+// recordLeaving records, before the response is passed on, that it says that the upstream leaves.
+func (a *attempt) recordLeaving() {
+	if a.server.opts.Directory.RecordLeaving(a.upstream) {
+		a.server.opts.Events.Emit(events.ProxyUpstreamLeaving, append(a.logFields(), zap.Int64("born", a.upstream.Born))...)
+	}
+}
+
 // recordReceived records that bytes from the upstream were received.
 func (a *attempt) recordReceived() {
 	a.zone.received.Store(true)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -77,6 +77,8 @@
 	NotRun     bool          // the request has not run and will not
 	RetryAfter time.Duration // 0 for no hint
 	RateLimit  RateLimit
+	// Leaving is set if the upstream states that it leaves: it soon stops serving.
+	Leaving bool
 }
 
 // LimitState is what a response says of its upstream's rate limit.
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -54,7 +54,7 @@
 }
 
 func (testProtocol) ReadReply(_ int, h http.Header) Reply {
-	return Reply{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != ""}
+	return Reply{RequestID: h.Get("Id"), Signed: h.Get("Signed") != "", NotRun: h.Get("Not-Run") != "", Leaving: h.Get("Leaving") != ""}
 }
 
 func (testProtocol) WriteRefusal(r Refusal) (int, http.Header, []byte) {
--- a/internal/proxy/streams.go
+++ b/internal/proxy/streams.go
@@ -29,7 +29,8 @@
 	// directoryFillTime is about the time in which a VM that has just started learns of all upstreams.
 	directoryFillTime = 2 * time.Second
 	// leavingShare is the part of the time that an upstream serves after it announced its shutdown, in which it
-	// is still sent streams that no other upstream can resume. The rest is for the delay of the announcement.
+	// is still sent requests that no other upstream can serve: streams of its build, and all if its service has no
+	// ready upstream. The rest is for the delay of the announcement.
 	leavingShare = 0.5
 	// lastAttempt is the number of a record that no later one replaces.
 	lastAttempt = math.MaxInt64
@@ -134,18 +135,24 @@
 	return nil
 }
 
-// upstreams returns the upstreams of the request's service. For a stream that is resumed, they include those that
-// announced their shutdown a short time ago.
+// upstreams returns the upstreams of the request's service. For a stream that is resumed, or if no upstream is ready,
+// they include those that announced their shutdown a short time ago.
 func (x *exchange) upstreams() []registry.Upstream {
 	ready := x.server.opts.Directory.View().Services[x.service.Name]
-	if x.origin.build == "" {
+	if x.origin.build == "" && len(ready) > 0 {
 		return ready
 	}
-	limit := time.Duration(leavingShare * float64(x.server.opts.Drain))
+	limit := LeavingLimit(x.server.opts.Drain)
 	leaving := x.server.opts.Directory.LeavingFor(x.service.Name, limit)
 	return append(ready[:len(ready):len(ready)], leaving...)
 }
 
+// LeavingLimit is how long an upstream is sent requests after it announced its shutdown, if no other one can serve them.
+// drain is the time for which it serves.
+func LeavingLimit(drain time.Duration) time.Duration {
+	return time.Duration(leavingShare * float64(drain))
+}
+
 // mayContinue reports whether an upstream may write what follows the events that were forwarded so far.
 func (x *exchange) mayContinue(u registry.Upstream) bool {
 	if !x.isResumable() || x.origin == (origin{}) {
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -20,6 +20,9 @@
 	entries map[string]*directoryEntry
 	latest  map[string]*directoryEntry // by address; of those that may be running, the one that started last
 	view    atomic.Pointer[View]
+	// notices are those that RecordLeaving added, the latest last.
+	notices       []directoryNotice
+	noticeVersion uint64
 	// onRemoved is called for an upstream that stopped being ready, outside the lock.
 	onRemoved func(Upstream)
 }
@@ -27,10 +30,25 @@
 type directoryEntry struct {
 	upstream Upstream
 	source   string // the control VM that reported this entry
-	// leavingSince is when a draining upstream announced its shutdown, zero if unknown.
+	// announced is set once the upstream's process has announced its shutdown, by its registration or in a response.
+	announced bool
+	// leavingSince is when it did, zero if unknown.
 	leavingSince time.Time
+	// saidLeaving is set once a response of the process said that it leaves, which no registration revokes.
+	saidLeaving bool
 }
 
+// directoryNotice is a notice for the control VMs.
+type directoryNotice struct {
+	version uint64
+	id      string
+	born    int64
+	at      time.Time
+}
+
+// maxDirectoryNotices bounds the notices that are kept for control VMs that have not received them.
+const maxDirectoryNotices = 256
+
 // NewDirectory returns an empty directory; onRemoved may be nil.
 func NewDirectory(onRemoved func(Upstream)) *Directory {
 	d := &Directory{entries: map[string]*directoryEntry{}, onRemoved: onRemoved}
@@ -65,10 +83,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	known := d.entries[u.ID]
-	if known == nil || known.upstream.Born != u.Born {
-		return false
-	}
-	return known.upstream.State == Draining || known.upstream.State == Gone && !known.upstream.Expired
+	return known != nil && known.upstream.Born == u.Born && known.announced
 }
 
 // LeavingFor returns the upstreams of a service that announced their shutdown less than limit ago and still serve.
@@ -78,7 +93,7 @@
 	var leaving []Upstream
 	for _, known := range d.latest {
 		u := known.upstream
-		if u.Service == service && u.State == Draining && !known.leavingSince.IsZero() && time.Since(known.leavingSince) < limit {
+		if u.Service == service && u.State == Draining && known.servesFor(limit) {
 			leaving = append(leaving, u)
 		}
 	}
@@ -86,6 +101,69 @@
 	return leaving
 }
 
+// servesFor reports whether less than limit has passed since an upstream announced its shutdown.
+func (e *directoryEntry) servesFor(limit time.Duration) bool {
+	return !e.leavingSince.IsZero() && time.Since(e.leavingSince) < limit
+}
+
+// MayServe reports whether an upstream that may be sent requests is registered at the address: one that hasn't
+// announced its shutdown, or less than limit ago.
+func (d *Directory) MayServe(address string, limit time.Duration) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.latest[address]
+	return known != nil && (!known.announced || known.servesFor(limit))
+}
+
+// RecordLeaving records that a response of an upstream said that it leaves, and reports whether that is news.
+func (d *Directory) RecordLeaving(u Upstream) bool {
+	d.mu.Lock()
+	known := d.entries[u.ID]
+	if known == nil || known.upstream.Born != u.Born || known.saidLeaving {
+		d.mu.Unlock()
+		return false
+	}
+	was := known.upstream
+	now := time.Now()
+	if !known.announced {
+		d.noticeVersion++
+		d.notices = append(d.notices, directoryNotice{d.noticeVersion, u.ID, u.Born, now})
+		d.notices = d.notices[max(len(d.notices)-maxDirectoryNotices, 0):]
+	}
+	known.recordSaid(now)
+	d.publish()
+	d.mu.Unlock()
+	if was.State == Ready && d.onRemoved != nil {
+		d.onRemoved(was)
+	}
+	return true
+}
+
+// recordSaid records that a response of the process said at a given time that it leaves.
+func (e *directoryEntry) recordSaid(at time.Time) {
+	e.announced, e.saidLeaving = true, true
+	if e.leavingSince.IsZero() || at.Before(e.leavingSince) {
+		e.leavingSince = at
+	}
+	if e.upstream.State == Ready {
+		e.upstream.State = Draining
+	}
+}
+
+// LeavingSince returns the notices of upstreams that leave, for control VMs, which were added after a version, and the
+// current version.
+func (d *Directory) LeavingSince(version uint64) ([]LeavingNotice, uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var added []LeavingNotice
+	for _, n := range d.notices {
+		if n.version > version && time.Since(n.at) < goneRetention {
+			added = append(added, LeavingNotice{ID: n.id, Born: n.born, Age: time.Since(n.at)})
+		}
+	}
+	return added, d.noticeVersion
+}
+
 // Merge applies the changes that the control VM source reports and returns those that it accepted.
 func (d *Directory) Merge(source string, changes []Upstream) (accepted []Upstream) {
 	if len(changes) == 0 {
@@ -95,9 +173,18 @@
 	var removed []Upstream
 	for _, u := range changes {
 		old, accepts := d.accept(source, u)
+		if said := d.mergeSaid(&u); said != nil {
+			accepts = true
+			if old == nil {
+				old = said
+			}
+		}
 		if !accepts {
 			continue
 		}
+		if known := d.entries[u.ID]; known != nil {
+			u = known.upstream
+		}
 		accepted = append(accepted, u)
 		if old != nil && old.State == Ready && (u.State != Ready || u.Address != old.Address || u.Born != old.Born) {
 			removed = append(removed, *old)
@@ -113,13 +200,25 @@
 	return accepted
 }
 
+// mergeSaid applies what a control VM knows of the responses of an upstream's process. If that is news, it returns the
+// entry before.
+func (d *Directory) mergeSaid(u *Upstream) *Upstream {
+	known := d.entries[u.ID]
+	if u.SaidLeaving <= 0 || known == nil || known.upstream.Born != u.Born || known.saidLeaving {
+		return nil
+	}
+	was := known.upstream
+	known.recordSaid(time.Now().Add(-u.SaidLeaving))
+	return &was
+}
+
 func (d *Directory) accept(source string, u Upstream) (old *Upstream, accepts bool) {
 	known := d.entries[u.ID]
 	if known == nil {
 		if u.State == Gone && u.Expired {
 			return nil, false
 		}
-		d.entries[u.ID] = &directoryEntry{upstream: u, source: source, leavingSince: announcedAt(&u)}
+		d.entries[u.ID] = &directoryEntry{upstream: u, source: source, leavingSince: announcedAt(&u), announced: u.State != Ready}
 		return nil, true
 	}
 	was := known.upstream
@@ -141,8 +240,18 @@
 	case u.Born < was.Born || (u.Born == was.Born && u.Sequence <= was.Sequence && !was.Expired):
 		return nil, false
 	}
-	if was.State != Draining || was.Born != u.Born {
-		known.leavingSince = announcedAt(&u)
+	if u.Born != was.Born {
+		known.announced, known.saidLeaving = false, false
+	}
+	switch {
+	case u.State == Ready && known.saidLeaving:
+		u.State = Draining // the registration was sent before the response
+	case u.State == Ready:
+		known.announced = false
+	case u.State == Draining && (!known.announced || was.Born != u.Born):
+		known.announced, known.leavingSince = true, announcedAt(&u)
+	case u.State == Gone && !u.Expired:
+		known.announced = true
 	}
 	known.upstream, known.source = u, source
 	return &was, true
@@ -157,8 +266,8 @@
 }
 
 // publish rebuilds the list. Of two upstreams with the same address only the one that started later
-// can still be running. A service whose upstreams have all expired keeps them: they may only be
-// unreachable from the control VMs.
+// can still be running. A service whose upstreams have all expired keeps those that had not announced their shutdown:
+// they may only be unreachable from the control VMs.
 func (d *Directory) publish() {
 	latest := make(map[string]*directoryEntry, len(d.entries))
 	d.latest = latest
@@ -179,7 +288,7 @@
 	}
 	expired := map[string][]Upstream{}
 	for _, known := range latest {
-		if u := known.upstream; u.State == Gone && len(view.Services[u.Service]) == 0 {
+		if u := known.upstream; u.State == Gone && !known.announced && len(view.Services[u.Service]) == 0 {
 			expired[u.Service] = append(expired[u.Service], u)
 		}
 	}
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -21,9 +21,14 @@
 	lastSeen time.Duration
 	// leavingSince is when the upstream announced its shutdown here, 0 if it may have done so elsewhere before.
 	leavingSince time.Duration
-	version      uint64 // of the last change that matters to callers
+	// saidLeavingAt is when a response of the upstream's process first said that it leaves, nil if none did.
+	saidLeavingAt *time.Duration
+	version       uint64 // of the last change that matters to callers
 }
 
+// isNotice reports whether the upstream is known from a LeavingNotice only.
+func (r *registration) isNotice() bool { return r.saidLeavingAt != nil && r.upstream.Address == "" }
+
 // NewRegistrar returns an empty registrar. An upstream that has not registered for lifetime counts as
 // gone.
 func NewRegistrar(lifetime time.Duration, clock func() time.Duration) *Registrar {
@@ -56,6 +61,9 @@
 		}
 	}
 	known.leavingSince = leavingSince(known, &u, now)
+	if u.Born != known.upstream.Born {
+		known.saidLeavingAt = nil
+	}
 	known.upstream = u
 	known.lastSeen = now
 	r.markChanged(known)
@@ -76,6 +84,44 @@
 	return 0
 }
 
+// RecordLeaving records what responses of upstreams said at entry VMs. Unknown upstreams are recorded too, up to
+// maxNotices, since their registrations may arrive at another VM.
+func (r *Registrar) RecordLeaving(notices []LeavingNotice) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock()
+	for _, notice := range notices {
+		known := r.entries[notice.ID]
+		switch {
+		case known == nil:
+			if r.noticeCount() >= maxNotices {
+				continue
+			}
+			known = &registration{upstream: Upstream{ID: notice.ID, Born: notice.Born, State: Draining}}
+			r.entries[notice.ID] = known
+		case known.isNotice() && known.upstream.Born < notice.Born:
+			known.upstream.Born = notice.Born
+		case known.upstream.Born != notice.Born || known.saidLeavingAt != nil:
+			continue
+		}
+		saidAt := now - max(notice.Age, 0)
+		known.saidLeavingAt = &saidAt
+		known.lastSeen = now
+		r.markChanged(known)
+	}
+}
+
+// noticeCount returns the number of upstreams that are known from a LeavingNotice only. r.mu must be held.
+func (r *Registrar) noticeCount() int {
+	n := 0
+	for _, known := range r.entries {
+		if known.isNotice() {
+			n++
+		}
+	}
+	return n
+}
+
 // Leave records that an upstream has announced its shutdown. Unknown IDs are recorded too, since the
 // announcement may arrive at another VM than the registrations.
 func (r *Registrar) Leave(id string) {
@@ -107,6 +153,10 @@
 		switch {
 		case known.upstream.State == Gone && age > goneRetention:
 			delete(r.entries, id)
+		case known.isNotice():
+			if age > goneRetention {
+				delete(r.entries, id)
+			}
 		case known.upstream.State != Gone && age > r.lifetime:
 			known.upstream.State = Gone
 			known.upstream.Expired = true
@@ -136,6 +186,9 @@
 			if known.leavingSince > 0 {
 				u.Leaving = max(r.clock()-known.leavingSince, 1)
 			}
+			if known.saidLeavingAt != nil {
+				u.SaidLeaving = max(r.clock()-*known.saidLeavingAt, 1)
+			}
 			changes = append(changes, u)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,6 +37,16 @@
 	Build string `cbor:"10,keyasint,omitempty"`
 	// Leaving is how long ago a Draining upstream announced its shutdown, when the entry was sent; 0 if unknown.
 	Leaving time.Duration `cbor:"11,keyasint,omitempty"`
+	// SaidLeaving is how long ago a response of this process first said that it leaves, when the entry was sent; 0 if
+	// none did. Unlike a registration, which may arrive late, a response that says so is final for its process.
+	SaidLeaving time.Duration `cbor:"12,keyasint,omitempty"`
+}
+
+// LeavingNotice reports that a response of an upstream's process said that it leaves.
+type LeavingNotice struct {
+	ID   string        `cbor:"1,keyasint"`
+	Born int64         `cbor:"2,keyasint"`
+	Age  time.Duration `cbor:"3,keyasint"` // since the response, when the notice was sent
 }
 
 // Process returns a text that identifies the upstream's process.
@@ -60,4 +70,6 @@
 	// goneRetention is how long an upstream that is gone is kept, so that a late registration of its
 	// incarnation is recognised. It exceeds network delays by far.
 	goneRetention = 60 * time.Second
+	// maxNotices bounds the upstreams that a Registrar knows only from a LeavingNotice.
+	maxNotices = 1024
 )
