platform: registrations that name no usable upstream are refused; IDs that VMs can't send to each other as well

Cause: an upstream's ID was taken from the path as it came. One that is not valid UTF-8 can't be decoded by the VMs that watch the registrations: all entry VMs stopped following them (seen on: no entry VM learnt of a new upstream within 15 s). A line break in it would have become a header. Ports out of range, addresses that are names and absurd numbers of slots were accepted. A request whose program, session or turn ID is not valid UTF-8 got 404 for a turn that may exist.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -319,6 +319,11 @@
 	c.node.events.Emit(events.NodeUpstreamChanged, zap.String("upstream", id), zap.Int("state", int(registry.Gone)))
 }
 
+// RefuseRegistration implements ControlService.RefuseRegistration.
+func (c *control) RefuseRegistration(from string, reason error) {
+	c.node.events.Emit(events.NodeRegistrationRefused, zap.String("from", from), zap.Error(reason))
+}
+
 // Empty implements ControlService.Empty.
 func (c *control) Empty(ctx context.Context, name string) error {
 	err := c.empty(ctx, name)
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -87,6 +87,8 @@
 	Register(u registry.Upstream)
 	// Leave records that an upstream has announced its shutdown.
 	Leave(id string)
+	// RefuseRegistration records that a registration from a network address names no usable upstream.
+	RefuseRegistration(from string, reason error)
 	// Empty starts to move all replicas off the store VM with the given Settings.Name.
 	Empty(ctx context.Context, name string) error
 	// Emptied reports whether a store VM that is being emptied is no longer a member of any group.
