--- a/internal/raft/wal/read.go
+++ b/internal/raft/wal/read.go
@@ -189,7 +189,7 @@
 		if c.snapshot == nil {
 			return errOrphanRecord
 		}
-		c.snapshot.Data = rec.content
+		c.snapshot.Data = bytes.Clone(rec.content) // even an empty slice of the file would keep all of it in memory
 		return nil
 	case kindBounds:
 		c.bounds = &raftpb.LogBounds{}
