node, replica: the limit on a store VM's logs follows the groups that it holds; more memory before collection at any cost

Change: the limit is read again as the log grows. Store VMs may use 0.8 instead of 0.7 of their memory before the collector runs regardless of its cost.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,8 +29,11 @@
 	// reloadInterval is how often the settings file is reloaded, since it may change without a signal.
 	reloadInterval = 2 * time.Second
 	// gcMemoryShare is the fraction of the allowed memory that the runtime may use before it collects
-	// garbage regardless of the cost. The rest is for stacks, file mappings and sockets.
+	// garbage regardless of the cost. The rest is for the program's code, file mappings and sockets.
 	gcMemoryShare = 0.7
+	// storeGCMemoryShare is that of a store VM, whose memory is mostly live conversations: collecting garbage
+	// regardless of the cost takes the processor time that its groups need to keep their leaders.
+	storeGCMemoryShare = 0.8
 	// peerRetention is how long a connection to a VM is kept after its last use.
 	peerRetention = 10 * time.Second
 	// electionTicks is the minimum election timeout in ticks of the replicas (50 ms). It is only three
@@ -75,7 +78,11 @@
 		opts.Listen = func(address string) (net.Listener, error) { return net.Listen("tcp", address) }
 	}
 	if s.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * gcMemoryShare))
+		share := gcMemoryShare
+		if s.Role == Store {
+			share = storeGCMemoryShare
+		}
+		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * share))
 	}
 	n := &Node{
 		opts: opts, settings: s, events: opts.Events,
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -121,7 +121,7 @@
 			return wal.Open(folder, fresh)
 		},
 		Machine: turns.New(), Transport: groups.Transport{Network: n.network},
-		SnapshotEvery: storeSnapshotEntries, SnapshotBytes: s.maxLogBytes(), Events: n.events, ElectionTicks: electionTicks,
+		SnapshotEvery: storeSnapshotEntries, SnapshotBytes: s.maxLogBytes, Events: n.events, ElectionTicks: electionTicks,
 	})
 	if err != nil {
 		return err
@@ -139,12 +139,12 @@
 }
 
 // maxLogBytes returns the size up to which the log of one group may grow, so that the logs of all groups
-// that may be assigned to this VM fit into its memory.
+// that this VM holds, or that may be assigned to it, fit into its memory.
 func (s *store) maxLogBytes() int64 {
 	view := s.node.watcher.stores()
-	held := 1
+	held := max(1, len(s.heldReplicas()))
 	if vms := len(view.running) + len(view.silent); vms > 0 {
-		held = max(1, (len(view.shards)*s.node.settings.StoreReplicas()+vms-1)/vms)
+		held = max(held, (len(view.shards)*s.node.settings.StoreReplicas()+vms-1)/vms)
 	}
 	return int64(storeLogMemoryShare * float64(s.node.settings.MemoryBytes) / float64(held))
 }
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -31,7 +31,7 @@
 	electionTicks  int
 	heartbeatTicks int
 	snapshotEvery  uint64
-	snapshotBytes  int64
+	snapshotBytes  func() int64
 	seed           int64
 	durableCommit  bool
 	send           func(vm string, m *raftpb.Message)
@@ -48,6 +48,7 @@
 	applied uint64
 	// appliedBytes is the total size of the entries applied since the last snapshot.
 	appliedBytes int64
+	checkedBytes int64 // appliedBytes when the limit was last read
 	vms          map[uint64]string
 	pending      proposals
 	reads        pendingReads
@@ -253,6 +254,9 @@
 	n.pending.complete(e.Index, e.Term, result)
 }
 
+// snapshotCheckBytes is the size of applied entries after which the limit on their size is read again.
+const snapshotCheckBytes = 64 << 10
+
 // largeLogEntriesKept is the number of entries kept in a log that is truncated because of its size.
 const largeLogEntriesKept = 500
 
@@ -261,7 +265,7 @@
 // the log exceeded its size limit.
 func (n *node) compact() error {
 	many := n.applied >= n.raft.SnapshotIndex()+n.options.snapshotEvery
-	large := n.options.snapshotBytes > 0 && n.appliedBytes >= n.options.snapshotBytes
+	large := n.exceedsSnapshotBytes()
 	if !many && !large {
 		return nil
 	}
@@ -273,7 +277,7 @@
 	if large {
 		keep = largeLogEntriesKept
 	}
-	n.appliedBytes = 0
+	n.appliedBytes, n.checkedBytes = 0, 0
 	c := n.raft.Compact(n.applied, data, keep)
 	if c == nil {
 		return nil
@@ -281,6 +285,16 @@
 	return n.store.Save(storage.Batch{Hard: c.HardState, Snapshot: c.Snapshot, BaseIndex: c.BaseIndex, BaseTerm: c.BaseTerm})
 }
 
+// exceedsSnapshotBytes reports whether the entries applied since the last snapshot exceed their limit.
+func (n *node) exceedsSnapshotBytes() bool {
+	if n.options.snapshotBytes == nil || n.appliedBytes < n.checkedBytes+snapshotCheckBytes {
+		return false
+	}
+	n.checkedBytes = n.appliedBytes
+	limit := n.options.snapshotBytes()
+	return limit > 0 && n.appliedBytes >= limit
+}
+
 // sendToReplica sends a message of the Raft core to the VM of the receiving replica.
 func (n *node) sendToReplica(m *raftpb.Message) {
 	vm := n.vms[m.To]
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -66,9 +66,10 @@
 	// SnapshotEvery is the number of applied entries after which a snapshot is taken and the log
 	// truncated. Default DefaultSnapshotEvery.
 	SnapshotEvery uint64
-	// SnapshotBytes is the total size of applied entries after which a snapshot is taken and the
-	// log truncated, regardless of their number; 0 disables this limit.
-	SnapshotBytes int64
+	// SnapshotBytes returns the total size of applied entries after which a snapshot is taken and the
+	// log truncated, regardless of their number; 0 disables this limit. It is called on the replica's
+	// goroutine, since the limit may depend on the groups that share the VM. nil: no limit.
+	SnapshotBytes func() int64
 	// DurableCommit persists the commit index, so that after a restart the replica has at once
 	// every entry it had applied before, because others may already have acted on that state.
 	// Otherwise it starts with only the entries it can prove to be committed. Costs one sync
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -28,6 +28,7 @@
 	vms           []string
 	folders       map[string]string
 	snapshotEvery uint64 // in entries
+	snapshotBytes func() int64
 	tick          time.Duration
 	bytes         atomic.Int64 // sent by all replicas
 	mu            sync.Mutex
@@ -68,7 +69,7 @@
 	app := &recorder{}
 	r, err := New(Options{
 		Group: 1, VM: vm, Folder: f.folders[vm], InitialVMs: f.vms, Machine: app, Transport: f,
-		TickInterval: f.tick, ElectionTicks: 20, HeartbeatTicks: 3, SnapshotEvery: f.snapshotEvery,
+		TickInterval: f.tick, ElectionTicks: 20, HeartbeatTicks: 3, SnapshotEvery: f.snapshotEvery, SnapshotBytes: f.snapshotBytes,
 	})
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
