replica: commands whose callers left while they waited are not appended

Cause: a leader that stood still for a moment appended all commands that had queued up meanwhile, also those whose callers had given up and sent the command again: work for nobody keeps a group behind that is behind. Seen: TestReplica_DropsProposalsOfCallersThatLeft, 210 entries appended for 10 callers before, 10 now.

--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -30,6 +30,9 @@
 	}
 	answer := make(chan outcome, 1)
 	err := r.submit(ctx, func(n *node) {
+		if ctx.Err() != nil {
+			return // the caller left while the command waited for its turn
+		}
 		n.propose(data, func(result []byte, err error) { answer <- outcome{result, err} })
 	})
 	if err != nil {
