proxy: responses that end with their connection: a stream without an event is broken off, blank lines after the last event aren't

Cause: a stream of no declared length that ended after its head looked complete, as if its upstream had meant to write no event. Blank lines behind the last event counted as the begin of a further one, so a whole stream looked broken off. Seen: 12 of 72 cases of TestServer_UnframedResponses red before, none now; the other 60 (both protocol versions, plain responses, streams, recorded turns; ends inside an event, a character, by a reset) were green before.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -226,7 +226,7 @@
 
 // updateReusable sets reusable if the connection may carry another request.
 func (a *attempt) updateReusable(response *http.Response, err error) {
-	if err != nil || response.Close || (response.ContentLength < 0 && len(response.TransferEncoding) == 0) {
+	if err != nil || response.Close || isUnframed(response) {
 		return
 	}
 	if a.writeResult != nil {
@@ -245,6 +245,7 @@
 func (a *attempt) forwardStream(response *http.Response) (outcome, error) {
 	reader := bufio.NewReaderSize(response.Body, 2<<10)
 	var lastEventAt time.Time
+	var trailer []byte // blank lines after the last event
 	for {
 		a.buffers.release()
 		event, err := readEvent(reader, &a.buffers)
@@ -252,9 +253,10 @@
 			return a.streamInterrupted(err)
 		}
 		if err != nil {
-			if len(event) > 0 {
+			if !isBlank(event) || (!a.forwarded && isUnframed(response)) {
 				return a.streamInterrupted(io.ErrUnexpectedEOF)
 			}
+			trailer = event
 			break
 		}
 		a.recordReceived()
@@ -293,6 +295,12 @@
 	if !a.w.Begun() {
 		a.w.Begin(response.StatusCode, response.Header)
 	}
+	if len(trailer) > 0 {
+		if err := a.w.Chunk(trailer); err != nil {
+			a.abortCallerGone(errors.Mark(err, httpwire.ErrCallerGone))
+			return answered, nil
+		}
+	}
 	err := a.finishStream(response.StatusCode)
 	a.server.crashes.recordSuccess(a.call.RequestID, a.requestFingerprint())
 	return answered, err
@@ -348,6 +356,13 @@
 	}
 }
 
+// isUnframed reports whether a response has neither a length nor chunks and ends with its connection.
+func isUnframed(r *http.Response) bool { return r.ContentLength < 0 && len(r.TransferEncoding) == 0 }
+
+// isBlank reports whether what follows the last event holds only blank lines, so that the stream ends outside of an
+// event.
+func isBlank(rest []byte) bool { return len(bytes.Trim(rest, "\r\n")) == 0 }
+
 // isBlankLine reports whether line holds only a line ending.
 func isBlankLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
