--- a/cmd/egretramp-platform-soak/main.go
+++ b/cmd/egretramp-platform-soak/main.go
@@ -16,6 +16,7 @@
 type options struct {
 	Seed     uint64        `long:"seed" default:"1" description:"seed of the faults; with several runs, of the first"`
 	Runs     uint64        `long:"runs" default:"1" description:"number of runs, with seeds that follow each other"`
+	Old      string        `long:"old-program" description:"daemon of an earlier release; the fleet starts with it, and VMs change between both at each restart"`
 	Duration time.Duration `long:"duration" default:"30s" description:"time under faults of a run"`
 }
 
@@ -32,7 +33,7 @@
 	failed := false
 	for i := range o.Runs {
 		err := soak.Run(soak.Options{
-			Program: filepath.Join(filepath.Dir(self), "egretrampd"), Seed: o.Seed + i, Duration: o.Duration, Out: os.Stdout,
+			Program: filepath.Join(filepath.Dir(self), "egretrampd"), OldProgram: o.Old, Seed: o.Seed + i, Duration: o.Duration, Out: os.Stdout,
 		})
 		if err != nil {
 			fmt.Fprintf(os.Stderr, "egretramp-platform-soak: seed %d: %v\n", o.Seed+i, err)
