proxy: the test of silent crashes waits for the probe of the last attempt

Cause: an attempt that this VM ends itself is probed in the background, 0.3 s after its start at the earliest; the test sent the next request at once. That a request is rejected from then on is still required, within 1.3 s.

--- a/internal/proxy/crash_test.go
+++ b/internal/proxy/crash_test.go
@@ -125,6 +125,8 @@
 				g.server.ReviewCrashes()
 				g.directory.Merge("c", []registry.Upstream{{ID: u.ID, State: registry.Gone}})
 			}
+			// The upstream of the last attempt is probed in the background.
+			require.Eventually(t, func() bool { return g.server.opts.Suspects.Rejects(g.poisonFingerprint("/once/x")) }, minSilence+time.Second, time.Millisecond)
 			require.Equal(t, "quarantined", g.sendPoison("/once/x", 1).reason)
 		})
 	}
