--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -134,6 +134,9 @@
 	return s, nil
 }
 
+// maxWeight bounds the weight of a target, so that their sum doesn't overflow.
+const maxWeight = 1 << 31
+
 // addRoute validates a route and inserts it into its host's list, longest prefix first.
 func (s *Snapshot) addRoute(r *Route) error {
 	if r.Host == "" || !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
@@ -147,8 +150,8 @@
 		if s.services[target.Service] == nil {
 			return errors.Newf("service %q is unknown", target.Service)
 		}
-		if target.Weight < 0 {
-			return errors.Newf("service %q has a negative weight", target.Service)
+		if target.Weight < 0 || target.Weight > maxWeight {
+			return errors.Newf("service %q: the weight %d is not between 0 and %d", target.Service, target.Weight, maxWeight)
 		}
 		total += target.Weight
 	}
