--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -34,8 +34,8 @@
 	announced bool
 	// leavingSince is when it did, zero if unknown.
 	leavingSince time.Time
-	// saidLeaving is set once a response of the process said that it leaves, which no registration revokes.
-	saidLeaving bool
+	// leavingStated is set once a response of the process said that it leaves, which no registration revokes.
+	leavingStated bool
 }
 
 // directoryNotice is a notice for the control VMs.
@@ -119,7 +119,7 @@
 func (d *Directory) RecordLeaving(u Upstream) bool {
 	d.mu.Lock()
 	known := d.entries[u.ID]
-	if known == nil || known.upstream.Born != u.Born || known.saidLeaving {
+	if known == nil || known.upstream.Born != u.Born || known.leavingStated {
 		d.mu.Unlock()
 		return false
 	}
@@ -130,7 +130,7 @@
 		d.notices = append(d.notices, directoryNotice{d.noticeVersion, u.ID, u.Born, now})
 		d.notices = d.notices[max(len(d.notices)-maxDirectoryNotices, 0):]
 	}
-	known.recordSaid(now)
+	known.recordStatedLeaving(now)
 	d.publish()
 	d.mu.Unlock()
 	if was.State == Ready && d.onRemoved != nil {
@@ -139,9 +139,9 @@
 	return true
 }
 
-// recordSaid records that a response of the process said at a given time that it leaves.
-func (e *directoryEntry) recordSaid(at time.Time) {
-	e.announced, e.saidLeaving = true, true
+// recordStatedLeaving records that a response of the process said at a given time that it leaves.
+func (e *directoryEntry) recordStatedLeaving(at time.Time) {
+	e.announced, e.leavingStated = true, true
 	if e.leavingSince.IsZero() || at.Before(e.leavingSince) {
 		e.leavingSince = at
 	}
@@ -173,10 +173,10 @@
 	var removed []Upstream
 	for _, u := range changes {
 		old, accepts := d.accept(source, u)
-		if said := d.mergeSaid(&u); said != nil {
+		if before := d.mergeStatedLeaving(&u); before != nil {
 			accepts = true
 			if old == nil {
-				old = said
+				old = before
 			}
 		}
 		if !accepts {
@@ -200,15 +200,15 @@
 	return accepted
 }
 
-// mergeSaid applies what a control VM knows of the responses of an upstream's process. If that is news, it returns the
-// entry before.
-func (d *Directory) mergeSaid(u *Upstream) *Upstream {
+// mergeStatedLeaving applies what a control VM knows of the responses of an upstream's process. If that is news, it
+// returns the entry before.
+func (d *Directory) mergeStatedLeaving(u *Upstream) *Upstream {
 	known := d.entries[u.ID]
-	if u.SaidLeaving <= 0 || known == nil || known.upstream.Born != u.Born || known.saidLeaving {
+	if u.LeavingStated <= 0 || known == nil || known.upstream.Born != u.Born || known.leavingStated {
 		return nil
 	}
 	was := known.upstream
-	known.recordSaid(time.Now().Add(-u.SaidLeaving))
+	known.recordStatedLeaving(time.Now().Add(-u.LeavingStated))
 	return &was
 }
 
@@ -241,10 +241,10 @@
 		return nil, false
 	}
 	if u.Born != was.Born {
-		known.announced, known.saidLeaving = false, false
+		known.announced, known.leavingStated = false, false
 	}
 	switch {
-	case u.State == Ready && known.saidLeaving:
+	case u.State == Ready && known.leavingStated:
 		u.State = Draining // the registration was sent before the response
 	case u.State == Ready:
 		known.announced = false
--- a/internal/registry/leaving_test.go
+++ b/internal/registry/leaving_test.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,7 +18,7 @@
 	return ids
 }
 
-func at(id, address string, born, sequence int64, state State) Upstream {
+func entryAt(id, address string, born, sequence int64, state State) Upstream {
 	return Upstream{ID: id, Service: "s", Address: address, Born: born, Sequence: sequence, State: state}
 }
 
@@ -26,8 +27,8 @@
 func TestDirectory_ResponseSaysThatAnUpstreamLeaves(t *testing.T) {
 	var removed []string
 	d := NewDirectory(func(u Upstream) { removed = append(removed, u.ID) })
-	a := at("a", "10.0.0.1:80", 5, 1, Ready)
-	d.Merge("c1", []Upstream{a, at("b", "10.0.0.2:80", 5, 1, Ready)})
+	a := entryAt("a", "10.0.0.1:80", 5, 1, Ready)
+	d.Merge("c1", []Upstream{a, entryAt("b", "10.0.0.2:80", 5, 1, Ready)})
 	require.True(t, d.RecordLeaving(a))
 	require.False(t, d.RecordLeaving(a), "known already")
 	require.Equal(t, []string{"a"}, removed, "idle connections are closed")
@@ -41,24 +42,24 @@
 
 	expired := late
 	expired.State, expired.Expired = Gone, true
-	gone := at("b", "10.0.0.2:80", 5, 2, Gone)
+	gone := entryAt("b", "10.0.0.2:80", 5, 2, Gone)
 	d.Merge("c2", []Upstream{expired})
 	d.Merge("c1", []Upstream{gone})
 	require.Empty(t, d.ids(), "an expired upstream that said that it leaves is no last resort")
 
-	d.Merge("c2", []Upstream{at("a", "10.0.0.1:80", 5, 9, Ready)})
+	d.Merge("c2", []Upstream{entryAt("a", "10.0.0.1:80", 5, 9, Ready)})
 	require.Empty(t, d.ids(), "the same process registers again")
-	d.Merge("c2", []Upstream{at("a", "10.0.0.1:80", 6, 1, Ready)})
+	d.Merge("c2", []Upstream{entryAt("a", "10.0.0.1:80", 6, 1, Ready)})
 	require.Equal(t, []string{"a"}, d.ids(), "another process under the same ID")
 }
 
 // TestDirectory_NoticeOfAnotherProcessChangesNothing: an address, or an ID, may belong to another process by now.
 func TestDirectory_NoticeOfAnotherProcessChangesNothing(t *testing.T) {
 	d := NewDirectory(nil)
-	old := at("a", "10.0.0.1:80", 5, 1, Ready)
-	d.Merge("c1", []Upstream{old, at("a", "10.0.0.1:80", 6, 1, Ready)})
+	old := entryAt("a", "10.0.0.1:80", 5, 1, Ready)
+	d.Merge("c1", []Upstream{old, entryAt("a", "10.0.0.1:80", 6, 1, Ready)})
 	require.False(t, d.RecordLeaving(old))
-	require.False(t, d.RecordLeaving(at("unknown", "10.0.0.9:80", 1, 1, Ready)))
+	require.False(t, d.RecordLeaving(entryAt("unknown", "10.0.0.9:80", 1, 1, Ready)))
 	require.Equal(t, []string{"a"}, d.ids())
 }
 
@@ -66,9 +67,9 @@
 // of its service.
 func TestDirectory_ExpiredAfterItsAnnouncement(t *testing.T) {
 	d := NewDirectory(nil)
-	d.Merge("c1", []Upstream{at("a", "10.0.0.1:80", 5, 1, Ready)})
-	d.Merge("c1", []Upstream{at("a", "10.0.0.1:80", 5, 2, Draining)})
-	expired := at("a", "10.0.0.1:80", 5, 2, Gone)
+	d.Merge("c1", []Upstream{entryAt("a", "10.0.0.1:80", 5, 1, Ready)})
+	d.Merge("c1", []Upstream{entryAt("a", "10.0.0.1:80", 5, 2, Draining)})
+	expired := entryAt("a", "10.0.0.1:80", 5, 2, Gone)
 	expired.Expired = true
 	d.Merge("c1", []Upstream{expired})
 	require.Empty(t, d.ids())
@@ -78,13 +79,13 @@
 func TestDirectory_LeavingForIsBounded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d := NewDirectory(nil)
-		a := at("a", "10.0.0.1:80", 5, 1, Ready)
+		a := entryAt("a", "10.0.0.1:80", 5, 1, Ready)
 		d.Merge("c1", []Upstream{a})
 		require.True(t, d.MayServe("10.0.0.1:80", time.Second))
 		d.RecordLeaving(a)
 		time.Sleep(600 * time.Millisecond)
 		require.Len(t, d.LeavingFor("s", time.Second), 1)
-		draining := at("a", "10.0.0.1:80", 5, 2, Draining)
+		draining := entryAt("a", "10.0.0.1:80", 5, 2, Draining)
 		draining.Leaving = time.Millisecond // the announcement followed the response
 		d.Merge("c1", []Upstream{draining})
 		require.True(t, d.MayServe("10.0.0.1:80", time.Second))
@@ -100,7 +101,7 @@
 func TestRegistry_NoticeReachesOtherDirectories(t *testing.T) {
 	clock := &fakeClock{}
 	first, second := NewRegistrar(4*time.Second, clock.Now), NewRegistrar(4*time.Second, clock.Now)
-	a := at("a", "10.0.0.1:80", 5, 1, Ready)
+	a := entryAt("a", "10.0.0.1:80", 5, 1, Ready)
 	first.Register(a)
 	heard, other := NewDirectory(nil), NewDirectory(nil)
 	merge := func(d *Directory, since uint64, r *Registrar, name string) {
@@ -123,11 +124,11 @@
 	merge(late, 0, second, "c2")
 	require.Empty(t, late.ids())
 	first.RecordLeaving(notices)
-	first.Register(at("a", "10.0.0.1:80", 5, 2, Ready))
+	first.Register(entryAt("a", "10.0.0.1:80", 5, 2, Ready))
 	merge(late, 0, first, "c1")
 	require.Empty(t, late.ids())
 
-	second.Register(at("a", "10.0.0.1:80", 6, 1, Ready))
+	second.Register(entryAt("a", "10.0.0.1:80", 6, 1, Ready))
 	merge(late, 0, second, "c2")
 	require.Equal(t, []string{"a"}, late.ids(), "a new process")
 }
@@ -137,11 +138,11 @@
 	clock := &fakeClock{}
 	r := NewRegistrar(4*time.Second, clock.Now)
 	for i := range 4 * maxNotices {
-		r.RecordLeaving([]LeavingNotice{{ID: string(rune('a' + i%26)), Born: int64(i)}})
+		r.RecordLeaving([]LeavingNotice{{ID: fmt.Sprint(i % 26), Born: int64(i)}})
 	}
 	var many []LeavingNotice
 	for i := range 4 * maxNotices {
-		many = append(many, LeavingNotice{ID: string(rune(1000 + i)), Born: 1})
+		many = append(many, LeavingNotice{ID: fmt.Sprint("upstream ", i), Born: 1})
 	}
 	r.RecordLeaving(many)
 	changes, _, _ := r.Since(0)
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -21,13 +21,13 @@
 	lastSeen time.Duration
 	// leavingSince is when the upstream announced its shutdown here, 0 if it may have done so elsewhere before.
 	leavingSince time.Duration
-	// saidLeavingAt is when a response of the upstream's process first said that it leaves, nil if none did.
-	saidLeavingAt *time.Duration
-	version       uint64 // of the last change that matters to callers
+	// leavingStatedAt is when a response of the upstream's process first said that it leaves, nil if none did.
+	leavingStatedAt *time.Duration
+	version         uint64 // of the last change that matters to callers
 }
 
 // isNotice reports whether the upstream is known from a LeavingNotice only.
-func (r *registration) isNotice() bool { return r.saidLeavingAt != nil && r.upstream.Address == "" }
+func (r *registration) isNotice() bool { return r.leavingStatedAt != nil && r.upstream.Address == "" }
 
 // NewRegistrar returns an empty registrar. An upstream that has not registered for lifetime counts as
 // gone.
@@ -62,7 +62,7 @@
 	}
 	known.leavingSince = leavingSince(known, &u, now)
 	if u.Born != known.upstream.Born {
-		known.saidLeavingAt = nil
+		known.leavingStatedAt = nil
 	}
 	known.upstream = u
 	known.lastSeen = now
@@ -101,11 +101,11 @@
 			r.entries[notice.ID] = known
 		case known.isNotice() && known.upstream.Born < notice.Born:
 			known.upstream.Born = notice.Born
-		case known.upstream.Born != notice.Born || known.saidLeavingAt != nil:
+		case known.upstream.Born != notice.Born || known.leavingStatedAt != nil:
 			continue
 		}
 		saidAt := now - max(notice.Age, 0)
-		known.saidLeavingAt = &saidAt
+		known.leavingStatedAt = &saidAt
 		known.lastSeen = now
 		r.markChanged(known)
 	}
@@ -186,8 +186,8 @@
 			if known.leavingSince > 0 {
 				u.Leaving = max(r.clock()-known.leavingSince, 1)
 			}
-			if known.saidLeavingAt != nil {
-				u.SaidLeaving = max(r.clock()-*known.saidLeavingAt, 1)
+			if known.leavingStatedAt != nil {
+				u.LeavingStated = max(r.clock()-*known.leavingStatedAt, 1)
 			}
 			changes = append(changes, u)
 		}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -37,9 +37,9 @@
 	Build string `cbor:"10,keyasint,omitempty"`
 	// Leaving is how long ago a Draining upstream announced its shutdown, when the entry was sent; 0 if unknown.
 	Leaving time.Duration `cbor:"11,keyasint,omitempty"`
-	// SaidLeaving is how long ago a response of this process first said that it leaves, when the entry was sent; 0 if
+	// LeavingStated is how long ago a response of this process first said that it leaves, when the entry was sent; 0 if
 	// none did. Unlike a registration, which may arrive late, a response that says so is final for its process.
-	SaidLeaving time.Duration `cbor:"12,keyasint,omitempty"`
+	LeavingStated time.Duration `cbor:"12,keyasint,omitempty"`
 }
 
 // LeavingNotice reports that a response of an upstream's process said that it leaves.
