--- a/review/testdata/driver/fleet.go
+++ b/review/testdata/driver/fleet.go
@@ -109,7 +109,7 @@
 		n := os.Getpid() + try*97
 		subnet := fmt.Sprintf("127.%d.%d", 80+n/250%100, 1+n%250)
 		free := true
-		for _, host := range []int{11, 12, 13, 21, 22, 23, 31, 32, 33, 101, 102} {
+		for _, host := range []int{11, 12, 13, 21, 22, 23, 31, 32, 33, 34, 35, 36, 37, 101, 102, 121} {
 			for _, port := range []int{internalPort, controlPort, frontPort, readyPort, metricsPort, replicaPort} {
 				l, err := net.Listen("tcp", fmt.Sprintf("%s.%d:%d", subnet, host, port))
 				if err != nil {
--- a/review/testdata/driver/leaving.go
+++ b/review/testdata/driver/leaving.go
@@ -24,7 +24,7 @@
 		linger  = 4200 * time.Millisecond // from the acknowledgement to the exit: drain_timeout_ms and some seconds
 	)
 	core := s.fleet.class("core")
-	for i := range 4 {
+	for i := range 14 {
 		r, err := s.fleet.newReplica(fmt.Sprintf("i-%d", i+1), "models", zones[i%3], 101+i)
 		if err != nil {
 			return false, err
@@ -43,7 +43,7 @@
 		beats, leaves := []*machine{core[0], core[1]}, []*machine{core[1], core[0]}
 		var leaving []*replica
 		for i := range 2 {
-			r, err := s.fleet.newReplica(fmt.Sprintf("i-%d-%d", round+1, 5+i), "models", zones[i], 111+2*round+i)
+			r, err := s.fleet.newReplica(fmt.Sprintf("i-%d-%d", round+1, 5+i), "models", zones[i], 121+2*round+i)
 			if err != nil {
 				return false, err
 			}
--- a/review/testdata/driver/main.go
+++ b/review/testdata/driver/main.go
@@ -29,11 +29,13 @@
 	run   func(*scene) (broken bool, err error)
 }{
 	"lost-disks": {2, runLostDisks},
-	"budget":     {3, runBudget},
+	"budget":     {7, runBudget},
 	"mid-stream": {1, runMidStream},
 	"resumed":    {3, runResumedTurn},
-	"leaving":    {2, runLeaving},
-	"returning":  {3, runReturning},
+	"leaving":    {7, runLeaving},
+	"returning":  {7, runReturning},
+	"long-chain": {2, runLongChain},
+	"configs":    {2, runConfigs},
 }
 
 func main() {
