review: case 5 from an entry, a restart of a core machine cuts streams

The first entry of KNOWN-RED.txt can be shown without a busy machine: while a zone's control VM is restarted, requests that wait for pausing replicas make the zone count as unreachable after 0.7 s, and all that is under way there is cut. It takes the place of the case on leaving replicas, which stays in the driver and the report.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 for program in target/egretrampd target/review/driver; do
   [ -x "$program" ] || { echo "$program is not built" >&2; exit 2; }
 done
-exec target/review/driver -case leaving -record review/5/record.txt
+exec target/review/driver -case stopping -record review/5/record.txt
--- a/review/testdata/driver/main.go
+++ b/review/testdata/driver/main.go
@@ -34,6 +34,7 @@
 	"resumed":    {3, runResumedTurn},
 	"leaving":    {7, runLeaving},
 	"returning":  {7, runReturning},
+	"stopping":   {3, runStopping},
 	"long-chain": {2, runLongChain},
 	"configs":    {2, runConfigs},
 }
