review: platform's names out of the driver's Go code

The names and the settings file are data files of the driver now; the scripts do the same as before.

--- a/review/testdata/driver/budget.go
+++ b/review/testdata/driver/budget.go
@@ -11,7 +11,7 @@
 func runBudget(s *scene) (bool, error) {
 	const (
 		events    = 10
-		mostTurn  = events * tokensPerEvent // the second number of X-Token-Usage
+		mostTurn  = events * tokensPerEvent // the most of one turn, as clients state it
 		budget    = 2 * mostTurn
 		killAfter = 9                // events
 		pause     = 20 * time.Second // retention_s is 60
--- a/review/testdata/driver/chain.go
+++ b/review/testdata/driver/chain.go
@@ -29,7 +29,7 @@
 		first, second, third := edges[round%3], edges[(round+1)%3], edges[(round+2)%3]
 		id := fmt.Sprintf("p%d", round)
 		headers := map[string]string{
-			"X-Program-Id": id, "X-Session-Id": id, "X-Finish-Ms": "20000", "X-Token-Budget": "2000", "X-Token-Usage": "600,72", "X-Model": "m",
+			wireName("program"): id, wireName("line"): id, "X-Finish-Ms": "20000", wireName("budget"): "2000", wireName("usage"): "600,72", "X-Model": "m",
 		}
 		in1, in2 := "first input "+id+"\n", "second input "+id
 		var once sync.Once
@@ -55,7 +55,7 @@
 			s.rec.line("client: the turn of %s wasn't answered whole; the program ends", id)
 			continue
 		}
-		headers["X-Previous-Turn"] = a.id
+		headers[wireName("previous")] = a.id
 		b := attempt{edge: third, method: http.MethodPost, path: "/chat/turn/1", body: in2, headers: headers, limit: 3 * time.Second}.send()
 		s.rec.line("client: next turn of %s at %s: %s", id, third.name, b)
 		want := in1 + strings.Join(events, "\n") + "\n" + in2
--- a/review/testdata/driver/client.go
+++ b/review/testdata/driver/client.go
@@ -60,8 +60,8 @@
 	defer func() { _ = conn.Close() }()
 	_ = conn.SetDeadline(deadline)
 	var head bytes.Buffer
-	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\nX-Deadline-Ms: %d\r\nAuthorization: Bearer %s\r\nConnection: close\r\n",
-		a.method, a.path, host, out.id, a.limit.Milliseconds(), tenantKey)
+	fmt.Fprintf(&head, "%s %s HTTP/1.1\r\nHost: %s\r\nX-Request-Id: %s\r\n%s: %d\r\nAuthorization: Bearer %s\r\nConnection: close\r\n",
+		a.method, a.path, host, out.id, wireName("deadline"), a.limit.Milliseconds(), tenantKey)
 	for name, value := range a.headers {
 		fmt.Fprintf(&head, "%s: %s\r\n", name, value)
 	}
--- a/review/testdata/driver/configs.go
+++ b/review/testdata/driver/configs.go
@@ -28,7 +28,7 @@
 		}
 		for range 40 {
 			for _, c := range core {
-				if status, _ := plain(http.MethodPut, "http://"+c.address(controlPort)+"/-/config", data, time.Second); status == http.StatusOK {
+				if status, _ := plain(http.MethodPut, "http://"+c.address(controlPort)+wireName("calls")+"config", data, time.Second); status == http.StatusOK {
 					return true
 				}
 			}
@@ -64,7 +64,7 @@
 		}
 		time.Sleep(2 * time.Second)
 		for _, c := range core {
-			status, data := plain(http.MethodGet, "http://"+c.address(controlPort)+"/-/config", nil, time.Second)
+			status, data := plain(http.MethodGet, "http://"+c.address(controlPort)+wireName("calls")+"config", nil, time.Second)
 			var got struct{ Version int }
 			_ = json.Unmarshal(data, &got)
 			s.rec.line("operator: %s answers %d, version %d; %d was acknowledged", c.name, status, got.Version, version)
--- a/review/testdata/driver/fleet.go
+++ b/review/testdata/driver/fleet.go
@@ -159,7 +159,7 @@
 	for _, c := range f.class("core") {
 		seeds = append(seeds, fmt.Sprintf("%q", c.address(controlPort)))
 	}
-	serves := map[string]string{"edge": "edge", "core": "control_plane", "storage": "storage"}[m.class]
+	serves := map[string]string{"edge": "edge", "core": wireName("control"), "storage": "storage"}[m.class]
 	role := map[string]string{"edge": "entry", "core": "control", "storage": "store"}[m.class]
 	z := f.sizes[m.class]
 	data, listen := "", ""
@@ -172,57 +172,7 @@
 	if m.class != "edge" {
 		data = fmt.Sprintf("data_dir = %q\n", filepath.Join(m.folder, "data"))
 	}
-	return fmt.Sprintf(`node_name = %q
-role = %q
-machine_class = %q
-serves = [%q]
-ip = %q
-zone = %q
-region = "region"
-internal_ports = [%d,%d]
-seeds = [%s]
-first_start = %v
-counts_as_loss = %v
-%sdiscovery = "registration"
-entry = "virtual_ip"
-heartbeat_ms = %d
-contracts = ["base","drain","config","cost","recover","agent","stream","engine","tenants","quota"]
-config_mode = "highest"
-[zones]
-zone-a = "region"
-zone-b = "region"
-zone-c = "region"
-[listen]
-%s[limits]
-cpu_share = %v
-cores = 1
-memory_mb = %d
-max_fds = %d
-link_mbps = %d.0
-disk_mb = %d
-[fault_tolerance]
-machines = 1
-zones = 1
-regions = 0
-[bounds]
-seed_lag_s = 3
-reuse_after_s = 2
-stability_window_ms = %d
-ack_timeout_ms = 4000
-catch_up_s = %v
-drain_timeout_ms = %d
-grace_s = %d
-loss_slack_ms = 200
-config_apply_ms = 2000
-rollback_slack_ms = 250
-outer_ms = 5000
-strict_revocation = false
-revoke_ms = 5000
-quota_window_s = 5
-quota_over = 0.1
-quota_slack = 20
-recover_s = %d
-`, m.name, role, m.class, serves, m.ip, m.zone, internalPort, internalPort+15, strings.Join(seeds, ","), firstStart, m.class != "edge",
+	return fmt.Sprintf(settingsFormat, m.name, role, m.class, serves, m.ip, m.zone, internalPort, internalPort+15, strings.Join(seeds, ","), firstStart, m.class != "edge",
 		data, heartbeat.Milliseconds(), listen, z.cpu, z.memoryMB, z.fds, z.links, z.diskMB,
 		stabilityWindow.Milliseconds(), f.catchUp, drainTimeout.Milliseconds(), int(graceTime.Seconds()), int(recoverTime.Seconds()))
 }
@@ -242,7 +192,7 @@
 	}
 	run := roleCommands[m.class]
 	command := exec.Command(run[0], run[1:]...)
-	command.Env = []string{"EGRETRAMP_SETTINGS=" + settings}
+	command.Env = []string{wireName("settings") + "=" + settings}
 	for _, name := range []string{"PATH", "HOME", "LANG"} {
 		if value, ok := os.LookupEnv(name); ok {
 			command.Env = append(command.Env, name+"="+value)
@@ -357,7 +307,7 @@
 	}
 	for deadline := time.Now().Add(20 * time.Second); time.Now().Before(deadline); {
 		for _, c := range f.class("core") {
-			status, _ := plain(http.MethodPut, "http://"+c.address(controlPort)+"/-/config", data, time.Second)
+			status, _ := plain(http.MethodPut, "http://"+c.address(controlPort)+wireName("calls")+"config", data, time.Second)
 			if status == http.StatusOK {
 				f.rec.line("operator: configuration %v acknowledged by %s", config["version"], c.name)
 				return nil
@@ -386,6 +336,6 @@
 }
 
 func (m *machine) ready() bool {
-	status, _ := plain(http.MethodGet, "http://"+m.address(readyPort)+"/-/readyz", nil, time.Second)
+	status, _ := plain(http.MethodGet, "http://"+m.address(readyPort)+wireName("calls")+"readyz", nil, time.Second)
 	return status == http.StatusOK
 }
--- a/review/testdata/driver/leaving.go
+++ b/review/testdata/driver/leaving.go
@@ -10,7 +10,7 @@
 
 // leave announces by DELETE that the replica leaves, at one core machine.
 func (r *replica) leave(c *machine) bool {
-	status, _ := plain(http.MethodDelete, "http://"+c.address(controlPort)+"/-/instances/"+r.id, nil, time.Second)
+	status, _ := plain(http.MethodDelete, "http://"+c.address(controlPort)+wireName("calls")+"instances/"+r.id, nil, time.Second)
 	return status/100 == 2
 }
 
--- a/review/testdata/driver/lostdisks.go
+++ b/review/testdata/driver/lostdisks.go
@@ -72,11 +72,11 @@
 // turnOf sends the next turn of a program, which generates most tokens at the most.
 func (p *program) turnOf(edge *machine, body string, budget, most int, onEvent func(int)) answer {
 	headers := map[string]string{
-		"X-Program-Id": p.id, "X-Session-Id": p.id, "X-Finish-Ms": "60000", "X-Token-Budget": fmt.Sprint(budget),
-		"X-Token-Usage": fmt.Sprintf("1000,%d", most), "X-Model": "m",
+		wireName("program"): p.id, wireName("line"): p.id, "X-Finish-Ms": "60000", wireName("budget"): fmt.Sprint(budget),
+		wireName("usage"): fmt.Sprintf("1000,%d", most), "X-Model": "m",
 	}
 	if p.previous != "" {
-		headers["X-Previous-Turn"] = p.previous
+		headers[wireName("previous")] = p.previous
 	}
 	a := attempt{edge: edge, method: http.MethodPost, path: "/chat/turn/1", body: body, headers: headers, limit: 3 * time.Second, onEvent: onEvent}.send()
 	if a.served() {
--- a/review/testdata/driver/midstream.go
+++ b/review/testdata/driver/midstream.go
@@ -63,7 +63,7 @@
 				}
 				a := attempt{
 					edge: edge, method: http.MethodPost, path: "/recon/turn/1", body: "reconcile gate " + newID(), limit: 3 * time.Second,
-					headers: map[string]string{"X-Token-Usage": "600,144", "X-Model": "m"},
+					headers: map[string]string{wireName("usage"): "600,144", "X-Model": "m"},
 				}.send()
 				mu.Lock()
 				streams++
--- a/review/testdata/driver/replica.go
+++ b/review/testdata/driver/replica.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		return false
 	}
-	status, _ := plain(http.MethodPut, "http://"+c.address(controlPort)+"/-/instances/"+r.id, data, time.Second)
+	status, _ := plain(http.MethodPut, "http://"+c.address(controlPort)+wireName("calls")+"instances/"+r.id, data, time.Second)
 	return status/100 == 2
 }
 
@@ -123,14 +123,14 @@
 	if q.URL.Path == "/healthz" {
 		return
 	}
-	if expect := q.Header.Get("X-Expect-Instance"); expect != "" && expect != r.id {
+	if expect := q.Header.Get(wireName("expect")); expect != "" && expect != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	r.busy.Add(1)
 	defer r.busy.Add(-1)
-	w.Header().Set("X-Response-Signature", r.id+"."+id)
-	x := execution{at: time.Now(), id: id, path: q.URL.Path, after: q.Header.Get("Last-Event-Id"), tenant: q.Header.Get("X-Tenant-Id"), body: string(body)}
+	w.Header().Set(wireName("signature"), r.id+"."+id)
+	x := execution{at: time.Now(), id: id, path: q.URL.Path, after: q.Header.Get("Last-Event-Id"), tenant: q.Header.Get(wireName("tenant")), body: string(body)}
 	r.mu.Lock()
 	index := len(r.runs)
 	r.runs = append(r.runs, x)
--- a/review/testdata/driver/stopping.go
+++ b/review/testdata/driver/stopping.go
@@ -39,7 +39,7 @@
 				time.Sleep(100 * time.Millisecond)
 				a := attempt{
 					edge: edge, method: http.MethodPost, path: "/recon/turn/1", body: "recon " + newID(), limit: 3 * time.Second,
-					headers: map[string]string{"X-Token-Usage": "600,24", "X-Model": "m"},
+					headers: map[string]string{wireName("usage"): "600,24", "X-Model": "m"},
 				}.send()
 				mu.Lock()
 				defer mu.Unlock()
