turns, proxy: reservations and chains outlast the turns that need them

A Begin kept its program for the slack of 8 s only, so the reservation of a VM that was killed was forgotten while its program could still return, and the budget was handed out again. A Begin did not postpone the expiry of the turn that it continues: if that turn was removed while the new one ran, the new one was recorded without a predecessor, and the next turn got an empty conversation. Change: Begin states the route's timeout and retention; the program is kept for both, the chain for the timeout. The walk of a chain no longer stops at 4,096 turns without a word.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -15,6 +15,7 @@
 	"egretramp/internal/httpwire"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/turns"
 	"egretramp/internal/upconn"
 )
 
@@ -34,6 +35,8 @@
 var (
 	errStaleResponse   = errors.New("proxy: the connection carries answers to other requests")
 	errUnsignedSuccess = errors.New("proxy: a success without the upstream's signature")
+	// errConversationLost means that the store no longer holds the conversation that a turn continued.
+	errConversationLost = errors.New("proxy: the conversation that the turn continued is no longer stored")
 )
 
 // attempt sends one request on one connection.
@@ -321,6 +324,11 @@
 			a.refuse(Refusal{Reason: StoreUnavailable, Detail: err.Error()})
 			return err
 		}
+		if result.Outcome != turns.Begun {
+			// Without the conversation before it, the turn can't be continued.
+			a.refuse(Refusal{Reason: LostConversation})
+			return errConversationLost
+		}
 		a.reserved = false
 		a.cacheLine(result)
 	} else if a.reserved {
--- a/internal/proxy/names.go
+++ b/internal/proxy/names.go
@@ -3,7 +3,7 @@
 // String returns the reason's name in log lines and metrics.
 func (r Reason) String() string {
 	return [...]string{
-		"no_configuration", "no_route", "bad_key", "over_rate", "budget_spent", "unknown_turn", "overloaded",
+		"no_configuration", "no_route", "bad_key", "over_rate", "budget_spent", "unknown_turn", "lost_conversation", "overloaded",
 		"store_unavailable", "unknown_stream", "build_gone", "no_upstream", "upstreams_limited", "too_late", "malformed", "quarantined", "failed", "timed_out",
 	}[r]
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -110,6 +110,7 @@
 	OverRate                       // the account exceeds its rate limit
 	BudgetSpent                    // the program's budget has too few tokens left for the turn
 	UnknownTurn                    // the turn to continue is not stored
+	LostConversation               // the turn to continue is stored, but not the whole conversation before it
 	Overloaded                     // a new program would miss its deadline, or make others miss theirs
 	StoreUnavailable               // a majority of the store group can't be reached
 	UnknownStream                  // the origin of the stream to resume is not stored
@@ -421,6 +422,7 @@
 	b := turns.Begin{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
 		Budget: x.call.Budget, HasBudget: x.call.HasBudget, MaxTokens: x.call.MaxTokens, Line: x.call.Line,
+		Timeout: x.route.Timeout, ProgramRetention: x.route.Retention,
 	}
 	if x.route.Stateful {
 		b.Previous = x.call.Previous
@@ -444,6 +446,10 @@
 		return &Refusal{Reason: BudgetSpent}
 	case turns.UnknownTurn:
 		return &Refusal{Reason: UnknownTurn}
+	case turns.LostChain:
+		return &Refusal{Reason: LostConversation}
+	case turns.TooManyReserved:
+		return &Refusal{Reason: StoreUnavailable, Detail: "the store holds too many reservations", RetryAfter: storeRetryAfter}
 	case turns.UnknownStream:
 		return &Refusal{Reason: UnknownStream}
 	}
@@ -486,7 +492,7 @@
 	e := turns.End{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
 		Tokens: tokens, Retention: x.route.Retention, Reservation: x.reservation,
-		Line: x.call.Line, Home: x.newHome,
+		Line: x.call.Line, Home: x.newHome, Timeout: lineTTL + x.route.Timeout,
 	}
 	if record {
 		e.Record, e.Previous, e.Input, e.Output = true, x.call.Previous, x.request.Body, x.output
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -84,6 +84,9 @@
 	machine *turns.Machine
 	begins  int
 	endErr  error // returned by End
+	// lastBegin is the last Begin. If lost is set, no conversation is whole: Begin and End return LostChain.
+	lastBegin turns.Begin
+	lost      bool
 	// recordErr is returned by RecordStream, after recordDelay.
 	recordErr   error
 	recordDelay time.Duration
@@ -113,6 +116,10 @@
 
 func (l *memoryLedger) Begin(_ context.Context, b turns.Begin) (turns.Result, error) {
 	l.begins++
+	l.lastBegin = b
+	if l.lost && b.Previous != "" {
+		return turns.Result{Outcome: turns.LostChain}, nil
+	}
 	return l.apply(turns.Command{Now: 1, Begin: &b})
 }
 
@@ -120,6 +127,9 @@
 	if l.endErr != nil {
 		return turns.Result{}, l.endErr
 	}
+	if l.lost && e.Record {
+		return turns.Result{Outcome: turns.LostChain}, nil
+	}
 	return l.apply(turns.Command{Now: 1, End: &e})
 }
 
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -4,8 +4,15 @@
 //
 // The VM that runs a turn sends Begin first, which reserves the largest number of tokens that the
 // turn may generate, and End when the answer is complete, which settles the reservation and
-// records the turn. Both are idempotent. The reservation of a VM that failed is kept until its
-// program expires, so a budget is never exceeded.
+// records the turn. Both are idempotent.
+//
+// Invariants:
+//   - Tokens delivered to callers never exceed a program's budget. A reservation is removed only by the End that
+//     settles it, or together with its program. A program is kept for its retention after the last moment at which
+//     a turn that began may still run, whether or not the VM that runs it still exists.
+//   - A conversation is whole or not available. A turn is recorded only if the turn that it continues is stored,
+//     a turn expires no earlier than one that continues it, and a turn that has begun keeps the chain that it
+//     continues until it must have ended.
 package turns
 
 import (
@@ -22,9 +29,11 @@
 // send commands may differ by seconds.
 const retentionSlack = 8 * time.Second
 
-// maxChainLength bounds the turns of one chain, so that a cycle in corrupted state can't cause an
-// endless loop.
-const maxChainLength = 4096
+// unstatedRetention is how long a program is kept after a Begin of a release that doesn't state its retention.
+const unstatedRetention = time.Minute
+
+// maxReservations bounds the open reservations of one group, and thereby their memory: some 150 bytes each.
+const maxReservations = 1 << 16
 
 // maxHomes bounds the lines of a program whose homes are stored: its main line and the latest others, which are
 // short. A store VM holds the programs of a minute in memory.
@@ -37,8 +46,12 @@
 const (
 	Begun         Outcome = iota // the tokens are reserved, if the program has a budget
 	BudgetSpent                  // the program's remaining budget is smaller than the turn's reservation
-	UnknownTurn                  // the account has no turn with the ID in Previous
+	UnknownTurn                  // the account has no turn with the ID in Previous, or it has expired
 	UnknownStream                // the account has no stream with the ID in Resumes, or its origin isn't certain
+	// The outcomes below are returned only to senders that state a Timeout; earlier releases don't know them.
+
+	LostChain       // the turn in Previous is stored, but not all turns that it continues
+	TooManyReserved // the group holds maxReservations reservations
 )
 
 // Begin reserves tokens for a turn.
@@ -59,6 +72,10 @@
 	Retention time.Duration `cbor:"10,keyasint,omitempty"`
 	// ResumesUnnamed is set if the request resumes a stream and doesn't say which.
 	ResumesUnnamed bool `cbor:"11,keyasint,omitempty"`
+	// Timeout is the longest time that the turn may still run. ProgramRetention is how long its program may return
+	// after that. Releases that don't know them send neither.
+	Timeout          time.Duration `cbor:"12,keyasint,omitempty"`
+	ProgramRetention time.Duration `cbor:"13,keyasint,omitempty"`
 }
 
 // End settles a turn's reservation and may record the turn.
@@ -84,6 +101,9 @@
 	// cache, empty if the turn hasn't changed it.
 	Line string `cbor:"13,keyasint,omitempty"`
 	Home string `cbor:"14,keyasint,omitempty"`
+	// Timeout is the longest time from now to the end of a turn that begins with the reservation for the following
+	// turn, and so without a Begin.
+	Timeout time.Duration `cbor:"15,keyasint,omitempty"`
 }
 
 // NextReservation returns the name of the reservation that End makes for the turn that follows
@@ -169,6 +189,8 @@
 	streams   map[streamKey]stream
 	clock     int64 // the highest Command.Now applied so far, in Unix milliseconds
 	lastSweep int64
+	// reservations is the number of open reservations of all programs. It isn't part of the snapshot.
+	reservations int
 	// names holds one copy of each upstream's ID and of each origin since the last sweep. It isn't part of the state.
 	names map[string]string
 }
@@ -258,8 +280,14 @@
 }
 
 func (m *Machine) begin(b *Begin) Result {
-	if b.Previous != "" && m.turns[turnKey{b.Account, b.Previous}] == nil {
-		return Result{Outcome: UnknownTurn}
+	// A turn that is refused shows as well that its program is active.
+	if p := m.programs[programKey{b.Account, b.Program}]; p != nil {
+		p.Expires = max(p.Expires, m.after(b.programKeep()))
+	}
+	if b.Previous != "" {
+		if outcome := m.chainOutcome(b.Account, b.Previous); outcome != Begun {
+			return Result{Outcome: b.knownOutcome(outcome)}
+		}
 	}
 	origin := ""
 	if b.Resumes != "" {
@@ -271,10 +299,12 @@
 	if b.ResumesUnnamed {
 		origins = m.accountOrigins(b.Account)
 	}
+	// The chain must outlast the turn: its End would otherwise refer to a turn that has expired meanwhile.
+	m.extendChain(b.Account, b.Previous, m.after(b.Timeout))
 	if !b.HasBudget {
 		return Result{Known: b.Previous != "" || b.Resumes != "", Origin: origin, Origins: origins}
 	}
-	p := m.program(b.Account, b.Program)
+	p := m.program(b.Account, b.Program, b.programKeep())
 	known := len(p.Reserved) > 0 || p.Used > 0
 	begun := Result{Known: known, Home: p.home(b), Origin: origin, Origins: origins}
 	if _, reserved := p.Reserved[b.Request]; reserved || p.Settled[b.Request] {
@@ -284,10 +314,70 @@
 	if p.Used+reserved+b.MaxTokens > b.Budget {
 		return Result{Outcome: BudgetSpent, Used: p.Used, Reserved: reserved}
 	}
-	p.Reserved[b.Request] = b.MaxTokens
+	if m.reservations >= maxReservations {
+		return Result{Outcome: b.knownOutcome(TooManyReserved)}
+	}
+	m.reserve(p, b.Request, b.MaxTokens)
 	return begun
 }
 
+// programKeep returns how long the turn's program is kept from now on.
+func (b *Begin) programKeep() time.Duration {
+	if b.ProgramRetention == 0 {
+		return b.Timeout + unstatedRetention
+	}
+	return b.Timeout + b.ProgramRetention
+}
+
+// knownOutcome returns the outcome, or one that refuses the turn as well if the sender's release doesn't know it.
+func (b *Begin) knownOutcome(o Outcome) Outcome {
+	switch {
+	case b.Timeout > 0:
+		return o
+	case o == LostChain:
+		return UnknownTurn
+	case o == TooManyReserved:
+		return BudgetSpent
+	}
+	return o
+}
+
+// chainOutcome returns whether a turn may be continued: Begun if the turn and all its predecessors are stored.
+func (m *Machine) chainOutcome(account, request string) Outcome {
+	if m.turns[turnKey{account, request}] == nil {
+		return UnknownTurn
+	}
+	for range len(m.turns) {
+		t := m.turns[turnKey{account, request}]
+		if t == nil {
+			return LostChain
+		}
+		if request = t.Previous; request == "" {
+			return Begun
+		}
+	}
+	return LostChain // a cycle in damaged state
+}
+
+// after returns the time at which what must outlast a duration from now on expires, in Unix milliseconds.
+func (m *Machine) after(d time.Duration) int64 {
+	return m.clock + (d + retentionSlack).Milliseconds()
+}
+
+func (m *Machine) reserve(p *program, name string, tokens int64) {
+	if _, exists := p.Reserved[name]; !exists {
+		m.reservations++
+	}
+	p.Reserved[name] = tokens
+}
+
+func (m *Machine) release(p *program, name string) {
+	if _, exists := p.Reserved[name]; exists {
+		m.reservations--
+		delete(p.Reserved, name)
+	}
+}
+
 // home returns the home of a turn's line, or that of the program's main line, which has the program's name.
 func (p *program) home(b *Begin) string {
 	if i := p.homeIndex(b.Line); i >= 0 {
@@ -335,36 +425,50 @@
 	return sum
 }
 
-func (m *Machine) program(account, name string) *program {
+// program returns a program's record, which is created if needed and kept at least for the given time.
+func (m *Machine) program(account, name string, keep time.Duration) *program {
 	key := programKey{account, name}
 	p := m.programs[key]
 	if p == nil {
 		p = &program{Reserved: map[string]int64{}, Settled: map[string]bool{}}
 		m.programs[key] = p
 	}
-	p.Expires = max(p.Expires, m.clock+retentionSlack.Milliseconds())
+	p.Expires = max(p.Expires, m.after(keep))
 	return p
 }
 
 func (m *Machine) end(e *End) Result {
 	var r Result
+	if e.Record && e.Previous != "" && m.turns[turnKey{e.Account, e.Request}] == nil {
+		// The response is not completed, so what was delivered of it is settled by a later End.
+		if outcome := m.chainOutcome(e.Account, e.Previous); outcome != Begun {
+			return Result{Outcome: outcome}
+		}
+	}
 	if e.Program != "" {
 		r.NextReserved = m.settle(e)
 	}
 	key := turnKey{e.Account, e.Request}
 	if e.Record && m.turns[key] == nil {
-		expires := m.clock + (e.Retention + retentionSlack).Milliseconds()
+		expires := m.after(e.keep(r.NextReserved))
 		m.turns[key] = &turn{Previous: e.Previous, Input: e.Input, Output: e.Output, Expires: expires}
 		m.extendChain(e.Account, e.Previous, expires)
 	}
 	return r
 }
 
+// keep returns how long the turn and its program are kept from now on.
+func (e *End) keep(next bool) time.Duration {
+	if next {
+		return e.Timeout + e.Retention
+	}
+	return e.Retention
+}
+
 // settle replaces a reservation by the tokens used, and reserves tokens for the next turn if
 // requested. It reports whether that reservation exists.
 func (m *Machine) settle(e *End) (next bool) {
-	p := m.program(e.Account, e.Program)
-	p.Expires = max(p.Expires, m.clock+(e.Retention+retentionSlack).Milliseconds())
+	p := m.program(e.Account, e.Program, e.Retention)
 	reservation := e.Reservation
 	if reservation == "" {
 		reservation = e.Request
@@ -372,23 +476,26 @@
 	following := NextReservation(e.Request)
 	if !p.Settled[reservation] {
 		p.Settled[reservation] = true
-		delete(p.Reserved, reservation)
+		m.release(p, reservation)
 		p.Used += e.Tokens
 		if e.Home != "" {
 			p.setHome(e, m.intern(e.Home))
 		}
-		if e.NextMaxTokens > 0 && p.Used+p.totalReserved()+nextHeadroom*e.NextMaxTokens <= e.Budget {
-			p.Reserved[following] = e.NextMaxTokens
+		fits := p.Used+p.totalReserved()+nextHeadroom*e.NextMaxTokens <= e.Budget
+		if e.NextMaxTokens > 0 && fits && m.reservations < maxReservations {
+			m.reserve(p, following, e.NextMaxTokens)
 		}
 	}
 	_, next = p.Reserved[following]
-	return next && e.NextMaxTokens > 0
+	next = next && e.NextMaxTokens > 0
+	p.Expires = max(p.Expires, m.after(e.keep(next)))
+	return next
 }
 
 // extendChain postpones the expiry of a turn and its predecessors to at least expires, so that a
 // chain is kept as long as its last turn.
 func (m *Machine) extendChain(account, request string, expires int64) {
-	for range maxChainLength {
+	for range len(m.turns) {
 		t := m.turns[turnKey{account, request}]
 		if request == "" || t == nil || t.Expires >= expires {
 			return
@@ -398,26 +505,23 @@
 	}
 }
 
-// Chain returns the inputs and outputs of a turn and all its predecessors, oldest first, or nil
-// if the account has no such turn. The caller must not modify the slices.
-func (m *Machine) Chain(account, request string) [][]byte {
-	var backwards [][]byte
-	for range maxChainLength {
-		if request == "" {
-			break
-		}
+// Chain returns the inputs and outputs of a turn and all its predecessors, oldest first. It reports
+// whether all of them are stored. The caller must not modify the slices.
+func (m *Machine) Chain(account, request string) (chain [][]byte, whole bool) {
+	// Damaged state could contain a cycle, in which no turn is the first.
+	for range len(m.turns) {
 		t := m.turns[turnKey{account, request}]
 		if t == nil {
-			return nil
+			return nil, false
 		}
-		backwards = append(backwards, t.Output, t.Input)
+		chain = append(chain, t.Output, t.Input)
 		request = t.Previous
+		if request == "" {
+			slices.Reverse(chain)
+			return chain, true
+		}
 	}
-	chain := make([][]byte, len(backwards))
-	for i, part := range backwards {
-		chain[len(backwards)-1-i] = part
-	}
-	return chain
+	return nil, false
 }
 
 // sweepInterval is the time between two removals of expired entries, in milliseconds of the log's
@@ -442,6 +546,7 @@
 	m.sweepStreams()
 	for key, p := range m.programs {
 		if p.Expires < m.clock {
+			m.reservations -= len(p.Reserved)
 			delete(m.programs, key)
 		}
 	}
@@ -455,6 +560,9 @@
 // Size returns the number of stored programs and turns.
 func (m *Machine) Size() (programs, turns int) { return len(m.programs), len(m.turns) }
 
+// Reservations returns the number of open reservations.
+func (m *Machine) Reservations() int { return m.reservations }
+
 // Finish adds the conversation to the result of a successful Begin that continues a turn, and
 // returns any other result unchanged.
 func (m *Machine) Finish(command, result []byte) []byte {
@@ -466,6 +574,10 @@
 	if err != nil || r.Outcome != Begun {
 		return result
 	}
-	r.Chain = m.Chain(c.Begin.Account, c.Begin.Previous)
+	chain, whole := m.Chain(c.Begin.Account, c.Begin.Previous)
+	if !whole {
+		return Result{Outcome: c.Begin.knownOutcome(LostChain)}.Encode()
+	}
+	r.Chain = chain
 	return r.Encode()
 }
--- a/internal/turns/snapshot.go
+++ b/internal/turns/snapshot.go
@@ -1,10 +1,27 @@
 package turns
 
 import (
+	"math"
+
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 )
 
+// maxSnapshotRecords bounds the programs, turns and streams of a snapshot each. All are in memory, so the memory of the
+// VM that wrote the snapshot is the real bound.
+const maxSnapshotRecords = math.MaxInt32
+
+// snapshotDecoding decodes snapshots. The default limit on list elements is meant for untrusted input.
+var snapshotDecoding = newSnapshotDecoding()
+
+func newSnapshotDecoding() cbor.DecMode {
+	mode, err := cbor.DecOptions{MaxArrayElements: maxSnapshotRecords, MaxMapPairs: maxSnapshotRecords}.DecMode()
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "turns: invalid options for snapshots"))
+	}
+	return mode
+}
+
 // snapshot is the encoded form of a Machine. It holds lists, because CBOR maps with composite
 // keys are not portable.
 type snapshot struct {
@@ -49,7 +66,7 @@
 // Restore replaces the state with that of a snapshot. On an error the state is unchanged.
 func (m *Machine) Restore(data []byte) error {
 	var s snapshot
-	if err := cbor.Unmarshal(data, &s); err != nil {
+	if err := snapshotDecoding.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "turns: decode a snapshot")
 	}
 	*m = *New()
@@ -64,6 +81,7 @@
 		for i := range r.Program.Homes {
 			r.Program.Homes[i].Upstream = m.intern(r.Program.Homes[i].Upstream)
 		}
+		m.reservations += len(r.Program.Reserved)
 		m.programs[r.Key] = r.Program
 	}
 	for _, r := range s.Streams {
