peer: messages, calls and results of up to 32 MiB pass between VMs

Cause: a connection took 4 MiB a message, the default of the library. A larger one closed the connection, and everything under way on it was lost: states of store VMs, single log entries and conversations beyond that size never arrived. Change: the limit is 32 MiB and checked before sending; what exceeds it is refused with an error that says so, and event 1903.

--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -4,7 +4,9 @@
 	"context"
 
 	"github.com/cockroachdb/errors"
+	"go.uber.org/zap"
 
+	"egretramp/internal/events"
 	"egretramp/internal/peer/peerpb"
 )
 
@@ -22,6 +24,10 @@
 	if l == nil {
 		return nil, &UnreachableError{VM: vm, Cause: errors.New("unknown VM")}
 	}
+	if len(payload) > MaxPayloadBytes {
+		n.opts.Events.Emit(events.PeerTooLarge, zap.String("peer", vm), zap.String("kind", method), zap.Int("bytes", len(payload)))
+		return nil, &UnreachableError{VM: vm, Cause: errPayloadTooLarge}
+	}
 	n.stats.CallsMade.Add(1)
 	req := &peerpb.CallRequest{From: n.opts.VM, Method: method, Payload: payload}
 	if !l.healthy() {
@@ -80,6 +86,10 @@
 	}
 	n.stats.CallsServed.Add(1)
 	result, err := h(ctx, from, payload)
+	if err == nil && len(result) > MaxPayloadBytes {
+		n.opts.Events.Emit(events.PeerTooLarge, zap.String("peer", from), zap.String("kind", method), zap.Int("bytes", len(result)))
+		return nil, &RemoteError{Code: codeTooLarge, Message: errPayloadTooLarge.Error()}
+	}
 	if err == nil {
 		return result, nil
 	}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -87,7 +87,7 @@
 		return nil, err
 	}
 	counted := &countedConn{Conn: raw, stats: &l.node.stats}
-	return drpcconn.New(l.node.opts.Protection.Client(counted, l.vm)), nil
+	return drpcconn.NewWithOptions(l.node.opts.Protection.Client(counted, l.vm), connOptions()), nil
 }
 
 // run keeps a message stream open, reconnecting as needed, until ctx ends.
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -10,7 +10,7 @@
 // connection is never reused.
 //
 // Messages from one VM to another are ordered while the stream is open. A full queue drops
-// messages; senders must retransmit those that matter.
+// messages; senders must retransmit those that matter. Payloads of up to MaxPayloadBytes pass.
 //
 // While the stream to a VM is down, messages and calls to it are relayed by a third VM that is
 // connected to both, so that the failure of one link does not separate two VMs. While a stream
@@ -31,6 +31,7 @@
 	"time"
 
 	"github.com/sourcegraph/conc"
+	"go.uber.org/zap"
 
 	"egretramp/internal/events"
 	"egretramp/internal/identity"
@@ -244,6 +245,11 @@
 		n.deliver(vm, kind, payload)
 		return
 	}
+	if len(payload) > MaxPayloadBytes {
+		n.stats.MessagesDropped.Add(1)
+		n.opts.Events.Emit(events.PeerTooLarge, zap.String("peer", vm), zap.String("kind", kind), zap.Int("bytes", len(payload)))
+		return
+	}
 	l := n.link(vm)
 	if l == nil {
 		n.stats.MessagesDropped.Add(1)
--- a/internal/peer/sender.go
+++ b/internal/peer/sender.go
@@ -25,7 +25,7 @@
 // serveConns serves each connection of a listener until ctx ends. Each handler's context carries its
 // connection, so that checkSender can read the identity of the other side.
 func serveConns(ctx context.Context, listener net.Listener, handler drpc.Handler) error {
-	server := drpcserver.New(handler)
+	server := drpcserver.NewWithOptions(handler, serverOptions())
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	stop := context.AfterFunc(ctx, func() { _ = listener.Close() })
