--- a/internal/raft/follower.go
+++ b/internal/raft/follower.go
@@ -16,7 +16,9 @@
 		r.commitTo(min(m.Commit, r.log.lastIndex()))
 		r.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY, To: m.From, ReadSequence: m.ReadSequence})
 	case raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
-		r.handleSnapshot(m)
+		r.handleSnapshot(m.From, m.Snapshot)
+	case raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK:
+		r.handleSnapshotChunk(m)
 	}
 }
 
@@ -67,23 +69,29 @@
 	r.log.commit = max(r.log.commit, index)
 }
 
-func (r *Raft) handleSnapshot(m *raftpb.Message) {
-	s := m.Snapshot
-	if s == nil || s.Conf == nil {
+// handleSnapshot installs a complete snapshot of the leader.
+func (r *Raft) handleSnapshot(from uint64, s *raftpb.Snapshot) {
+	if s == nil || s.Conf == nil || r.holdsSnapshot(from, s) {
 		return
 	}
+	r.incoming = nil
+	r.log.restore(s)
+	r.stable = s.Index
+	r.pendingSnapshot = s
+	r.confs.reset(s.Index, s.Conf)
+	r.acknowledge(from, s.Index)
+}
+
+// holdsSnapshot reports whether the log already contains the state of a snapshot, and acknowledges it if so.
+func (r *Raft) holdsSnapshot(from uint64, s *raftpb.Snapshot) bool {
 	if s.Index <= r.log.commit {
-		r.acknowledge(m.From, r.log.commit)
-		return
+		r.acknowledge(from, r.log.commit)
+		return true
 	}
 	if term, ok := r.log.term(s.Index); ok && term == s.Term {
 		r.commitTo(s.Index)
-		r.acknowledge(m.From, s.Index)
-		return
+		r.acknowledge(from, s.Index)
+		return true
 	}
-	r.log.restore(s)
-	r.stable = s.Index
-	r.pendingSnapshot = s
-	r.confs.reset(s.Index, s.Conf)
-	r.acknowledge(m.From, s.Index)
+	return false
 }
--- a/internal/raft/message.go
+++ b/internal/raft/message.go
@@ -35,6 +35,17 @@
 		if s := m.Snapshot; s == nil || s.Term > m.Term || checkConf(s.Conf) != nil {
 			return errors.New("raft message: incomplete snapshot")
 		}
+	case raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK:
+		if s := m.Snapshot; s == nil || s.Term > m.Term || checkConf(s.Conf) != nil {
+			return errors.New("raft message: incomplete snapshot")
+		}
+		if c := m.Chunk; c == nil || len(m.Snapshot.Data) == 0 || c.Offset+uint64(len(m.Snapshot.Data)) > c.Size || c.Offset > c.Size {
+			return errors.New("raft message: a chunk doesn't fit into its snapshot")
+		}
+	case raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK_REPLY:
+		if m.Chunk == nil {
+			return errors.New("raft message: incomplete reply to a chunk")
+		}
 	}
 	if m.Term == 0 || m.To == 0 || m.Formation == 0 {
 		return errors.New("raft message: term, receiver or formation is missing")
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -25,8 +25,13 @@
 	inflight []uint64
 	// snapshot is the index of the snapshot being sent.
 	snapshot uint64
-	// restoreElapsed is the number of heartbeats since the snapshot was sent.
+	// restoreElapsed is the number of heartbeats since the snapshot was sent, or the last chunk of it was
+	// acknowledged.
 	restoreElapsed int
+	// outgoing is the snapshot that is sent in chunks; nil if it is sent in one message.
+	outgoing *outgoingSnapshot
+	// ignoresChunks is set if the replica acknowledged no chunk: its release may not know them.
+	ignoresChunks bool
 	// active is set if the replica has replied since the last quorum check.
 	active bool
 	// replied is set if the replica has replied in this term.
@@ -72,21 +77,21 @@
 	p.mode = probing
 	p.paused = false
 	p.inflight = nil
-	p.snapshot = 0
+	p.snapshot, p.outgoing = 0, nil
 	p.next = p.match + 1
 }
 
 func (p *progress) stream() {
 	p.mode = streaming
 	p.inflight = nil
-	p.snapshot = 0
+	p.snapshot, p.outgoing = 0, nil
 	p.next = p.match + 1
 }
 
 func (p *progress) restore(index uint64) {
 	p.mode = restoring
 	p.inflight = nil
-	p.snapshot = index
+	p.snapshot, p.outgoing = index, nil
 	p.restoreElapsed = 0
 }
 
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -49,6 +49,9 @@
 	DefaultMaxInflight = 64
 	// DefaultMaxMessageBytes is the default of Options.MaxMessageBytes.
 	DefaultMaxMessageBytes = 256 << 10
+	// maxChunksInflight is the maximum number of unacknowledged chunks of a snapshot, each of up to
+	// Options.MaxMessageBytes.
+	maxChunksInflight = 4
 )
 
 // State is the durable state from which a replica starts.
@@ -74,7 +77,8 @@
 	// Default DefaultMaxInflight.
 	MaxInflight int
 	// MaxMessageBytes limits the total size in bytes of the entries in a message, except that a
-	// single larger entry is sent on its own. Default DefaultMaxMessageBytes.
+	// single larger entry is sent on its own. A larger snapshot is sent in chunks of this size.
+	// Default DefaultMaxMessageBytes.
 	MaxMessageBytes int
 	// Seed seeds the random election timeouts.
 	Seed int64
@@ -117,6 +121,8 @@
 	pendingSnapshot *raftpb.Snapshot
 	stable          uint64
 	outstanding     *Ready
+	// incoming is the part received so far of a snapshot that the leader sends in chunks; nil if there is none.
+	incoming *incomingSnapshot
 }
 
 // New returns a replica that starts as a follower from the durable state in options.
@@ -212,9 +218,10 @@
 	case raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_REPLY, raftpb.MessageType_MESSAGE_TYPE_VOTE_REPLY:
 		r.handleVoteReply(m)
 	case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
-		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
+		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT, raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK:
 		r.handleLeaderMessage(m)
-	case raftpb.MessageType_MESSAGE_TYPE_APPEND_REPLY, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY:
+	case raftpb.MessageType_MESSAGE_TYPE_APPEND_REPLY, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY,
+		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK_REPLY:
 		r.handleFollowerReply(m)
 	case raftpb.MessageType_MESSAGE_TYPE_TIMEOUT_NOW:
 		r.campaign(true)
@@ -241,7 +248,7 @@
 			r.becomeFollower(m.Term, 0)
 		}
 	case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
-		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
+		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT, raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK:
 		r.becomeFollower(m.Term, m.From)
 	default:
 		r.becomeFollower(m.Term, 0)
@@ -255,7 +262,7 @@
 func (r *Raft) replyToLowerTerm(m *raftpb.Message) {
 	switch m.Type {
 	case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
-		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
+		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT, raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK:
 		r.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_APPEND_REPLY, To: m.From, Reject: true})
 	case raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE:
 		r.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE_REPLY, To: m.From, Reject: true})
--- a/internal/raft/ready.go
+++ b/internal/raft/ready.go
@@ -106,7 +106,7 @@
 }
 
 // Compact installs data as the snapshot of the state at an applied index and removes the entries
-// up to index - keep. It returns nil if there is nothing to do; otherwise the caller must write
+// up to index - keep, except those after a snapshot that a replica is just installing. It returns nil if there is nothing to do; otherwise the caller must write
 // the result before the next Ready.
 func (r *Raft) Compact(index uint64, data []byte, keep uint64) *Compaction {
 	if index > r.log.applied || index <= r.log.snapshot.Index {
@@ -116,7 +116,7 @@
 	r.log.snapshot = &raftpb.Snapshot{Index: index, Term: term, Conf: r.confs.at(index), Data: data}
 	r.confs.compact(index)
 	if index > keep {
-		r.log.compact(index - keep)
+		r.log.compact(min(index-keep, r.oldestTransfer()))
 	}
 	// A hard state behind the snapshot would be rejected as damaged at the next start.
 	r.savedHard = &raftpb.HardState{Term: r.savedHard.Term, Vote: r.savedHard.Vote, Commit: max(r.savedHard.Commit, index)}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -2,10 +2,6 @@
 
 import "egretramp/internal/raft/raftpb"
 
-// restoreRetryHeartbeats is the number of heartbeats without progress after which a snapshot is
-// sent again.
-const restoreRetryHeartbeats = 20
-
 // Propose appends a command and returns its index; only the leader accepts proposals. Index and
 // term identify the proposal: it is committed if the entry applied at the index has that term.
 func (r *Raft) Propose(data []byte) (index uint64, err error) {
@@ -52,7 +48,7 @@
 
 func (r *Raft) sendAppend(to uint64, p *progress) {
 	prevTerm, ok := r.log.term(p.next - 1)
-	if !ok {
+	if !ok || (p.mode == probing && p.replied && r.snapshotIsSooner(p.next)) {
 		r.sendSnapshot(to, p)
 		return
 	}
@@ -71,11 +67,6 @@
 	}
 }
 
-func (r *Raft) sendSnapshot(to uint64, p *progress) {
-	r.send(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT, To: to, Snapshot: r.log.snapshot})
-	p.restore(r.log.snapshot.Index)
-}
-
 func (r *Raft) sendHeartbeats() {
 	for _, m := range r.confs.current().Members {
 		if m.Id == r.id {
@@ -84,19 +75,12 @@
 		p := r.progress[m.Id]
 		p.intervalsSinceReply++
 		if p.mode == restoring {
-			r.retryRestore(p)
+			r.retryRestore(m.Id, p)
 		}
 		r.sendHeartbeat(m.Id)
 	}
 }
 
-func (r *Raft) retryRestore(p *progress) {
-	p.restoreElapsed++
-	if p.restoreElapsed >= restoreRetryHeartbeats {
-		p.probe()
-	}
-}
-
 func (r *Raft) sendHeartbeat(to uint64) {
 	p := r.progress[to]
 	r.send(&raftpb.Message{
@@ -120,6 +104,10 @@
 		r.handleHeartbeatReply(m, p)
 		return
 	}
+	if m.Type == raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK_REPLY {
+		r.handleChunkReply(m, p)
+		return
+	}
 	if m.Reject {
 		hint, _ := r.log.lastWithTermAtMost(m.RejectHint, m.LogTerm)
 		if p.reject(m.Index, hint) {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -116,7 +116,8 @@
 	n, err := newNode(nodeOptions{
 		group: r.options.Group, vm: r.options.VM, initialVMs: r.options.InitialVMs, membership: r.options.Open,
 		machine: r.options.Machine, electionTicks: r.options.ElectionTicks, heartbeatTicks: r.options.HeartbeatTicks,
-		snapshotEvery: r.options.SnapshotEvery, snapshotBytes: r.options.SnapshotBytes, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
+		snapshotEvery: r.options.SnapshotEvery, snapshotBytes: r.options.SnapshotBytes,
+		maxMessageBytes: r.options.MaxMessageBytes, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
 		send: r.options.Transport.Send, events: r.options.Events,
 	}, store, state)
 	if err != nil {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -32,10 +32,12 @@
 	heartbeatTicks int
 	snapshotEvery  uint64
 	snapshotBytes  func() int64
-	seed           int64
-	durableCommit  bool
-	send           func(vm string, m *raftpb.Message)
-	events         *events.Logger
+	// maxMessageBytes is 0 for the default.
+	maxMessageBytes int
+	seed            int64
+	durableCommit   bool
+	send            func(vm string, m *raftpb.Message)
+	events          *events.Logger
 }
 
 // node implements a replica without goroutines, clocks or sockets: the Raft core, its
@@ -84,7 +86,7 @@
 	core, err := raft.New(raft.Options{
 		ID:             n.store.Identity().Replica,
 		ElectionTicks:  n.options.electionTicks,
-		HeartbeatTicks: n.options.heartbeatTicks,
+		HeartbeatTicks: n.options.heartbeatTicks, MaxMessageBytes: n.options.maxMessageBytes,
 		// Mixing in the ID keeps replicas that share a seed from timing out simultaneously.
 		Seed:          n.options.seed ^ int64(n.store.Identity().Replica),
 		DurableCommit: n.options.durableCommit,
@@ -168,7 +170,7 @@
 func provesFormationExists(m *raftpb.Message) bool {
 	switch m.Type {
 	case raftpb.MessageType_MESSAGE_TYPE_APPEND, raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT,
-		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT:
+		raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT, raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK:
 		return true
 	case raftpb.MessageType_MESSAGE_TYPE_PRE_VOTE, raftpb.MessageType_MESSAGE_TYPE_VOTE:
 		return m.Index > formationIndex
@@ -264,7 +266,7 @@
 // as many entries in the log for replicas that are slightly behind, or largeLogEntriesKept if
 // the log exceeded its size limit.
 func (n *node) compact() error {
-	many := n.applied >= n.raft.SnapshotIndex()+n.options.snapshotEvery
+	many := n.applied >= n.raft.SnapshotIndex()+n.snapshotInterval()
 	large := n.exceedsSnapshotBytes()
 	if !many && !large {
 		return nil
@@ -285,6 +287,13 @@
 	return n.store.Save(storage.Batch{Hard: c.HardState, Snapshot: c.Snapshot, BaseIndex: c.BaseIndex, BaseTerm: c.BaseTerm})
 }
 
+// snapshotInterval returns the number of applied entries after which this replica takes a snapshot. It differs
+// between the replicas of a group.
+func (n *node) snapshotInterval() uint64 {
+	spread := n.options.snapshotEvery/4 + 1
+	return n.options.snapshotEvery + n.store.Identity().Replica%spread
+}
+
 // exceedsSnapshotBytes reports whether the entries applied since the last snapshot exceed their limit.
 func (n *node) exceedsSnapshotBytes() bool {
 	if n.options.snapshotBytes == nil || n.appliedBytes < n.checkedBytes+snapshotCheckBytes {
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -64,12 +64,16 @@
 	// HeartbeatTicks is the heartbeat interval in ticks. Default DefaultHeartbeatTicks.
 	HeartbeatTicks int
 	// SnapshotEvery is the number of applied entries after which a snapshot is taken and the log
-	// truncated. Default DefaultSnapshotEvery.
+	// truncated, or up to a quarter more: the replicas of a group don't all write at the same time.
+	// Default DefaultSnapshotEvery.
 	SnapshotEvery uint64
 	// SnapshotBytes returns the total size of applied entries after which a snapshot is taken and the
 	// log truncated, regardless of their number; 0 disables this limit. It is called on the replica's
 	// goroutine, since the limit may depend on the groups that share the VM. nil: no limit.
 	SnapshotBytes func() int64
+	// MaxMessageBytes limits the size in bytes of a message to another replica, except that a single larger
+	// entry is sent on its own. Default raft.DefaultMaxMessageBytes.
+	MaxMessageBytes int
 	// DurableCommit persists the commit index, so that after a restart the replica has at once
 	// every entry it had applied before, because others may already have acted on that state.
 	// Otherwise it starts with only the entries it can prove to be committed. Costs one sync
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"cmp"
 	"context"
 	"encoding/binary"
 	"errors"
@@ -30,7 +31,11 @@
 	snapshotEvery uint64 // in entries
 	snapshotBytes func() int64
 	tick          time.Duration
-	bytes         atomic.Int64 // sent by all replicas
+	bytes         atomic.Int64        // sent by all replicas
+	largest       atomic.Int64        // bytes of the largest message
+	newMachine    func() StateMachine // nil for recorders
+	openStore     func(folder string, fresh *raftpb.Identity) (Store, raft.State, error)
+	electionTicks int // default 20
 	mu            sync.Mutex
 	running       map[string]*runningReplica
 }
@@ -57,6 +62,11 @@
 		return
 	}
 	f.bytes.Add(int64(len(data)))
+	for size := int64(len(data)); ; {
+		if largest := f.largest.Load(); size <= largest || f.largest.CompareAndSwap(largest, size) {
+			break
+		}
+	}
 	f.mu.Lock()
 	to := f.running[vm]
 	f.mu.Unlock()
@@ -67,9 +77,13 @@
 
 func (f *testCluster) start(vm string) {
 	app := &recorder{}
+	var machine StateMachine = app
+	if f.newMachine != nil {
+		machine = f.newMachine()
+	}
 	r, err := New(Options{
-		Group: 1, VM: vm, Folder: f.folders[vm], InitialVMs: f.vms, Machine: app, Transport: f,
-		TickInterval: f.tick, ElectionTicks: 20, HeartbeatTicks: 3, SnapshotEvery: f.snapshotEvery, SnapshotBytes: f.snapshotBytes,
+		Group: 1, VM: vm, Folder: f.folders[vm], InitialVMs: f.vms, Machine: machine, Transport: f, OpenStore: f.openStore,
+		TickInterval: f.tick, ElectionTicks: cmp.Or(f.electionTicks, 20), HeartbeatTicks: 3, SnapshotEvery: f.snapshotEvery, SnapshotBytes: f.snapshotBytes,
 	})
 	require.NoError(f.t, err)
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -148,9 +148,12 @@
 	diskLosses int
 	hadLeader  bool
 	// lastRepair is the tick at which a replica last replaced a lost one.
-	lastRepair  int
-	memberCount int
-	err         error
+	lastRepair int
+	// smallMessages is set if snapshots are sent in chunks; chunks counts the chunks sent.
+	smallMessages bool
+	chunks        int
+	memberCount   int
+	err           error
 	// openGroup is set if the group has open membership; see simopen_test.go.
 	openGroup *openGroupSim
 }
@@ -159,10 +162,12 @@
 	simElectionTicks  = 10
 	simHeartbeatTicks = 2
 	simSnapshotEvery  = 20
+	// simSmallMessageBytes makes a snapshot of this many bytes or more go in chunks. A command has 16 in it.
+	simSmallMessageBytes = 200
 )
 
 func newSimulation(seed int64) *simulation {
-	s := &simulation{random: rand.New(rand.NewSource(seed)), checker: invariant.New(), cutLinks: map[[2]string]bool{}, faults: true}
+	s := &simulation{random: rand.New(rand.NewSource(seed)), checker: invariant.New(), cutLinks: map[[2]string]bool{}, faults: true, smallMessages: seed%2 == 1}
 	size := 3
 	if seed%4 == 3 {
 		size = 5
@@ -214,6 +219,9 @@
 		electionTicks: simElectionTicks, heartbeatTicks: simHeartbeatTicks, snapshotEvery: simSnapshotEvery,
 		seed: s.random.Int63(), send: func(vm string, message *raftpb.Message) { s.transmit(m.vm, vm, message) },
 	}
+	if s.smallMessages {
+		options.maxMessageBytes = simSmallMessageBytes
+	}
 	if s.openGroup != nil {
 		s.openGroup.configure(s, m, &options)
 	}
@@ -235,6 +243,9 @@
 
 // transmit sends a message, subject to random loss, duplication and delay, and so reordering.
 func (s *simulation) transmit(from, to string, m *raftpb.Message) {
+	if m.Type == raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK {
+		s.chunks++
+	}
 	copies := 1
 	delay := 0
 	if s.faults {
