--- a/internal/turns/retention_test.go
+++ b/internal/turns/retention_test.go
@@ -8,6 +8,7 @@
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 )
@@ -120,6 +121,44 @@
 	require.NoError(t, New().Restore(data))
 }
 
+// TestMachine_SnapshotIsReadByEarlierReleases guards against a snapshot that isn't the encoding of the type snapshot,
+// which releases before the encoder wrote and read with the default options.
+func TestMachine_SnapshotIsReadByEarlierReleases(t *testing.T) {
+	for _, records := range []int{0, 1, 23, 24, 300, 70_000} {
+		m := New()
+		m.clock, m.lastSweep = 5, -3
+		for i := range records {
+			id := fmt.Sprint(i)
+			m.turns[turnKey{"a", id}] = &turn{Previous: "p", Input: []byte(id), Output: []byte("out"), Expires: int64(i)}
+			if i < 1000 {
+				p := m.program("a", id, time.Minute)
+				m.reserve(p, id, 7)
+				p.Settled["s"+id] = true
+				p.Homes = []lineHome{{Line: uint32(i), Upstream: "u"}}
+				m.recordStream(&Stream{Account: "a", Request: id, Origin: "o"})
+			}
+		}
+		data, err := m.Snapshot()
+		require.NoError(t, err)
+		require.LessOrEqual(t, len(data), cap(data))
+		require.LessOrEqual(t, len(data), m.encodedSize(), "the buffer never grows")
+		var s snapshot
+		require.NoError(t, cbor.Unmarshal(data, &s))
+		require.Equal(t, []int{records, min(records, 1000), min(records, 1000)}, []int{len(s.Turns), len(s.Programs), len(s.Streams)})
+		restored := New()
+		require.NoError(t, restored.Restore(data))
+		m.names, restored.names = nil, nil // not part of the state
+		require.Equal(t, m, restored)
+		// A snapshot that an earlier release wrote.
+		data, err = cbor.Marshal(s)
+		require.NoError(t, err)
+		restored = New()
+		require.NoError(t, restored.Restore(data))
+		restored.names = nil
+		require.Equal(t, m, restored)
+	}
+}
+
 // modelTurn is a turn that was recorded, as the callers know it.
 type modelTurn struct {
 	conversation string // up to the end of the turn
--- a/internal/turns/snapshot.go
+++ b/internal/turns/snapshot.go
@@ -1,6 +1,7 @@
 package turns
 
 import (
+	"encoding/binary"
 	"math"
 
 	"github.com/cockroachdb/errors"
@@ -47,20 +48,91 @@
 	Stream stream `cbor:"2,keyasint"`
 }
 
-// Snapshot returns the encoded state of the machine.
+// Snapshot returns the encoded state of the machine: a snapshot in CBOR. The records are encoded one by one, so that
+// beside the state only one encoded copy of it is in memory.
 func (m *Machine) Snapshot() ([]byte, error) {
-	s := snapshot{Now: m.clock, Swept: m.lastSweep}
+	e := snapshotEncoder{data: make([]byte, 0, m.encodedSize())}
+	e.appendHead(cborMap, 5)
+	e.appendField(1, m.clock)
+	e.appendField(2, m.lastSweep)
+	e.appendList(3, len(m.programs))
 	for key, p := range m.programs {
-		s.Programs = append(s.Programs, programRecord{key, p})
+		e.append(programRecord{key, p})
 	}
+	e.appendList(4, len(m.turns))
 	for key, t := range m.turns {
-		s.Turns = append(s.Turns, turnRecord{key, t})
+		e.append(turnRecord{key, t})
 	}
+	e.appendList(5, len(m.streams))
 	for key, stream := range m.streams {
-		s.Streams = append(s.Streams, streamRecord{key[:], stream})
+		e.append(streamRecord{key[:], stream})
 	}
-	data, err := cbor.Marshal(s)
-	return data, errors.Wrap(err, "turns: encode a snapshot")
+	return e.data, errors.Wrap(e.err, "turns: encode a snapshot")
+}
+
+// recordOverhead is about the size in bytes of a record's keys, IDs and times.
+const recordOverhead = 128
+
+// encodedSize returns about the size in bytes of the encoded state, rather too much than too little.
+func (m *Machine) encodedSize() int {
+	size := recordOverhead * (1 + len(m.programs) + len(m.turns) + len(m.streams))
+	for key, p := range m.programs {
+		size += len(key.Account) + len(key.Program)
+		for name := range p.Reserved {
+			size += len(name) + 10
+		}
+		for name := range p.Settled {
+			size += len(name) + 3
+		}
+		size += 64 * len(p.Homes)
+	}
+	for key, t := range m.turns {
+		size += len(key.Account) + len(key.Request) + len(t.Previous) + len(t.Input) + len(t.Output)
+	}
+	return size
+}
+
+// Major types of CBOR items.
+const (
+	cborArray byte = 4 << 5
+	cborMap   byte = 5 << 5
+)
+
+// snapshotEncoder appends CBOR items. It keeps the first error.
+type snapshotEncoder struct {
+	data []byte
+	err  error
+}
+
+// appendHead appends the head of an array or a map with n elements.
+func (e *snapshotEncoder) appendHead(majorType byte, n int) {
+	switch {
+	case n < 24:
+		e.data = append(e.data, majorType|byte(n))
+	case n <= math.MaxUint16:
+		e.data = binary.BigEndian.AppendUint16(append(e.data, majorType|25), uint16(n))
+	default:
+		e.data = binary.BigEndian.AppendUint32(append(e.data, majorType|26), uint32(n))
+	}
+}
+
+func (e *snapshotEncoder) append(v any) {
+	item, err := cbor.Marshal(v)
+	if err != nil && e.err == nil {
+		e.err = err
+	}
+	e.data = append(e.data, item...)
+}
+
+func (e *snapshotEncoder) appendField(key uint64, v any) {
+	e.append(key)
+	e.append(v)
+}
+
+// appendList appends the key of a field that is a list, and the list's head. Its elements follow.
+func (e *snapshotEncoder) appendList(key uint64, n int) {
+	e.append(key)
+	e.appendHead(cborArray, n)
 }
 
 // Restore replaces the state with that of a snapshot. On an error the state is unchanged.
