--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -22,8 +22,9 @@
 
 const (
 	// storeSnapshotEntries is the number of log entries between two snapshots, each of which contains
-	// all stored conversations.
-	storeSnapshotEntries = 100000
+	// all stored conversations. A VM that lost its disk receives a snapshot and up to about as many entries, within
+	// the catch-up time.
+	storeSnapshotEntries = 8000
 	// storeLogMemoryShare is the fraction of the VM's memory that the logs may use before they are
 	// truncated. While a snapshot is taken, log, state and snapshot are in memory.
 	storeLogMemoryShare = 0.4
