reach: silence counts only where a sign of life was due

Change: heartbeats are due on open links only, and while requests wait a probe decides, a connection to the upstream that has been silent the longest. An idle VM opens none.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -166,14 +166,14 @@
 	for vm, zone := range e.node.watcher.zones() {
 		o := observation(zone)
 		if age, up := e.node.network.SinceLastHeartbeat(vm); up {
-			o.Expected++
+			o.Links++
 			o.Heartbeat = o.Heartbeat || age <= reach.Interval
 			o.Received = o.Heartbeat
 		}
 	}
 	for zone, traffic := range e.proxy.ZoneTraffic() {
 		if o := seen[zone]; o != nil { // a zone without VMs can't be assessed when it has no traffic
-			o.Expected += traffic.Waiting
+			o.Waiting, o.FailedProbes = traffic.Waiting, traffic.FailedProbes
 			o.Received = o.Received || traffic.Received
 		}
 	}
@@ -189,6 +189,9 @@
 		}
 		e.node.events.Emit(event, zap.String("zone", change.Zone), zap.Duration("silent", change.Silent))
 	}
+	for _, zone := range e.reach.Probes() {
+		e.proxy.ProbeZone(zone)
+	}
 	if isolated := e.reach.Isolated(!e.ledger.unreachable()); isolated != e.isolated.Swap(isolated) {
 		event := events.NodeNotIsolated
 		if isolated {
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -1,8 +1,10 @@
 package proxy
 
 import (
+	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -32,6 +34,9 @@
 	received    atomic.Bool // bytes were received since the last call of ZoneTraffic
 	pending     map[*upconn.Conn]*pendingAttempt
 	unreachable bool
+	probing     bool // a probe is under way
+	// failedProbes is the number of probes that timed out since bytes were last received.
+	failedProbes int
 }
 
 // pendingAttempt is an attempt that may wait for bytes from its upstream.
@@ -112,6 +117,8 @@
 type ZoneTraffic struct {
 	Received bool // bytes were received from the zone since the last call of Server.ZoneTraffic
 	Waiting  int  // requests that are waiting for a response now
+	// FailedProbes is the number of probes that timed out since bytes were last received.
+	FailedProbes int
 }
 
 // ZoneTraffic returns the traffic with the upstreams of each zone since the last call.
@@ -120,11 +127,65 @@
 	defer s.zones.mu.Unlock()
 	traffic := make(map[string]ZoneTraffic, len(s.zones.byName))
 	for name, z := range s.zones.byName {
-		traffic[name] = ZoneTraffic{Received: z.received.Swap(false), Waiting: len(z.pending)}
+		received := z.received.Swap(false)
+		if received {
+			z.failedProbes = 0
+		}
+		traffic[name] = ZoneTraffic{Received: received, Waiting: len(z.pending), FailedProbes: z.failedProbes}
 	}
 	return traffic
 }
 
+// probeTimeout is how long a probe waits for its connection: many times the latency between regions.
+const probeTimeout = 250 * time.Millisecond
+
+// ProbeZone finds out whether a zone can be reached: it opens a connection to an upstream there for which a request
+// waits, without sending anything on it. The next ZoneTraffic has the result. It doesn't block, and does nothing
+// while a probe of the zone is under way or if no request waits on a direct connection.
+func (s *Server) ProbeZone(name string) {
+	s.zones.mu.Lock()
+	defer s.zones.mu.Unlock()
+	z := s.zones.get(name)
+	address := z.longestWaiting()
+	if z.probing || address == "" {
+		return
+	}
+	z.probing = true
+	go func() {
+		answered := probe(address)
+		s.zones.mu.Lock()
+		defer s.zones.mu.Unlock()
+		z.probing = false
+		if answered {
+			z.received.Store(true)
+			return
+		}
+		z.failedProbes++
+	}()
+}
+
+// longestWaiting returns the address of the upstream from which a request has received nothing for the longest time
+// on a direct connection, empty if none waits. The mutex is held.
+func (z *zone) longestWaiting() (address string) {
+	var longest time.Duration
+	for _, p := range z.pending {
+		if age := p.received.age(); !p.detour && (address == "" || age > longest) {
+			address, longest = p.upstream.Address, age
+		}
+	}
+	return address
+}
+
+// probe reports whether a host answers an attempt to connect, be it by a refusal.
+func probe(address string) bool {
+	conn, err := net.DialTimeout("tcp", address, probeTimeout)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	}
+	_ = conn.Close() // nothing was sent
+	return true
+}
+
 // SetZoneReachable sets whether an availability zone is reachable. If it is not, pending attempts and
 // idle connections to it are closed.
 func (s *Server) SetZoneReachable(name string, reachable bool) {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -2,6 +2,14 @@
 // from the VMs and upstreams of a zone. A partition drops packets silently, so connections into it
 // stay open for seconds; requests that hang on them have to be failed sooner.
 //
+// Silence counts only where a sign of life was due: a heartbeat on an open link to a VM, or an answer to a probe, a
+// connection that is opened to an upstream for this purpose. A request that waits for its response is no evidence, since
+// an upstream may be silent for as long as it works. Neither is a link that the other side closed. This has to hold under
+// these loads:
+//   - a restart of a zone's control VMs, one after the other, while streams pause for seconds;
+//   - a frozen VM, the only one of its zone to which there is a link;
+//   - a zone that is cut off, with many requests under way: they must end before their deadlines.
+//
 // A Detector is a passive state machine: its owner passes in the observations of each round and acts
 // on the returned changes. It is not safe for concurrent use.
 package reach
@@ -24,32 +32,40 @@
 	maxRoundGap = 3 * Interval
 )
 
-// silentRounds returns the number of silent rounds after which a zone counts as unreachable, given
-// the number of connections on which data is expected; 0 means never. VMs send a heartbeat every
-// 500 ms, which a busy process delays by a round or two. Fewer connections need more rounds, since a
-// single connection may hang and a single VM may be frozen.
-func silentRounds(expected int) int {
+// silentRounds returns the number of silent rounds after which a zone counts as unreachable; 0 means never. VMs send a
+// heartbeat every 500 ms, which a busy process delays by a round or two. Fewer links need more rounds, since a
+// single connection may hang and a single VM may be frozen. While requests wait, a probe decides: if it is answered, the
+// zone isn't silent.
+func silentRounds(o Observation) int {
 	switch {
-	case expected >= 3:
+	case o.Links >= 1 && o.FailedProbes >= 1:
 		return 7
-	case expected == 2:
+	case o.FailedProbes >= 2:
 		return 9
-	case expected == 1:
+	case o.Links == 0:
+		return 0
+	case o.Waiting > 0 || o.Links == 1:
 		return 12
+	case o.Links == 2:
+		return 9
 	}
-	return 0
+	return 7
 }
 
 // Observation describes the traffic received from one zone since the previous round.
 type Observation struct {
 	Zone     string
-	Received bool // at least one byte arrived from a VM or an upstream of the zone
+	Received bool // at least one byte arrived from a VM or an upstream of the zone, or an answer to a probe
 	// Heartbeat reports that the data came from a VM. VMs send heartbeats; upstreams only send
 	// responses.
 	Heartbeat bool
-	// Expected is the number of connections on which data is expected: those that carry
-	// heartbeats, and those with a request that waits for its response.
-	Expected int
+	// Links is the number of open connections to VMs of the zone, on which heartbeats are due.
+	Links int
+	// Waiting is the number of requests that wait for a response from the zone. They make a probe worth its
+	// connection.
+	Waiting int
+	// FailedProbes is the number of probes that timed out since data was last received from the zone.
+	FailedProbes int
 }
 
 // Change reports that a zone became unreachable, or reachable again.
@@ -65,6 +81,7 @@
 	round       int
 	lastRoundAt time.Duration // of the last round
 	zones       map[string]*zone
+	probes      []string
 }
 
 type zone struct {
@@ -102,10 +119,12 @@
 			delete(d.zones, name)
 		}
 	}
+	d.probes = nil
 	var changes []Change
 	for _, o := range observations {
 		z := d.zones[o.Zone]
-		silent, limit := d.round-z.lastReceived, silentRounds(o.Expected)
+		silent, limit := d.round-z.lastReceived, silentRounds(o)
+		suspected := silent >= missedRounds && d.otherZoneActive(o.Zone, z.lastReceived+missedRounds-1)
 		switch {
 		case z.unreachable && silent == 0:
 			z.unreachable = false
@@ -113,6 +132,8 @@
 		case !z.unreachable && limit > 0 && silent >= limit && d.otherZoneActive(o.Zone, z.lastReceived+missedRounds):
 			z.unreachable = true
 			changes = append(changes, Change{Zone: o.Zone, Silent: time.Duration(silent) * Interval})
+		case !z.unreachable && o.Waiting > 0 && suspected:
+			d.probes = append(d.probes, o.Zone)
 		}
 	}
 	slices.SortFunc(changes, func(a, b Change) int {
@@ -124,6 +145,10 @@
 	return changes
 }
 
+// Probes returns the zones that should be probed after the last round: they may be unreachable, and requests wait for
+// them.
+func (d *Detector) Probes() []string { return d.probes }
+
 // otherZoneActive reports whether a VM of a zone other than silent sent a heartbeat in the given
 // round or later.
 func (d *Detector) otherZoneActive(silent string, round int) bool {
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -20,10 +20,17 @@
 	// traffic marks zones whose upstreams send data in each round.
 	traffic map[string]bool
 	phase   map[string]int // offset of a zone's heartbeats, in rounds
+	// waiting is the number of requests that wait for a zone's upstreams, which are silent meanwhile.
+	waiting map[string]int
+	// cut are the zones in which no probe is answered. probes counts those under way by the rounds they have left.
+	cut    map[string]bool
+	probes map[string]int
+	failed map[string]int
 }
 
 func newSimulation(zones ...string) *simulation {
-	return &simulation{detector: New("a"), zones: zones, silent: map[string]bool{}, links: map[string]int{}, traffic: map[string]bool{}, phase: map[string]int{}}
+	return &simulation{detector: New("a"), zones: zones, silent: map[string]bool{}, links: map[string]int{}, traffic: map[string]bool{}, phase: map[string]int{},
+		waiting: map[string]int{}, cut: map[string]bool{}, probes: map[string]int{}, failed: map[string]int{}}
 }
 
 // run simulates rounds, with a heartbeat in every fifth one, and returns the changes.
@@ -39,13 +46,132 @@
 				links = 2
 			}
 			beat := (w.rounds+w.phase[z])%5 == 0 && !w.silent[z]
-			observations = append(observations, Observation{Zone: z, Received: beat || w.traffic[z], Heartbeat: beat, Expected: links})
+			received := beat || w.traffic[z] || w.probed(z)
+			if received {
+				w.failed[z] = 0
+			}
+			observations = append(observations, Observation{
+				Zone: z, Received: received, Heartbeat: beat, Links: links, Waiting: w.waiting[z], FailedProbes: w.failed[z],
+			})
 		}
 		changes = append(changes, w.detector.Round(w.now, observations)...)
+		for _, z := range w.detector.Probes() {
+			if w.probes[z] == 0 {
+				w.probes[z] = 1
+				if w.cut[z] {
+					w.probes[z] = 3
+				}
+			}
+		}
 	}
 	return changes
 }
 
+// probed reports whether a probe of a zone was answered in this round.
+func (w *simulation) probed(zone string) bool {
+	if w.probes[zone] == 0 {
+		return false
+	}
+	w.probes[zone]--
+	if w.probes[zone] > 0 {
+		return false
+	}
+	if w.cut[zone] {
+		w.failed[zone]++
+	}
+	return !w.cut[zone]
+}
+
+// TestDetector_SilentUpstreamsAreNoEvidence guards against streams that are cut because they pause while the VMs of their
+// zone are silent for another reason.
+func TestDetector_SilentUpstreamsAreNoEvidence(t *testing.T) {
+	for name, links := range map[string]int{
+		"the only control VM of the zone is restarted": 0,
+		"the only linked VM of the zone is frozen":     1,
+		"two linked VMs of the zone are frozen":        2,
+		"many linked VMs of the zone are frozen":       5,
+	} {
+		t.Run(name, func(t *testing.T) {
+			for phase := range 25 {
+				w := newSimulation("a", "b", "c")
+				w.phase["b"], w.phase["c"] = phase%5, phase/5
+				w.waiting["c"] = 12
+				w.run(20)
+				w.silent["c"], w.links["c"] = true, links
+				require.Empty(t, w.run(50))
+				w.silent["c"] = false
+				require.Empty(t, w.run(20))
+			}
+		})
+	}
+}
+
+// TestDetector_RollingRestartOfControlVMs restarts the control VMs of all zones one after the other, each for two seconds,
+// while streams pause for 1.4 s.
+func TestDetector_RollingRestartOfControlVMs(t *testing.T) {
+	w := newSimulation("a", "b", "c")
+	for _, z := range w.zones {
+		w.links[z], w.waiting[z] = 1, 12
+	}
+	w.run(20)
+	for range 4 {
+		for _, z := range w.zones {
+			w.silent[z], w.links[z] = true, 0
+			require.Empty(t, w.run(14))
+			w.traffic[z] = true // the streams go on
+			require.Empty(t, w.run(1))
+			w.traffic[z] = false
+			require.Empty(t, w.run(5))
+			w.silent[z], w.links[z] = false, 1
+			require.Empty(t, w.run(10))
+		}
+	}
+}
+
+// TestDetector_CutZoneEndsRequestsInTime guards against requests that hang in a zone that is cut off until their deadline,
+// of 1.5 s for many calls, whatever links this VM has there.
+func TestDetector_CutZoneEndsRequestsInTime(t *testing.T) {
+	for links, limit := range map[int]time.Duration{0: 1400 * time.Millisecond, 1: time.Second, 2: time.Second, 3: time.Second} {
+		for phase := range 25 {
+			w := newSimulation("a", "b", "c")
+			w.phase["b"], w.phase["c"] = phase%5, phase/5
+			w.waiting["c"] = 12
+			w.run(20)
+			w.silent["c"], w.cut["c"], w.links["c"] = true, true, links
+			took := time.Duration(0)
+			for !w.detector.Unreachable("c") {
+				w.run(1)
+				took += Interval
+				require.LessOrEqual(t, took, limit, "%d links", links)
+			}
+		}
+	}
+}
+
+// TestDetector_ProbesOnlyForWaitingRequests guards against connections that are opened although nothing depends on their
+// result: upstreams take few.
+func TestDetector_ProbesOnlyForWaitingRequests(t *testing.T) {
+	w := newSimulation("a", "b", "c")
+	w.run(20)
+	w.silent["c"], w.links["c"] = true, 0
+	for range 50 {
+		w.run(1)
+		require.Empty(t, w.detector.Probes())
+	}
+	w.waiting["c"] = 1
+	probes := 0
+	for range 50 {
+		w.run(1)
+		probes += len(w.detector.Probes())
+	}
+	require.Positive(t, probes)
+	require.LessOrEqual(t, probes, 10, "at most two a second while they are answered")
+	w.silent["c"] = false
+	w.run(5)
+	w.run(20)
+	require.Empty(t, w.detector.Probes())
+}
+
 func TestDetector_SilentZoneBecomesUnreachable(t *testing.T) {
 	w := newSimulation("a", "b", "c")
 	require.Empty(t, w.run(50))
