registry: an announcement that an upstream leaves says when it came

A second process of an ID that left at a VM which still held the first one's departure was not recorded at all. Change: entries carry how long ago the process was first registered and how long ago a process left. What was registered before the departure, or less than a second after it, is the process that left. Late news of an earlier process's departure no longer hits the later one.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -36,6 +36,9 @@
 	leavingSince time.Time
 	// leavingStated is set once a response of the process said that it leaves, which no registration revokes.
 	leavingStated bool
+	// registeredAt is when the process was first registered, departedAt when a process of the upstream last announced that
+	// it leaves; zero if unknown.
+	registeredAt, departedAt time.Time
 }
 
 // directoryNotice is a notice for the control VMs.
@@ -218,10 +221,17 @@
 		if u.State == Gone && u.Expired {
 			return nil, false
 		}
-		d.entries[u.ID] = &directoryEntry{upstream: u, source: source, leavingSince: announcedAt(&u), announced: u.State != Ready}
+		d.entries[u.ID] = &directoryEntry{
+			upstream: u, source: source, leavingSince: announcedAt(&u), announced: u.State != Ready,
+			registeredAt: ago(u.Registered), departedAt: ago(u.Departed),
+		}
 		return nil, true
 	}
 	was := known.upstream
+	departed := ago(u.Departed)
+	if known.departedAt.After(departed) {
+		departed = known.departedAt
+	}
 	switch {
 	case u.State == Gone && u.Expired:
 		// Another control VM may be receiving the upstream's registrations by now, so only the
@@ -230,11 +240,19 @@
 			return nil, false
 		}
 	case u.State == Gone:
-		// The notice that an upstream leaves may lack the upstream's start time.
-		if u.Born != 0 && was.Born > u.Born || was.State == Gone && !was.Expired {
+		// The announcement that an upstream leaves may lack the upstream's start time.
+		timed := u.Departed > 0 && !known.registeredAt.IsZero()
+		switch {
+		case timed && !left(known.registeredAt, departed), !timed && u.Born != 0 && was.Born > u.Born:
+			return nil, false // an earlier process
+		case was.State == Gone && !was.Expired:
+			known.departedAt = departed
 			return nil, false
 		}
 		u.Born, u.Sequence = was.Born, max(was.Sequence, u.Sequence)
+	case u.Born >= was.Born && left(ago(u.Registered), departed):
+		// The process left, as another control VM or an earlier entry says.
+		u.State, u.Expired = Gone, false
 	case was.State == Gone && !was.Expired && u.Born <= was.Born:
 		return nil, false
 	case u.Born < was.Born || (u.Born == was.Born && u.Sequence <= was.Sequence && !was.Expired):
@@ -242,7 +260,9 @@
 	}
 	if u.Born != was.Born {
 		known.announced, known.leavingStated = false, false
+		known.registeredAt = ago(u.Registered)
 	}
+	known.departedAt = departed
 	switch {
 	case u.State == Ready && known.leavingStated:
 		u.State = Draining // the registration was sent before the response
@@ -257,6 +277,20 @@
 	return &was, true
 }
 
+// left reports whether a process that was first registered at a time is the one that left at another time, or an earlier
+// one; false if either time is unknown.
+func left(registeredAt, departedAt time.Time) bool {
+	return !registeredAt.IsZero() && !departedAt.IsZero() && registeredAt.Before(departedAt.Add(minReturnTime))
+}
+
+// ago returns the time that was the given duration ago, zero for a duration of 0, which stands for an unknown one.
+func ago(d time.Duration) time.Time {
+	if d <= 0 {
+		return time.Time{}
+	}
+	return time.Now().Add(-d)
+}
+
 // announcedAt returns when an upstream announced its shutdown, zero if it hasn't or if that isn't known.
 func announcedAt(u *Upstream) time.Time {
 	if u.State != Draining || u.Leaving <= 0 {
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -23,7 +23,10 @@
 	leavingSince time.Duration
 	// leavingStatedAt is when a response of the upstream's process first said that it leaves, nil if none did.
 	leavingStatedAt *time.Duration
-	version         uint64 // of the last change that matters to callers
+	// registeredAt is when the process was first registered here, departedAt when a process of the upstream last
+	// announced here that it leaves; nil if none did.
+	registeredAt, departedAt *time.Duration
+	version                  uint64 // of the last change that matters to callers
 }
 
 // isNotice reports whether the upstream is known from a LeavingNotice only.
@@ -51,6 +54,11 @@
 		if known.upstream.State == Gone && !known.upstream.Expired && u.Born == known.upstream.Born {
 			return false // an incarnation that left doesn't return
 		}
+		if known.upstream.Born == 0 && known.departedAt != nil && now-*known.departedAt < minReturnTime {
+			// A late registration of the process that left, the first to arrive here.
+			known.upstream.Born, known.upstream.Sequence = u.Born, u.Sequence
+			return false
+		}
 		// A gap in the sequence means that another control VM received the registrations in between.
 		// That VM will expire the upstream, so entry VMs must be notified that it registers here.
 		missed := u.Sequence > known.upstream.Sequence+1
@@ -64,6 +72,9 @@
 	if u.Born != known.upstream.Born {
 		known.leavingStatedAt = nil
 	}
+	if u.Born != known.upstream.Born || known.registeredAt == nil {
+		known.registeredAt = &now
+	}
 	known.upstream = u
 	known.lastSeen = now
 	r.markChanged(known)
@@ -132,12 +143,15 @@
 		known = &registration{upstream: Upstream{ID: id}}
 		r.entries[id] = known
 	}
-	if known.upstream.State == Gone && !known.upstream.Expired {
-		return
+	now := r.clock()
+	left := known.upstream.State == Gone && !known.upstream.Expired
+	if left && known.departedAt != nil && now-*known.departedAt < minReturnTime {
+		return // sent again
 	}
+	// Even if a process has left already, a later one may have sent its registrations to another VM.
 	known.upstream.State = Gone
 	known.upstream.Expired = false
-	known.lastSeen = r.clock()
+	known.lastSeen, known.departedAt = now, &now
 	r.markChanged(known)
 }
 
@@ -189,6 +203,12 @@
 			if known.leavingStatedAt != nil {
 				u.LeavingStated = max(r.clock()-*known.leavingStatedAt, 1)
 			}
+			if known.departedAt != nil {
+				u.Departed = max(r.clock()-*known.departedAt, 1)
+			}
+			if known.registeredAt != nil {
+				u.Registered = max(r.clock()-*known.registeredAt, 1)
+			}
 			changes = append(changes, u)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -40,6 +40,11 @@
 	// LeavingStated is how long ago a response of this process first said that it leaves, when the entry was sent; 0 if
 	// none did. Unlike a registration, which may arrive late, a response that says so is final for its process.
 	LeavingStated time.Duration `cbor:"12,keyasint,omitempty"`
+	// Departed is how long ago the reporting VM received the announcement that a Gone upstream leaves, Registered how long
+	// ago the first registration of this process, when the entry was sent; 0 if unknown. An announcement doesn't
+	// say which process of the upstream it concerns, and its VM need not have a registration of it: the two times tell.
+	Departed   time.Duration `cbor:"13,keyasint,omitempty"`
+	Registered time.Duration `cbor:"14,keyasint,omitempty"`
 }
 
 // LeavingNotice reports that a response of an upstream's process said that it leaves.
@@ -70,6 +75,9 @@
 	// goneRetention is how long an upstream that is gone is kept, so that a late registration of its
 	// incarnation is recognised. It exceeds network delays by far.
 	goneRetention = 60 * time.Second
+	// minReturnTime is the time after the announcement of its shutdown in which an upstream doesn't return as another
+	// process, since it serves on for longer. A process that is first registered within it is the one that leaves.
+	minReturnTime = time.Second
 	// maxNotices bounds the upstreams that a Registrar knows only from a LeavingNotice.
 	maxNotices = 1024
 )
