httpwire, proxy: nothing but its own body follows a response that has begun

Change: the response refuses calls out of order and closes the connection; the proxy takes such a failure as a failed attempt, so the stream may go on at another upstream.

--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -6,9 +6,16 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"github.com/cockroachdb/errors"
 )
 
-// Response writes one response: either by Send, or by Begin, Chunk and Finish. Abort cuts it off.
+// ErrOutOfOrder is returned by a call that would write bytes which don't belong to the response that was begun or sent. The
+// caller's connection is closed then.
+var ErrOutOfOrder = errors.New("httpwire: only the rest of the response that was begun may follow")
+
+// Response writes one response: either by Send, or by Begin, Chunk and Finish. Abort cuts it off. Any other order of calls is
+// refused, so that a caller never gets the head of a second response in the body of the first.
 type Response struct {
 	conn       *serverConn
 	writer     *bufio.Writer
@@ -30,6 +37,10 @@
 
 // Send sends a complete response.
 func (w *Response) Send(status int, header http.Header, body []byte) error {
+	if w.Begun() {
+		w.Abort()
+		return ErrOutOfOrder
+	}
 	w.ended = true
 	w.writeHead(status, header)
 	if status != http.StatusNoContent && status != http.StatusNotModified {
@@ -43,10 +54,15 @@
 }
 
 // Begin buffers the head of a response of unknown length; the first Chunk sends it.
-func (w *Response) Begin(status int, header http.Header) {
+func (w *Response) Begin(status int, header http.Header) error {
+	if w.Begun() {
+		w.Abort()
+		return ErrOutOfOrder
+	}
 	w.begun = true
 	w.writeHead(status, header)
 	_, _ = w.writer.WriteString("Transfer-Encoding: chunked\r\n\r\n")
+	return nil
 }
 
 // Begun reports whether a response was begun or sent.
@@ -57,6 +73,10 @@
 
 // Chunk sends a part of the body without delay.
 func (w *Response) Chunk(p []byte) error {
+	if !w.begun || w.ended {
+		w.Abort()
+		return ErrOutOfOrder
+	}
 	if len(p) > 0 && !w.isHead {
 		_, _ = w.writer.WriteString(strconv.FormatInt(int64(len(p)), 16) + "\r\n")
 		_, _ = w.writer.Write(p)
@@ -67,6 +87,10 @@
 
 // Finish sends the end of a chunked response.
 func (w *Response) Finish() error {
+	if !w.begun || w.ended {
+		w.Abort()
+		return ErrOutOfOrder
+	}
 	w.ended = true
 	if !w.isHead {
 		_, _ = w.writer.WriteString("0\r\n\r\n")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -35,6 +35,8 @@
 var (
 	errStaleResponse   = errors.New("proxy: the connection carries answers to other requests")
 	errUnsignedSuccess = errors.New("proxy: a success without the upstream's signature")
+	// errNotResumed means that an upstream answered the request to continue a stream by a failure of its own.
+	errNotResumed = errors.New("proxy: the upstream failed to continue the stream")
 	// errConversationLost means that the store no longer holds the conversation that a turn continued.
 	errConversationLost = errors.New("proxy: the conversation that the turn continued is no longer stored")
 )
@@ -83,6 +85,9 @@
 			return maybeRun, errUnsignedSuccess
 		}
 		return a.forwardStream(response)
+	case a.w.Begun():
+		// The caller has the head and the first events of a stream; this failure can't be passed on.
+		return maybeRun, errors.Wrapf(errNotResumed, "status %d", response.StatusCode)
 	}
 	body, err := a.readBody(response)
 	if err != nil {
@@ -270,7 +275,9 @@
 		if !a.w.Begun() {
 			a.timeToFirstByte = time.Since(a.request.Arrived)
 			a.server.health.recordSuccess(a.upstream, a.service.Name, now.Sub(a.started), response.StatusCode)
-			a.w.Begin(response.StatusCode, response.Header)
+			if err := a.w.Begin(response.StatusCode, response.Header); err != nil {
+				return a.streamInterrupted(err)
+			}
 		}
 		if lastEventAt.IsZero() {
 			a.server.observeFirstEvent(a.service.Name, now.Sub(a.started), a.call.PromptTokens)
@@ -296,7 +303,9 @@
 	a.updateReusable(response, nil)
 	a.releaseConn()
 	if !a.w.Begun() {
-		a.w.Begin(response.StatusCode, response.Header)
+		if err := a.w.Begin(response.StatusCode, response.Header); err != nil {
+			return a.streamInterrupted(err)
+		}
 	}
 	if len(trailer) > 0 {
 		if err := a.w.Chunk(trailer); err != nil {
