httpwire: heads of any size up to the operator's limit are read

Cause, read in the review: the head is checked in the read buffer, which held 17 KB, whatever max_header_bytes allows. Change: the buffer grows up to the limit, at most 1 MiB. Measured: TestServer_TakesHeadsUpToTheLimit, red before with 18 KB.

--- a/internal/httpwire/read.go
+++ b/internal/httpwire/read.go
@@ -83,7 +83,7 @@
 // implementations could disagree. net/http would accept some of it, and an upstream could then parse
 // a part of the body as a separate request (request smuggling).
 func (c *serverConn) checkHead(limit int) *failure {
-	limit = min(limit, c.reader.Size())
+	limit = min(limit, maxHeadBytes)
 	for {
 		buffered, err := c.reader.Peek(c.reader.Buffered())
 		if err != nil {
@@ -99,14 +99,22 @@
 			return &failure{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
 		}
 		if _, err := c.reader.Peek(len(buffered) + 1); err != nil {
-			if errors.Is(err, bufio.ErrBufferFull) {
-				return &failure{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
+			if !errors.Is(err, bufio.ErrBufferFull) {
+				return &failure{}
 			}
-			return &failure{}
+			c.growReader()
 		}
 	}
 }
 
+// growReader doubles the read buffer and keeps what it holds.
+func (c *serverConn) growReader() {
+	// The buffer's content is copied: reads into the new one may not overlap with it.
+	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails: it asks for no more than is there
+	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.raw)
+	c.reader = bufio.NewReaderSize(rest, 2*c.reader.Size())
+}
+
 func checkFraming(head []byte) *failure {
 	lengths, codings := 0, 0
 	for i, line := range bytes.Split(head, []byte("\r\n")) {
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -182,9 +182,13 @@
 	return err == nil
 }
 
-// readerSize is the size of a connection's read buffer. It holds the largest head that operators
-// are expected to allow, because the head is checked in the buffer before it is parsed.
-const readerSize = 17 << 10
+const (
+	// readerSize is the size of a connection's read buffer, which grows up to a head's size: the head is checked in the
+	// buffer before it is parsed.
+	readerSize = 17 << 10
+	// maxHeadBytes bounds Limits.MaxHeaderBytes.
+	maxHeadBytes = 1 << 20
+)
 
 func (c *serverConn) run() {
 	defer func() { _ = c.raw.Close() }()
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -146,6 +146,52 @@
 	require.ErrorIs(t, err, io.EOF, "an incomplete head must time out without a response")
 }
 
+// TestServer_TakesHeadsUpToTheLimit guards against heads that are refused although the operator's limit allows them.
+func TestServer_TakesHeadsUpToTheLimit(t *testing.T) {
+	e := &echo{requests: make(chan *Request, 100)}
+	s := New(e, func() Limits {
+		return Limits{MaxHeaderBytes: 100 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: 2 * time.Second, IdleTimeout: time.Second}
+	})
+	address := listenAndServe(t, s)
+	conn, r := dial(t, address)
+	for _, size := range []int{10, 16 << 10, 18 << 10, 40 << 10, 99 << 10, 10} {
+		value := strings.Repeat("a", size)
+		// The next request follows at once: bytes beyond the head stay in order.
+		_, err := io.WriteString(conn, "POST /x HTTP/1.1\r\nHost: h\r\nX-A: "+value+"\r\nContent-Length: 4\r\n\r\nbodyGET /next HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		status, body := readResponse(t, r)
+		require.Equal(t, 200, status, "%d bytes", size)
+		require.Equal(t, "POST /x body", body)
+		require.Equal(t, value, (<-e.requests).Header.Get("X-A"))
+		status, body = readResponse(t, r)
+		require.Equal(t, 200, status)
+		require.Equal(t, "GET /next ", body)
+		<-e.requests
+	}
+	_, err := io.WriteString(conn, "GET / HTTP/1.1\r\nHost: h\r\nX-A: "+strings.Repeat("a", 101<<10)+"\r\n\r\n")
+	require.NoError(t, err)
+	status, _ := readResponse(t, r)
+	require.Equal(t, 431, status)
+}
+
+func listenAndServe(t *testing.T, s *Server) string {
+	address, err := loopback.Address()
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		_ = s.Serve(listener)
+	}()
+	t.Cleanup(func() {
+		_ = listener.Close()
+		s.CloseIdle()
+		<-done
+	})
+	return address
+}
+
 func TestServer_CancelsContextWhenCallerDisconnects(t *testing.T) {
 	ended := make(chan error, 1)
 	_, e, address := startServer(t, func(ctx context.Context, w *Response, _ *Request) {
