--- a/internal/events/raft.go
+++ b/internal/events/raft.go
@@ -18,7 +18,9 @@
 	FormationAbandoned = define(1109, zapcore.WarnLevel, "the replica abandoned a group formation that was never completed and starts over", "")
 	FormationWaiting   = define(1110, zapcore.WarnLevel, "the group is not formed yet: not every initial VM responds",
 		"start the VMs that are named, or correct the initial VMs in the settings")
-	LearnerDropped    = define(1112, zapcore.InfoLevel, "an unresponsive learner was removed because its VM has a live voter", "")
-	VoterRemoved      = define(1113, zapcore.InfoLevel, "a voter was removed from the group", "")
+	LearnerDropped = define(1112, zapcore.InfoLevel, "an unresponsive learner was removed because its VM has a live voter", "")
+	VoterRemoved   = define(1113, zapcore.InfoLevel, "a voter was removed from the group", "")
+	LearnerBehind  = define(1114, zapcore.WarnLevel, "a new replica has not caught up; the loss of another disk may cost the group's data",
+		"compare snapshot_sent and match of two lines: if they grow, the state is large or the VM is busy; if not, check the link to the VM and its disk")
 	SnapshotInstalled = define(1111, zapcore.InfoLevel, "a snapshot from the leader replaced the state", "")
 )
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -50,6 +51,10 @@
 		return s.heldReplicas().HandlePropose(ctx, from, payload)
 	})
 	n.network.HandleCalls(methodStatus, s.handleStatus)
+	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretramp_store_replicas_behind",
+		Help: "New replicas of the groups that this VM leads that have not caught up. Until they have, the loss of another disk may cost data.",
+	}, s.replicasBehind))
 	return s
 }
 
@@ -60,6 +65,19 @@
 	return maps.Clone(s.replicas)
 }
 
+// replicasBehind returns the number of learners that have not caught up, of the groups that this VM leads.
+func (s *store) replicasBehind() float64 {
+	behind := 0
+	for _, r := range s.heldReplicas() {
+		for _, m := range r.Status().Members {
+			if m.Behind {
+				behind++
+			}
+		}
+	}
+	return float64(behind)
+}
+
 func (s *store) handleStatus(context.Context, string, []byte) ([]byte, error) {
 	var answer storeStatus
 	for group, r := range s.heldReplicas() {
--- a/internal/raft/membership.go
+++ b/internal/raft/membership.go
@@ -181,6 +181,16 @@
 	return 0
 }
 
+// SnapshotProgress returns how many bytes of the snapshot that a member is just installing it has acknowledged, and the size
+// of the snapshot; zeros if it installs none.
+func (r *Raft) SnapshotProgress(id uint64) (acknowledged, size int) {
+	p := r.progress[id]
+	if p == nil || p.outgoing == nil {
+		return 0, 0
+	}
+	return int(p.outgoing.acked), len(p.outgoing.snapshot.Data)
+}
+
 // TicksSinceReply returns the number of ticks since the leader last received a reply of a member, in
 // multiples of the heartbeat interval.
 func (r *Raft) TicksSinceReply(id uint64) int {
--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -169,6 +169,33 @@
 	return vms
 }
 
+// learnerBehindTicks is the time, in ticks, after which a learner that has not caught up is reported, and reported again.
+const learnerBehindTicks = 200
+
+// reportLearnersBehind emits an event for each learner that has lacked committed entries for long: until it has them, the
+// group has a copy less than it should.
+func (n *node) reportLearnersBehind() {
+	current := map[uint64]bool{}
+	for _, m := range n.raft.Conf().Members {
+		if !m.Learner || n.raft.CaughtUp(m.Id) {
+			continue
+		}
+		current[m.Id] = true
+		n.learnerTicks[m.Id]++
+		if n.learnerTicks[m.Id]%learnerBehindTicks != 0 {
+			continue
+		}
+		sent, size := n.raft.SnapshotProgress(m.Id)
+		n.emit(events.LearnerBehind, zap.String("peer", m.Vm), zap.Uint64("replica", m.Id), zap.Uint64("match", n.raft.Match(m.Id)),
+			zap.Uint64("commit", n.raft.Commit()), zap.Int("snapshot_sent", sent), zap.Int("snapshot_bytes", size))
+	}
+	for id := range n.learnerTicks {
+		if !current[id] {
+			delete(n.learnerTicks, id)
+		}
+	}
+}
+
 // proposeMembershipChange proposes the next membership change, if one is due and none is pending.
 func (n *node) proposeMembershipChange() {
 	if n.raft.ChangePending() {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -259,7 +259,10 @@
 	s.LastIndex = n.raft.LastIndex()
 	s.Leader = n.leaderVM()
 	for _, m := range n.raft.Conf().Members {
-		s.Members = append(s.Members, MemberStatus{Replica: m.Id, VM: m.Vm, Learner: m.Learner, Match: n.raft.Match(m.Id)})
+		member := MemberStatus{Replica: m.Id, VM: m.Vm, Learner: m.Learner, Match: n.raft.Match(m.Id)}
+		member.Behind = n.isLeader() && m.Learner && !n.raft.CaughtUp(m.Id)
+		member.SnapshotSent, member.SnapshotBytes = n.raft.SnapshotProgress(m.Id)
+		s.Members = append(s.Members, member)
 		if m.Id == identity.Replica && m.Learner {
 			s.Role = "learner"
 		}
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -56,6 +56,9 @@
 	reads        pendingReads
 	discovery    discovery
 	joiners      joiners
+	// learnerTicks is the time for which each learner has lacked committed entries, in ticks; empty unless this replica
+	// leads.
+	learnerTicks map[uint64]int
 	wasLeader    bool
 	leaderTerm   uint64
 }
@@ -66,7 +69,7 @@
 	sort.Strings(options.initialVMs)
 	n := &node{
 		options: options, store: s, vms: map[uint64]string{},
-		pending: proposals{}, joiners: joiners{},
+		pending: proposals{}, joiners: joiners{}, learnerTicks: map[uint64]int{},
 	}
 	n.discovery.reset()
 	if s.Identity().Formation == 0 {
@@ -110,9 +113,12 @@
 	if err := n.tickDiscovery(); err != nil {
 		return err
 	}
-	if n.hasFormation() && n.raft.Role() == raft.Leader {
-		n.proposeMembershipChange()
+	if !n.isLeader() {
+		clear(n.learnerTicks)
+		return nil
 	}
+	n.proposeMembershipChange()
+	n.reportLearnersBehind()
 	return nil
 }
 
--- a/internal/replica/refill_test.go
+++ b/internal/replica/refill_test.go
@@ -4,13 +4,16 @@
 	"context"
 	"fmt"
 	"slices"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap/zapcore"
 
+	"egretramp/internal/events"
 	"egretramp/internal/raft"
 	"egretramp/internal/raft/raftpb"
 	"egretramp/internal/raft/wal"
@@ -176,6 +179,61 @@
 	f.stopAll()
 }
 
+// TestReplica_ReportsThatAReplicaIsNotFilled guards against a group that has a copy less than it should, and nobody knows.
+func TestReplica_ReportsThatAReplicaIsNotFilled(t *testing.T) {
+	f := newTestCluster(t, "a", "b", "c")
+	var logs syncedBuffer
+	f.events = events.NewTo("vm", zapcore.InfoLevel, &logs)
+	var blocked atomic.Bool
+	var lostVM atomic.Value
+	lostVM.Store("")
+	f.lost = func(vm string, m *raftpb.Message) bool {
+		return blocked.Load() && vm == lostVM.Load() && (m.Type == raftpb.MessageType_MESSAGE_TYPE_APPEND || m.Snapshot != nil)
+	}
+	for _, vm := range f.vms {
+		f.start(vm)
+	}
+	for i := range uint64(300) {
+		f.propose(i)
+	}
+	r := refill{testCluster: f}
+	vm := r.follower()
+	lostVM.Store(vm)
+	blocked.Store(true)
+	f.stop(vm)
+	f.folders[vm] = t.TempDir()
+	f.start(vm)
+	behind := func() bool {
+		return slices.ContainsFunc(r.leader().Status().Members, func(m MemberStatus) bool { return m.VM == vm && m.Behind })
+	}
+	require.Eventually(t, behind, waitTimeout, 10*time.Millisecond)
+	require.Eventually(t, func() bool { return strings.Contains(logs.String(), "has not caught up") }, waitTimeout, 10*time.Millisecond)
+	require.Contains(t, logs.String(), `"peer":"`+vm+`"`)
+	blocked.Store(false)
+	require.Eventually(t, func() bool { return !behind() }, waitTimeout, 10*time.Millisecond)
+	f.stopAll()
+}
+
+// syncedBuffer is a log that several goroutines write to. It implements zapcore.WriteSyncer.
+type syncedBuffer struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (b *syncedBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *syncedBuffer) Sync() error { return nil }
+
+func (b *syncedBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.text.String()
+}
+
 // TestReplica_IsFilledAgainWhateverTheLogHolds guards against a time of refilling that grows with the age of the group:
 // the log holds many commands and the state that they lead to is small.
 func TestReplica_IsFilledAgainWhateverTheLogHolds(t *testing.T) {
--- a/internal/replica/replica_test.go
+++ b/internal/replica/replica_test.go
@@ -15,6 +15,7 @@
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/proto"
 
+	"egretramp/internal/events"
 	"egretramp/internal/raft"
 	"egretramp/internal/raft/raftpb"
 	"egretramp/internal/raft/storage"
@@ -36,6 +37,8 @@
 	newMachine    func() StateMachine // nil for recorders
 	openStore     func(folder string, fresh *raftpb.Identity) (Store, raft.State, error)
 	electionTicks int // default 20
+	events        *events.Logger
+	lost          func(vm string, m *raftpb.Message) bool // messages that don't arrive; nil: none
 	mu            sync.Mutex
 	running       map[string]*runningReplica
 }
@@ -61,6 +64,9 @@
 	if err != nil {
 		return
 	}
+	if f.lost != nil && f.lost(vm, m) {
+		return
+	}
 	f.bytes.Add(int64(len(data)))
 	for size := int64(len(data)); ; {
 		if largest := f.largest.Load(); size <= largest || f.largest.CompareAndSwap(largest, size) {
@@ -82,7 +88,7 @@
 		machine = f.newMachine()
 	}
 	r, err := New(Options{
-		Group: 1, VM: vm, Folder: f.folders[vm], InitialVMs: f.vms, Machine: machine, Transport: f, OpenStore: f.openStore,
+		Group: 1, VM: vm, Folder: f.folders[vm], InitialVMs: f.vms, Machine: machine, Transport: f, OpenStore: f.openStore, Events: f.events,
 		TickInterval: f.tick, ElectionTicks: cmp.Or(f.electionTicks, 20), HeartbeatTicks: 3, SnapshotEvery: f.snapshotEvery, SnapshotBytes: f.snapshotBytes,
 	})
 	require.NoError(f.t, err)
