proxy: a turn whose stream was resumed is recorded whole

Change: the upstream sends the stream from its start, what the caller has is recorded and not sent again. If the stream ends without the event after which it was to continue, the attempt failed. Measured: the new tests, red before (the next turn got word3 and word4 only).

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -37,6 +37,8 @@
 	errUnsignedSuccess = errors.New("proxy: a success without the upstream's signature")
 	// errNotResumed means that an upstream answered the request to continue a stream by a failure of its own.
 	errNotResumed = errors.New("proxy: the upstream failed to continue the stream")
+	// errEventMissing means that a stream ended without the event after which its caller resumes it.
+	errEventMissing = errors.New("proxy: the stream lacks the event after which it is to continue")
 	// errConversationLost means that the store no longer holds the conversation that a turn continued.
 	errConversationLost = errors.New("proxy: the conversation that the turn continued is no longer stored")
 )
@@ -130,7 +132,7 @@
 	}
 	account := a.accountName()
 	header := a.server.opts.Protocol.UpstreamHeaders(&a.call, SendInfo{
-		Upstream: a.upstream, Account: account, TimeLeft: timeLeft, LastEventID: a.lastEventID,
+		Upstream: a.upstream, Account: account, TimeLeft: timeLeft, LastEventID: a.lastEventID, FromStart: a.recordsResumed() && a.lastEventID == "",
 	})
 	var buffer bytes.Buffer
 	buffer.Grow(1 << 10)
@@ -264,6 +266,9 @@
 			if !isBlank(event) || (!a.forwarded && isUnframed(response)) {
 				return a.streamInterrupted(io.ErrUnexpectedEOF)
 			}
+			if a.skipUntil != "" {
+				return a.streamInterrupted(errors.Wrapf(errEventMissing, "event %q", a.skipUntil))
+			}
 			trailer = event
 			break
 		}
@@ -272,6 +277,20 @@
 		if err := a.confirmOrigin(); err != nil {
 			return a.streamInterrupted(err)
 		}
+		id, data := parseEvent(event)
+		if a.route.Stateful {
+			if err := a.outputBuffers.grow(len(data) + 1); err != nil {
+				return a.streamInterrupted(err)
+			}
+			a.output = append(append(a.output, data...), '\n')
+		}
+		a.lastEventID = id
+		if a.skipUntil != "" {
+			if id == a.skipUntil {
+				a.skipUntil = ""
+			}
+			continue
+		}
 		if !a.w.Begun() {
 			a.timeToFirstByte = time.Since(a.request.Arrived)
 			a.server.health.recordSuccess(a.upstream, a.service.Name, now.Sub(a.started), response.StatusCode)
@@ -285,16 +304,8 @@
 			a.server.observeEventGap(a.upstream.ID, a.service.Name, now.Sub(lastEventAt))
 		}
 		lastEventAt = now
-		id, data := parseEvent(event)
-		a.lastEventID = id
 		a.eventsSent++
 		a.forwarded = true
-		if a.route.Stateful {
-			if err := a.outputBuffers.grow(len(data) + 1); err != nil {
-				return a.streamInterrupted(err)
-			}
-			a.output = append(append(a.output, data...), '\n')
-		}
 		if err := a.w.Chunk(event); err != nil {
 			a.abortCallerGone(errors.Mark(err, httpwire.ErrCallerGone))
 			return answered, nil
--- a/internal/proxy/conversation_test.go
+++ b/internal/proxy/conversation_test.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"testing"
@@ -54,3 +56,40 @@
 	require.NoError(t, err)
 	require.Equal(t, turns.Result{Outcome: turns.BudgetSpent, Used: 30, Reserved: 900}, r)
 }
+
+// TestServer_ResumedTurnIsRecordedWhole guards against conversations with a gap: a VM is lost while it forwards a turn, the
+// caller resumes the stream at another one, and the next turn continues the one that was resumed.
+func TestServer_ResumedTurnIsRecordedWhole(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		from := 1
+		if last := r.Header.Get("Last"); last != "" {
+			_, _ = fmt.Sscan(last, &from)
+			from++
+		}
+		if r.Header.Get("Id") == "t1" {
+			_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 2))
+			return false
+		}
+		_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(from, 4)+"0\r\n\r\n")
+		return err == nil
+	})
+	require.Error(t, g.callWithBody("t1", "/kept-resumed/", "asked", "Program: p").err)
+	resumed := g.callWithBody("t2", "/kept-resumed/", "asked", "Program: p", "Resumes: t1", "Last: 2")
+	require.NoError(t, resumed.err)
+	require.Equal(t, "id: 3\ndata: word3\n\nid: 4\ndata: word4\n\n", resumed.body, "what the caller has isn't sent again")
+	require.Equal(t, 200, g.callWithBody("t3", "/kept-resumed/", "next", "Program: p", "Line: elsewhere", "Previous: t2").status)
+	received := g.receivedRequests()
+	require.Equal(t, "askedword1\nword2\nword3\nword4\nnext", received[len(received)-1].body)
+}
+
+// TestServer_ResumedTurnWithoutItsEvent guards against a response that looks complete although the upstream never sent the
+// event after which it was to continue.
+func TestServer_ResumedTurnWithoutItsEvent(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("u", streamEvents(2))
+	require.Equal(t, 200, g.call("t1", "/kept-resumed/", "Program: p").status)
+	lost := g.call("t2", "/kept-resumed/", "Program: p", "Resumes: t1", "Last: 7")
+	require.Equal(t, 502, lost.status)
+	require.Equal(t, 404, g.call("t3", "/kept-resumed/", "Program: p", "Line: elsewhere", "Previous: t2").status, "it isn't recorded")
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -68,6 +68,8 @@
 	Account     string        // empty for anonymous callers
 	TimeLeft    time.Duration // until the final response is due
 	LastEventID string        // the stream continues after this event
+	// FromStart is set if the upstream must send the stream from its first event, whichever the caller resumes after.
+	FromStart bool
 }
 
 // Reply holds the system's headers in an upstream's response.
@@ -296,7 +298,8 @@
 	permitWait      time.Duration   // time spent waiting for a permit of an upstream
 	refusals        int             // upstreams that stated that they did not run the request
 	retryAfterHint  time.Duration   // the longest retry hint of these upstreams
-	lastEventID     string          // of the last event that was forwarded
+	lastEventID     string          // of the last event that was forwarded, or skipped
+	skipUntil       string          // events up to that with this ID are recorded, but not forwarded; empty for none
 	eventsSent      int64           // events that were forwarded
 	origin          origin          // what wrote the stream so far; zero for a stream without events
 	originRecord    *originRecord   // the last record of the origin, nil for none
@@ -410,6 +413,9 @@
 func (x *exchange) beginTurn() *Refusal {
 	x.body = x.request.Body
 	x.admitted = x.programActive || x.server.admitsNewProgram(x)
+	if x.recordsResumed() {
+		x.skipUntil = x.call.LastEventID
+	}
 	isTurn := x.route.Kind == routing.Streaming && x.call.Program != "" && (x.route.Stateful || x.call.HasBudget)
 	if !isTurn && !x.resumes() {
 		return nil
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -50,6 +50,9 @@
 	h.Set("Account", s.Account)
 	h.Set("Left", s.TimeLeft.String())
 	h.Set("Last", cmp.Or(s.LastEventID, c.LastEventID))
+	if s.FromStart {
+		h.Del("Last")
+	}
 	return h
 }
 
@@ -195,6 +198,7 @@
 			{Name: "resumed", Host: "h", PathPrefix: "/resumed/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 1, Resumable: true, Targets: target},
 			{Name: "resumed twice", Host: "h", PathPrefix: "/resumed-twice/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Resumable: true, Targets: target},
 			{Name: "kept", Host: "h", PathPrefix: "/kept/", Kind: routing.Streaming, Timeout: 2 * time.Second, Stateful: true, Retention: time.Minute, Targets: target},
+			{Name: "kept and resumed", Host: "h", PathPrefix: "/kept-resumed/", Kind: routing.Streaming, Timeout: 2 * time.Second, MaxAttempts: 2, Stateful: true, Resumable: true, Retention: time.Minute, Targets: target},
 			{Name: "none", Host: "h", PathPrefix: "/none/", Timeout: time.Second, Targets: []routing.Target{{Service: "nobody", Weight: 1}}},
 		},
 		Accounts: []routing.Account{{Name: "acc", Keys: []string{"key"}, Rate: 5, Burst: 5}, {Name: "other", Keys: []string{"other"}}},
--- a/internal/proxy/streams.go
+++ b/internal/proxy/streams.go
@@ -88,6 +88,13 @@
 
 func (x *exchange) isResumable() bool { return x.route.Kind == routing.Streaming && x.route.Resumable }
 
+// recordsResumed reports whether the request resumes the stream of a turn that is recorded. The record needs the whole
+// output, and what the caller got before may be known to no VM any more: the upstream, one of the build that began the
+// stream, sends it again from the start.
+func (x *exchange) recordsResumed() bool {
+	return x.route.Stateful && x.resumes() && x.call.LastEventID != ""
+}
+
 // originRetention is how long the origin of a stream is stored.
 func (x *exchange) originRetention() time.Duration { return x.route.Timeout + resumeWindow }
 
