--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -49,6 +49,11 @@
 	s := New(e, func() Limits {
 		return Limits{MaxHeaderBytes: 2 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: time.Second}
 	})
+	serveOn(t, s, listener)
+	return s, e, address
+}
+
+func serveOn(t *testing.T, s *Server, listener net.Listener) {
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
@@ -59,7 +64,6 @@
 		s.CloseIdle()
 		<-done
 	})
-	return s, e, address
 }
 
 func dial(t *testing.T, address string) (net.Conn, *bufio.Reader) {
@@ -174,21 +178,13 @@
 	require.Equal(t, 431, status)
 }
 
+// listenAndServe serves on a loopback address until the test ends.
 func listenAndServe(t *testing.T, s *Server) string {
 	address, err := loopback.Address()
 	require.NoError(t, err)
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = s.Serve(listener)
-	}()
-	t.Cleanup(func() {
-		_ = listener.Close()
-		s.CloseIdle()
-		<-done
-	})
+	serveOn(t, s, listener)
 	return address
 }
 
