--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -169,29 +169,46 @@
 	return vms
 }
 
-// learnerBehindTicks is the time, in ticks, after which a learner that has not caught up is reported, and reported again.
-const learnerBehindTicks = 200
+const (
+	// learnerBehindTicks is the time, in ticks, after which a learner counts as behind. Learners of a busy group always lack
+	// what is under way.
+	learnerBehindTicks = 20
+	// learnerReportTicks is the time, in ticks, after which a learner that is behind is reported, and reported again.
+	learnerReportTicks = 200
+)
+
+// learnerLag says how far a learner lags.
+type learnerLag struct {
+	commit uint64 // an index that was committed when ticks was 0, which the learner hasn't reached
+	ticks  int
+}
 
-// reportLearnersBehind emits an event for each learner that has lacked committed entries for long: until it has them, the
-// group has a copy less than it should.
-func (n *node) reportLearnersBehind() {
+// trackLearners emits an event for each learner that has lacked the same committed entry for long: until it has it, the group
+// has a copy less than it should.
+func (n *node) trackLearners() {
 	current := map[uint64]bool{}
 	for _, m := range n.raft.Conf().Members {
-		if !m.Learner || n.raft.CaughtUp(m.Id) {
+		if !m.Learner {
 			continue
 		}
 		current[m.Id] = true
-		n.learnerTicks[m.Id]++
-		if n.learnerTicks[m.Id]%learnerBehindTicks != 0 {
+		lag, known := n.learners[m.Id]
+		if !known || n.raft.Match(m.Id) >= lag.commit {
+			n.learners[m.Id] = learnerLag{commit: n.raft.Commit()}
+			continue
+		}
+		lag.ticks++
+		n.learners[m.Id] = lag
+		if lag.ticks%learnerReportTicks != 0 {
 			continue
 		}
 		sent, size := n.raft.SnapshotProgress(m.Id)
 		n.emit(events.LearnerBehind, zap.String("peer", m.Vm), zap.Uint64("replica", m.Id), zap.Uint64("match", n.raft.Match(m.Id)),
 			zap.Uint64("commit", n.raft.Commit()), zap.Int("snapshot_sent", sent), zap.Int("snapshot_bytes", size))
 	}
-	for id := range n.learnerTicks {
+	for id := range n.learners {
 		if !current[id] {
-			delete(n.learnerTicks, id)
+			delete(n.learners, id)
 		}
 	}
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -260,7 +260,7 @@
 	s.Leader = n.leaderVM()
 	for _, m := range n.raft.Conf().Members {
 		member := MemberStatus{Replica: m.Id, VM: m.Vm, Learner: m.Learner, Match: n.raft.Match(m.Id)}
-		member.Behind = n.isLeader() && m.Learner && !n.raft.CaughtUp(m.Id)
+		member.Behind = n.learners[m.Id].ticks >= learnerBehindTicks
 		member.SnapshotSent, member.SnapshotBytes = n.raft.SnapshotProgress(m.Id)
 		s.Members = append(s.Members, member)
 		if m.Id == identity.Replica && m.Learner {
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -56,11 +56,10 @@
 	reads        pendingReads
 	discovery    discovery
 	joiners      joiners
-	// learnerTicks is the time for which each learner has lacked committed entries, in ticks; empty unless this replica
-	// leads.
-	learnerTicks map[uint64]int
-	wasLeader    bool
-	leaderTerm   uint64
+	// learners holds the learners that lack committed entries; empty unless this replica leads.
+	learners   map[uint64]learnerLag
+	wasLeader  bool
+	leaderTerm uint64
 }
 
 // newNode creates a node from its durable state, which is empty if it has no formation.
@@ -69,7 +68,7 @@
 	sort.Strings(options.initialVMs)
 	n := &node{
 		options: options, store: s, vms: map[uint64]string{},
-		pending: proposals{}, joiners: joiners{}, learnerTicks: map[uint64]int{},
+		pending: proposals{}, joiners: joiners{}, learners: map[uint64]learnerLag{},
 	}
 	n.discovery.reset()
 	if s.Identity().Formation == 0 {
@@ -114,11 +113,11 @@
 		return err
 	}
 	if !n.isLeader() {
-		clear(n.learnerTicks)
+		clear(n.learners)
 		return nil
 	}
 	n.proposeMembershipChange()
-	n.reportLearnersBehind()
+	n.trackLearners()
 	return nil
 }
 
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -133,7 +133,7 @@
 	VM      string `json:"vm"`
 	Learner bool   `json:"learner,omitempty"`
 	Match   uint64 `json:"match,omitempty"`
-	// Behind is set on the leader for a learner that lacks committed entries. SnapshotSent of SnapshotBytes bytes have
+	// Behind is set on the leader for a learner that has lacked a committed entry for a second. SnapshotSent of SnapshotBytes bytes have
 	// reached it if it is installing a snapshot.
 	Behind        bool `json:"behind,omitempty"`
 	SnapshotSent  int  `json:"snapshot_sent,omitempty"`
