turns, replica: the leader's monotonic clock measures retention

Cause: every command carried its sender's wall clock, and the highest one applied was the group's time. Change: the leader stamps each command with the group's time, which advances with its monotonic clock from the latest time that it applied. Encoding unchanged, so replicas of earlier releases apply the same time.

--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -24,6 +24,12 @@
 	Restore(data []byte) error
 }
 
+// Stamper is implemented by state machines that measure time. Stamp sets the time of a command in place. The leader calls it
+// right before it proposes the command.
+type Stamper interface {
+	Stamp(command []byte)
+}
+
 // Store persists a replica's identity, log, hard state and snapshot.
 type Store interface {
 	Identity() *raftpb.Identity
--- a/internal/replica/requests.go
+++ b/internal/replica/requests.go
@@ -100,6 +100,9 @@
 		done(nil, ErrNotFormed)
 		return
 	}
+	if s, ok := n.options.machine.(Stamper); ok && n.raft.Role() == raft.Leader {
+		s.Stamp(data)
+	}
 	index, err := n.raft.Propose(data)
 	if err != nil {
 		done(nil, n.notLeaderError(err))
--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -23,10 +23,12 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+
+	"egretramp/internal/clock"
 )
 
-// retentionSlack extends the retention of turns and programs, because the clocks of the VMs that
-// send commands may differ by seconds.
+// retentionSlack extends the retention of turns and programs: leaders of releases without Stamp let the senders' clocks
+// decide, which may differ by seconds.
 const retentionSlack = 8 * time.Second
 
 // unstatedRetention is how long a program is kept after a Begin of a release that doesn't state its retention.
@@ -117,7 +119,8 @@
 
 // Command is the content of one log entry. One of Begin, End and Stream is set.
 type Command struct {
-	// Now is the sender's wall clock, in Unix milliseconds.
+	// Now is the group's time in Unix milliseconds, which the leader sets; see Machine.Stamp. From the sender it is the
+	// sender's wall clock, which starts the group's time.
 	Now   int64  `cbor:"1,keyasint"`
 	Begin *Begin `cbor:"2,keyasint,omitempty"`
 	End   *End   `cbor:"3,keyasint,omitempty"`
@@ -189,6 +192,7 @@
 	streams   map[streamKey]stream
 	clock     int64 // the highest Command.Now applied so far, in Unix milliseconds
 	lastSweep int64
+	time      groupTime // not part of the state
 	// reservations is the number of open reservations of all programs. It isn't part of the snapshot.
 	reservations int
 	// names holds one copy of each upstream's ID and of each origin since the last sweep. It isn't part of the state.
@@ -196,8 +200,14 @@
 }
 
 // New returns a Machine without programs and turns.
-func New() *Machine {
-	return &Machine{programs: map[programKey]*program{}, turns: map[turnKey]*turn{}, streams: map[streamKey]stream{}, names: map[string]string{}}
+func New() *Machine { return newMachine(clock.Now) }
+
+// newMachine returns a Machine that measures durations by a monotonic clock.
+func newMachine(monotonic func() time.Duration) *Machine {
+	return &Machine{
+		programs: map[programKey]*program{}, turns: map[turnKey]*turn{}, streams: map[streamKey]stream{}, names: map[string]string{},
+		time: groupTime{monotonic: monotonic},
+	}
 }
 
 // headerSize is the size in bytes of a log entry's header: the lengths of the encoded command and
@@ -267,6 +277,7 @@
 		return Result{Outcome: UnknownTurn}.Encode()
 	}
 	m.clock = max(m.clock, c.Now)
+	m.time.observe(m.clock)
 	m.sweep()
 	switch {
 	case c.Begin != nil:
--- a/internal/turns/machine_test.go
+++ b/internal/turns/machine_test.go
@@ -120,7 +120,7 @@
 	require.NoError(t, err)
 	restored := New()
 	require.NoError(t, restored.Restore(data))
-	m.names, restored.names = nil, nil // not part of the state
+	m.names, restored.names, m.time, restored.time = nil, nil, groupTime{}, groupTime{} // not part of the state
 	require.Equal(t, m, restored)
 }
 
@@ -214,6 +214,7 @@
 	require.NoError(t, err)
 	restored := New()
 	require.NoError(t, restored.Restore(data))
+	m.time, restored.time = groupTime{}, groupTime{} // not part of the state
 	require.Equal(t, m, restored)
 	require.Error(t, restored.Restore([]byte("?")))
 }
--- a/internal/turns/retention_test.go
+++ b/internal/turns/retention_test.go
@@ -147,14 +147,14 @@
 		require.Equal(t, []int{records, min(records, 1000), min(records, 1000)}, []int{len(s.Turns), len(s.Programs), len(s.Streams)})
 		restored := New()
 		require.NoError(t, restored.Restore(data))
-		m.names, restored.names = nil, nil // not part of the state
+		m.names, restored.names, m.time, restored.time = nil, nil, groupTime{}, groupTime{} // not part of the state
 		require.Equal(t, m, restored)
 		// A snapshot that an earlier release wrote.
 		data, err = cbor.Marshal(s)
 		require.NoError(t, err)
 		restored = New()
 		require.NoError(t, restored.Restore(data))
-		restored.names = nil
+		restored.names, restored.time = nil, groupTime{}
 		require.Equal(t, m, restored)
 	}
 }
--- a/internal/turns/snapshot.go
+++ b/internal/turns/snapshot.go
@@ -94,8 +94,9 @@
 
 // Major types of CBOR items.
 const (
-	cborArray byte = 4 << 5
-	cborMap   byte = 5 << 5
+	cborArray     byte = 4 << 5
+	cborMap       byte = 5 << 5
+	cborMajorType byte = 7 << 5 // mask
 )
 
 // snapshotEncoder appends CBOR items. It keeps the first error.
@@ -141,8 +142,10 @@
 	if err := snapshotDecoding.Unmarshal(data, &s); err != nil {
 		return errors.Wrap(err, "turns: decode a snapshot")
 	}
-	*m = *New()
-	m.clock, m.lastSweep = s.Now, s.Swept
+	known := m.time
+	*m = *newMachine(known.monotonic)
+	m.clock, m.lastSweep, m.time = s.Now, s.Swept, known
+	m.time.observe(m.clock)
 	for _, r := range s.Programs {
 		if r.Program.Reserved == nil {
 			r.Program.Reserved = map[string]int64{}
