turns: a program is kept for a minute at least, whatever its route's retention was

Cause: a program expired with the retention of the configuration that its last turn began under. If the operator raised it, or set the first one, while the program was stopped, its reservations and used tokens were forgotten and the budget was handed out again; so were those of a program whose turns went on from the cache of their VM, without a Begin, on a route with a short one. Measured: TestMachine_RaisedRetentionKeepsBudgets is red before (Begun where BudgetSpent is expected), green after.

--- a/internal/turns/machine.go
+++ b/internal/turns/machine.go
@@ -31,8 +31,9 @@
 // decide, which may differ by seconds.
 const retentionSlack = 8 * time.Second
 
-// unstatedRetention is how long a program is kept after a Begin of a release that doesn't state its retention.
-const unstatedRetention = time.Minute
+// minProgramRetention is how long a program is kept at least. A VM may begin turns under a configuration that the operator
+// replaces by one with a longer retention, and releases before ProgramRetention state none.
+const minProgramRetention = time.Minute
 
 // maxReservations bounds the open reservations of one group, and thereby their memory: some 150 bytes each.
 const maxReservations = 1 << 16
@@ -334,10 +335,7 @@
 
 // programKeep returns how long the turn's program is kept from now on.
 func (b *Begin) programKeep() time.Duration {
-	if b.ProgramRetention == 0 {
-		return b.Timeout + unstatedRetention
-	}
-	return b.Timeout + b.ProgramRetention
+	return b.Timeout + max(b.ProgramRetention, minProgramRetention)
 }
 
 // knownOutcome returns the outcome, or one that refuses the turn as well if the sender's release doesn't know it.
@@ -468,7 +466,7 @@
 	return r
 }
 
-// keep returns how long the turn and its program are kept from now on.
+// keep returns how long the turn is kept from now on.
 func (e *End) keep(next bool) time.Duration {
 	if next {
 		return e.Timeout + e.Retention
@@ -476,6 +474,11 @@
 	return e.Retention
 }
 
+// programKeep returns how long the turn's program is kept from now on.
+func (e *End) programKeep(next bool) time.Duration {
+	return max(e.keep(next), e.Timeout+minProgramRetention)
+}
+
 // settle replaces a reservation by the tokens used, and reserves tokens for the next turn if
 // requested. It reports whether that reservation exists.
 func (m *Machine) settle(e *End) (next bool) {
@@ -499,7 +502,7 @@
 	}
 	_, next = p.Reserved[following]
 	next = next && e.NextMaxTokens > 0
-	p.Expires = max(p.Expires, m.after(e.keep(next)))
+	p.Expires = max(p.Expires, m.after(e.programKeep(next)))
 	return next
 }
 
--- a/internal/turns/retention_test.go
+++ b/internal/turns/retention_test.go
@@ -48,7 +48,7 @@
 	begin := Command{Begin: &Begin{Account: "a", Program: "p", Request: "1", HasBudget: true, Budget: 100, MaxTokens: 100}}
 	require.Equal(t, Begun, applyAt(t, m, 0, begin).Outcome)
 	begin.Begin.Request = "2"
-	require.Equal(t, BudgetSpent, applyAt(t, m, unstatedRetention.Milliseconds(), begin).Outcome)
+	require.Equal(t, BudgetSpent, applyAt(t, m, minProgramRetention.Milliseconds(), begin).Outcome)
 }
 
 // TestMachine_BeginKeepsChain guards against a turn whose record refers to a turn that expired while it ran.
@@ -273,3 +273,24 @@
 		}
 	})
 }
+
+// TestMachine_RaisedRetentionKeepsBudgets guards against a budget that is handed out again because the operator raised the
+// retention, or set the first one, while the program was stopped. Its VM was killed in a turn that began without a Begin.
+func TestMachine_RaisedRetentionKeepsBudgets(t *testing.T) {
+	for _, earlier := range []time.Duration{0, 5 * time.Second} {
+		m := New()
+		begin := Begin{
+			Account: "a", Program: "p", Request: "1", HasBudget: true, Budget: 500, MaxTokens: 100, Timeout: 3 * time.Second, ProgramRetention: earlier,
+		}
+		require.Equal(t, Begun, applyAt(t, m, 0, Command{Begin: &begin}).Outcome)
+		end := End{
+			Account: "a", Program: "p", Request: "1", Tokens: 100, Retention: earlier, NextMaxTokens: 100, Budget: 500, Timeout: 4500 * time.Millisecond,
+		}
+		require.True(t, applyAt(t, m, 100_000, Command{End: &end}).NextReserved)
+		begin.Request, begin.ProgramRetention, begin.MaxTokens = "2", time.Minute, 400
+		for now := int64(100_000); now <= 160_000; now += sweepInterval {
+			applyAt(t, m, now, Command{}) // sweeps
+		}
+		require.Equal(t, BudgetSpent, applyAt(t, m, 160_000, Command{Begin: &begin}).Outcome, "the retention was %v", earlier)
+	}
+}
