reach, node: heartbeats between late detection rounds are counted

Callers saw streams cut and requests refused with event 2418 although the zone was well. Cause: a heartbeat counted in a round only if it was at most 100 ms old, while rounds are late by what the scheduler takes. One that arrived right after a round was missed if the next one was late; heartbeats and rounds both lie on a grid of 100 ms, so for some pairs of VMs most were missed. With one link into the zone two misses in a row were enough, on a busy machine with every pair. Change: a heartbeat counts if it arrived since the last round began. Measured: TestDetector_LateRoundsMissNoHeartbeat is red with the old condition at rounds that are late by up to 2 ms (a zone unreachable after 1.2 s), green now with up to 150 ms at all phases.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -156,6 +156,7 @@
 // detectUnreachableZones detects availability zones that are unreachable, and whether a partition
 // isolates this VM from the store.
 func (e *entry) detectUnreachableZones() {
+	began := clock.Now()
 	seen := map[string]*reach.Observation{}
 	observation := func(zone string) *reach.Observation {
 		if seen[zone] == nil {
@@ -167,7 +168,7 @@
 		o := observation(zone)
 		if age, up := e.node.network.SinceLastHeartbeat(vm); up {
 			o.Links++
-			o.Heartbeat = o.Heartbeat || age <= reach.Interval
+			o.Heartbeat = o.Heartbeat || e.reach.Heard(clock.Now(), age)
 			o.Received = o.Heartbeat
 		}
 	}
@@ -181,7 +182,7 @@
 	for _, o := range seen {
 		observations = append(observations, *o)
 	}
-	for _, change := range e.reach.Round(clock.Now(), observations) {
+	for _, change := range e.reach.Round(began, observations) {
 		e.proxy.SetZoneReachable(change.Zone, change.Reachable)
 		event := events.ZoneUnreachable
 		if change.Reachable {
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -93,8 +93,12 @@
 // New returns the detector of a VM in the zone own.
 func New(own string) *Detector { return &Detector{own: own, zones: map[string]*zone{}} }
 
+// Heard reports whether a heartbeat of the given age arrived since the last round began. now is the time at which the
+// age was taken. Rounds may be late, so that a fixed age would miss heartbeats between them.
+func (d *Detector) Heard(now, age time.Duration) bool { return age <= now-d.lastRoundAt }
+
 // Round processes the observations of all zones that are currently known, forgets other zones, and
-// returns the zones whose reachability changed. now is a monotonic time.
+// returns the zones whose reachability changed. now is a monotonic time, at which the round began.
 func (d *Detector) Round(now time.Duration, observations []Observation) []Change {
 	late := d.round > 0 && now-d.lastRoundAt > maxRoundGap
 	d.round++
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -128,6 +128,28 @@
 	}
 }
 
+// TestDetector_LateRoundsMissNoHeartbeat guards against zones that count as unreachable although their VMs send
+// heartbeats: this VM is busy, so its rounds are late by some milliseconds, and heartbeats arrive right after a round.
+func TestDetector_LateRoundsMissNoHeartbeat(t *testing.T) {
+	const period = 5 * Interval
+	for _, latest := range []time.Duration{2 * time.Millisecond, 20 * time.Millisecond, 150 * time.Millisecond} {
+		for phase := time.Duration(0); phase < Interval; phase += 500 * time.Microsecond {
+			random := rand.New(rand.NewPCG(uint64(phase), uint64(latest)))
+			d := New("a")
+			for round := 1; round < 600; round++ {
+				now := time.Duration(round)*Interval + time.Duration(random.Int64N(int64(latest)))
+				var observations []Observation
+				for i, zone := range []string{"a", "b", "c"} {
+					age := (now - phase - time.Duration(i)*Interval) % period
+					beat := d.Heard(now, age)
+					observations = append(observations, Observation{Zone: zone, Received: beat, Heartbeat: beat, Links: 1})
+				}
+				require.Empty(t, d.Round(now, observations), "phase %v, rounds late by up to %v, round %d", phase, latest, round)
+			}
+		}
+	}
+}
+
 // TestDetector_CutZoneEndsRequestsInTime guards against requests that hang in a zone that is cut off until their deadline,
 // of 1.5 s for many calls, whatever links this VM has there.
 func TestDetector_CutZoneEndsRequestsInTime(t *testing.T) {
