reach, proxy: probes of an earlier silence are no evidence

Cause: failed probes were counted until an upstream of the zone sent bytes; a heartbeat did not reset them, unlike in the tests' simulation. Change: the detector counts the probes that began in the present silence. While requests wait and no probe has had a result yet, an open link that is silent for 1.2 s is no longer enough. Measured: TestDetector_ProbeOfEarlierSilenceIsNoEvidence, red with either condition taken out (unreachable after 700 ms).

--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -35,7 +35,7 @@
 	pending     map[*upconn.Conn]*pendingAttempt
 	unreachable bool
 	probing     bool // a probe is under way
-	// failedProbes is the number of probes that timed out since bytes were last received.
+	// failedProbes is the number of probes that have timed out so far.
 	failedProbes int
 }
 
@@ -117,7 +117,7 @@
 type ZoneTraffic struct {
 	Received bool // bytes were received from the zone since the last call of Server.ZoneTraffic
 	Waiting  int  // requests that are waiting for a response now
-	// FailedProbes is the number of probes that timed out since bytes were last received.
+	// FailedProbes is the number of probes that have timed out so far.
 	FailedProbes int
 }
 
@@ -127,11 +127,7 @@
 	defer s.zones.mu.Unlock()
 	traffic := make(map[string]ZoneTraffic, len(s.zones.byName))
 	for name, z := range s.zones.byName {
-		received := z.received.Swap(false)
-		if received {
-			z.failedProbes = 0
-		}
-		traffic[name] = ZoneTraffic{Received: received, Waiting: len(z.pending), FailedProbes: z.failedProbes}
+		traffic[name] = ZoneTraffic{Received: z.received.Swap(false), Waiting: len(z.pending), FailedProbes: z.failedProbes}
 	}
 	return traffic
 }
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -35,16 +35,18 @@
 // silentRounds returns the number of silent rounds after which a zone counts as unreachable; 0 means never. VMs send a
 // heartbeat every 500 ms, which a busy process delays by a round or two. Fewer links need more rounds, since a
 // single connection may hang and a single VM may be frozen. While requests wait, a probe decides: if it is answered, the
-// zone isn't silent.
-func silentRounds(o Observation) int {
+// zone isn't silent. failedProbes counts the probes that began and timed out in this silence.
+func silentRounds(o Observation, failedProbes int) int {
 	switch {
-	case o.Links >= 1 && o.FailedProbes >= 1:
+	case o.Links >= 1 && failedProbes >= 1:
 		return 7
-	case o.FailedProbes >= 2:
+	case failedProbes >= 2:
 		return 9
 	case o.Links == 0:
 		return 0
-	case o.Waiting > 0 || o.Links == 1:
+	case o.Waiting > 0:
+		return 18 // no probe has had a result, so this VM runs slowly
+	case o.Links == 1:
 		return 12
 	case o.Links == 2:
 		return 9
@@ -64,7 +66,7 @@
 	// Waiting is the number of requests that wait for a response from the zone. They make a probe worth its
 	// connection.
 	Waiting int
-	// FailedProbes is the number of probes that timed out since data was last received from the zone.
+	// FailedProbes is the number of probes of the zone that have timed out so far.
 	FailedProbes int
 }
 
@@ -87,6 +89,7 @@
 type zone struct {
 	lastReceived  int // the last round in which data arrived from it
 	lastHeartbeat int // the last round in which a VM of it sent a heartbeat
+	earlierProbes int // failed probes that began before the present silence
 	unreachable   bool
 }
 
@@ -127,7 +130,11 @@
 	var changes []Change
 	for _, o := range observations {
 		z := d.zones[o.Zone]
-		silent, limit := d.round-z.lastReceived, silentRounds(o)
+		silent := d.round - z.lastReceived
+		if silent < missedRounds {
+			z.earlierProbes = o.FailedProbes
+		}
+		limit := silentRounds(o, o.FailedProbes-z.earlierProbes)
 		suspected := silent >= missedRounds && d.otherZoneActive(o.Zone, z.lastReceived+missedRounds-1)
 		switch {
 		case z.unreachable && silent == 0:
--- a/internal/reach/reach_test.go
+++ b/internal/reach/reach_test.go
@@ -25,7 +25,7 @@
 	// cut are the zones in which no probe is answered. probes counts those under way by the rounds they have left.
 	cut    map[string]bool
 	probes map[string]int
-	failed map[string]int
+	failed map[string]int // probes that have timed out
 }
 
 func newSimulation(zones ...string) *simulation {
@@ -47,9 +47,6 @@
 			}
 			beat := (w.rounds+w.phase[z])%5 == 0 && !w.silent[z]
 			received := beat || w.traffic[z] || w.probed(z)
-			if received {
-				w.failed[z] = 0
-			}
 			observations = append(observations, Observation{
 				Zone: z, Received: received, Heartbeat: beat, Links: links, Waiting: w.waiting[z], FailedProbes: w.failed[z],
 			})
@@ -128,6 +125,33 @@
 	}
 }
 
+// TestDetector_ProbeOfEarlierSilenceIsNoEvidence guards against streams that are cut at the second restart of a zone's control
+// VM, because a probe was misjudged during the first one and only a heartbeat ended that silence.
+func TestDetector_ProbeOfEarlierSilenceIsNoEvidence(t *testing.T) {
+	w := newSimulation("a", "b", "c")
+	w.phase["a"] = 3
+	w.links["c"], w.waiting["c"] = 1, 12
+	w.run(20)
+	w.silent["c"], w.links["c"], w.cut["c"] = true, 0, true
+	require.Empty(t, w.run(10)) // one probe times out
+	require.Equal(t, 1, w.failed["c"])
+	w.silent["c"], w.cut["c"] = false, false
+	require.Empty(t, w.run(10)) // a link is open from the first heartbeat on
+	w.links["c"] = 1
+	w.silent["c"] = true // the link is open until the control VM's process ends
+	require.Empty(t, w.run(11))
+	w.links["c"] = 0
+	require.Empty(t, w.run(10))
+	// The result of a probe that began in the silence before this one may come late.
+	w.silent["c"], w.links["c"] = false, 1
+	w.run(10 - w.rounds%5) // ends with a heartbeat
+	w.silent["c"], w.cut["c"] = true, true
+	w.run(2)
+	w.failed["c"]++
+	require.Empty(t, w.run(6), "the probe of this silence has no result yet")
+	require.Len(t, w.run(1), 1)
+}
+
 // TestDetector_LateRoundsMissNoHeartbeat guards against zones that count as unreachable although their VMs send
 // heartbeats: this VM is busy, so its rounds are late by some milliseconds, and heartbeats arrive right after a round.
 func TestDetector_LateRoundsMissNoHeartbeat(t *testing.T) {
