proxy: several upstreams are probed before their zone counts as unreachable

Cause: a probe tried the upstream that had been silent the longest. If that one had lost power, its zone counted as unreachable while the zone's control VM was restarted, and the requests at all other upstreams there were cut. A probe also counted as timed out if this VM itself was not run for that time. Change: up to three upstreams are probed at once and all must time out; a timeout that is noticed over 100 ms late, or an error of this VM's own, has no result.

--- a/internal/proxy/probe_test.go
+++ b/internal/proxy/probe_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/registry"
 )
 
 // TestServer_ProbeZone checks that a probe tells a zone whose upstreams are silent from one that can't be reached, and
@@ -29,12 +31,19 @@
 	require.Eventually(t, func() bool { return g.server.ZoneTraffic()["far"].Received }, time.Second, time.Millisecond)
 	require.Zero(t, g.server.ZoneTraffic()["far"].FailedProbes)
 
-	// The upstream of the waiting request moves to an address that drops all packets.
+	// The upstream of the waiting request loses power: its address drops all packets. Another one answers.
+	lost := fullBacklog(t)
 	g.server.zones.mu.Lock()
 	for _, p := range g.server.zones.get("far").pending {
-		p.upstream.Address = fullBacklog(t)
+		p.upstream.Address = lost
 	}
 	g.server.zones.mu.Unlock()
+	g.server.ProbeZone("far")
+	require.Eventually(t, func() bool { return g.server.ZoneTraffic()["far"].Received }, time.Second, time.Millisecond)
+	require.Zero(t, g.server.ZoneTraffic()["far"].FailedProbes, "one upstream that is lost is no lost zone")
+
+	// All addresses of the zone drop packets.
+	g.directory.Merge("c", []registry.Upstream{{ID: "u", Service: "s", Address: lost, Zone: "far", Slots: 4, Born: 1, Sequence: 2, Build: "v1"}})
 	started := time.Now()
 	g.server.ProbeZone("far")
 	g.server.ProbeZone("far")
--- a/internal/proxy/zones.go
+++ b/internal/proxy/zones.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"math/rand/v2"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -132,54 +134,126 @@
 	return traffic
 }
 
-// probeTimeout is how long a probe waits for its connection: many times the latency between regions.
-const probeTimeout = 250 * time.Millisecond
+const (
+	// probeTimeout is how long a probe waits for a connection: many times the latency between regions.
+	probeTimeout = 250 * time.Millisecond
+	// maxProbeDelay is by how much the timeout may be late. A VM that wakes up later than that may not have seen the
+	// answer in time either, so the probe has no result.
+	maxProbeDelay = 100 * time.Millisecond
+	// probedUpstreams is the number of upstreams that one probe tries: a single one may have lost power.
+	probedUpstreams = 3
+)
+
+// probeResult is the result of an attempt to connect to an upstream.
+type probeResult int
+
+const (
+	probeAnswered     probeResult = iota // the host answered, be it by a refusal
+	probeTimedOut                        // there was no answer in time
+	probeInconclusive                    // this VM ran too slowly to tell, or couldn't try
+)
 
-// ProbeZone finds out whether a zone can be reached: it opens a connection to an upstream there for which a request
-// waits, without sending anything on it. The next ZoneTraffic has the result. It doesn't block, and does nothing
-// while a probe of the zone is under way or if no request waits on a direct connection.
+// ProbeZone finds out whether a zone can be reached: it opens connections to upstreams there, without sending anything
+// on them. The next ZoneTraffic has the result. It doesn't block, and does nothing while a probe of the zone is under way
+// or if no request waits.
 func (s *Server) ProbeZone(name string) {
+	others := s.upstreamAddresses(name)
 	s.zones.mu.Lock()
 	defer s.zones.mu.Unlock()
 	z := s.zones.get(name)
-	address := z.longestWaiting()
-	if z.probing || address == "" {
+	if z.probing || len(z.pending) == 0 {
+		return
+	}
+	addresses := z.probeAddresses(others)
+	if len(addresses) == 0 {
 		return
 	}
 	z.probing = true
 	go func() {
-		answered := probe(address)
+		result := probeAny(addresses)
 		s.zones.mu.Lock()
 		defer s.zones.mu.Unlock()
 		z.probing = false
-		if answered {
+		switch result {
+		case probeAnswered:
 			z.received.Store(true)
-			return
+		case probeTimedOut:
+			z.failedProbes++
 		}
-		z.failedProbes++
 	}()
 }
 
-// longestWaiting returns the address of the upstream from which a request has received nothing for the longest time
-// on a direct connection, empty if none waits. The mutex is held.
-func (z *zone) longestWaiting() (address string) {
+// upstreamAddresses returns the addresses of the known upstreams of a zone, in random order.
+func (s *Server) upstreamAddresses(zone string) []string {
+	var addresses []string
+	for _, list := range s.opts.Directory.View().Services {
+		for _, u := range list {
+			if u.Zone == zone {
+				addresses = append(addresses, u.Address)
+			}
+		}
+	}
+	rand.Shuffle(len(addresses), func(i, j int) { addresses[i], addresses[j] = addresses[j], addresses[i] })
+	return addresses
+}
+
+// probeAddresses returns the addresses to probe: that of the upstream from which a request has received nothing for
+// the longest time on a direct connection, and some of the others. The mutex is held.
+func (z *zone) probeAddresses(others []string) []string {
+	var addresses []string
 	var longest time.Duration
 	for _, p := range z.pending {
-		if age := p.received.age(); !p.detour && (address == "" || age > longest) {
-			address, longest = p.upstream.Address, age
+		if age := p.received.age(); !p.detour && (addresses == nil || age > longest) {
+			addresses, longest = []string{p.upstream.Address}, age
+		}
+	}
+	for _, address := range others {
+		if len(addresses) < probedUpstreams && !slices.Contains(addresses, address) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
+// probeAny probes several upstreams at once. One that answers shows that their zone can be reached; all must time out
+// to show the opposite.
+func probeAny(addresses []string) probeResult {
+	results := make(chan probeResult, len(addresses))
+	for _, address := range addresses {
+		go func() { results <- probe(address) }()
+	}
+	worst := probeTimedOut
+	for range addresses {
+		switch <-results {
+		case probeAnswered:
+			return probeAnswered
+		case probeInconclusive:
+			worst = probeInconclusive
 		}
 	}
-	return address
+	return worst
 }
 
-// probe reports whether a host answers an attempt to connect, be it by a refusal.
-func probe(address string) bool {
+// probe tries to connect to an upstream. Nothing is sent.
+func probe(address string) probeResult {
+	started := clock.Now()
 	conn, err := net.DialTimeout("tcp", address, probeTimeout)
-	if err != nil {
-		return errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET)
+	var network net.Error
+	switch {
+	case err == nil:
+		_ = conn.Close()
+		return probeAnswered
+	case errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, syscall.ECONNRESET):
+		return probeAnswered
+	case errors.As(err, &network) && network.Timeout():
+		if clock.Now()-started > probeTimeout+maxProbeDelay {
+			return probeInconclusive
+		}
+		return probeTimedOut
+	case errors.Is(err, syscall.EHOSTUNREACH) || errors.Is(err, syscall.ENETUNREACH):
+		return probeTimedOut
 	}
-	_ = conn.Close() // nothing was sent
-	return true
+	return probeInconclusive // for example, this process is out of file descriptors
 }
 
 // SetZoneReachable sets whether an availability zone is reachable. If it is not, pending attempts and
