proxy: only the events that follow continue a stream that broke off

A stream had begun and broke off, and the upstream that was asked to continue it answered with a success that is no continuation: an error's text or an error event without an ID, an event of another media type, or the stream from its start. Callers got it in the middle of their stream, or events twice; an answer of another media type without a body ended the stream as if it were complete. After an event without an ID the stream was continued from its start. Cause: whatever a signed 200 held was taken for events, and their IDs were not compared with the last one. Change: what continues a stream, for a caller or within one response, must have the media type of its beginning, and each event an ID after the last; a stream isn't continued after an event without an ID. Comments still pass.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -37,6 +38,8 @@
 	errUnsignedSuccess = errors.New("proxy: a success without the upstream's signature")
 	// errNotResumed means that an upstream answered the request to continue a stream by a failure of its own.
 	errNotResumed = errors.New("proxy: the upstream failed to continue the stream")
+	// errOtherEvents means that the events that an upstream sent to continue a stream aren't those that follow.
+	errOtherEvents = errors.New("proxy: what the upstream sent does not continue the stream")
 	// errEventMissing means that a stream ended without the event after which its caller resumes it.
 	errEventMissing = errors.New("proxy: the stream lacks the event after which it is to continue")
 	// errConversationLost means that the store no longer holds the conversation that a turn continued.
@@ -253,6 +256,10 @@
 
 // forwardStream forwards events as they arrive. An event that is cut off is not forwarded.
 func (a *attempt) forwardStream(response *http.Response) (outcome, error) {
+	if err := a.checkMediaType(response.Header); err != nil {
+		return a.streamInterrupted(err)
+	}
+	after := a.resumedAfter()
 	reader := bufio.NewReaderSize(response.Body, 2<<10)
 	var lastEventAt time.Time
 	var trailer []byte // blank lines after the last event
@@ -278,13 +285,20 @@
 			return a.streamInterrupted(err)
 		}
 		id, data := parseEvent(event)
+		comment := isComment(event)
+		if !comment && !follows(after, id) {
+			return a.streamInterrupted(errors.Wrapf(errOtherEvents, "event %q after %q", id, after))
+		}
 		if a.route.Stateful {
 			if err := a.outputBuffers.grow(len(data) + 1); err != nil {
 				return a.streamInterrupted(err)
 			}
 			a.output = append(append(a.output, data...), '\n')
 		}
-		a.lastEventID = id
+		if id != "" {
+			a.lastEventID = id
+		}
+		a.unnumbered = a.unnumbered || id == "" && !comment
 		if a.skipUntil != "" {
 			if id == a.skipUntil {
 				a.skipUntil = ""
@@ -294,6 +308,7 @@
 		if !a.w.Begun() {
 			a.timeToFirstByte = time.Since(a.request.Arrived)
 			a.server.health.recordSuccess(a.upstream, a.service.Name, now.Sub(a.started), response.StatusCode)
+			a.mediaType = mediaType(response.Header)
 			if err := a.w.Begin(response.StatusCode, response.Header); err != nil {
 				return a.streamInterrupted(err)
 			}
@@ -329,6 +344,43 @@
 	return answered, err
 }
 
+// resumedAfter returns the ID of the event after which this attempt continues a stream, empty if it sends the stream from its
+// start.
+func (a *attempt) resumedAfter() string {
+	if a.lastEventID == "" && a.isResumable() && !a.recordsResumed() {
+		return a.call.LastEventID
+	}
+	return a.lastEventID
+}
+
+// follows reports whether an event may come after the one with the ID after, empty for none, in a stream that was continued.
+// An upstream that doesn't continue it may send it from its start, or an error in place of events.
+func follows(after, id string) bool {
+	if after == "" {
+		return true
+	}
+	last, lastErr := strconv.ParseUint(after, 10, 64)
+	next, nextErr := strconv.ParseUint(id, 10, 64)
+	if lastErr == nil && nextErr == nil {
+		return next > last
+	}
+	return id != "" && id != after
+}
+
+// checkMediaType returns an error if a response that is to continue a stream states another media type than its beginning.
+func (a *attempt) checkMediaType(h http.Header) error {
+	if stated := mediaType(h); a.mediaType != "" && stated != "" && stated != a.mediaType {
+		return errors.Wrapf(errOtherEvents, "media type %q after %q", stated, a.mediaType)
+	}
+	return nil
+}
+
+// mediaType returns the media type that a header states, empty if there is none.
+func mediaType(h http.Header) string {
+	name, _, _ := strings.Cut(h.Get("Content-Type"), ";")
+	return strings.ToLower(strings.TrimSpace(name))
+}
+
 // streamInterrupted returns the result for a stream that the upstream cut off.
 func (a *attempt) streamInterrupted(err error) (outcome, error) {
 	return maybeRun, errors.Wrap(err, "proxy: the stream broke off")
@@ -394,6 +446,16 @@
 // isBlankLine reports whether line holds only a line ending.
 func isBlankLine(line []byte) bool { return len(bytes.TrimRight(line, "\r\n")) == 0 }
 
+// isComment reports whether an event holds only comments, which upstreams send to keep a connection alive.
+func isComment(event []byte) bool {
+	for line := range bytes.Lines(event) {
+		if !isBlankLine(line) && line[0] != ':' {
+			return false
+		}
+	}
+	return true
+}
+
 // parseEvent returns the ID and the data of a server-sent event.
 func parseEvent(event []byte) (id string, data []byte) {
 	hasData := false
--- a/internal/proxy/midstream_test.go
+++ b/internal/proxy/midstream_test.go
@@ -65,3 +65,101 @@
 	}
 	require.Equal(t, 10, whole)
 }
+
+// response writes a response with some lines of a head, a length and a body.
+func response(status, fields, body string) func(*http.Request, net.Conn) bool {
+	return func(r *http.Request, c net.Conn) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %s\r\nId: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, r.Header.Get("Id"), fields, len(body), body)
+		return err == nil
+	}
+}
+
+// TestServer_OnlyEventsThatFollowContinueAStream guards against an error's text or head in the middle of a stream, and against
+// streams that end as if they were complete: a stream breaks off after two events, and all upstreams answer the request to
+// continue it by something else.
+func TestServer_OnlyEventsThatFollowContinueAStream(t *testing.T) {
+	const (
+		ok     = "200 OK"
+		sign   = "Signed: yes\r\n"
+		events = sign + "Content-Type: text/event-stream\r\n"
+	)
+	for name, answer := range map[string]func(*http.Request, net.Conn) bool{
+		"an error":                           response("500 Internal Server Error", sign, "failed"),
+		"an error of an intermediary":        response("502 Bad Gateway", "", "failed\n\n"),
+		"an error of its own deadline":       response("504 Gateway Timeout", sign, ""),
+		"a refusal":                          response("503 Service Unavailable", "Not-Run: yes\r\n", "full\n\n"),
+		"an unavailable service":             response("503 Service Unavailable", "", "<html></html>\n\n"),
+		"no content":                         response("204 No Content", sign, ""),
+		"partial content":                    response("206 Partial Content", sign, "id: 3\ndata: word3\n\n"),
+		"an empty success without signature": response(ok, "", ""),
+		"an error's text as a success":       response(ok, sign, "internal error"),
+		"an error's text that looks whole":   response(ok, sign, "internal error\r\n\r\n"),
+		"an error as an event without ID":    response(ok, events, "data: {\"error\":\"internal\"}\n\n"),
+		"an error of another media type":     response(ok, sign+"Content-Type: application/json\r\n", "id: 3\ndata: {}\n\n"),
+		"an error's type and nothing else":   response(ok, sign+"Content-Type: text/plain; charset=utf-8\r\n", ""),
+		"the stream from its start":          response(ok, events, twoEvents+"id: 3\ndata: word3\n\n"),
+		"the last event again":               response(ok, events, "id: 2\ndata: word2\n\nid: 3\ndata: word3\n\n"),
+		"part of an event":                   response(ok, events, "id: 3\ndata: wo"),
+		"a head alone": func(r *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, signed(r)+"\r\n")
+			_ = c.Close()
+			return true
+		},
+		"bytes that are no response": func(_ *http.Request, c net.Conn) bool {
+			_, _ = io.WriteString(c, "internal error\r\n\r\n")
+			return false
+		},
+		"a status that is none": func(r *http.Request, c net.Conn) bool {
+			_, err := fmt.Fprintf(c, "HTTP/1.1 099 Odd\r\nSigned: yes\r\nId: %s\r\nContent-Length: 0\r\n\r\n", r.Header.Get("Id"))
+			return err == nil
+		},
+	} {
+		for _, path := range []string{"/resumed-twice/", "/kept-resumed/"} {
+			t.Run(name+path, func(t *testing.T) {
+				t.Parallel()
+				g := newFixture(t)
+				begin := func(r *http.Request, c net.Conn) bool {
+					if r.Header.Get("Last") != "" {
+						return answer(r, c)
+					}
+					_, _ = io.WriteString(c, signed(r)+"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 2))
+					return false
+				}
+				g.upstream("u1", begin)
+				g.upstream("u2", begin)
+				cut := g.call("1", path, "Program: p")
+				require.Equal(t, 200, cut.status)
+				require.ErrorIs(t, cut.err, io.ErrUnexpectedEOF, "the stream is cut off")
+				require.Equal(t, twoEvents, cut.body)
+				_, turns := g.ledger.machine.Size()
+				require.Zero(t, turns, "a turn is recorded only if it is complete")
+				require.GreaterOrEqual(t, len(g.receivedRequests()), 2)
+			})
+		}
+	}
+}
+
+// TestServer_CommentsAndUnnumberedEvents checks streams whose events don't all have an ID: comments are passed on, and a
+// stream isn't continued after an event that no upstream could name.
+func TestServer_CommentsAndUnnumberedEvents(t *testing.T) {
+	const comment = ": alive\n\n"
+	g := newFixture(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		if r.Header.Get("Last") == "2" {
+			return response("200 OK", "Signed: yes\r\n", comment+"id: 3\ndata: word3\n\n")(r, c)
+		}
+		_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+chunks([]string{twoEvents + comment}))
+		return false
+	})
+	require.Equal(t, reply{200, "", twoEvents + comment + comment + "id: 3\ndata: word3\n\n", nil}, g.call("1", "/resumed-twice/"))
+
+	g = newFixture(t)
+	g.upstream("u", func(r *http.Request, c net.Conn) bool {
+		_, _ = io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+chunks([]string{twoEvents + "data: unnumbered\n\n"}))
+		return false
+	})
+	cut := g.call("1", "/resumed-twice/")
+	require.Error(t, cut.err)
+	require.Equal(t, twoEvents+"data: unnumbered\n\n", cut.body)
+	require.Len(t, g.receivedRequests(), 1)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -301,6 +301,8 @@
 	lastEventID     string          // of the last event that was forwarded, or skipped
 	skipUntil       string          // events up to that with this ID are recorded, but not forwarded; empty for none
 	eventsSent      int64           // events that were forwarded
+	unnumbered      bool            // an event had no ID, so no upstream can continue the stream after it
+	mediaType       string          // of the stream that was begun, empty if it wasn't stated
 	origin          origin          // what wrote the stream so far; zero for a stream without events
 	originRecord    *originRecord   // the last record of the origin, nil for none
 	output          []byte          // data of the events, as stored in the conversation
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -90,7 +90,7 @@
 			if !x.route.Repeatable() || sends[u.ID] >= maxSendsPerUpstream {
 				x.excluded[u.ID] = true
 			}
-			if !x.route.Repeatable() {
+			if !x.route.Repeatable() || x.w.Begun() && x.unnumbered {
 				x.refuse(x.failureRefusal(err))
 				return
 			}
