--- a/internal/proxy/midstream_test.go
+++ b/internal/proxy/midstream_test.go
@@ -163,3 +163,13 @@
 	require.Equal(t, twoEvents+"data: unnumbered\n\n", cut.body)
 	require.Len(t, g.receivedRequests(), 1)
 }
+
+// TestServer_StatusesThatAreNone guards against callers that get a status line that is no HTTP.
+func TestServer_StatusesThatAreNone(t *testing.T) {
+	for _, status := range []string{"000 Zero", "099 Odd", "600 More", "999 Most"} {
+		g := newFixture(t)
+		g.upstream("u", response(status, "Signed: yes\r\n", "body"))
+		require.Equal(t, 502, g.call("1", "/once/").status, status)
+		require.Equal(t, 502, g.call("2", "/stream/").status, status)
+	}
+}
