--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -22,6 +22,7 @@
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
 	"egretramp/internal/turns"
+	"egretramp/internal/upconn"
 )
 
 // testProtocol uses its own headers, so that these tests are independent of any platform.
@@ -175,6 +176,7 @@
 	limiter   *fakeLimiter
 	directory *registry.Directory
 	server    *Server
+	dial      upconn.DialFunc
 
 	// beforeReset is called before an upstream resets a connection, unless it is nil.
 	beforeReset func()
@@ -184,8 +186,11 @@
 	poisons  int // requests of sendPoison
 }
 
-func newFixture(t *testing.T) *fixture {
-	g := &fixture{t: t, ledger: &memoryLedger{machine: turns.New()}, limiter: &fakeLimiter{}, directory: registry.NewDirectory(nil)}
+func newFixture(t *testing.T) *fixture { return newFixtureWithDial(t, nil) }
+
+// newFixtureWithDial returns a fixture that opens connections to upstreams with dial; nil stands for the default.
+func newFixtureWithDial(t *testing.T, dial upconn.DialFunc) *fixture {
+	g := &fixture{t: t, dial: dial, ledger: &memoryLedger{machine: turns.New()}, limiter: &fakeLimiter{}, directory: registry.NewDirectory(nil)}
 	target := []routing.Target{{Service: "s", Weight: 1}}
 	table, err := routing.Compile(routing.Table{
 		Version:  1,
@@ -212,7 +217,7 @@
 func (g *fixture) startVM(zone string, table *routing.Snapshot) {
 	g.server = New(Options{
 		Zone: zone, Protocol: testProtocol{}, Table: func() *routing.Snapshot { return table },
-		Directory: g.directory, Ledger: g.ledger, Limiter: g.limiter,
+		Directory: g.directory, Dial: g.dial, Ledger: g.ledger, Limiter: g.limiter,
 	})
 	server := g.server
 	g.address = listen(g.t, func(l net.Listener) {
