proxy: a cached line isn't used beyond the time for which the store keeps it

Cause: a turn may begin from its VM's memory, without the store. Lines are removed after 1.5 s by periodic work, but the begin did not check their age: a VM that was frozen served the requests that waited for it from lines whose program and conversation the store had forgotten, so the tokens came on top of a new budget. Change: a line is used up to 3 s, and the End that makes its reservation states that time. Measured: TestServer_FrozenVMUsesNoOldLine, red without the check (1 begin where 2 are expected).

--- a/internal/proxy/conversation_test.go
+++ b/internal/proxy/conversation_test.go
@@ -93,3 +93,22 @@
 	require.Equal(t, 502, lost.status)
 	require.Equal(t, 404, g.call("t3", "/kept-resumed/", "Program: p", "Line: elsewhere", "Previous: t2").status, "it isn't recorded")
 }
+
+// TestServer_FrozenVMUsesNoOldLine guards against a turn that begins from a VM's memory although the store has forgotten its
+// program's budget and conversation: the VM was frozen meanwhile, and the request was waiting for it.
+func TestServer_FrozenVMUsesNoOldLine(t *testing.T) {
+	for age, begins := range map[time.Duration]int{lineTTL: 1, maxLineAge + time.Second: 2} {
+		g := newFixture(t)
+		g.upstream("u", streamEvents(2))
+		require.Equal(t, 200, g.call("t1", "/kept/", "Program: p").status)
+		g.server.lineCache.mu.Lock()
+		for key, entry := range g.server.lineCache.entries {
+			entry.storedAt = entry.storedAt.Add(-age)
+			g.server.lineCache.entries[key] = entry
+		}
+		g.server.lineCache.mu.Unlock()
+		require.Equal(t, 200, g.call("t2", "/kept/", "Program: p", "Previous: t1").status)
+		require.Equal(t, begins, g.ledger.begins, "the line is %v old", age)
+		require.Equal(t, "asked t1word1\nword2\nasked t2", g.receivedRequests()[1].body)
+	}
+}
--- a/internal/proxy/line_cache.go
+++ b/internal/proxy/line_cache.go
@@ -11,6 +11,9 @@
 	// lineTTL is how long the reservation for a line's next turn is held: it has to cover pauses and
 	// tool calls between turns, but other VMs may need the tokens.
 	lineTTL = 1500 * time.Millisecond
+	// maxLineAge is the age up to which a cached line is used. The store keeps the conversation and the program for that
+	// long. A VM that was frozen finds older lines before they are removed.
+	maxLineAge = 2 * lineTTL
 	// maxCachedLines bounds the cached lines, and thereby the conversations in memory.
 	maxCachedLines = 400
 )
@@ -90,7 +93,8 @@
 	if !ok {
 		return false
 	}
-	usable := entry.reservedTokens >= x.call.MaxTokens && entry.route == x.route.Name && x.call.HasBudget
+	usable := entry.reservedTokens >= x.call.MaxTokens && entry.route == x.route.Name && x.call.HasBudget &&
+		time.Since(entry.storedAt) <= maxLineAge
 	if x.route.Stateful {
 		usable = usable && entry.lastTurn == x.call.Previous
 	}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -500,7 +500,7 @@
 	e := turns.End{
 		Account: x.accountName(), Program: x.call.Program, Request: x.call.RequestID,
 		Tokens: tokens, Retention: x.route.Retention, Reservation: x.reservation,
-		Line: x.call.Line, Home: x.newHome, Timeout: lineTTL + x.route.Timeout,
+		Line: x.call.Line, Home: x.newHome, Timeout: maxLineAge + x.route.Timeout,
 	}
 	if record {
 		e.Record, e.Previous, e.Input, e.Output = true, x.call.Previous, x.request.Body, x.output
