--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -24,7 +24,7 @@
 	UpstreamLimitStated     = define(2424, zapcore.InfoLevel, "an upstream states a new rate limit in its responses", "")
 	UpstreamLimitEnded      = define(2425, zapcore.InfoLevel, "an upstream no longer states a rate limit", "")
 	UpstreamLimitMalformed  = define(2426, zapcore.WarnLevel, "an upstream states a rate limit that can't be parsed; the previous one stays in force", "check the upstream's release and settings")
-	ZoneUnreachable         = define(2418, zapcore.WarnLevel, "an availability zone is unreachable; attempts in progress there are aborted", "check the network between the zones")
+	ZoneUnreachable         = define(2418, zapcore.WarnLevel, "an availability zone is unreachable; attempts in progress there are aborted", "check the network between the zones; without silent links and failed probes of this silence, whether this VM ran late")
 	ZoneReachable           = define(2419, zapcore.InfoLevel, "an availability zone is reachable again", "")
 	NodeIsolated            = define(2420, zapcore.WarnLevel, "a partition separates this VM from the store; it reports not ready so that callers use another VM", "check the network between the zones")
 	NodeNotIsolated         = define(2421, zapcore.InfoLevel, "this VM is ready again after a partition", "")
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -188,7 +188,8 @@
 		if change.Reachable {
 			event = events.ZoneReachable
 		}
-		e.node.events.Emit(event, zap.String("zone", change.Zone), zap.Duration("silent", change.Silent))
+		e.node.events.Emit(event, zap.String("zone", change.Zone), zap.Duration("silent", change.Silent),
+			zap.Int("links", change.Links), zap.Int("waiting", change.Waiting), zap.Int("failed_probes", change.FailedProbes))
 	}
 	for _, zone := range e.reach.Probes() {
 		e.proxy.ProbeZone(zone)
--- a/internal/reach/reach.go
+++ b/internal/reach/reach.go
@@ -75,6 +75,8 @@
 	Zone      string
 	Reachable bool
 	Silent    time.Duration // time since data was last received; 0 if the zone is reachable
+	// The evidence if the zone is unreachable: silent links, requests that wait, and probes that timed out in this silence.
+	Links, Waiting, FailedProbes int
 }
 
 // Detector tracks for each zone when data was last received and whether it is unreachable.
@@ -134,7 +136,8 @@
 		if silent < missedRounds {
 			z.earlierProbes = o.FailedProbes
 		}
-		limit := silentRounds(o, o.FailedProbes-z.earlierProbes)
+		failedProbes := o.FailedProbes - z.earlierProbes
+		limit := silentRounds(o, failedProbes)
 		suspected := silent >= missedRounds && d.otherZoneActive(o.Zone, z.lastReceived+missedRounds-1)
 		switch {
 		case z.unreachable && silent == 0:
@@ -142,7 +145,9 @@
 			changes = append(changes, Change{Zone: o.Zone, Reachable: true})
 		case !z.unreachable && limit > 0 && silent >= limit && d.otherZoneActive(o.Zone, z.lastReceived+missedRounds):
 			z.unreachable = true
-			changes = append(changes, Change{Zone: o.Zone, Silent: time.Duration(silent) * Interval})
+			changes = append(changes, Change{
+				Zone: o.Zone, Silent: time.Duration(silent) * Interval, Links: o.Links, Waiting: o.Waiting, FailedProbes: failedProbes,
+			})
 		case !z.unreachable && o.Waiting > 0 && suspected:
 			d.probes = append(d.probes, o.Zone)
 		}
