--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -40,9 +40,9 @@
 	errUnsignedSuccess = errors.New("proxy: a success without the upstream's signature")
 	// errNotResumed means that an upstream answered the request to continue a stream by a failure of its own.
 	errNotResumed = errors.New("proxy: the upstream failed to continue the stream")
-	// errOtherEvents means that the events that an upstream sent to continue a stream aren't those that follow.
+	// errOtherEvents means that what an upstream sent to continue a stream isn't the events that follow.
 	errOtherEvents = errors.New("proxy: what the upstream sent does not continue the stream")
-	errBadStatus   = errors.New("proxy: the status is none of a response")
+	errBadStatus   = errors.New("proxy: invalid response status")
 	// errEventMissing means that a stream ended without the event after which its caller resumes it.
 	errEventMissing = errors.New("proxy: the stream lacks the event after which it is to continue")
 	// errConversationLost means that the store no longer holds the conversation that a turn continued.
