registry: an upstream that registers with a thawed control VM stays known

Cause, from the logs: a control VM was frozen for 2.6 s. Registrations timed out there and went to a second control VM, but also waited in the frozen VM's connections. Thawed, it took them without a gap in the sequence, so it announced nothing; the second VM's entry expired 3.5 heartbeats later, and to the entry VMs it was the source. Change: a registration that is late by 0.4 of its lifetime may have been missed, and for one lifetime after it all are announced.

--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -26,7 +26,20 @@
 	// registeredAt is when the process was first registered here, departedAt when a process of the upstream last
 	// announced here that it leaves; nil if none did.
 	registeredAt, departedAt *time.Duration
-	version                  uint64 // of the last change that matters to callers
+	// missedAt is when a registration last showed that others before it may have reached another control VM, nil if none did.
+	missedAt *time.Duration
+	version  uint64 // of the last change that matters to callers
+}
+
+// missed reports whether another control VM may have received the latest registrations before this one, so that it will
+// expire the upstream. A gap in the sequence shows that. After a gap in time, this VM may have been frozen: registrations that
+// waited for it arrive without a gap in the sequence, although they were sent to another VM as well, and can't
+// replace those at that VM. So for the time until the other VM's entry has expired, all registrations count.
+func (r *registration) missed(u *Upstream, now, lifetime time.Duration) bool {
+	if now-r.lastSeen > time.Duration(lateShare*float64(lifetime)) {
+		r.missedAt = &now
+	}
+	return u.Sequence > r.upstream.Sequence+1 || r.missedAt != nil && now-*r.missedAt <= lifetime
 }
 
 // isNotice reports whether the upstream is known from a LeavingNotice only.
@@ -59,10 +72,8 @@
 			known.upstream.Born, known.upstream.Sequence = u.Born, u.Sequence
 			return false
 		}
-		// A gap in the sequence means that another control VM received the registrations in between.
-		// That VM will expire the upstream, so entry VMs must be notified that it registers here.
-		missed := u.Sequence > known.upstream.Sequence+1
-		if u.sameForCallers(&known.upstream) && !missed {
+		// Entry VMs must be notified that the upstream registers here, or the other VM's expiry would count.
+		if missed := known.missed(&u, now, r.lifetime); u.sameForCallers(&known.upstream) && !missed {
 			known.upstream.Sequence = u.Sequence
 			known.lastSeen = now
 			return false
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -75,6 +75,8 @@
 	// goneRetention is how long an upstream that is gone is kept, so that a late registration of its
 	// incarnation is recognised. It exceeds network delays by far.
 	goneRetention = 60 * time.Second
+	// lateShare is the part of a registration's lifetime after which the next one is late.
+	lateShare = 0.4
 	// minReturnTime is the time after the announcement of its shutdown in which an upstream doesn't return as another
 	// process, since it serves on for longer. A process that is first registered within it is the one that leaves.
 	minReturnTime = time.Second
--- a/internal/registry/registry_test.go
+++ b/internal/registry/registry_test.go
@@ -153,6 +153,81 @@
 	}
 }
 
+// TestRegistry_UpstreamOfAFrozenControlVMStays guards against an upstream that is used no more because the control VM to which
+// it registers was frozen: meanwhile it registered at another VM, whose entry expires later, and the registrations that had
+// waited for the frozen VM leave no gap in the sequence there.
+func TestRegistry_UpstreamOfAFrozenControlVMStays(t *testing.T) {
+	const (
+		lifetime  = 3500 * time.Millisecond
+		heartbeat = time.Second
+	)
+	for frozen := 600 * time.Millisecond; frozen < 8*time.Second; frozen += 100 * time.Millisecond {
+		now := time.Second
+		registrars := map[string]*Registrar{}
+		versions := map[string]uint64{}
+		for _, vm := range []string{"a", "b"} {
+			registrars[vm] = NewRegistrar(lifetime, func() time.Duration { return now })
+		}
+		directory := NewDirectory(nil)
+		const step = 100 * time.Millisecond
+		thaw := 5*time.Second + frozen
+		var waiting []Upstream
+		sequence := int64(0)
+		for ; now < 25*time.Second; now += step {
+			isFrozen := now >= 5*time.Second && now < thaw
+			if now%heartbeat == 0 {
+				sequence++
+				u := upstreamEntry("i", 1, sequence, Ready)
+				if isFrozen {
+					waiting = append(waiting, u) // in the frozen VM's connections, and sent to the other VM after a second
+					registrars["b"].Register(u)
+				} else {
+					registrars["a"].Register(u)
+				}
+			}
+			for vm, r := range registrars {
+				if vm == "a" && isFrozen {
+					continue
+				}
+				if vm == "a" {
+					for _, u := range waiting {
+						r.Register(u)
+					}
+					waiting = nil
+				}
+				r.Expire()
+				changes, version, _ := r.Since(versions[vm])
+				versions[vm] = version
+				directory.Merge(vm, changes)
+			}
+		}
+		require.Equal(t, Ready, directory.entries["i"].upstream.State, "frozen for %v", frozen)
+	}
+}
+
+// TestRegistrar_AnnouncesOnlyChanges guards against registrations that are all spread to all VMs: they cost the most at size.
+func TestRegistrar_AnnouncesOnlyChanges(t *testing.T) {
+	const lifetime = 3500 * time.Millisecond
+	now := time.Second
+	r := NewRegistrar(lifetime, func() time.Duration { return now })
+	changes := 0
+	for i := range int64(100) {
+		if r.Register(upstreamEntry("i", 1, i+1, Ready)) {
+			changes++
+		}
+		now += time.Second + time.Duration(i%7)*50*time.Millisecond
+	}
+	require.Equal(t, 1, changes)
+	now += lifetime
+	for i := range int64(100) {
+		if r.Register(upstreamEntry("i", 1, i+101, Ready)) {
+			changes++
+		}
+		now += time.Second
+	}
+	require.LessOrEqual(t, changes, 1+4, "for one lifetime after a late one")
+}
+
 func TestDirectory_ExpiredUpstreamsAreALastResort(t *testing.T) {
 	d := NewDirectory(nil)
 	d.Merge("c1", []Upstream{upstreamEntry("a", 1, 1, Ready)})
