catalog: zones that are out of service

Operators will order that nothing is sent to the upstreams of an availability zone, and withdraw that. The order has to survive what the control group's state survives, so it is a command of its state machine.

A command names the number of orders that its sender saw applied. A command that waited in a queue while another order was acknowledged changes nothing, also if that other order changed nothing.

Tested by the new tests of the package.

--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -1,6 +1,7 @@
 // Package catalog implements the replicated state machine of the control group in a fleet that
 // discovers its VMs through seeds: the operators' active configuration document, the VMs that form
-// each group of the store, and the store VMs that are being emptied.
+// each group of the store, the store VMs that are being emptied, and the availability zones that are
+// out of service.
 package catalog
 
 import (
@@ -29,18 +30,19 @@
 
 // Command is one log entry; exactly one of its fields is set.
 type Command struct {
-	PutDocument *PutDocument `cbor:"1,keyasint,omitempty"`
-	FormStore   *FormStore   `cbor:"2,keyasint,omitempty"`
-	EmptyVM     *EmptyVM     `cbor:"3,keyasint,omitempty"`
+	PutDocument   *PutDocument   `cbor:"1,keyasint,omitempty"`
+	FormStore     *FormStore     `cbor:"2,keyasint,omitempty"`
+	EmptyVM       *EmptyVM       `cbor:"3,keyasint,omitempty"`
+	SetEvacuation *SetEvacuation `cbor:"4,keyasint,omitempty"`
 }
 
-// Outcome is the outcome of a PutDocument.
+// Outcome is the outcome of a PutDocument or SetEvacuation.
 type Outcome int
 
 // Outcomes.
 const (
 	InForce    Outcome = iota // the document is active, now or already before
-	Superseded                // a higher version is active; nothing changed
+	Superseded                // a higher version is active, or another order was applied since After; nothing changed
 	Conflict                  // the active document has this version and other content; nothing changed
 )
 
@@ -62,6 +64,9 @@
 	document    Document
 	storeGroups [][]string
 	emptying    []string
+	evacuated   []string // sorted
+	// evacuationVersion is the number of changes of evacuated, evacuationOrders that of the orders that were applied.
+	evacuationVersion, evacuationOrders uint64
 	// onChange is called with each new state unless it is nil.
 	onChange func(State)
 }
@@ -72,6 +77,12 @@
 	// StoreGroups are the VMs that form each group of the store.
 	StoreGroups [][]string `cbor:"2,keyasint"`
 	Emptying    []string   `cbor:"3,keyasint"`
+	// Evacuated are the zones that are out of service, sorted, and EvacuationVersion is the number of changes of that
+	// list.
+	Evacuated         []string `cbor:"4,keyasint,omitempty"`
+	EvacuationVersion uint64   `cbor:"5,keyasint,omitempty"`
+	// EvacuationOrders is the number of SetEvacuation commands that were applied, including those that changed nothing.
+	EvacuationOrders uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // New returns an empty machine that passes each new state to onChange, if that is not nil.
@@ -120,6 +131,8 @@
 			m.emptying = append(slices.Clone(m.emptying), c.EmptyVM.VM)
 			m.publish()
 		}
+	case c.SetEvacuation != nil:
+		return m.setEvacuation(c.SetEvacuation)
 	}
 	return InForce
 }
@@ -140,7 +153,10 @@
 
 // State returns the current state.
 func (m *Machine) State() State {
-	return State{Document: m.document, StoreGroups: m.storeGroups, Emptying: m.emptying}
+	return State{
+		Document: m.document, StoreGroups: m.storeGroups, Emptying: m.emptying,
+		Evacuated: m.evacuated, EvacuationVersion: m.evacuationVersion, EvacuationOrders: m.evacuationOrders,
+	}
 }
 
 func (m *Machine) publish() {
@@ -162,6 +178,7 @@
 		return errors.Wrap(err, "catalog: decode a snapshot")
 	}
 	m.document, m.storeGroups, m.emptying = s.Document, s.StoreGroups, s.Emptying
+	m.evacuated, m.evacuationVersion, m.evacuationOrders = s.Evacuated, s.EvacuationVersion, s.EvacuationOrders
 	m.publish()
 	return nil
 }
--- a/internal/catalog/machine_test.go
+++ b/internal/catalog/machine_test.go
@@ -41,11 +41,15 @@
 	apply(t, m, Command{FormStore: &FormStore{Groups: [][]string{{"c"}}}})
 	apply(t, m, Command{EmptyVM: &EmptyVM{VM: "b"}})
 	apply(t, m, Command{EmptyVM: &EmptyVM{VM: "b"}})
+	apply(t, m, evacuate("z", true, 0))
 	data, err := m.Snapshot()
 	require.NoError(t, err)
 	restored := New(nil)
 	require.NoError(t, restored.Restore(data))
 	require.Equal(t, m.State(), restored.State())
-	require.Equal(t, State{Document{2, []byte("two")}, [][]string{{"a", "b"}, {"b", "c"}}, []string{"b"}}, restored.State())
+	require.Equal(t, State{
+		Document: Document{2, []byte("two")}, StoreGroups: [][]string{{"a", "b"}, {"b", "c"}}, Emptying: []string{"b"},
+		Evacuated: []string{"z"}, EvacuationVersion: 1, EvacuationOrders: 1,
+	}, restored.State())
 	require.Error(t, restored.Restore([]byte("?")))
 }
