proxy: nothing is sent to upstreams in zones that are out of service

The candidates of first attempts, retries, resumptions and homes come from one list, which now excludes these zones. A request whose connection opened only after the order came into force is not sent, and the upstream does not count as failing. Requests in progress complete.

--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -82,7 +82,7 @@
 // which time one may.
 func (x *exchange) fitsSomewhere() (wait time.Duration, ok bool) {
 	minLevel := x.urgencyLevel()
-	for _, u := range x.server.opts.Directory.View().Services[x.service.Name] {
+	for _, u := range x.upstreams() {
 		room := x.server.opts.Upstreams.UpstreamRoom(u)
 		if !room.Limited || hasRoom(room, minLevel) {
 			return 0, true
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -118,6 +118,7 @@
 	UnknownStream                  // the origin of the stream to resume is not stored
 	BuildGone                      // no upstream is left of the build that wrote the stream to resume
 	NoUpstream                     // no upstream is known, or all declined
+	ZonesEvacuated                 // every upstream is in a zone that is out of service
 	UpstreamsLimited               // every upstream is at the rate limit that it states
 	TooLate                        // the deadline passed before the request was sent
 	Malformed                      // the request could not be parsed
@@ -202,6 +203,9 @@
 	Upstreams UpstreamLimiter
 	// Suspects counts the upstreams that requests crash; nil for a tracker of this server's own.
 	Suspects *suspect.Tracker
+	// Evacuated reports whether an availability zone is out of service, so that no request is sent to its upstreams; nil
+	// means never.
+	Evacuated func(zone string) bool
 	// Isolated reports whether a partition separates this VM from the store; nil means never.
 	Isolated func() bool
 	// Drain is how long an upstream serves after it announced its shutdown.
@@ -241,6 +245,9 @@
 	if opts.Detoured == nil {
 		opts.Detoured = func(string) bool { return false }
 	}
+	if opts.Evacuated == nil {
+		opts.Evacuated = func(string) bool { return false }
+	}
 	if opts.Dial == nil {
 		opts.Dial = upconn.Dial
 	}
@@ -393,6 +400,9 @@
 		timeout = min(timeout, x.call.Deadline)
 	}
 	x.deadline = x.request.Arrived.Add(timeout)
+	if !x.resumes() && x.zonesEvacuated() { // the service that wrote a stream to resume isn't known yet
+		return &Refusal{Reason: ZonesEvacuated, RetryAfter: evacuatedRetryAfter}
+	}
 	x.programActive = s.isProgramActive(x) || x.resumes()
 	if x.begins() {
 		if wait, ok := x.fitsSomewhere(); !ok {
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -100,9 +100,9 @@
 }
 
 // recordFailure records a failed attempt. An attempt that was not sent because the request's
-// context ended is no failure of the upstream.
+// context ended, or because the upstream's zone was taken out of service, is no failure of the upstream.
 func (x *exchange) recordFailure(u registry.Upstream, result outcome, err error) {
-	if result == notSent && x.ctx.Err() != nil {
+	if result == notSent && (x.ctx.Err() != nil || errors.Is(err, errZoneEvacuated)) {
 		return
 	}
 	x.server.health.recordFailure(u.ID, result)
@@ -141,6 +141,9 @@
 	if limitedFor > 0 {
 		return x.limitedRefusal(limitedFor)
 	}
+	if x.zonesEvacuated() {
+		return Refusal{Reason: ZonesEvacuated, RetryAfter: evacuatedRetryAfter}
+	}
 	if r, gone := x.buildGone(); gone {
 		return r
 	}
@@ -223,6 +226,10 @@
 	if err != nil {
 		return notSent, err
 	}
+	if s.opts.Evacuated(u.Zone) { // since the upstream was selected
+		_ = conn.Close()
+		return notSent, errZoneEvacuated
+	}
 	s.health.requestStarted(u.ID)
 	defer s.health.requestEnded(u.ID)
 	started := time.Now()
--- a/internal/proxy/streams.go
+++ b/internal/proxy/streams.go
@@ -142,15 +142,18 @@
 	return nil
 }
 
-// upstreams returns the upstreams of the request's service. For a stream that is resumed, or if no upstream is ready,
-// they include those that announced their shutdown a short time ago.
-func (x *exchange) upstreams() []registry.Upstream {
-	ready := x.server.opts.Directory.View().Services[x.service.Name]
+// upstreams returns the upstreams of the request's service in zones that are in service. For a stream that is resumed, or
+// if no upstream is ready, they include those that announced their shutdown a short time ago.
+func (x *exchange) upstreams() []registry.Upstream { return x.listUpstreams(x.server.opts.Evacuated) }
+
+// listUpstreams is upstreams with other zones excluded.
+func (x *exchange) listUpstreams(excluded func(zone string) bool) []registry.Upstream {
+	ready := withoutZones(x.server.opts.Directory.View().Services[x.service.Name], excluded)
 	if x.origin.build == "" && len(ready) > 0 {
 		return ready
 	}
 	limit := LeavingLimit(x.server.opts.Drain)
-	leaving := x.server.opts.Directory.LeavingFor(x.service.Name, limit)
+	leaving := withoutZones(x.server.opts.Directory.LeavingFor(x.service.Name, limit), excluded)
 	return append(ready[:len(ready):len(ready)], leaving...)
 }
 
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -81,6 +81,17 @@
 	return d.latest[address] != nil
 }
 
+// ZoneAt returns the availability zone of the upstream that may be running at the address, empty if none is registered.
+func (d *Directory) ZoneAt(address string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	known := d.latest[address]
+	if known == nil {
+		return ""
+	}
+	return known.upstream.Zone
+}
+
 // Leaving reports whether an upstream has announced its shutdown.
 func (d *Directory) Leaving(u Upstream) bool {
 	d.mu.Lock()
