node, platform: operators take a zone out of service

POST /-/evacuations/ZONE on a control listener acknowledges once a majority holds the order; DELETE withdraws it, GET /-/evacuations lists the zones. An unknown zone gets 404. Entry VMs learn of orders by their watches, keep the highest version, and refuse tunnels to upstreams of the zones; open tunnels carry no further requests. Event 2434 and the gauge egretramp_zones_evacuated say what a VM follows.

A control VM that handles an order late drops it if its client has disconnected (event 2433). Each attempt reads the state from a majority first, and the command fails if another order was applied since. While a voter is known to run an earlier release, which ignores the command, orders get 503.

--- a/internal/detour/dialer.go
+++ b/internal/detour/dialer.go
@@ -48,6 +48,7 @@
 	CodeUnavailable = "vm_unavailable"       // this VM reaches no upstream itself, or is stopping
 	CodeUnknown     = "upstream_unknown"     // no upstream is registered at the address
 	CodeOverloaded  = "too_many_tunnels"
+	CodeEvacuated   = "zone_evacuated" // the upstream's zone is out of service
 )
 
 var errNoDetour = errors.New("detour: no other entry VM reaches the upstream")
@@ -408,7 +409,7 @@
 	if err == nil || refused {
 		d.goodUntil[vm] = now + goodFor
 		delete(d.badUntil, vm)
-	} else if !hasCode(err, CodeUnreachable) && !errors.Is(ctx.Err(), context.Canceled) { // canceled: another VM was faster
+	} else if !hasCode(err, CodeUnreachable) && !hasCode(err, CodeEvacuated) && !errors.Is(ctx.Err(), context.Canceled) { // canceled: another VM was faster
 		d.badUntil[vm] = now + badFor
 		delete(d.goodUntil, vm)
 	}
--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -35,5 +35,8 @@
 	DetourHealed            = define(2429, zapcore.InfoLevel, "this VM reaches upstreams itself again", "")
 	DetourVMsUnknown        = define(2430, zapcore.WarnLevel, "no control VM names other entry VMs for detours", "check the network between this VM and the control VMs, and their release")
 	NodeRegistrationRefused = define(2431, zapcore.WarnLevel, "a registration names no usable upstream; it changes nothing", "find out what writes to the control VMs from that address")
+	EvacuationOrdered       = define(2432, zapcore.InfoLevel, "an operator's order to take a zone out of service or to return it ended", "")
+	EvacuationDropped       = define(2433, zapcore.WarnLevel, "an operator's order about a zone was not executed, because its sender had disconnected before", "send the order again if it still holds")
+	EvacuationInForce       = define(2434, zapcore.InfoLevel, "the zones that are out of service changed on this VM", "")
 	NodeLogDropped          = define(2415, zapcore.WarnLevel, "log lines were dropped because they were logged faster than they could be written", "")
 )
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -105,6 +105,7 @@
 	n.network.HandleCalls(methodPermit, c.coordinator.handle)
 	n.network.HandleCalls(methodEntryVMs, c.hub.handleEntryVMs)
 	n.network.HandleCalls(methodStrike, c.handleStrikes)
+	n.metrics.MustRegister(evacuationGauge(c.hub.evacuatedCount))
 	return c, nil
 }
 
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -87,8 +87,10 @@
 	directory *registry.Directory
 	// leavingLimit is how long an upstream that leaves is still connected to.
 	leavingLimit time.Duration
-	served       atomic.Int64 // tunnels in progress for other VMs
-	stopping     atomic.Bool
+	// evacuated reports whether a zone is out of service; nil means never.
+	evacuated func(zone string) bool
+	served    atomic.Int64 // tunnels in progress for other VMs
+	stopping  atomic.Bool
 
 	mu        sync.Mutex
 	vms       []string // other entry VMs
@@ -99,7 +101,7 @@
 
 func newDetours(e *entry) *detours {
 	n := e.node
-	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, leavingLimit: proxy.LeavingLimit(n.settings.Drain), lastKnown: true}
+	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, leavingLimit: proxy.LeavingLimit(n.settings.Drain), evacuated: e.evacuations.contains, lastKnown: true}
 	if d.direct == nil {
 		d.direct = upconn.Dial
 	}
@@ -155,24 +157,43 @@
 	d.node.network.DrainTunnels()
 }
 
-// addresses returns the addresses of the upstreams that serve.
+// addresses returns the addresses of the upstreams that serve. Those in zones that are out of service are left out unless
+// there are no others: other VMs open no connections to them, which says nothing about the paths.
 func (d *detours) addresses() []string {
-	var all []string
+	var inService, others []string
 	for _, list := range d.directory.View().Services {
 		for _, u := range list {
-			all = append(all, u.Address)
+			if d.isEvacuated(u.Zone) {
+				others = append(others, u.Address)
+			} else {
+				inService = append(inService, u.Address)
+			}
 		}
 	}
-	return all
+	if len(inService) == 0 {
+		return others
+	}
+	return inService
+}
+
+func (d *detours) isEvacuated(zone string) bool { return d.evacuated != nil && d.evacuated(zone) }
+
+// leadsToEvacuated reports whether the upstream at an address is in a zone that is out of service.
+func (d *detours) leadsToEvacuated(address string) bool {
+	return d.isEvacuated(d.directory.ZoneAt(address))
 }
 
 // countedTunnel counts an upstream's connection as served until it is closed.
 type countedTunnel struct {
 	net.Conn
-	served *atomic.Int64
-	once   sync.Once
+	served   *atomic.Int64
+	once     sync.Once
+	draining func() bool
 }
 
+// Draining implements peer.DrainingConn.
+func (c *countedTunnel) Draining() bool { return c.draining() }
+
 // Close implements net.Conn.
 func (c *countedTunnel) Close() error {
 	c.once.Do(func() { c.served.Add(-1) })
@@ -184,6 +205,8 @@
 	switch {
 	case !d.directory.MayServe(address, d.leavingLimit):
 		return nil, &peer.RemoteError{Code: detour.CodeUnknown, Message: "no upstream at " + address}
+	case d.leadsToEvacuated(address):
+		return nil, &peer.RemoteError{Code: detour.CodeEvacuated, Message: "the zone of the upstream at " + address + " is out of service"}
 	case d.stopping.Load():
 		return nil, &peer.RemoteError{Code: detour.CodeUnavailable, Message: "this VM is stopping"}
 	case d.dialer.Cut():
@@ -194,7 +217,7 @@
 	}
 	conn, err := d.direct(ctx, address)
 	if err == nil {
-		return &countedTunnel{Conn: conn, served: &d.served}, nil
+		return &countedTunnel{Conn: conn, served: &d.served, draining: func() bool { return d.leadsToEvacuated(address) }}, nil
 	}
 	d.served.Add(-1)
 	code := detour.CodeUnreachable
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -47,10 +47,15 @@
 	reach     *reach.Detector // used by one goroutine
 	isolated  atomic.Bool
 	detours   *detours
+	// evacuations are the zones whose upstreams get no requests.
+	evacuations *evacuations
+	// onZoneRestored is called for a zone that returns to service, before requests are sent there; nil for no call. It must
+	// not block.
+	onZoneRestored func(zone string)
 }
 
 func newEntry(n *Node) *entry {
-	e := &entry{node: n, reach: reach.New(n.settings.Zone), suspects: suspect.NewTracker(clock.Now)}
+	e := &entry{node: n, reach: reach.New(n.settings.Zone), suspects: suspect.NewTracker(clock.Now), evacuations: newEvacuations()}
 	e.reporter = &strikeReporter{
 		tracker: e.suspects, calls: n.network, epochs: n.watcher.controlEpochs, reported: map[string]reportedStrikes{},
 	}
@@ -59,6 +64,7 @@
 		go n.network.DrainTunnelsTo(u.Address) // waits for VMs that don't read
 	})
 	n.watcher.leavingSince = e.directory.LeavingSince
+	n.watcher.evacuationVersion = e.evacuations.version
 	storeVMs := func(group uint64) []string {
 		view := n.watcher.stores()
 		var vms []string
@@ -83,9 +89,9 @@
 	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
-		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
+		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
 	})
-	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+	n.metrics.MustRegister(evacuationGauge(e.evacuations.count), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
 	}, func() float64 { return float64(e.permits.limitCount.Load()) }))
 	e.server = httpwire.New(e.proxy, e.limits)
@@ -210,9 +216,10 @@
 	return 0
 }
 
-// handleUpdate applies a control VM's update. The configuration never returns to an older version
-// within a process.
+// handleUpdate applies a control VM's update. The configuration and the zones that are out of service never return to an
+// older version within a process. The zones come first: the VM serves from its first configuration on.
 func (e *entry) handleUpdate(from string, r watchResponse) {
+	e.applyEvacuation(from, r.Evacuation)
 	if r.Document != nil && r.Document.Version > e.documentVersion() {
 		e.applyDocument(from, r.Document.Version, r.Document.Data)
 	}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -280,7 +280,8 @@
 		document := h.state.Document
 		response.Document = &document
 	}
+	response.Evacuation = h.evacuatedSince(r)
 	changes.already = changes.already || len(response.Upstreams) > 0 || len(response.Suspects) > 0 ||
-		response.Fleet != nil || response.Document != nil
+		response.Fleet != nil || response.Document != nil || response.Evacuation != nil
 	return response, changes
 }
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -27,6 +27,8 @@
 	Zone   string `cbor:"4,keyasint"`
 	Silent bool   `cbor:"5,keyasint,omitempty"` // no recent watch request at the reporting VM
 	CutOff bool   `cbor:"6,keyasint,omitempty"` // an entry VM that reaches no upstream itself, or is stopping
+	// Evacuates is set for a control VM whose release knows catalog.SetEvacuation.
+	Evacuates bool `cbor:"7,keyasint,omitempty"`
 }
 
 // watchRequest requests the changes at a control VM since the given versions. It is also the sender's
@@ -42,6 +44,8 @@
 	// Leaving are the upstreams of which the sender has learnt from their responses that they leave, since its last
 	// request that this process of the control VM answered.
 	Leaving []registry.LeavingNotice `cbor:"8,keyasint,omitempty"`
+	// Evacuation is the sender's version of the zones that are out of service.
+	Evacuation uint64 `cbor:"9,keyasint,omitempty"`
 }
 
 // watchResponse contains the changes since the versions in a watchRequest.
@@ -54,6 +58,13 @@
 	Document         *catalog.Document   `cbor:"6,keyasint,omitempty"`
 	Suspects         []suspect.Record    `cbor:"7,keyasint,omitempty"`
 	SuspectsVersion  uint64              `cbor:"8,keyasint"`
+	Evacuation       *evacuation         `cbor:"9,keyasint,omitempty"`
+}
+
+// evacuation holds the zones that are out of service.
+type evacuation struct {
+	Version uint64   `cbor:"1,keyasint"` // catalog.State.EvacuationVersion
+	Zones   []string `cbor:"2,keyasint"`
 }
 
 // strikeReport contains records of requests that crashed upstreams, for a control VM.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,7 +86,7 @@
 	}
 	n := &Node{
 		opts: opts, settings: s, events: opts.Events,
-		self:    vmInfo{VM: s.Peers, Name: s.Name, Role: s.Role, Zone: s.Zone},
+		self:    vmInfo{VM: s.Peers, Name: s.Name, Role: s.Role, Zone: s.Zone, Evacuates: s.Role == Control},
 		metrics: prometheus.NewRegistry(),
 		failed:  make(chan error, 1),
 		reload:  make(chan struct{}, 1),
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -39,6 +39,9 @@
 	Role   Role
 	Zone   string
 	Region string
+	// Zones maps the fleet's availability zones to their regions. If it is empty, the zones are those of the known VMs
+	// and of the registered upstreams.
+	Zones map[string]string
 	// Peers is the address at which the VM listens for other VMs. It identifies the VM in the fleet.
 	Peers string
 	// Callers and Ready are the listen addresses of an entry VM for requests and for the balancer's
@@ -83,6 +86,12 @@
 	PutDocument(ctx context.Context, d catalog.Document) (catalog.Result, error)
 	// Document returns the active document, confirmed by a majority after the call.
 	Document(ctx context.Context) (catalog.Document, error)
+	// SetEvacuation takes an availability zone out of service or returns it to service. It returns nil once that is
+	// durable, ErrUnknownZone, or an error after which the outcome is unknown. ctx ends when the sender disconnects: an
+	// order whose sender is gone before it is proposed isn't executed.
+	SetEvacuation(ctx context.Context, zone string, evacuated bool) error
+	// Evacuated returns the zones that are out of service, sorted, confirmed by a majority after the call.
+	Evacuated(ctx context.Context) ([]string, error)
 	// Register records the registration of an upstream, which is also its heartbeat.
 	Register(u registry.Upstream)
 	// Leave records that an upstream has announced its shutdown.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -46,6 +46,8 @@
 	cutOff func() bool
 	// leavingSince returns the notices of upstreams that leave, which were added after a version; nil means none.
 	leavingSince func(version uint64) ([]registry.LeavingNotice, uint64)
+	// evacuationVersion returns this VM's version of the zones that are out of service; nil means 0.
+	evacuationVersion func() uint64
 
 	mu       sync.Mutex
 	contacts map[string]*contact
@@ -134,6 +136,9 @@
 	if w.leavingSince != nil {
 		request.Leaving, leavingVersion = w.leavingSince(leavingVersion)
 	}
+	if w.evacuationVersion != nil {
+		request.Evacuation = w.evacuationVersion()
+	}
 	request.From.CutOff = w.cutOff != nil && w.cutOff()
 	limited, cancel := context.WithTimeout(ctx, watchWait+watchTimeoutMargin)
 	answer, err := w.calls.Call(limited, c.vm, methodWatch, encode(request))
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -35,9 +35,16 @@
 	codeTunnelUnsupported = "tunnel_unsupported" // the VM opens no tunnels
 )
 
-// TunnelHandler opens a connection to an upstream for another VM. The code of a *RemoteError is returned to that VM.
+// TunnelHandler opens a connection to an upstream for another VM. The code of a *RemoteError is returned to that VM. If
+// the connection implements DrainingConn, it says whether the tunnel is to be drained from its beginning.
 type TunnelHandler func(ctx context.Context, from, address string) (net.Conn, error)
 
+// DrainingConn is a connection to an upstream that may have to carry no further requests.
+type DrainingConn interface {
+	// Draining is called once DrainTunnelsTo finds the tunnel, so that no change before is missed.
+	Draining() bool
+}
+
 // HandleTunnels registers the handler for tunnels.
 func (n *Node) HandleTunnels(h TunnelHandler) { n.tunnels = h }
 
@@ -223,6 +230,9 @@
 		return err
 	}
 	defer s.node.served.add(stream, first.Address)()
+	if c, ok := conn.(DrainingConn); ok && c.Draining() {
+		sendDraining(stream)
+	}
 	wg.Go(func() { sendToUpstream(stream, conn) })
 	return receiveFromUpstream(stream, conn)
 }
--- a/internal/peer/tunnel_test.go
+++ b/internal/peer/tunnel_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -19,8 +20,17 @@
 	nodeB    *Node
 	stopB    context.CancelFunc
 	upstream net.Listener
+	draining atomic.Bool // what upstream connections say
 }
 
+// drainingTestConn is an upstream connection whose tunnel may have to be drained.
+type drainingTestConn struct {
+	net.Conn
+	draining *atomic.Bool
+}
+
+func (c drainingTestConn) Draining() bool { return c.draining.Load() }
+
 func newTunnelFixture(t *testing.T) *tunnelFixture {
 	listenerB := listen(t)
 	f := &tunnelFixture{a: New(Options{VM: "a"}), b: listenerB.Addr().String(), upstream: listen(t)}
@@ -35,7 +45,7 @@
 		if err != nil {
 			return nil, &RemoteError{Code: "nobody_there", Message: err.Error()}
 		}
-		return conn, nil
+		return drainingTestConn{conn, &f.draining}, nil
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan struct{})
@@ -173,6 +183,22 @@
 	}, waitTimeout, 10*time.Millisecond)
 }
 
+// TestTunnel_DrainingFromItsBeginning guards against a tunnel that DrainTunnelsTo doesn't find, because it is being opened,
+// and that carries requests from then on.
+func TestTunnel_DrainingFromItsBeginning(t *testing.T) {
+	f := newTunnelFixture(t)
+	f.draining.Store(true)
+	near, far := f.open(t)
+	require.Eventually(t, func() bool { return !near.Idle() }, waitTimeout, time.Millisecond)
+	go func() {
+		_, _ = io.WriteString(far, "an answer")
+		_ = far.Close()
+	}()
+	read, err := io.ReadAll(near)
+	require.NoError(t, err)
+	require.Equal(t, "an answer", string(read), "the request under way")
+}
+
 // TestTunnel_DrainingOneUpstream checks that only the tunnels that lead to the upstream take no further requests.
 func TestTunnel_DrainingOneUpstream(t *testing.T) {
 	f := newTunnelFixture(t)
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -92,6 +93,19 @@
 	return known.upstream.Zone
 }
 
+// AddressesIn returns the addresses of the upstreams in some availability zones that may be running.
+func (d *Directory) AddressesIn(zones []string) []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var addresses []string
+	for address, known := range d.latest {
+		if slices.Contains(zones, known.upstream.Zone) {
+			addresses = append(addresses, address)
+		}
+	}
+	return addresses
+}
+
 // Leaving reports whether an upstream has announced its shutdown.
 func (d *Directory) Leaving(u Upstream) bool {
 	d.mu.Lock()
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -51,6 +51,17 @@
 	return &Registrar{lifetime: lifetime, clock: clock, entries: map[string]*registration{}, changed: make(chan struct{})}
 }
 
+// Zones returns the availability zones of the upstreams that have registered lately. A zone may occur several times.
+func (r *Registrar) Zones() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var zones []string
+	for _, known := range r.entries {
+		zones = append(zones, known.upstream.Zone)
+	}
+	return zones
+}
+
 // Register records a registration and reports whether it changed anything that matters to callers.
 func (r *Registrar) Register(u Upstream) (changed bool) {
 	r.mu.Lock()
