ctl: egretrampctl evacuate, restore and zones

Operators order through egretrampctl that a zone of a fleet with control listeners gets no more requests, withdraw that, and see which zones are out of service.

The names on the wire stay in platform/: its OperatorClient is passed to the tool, so the command that wires it up joins the packages that may import platform (boundary_test.go).

Tested by zones_test.go and operator_test.go, the latter against the handler of control listeners.

--- a/cmd/egretrampctl/main.go
+++ b/cmd/egretrampctl/main.go
@@ -8,11 +8,12 @@
 	"syscall"
 
 	"egretramp/internal/ctl"
+	"egretramp/platform"
 )
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	code := ctl.Run(ctx, os.Args[1:], ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr})
+	code := ctl.Run(ctx, os.Args[1:], ctl.Streams{In: os.Stdin, Out: os.Stdout, Err: os.Stderr}, ctl.WithZones(platform.NewOperatorClient()))
 	stop()
 	os.Exit(code)
 }
--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
@@ -36,6 +37,9 @@
 type tool struct {
 	Streams `no-flag:"true"`
 	ctx     context.Context
+	// zones serves the commands about zones; nil leaves them out.
+	zones        ZoneService
+	orderTimeout time.Duration
 
 	Admin       []string `long:"admin" value-name:"ADDRESS" env:"EGRETRAMP_ADMIN" env-delim:"," description:"administration address of a VM, IP:port; if it fails the next one is tried"`
 	Certificate string   `long:"tls-certificate" value-name:"FILE" env:"EGRETRAMP_TLS_CERTIFICATE" description:"your certificate, for VMs that have the tls block in their settings"`
@@ -55,9 +59,18 @@
 // which part is missing.
 var errIncomplete = errors.New("not complete")
 
+// Option adds commands to the tool.
+type Option func(*tool)
+
+// WithZones adds the commands about the zones of a fleet whose VMs discover each other through seeds.
+func WithZones(s ZoneService) Option { return func(t *tool) { t.zones = s } }
+
 // Run runs the tool with args, which exclude the program name, and returns its exit code.
-func Run(ctx context.Context, args []string, streams Streams) int {
-	t := &tool{Streams: streams, ctx: ctx}
+func Run(ctx context.Context, args []string, streams Streams, options ...Option) int {
+	t := &tool{Streams: streams, ctx: ctx, orderTimeout: orderTimeout}
+	for _, option := range options {
+		option(t)
+	}
 	parser := flags.NewNamedParser("egretrampctl", flags.HelpFlag|flags.PassDoubleDash)
 	parser.ShortDescription = "operates a fleet of egretramp VMs"
 	if _, err := parser.AddGroup("Options", "", t); err != nil {
@@ -86,11 +99,14 @@
 	return command.Execute(nil)
 }
 
+// namedCommand is a command with its name and description.
+type namedCommand struct {
+	name, short string
+	command     flags.Commander
+}
+
 func (t *tool) addCommands(parser *flags.Parser) {
-	for _, c := range []struct {
-		name, short string
-		command     flags.Commander
-	}{
+	commands := []namedCommand{
 		{"apply", "put a file in force, whole or not at all", &applyCommand{tool: t}},
 		{"check", "check a file without any VM", &checkCommand{tool: t}},
 		{"withdraw", "make keys stop working for good", &withdrawCommand{tool: t}},
@@ -103,7 +119,15 @@
 		{"make-certificate", "issue a certificate for a VM or an operator", &makeCertificateCommand{tool: t}},
 		{"explain", "tell the story of one request from the log files of VMs", &explainCommand{tool: t}},
 		{"hash-key", "read a key from standard input and print its SHA-256", &hashKeyCommand{tool: t}},
-	} {
+	}
+	if t.zones != nil {
+		commands = append(commands,
+			namedCommand{"evacuate", "send no more requests to the upstreams of a zone", &evacuateCommand{tool: t}},
+			namedCommand{"restore", "return a zone to service", &restoreCommand{tool: t}},
+			namedCommand{"zones", "list the zones that are out of service", &zonesCommand{tool: t}},
+		)
+	}
+	for _, c := range commands {
 		if _, err := parser.AddCommand(c.name, c.short, c.short, c.command); err != nil {
 			panic("ctl: command " + c.name + ": " + err.Error())
 		}
