--- a/internal/proxy/evacuation.go
+++ b/internal/proxy/evacuation.go
@@ -28,6 +28,11 @@
 // zonesEvacuated reports whether there are upstreams that could serve the request, and all of them are in zones that are
 // out of service.
 func (x *exchange) zonesEvacuated() bool {
+	s := x.server
+	inService := func(u registry.Upstream) bool { return !s.opts.Evacuated(u.Zone) && x.mayContinue(u) }
+	if slices.ContainsFunc(s.opts.Directory.View().Services[x.service.Name], inService) {
+		return false // the usual case, without making a list
+	}
 	return !slices.ContainsFunc(x.upstreams(), x.mayContinue) &&
 		slices.ContainsFunc(x.listUpstreams(func(string) bool { return false }), x.mayContinue)
 }
