node: control VMs know their orders again after a power loss, and acknowledge slow ones

A control VM that started alone after a power loss handed out the document without the order that came after it: a replica forgets which of its last entries are committed until there is a leader. The control group's replicas now write the commit index before they apply an entry, at the cost of one sync for each command. Entry VMs that start at the same time then get both, or neither.

When commits took longer than an operator waits, each repetition of an order waited for a command of its own and was never acknowledged. It is now acknowledged as soon as a command with the same effect was applied since the order was received.

Tested by TestControl_OrderIsKnownAfterPowerLoss, seen failing before (the VM alone knew no order), and by TestZoneOrder_IsSettled and TestControl_RepeatedAfterAnUnknownOutcome.

--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -88,6 +88,8 @@
 		},
 		Machine: catalog.New(c.applyState), Transport: groups.Transport{Network: n.network}, Events: n.events,
 		ElectionTicks: electionTicks,
+		// After a power loss of all VMs, a control VM must not hand out the document without the orders that came after it.
+		DurableCommit: true,
 	})
 	if err != nil {
 		return nil, err
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -43,8 +43,9 @@
 func (c *control) setEvacuation(ctx context.Context, zone string, evacuated bool) error {
 	limited, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
+	order := zoneOrder{zone: zone, evacuated: evacuated}
 	for {
-		err := c.tryEvacuation(ctx, limited, zone, evacuated)
+		err := c.tryEvacuation(ctx, limited, &order)
 		if err == nil || errors.Is(err, ErrUnknownZone) {
 			return err
 		}
@@ -56,9 +57,27 @@
 	}
 }
 
+// zoneOrder is an order that a control VM handles.
+type zoneOrder struct {
+	zone      string
+	evacuated bool
+	// first is the first state that a majority confirmed after the order was received, nil before.
+	first *catalog.State
+}
+
+// isSettled reports whether the order needs no command of its own any more: another one with the same effect was applied
+// since the order was received, such as that of an earlier try whose acknowledgement was lost. No order that was given
+// up before this one was sent can be applied after that.
+func (o *zoneOrder) isSettled(state catalog.State) bool {
+	if o.first == nil {
+		o.first = &state
+	}
+	return state.EvacuationOrders > o.first.EvacuationOrders && slices.Contains(state.Evacuated, o.zone) == o.evacuated
+}
+
 // tryEvacuation proposes an order once. sender ends when the order's sender disconnects, limited also when the time for
 // the order is over.
-func (c *control) tryEvacuation(sender, limited context.Context, zone string, evacuated bool) error {
+func (c *control) tryEvacuation(sender, limited context.Context, order *zoneOrder) error {
 	state, err := c.confirmedState(limited)
 	if sender.Err() != nil {
 		return errors.Mark(errSenderGone, ErrUnavailable)
@@ -66,11 +85,14 @@
 	if err != nil {
 		return err
 	}
-	if err := c.checkOrder(zone, state); err != nil {
+	if err := c.checkOrder(order.zone, state); err != nil {
 		return err
 	}
+	if order.isSettled(state) {
+		return nil
+	}
 	result, err := c.propose(limited, catalog.Command{SetEvacuation: &catalog.SetEvacuation{
-		Zone: zone, Evacuated: evacuated, After: state.EvacuationOrders,
+		Zone: order.zone, Evacuated: order.evacuated, After: state.EvacuationOrders,
 	}})
 	if err == nil && result.Outcome != catalog.InForce {
 		err = errors.Mark(errors.New("node: another order was applied meanwhile"), ErrUnavailable)
--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -121,7 +121,7 @@
 	gone, disconnect := context.WithCancel(t.Context())
 	disconnect()
 	// The time for the order is not over: only the check after the state was confirmed stops it.
-	err := c.tryEvacuation(gone, t.Context(), "a", false)
+	err := c.tryEvacuation(gone, t.Context(), &zoneOrder{zone: "a"})
 	require.ErrorIs(t, err, errSenderGone)
 	require.True(t, errors.Is(err, ErrUnavailable))
 	require.Error(t, c.SetEvacuation(gone, "a", false))
@@ -130,6 +130,38 @@
 	requireZones(t, c)
 }
 
+// TestZoneOrder_IsSettled guards against an order that is never acknowledged because commits take longer than an operator
+// waits: each repetition would wait for a command of its own. And against one that is acknowledged although an order
+// that was given up before may still be applied: only a command since the order was received rules that out.
+func TestZoneOrder_IsSettled(t *testing.T) {
+	state := func(orders uint64, zones ...string) catalog.State {
+		return catalog.State{EvacuationOrders: orders, Evacuated: zones}
+	}
+	o := zoneOrder{zone: "a", evacuated: true}
+	require.False(t, o.isSettled(state(4, "a")), "as it was before")
+	require.False(t, o.isSettled(state(4, "a")))
+	require.True(t, o.isSettled(state(5, "a")), "the command of an earlier try")
+	require.False(t, o.isSettled(state(6)), "another operator's order to the contrary")
+	o = zoneOrder{zone: "a"}
+	require.False(t, o.isSettled(state(7, "a")))
+	require.True(t, o.isSettled(state(8, "b")))
+}
+
+// TestControl_RepeatedAfterAnUnknownOutcome guards against an order that waits for a command of its own although that of an
+// earlier try has been applied meanwhile.
+func TestControl_RepeatedAfterAnUnknownOutcome(t *testing.T) {
+	c := startSingleControl(t, map[string]string{"a": "r"})
+	order := zoneOrder{zone: "a", evacuated: true}
+	state, err := c.confirmedState(t.Context())
+	require.NoError(t, err)
+	require.False(t, order.isSettled(state))
+	require.NoError(t, c.SetEvacuation(t.Context(), "a", true), "the earlier try")
+	require.NoError(t, c.tryEvacuation(t.Context(), t.Context(), &order))
+	state, err = c.confirmedState(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, uint64(1), state.EvacuationOrders, "commands that were applied")
+}
+
 // TestControl_TwoOperators checks orders that are sent at the same time: all are acknowledged and hold.
 func TestControl_TwoOperators(t *testing.T) {
 	zones := map[string]string{"a": "r", "b": "r", "c": "r", "d": "r"}
@@ -234,3 +266,44 @@
 	f.detours.dialer = detour.New(detour.Options{Direct: dialPipe})
 	return f
 }
+
+// TestControl_OrderIsKnownAfterPowerLoss guards against a control VM that starts again alone and hands out the document
+// without the order that came after it, because it doesn't know yet that the order is committed.
+func TestControl_OrderIsKnownAfterPowerLoss(t *testing.T) {
+	seeds := []string{address(t), address(t), address(t)}
+	var settings []Settings
+	var vms []*controlVM
+	for _, seed := range seeds {
+		s := Settings{
+			Name: seed, Role: Control, Zone: "a", Zones: map[string]string{"a": "r"}, Peers: seed, Control: address(t), Seeds: seeds,
+			FirstStart: true, DataFolder: t.TempDir(), LostDisks: 1, Heartbeat: time.Second,
+		}
+		settings = append(settings, s)
+		vms = append(vms, startControl(t, s))
+	}
+	first := vms[0].node.role.(*control)
+	require.Eventually(t, func() bool {
+		_, err := first.PutDocument(t.Context(), catalog.Document{Version: 7, Data: []byte("x")})
+		return err == nil
+	}, 10*time.Second, 20*time.Millisecond)
+	require.Eventually(t, func() bool { return first.SetEvacuation(t.Context(), "a", true) == nil }, 10*time.Second, 20*time.Millisecond)
+	for _, v := range vms {
+		require.Eventually(t, func() bool { return v.node.role.(*control).hub.evacuatedCount() == 1 }, 5*time.Second, 5*time.Millisecond)
+	}
+	time.Sleep(time.Second) // the order is in force
+	for _, v := range vms {
+		v.end()
+	}
+	for _, s := range settings {
+		s.FirstStart = false
+		v := startControl(t, s)
+		h := v.node.role.(*control).hub
+		data, err := h.handleWatch(t.Context(), "vm", encode(watchRequest{From: vmInfo{VM: "vm", Role: Entry}, WaitMs: 200}))
+		require.NoError(t, err)
+		r, err := decode[watchResponse](data)
+		require.NoError(t, err)
+		require.True(t, r.Document == nil || r.Evacuation != nil, "the document without the order")
+		require.Eventually(t, func() bool { return h.evacuatedCount() == 1 }, time.Second, 5*time.Millisecond, "alone, without a leader")
+		v.end()
+	}
+}
