Registrations and the configuration say how long and how much upstreams are cold

Upstreams that have just started crash under more than a few requests a second. Their registrations may now carry cold_remaining_ms, and services cold_start_s and cold_per_s; so far all three were ignored.

Control VMs pass the remaining time on to entry VMs. A registration is news only if the cold time begins, is extended by more than 50 ms, ends more than 250 ms early, or is stated for the first time: the time that passes is none, so a cold upstream costs one message and not one at each heartbeat. An odd value doesn't cost an upstream its registration.

Tests: TestRegistrar_ColdTimePassesWithoutNews, TestRegistrar_ColdEntries, TestDirectory_ColdEntriesOutOfOrder, decoding of documents and registrations. go test ./internal/registry; ./platform with -run 'Decode|ControlHandler|Protocol|Boundary|LoadSettings'.

--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -26,6 +26,8 @@
 	noticeVersion uint64
 	// onRemoved is called for an upstream that stopped being ready, outside the lock.
 	onRemoved func(Upstream)
+	// observe is called with the accepted entries before View returns them; nil for none.
+	observe func([]Upstream)
 }
 
 type directoryEntry struct {
@@ -60,6 +62,10 @@
 	return d
 }
 
+// Observe sets a function that Merge calls with the entries that it accepted, before View returns them. It must not call
+// the directory, except for View.
+func (d *Directory) Observe(observe func([]Upstream)) { d.observe = observe }
+
 // View returns the current list.
 func (d *Directory) View() *View { return d.view.Load() }
 
@@ -218,6 +224,9 @@
 			removed = append(removed, *old)
 		}
 	}
+	if d.observe != nil {
+		d.observe(accepted)
+	}
 	d.publish()
 	d.mu.Unlock()
 	if d.onRemoved != nil {
@@ -242,6 +251,7 @@
 
 func (d *Directory) accept(source string, u Upstream) (old *Upstream, accepts bool) {
 	known := d.entries[u.ID]
+	u.resolveCold()
 	if known == nil {
 		if u.State == Gone && u.Expired {
 			return nil, false
@@ -298,6 +308,7 @@
 	case u.State == Gone && !u.Expired:
 		known.announced = true
 	}
+	u.keepCold(&was)
 	known.upstream, known.source = u, source
 	return &was, true
 }
--- a/internal/registry/registrar.go
+++ b/internal/registry/registrar.go
@@ -28,6 +28,7 @@
 	registeredAt, departedAt *time.Duration
 	// missedAt is when a registration last showed that others before it may have reached another control VM, nil if none did.
 	missedAt *time.Duration
+	cold     coldState
 	version  uint64 // of the last change that matters to callers
 }
 
@@ -84,16 +85,19 @@
 			return false
 		}
 		// Entry VMs must be notified that the upstream registers here, or the other VM's expiry would count.
-		if missed := known.missed(&u, now, r.lifetime); u.sameForCallers(&known.upstream) && !missed {
+		if missed := known.missed(&u, now, r.lifetime); u.sameForCallers(&known.upstream) && !missed && !known.cold.changes(&u, now) {
 			known.upstream.Sequence = u.Sequence
 			known.lastSeen = now
+			known.cold.confirm(&u, now)
 			return false
 		}
 	}
 	known.leavingSince = leavingSince(known, &u, now)
 	if u.Born != known.upstream.Born {
 		known.leavingStatedAt = nil
+		known.cold = coldState{}
 	}
+	known.cold.record(&u, now)
 	if u.Born != known.upstream.Born || known.registeredAt == nil {
 		known.registeredAt = &now
 	}
@@ -231,6 +235,7 @@
 			if known.registeredAt != nil {
 				u.Registered = max(r.clock()-*known.registeredAt, 1)
 			}
+			known.cold.describe(&u, r.clock())
 			changes = append(changes, u)
 		}
 	}
--- a/internal/registry/registry.go
+++ b/internal/registry/registry.go
@@ -45,6 +45,14 @@
 	// say which process of the upstream it concerns, and its VM need not have a registration of it: the two times tell.
 	Departed   time.Duration `cbor:"13,keyasint,omitempty"`
 	Registered time.Duration `cbor:"14,keyasint,omitempty"`
+	// Cold is how much longer the process is cold, when the entry was sent: while it is, it takes only few requests a
+	// second. ColdStated is how long ago the last registration that says whether it is cold was received, when the entry
+	// was sent; 0 if none says so. In a registration it is any value above 0.
+	Cold       time.Duration `cbor:"15,keyasint,omitempty"`
+	ColdStated time.Duration `cbor:"16,keyasint,omitempty"`
+	// ColdUntil, ColdStatedAt and FirstSeen are set by a Directory: when the process ceases to be cold, when the
+	// registration that says so was received, zero if none, and when the process was first registered as far as known.
+	ColdUntil, ColdStatedAt, FirstSeen time.Time `cbor:"-"`
 }
 
 // LeavingNotice reports that a response of an upstream's process said that it leaves.
@@ -80,6 +88,11 @@
 	// minReturnTime is the time after the announcement of its shutdown in which an upstream doesn't return as another
 	// process, since it serves on for longer. A process that is first registered within it is the one that leaves.
 	minReturnTime = time.Second
+	// A registration changes the end of the cold time if it names an end that is later by more than coldExtension, or
+	// earlier by more than coldShortening. Registrations take different times to arrive, which must not be news for all
+	// VMs; a limit that lasts too long by coldShortening costs little.
+	coldExtension  = 50 * time.Millisecond
+	coldShortening = 250 * time.Millisecond
 	// maxNotices bounds the upstreams that a Registrar knows only from a LeavingNotice.
 	maxNotices = 1024
 )
--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -71,6 +71,10 @@
 	// MaxConns is the number of connections that one upstream accepts from all VMs together.
 	MaxConns int
 	Engine   *Engine // nil for plain services
+	// ColdStart is how long an upstream is cold after its start. ColdPerSecond is the number of requests a second that a
+	// cold one takes from all VMs together, 0 for no limit.
+	ColdStart     time.Duration
+	ColdPerSecond float64
 }
 
 // Account is a client account.
