Cold upstreams get no more than their rate from all entry VMs together

A cold upstream got whatever arrived.

The same coordinator, table and holder now keep a limit for cold upstreams. A VM without the coordinator uses its share in slots that begin at another moment on each VM, so that the shares don't fall due together. Of a stated limit and that of a cold upstream the lower one is in force. Upstreams of a zone that returns to service, and new processes that don't say whether they are cold, count as cold for cold_start_s.

LimitTable.Rate takes the time; the tests of stated limits changed in that argument only.

--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -38,5 +38,8 @@
 	EvacuationOrdered       = define(2432, zapcore.InfoLevel, "an operator's order to take a zone out of service or to return it ended", "")
 	EvacuationDropped       = define(2433, zapcore.WarnLevel, "an operator's order about a zone was not executed, because its sender had disconnected before", "send the order again if it still holds")
 	EvacuationInForce       = define(2434, zapcore.InfoLevel, "the zones that are out of service changed on this VM", "")
+	UpstreamCold            = define(2437, zapcore.InfoLevel, "an upstream is cold; all VMs together send it no more than its service's rate for cold upstreams", "")
+	UpstreamColdEnded       = define(2438, zapcore.InfoLevel, "an upstream is no longer cold, earlier than it said before", "")
+	ZoneRestored            = define(2439, zapcore.InfoLevel, "a zone returned to service; its upstreams count as cold until they say otherwise", "")
 	NodeLogDropped          = define(2415, zapcore.WarnLevel, "log lines were dropped because they were logged faster than they could be written", "")
 )
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -84,8 +84,9 @@
 		self: n.self.VM, table: e.table.Load,
 		groups: groups.NewDynamicClient(n.network, func(uint64) []string { return n.watcher.controlVMs() }, permitAttemptTimeout),
 		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
-		upstreams: newUpstreamLimits(),
+		upstreams: newUpstreamLimits(n.self.VM), view: e.directory.View,
 	}
+	e.directory.Observe(func(upstreams []registry.Upstream) { e.permits.observeCold(e.table.Load(), upstreams) })
 	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
@@ -94,6 +95,7 @@
 	n.metrics.MustRegister(evacuationGauge(e.evacuations.count), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
 	}, func() float64 { return float64(e.permits.limitCount.Load()) }))
+	e.permits.registerColdMetrics(n.metrics)
 	e.server = httpwire.New(e.proxy, e.limits)
 	return e
 }
@@ -241,6 +243,7 @@
 		e.node.events.Emit(events.NodeBadConfig, zap.Uint64("configuration", version), zap.Error(err))
 		return
 	}
+	e.permits.reviewCold(table) // before requests are served by it
 	for {
 		old := e.table.Load()
 		if old != nil && old.Version >= table.Version {
@@ -251,6 +254,7 @@
 		}
 	}
 	e.node.events.Emit(events.NodeConfigInForce, zap.Uint64("configuration", version), zap.String("control", from))
+	e.permits.reviewCold(e.table.Load())
 }
 
 func (e *entry) maintain() {
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -11,6 +11,7 @@
 	"egretramp/internal/events"
 	"egretramp/internal/groups"
 	"egretramp/internal/quota"
+	"egretramp/internal/registry"
 	"egretramp/internal/routing"
 )
 
@@ -45,8 +46,13 @@
 	roundStarted    time.Duration
 	coordinatorLost bool // as last logged
 	upstreams       *upstreamLimits
-	// limitCount is the number of entries of upstreams.table.
+	// limitCount is the number of limits that upstreams state, limited whether upstreams.table holds anything.
 	limitCount atomic.Int64
+	limited    atomic.Bool
+	// view returns the known upstreams; nil means none.
+	view func() *registry.View
+	// coldTaken and coldRefused count the requests for a permit to send to a cold upstream.
+	coldTaken, coldRefused atomic.Int64
 }
 
 // permitRound is one request for permits to the coordinator.
@@ -150,13 +156,14 @@
 	for process, n := range upstreams.Wants {
 		round.upstreams[process] = n > 0
 	}
-	p.round, p.roundStarted = round, p.clock()
+	requestedAt := p.clock()
+	p.round, p.roundStarted = round, requestedAt
 	go func() {
 		grant, err := p.requestGrant(quota.Request{VM: p.self, Wants: wants, Returns: returns, Upstreams: upstreams})
 		p.mu.Lock()
 		p.handleGrant(grant, err)
 		if err == nil {
-			p.upstreams.handleGrant(p.clock(), grant, upstreams.Wants, reported)
+			p.upstreams.handleGrant(p.clock(), requestedAt, grant, upstreams.Wants, reported)
 			p.countLimits()
 		}
 		p.upstreams.failed = err != nil
--- a/internal/node/permits_test.go
+++ b/internal/node/permits_test.go
@@ -33,7 +33,7 @@
 	return &permitLimiter{
 		self: "entry", table: func() *routing.Snapshot { return table }, clock: now, events: events.NewTo("entry", zapcore.ErrorLevel, &discard{}),
 		groups: groups.NewDynamicClient(n, func(uint64) []string { return []string{"c"} }, time.Second),
-		holder: quota.NewHolder(), waiting: map[string]int{}, upstreams: newUpstreamLimits(),
+		holder: quota.NewHolder(), waiting: map[string]int{}, upstreams: newUpstreamLimits("entry"),
 	}
 }
 
--- a/internal/node/upstreamlimits.go
+++ b/internal/node/upstreamlimits.go
@@ -20,8 +20,8 @@
 	maxUpstreamRounds = 4
 )
 
-// upstreamLimits is the part of a permitLimiter that enforces the rate limits that upstreams state. The mutex
-// of the permitLimiter protects it.
+// upstreamLimits is the part of a permitLimiter that enforces the rate limits that upstreams state, and those of cold
+// upstreams. The mutex of the permitLimiter protects it.
 type upstreamLimits struct {
 	table  *quota.LimitTable
 	holder *quota.Holder
@@ -35,12 +35,18 @@
 	malformed map[string]bool
 	// failed is set while the last request to the coordinator failed.
 	failed bool
+	// restored is when zones returned to service, by zone.
+	restored map[string]time.Time
 }
 
-func newUpstreamLimits() *upstreamLimits {
-	return &upstreamLimits{
+// newUpstreamLimits returns the limits of the entry VM with the given address.
+func newUpstreamLimits(vm string) *upstreamLimits {
+	l := &upstreamLimits{
 		table: quota.NewLimitTable(), holder: quota.NewUpstreamHolder(), waiting: map[string]int{}, malformed: map[string]bool{},
+		restored: map[string]time.Time{},
 	}
+	l.holder.SetName(vm)
+	return l
 }
 
 // request returns the part of a request for permits that concerns upstreams, and the version of the table
@@ -48,17 +54,19 @@
 func (l *upstreamLimits) request(now time.Duration) (*quota.UpstreamRequest, uint64) {
 	limits, version := l.table.Since(now, l.reported)
 	return &quota.UpstreamRequest{
-		Wants: l.holder.UpstreamWants(now, l.waiting, l.table.Rate), Limits: limits, Epoch: l.epoch, Version: l.version,
+		Wants: l.holder.UpstreamWants(now, l.waiting, l.table.Rates(now)), Limits: limits, Epoch: l.epoch, Version: l.version,
+		Cold: l.table.ColdSince(now, l.reported),
 	}, version
 }
 
-// handleGrant processes the response to a request that reported a version of the table.
-func (l *upstreamLimits) handleGrant(now time.Duration, g quota.Grant, wants map[string]float64, reported uint64) {
+// handleGrant processes the response to a request that was sent at requestedAt and reported a version of the table.
+func (l *upstreamLimits) handleGrant(now, requestedAt time.Duration, g quota.Grant, wants map[string]float64, reported uint64) {
 	if g.Upstreams == nil {
 		l.holder.SetHolders(g.Holders) // a coordinator of an earlier release: this VM uses its own share
 		return
 	}
-	l.holder.ApplyGrant(now, quota.Grant{
+	l.holder.UseColdShare(!g.Upstreams.GrantsCold)
+	l.holder.ApplyGrantTo(now, requestedAt, quota.Grant{
 		Permits: g.Upstreams.Permits, Waits: g.Upstreams.Waits, Levels: g.Upstreams.Levels, Holders: g.Holders,
 	})
 	l.reported = reported
@@ -71,12 +79,13 @@
 		}
 	}
 	l.table.Merge(now, g.Upstreams.Limits)
+	l.table.MergeCold(now, g.Upstreams.Cold)
 	l.version = g.Upstreams.Version
 }
 
 // ObserveLimit implements proxy.UpstreamLimiter.
 func (p *permitLimiter) ObserveLimit(u registry.Upstream, stated proxy.RateLimit, sentAt time.Time) {
-	if stated.State == proxy.LimitUnknown || stated.State == proxy.Unlimited && p.limitCount.Load() == 0 {
+	if stated.State == proxy.LimitUnknown || stated.State == proxy.Unlimited && !p.limited.Load() {
 		return
 	}
 	p.mu.Lock()
@@ -102,23 +111,26 @@
 	p.countLimits()
 }
 
-// countLimits updates the number of limits for the fast path of requests. p.mu must be held.
-func (p *permitLimiter) countLimits() { p.limitCount.Store(int64(p.upstreams.table.Len())) }
+// countLimits updates the number of limits, and what the fast path of requests reads. p.mu must be held.
+func (p *permitLimiter) countLimits() {
+	p.limitCount.Store(int64(p.upstreams.table.Len()))
+	p.limited.Store(!p.upstreams.table.IsEmpty())
+}
 
 // UpstreamRoom implements proxy.UpstreamLimiter.
 func (p *permitLimiter) UpstreamRoom(u registry.Upstream) quota.Room {
-	if p.limitCount.Load() == 0 {
+	if !p.limited.Load() {
 		return quota.Unlimited
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	now, process := p.clock(), u.Process()
-	limit, limited := p.upstreams.table.Rate(process)
+	limit, limited := p.upstreams.table.Rate(now, process)
 	if !limited {
 		return quota.Unlimited
 	}
 	room := p.upstreams.holder.Room(now, process, limit)
-	if room.Free && p.upstreams.failed && !p.upstreams.holder.Held(now, process) && !p.upstreams.holder.Lost(now) {
+	if room.Free && p.upstreams.failed && !p.upstreams.holder.Held(now, process) && !p.upstreams.holder.UsesShare(now, limit) {
 		room.Free, room.Wait = false, permitInterval
 	}
 	return room
@@ -126,19 +138,27 @@
 
 // TakeUpstream implements proxy.UpstreamLimiter.
 func (p *permitLimiter) TakeUpstream(ctx context.Context, u registry.Upstream) bool {
-	if p.limitCount.Load() == 0 {
+	if !p.limited.Load() {
 		return true
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l, process := p.upstreams, u.Process()
-	limit, limited := l.table.Rate(process)
-	if !limited || l.holder.Take(p.clock(), process, limit) {
+	now, process := p.clock(), u.Process()
+	limit, limited := p.upstreams.table.Rate(now, process)
+	if !limited {
 		return true
 	}
-	if l.holder.Lost(p.clock()) {
-		return false
+	taken := p.upstreams.holder.Take(now, process, limit) ||
+		!p.upstreams.holder.UsesShare(now, limit) && p.awaitUpstreamPermit(ctx, process)
+	if limit.Cold {
+		p.countCold(taken)
 	}
+	return taken
+}
+
+// awaitUpstreamPermit requests a permit from the coordinator and reports whether it got one. p.mu must be held.
+func (p *permitLimiter) awaitUpstreamPermit(ctx context.Context, process string) bool {
+	l := p.upstreams
 	l.waiting[process]++
 	defer func() {
 		if l.waiting[process]--; l.waiting[process] == 0 {
@@ -153,7 +173,9 @@
 		case <-ctx.Done():
 		}
 		p.mu.Lock()
-		if l.holder.Take(p.clock(), process, limit) {
+		// The limit may have ended or become another one meanwhile.
+		limit, limited := l.table.Rate(p.clock(), process)
+		if !limited || l.holder.Take(p.clock(), process, limit) {
 			return true
 		}
 		// The round may have begun before this request did, or others that wait took the permits.
@@ -167,13 +189,14 @@
 
 // ReturnUpstream implements proxy.UpstreamLimiter.
 func (p *permitLimiter) ReturnUpstream(u registry.Upstream) {
-	if p.limitCount.Load() == 0 {
+	if !p.limited.Load() {
 		return
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if _, limited := p.upstreams.table.Rate(u.Process()); limited {
-		p.upstreams.holder.Return(p.clock(), u.Process())
+	now := p.clock()
+	if _, limited := p.upstreams.table.Rate(now, u.Process()); limited {
+		p.upstreams.holder.Return(now, u.Process())
 	}
 }
 
@@ -193,5 +216,6 @@
 			delete(p.upstreams.malformed, process)
 		}
 	}
+	p.forgetRestored()
 	p.countLimits()
 }
--- a/internal/node/upstreamlimits_test.go
+++ b/internal/node/upstreamlimits_test.go
@@ -67,7 +67,7 @@
 	p := &permitLimiter{
 		self: name, table: func() *routing.Snapshot { return nil }, clock: clock.Now,
 		groups: groups.NewDynamicClient(n, func(uint64) []string { return []string{"c"} }, permitAttemptTimeout),
-		holder: quota.NewHolder(), waiting: map[string]int{}, upstreams: newUpstreamLimits(),
+		holder: quota.NewHolder(), waiting: map[string]int{}, upstreams: newUpstreamLimits(name),
 	}
 	p.exchange()
 	return p
@@ -235,7 +235,7 @@
 		}
 	}
 	p.observe(registry.Upstream{ID: "v", Address: u.Address, Born: 3}, 9)
-	rate, _ := p.upstreams.table.Rate(u.Process())
+	rate, _ := p.upstreams.table.Rate(clock.Now(), u.Process())
 	require.Equal(t, 5.0, rate.PerSecond)
 }
 
@@ -252,7 +252,7 @@
 			p.ObserveLimit(u, stated, time.Now())
 		}
 	}
-	rate, _ := p.upstreams.table.Rate(limited.Process())
+	rate, _ := p.upstreams.table.Rate(clock.Now(), limited.Process())
 	require.Equal(t, 5.0, rate.PerSecond)
 	require.False(t, p.UpstreamRoom(other).Limited)
 	require.Len(t, p.upstreams.malformed, 2, "logged once for each process")
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -7,7 +7,8 @@
 //
 // The same permits enforce the rates that upstreams state in their responses (UpstreamCoordinator,
 // LimitTable). These permits are whole and short-lived, since an upstream's limit may be below one request
-// a second for all VMs together.
+// a second for all VMs together. Upstreams that are cold have a limit as well, which no second may exceed: their
+// permits expire sooner, and their bursts are smaller.
 //
 // Both sides perform no I/O and read no clock; their owners provide the time and the network.
 package quota
@@ -39,6 +40,8 @@
 type Rate struct {
 	PerSecond float64
 	Burst     float64
+	// Cold is set for the limit of an upstream that is cold, whose permits expire sooner.
+	Cold bool
 }
 
 // Request is an entry VM's request for permits.
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -37,6 +37,10 @@
 	connected bool          // a grant has been received
 	// permitLifetime is how long permits may be used after the grant, 0 for no limit.
 	permitLifetime time.Duration
+	// name distinguishes this VM's slots from those of other VMs; see coldShare.
+	name string
+	// ownColdShare is set while the coordinator grants no permits for cold upstreams.
+	ownColdShare bool
 }
 
 type holding struct {
@@ -51,6 +55,10 @@
 	short      bool    // the last grant was less than requested
 	share      bucket  // used while the coordinator is lost
 	usingShare bool
+	// cold is set while the upstream is cold, requestedAt is when its permits were requested.
+	cold        bool
+	requestedAt time.Duration
+	ownCold     coldShare // used while the coordinator is lost and the upstream cold
 }
 
 // NewHolder returns a holder without permits.
@@ -71,7 +79,11 @@
 
 // Take consumes a permit for one request of an account and reports whether there was one.
 func (h *Holder) Take(now time.Duration, account string, limit Rate) bool {
+	if limit.Cold {
+		return h.takeCold(now, account, limit)
+	}
 	a := h.holding(account, now)
+	a.setCold(false)
 	h.expire(now, a)
 	if a.permits >= 1 {
 		a.permits--
@@ -163,14 +175,21 @@
 }
 
 // ApplyGrant applies a grant from the coordinator.
-func (h *Holder) ApplyGrant(now time.Duration, g Grant) {
+func (h *Holder) ApplyGrant(now time.Duration, g Grant) { h.ApplyGrantTo(now, now, g) }
+
+// ApplyGrantTo applies the grant that answers a request that was sent at requestedAt. Permits for cold upstreams
+// expire that much earlier, since the coordinator may have granted them at that time.
+func (h *Holder) ApplyGrantTo(now, requestedAt time.Duration, g Grant) {
 	h.contact, h.connected, h.holders = now, true, g.Holders
 	for account, permits := range g.Permits {
 		a := h.holding(account, now)
 		h.expire(now, a)
+		if a.cold && permits > 0 {
+			a.permits = 0 // those of an earlier grant, which would live as long as the new ones
+		}
 		a.permits += permits
 		if permits > 0 {
-			a.grantedAt = now
+			a.grantedAt, a.requestedAt = now, requestedAt
 		}
 		a.usingShare = false
 		_, a.short = g.Waits[account]
--- a/internal/quota/limits.go
+++ b/internal/quota/limits.go
@@ -31,8 +31,12 @@
 // LimitTable holds the rate limits that upstreams state. Responses arrive out of order: a lower limit is in
 // force at once, a higher one or the end of a limit only if its request was sent after the limit in force was
 // last stated. It is not safe for concurrent use.
+//
+// It also holds until when upstreams are cold, by their registrations (SetCold) or by assumption (AssumeCold). A cold
+// upstream has a limit, and of two limits the lower one is in force.
 type LimitTable struct {
 	entries map[string]*limitEntry
+	cold    map[string]*coldEntry
 	version uint64 // of the last change
 }
 
@@ -45,13 +49,36 @@
 }
 
 // NewLimitTable returns an empty table.
-func NewLimitTable() *LimitTable { return &LimitTable{entries: map[string]*limitEntry{}} }
+func NewLimitTable() *LimitTable {
+	return &LimitTable{entries: map[string]*limitEntry{}, cold: map[string]*coldEntry{}}
+}
 
-// Len returns the number of entries, those of limits that have ended included.
+// Len returns the number of stated limits, those that have ended included.
 func (t *LimitTable) Len() int { return len(t.entries) }
 
-// Rate returns the limit of an upstream, false if it has none. The burst is what the limit yields in a second.
-func (t *LimitTable) Rate(upstream string) (Rate, bool) {
+// IsEmpty reports whether the table holds nothing, so that no upstream can have a limit.
+func (t *LimitTable) IsEmpty() bool { return len(t.entries) == 0 && len(t.cold) == 0 }
+
+// Rate returns the limit of an upstream, false if it has none.
+func (t *LimitTable) Rate(now time.Duration, upstream string) (Rate, bool) {
+	limit, limited := t.statedRate(upstream)
+	cold, isCold := t.coldLimit(now, upstream)
+	switch {
+	case limited && isCold:
+		return lower(limit, cold), true
+	case isCold:
+		return cold, true
+	}
+	return limit, limited
+}
+
+// Rates returns a function that returns the limits at a time.
+func (t *LimitTable) Rates(now time.Duration) func(upstream string) (Rate, bool) {
+	return func(upstream string) (Rate, bool) { return t.Rate(now, upstream) }
+}
+
+// statedRate returns the limit that an upstream states. The burst is what the limit yields in a second.
+func (t *LimitTable) statedRate(upstream string) (Rate, bool) {
 	e := t.entries[upstream]
 	if e == nil || e.ended {
 		return Rate{}, false
@@ -138,4 +165,5 @@
 			delete(t.entries, upstream)
 		}
 	}
+	t.pruneCold(now)
 }
--- a/internal/quota/upstreams.go
+++ b/internal/quota/upstreams.go
@@ -24,6 +24,8 @@
 	// Epoch and Version describe the statements that the VM has received from a coordinator.
 	Epoch   uint64 `cbor:"3,keyasint"`
 	Version uint64 `cbor:"4,keyasint"`
+	// Cold are the statements about cold upstreams that the coordinator may lack.
+	Cold []ColdStatement `cbor:"5,keyasint,omitempty"`
 }
 
 // UpstreamGrant is the response to an UpstreamRequest.
@@ -35,10 +37,14 @@
 	Limits  []Statement `cbor:"4,keyasint,omitempty"`
 	Epoch   uint64      `cbor:"5,keyasint"`
 	Version uint64      `cbor:"6,keyasint"`
+	// Cold are the statements about cold upstreams that changed since the request's version.
+	Cold []ColdStatement `cbor:"7,keyasint,omitempty"`
+	// GrantsCold is set by a coordinator that grants permits for cold upstreams. One of an earlier release doesn't.
+	GrantsCold bool `cbor:"8,keyasint,omitempty"`
 }
 
-// UpstreamCoordinator grants permits for requests to upstreams that state a rate limit. VMs report the limits
-// and receive those that others report. It is not safe for concurrent use.
+// UpstreamCoordinator grants permits for requests to upstreams that state a rate limit or are cold. VMs report the
+// limits and receive those that others report. It is not safe for concurrent use.
 type UpstreamCoordinator struct {
 	epoch    uint64
 	grants   *Coordinator
@@ -56,18 +62,23 @@
 // Grant handles a request of an entry VM; see Coordinator.Grant.
 func (c *UpstreamCoordinator) Grant(now time.Duration, vm string, r UpstreamRequest, known int) UpstreamGrant {
 	c.limits.Merge(now, r.Limits)
+	c.limits.MergeCold(now, r.Cold)
+	rate := c.limits.Rates(now - coldLinger)
 	if now-c.prunedAt > limitRetention {
 		c.prunedAt = now
 		c.limits.Prune(now, nil)
-		c.grants.forgetUnlimited(c.limits.Rate)
+		c.grants.forgetUnlimited(rate)
 	}
-	g := c.grants.Grant(now, Request{VM: vm, Wants: r.Wants}, known, c.limits.Rate)
+	g := c.grants.Grant(now, Request{VM: vm, Wants: r.Wants}, known, rate)
 	version := r.Version
 	if r.Epoch != c.epoch {
 		version = 0
 	}
 	limits, current := c.limits.Since(now, version)
-	return UpstreamGrant{Permits: g.Permits, Waits: g.Waits, Levels: g.Levels, Limits: limits, Epoch: c.epoch, Version: current}
+	return UpstreamGrant{
+		Permits: g.Permits, Waits: g.Waits, Levels: g.Levels, Limits: limits, Epoch: c.epoch, Version: current,
+		Cold: stated(c.limits.ColdSince(now, version)), GrantsCold: true,
+	}
 }
 
 // NewUpstreamHolder returns a Holder of permits for requests to upstreams. They are whole and expire.
@@ -83,6 +94,9 @@
 // Return gives back the permit of a request that was not sent.
 func (h *Holder) Return(now time.Duration, key string) {
 	a := h.holding(key, now)
+	if a.cold {
+		return // it would outlive its lifetime
+	}
 	if h.Lost(now) && a.usingShare {
 		a.share.tokens++
 		return
@@ -102,6 +116,8 @@
 	FillTime time.Duration
 	// Wait is the time until there may be a permit, if Free is false.
 	Wait time.Duration
+	// Cold is set for an upstream that is limited because it is cold.
+	Cold bool
 }
 
 // Unlimited is the Room of an upstream without a limit.
@@ -109,11 +125,18 @@
 
 // Room returns what is left of a limit.
 func (h *Holder) Room(now time.Duration, key string, limit Rate) Room {
-	room := Room{Limited: true, Free: true, Level: unknownLevel, FillTime: time.Duration(float64(time.Second) * limit.Burst / limit.PerSecond)}
+	room := Room{
+		Limited: true, Free: true, Level: unknownLevel, Cold: limit.Cold,
+		FillTime: time.Duration(float64(time.Second) * limit.Burst / limit.PerSecond),
+	}
+	if limit.Cold {
+		return h.coldRoom(now, key, h.holding(key, now), limit, room)
+	}
 	a := h.accounts[key]
 	if a == nil {
 		return room
 	}
+	a.setCold(false)
 	h.expire(now, a)
 	if h.Lost(now) {
 		room.Free, room.Wait = h.roomInShare(now, a, limit)
@@ -149,7 +172,7 @@
 
 // expire removes permits whose lifetime has ended.
 func (h *Holder) expire(now time.Duration, a *holding) {
-	if h.permitLifetime > 0 && now-a.grantedAt > h.permitLifetime {
+	if h.permitLifetime > 0 && now-a.grantedAt > h.permitLifetime || a.cold && now-a.requestedAt > coldPermitLifetime {
 		a.permits = 0
 	}
 }
@@ -160,11 +183,16 @@
 func (h *Holder) UpstreamWants(now time.Duration, waiting map[string]int, rate func(upstream string) (Rate, bool)) map[string]float64 {
 	wants := map[string]float64{}
 	for upstream := range h.accounts {
-		if _, limited := rate(upstream); !limited {
+		limit, limited := rate(upstream)
+		if !limited {
 			delete(h.accounts, upstream)
 			continue
 		}
 		a := h.holding(upstream, now)
+		a.setCold(limit.Cold)
+		if limit.Cold && h.ownColdShare {
+			continue
+		}
 		h.expire(now, a)
 		missing := math.Ceil(float64(waiting[upstream]) - a.permits)
 		if missing > 0 || a.recentUse > minRecentUse {
--- a/internal/quota/upstreams_test.go
+++ b/internal/quota/upstreams_test.go
@@ -62,7 +62,7 @@
 		return
 	}
 	statements, reported := vm.table.Since(f.now, vm.reported)
-	wants := vm.holder.UpstreamWants(f.now, map[string]int{limitedUpstream: waiting}, vm.table.Rate)
+	wants := vm.holder.UpstreamWants(f.now, map[string]int{limitedUpstream: waiting}, vm.table.Rates(f.now))
 	g := f.coordinator.Grant(f.now, vm.name, UpstreamRequest{Wants: wants, Limits: statements, Epoch: vm.epoch, Version: vm.version}, len(f.vms))
 	vm.holder.ApplyGrant(f.now, Grant{Permits: g.Permits, Waits: g.Waits, Levels: g.Levels, Holders: len(f.vms)})
 	vm.reported = reported
@@ -75,7 +75,7 @@
 
 // request simulates one request at a VM and its response.
 func (f *limitedFleet) request(vm *limitedVM) {
-	limit, limited := vm.table.Rate(limitedUpstream)
+	limit, limited := vm.table.Rate(f.now, limitedUpstream)
 	if limited && vm.holder.Room(f.now, limitedUpstream, limit).Level < f.minLevel {
 		f.refused++
 		return
@@ -202,7 +202,7 @@
 			f.exchange(vm, 0)
 		}
 		for _, vm := range f.vms {
-			limit, limited := vm.table.Rate(limitedUpstream)
+			limit, limited := vm.table.Rate(f.now, limitedUpstream)
 			require.Equal(t, perSecond > 0, limited, "limit %v at %s", perSecond, vm.name)
 			if limited {
 				require.InDelta(t, max(perSecond, minUpstreamRate), limit.PerSecond, 1e-9)
@@ -212,7 +212,7 @@
 	f.replaceCoordinator()
 	f.exchange(f.vms[3], 0)
 	f.exchange(f.vms[3], 0)
-	rate, limited := f.coordinator.limits.Rate(limitedUpstream)
+	rate, limited := f.coordinator.limits.Rate(f.now, limitedUpstream)
 	require.True(t, limited, "a new coordinator gets the limits from the VMs")
 	require.Equal(t, minUpstreamRate, rate.PerSecond)
 }
@@ -222,7 +222,7 @@
 	const ms = time.Millisecond
 	table := NewLimitTable()
 	rate := func() float64 {
-		r, ok := table.Rate("u")
+		r, ok := table.Rate(time.Second, "u")
 		if !ok {
 			return -1
 		}
