Turns stay at a home that is cold, and late connections send no burst to cold upstreams

While other upstreams had no limit, a turn of a program under way needed half of the bucket of an upstream with a limit. For one that is cold for a few seconds that would move most homes, whose prompts are read again elsewhere. At its home a turn now needs one permit. Other visits to a cold upstream move no home, as with stated limits.

Requests that wait for connections to a cold upstream, as while its zone is cut off, took their permits at different times and would all be sent when the connections open. After 100 ms the permit counts as expired, the connection is kept for later requests, and the request goes elsewhere; it was not sent.

--- a/internal/proxy/limits.go
+++ b/internal/proxy/limits.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"egretramp/internal/balance"
 	"egretramp/internal/quota"
 	"egretramp/internal/registry"
@@ -22,8 +24,21 @@
 	fullSize = 2
 )
 
-// minRoomWait is the shortest wait for a permit.
-const minRoomWait = time.Millisecond
+const (
+	// minRoomWait is the shortest wait for a permit.
+	minRoomWait = time.Millisecond
+	// maxColdDialTime is how long a connection to a cold upstream may take to open after the permit was taken. Requests
+	// that wait longer, as while its zone is cut off, would all be sent in the moment in which it can be reached again.
+	maxColdDialTime = 100 * time.Millisecond
+)
+
+// errPermitExpired means that the connection to a cold upstream was opened too long after the permit was taken.
+var errPermitExpired = errors.New("proxy: the permit to send to the cold upstream has expired")
+
+// permitExpired reports whether the permit for an attempt that started at a given time may no longer be used.
+func (x *exchange) permitExpired(u registry.Upstream, started time.Time) bool {
+	return time.Since(started) > maxColdDialTime && x.server.opts.Upstreams.UpstreamRoom(u).Cold
+}
 
 // begins reports whether the request begins a program.
 func (x *exchange) begins() bool {
@@ -70,9 +85,13 @@
 	}
 	for i, room := range rooms {
 		candidates[i].Limited = unlimited
-		if !hasRoom(room, minLevel) {
+		level := minLevel
+		if room.Cold && upstreams[i].ID == x.home() {
+			level = x.urgencyLevel() // it is cold for a few seconds only, which a line of turns need not leave it for
+		}
+		if !hasRoom(room, level) {
 			candidates[i].Tried = true
-			wait = earlier(wait, roomWait(room, minLevel))
+			wait = earlier(wait, roomWait(room, level))
 		}
 	}
 	return wait
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -222,6 +222,7 @@
 // tryUpstream makes one attempt at an upstream.
 func (x *exchange) tryUpstream(u registry.Upstream) (outcome, error) {
 	s := x.server
+	taken := time.Now()
 	conn, err := s.pool.Get(x.ctx, u.Address)
 	if err != nil {
 		return notSent, err
@@ -230,6 +231,10 @@
 		_ = conn.Close()
 		return notSent, errZoneEvacuated
 	}
+	if x.permitExpired(u, taken) {
+		s.pool.Put(conn, nil)
+		return notSent, errPermitExpired
+	}
 	s.health.requestStarted(u.ID)
 	defer s.health.requestEnded(u.ID)
 	started := time.Now()
