--- a/internal/quota/cold_test.go
+++ b/internal/quota/cold_test.go
@@ -39,6 +39,7 @@
 func TestCold_CoordinatorChanges(t *testing.T) {
 	for seed := range uint64(10) {
 		f := newColdFleet(seed, 60, 1)
+		f.vms[0].cut = true
 		f.setCold(time.Hour, 1)
 		for range 4 {
 			f.run(700*time.Millisecond, 300)
