--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -96,6 +96,7 @@
 		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
 	}, func() float64 { return float64(e.permits.limitCount.Load()) }))
 	e.permits.registerColdMetrics(n.metrics)
+	e.onZoneRestored = e.permits.zoneRestored
 	e.server = httpwire.New(e.proxy, e.limits)
 	return e
 }
