metrics: bytes by purpose and zone

Operators see on each VM's metrics address how many bytes it exchanges with VMs and upstreams of its own and of other zones, by purpose (egretramp_zone_bytes_total): traffic between zones costs money, and until now only its total over all peers was counted.

Bytes are counted on the connections, below drpc, and attributed to the call or message that they belong to: framing and retried calls are included. A VM states its zone in the metadata of the first call or stream of a connection, which VMs of the previous release ignore; control VMs name the zones of entry VMs along with detours.

Tests: TestAccounting_Calls, _Messages (sums equal those of the connections), _Tunnels, _OtherRelease; TestPurpose; TestMeter_*; TestConn_CountsBytes. New behaviour, so none of them was seen failing before. Green: go test -p 2 ./internal/peer ./internal/upconn ./internal/registry ./internal/node ./internal/proxy ./internal/zonebytes ./internal/groups.

--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"hash/fnv"
+	"math"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
+	"google.golang.org/protobuf/encoding/protowire"
 	"google.golang.org/protobuf/proto"
 
 	"egretramp/internal/peer"
@@ -90,6 +92,22 @@
 	t.Network.Send(vm, KindRaft, data)
 }
 
+// MessageType returns the type of an encoded raft message, without decoding the rest of it.
+func MessageType(payload []byte) raftpb.MessageType {
+	number, wireType, n := protowire.ConsumeTag(payload)
+	if n < 0 || number != messageTypeField || wireType != protowire.VarintType {
+		return raftpb.MessageType_MESSAGE_TYPE_UNSPECIFIED
+	}
+	value, n := protowire.ConsumeVarint(payload[n:])
+	if n < 0 || value > math.MaxInt32 {
+		return raftpb.MessageType_MESSAGE_TYPE_UNSPECIFIED
+	}
+	return raftpb.MessageType(value)
+}
+
+// messageTypeField is the number of the field of raftpb.Message that holds the type. It is encoded first.
+const messageTypeField = 1
+
 // Replicas holds the replicas of this VM by group. It is empty without the control role.
 type Replicas map[uint64]*replica.Replica
 
--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -19,6 +19,7 @@
 	"egretramp/internal/proxy"
 	"egretramp/internal/registry"
 	"egretramp/internal/upconn"
+	"egretramp/internal/zonebytes"
 )
 
 const (
@@ -33,12 +34,16 @@
 	detourVMsAge = 2 * time.Second
 	// pathCheckInterval is the time between two checks of the paths to upstreams.
 	pathCheckInterval = 100 * time.Millisecond
+	// maxKnownZones bounds the number of entry VMs whose zones are kept.
+	maxKnownZones = 1024
 )
 
 // entryVMsResponse is a control VM's response to methodEntryVMs: VMs that reach upstreams, as far as it knows, the
 // nearest to the sender of the request first.
 type entryVMsResponse struct {
 	VMs []string `cbor:"1,keyasint"`
+	// Zones are the zones of VMs. A control VM of an earlier release sends none.
+	Zones []string `cbor:"2,keyasint,omitempty"`
 }
 
 // entryVMsRequest is a request of an entry VM.
@@ -52,7 +57,11 @@
 	if err != nil {
 		return nil, err
 	}
-	return encode(entryVMsResponse{VMs: h.entryVMs(r.From)}), nil
+	response := entryVMsResponse{VMs: h.entryVMs(r.From)}
+	for _, vm := range response.VMs {
+		response.Zones = append(response.Zones, h.zone(vm))
+	}
+	return encode(response), nil
 }
 
 // entryVMs returns random entry VMs that run and reach upstreams, those in the zone of the VM that asks first.
@@ -89,11 +98,13 @@
 	leavingLimit time.Duration
 	// evacuated reports whether a zone is out of service; nil means never.
 	evacuated func(zone string) bool
-	served    atomic.Int64 // tunnels in progress for other VMs
+	bytes     *zonebytes.Meter // nil for none
+	served    atomic.Int64     // tunnels in progress for other VMs
 	stopping  atomic.Bool
 
 	mu        sync.Mutex
-	vms       []string // other entry VMs
+	vms       []string          // other entry VMs
+	zones     map[string]string // zones of entry VMs that were asked for detours, by VM
 	askedAt   time.Duration
 	renewing  bool
 	lastKnown bool // the last request was answered; as last logged
@@ -123,6 +134,7 @@
 	})
 	n.watcher.cutOff = func() bool { return d.stopping.Load() || d.dialer.Cut() }
 	n.network.HandleTunnels(d.serve)
+	n.entryZone = d.zoneOf
 	n.metrics.MustRegister(
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 			Name: "egretramp_tunnels_served", Help: "Connections to upstreams that are open for other entry VMs.",
@@ -217,7 +229,7 @@
 	}
 	conn, err := d.direct(ctx, address)
 	if err == nil {
-		return &countedTunnel{Conn: conn, served: &d.served, draining: func() bool { return d.leadsToEvacuated(address) }}, nil
+		return &countedTunnel{Conn: d.bytes.Conn(conn, d.directory.ZoneAt(address), zonebytes.Tunnel), served: &d.served, draining: func() bool { return d.leadsToEvacuated(address) }}, nil
 	}
 	d.served.Add(-1)
 	code := detour.CodeUnreachable
@@ -275,5 +287,28 @@
 		return nil, err
 	}
 	r, err := decode[entryVMsResponse](answer)
+	d.recordZones(&r)
 	return r.VMs, err
 }
+
+// recordZones records the zones of entry VMs. Those of VMs that a control VM no longer names are kept while there are few:
+// tunnels through them may be open.
+func (d *detours) recordZones(r *entryVMsResponse) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if len(d.zones) > maxKnownZones {
+		clear(d.zones)
+	}
+	for i, vm := range r.VMs {
+		if i < len(r.Zones) && r.Zones[i] != "" {
+			d.zones[vm] = r.Zones[i]
+		}
+	}
+}
+
+// zoneOf returns the zone of an entry VM, empty if it isn't known.
+func (d *detours) zoneOf(vm string) string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.zones[vm]
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -90,7 +90,7 @@
 	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
-		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics),
+		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics), Bytes: n.bytes,
 	})
 	n.metrics.MustRegister(evacuationGauge(e.evacuations.count), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -21,6 +21,7 @@
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/peer"
+	"egretramp/internal/zonebytes"
 )
 
 const (
@@ -43,13 +44,16 @@
 
 // Node is the process of one VM.
 type Node struct {
-	opts         Options
-	settings     Settings
-	self         vmInfo
-	events       *events.Logger
-	network      *network
-	watcher      *watcher
-	metrics      *prometheus.Registry
+	opts     Options
+	settings Settings
+	self     vmInfo
+	events   *events.Logger
+	network  *network
+	watcher  *watcher
+	metrics  *prometheus.Registry
+	bytes    *zonebytes.Meter
+	// entryZone returns the zone of an entry VM, empty if it isn't known; nil if this VM connects to none.
+	entryZone    func(vm string) string
 	role         role
 	failed       chan error // receives the first error that ends the process
 	reload       chan struct{}
@@ -92,8 +96,9 @@
 		reload:  make(chan struct{}, 1),
 	}
 	n.metrics.MustRegister(collectors.NewGoCollector())
+	n.bytes = zonebytes.New(s.Zone, n.metrics)
 	n.network = &network{
-		Node:     peer.New(peer.Options{VM: s.Peers, Events: opts.Events}),
+		Node:     peer.New(peer.Options{VM: s.Peers, Events: opts.Events, Accounting: n.accounting()}),
 		lastUsed: map[string]time.Duration{},
 	}
 	n.watcher = &watcher{
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -329,6 +329,22 @@
 	return zones
 }
 
+// zoneOf returns the zone of a control or store VM, empty if it isn't known.
+func (w *watcher) zoneOf(vm string) string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.contacts {
+		for _, vms := range [][]vmInfo{c.fleet.Control, c.fleet.Stores} {
+			for i := range vms {
+				if vms[i].VM == vm && vms[i].Zone != "" {
+					return vms[i].Zone
+				}
+			}
+		}
+	}
+	return ""
+}
+
 func boolToInt(last bool) int {
 	if last {
 		return 1
--- a/internal/peer/call.go
+++ b/internal/peer/call.go
@@ -60,7 +60,8 @@
 			return nil, &UnreachableError{VM: l.vm, Cause: err}
 		}
 	}
-	resp, err := peerpb.NewDRPCPeerClient(conn).Call(ctx, req)
+	resp, err := peerpb.NewDRPCPeerClient(conn).Call(conn.counted.introduce(ctx), req)
+	conn.counted.attributeCall(req.Method, req.Payload, resp.GetPayload())
 	if err != nil {
 		_ = conn.Close()
 		return nil, &LostError{VM: l.vm, Cause: err}
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -43,7 +43,7 @@
 
 // idleConn is a call connection that is available for reuse.
 type idleConn struct {
-	conn      *drpcconn.Conn
+	conn      *peerConn
 	idleSince time.Time
 }
 
@@ -71,11 +71,11 @@
 }
 
 // dial opens a connection, protected as configured. Its bytes are counted below TLS.
-func (l *link) dial(ctx context.Context) (*drpcconn.Conn, error) {
+func (l *link) dial(ctx context.Context) (*peerConn, error) {
 	return l.dialWith(ctx, net.Dialer{Timeout: DialTimeout})
 }
 
-func (l *link) dialWith(ctx context.Context, dialer net.Dialer) (*drpcconn.Conn, error) {
+func (l *link) dialWith(ctx context.Context, dialer net.Dialer) (*peerConn, error) {
 	if l.node.cutTo(l.vm) {
 		return nil, awaitCutTimeout(ctx)
 	}
@@ -86,8 +86,8 @@
 	if err != nil {
 		return nil, err
 	}
-	counted := &countedConn{Conn: raw, stats: &l.node.stats}
-	return drpcconn.NewWithOptions(l.node.opts.Protection.Client(counted, l.vm), connOptions()), nil
+	counted := &countedConn{Conn: raw, stats: &l.node.stats, accounting: l.node.opts.Accounting, vm: l.vm}
+	return &peerConn{Conn: drpcconn.NewWithOptions(l.node.opts.Protection.Client(counted, l.vm), connOptions()), counted: counted}, nil
 }
 
 // run keeps a message stream open, reconnecting as needed, until ctx ends.
@@ -114,16 +114,16 @@
 	defer func() { _ = conn.Close() }()
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	stream, err := peerpb.NewDRPCPeerClient(conn).Messages(ctx)
+	stream, err := peerpb.NewDRPCPeerClient(conn).Messages(conn.counted.introduce(ctx))
 	if err != nil {
 		return err
 	}
-	return l.runStream(ctx, cancel, stream)
+	return l.runStream(ctx, cancel, stream, conn.counted)
 }
 
 // runStream sends queued messages and heartbeats until the stream fails or nothing was received
 // for HeartbeatTimeout.
-func (l *link) runStream(ctx context.Context, cancel func(), stream peerpb.DRPCPeer_MessagesClient) error {
+func (l *link) runStream(ctx context.Context, cancel func(), stream peerpb.DRPCPeer_MessagesClient, counted *countedConn) error {
 	l.liveness.touch()
 	var wg conc.WaitGroup
 	defer wg.Wait()
@@ -135,18 +135,19 @@
 	})
 	wg.Go(func() {
 		defer cancel()
-		l.receive(stream)
+		l.receive(stream, counted)
 	})
-	return l.sendLoop(ctx, stream)
+	return l.sendLoop(ctx, &countedSender{messageSender: stream, counted: counted})
 }
 
 // receive processes heartbeats from the other VM until the stream fails. The first one marks the
 // link as up.
-func (l *link) receive(stream peerpb.DRPCPeer_MessagesClient) {
+func (l *link) receive(stream peerpb.DRPCPeer_MessagesClient, counted *countedConn) {
 	for {
 		if _, err := stream.Recv(); err != nil {
 			return
 		}
+		counted.attributeReceived(KindHeartbeat, nil)
 		if l.node.cutFrom(l.vm) {
 			continue
 		}
@@ -199,6 +200,19 @@
 	Send(*peerpb.Envelope) error
 }
 
+// countedSender attributes the bytes of each message.
+type countedSender struct {
+	messageSender
+	counted *countedConn
+}
+
+// Send implements messageSender.
+func (s *countedSender) Send(envelope *peerpb.Envelope) error {
+	err := s.messageSender.Send(envelope)
+	s.counted.attributeSent(envelope.Kind, envelope.Payload)
+	return err
+}
+
 // sendQueued sends all queued messages, drops those older than maxQueueAge, and reports whether any
 // was sent.
 func (l *link) sendQueued(stream messageSender) (sentAny bool, err error) {
@@ -233,7 +247,7 @@
 }
 
 // takeIdle returns an open connection that was idle for less than maxIdleAge, or nil.
-func (l *link) takeIdle() *drpcconn.Conn {
+func (l *link) takeIdle() *peerConn {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.idle) > 0 {
@@ -248,7 +262,7 @@
 }
 
 // putIdle keeps a connection for reuse, or closes it if maxIdleConns are kept already.
-func (l *link) putIdle(conn *drpcconn.Conn) {
+func (l *link) putIdle(conn *peerConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if isClosed(conn) || len(l.idle) >= maxIdleConns {
@@ -267,7 +281,7 @@
 	l.idle = nil
 }
 
-func isClosed(conn *drpcconn.Conn) bool {
+func isClosed(conn *peerConn) bool {
 	select {
 	case <-conn.Closed():
 		return true
@@ -275,23 +289,3 @@
 		return false
 	}
 }
-
-// countedConn counts the bytes read from and written to a connection.
-type countedConn struct {
-	net.Conn
-	stats *Stats
-}
-
-// Read implements net.Conn and counts the bytes received.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.stats.BytesReceived.Add(int64(n))
-	return n, err
-}
-
-// Write implements net.Conn and counts the bytes sent.
-func (c *countedConn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
-	c.stats.BytesSent.Add(int64(n))
-	return n, err
-}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -69,6 +69,8 @@
 	Events  *events.Logger
 	// Protection configures TLS; if nil, connections are unencrypted and senders are not checked.
 	Protection *identity.Protection
+	// Accounting attributes bytes to zones and purposes; nil for none.
+	Accounting *Accounting
 }
 
 // Node manages this VM's connections to the other VMs.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -28,7 +28,7 @@
 	if err := peerpb.DRPCRegisterPeer(mux, &server{node: n}); err != nil {
 		return err
 	}
-	counted := &countedListener{Listener: listener, stats: &n.stats}
+	counted := &countedListener{Listener: listener, stats: &n.stats, accounting: n.opts.Accounting}
 	return serveConns(ctx, n.opts.Protection.Listener(counted, identity.VM), mux)
 }
 
@@ -37,11 +37,14 @@
 	if err := s.checkSender(ctx, req.From); err != nil {
 		return nil, err
 	}
+	counted := countedFrom(ctx, req.From)
 	if s.node.cutFrom(req.From) {
 		<-ctx.Done()
 		return nil, errCut
 	}
+	counted.attributeResponse()
 	result, err := s.node.serveCall(ctx, req.From, req.Method, req.Payload)
+	counted.attributeCall(req.Method, req.Payload, result)
 	if s.node.cutTo(req.From) {
 		// The response is dropped; the caller times out by its own context.
 		<-ctx.Done()
@@ -72,6 +75,7 @@
 // receive delivers messages until the stream fails or names a wrong sender. It stores the sender's
 // name in from.
 func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], liveness *livenessMonitor) error {
+	var counted *countedConn
 	for {
 		envelope, err := stream.Recv()
 		if err != nil {
@@ -80,6 +84,10 @@
 		if err := s.checkSender(stream.Context(), envelope.From); err != nil {
 			return err
 		}
+		if from.Load() == nil {
+			counted = countedFrom(stream.Context(), envelope.From)
+		}
+		counted.attributeReceived(envelope.Kind, envelope.Payload)
 		from.Store(&envelope.From)
 		if s.node.cutFrom(envelope.From) {
 			continue
@@ -118,20 +126,8 @@
 		if err := stream.Send(&peerpb.Envelope{From: s.node.opts.VM}); err != nil {
 			return err
 		}
+		if name := from.Load(); name != nil {
+			countedFrom(stream.Context(), *name).attributeSent(KindHeartbeat, nil)
+		}
 	}
 }
-
-// countedListener counts the bytes of the connections that it accepts.
-type countedListener struct {
-	net.Listener
-	stats *Stats
-}
-
-// Accept implements net.Listener and wraps the connection in a countedConn.
-func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, stats: l.stats}, nil
-}
--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -14,7 +14,6 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
-	"storj.io/drpc/drpcconn"
 
 	"egretramp/internal/peer/peerpb"
 )
@@ -53,7 +52,7 @@
 type Tunnel struct {
 	net.Conn // the near end of a pipe
 	far      net.Conn
-	conn     *drpcconn.Conn
+	conn     *peerConn
 	pending  atomic.Bool // bytes from the upstream wait to be read
 	ended    atomic.Bool
 	draining atomic.Bool // the other VM is stopping
@@ -97,8 +96,8 @@
 }
 
 // openTunnelStream sends the first frame of a tunnel and waits for the other VM's.
-func openTunnelStream(conn *drpcconn.Conn, first *peerpb.TunnelFrame) (peerpb.DRPCPeer_TunnelClient, error) {
-	stream, err := peerpb.NewDRPCPeerClient(conn).Tunnel(context.Background())
+func openTunnelStream(conn *peerConn, first *peerpb.TunnelFrame) (peerpb.DRPCPeer_TunnelClient, error) {
+	stream, err := peerpb.NewDRPCPeerClient(conn).Tunnel(conn.counted.introduce(context.Background()))
 	if err != nil {
 		return nil, err
 	}
@@ -130,7 +129,9 @@
 	for {
 		n, err := t.far.Read(buffer)
 		if n > 0 {
-			if err := stream.Send(&peerpb.TunnelFrame{Data: buffer[:n]}); err != nil {
+			err := stream.Send(&peerpb.TunnelFrame{Data: buffer[:n]})
+			t.conn.counted.attributeSent(KindTunnel, nil)
+			if err != nil {
 				t.fail(err)
 				return
 			}
@@ -146,6 +147,7 @@
 func (t *Tunnel) receive(stream peerpb.DRPCPeer_TunnelClient) {
 	for {
 		frame, err := stream.Recv()
+		t.conn.counted.attributeReceived(KindTunnel, nil)
 		switch {
 		case err != nil:
 			t.fail(errors.Wrap(err, "peer: the tunnel broke"))
@@ -207,6 +209,8 @@
 	if err := s.checkSender(stream.Context(), first.From); err != nil {
 		return err
 	}
+	counted := countedFrom(stream.Context(), first.From)
+	counted.attributeReceived(KindTunnel, nil)
 	if s.node.cutFrom(first.From) || s.node.cutTo(first.From) {
 		<-stream.Context().Done()
 		return errCut
@@ -233,8 +237,8 @@
 	if c, ok := conn.(DrainingConn); ok && c.Draining() {
 		sendDraining(stream)
 	}
-	wg.Go(func() { sendToUpstream(stream, conn) })
-	return receiveFromUpstream(stream, conn)
+	wg.Go(func() { sendToUpstream(stream, conn, counted) })
+	return receiveFromUpstream(stream, conn, counted)
 }
 
 func (s *server) openTunnel(ctx context.Context, first *peerpb.TunnelFrame) (net.Conn, error) {
@@ -245,10 +249,11 @@
 }
 
 // sendToUpstream passes bytes on to the upstream until the tunnel ends.
-func sendToUpstream(stream peerpb.DRPCPeer_TunnelStream, conn net.Conn) {
+func sendToUpstream(stream peerpb.DRPCPeer_TunnelStream, conn net.Conn, counted *countedConn) {
 	defer func() { _ = conn.Close() }()
 	for {
 		frame, err := stream.Recv()
+		counted.attributeReceived(KindTunnel, nil)
 		if err != nil {
 			return // closed by the other VM, or lost: either ends the upstream's connection
 		}
@@ -259,7 +264,7 @@
 }
 
 // receiveFromUpstream passes the upstream's bytes back, and how its connection ended.
-func receiveFromUpstream(stream peerpb.DRPCPeer_TunnelStream, conn net.Conn) error {
+func receiveFromUpstream(stream peerpb.DRPCPeer_TunnelStream, conn net.Conn, counted *countedConn) error {
 	buffer := make([]byte, tunnelBufferBytes)
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(tunnelIdleTimeout)); err != nil {
@@ -267,7 +272,9 @@
 		}
 		n, err := conn.Read(buffer)
 		if n > 0 {
-			if err := stream.Send(&peerpb.TunnelFrame{Data: buffer[:n]}); err != nil {
+			err := stream.Send(&peerpb.TunnelFrame{Data: buffer[:n]})
+			counted.attributeSent(KindTunnel, nil)
+			if err != nil {
 				return err
 			}
 		}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -28,6 +28,7 @@
 	"egretramp/internal/suspect"
 	"egretramp/internal/turns"
 	"egretramp/internal/upconn"
+	"egretramp/internal/zonebytes"
 )
 
 // Call holds the parsed headers of a request: everything except its method, target and body.
@@ -212,6 +213,8 @@
 	Drain   time.Duration
 	Events  *events.Logger
 	Metrics *Metrics
+	// Bytes counts the bytes of attempts; nil for none.
+	Bytes *zonebytes.Meter
 }
 
 // Server forwards requests to upstreams. It implements httpwire.Handler.
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -14,6 +14,8 @@
 	"egretramp/internal/httpwire"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/upconn"
+	"egretramp/internal/zonebytes"
 )
 
 // outcome is the result of one attempt.
@@ -235,6 +237,7 @@
 		s.pool.Put(conn, nil)
 		return notSent, errPermitExpired
 	}
+	s.countBytes(conn, u)
 	s.health.requestStarted(u.ID)
 	defer s.health.requestEnded(u.ID)
 	started := time.Now()
@@ -258,6 +261,14 @@
 	return result, err
 }
 
+// countBytes counts the bytes of an attempt. Those of a detour are counted as a tunnel's by the connection between the VMs.
+func (s *Server) countBytes(conn *upconn.Conn, u registry.Upstream) {
+	if s.opts.Bytes == nil || conn.IsDetour() {
+		return
+	}
+	conn.CountBytes(func(sent, received int64) { s.opts.Bytes.Add(u.Zone, zonebytes.Attempt, sent, received) })
+}
+
 // respond forwards a complete response.
 func (x *exchange) respond(status int, header http.Header, body []byte) {
 	x.settle()
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -42,6 +42,7 @@
 	net.Conn
 	Reader  *bufio.Reader // buffers reads from Conn
 	limit   *limitedReader
+	add     func(sent, received int64) // set by CountBytes; nil for none
 	address string
 	// Reused reports whether the connection carried a request before.
 	Reused    bool
@@ -49,6 +50,21 @@
 	idleLimit time.Duration // longest time that it may be idle
 }
 
+// CountBytes makes add receive the numbers of bytes that are sent and received from now on.
+func (c *Conn) CountBytes(add func(sent, received int64)) {
+	c.add = add
+	c.limit.add = add
+}
+
+// Write implements net.Conn.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if c.add != nil {
+		c.add(int64(n), 0)
+	}
+	return n, err
+}
+
 // DialFunc opens a connection to an upstream. An error means that nothing was sent.
 type DialFunc func(ctx context.Context, address string) (net.Conn, error)
 
@@ -158,6 +174,7 @@
 type limitedReader struct {
 	conn net.Conn
 	left int64
+	add  func(sent, received int64) // set by CountBytes; nil for none
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
@@ -166,6 +183,9 @@
 	}
 	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
+	if r.add != nil {
+		r.add(0, int64(n))
+	}
 	return n, err
 }
 
