node: entry VMs fetch the operators' document once, compressed

Control VMs now only announce which version they have (new fields of watchRequest and watchResponse, numbers 20 and 21). The checksum says whether another control VM can continue a document that was fetched in part. An entry VM of the previous release doesn't set the field and gets the document as before; a control VM of the previous release ignores it and sends the document as before.

Tests: TestDocument_*, TestDocumentAssembly (go test -run Document -count=5 ./internal/node, ok; with -race, ok).

--- a/internal/node/bytes.go
+++ b/internal/node/bytes.go
@@ -47,6 +47,8 @@
 		return zonebytes.Control
 	case methodWatch:
 		return watchPurpose(result)
+	case methodDocument:
+		return zonebytes.WatchDocument
 	case methodPermit:
 		return zonebytes.Permit
 	case methodStrike:
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -104,6 +104,7 @@
 	n.network.HandleCalls(groups.MethodPropose, c.replicas.HandlePropose)
 	n.network.HandleCalls(groups.MethodQuery, c.replicas.HandleQuery)
 	n.network.HandleCalls(methodWatch, c.hub.handleWatch)
+	n.network.HandleCalls(methodDocument, c.hub.handleDocument)
 	n.network.HandleCalls(methodPermit, c.coordinator.handle)
 	n.network.HandleCalls(methodEntryVMs, c.hub.handleEntryVMs)
 	n.network.HandleCalls(methodStrike, c.handleStrikes)
--- /dev/null
+++ b/internal/node/document_test.go
@@ -0,0 +1,522 @@
+package node
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"math/rand"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/sourcegraph/conc"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"egretramp/internal/catalog"
+	"egretramp/internal/clock"
+	"egretramp/internal/events"
+	"egretramp/internal/registry"
+	"egretramp/internal/suspect"
+)
+
+// configApply is the time within which each VM must have a document that a control VM has.
+const configApply = 2500 * time.Millisecond
+
+// routesDocument returns a document with a number of routes, similar to what operators send.
+func routesDocument(routes int, seed int64) []byte {
+	r := rand.New(rand.NewSource(seed))
+	var b bytes.Buffer
+	b.WriteString(`{"services":[{"name":"chat","kind":"model","cold_start_s":3}],"routes":[`)
+	for range routes {
+		fmt.Fprintf(&b, `{"id":"r-%07x","host":"h%d.example","prefix":"/v%d/%x","service":"chat","weight":%d,"timeout_ms":%d,"kind":"streaming","stateful":%v},`,
+			r.Intn(1<<28), r.Intn(20), r.Intn(9), r.Intn(1<<30), r.Intn(100), 500+r.Intn(20000), r.Intn(2) == 0)
+	}
+	b.WriteString(`]}`)
+	return b.Bytes()
+}
+
+// watchFleet is a fleet of control VMs that are watched by entry VMs, without a network.
+type watchFleet struct {
+	zones map[string]string // by VM
+	hubs  map[string]*hub
+	// fault is asked before a call is delivered, and after its handler has answered; an error or a delay may be returned.
+	fault atomic.Pointer[func(ctx context.Context, from, to, method string, answered bool) error]
+
+	mu            sync.Mutex
+	same, other   int64 // bytes of watches and documents
+	ofDocuments   int64 // bytes of documents between zones
+	documentCalls map[string]int
+}
+
+// zonePeer makes the calls of one VM.
+type zonePeer struct {
+	fleet *watchFleet
+	vm    string
+}
+
+func (p zonePeer) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
+	f := p.fleet
+	fault := func(answered bool) error {
+		if check := f.fault.Load(); check != nil {
+			return (*check)(ctx, p.vm, vm, method, answered)
+		}
+		return nil
+	}
+	if err := fault(false); err != nil {
+		return nil, err
+	}
+	h := f.hubs[vm]
+	handle := map[string]func(context.Context, string, []byte) ([]byte, error){methodWatch: h.handleWatch, methodDocument: h.handleDocument}[method]
+	answer, err := handle(ctx, p.vm, payload)
+	if faultErr := fault(true); faultErr != nil {
+		return nil, faultErr
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := int64(len(payload) + len(answer))
+	if f.zones[p.vm] == f.zones[vm] {
+		f.same += n
+	} else {
+		f.other += n
+		if method == methodDocument || watchPurpose(answer) == "watch_document" {
+			f.ofDocuments += n
+		}
+	}
+	if method == methodDocument {
+		f.documentCalls[vm]++
+	}
+	return answer, err
+}
+
+// watchingVM is an entry VM of a watchFleet.
+type watchingVM struct {
+	watcher *watcher
+	mu      sync.Mutex
+	version uint64
+	data    []byte
+	applied []uint64
+}
+
+func (v *watchingVM) inForce() uint64 {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	return v.version
+}
+
+func (v *watchingVM) apply(_ string, version uint64, data []byte) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if version > v.version {
+		v.version, v.data, v.applied = version, data, append(v.applied, version)
+	}
+}
+
+func newWatchFleet(controls int) *watchFleet {
+	f := &watchFleet{zones: map[string]string{}, hubs: map[string]*hub{}, documentCalls: map[string]int{}}
+	voters := func() []string { return nil }
+	for i := range controls {
+		vm, zone := fmt.Sprint("c", i), fmt.Sprint("z", i%3)
+		f.zones[vm] = zone
+		f.hubs[vm] = newHub(uint64(i+1), vmInfo{VM: vm, Role: Control, Zone: zone}, clock.Now, registry.NewRegistrar(time.Second, clock.Now), suspect.NewTracker(clock.Now), voters)
+	}
+	return f
+}
+
+// start starts entry VMs. fetches is false for those of the previous release.
+func (f *watchFleet) start(t *testing.T, entries int, fetches bool) []*watchingVM {
+	t.Helper()
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	t.Cleanup(func() {
+		cancel()
+		wg.Wait()
+	})
+	var vms []*watchingVM
+	for i := range entries {
+		name := fmt.Sprint("e", i)
+		v := &watchingVM{}
+		f.mu.Lock()
+		f.zones[name] = fmt.Sprint("z", i%3)
+		f.mu.Unlock()
+		seeds := make([]string, 0, len(f.hubs))
+		for vm := range f.hubs {
+			seeds = append(seeds, vm)
+		}
+		v.watcher = &watcher{
+			self: vmInfo{VM: name, Role: Entry, Zone: f.zones[name]}, calls: zonePeer{f, name}, clock: clock.Now, events: events.FromZap(zap.NewNop()),
+			contacts: map[string]*contact{}, seeds: seeds, documentVersion: v.inForce, failOnPanic: func(work func()) func() { return work },
+			handleUpdate: func(from string, r watchResponse) {
+				if r.Document != nil {
+					v.apply(from, r.Document.Version, r.Document.Data)
+				}
+			},
+		}
+		if fetches {
+			fetcher := newDocumentFetcher(v.watcher, v.inForce, v.apply)
+			wg.Go(func() { fetcher.run(ctx) })
+		}
+		wg.Go(func() { v.watcher.run(ctx) })
+		vms = append(vms, v)
+	}
+	return vms
+}
+
+// put sets the document of control VMs.
+func (f *watchFleet) put(version uint64, data []byte, controls ...string) {
+	for _, vm := range controls {
+		f.hubs[vm].setState(catalog.State{Document: catalog.Document{Version: version, Data: data}})
+	}
+}
+
+func (f *watchFleet) all() []string {
+	vms := make([]string, 0, len(f.hubs))
+	for vm := range f.hubs {
+		vms = append(vms, vm)
+	}
+	return vms
+}
+
+// requireDocument requires that all VMs get a document in time.
+func requireDocument(t *testing.T, vms []*watchingVM, version uint64, data []byte) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, v := range vms {
+			if v.inForce() != version {
+				return false
+			}
+		}
+		return true
+	}, configApply, 10*time.Millisecond)
+	for _, v := range vms {
+		v.mu.Lock()
+		require.True(t, bytes.Equal(data, v.data), "the content")
+		v.mu.Unlock()
+	}
+}
+
+// awaitWatching waits until all VMs have the fleet's state of all control VMs.
+func awaitWatching(t *testing.T, f *watchFleet, vms []*watchingVM) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		for _, v := range vms {
+			if len(v.watcher.controlEpochs()) != len(f.hubs) {
+				return false
+			}
+		}
+		return true
+	}, 10*time.Second, 10*time.Millisecond)
+}
+
+func (f *watchFleet) resetBytes() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.same, f.other, f.ofDocuments = 0, 0, 0
+}
+
+// TestDocument_OneCopyFromTheOwnZone guards against control VMs that each send the whole document to each entry VM, through
+// links between zones.
+func TestDocument_OneCopyFromTheOwnZone(t *testing.T) {
+	const entries = 77
+	document := routesDocument(300, 1)
+	require.InDelta(t, 40_000, len(document), 5_000)
+	f := newWatchFleet(6)
+	vms := f.start(t, entries, true)
+	awaitWatching(t, f, vms)
+	f.resetBytes()
+	f.put(1, document, f.all()...)
+	requireDocument(t, vms, 1, document)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t.Logf("a document of %d bytes for %d VMs: %d bytes between zones, %d of them for documents; %d within zones", len(document), entries, f.other, f.ofDocuments, f.same)
+	require.Less(t, f.other, int64(entries*4*2_000), "announcements of 4 control VMs to each VM")
+	require.Less(t, f.same, int64(entries*len(document)/2), "one compressed copy for each VM")
+	for vm, calls := range f.documentCalls {
+		require.Less(t, calls, entries/2, "%s: the VMs of a zone must not all ask the same control VM", vm)
+	}
+}
+
+// TestDocument_PreviousRelease guards against VMs of the previous release that get no document, in either role.
+func TestDocument_PreviousRelease(t *testing.T) {
+	document := routesDocument(300, 1)
+	t.Run("entry VMs", func(t *testing.T) {
+		f := newWatchFleet(6)
+		vms := f.start(t, 3, false)
+		awaitWatching(t, f, vms)
+		f.put(1, document, f.all()...)
+		requireDocument(t, vms, 1, document)
+	})
+	t.Run("control VMs", func(t *testing.T) {
+		f := newWatchFleet(1)
+		v := &watchingVM{}
+		w := &watcher{
+			self: vmInfo{VM: "e", Role: Entry}, clock: clock.Now, events: events.FromZap(zap.NewNop()), documentVersion: v.inForce,
+			handleUpdate: func(from string, r watchResponse) { v.apply(from, r.Document.Version, r.Document.Data) },
+			calls: callerFunc(func(_ context.Context, _, method string, payload []byte) ([]byte, error) {
+				require.Equal(t, methodWatch, method, "the previous release knows no other method")
+				r, err := decode[watchRequest](payload)
+				require.NoError(t, err)
+				r.FetchesDocument = false // it ignores the field
+				return f.hubs["c0"].handleWatch(context.Background(), "e", encode(r))
+			}),
+		}
+		f.put(1, document, "c0")
+		newDocumentFetcher(w, v.inForce, v.apply)
+		w.ctx = context.Background()
+		require.True(t, w.watchOnce(context.Background(), &contact{vm: "c0"}))
+		require.Equal(t, uint64(1), v.inForce())
+	})
+}
+
+// callerFunc is a function that makes calls.
+type callerFunc func(ctx context.Context, vm, method string, payload []byte) ([]byte, error)
+
+func (f callerFunc) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
+	return f(ctx, vm, method, payload)
+}
+
+// TestDocument_FrozenInOwnZone guards against VMs that wait for the control VMs of their own zone, which are frozen.
+func TestDocument_FrozenInOwnZone(t *testing.T) {
+	f := newWatchFleet(6)
+	vms := f.start(t, 9, true)
+	awaitWatching(t, f, vms)
+	document := routesDocument(300, 2)
+	// They announce the document, and freeze before they send it.
+	fault := func(ctx context.Context, from, to, method string, answered bool) error {
+		if method == methodDocument && f.zones[from] == f.zones[to] {
+			<-ctx.Done()
+			return ctx.Err()
+		}
+		return nil
+	}
+	f.fault.Store(&fault)
+	f.put(1, document, f.all()...)
+	requireDocument(t, vms, 1, document)
+}
+
+// TestDocument_OneSourceInAnotherZone guards against VMs that get no document because only one control VM has it: the
+// others lag, and some can't be reached.
+func TestDocument_OneSourceInAnotherZone(t *testing.T) {
+	f := newWatchFleet(6)
+	vms := f.start(t, 9, true)
+	awaitWatching(t, f, vms)
+	f.put(1, routesDocument(300, 1), f.all()...)
+	requireDocument(t, vms, 1, routesDocument(300, 1))
+	fault := func(_ context.Context, _, to, _ string, _ bool) error {
+		if to == "c1" || to == "c2" || to == "c3" {
+			return errors.New("unreachable")
+		}
+		return nil
+	}
+	f.fault.Store(&fault)
+	f.put(2, routesDocument(300, 2), "c4")
+	requireDocument(t, vms, 2, routesDocument(300, 2))
+	f.put(1, routesDocument(300, 1), "c0", "c5")
+	time.Sleep(50 * time.Millisecond)
+	requireDocument(t, vms, 2, routesDocument(300, 2))
+}
+
+// TestDocument_PartitionedControlGroup guards against VMs that get no document because they reach only the control VMs of
+// one side, or keep an older one of a side that lags.
+func TestDocument_PartitionedControlGroup(t *testing.T) {
+	f := newWatchFleet(6)
+	vms := f.start(t, 6, true)
+	awaitWatching(t, f, vms)
+	// VMs with an even number reach c0 to c3, the others c4 and c5.
+	fault := func(_ context.Context, from, to, _ string, _ bool) error {
+		even := strings.ContainsAny(from, "024")
+		if first := to < "c4"; first != even {
+			return errors.New("partitioned")
+		}
+		return nil
+	}
+	f.fault.Store(&fault)
+	f.put(3, routesDocument(300, 3), "c2")
+	f.put(2, routesDocument(300, 2), "c0", "c1", "c3", "c4", "c5")
+	requireDocument(t, []*watchingVM{vms[0], vms[2], vms[4]}, 3, routesDocument(300, 3))
+	requireDocument(t, []*watchingVM{vms[1], vms[3], vms[5]}, 2, routesDocument(300, 2))
+	f.fault.Store(nil)
+	requireDocument(t, vms, 3, routesDocument(300, 3))
+	for _, v := range vms {
+		v.mu.Lock()
+		require.IsIncreasing(t, v.applied)
+		v.mu.Unlock()
+	}
+}
+
+// largeDocument returns a document of several chunks that compresses little.
+func largeDocument(seed int64) []byte {
+	data := make([]byte, 8*documentChunkBytes)
+	rand.New(rand.NewSource(seed)).Read(data)
+	return data
+}
+
+// TestDocument_SourceDiesHalfway guards against documents that are fetched in vain because the control VM that sent the
+// first chunks doesn't send the rest, and against chunks that are fetched again from the next one.
+func TestDocument_SourceDiesHalfway(t *testing.T) {
+	for _, dies := range []string{"frozen", "unreachable"} {
+		t.Run(dies, func(t *testing.T) {
+			f := newWatchFleet(6)
+			vms := f.start(t, 1, true)
+			awaitWatching(t, f, vms)
+			var mu sync.Mutex
+			served, dead := map[string]int{}, ""
+			fault := func(ctx context.Context, _, to, method string, answered bool) error {
+				if method != methodDocument {
+					return nil
+				}
+				mu.Lock()
+				if answered {
+					served[to]++
+					if served[to] == 4 && dead == "" {
+						dead = to
+					}
+				}
+				isDead := to == dead && !answered
+				mu.Unlock()
+				if !isDead {
+					return nil
+				}
+				if dies == "frozen" {
+					<-ctx.Done()
+				}
+				return errors.New("no answer")
+			}
+			f.fault.Store(&fault)
+			f.put(1, largeDocument(1), f.all()...)
+			requireDocument(t, vms, 1, largeDocument(1))
+			mu.Lock()
+			defer mu.Unlock()
+			require.NotEmpty(t, dead)
+			total := 0
+			for _, n := range served {
+				total += n
+			}
+			require.LessOrEqual(t, total, 9, "8 chunks and the remainder; compressed to a little more than their size")
+		})
+	}
+}
+
+// TestDocument_ReplacedWhileFetched guards against chunks of two documents that are put together, and against a version that
+// stays missing when it is replaced.
+func TestDocument_ReplacedWhileFetched(t *testing.T) {
+	f := newWatchFleet(6)
+	vms := f.start(t, 3, true)
+	awaitWatching(t, f, vms)
+	var calls atomic.Int64
+	replaced := make(chan struct{})
+	fault := func(_ context.Context, _, _, method string, answered bool) error {
+		if method == methodDocument && answered && calls.Add(1) == 4 {
+			f.put(2, largeDocument(2), f.all()...)
+			close(replaced)
+		}
+		return nil
+	}
+	f.fault.Store(&fault)
+	f.put(1, largeDocument(1), f.all()...)
+	<-replaced
+	requireDocument(t, vms, 2, largeDocument(2))
+}
+
+// TestDocument_LargestDocument guards against a document of 16 MiB that doesn't pass.
+func TestDocument_LargestDocument(t *testing.T) {
+	document := bytes.Repeat(routesDocument(3000, 1), 1+16<<20/len(routesDocument(3000, 1)))[:16<<20]
+	f := newWatchFleet(2)
+	vms := f.start(t, 1, true)
+	awaitWatching(t, f, vms)
+	f.put(1, document, f.all()...)
+	require.Eventually(t, func() bool { return vms[0].inForce() == 1 }, 30*time.Second, 10*time.Millisecond)
+	require.True(t, bytes.Equal(document, vms[0].data))
+}
+
+// TestDocument_NotUsable guards against VMs that fetch a document again and again which they can't use.
+func TestDocument_NotUsable(t *testing.T) {
+	f := newWatchFleet(3)
+	ctx, cancel := context.WithCancel(context.Background())
+	var wg conc.WaitGroup
+	defer wg.Wait()
+	defer cancel()
+	var applied atomic.Int64
+	w := &watcher{clock: clock.Now, self: vmInfo{VM: "e", Role: Entry, Zone: "z0"}, calls: zonePeer{f, "e"}, contacts: map[string]*contact{
+		"c0": {vm: "c0", documentVersion: 1}, "c1": {vm: "c1", documentVersion: 1},
+	}}
+	f.put(1, []byte("not valid"), f.all()...)
+	fetcher := newDocumentFetcher(w, func() uint64 { return 0 }, func(string, uint64, []byte) { applied.Add(1) })
+	wg.Go(func() { fetcher.run(ctx) })
+	fetcher.announce(1)
+	require.Eventually(t, func() bool { return applied.Load() == 1 }, 5*time.Second, time.Millisecond)
+	time.Sleep(3 * documentRetryDelay)
+	require.Equal(t, int64(1), applied.Load())
+	fetcher.announce(1)
+	time.Sleep(3 * documentRetryDelay)
+	require.Equal(t, int64(1), applied.Load())
+}
+
+// TestDocumentAssembly guards against chunks that are put together although they don't fit, and against a sender that
+// makes a VM allocate memory without bound.
+func TestDocumentAssembly(t *testing.T) {
+	p := &packedDocument{document: catalog.Document{Version: 1, Data: largeDocument(1)}}
+	first := p.chunk(documentRequest{})
+	second := p.chunk(documentRequest{Version: 1, Sum: p.sum[:], Offset: len(first.Data)})
+	require.Equal(t, len(first.Data), second.Offset)
+	require.Zero(t, p.chunk(documentRequest{Version: 2, Sum: p.sum[:], Offset: 10}).Offset, "another version")
+	require.Zero(t, p.chunk(documentRequest{Version: 1, Sum: []byte("x"), Offset: 10}).Offset, "other content")
+	require.Zero(t, p.chunk(documentRequest{Version: 1, Sum: p.sum[:], Offset: -1}).Offset)
+	require.Zero(t, p.chunk(documentRequest{Version: 1, Sum: p.sum[:], Offset: len(p.data) + 1}).Offset)
+
+	add := func(chunks ...documentChunk) error {
+		var a documentAssembly
+		for _, c := range chunks {
+			if _, err := a.add(c); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+	require.NoError(t, add(first, second))
+	require.NoError(t, add(first, second, first), "starts again")
+	require.Error(t, add(second))
+	require.Error(t, add(first, second, second))
+	require.Error(t, add(documentChunk{Version: 1, Size: maxDocumentBytes + 1, Data: []byte("x")}))
+	require.Error(t, add(documentChunk{Version: 1, Size: 1, Data: []byte("xx")}))
+	require.Error(t, add(documentChunk{Version: 1, Size: 10}), "never ends")
+	other := second
+	other.Version = 2
+	require.Error(t, add(first, other))
+
+	var a documentAssembly
+	damaged := documentChunk{Version: 1, Sum: first.Sum, Size: 3, Data: []byte("abc")}
+	complete, err := a.add(damaged)
+	require.NoError(t, err)
+	require.True(t, complete)
+	_, err = a.unpack()
+	require.ErrorIs(t, err, errBadDocument)
+}
+
+// BenchmarkDocument measures the compression of a document at a control VM, and the opposite at an entry VM.
+func BenchmarkDocument(b *testing.B) {
+	for _, routes := range []int{40, 300, 2000} {
+		document := routesDocument(routes, 1)
+		p := &packedDocument{document: catalog.Document{Version: 1, Data: document}}
+		p.pack()
+		b.Run(fmt.Sprint("pack ", routes, " routes"), func(b *testing.B) {
+			for b.Loop() {
+				again := &packedDocument{document: p.document}
+				again.pack()
+			}
+			b.ReportMetric(float64(len(document)), "B")
+			b.ReportMetric(float64(len(p.data)), "B-packed")
+		})
+		b.Run(fmt.Sprint("unpack ", routes, " routes"), func(b *testing.B) {
+			a := documentAssembly{data: p.data, sum: p.sum[:]}
+			for b.Loop() {
+				if _, err := a.unpack(); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -52,6 +52,7 @@
 	// onZoneRestored is called for a zone that returns to service, before requests are sent there; nil for no call. It must
 	// not block.
 	onZoneRestored func(zone string)
+	documents      *documentFetcher
 }
 
 func newEntry(n *Node) *entry {
@@ -63,6 +64,7 @@
 		e.proxy.DropUpstream(u)
 		go n.network.DrainTunnelsTo(u.Address) // waits for VMs that don't read
 	})
+	e.documents = newDocumentFetcher(n.watcher, e.documentVersion, e.applyDocument)
 	n.watcher.leavingSince = e.directory.LeavingSince
 	n.watcher.evacuationVersion = e.evacuations.version
 	storeVMs := func(group uint64) []string {
@@ -144,6 +146,7 @@
 	for range settleWorkers {
 		wg.Go(e.node.failOnPanic(func() { e.ledger.settle(ctx) }))
 	}
+	wg.Go(e.node.failOnPanic(func() { e.documents.run(ctx) }))
 	wg.Go(e.node.failOnPanic(func() { e.reporter.run(ctx) }))
 	wg.Go(e.node.failOnPanic(func() { clock.Repeat(ctx, permitCheckInterval, e.permits.renew) }))
 	wg.Go(e.node.failOnPanic(func() { clock.Repeat(ctx, reach.Interval, e.detectUnreachableZones) }))
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -34,6 +34,7 @@
 
 	mu           sync.Mutex
 	state        catalog.State
+	packed       *packedDocument // of state; nil if there is no document
 	members      map[string]*member
 	fleet        fleetState
 	fleetVersion uint64 // of fleet
@@ -61,6 +62,9 @@
 func (h *hub) setState(s catalog.State) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	if s.Document.Version != h.state.Document.Version {
+		h.packed = &packedDocument{document: s.Document}
+	}
 	h.state = s
 	h.refresh()
 	h.notifyWatches()
@@ -205,7 +209,7 @@
 	h.recordWatch(r.From, 1)
 	defer h.recordWatch(r.From, -1)
 	if r.Epoch != h.epoch {
-		r.Upstreams, r.Fleet, r.Suspects = 0, 0, 0
+		r.Upstreams, r.Fleet, r.Suspects, r.Announced = 0, 0, 0, 0
 	}
 	timer := time.NewTimer(time.Duration(r.WaitMs) * time.Millisecond)
 	defer timer.Stop()
@@ -276,12 +280,25 @@
 		view := h.fleet
 		response.Fleet = &view
 	}
-	if r.From.Role == Entry && h.state.Document.Version > r.Document {
-		document := h.state.Document
-		response.Document = &document
-	}
 	response.Evacuation = h.evacuatedSince(r)
-	changes.already = changes.already || len(response.Upstreams) > 0 || len(response.Suspects) > 0 ||
-		response.Fleet != nil || response.Document != nil || response.Evacuation != nil
+	changes.already = h.addDocument(&response, &r) || changes.already || len(response.Upstreams) > 0 || len(response.Suspects) > 0 ||
+		response.Fleet != nil || response.Evacuation != nil
 	return response, changes
 }
+
+// addDocument adds the document's version to a response for an entry VM that fetches it, or the document itself for one of
+// the previous release. It reports whether the response must be sent now. h.mu must be held.
+func (h *hub) addDocument(response *watchResponse, r *watchRequest) (now bool) {
+	document := h.state.Document
+	if r.From.Role != Entry {
+		return false
+	}
+	if r.FetchesDocument {
+		response.DocumentVersion = document.Version
+		return document.Version > max(r.Document, r.Announced)
+	}
+	if document.Version > r.Document {
+		response.Document = &document
+	}
+	return response.Document != nil
+}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -46,6 +46,10 @@
 	Leaving []registry.LeavingNotice `cbor:"8,keyasint,omitempty"`
 	// Evacuation is the sender's version of the zones that are out of service.
 	Evacuation uint64 `cbor:"9,keyasint,omitempty"`
+	// FetchesDocument is set by an entry VM that fetches the document by methodDocument. Announced is the version that the
+	// control VM has announced to it.
+	FetchesDocument bool   `cbor:"20,keyasint,omitempty"`
+	Announced       uint64 `cbor:"21,keyasint,omitempty"`
 }
 
 // watchResponse contains the changes since the versions in a watchRequest.
@@ -59,6 +63,8 @@
 	Suspects         []suspect.Record    `cbor:"7,keyasint,omitempty"`
 	SuspectsVersion  uint64              `cbor:"8,keyasint"`
 	Evacuation       *evacuation         `cbor:"9,keyasint,omitempty"`
+	// DocumentVersion is the version of the control VM's document, if FetchesDocument is set in the request.
+	DocumentVersion uint64 `cbor:"20,keyasint,omitempty"`
 }
 
 // evacuation holds the zones that are out of service.
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -1,7 +1,9 @@
 package node
 
 import (
+	"cmp"
 	"context"
+	"hash/fnv"
 	"slices"
 	"sync"
 	"time"
@@ -44,6 +46,8 @@
 	failOnPanic func(func()) func()
 	// cutOff reports whether this VM reaches no upstream itself; nil means never.
 	cutOff func() bool
+	// documentAnnounced is called with the version of a control VM's document; nil if this VM fetches none.
+	documentAnnounced func(version uint64)
 	// leavingSince returns the notices of upstreams that leave, which were added after a version; nil means none.
 	leavingSince func(version uint64) ([]registry.LeavingNotice, uint64)
 	// evacuationVersion returns this VM's version of the zones that are out of service; nil means 0.
@@ -65,6 +69,7 @@
 	fleetVersion     uint64
 	suspectsVersion  uint64
 	leavingVersion   uint64 // of the notices that the control VM has received
+	documentVersion  uint64 // that the control VM has announced
 	fleet            fleetState
 	lastAnswered     time.Duration // time of the last response, 0 if none
 	lastNamed        time.Duration // when a control VM's report or the seeds last included it
@@ -130,6 +135,7 @@
 	request := watchRequest{
 		From: w.self, Epoch: c.epoch, Upstreams: c.upstreamsVersion, Fleet: c.fleetVersion,
 		Document: w.documentVersion(), WaitMs: watchWait.Milliseconds(), Suspects: c.suspectsVersion,
+		FetchesDocument: w.documentAnnounced != nil, Announced: c.documentVersion,
 	}
 	leavingVersion := c.leavingVersion
 	w.mu.Unlock()
@@ -157,7 +163,7 @@
 	if c.epoch != response.Epoch {
 		c.leavingVersion = 0 // another process, which may not have the earlier notices
 	}
-	c.epoch, c.fleetVersion = response.Epoch, response.FleetVersion
+	c.epoch, c.fleetVersion, c.documentVersion = response.Epoch, response.FleetVersion, response.DocumentVersion
 	if w.self.Role == Entry {
 		c.upstreamsVersion = response.UpstreamsVersion
 	}
@@ -174,6 +180,9 @@
 	}
 	w.mu.Unlock()
 	w.handleUpdate(c.vm, response)
+	if w.documentAnnounced != nil {
+		w.documentAnnounced(response.DocumentVersion)
+	}
 	if response.Fleet != nil {
 		w.publishPeers()
 	}
@@ -234,6 +243,43 @@
 	return append(answering, others...)
 }
 
+// documentSources returns the control VMs that have announced a version of the document or a later one: those that respond
+// first, and among them those of this VM's zone. VMs of equal rank are ordered differently at each VM. awaitsNear is true if
+// none that responds is in this VM's zone, but a control VM there responds.
+func (w *watcher) documentSources(version uint64) (vms []string, awaitsNear bool) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	zones := map[string]string{}
+	for _, c := range w.contacts {
+		for i := range c.fleet.Control {
+			zones[c.fleet.Control[i].VM] = c.fleet.Control[i].Zone
+		}
+	}
+	hasNear := false
+	for vm, c := range w.contacts {
+		near := zones[vm] == w.self.Zone && !c.lost && c.lastAnswered > 0
+		switch {
+		case c.documentVersion >= version:
+			vms = append(vms, vm)
+			hasNear = hasNear || near
+		case near:
+			awaitsNear = true
+		}
+	}
+	rank := func(vm string) int { return 2*boolToInt(w.contacts[vm].lost) + boolToInt(zones[vm] != w.self.Zone) }
+	slices.SortFunc(vms, func(a, b string) int {
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(spread(w.self.VM, a), spread(w.self.VM, b)), cmp.Compare(a, b))
+	})
+	return vms, awaitsNear && !hasNear
+}
+
+// spread returns a number by which a VM orders control VMs of equal rank.
+func spread(self, vm string) uint64 {
+	hash := fnv.New64a()
+	hash.Write([]byte(vm + "\x00" + self))
+	return hash.Sum64()
+}
+
 // controlEpochs returns the epochs of the control VMs that respond.
 func (w *watcher) controlEpochs() map[string]uint64 {
 	w.mu.Lock()
