node: a changed number of entry VMs is not sent to all VMs

Only control VMs use the number, and each of them counts itself. The field stays for VMs of the previous release.

Test: TestHub_EntryVMsDontChangeTheFleet, seen failing without the change to hub.go (go test -run Hub ./internal/node).

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -76,10 +76,12 @@
 	h.changed = make(chan struct{})
 }
 
-// refresh recomputes the fleet's state and reports whether it changed. h.mu must be held.
+// refresh recomputes the fleet's state and reports whether watching VMs must receive it. The number of entry VMs is only
+// used here: each of them that starts or ends would cause the whole state to be sent to all VMs. h.mu must be held.
 func (h *hub) refresh() bool {
 	view := h.currentFleet()
 	if equalFleet(view, h.fleet) {
+		h.fleet.Entries = view.Entries
 		return false
 	}
 	h.fleet = view
@@ -144,9 +146,10 @@
 	return view
 }
 
+// equalFleet reports whether two states are equal, except for the number of entry VMs.
 func equalFleet(a, b fleetState) bool {
 	return slices.Equal(a.Control, b.Control) && slices.Equal(a.Stores, b.Stores) &&
-		slices.EqualFunc(a.Shards, b.Shards, slices.Equal[[]string]) && slices.Equal(a.Emptying, b.Emptying) && a.Entries == b.Entries
+		slices.EqualFunc(a.Shards, b.Shards, slices.Equal[[]string]) && slices.Equal(a.Emptying, b.Emptying)
 }
 
 // entryCount returns the number of entry VMs that are running.
--- a/internal/node/hub_test.go
+++ b/internal/node/hub_test.go
@@ -54,6 +54,33 @@
 	require.Empty(t, h.members)
 }
 
+// TestHub_EntryVMsDontChangeTheFleet guards against the fleet's state being sent to all VMs whenever an entry VM starts or
+// ends, while changes of store VMs must be sent.
+func TestHub_EntryVMsDontChangeTheFleet(t *testing.T) {
+	now := time.Hour
+	h := newTestHub(func() time.Duration { return now })
+	watch := func(info vmInfo) {
+		h.recordWatch(info, 1)
+		h.recordWatch(info, -1)
+	}
+	watch(vmInfo{VM: "s", Role: Store, Zone: "a"})
+	version := h.fleetVersion
+	for i := range 77 {
+		watch(vmInfo{VM: fmt.Sprint("e", i), Role: Entry, Zone: "a"})
+		require.Equal(t, i+1, h.entryCount())
+	}
+	require.Equal(t, version, h.fleetVersion)
+	now += memberTimeout / 2
+	watch(vmInfo{VM: "s", Role: Store, Zone: "a"})
+	now += memberTimeout/2 + time.Millisecond
+	h.expireMembers()
+	require.Zero(t, h.entryCount())
+	require.Equal(t, version, h.fleetVersion)
+	now += memberTimeout
+	h.expireMembers()
+	require.Equal(t, version+1, h.fleetVersion, "the store VM fell silent")
+}
+
 // BenchmarkHub_Watch measures the begin and the end of one watch request at a control VM at rest.
 func BenchmarkHub_Watch(b *testing.B) {
 	for _, vms := range []int{30, 100, 300, 1000} {
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -84,7 +84,7 @@
 	Stores   []vmInfo   `cbor:"2,keyasint"`
 	Shards   [][]string `cbor:"3,keyasint"` // the initial members of each group of the store
 	Emptying []string   `cbor:"4,keyasint"`
-	Entries  int        `cbor:"5,keyasint"`
+	Entries  int        `cbor:"5,keyasint"` // when the state was sent; a change of it alone is not sent
 }
 
 // storeStatus is a store VM's response to methodStatus.
