raft: store groups send a commit index with appends and periodic heartbeats only

After each commit the leader sent a heartbeat to every member; its reply made the leader send an empty append if newer entries were unacknowledged, which was answered again.

It is set for store groups, whose state is only read at the leader; a new leader has all entries and commits them with its first own one. Acknowledgements don't change. The control group keeps the extra message: its members distribute the state.

--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -141,6 +141,7 @@
 		},
 		Machine: turns.New(), Transport: groups.Transport{Network: n.network},
 		SnapshotEvery: storeSnapshotEntries, SnapshotBytes: s.maxLogBytes, Events: n.events, ElectionTicks: electionTicks,
+		CommitAtHeartbeat: true, // turns are answered by the leader; the others apply them to take over
 	})
 	if err != nil {
 		return err
--- a/internal/raft/raft.go
+++ b/internal/raft/raft.go
@@ -85,6 +85,10 @@
 	// DurableCommit persists the commit index before the entries up to it are applied, so that
 	// right after a restart a replica has every entry that it had applied. It costs a sync.
 	DurableCommit bool
+	// CommitAtHeartbeat makes the leader send a new commit index with the next append or periodic heartbeat only, and not
+	// in messages of its own. It saves a heartbeat and its reply for each member and commit, but members apply entries later,
+	// by up to a heartbeat interval.
+	CommitAtHeartbeat bool
 	// State is the durable state to start from.
 	State State
 }
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -164,8 +164,11 @@
 }
 
 // broadcastCommit sends the new commit index to the members that have been sent all entries, without
-// waiting for the periodic heartbeat.
+// waiting for the periodic heartbeat, unless CommitAtHeartbeat is set.
 func (r *Raft) broadcastCommit() {
+	if r.options.CommitAtHeartbeat {
+		return
+	}
 	for _, m := range r.confs.current().Members {
 		p := r.progress[m.Id]
 		if m.Id == r.id || p.mode != streaming || p.next <= r.log.lastIndex() {
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -118,7 +118,8 @@
 		machine: r.options.Machine, electionTicks: r.options.ElectionTicks, heartbeatTicks: r.options.HeartbeatTicks,
 		snapshotEvery: r.options.SnapshotEvery, snapshotBytes: r.options.SnapshotBytes,
 		maxMessageBytes: r.options.MaxMessageBytes, seed: r.options.Seed, durableCommit: r.options.DurableCommit,
-		send: r.options.Transport.Send, events: r.options.Events,
+		commitAtHeartbeat: r.options.CommitAtHeartbeat,
+		send:              r.options.Transport.Send, events: r.options.Events,
 	}, store, state)
 	if err != nil {
 		return errors.CombineErrors(errors.Wrapf(err, "replica: %s", store.Path()), store.Close())
--- a/internal/replica/node.go
+++ b/internal/replica/node.go
@@ -36,8 +36,10 @@
 	maxMessageBytes int
 	seed            int64
 	durableCommit   bool
-	send            func(vm string, m *raftpb.Message)
-	events          *events.Logger
+	// commitAtHeartbeat is Options.CommitAtHeartbeat.
+	commitAtHeartbeat bool
+	send              func(vm string, m *raftpb.Message)
+	events            *events.Logger
 }
 
 // node implements a replica without goroutines, clocks or sockets: the Raft core, its
@@ -91,8 +93,8 @@
 		HeartbeatTicks: n.options.heartbeatTicks, MaxMessageBytes: n.options.maxMessageBytes,
 		// Mixing in the ID keeps replicas that share a seed from timing out simultaneously.
 		Seed:          n.options.seed ^ int64(n.store.Identity().Replica),
-		DurableCommit: n.options.durableCommit,
-		State:         state,
+		DurableCommit: n.options.durableCommit, CommitAtHeartbeat: n.options.commitAtHeartbeat,
+		State: state,
 	})
 	n.raft = core
 	return err
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -85,6 +85,9 @@
 	// Otherwise it starts with only the entries it can prove to be committed. Costs one sync
 	// per commit.
 	DurableCommit bool
+	// CommitAtHeartbeat lets the other replicas apply a command up to a heartbeat interval after the leader, which saves
+	// messages. It is for groups whose state is only read at the leader.
+	CommitAtHeartbeat bool
 	// Seed seeds the random election timeouts; 0 selects a random seed.
 	Seed int64
 	// Events receives the replica's events; may be nil.
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -151,9 +151,11 @@
 	lastRepair int
 	// smallMessages is set if snapshots are sent in chunks; chunks counts the chunks sent.
 	smallMessages bool
-	chunks        int
-	memberCount   int
-	err           error
+	// commitAtHeartbeat is set if the leader sends a new commit index with appends and periodic heartbeats only.
+	commitAtHeartbeat bool
+	chunks            int
+	memberCount       int
+	err               error
 	// openGroup is set if the group has open membership; see simopen_test.go.
 	openGroup *openGroupSim
 }
@@ -167,7 +169,7 @@
 )
 
 func newSimulation(seed int64) *simulation {
-	s := &simulation{random: rand.New(rand.NewSource(seed)), checker: invariant.New(), cutLinks: map[[2]string]bool{}, faults: true, smallMessages: seed%2 == 1}
+	s := &simulation{random: rand.New(rand.NewSource(seed)), checker: invariant.New(), cutLinks: map[[2]string]bool{}, faults: true, smallMessages: seed%2 == 1, commitAtHeartbeat: seed%8 >= 4}
 	size := 3
 	if seed%4 == 3 {
 		size = 5
@@ -217,7 +219,7 @@
 	options := nodeOptions{
 		group: 1, vm: m.vm, initialVMs: s.initial, machine: m.app,
 		electionTicks: simElectionTicks, heartbeatTicks: simHeartbeatTicks, snapshotEvery: simSnapshotEvery,
-		seed: s.random.Int63(), send: func(vm string, message *raftpb.Message) { s.transmit(m.vm, vm, message) },
+		seed: s.random.Int63(), commitAtHeartbeat: s.commitAtHeartbeat, send: func(vm string, message *raftpb.Message) { s.transmit(m.vm, vm, message) },
 	}
 	if s.smallMessages {
 		options.maxMessageBytes = simSmallMessageBytes
