node: record the zones of entry VMs that open tunnels

Fixes a panic of: the map of zones was never created, so an entry VM that asked for a detour ended. Seen in go test ./platform (TestFleet partition tests). The meter of served tunnels was not set either, so their bytes were not counted.

Test: TestDetours_ZonesOfEntryVMs.

--- a/internal/node/detours.go
+++ b/internal/node/detours.go
@@ -112,7 +112,7 @@
 
 func newDetours(e *entry) *detours {
 	n := e.node
-	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, leavingLimit: proxy.LeavingLimit(n.settings.Drain), evacuated: e.evacuations.contains, lastKnown: true}
+	d := &detours{node: n, direct: n.opts.DialUpstream, directory: e.directory, leavingLimit: proxy.LeavingLimit(n.settings.Drain), evacuated: e.evacuations.contains, lastKnown: true, bytes: n.bytes}
 	if d.direct == nil {
 		d.direct = upconn.Dial
 	}
@@ -296,8 +296,8 @@
 func (d *detours) recordZones(r *entryVMsResponse) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if len(d.zones) > maxKnownZones {
-		clear(d.zones)
+	if d.zones == nil || len(d.zones) > maxKnownZones {
+		d.zones = map[string]string{}
 	}
 	for i, vm := range r.VMs {
 		if i < len(r.Zones) && r.Zones[i] != "" {
--- a/internal/node/detours_test.go
+++ b/internal/node/detours_test.go
@@ -53,6 +53,23 @@
 	}
 }
 
+// TestDetours_ZonesOfEntryVMs guards against tunnels whose bytes are counted for an unknown zone, and against responses of
+// control VMs of the previous release, which state no zones.
+func TestDetours_ZonesOfEntryVMs(t *testing.T) {
+	h := newTestHub(func() time.Duration { return time.Minute })
+	h.recordWatch(vmInfo{VM: "e1", Zone: "b", Role: Entry}, 0)
+	answer, err := h.handleEntryVMs(t.Context(), "e0", encode(entryVMsRequest{From: vmInfo{VM: "e0", Zone: "a", Role: Entry}}))
+	require.NoError(t, err)
+	response, err := decode[entryVMsResponse](answer)
+	require.NoError(t, err)
+	d := &detours{}
+	require.Empty(t, d.zoneOf("e1"))
+	d.recordZones(&entryVMsResponse{VMs: []string{"e1"}})
+	require.Empty(t, d.zoneOf("e1"))
+	d.recordZones(&response)
+	require.Equal(t, "b", d.zoneOf("e1"))
+}
+
 // TestDetours_Serve checks what an entry VM opens for another one: connections to registered upstreams, up to a
 // number, and none through a third VM.
 func TestDetours_Serve(t *testing.T) {
