peer: leave out what messages repeat

On a message stream, sender and kind are left out if they are those of the message before; raft messages then also lack the names of their VMs, which the receiver restores. The VM that serves the stream says in the payload of its first heartbeat that it does so. The previous release never says so and gets complete messages; it ignores the payload. The heartbeats of the serving VM no longer name it: the dialing VM never read the name.

--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -83,8 +83,17 @@
 	Network Network
 }
 
-// Send sends a raft message to the replica of its group on vm.
+// compactNetwork is a Network that knows whether a VM restores what messages leave out.
+type compactNetwork interface {
+	Compact(vm string) bool
+}
+
+// Send sends a raft message to the replica of its group on vm. The names of the two VMs are left out if the receiver restores
+// them: together they are a third of a small message.
 func (t Transport) Send(vm string, m *raftpb.Message) {
+	if network, ok := t.Network.(compactNetwork); ok && network.Compact(vm) {
+		m.FromVm, m.ToVm = "", ""
+	}
 	data, err := proto.Marshal(m)
 	if err != nil {
 		return // drop the message; raft resends it if needed
@@ -112,9 +121,9 @@
 type Replicas map[uint64]*replica.Replica
 
 // HandleRaft passes a raft message from another VM to the local replica of its group.
-func (r Replicas) HandleRaft(_ string, payload []byte) {
-	m := &raftpb.Message{}
-	if proto.Unmarshal(payload, m) != nil {
+func (r Replicas) HandleRaft(from string, payload []byte) {
+	m, ok := decodeMessage(from, payload)
+	if !ok {
 		return
 	}
 	if local, ok := r[m.GetGroup()]; ok {
@@ -122,6 +131,18 @@
 	}
 }
 
+// decodeMessage decodes a raft message and restores the sender's name.
+func decodeMessage(from string, payload []byte) (*raftpb.Message, bool) {
+	m := &raftpb.Message{}
+	if proto.Unmarshal(payload, m) != nil {
+		return nil, false
+	}
+	if m.FromVm == "" {
+		m.FromVm = from
+	}
+	return m, true
+}
+
 // HandlePropose serves MethodPropose.
 func (r Replicas) HandlePropose(ctx context.Context, _ string, payload []byte) ([]byte, error) {
 	local, req, err := r.find(payload)
--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -31,6 +31,8 @@
 	vm    string
 	queue *queue
 	up    atomic.Bool
+	// compact is set while the stream is up and the other VM accepts envelopes without sender and kind.
+	compact atomic.Bool
 	// everUp is set once the stream has been up: if it is down now, the outage may last.
 	everUp   atomic.Bool
 	liveness livenessMonitor
@@ -125,6 +127,7 @@
 // for HeartbeatTimeout.
 func (l *link) runStream(ctx context.Context, cancel func(), stream peerpb.DRPCPeer_MessagesClient, counted *countedConn) error {
 	l.liveness.touch()
+	defer l.compact.Store(false)
 	var wg conc.WaitGroup
 	defer wg.Wait()
 	// cancel closes the transport, which ends the timeout watcher and the reader.
@@ -137,14 +140,15 @@
 		defer cancel()
 		l.receive(stream, counted)
 	})
-	return l.sendLoop(ctx, &countedSender{messageSender: stream, counted: counted})
+	return l.sendLoop(ctx, &countedSender{messageSender: &compactSender{messageSender: stream, accepted: &l.compact}, counted: counted})
 }
 
 // receive processes heartbeats from the other VM until the stream fails. The first one marks the
 // link as up.
 func (l *link) receive(stream peerpb.DRPCPeer_MessagesClient, counted *countedConn) {
 	for {
-		if _, err := stream.Recv(); err != nil {
+		envelope, err := stream.Recv()
+		if err != nil {
 			return
 		}
 		counted.attributeReceived(KindHeartbeat, nil)
@@ -153,6 +157,9 @@
 		}
 		l.liveness.touch()
 		l.everUp.Store(true)
+		if statesCompact(envelope) {
+			l.compact.Store(true)
+		}
 		if !l.up.Swap(true) {
 			l.node.opts.Events.Emit(events.PeerConnected, zap.String("peer", l.vm))
 		}
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -76,11 +76,13 @@
 // name in from.
 func (s *server) receive(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], liveness *livenessMonitor) error {
 	var counted *countedConn
+	var restore compactReceiver
 	for {
 		envelope, err := stream.Recv()
 		if err != nil {
 			return err
 		}
+		restore.expand(envelope)
 		if err := s.checkSender(stream.Context(), envelope.From); err != nil {
 			return err
 		}
@@ -106,6 +108,7 @@
 	defer heartbeat.Stop()
 	timeout := time.NewTimer(HeartbeatTimeout)
 	defer timeout.Stop()
+	state := acceptsCompact
 	for {
 		select {
 		case err := <-failed:
@@ -123,9 +126,11 @@
 		if name := from.Load(); name != nil && s.node.cutTo(*name) {
 			continue
 		}
-		if err := stream.Send(&peerpb.Envelope{From: s.node.opts.VM}); err != nil {
+		// The dialing VM knows whom it has dialed.
+		if err := stream.Send(&peerpb.Envelope{Payload: state}); err != nil {
 			return err
 		}
+		state = nil
 		if name := from.Load(); name != nil {
 			countedFrom(stream.Context(), *name).attributeSent(KindHeartbeat, nil)
 		}
