groups: entries go to each other zone once

In store groups the leader now sends the entries to the first VM of each other zone, and asks it by a small message (kind group.forward) to pass them on to the next replica of its zone. Only the path of a message differs; raft's rules don't. A VM that doesn't respond, is of the previous release, freezes, or passes on too late is no longer asked: the receiver then gets its appends directly for 3 s. Entries are only passed on if index, term, formation and sender are those that the leader means.

Tests: TestForwardingPlan* (which path a message takes), TestForwardingTransport* (same message as directly; previous release; entries of an earlier term or formation are not passed on), TestForwarding_Replicas (6 replicas in 3 zones, the VM that passes on is frozen or ignores requests, noticed or not). go test -race ./internal/groups, go test ./internal/node: ok.

--- a/internal/groups/groups.go
+++ b/internal/groups/groups.go
@@ -122,12 +122,8 @@
 
 // HandleRaft passes a raft message from another VM to the local replica of its group.
 func (r Replicas) HandleRaft(from string, payload []byte) {
-	m, ok := decodeMessage(from, payload)
-	if !ok {
-		return
-	}
-	if local, ok := r[m.GetGroup()]; ok {
-		local.Step(m)
+	if m, ok := decodeMessage(from, payload); ok {
+		r.Step(m)
 	}
 }
 
--- a/internal/node/bytes.go
+++ b/internal/node/bytes.go
@@ -38,6 +38,8 @@
 		return zonebytes.Relayed
 	case groups.KindRaft:
 		return raftPurpose(groups.MessageType(payload))
+	case groups.KindForward:
+		return zonebytes.Append
 	case groups.MethodPropose:
 		if n.settings.Role == Control {
 			return zonebytes.Control
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -12,6 +12,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/groups"
 	"egretramp/internal/raft"
@@ -36,7 +37,8 @@
 // store is the role of a store VM. It replicates budgets and conversations: it holds a replica of each
 // group of the store that is assigned to the VM.
 type store struct {
-	node *Node
+	node      *Node
+	transport *groups.ForwardingTransport // of all groups
 
 	mu       sync.Mutex
 	replicas map[uint64]*replica.Replica
@@ -46,7 +48,13 @@
 
 func newStore(n *Node) *store {
 	s := &store{node: n, replicas: map[uint64]*replica.Replica{}}
-	n.network.HandleMessages(groups.KindRaft, func(from string, payload []byte) { s.heldReplicas().HandleRaft(from, payload) })
+	s.transport = groups.NewForwardingTransport(n.network, n.self.Zone, n.watcher.zoneOf, clock.Now)
+	n.network.HandleMessages(groups.KindRaft, func(from string, payload []byte) {
+		if m, ok := s.transport.Receive(from, payload); ok {
+			s.heldReplicas().Step(m)
+		}
+	})
+	n.network.HandleMessages(groups.KindForward, s.transport.Forward)
 	n.network.HandleCalls(groups.MethodPropose, func(ctx context.Context, from string, payload []byte) ([]byte, error) {
 		return s.heldReplicas().HandlePropose(ctx, from, payload)
 	})
@@ -139,7 +147,7 @@
 		OpenStore: func(folder string, fresh *raftpb.Identity) (replica.Store, raft.State, error) {
 			return wal.Open(folder, fresh)
 		},
-		Machine: turns.New(), Transport: groups.Transport{Network: n.network},
+		Machine: turns.New(), Transport: s.transport,
 		SnapshotEvery: storeSnapshotEntries, SnapshotBytes: s.maxLogBytes, Events: n.events, ElectionTicks: electionTicks,
 		CommitAtHeartbeat: true, // turns are answered by the leader; the others apply them to take over
 	})
--- a/internal/peer/compact.go
+++ b/internal/peer/compact.go
@@ -66,3 +66,9 @@
 	l := n.link(vm)
 	return l != nil && l.compact.Load()
 }
+
+// Responds reports whether the message stream to vm is up and something was received on it within SuspectTimeout.
+func (n *Node) Responds(vm string) bool {
+	l := n.link(vm)
+	return l != nil && l.healthy()
+}
