node, proxy: share the load at upstreams with the requests for permits

Entry VMs report their load with the requests for permits and place requests by the load of all VMs, if a service has fewer slots for each VM than one of its upstreams.

Reports and views are optional fields of quota.Request and quota.Grant. Log lines carry load_age; metrics show the age of the view and what was rejected; events 2443 and 2444 say when a VM has no fresh view.

--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -42,4 +42,7 @@
 	UpstreamColdEnded       = define(2438, zapcore.InfoLevel, "an upstream is no longer cold, earlier than it said before", "")
 	ZoneRestored            = define(2439, zapcore.InfoLevel, "a zone returned to service; its upstreams count as cold until they say otherwise", "")
 	NodeLogDropped          = define(2415, zapcore.WarnLevel, "log lines were dropped because they were logged faster than they could be written", "")
+
+	SharedLoadFresh = define(2443, zapcore.InfoLevel, "this VM knows the load that all entry VMs cause at upstreams", "")
+	SharedLoadStale = define(2444, zapcore.WarnLevel, "this VM no longer knows the load that other entry VMs cause at upstreams; it places requests by its own load", "check the network between this VM and the control VMs, and their release")
 )
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/prometheus/client_golang/prometheus"
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
@@ -100,6 +101,9 @@
 		return append([]string{n.self.VM}, n.watcher.controlVMs()...)
 	}, controlAttemptTimeout)
 	c.coordinator = &coordinator{clock: clock.Now, leadership: c.leadership, entryCount: c.hub.entryCount, table: c.table.Load}
+	n.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "egretramp_shared_load_reports_rejected_total", Help: "Reports of load that this VM, as the coordinator, ignored because they are late, repeated or can't be true.",
+	}, c.coordinator.rejectedReports))
 	n.network.HandleMessages(groups.KindRaft, c.replicas.HandleRaft)
 	n.network.HandleCalls(groups.MethodPropose, c.replicas.HandlePropose)
 	n.network.HandleCalls(groups.MethodQuery, c.replicas.HandleQuery)
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -21,6 +21,7 @@
 	"egretramp/internal/reach"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/sharedload"
 	"egretramp/internal/suspect"
 )
 
@@ -38,6 +39,7 @@
 	table     atomic.Pointer[routing.Snapshot]
 	ledger    *ledger
 	permits   *permitLimiter
+	load      *loadSharer
 	suspects  *suspect.Tracker
 	reporter  *strikeReporter
 	proxy     *proxy.Server
@@ -82,7 +84,12 @@
 	}
 	shards := func() int { return len(n.watcher.stores().shards) }
 	e.ledger = newLedger(groups.NewDynamicClient(n.network, storeVMs, storeAttemptTimeout), shards, n.events)
+	e.load = &loadSharer{
+		clock: clock.Now, directory: e.directory, samples: func() []sharedload.Sample { return e.proxy.LoadSamples() }, events: n.events,
+		holder: sharedload.NewHolder(newEpoch(), n.settings.Zone),
+	}
 	e.permits = &permitLimiter{
+		load: e.load,
 		self: n.self.VM, table: e.table.Load,
 		groups: groups.NewDynamicClient(n.network, func(uint64) []string { return n.watcher.controlVMs() }, permitAttemptTimeout),
 		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
@@ -93,7 +100,13 @@
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
 		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics), Bytes: n.bytes,
+		Load: e.load.upstream, LoadOrigins: e.load.origins,
 	})
+	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretramp_shared_load_age_seconds", Help: "Age of what this VM knows of the load that all entry VMs cause; -1 if it places requests by its own load.",
+	}, e.load.viewAge), prometheus.NewCounterFunc(prometheus.CounterOpts{
+		Name: "egretramp_shared_load_rejected_total", Help: "Answers with the load of all VMs that were ignored because they can't be true.",
+	}, e.load.rejectedViews))
 	n.metrics.MustRegister(evacuationGauge(e.evacuations.count), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_upstream_rate_limits", Help: "Upstreams that state a rate limit, those whose limit ended within the last 30 s included.",
 	}, func() float64 { return float64(e.permits.limitCount.Load()) }))
--- /dev/null
+++ b/internal/node/loadsharer.go
@@ -0,0 +1,125 @@
+package node
+
+import (
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"egretramp/internal/events"
+	"egretramp/internal/registry"
+	"egretramp/internal/sharedload"
+)
+
+// reportInterval is the shortest time between two reports of load. Callers that wait for permits cause requests more often
+// than that, and a view that is sent at most every 100 ms gains nothing from more.
+const reportInterval = 50 * time.Millisecond
+
+// loadSharer shares the load at upstreams with the other entry VMs, with the requests for permits. It is safe for
+// concurrent use. A nil *loadSharer shares nothing.
+type loadSharer struct {
+	clock     func() time.Duration
+	directory *registry.Directory
+	samples   func() []sharedload.Sample
+	events    *events.Logger
+
+	mu       sync.Mutex
+	holder   *sharedload.Holder
+	reported time.Duration // time of the last report
+	enabled  bool
+	fresh    bool // as last logged
+}
+
+// report returns the report to send now, nil for none. vms is the number of entry VMs.
+func (l *loadSharer) report(now time.Duration, vms int) *sharedload.Request {
+	if l == nil {
+		return nil
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.reported != 0 && now-l.reported < reportInterval {
+		return nil
+	}
+	l.reported = now
+	processes, needed := l.processes(vms)
+	l.logChange(now)
+	l.enabled = needed
+	if !needed {
+		return nil
+	}
+	samples := l.samples()
+	return l.holder.Report(now, samples, processes)
+}
+
+// processes returns the upstreams' processes, and whether the load of other VMs is needed to place requests.
+func (l *loadSharer) processes(vms int) (processes []string, needed bool) {
+	for _, list := range l.directory.View().Services {
+		slots := make([]int, 0, len(list))
+		for i := range list {
+			slots = append(slots, list[i].Slots)
+			processes = append(processes, list[i].Process())
+		}
+		needed = needed || sharedload.Needed(slots, vms)
+	}
+	return processes, needed
+}
+
+// apply applies the coordinator's answer to a report that was sent at sent.
+func (l *loadSharer) apply(sent time.Duration, g *sharedload.Grant) {
+	if l == nil {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.holder.Apply(sent, g)
+	l.logChange(l.clock())
+}
+
+// logChange logs when a VM that shares load begins or ceases to have a fresh view. l.mu must be held.
+func (l *loadSharer) logChange(now time.Duration) {
+	age, fresh := l.holder.Age(now)
+	if fresh == l.fresh || !l.enabled {
+		return
+	}
+	l.fresh = fresh
+	if fresh {
+		l.events.Emit(events.SharedLoadFresh, zap.Duration("age", age))
+	} else {
+		l.events.Emit(events.SharedLoadStale)
+	}
+}
+
+// upstream implements proxy.Options.Load.
+func (l *loadSharer) upstream(u registry.Upstream) (sharedload.Upstream, bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if !l.enabled {
+		return sharedload.Upstream{}, false
+	}
+	return l.holder.Upstream(l.clock(), u.Process())
+}
+
+// origins implements proxy.Options.LoadOrigins.
+func (l *loadSharer) origins() []sharedload.Origin {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.holder.Origins(l.clock())
+}
+
+// viewAge returns the age of the view in seconds, -1 without a fresh one.
+func (l *loadSharer) viewAge() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	age, fresh := l.holder.Age(l.clock())
+	if !fresh || !l.enabled {
+		return -1
+	}
+	return age.Seconds()
+}
+
+// rejectedViews returns the number of views that were ignored because they can't be true.
+func (l *loadSharer) rejectedViews() float64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return float64(l.holder.Rejected())
+}
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -13,6 +13,7 @@
 	"egretramp/internal/quota"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/sharedload"
 )
 
 const (
@@ -53,6 +54,8 @@
 	view func() *registry.View
 	// coldTaken and coldRefused count the requests for a permit to send to a cold upstream.
 	coldTaken, coldRefused atomic.Int64
+	// load shares the load at upstreams with the other VMs; nil for not.
+	load *loadSharer
 }
 
 // permitRound is one request for permits to the coordinator.
@@ -158,8 +161,12 @@
 	}
 	requestedAt := p.clock()
 	p.round, p.roundStarted = round, requestedAt
+	load := p.load.report(requestedAt, p.holder.Holders())
 	go func() {
-		grant, err := p.requestGrant(quota.Request{VM: p.self, Wants: wants, Returns: returns, Upstreams: upstreams})
+		grant, err := p.requestGrant(quota.Request{VM: p.self, Wants: wants, Returns: returns, Upstreams: upstreams, Load: load})
+		if err == nil {
+			p.load.apply(requestedAt, grant.Load)
+		}
 		p.mu.Lock()
 		p.handleGrant(grant, err)
 		if err == nil {
@@ -224,6 +231,7 @@
 	term       uint64
 	grants     *quota.Coordinator
 	upstreams  *quota.UpstreamCoordinator
+	loads      *sharedload.Coordinator
 	rates      func(string) (quota.Rate, bool)
 	ratedTable *routing.Snapshot
 }
@@ -244,6 +252,7 @@
 	if c.grants == nil || c.term != term {
 		c.term, c.grants = term, quota.NewCoordinator(now)
 		c.upstreams = quota.NewUpstreamCoordinator(now, term)
+		c.loads = sharedload.NewCoordinator(term)
 	}
 	if table := c.table(); table != c.ratedTable || c.rates == nil {
 		c.ratedTable, c.rates = table, rateLookup(table)
@@ -254,5 +263,19 @@
 		upstreams := c.upstreams.Grant(now, r.VM, *r.Upstreams, known)
 		grant.Upstreams = &upstreams
 	}
+	if r.Load != nil {
+		load := c.loads.Grant(now, r.VM, *r.Load)
+		grant.Load = &load
+	}
 	return encode(grant), nil
 }
+
+// rejectedReports returns the reports of load that the coordinator ignored because they can't be true.
+func (c *coordinator) rejectedReports() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.loads == nil {
+		return 0
+	}
+	return float64(c.loads.Rejected())
+}
--- a/internal/node/upstreamlimits_test.go
+++ b/internal/node/upstreamlimits_test.go
@@ -28,11 +28,13 @@
 	gate        chan struct{} // calls wait until it is closed; nil for none
 	// older makes the coordinator answer as one of a release without limits of upstreams.
 	older bool
+	// olderLoad makes it answer as one of a release that doesn't share the load at upstreams.
+	olderLoad bool
 }
 
 func (n *permitNetwork) Call(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
 	n.mu.Lock()
-	c, cut, older, gate := n.coordinator, n.cut, n.older, n.gate
+	c, cut, older, olderLoad, gate := n.coordinator, n.cut, n.older, n.olderLoad, n.gate
 	n.calls++
 	n.mu.Unlock()
 	if gate != nil {
@@ -43,9 +45,12 @@
 	}
 	time.Sleep(time.Millisecond)
 	answer, err := c.handle(ctx, vm, payload)
-	if err == nil && older {
+	if err == nil && (older || olderLoad) {
 		grant, decodeErr := decode[quota.Grant](answer)
-		grant.Upstreams = nil
+		if older {
+			grant.Upstreams = nil
+		}
+		grant.Load = nil
 		return encode(grant), decodeErr
 	}
 	return answer, err
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"egretramp/internal/balance"
+	"egretramp/internal/clock"
 	"egretramp/internal/registry"
 )
 
@@ -58,6 +59,7 @@
 	avoidUntil          time.Time // the upstream counts as failing until then
 	heardAt             time.Time // last response or event
 	service             string
+	recent              loadCounts
 }
 
 func newHealth() *health {
@@ -90,7 +92,9 @@
 func (h *health) requestStarted(id string) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.stats(id).inflight++
+	r := h.stats(id)
+	r.inflight++
+	r.recent.now(clock.Now()).attempts++
 }
 
 func (h *health) requestEnded(id string) {
@@ -143,6 +147,7 @@
 	}
 	r.eventGap += time.Duration(eventGapWeight * float64(gap-r.eventGap))
 	r.eventGapAt = time.Now()
+	r.recent.now(clock.Now()).events++
 	r.heardAt = r.eventGapAt
 	idleGap := time.Duration(float64(h.idleEventGaps[service]) * idleEventGapGrowth)
 	if r.eventGap > minEventGap && (idleGap == 0 || r.eventGap < idleGap) {
@@ -185,6 +190,7 @@
 
 func (r *upstreamStats) addFailure() {
 	r.consecutiveFailures++
+	r.recent.now(clock.Now()).failed++
 	r.avoidUntil = time.Now().Add(min(time.Duration(r.consecutiveFailures)*failureBackoff, maxFailureBackoff))
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -25,6 +25,7 @@
 	"egretramp/internal/quota"
 	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/sharedload"
 	"egretramp/internal/suspect"
 	"egretramp/internal/turns"
 	"egretramp/internal/upconn"
@@ -209,6 +210,10 @@
 	Evacuated func(zone string) bool
 	// Isolated reports whether a partition separates this VM from the store; nil means never.
 	Isolated func() bool
+	// Load returns the load that the other VMs cause at an upstream, false if it isn't known; nil for never.
+	Load func(u registry.Upstream) (sharedload.Upstream, bool)
+	// LoadOrigins returns the attempts by zone, as of the same view; nil for none.
+	LoadOrigins func() []sharedload.Origin
 	// Drain is how long an upstream serves after it announced its shutdown.
 	Drain   time.Duration
 	Events  *events.Logger
@@ -251,6 +256,12 @@
 	if opts.Evacuated == nil {
 		opts.Evacuated = func(string) bool { return false }
 	}
+	if opts.Load == nil {
+		opts.Load = func(registry.Upstream) (sharedload.Upstream, bool) { return sharedload.Upstream{}, false }
+	}
+	if opts.LoadOrigins == nil {
+		opts.LoadOrigins = func() []sharedload.Origin { return nil }
+	}
 	if opts.Dial == nil {
 		opts.Dial = upconn.Dial
 	}
@@ -323,6 +334,7 @@
 	storedHome      string              // the home that the store knows, empty if it wasn't asked or knows none
 	newHome         string              // the upstream that will hold the line's prompt, empty if that doesn't change
 	turnBeginTime   time.Duration       // time that the store took to begin the turn
+	loadAge         time.Duration       // of the load of all VMs that the upstream was chosen by; 0 before, -1 for own load
 	fingerprint     suspect.Fingerprint // empty until requestFingerprint is called
 }
 
@@ -604,6 +616,9 @@
 	if x.call.LastEventID != "" || x.call.Resumes != "" {
 		fields = append(fields, zap.String("resumes", x.call.Resumes), zap.String("after", x.call.LastEventID))
 	}
+	if x.loadAge > 0 {
+		fields = append(fields, zap.Duration("load_age", x.loadAge))
+	}
 	if x.turnBeginTime > 0 {
 		fields = append(fields, zap.Duration("begin", x.turnBeginTime))
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -194,6 +194,7 @@
 	case x.route.Sticky && x.call.Object != "":
 		request.Affinity, request.AffinityGain = x.call.Object, objectAffinityGain
 	}
+	x.addFleetLoad(upstreams, candidates, &request)
 	i := balance.Pick(candidates, request)
 	if i < 0 {
 		return registry.Upstream{}, false, wait
--- /dev/null
+++ b/internal/proxy/sharedload_test.go
@@ -0,0 +1,82 @@
+package proxy
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/balance"
+	"egretramp/internal/clock"
+	"egretramp/internal/registry"
+	"egretramp/internal/sharedload"
+)
+
+// TestServer_LoadOfOtherVMs: other VMs have filled one of two upstreams, of which this VM's own requests say nothing.
+func TestServer_LoadOfOtherVMs(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("busy", respondWith("busy"))
+	g.upstream("free", respondWith("free"))
+	known := true
+	g.server.opts.Load = func(u registry.Upstream) (sharedload.Upstream, bool) {
+		if u.ID == "busy" {
+			return sharedload.Upstream{Others: 500, Age: 100 * time.Millisecond}, known
+		}
+		return sharedload.Upstream{Age: 100 * time.Millisecond}, known
+	}
+	g.server.opts.LoadOrigins = func() []sharedload.Origin { return []sharedload.Origin{{Zone: "z", PerSecond: 100}} }
+	answers := func() map[string]int {
+		counts := map[string]int{}
+		for i := range 30 {
+			counts[g.call(fmt.Sprint(known, i), "/safe/x").body]++
+		}
+		return counts
+	}
+	require.Equal(t, map[string]int{"free": 30}, answers())
+	known = false
+	require.Len(t, answers(), 2, "without a fresh view the VM's own load decides")
+}
+
+// TestServer_LoadSamples: what other VMs need is reported by process, and ends a second after the last attempt.
+func TestServer_LoadSamples(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("a", respondWith("a"))
+	g.upstream("reset", func(*http.Request, net.Conn) bool { return false })
+	require.Empty(t, g.server.LoadSamples())
+	g.call("1", "/safe/x")
+	samples := g.server.LoadSamples()
+	require.NotEmpty(t, samples)
+	for _, s := range samples {
+		require.Positive(t, s.Attempts)
+		require.Zero(t, s.Inflight)
+		require.Contains(t, []string{"a@1", "reset@1"}, s.Process)
+	}
+	require.Empty(t, g.server.health.samples(clock.Now()+2*time.Second, g.server.opts.Directory.View()))
+}
+
+func TestLoadCounts_LastSecond(t *testing.T) {
+	var l loadCounts
+	for i := range 40 { // 10 a second
+		l.now(time.Hour+time.Duration(i)*100*time.Millisecond).attempts++
+	}
+	require.InDelta(t, 10, l.sum(time.Hour+4*time.Second).attempts, 5)
+	require.Zero(t, l.sum(time.Hour+6*time.Second).attempts)
+}
+
+// TestExchange_CostOfOtherZone: the cost grows with the bytes of the conversation, and with the turns that will follow.
+func TestExchange_CostOfOtherZone(t *testing.T) {
+	g := newFixture(t)
+	g.server.opts.Load = func(registry.Upstream) (sharedload.Upstream, bool) { return sharedload.Upstream{}, true }
+	cost := func(program string, bytes int) time.Duration {
+		x := &exchange{server: g.server, body: make([]byte, bytes), call: Call{Program: program}}
+		r := balance.Request{}
+		x.addFleetLoad([]registry.Upstream{{ID: "a", Zone: "far"}}, make([]balance.Candidate, 1), &r)
+		return r.LeaveZone
+	}
+	require.Less(t, cost("", 100), 2*time.Millisecond)
+	require.Greater(t, cost("p", 100), 4*cost("", 100))
+	require.Greater(t, cost("p", 100_000), 150*time.Millisecond)
+}
--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -16,6 +16,8 @@
 import (
 	"math"
 	"time"
+
+	"egretramp/internal/sharedload"
 )
 
 const (
@@ -53,6 +55,8 @@
 	Returns map[string]float64 `cbor:"3,keyasint,omitempty"`
 	// Upstreams concerns the rate limits of upstreams.
 	Upstreams *UpstreamRequest `cbor:"4,keyasint,omitempty"`
+	// Load reports the load that the VM causes at upstreams; nil if the VMs don't share it.
+	Load *sharedload.Request `cbor:"6,keyasint,omitempty"`
 }
 
 // Grant is the coordinator's response to a Request.
@@ -67,6 +71,8 @@
 	Holders int `cbor:"3,keyasint"`
 	// Upstreams is the response to Request.Upstreams.
 	Upstreams *UpstreamGrant `cbor:"5,keyasint,omitempty"`
+	// Load is the response to Request.Load.
+	Load *sharedload.Grant `cbor:"7,keyasint,omitempty"`
 }
 
 type bucket struct {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -123,6 +123,9 @@
 // Lost reports whether the coordinator is lost: no grant arrived within ContactTimeout.
 func (h *Holder) Lost(now time.Duration) bool { return !h.connected || now-h.contact > ContactTimeout }
 
+// Holders returns the number of entry VMs that share the limits, as of the last grant; 0 before the first one.
+func (h *Holder) Holders() int { return h.holders }
+
 // Wait returns the time until an account without permits may get one.
 func (h *Holder) Wait(now time.Duration, account string) time.Duration {
 	a := h.accounts[account]
