admission: admit programs by the use that all entry VMs make of upstreams

With 77 VMs each sees few turns, and each lets 4 programs in however slow they are, 308 at 270 slots; on upstreams of uneven speed the turns of slow ones look like overload. If the load of all VMs is known, new programs begin while it is below 0.85 of the slots of the upstreams that can be reached, 0.9 times as much for each less urgent rank. The control by slow turns remains for VMs without a fresh view.

VMs report the programs of client accounts in progress and refused; the coordinator names the accounts above their max-min share while others are refused, and those are refused as if they were one rank less urgent.

--- a/internal/balance/shared_load_test.go
+++ b/internal/balance/shared_load_test.go
@@ -8,6 +8,8 @@
 	"sort"
 	"testing"
 	"time"
+
+	"egretramp/internal/admission"
 )
 
 // This file compares decisions with and without shared load information, in virtual time, in a fleet of many entry VMs
@@ -77,6 +79,10 @@
 	turnsRun   int
 	// vm returns the entry VM of a new program; nil for any.
 	vm func() int
+	// admits reports whether a new program may begin at a VM; nil for all.
+	admits      func(w *fleetSim, vm int) bool
+	refused     int
+	controllers []*admission.Controller // by VM; nil unless admission is by slowdown
 }
 
 func newFleetSim(seed uint64, vms int, age time.Duration, speeds []float64, choose policy) *fleetSim {
@@ -176,12 +182,18 @@
 	w.starts[vm%fleetZones]++
 	w.turnsRun++
 	e.served++
+	if w.controllers != nil {
+		w.controllers[vm].MarkActive(time.Hour+w.now, p.name)
+	}
 	if e.zone != vm%fleetZones {
 		w.crossed++
 	}
 	sent := w.now
 	start := func() {
 		w.waits = append(w.waits, w.now-sent)
+		if w.controllers != nil { // as observeFirstEvent in internal/proxy
+			w.controllers[vm].Observe(time.Hour+w.now, 1+float64(w.now-sent)*w.fastest()/float64(fleetTurn))
+		}
 		w.run(p, n, vm, i)
 	}
 	if e.running < fleetSlots {
@@ -215,6 +227,9 @@
 		}
 		w.inflight[vm][i]--
 		w.measured[vm][i], w.measuredAt[vm][i] = slow*w.fastest(), w.now
+		if w.controllers != nil {
+			w.controllers[vm].Observe(time.Hour+w.now, slow*w.fastest())
+		}
 		e.slowness, e.measuredAt = slow*w.fastest(), w.now
 		if n == p.turns {
 			w.excess = append(w.excess, float64(w.now-p.begun)/float64(p.objective))
@@ -243,6 +258,10 @@
 			if w.vm != nil {
 				p.vm = w.vm()
 			}
+			if w.admits != nil && !w.admits(w, p.vm) {
+				w.refused++
+				return
+			}
 			w.turn(p, 1)
 		}})
 	}
--- a/internal/node/loadsharer.go
+++ b/internal/node/loadsharer.go
@@ -21,6 +21,7 @@
 	clock     func() time.Duration
 	directory *registry.Directory
 	samples   func() []sharedload.Sample
+	accounts  func() []sharedload.Account
 	events    *events.Logger
 
 	mu       sync.Mutex
@@ -47,8 +48,7 @@
 	if !needed {
 		return nil
 	}
-	samples := l.samples()
-	return l.holder.Report(now, samples, processes)
+	return l.holder.Report(now, l.samples(), processes, l.accounts())
 }
 
 // processes returns the upstreams' processes, and whether the load of other VMs is needed to place requests.
@@ -106,6 +106,13 @@
 	return l.holder.Origins(l.clock())
 }
 
+// overShare implements proxy.Options.OverShare.
+func (l *loadSharer) overShare(account string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.enabled && l.holder.OverShare(l.clock(), account)
+}
+
 // viewAge returns the age of the view in seconds, -1 without a fresh one.
 func (l *loadSharer) viewAge() float64 {
 	l.mu.Lock()
--- a/internal/node/loadsharer_test.go
+++ b/internal/node/loadsharer_test.go
@@ -27,6 +27,9 @@
 	p.clock = now
 	p.load = &loadSharer{
 		clock: now, directory: directory, events: events.NewTo("entry", zapcore.ErrorLevel, &discard{}), holder: sharedload.NewHolder(1, "z"),
+		accounts: func() []sharedload.Account {
+			return []sharedload.Account{{Name: "busy", Active: inflight}, {Name: "other", Active: 1, Refused: 3}}
+		},
 		samples: func() []sharedload.Sample { return []sharedload.Sample{{Process: "u0@1", Inflight: inflight}} },
 	}
 	return p
@@ -64,6 +67,8 @@
 	require.Equal(t, 5, load.Others)
 	require.GreaterOrEqual(t, b.load.viewAge(), 0.0)
 	require.Equal(t, "z", b.load.origins()[0].Zone)
+	require.True(t, b.load.overShare("busy"))
+	require.False(t, b.load.overShare("other"))
 
 	term.Store(2)
 	rounds()
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -7,7 +7,9 @@
 
 	"egretramp/internal/admission"
 	"egretramp/internal/clock"
+	"egretramp/internal/registry"
 	"egretramp/internal/routing"
+	"egretramp/internal/sharedload"
 )
 
 const (
@@ -65,18 +67,63 @@
 	return s.controller(x.service.Name).IsActive(x.call.Program)
 }
 
-// admitsNewProgram reports whether a new program may begin.
+// admitsNewProgram reports whether a new program may begin: by the use of the upstreams by all VMs if that is known, else
+// by the turns of this VM.
 func (s *Server) admitsNewProgram(x *exchange) bool {
+	fleet, known := x.fleetUse()
+	overShare := known && s.opts.OverShare(x.accountName())
 	s.admissionMu.Lock()
 	defer s.admissionMu.Unlock()
-	return s.controller(x.service.Name).Admits(clock.Now(), x.urgencyRank())
+	admits := false
+	if known {
+		admits = fleet.Admits(x.urgencyRank(), overShare)
+	} else {
+		admits = s.controller(x.service.Name).Admits(clock.Now(), x.urgencyRank())
+	}
+	if !admits {
+		s.accounts.MarkRefused(clock.Now(), x.accountName(), x.call.Program)
+	}
+	return admits
+}
+
+// fleetUse returns the use of the service's upstreams by all VMs, false if it isn't known.
+func (x *exchange) fleetUse() (f admission.Fleet, known bool) {
+	s := x.server
+	for _, u := range x.upstreams() {
+		load, ok := s.opts.Load(u)
+		if !ok || u.State != registry.Ready || !s.zones.reachable(u.Zone) {
+			continue
+		}
+		known = true
+		f.Slots += u.Slots
+		f.Inflight += load.Others + s.health.inflight(u.ID)
+		x.useAge = load.Age
+	}
+	return f, known
+}
+
+// AccountLoads returns the client accounts with programs on this VM.
+func (s *Server) AccountLoads() []sharedload.Account {
+	s.admissionMu.Lock()
+	defer s.admissionMu.Unlock()
+	counts := s.accounts.Counts(clock.Now())
+	loads := make([]sharedload.Account, len(counts))
+	for i, c := range counts {
+		loads[i] = sharedload.Account{Name: c.Name, Active: c.Active, Refused: c.Refused}
+	}
+	return loads
 }
 
 // describeLoad describes the load on which an admission decision was based, for log lines.
-func (s *Server) describeLoad(service string) string {
+func (x *exchange) describeLoad() string {
+	s := x.server
+	if f, known := x.fleetUse(); known {
+		return fmt.Sprintf("%d requests of all VMs at %d slots, %v ago; the account has more than its share: %t",
+			f.Inflight, f.Slots, x.useAge.Round(time.Millisecond), s.opts.OverShare(x.accountName()))
+	}
 	s.admissionMu.Lock()
 	defer s.admissionMu.Unlock()
-	c := s.controller(service)
+	c := s.controller(x.service.Name)
 	return fmt.Sprintf("turns take %.2f times as long as on idle upstreams; %d programs under way, limit %.1f",
 		c.Slowdown(), c.Active(clock.Now()), c.Limit())
 }
@@ -89,6 +136,7 @@
 	s.admissionMu.Lock()
 	defer s.admissionMu.Unlock()
 	s.controller(x.service.Name).MarkActive(clock.Now(), x.call.Program)
+	s.accounts.MarkActive(clock.Now(), x.accountName(), x.call.Program)
 }
 
 // urgencyRank returns how many priorities of streams to the service are more urgent than this one.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -214,6 +214,9 @@
 	Load func(u registry.Upstream) (sharedload.Upstream, bool)
 	// LoadOrigins returns the attempts by zone, as of the same view; nil for none.
 	LoadOrigins func() []sharedload.Origin
+	// OverShare reports whether a client account has more than its share of the programs of all VMs while others are
+	// refused; nil for never.
+	OverShare func(account string) bool
 	// Drain is how long an upstream serves after it announced its shutdown.
 	Drain   time.Duration
 	Events  *events.Logger
@@ -237,6 +240,7 @@
 
 	admissionMu sync.Mutex
 	admission   map[string]*admission.Controller // by service
+	accounts    *admission.Accounts
 }
 
 // New returns a server.
@@ -262,10 +266,13 @@
 	if opts.LoadOrigins == nil {
 		opts.LoadOrigins = func() []sharedload.Origin { return nil }
 	}
+	if opts.OverShare == nil {
+		opts.OverShare = func(string) bool { return false }
+	}
 	if opts.Dial == nil {
 		opts.Dial = upconn.Dial
 	}
-	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial, opts.Detoured), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}}
+	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial, opts.Detoured), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}, accounts: admission.NewAccounts()}
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, cutOff: opts.CutOff, events: opts.Events, metrics: opts.Metrics,
 	}
@@ -334,6 +341,7 @@
 	storedHome      string              // the home that the store knows, empty if it wasn't asked or knows none
 	newHome         string              // the upstream that will hold the line's prompt, empty if that doesn't change
 	turnBeginTime   time.Duration       // time that the store took to begin the turn
+	useAge          time.Duration       // of the use that fleetUse returned
 	loadAge         time.Duration       // of the load of all VMs that the upstream was chosen by; 0 before, -1 for own load
 	fingerprint     suspect.Fingerprint // empty until requestFingerprint is called
 }
@@ -495,7 +503,7 @@
 	x.storedHome = result.Home
 	x.programActive = x.programActive || result.Known
 	if !x.programActive && !x.admitted && !x.server.admitsNewProgram(x) {
-		return &Refusal{Reason: Overloaded, Detail: x.server.describeLoad(x.service.Name), RetryAfter: x.overloadRetryDelay()}
+		return &Refusal{Reason: Overloaded, Detail: x.describeLoad(), RetryAfter: x.overloadRetryDelay()}
 	}
 	x.server.markProgramActive(x)
 	if len(result.Chain) > 0 {
--- a/internal/proxy/sharedload.go
+++ b/internal/proxy/sharedload.go
@@ -55,6 +55,16 @@
 	return s.health.samples(clock.Now(), s.opts.Directory.View())
 }
 
+// inflight returns the number of this VM's requests in flight to an upstream.
+func (h *health) inflight(id string) int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if r := h.upstreams[id]; r != nil {
+		return r.inflight
+	}
+	return 0
+}
+
 func (h *health) samples(now time.Duration, view *registry.View) []sharedload.Sample {
 	h.mu.Lock()
 	defer h.mu.Unlock()
--- a/internal/proxy/sharedload_test.go
+++ b/internal/proxy/sharedload_test.go
@@ -80,3 +80,28 @@
 	require.Greater(t, cost("p", 100), 4*cost("", 100))
 	require.Greater(t, cost("p", 100_000), 150*time.Millisecond)
 }
+
+// TestServer_AdmitsByUseOfAllVMs guards against programs that begin although other VMs have filled the upstreams, of which the
+// few turns of this VM say nothing, and against accounts that take the share of others.
+func TestServer_AdmitsByUseOfAllVMs(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("u", streamEvents(2))
+	const slots = 100
+	u := g.directory.View().Services["s"][0]
+	u.Slots, u.Sequence = slots, 2
+	g.directory.Merge("c", []registry.Upstream{u})
+	others, over := slots*8/10, ""
+	g.server.opts.Load = func(registry.Upstream) (sharedload.Upstream, bool) {
+		return sharedload.Upstream{Others: others, Age: 100 * time.Millisecond}, true
+	}
+	g.server.opts.OverShare = func(account string) bool { return account == over }
+	require.Equal(t, 200, g.call("1", "/stream/x", "Key: other", "Program: p").status)
+	over = "other"
+	r := g.call("2", "/stream/x", "Key: other", "Program: q")
+	require.Equal(t, "overloaded", r.reason, "the account has more than its share")
+	require.Equal(t, 200, g.call("3", "/stream/x", "Program: r").status, "another account")
+	over, others = "", slots
+	require.Equal(t, "overloaded", g.call("4", "/stream/x", "Program: s").reason)
+	require.Equal(t, 200, g.call("5", "/stream/x", "Program: r", "Previous: 3").status, "programs under way go on")
+	require.ElementsMatch(t, []sharedload.Account{{Name: "acc", Active: 1, Refused: 1}, {Name: "other", Active: 1, Refused: 1}}, g.server.AccountLoads())
+}
--- a/internal/sharedload/coordinator.go
+++ b/internal/sharedload/coordinator.go
@@ -28,6 +28,9 @@
 	sweptAt  time.Duration
 	reportAt time.Duration // sum of vmReport.at
 	rejected int
+	// overShare are the accounts above their share as of overShareAt.
+	overShare   []string
+	overShareAt time.Duration
 }
 
 // process is an upstream's process with the sums of all reports of it.
@@ -48,6 +51,7 @@
 	at                time.Duration
 	zone              string
 	rows              map[uint32]reportRow
+	accounts          []Account
 	viewAt            time.Duration // when a view was sent
 	hasView           bool
 }
@@ -88,6 +92,9 @@
 		report.viewAt, report.hasView = old.viewAt, old.hasView
 		c.forget(vm, old)
 	}
+	accounts, rejected := validAccounts(r.Accounts)
+	report.accounts = accounts
+	c.rejected += rejected
 	c.vms[vm] = report
 	c.reportAt += now
 	if r.Epoch != c.epoch {
@@ -162,7 +169,7 @@
 		}
 		v.Rows = append(v.Rows, number, uint32(others), slowdown, uint32(p.attempts), uint32(p.failed))
 	}
-	v.Origins = c.origins()
+	v.Origins, v.OverShare = c.origins(), c.accountsOverShare(now)
 	return v
 }
 
--- a/internal/sharedload/holder.go
+++ b/internal/sharedload/holder.go
@@ -17,6 +17,7 @@
 	numbers           map[string]number
 	rows              map[uint32]viewRow
 	origins           []Origin
+	overShare         []string
 	takenAt           time.Duration // mean time of the reports in the view
 	hasView           bool
 	rejected          int
@@ -41,10 +42,10 @@
 func (h *Holder) Rejected() int { return h.rejected }
 
 // Report returns the next report. processes are the upstreams' processes that requests may be sent to.
-func (h *Holder) Report(now time.Duration, samples []Sample, processes []string) *Request {
+func (h *Holder) Report(now time.Duration, samples []Sample, processes []string, accounts []Account) *Request {
 	h.sequence++
 	h.prune(processes)
-	r := &Request{Started: h.started, Sequence: h.sequence, Zone: h.zone, Epoch: h.epoch}
+	r := &Request{Started: h.started, Sequence: h.sequence, Zone: h.zone, Epoch: h.epoch, Accounts: accounts}
 	for _, p := range processes {
 		if n, known := h.numbers[p]; (!known || now-n.askedAt > askInterval) && len(r.Ask) < maxAsk {
 			r.Ask = append(r.Ask, p)
@@ -106,7 +107,7 @@
 		f := g.View.Rows[i : i+viewFields]
 		h.rows[f[0]] = viewRow{min(f[1], maxInflight), min(f[2], maxSlowdown/slowdownUnit), f[3], f[4]}
 	}
-	h.origins, h.takenAt, h.hasView = g.View.Origins, taken, true
+	h.origins, h.overShare, h.takenAt, h.hasView = g.View.Origins, g.View.OverShare, taken, true
 }
 
 // Age returns the age of the view, false if there is none that is younger than MaxAge.
--- a/internal/sharedload/sharedload.go
+++ b/internal/sharedload/sharedload.go
@@ -68,6 +68,15 @@
 	Ask []string `cbor:"5,keyasint,omitempty"`
 	// Rows holds the fields of reportRow for each upstream that the VM uses.
 	Rows []uint32 `cbor:"6,keyasint,omitempty"`
+	// Accounts are the client accounts with programs on the VM.
+	Accounts []Account `cbor:"7,keyasint,omitempty"`
+}
+
+// Account is a client account with the numbers of its programs on a VM.
+type Account struct {
+	Name    string `cbor:"1,keyasint"`
+	Active  int    `cbor:"2,keyasint,omitempty"` // in progress
+	Refused int    `cbor:"3,keyasint,omitempty"` // refused within the last second
 }
 
 // Grant is the coordinator's answer.
@@ -84,6 +93,8 @@
 	Rows    []uint32 `cbor:"1,keyasint,omitempty"`
 	Origins []Origin `cbor:"2,keyasint,omitempty"`
 	AgeMs   int64    `cbor:"3,keyasint"` // mean age of the reports
+	// OverShare are accounts with more than their share of the programs while others are refused.
+	OverShare []string `cbor:"4,keyasint,omitempty"`
 }
 
 // Numbers of fields of a row in Request.Rows and View.Rows.
@@ -100,6 +111,10 @@
 	maxInflight = 1 << 16
 	maxSlowdown = 64
 	maxCount    = 1 << 16
+	// maxAccounts bounds the accounts of a report, maxOverShare those of a view, and maxAccountName their names.
+	maxAccounts    = 256
+	maxOverShare   = 32
+	maxAccountName = 256
 )
 
 // reportRow is a VM's report of one upstream.
--- a/internal/sharedload/sharedload_test.go
+++ b/internal/sharedload/sharedload_test.go
@@ -11,7 +11,7 @@
 
 // exchange sends a VM's report to a coordinator and applies the answer.
 func exchange(c *Coordinator, now time.Duration, vm string, h *Holder, processes []string, samples ...Sample) {
-	g := c.Grant(now, vm, *h.Report(now, samples, processes))
+	g := c.Grant(now, vm, *h.Report(now, samples, processes, nil))
 	h.Apply(now, &g)
 }
 
@@ -160,7 +160,7 @@
 			for j := range 4 {
 				samples = append(samples, Sample{Process: names[(i+j*17)%61], Inflight: 1, Slowdown: 2.4, Samples: 6, Attempts: 2})
 			}
-			g := c.Grant(now, fmt.Sprint("vm ", i), *holders[i].Report(now, samples, names))
+			g := c.Grant(now, fmt.Sprint("vm ", i), *holders[i].Report(now, samples, names, nil))
 			holders[i].Apply(now, &g)
 			if round > 10 && g.View != nil {
 				data, err := cbor.Marshal(g)
@@ -174,6 +174,29 @@
 	require.Zero(t, c.Rejected())
 }
 
+// TestShared_AccountsAboveTheirShare: each VM has few programs of each account; only the sum shows which one has too many.
+func TestShared_AccountsAboveTheirShare(t *testing.T) {
+	c := NewCoordinator(1)
+	now := time.Hour
+	holders := make([]*Holder, 30)
+	for range 3 {
+		now += 200 * time.Millisecond
+		for i := range holders {
+			if holders[i] == nil {
+				holders[i] = NewHolder(1, "z")
+			}
+			accounts := []Account{{Name: "busy", Active: 2}, {Name: fmt.Sprint("other ", i%3), Active: i % 2, Refused: i % 2}}
+			g := c.Grant(now, fmt.Sprint("vm ", i), *holders[i].Report(now, nil, nil, accounts))
+			holders[i].Apply(now, &g)
+		}
+	}
+	require.True(t, holders[29].OverShare(now, "busy"))
+	require.False(t, holders[29].OverShare(now, "other 1"))
+	require.False(t, holders[29].OverShare(now+2*MaxAge, "busy"), "the view is old")
+	c.Grant(now, "vm", Request{Sequence: 1, Accounts: []Account{{Name: "a", Active: -1}, {Name: "b"}, {Name: "b"}, {Name: "c", Refused: 1 << 40}}})
+	require.Equal(t, 3, c.Rejected())
+}
+
 func TestNeeded_OnlyWhereVMsSeeLittle(t *testing.T) {
 	slots := make([]int, 45)
 	for i := range slots {
