--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -247,8 +247,8 @@
 }
 
 // LeaveZoneCost returns the cost of an upstream in another zone, for a request and those that follow it there. latency is
-// the network's round trip, bytes the size of a request with its answer, and perByte the time of callers that a byte
-// between zones is worth. Events follow each other without waiting, so the latency counts once for each request.
-func LeaveZoneCost(latency time.Duration, bytes int, perByte time.Duration, requests int) time.Duration {
-	return time.Duration(requests) * (latency + time.Duration(bytes)*perByte)
+// the network's round trip, bytes the size of a request with its answer, and perMegabyte the time of callers that 10^6 bytes
+// between zones are worth. Events follow each other without waiting, so the latency counts once for each request.
+func LeaveZoneCost(latency time.Duration, bytes int, perMegabyte time.Duration, requests int) time.Duration {
+	return time.Duration(requests) * (latency + time.Duration(float64(bytes)/1e6*float64(perMegabyte)))
 }
--- a/internal/balance/shared_test.go
+++ b/internal/balance/shared_test.go
@@ -186,6 +186,6 @@
 }
 
 func TestLeaveZoneCost(t *testing.T) {
-	require.Equal(t, time.Millisecond, LeaveZoneCost(time.Millisecond, 0, 400, 1))
-	require.Equal(t, 5*(time.Millisecond+4*time.Millisecond), LeaveZoneCost(time.Millisecond, 10_000, 400, 5))
+	require.Equal(t, time.Millisecond, LeaveZoneCost(time.Millisecond, 0, time.Second, 1))
+	require.Equal(t, 5*(time.Millisecond+4*time.Millisecond), LeaveZoneCost(time.Millisecond, 10_000, 400*time.Millisecond, 5))
 }
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -101,7 +101,7 @@
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
 		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics), Bytes: n.bytes,
-		Load: e.load.upstream, LoadOrigins: e.load.origins, OverShare: e.load.overShare,
+		Load: e.load.upstream, LoadOrigins: e.load.origins, OverShare: e.load.overShare, ZoneMegabyteCost: n.settings.ZoneMegabyteCost,
 	})
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_shared_load_age_seconds", Help: "Age of what this VM knows of the load that all entry VMs cause; -1 if it places requests by its own load.",
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -69,6 +69,9 @@
 	Grace time.Duration
 	// AckTimeout bounds the time until an operator's command is acknowledged.
 	AckTimeout time.Duration
+	// ZoneMegabyteCost is the time of callers that a megabyte (10^6 bytes) between zones is worth, when requests are
+	// placed by the load of all VMs; 0 for the default, negative if it is worth nothing.
+	ZoneMegabyteCost time.Duration
 }
 
 // Voters returns the number of replicas with which every acknowledged write survives the loss of
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -80,6 +80,7 @@
 	} else {
 		admits = s.controller(x.service.Name).Admits(clock.Now(), x.urgencyRank())
 	}
+	s.opts.Metrics.programDecided(known, admits)
 	if !admits {
 		s.accounts.MarkRefused(clock.Now(), x.accountName(), x.call.Program)
 	}
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -27,6 +27,8 @@
 	turnBegin   prometheus.Histogram
 	unrecorded  prometheus.Counter
 	recordWait  prometheus.Histogram
+	placements  *prometheus.CounterVec
+	admissions  *prometheus.CounterVec
 }
 
 // NewMetrics returns metrics that are registered with r.
@@ -52,8 +54,12 @@
 			Name: "egretramp_origins_unrecorded_total", Help: "Streams whose origin could not be recorded, so that their callers can't resume them."}),
 		recordWait: prometheus.NewHistogram(prometheus.HistogramOpts{
 			Name: "egretramp_origin_wait_seconds", Help: "Time that the first event of a stream waited for the record of the stream's origin.", Buckets: recordWaitBuckets}),
+		placements: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretramp_placements_total", Help: "Choices of an upstream, by the load that they were based on (fleet or own) and the zone of the upstream (same or other)."}, []string{"load", "zone"}),
+		admissions: prometheus.NewCounterVec(prometheus.CounterOpts{
+			Name: "egretramp_admissions_total", Help: "Decisions on new programs, by the load that they were based on (fleet or own) and whether the program may begin."}, []string{"load", "admitted"}),
 	}
-	r.MustRegister(m.answers, m.refusals, m.failures, m.callersGone, m.crashes, m.firstByte, m.total, m.turnBegin, m.unrecorded, m.recordWait)
+	r.MustRegister(m.placements, m.admissions, m.answers, m.refusals, m.failures, m.callersGone, m.crashes, m.firstByte, m.total, m.turnBegin, m.unrecorded, m.recordWait)
 	return m
 }
 
@@ -95,6 +101,31 @@
 	}
 }
 
+// loadName returns the value of the label "load".
+func loadName(fleet bool) string {
+	if fleet {
+		return "fleet"
+	}
+	return "own"
+}
+
+func (m *Metrics) placed(fleet, sameZone bool) {
+	if m == nil {
+		return
+	}
+	zone := "other"
+	if sameZone {
+		zone = "same"
+	}
+	m.placements.WithLabelValues(loadName(fleet), zone).Inc()
+}
+
+func (m *Metrics) programDecided(fleet, admitted bool) {
+	if m != nil {
+		m.admissions.WithLabelValues(loadName(fleet), strconv.FormatBool(admitted)).Inc()
+	}
+}
+
 func (m *Metrics) turnBegun(took time.Duration) {
 	if m != nil {
 		m.turnBegin.Observe(took.Seconds())
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -217,6 +217,9 @@
 	// OverShare reports whether a client account has more than its share of the programs of all VMs while others are
 	// refused; nil for never.
 	OverShare func(account string) bool
+	// ZoneMegabyteCost is the time of callers that a megabyte (10^6 bytes) between zones is worth; 0 for the
+	// default, negative if it is worth nothing.
+	ZoneMegabyteCost time.Duration
 	// Drain is how long an upstream serves after it announced its shutdown.
 	Drain   time.Duration
 	Events  *events.Logger
@@ -266,6 +269,9 @@
 	if opts.LoadOrigins == nil {
 		opts.LoadOrigins = func() []sharedload.Origin { return nil }
 	}
+	if opts.ZoneMegabyteCost == 0 {
+		opts.ZoneMegabyteCost = defaultZoneMegabyteCost
+	}
 	if opts.OverShare == nil {
 		opts.OverShare = func(string) bool { return false }
 	}
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -199,6 +199,7 @@
 	if i < 0 {
 		return registry.Upstream{}, false, wait
 	}
+	s.opts.Metrics.placed(x.loadAge >= 0, candidates[i].Local)
 	if request.Affinity != "" && x.call.Program != "" && !candidates[i].Limited && upstreams[i].State != registry.Draining {
 		s.lastUpstreams.set(x.homeKey(), upstreams[i].ID)
 		x.newHome = upstreams[i].ID
--- a/internal/proxy/sharedload.go
+++ b/internal/proxy/sharedload.go
@@ -17,10 +17,11 @@
 	laterTurns = 4
 	// zoneRoundTrip is the network's round trip to another zone.
 	zoneRoundTrip = time.Millisecond
-	// zoneByteCost is the time of callers that a byte between zones is worth, if the settings name none. On the
-	// deployment where this traffic is most expensive, 0.53 GB cost as much as 0.131 of the programs of a run of 41 s:
-	// about 1 MB a program, whose callers wait some 400 ms longer than their objective before one is lost.
-	zoneByteCost = 400 * time.Millisecond / 1e6
+	// defaultZoneMegabyteCost is the default of Options.ZoneMegabyteCost. On the
+	// deployment where this traffic is most expensive, 0.53 GB cost as much as 0.131 of the programs of a run of 41 s
+	// (some 3,500 programs), so 1.2 MB as much as a program, and waits of 400 to 500 ms use up the slack of one
+	// (docs/design/leaving-the-zone.md).
+	defaultZoneMegabyteCost = 400 * time.Millisecond
 	// answerBytes is about the size of an event with its framing, and of the head of an answer.
 	answerBytes = 100
 )
@@ -119,7 +120,7 @@
 	}
 	r.Zone = s.opts.Zone
 	bytes := len(x.body) + answerBytes*(1+int(max(x.call.ExpectedTokens, typicalTurnEvents)))
-	r.LeaveZone = balance.LeaveZoneCost(zoneRoundTrip, bytes, zoneByteCost, x.turnsAhead())
+	r.LeaveZone = balance.LeaveZoneCost(zoneRoundTrip, bytes, max(s.opts.ZoneMegabyteCost, 0), x.turnsAhead())
 }
 
 // turnsAhead returns the number of requests that will go to the upstream that this one is sent to, itself included.
--- a/internal/proxy/sharedload_test.go
+++ b/internal/proxy/sharedload_test.go
@@ -47,6 +47,9 @@
 	g.upstream("reset", func(*http.Request, net.Conn) bool { return false })
 	require.Empty(t, g.server.LoadSamples())
 	g.call("1", "/safe/x")
+	require.Eventually(t, func() bool { // a request ends shortly after its caller has the answer
+		return g.server.health.inflight("a")+g.server.health.inflight("reset") == 0
+	}, 5*time.Second, time.Millisecond)
 	samples := g.server.LoadSamples()
 	require.NotEmpty(t, samples)
 	for _, s := range samples {
@@ -69,6 +72,7 @@
 // TestExchange_CostOfOtherZone: the cost grows with the bytes of the conversation, and with the turns that will follow.
 func TestExchange_CostOfOtherZone(t *testing.T) {
 	g := newFixture(t)
+	g.server = New(Options{Zone: "z", Directory: g.directory})
 	g.server.opts.Load = func(registry.Upstream) (sharedload.Upstream, bool) { return sharedload.Upstream{}, true }
 	cost := func(program string, bytes int) time.Duration {
 		x := &exchange{server: g.server, body: make([]byte, bytes), call: Call{Program: program}}
@@ -79,6 +83,8 @@
 	require.Less(t, cost("", 100), 2*time.Millisecond)
 	require.Greater(t, cost("p", 100), 4*cost("", 100))
 	require.Greater(t, cost("p", 100_000), 150*time.Millisecond)
+	g.server.opts.ZoneMegabyteCost = -1
+	require.Equal(t, 5*zoneRoundTrip, cost("p", 100_000), "the settings say that bytes are worth nothing")
 }
 
 // TestServer_AdmitsByUseOfAllVMs guards against programs that begin although other VMs have filled the upstreams, of which the
