sharedload, proxy: estimate failure shares and bytes of answers more carefully

A single failure of an upstream with few attempts kept all VMs away for a second: four successes are assumed beside the counted attempts. Answers are estimated by the number of their events.

--- a/internal/balance/shared_test.go
+++ b/internal/balance/shared_test.go
@@ -189,3 +189,13 @@
 	require.Equal(t, time.Millisecond, LeaveZoneCost(time.Millisecond, 0, time.Second, 1))
 	require.Equal(t, 5*(time.Millisecond+4*time.Millisecond), LeaveZoneCost(time.Millisecond, 10_000, 400*time.Millisecond, 5))
 }
+
+func BenchmarkPick_SharedLoad(b *testing.B) {
+	cs := zonedFleet(61)
+	for i := range cs {
+		cs[i].Fleet.Others = i % 9
+	}
+	for b.Loop() {
+		Pick(cs, begin("z0", 0.3, 200, 200, 200))
+	}
+}
--- a/internal/proxy/sharedload.go
+++ b/internal/proxy/sharedload.go
@@ -6,6 +6,7 @@
 	"egretramp/internal/balance"
 	"egretramp/internal/clock"
 	"egretramp/internal/registry"
+	"egretramp/internal/routing"
 	"egretramp/internal/sharedload"
 )
 
@@ -119,10 +120,21 @@
 		r.Origins = append(r.Origins, balance.Origin{Zone: o.Zone, PerSecond: float64(o.PerSecond)})
 	}
 	r.Zone = s.opts.Zone
-	bytes := len(x.body) + answerBytes*(1+int(max(x.call.ExpectedTokens, typicalTurnEvents)))
+	bytes := len(x.body) + answerBytes*(1+x.expectedEvents())
 	r.LeaveZone = balance.LeaveZoneCost(zoneRoundTrip, bytes, max(s.opts.ZoneMegabyteCost, 0), x.turnsAhead())
 }
 
+// expectedEvents returns the expected number of events of the answer.
+func (x *exchange) expectedEvents() int {
+	if x.route == nil || x.route.Kind != routing.Streaming {
+		return 0
+	}
+	if x.call.ExpectedTokens == 0 || x.service == nil || x.service.Engine == nil {
+		return typicalTurnEvents
+	}
+	return int(x.call.ExpectedTokens) / max(x.service.Engine.TokensPerEvent, 1)
+}
+
 // turnsAhead returns the number of requests that will go to the upstream that this one is sent to, itself included.
 func (x *exchange) turnsAhead() int {
 	if x.call.Program == "" {
--- a/internal/sharedload/holder.go
+++ b/internal/sharedload/holder.go
@@ -7,6 +7,9 @@
 	maxAsk = 64
 	// askInterval is how often a VM asks again for numbers that it knows, so that the coordinator keeps them.
 	askInterval = 20 * time.Second
+	// assumedSuccesses are added to the attempts of an upstream, so that a single failure of few attempts, which may be due to its
+	// request, doesn't keep all VMs away.
+	assumedSuccesses = 4
 )
 
 // Holder is the side of an entry VM. It is not safe for concurrent use.
@@ -129,7 +132,7 @@
 	row := h.rows[n.value] // an idle upstream has no row
 	u := Upstream{Others: int(row.others), Slowdown: float64(row.slowdown) * slowdownUnit, Age: age}
 	if row.failed > 0 {
-		u.FailureShare = min(1, float64(row.failed)/float64(max(row.attempts, 1)))
+		u.FailureShare = min(1, float64(row.failed)/float64(max(row.attempts, row.failed)+assumedSuccesses))
 	}
 	return u, true
 }
--- a/internal/sharedload/sharedload.go
+++ b/internal/sharedload/sharedload.go
@@ -34,7 +34,7 @@
 	Others int // requests of other VMs in flight
 	// Slowdown is as in Sample, over all VMs; 0 without recent samples.
 	Slowdown float64
-	// FailureShare is the share of the attempts of the last second that failed, 0 to 1.
+	// FailureShare is an estimate of the share of attempts that fail, from those of the last second, 0 to 1.
 	FailureShare float64
 	Age          time.Duration // of the view
 }
