--- a/internal/balance/fleet_admission_test.go
+++ b/internal/balance/fleet_admission_test.go
@@ -117,3 +117,26 @@
 		require.Greater(t, shared.inTime(), 1.05*staying.inTime())
 	}
 }
+
+// TestPick_ZoneReturnsAfterPartition: a zone is cut off for 4 s and goes on alone. When the partition heals, the first views show its
+// upstreams as idle, since the coordinator hasn't heard of its VMs. The other zones' requests don't flood it.
+func TestPick_ZoneReturnsAfterPartition(t *testing.T) {
+	const healed = 8 * time.Second
+	run := func(cut bool, choose policy) (longest int, inTime float64) {
+		w := newFleetSim(5, 77, 300*time.Millisecond, []float64{1}, choose)
+		if cut {
+			w.cut = func(now time.Duration) bool { return now > 4*time.Second && now < healed }
+		}
+		w.simulate(steadyLoad)
+		for _, n := range w.longest[healed/fleetHistory : (healed+time.Second)/fleetHistory] {
+			longest = max(longest, n)
+		}
+		return longest, w.inTime()
+	}
+	whole, wholeInTime := run(false, Pick)
+	longest, inTime := run(true, Pick)
+	naive, naiveInTime := run(true, leastTotal)
+	t.Logf("longest queue in the second after the partition %d, without partition %d, best of the view %d; in time %.3f, %.3f, %.3f", longest, whole, naive, inTime, wholeInTime, naiveInTime)
+	require.LessOrEqual(t, longest, whole+fleetSlots)
+	require.Greater(t, inTime, 0.85*wholeInTime)
+}
--- a/internal/balance/shared_load_test.go
+++ b/internal/balance/shared_load_test.go
@@ -83,6 +83,10 @@
 	admits      func(w *fleetSim, vm int) bool
 	refused     int
 	controllers []*admission.Controller // by VM; nil unless admission is by slowdown
+	// cut reports whether a partition separates zone 0, which is without the coordinator, from the others; nil for never.
+	cut func(now time.Duration) bool
+	// longest is the longest queue of an engine of zone 0 at each snapshot.
+	longest []int
 }
 
 func newFleetSim(seed uint64, vms int, age time.Duration, speeds []float64, choose policy) *fleetSim {
@@ -114,14 +118,23 @@
 	for vm := range w.inflight {
 		s.inflight = append(s.inflight, append([]int(nil), w.inflight[vm]...))
 		for i, n := range w.inflight[vm] {
+			if w.isCut() && vm%fleetZones == 0 {
+				s.inflight[vm][i] = 0 // the coordinator doesn't hear of it
+				continue
+			}
 			s.total[i] += n
 		}
 	}
+	longest := 0
 	for i, e := range w.engines {
 		if w.now-e.measuredAt < time.Second {
 			s.slowness[i] = e.slowness
 		}
+		if e.zone == 0 {
+			longest = max(longest, len(e.waiting))
+		}
 	}
+	w.longest = append(w.longest, longest)
 	s.starts = append(s.starts, w.starts...)
 	for i := range w.starts {
 		w.starts[i] *= 1 - fleetHistory.Seconds()
@@ -140,6 +153,8 @@
 	return &w.snapshots[i]
 }
 
+func (w *fleetSim) isCut() bool { return w.cut != nil && w.cut(w.now) }
+
 func (w *fleetSim) candidates(vm int) ([]Candidate, []Origin) {
 	candidates := make([]Candidate, len(w.engines))
 	for i, e := range w.engines {
@@ -148,7 +163,12 @@
 			candidates[i].Slowness = w.measured[vm][i]
 		}
 	}
-	if w.age == 0 {
+	if w.isCut() {
+		for i, e := range w.engines {
+			candidates[i].Tried = (e.zone == 0) != (vm%fleetZones == 0)
+		}
+	}
+	if w.age == 0 || w.isCut() && vm%fleetZones == 0 {
 		return candidates, nil
 	}
 	view := w.view()
