sharedload, node: share load for each service by itself, and not in fleets below 8 VMs

One service with few slots made the VMs of a small fleet share the load of all services. Small fleets decide as before now; 7 VMs gained nothing from sharing in the trial. Tested by go test ./internal/sharedload ./internal/node (TestNeeded_OnlyWhereVMsSeeLittle, TestLoadSharer_*).

--- a/internal/node/loadsharer.go
+++ b/internal/node/loadsharer.go
@@ -27,8 +27,9 @@
 	mu       sync.Mutex
 	holder   *sharedload.Holder
 	reported time.Duration // time of the last report
-	enabled  bool
-	fresh    bool // as last logged
+	// needed are the services whose requests are placed by the load of all VMs.
+	needed map[string]bool
+	fresh  bool // as last logged
 }
 
 // report returns the report to send now, nil for none. vms is the number of entry VMs.
@@ -42,26 +43,32 @@
 		return nil
 	}
 	l.reported = now
-	processes, needed := l.processes(vms)
+	processes := l.updateNeeded(vms)
 	l.logChange(now)
-	l.enabled = needed
-	if !needed {
+	if len(l.needed) == 0 {
 		return nil
 	}
 	return l.holder.Report(now, l.samples(), processes, l.accounts())
 }
 
-// processes returns the upstreams' processes, and whether the load of other VMs is needed to place requests.
-func (l *loadSharer) processes(vms int) (processes []string, needed bool) {
-	for _, list := range l.directory.View().Services {
+// updateNeeded determines the services for whose requests the load of other VMs is needed, and returns the processes of their
+// upstreams. l.mu must be held.
+func (l *loadSharer) updateNeeded(vms int) (processes []string) {
+	l.needed = map[string]bool{}
+	for service, list := range l.directory.View().Services {
 		slots := make([]int, 0, len(list))
 		for i := range list {
 			slots = append(slots, list[i].Slots)
+		}
+		if !sharedload.Needed(slots, vms) {
+			continue
+		}
+		l.needed[service] = true
+		for i := range list {
 			processes = append(processes, list[i].Process())
 		}
-		needed = needed || sharedload.Needed(slots, vms)
 	}
-	return processes, needed
+	return processes
 }
 
 // apply applies the coordinator's answer to a report that was sent at sent.
@@ -78,7 +85,7 @@
 // logChange logs when a VM that shares load begins or ceases to have a fresh view. l.mu must be held.
 func (l *loadSharer) logChange(now time.Duration) {
 	age, fresh := l.holder.Age(now)
-	if fresh == l.fresh || !l.enabled {
+	if fresh == l.fresh || len(l.needed) == 0 {
 		return
 	}
 	l.fresh = fresh
@@ -93,7 +100,7 @@
 func (l *loadSharer) upstream(u registry.Upstream) (sharedload.Upstream, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if !l.enabled {
+	if !l.needed[u.Service] {
 		return sharedload.Upstream{}, false
 	}
 	return l.holder.Upstream(l.clock(), u.Process())
@@ -110,7 +117,7 @@
 func (l *loadSharer) overShare(account string) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.enabled && l.holder.OverShare(l.clock(), account)
+	return len(l.needed) > 0 && l.holder.OverShare(l.clock(), account)
 }
 
 // viewAge returns the age of the view in seconds, -1 without a fresh one.
@@ -118,7 +125,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	age, fresh := l.holder.Age(l.clock())
-	if !fresh || !l.enabled {
+	if !fresh || len(l.needed) == 0 {
 		return -1
 	}
 	return age.Seconds()
--- a/internal/sharedload/sharedload.go
+++ b/internal/sharedload/sharedload.go
@@ -15,6 +15,9 @@
 	viewBytesPerSecond = 20_000
 	// bytesPerRow is about the size of a row of a view.
 	bytesPerRow = 7
+	// minVMs is the smallest fleet that shares load. In the trial of docs/scheduling.md 7 VMs did not gain from it: a VM that makes
+	// a seventh of all requests sees enough.
+	minVMs = 8
 )
 
 // Sample is what a VM knows of an upstream's process from its own requests.
@@ -46,14 +49,15 @@
 }
 
 // Needed reports whether VMs need the load of each other to place requests well: if each has less than one upstream's
-// slots. slots are those of a service's upstreams. Where a VM fills several upstreams, it sees most of what matters.
+// slots, and there are many of them. slots are those of a service's upstreams. Where a VM fills several upstreams, it sees most of
+// what matters.
 func Needed(slots []int, vms int) bool {
 	sum, largest := 0, 0
 	for _, n := range slots {
 		sum += n
 		largest = max(largest, n)
 	}
-	return vms > 1 && sum < largest*vms
+	return vms >= minVMs && sum < largest*vms
 }
 
 // Request is a VM's report.
