routing: Compile returns all problems of a table, with their places

A document with several errors was refused with the first one only, so that an operator had to send it again after each correction. A key that stands twice is named by a short hash and both of its accounts.

TestCompile_CollectsAllProblems and _BoundsTheProblems, seen failing with a collector that keeps the first problem or does not stop.

--- a/internal/routing/table.go
+++ b/internal/routing/table.go
@@ -4,11 +4,12 @@
 package routing
 
 import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
 	"sort"
 	"strings"
 	"time"
-
-	"github.com/cockroachdb/errors"
 )
 
 // Kind is the kind of a route's requests, which determines how often a request may run.
@@ -111,70 +112,108 @@
 	keys     map[string]*Account
 }
 
-// Compile validates a table and returns its snapshot. The error describes the first invalid entry.
+// Compile validates a table and returns its snapshot. The error is of type Problems and has all
+// invalid entries, up to MaxProblems.
 func Compile(t Table) (*Snapshot, error) {
-	s := &Snapshot{Table: t, hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Account{}}
+	c := compiler{s: &Snapshot{Table: t, hosts: map[string][]*Route{}, services: map[string]*Service{}, keys: map[string]*Account{}}}
 	for i := range t.Services {
-		service := &t.Services[i]
-		if service.Name == "" || s.services[service.Name] != nil {
-			return nil, errors.Newf("services[%d]: the name %q is empty or stands twice", i, service.Name)
-		}
-		s.services[service.Name] = service
+		c.addService(i, &t.Services[i])
 	}
 	for i := range t.Routes {
-		if err := s.addRoute(&t.Routes[i]); err != nil {
-			return nil, errors.Wrapf(err, "routes[%d] (%s)", i, t.Routes[i].Name)
-		}
+		c.addRoute(i, &t.Routes[i])
 	}
 	for i := range t.Accounts {
-		account := &t.Accounts[i]
-		for _, key := range account.Keys {
-			if s.keys[key] != nil {
-				return nil, errors.Newf("tenants[%d] (%s): a key stands twice", i, account.Name)
-			}
-			s.keys[key] = account
+		c.addKeys(i, &t.Accounts[i])
+	}
+	if len(c.problems) > 0 {
+		return nil, c.problems
+	}
+	return c.s, nil
+}
+
+// compiler builds a snapshot and collects the table's problems.
+type compiler struct {
+	s        *Snapshot
+	problems Problems
+}
+
+func (c *compiler) addService(i int, service *Service) {
+	if service.Name == "" || c.s.services[service.Name] != nil {
+		place := Place{Section: SectionServices, Index: i, Field: FieldName}
+		c.problems.add(place, service.Name, "the name %q is empty or stands twice", service.Name)
+		return
+	}
+	c.s.services[service.Name] = service
+}
+
+func (c *compiler) addKeys(i int, account *Account) {
+	for k, key := range account.Keys {
+		if owner := c.s.keys[key]; owner != nil {
+			place := Place{Section: SectionAccounts, Index: i, Field: FieldKey, Element: k}
+			c.problems.add(place, account.Name, "key %s stands twice, it is also a key of account %q", KeyLabel(key), owner.Name)
+			continue
 		}
+		c.s.keys[key] = account
 	}
-	return s, nil
+}
+
+// KeyLabel identifies a key in messages without disclosing it: the first 8 hex digits of its SHA-256.
+func KeyLabel(key string) string {
+	hash := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(hash[:4])
 }
 
 // maxWeight bounds the weight of a target, so that their sum doesn't overflow.
 const maxWeight = 1 << 31
 
 // addRoute validates a route and inserts it into its host's list, longest prefix first.
-func (s *Snapshot) addRoute(r *Route) error {
-	if r.Host == "" || !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
-		return errors.Newf("host %q or path prefix %q is not valid", r.Host, r.PathPrefix)
+func (c *compiler) addRoute(i int, r *Route) {
+	report := func(field Field, element int, format string, args ...any) {
+		c.problems.add(Place{Section: SectionRoutes, Index: i, Field: field, Element: element}, r.Name, format, args...)
 	}
 	if r.Timeout <= 0 {
-		return errors.New("the timeout must be above 0")
+		report(FieldTimeout, 0, "the timeout must be above 0")
 	}
-	total := 0
-	for _, target := range r.Targets {
-		if s.services[target.Service] == nil {
-			return errors.Newf("service %q is unknown", target.Service)
-		}
-		if target.Weight < 0 || target.Weight > maxWeight {
-			return errors.Newf("service %q: the weight %d is not between 0 and %d", target.Service, target.Weight, maxWeight)
-		}
-		total += target.Weight
+	c.checkTargets(r, report)
+	if r.Host == "" {
+		report(FieldHost, 0, "the host is empty")
+		return
 	}
-	if total == 0 {
-		return errors.New("the weights add up to 0")
+	if !strings.HasPrefix(r.PathPrefix, "/") || !strings.HasSuffix(r.PathPrefix, "/") {
+		report(FieldPathPrefix, 0, "the path prefix %q does not begin and end with a slash", r.PathPrefix)
+		return
 	}
 	host := strings.ToLower(r.Host)
-	routes := s.hosts[host]
+	routes := c.s.hosts[host]
 	at := sort.Search(len(routes), func(i int) bool { return len(routes[i].PathPrefix) <= len(r.PathPrefix) })
-	for _, other := range routes {
+	for _, other := range routes[at:] {
 		if other.PathPrefix == r.PathPrefix {
-			return errors.Newf("route %s has the same host and path prefix", other.Name)
+			report(FieldPathPrefix, 0, "route %q has the same host and path prefix", other.Name)
+			return
 		}
 	}
-	routes = append(routes, nil)
-	copy(routes[at+1:], routes[at:])
-	routes[at] = r
-	s.hosts[host] = routes
-	return nil
+	c.s.hosts[host] = slices.Insert(routes, at, r)
+}
+
+// checkTargets reports targets that name no service or have an impossible weight.
+func (c *compiler) checkTargets(r *Route, report func(field Field, element int, format string, args ...any)) {
+	total, valid := 0, true
+	for k, target := range r.Targets {
+		if c.s.services[target.Service] == nil {
+			report(FieldTarget, k, "service %q is unknown", target.Service)
+		}
+		if target.Weight < 0 || target.Weight > maxWeight {
+			report(FieldWeight, k, "service %q: the weight %d is not between 0 and %d", target.Service, target.Weight, maxWeight)
+			valid = false
+		}
+		total += target.Weight
+	}
+	switch {
+	case len(r.Targets) == 0:
+		report(FieldTargets, 0, "the route names no service")
+	case valid && total == 0:
+		report(FieldTargets, 0, "the weights add up to 0")
+	}
 }
 
 // Route returns the route with the longest prefix of the path. host may include a port.
--- a/internal/routing/table_test.go
+++ b/internal/routing/table_test.go
@@ -70,3 +70,44 @@
 	}
 	require.Equal(t, map[string]int{"models": 900, "app": 100}, counts)
 }
+
+// TestCompile_CollectsAllProblems guards against checks that stop at the first problem, and against
+// problems reported at another entry than the one that has them.
+func TestCompile_CollectsAllProblems(t *testing.T) {
+	table := valid()
+	table.Services = append(table.Services, Service{Name: "app"}, Service{})
+	table.Routes[0].Timeout, table.Routes[0].Targets[0].Service = 0, "none"
+	table.Routes[1].Targets = []Target{{"models", -1}, {"app", maxWeight + 1}}
+	table.Routes[2].PathPrefix = "/x"
+	table.Routes = append(table.Routes,
+		Route{Name: "again", Host: "A.example", PathPrefix: "/", Timeout: 1, Targets: []Target{{"app", 1}}},
+		Route{Name: "empty", PathPrefix: "/", Timeout: 1},
+		Route{Name: "weightless", Host: "b", PathPrefix: "/", Timeout: 1, Targets: []Target{{"app", 0}}})
+	table.Accounts[1].Keys = []string{"k3", "k1"}
+	_, err := Compile(table)
+	var problems Problems
+	require.ErrorAs(t, err, &problems)
+	require.Equal(t, Problems{
+		{Place{SectionServices, 2, FieldName, 0}, "app", `the name "app" is empty or stands twice`},
+		{Place{SectionServices, 3, FieldName, 0}, "", `the name "" is empty or stands twice`},
+		{Place{SectionRoutes, 0, FieldTimeout, 0}, "all", "the timeout must be above 0"},
+		{Place{SectionRoutes, 0, FieldTarget, 0}, "all", `service "none" is unknown`},
+		{Place{SectionRoutes, 1, FieldWeight, 0}, "deep", `service "models": the weight -1 is not between 0 and 2147483648`},
+		{Place{SectionRoutes, 1, FieldWeight, 1}, "deep", `service "app": the weight 2147483649 is not between 0 and 2147483648`},
+		{Place{SectionRoutes, 2, FieldPathPrefix, 0}, "x", `the path prefix "/x" does not begin and end with a slash`},
+		{Place{SectionRoutes, 3, FieldPathPrefix, 0}, "again", `route "all" has the same host and path prefix`},
+		{Place{SectionRoutes, 4, FieldTargets, 0}, "empty", "the route names no service"},
+		{Place{SectionRoutes, 4, FieldHost, 0}, "empty", "the host is empty"},
+		{Place{SectionRoutes, 5, FieldTargets, 0}, "weightless", "the weights add up to 0"},
+		{Place{SectionAccounts, 1, FieldKey, 1}, "two", "key " + KeyLabel("k1") + ` stands twice, it is also a key of account "one"`},
+	}, problems)
+	require.EqualError(t, err, `services[2] (app): the name "app" is empty or stands twice (and 11 more problems)`)
+	require.NotContains(t, KeyLabel("k1"), "k1")
+}
+
+// TestCompile_BoundsTheProblems guards against a table whose entries all have problems: their
+// messages would need more memory than the table.
+func TestCompile_BoundsTheProblems(t *testing.T) {
+	_, err := Compile(Table{Routes: make([]Route, MaxProblems)})
+	require.Len(t, err, MaxProblems)
+}
