jsonfile: positions in texts that encoding/json reads

Lenient finds all values of a wrong type, where json.Unmarshal returns the first one, and the fields that it ignores, and gives the line and column of any value. config.Check returns the document beside the file, so that findings about a valid file have positions too.

--- a/internal/config/parse.go
+++ b/internal/config/parse.go
@@ -7,6 +7,16 @@
 // Parse checks the text of an operators' file and fills in the defaults. The error is a
 // jsonfile.Problems with all problems found; name is the file name in it.
 func Parse(name string, text []byte) (*File, error) {
+	f, doc := Check(name, text)
+	if err := doc.Err(); err != nil {
+		return nil, err
+	}
+	return f, nil
+}
+
+// Check does the same as Parse, and returns the document, which has the problems and the positions
+// of all values. The file is complete only if there are no problems.
+func Check(name string, text []byte) (*File, *jsonfile.Document) {
 	f := &File{}
 	doc := jsonfile.Decode(name, text, MaxBytes, f)
 	if doc.Parsed() {
@@ -18,11 +28,10 @@
 		c.checkUpstreams()
 		c.checkPlacement()
 	}
-	if err := doc.Err(); err != nil {
-		return nil, err
+	if doc.Err() == nil {
+		f.fillDefaults()
 	}
-	f.fillDefaults()
-	return f, nil
+	return f, doc
 }
 
 func (f *File) fillDefaults() {
--- a/internal/jsonfile/jsonfile.go
+++ b/internal/jsonfile/jsonfile.go
@@ -68,6 +68,8 @@
 	lines    []int // offset of the first byte of each line; filled by the first problem
 	omitted  int
 	problems Problems
+	lenient  bool     // the text is read by the rules of encoding/json, see Lenient
+	ignored  Problems // fields that a lenient reader ignores
 }
 
 // Report adds a problem at the value at path, which consists of field names and array indexes from
@@ -126,7 +128,7 @@
 func (d *Document) offsetOf(path []any) int {
 	value := &d.root
 	for _, step := range path {
-		next := childValue(value, step)
+		next := d.childValue(value, step)
 		if next == nil {
 			break
 		}
@@ -136,13 +138,16 @@
 }
 
 // childValue returns the object member or array element at step, or nil if there is none.
-func childValue(value *hujson.Value, step any) *hujson.Value {
+func (d *Document) childValue(value *hujson.Value, step any) *hujson.Value {
 	switch step := step.(type) {
 	case string:
 		object, ok := value.Value.(*hujson.Object)
 		if !ok {
 			return nil
 		}
+		if d.lenient {
+			return foldedMember(object, step)
+		}
 		for i := range object.Members {
 			if memberName(&object.Members[i]) == step {
 				return &object.Members[i].Value
