egretrampctl: config check lists errors, warnings and differences

Operators learnt the errors of a configuration one by one from the refusals of a control VM, and had no way to see what a new version changes. The command checks a file of either format, compares it with another file or the version in force (GET of the control listener, or the administration API), and exits with 0, 1 (errors) or 2 (not readable).

--- a/internal/ctl/ctl.go
+++ b/internal/ctl/ctl.go
@@ -40,6 +40,7 @@
 	// zones serves the commands about zones; nil leaves them out.
 	zones        ZoneService
 	orderTimeout time.Duration
+	format       *DocumentFormat
 
 	Admin       []string `long:"admin" value-name:"ADDRESS" env:"EGRETRAMP_ADMIN" env-delim:"," description:"administration address of a VM, IP:port; if it fails the next one is tried"`
 	Certificate string   `long:"tls-certificate" value-name:"FILE" env:"EGRETRAMP_TLS_CERTIFICATE" description:"your certificate, for VMs that have the tls block in their settings"`
@@ -132,6 +133,7 @@
 			panic("ctl: command " + c.name + ": " + err.Error())
 		}
 	}
+	t.addConfigCommands(parser)
 }
 
 // exitCode prints an error and returns the exit code for it.
--- a/internal/ctl/files.go
+++ b/internal/ctl/files.go
@@ -21,7 +21,7 @@
 
 // readFile reads and validates an operators' file.
 func (t *tool) readFile(name string) (*config.File, []byte, error) {
-	text, err := t.readText(name)
+	text, err := t.readText(name, config.MaxBytes)
 	if err != nil {
 		return nil, nil, &usageError{err.Error()}
 	}
@@ -29,16 +29,18 @@
 	return file, text, err
 }
 
-func (t *tool) readText(name string) ([]byte, error) {
+// readText reads a file, or standard input for "-". The text is longer than most bytes if the input
+// is, see readAtMost.
+func (t *tool) readText(name string, most int64) ([]byte, error) {
 	if name == "-" {
-		return readAtMost(t.In, config.MaxBytes)
+		return readAtMost(t.In, most)
 	}
 	opened, err := os.Open(name)
 	if err != nil {
 		return nil, err
 	}
 	defer func() { _ = opened.Close() }()
-	return readAtMost(opened, config.MaxBytes)
+	return readAtMost(opened, most)
 }
 
 // readAtMost reads at most one byte more than allowed, so that the caller's size check detects an
