--- a/cmd/egretrampctl/main_test.go
+++ b/cmd/egretrampctl/main_test.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"flag"
-	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -13,7 +12,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"egretramp/internal/catalog"
 	"egretramp/internal/ctl"
+	"egretramp/internal/node"
 	"egretramp/platform"
 )
 
@@ -29,18 +30,21 @@
 	return code, outBuffer.String(), errBuffer.String()
 }
 
-// controlListener serves a configuration in force.
-func controlListener(t *testing.T, status int, file string) (address string) {
+// inForce is a control VM that only knows the configuration in force.
+type inForce struct {
+	node.ControlService
+	document catalog.Document
+	err      error
+}
+
+func (s inForce) Document(context.Context) (catalog.Document, error) { return s.document, s.err }
+
+// controlListener serves a configuration in force, or the error of a control VM that can't read it.
+func controlListener(t *testing.T, file string, err error) (address string) {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("testdata", file))
-	require.NoError(t, err)
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if r.URL.Path != platform.ConfigPath {
-			status = http.StatusNotFound
-		}
-		w.WriteHeader(status)
-		_, _ = w.Write(text)
-	}))
+	text, readErr := os.ReadFile(filepath.Join("testdata", file))
+	require.NoError(t, readErr)
+	server := httptest.NewServer(platform.ControlHandler(inForce{document: catalog.Document{Version: 7, Data: text}, err: err}))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
@@ -76,7 +80,8 @@
 // TestConfigCheck_Running guards against a comparison with something else than the version in force,
 // and against exit code 0 if that can't be read.
 func TestConfigCheck_Running(t *testing.T) {
-	good, absent, broken := controlListener(t, 200, "running.json"), controlListener(t, 503, "running.json"), controlListener(t, 200, "bad.json")
+	good, broken := controlListener(t, "running.json", nil), controlListener(t, "bad.json", nil)
+	absent := controlListener(t, "running.json", node.ErrUnavailable)
 	code, out, errOut := runTool(t, "", "config", "check", "next.json", "--running", "--control", "127.0.0.1:1", "--control", absent, "--control", good)
 	require.Equal(t, ctl.ExitOK, code, errOut)
 	want, err := os.ReadFile(filepath.Join("testdata", "next.txt"))
