--- a/internal/ctl/config.go
+++ b/internal/ctl/config.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/netip"
 	"slices"
 	"strings"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jessevdk/go-flags"
 
 	"egretramp/internal/config"
@@ -244,21 +246,23 @@
 	if c.tool.JSON {
 		return c.tool.printJSON(out)
 	}
-	w := c.tool.Out
+	// One write for all lines: a file with thousands of warnings would need as many system calls.
+	var w strings.Builder
 	for _, p := range out.Errors {
-		fmt.Fprintln(w, withSeverity(p, "error"))
+		fmt.Fprintln(&w, withSeverity(p, "error"))
 	}
 	for _, p := range out.Warnings {
-		fmt.Fprintln(w, withSeverity(p, "warning"))
+		fmt.Fprintln(&w, withSeverity(p, "warning"))
 	}
 	if out.Against != nil {
-		fmt.Fprintf(w, "%d differences from %s, version %d\n", len(out.Against.Changes), out.Against.Source, out.Against.Version)
+		fmt.Fprintf(&w, "%d differences from %s, version %d\n", len(out.Against.Changes), out.Against.Source, out.Against.Version)
 		for _, change := range out.Against.Changes {
-			fmt.Fprintln(w, " ", change)
+			fmt.Fprintln(&w, " ", change)
 		}
 	}
-	fmt.Fprintf(w, "%s: %d errors, %d warnings\n", out.File, len(out.Errors), len(out.Warnings))
-	return nil
+	fmt.Fprintf(&w, "%s: %d errors, %d warnings\n", out.File, len(out.Errors), len(out.Warnings))
+	_, err := io.WriteString(c.tool.Out, w.String())
+	return errors.Wrap(err, "cannot print the result")
 }
 
 // withSeverity returns a problem on one line, with the severity after the position.
