--- a/internal/balance/shared.go
+++ b/internal/balance/shared.go
@@ -57,9 +57,9 @@
 // pickShared returns the index of the candidate for a request, from the load that all VMs cause; -1 if none is left.
 //
 // Many VMs decide on the same view. If each took the upstream that was best in it, all would take the same one. So each
-// VM places in its mind all requests that VMs may move before the next view, one after the other on the upstream that
-// is best by then, and takes the upstream of one of those placements at random: together the VMs make about these
-// placements. Requests of other zones are placed as well, each from its own zone, so that zones share what one of
+// VM simulates the placement of all requests that VMs may move before the next view, one after the other on the upstream
+// with the lowest cost by then, and takes the upstream of one of those placements at random: the VMs together make about
+// these placements. Requests of other zones are placed as well, each from its own zone, so that zones share what one of
 // them has left and don't exchange load.
 func pickShared(candidates []Candidate, r Request) int {
 	p := newPlacer(candidates, r)
@@ -86,7 +86,7 @@
 	return other
 }
 
-// placer places the requests that all VMs may move until the next view.
+// placer simulates the placement of the requests that all VMs may move until the next view.
 type placer struct {
 	candidates []Candidate
 	request    Request
--- a/internal/proxy/sharedload.go
+++ b/internal/proxy/sharedload.go
@@ -13,8 +13,8 @@
 const (
 	// loadWindow is half the time over which recent attempts are counted.
 	loadWindow = 500 * time.Millisecond
-	// laterTurns is the number of turns that a program is expected to run yet: those are in the other zone too, or leave
-	// their prompt there. Programs have 3 to 11 turns, so a turn has about as many after it on average.
+	// laterTurns is the number of turns of a program that are expected to follow a turn to the other zone, since its home
+	// moves there. Programs have 3 to 11 turns, so about 4 follow on average.
 	laterTurns = 4
 	// zoneRoundTrip is the network's round trip to another zone.
 	zoneRoundTrip = time.Millisecond
