--- a/internal/configlint/diff_table.go
+++ b/internal/configlint/diff_table.go
@@ -33,6 +33,7 @@
 		}
 		entries[entryID{KindService, s.Name}] = entry{fields: []field{
 			{"health path", s.HealthPath}, {"connections", strconv.Itoa(s.MaxConns)}, {"engine", engine},
+			{"cold start", s.ColdStart.String()}, {"cold rate", strconv.FormatFloat(s.ColdPerSecond, 'g', -1, 64)},
 		}}
 	}
 	for _, a := range t.Accounts {
