--- /dev/null
+++ b/internal/callermem/conn.go
@@ -0,0 +1,113 @@
+package callermem
+
+import "time"
+
+// Conn is the part of a budget that one connection holds. It is safe for concurrent use. The zero value holds nothing and has no
+// limit.
+type Conn struct {
+	budget *Budget
+	group  *Group
+	socket Socket
+
+	// The rest is guarded by budget.mu.
+	phase    Phase
+	since    time.Duration // when the phase began
+	bytes    int64         // what the connection holds, kernel included
+	kernel   int64         // bytes in the kernel's queues, as last measured
+	progress progress
+	evicted  bool // it is being closed to make room
+	gone     bool
+}
+
+// Reserve adds n bytes to what the connection holds and reports whether there is room. Without room, connections that make
+// little progress are closed, so that there is some later.
+func (c *Conn) Reserve(n int64, now time.Duration) bool {
+	b := c.budget
+	if b == nil || b.limit <= 0 {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.gone || c.evicted {
+		return false
+	}
+	limit := float64(b.limit)
+	if c.bytes+n > OwnBytes && !c.group.whole {
+		limit *= largeShare
+	}
+	if float64(b.used+n) > limit {
+		b.refused++
+		b.relieve(now, n)
+		return false
+	}
+	c.bytes += n
+	b.used += n
+	return true
+}
+
+// Release returns n reserved bytes.
+func (c *Conn) Release(n int64) { c.adjust(-n) }
+
+func (c *Conn) adjust(n int64) {
+	b := c.budget
+	if b == nil || b.limit <= 0 {
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	c.change(n)
+}
+
+// change changes what the connection holds. The caller holds budget.mu.
+func (c *Conn) change(n int64) {
+	if c.gone {
+		return
+	}
+	c.bytes += n
+	c.budget.used += n
+	if c.evicted {
+		c.budget.closing += n
+	}
+}
+
+// SetPhase records what the connection does from now on.
+func (c *Conn) SetPhase(p Phase, now time.Duration) {
+	if c.budget == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.phase, c.since = p, now
+}
+
+// Progress records that n bytes were received from or taken by the caller.
+func (c *Conn) Progress(n int, now time.Duration) {
+	if c.budget == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.progress.add(int64(n), now)
+}
+
+// setKernel records the bytes in the kernel's queues of the connection. They are counted even if there is no room.
+func (c *Conn) setKernel(n int64) {
+	b := c.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if c.gone {
+		return
+	}
+	c.change(n - c.kernel)
+	c.kernel = n
+}
+
+// Close returns all that the connection holds.
+func (c *Conn) Close() {
+	if c.budget == nil {
+		return
+	}
+	c.budget.mu.Lock()
+	defer c.budget.mu.Unlock()
+	c.budget.remove(c)
+}
