httpwire: heads, bodies and unread answers count toward a budget

A body that announces its length got all its memory before its first byte arrived, and a chunked one grew up to the limit on each connection, for 30 s.

Buffers grow with what has arrived, from 4 KiB for heads and bodies; parsed headers are charged by the line; a connection that waits for a request has no buffer. A request for which there is no room is refused with 503 before it is passed on. Without LimitMemory nothing is refused. Writes are made in parts of 64 KiB, so that what a caller takes counts as its progress.

--- a/internal/httpwire/read.go
+++ b/internal/httpwire/read.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/callermem"
 )
 
 // failure is the response to a request that can't be read. With status 0 no response is sent.
@@ -23,6 +25,10 @@
 	if c.raw.SetReadDeadline(arrived.Add(limits.HeaderTimeout)) != nil {
 		return nil, &failure{}
 	}
+	if !c.reserve(callermem.RequestBytes) {
+		return nil, outOfMemory
+	}
+	c.openReader()
 	if f := c.checkHead(limits.MaxHeaderBytes); f != nil {
 		return nil, f
 	}
@@ -49,7 +55,7 @@
 	if c.raw.SetReadDeadline(arrived.Add(bodyTimeout)) != nil {
 		return nil, &failure{}
 	}
-	if request.Body, err = readBody(parsed, limits.MaxBodyBytes); err != nil {
+	if request.Body, err = c.readBody(parsed, limits.MaxBodyBytes); err != nil {
 		return nil, readFailure(err)
 	}
 	if len(request.Body) > limits.MaxBodyBytes {
@@ -58,18 +64,43 @@
 	return request, nil
 }
 
-func readBody(r *http.Request, limit int) ([]byte, error) {
+// readBody reads the body into a buffer that grows with what has arrived, whatever length is announced. It reads one byte
+// more than limit at most.
+func (c *serverConn) readBody(r *http.Request, limit int) ([]byte, error) {
+	most := int64(limit) + 1
 	if r.ContentLength >= 0 {
-		body := make([]byte, r.ContentLength)
-		_, err := io.ReadFull(r.Body, body)
-		return body, err
+		most = r.ContentLength
+	}
+	body := make([]byte, 0, min(most, firstBodyBytes))
+	for int64(len(body)) < most {
+		if len(body) == cap(body) {
+			size := min(most, 2*int64(cap(body)))
+			if !c.reserve(size) {
+				return nil, errOutOfMemory
+			}
+			c.unreserve(int64(cap(body)))
+			body = append(make([]byte, 0, size), body...)
+		}
+		n, err := r.Body.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case errors.Is(err, io.EOF) && (r.ContentLength < 0 || int64(len(body)) == most):
+			return body, nil
+		case errors.Is(err, io.EOF):
+			return nil, io.ErrUnexpectedEOF
+		case err != nil:
+			return nil, err
+		}
 	}
-	return io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	return body, nil
 }
 
-// readFailure returns status 400 for a request that can't be parsed, and no response for one that
+// readFailure returns status 503 for a request for which there is no memory, 400 for one that can't be parsed, and no response for one that
 // was cut short by a network error or the end of the connection.
 func readFailure(err error) *failure {
+	if errors.Is(err, errOutOfMemory) {
+		return outOfMemory
+	}
 	var network net.Error
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &network) {
 		return &failure{}
@@ -77,7 +108,15 @@
 	return &failure{http.StatusBadRequest, "the request is not valid HTTP/1.1"}
 }
 
-var headEnd = []byte("\r\n\r\n")
+var headEnd, headLineEnd = []byte("\r\n\r\n"), []byte("\r\n")
+
+const (
+	// firstBodyBytes is the size of a body's buffer before any of the body has arrived. It is part of
+	// callermem.RequestBytes.
+	firstBodyBytes = 4 << 10
+	// headerLineBytes is about what a parsed header takes besides its text: entries of maps, and their copies that are sent on.
+	headerLineBytes = 400
+)
 
 // checkHead waits until the whole head is buffered and rejects ambiguous framing, on which two HTTP
 // implementations could disagree. net/http would accept some of it, and an upstream could then parse
@@ -93,6 +132,10 @@
 			if end > limit {
 				return &failure{http.StatusRequestHeaderFieldsTooLarge, "the head is too large"}
 			}
+			// Parsed headers take several times their size on the wire.
+			if !c.reserve(int64(end + headerLineBytes*bytes.Count(buffered[:end], headLineEnd))) {
+				return outOfMemory
+			}
 			return checkFraming(buffered[:end])
 		}
 		if len(buffered) >= limit {
@@ -102,19 +145,13 @@
 			if !errors.Is(err, bufio.ErrBufferFull) {
 				return &failure{}
 			}
-			c.growReader()
+			if !c.growReader() {
+				return outOfMemory
+			}
 		}
 	}
 }
 
-// growReader doubles the read buffer and keeps what it holds.
-func (c *serverConn) growReader() {
-	// The buffer's content is copied: reads into the new one may not overlap with it.
-	buffered, _ := c.reader.Peek(c.reader.Buffered()) // never fails: it asks for no more than is there
-	rest := io.MultiReader(bytes.NewReader(bytes.Clone(buffered)), c.raw)
-	c.reader = bufio.NewReaderSize(rest, 2*c.reader.Size())
-}
-
 func checkFraming(head []byte) *failure {
 	lengths, codings := 0, 0
 	for i, line := range bytes.Split(head, []byte("\r\n")) {
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -2,12 +2,14 @@
 
 import (
 	"bufio"
-	"net"
 	"net/http"
 	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/callermem"
+	"egretramp/internal/clock"
 )
 
 // ErrOutOfOrder is returned by a call that would write bytes which don't belong to the response that was begun or sent. The
@@ -124,13 +126,28 @@
 
 // deadlineWriter writes to a connection, each write with a deadline of its own: that of an earlier response may
 // have passed.
-type deadlineWriter struct{ conn net.Conn }
+type deadlineWriter struct{ conn *serverConn }
+
+// writePart is the most that is written at once, in bytes: what a caller takes counts as its progress.
+const writePart = 64 << 10
 
 func (w deadlineWriter) Write(p []byte) (int, error) {
-	if err := w.conn.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+	c := w.conn
+	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
 		return 0, err
 	}
-	return w.conn.Write(p)
+	c.memory.SetPhase(callermem.Sending, clock.Now())
+	defer func() { c.memory.SetPhase(callermem.Serving, clock.Now()) }()
+	written := 0
+	for written < len(p) {
+		n, err := c.raw.Write(p[written:min(len(p), written+writePart)])
+		written += n
+		c.memory.Progress(n, clock.Now())
+		if err != nil {
+			return written, err
+		}
+	}
+	return written, nil
 }
 
 // flush sends the buffered data. It also returns errors of earlier writes, which bufio.Writer keeps.
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -18,6 +18,10 @@
 	"github.com/cockroachdb/errors"
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
+
+	"egretramp/internal/callerconn"
+	"egretramp/internal/callermem"
+	"egretramp/internal/clock"
 )
 
 // Limits bound what a caller may send and how long it may take.
@@ -66,6 +70,7 @@
 type Server struct {
 	handler  Handler
 	limits   func() Limits
+	memory   *callermem.Group // nil for no limit
 	draining atomic.Bool
 
 	mu    sync.Mutex
@@ -77,6 +82,9 @@
 	return &Server{handler: handler, limits: limits, conns: map[*serverConn]struct{}{}}
 }
 
+// LimitMemory makes the connections count toward a budget. It is called before Serve.
+func (s *Server) LimitMemory(connections *callermem.Group) { s.memory = connections }
+
 // Serve accepts connections until the listener is closed, and returns when all of them are closed.
 func (s *Server) Serve(listener net.Listener) error {
 	var wg conc.WaitGroup
@@ -92,8 +100,13 @@
 			continue
 		}
 		c := &serverConn{server: s, raw: raw}
+		if c.memory = callerconn.Admit(s.memory, raw); c.memory == nil {
+			_ = raw.Close() // all connections are being served
+			continue
+		}
 		s.track(c, true)
 		wg.Go(func() {
+			defer c.memory.Close()
 			defer s.track(c, false)
 			c.run()
 		})
@@ -139,7 +152,9 @@
 type serverConn struct {
 	server *Server
 	raw    net.Conn
-	reader *bufio.Reader
+	reader *bufio.Reader // nil while no request arrives
+	memory *callermem.Conn
+	held   int64 // bytes that are reserved for the present request
 	busy   atomic.Bool
 
 	idleMu  sync.Mutex
@@ -173,7 +188,7 @@
 	err := c.raw.SetReadDeadline(time.Now().Add(limit))
 	c.idleMu.Unlock()
 	if err == nil {
-		_, err = c.reader.Peek(1)
+		err = c.awaitInput()
 	}
 	c.idleMu.Lock()
 	defer c.idleMu.Unlock()
@@ -185,7 +200,7 @@
 const (
 	// readerSize is the size of a connection's read buffer, which grows up to a head's size: the head is checked in the
 	// buffer before it is parsed.
-	readerSize = 17 << 10
+	readerSize = 4 << 10
 	// maxHeadBytes bounds Limits.MaxHeaderBytes.
 	maxHeadBytes = 1 << 20
 )
@@ -198,13 +213,14 @@
 		if first {
 			wait = max(limits.HeaderTimeout, limits.IdleTimeout)
 		}
-		if c.reader == nil {
-			c.reader = bufio.NewReaderSize(c.raw, readerSize)
-		}
+		c.releaseReader()
 		if !c.awaitRequest(wait) {
 			return
 		}
+		c.memory.SetPhase(callermem.Receiving, clock.Now())
 		keepAlive := c.serveOne(limits)
+		c.release()
+		c.memory.SetPhase(callermem.Idle, clock.Now())
 		c.busy.Store(false)
 		if !keepAlive {
 			return
@@ -217,19 +233,20 @@
 	request, failure := c.read(limits)
 	if failure != nil {
 		if failure.status != 0 {
-			w := &Response{conn: c, writer: bufio.NewWriter(deadlineWriter{c.raw}), closeAfter: true}
+			w := &Response{conn: c, writer: bufio.NewWriter(deadlineWriter{c}), closeAfter: true}
 			c.server.handler.Malformed(w, failure.status, failure.reason)
 			c.linger()
 		}
 		return false
 	}
-	w := &Response{conn: c, writer: bufio.NewWriterSize(deadlineWriter{c.raw}, 4<<10), isHead: request.Method == http.MethodHead}
+	w := &Response{conn: c, writer: bufio.NewWriterSize(deadlineWriter{c}, 4<<10), isHead: request.Method == http.MethodHead}
 	w.closeAfter = request.close || c.server.draining.Load()
 	// A caller that left while this VM was suspended or overloaded, or while its earlier requests were served,
 	// needs no response.
 	if c.callerLeft() {
 		return false
 	}
+	c.memory.SetPhase(callermem.Serving, clock.Now())
 	ctx, cancel := context.WithCancelCause(context.Background())
 	stop := c.watch(cancel)
 	c.server.handler.Serve(ctx, w, request)
@@ -252,7 +269,7 @@
 // request hide it.
 func (c *serverConn) callerLeft() bool {
 	tcp, ok := c.raw.(*net.TCPConn)
-	if !ok || c.reader.Buffered() > 0 {
+	if !ok || c.buffered() > 0 {
 		return false
 	}
 	raw, err := tcp.SyscallConn()
@@ -276,8 +293,8 @@
 	_ = c.raw.SetReadDeadline(time.Time{})
 	go func() {
 		defer close(done)
-		// Peek leaves a pipelined request in the buffer.
-		if _, err := c.reader.Peek(1); err != nil && !stopping.Load() {
+		// A pipelined request is left where it is.
+		if err := c.awaitInput(); err != nil && !stopping.Load() {
 			cancel(ErrCallerGone)
 		}
 	}()
@@ -297,5 +314,8 @@
 	if tcp.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	_, _ = io.Copy(io.Discard, io.LimitReader(c.reader, 8<<20)) // this input belongs to no request
+	c.release()
+	c.releaseReader()
+	c.memory.SetPhase(callermem.Receiving, clock.Now())
+	_, _ = io.Copy(io.Discard, io.LimitReader(input{c}, 8<<20)) // this input belongs to no request
 }
