proxy: responses and stored conversations count toward the callers' budget

Buffers of responses had a bound of their own, 16 MB for all, beside which request bodies and stored conversations took memory without any.

Options.Memory is the one bound: buffers of responses beyond 64 KiB each and stored conversations beyond 64 KiB take from it. A conversation that finds no room is refused with 503 (caller_memory, not run, Retry-After 1.5 s). The request's body is no longer kept beside its copy after the conversation. Without Options.Memory nothing changes.

--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/callermem"
 )
 
 const (
@@ -27,7 +29,24 @@
 )
 
 // sharedBuffers counts the bytes that the buffers of all responses use beyond ownBytes each.
-type sharedBuffers struct{ used atomic.Int64 }
+type sharedBuffers struct {
+	used   atomic.Int64
+	memory *callermem.Budget // of which the buffers are a part; nil for no limit
+}
+
+// take reserves n bytes and reports whether there is room.
+func (s *sharedBuffers) take(n int64) bool {
+	if s.used.Add(n) > maxSharedBytes || !s.memory.Take(n) {
+		s.used.Add(-n)
+		return false
+	}
+	return true
+}
+
+func (s *sharedBuffers) giveBack(n int64) {
+	s.used.Add(-n)
+	s.memory.Return(n)
+}
 
 // bufferLease is the part of the shared buffers that one response uses. It is not safe for concurrent use.
 type bufferLease struct {
@@ -46,8 +65,7 @@
 	if missing <= 0 {
 		return nil
 	}
-	if l.shared.used.Add(missing) > maxSharedBytes {
-		l.shared.used.Add(-missing)
+	if !l.shared.take(missing) {
 		return errBuffersFull
 	}
 	l.reserved += missing
@@ -56,7 +74,9 @@
 
 // release returns the lease and resets the size.
 func (l *bufferLease) release() {
-	l.shared.used.Add(-l.reserved)
+	if l.reserved > 0 {
+		l.shared.giveBack(l.reserved)
+	}
 	l.size, l.reserved = 0, 0
 }
 
--- /dev/null
+++ b/internal/proxy/memory_test.go
@@ -0,0 +1,54 @@
+package proxy
+
+import (
+	"bytes"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/callermem"
+	"egretramp/internal/httpwire"
+)
+
+// TestBufferLease_CountsTowardTheBudgetOfCallers guards against responses that take memory beside the bound for all that is held
+// for callers.
+func TestBufferLease_CountsTowardTheBudgetOfCallers(t *testing.T) {
+	budget := callermem.New(1 << 20)
+	shared := &sharedBuffers{memory: budget}
+	lease, other := bufferLease{shared: shared}, bufferLease{shared: shared}
+	_, err := lease.readAll(bytes.NewReader(make([]byte, 600<<10)))
+	require.NoError(t, err)
+	require.EqualValues(t, 600<<10-ownBytes, budget.Stats().Used)
+	_, err = other.readAll(bytes.NewReader(make([]byte, 600<<10)))
+	require.ErrorIs(t, err, errBuffersFull)
+	other.release()
+	_, err = other.readAll(bytes.NewReader(make([]byte, ownBytes)))
+	require.NoError(t, err, "small responses depend on no others")
+	lease.release()
+	other.release()
+	require.Zero(t, budget.Stats().Used)
+	require.Zero(t, shared.used.Load())
+}
+
+// TestExchange_ConversationCountsTowardTheBudgetOfCallers guards against stored conversations that take memory beside the bound,
+// and against bodies that are kept twice while they are sent on.
+func TestExchange_ConversationCountsTowardTheBudgetOfCallers(t *testing.T) {
+	budget := callermem.New(1 << 20)
+	server := &Server{opts: Options{Memory: budget}}
+	prepend := func(stored int) (*exchange, *Refusal) {
+		x := &exchange{server: server, request: &httpwire.Request{Body: []byte("input")}}
+		return x, x.prepend([][]byte{make([]byte, stored-1), []byte("x")})
+	}
+	x, refusal := prepend(500 << 10)
+	require.Nil(t, refusal)
+	require.Len(t, x.body, 500<<10+len("input"))
+	require.Equal(t, "xinput", string(x.body[500<<10-1:]))
+	require.Equal(t, "input", string(x.request.Body))
+	require.Same(t, &x.body[500<<10], &x.request.Body[0], "the body is kept twice")
+	require.EqualValues(t, x.chainReserved, budget.Stats().Used)
+	_, refusal = prepend(500 << 10)
+	require.Equal(t, MemoryFull, refusal.Reason)
+	require.Positive(t, refusal.RetryAfter)
+	_, refusal = prepend(1 << 10)
+	require.Nil(t, refusal, "small conversations depend on no others")
+}
--- a/internal/proxy/names.go
+++ b/internal/proxy/names.go
@@ -4,7 +4,7 @@
 func (r Reason) String() string {
 	return [...]string{
 		"no_configuration", "no_route", "bad_key", "over_rate", "budget_spent", "unknown_turn", "lost_conversation", "overloaded",
-		"store_unavailable", "unknown_stream", "build_gone", "no_upstream", "zones_evacuated", "upstreams_limited", "too_late", "malformed", "quarantined", "failed", "timed_out",
+		"store_unavailable", "unknown_stream", "build_gone", "no_upstream", "zones_evacuated", "upstreams_limited", "too_late", "caller_memory", "malformed", "quarantined", "failed", "timed_out",
 	}[r]
 }
 
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap"
 
 	"egretramp/internal/admission"
+	"egretramp/internal/callermem"
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/httpwire"
@@ -123,6 +124,7 @@
 	ZonesEvacuated                 // every upstream is in a zone that is out of service
 	UpstreamsLimited               // every upstream is at the rate limit that it states
 	TooLate                        // the deadline passed before the request was sent
+	MemoryFull                     // the memory for callers is used up
 	Malformed                      // the request could not be parsed
 	Quarantined                    // the request crashed too many upstreams
 	Failed                         // the upstream failed; the request may have run
@@ -221,7 +223,9 @@
 	// default, negative if it is worth nothing.
 	ZoneMegabyteCost time.Duration
 	// Drain is how long an upstream serves after it announced its shutdown.
-	Drain   time.Duration
+	Drain time.Duration
+	// Memory bounds what is held for callers; nil for no limit. Buffers of responses are a part of it.
+	Memory  *callermem.Budget
 	Events  *events.Logger
 	Metrics *Metrics
 	// Bytes counts the bytes of attempts; nil for none.
@@ -279,6 +283,7 @@
 		opts.Dial = upconn.Dial
 	}
 	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial, opts.Detoured), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}, accounts: admission.NewAccounts()}
+	s.buffers.memory = opts.Memory
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, cutOff: opts.CutOff, events: opts.Events, metrics: opts.Metrics,
 	}
@@ -341,6 +346,7 @@
 	originRecord    *originRecord   // the last record of the origin, nil for none
 	output          []byte          // data of the events, as stored in the conversation
 	outputBuffers   bufferLease
+	chainReserved   int64               // bytes of Options.Memory that are reserved for the stored conversation in body
 	timeToFirstByte time.Duration       // from the request's arrival to the first byte of the response
 	upstream        string              // ID of the last upstream tried
 	upstreamBuild   string              // its build
@@ -362,6 +368,7 @@
 		excluded:      map[string]bool{}, mayHaveRun: map[string]bool{}, zoneUnreachable: map[string]bool{},
 	}
 	defer x.outputBuffers.release()
+	defer func() { s.opts.Memory.Return(x.chainReserved) }()
 	defer x.recoverPanic()
 	if refusal := x.authorize(); refusal != nil {
 		x.refuse(*refusal)
@@ -391,8 +398,15 @@
 	x.refuse(Refusal{Reason: Failed, Detail: "a panic; see the line before"})
 }
 
-// Malformed answers a request that could not be parsed. It implements httpwire.Handler.
+// Malformed answers a request that could not be parsed, or for which there is no memory. It implements httpwire.Handler.
 func (s *Server) Malformed(w *httpwire.Response, status int, reason string) {
+	if status == http.StatusServiceUnavailable {
+		// No log line for each: there may be thousands in a second. The owner of the budget reports them.
+		s.opts.Metrics.refused(MemoryFull)
+		code, header, body := s.opts.Protocol.WriteRefusal(Refusal{Reason: MemoryFull, RetryAfter: memoryRetryAfter})
+		_ = w.Send(code, header, body) // the connection is closed afterwards in any case
+		return
+	}
 	s.opts.Events.Emit(events.ProxyMalformed, zap.Int("status", status), zap.String("reason", reason))
 	s.opts.Metrics.refused(Malformed)
 	code, header, body := s.opts.Protocol.WriteRefusal(Refusal{Reason: Malformed, Status: status, Detail: reason})
@@ -512,17 +526,30 @@
 		return &Refusal{Reason: Overloaded, Detail: x.describeLoad(), RetryAfter: x.overloadRetryDelay()}
 	}
 	x.server.markProgramActive(x)
-	if len(result.Chain) > 0 {
-		size := len(x.request.Body)
-		for _, part := range result.Chain {
-			size += len(part)
-		}
-		x.body = make([]byte, 0, size)
-		for _, part := range result.Chain {
-			x.body = append(x.body, part...)
+	return x.prepend(result.Chain)
+}
+
+// prepend puts the stored conversation before the request's body. The body is not kept twice.
+func (x *exchange) prepend(chain [][]byte) *Refusal {
+	if len(chain) == 0 {
+		return nil
+	}
+	stored := 0
+	for _, part := range chain {
+		stored += len(part)
+	}
+	if beyond := int64(stored - ownBytes); beyond > 0 {
+		if !x.server.opts.Memory.Take(beyond) {
+			return &Refusal{Reason: MemoryFull, Detail: "the stored conversation", RetryAfter: memoryRetryAfter}
 		}
-		x.body = append(x.body, x.request.Body...)
+		x.chainReserved = beyond
+	}
+	body := make([]byte, 0, stored+len(x.request.Body))
+	for _, part := range chain {
+		body = append(body, part...)
 	}
+	x.body = append(body, x.request.Body...)
+	x.request.Body = x.body[stored:]
 	return nil
 }
 
@@ -572,6 +599,8 @@
 	// isolatedRetryAfter is when callers of a VM that is partitioned from the store may reach another
 	// one: the load balancer removes a VM after two failed health checks one second apart.
 	isolatedRetryAfter = time.Second
+	// memoryRetryAfter is when the connections that make the least progress have been closed.
+	memoryRetryAfter = 1500 * time.Millisecond
 	// upstreamRetryAfter is about the time in which a busy upstream completes a few requests.
 	upstreamRetryAfter = 150 * time.Millisecond
 )
