peer: unfinished messages of other processes count toward the budget

20 connections that sent frames of a message without end took 638 MB, and bytes that are no frames 1,377 MB.

Accepted connections without TLS belong to a group with a limit of their number; a packet tracker follows the frames and reserves what the protocol's reader holds. A frame above 1 MiB ends its connection: VMs send 64 KiB. Without Options.Memory nothing changes.

--- a/internal/peer/account.go
+++ b/internal/peer/account.go
@@ -10,6 +10,8 @@
 	"storj.io/drpc/drpcctx"
 	"storj.io/drpc/drpcmetadata"
 
+	"egretramp/internal/callerconn"
+	"egretramp/internal/callermem"
 	"egretramp/internal/identity"
 )
 
@@ -169,15 +171,25 @@
 	net.Listener
 	stats      *Stats
 	accounting *Accounting
+	memory     *callermem.Group // nil for no limit
 }
 
 // Accept implements net.Listener and wraps the connection in a countedConn.
 func (l *countedListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		conn, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		counted := &countedConn{Conn: conn, stats: l.stats, accounting: l.accounting}
+		if !l.memory.Limited() {
+			return counted, nil
+		}
+		if memory := callerconn.Admit(l.memory, conn); memory != nil {
+			return &limitedConn{countedConn: counted, memory: memory}, nil
+		}
+		_ = conn.Close() // all connections are in use
 	}
-	return &countedConn{Conn: conn, stats: l.stats, accounting: l.accounting}, nil
 }
 
 // countedFrom returns the connection of a call or stream that this VM serves, nil if its bytes aren't counted.
@@ -186,6 +198,9 @@
 	if secured, ok := transport.(*identity.Conn); ok {
 		transport = secured.Conn
 	}
+	if limited, ok := transport.(*limitedConn); ok {
+		transport = limited.countedConn
+	}
 	conn, ok := transport.(*countedConn)
 	if !ok {
 		return nil
--- /dev/null
+++ b/internal/peer/limited.go
@@ -0,0 +1,58 @@
+package peer
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/callermem"
+	"egretramp/internal/clock"
+)
+
+var errMemoryFull = errors.New("peer: the memory for what other VMs send is used up")
+
+// limitedConn is a connection from another VM. What has arrived of a message counts toward a budget until the message is complete.
+type limitedConn struct {
+	*countedConn
+	memory  *callermem.Conn
+	packets packetTracker // used by the one goroutine that reads
+	held    int64
+}
+
+// Read implements net.Conn. It returns an error, which ends the connection, if there is no memory or if the bytes are no frames.
+func (c *limitedConn) Read(p []byte) (int, error) {
+	n, err := c.countedConn.Read(p)
+	now := clock.Now()
+	c.memory.Progress(n, now)
+	if err := c.packets.add(p[:n]); err != nil {
+		return 0, err
+	}
+	if !c.hold(c.packets.size*3/2, now) { // the reader's buffer grows by copying
+		return 0, errMemoryFull
+	}
+	return n, err
+}
+
+// hold makes the connection hold size bytes of an unfinished message and reports whether there is room for them. Connections
+// without one are kept while there is room for others.
+func (c *limitedConn) hold(size int64, now time.Duration) bool {
+	switch {
+	case size == 0:
+		c.memory.SetPhase(callermem.Serving, now)
+	case c.held == 0:
+		c.memory.SetPhase(callermem.Receiving, now)
+	}
+	if size <= c.held {
+		c.memory.Release(c.held - size)
+	} else if !c.memory.Reserve(size-c.held, now) {
+		return false
+	}
+	c.held = size
+	return true
+}
+
+// Close implements net.Conn.
+func (c *limitedConn) Close() error {
+	c.memory.Close()
+	return c.countedConn.Close()
+}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -33,6 +33,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"egretramp/internal/callermem"
 	"egretramp/internal/events"
 	"egretramp/internal/identity"
 )
@@ -71,6 +72,8 @@
 	Protection *identity.Protection
 	// Accounting attributes bytes to zones and purposes; nil for none.
 	Accounting *Accounting
+	// Memory bounds the connections of other VMs and what arrives on them; nil for no limit. It has no effect with Protection.
+	Memory *callermem.Group
 }
 
 // Node manages this VM's connections to the other VMs.
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -29,6 +29,9 @@
 		return err
 	}
 	counted := &countedListener{Listener: listener, stats: &n.stats, accounting: n.opts.Accounting}
+	if n.opts.Protection == nil {
+		counted.memory = n.opts.Memory
+	}
 	return serveConns(ctx, n.opts.Protection.Listener(counted, identity.VM), mux)
 }
 
