node, platform: entry, control and store VMs bound what clients make them hold

Clients that don't finish their requests or don't read their answers made a process exceed the memory and the descriptors of its machine.

Each process has one budget, a quarter of its memory (caller_memory_mb sets another), for all its listeners, and accepts a share of max_fds on each. Entry VMs collect garbage from 65% of their memory on instead of 70%, since kernel buffers count as well.

--- a/internal/callerconn/listen.go
+++ b/internal/callerconn/listen.go
@@ -18,9 +18,9 @@
 	admitTimeout  = time.Second
 	admitInterval = 5 * time.Millisecond
 	// socketBufferBytes is the size of a connection's receive and send buffer in the kernel, which reserves twice as much. The
-	// kernel's own limits are up to 32 MB for each connection, which count toward the memory of the machine. 64 KiB
-	// let a caller 20 ms away send 3 MB a second.
-	socketBufferBytes = 64 << 10
+	// kernel's own limits are up to 32 MB for each connection, which count toward the memory of the machine. With 64 KiB, 150
+	// callers that read nothing filled 19 MB between two measurements, which an entry VM of 88 MB hasn't.
+	socketBufferBytes = 32 << 10
 )
 
 // Admit adds a connection that was accepted, and limits the kernel's buffers for it. If the group is full and no connection can be
--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -41,6 +41,7 @@
 	UpstreamCold            = define(2437, zapcore.InfoLevel, "an upstream is cold; all VMs together send it no more than its service's rate for cold upstreams", "")
 	UpstreamColdEnded       = define(2438, zapcore.InfoLevel, "an upstream is no longer cold, earlier than it said before", "")
 	ZoneRestored            = define(2439, zapcore.InfoLevel, "a zone returned to service; its upstreams count as cold until they say otherwise", "")
+	CallerMemoryShort       = define(2447, zapcore.WarnLevel, "memory or descriptors for callers are used up; requests were refused or connections closed", "find out which clients send requests that they don't finish, or don't read answers; see the limits in OPERATIONS.md")
 	NodeLogDropped          = define(2415, zapcore.WarnLevel, "log lines were dropped because they were logged faster than they could be written", "")
 
 	SharedLoadFresh = define(2443, zapcore.InfoLevel, "this VM knows the load that all entry VMs cause at upstreams", "")
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -183,7 +183,7 @@
 	})
 	wg.Go(func() { c.formStoreWhenReady(ctx) })
 	wg.Go(c.node.failOnPanic(func() { c.strikes.run(ctx) }))
-	return c.node.serveHTTP(ctx, wg, c.node.settings.Control, c.node.opts.ControlHandler(c))
+	return c.node.serveHTTP(ctx, wg, c.node.settings.Control, c.node.memory.conns.Callers, c.node.opts.ControlHandler(c))
 }
 
 // formStoreWhenReady calls formStore until the store is formed, which happens once in the lifetime
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -100,7 +100,7 @@
 	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
 		Zone: n.settings.Zone, Protocol: n.opts.Protocol, Table: e.table.Load, Directory: e.directory, Dial: e.detours.dialer.Dial, CutOff: e.detours.dialer.Cut, Detoured: e.detours.dialer.Detoured,
-		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Events: n.events, Metrics: proxy.NewMetrics(n.metrics), Bytes: n.bytes,
+		Ledger: e.ledger, Limiter: e.permits, Upstreams: e.permits, Suspects: e.suspects, Evacuated: e.evacuations.contains, Isolated: e.isolated.Load, Drain: n.settings.Drain, Memory: n.memory.budget, Events: n.events, Metrics: proxy.NewMetrics(n.metrics), Bytes: n.bytes,
 		Load: e.load.upstream, LoadOrigins: e.load.origins, OverShare: e.load.overShare, ZoneMegabyteCost: n.settings.ZoneMegabyteCost,
 	})
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
@@ -114,6 +114,7 @@
 	e.permits.registerColdMetrics(n.metrics)
 	e.onZoneRestored = e.permits.zoneRestored
 	e.server = httpwire.New(e.proxy, e.limits)
+	e.server.LimitMemory(n.memory.budget.Group(n.memory.conns.Callers, false))
 	return e
 }
 
@@ -151,7 +152,7 @@
 	if err != nil {
 		return errors.Wrap(err, "node: cannot listen for callers")
 	}
-	if err := e.node.serveHTTP(ctx, wg, e.node.settings.Ready, e.node.opts.ReadyHandler(e.ready)); err != nil {
+	if err := e.node.serveHTTP(ctx, wg, e.node.settings.Ready, e.node.memory.conns.Auxiliary, e.node.opts.ReadyHandler(e.ready)); err != nil {
 		return errors.CombineErrors(err, listener.Close())
 	}
 	e.listener = listener
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	"github.com/sourcegraph/conc"
 	"go.uber.org/zap"
 
+	"egretramp/internal/callerconn"
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
 	"egretramp/internal/peer"
@@ -32,6 +33,8 @@
 	// gcMemoryShare is the fraction of the allowed memory that the runtime may use before it collects
 	// garbage regardless of the cost. The rest is for the program's code, file mappings and sockets.
 	gcMemoryShare = 0.7
+	// entryGCMemoryShare is that of an entry VM, whose callers may have a quarter of the memory in kernel buffers.
+	entryGCMemoryShare = 0.65
 	// storeGCMemoryShare is that of a store VM, whose memory is mostly live conversations: collecting garbage
 	// regardless of the cost takes the processor time that its groups need to keep their leaders.
 	storeGCMemoryShare = 0.8
@@ -52,6 +55,7 @@
 	watcher  *watcher
 	metrics  *prometheus.Registry
 	bytes    *zonebytes.Meter
+	memory   *callerMemory
 	// entryZone returns the zone of an entry VM, empty if it isn't known; nil if this VM connects to none.
 	entryZone    func(vm string) string
 	role         role
@@ -83,7 +87,10 @@
 	}
 	if s.MemoryBytes > 0 {
 		share := gcMemoryShare
-		if s.Role == Store {
+		switch s.Role {
+		case Entry:
+			share = entryGCMemoryShare
+		case Store:
 			share = storeGCMemoryShare
 		}
 		debug.SetMemoryLimit(int64(float64(s.MemoryBytes) * share))
@@ -97,8 +104,11 @@
 	}
 	n.metrics.MustRegister(collectors.NewGoCollector())
 	n.bytes = zonebytes.New(s.Zone, n.metrics)
+	n.memory = newCallerMemory(&s, n.metrics, n.events)
 	n.network = &network{
-		Node:     peer.New(peer.Options{VM: s.Peers, Events: opts.Events, Accounting: n.accounting()}),
+		Node: peer.New(peer.Options{
+			VM: s.Peers, Events: opts.Events, Accounting: n.accounting(), Memory: n.memory.budget.Group(n.memory.conns.Peers, s.Role != Entry),
+		}),
 		lastUsed: map[string]time.Duration{},
 	}
 	n.watcher = &watcher{
@@ -159,6 +169,7 @@
 	wg.Go(n.failOnPanic(func() { n.watcher.run(work) }))
 	wg.Go(n.failOnPanic(func() { clock.Repeat(work, maintenanceInterval, n.maintain) }))
 	wg.Go(n.failOnPanic(func() { n.reloadSettings(work) }))
+	wg.Go(n.failOnPanic(func() { clock.Repeat(work, callerconn.MeasureInterval, n.memory.maintain) }))
 	select {
 	case <-ctx.Done():
 		n.events.Emit(events.NodeStopping)
@@ -261,25 +272,22 @@
 	}
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(n.metrics, promhttp.HandlerOpts{}))
-	return n.serveHTTP(ctx, wg, n.settings.Metrics, mux)
+	return n.serveHTTP(ctx, wg, n.settings.Metrics, n.memory.conns.Auxiliary, mux)
 }
 
-const (
-	httpReadTimeout = 10 * time.Second
-	httpIdleTimeout = 30 * time.Second
-	// httpShutdownTimeout bounds the graceful shutdown of an HTTP server.
-	httpShutdownTimeout = 300 * time.Millisecond
-)
+// httpShutdownTimeout bounds the graceful shutdown of an HTTP server.
+const httpShutdownTimeout = 300 * time.Millisecond
 
-// serveHTTP serves a handler until ctx ends.
-func (n *Node) serveHTTP(ctx context.Context, wg *conc.WaitGroup, address string, handler http.Handler) error {
+// serveHTTP serves a handler until ctx ends, on at most conns connections; 0 for no limit.
+func (n *Node) serveHTTP(ctx context.Context, wg *conc.WaitGroup, address string, conns int, handler http.Handler) error {
 	listener, err := n.opts.Listen(address)
 	if err != nil {
 		return errors.Wrapf(err, "node: cannot listen on %s", address)
 	}
-	server := &http.Server{Handler: handler, ReadTimeout: httpReadTimeout, IdleTimeout: httpIdleTimeout}
+	server := callerconn.NewHTTPServer(handler)
+	limited := callerconn.Listener(n.memory.budget.Group(conns, false), listener)
 	wg.Go(func() {
-		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		if err := server.Serve(limited); !errors.Is(err, http.ErrServerClosed) {
 			n.fail(err)
 		}
 	})
--- a/internal/node/options.go
+++ b/internal/node/options.go
@@ -58,6 +58,10 @@
 	DataFolder string
 	// MemoryBytes is the memory that the process may use.
 	MemoryBytes int64
+	// CallerMemoryBytes is the part of it that is used for callers, 0 for the default (callermem.DefaultBytes).
+	CallerMemoryBytes int64
+	// MaxDescriptors is the number of files and connections that the process may have open, 0 for no limit.
+	MaxDescriptors int
 	// LostDisks is the number of disks that may be lost at the same time.
 	LostDisks int
 	// Heartbeat is the time between two registrations of an upstream.
