proxy: cached conversations count toward the callers' budget

The lines that this VM served last keep their conversations for 1.5 s, up to 400 of any size: callers that end many long turns could fill the memory.

A conversation that finds no room in the budget isn't cached, and the next turn asks the store. A turn that goes on from the cache reserves its conversation like one from the store.

Tests: TestLineCache_CountsTowardTheBudgetOfCallers, the package's tests.

--- a/internal/proxy/line_cache.go
+++ b/internal/proxy/line_cache.go
@@ -4,6 +4,7 @@
 	"sync"
 	"time"
 
+	"egretramp/internal/callermem"
 	"egretramp/internal/turns"
 )
 
@@ -23,6 +24,7 @@
 // a call to the store. A VM that fails leaves its reservations unreleased, at most one turn for
 // each line. It is safe for concurrent use.
 type lineCache struct {
+	memory  *callermem.Budget // of which the conversations are a part; nil for no limit
 	mu      sync.Mutex
 	entries map[lineKey]lineEntry
 }
@@ -39,15 +41,21 @@
 	storedAt       time.Time
 }
 
-func newLineCache() *lineCache { return &lineCache{entries: map[lineKey]lineEntry{}} }
+func newLineCache(memory *callermem.Budget) *lineCache {
+	return &lineCache{memory: memory, entries: map[lineKey]lineEntry{}}
+}
 
-// put stores an entry unless the cache is full.
+// put stores an entry unless the cache is full or there is no memory for its conversation.
 func (l *lineCache) put(key lineKey, entry lineEntry) (stored bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if _, replaced := l.entries[key]; !replaced && len(l.entries) >= maxCachedLines {
 		return false
 	}
+	if !l.memory.Take(int64(len(entry.conversation))) {
+		return false
+	}
+	l.remove(key)
 	l.entries[key] = entry
 	return true
 }
@@ -56,8 +64,16 @@
 func (l *lineCache) take(key lineKey) (lineEntry, bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.remove(key)
+}
+
+// remove removes and returns an entry and returns its memory. The caller holds mu.
+func (l *lineCache) remove(key lineKey) (lineEntry, bool) {
 	entry, ok := l.entries[key]
-	delete(l.entries, key)
+	if ok {
+		delete(l.entries, key)
+		l.memory.Return(int64(len(entry.conversation)))
+	}
 	return entry, ok
 }
 
@@ -68,7 +84,7 @@
 	var unused []turns.End
 	for key, entry := range l.entries {
 		if time.Since(entry.storedAt) > lineTTL {
-			delete(l.entries, key)
+			l.remove(key)
 			unused = append(unused, entry.releaseReservation(key))
 		}
 	}
@@ -98,15 +114,15 @@
 	if x.route.Stateful {
 		usable = usable && entry.lastTurn == x.call.Previous
 	}
+	if usable && x.route.Stateful {
+		usable = x.prepend([][]byte{entry.conversation}) == nil // without memory, the request is refused later
+	}
 	if !usable {
 		x.server.opts.Ledger.EndLater(entry.releaseReservation(key), nil)
 		return false
 	}
 	x.reserved = true
 	x.reservation = turns.NextReservation(entry.lastTurn)
-	if x.route.Stateful {
-		x.body = append(entry.conversation, x.request.Body...)
-	}
 	return true
 }
 
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -52,3 +53,23 @@
 	_, refusal = prepend(1 << 10)
 	require.Nil(t, refusal, "small conversations depend on no others")
 }
+
+// TestLineCache_CountsTowardTheBudgetOfCallers guards against callers that end many long turns and go on with none of them: their
+// conversations are cached for some seconds.
+func TestLineCache_CountsTowardTheBudgetOfCallers(t *testing.T) {
+	budget := callermem.New(1 << 20)
+	cache := newLineCache(budget)
+	key := func(line string) lineKey { return lineKey{"account", "program", line} }
+	long := lineEntry{conversation: make([]byte, 500<<10), storedAt: time.Now()}
+	require.True(t, cache.put(key("a"), long))
+	require.False(t, cache.put(key("b"), long), "no memory")
+	require.True(t, cache.put(key("a"), lineEntry{conversation: make([]byte, 100)}), "replaced")
+	require.EqualValues(t, 100, budget.Stats().Used)
+	require.True(t, cache.put(key("b"), long))
+	_, ok := cache.take(key("b"))
+	require.True(t, ok)
+	_, ok = cache.take(key("b"))
+	require.False(t, ok)
+	require.Len(t, cache.sweep(), 1, "the entry of an early time has expired")
+	require.Zero(t, budget.Stats().Used)
+}
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -282,7 +282,7 @@
 	if opts.Dial == nil {
 		opts.Dial = upconn.Dial
 	}
-	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial, opts.Detoured), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(), admission: map[string]*admission.Controller{}, accounts: admission.NewAccounts()}
+	s := &Server{opts: opts, started: time.Now(), pool: upconn.NewPool(opts.Dial, opts.Detoured), health: newHealth(), zones: newZones(), lastUpstreams: newLastUpstreams(), lineCache: newLineCache(opts.Memory), admission: map[string]*admission.Controller{}, accounts: admission.NewAccounts()}
 	s.buffers.memory = opts.Memory
 	s.crashes = &crashDetector{
 		tracker: opts.Suspects, directory: opts.Directory, pool: s.pool, health: s.health, zones: s.zones, cutOff: opts.CutOff, events: opts.Events, metrics: opts.Metrics,
@@ -401,10 +401,7 @@
 // Malformed answers a request that could not be parsed, or for which there is no memory. It implements httpwire.Handler.
 func (s *Server) Malformed(w *httpwire.Response, status int, reason string) {
 	if status == http.StatusServiceUnavailable {
-		// No log line for each: there may be thousands in a second. The owner of the budget reports them.
-		s.opts.Metrics.refused(MemoryFull)
-		code, header, body := s.opts.Protocol.WriteRefusal(Refusal{Reason: MemoryFull, RetryAfter: memoryRetryAfter})
-		_ = w.Send(code, header, body) // the connection is closed afterwards in any case
+		s.refuseWithoutMemory(w)
 		return
 	}
 	s.opts.Events.Emit(events.ProxyMalformed, zap.Int("status", status), zap.String("reason", reason))
@@ -529,30 +526,6 @@
 	return x.prepend(result.Chain)
 }
 
-// prepend puts the stored conversation before the request's body. The body is not kept twice.
-func (x *exchange) prepend(chain [][]byte) *Refusal {
-	if len(chain) == 0 {
-		return nil
-	}
-	stored := 0
-	for _, part := range chain {
-		stored += len(part)
-	}
-	if beyond := int64(stored - ownBytes); beyond > 0 {
-		if !x.server.opts.Memory.Take(beyond) {
-			return &Refusal{Reason: MemoryFull, Detail: "the stored conversation", RetryAfter: memoryRetryAfter}
-		}
-		x.chainReserved = beyond
-	}
-	body := make([]byte, 0, stored+len(x.request.Body))
-	for _, part := range chain {
-		body = append(body, part...)
-	}
-	x.body = append(body, x.request.Body...)
-	x.request.Body = x.body[stored:]
-	return nil
-}
-
 // accountName returns the account's name, empty for anonymous callers.
 func (x *exchange) accountName() string {
 	if x.account == nil {
@@ -599,8 +572,6 @@
 	// isolatedRetryAfter is when callers of a VM that is partitioned from the store may reach another
 	// one: the load balancer removes a VM after two failed health checks one second apart.
 	isolatedRetryAfter = time.Second
-	// memoryRetryAfter is when the connections that make the least progress have been closed.
-	memoryRetryAfter = 1500 * time.Millisecond
 	// upstreamRetryAfter is about the time in which a busy upstream completes a few requests.
 	upstreamRetryAfter = 150 * time.Millisecond
 )
