node: control VMs report the cold state of restored upstreams

Entry VMs count the upstreams of a restored zone as cold until a registration says otherwise, but one that only says so was no news and never reached them: the limit stayed for the whole cold time. TestHub_RestoredZoneReportsColdState fails without it.

--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -65,9 +65,18 @@
 	if s.Document.Version != h.state.Document.Version {
 		h.packed = &packedDocument{document: s.Document}
 	}
+	restored := restoredZones(h.state.Evacuated, s.Evacuated)
 	h.state = s
 	h.refresh()
 	h.notifyWatches()
+	for _, zone := range restored {
+		h.registrar.AnnounceCold(zone)
+	}
+}
+
+// restoredZones returns the zones of before that are not in now.
+func restoredZones(before, now []string) []string {
+	return slices.DeleteFunc(slices.Clone(before), func(zone string) bool { return slices.Contains(now, zone) })
 }
 
 // notifyWatches makes all pending watches check for changes. h.mu must be held.
--- a/internal/node/hub_test.go
+++ b/internal/node/hub_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"egretramp/internal/catalog"
 	"egretramp/internal/registry"
 	"egretramp/internal/suspect"
 )
@@ -104,3 +105,24 @@
 		})
 	}
 }
+
+// TestHub_RestoredZoneReportsColdState guards against upstreams of a restored zone that stay limited for the whole cold time
+// although their next registration says that they are not cold: it is no news, so entry VMs don't hear of it.
+func TestHub_RestoredZoneReportsColdState(t *testing.T) {
+	now := time.Hour
+	h := newTestHub(func() time.Duration { return now })
+	register := func(zone string, sequence int64) bool {
+		return h.registrar.Register(registry.Upstream{
+			ID: "u-" + zone, Service: "s", Address: "10.0.0.1:1", Zone: zone, Born: 1, Sequence: sequence, ColdStated: 1,
+		})
+	}
+	register("a", 1)
+	register("b", 1)
+	require.False(t, register("a", 2), "the same again")
+	h.setState(catalog.State{Evacuated: []string{"a", "b"}, EvacuationVersion: 1})
+	require.False(t, register("a", 3), "out of service")
+	h.setState(catalog.State{Evacuated: []string{"b"}, EvacuationVersion: 2})
+	require.True(t, register("a", 4), "restored")
+	require.False(t, register("a", 5))
+	require.False(t, register("b", 2), "still out of service")
+}
