node: orders about zones don't wait for the operators' document

Each order reads the control group's state from a majority first, which included the operators' document of up to 16 MB. The query now names what it needs; a leader of an earlier release ignores that and returns everything, as before.

Tested by TestMachine_QueryWithoutDocument; the tests of orders in node and three of fleettest pass.

--- a/internal/catalog/evacuation_test.go
+++ b/internal/catalog/evacuation_test.go
@@ -59,6 +59,20 @@
 	require.Equal(t, []string{"a"}, published[2].Evacuated)
 }
 
+// TestMachine_QueryWithoutDocument guards against orders that wait for megabytes of a document which they don't need.
+func TestMachine_QueryWithoutDocument(t *testing.T) {
+	m := New(nil)
+	apply(t, m, put(3, "three"))
+	apply(t, m, evacuate("a", true, 0))
+	s, err := DecodeState(m.Query(WithoutDocument))
+	require.NoError(t, err)
+	require.Equal(t, State{Document: Document{Version: 3}, Evacuated: []string{"a"}, EvacuationVersion: 1, EvacuationOrders: 1}, s)
+	require.Equal(t, "three", string(m.State().Document.Data), "the state is unchanged")
+	s, err = DecodeState(m.Query([]byte{}))
+	require.NoError(t, err)
+	require.Equal(t, "three", string(s.Document.Data))
+}
+
 // TestMachine_SnapshotOfEarlierRelease guards against a snapshot without the zones that can't be restored.
 func TestMachine_SnapshotOfEarlierRelease(t *testing.T) {
 	type earlierState struct {
--- a/internal/catalog/machine.go
+++ b/internal/catalog/machine.go
@@ -183,9 +183,17 @@
 	return nil
 }
 
-// Query returns the complete state, CBOR-encoded; its argument is ignored.
-func (m *Machine) Query([]byte) []byte {
-	data, err := cbor.Marshal(m.State())
+// WithoutDocument is the argument of a Query for the state without the document's content, which may have megabytes. A
+// replica of an earlier release returns the complete state all the same.
+var WithoutDocument = []byte("without document")
+
+// Query returns the state, CBOR-encoded: the complete one, or that for WithoutDocument.
+func (m *Machine) Query(argument []byte) []byte {
+	state := m.State()
+	if bytes.Equal(argument, WithoutDocument) {
+		state.Document.Data = nil
+	}
+	data, err := cbor.Marshal(state)
 	if err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "catalog: cannot encode the state"))
 	}
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -290,9 +290,15 @@
 
 // confirmedState returns the control group's state, confirmed by a majority after the call.
 func (c *control) confirmedState(ctx context.Context) (catalog.State, error) {
+	return c.queryState(ctx, nil)
+}
+
+// queryState returns the part of the control group's state that an argument of Machine.Query selects, confirmed by a
+// majority after the call.
+func (c *control) queryState(ctx context.Context, argument []byte) (catalog.State, error) {
 	ctx, cancel := context.WithTimeout(ctx, commandTimeout)
 	defer cancel()
-	answer, err := c.groups.Query(ctx, groups.Control, nil)
+	answer, err := c.groups.Query(ctx, groups.Control, argument)
 	if err != nil {
 		return catalog.State{}, errors.Mark(err, ErrUnavailable)
 	}
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -78,7 +78,7 @@
 // tryEvacuation proposes an order once. sender ends when the order's sender disconnects, limited also when the time for
 // the order is over.
 func (c *control) tryEvacuation(sender, limited context.Context, order *zoneOrder) error {
-	state, err := c.confirmedState(limited)
+	state, err := c.queryState(limited, catalog.WithoutDocument)
 	if sender.Err() != nil {
 		return errors.Mark(errSenderGone, ErrUnavailable)
 	}
@@ -123,7 +123,7 @@
 
 // Evacuated implements ControlService.Evacuated.
 func (c *control) Evacuated(ctx context.Context) ([]string, error) {
-	state, err := c.confirmedState(ctx)
+	state, err := c.queryState(ctx, catalog.WithoutDocument)
 	return state.Evacuated, err
 }
 
