--- a/internal/balance/fleet_admission_test.go
+++ b/internal/balance/fleet_admission_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"os"
 	"testing"
 	"time"
 
@@ -55,11 +54,8 @@
 	}
 }
 
-// TestTrial_FleetAdmission prints the table of docs/scheduling.md.
-func TestTrial_FleetAdmission(t *testing.T) {
-	if os.Getenv("TRIAL") == "" {
-		t.Skip("set TRIAL=1 for the table of docs/scheduling.md")
-	}
+// BenchmarkTrial_FleetAdmission prints the table of docs/scheduling.md.
+func BenchmarkTrial_FleetAdmission(b *testing.B) {
 	for _, speeds := range [][]float64{{1}, {0.7, 0.7, 1.7}} {
 		for _, load := range []float64{0, 1, 1.7, 2.5} {
 			line := fmt.Sprint("| ", speeds, " ", load, " |")
@@ -77,7 +73,7 @@
 					late[i] += (1 - w.inTime()) / seeds
 				}
 			}
-			t.Logf("%s %.3f, %.2f | %.3f, %.2f |", line, worth[0], late[0], worth[1], late[1])
+			b.Logf("%s %.3f, %.2f | %.3f, %.2f |", line, worth[0], late[0], worth[1], late[1])
 		}
 	}
 }
--- a/internal/balance/shared_load_test.go
+++ b/internal/balance/shared_load_test.go
@@ -4,7 +4,6 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sort"
 	"testing"
 	"time"
@@ -382,11 +381,8 @@
 	return line
 }
 
-// TestTrial_SharedLoad prints the table of docs/scheduling.md.
-func TestTrial_SharedLoad(t *testing.T) {
-	if os.Getenv("TRIAL") == "" {
-		t.Skip("set TRIAL=1 for the table of docs/scheduling.md")
-	}
+// BenchmarkTrial_SharedLoad prints the table of docs/scheduling.md.
+func BenchmarkTrial_SharedLoad(b *testing.B) {
 	variants := []trialVariant{{"own load", 0, Pick}}
 	for _, age := range []time.Duration{100, 300, 1000} {
 		variants = append(variants, trialVariant{fmt.Sprintf("placed, %d ms", age), age * time.Millisecond, Pick})
@@ -395,7 +391,7 @@
 	for _, speeds := range [][]float64{{1}, {0.7, 0.7, 1.7}} {
 		for i, load := range []func(time.Duration) float64{steadyLoad, burstLoad} {
 			for _, v := range variants {
-				t.Log("| ", speeds, []string{" steady", " bursts"}[i], " ", trialRow(v, speeds, load, []int{7, 77, 259}))
+				b.Log("| ", speeds, []string{" steady", " bursts"}[i], " ", trialRow(v, speeds, load, []int{7, 77, 259}))
 			}
 		}
 	}
