admission: slots in use and slow turns refuse programs together; shares of accounts follow their rates

Use alone doesn't make turns late there, and slow turns alone don't mean overload on upstreams of uneven speed. Programs are now refused at 0.85 of the slots while turns are slow, and at 1.25 otherwise; an account's share follows its rate.

--- a/internal/admission/accounts.go
+++ b/internal/admission/accounts.go
@@ -86,26 +86,31 @@
 	}
 }
 
-// OverShare returns the names of the accounts that have more programs in progress than their share, by max-min fairness:
-// the programs in progress are divided equally among the accounts, and what an account doesn't ask for among the others.
-// No account is above its share while none is refused.
-func OverShare(accounts []AccountCount) []string {
+// OverShare returns the names of the accounts that have more programs in progress than their share, by weighted max-min
+// fairness: the programs in progress are divided among the accounts in proportion to their weights, and what an account
+// doesn't ask for among the others. No account is above its share while none is refused. weight returns the weight of an
+// account, 0 if it has none of its own: it then counts as the average of those that have one.
+func OverShare(accounts []AccountCount, weight func(account string) float64) []string {
+	weights := shareWeights(accounts, weight)
+	demand := func(a AccountCount) float64 { return float64(a.Active+a.Refused) / weights[a.Name] }
 	byDemand := slices.Clone(accounts)
-	slices.SortFunc(byDemand, func(x, y AccountCount) int { return cmp.Compare(x.Active+x.Refused, y.Active+y.Refused) })
-	left := 0
+	slices.SortFunc(byDemand, func(x, y AccountCount) int { return cmp.Compare(demand(x), demand(y)) })
+	left, total := 0, 0.0
 	for _, a := range byDemand {
 		left += a.Active
+		total += weights[a.Name]
 	}
 	var over []string
 	for i, a := range byDemand {
-		share := float64(left) / float64(len(byDemand)-i)
-		if float64(a.Active+a.Refused) <= share {
+		share := float64(left) / total // of an account with a weight of 1
+		if demand(a) <= share {
 			left -= a.Active + a.Refused
+			total -= weights[a.Name]
 			continue
 		}
 		// This account and those after it ask for more than the share that all of them get.
 		for _, b := range byDemand[i:] {
-			if float64(b.Active) > share {
+			if float64(b.Active) > share*weights[b.Name] {
 				over = append(over, b.Name)
 			}
 		}
@@ -113,3 +118,24 @@
 	}
 	return over
 }
+
+// shareWeights returns the weights of accounts by name.
+func shareWeights(accounts []AccountCount, weight func(account string) float64) map[string]float64 {
+	weights, sum := make(map[string]float64, len(accounts)), 0.0
+	for _, a := range accounts {
+		if w := weight(a.Name); w > 0 {
+			weights[a.Name] = w
+			sum += w
+		}
+	}
+	average := 1.0
+	if len(weights) > 0 {
+		average = sum / float64(len(weights))
+	}
+	for _, a := range accounts {
+		if weights[a.Name] == 0 {
+			weights[a.Name] = average
+		}
+	}
+	return weights
+}
--- a/internal/admission/fleet.go
+++ b/internal/admission/fleet.go
@@ -7,20 +7,28 @@
 }
 
 const (
-	// maxUse is the share of the slots up to which programs of the most urgent rank begin. Programs pause between their
-	// turns and upstreams are never filled evenly, so turns wait before all slots are in use. In the trial of
-	// docs/scheduling.md 0.8 kept most programs in time in bursts, 0.9 refused fewer at the mean load.
+	// maxUse is the share of the slots up to which programs of the most urgent rank begin while turns are slow. Programs
+	// pause between their turns and upstreams are never filled evenly, so turns wait before all slots are in use.
 	maxUse = 0.85
-	// fleetRankFactor lowers that share for each less urgent rank, and for accounts above their share.
-	fleetRankFactor = 0.9
+	// maxQueue is that share while turns are not slow: some requests may wait. It bounds the
+	// programs that all VMs begin before the first of them sees slow turns.
+	maxQueue = 1.25
+	// fleetRankFactor lowers these shares for each less urgent rank, overShareFactor for accounts above their share.
+	fleetRankFactor = 0.95
+	overShareFactor = 0.9
 )
 
 // Admits reports whether a new program may begin. rank is 0 for the most urgent programs. overShare is set for an
-// account that has more than its share of the programs while others are refused.
-func (f Fleet) Admits(rank int, overShare bool) bool {
-	limit := maxUse * float64(f.Slots)
+// account that has more than its share of the programs while others are refused. slow is set if the turns of this VM
+// take too long, as its Controller finds: that alone is no reason to refuse, since some upstreams are slower than others,
+// nor are slots in use while turns are in time.
+func (f Fleet) Admits(rank int, overShare, slow bool) bool {
+	limit := maxQueue * float64(f.Slots)
+	if slow {
+		limit = maxUse * float64(f.Slots)
+	}
 	if overShare {
-		rank++
+		limit *= overShareFactor
 	}
 	for range rank {
 		limit *= fleetRankFactor
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -253,6 +253,11 @@
 		c.term, c.grants = term, quota.NewCoordinator(now)
 		c.upstreams = quota.NewUpstreamCoordinator(now, term)
 		c.loads = sharedload.NewCoordinator(term)
+		// An account's rate is what the operators sized its share of the fleet by.
+		c.loads.SetWeights(func(account string) float64 {
+			rate, _ := c.rates(account)
+			return rate.PerSecond
+		})
 	}
 	if table := c.table(); table != c.ratedTable || c.rates == nil {
 		c.ratedTable, c.rates = table, rateLookup(table)
--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -67,18 +67,16 @@
 	return s.controller(x.service.Name).IsActive(x.call.Program)
 }
 
-// admitsNewProgram reports whether a new program may begin: by the use of the upstreams by all VMs if that is known, else
-// by the turns of this VM.
+// admitsNewProgram reports whether a new program may begin: by the turns of this VM, and by the use of the upstreams by all
+// VMs if that is known.
 func (s *Server) admitsNewProgram(x *exchange) bool {
 	fleet, known := x.fleetUse()
 	overShare := known && s.opts.OverShare(x.accountName())
 	s.admissionMu.Lock()
 	defer s.admissionMu.Unlock()
-	admits := false
+	admits := s.controller(x.service.Name).Admits(clock.Now(), x.urgencyRank())
 	if known {
-		admits = fleet.Admits(x.urgencyRank(), overShare)
-	} else {
-		admits = s.controller(x.service.Name).Admits(clock.Now(), x.urgencyRank())
+		admits = fleet.Admits(x.urgencyRank(), overShare, !admits)
 	}
 	s.opts.Metrics.programDecided(known, admits)
 	if !admits {
--- a/internal/sharedload/accounts.go
+++ b/internal/sharedload/accounts.go
@@ -42,7 +42,7 @@
 	for _, sum := range sums {
 		counts = append(counts, sum)
 	}
-	over := admission.OverShare(counts)
+	over := admission.OverShare(counts, c.weight)
 	c.overShare = over[max(0, len(over)-maxOverShare):] // those with the most programs come last
 	return c.overShare
 }
--- a/internal/sharedload/coordinator.go
+++ b/internal/sharedload/coordinator.go
@@ -28,6 +28,8 @@
 	sweptAt  time.Duration
 	reportAt time.Duration // sum of vmReport.at
 	rejected int
+	// weight returns the weight of a client account's share.
+	weight func(account string) float64
 	// overShare are the accounts above their share as of overShareAt.
 	overShare   []string
 	overShareAt time.Duration
@@ -58,9 +60,12 @@
 
 // NewCoordinator returns a coordinator without reports. epoch differs from that of each other one.
 func NewCoordinator(epoch uint64) *Coordinator {
-	return &Coordinator{epoch: epoch, numbers: map[string]uint32{}, names: map[uint32]*process{}, vms: map[string]*vmReport{}}
+	return &Coordinator{epoch: epoch, numbers: map[string]uint32{}, names: map[uint32]*process{}, vms: map[string]*vmReport{}, weight: func(string) float64 { return 0 }}
 }
 
+// SetWeights sets the function that returns the weight of a client account's share of the programs, 0 for the average.
+func (c *Coordinator) SetWeights(weight func(account string) float64) { c.weight = weight }
+
 // Rejected returns the number of reports and rows that were ignored: repeated or late ones, and those that name an
 // unknown upstream or can't be true.
 func (c *Coordinator) Rejected() int { return c.rejected }
