--- a/internal/node/evacuation_test.go
+++ b/internal/node/evacuation_test.go
@@ -307,3 +307,25 @@
 		v.end()
 	}
 }
+
+// TestHub_RestoredZoneAnnouncesCold guards against upstreams that stay limited for the whole cold time after their zone
+// returned to service, although they register as not cold: such a registration is no news otherwise.
+func TestHub_RestoredZoneAnnouncesCold(t *testing.T) {
+	now := time.Hour
+	clock := func() time.Duration { return now }
+	registrar := registry.NewRegistrar(time.Minute, clock)
+	h := newHub(1, vmInfo{VM: "c", Role: Control}, clock, registrar, suspect.NewTracker(clock), func() []string { return nil })
+	register := func(id, zone string, sequence int64) bool {
+		return registrar.Register(registry.Upstream{
+			ID: id, Service: "s", Address: "10.0.0.1:" + id, Zone: zone, Slots: 6, Born: 1, Sequence: sequence, ColdStated: 1,
+		})
+	}
+	require.True(t, register("1", "a", 1))
+	require.True(t, register("2", "b", 1))
+	h.setState(catalog.State{Evacuated: []string{"a", "b"}, EvacuationVersion: 2})
+	require.False(t, register("1", "a", 2))
+	h.setState(catalog.State{Evacuated: []string{"b"}, EvacuationVersion: 3})
+	require.True(t, register("1", "a", 3))
+	require.False(t, register("1", "a", 4), "entry VMs know it by now")
+	require.False(t, register("2", "b", 2), "the zone is out of service")
+}
