node: no upstream escapes the limit while its zone returns or the first configuration arrives

Two gaps let requests reach cold upstreams without a limit. A process that a control VM reported while its zone returned to service was observed before the return was recorded, and published after the list had been reviewed; the same with the first configuration. And upstreams that are leaving are not in the view, so they were never reviewed, although resumed streams and services without ready upstreams use them. Directory.Review now passes all entries that may be running while Merge waits; the configuration is put in force within it.

--- a/internal/node/cold.go
+++ b/internal/node/cold.go
@@ -20,7 +20,7 @@
 // they say nothing. table is the configuration with the rates of the services.
 func (p *permitLimiter) observeCold(table *routing.Snapshot, upstreams []registry.Upstream) {
 	if table == nil {
-		return // reviewCold follows with the configuration
+		return // entry.applyDocument reviews all upstreams with the configuration
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -78,23 +78,16 @@
 	return coldStart - time.Since(since)
 }
 
-// reviewCold applies a configuration, or the return of a zone, to all known upstreams.
-func (p *permitLimiter) reviewCold(table *routing.Snapshot) {
-	if p.view == nil {
-		return
-	}
-	for _, upstreams := range p.view().Services {
-		p.observeCold(table, upstreams)
-	}
-}
-
-// zoneRestored records that a zone returns to service: its upstreams were idle and may be cold.
+// zoneRestored records that a zone returns to service: its upstreams were idle and may be cold. The directory's lock is
+// taken before p.mu, as by Merge.
 func (p *permitLimiter) zoneRestored(zone string) {
 	p.mu.Lock()
 	p.upstreams.restored[zone] = time.Now()
 	p.mu.Unlock()
 	p.events.Emit(events.ZoneRestored, zap.String("zone", zone))
-	p.reviewCold(p.table())
+	if p.review != nil {
+		p.review(func(upstreams []registry.Upstream) { p.observeCold(p.table(), upstreams) })
+	}
 }
 
 // forgetRestored removes the zones whose return was long ago. p.mu must be held.
--- a/internal/node/cold_test.go
+++ b/internal/node/cold_test.go
@@ -24,7 +24,7 @@
 	}})
 	require.NoError(t, err)
 	p, d := n.limiter(name), registry.NewDirectory(nil)
-	p.table, p.view = func() *routing.Snapshot { return table }, d.View
+	p.table, p.review = func() *routing.Snapshot { return table }, d.Review
 	p.events = events.NewTo(name, zapcore.ErrorLevel, &discard{})
 	d.Observe(func(upstreams []registry.Upstream) { p.observeCold(table, upstreams) })
 	return p, d
@@ -156,3 +156,26 @@
 	}
 	require.Equal(t, map[string]float64{"egretramp_upstreams_cold": 1, "egretramp_cold_permits_total": 0}, values)
 }
+
+// TestPermits_ZoneRestoredDuringMerge guards against an upstream that escapes the limit because it is reported in the moment
+// in which its zone returns to service: too early to be limited, and too late to be in the list that is reviewed.
+func TestPermits_ZoneRestoredDuringMerge(t *testing.T) {
+	var term atomic.Uint64
+	p, d := newPermitNetwork(1, &term).coldLimiter(t, "a")
+	restored := make(chan struct{})
+	d.Observe(func(upstreams []registry.Upstream) {
+		p.observeCold(p.table(), upstreams)
+		go func() {
+			p.zoneRestored("z")
+			close(restored)
+		}()
+		select {
+		case <-restored:
+		case <-time.After(200 * time.Millisecond): // it waits for the directory
+		}
+	})
+	u := coldRegistration(1, 1, 0)
+	d.Merge("c", []registry.Upstream{u})
+	<-restored
+	require.True(t, p.UpstreamRoom(u).Cold)
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -94,7 +94,7 @@
 		self: n.self.VM, table: e.table.Load,
 		groups: groups.NewDynamicClient(n.network, func(uint64) []string { return n.watcher.controlVMs() }, permitAttemptTimeout),
 		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
-		upstreams: newUpstreamLimits(n.self.VM), view: e.directory.View,
+		upstreams: newUpstreamLimits(n.self.VM), review: e.directory.Review,
 	}
 	e.directory.Observe(func(upstreams []registry.Upstream) { e.permits.observeCold(e.table.Load(), upstreams) })
 	e.detours = newDetours(e)
@@ -262,18 +262,18 @@
 		e.node.events.Emit(events.NodeBadConfig, zap.Uint64("configuration", version), zap.Error(err))
 		return
 	}
-	e.permits.reviewCold(table) // before requests are served by it
-	for {
-		old := e.table.Load()
-		if old != nil && old.Version >= table.Version {
+	inForce := false
+	e.directory.Review(func(upstreams []registry.Upstream) {
+		if old := e.table.Load(); old != nil && old.Version >= table.Version {
 			return
 		}
-		if e.table.CompareAndSwap(old, table) {
-			break
-		}
+		e.permits.observeCold(table, upstreams) // before requests are served by it
+		e.table.Store(table)
+		inForce = true
+	})
+	if inForce {
+		e.node.events.Emit(events.NodeConfigInForce, zap.Uint64("configuration", version), zap.String("control", from))
 	}
-	e.node.events.Emit(events.NodeConfigInForce, zap.Uint64("configuration", version), zap.String("control", from))
-	e.permits.reviewCold(e.table.Load())
 }
 
 func (e *entry) maintain() {
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -50,8 +50,8 @@
 	// limitCount is the number of limits that upstreams state, limited whether upstreams.table holds anything.
 	limitCount atomic.Int64
 	limited    atomic.Bool
-	// view returns the known upstreams; nil means none.
-	view func() *registry.View
+	// review is registry.Directory.Review of the known upstreams; nil means that there are none.
+	review func(func([]registry.Upstream))
 	// coldTaken and coldRefused count the requests for a permit to send to a cold upstream.
 	coldTaken, coldRefused atomic.Int64
 	// load shares the load at upstreams with the other VMs; nil for not.
--- a/internal/registry/directory.go
+++ b/internal/registry/directory.go
@@ -66,6 +66,18 @@
 // the directory, except for View.
 func (d *Directory) Observe(observe func([]Upstream)) { d.observe = observe }
 
+// Review calls a function with the entries that may be running, including those that are leaving, while Merge waits: each
+// entry is either among them, or Observe's function gets it afterwards. It must not call the directory, except for View.
+func (d *Directory) Review(review func([]Upstream)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	upstreams := make([]Upstream, 0, len(d.latest))
+	for _, known := range d.latest {
+		upstreams = append(upstreams, known.upstream)
+	}
+	review(upstreams)
+}
+
 // View returns the current list.
 func (d *Directory) View() *View { return d.view.Load() }
 
