node: a fetched document comes with the zones that are out of service

An entry VM that has just started fetches the document after it was announced. If an order and a later document are applied in between, it got the later document without the order, and served by it until the next watch response: a request could be sent to a zone that is out of service. Chunks of the document now carry the list of zones if the VM's version is lower, from the same state, and it is applied first. Optional fields; VMs of other releases ignore them.

Test: TestDocument_ComesWithEvacuations, seen failing with the VM's part removed.

--- a/internal/node/document.go
+++ b/internal/node/document.go
@@ -49,6 +49,8 @@
 	Version uint64 `cbor:"1,keyasint,omitempty"`
 	Sum     []byte `cbor:"2,keyasint,omitempty"`
 	Offset  int    `cbor:"3,keyasint,omitempty"`
+	// Evacuation is the sender's version of the zones that are out of service.
+	Evacuation uint64 `cbor:"4,keyasint,omitempty"`
 }
 
 // documentChunk is a part of a compressed document.
@@ -58,6 +60,9 @@
 	Size    int    `cbor:"3,keyasint"` // of the compressed document
 	Offset  int    `cbor:"4,keyasint"`
 	Data    []byte `cbor:"5,keyasint"`
+	// Evacuation is set if the control VM has a later version. The document may be newer than the watch response that
+	// announced one, and must not be applied before the orders that came before it.
+	Evacuation *evacuation `cbor:"6,keyasint,omitempty"`
 }
 
 // packedDocument is a document that is compressed when it is first requested.
@@ -105,12 +110,14 @@
 		return nil, err
 	}
 	h.mu.Lock()
-	packed := h.packed
+	packed, evacuated := h.packed, h.evacuatedSince(r.Evacuation)
 	h.mu.Unlock()
 	if packed == nil {
 		return nil, errNoDocument
 	}
-	return encode(packed.chunk(r)), nil
+	chunk := packed.chunk(r)
+	chunk.Evacuation = evacuated
+	return encode(chunk), nil
 }
 
 // documentAssembly puts the chunks of a document together. If a chunk of a newer document arrives, or of the same one
@@ -166,8 +173,12 @@
 	apply func(from string, version uint64, data []byte)
 	// inForce returns the version that this VM uses.
 	inForce func() uint64
-	clock   func() time.Duration
-	wake    chan struct{} // holds a value after an announcement
+	// evacuationVersion returns this VM's version of the zones that are out of service, and applyEvacuation processes a
+	// later one, nil for none; both are nil if the VM applies none.
+	evacuationVersion func() uint64
+	applyEvacuation   func(from string, reported *evacuation)
+	clock             func() time.Duration
+	wake              chan struct{} // holds a value after an announcement
 
 	mu          sync.Mutex
 	announced   uint64 // the highest version
@@ -249,6 +260,9 @@
 		return err
 	}
 	f.last = from
+	if f.applyEvacuation != nil {
+		f.applyEvacuation(from, chunk.Evacuation)
+	}
 	complete, err := f.assembly.add(chunk)
 	if err != nil || !complete {
 		return err
@@ -279,7 +293,11 @@
 	if i := slices.Index(vms, f.last); i > 0 && len(f.assembly.data) > 0 {
 		vms = slices.Insert(slices.Delete(vms, i, i+1), 0, f.last)
 	}
-	payload := encode(f.assembly.next())
+	request := f.assembly.next()
+	if f.evacuationVersion != nil {
+		request.Evacuation = f.evacuationVersion()
+	}
+	payload := encode(request)
 	answers := make(chan documentAnswer, len(vms))
 	pending, err := 0, errNoDocumentHeld
 	for pending > 0 || len(vms) > 0 {
--- a/internal/node/document_test.go
+++ b/internal/node/document_test.go
@@ -358,3 +358,43 @@
 		})
 	}
 }
+
+// TestDocument_ComesWithEvacuations guards against a VM that has just started and serves by a document before it knows which
+// zones are out of service: both were ordered after the control VM had announced an earlier document.
+func TestDocument_ComesWithEvacuations(t *testing.T) {
+	e := newTestEntry(t)
+	w, h := e.node.watcher, newTestHub(clock.Now)
+	h.setState(catalog.State{Document: catalog.Document{Version: 1, Data: []byte("{}")}})
+	known := false
+	w.calls = callerFunc(func(ctx context.Context, vm, method string, payload []byte) ([]byte, error) {
+		if method == methodWatch {
+			return h.handleWatch(ctx, "e", payload)
+		}
+		require.Nil(t, e.table.Load())
+		return h.handleDocument(ctx, "e", payload)
+	})
+	e.documents.calls = w.calls
+	apply := e.documents.apply
+	e.documents.apply = func(from string, version uint64, data []byte) {
+		known = e.evacuations.contains("z")
+		apply(from, version, data)
+	}
+	w.ctx = t.Context()
+	c := &contact{vm: "c"}
+	w.contacts["c"] = c
+	require.True(t, w.watchOnce(t.Context(), c))
+	h.setState(catalog.State{Document: catalog.Document{Version: 2, Data: []byte("{}")}, Evacuated: []string{"z"}, EvacuationVersion: 1})
+	require.NoError(t, e.documents.fetchChunk(t.Context(), 1))
+	require.NotNil(t, e.table.Load())
+	require.True(t, known)
+
+	chunk := func(version uint64) *evacuation {
+		data, err := h.handleDocument(t.Context(), "e", encode(documentRequest{Evacuation: version}))
+		require.NoError(t, err)
+		c, err := decode[documentChunk](data)
+		require.NoError(t, err)
+		return c.Evacuation
+	}
+	require.Equal(t, &evacuation{Version: 1, Zones: []string{"z"}}, chunk(0))
+	require.Nil(t, chunk(1), "the VM knows it")
+}
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -67,6 +67,7 @@
 		go n.network.DrainTunnelsTo(u.Address) // waits for VMs that don't read
 	})
 	e.documents = newDocumentFetcher(n.watcher, e.documentVersion, e.applyDocument)
+	e.documents.evacuationVersion, e.documents.applyEvacuation = e.evacuations.version, e.applyEvacuation
 	n.watcher.leavingSince = e.directory.LeavingSince
 	n.watcher.evacuationVersion = e.evacuations.version
 	storeVMs := func(group uint64) []string {
--- a/internal/node/evacuation.go
+++ b/internal/node/evacuation.go
@@ -160,9 +160,10 @@
 	return len(h.state.Evacuated)
 }
 
-// evacuatedSince returns the zones that are out of service, nil if the sender of a request knows them. h.mu must be held.
-func (h *hub) evacuatedSince(r watchRequest) *evacuation {
-	if r.From.Role != Entry || h.state.EvacuationVersion <= r.Evacuation {
+// evacuatedSince returns the zones that are out of service, nil if an entry VM with a version of them knows them. h.mu must
+// be held.
+func (h *hub) evacuatedSince(version uint64) *evacuation {
+	if h.state.EvacuationVersion <= version {
 		return nil
 	}
 	return &evacuation{Version: h.state.EvacuationVersion, Zones: h.state.Evacuated}
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -283,6 +283,7 @@
 	response := watchResponse{Epoch: h.epoch, FleetVersion: h.fleetVersion}
 	changes := watchChanges{already: r.Epoch != h.epoch, fleet: h.changed}
 	if r.From.Role == Entry {
+		response.Evacuation = h.evacuatedSince(r.Evacuation)
 		response.Upstreams, response.UpstreamsVersion, changes.upstreams = h.registrar.Since(r.Upstreams)
 	}
 	if r.From.Role == Entry || r.From.Role == Control {
@@ -292,7 +293,6 @@
 		view := h.fleet
 		response.Fleet = &view
 	}
-	response.Evacuation = h.evacuatedSince(r)
 	changes.already = h.addDocument(&response, &r) || changes.already || len(response.Upstreams) > 0 || len(response.Suspects) > 0 ||
 		response.Fleet != nil || response.Evacuation != nil
 	return response, changes
