quota: a repeated assumption that an upstream is cold is not a new one

Each review of the upstreams computes the end of an assumed cold time anew, some nanoseconds later. That counted as another assumption: it was logged again (event 2437) with each configuration, reported to the coordinator again, and registrations received before the review no longer ended it. Ends within 50 ms of each other are now the same.

Test: TestLimitTable_AssumptionIsRepeated, seen failing before the change.

--- a/internal/quota/cold.go
+++ b/internal/quota/cold.go
@@ -17,6 +17,9 @@
 	// coldLinger is how long the coordinator grants permits beyond the end of a cold time: VMs whose estimate of the
 	// end is later still ask for them.
 	coldLinger = 300 * time.Millisecond
+	// assumedTolerance is by how much the end of an assumed cold time must be later to be another one: VMs compute it anew
+	// at each review, and messages add their delay. coldLinger covers it at the coordinator.
+	assumedTolerance = 50 * time.Millisecond
 	// maxColdTime bounds the cold time that is accepted from other VMs.
 	maxColdTime = time.Hour
 )
@@ -146,7 +149,7 @@
 		e = &coldEntry{sequence: -1}
 		t.cold[upstream] = e
 	}
-	if until <= e.assumedUntil && perSecond == e.perSecond {
+	if until <= e.assumedUntil+assumedTolerance && perSecond == e.perSecond {
 		return false
 	}
 	e.perSecond, e.assumedAt, e.assumedUntil = perSecond, now, max(until, e.assumedUntil)
--- a/internal/quota/cold_test.go
+++ b/internal/quota/cold_test.go
@@ -293,3 +293,17 @@
 	require.True(t, h.Take(now, "u", stated))
 	require.False(t, h.Take(now, "u", limit), "permits by a higher limit, from before the upstream was cold")
 }
+
+// TestLimitTable_AssumptionIsRepeated guards against an assumption that each review of the upstreams makes anew, because it
+// computes a slightly different end: registrations that were received before that would no longer end it.
+func TestLimitTable_AssumptionIsRepeated(t *testing.T) {
+	table, now := NewLimitTable(), time.Minute
+	until := now + 3*time.Second
+	require.True(t, table.AssumeCold(now, "u", 25, until))
+	require.False(t, table.AssumeCold(now+time.Second, "u", 25, until+time.Millisecond))
+	require.True(t, table.SetCold(now+time.Second, "u", ColdState{PerSecond: 25, Until: now, Sequence: 1, StatedAt: now + 500*time.Millisecond}))
+	require.False(t, table.IsCold(now+time.Second, "u"))
+	require.True(t, table.AssumeCold(now+time.Second, "u", 25, until), "it has ended before")
+	require.True(t, table.AssumeCold(now+time.Second, "u", 25, until+time.Second), "extended")
+	require.True(t, table.AssumeCold(now+time.Second, "u", 20, until+time.Second), "another rate")
+}
