proxy: an expired permit for a cold upstream doesn't count as its failure

A request whose connection to a cold upstream took longer than 100 ms to open is not sent. The attempt was recorded as a failure although the connection had opened: this VM avoided the upstream, and the share of failures that all VMs see rose, just while a zone returned to service.

Test: TestServer_ColdUpstreamsPermitExpires, seen failing before the change.

--- a/internal/proxy/cold_test.go
+++ b/internal/proxy/cold_test.go
@@ -61,6 +61,7 @@
 	require.Equal(t, 503, r.status, "no other upstream")
 	require.Empty(t, g.receivedRequests())
 	require.Equal(t, 1, l.returned["u"])
+	require.False(t, g.server.health.candidate(registry.Upstream{ID: "u"}).Failing, "its connection was opened")
 	require.Equal(t, 200, g.call("2", "/safe/x").status, "the connection is kept for the next request")
 
 	g.server.pool = upconn.NewPool(dial, func(string) bool { return false })
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -102,9 +102,10 @@
 }
 
 // recordFailure records a failed attempt. An attempt that was not sent because the request's
-// context ended, or because the upstream's zone was taken out of service, is no failure of the upstream.
+// context ended, because the upstream's zone was taken out of service, or because the permit for it had expired when its
+// connection was open, is no failure of the upstream.
 func (x *exchange) recordFailure(u registry.Upstream, result outcome, err error) {
-	if result == notSent && (x.ctx.Err() != nil || errors.Is(err, errZoneEvacuated)) {
+	if result == notSent && (x.ctx.Err() != nil || errors.IsAny(err, errZoneEvacuated, errPermitExpired)) {
 		return
 	}
 	x.server.health.recordFailure(u.ID, result)
