sharedload: a new coordinator gives no views before all VMs have reported

After the control group's leader had changed, the first answers of the new coordinator showed upstreams as idle: it had numbers for them but not yet the reports of the VMs that fill them. For up to 400 ms all VMs sent to upstreams that seemed free, and admitted programs. Views now begin 600 ms after the coordinator's start; until then VMs decide by their own load.

TestLoadSharer_VMsLearnTheLoadOfOthers now also asserts that no view is used in the rounds directly after the change.

--- a/internal/node/loadsharer_test.go
+++ b/internal/node/loadsharer_test.go
@@ -78,6 +78,9 @@
 
 	term.Store(2)
 	rounds()
+	_, known = b.load.upstream(u)
+	require.False(t, known, "a new coordinator doesn't have the reports of all VMs yet")
+	rounds()
 	load, known = b.load.upstream(u)
 	require.True(t, known, "a new coordinator")
 	require.Equal(t, 5, load.Others)
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -252,7 +252,7 @@
 	if c.grants == nil || c.term != term {
 		c.term, c.grants = term, quota.NewCoordinator(now)
 		c.upstreams = quota.NewUpstreamCoordinator(now, term)
-		c.loads = sharedload.NewCoordinator(term)
+		c.loads = sharedload.NewCoordinator(now, term)
 		// An account's rate is what the operators sized its share of the fleet by.
 		c.loads.SetWeights(func(account string) float64 {
 			rate, _ := c.rates(account)
--- a/internal/sharedload/coordinator.go
+++ b/internal/sharedload/coordinator.go
@@ -16,11 +16,15 @@
 	sweepInterval = 100 * time.Millisecond
 	// maxZones bounds the zones of View.Origins.
 	maxZones = 64
+	// warmUp is how long a new coordinator gives no views. It has reports of a part of the VMs only, and upstreams that the
+	// others fill would seem idle to all. VMs report at least each 200 ms, the first time without numbers.
+	warmUp = MaxAge
 )
 
 // Coordinator sums the reports of all entry VMs. It is not safe for concurrent use.
 type Coordinator struct {
 	epoch    uint64
+	started  time.Duration
 	numbers  map[string]uint32
 	names    map[uint32]*process
 	next     uint32
@@ -58,9 +62,9 @@
 	hasView           bool
 }
 
-// NewCoordinator returns a coordinator without reports. epoch differs from that of each other one.
-func NewCoordinator(epoch uint64) *Coordinator {
-	return &Coordinator{epoch: epoch, numbers: map[string]uint32{}, names: map[uint32]*process{}, vms: map[string]*vmReport{}, weight: func(string) float64 { return 0 }}
+// NewCoordinator returns a coordinator that starts now, without reports. epoch differs from that of each other one.
+func NewCoordinator(now time.Duration, epoch uint64) *Coordinator {
+	return &Coordinator{epoch: epoch, started: now, numbers: map[string]uint32{}, names: map[uint32]*process{}, vms: map[string]*vmReport{}, weight: func(string) float64 { return 0 }}
 }
 
 // SetWeights sets the function that returns the weight of a client account's share of the programs, 0 for the average.
@@ -78,7 +82,7 @@
 	own := c.vms[vm]
 	rows := len(c.names)
 	interval := max(viewInterval, time.Duration(rows*bytesPerRow)*time.Second/viewBytesPerSecond)
-	if own != nil && (!own.hasView || now-own.viewAt >= interval) {
+	if own != nil && now-c.started >= warmUp && (!own.hasView || now-own.viewAt >= interval) {
 		own.viewAt, own.hasView = now, true
 		g.View = c.view(now, own)
 	}
--- a/internal/sharedload/sharedload.go
+++ b/internal/sharedload/sharedload.go
@@ -87,7 +87,7 @@
 type Grant struct {
 	Epoch   uint64            `cbor:"1,keyasint"`
 	Numbers map[string]uint32 `cbor:"2,keyasint,omitempty"` // of Request.Ask
-	// View is nil if the VM got one shortly before.
+	// View is nil if the VM got one shortly before, or if the coordinator is new.
 	View *View `cbor:"3,keyasint,omitempty"`
 }
 
--- a/internal/sharedload/sharedload_test.go
+++ b/internal/sharedload/sharedload_test.go
@@ -16,7 +16,7 @@
 }
 
 func TestShared_VMsSeeTheLoadOfOthersOnly(t *testing.T) {
-	c, a, b := NewCoordinator(1), NewHolder(1, "north"), NewHolder(2, "south")
+	c, a, b := NewCoordinator(0, 1), NewHolder(1, "north"), NewHolder(2, "south")
 	names := []string{"u@1", "v@1"}
 	now := time.Hour
 	for range 3 {
@@ -40,7 +40,7 @@
 
 // TestShared_SilentVMsAndOldViews guards against load that no longer exists: of VMs that died, and of a lost coordinator.
 func TestShared_SilentVMsAndOldViews(t *testing.T) {
-	c, a, b := NewCoordinator(1), NewHolder(1, "z"), NewHolder(2, "z")
+	c, a, b := NewCoordinator(0, 1), NewHolder(1, "z"), NewHolder(2, "z")
 	names := []string{"u@1"}
 	now := time.Hour
 	for range 2 {
@@ -67,7 +67,7 @@
 
 // TestShared_NewCoordinator: numbers of the previous coordinator mean other upstreams at the new one.
 func TestShared_NewCoordinator(t *testing.T) {
-	first, second, a, b := NewCoordinator(1), NewCoordinator(2), NewHolder(1, "z"), NewHolder(2, "z")
+	first, second, a, b := NewCoordinator(0, 1), NewCoordinator(0, 2), NewHolder(1, "z"), NewHolder(2, "z")
 	now := time.Hour
 	for range 2 {
 		now += 200 * time.Millisecond
@@ -89,9 +89,39 @@
 	require.Equal(t, 5, u.Others)
 }
 
+// TestShared_NewCoordinatorGivesNoPartialViews guards against VMs that all send to upstreams which seem idle because those that
+// fill them have not yet reported to the new coordinator.
+func TestShared_NewCoordinatorGivesNoPartialViews(t *testing.T) {
+	now := time.Hour
+	names := []string{"u@1"}
+	holders := make([]*Holder, 8)
+	for i := range holders {
+		holders[i] = NewHolder(1, "z")
+	}
+	round := func(c *Coordinator) (known int) {
+		for i, h := range holders {
+			exchange(c, now, fmt.Sprint("vm ", i), h, names, Sample{Process: "u@1", Inflight: 2})
+			if u, ok := h.Upstream(now, "u@1"); ok {
+				known++
+				require.Equal(t, 14, u.Others, "VM %d, %v after the start", i, now-time.Hour)
+			}
+		}
+		now += 200 * time.Millisecond
+		return known
+	}
+	for epoch := range uint64(2) {
+		c := NewCoordinator(now, 1+epoch)
+		started := now
+		for now-started < 600*time.Millisecond {
+			require.Zero(t, round(c))
+		}
+		require.Equal(t, 8, round(c))
+	}
+}
+
 // TestCoordinator_InvalidReports: reports that can't be true change nothing, and the sums stay right.
 func TestCoordinator_InvalidReports(t *testing.T) {
-	c := NewCoordinator(1)
+	c := NewCoordinator(0, 1)
 	now := time.Hour
 	number := c.Grant(now, "a", Request{Sequence: 1, Epoch: 1, Ask: []string{"u@1"}}).Numbers["u@1"]
 	c.Grant(now, "a", Request{Sequence: 3, Epoch: 1, Rows: []uint32{number, 2, 64, 1, 1, 0}})
@@ -142,7 +172,7 @@
 // TestCoordinator_SizeOfViews: 77 VMs use 61 upstreams. A view is at most a few hundred bytes, and a VM gets one at most
 // every 100 ms, however often it reports.
 func TestCoordinator_SizeOfViews(t *testing.T) {
-	c := NewCoordinator(1)
+	c := NewCoordinator(0, 1)
 	var names []string
 	for i := range 61 {
 		names = append(names, fmt.Sprintf("upstream-%d@1700000000000", i))
@@ -176,7 +206,7 @@
 
 // TestShared_AccountsAboveTheirShare: each VM has few programs of each account; only the sum shows which one has too many.
 func TestShared_AccountsAboveTheirShare(t *testing.T) {
-	c := NewCoordinator(1)
+	c := NewCoordinator(0, 1)
 	now := time.Hour
 	holders := make([]*Holder, 30)
 	for range 3 {
