proxy: admission leaves out the slots of upstreams at their rate limit

New programs were admitted by the slots of all ready upstreams, also of those that can take no request: upstreams at the rate limit that they state, and cold ones, as all of a zone that has just returned to service. The slots of upstreams without room for the request's urgency no longer count.

Tested with TestServer_AdmitsByUsableSlotsOnly (before: a program began while the only upstream with free slots was at its limit). It also covers zones out of service, which were left out before.

--- a/internal/proxy/load.go
+++ b/internal/proxy/load.go
@@ -85,14 +85,19 @@
 	return admits
 }
 
-// fleetUse returns the use of the service's upstreams by all VMs, false if it isn't known.
+// fleetUse returns the use by all VMs of the service's upstreams that the request may be sent to, false if it isn't known.
+// The slots of an upstream at its rate limit can't be used, and those of zones out of service are not among x.upstreams.
 func (x *exchange) fleetUse() (f admission.Fleet, known bool) {
 	s := x.server
+	level := x.urgencyLevel()
 	for _, u := range x.upstreams() {
 		load, ok := s.opts.Load(u)
 		if !ok || u.State != registry.Ready || !s.zones.reachable(u.Zone) {
 			continue
 		}
+		if room := s.opts.Upstreams.UpstreamRoom(u); room.Limited && !hasRoom(room, level) {
+			continue
+		}
 		known = true
 		f.Slots += u.Slots
 		f.Inflight += load.Others + s.health.inflight(u.ID)
--- a/internal/proxy/sharedload_test.go
+++ b/internal/proxy/sharedload_test.go
@@ -15,6 +15,7 @@
 	"egretramp/internal/balance"
 	"egretramp/internal/clock"
 	"egretramp/internal/events"
+	"egretramp/internal/quota"
 	"egretramp/internal/registry"
 	"egretramp/internal/sharedload"
 )
@@ -125,3 +126,40 @@
 	require.Eventually(t, func() bool { return strings.Contains(log.text(), `"load_age":`) }, 5*time.Second, time.Millisecond)
 	require.ElementsMatch(t, []sharedload.Account{{Name: "acc", Active: 1, Refused: 1}, {Name: "other", Active: 1, Refused: 1}}, g.server.AccountLoads())
 }
+
+// TestServer_AdmitsByUsableSlotsOnly guards against programs that begin because of free slots which requests must not or can't
+// use: of upstreams in zones that are out of service, and of cold upstreams or others at their rate limit.
+func TestServer_AdmitsByUsableSlotsOnly(t *testing.T) {
+	g, orders := newEvacuationFixture(t, nil)
+	g.upstream("full", streamEvents(2))
+	g.upstream("idle", streamEvents(2))
+	for _, u := range g.directory.View().Services["s"] {
+		u.Slots, u.Sequence = 100, 2
+		if u.ID == "idle" {
+			u.Zone = "other"
+		}
+		g.directory.Merge("c", []registry.Upstream{u})
+	}
+	l := g.limitUpstreams(map[string]quota.Room{})
+	g.server.opts.Load = func(u registry.Upstream) (sharedload.Upstream, bool) {
+		if u.ID == "full" {
+			return sharedload.Upstream{Others: 100}, true
+		}
+		return sharedload.Upstream{}, true
+	}
+	limit := func(room quota.Room) {
+		l.mu.Lock()
+		defer l.mu.Unlock()
+		l.rooms["idle"] = room
+	}
+	require.Equal(t, 200, g.call("1", "/stream/x", "Program: p").status)
+	orders.set("other", true)
+	require.Equal(t, "overloaded", g.call("2", "/stream/x", "Program: q").reason, "its zone is out of service")
+	orders.set("other", false)
+	limit(noRoom(time.Second))
+	require.Equal(t, "overloaded", g.call("3", "/stream/x", "Program: r").reason, "it is at its rate limit")
+	limit(roomAt(minNewLevel / 2))
+	require.Equal(t, "overloaded", g.call("4", "/stream/x", "Program: s").reason, "its permits are left to programs under way")
+	limit(roomAt(1))
+	require.Equal(t, 200, g.call("5", "/stream/x", "Program: t").status)
+}
