sharedload: views with numbers that can't be true are not used

A negative number of attempts in a coordinator's view made each placement of an entry VM panic (index out of range in balance.placer.draw). Such views, and those with more zones or accounts than a coordinator sends, are now ignored and counted.

Tested with TestHolder_InvalidViews (before: 3 of the 6 views were rejected); the panic was seen with balance.Pick and an origin of -100 attempts a second.

--- a/internal/sharedload/holder.go
+++ b/internal/sharedload/holder.go
@@ -1,6 +1,9 @@
 package sharedload
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const (
 	// maxAsk bounds the numbers that a report asks for.
@@ -98,7 +101,7 @@
 		return
 	}
 	taken := sent - time.Duration(g.View.AgeMs)*time.Millisecond
-	if len(g.View.Rows)%viewFields != 0 || g.View.AgeMs < 0 || g.View.AgeMs > 2*MaxAge.Milliseconds() {
+	if !g.View.valid() {
 		h.rejected++
 		return
 	}
@@ -113,6 +116,14 @@
 	h.origins, h.overShare, h.takenAt, h.hasView = g.View.Origins, g.View.OverShare, taken, true
 }
 
+// valid reports whether a view may be true.
+func (v *View) valid() bool {
+	if len(v.Rows)%viewFields != 0 || v.AgeMs < 0 || v.AgeMs > 2*MaxAge.Milliseconds() || len(v.Origins) > maxZones || len(v.OverShare) > maxOverShare {
+		return false
+	}
+	return !slices.ContainsFunc(v.Origins, func(o Origin) bool { return o.PerSecond < 0 })
+}
+
 // Age returns the age of the view, false if there is none that is younger than MaxAge.
 func (h *Holder) Age(now time.Duration) (time.Duration, bool) {
 	if !h.hasView || now-h.takenAt > MaxAge {
--- a/internal/sharedload/sharedload_test.go
+++ b/internal/sharedload/sharedload_test.go
@@ -153,13 +153,17 @@
 	require.EqualValues(t, 1, others())
 }
 
+// TestHolder_InvalidViews: views that can't be true are not used. A negative number of attempts made each placement panic.
 func TestHolder_InvalidViews(t *testing.T) {
 	h := NewHolder(1, "z")
 	h.Apply(time.Hour, nil)
 	h.Apply(time.Hour, &Grant{Epoch: 1, Numbers: map[string]uint32{"u@1": 0}, View: &View{Rows: []uint32{0, 4}}})
 	h.Apply(time.Hour, &Grant{Epoch: 1, View: &View{AgeMs: -5}})
 	h.Apply(time.Hour, &Grant{Epoch: 1, View: &View{AgeMs: 1 << 60}})
-	require.Equal(t, 3, h.Rejected())
+	h.Apply(time.Hour, &Grant{Epoch: 1, View: &View{Origins: []Origin{{"z", 5}, {"y", -100}}}})
+	h.Apply(time.Hour, &Grant{Epoch: 1, View: &View{Origins: make([]Origin, maxZones+1)}})
+	h.Apply(time.Hour, &Grant{Epoch: 1, View: &View{OverShare: make([]string, maxOverShare+1)}})
+	require.Equal(t, 6, h.Rejected())
 	_, ok := h.Upstream(time.Hour, "u@1")
 	require.False(t, ok)
 	h.Apply(time.Hour, &Grant{Epoch: 1, View: &View{Rows: []uint32{0, 4, 64, 0, 3}}})
