sharedload: ages of views don't overflow on control VMs that run for long

The coordinator kept the sum of the times of all reports. With 400 VMs the sum exceeds 64 bits of nanoseconds after 266 days, and VMs ignored the views. The mean age is now computed from the ages.

--- a/internal/sharedload/coordinator.go
+++ b/internal/sharedload/coordinator.go
@@ -30,7 +30,6 @@
 	next     uint32
 	vms      map[string]*vmReport
 	sweptAt  time.Duration
-	reportAt time.Duration // sum of vmReport.at
 	rejected int
 	// weight returns the weight of a client account's share.
 	weight func(account string) float64
@@ -105,7 +104,6 @@
 	report.accounts = accounts
 	c.rejected += rejected
 	c.vms[vm] = report
-	c.reportAt += now
 	if r.Epoch != c.epoch {
 		return // the numbers are those of another coordinator
 	}
@@ -137,7 +135,6 @@
 			p.add(row, -1)
 		}
 	}
-	c.reportAt -= report.at
 	delete(c.vms, vm)
 }
 
@@ -166,7 +163,7 @@
 
 // view returns the view for a VM: without its own requests in flight, which it knows better.
 func (c *Coordinator) view(now time.Duration, own *vmReport) *View {
-	v := &View{AgeMs: (now - c.reportAt/time.Duration(len(c.vms))).Milliseconds()}
+	v := &View{AgeMs: c.meanAge(now).Milliseconds()}
 	for number, p := range c.names {
 		others := p.inflight - int(own.rows[number].inflight)
 		if others == 0 && p.samples == 0 && p.attempts == 0 && p.failed == 0 {
@@ -182,6 +179,15 @@
 	return v
 }
 
+// meanAge returns the mean age of the reports, of which there is at least one.
+func (c *Coordinator) meanAge(now time.Duration) time.Duration {
+	sum := time.Duration(0)
+	for _, report := range c.vms {
+		sum += now - report.at
+	}
+	return sum / time.Duration(len(c.vms))
+}
+
 // origins returns the attempts by zone.
 func (c *Coordinator) origins() []Origin {
 	byZone := map[string]int{}
--- a/internal/sharedload/sharedload_test.go
+++ b/internal/sharedload/sharedload_test.go
@@ -173,6 +173,19 @@
 	require.Equal(t, Upstream{Others: 4, Slowdown: 1, FailureShare: 3.0 / 7}, u, "the older view came later")
 }
 
+// TestCoordinator_AgeAfterALongTime guards against ages that overflow: 400 VMs report to a control VM that has run for a year.
+func TestCoordinator_AgeAfterALongTime(t *testing.T) {
+	c := NewCoordinator(0, 1)
+	now := 365 * 24 * time.Hour
+	for i := range 400 {
+		c.Grant(now, fmt.Sprint("vm ", i), Request{Sequence: 1, Epoch: 1})
+	}
+	now += 200 * time.Millisecond
+	g := c.Grant(now, "vm 0", Request{Sequence: 2, Epoch: 1})
+	require.NotNil(t, g.View)
+	require.EqualValues(t, 199, g.View.AgeMs)
+}
+
 // TestCoordinator_SizeOfViews: 77 VMs use 61 upstreams. A view is at most a few hundred bytes, and a VM gets one at most
 // every 100 ms, however often it reports.
 func TestCoordinator_SizeOfViews(t *testing.T) {
