proxy: partitions are no failures of upstreams in the shared load

Entry VMs that are partitioned from a zone, but not from the coordinator, reported each failed dial as a failure of the zone's upstreams. The other VMs, those of that zone included, added up to 2 s to the cost of these upstreams and left them. Only failures on established connections are now reported, and not those that a partition explains.

Tested with TestServer_OwnNetworkIsNoFailureOfUpstreams (before: 3 failures were reported for 2 attempts and a failed dial).

--- a/internal/proxy/builds_test.go
+++ b/internal/proxy/builds_test.go
@@ -69,7 +69,7 @@
 				return r.Header.Get("Last") == "" && streamFrom("v1", 2)(r, c)
 			})
 			g.setBuild("a", "v1", registry.Ready)
-			g.server.health.recordFailure("b", maybeRun) // the stream begins at a
+			g.server.health.recordFailure("b", maybeRun, io.ErrUnexpectedEOF) // the stream begins at a
 			g.upstream("b", streamFrom(second, 0))
 			g.setBuild("b", second, registry.Ready)
 			r := g.call("1", "/resumed-twice/", "Program: p")
@@ -194,7 +194,7 @@
 			}
 			return false
 		})
-		g.server.health.recordFailure("b", maybeRun)
+		g.server.health.recordFailure("b", maybeRun, io.ErrUnexpectedEOF)
 		g.upstream("b", streamFrom("v2", 0))
 		g.setBuild("b", "v2", registry.Ready)
 		r := g.call("1", "/resumed-twice/")
--- a/internal/proxy/evacuation_test.go
+++ b/internal/proxy/evacuation_test.go
@@ -130,7 +130,7 @@
 	g.upstream("near", streamFrom("v1", 2))
 	g.beforeReset = func() { orders.set("z", true) }
 	g.upstream("also near", streamFrom("v1", 0))
-	g.server.health.recordFailure("also near", maybeRun) // the stream begins at near
+	g.server.health.recordFailure("also near", maybeRun, io.ErrUnexpectedEOF) // the stream begins at near
 	g.upstreamIn("y", "far", streamFrom("v1", 0))
 	r := g.call("1", "/resumed-twice/", "Program: p")
 	require.NoError(t, r.err)
@@ -189,7 +189,7 @@
 	})
 	g.upstream("near", respondWith("ok"))
 	g.upstreamIn("y", "far", respondWith("ok"))
-	g.server.health.recordFailure("far", maybeRun) // the request is sent to near first
+	g.server.health.recordFailure("far", maybeRun, io.ErrUnexpectedEOF) // the request is sent to near first
 	done := make(chan reply)
 	go func() { done <- g.call("1", "/once/") }()
 	<-dialing
--- a/internal/proxy/health.go
+++ b/internal/proxy/health.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"egretramp/internal/balance"
 	"egretramp/internal/clock"
 	"egretramp/internal/registry"
@@ -126,6 +128,7 @@
 	r := h.stats(u.ID)
 	if status >= 500 {
 		r.addFailure()
+		r.recent.now(clock.Now()).failed++
 		return
 	}
 	r.consecutiveFailures = 0
@@ -175,8 +178,9 @@
 	return old + time.Duration(latencyWeight*float64(sample-old))
 }
 
-// recordFailure records a failed attempt.
-func (h *health) recordFailure(id string, o outcome) {
+// recordFailure records a failed attempt. One that may be due to the network between this VM and the upstream is not
+// reported to the other VMs: those in the upstream's zone would leave it while this VM is partitioned from the zone.
+func (h *health) recordFailure(id string, o outcome, err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	r := h.stats(id)
@@ -186,11 +190,13 @@
 		return
 	}
 	r.addFailure()
+	if o == maybeRun && !errors.Is(err, errZoneUnreachable) && !errors.Is(err, errPathLost) {
+		r.recent.now(clock.Now()).failed++
+	}
 }
 
 func (r *upstreamStats) addFailure() {
 	r.consecutiveFailures++
-	r.recent.now(clock.Now()).failed++
 	r.avoidUntil = time.Now().Add(min(time.Duration(r.consecutiveFailures)*failureBackoff, maxFailureBackoff))
 }
 
--- a/internal/proxy/run.go
+++ b/internal/proxy/run.go
@@ -108,7 +108,7 @@
 	if result == notSent && (x.ctx.Err() != nil || errors.IsAny(err, errZoneEvacuated, errPermitExpired)) {
 		return
 	}
-	x.server.health.recordFailure(u.ID, result)
+	x.server.health.recordFailure(u.ID, result, err)
 	x.server.opts.Metrics.attemptFailed(result)
 	x.server.opts.Events.Emit(events.ProxyAttemptFailed, append(x.logFields(),
 		zap.Stringer("outcome", result), zap.Int64("born", u.Born), zap.String("fingerprint", string(x.requestFingerprint())), zap.Error(err))...)
--- a/internal/proxy/sharedload_test.go
+++ b/internal/proxy/sharedload_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strings"
@@ -66,6 +67,22 @@
 	require.Empty(t, g.server.health.samples(clock.Now()+2*time.Second, g.server.opts.Directory.View()))
 }
 
+// TestServer_OwnNetworkIsNoFailureOfUpstreams guards against VMs that leave the upstreams of their own zone because VMs of
+// another zone, partitioned from it, report failures.
+func TestServer_OwnNetworkIsNoFailureOfUpstreams(t *testing.T) {
+	g := newFixture(t)
+	g.upstream("u", respondWith("u"))
+	for _, err := range []error{errZoneUnreachable, errPathLost} {
+		g.server.health.requestStarted("u")
+		g.server.health.requestEnded("u")
+		g.server.health.recordFailure("u", maybeRun, err)
+	}
+	g.server.health.recordFailure("u", notSent, net.ErrClosed)
+	require.Equal(t, []sharedload.Sample{{Process: "u@1", Attempts: 2}}, g.server.LoadSamples())
+	g.server.health.recordFailure("u", maybeRun, io.ErrUnexpectedEOF)
+	require.Equal(t, []sharedload.Sample{{Process: "u@1", Attempts: 2, Failed: 1}}, g.server.LoadSamples())
+}
+
 func TestLoadCounts_LastSecond(t *testing.T) {
 	var l loadCounts
 	for i := range 40 { // 10 a second
