node: entry VMs fetch the newest document that a responding control VM has

If a control VM announced a version and then became unreachable before it had sent it, an entry VM asked only that control VM, again and again, and did not fetch an earlier version that was newer than its own and that the others had. It now falls back to the highest version that control VMs which respond have announced.

Tested with TestDocument_NewestSourceIsLost (before: version 1 stayed in force).

--- a/internal/node/document.go
+++ b/internal/node/document.go
@@ -169,6 +169,8 @@
 	// sources returns the control VMs that have a version or a later one, in the order in which to ask them. awaitsNear is
 	// true if none of them is in this VM's zone, but one there may soon announce the version.
 	sources func(version uint64) (vms []string, awaitsNear bool)
+	// newest returns the highest version that a control VM which responds has announced, 0 for none.
+	newest func() uint64
 	// apply processes a document. It is not called again for its version.
 	apply func(from string, version uint64, data []byte)
 	// inForce returns the version that this VM uses.
@@ -191,7 +193,7 @@
 }
 
 func newDocumentFetcher(w *watcher, inForce func() uint64, apply func(from string, version uint64, data []byte)) *documentFetcher {
-	f := &documentFetcher{calls: w.calls, sources: w.documentSources, apply: apply, inForce: inForce, clock: w.clock, wake: make(chan struct{}, 1)}
+	f := &documentFetcher{calls: w.calls, sources: w.documentSources, newest: w.newestDocument, apply: apply, inForce: inForce, clock: w.clock, wake: make(chan struct{}, 1)}
 	w.documentAnnounced = f.announce
 	return f
 }
@@ -209,14 +211,20 @@
 	}
 }
 
-// missing returns the version that is to be fetched, 0 for none, and how long ago it was announced.
+// missing returns the version that is to be fetched, 0 for none, and how long ago the highest one was announced. If the
+// control VMs that have the highest version don't respond, it is the highest one of the others.
 func (f *documentFetcher) missing() (version uint64, age time.Duration) {
+	used, newest := max(f.handled, f.inForce()), f.newest()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.announced <= max(f.handled, f.inForce()) {
+	if f.announced <= used {
 		return 0, 0
 	}
-	return f.announced, f.clock() - f.announcedAt
+	version = f.announced
+	if newest > used {
+		version = newest
+	}
+	return version, f.clock() - f.announcedAt
 }
 
 // run fetches documents until ctx ends.
--- a/internal/node/document_test.go
+++ b/internal/node/document_test.go
@@ -157,6 +157,42 @@
 	requireDocument(t, vms, 2, routesDocument(300, 2))
 }
 
+// TestDocument_NewestSourceIsLost guards against VMs that keep asking a lost control VM for the version that it alone has
+// announced, and meanwhile don't fetch a later one than theirs that others have.
+func TestDocument_NewestSourceIsLost(t *testing.T) {
+	f := newWatchFleet(3)
+	vms := f.start(t, 3, true)
+	awaitWatching(t, f, vms)
+	f.put(1, routesDocument(300, 1), f.all()...)
+	requireDocument(t, vms, 1, routesDocument(300, 1))
+	var lost atomic.Bool
+	fault := func(_ context.Context, _, to, method string, _ bool) error {
+		if to == "c2" && (method == methodDocument || lost.Load()) {
+			return errors.New("unreachable")
+		}
+		return nil
+	}
+	f.fault.Store(&fault)
+	f.put(3, routesDocument(300, 3), "c2")
+	for _, v := range vms {
+		require.Eventually(t, func() bool {
+			sources, _ := v.watcher.documentSources(3)
+			return len(sources) > 0
+		}, 10*time.Second, time.Millisecond, "c2 announces its version")
+	}
+	lost.Store(true)
+	f.put(4, routesDocument(300, 4), "c2") // ends the watches in progress
+	f.put(2, routesDocument(300, 2), "c0", "c1")
+	for _, v := range vms {
+		require.Eventually(t, func() bool { return v.inForce() == 2 }, 20*time.Second, time.Millisecond)
+	}
+	lost.Store(false)
+	f.fault.Store(nil)
+	for _, v := range vms {
+		require.Eventually(t, func() bool { return v.inForce() == 4 }, 20*time.Second, time.Millisecond)
+	}
+}
+
 // TestDocument_PartitionedControlGroup guards against VMs that get no document because they reach only the control VMs of
 // one side, or keep an older one of a side that lags.
 func TestDocument_PartitionedControlGroup(t *testing.T) {
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -273,6 +273,18 @@
 	return vms, awaitsNear && !hasNear
 }
 
+// newestDocument returns the highest version of the document that a control VM which responds has announced, 0 for none.
+func (w *watcher) newestDocument() (version uint64) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	for _, c := range w.contacts {
+		if c.lastAnswered > 0 && !c.lost {
+			version = max(version, c.documentVersion)
+		}
+	}
+	return version
+}
+
 // spread returns a number by which a VM orders control VMs of equal rank.
 func spread(self, vm string) uint64 {
 	hash := fnv.New64a()
