sharedload: VMs first ask for the numbers of the upstreams that they use

A report asks for at most 64 numbers, in the order of the upstreams. With 3,600 upstreams a VM reported its load only after up to 57 reports, some 11 s, after each change of the coordinator, and these upstreams seemed idle to the others.

Tested with TestHolder_ReportsSoonAmongManyUpstreams (before: no row in the second report).

--- a/internal/sharedload/holder.go
+++ b/internal/sharedload/holder.go
@@ -52,11 +52,7 @@
 	h.sequence++
 	h.prune(processes)
 	r := &Request{Started: h.started, Sequence: h.sequence, Zone: h.zone, Epoch: h.epoch, Accounts: accounts}
-	for _, p := range processes {
-		if n, known := h.numbers[p]; (!known || now-n.askedAt > askInterval) && len(r.Ask) < maxAsk {
-			r.Ask = append(r.Ask, p)
-		}
-	}
+	r.Ask = h.ask(now, samples, processes)
 	for _, s := range samples {
 		n, known := h.numbers[s.Process]
 		if !known {
@@ -68,6 +64,22 @@
 	return r
 }
 
+// ask returns the processes whose numbers to ask for: first those that the VM uses, since it can't report their load before.
+func (h *Holder) ask(now time.Duration, samples []Sample, processes []string) (ask []string) {
+	used := make(map[string]bool, len(samples))
+	for i := range samples {
+		used[samples[i].Process] = true
+	}
+	for _, first := range []bool{true, false} {
+		for _, p := range processes {
+			if n, known := h.numbers[p]; used[p] == first && (!known || now-n.askedAt > askInterval) && len(ask) < maxAsk {
+				ask = append(ask, p)
+			}
+		}
+	}
+	return ask
+}
+
 // prune removes the numbers of processes that are gone.
 func (h *Holder) prune(processes []string) {
 	if len(h.numbers) <= 2*len(processes)+maxAsk {
--- a/internal/sharedload/sharedload_test.go
+++ b/internal/sharedload/sharedload_test.go
@@ -173,6 +173,30 @@
 	require.Equal(t, Upstream{Others: 4, Slowdown: 1, FailureShare: 3.0 / 7}, u, "the older view came later")
 }
 
+// TestHolder_ReportsSoonAmongManyUpstreams guards against load that is not reported for seconds after a change of the coordinator,
+// because a VM first asks for the numbers of thousands of upstreams that it doesn't use.
+func TestHolder_ReportsSoonAmongManyUpstreams(t *testing.T) {
+	h := NewHolder(1, "z")
+	var names []string
+	for i := range 3600 {
+		names = append(names, fmt.Sprint("u", i, "@1"))
+	}
+	samples := []Sample{{Process: "u3599@1", Inflight: 2}, {Process: "of a service that shares no load@1", Inflight: 1}}
+	for epoch := range uint64(2) {
+		now := time.Hour + time.Duration(epoch)*time.Minute
+		c := NewCoordinator(now, epoch+1)
+		exchange(c, now, "a", h, names, samples...)
+		r := h.Report(now+200*time.Millisecond, samples, names, nil)
+		require.Len(t, r.Ask, maxAsk)
+		if epoch > 0 { // the first answer has made the numbers of the previous coordinator invalid
+			g := c.Grant(now+200*time.Millisecond, "a", *r)
+			h.Apply(now+200*time.Millisecond, &g)
+			r = h.Report(now+400*time.Millisecond, samples, names, nil)
+		}
+		require.Len(t, r.Rows, reportFields)
+	}
+}
+
 // TestCoordinator_AgeAfterALongTime guards against ages that overflow: 400 VMs report to a control VM that has run for a year.
 func TestCoordinator_AgeAfterALongTime(t *testing.T) {
 	c := NewCoordinator(0, 1)
