callermem: the test of kernel queues doesn't depend on the order of a map

All ten connections had begun at the same time, so that any of them could be selected, and the test expected the first to be closed.

Connections begin one after the other. go test -run KernelQueues -count 20 failed 9 times before, never after.

--- a/internal/callermem/budget_test.go
+++ b/internal/callermem/budget_test.go
@@ -89,8 +89,8 @@
 	b := New(1 << 20)
 	g := b.Group(0, false)
 	var sockets []*fakeSocket
-	for range 10 {
-		_, s := open(t, g, 0, Sending, 0)
+	for i := range 10 {
+		_, s := open(t, g, time.Duration(i), Sending, 0)
 		s.queued = 100 << 10
 		sockets = append(sockets, s)
 	}
