callermem: large messages between VMs are not closed while the budget has room

A message that uses more than three quarters of the budget and takes longer than a second was closed by the next measurement, although control and store VMs may use the whole budget for messages. A store VM of 144 MB has a budget of 36 MB, so messages above 18 MB that take longer than a second never arrived. Unfinished requests of callers were closed because of such a message, too.

Below the budget's limit, connections of a group that may use the whole budget are neither closed nor counted when others are closed.

Test: TestBudget_WholeGroupFinishesItsMessage, failed before.

--- a/internal/callermem/budget.go
+++ b/internal/callermem/budget.go
@@ -148,6 +148,17 @@
 	go c.socket.Reset()
 }
 
+// wholeBytes returns what the connections of groups that may use the whole budget hold. The caller holds mu.
+func (b *Budget) wholeBytes() int64 {
+	total := int64(0)
+	for c := range b.conns {
+		if c.group.whole && !c.evicted {
+			total += c.bytes
+		}
+	}
+	return total
+}
+
 // remove forgets a connection and what it holds. The caller holds mu.
 func (b *Budget) remove(c *Conn) {
 	if c.gone {
@@ -226,7 +237,15 @@
 	if n == 0 {
 		room = relievedShare * float64(b.limit)
 	}
-	victims := selectVictims(b.candidates(func(*Conn) bool { return true }), now, int64(left-room), left > float64(b.limit))
+	exceeded := left > float64(b.limit)
+	candidates := b.candidates(func(c *Conn) bool { return exceeded || !c.group.whole })
+	if !exceeded {
+		// Messages of a group that may use the whole budget make no room for others, and others make no room for them.
+		if left -= float64(b.wholeBytes()); left <= room {
+			return 0
+		}
+	}
+	victims := selectVictims(candidates, now, int64(left-room), exceeded)
 	for _, c := range victims {
 		b.close(c)
 	}
--- a/internal/callermem/budget_test.go
+++ b/internal/callermem/budget_test.go
@@ -215,3 +215,17 @@
 	require.Equal(t, Connections{}, SplitDescriptors(0, true))
 	require.GreaterOrEqual(t, SplitDescriptors(3075, true).Callers, 1000, "some hundred connections of each caller")
 }
+
+// TestBudget_WholeGroupFinishesItsMessage guards against a message between VMs that uses more than the part for large requests and
+// is closed although there is room for it, and against the closing of others because of it.
+func TestBudget_WholeGroupFinishesItsMessage(t *testing.T) {
+	b := New(36 << 20)
+	_, caller := open(t, b.Group(0, false), 0, Receiving, 1<<20)
+	message, arriving := open(t, b.Group(0, true), 0, Receiving, 30<<20)
+	now := 3 * time.Second
+	message.Progress(64<<10, now)
+	require.Zero(t, b.Measure(now))
+	require.False(t, arriving.closed.Load() || caller.closed.Load())
+	arriving.queued = 8 << 20 // beyond the budget
+	require.Positive(t, b.Measure(now+reliefInterval))
+}
