callermem: times out of order don't erase the progress of a connection

The time of a transfer is taken before the budget's lock. At the start of a window, a goroutine with an earlier time reset the count of a connection that transfers steadily, which could be closed then as the one with the least progress.

Test: TestProgress_TimesOutOfOrder, failed before.

--- a/internal/callermem/budget_test.go
+++ b/internal/callermem/budget_test.go
@@ -229,3 +229,12 @@
 	arriving.queued = 8 << 20 // beyond the budget
 	require.Positive(t, b.Measure(now+reliefInterval))
 }
+
+// TestProgress_TimesOutOfOrder guards against a goroutine with an earlier time that erases the progress of a connection, which is
+// closed then.
+func TestProgress_TimesOutOfOrder(t *testing.T) {
+	var p progress
+	p.add(1000, 2*progressWindow)
+	p.add(10, 2*progressWindow-1)
+	require.Equal(t, int64(1010), p.recent(2*progressWindow))
+}
--- a/internal/callermem/victims.go
+++ b/internal/callermem/victims.go
@@ -27,7 +27,7 @@
 func (p *progress) advance(now time.Duration) {
 	window := now / progressWindow
 	switch {
-	case window == p.window:
+	case window <= p.window: // times are taken before the lock, so they may be out of order
 		return
 	case window == p.window+1:
 		p.last = p.current
