callermem, node: callers can't interrupt the traffic between VMs

Small requests of callers may use the whole budget, and bytes in the kernel's queues count even beyond it. A message from another VM that arrived in two parts found no room then, and its connection ended: on a control VM, clients of the control listener could interrupt the replication of the control group.

Small messages of other VMs may use a quarter of the budget beside everything else, all connections together.

Test: TestBudget_PeersFindRoomBesideCallers, failed before.

--- a/internal/callermem/budget.go
+++ b/internal/callermem/budget.go
@@ -22,6 +22,9 @@
 	budgetShare = 0.25
 	// largeShare is the part of the budget that connections with more than OwnBytes may use.
 	largeShare = 0.75
+	// peerShare is the part of the budget that small messages of other VMs may use beside everything else: callers must not
+	// interrupt the traffic between VMs.
+	peerShare = 0.25
 	// relievedShare is the part of the budget down to which connections are closed.
 	relievedShare = 0.6
 	// graceTime is how old a phase of a connection must be before the connection is closed for making little progress: a caller
@@ -97,6 +100,9 @@
 	limit  int
 	count  int  // guarded by budget.mu
 	whole  bool // large requests may use the whole budget
+	// peers is set for connections from other VMs, which have peerShare beside the rest of the budget.
+	peers    bool
+	reserved int64 // by its connections; guarded by budget.mu
 }
 
 // Group returns a group of at most limit connections, 0 for no limit. Large requests of a group that may use the whole budget,
@@ -105,6 +111,13 @@
 	return &Group{budget: b, limit: limit, whole: whole}
 }
 
+// PeerGroup returns a group of connections from other VMs. Their small messages find room even if callers use up the budget.
+func (b *Budget) PeerGroup(limit int, whole bool) *Group {
+	g := b.Group(limit, whole)
+	g.peers = true
+	return g
+}
+
 // Open adds a connection. If the group is full, it closes another connection, the one that makes the least progress. It returns
 // nil if there is none: the owner accepts no connection until one has been closed.
 func (g *Group) Open(now time.Duration, socket Socket) *Conn {
@@ -169,7 +182,8 @@
 	if c.evicted {
 		b.closing -= c.bytes
 	}
-	c.bytes = 0
+	c.group.reserved -= c.reserved
+	c.bytes, c.reserved = 0, 0
 	c.group.count--
 	delete(b.conns, c)
 }
--- a/internal/callermem/budget_test.go
+++ b/internal/callermem/budget_test.go
@@ -238,3 +238,28 @@
 	p.add(10, 2*progressWindow-1)
 	require.Equal(t, int64(1010), p.recent(2*progressWindow))
 }
+
+// TestBudget_PeersFindRoomBesideCallers guards against callers that use up the budget and so end the connections between VMs, whose
+// small messages find no room: a control VM would lose its group's leader.
+func TestBudget_PeersFindRoomBesideCallers(t *testing.T) {
+	b := New(1 << 20)
+	callers, peers := b.Group(0, false), b.PeerGroup(0, true)
+	message := peers.Open(0, &fakeSocket{})
+	for {
+		if c := callers.Open(0, &fakeSocket{}); !c.Reserve(40<<10, 0) {
+			break
+		}
+	}
+	require.False(t, callers.Open(0, &fakeSocket{}).Reserve(40<<10, 0))
+	require.True(t, message.Reserve(40<<10, 0))
+	message.Release(40 << 10)
+	reserved := 0
+	for range 10 { // the part that is kept is limited, too
+		if c := peers.Open(0, &fakeSocket{}); c.Reserve(60<<10, 0) {
+			reserved++
+			defer c.Close()
+		}
+	}
+	require.Equal(t, 4, reserved)
+	require.False(t, message.Reserve(OwnBytes+1, 0), "large messages use the budget")
+}
--- a/internal/callermem/conn.go
+++ b/internal/callermem/conn.go
@@ -13,6 +13,7 @@
 	phase    Phase
 	since    time.Duration // when the phase began
 	bytes    int64         // what the connection holds, kernel included
+	reserved int64         // the part of bytes that Reserve added
 	kernel   int64         // bytes in the kernel's queues, as last measured
 	progress progress
 	evicted  bool // it is being closed to make room
@@ -35,26 +36,38 @@
 	if c.bytes+n > OwnBytes && !c.group.whole {
 		limit *= largeShare
 	}
-	if float64(b.used+n) > limit {
+	if float64(b.used+n) > limit && !c.hasPeerShare(n) {
 		b.refused++
 		b.relieve(now, n)
 		return false
 	}
-	c.bytes += n
-	b.used += n
+	c.add(n)
 	return true
 }
 
-// Release returns n reserved bytes.
-func (c *Conn) Release(n int64) { c.adjust(-n) }
+// hasPeerShare reports whether n more bytes of a small message find room in the part that is kept for other VMs. The caller holds
+// budget.mu.
+func (c *Conn) hasPeerShare(n int64) bool {
+	return c.group.peers && c.reserved+n <= OwnBytes && float64(c.group.reserved+n) <= peerShare*float64(c.budget.limit)
+}
 
-func (c *Conn) adjust(n int64) {
+// Release returns n reserved bytes.
+func (c *Conn) Release(n int64) {
 	b := c.budget
 	if b == nil || b.limit <= 0 {
 		return
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if !c.gone {
+		c.add(-n)
+	}
+}
+
+// add changes what is reserved by n bytes. The caller holds budget.mu.
+func (c *Conn) add(n int64) {
+	c.reserved += n
+	c.group.reserved += n
 	c.change(n)
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -108,7 +108,7 @@
 	n.memory = newCallerMemory(&s, n.metrics, n.events)
 	n.network = &network{
 		Node: peer.New(peer.Options{
-			VM: s.Peers, Events: opts.Events, Accounting: n.accounting(), Memory: n.memory.budget.Group(n.memory.conns.Peers, s.Role != Entry),
+			VM: s.Peers, Events: opts.Events, Accounting: n.accounting(), Memory: n.memory.budget.PeerGroup(n.memory.conns.Peers, s.Role != Entry),
 		}),
 		lastUsed: map[string]time.Duration{},
 	}
