proxy: responses find room beside clients that hold large bodies

Buffers of responses had the same bound as large bodies, three quarters of the budget. Clients that held it with unfinished bodies made responses above 64 KiB fail, after their requests had run.

Buffers of responses may use the whole budget. Stored and cached conversations keep the bound of large requests: they can be refused, not run.

Test: TestBufferLease_FindsRoomBesideLargeRequests, failed before.

--- a/internal/callermem/budget.go
+++ b/internal/callermem/budget.go
@@ -203,15 +203,20 @@
 	return b.Relieve(now)
 }
 
-// Take reserves n bytes that belong to no connection's own reservation, such as the buffer of a response. It reports whether
-// there is room.
-func (b *Budget) Take(n int64) bool {
+// Take reserves n bytes that belong to no connection's own reservation, such as a stored conversation. It reports whether there
+// is room in the part for large requests.
+func (b *Budget) Take(n int64) bool { return b.take(n, largeShare) }
+
+// TakeAny is Take with the whole budget, for the response to a request that has run: refusing it would lose the response.
+func (b *Budget) TakeAny(n int64) bool { return b.take(n, 1) }
+
+func (b *Budget) take(n int64, share float64) bool {
 	if b == nil || b.limit <= 0 {
 		return true
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if float64(b.used+n) > largeShare*float64(b.limit) {
+	if float64(b.used+n) > share*float64(b.limit) {
 		b.refused++
 		return false
 	}
@@ -219,7 +224,7 @@
 	return true
 }
 
-// Return releases what Take reserved.
+// Return releases what Take or TakeAny reserved.
 func (b *Budget) Return(n int64) {
 	if b == nil || b.limit <= 0 {
 		return
--- a/internal/proxy/buffers.go
+++ b/internal/proxy/buffers.go
@@ -36,7 +36,7 @@
 
 // take reserves n bytes and reports whether there is room.
 func (s *sharedBuffers) take(n int64) bool {
-	if s.used.Add(n) > maxSharedBytes || !s.memory.Take(n) {
+	if s.used.Add(n) > maxSharedBytes || !s.memory.TakeAny(n) {
 		s.used.Add(-n)
 		return false
 	}
--- a/internal/proxy/memory_test.go
+++ b/internal/proxy/memory_test.go
@@ -31,6 +31,19 @@
 	require.Zero(t, shared.used.Load())
 }
 
+// TestBufferLease_FindsRoomBesideLargeRequests guards against large bodies of clients that don't finish them, because of which the
+// responses to requests that have run are lost.
+func TestBufferLease_FindsRoomBesideLargeRequests(t *testing.T) {
+	budget := callermem.New(1 << 20)
+	require.True(t, budget.Take(700<<10))
+	require.False(t, budget.Take(200<<10), "the part for large requests is used up")
+	lease := bufferLease{shared: &sharedBuffers{memory: budget}}
+	_, err := lease.readAll(bytes.NewReader(make([]byte, 200<<10)))
+	require.NoError(t, err)
+	lease.release()
+	require.EqualValues(t, 700<<10, budget.Stats().Used)
+}
+
 // TestExchange_ConversationCountsTowardTheBudgetOfCallers guards against stored conversations that take memory beside the bound,
 // and against bodies that are kept twice while they are sent on.
 func TestExchange_ConversationCountsTowardTheBudgetOfCallers(t *testing.T) {
