httpwire: callers that read large responses slowly are not cut off

A response had 10 s for all of its bytes. Since the kernel's buffers are limited to 32 KiB, most of a large response waits in the process, so that a caller that reads 4 MiB at less than about 400 KB/s lost it; before, the kernel took up to megabytes of it at once.

Each part of 64 KiB has its own 10 s.

Test: TestDeadlineWriter_RenewsItsDeadline, failed before; go test -race ./internal/httpwire.

--- a/internal/httpwire/memory_test.go
+++ b/internal/httpwire/memory_test.go
@@ -29,6 +29,38 @@
 	return e, address
 }
 
+// deadlineRecorder counts the parts that are written without a new deadline.
+type deadlineRecorder struct {
+	net.Conn
+	renewed        bool
+	parts, expired int
+}
+
+func (c *deadlineRecorder) SetWriteDeadline(time.Time) error {
+	c.renewed = true
+	return nil
+}
+
+func (c *deadlineRecorder) Write(p []byte) (int, error) {
+	c.parts++
+	if !c.renewed {
+		c.expired++
+	}
+	c.renewed = false
+	return len(p), nil
+}
+
+// TestDeadlineWriter_RenewsItsDeadline guards against a caller that reads a large response slowly but steadily and is cut off
+// after writeTimeout: the kernel's buffer holds only a part of the response.
+func TestDeadlineWriter_RenewsItsDeadline(t *testing.T) {
+	recorder := &deadlineRecorder{}
+	n, err := deadlineWriter{&serverConn{raw: recorder, memory: &callermem.Conn{}}}.Write(make([]byte, 5*writePart-1))
+	require.NoError(t, err)
+	require.Equal(t, 5*writePart-1, n)
+	require.Equal(t, 5, recorder.parts)
+	require.Zero(t, recorder.expired)
+}
+
 // TestServer_RefusesBodiesWithoutMemory guards against unfinished bodies that take all the memory: those that find no room are
 // refused with 503 and never passed on, a small request is served meanwhile, and a large one once the unfinished are gone.
 func TestServer_RefusesBodiesWithoutMemory(t *testing.T) {
--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -124,8 +124,8 @@
 	}
 }
 
-// deadlineWriter writes to a connection, each write with a deadline of its own: that of an earlier response may
-// have passed.
+// deadlineWriter writes to a connection in parts, each with a deadline of its own: that of an earlier response may have
+// passed, and a large response may take a slow caller longer than writeTimeout, since little of it fits into the kernel's buffer.
 type deadlineWriter struct{ conn *serverConn }
 
 // writePart is the most that is written at once, in bytes: what a caller takes counts as its progress.
@@ -133,13 +133,13 @@
 
 func (w deadlineWriter) Write(p []byte) (int, error) {
 	c := w.conn
-	if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
-		return 0, err
-	}
 	c.memory.SetPhase(callermem.Sending, clock.Now())
 	defer func() { c.memory.SetPhase(callermem.Serving, clock.Now()) }()
 	written := 0
 	for written < len(p) {
+		if err := c.raw.SetWriteDeadline(time.Now().Add(writeTimeout)); err != nil {
+			return written, err
+		}
 		n, err := c.raw.Write(p[written:min(len(p), written+writePart)])
 		written += n
 		c.memory.Progress(n, clock.Now())
