peer: buffers that connections keep after a large message count toward the budget

The protocol's reader keeps the buffer of a large message until twelve messages in a row use less than a quarter of it. It was counted only until the message was complete: a process that sends one complete message of 30 MB on each of many connections made them hold it all.

The tracker counts the buffer as long as the reader keeps it, if it has 1 MiB or more.

Test: TestPacketTracker_CountsRetainedBuffers, failed without the counting; go test ./internal/peer, go test -race -run 'PacketTracker|LargePayloads|Tunnel' ./internal/peer, go test ./platform/clientlimits.

--- a/internal/peer/packets.go
+++ b/internal/peer/packets.go
@@ -9,6 +9,9 @@
 // its length as varints, and that many bytes. The lowest bit of the control byte marks the last frame of a message.
 type packetTracker struct {
 	size int64 // bytes of the unfinished message so far
+	// retained is the size of the buffer that the reader keeps for the next messages after a large one, 0 if that is no large one.
+	retained int64
+	small    int // messages in a row that use little of it
 
 	state   frameState
 	last    bool // the frame is its message's last
@@ -58,13 +61,38 @@
 		if t.state == inData && t.left == 0 {
 			t.state = atControl
 			if t.last {
-				t.size = 0
+				t.messageEnded()
 			}
 		}
 	}
 	return nil
 }
 
+const (
+	// minRetainedBytes is the size from which on a buffer that the reader keeps is counted.
+	minRetainedBytes = 1 << 20
+	// maxSmallMessages is after how many messages in a row that use less than a quarter of its buffer the reader drops it.
+	maxSmallMessages = 11
+)
+
+func (t *packetTracker) messageEnded() {
+	size := t.size
+	t.size = 0
+	switch {
+	case size >= max(minRetainedBytes, t.retained):
+		t.retained, t.small = size, 0
+	case size >= t.retained/4:
+		t.small = 0
+	default:
+		if t.small++; t.small > maxSmallMessages {
+			t.retained, t.small = 0, 0
+		}
+	}
+}
+
+// held returns what the reader holds: its buffer grows by copying.
+func (t *packetTracker) held() int64 { return max(t.size*3/2, t.retained) }
+
 // addHeader follows one byte before a frame's data.
 func (t *packetTracker) addHeader(b byte) error {
 	if t.state == atControl {
--- a/internal/peer/packets_test.go
+++ b/internal/peer/packets_test.go
@@ -37,6 +37,28 @@
 	}
 }
 
+// TestPacketTracker_CountsRetainedBuffers guards against processes that send one complete large message on each of many connections:
+// the reader keeps its buffer for the messages after it.
+func TestPacketTracker_CountsRetainedBuffers(t *testing.T) {
+	var tracker packetTracker
+	id := drpcwire.ID{Stream: 1, Message: 1}
+	send := func(size int) {
+		require.NoError(t, tracker.add(drpcwire.AppendFrame(nil, drpcwire.Frame{Data: make([]byte, size), ID: id, Kind: drpcwire.KindMessage, Done: true})))
+		id.Message++
+	}
+	send(50_000)
+	require.Zero(t, tracker.held(), "small buffers are a part of callermem.ConnBytes")
+	require.NoError(t, tracker.add(drpcwire.AppendFrame(nil, drpcwire.Frame{Data: make([]byte, maxFrameBytes), ID: id, Kind: drpcwire.KindMessage})))
+	send(maxFrameBytes)
+	require.EqualValues(t, 2*maxFrameBytes, tracker.held())
+	for range maxSmallMessages {
+		send(100)
+		require.EqualValues(t, 2*maxFrameBytes, tracker.held())
+	}
+	send(100)
+	require.Zero(t, tracker.held(), "the reader has dropped its buffer")
+}
+
 // TestPacketTracker_RefusesWhatVMsDontSend guards against frames and messages of any size from other processes.
 func TestPacketTracker_RefusesWhatVMsDontSend(t *testing.T) {
 	var tracker packetTracker
