callermem: connections that wait for a request are measured once

A measurement from before a change of the phase doesn't count as one.

Test: TestBudget_MeasuresWaitingConnectionsOnce, failed before, and failed without the comparison of the phase; go test -race ./internal/callermem.

--- a/internal/callermem/budget.go
+++ b/internal/callermem/budget.go
@@ -4,8 +4,6 @@
 package callermem
 
 import (
-	"maps"
-	"slices"
 	"sync"
 	"time"
 )
@@ -195,10 +193,15 @@
 		return 0
 	}
 	b.mu.Lock()
-	conns := slices.Collect(maps.Keys(b.conns))
+	conns := map[*Conn]int{} // to the changes of their phase
+	for c := range b.conns {
+		if !c.empty {
+			conns[c] = c.changes
+		}
+	}
 	b.mu.Unlock()
-	for _, c := range conns {
-		c.setKernel(c.socket.QueuedBytes())
+	for c, changes := range conns {
+		c.setKernel(c.socket.QueuedBytes(), changes)
 	}
 	return b.Relieve(now)
 }
--- a/internal/callermem/budget_test.go
+++ b/internal/callermem/budget_test.go
@@ -11,12 +11,22 @@
 
 // fakeSocket records that it was closed.
 type fakeSocket struct {
-	closed atomic.Bool
-	queued int64
+	closed   atomic.Bool
+	queued   int64
+	measured int    // calls of QueuedBytes
+	measure  func() // called after a measurement; nil for none
 }
 
-func (s *fakeSocket) Reset()             { s.closed.Store(true) }
-func (s *fakeSocket) QueuedBytes() int64 { return s.queued }
+func (s *fakeSocket) Reset() { s.closed.Store(true) }
+
+func (s *fakeSocket) QueuedBytes() int64 {
+	s.measured++
+	queued := s.queued
+	if s.measure != nil {
+		s.measure()
+	}
+	return queued
+}
 
 // open adds a connection that is in a phase since now and holds bytes.
 func open(t *testing.T, g *Group, now time.Duration, p Phase, bytes int64) (*Conn, *fakeSocket) {
@@ -263,3 +273,37 @@
 	require.Equal(t, 4, reserved)
 	require.False(t, message.Reserve(OwnBytes+1, 0), "large messages use the budget")
 }
+
+// TestBudget_MeasuresWaitingConnectionsOnce guards against two system calls for each of hundreds of waiting connections four times a
+// second, and against answers that a caller doesn't read and that are no longer measured.
+func TestBudget_MeasuresWaitingConnectionsOnce(t *testing.T) {
+	b := New(1 << 20)
+	g := b.Group(0, false)
+	c, waiting := open(t, g, 0, Idle, 0)
+	_, unread := open(t, g, 0, Idle, 0)
+	unread.queued = 1 << 10
+	for range 3 {
+		b.Measure(time.Second)
+	}
+	require.Equal(t, 1, waiting.measured)
+	require.Equal(t, 3, unread.measured)
+	c.SetPhase(Receiving, time.Second)
+	b.Measure(time.Second)
+	c.SetPhase(Idle, time.Second)
+	waiting.queued = 2 << 10
+	b.Measure(time.Second)
+	require.Equal(t, 3, waiting.measured)
+	require.EqualValues(t, 2*ConnBytes+3<<10, b.Stats().Used)
+
+	// An answer is sent between a measurement and its record.
+	waiting.queued = 0
+	waiting.measure = func() {
+		waiting.measure = nil
+		c.SetPhase(Sending, time.Second)
+		waiting.queued = 4 << 10
+		c.SetPhase(Idle, time.Second)
+	}
+	b.Measure(time.Second)
+	b.Measure(time.Second)
+	require.EqualValues(t, 2*ConnBytes+5<<10, b.Stats().Used)
+}
--- a/internal/callermem/conn.go
+++ b/internal/callermem/conn.go
@@ -15,6 +15,10 @@
 	bytes    int64         // what the connection holds, kernel included
 	reserved int64         // the part of bytes that Reserve added
 	kernel   int64         // bytes in the kernel's queues, as last measured
+	// empty is set if the kernel's queues were measured as empty while the connection waits for a request: they remain empty
+	// until its phase changes.
+	empty    bool
+	changes  int // of the phase
 	progress progress
 	evicted  bool // it is being closed to make room
 	gone     bool
@@ -90,7 +94,8 @@
 	}
 	c.budget.mu.Lock()
 	defer c.budget.mu.Unlock()
-	c.phase, c.since = p, now
+	c.phase, c.since, c.empty = p, now, false
+	c.changes++
 }
 
 // Progress records that n bytes were received from or taken by the caller.
@@ -104,7 +109,8 @@
 }
 
 // setKernel records the bytes in the kernel's queues of the connection. They are counted even if there is no room.
-func (c *Conn) setKernel(n int64) {
+// changes is the number of changes of the phase before the measurement.
+func (c *Conn) setKernel(n int64, changes int) {
 	b := c.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
@@ -113,6 +119,7 @@
 	}
 	c.change(n - c.kernel)
 	c.kernel = n
+	c.empty = n == 0 && c.changes == changes && (c.phase == Unused || c.phase == Idle)
 }
 
 // Close returns all that the connection holds.
