quota: VMs that have lost the coordinator can pool their shares

While a zone is cut off, or no leader is elected, each VM has rate / number of VMs of an account. An account's requests of a zone arrive at one to three of its 25 VMs, so most of them are refused although the sum of the zone's shares would do. Pool grants permits from the sum. Its members contribute the time for which they did not use their shares, each time once, so that a VM that changes its pool or returns to the coordinator is not counted twice.

Six changes that break a rule each make a test fail: contributing without marking the time, using the share beside the pool or after contributing it, no pause after a repeated loss, not marking own use, and the whole burst.

--- a/internal/quota/coordinator.go
+++ b/internal/quota/coordinator.go
@@ -3,7 +3,7 @@
 // advance, according to their use. An entry VM that loses contact with the coordinator continues
 // with an equal share of each account's rate, and the coordinator withholds the shares of the VMs
 // that it has no contact with: a partitioned zone keeps serving, and the total stays within the
-// limit.
+// limit. The VMs that have lost the coordinator pool their shares at a VM that they reach (Pool).
 //
 // The same permits enforce the rates that upstreams state in their responses (UpstreamCoordinator,
 // LimitTable). These permits are whole and short-lived, since an upstream's limit may be below one request
@@ -28,8 +28,8 @@
 	// countInterval is the time between two counts of the entry VMs in contact: it costs time for each VM, and each
 	// VM asks several times a second.
 	countInterval = 20 * time.Millisecond
-	// holderRetention is how long the share of an entry VM stays reserved after the last contact.
-	holderRetention = 30 * time.Second
+	// HolderRetention is how long the share of an entry VM stays reserved after the last contact.
+	HolderRetention = 30 * time.Second
 	// initialFillTime is the initial content of a new coordinator's buckets, as a time at the rate:
 	// accounts can continue, and the tolerance of the window limit covers this amount on top of
 	// what the predecessor granted.
@@ -154,7 +154,7 @@
 		switch {
 		case now-at <= ContactTimeout:
 			c.connected++
-		case now-at > holderRetention:
+		case now-at > HolderRetention:
 			delete(c.holders, vm)
 		default:
 			c.silent++
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -41,6 +41,7 @@
 	name string
 	// ownColdShare is set while the coordinator grants no permits for cold upstreams.
 	ownColdShare bool
+	pool         poolState
 }
 
 type holding struct {
@@ -90,7 +91,7 @@
 		a.recentUse++
 		return true
 	}
-	if !h.Lost(now) {
+	if !h.Lost(now) || h.InPool(now) {
 		a.usingShare = false
 		return false
 	}
@@ -102,8 +103,9 @@
 	if !a.usingShare {
 		a.usingShare = true
 		// The coordinator reserves a VM's share from the time of the last contact on.
-		a.share = bucket{refilledAt: max(h.contact, now-shareBurstTime)}
+		a.share = bucket{refilledAt: max(h.lossStart(), h.pool.contributedAt, now-shareBurstTime)}
 	}
+	h.pool.usedAt = now
 	a.share.refill(now, Rate{PerSecond: rate, Burst: rate * shareBurstTime.Seconds()})
 	if a.share.tokens < 1 {
 		a.retryAfter, a.updatedAt = time.Duration(float64(time.Second)*(1-a.share.tokens)/max(rate, 0.01)), now
@@ -184,7 +186,13 @@
 // expire that much earlier, since the coordinator may have granted them at that time.
 func (h *Holder) ApplyGrantTo(now, requestedAt time.Duration, g Grant) {
 	h.contact, h.connected, h.holders = now, true, g.Holders
-	for account, permits := range g.Permits {
+	h.pool.lastUse = max(h.pool.contributedAt, h.pool.usedAt)
+	h.applyPermits(now, requestedAt, g.Permits, g.Waits, g.Levels)
+}
+
+// applyPermits adds permits that were requested at requestedAt.
+func (h *Holder) applyPermits(now, requestedAt time.Duration, permits map[string]float64, waits map[string]int64, levels map[string]float64) {
+	for account, permits := range permits {
 		a := h.holding(account, now)
 		h.expire(now, a)
 		if a.cold && permits > 0 {
@@ -195,8 +203,8 @@
 			a.grantedAt, a.requestedAt = now, requestedAt
 		}
 		a.usingShare = false
-		_, a.short = g.Waits[account]
-		a.level, a.hasLevel = g.Levels[account], true
-		a.retryAfter, a.updatedAt = time.Duration(g.Waits[account])*time.Millisecond, now
+		_, a.short = waits[account]
+		a.level, a.hasLevel = levels[account], true
+		a.retryAfter, a.updatedAt = time.Duration(waits[account])*time.Millisecond, now
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -78,10 +78,12 @@
 }
 
 // maxInWindow returns the largest number of admitted requests in any window.
-func (f *fleet) maxInWindow() int {
+func (f *fleet) maxInWindow() int { return maxInWindow(f.passed) }
+
+func maxInWindow(passed []time.Duration) int {
 	most, from := 0, 0
-	for i, at := range f.passed {
-		for at-f.passed[from] > windowTime {
+	for i, at := range passed {
+		for at-passed[from] > windowTime {
 			from++
 		}
 		most = max(most, i-from+1)
