node: entry VMs pool their shares while the rate coordinator is lost

An entry VM that has lost the coordinator asks a control VM for permits from the pooled shares (method node.permit_pool): one that responds, of its own zone first; all VMs of a zone choose the same. Control VMs of the previous release refuse the method, and VMs use their own share as before.

A coordinator that is elected after a cut now counts the entry VMs that were seen within 30 s. It gave the shares of the zone that is cut off to others after 3 s, while the zone used them.

--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -44,6 +44,10 @@
 	CallerMemoryShort       = define(2447, zapcore.WarnLevel, "memory or descriptors for callers are used up; requests were refused or connections closed", "find out which clients send requests that they don't finish, or don't read answers; see the limits in OPERATIONS.md")
 	NodeLogDropped          = define(2415, zapcore.WarnLevel, "log lines were dropped because they were logged faster than they could be written", "")
 
+	PermitPoolJoined = define(2452, zapcore.InfoLevel, "the rate coordinator is lost; this VM pools its share with those of other VMs at a control VM", "")
+	PermitPoolLost   = define(2453, zapcore.WarnLevel, "the control VM that pools shares does not respond; this VM asks the next one, and uses its own share until then", "check the network between this VM and the control VMs, and their release")
+	PermitPoolFormed = define(2454, zapcore.InfoLevel, "entry VMs that have lost the rate coordinator begin to pool their shares at this control VM", "")
+
 	SharedLoadFresh = define(2443, zapcore.InfoLevel, "this VM knows the load that all entry VMs cause at upstreams", "")
 	SharedLoadStale = define(2444, zapcore.WarnLevel, "this VM no longer knows the load that other entry VMs cause at upstreams; it places requests by its own load", "check the network between this VM and the control VMs, and their release")
 )
--- a/internal/node/bytes.go
+++ b/internal/node/bytes.go
@@ -51,7 +51,7 @@
 		return watchPurpose(result)
 	case methodDocument:
 		return zonebytes.WatchDocument
-	case methodPermit:
+	case methodPermit, methodPool:
 		return zonebytes.Permit
 	case methodStrike:
 		return zonebytes.WatchSuspects
--- a/internal/node/bytes_test.go
+++ b/internal/node/bytes_test.go
@@ -35,6 +35,7 @@
 		{entry, groups.MethodPropose, []byte("x"), nil, zonebytes.Turn},
 		{control, groups.MethodPropose, []byte("x"), nil, zonebytes.Control},
 		{entry, methodPermit, nil, nil, zonebytes.Permit},
+		{entry, methodPool, nil, nil, zonebytes.Permit},
 		{control, groups.KindRaft, raft(raftpb.MessageType_MESSAGE_TYPE_APPEND), nil, zonebytes.Append},
 		{control, groups.KindRaft, raft(raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT), nil, zonebytes.RaftHeartbeat},
 		{control, groups.KindRaft, raft(raftpb.MessageType_MESSAGE_TYPE_SNAPSHOT_CHUNK), nil, zonebytes.Snapshot},
--- a/internal/node/control.go
+++ b/internal/node/control.go
@@ -100,7 +100,7 @@
 	c.groups = groups.NewDynamicClient(n.network, func(uint64) []string {
 		return append([]string{n.self.VM}, n.watcher.controlVMs()...)
 	}, controlAttemptTimeout)
-	c.coordinator = &coordinator{clock: clock.Now, leadership: c.leadership, entryCount: c.hub.entryCount, table: c.table.Load}
+	c.coordinator = &coordinator{clock: clock.Now, leadership: c.leadership, entryCount: c.hub.entryCount, recentEntryCount: c.hub.recentEntryCount, table: c.table.Load}
 	n.metrics.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{
 		Name: "egretramp_shared_load_reports_rejected_total", Help: "Reports of load that this VM, as the coordinator, ignored because they are late, repeated or can't be true.",
 	}, c.coordinator.rejectedReports))
@@ -110,6 +110,9 @@
 	n.network.HandleCalls(methodWatch, c.hub.handleWatch)
 	n.network.HandleCalls(methodDocument, c.hub.handleDocument)
 	n.network.HandleCalls(methodPermit, c.coordinator.handle)
+	pools := newPoolServer(clock.Now, c.table.Load, n.events)
+	pools.registerMetrics(n.metrics)
+	n.network.HandleCalls(methodPool, pools.handle)
 	n.network.HandleCalls(methodEntryVMs, c.hub.handleEntryVMs)
 	n.network.HandleCalls(methodStrike, c.handleStrikes)
 	n.metrics.MustRegister(evacuationGauge(c.hub.evacuatedCount))
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -96,7 +96,9 @@
 		groups: groups.NewDynamicClient(n.network, func(uint64) []string { return n.watcher.controlVMs() }, permitAttemptTimeout),
 		clock:  clock.Now, events: n.events, holder: quota.NewHolder(), waiting: map[string]int{},
 		upstreams: newUpstreamLimits(n.self.VM), review: e.directory.Review,
+		pool: newPermitPool(n.network, n.watcher.poolVMs),
 	}
+	e.permits.pool.registerMetrics(n.metrics)
 	e.directory.Observe(func(upstreams []registry.Upstream) { e.permits.observeCold(e.table.Load(), upstreams) })
 	e.detours = newDetours(e)
 	e.proxy = proxy.New(proxy.Options{
--- a/internal/node/hub.go
+++ b/internal/node/hub.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"egretramp/internal/catalog"
+	"egretramp/internal/quota"
 	"egretramp/internal/registry"
 	"egretramp/internal/suspect"
 )
@@ -38,7 +39,9 @@
 	members      map[string]*member
 	fleet        fleetState
 	fleetVersion uint64 // of fleet
-	changed      chan struct{}
+	// recentEntries is the number of entry VMs that have been seen within quota.HolderRetention.
+	recentEntries int
+	changed       chan struct{}
 }
 
 // member is a VM that has sent a watch request.
@@ -114,10 +117,11 @@
 	}
 }
 
-// currentFleet computes the fleet's state from the members, the voters and the control group's state.
+// currentFleet computes recentEntries and the fleet's state from the members, the voters and the control group's state.
 // Control VMs that are silent are included only if they are voters.
 func (h *hub) currentFleet() fleetState {
 	now := h.clock()
+	h.recentEntries = 0
 	view := fleetState{Shards: h.state.StoreGroups, Emptying: h.state.Emptying}
 	voters := h.voters()
 	known := map[string]bool{}
@@ -142,6 +146,9 @@
 			if !info.Silent {
 				view.Entries++
 			}
+			if m.watching > 0 || now-m.lastSeen <= quota.HolderRetention {
+				h.recentEntries++
+			}
 		}
 	}
 	for _, vm := range voters {
@@ -168,6 +175,15 @@
 	return h.fleet.Entries
 }
 
+// recentEntryCount returns the number of entry VMs that run or ran within quota.HolderRetention. A VM in a zone that is cut
+// off uses its share of the limits; a coordinator that was elected after the cut would grant that share to others if it
+// counted only the VMs that it hears from.
+func (h *hub) recentEntryCount() int {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.recentEntries
+}
+
 // stores returns the store VMs that are running, and the state of the control group.
 func (h *hub) stores() ([]vmInfo, catalog.State) {
 	h.mu.Lock()
--- a/internal/node/hub_test.go
+++ b/internal/node/hub_test.go
@@ -8,6 +8,7 @@
 	"github.com/stretchr/testify/require"
 
 	"egretramp/internal/catalog"
+	"egretramp/internal/quota"
 	"egretramp/internal/registry"
 	"egretramp/internal/suspect"
 )
@@ -126,3 +127,22 @@
 	require.False(t, register("a", 5))
 	require.False(t, register("b", 2), "still out of service")
 }
+
+// TestHub_CountsEntryVMsOfACutZone: a coordinator that is elected after a zone was cut off must withhold the shares of the
+// zone's VMs, which it has never heard from, as long as its predecessor would have.
+func TestHub_CountsEntryVMsOfACutZone(t *testing.T) {
+	now := time.Hour
+	h := newTestHub(func() time.Duration { return now })
+	for i := range 6 {
+		info := vmInfo{VM: fmt.Sprint("e", i), Role: Entry, Zone: "a"}
+		h.recordWatch(info, 1)
+		h.recordWatch(info, -1)
+	}
+	now += memberTimeout + time.Second
+	h.expireMembers()
+	require.Zero(t, h.entryCount())
+	require.Equal(t, 6, h.recentEntryCount())
+	now += quota.HolderRetention
+	h.expireMembers()
+	require.Zero(t, h.recentEntryCount())
+}
--- a/internal/node/messages.go
+++ b/internal/node/messages.go
@@ -13,6 +13,8 @@
 const (
 	methodWatch  = "node.watch"
 	methodPermit = "node.permit"
+	// methodPool asks any control VM for permits from the pooled shares of VMs that have lost the coordinator.
+	methodPool   = "node.permit_pool"
 	methodStatus = "node.status"
 	methodStrike = "node.strike"
 	// methodEntryVMs asks a control VM for entry VMs that reach upstreams.
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -56,6 +56,8 @@
 	coldTaken, coldRefused atomic.Int64
 	// load shares the load at upstreams with the other VMs; nil for not.
 	load *loadSharer
+	// pool pools this VM's share with other VMs while the coordinator is lost; nil for not.
+	pool *permitPool
 }
 
 // permitRound is one request for permits to the coordinator.
@@ -102,11 +104,11 @@
 		}
 	}()
 	for {
-		if p.coordinatorLost && p.round == nil {
+		// The coordinator or a pool may have permits to grant.
+		round := p.nextRound()
+		if round == nil {
 			break
 		}
-		// The coordinator may have permits to grant.
-		round := p.startRound()
 		p.mu.Unlock()
 		ended := false
 		select {
@@ -192,6 +194,9 @@
 		return
 	}
 	p.coordinatorLost = lost
+	if !lost && p.pool != nil {
+		p.pool.setVM("")
+	}
 	if lost {
 		p.events.Emit(events.PermitsUnreachable, zap.Error(err))
 	} else {
@@ -219,6 +224,7 @@
 	if p.table() != nil && (p.roundStarted == 0 || p.clock()-p.roundStarted >= permitInterval-early) {
 		p.startRound()
 	}
+	p.renewPool()
 }
 
 // coordinator grants permits at a control VM while that VM leads the control group.
@@ -226,14 +232,17 @@
 	clock      func() time.Duration
 	leadership func() (term uint64, leader string, leads bool)
 	entryCount func() int // running entry VMs
-	table      func() *routing.Snapshot
-	mu         sync.Mutex
-	term       uint64
-	grants     *quota.Coordinator
-	upstreams  *quota.UpstreamCoordinator
-	loads      *sharedload.Coordinator
-	rates      func(string) (quota.Rate, bool)
-	ratedTable *routing.Snapshot
+	// recentEntryCount is the number of entry VMs that may use shares of accounts' rates: those that run, and those that
+	// ran recently.
+	recentEntryCount func() int
+	table            func() *routing.Snapshot
+	mu               sync.Mutex
+	term             uint64
+	grants           *quota.Coordinator
+	upstreams        *quota.UpstreamCoordinator
+	loads            *sharedload.Coordinator
+	rates            func(string) (quota.Rate, bool)
+	ratedTable       *routing.Snapshot
 }
 
 // handle serves methodPermit.
@@ -263,7 +272,7 @@
 		c.ratedTable, c.rates = table, rateLookup(table)
 	}
 	known := c.entryCount()
-	grant := c.grants.Grant(now, r, known, c.rates)
+	grant := c.grants.Grant(now, r, c.recentEntryCount(), c.rates)
 	if r.Upstreams != nil {
 		upstreams := c.upstreams.Grant(now, r.VM, *r.Upstreams, known)
 		grant.Upstreams = &upstreams
--- a/internal/node/upstreamlimits_test.go
+++ b/internal/node/upstreamlimits_test.go
@@ -62,8 +62,8 @@
 	return &permitNetwork{coordinator: &coordinator{
 		clock:      clock.Now,
 		leadership: func() (uint64, string, bool) { return term.Load(), "c", true },
-		entryCount: func() int { return entries },
-		table:      func() *routing.Snapshot { return nil },
+		entryCount: func() int { return entries }, recentEntryCount: func() int { return entries },
+		table: func() *routing.Snapshot { return nil },
 	}}
 }
 
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -285,7 +285,35 @@
 	return version
 }
 
-// spread returns a number by which a VM orders control VMs of equal rank.
+// poolVMs returns the control VMs in the order in which this VM asks them to pool its share of the accounts' rates: those
+// that respond first, and among them those of its zone. All VMs of a zone have the same order of VMs of equal rank, so they
+// meet at the same one.
+func (w *watcher) poolVMs() []string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	zones := map[string]string{}
+	for _, c := range w.contacts {
+		for i := range c.fleet.Control {
+			if zone := c.fleet.Control[i].Zone; zone != "" {
+				zones[c.fleet.Control[i].VM] = zone
+			}
+		}
+	}
+	var vms []string
+	for vm := range w.contacts {
+		vms = append(vms, vm)
+	}
+	rank := func(vm string) int {
+		c := w.contacts[vm]
+		return 2*boolToInt(c.lost || c.lastAnswered == 0) + boolToInt(zones[vm] != w.self.Zone)
+	}
+	slices.SortFunc(vms, func(a, b string) int {
+		return cmp.Or(rank(a)-rank(b), cmp.Compare(spread(w.self.Zone, a), spread(w.self.Zone, b)), cmp.Compare(a, b))
+	})
+	return vms
+}
+
+// spread returns a number by which a VM, or all VMs of a zone, order control VMs of equal rank.
 func spread(self, vm string) uint64 {
 	hash := fnv.New64a()
 	hash.Write([]byte(vm + "\x00" + self))
