node: tests of the choice of a pool and of refused contributions that catch more faults

The order of control VMs was checked with two VMs, whose hashes agreed by chance, so that a different choice on each VM passed. A refused request to a pool must not cost the share: without Holder.Withdraw the test fails.

--- a/internal/node/permitpool_test.go
+++ b/internal/node/permitpool_test.go
@@ -178,6 +178,7 @@
 	n := newPoolNetwork(t, clock.now)
 	n.earlier = true
 	p := lostMembers(t, n, clock, 1)[0]
+	renewPools([]*permitLimiter{p}) // must not cost the share
 	for range 50 {
 		ok, _ := p.Take(t.Context(), &poolTestAccounts()[0], false)
 		require.True(t, ok)
@@ -189,7 +190,11 @@
 
 // TestWatcher_PoolVMs: all VMs of a zone choose the same control VM of their zone, and go on with others when it is lost.
 func TestWatcher_PoolVMs(t *testing.T) {
-	fleet := fleetState{Control: []vmInfo{{VM: "c1", Zone: "a"}, {VM: "c2", Zone: "a"}, {VM: "c3", Zone: "b"}, {VM: "c4", Zone: "b"}}}
+	zones := []string{"a", "b", "c"}
+	var fleet fleetState
+	for i := range 12 {
+		fleet.Control = append(fleet.Control, vmInfo{VM: fmt.Sprint("c", i), Zone: zones[i%3]})
+	}
 	watcherIn := func(zone, vm string) *watcher {
 		w := &watcher{self: vmInfo{VM: vm, Zone: zone}, contacts: map[string]*contact{}}
 		for _, c := range fleet.Control {
@@ -197,11 +202,18 @@
 		}
 		return w
 	}
-	first, second := watcherIn("a", "e1"), watcherIn("a", "e2")
-	order := first.poolVMs()
-	require.Equal(t, order, second.poolVMs())
-	require.ElementsMatch(t, []string{"c1", "c2"}, order[:2])
-	require.ElementsMatch(t, []string{"c3", "c4"}, watcherIn("b", "e3").poolVMs()[:2])
-	first.contacts[order[0]].lost = true
-	require.Equal(t, slices.Concat(order[1:], order[:1]), first.poolVMs())
+	for zone := range zones {
+		first := watcherIn(zones[zone], "10.9.0.1:7000")
+		order := first.poolVMs()
+		for i := range 8 {
+			require.Equal(t, order, watcherIn(zones[zone], fmt.Sprintf("10.%d.0.1:7000", i)).poolVMs())
+		}
+		var near []string
+		for i := zone; i < len(fleet.Control); i += 3 {
+			near = append(near, fleet.Control[i].VM)
+		}
+		require.ElementsMatch(t, near, order[:len(near)])
+		first.contacts[order[0]].lost = true
+		require.Equal(t, slices.Concat(order[1:], order[:1]), first.poolVMs())
+	}
 }
