httpwire, node: a VM apart from the store closes connections after each response

Its responses now carry Connection: close until it is ready again (httpwire.Server.CloseWhile), also those of requests that were in progress when it lost the store.

--- a/internal/httpwire/response.go
+++ b/internal/httpwire/response.go
@@ -118,7 +118,7 @@
 			_, _ = w.writer.WriteString(name + ": " + value + "\r\n")
 		}
 	}
-	if w.closeAfter || w.conn.server.draining.Load() {
+	if w.closeAfter || w.conn.server.closesConnections() {
 		w.closeAfter = true
 		_, _ = w.writer.WriteString("Connection: close\r\n")
 	}
--- a/internal/httpwire/server.go
+++ b/internal/httpwire/server.go
@@ -72,6 +72,8 @@
 	limits   func() Limits
 	memory   *callermem.Group // nil for no limit
 	draining atomic.Bool
+	// closeWhile is a condition under which connections close after a response; nil for none.
+	closeWhile func() bool
 
 	mu    sync.Mutex
 	conns map[*serverConn]struct{}
@@ -117,6 +119,15 @@
 // connection.
 func (s *Server) Drain() { s.draining.Store(true) }
 
+// CloseWhile makes the server do the same as Drain for the responses that begin while a condition holds, so that callers on
+// open connections find another VM. It is called before Serve.
+func (s *Server) CloseWhile(condition func() bool) { s.closeWhile = condition }
+
+// closesConnections reports whether a response that begins now is the last one on its connection.
+func (s *Server) closesConnections() bool {
+	return s.draining.Load() || s.closeWhile != nil && s.closeWhile()
+}
+
 // ConnCounts returns the number of open connections and of those with a request in progress.
 func (s *Server) ConnCounts() (conns, busy int) {
 	s.mu.Lock()
--- a/internal/httpwire/server_test.go
+++ b/internal/httpwire/server_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -247,6 +248,47 @@
 	require.ErrorIs(t, err, io.EOF)
 }
 
+// TestServer_CloseWhile checks that connections close after a response only while the condition holds when the response
+// begins: requests that were in progress before it are included, and those after it are not.
+func TestServer_CloseWhile(t *testing.T) {
+	address, err := loopback.Address()
+	require.NoError(t, err)
+	listener, err := net.Listen("tcp", address)
+	require.NoError(t, err)
+	var closes atomic.Bool
+	e := &echo{requests: make(chan *Request, 100), serve: func(_ context.Context, w *Response, r *Request) {
+		switch r.Path {
+		case "/begins":
+			closes.Store(true)
+		case "/ends":
+			closes.Store(false)
+		}
+		_ = w.Send(http.StatusOK, nil, nil)
+	}}
+	s := New(e, func() Limits {
+		return Limits{MaxHeaderBytes: 2 << 10, MaxBodyBytes: 1 << 10, HeaderTimeout: 500 * time.Millisecond, IdleTimeout: time.Second}
+	})
+	s.CloseWhile(closes.Load)
+	serveOn(t, s, listener)
+	for _, connection := range []struct {
+		paths  []string
+		closed bool // after the last response
+	}{{[]string{"/1", "/begins"}, true}, {[]string{"/2"}, true}, {[]string{"/ends", "/3"}, false}} {
+		c, r := dial(t, address)
+		for i, path := range connection.paths {
+			_, err := io.WriteString(c, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+			require.NoError(t, err)
+			response, err := http.ReadResponse(r, nil)
+			require.NoError(t, err)
+			require.Equal(t, connection.closed && i == len(connection.paths)-1, response.Close, path)
+		}
+		if connection.closed {
+			_, err = r.ReadByte()
+			require.ErrorIs(t, err, io.EOF)
+		}
+	}
+}
+
 // TestServer_DropsRequestsOfCallersThatLeft checks that a request still waiting on a connection when
 // the caller closes it is not handled later.
 func TestServer_DropsRequestsOfCallersThatLeft(t *testing.T) {
--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -116,11 +116,19 @@
 	}, func() float64 { return float64(e.permits.limitCount.Load()) }))
 	e.permits.registerColdMetrics(n.metrics)
 	e.onZoneRestored = e.permits.zoneRestored
-	e.server = httpwire.New(e.proxy, e.limits)
+	e.server = e.newServer(e.proxy)
 	e.server.LimitMemory(n.memory.budget.Group(n.memory.conns.Callers, false))
 	return e
 }
 
+// newServer returns the server for callers. While a partition separates this VM from the store, it closes connections after
+// each response: the balancer sends callers to other VMs, but those on open connections would stay with this one.
+func (e *entry) newServer(handler httpwire.Handler) *httpwire.Server {
+	server := httpwire.New(handler, e.limits)
+	server.CloseWhile(e.isolated.Load)
+	return server
+}
+
 // defaultLimits apply before a configuration is received, and to limits that it doesn't set.
 var defaultLimits = httpwire.Limits{
 	MaxHeaderBytes: 16 << 10, MaxBodyBytes: 4 << 20, HeaderTimeout: 3 * time.Second, IdleTimeout: 15 * time.Second,
