node: a VM leaves its pool with any answer of the coordinator

A VM joins a pool when a request to the coordinator is slow, before the loss is logged. If the coordinator answered then, egretramp_permit_pool_joined stayed 1.

--- a/internal/node/permitpool_test.go
+++ b/internal/node/permitpool_test.go
@@ -172,6 +172,28 @@
 	require.Equal(t, "c1", limiters[0].pool.vm, "the VMs return, so that all meet at the same control VM")
 }
 
+// TestPermitLimiter_SlowCoordinator: a VM that has joined a pool because the coordinator was slow leaves it with the
+// coordinator's answer, although the coordinator never counted as lost in the log.
+func TestPermitLimiter_SlowCoordinator(t *testing.T) {
+	clock := newSteppedClock()
+	n := newPoolNetwork(t, clock.now)
+	p := newTestLimiter(t, n, clock.now, poolTestAccounts())
+	p.pool = newPermitPool(n, func() []string { return []string{"c1"} })
+	p.holder.ApplyGrant(clock.now(), quota.Grant{Holders: 4})
+	clock.add(quota.ContactTimeout - permitAttemptTimeout)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.round, p.roundStarted = &permitRound{}, clock.now()
+	require.False(t, p.poolsShares())
+	clock.add(permitAttemptTimeout + time.Millisecond)
+	require.True(t, p.poolsShares())
+	p.handlePoolGrant("c1", quota.Contribution{}, quota.PoolGrant{}, nil)
+	require.True(t, p.pool.joined.Load())
+	p.handleGrant(quota.Grant{Holders: 4}, nil)
+	require.False(t, p.pool.joined.Load())
+	require.False(t, p.poolsShares())
+}
+
 // TestPermitLimiter_ControlVMsOfThePreviousRelease: without a pool a VM uses its own share, at once.
 func TestPermitLimiter_ControlVMsOfThePreviousRelease(t *testing.T) {
 	clock := newSteppedClock()
--- a/internal/node/permits.go
+++ b/internal/node/permits.go
@@ -188,15 +188,15 @@
 func (p *permitLimiter) handleGrant(grant quota.Grant, err error) {
 	if err == nil {
 		p.holder.ApplyGrant(p.clock(), grant)
+		if p.pool != nil {
+			p.pool.setVM("")
+		}
 	}
 	lost := p.holder.Lost(p.clock())
 	if lost == p.coordinatorLost {
 		return
 	}
 	p.coordinatorLost = lost
-	if !lost && p.pool != nil {
-		p.pool.setVM("")
-	}
 	if lost {
 		p.events.Emit(events.PermitsUnreachable, zap.Error(err))
 	} else {
