--- a/internal/proxy/sharedload.go
+++ b/internal/proxy/sharedload.go
@@ -18,10 +18,8 @@
 	laterTurns = 4
 	// zoneRoundTrip is the network's round trip to another zone.
 	zoneRoundTrip = time.Millisecond
-	// defaultZoneMegabyteCost is the default of Options.ZoneMegabyteCost. On the
-	// deployment where this traffic is most expensive, 0.53 GB cost as much as 0.131 of the programs of a run of 41 s
-	// (some 3,500 programs), so 1.2 MB as much as a program, and waits of 400 to 500 ms use up the slack of one
-	// (docs/design/leaving-the-zone.md).
+	// defaultZoneMegabyteCost is the default of Options.ZoneMegabyteCost: about as long as a megabyte occupies the link of a
+	// VM with 20 to 30 Mbit/s, which the requests of its other callers share.
 	defaultZoneMegabyteCost = 400 * time.Millisecond
 	// answerBytes is about the size of an event with its framing, and of the head of an answer.
 	answerBytes = 100
