--- a/internal/admission/fleet.go
+++ b/internal/admission/fleet.go
@@ -10,9 +10,9 @@
 	// maxUse is the share of the slots up to which programs of the most urgent rank begin while turns are slow. Programs
 	// pause between their turns and upstreams are never filled evenly, so turns wait before all slots are in use.
 	maxUse = 0.85
-	// maxInTimeUse is that share while turns are in time. It bounds what all VMs begin before one of them sees slow turns:
-	// at 1.7 times the load that the upstreams bear, 0.47 of the programs are in time with it, 0.26 with 1.25.
-	maxInTimeUse = 1.0
+	// maxInTimeUse is that share while turns are in time: some requests may wait. It bounds what all VMs begin before one of
+	// them sees slow turns.
+	maxInTimeUse = 1.25
 	// fleetRankFactor lowers these shares for each less urgent rank, overShareFactor for accounts above their share.
 	fleetRankFactor = 0.95
 	overShareFactor = 0.9
