--- a/internal/proxy/sharedload_test.go
+++ b/internal/proxy/sharedload_test.go
@@ -160,7 +160,7 @@
 	l := g.limitUpstreams(map[string]quota.Room{})
 	g.server.opts.Load = func(u registry.Upstream) (sharedload.Upstream, bool) {
 		if u.ID == "full" {
-			return sharedload.Upstream{Others: 100}, true
+			return sharedload.Upstream{Others: 130}, true
 		}
 		return sharedload.Upstream{}, true
 	}
