--- a/review/_standins-2/replica.go
+++ b/review/_standins-2/replica.go
@@ -35,6 +35,8 @@
 	seen             map[string]int
 	lastBeat         time.Time
 	pauseBetweenEvts time.Duration
+	// failure returns the status with which a grey replica answers a request that it has run; 0 for a success.
+	failure atomic.Pointer[func(request string) int]
 }
 
 // run is a request that a replica began to work on.
@@ -116,6 +118,12 @@
 	}
 	time.Sleep(r.work)
 	w.Header().Set("X-Response-Signature", "sig."+r.id+"."+id)
+	if failure := r.failure.Load(); failure != nil {
+		if status := (*failure)(id); status != 0 {
+			w.WriteHeader(status)
+			return
+		}
+	}
 	if !strings.Contains(request.URL.Path, "/chat/") {
 		answer := []byte("done " + id)
 		w.Header().Set("Content-Length", strconv.Itoa(len(answer)))
@@ -148,3 +156,5 @@
 	r.stop()
 	_ = r.server.Close()
 }
+
+func (r *replica) setFailure(failure func(request string) int) { r.failure.Store(&failure) }
