--- a/review/_standins-2/client.go
+++ b/review/_standins-2/client.go
@@ -53,17 +53,17 @@
 	h := request.Header
 	h.Set("Authorization", "Bearer "+c.key)
 	h.Set("X-Request-Id", t.request)
-	h.Set("X-Deadline-Ms", strconv.Itoa(int(t.deadline.Milliseconds())))
+	h.Set(name("header-deadline"), strconv.Itoa(int(t.deadline.Milliseconds())))
 	if t.program != "" {
-		h.Set("X-Program-Id", t.program)
-		h.Set("X-Session-Id", t.program)
+		h.Set(name("header-program"), t.program)
+		h.Set(name("header-line"), t.program)
 		h.Set("X-Finish-Ms", "20000")
-		h.Set("X-Token-Budget", "4000")
-		h.Set("X-Token-Usage", cmp.Or(t.usage, "1200,60"))
+		h.Set(name("header-budget"), "4000")
+		h.Set(name("header-usage"), cmp.Or(t.usage, "1200,60"))
 		h.Set("X-Model", "m")
 	}
 	if t.previous != "" {
-		h.Set("X-Previous-Turn", t.previous)
+		h.Set(name("header-previous"), t.previous)
 	}
 	response, err := c.http.Do(request)
 	if err != nil {
@@ -71,7 +71,7 @@
 	}
 	defer response.Body.Close()
 	body, err := io.ReadAll(response.Body)
-	return answer{status: response.StatusCode, body: body, whole: err == nil, signed: response.Header.Get("X-Response-Signature") != "", err: err}
+	return answer{status: response.StatusCode, body: body, whole: err == nil, signed: response.Header.Get(name("header-signature")) != "", err: err}
 }
 
 // served reports whether the answer is a whole success.
--- a/review/_standins-2/fleet.go
+++ b/review/_standins-2/fleet.go
@@ -6,6 +6,7 @@
 import (
 	"bytes"
 	"context"
+	_ "embed"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -18,6 +19,7 @@
 	"strings"
 	"sync"
 	"syscall"
+	"text/template"
 	"time"
 )
 
@@ -35,7 +37,11 @@
 // memoryMB is the memory of a machine by class, as on the sheet of footfall-commons.
 var memoryMB = map[string]int{"edge": 284, "storage": 304, "core": 280}
 
-var serves = map[string]string{"edge": "edge", "storage": "storage", "core": "control_plane"}
+var (
+	roles       = map[string]string{"edge": "entry", "core": "control", "storage": "store"}
+	descriptors = map[string]int{"edge": 4100, "storage": 8200, "core": 4096}
+	diskMB      = map[string]int{"storage": 390, "core": 128}
+)
 
 // fleet is the deployment and what was seen of it.
 type fleet struct {
@@ -140,31 +146,42 @@
 	return list
 }
 
+//go:embed settings.toml.tmpl
+var settingsTemplate string
+
 // settings returns the settings file of DEPLOY.md with the bounds of footfall-commons.
-func (m *machine) settings() string {
-	var b strings.Builder
-	quote := func(list []string) string { return `["` + strings.Join(list, `","`) + `"]` }
-	fmt.Fprintf(&b, "node_name = %q\nrole = %q\nmachine_class = %q\nserves = [%q]\nip = %q\nzone = %q\nregion = \"lk-west\"\n", m.name, map[string]string{"edge": "entry", "core": "control", "storage": "store"}[m.class], m.class, serves[m.class], m.ip, m.zone)
-	fmt.Fprintf(&b, "internal_ports = [%d,%d]\nseeds = %s\nfirst_start = %v\ncounts_as_loss = %v\n", portPeers, portPeers+15, quote(m.fleet.seeds), m.firstStart, m.class != "edge")
-	b.WriteString("discovery = \"registration\"\nentry = \"virtual_ip\"\nheartbeat_ms = 1200\ncontracts = [\"base\",\"drain\",\"config\",\"cost\",\"recover\",\"agent\",\"stream\",\"engine\",\"tenants\",\"quota\"]\nconfig_mode = \"highest\"\n")
-	if m.class != "edge" {
-		fmt.Fprintf(&b, "data_dir = %q\n", m.dataFolder())
+func (m *machine) settings() (string, error) {
+	t, err := template.New("settings").Parse(settingsTemplate)
+	if err != nil {
+		return "", err
+	}
+	values := map[string]any{
+		"Name": m.name, "Class": m.class, "Role": roles[m.class], "Serves": m.serves(), "IP": m.ip, "Zone": m.zone, "Zones": zones, "FirstStart": m.firstStart,
+		"Counts": m.class != "edge", "Seeds": m.fleet.seeds, "FirstPort": portPeers, "LastPort": portPeers + 15, "MemoryMB": memoryMB[m.class],
+		"Descriptors": descriptors[m.class], "DiskMB": diskMB[m.class],
 	}
-	b.WriteString("[zones]\n")
-	for _, z := range zones {
-		fmt.Fprintf(&b, "%s = \"lk-west\"\n", z)
+	if m.class != "edge" {
+		values["DataFolder"] = m.dataFolder()
 	}
-	b.WriteString("[listen]\n")
+	listen := map[string]string{}
 	switch m.class {
 	case "edge":
-		fmt.Fprintf(&b, "front = \"%s:%d\"\nready = \"%s:%d\"\n", m.ip, portFront, m.ip, portReady)
+		listen["front"], listen["ready"] = fmt.Sprintf("%s:%d", m.ip, portFront), fmt.Sprintf("%s:%d", m.ip, portReady)
 	case "core":
-		fmt.Fprintf(&b, "control = \"%s:%d\"\n", m.ip, portControl)
+		listen["control"] = fmt.Sprintf("%s:%d", m.ip, portControl)
 	}
-	fds := map[string]int{"edge": 4100, "storage": 8200, "core": 4096}[m.class]
-	fmt.Fprintf(&b, "[limits]\ncpu_share = 0.4\ncores = 1\nmemory_mb = %d\nmax_fds = %d\nlink_mbps = 1000.0\ndisk_mb = %d\n", memoryMB[m.class], fds, map[string]int{"edge": 0, "storage": 390, "core": 128}[m.class])
-	b.WriteString("[fault_tolerance]\nmachines = 1\nzones = 1\nregions = 0\n[bounds]\nseed_lag_s = 3\nreuse_after_s = 2\nstability_window_ms = 3000\nack_timeout_ms = 4000\ncatch_up_s = 6\ndrain_timeout_ms = 2000\ngrace_s = 8\nloss_slack_ms = 200\nconfig_apply_ms = 2000\nrollback_slack_ms = 250\nouter_ms = 5000\nstrict_revocation = false\nrevoke_ms = 5000\nquota_window_s = 5\nquota_over = 0.1\nquota_slack = 20\nrecover_s = 12\npass_ms = 120\nagain_s = 0\nfinish_s = 10\nsettle_ms = 1000\n")
-	return b.String()
+	values["Listen"] = listen
+	var b strings.Builder
+	err = t.Execute(&b, values)
+	return b.String(), err
+}
+
+// serves returns what the machine's role serves.
+func (m *machine) serves() string {
+	if m.class == "core" {
+		return name("serves-control")
+	}
+	return m.class
 }
 
 func (m *machine) dataFolder() string { return filepath.Join(m.fleet.folder, m.name+".data") }
@@ -179,7 +196,11 @@
 		}
 	}
 	settings := filepath.Join(m.fleet.folder, m.name+".toml")
-	if err := os.WriteFile(settings, []byte(m.settings()), 0o644); err != nil {
+	text, err := m.settings()
+	if err == nil {
+		err = os.WriteFile(settings, []byte(text), 0o644)
+	}
+	if err != nil {
 		return err
 	}
 	log, err := os.OpenFile(filepath.Join(m.fleet.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
@@ -188,7 +209,7 @@
 	}
 	command := exec.Command(filepath.Join(m.fleet.repo, "target/egretrampd"), "--platform")
 	command.Dir, command.Stdout, command.Stderr = m.fleet.repo, log, log
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.fleet.folder, "LANG=C", "EGRETRAMP_SETTINGS=" + settings}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + m.fleet.folder, "LANG=C", name("settings-variable") + "=" + settings}
 	if err := command.Start(); err != nil {
 		return err
 	}
@@ -337,7 +358,7 @@
 // configure sends a configuration until it is acknowledged.
 func (f *fleet) configure(body string) error {
 	for i := range 100 {
-		if status, _ := f.operator(i, http.MethodPut, "/-/config", body); status == http.StatusOK {
+		if status, _ := f.operator(i, http.MethodPut, name("path-config"), body); status == http.StatusOK {
 			f.record.line("operator: configuration acknowledged")
 			return nil
 		}
@@ -349,7 +370,7 @@
 // ready reports whether an edge machine is ready.
 func (m *machine) ready() bool {
 	client := http.Client{Timeout: time.Second}
-	response, err := client.Get(fmt.Sprintf("http://%s:%d/-/readyz", m.ip, portReady))
+	response, err := client.Get(fmt.Sprintf("http://%s:%d%s", m.ip, portReady, name("path-ready")))
 	if err != nil {
 		return false
 	}
--- a/review/_standins-2/greyreplica.go
+++ b/review/_standins-2/greyreplica.go
@@ -11,8 +11,8 @@
 	greyShare    = 0.4             // of its requests that a grey replica fails, as in srv_grey
 	greyReplicas = 1               // of six, as in srv_grey with share 0.15
 	greyTime     = 5 * time.Second // the default of for_s
-	greyRequests = 400
-	greyGap      = 25 * time.Millisecond
+	greyRequests = 800
+	greyGap      = 12 * time.Millisecond
 )
 
 func init() { cases["grey-replica"] = greyReplica }
--- a/review/_standins-2/replica.go
+++ b/review/_standins-2/replica.go
@@ -74,7 +74,7 @@
 		if err != nil {
 			return
 		}
-		if status, _ := r.fleet.operator(i, http.MethodPut, "/-/instances/"+r.id, string(body)); status/100 != 2 {
+		if status, _ := r.fleet.operator(i, http.MethodPut, name("path-instances")+r.id, string(body)); status/100 != 2 {
 			i++
 			select {
 			case <-ctx.Done():
@@ -96,7 +96,7 @@
 	id := request.Header.Get("X-Request-Id")
 	w.Header().Set("X-Request-Id", id)
 	w.Header().Set("X-Instance-Id", r.id)
-	if expected := request.Header.Get("X-Expect-Instance"); expected != "" && expected != r.id {
+	if expected := request.Header.Get(name("header-expected")); expected != "" && expected != r.id {
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
@@ -104,7 +104,7 @@
 		return
 	}
 	if id == "" {
-		w.Header().Set("X-Not-Executed", "1")
+		w.Header().Set(name("header-not-run"), "1")
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
@@ -114,10 +114,10 @@
 	}
 	r.runs.Add(1)
 	if r.onRun != nil {
-		r.onRun(r, run{request: id, account: request.Header.Get("X-Tenant-Id"), path: request.URL.Path, body: body, at: time.Now()})
+		r.onRun(r, run{request: id, account: request.Header.Get(name("header-account")), path: request.URL.Path, body: body, at: time.Now()})
 	}
 	time.Sleep(r.work)
-	w.Header().Set("X-Response-Signature", "sig."+r.id+"."+id)
+	w.Header().Set(name("header-signature"), "sig."+r.id+"."+id)
 	if failure := r.failure.Load(); failure != nil {
 		if status := (*failure)(id); status != 0 {
 			w.WriteHeader(status)
