replica, node: planning the membership searches the fleet once for each member, and its view is merged once per change

Cause: each leader of a store group plans its membership each tick (50 ms). The plan asked for the zone of a VM and whether it leaves some 140 times, and each answer merged the reports of all control VMs about all store VMs anew, with three maps and a sort. The cost of a group thus grew with store VMs x control VMs, and the number of groups grows with the store VMs.

planOpenMembership now determines zone, leaving and lost of each member once. The merged view is kept until a report, a control VM's reachability or the set of control VMs changes. Members are planned as before.

--- a/internal/node/entry.go
+++ b/internal/node/entry.go
@@ -76,7 +76,7 @@
 		if i := int(group - firstStoreGroup); i < len(view.shards) {
 			vms = append(vms, view.replicaVMs(i, n.settings.StoreReplicas())...)
 		}
-		for _, s := range append(view.running, view.silent...) {
+		for _, s := range slices.Concat(view.running, view.silent) {
 			if !slices.Contains(vms, s.VM) {
 				vms = append(vms, s.VM)
 			}
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -187,15 +187,7 @@
 	return vms
 }
 
-func (s *store) zone(vm string) string {
-	view := s.node.watcher.stores()
-	for _, v := range append(view.running, view.silent...) {
-		if v.VM == vm {
-			return v.Zone
-		}
-	}
-	return ""
-}
+func (s *store) zone(vm string) string { return s.node.watcher.stores().zones[vm] }
 
 func (s *store) isEmptying(vm string) bool {
 	return slices.Contains(s.node.watcher.stores().emptying, vm)
--- /dev/null
+++ b/internal/node/storesview.go
@@ -0,0 +1,79 @@
+package node
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+
+	"egretramp/internal/shard"
+)
+
+// storesView is the union of the control VMs' reports about the store. It is shared and must not be modified.
+type storesView struct {
+	running  []vmInfo
+	silent   []vmInfo
+	shards   [][]string // the initial members of each group
+	emptying []string
+	zones    map[string]string // of the running and the silent VMs
+}
+
+// replicaVMs returns the VMs that should hold a group of the store, counted from 0, including spares
+// besides the voters.
+func (v *storesView) replicaVMs(group, wanted int) []string {
+	var available []shard.VM
+	for _, vm := range v.running {
+		if !slices.Contains(v.emptying, vm.VM) {
+			available = append(available, shard.VM{Name: vm.VM, Zone: vm.Zone})
+		}
+	}
+	return shard.Replicas(group, v.shards[group], available, wanted)
+}
+
+// stores returns the merged reports of all control VMs that have ever responded. A store VM counts as
+// running if a control VM that responds reports it as running. VMs in this VM's zone come first.
+// The reports are merged once after each change: the replicas of a store VM call this many times a second.
+func (w *watcher) stores() *storesView {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.merged == nil {
+		w.merged = w.mergeStores()
+	}
+	return w.merged
+}
+
+// mergeStores computes the result of stores. w.mu must be held.
+func (w *watcher) mergeStores() *storesView {
+	view := &storesView{zones: map[string]string{}}
+	running := map[string]bool{}
+	known := map[string]vmInfo{}
+	for _, vm := range slices.Sorted(maps.Keys(w.contacts)) {
+		c := w.contacts[vm]
+		if c.lastAnswered == 0 {
+			continue
+		}
+		for _, s := range c.fleet.Stores {
+			known[s.VM] = s
+			running[s.VM] = running[s.VM] || !s.Silent && !c.lost
+		}
+		if len(c.fleet.Shards) > 0 {
+			view.shards = c.fleet.Shards
+		}
+		if len(c.fleet.Emptying) > len(view.emptying) {
+			view.emptying = c.fleet.Emptying
+		}
+	}
+	for vm, info := range known {
+		view.zones[vm] = info.Zone
+		if running[vm] {
+			view.running = append(view.running, info)
+		} else {
+			view.silent = append(view.silent, info)
+		}
+	}
+	byZone := func(a, b vmInfo) int {
+		return cmp.Or(boolToInt(a.Zone != w.self.Zone)-boolToInt(b.Zone != w.self.Zone), cmp.Compare(a.VM, b.VM))
+	}
+	slices.SortFunc(view.running, byZone)
+	slices.SortFunc(view.silent, byZone)
+	return view
+}
--- a/internal/node/watch.go
+++ b/internal/node/watch.go
@@ -13,7 +13,6 @@
 
 	"egretramp/internal/events"
 	"egretramp/internal/registry"
-	"egretramp/internal/shard"
 )
 
 const (
@@ -55,9 +54,11 @@
 
 	mu       sync.Mutex
 	contacts map[string]*contact
-	seeds    []string
-	wg       *conc.WaitGroup
-	ctx      context.Context
+	// merged is the result of stores, nil after a change of what it is computed from.
+	merged *storesView
+	seeds  []string
+	wg     *conc.WaitGroup
+	ctx    context.Context
 }
 
 // contact is a control VM that the watcher sends watch requests to, with the versions of its last
@@ -172,6 +173,7 @@
 	}
 	if response.Fleet != nil {
 		c.fleet = *response.Fleet
+		w.merged = nil
 		for _, vm := range c.fleet.Control {
 			if !vm.Silent {
 				w.ensureContact(vm.VM)
@@ -195,13 +197,17 @@
 	defer w.mu.Unlock()
 	if err == nil {
 		if c.lost || c.lastAnswered == 0 {
+			w.merged = nil
 			w.events.Emit(events.NodeControlReachable, zap.String("control", c.vm))
 		}
 		c.lastAnswered, c.lost = w.clock(), false
 		return
 	}
-	if !c.lost && w.ctx.Err() == nil {
-		w.events.Emit(events.NodeControlUnreachable, zap.String("control", c.vm), zap.Error(err))
+	if !c.lost {
+		w.merged = nil
+		if w.ctx.Err() == nil {
+			w.events.Emit(events.NodeControlUnreachable, zap.String("control", c.vm), zap.Error(err))
+		}
 	}
 	c.lost = true
 }
@@ -218,6 +224,7 @@
 		}
 		c.stop()
 		delete(w.contacts, vm)
+		w.merged = nil
 		removed = true
 	}
 	w.mu.Unlock()
@@ -333,70 +340,6 @@
 	return epochs
 }
 
-// storesView is the union of the control VMs' reports about the store.
-type storesView struct {
-	running  []vmInfo
-	silent   []vmInfo
-	shards   [][]string // the initial members of each group
-	emptying []string
-}
-
-// replicaVMs returns the VMs that should hold a group of the store, counted from 0, including spares
-// besides the voters.
-func (v *storesView) replicaVMs(group, wanted int) []string {
-	var available []shard.VM
-	for _, vm := range v.running {
-		if !slices.Contains(v.emptying, vm.VM) {
-			available = append(available, shard.VM{Name: vm.VM, Zone: vm.Zone})
-		}
-	}
-	return shard.Replicas(group, v.shards[group], available, wanted)
-}
-
-// stores returns the merged reports of all control VMs that have ever responded. A store VM counts as
-// running if a control VM that responds reports it as running. VMs in this VM's zone come first.
-func (w *watcher) stores() storesView {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	var view storesView
-	running := map[string]bool{}
-	known := map[string]vmInfo{}
-	for _, c := range w.contacts {
-		if c.lastAnswered == 0 {
-			continue
-		}
-		for _, s := range c.fleet.Stores {
-			known[s.VM] = s
-			running[s.VM] = running[s.VM] || !s.Silent && !c.lost
-		}
-		if len(c.fleet.Shards) > 0 {
-			view.shards = c.fleet.Shards
-		}
-		if len(c.fleet.Emptying) > len(view.emptying) {
-			view.emptying = c.fleet.Emptying
-		}
-	}
-	for vm, info := range known {
-		if running[vm] {
-			view.running = append(view.running, info)
-		} else {
-			view.silent = append(view.silent, info)
-		}
-	}
-	byZone := func(a, b vmInfo) int {
-		if near := boolToInt(a.Zone != w.self.Zone) - boolToInt(b.Zone != w.self.Zone); near != 0 {
-			return near
-		}
-		if a.VM < b.VM {
-			return -1
-		}
-		return 1
-	}
-	slices.SortFunc(view.running, byZone)
-	slices.SortFunc(view.silent, byZone)
-	return view
-}
-
 // zones returns the known availability zones of the control and store VMs, by VM. Silent VMs are
 // included, since their zone may be partitioned.
 func (w *watcher) zones() map[string]string {
--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -57,6 +57,10 @@
 	// if it holds all committed entries.
 	unreachable bool
 	caughtUp    bool
+	// zone, leaving and lost are set by openPolicy.assess. A member is lost if it was not heard for long or if its VM leaves.
+	zone    string
+	leaving bool
+	lost    bool
 }
 
 // membershipChange is a new membership that differs by one step, and the event that reports it.
--- a/internal/replica/openmembership.go
+++ b/internal/replica/openmembership.go
@@ -30,8 +30,16 @@
 	return p.Zone(vm)
 }
 
-func (p openPolicy) lost(v memberState) bool {
-	return v.ticksSinceContact > p.lostTicks || p.leaving(v.member.Vm)
+// assess returns the members with what the policy says of their VMs. Zone and Leaving are called once for each of them, since
+// they may have to search all VMs of a fleet.
+func (p openPolicy) assess(members []memberState) []memberState {
+	assessed := slices.Clone(members)
+	for i := range assessed {
+		v := &assessed[i]
+		v.zone, v.leaving = p.zone(v.member.Vm), p.leaving(v.member.Vm)
+		v.lost = v.ticksSinceContact > p.lostTicks || v.leaving
+	}
+	return assessed
 }
 
 // planOpenMembership returns the next membership change of a group with open membership, or nil.
@@ -39,10 +47,11 @@
 // replace a voter by one on another VM takes two changes, the new voter being added first: the old
 // one may return with its disk, so both must count in between.
 func planOpenMembership(members []memberState, waiting joiners, p openPolicy) *membershipChange {
+	members = p.assess(members)
 	if step := planSurplusRemoval(members, p); step != nil {
 		return step
 	}
-	if learner := p.bestLearner(members); learner != nil && (hasVoter(members, learner.Vm) || p.wantsVoter(members)) {
+	if learner := bestLearner(members); learner != nil && (hasVoter(members, learner.Vm) || p.wantsVoter(members)) {
 		if step := planPromotion(members, learner); step != nil {
 			return step
 		}
@@ -51,7 +60,7 @@
 		return step
 	}
 	for _, v := range members {
-		if v.member.Learner && p.lost(v) {
+		if v.member.Learner && v.lost {
 			return planRemoval(members, v.member, events.LearnerDropped)
 		}
 	}
@@ -79,7 +88,7 @@
 		if v.member.Id == p.self {
 			continue
 		}
-		if worst == nil || p.removalRank(v, members) > p.removalRank(*worst, members) {
+		if worst == nil || removalRank(v, members) > removalRank(*worst, members) {
 			worst = &members[i]
 		}
 	}
@@ -91,13 +100,13 @@
 
 // removalRank orders voters for removal; the voter with the highest rank is removed first. Leaving,
 // lost and unreachable voters come first, then those in the zone with the most voters.
-func (p openPolicy) removalRank(v memberState, members []memberState) int {
+func removalRank(v memberState, members []memberState) int {
 	const leaving, lost, unreachable = 1 << 12, 1 << 11, 1 << 10
-	rank := p.votersIn(members, p.zone(v.member.Vm))
+	rank := votersIn(members, v.zone)
 	switch {
-	case p.leaving(v.member.Vm):
+	case v.leaving:
 		rank += leaving
-	case p.lost(v):
+	case v.lost:
 		rank += lost
 	case v.unreachable:
 		rank += unreachable
@@ -113,7 +122,7 @@
 			continue
 		}
 		voters++
-		if p.lost(v) {
+		if v.lost {
 			lost++
 		}
 	}
@@ -122,29 +131,33 @@
 
 // bestLearner returns the caught-up learner to promote next: preferably one that replaces the voter
 // of its own VM, whose disk was lost, otherwise one in the zone with the fewest voters.
-func (p openPolicy) bestLearner(members []memberState) *raftpb.Member {
-	var best *raftpb.Member
-	rank := func(m *raftpb.Member) int {
-		if hasVoter(members, m.Vm) {
+func bestLearner(members []memberState) *raftpb.Member {
+	var best *memberState
+	rank := func(v memberState) int {
+		if hasVoter(members, v.member.Vm) {
 			return -1
 		}
-		return p.votersIn(members, p.zone(m.Vm))
+		return votersIn(members, v.zone)
 	}
-	for _, v := range members {
-		if !v.member.Learner || !v.caughtUp || v.unreachable || p.leaving(v.member.Vm) {
+	for i, v := range members {
+		if !v.member.Learner || !v.caughtUp || v.unreachable || v.leaving {
 			continue
 		}
-		if best == nil || rank(v.member) < rank(best) {
-			best = v.member
+		if best == nil || rank(v) < rank(*best) {
+			best = &members[i]
 		}
 	}
-	return best
+	if best == nil {
+		return nil
+	}
+	return best.member
 }
 
-func (p openPolicy) votersIn(members []memberState, zone string) int {
+// votersIn returns the number of voters in a zone that are not lost.
+func votersIn(members []memberState, zone string) int {
 	n := 0
 	for _, v := range members {
-		if !v.member.Learner && !p.lost(v) && p.zone(v.member.Vm) == zone {
+		if !v.member.Learner && !v.lost && v.zone == zone {
 			n++
 		}
 	}
--- a/internal/replica/openmembership_test.go
+++ b/internal/replica/openmembership_test.go
@@ -143,3 +143,18 @@
 		}
 	})
 }
+
+// TestPlanOpenMembership_SearchesTheFleetOncePerMember guards against leaders that spend their processor time on planning:
+// the plan is made each tick, and the functions of a policy search all VMs of a fleet.
+func TestPlanOpenMembership_SearchesTheFleetOncePerMember(t *testing.T) {
+	searches := 0
+	p := policyWithVoters(5)
+	p.Zone = func(vm string) string { searches++; return "z" + vm[:1] }
+	p.Leaving = func(string) bool { searches++; return false }
+	views := []memberState{
+		{member: voter(1, "a1")}, {member: voter(2, "b1")}, {member: voter(3, "c1")}, {member: voter(4, "d1")}, {member: voter(5, "e1")},
+		caughtUpMember(learner(6, "a2")), caughtUpMember(learner(7, "b2")),
+	}
+	require.Nil(t, planOpenMembership(views, joiners{}, p))
+	require.LessOrEqual(t, searches, 2*len(views))
+}
