store: groups keep the replicas that they need, and VMs that took over for others release theirs

Cause: a store VM that saw others silent opened replicas of their groups, and each leader admitted whoever asked. Nothing ever removed a replica of a VM that responds. A VM behind a cut even opened replicas of all groups, since it saw only its own zone.

Now a leader admits a VM without a replica only while fewer VMs than wanted are there, or in place of one that isn't assigned; it drops learners beyond that once no voter is missing, and moves a voter back to an assigned VM. A VM that a leader reports as no member closes its replica and sets the file aside: it isn't read at a restart, and it is opened again if a member addresses the VM after all. Replicas that nobody admits send hello messages each 0.5 s after the first 5 s. New: the metric egretramp_store_replicas, events 1115 and 2455.

The simulation of open groups runs with and without the bound.

--- a/internal/events/node.go
+++ b/internal/events/node.go
@@ -16,6 +16,7 @@
 	NodeUpstreamChanged     = define(2409, zapcore.InfoLevel, "an upstream's registration changed", "")
 	NodeUpstreamExpired     = define(2410, zapcore.WarnLevel, "an upstream's registration expired", "")
 	NodeStoreFormed         = define(2411, zapcore.InfoLevel, "the VMs that form the store groups were selected", "")
+	StoreReplicaReleased    = define(2455, zapcore.InfoLevel, "a replica was closed, since its group has enough others and this VM is no member any more", "")
 	NodeOperatorCommand     = define(2412, zapcore.InfoLevel, "an operator's command ended", "")
 	NodeSettlementFailed    = define(2413, zapcore.WarnLevel, "a turn's reservation could not be settled; all its tokens count as used", "")
 	NodeReplicaFailed       = define(2414, zapcore.ErrorLevel, "the replica of this VM failed", "read the error; the process exits and is restarted")
--- a/internal/events/raft.go
+++ b/internal/events/raft.go
@@ -22,5 +22,6 @@
 	VoterRemoved   = define(1113, zapcore.InfoLevel, "a voter was removed from the group", "")
 	LearnerBehind  = define(1114, zapcore.WarnLevel, "a new replica has not caught up; the loss of another disk may cost the group's data",
 		"compare snapshot_sent and match of two lines: if they grow, the state is large or the VM is busy; if not, check the link to the VM and its disk")
-	SnapshotInstalled = define(1111, zapcore.InfoLevel, "a snapshot from the leader replaced the state", "")
+	SurplusLearnerDropped = define(1115, zapcore.InfoLevel, "a spare replica was removed because the group has enough others", "")
+	SnapshotInstalled     = define(1111, zapcore.InfoLevel, "a snapshot from the leader replaced the state", "")
 )
--- a/internal/node/store.go
+++ b/internal/node/store.go
@@ -40,18 +40,20 @@
 	node      *Node
 	transport *groups.ForwardingTransport // of all groups
 
-	mu       sync.Mutex
-	replicas map[uint64]*replica.Replica
-	ctx      context.Context
-	wg       *conc.WaitGroup
+	mu          sync.Mutex
+	replicas    map[uint64]*replica.Replica
+	stops       map[uint64]func() // stop the replicas and wait for their ends
+	assignments assignments
+	ctx         context.Context
+	wg          *conc.WaitGroup
 }
 
 func newStore(n *Node) *store {
-	s := &store{node: n, replicas: map[uint64]*replica.Replica{}}
+	s := &store{node: n, replicas: map[uint64]*replica.Replica{}, stops: map[uint64]func(){}, assignments: assignments{}}
 	s.transport = groups.NewForwardingTransport(n.network, n.self.Zone, n.watcher.zoneOf, clock.Now)
 	n.network.HandleMessages(groups.KindRaft, func(from string, payload []byte) {
 		if m, ok := s.transport.Receive(from, payload); ok {
-			s.heldReplicas().Step(m)
+			s.step(m)
 		}
 	})
 	n.network.HandleMessages(groups.KindForward, s.transport.Forward)
@@ -62,7 +64,10 @@
 	n.metrics.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{
 		Name: "egretramp_store_replicas_behind",
 		Help: "New replicas of the groups that this VM leads that have not caught up. Until they have, the loss of another disk may cost data.",
-	}, s.replicasBehind))
+	}, s.replicasBehind), prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+		Name: "egretramp_store_replicas",
+		Help: "Replicas that this VM holds, of all groups. Over all VMs, more than the groups times their replicas means copies that nobody needs.",
+	}, func() float64 { return float64(len(s.heldReplicas())) }))
 	return s
 }
 
@@ -139,10 +144,14 @@
 			return err
 		}
 	}
+	if err := restoreReleased(wal.Path(n.settings.DataFolder, group)); err != nil {
+		return err
+	}
 	r, err := replica.New(replica.Options{
 		Group: group, VM: n.self.VM, Folder: n.settings.DataFolder, InitialVMs: forming,
 		Open: replica.OpenMembership{
 			Voters: n.settings.Voters(), JoinOnly: forming == nil, Contacts: s.contacts, Zone: s.zone, Leaving: s.isEmptying,
+			Replicas: n.settings.StoreReplicas(), Assigned: func(vm string) bool { return s.isAssigned(i, vm) },
 		},
 		OpenStore: func(folder string, fresh *raftpb.Identity) (replica.Store, raft.State, error) {
 			return wal.Open(folder, fresh)
@@ -155,8 +164,12 @@
 		return err
 	}
 	s.replicas[group] = r
-	ctx := s.ctx
+	ctx, cancel := context.WithCancel(s.ctx)
+	ended := make(chan struct{})
+	s.stops[group] = func() { cancel(); <-ended }
 	s.wg.Go(func() {
+		defer close(ended)
+		defer cancel()
 		err := r.Run(ctx)
 		if err != nil {
 			n.events.Emit(events.NodeReplicaFailed, zap.Error(err))
@@ -193,31 +206,14 @@
 	return slices.Contains(s.node.watcher.stores().emptying, vm)
 }
 
-// handleUpdate opens the replicas of groups that are newly assigned to this VM.
-func (s *store) handleUpdate(string, watchResponse) {
-	view := s.node.watcher.stores()
-	self := s.node.self.VM
-	held := s.heldReplicas()
-	for i, forming := range view.shards {
-		if held[storeGroup(i)] != nil || slices.Contains(view.emptying, self) {
-			continue
-		}
-		if !slices.Contains(forming, self) && !slices.Contains(view.replicaVMs(i, s.node.settings.StoreReplicas()), self) {
-			continue
-		}
-		if err := s.openReplica(i, forming); err != nil {
-			s.node.fail(err)
-		}
-	}
-}
-
 func (s *store) documentVersion() uint64 { return 0 }
 
 // transferTimeout bounds the transfer of leaderships.
 const transferTimeout = time.Second
 
-// maintain transfers the leaderships of a VM that is being emptied.
+// maintain releases replicas that are not needed, and transfers the leaderships of a VM that is being emptied.
 func (s *store) maintain() {
+	s.releaseUnneeded()
 	if s.isEmptying(s.node.self.VM) {
 		s.transferLeaderships(context.Background())
 	}
--- a/internal/node/storesview.go
+++ b/internal/node/storesview.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 
 	"egretramp/internal/shard"
 )
@@ -15,10 +16,24 @@
 	shards   [][]string // the initial members of each group
 	emptying []string
 	zones    map[string]string // of the running and the silent VMs
+
+	mu       sync.Mutex
+	replicas map[int][]string // results of assigned
+}
+
+// assigned returns the VMs that should hold a group of the store, counted from 0, including spares
+// besides the voters. The caller always gives the same number of VMs and doesn't modify the result.
+func (v *storesView) assigned(group, wanted int) []string {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	vms, known := v.replicas[group]
+	if !known {
+		vms = v.replicaVMs(group, wanted)
+		v.replicas[group] = vms
+	}
+	return vms
 }
 
-// replicaVMs returns the VMs that should hold a group of the store, counted from 0, including spares
-// besides the voters.
 func (v *storesView) replicaVMs(group, wanted int) []string {
 	var available []shard.VM
 	for _, vm := range v.running {
@@ -43,7 +58,7 @@
 
 // mergeStores computes the result of stores. w.mu must be held.
 func (w *watcher) mergeStores() *storesView {
-	view := &storesView{zones: map[string]string{}}
+	view := &storesView{zones: map[string]string{}, replicas: map[int][]string{}}
 	running := map[string]bool{}
 	known := map[string]vmInfo{}
 	for _, vm := range slices.Sorted(maps.Keys(w.contacts)) {
--- a/internal/replica/formation.go
+++ b/internal/replica/formation.go
@@ -30,6 +30,11 @@
 	replyLifetimeRounds = 3
 	// waitingEventRounds is the number of hello rounds between two events about missing VMs.
 	waitingEventRounds = 50
+	// fastHelloRounds is the number of hello rounds after which they become rarer: a replica that isn't needed, or not yet, would
+	// otherwise send to all VMs with each heartbeat for as long as it runs. The longer interval is still shorter than
+	// joinerLifetimeTicks.
+	fastHelloRounds     = 50
+	slowHelloHeartbeats = 5
 )
 
 // discovery is the state of the search for a group to form or join.
@@ -54,16 +59,21 @@
 	g.inOtherFormation = map[uint64]bool{}
 }
 
-// tickDiscovery sends hello messages once per heartbeat interval while no leader is known, also if
+// tickDiscovery sends hello messages once per heartbeat interval, later less often, while no leader is known, also if
 // the replica already has a formation: the entry that admitted it may have been overwritten by
 // another leader.
 func (n *node) tickDiscovery() error {
 	g := &n.discovery
 	if n.hasFormation() && n.raft.Leader() != 0 {
+		g.rounds = 0
 		return nil
 	}
+	interval := n.options.heartbeatTicks
+	if g.rounds >= fastHelloRounds {
+		interval *= slowHelloHeartbeats
+	}
 	g.elapsed++
-	if g.elapsed < n.options.heartbeatTicks {
+	if g.elapsed < interval {
 		return nil
 	}
 	g.elapsed = 0
--- a/internal/replica/openmembership.go
+++ b/internal/replica/openmembership.go
@@ -64,8 +64,11 @@
 			return planRemoval(members, v.member, events.LearnerDropped)
 		}
 	}
+	if step := p.planSurplusDrop(members); step != nil {
+		return step
+	}
 	for _, vm := range sortedVMs(waiting) {
-		if p.leaving(vm) {
+		if p.leaving(vm) || !p.admits(members, vm) {
 			continue
 		}
 		if step := planLearnerAdmission(members, vm, waiting[vm].replica, []string{vm}); step != nil {
@@ -75,33 +78,120 @@
 	return nil
 }
 
+// admits reports whether a new replica of a VM may become a learner. Each one is sent all entries, and holds the whole state in
+// its VM's memory, so a group that has enough replicas admits only those that replace another one.
+func (p openPolicy) admits(members []memberState, vm string) bool {
+	if p.Replicas == 0 || hasReplica(members, vm) || countReplicas(members) < p.Replicas {
+		return true
+	}
+	return p.assigned(vm) && !p.allAssigned(members)
+}
+
+func (p openPolicy) assigned(vm string) bool { return p.Assigned == nil || p.Assigned(vm) }
+
+// allAssigned reports whether all members that are not lost are on VMs that should hold the group.
+func (p openPolicy) allAssigned(members []memberState) bool {
+	return !slices.ContainsFunc(members, func(v memberState) bool { return !v.lost && !p.assigned(v.member.Vm) })
+}
+
+// planSurplusDrop returns the next step to get rid of a replica while there are more than needed and no voter is missing, or nil.
+// VMs that were admitted while others were lost are left over when those return.
+func (p openPolicy) planSurplusDrop(members []memberState) *membershipChange {
+	unreachable := func(v memberState) bool { return !v.member.Learner && v.unreachable }
+	if p.Replicas == 0 || countReplicas(members) <= p.Replicas || p.wantsVoter(members) || slices.ContainsFunc(members, unreachable) {
+		return nil
+	}
+	var worst *memberState
+	misplaced := false // a voter that isn't on an assigned VM
+	for i, v := range members {
+		switch {
+		case !v.member.Learner:
+			misplaced = misplaced || v.member.Id != p.self && !p.assigned(v.member.Vm)
+		case hasVoter(members, v.member.Vm):
+		case worst == nil || p.dropRank(v, members) > p.dropRank(*worst, members):
+			worst = &members[i]
+		}
+	}
+	if misplaced {
+		candidates := slices.DeleteFunc(slices.Clone(members), func(v memberState) bool { return v.member.Learner && !p.assigned(v.member.Vm) })
+		if learner := bestLearner(candidates); learner != nil {
+			return planPromotion(members, learner) // planSurplusRemoval then removes the misplaced one
+		}
+	}
+	if worst == nil {
+		return nil
+	}
+	return planRemoval(members, worst.member, events.SurplusLearnerDropped)
+}
+
+// dropRank orders learners for removal: those that are not assigned, then those that would have to catch up, then those in the
+// zone with the most voters.
+func (p openPolicy) dropRank(v memberState, members []memberState) int {
+	const unassigned, behind = 1 << 13, 1 << 12
+	rank := votersIn(members, v.zone)
+	if !p.assigned(v.member.Vm) {
+		rank += unassigned
+	}
+	if !v.caughtUp {
+		rank += behind
+	}
+	return rank
+}
+
+// countReplicas returns the number of VMs with a replica that is not lost.
+func countReplicas(members []memberState) int {
+	vms := map[string]bool{}
+	for _, v := range members {
+		if !v.lost {
+			vms[v.member.Vm] = true
+		}
+	}
+	return len(vms)
+}
+
+func hasReplica(members []memberState, vm string) bool {
+	return slices.ContainsFunc(members, func(v memberState) bool { return v.member.Vm == vm })
+}
+
 // planSurplusRemoval removes a voter while there are more than the target number, those of leaving
 // VMs and lost ones first.
 func planSurplusRemoval(members []memberState, p openPolicy) *membershipChange {
+	if countVoters(members) <= p.Voters {
+		return nil
+	}
 	var worst *memberState
-	voters := 0
 	for i, v := range members {
 		if v.member.Learner {
 			continue
 		}
-		voters++
 		if v.member.Id == p.self {
 			continue
 		}
-		if worst == nil || removalRank(v, members) > removalRank(*worst, members) {
+		if worst == nil || p.removalRank(v, members) > p.removalRank(*worst, members) {
 			worst = &members[i]
 		}
 	}
-	if voters <= p.Voters || worst == nil {
+	if worst == nil {
 		return nil
 	}
 	return planRemoval(members, worst.member, events.VoterRemoved)
 }
 
+func countVoters(members []memberState) int {
+	n := 0
+	for _, v := range members {
+		if !v.member.Learner {
+			n++
+		}
+	}
+	return n
+}
+
 // removalRank orders voters for removal; the voter with the highest rank is removed first. Leaving,
-// lost and unreachable voters come first, then those in the zone with the most voters.
-func removalRank(v memberState, members []memberState) int {
-	const leaving, lost, unreachable = 1 << 12, 1 << 11, 1 << 10
+// lost and unreachable voters come first, then those on VMs that should not hold the group, then those in the zone with the most
+// voters.
+func (p openPolicy) removalRank(v memberState, members []memberState) int {
+	const leaving, lost, unreachable, unassigned = 1 << 12, 1 << 11, 1 << 10, 1 << 9
 	rank := votersIn(members, v.zone)
 	switch {
 	case v.leaving:
@@ -110,6 +200,8 @@
 		rank += lost
 	case v.unreachable:
 		rank += unreachable
+	case p.Replicas > 0 && !p.assigned(v.member.Vm):
+		rank += unassigned
 	}
 	return rank
 }
--- a/internal/replica/openmembership_test.go
+++ b/internal/replica/openmembership_test.go
@@ -158,3 +158,52 @@
 	require.Nil(t, planOpenMembership(views, joiners{}, p))
 	require.LessOrEqual(t, searches, 2*len(views))
 }
+
+// TestPlanOpenMembership_ReplicasDontAccumulate guards against groups that gain replicas whenever a zone is cut off, until each
+// VM holds the whole store: VMs that took over for others stayed members when those returned.
+func TestPlanOpenMembership_ReplicasDontAccumulate(t *testing.T) {
+	p := policyWithVoters(3)
+	p.Replicas = 4
+	members := []memberState{{member: voter(1, "a")}, {member: voter(2, "b")}, {member: voter(3, "c")}, caughtUpMember(learner(4, "d"))}
+	waiting := joiners{"e": {replica: 5}}
+	require.Nil(t, planOpenMembership(members, waiting, p), "there are enough replicas")
+	members[2] = lostMember(voter(3, "c"))
+	members[3].caughtUp = false
+	require.Equal(t, events.LearnerAdmitted, planOpenMembership(members, waiting, p).event, "one is lost")
+	step := planOpenMembership(members, joiners{"c": {replica: 9}}, p)
+	require.Equal(t, "c", step.vm, "the VM of a lost disk must be admitted whatever the number")
+	members = append(members, memberState{member: learner(5, "e")})
+	members[3].caughtUp = true
+	members[2] = memberState{member: voter(3, "c")}
+	step = planOpenMembership(members, waiting, p)
+	require.Equal(t, events.SurplusLearnerDropped, step.event, "the lost one has returned")
+	require.Equal(t, "e", step.vm, "the one that hasn't caught up")
+	members[1] = memberState{member: voter(2, "b"), unreachable: true, ticksSinceContact: testLostTicks / 2}
+	require.Nil(t, planOpenMembership(members, waiting, p), "no spare is removed while a voter may be lost")
+}
+
+// TestPlanOpenMembership_ReturnsToTheAssignedVMs guards against VMs that hold a group without being needed, while those that
+// should hold it are refused.
+func TestPlanOpenMembership_ReturnsToTheAssignedVMs(t *testing.T) {
+	p := policyWithVoters(3)
+	p.Replicas = 4
+	p.Assigned = func(vm string) bool { return vm <= "d" }
+	members := []memberState{{member: voter(1, "a")}, {member: voter(2, "b")}, {member: voter(5, "e")}, caughtUpMember(learner(6, "f"))}
+	require.Nil(t, planOpenMembership(members, joiners{"g": {replica: 7}}, p))
+	step := planOpenMembership(members, joiners{"c": {replica: 3}}, p)
+	require.Equal(t, events.LearnerAdmitted, step.event)
+	members = append(members, caughtUpMember(learner(3, "c")))
+	step = planOpenMembership(members, nil, p)
+	require.Equal(t, events.VoterPromoted, step.event)
+	for _, m := range step.conf.Members {
+		require.True(t, m.Vm != "c" || !m.Learner, "the learner on the assigned VM must be promoted")
+	}
+	members[4] = memberState{member: voter(3, "c")}
+	step = planOpenMembership(members, nil, p)
+	require.Equal(t, events.VoterRemoved, step.event)
+	require.Equal(t, "e", step.vm)
+	members = append(members[:2:2], members[3:]...)
+	require.Nil(t, planOpenMembership(members, joiners{"e": {replica: 5}}, p), "there are enough replicas, and this one isn't better")
+	members = append(members, memberState{member: learner(4, "d")})
+	require.Equal(t, "f", planOpenMembership(members, nil, p).vm, "the learner that isn't assigned")
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -100,6 +100,11 @@
 type OpenMembership struct {
 	// Voters is the target number of voters; 0 closes the group to all but the initial VMs.
 	Voters int
+	// Replicas is the number of VMs that should hold the group: voters, and spares as learners. Lost VMs are not counted. 0: no
+	// limit.
+	Replicas int
+	// Assigned reports whether a VM is one of those that should hold the group; nil: any. It has no effect without Replicas.
+	Assigned func(vm string) bool
 	// JoinOnly prevents this replica from proposing a formation, because the group already exists.
 	JoinOnly bool
 	// Contacts returns VMs to send hello messages to in addition to InitialVMs; nil: none.
--- a/internal/replica/simopen_test.go
+++ b/internal/replica/simopen_test.go
@@ -15,6 +15,7 @@
 // crashes, freezes and cut links of the other simulation.
 type openGroupSim struct {
 	voters     int
+	replicas   int // OpenMembership.Replicas
 	startedVMs int // in total; names are never reused
 	leaving    map[string]bool
 	wiped      map[string]bool // by VM; these only join an existing group
@@ -29,7 +30,7 @@
 
 func newOpenSimulation(seed int64) *simulation {
 	s := newSimulation(seed)
-	s.openGroup = &openGroupSim{voters: len(s.initial), startedVMs: len(s.initial), leaving: map[string]bool{}, wiped: map[string]bool{}}
+	s.openGroup = &openGroupSim{voters: len(s.initial), replicas: []int{0, len(s.initial), len(s.initial) + 1}[seed%3], startedVMs: len(s.initial), leaving: map[string]bool{}, wiped: map[string]bool{}}
 	for _, m := range s.vms {
 		s.boot(m)
 	}
@@ -45,7 +46,7 @@
 		o.initialVMs = nil
 	}
 	o.membership = OpenMembership{
-		Voters: f.voters, JoinOnly: !first,
+		Voters: f.voters, Replicas: f.replicas, JoinOnly: !first,
 		Contacts: func() []string {
 			var vms []string
 			for _, other := range s.vms {
