node: a store VM of a small fleet joins at once where no other one is to spare

Found by reading: with three store VMs and one replaced by an empty one, nobody else can hold the group, and the delay of 3 s before a VM joins would have taken most of the 4.4 s in which the next disk may be lost. VMs that see few of those that they know, as behind a partition, still wait.

--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -52,8 +52,8 @@
 	return i < len(view.shards) && slices.Contains(view.assigned(i, s.node.settings.StoreReplicas()), vm)
 }
 
-// handleUpdate opens the replicas of groups that this VM forms, and of those that have been assigned to it for a while. A VM of
-// which a group is a member anyway learns it from the group's messages, see step.
+// handleUpdate opens the replicas of groups that this VM forms, and of those that have been assigned to it for a while, or at once
+// if there is no VM to spare. A VM that is a member anyway learns it from the group's messages, see step.
 func (s *store) handleUpdate(string, watchResponse) {
 	view := s.node.watcher.stores()
 	self := s.node.self.VM
@@ -68,7 +68,7 @@
 			continue
 		}
 		forms := slices.Contains(forming, self) && !isReleased(wal.Path(s.node.settings.DataFolder, storeGroup(i)))
-		if !forms && !(assigned && settled) {
+		if !forms && !(assigned && (settled || view.scarce(s.node.settings.StoreReplicas()))) {
 			continue
 		}
 		if err := s.openReplica(i, forming); err != nil {
--- a/internal/node/storesview.go
+++ b/internal/node/storesview.go
@@ -34,6 +34,12 @@
 	return vms
 }
 
+// scarce reports whether each VM is needed: no more run than a group should have, and those that run are most of those known. If
+// few of the known ones run, they are cut off or have just started, and the others will return.
+func (v *storesView) scarce(wanted int) bool {
+	return len(v.running) <= wanted && len(v.running) > len(v.silent)
+}
+
 func (v *storesView) replicaVMs(group, wanted int) []string {
 	var available []shard.VM
 	for _, vm := range v.running {
--- a/internal/node/storesview_test.go
+++ b/internal/node/storesview_test.go
@@ -68,3 +68,15 @@
 	w.removeStaleContacts()
 	require.Equal(t, []string{"s1", "s2"}, running(), "a control VM that was removed")
 }
+
+// TestStoresView_Scarce guards against a replaced store VM of a small fleet that waits with the only copy that is missing, and
+// against VMs behind a partition that copy the whole store.
+func TestStoresView_Scarce(t *testing.T) {
+	view := func(running, silent int) *storesView {
+		return &storesView{running: make([]vmInfo, running), silent: make([]vmInfo, silent)}
+	}
+	require.True(t, view(3, 1).scarce(4), "one of three was replaced")
+	require.True(t, view(4, 0).scarce(4), "the lost one isn't silent yet")
+	require.False(t, view(10, 1).scarce(6), "others can hold it")
+	require.False(t, view(4, 7).scarce(6), "a zone that is cut off")
+}
