--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -231,7 +231,7 @@
 	if _, err := n.raft.ProposeMembership(step.conf); err != nil {
 		return
 	}
-	n.emit(step.event, zap.String("peer", step.vm), zap.Uint64("replica", step.replica))
+	n.emit(step.event, zap.String("peer", step.vm), zap.Uint64("replica", step.replica), zap.Int("members", len(step.conf.Members)))
 }
 
 func (n *node) planMembershipChange(members []memberState) *membershipChange {
