--- a/internal/replica/simopen_test.go
+++ b/internal/replica/simopen_test.go
@@ -16,6 +16,7 @@
 type openGroupSim struct {
 	voters     int
 	replicas   int // OpenMembership.Replicas
+	assigns    bool
 	startedVMs int // in total; names are never reused
 	leaving    map[string]bool
 	wiped      map[string]bool // by VM; these only join an existing group
@@ -30,7 +31,7 @@
 
 func newOpenSimulation(seed int64) *simulation {
 	s := newSimulation(seed)
-	s.openGroup = &openGroupSim{voters: len(s.initial), replicas: []int{0, len(s.initial), len(s.initial) + 1}[seed%3], startedVMs: len(s.initial), leaving: map[string]bool{}, wiped: map[string]bool{}}
+	s.openGroup = &openGroupSim{voters: len(s.initial), replicas: []int{0, len(s.initial), len(s.initial) + 1}[seed%3], assigns: seed%2 == 0, startedVMs: len(s.initial), leaving: map[string]bool{}, wiped: map[string]bool{}}
 	for _, m := range s.vms {
 		s.boot(m)
 	}
@@ -56,6 +57,19 @@
 		},
 		Leaving: func(vm string) bool { return f.leaving[vm] },
 	}
+	if f.assigns {
+		o.membership.Assigned = func(vm string) bool { return slices.Contains(f.assignedVMs(s), vm) }
+	}
+}
+
+// assignedVMs returns the VMs that should hold the group: the newest ones that stay, so that replicas move as VMs are added.
+func (f *openGroupSim) assignedVMs(s *simulation) (vms []string) {
+	for _, m := range slices.Backward(s.vms) {
+		if !f.leaving[m.vm] && len(vms) < f.replicas {
+			vms = append(vms, m.vm)
+		}
+	}
+	return vms
 }
 
 func (f *openGroupSim) add(s *simulation) {
