replica: a learner that is to replace a misplaced voter isn't dropped before it has caught up

Found by reading: with a voter on a VM that isn't assigned and one replica too many, the plan dropped the assigned learner while it was being filled, if no other learner was there; its VM asked again and was admitted again, until it happened to catch up between two ticks. Such a learner is now left alone.

--- a/internal/replica/openmembership.go
+++ b/internal/replica/openmembership.go
@@ -118,8 +118,8 @@
 			return planPromotion(members, learner) // planSurplusRemoval then removes the misplaced one
 		}
 	}
-	if worst == nil {
-		return nil
+	if worst == nil || misplaced && p.assigned(worst.member.Vm) {
+		return nil // this learner takes the misplaced voter's place once it has caught up
 	}
 	return planRemoval(members, worst.member, events.SurplusLearnerDropped)
 }
--- a/internal/replica/openmembership_test.go
+++ b/internal/replica/openmembership_test.go
@@ -192,7 +192,11 @@
 	require.Nil(t, planOpenMembership(members, joiners{"g": {replica: 7}}, p))
 	step := planOpenMembership(members, joiners{"c": {replica: 3}}, p)
 	require.Equal(t, events.LearnerAdmitted, step.event)
-	members = append(members, caughtUpMember(learner(3, "c")))
+	members = append(members, memberState{member: learner(3, "c")})
+	require.Equal(t, "f", planOpenMembership(members, nil, p).vm, "the learner that isn't assigned")
+	filling := append(members[:3:3], members[4], memberState{member: learner(4, "d")})
+	require.Nil(t, planOpenMembership(filling, nil, p), "learners that are to replace a voter must not be dropped before they have caught up")
+	members[4].caughtUp = true
 	step = planOpenMembership(members, nil, p)
 	require.Equal(t, events.VoterPromoted, step.event)
 	for _, m := range step.conf.Members {
