--- a/internal/node/assignment.go
+++ b/internal/node/assignment.go
@@ -17,10 +17,10 @@
 )
 
 const (
-	// assignmentDelay is how long a group must have been assigned to a store VM before the VM opens a replica that copies the
+	// assignmentDelay is how long a group must have been assigned to a store VM before the VM opens a replica, which copies the
 	// whole state, and how long it must not have been assigned before the VM may release its replica. A VM that has just started
-	// doesn't see all others yet, and those that restart or are cut off for a moment are missing for memberTimeout less than
-	// they are silent.
+	// doesn't see all others yet, and one that restarts soon shall not be replaced. It comes on top of memberTimeout, after which a
+	// VM counts as silent.
 	assignmentDelay = 3 * time.Second
 	// exclusionTimeout bounds the question whether this VM is a member of a group.
 	exclusionTimeout = time.Second
@@ -28,7 +28,7 @@
 	releasedSuffix = ".released"
 )
 
-// assignments holds, by group counted from 0, since when the group is assigned to this VM or not.
+// assignments holds, by group counted from 0, whether the group is assigned to this VM, and since when.
 type assignments map[int]assignment
 
 type assignment struct {
@@ -52,8 +52,8 @@
 	return i < len(view.shards) && slices.Contains(view.assignedVMs(i, s.node.settings.StoreReplicas()), vm)
 }
 
-// handleUpdate opens the replicas of groups that this VM forms, and of those that have been assigned to it for a while, or at once
-// if there is no VM to spare. A VM that is a member anyway learns it from the group's messages, see step.
+// handleUpdate opens the replicas of groups that this VM forms, and of those that have been assigned to it for assignmentDelay, or
+// at once if there is no VM to spare. That this VM is a member already, without its disk, shows in the group's messages, see step.
 func (s *store) handleUpdate(string, watchResponse) {
 	view := s.node.watcher.stores()
 	self := s.node.self.VM
@@ -116,7 +116,8 @@
 	})
 }
 
-// releaseUnneeded closes the replicas of groups that have not been assigned to this VM for a while and that it is no member of.
+// releaseUnneeded releases the replicas of groups that have not been assigned to this VM for assignmentDelay and that it is no
+// member of.
 // They would keep a copy of the group's former state in memory, and ask all VMs to be admitted.
 func (s *store) releaseUnneeded() {
 	self := s.node.self.VM
