peer: the test of attributed messages waits until the sender has attributed the last one

The test was wrong: a message's bytes are attributed after it was sent, and the receiver may have handled the last one before that. The bounds are as before: all bytes, and no more than 100 a message beside.

--- a/internal/peer/account_test.go
+++ b/internal/peer/account_test.go
@@ -116,6 +116,11 @@
 	for range messages {
 		<-arrived
 	}
+	// The sender attributes a message after it was sent, which may be after it has arrived.
+	require.Eventually(t, func() bool {
+		sent, _ := ofA.get("y news")
+		return sent >= messages*size
+	}, waitTimeout, 10*time.Millisecond)
 	sent, _ := ofA.get("y news")
 	require.InDelta(t, messages*size, sent, messages*100)
 	_, received := ofB.get("x news")
