replica: a leader on a VM that should not hold the group hands over, and its membership settles

Cause: a leader can't replace itself, and nothing made it hand over when its VM should no longer hold the group, for example after it took over for a silent one. The plan admitted the VM that should hold the group, since not all members were on such VMs, and dropped it again as one too many, since the leader didn't count as misplaced: for ever, with a copy of the whole state each time, and both VMs holding a replica.

A leader whose VM should not hold the group transfers its leadership to a voter whose VM should, once the learner that takes its place has caught up and all voters respond; event 1116. A group with one voter stays where it is.

--- a/internal/events/raft.go
+++ b/internal/events/raft.go
@@ -23,5 +23,6 @@
 	LearnerBehind  = define(1114, zapcore.WarnLevel, "a new replica has not caught up; the loss of another disk may cost the group's data",
 		"compare snapshot_sent and match of two lines: if they grow, the state is large or the VM is busy; if not, check the link to the VM and its disk")
 	SurplusLearnerDropped = define(1115, zapcore.InfoLevel, "a spare replica was removed because the group has enough others", "")
+	LeadershipMoved       = define(1116, zapcore.InfoLevel, "leadership is transferred because this VM should not hold the group", "")
 	SnapshotInstalled     = define(1111, zapcore.InfoLevel, "a snapshot from the leader replaced the state", "")
 )
--- a/internal/raft/election.go
+++ b/internal/raft/election.go
@@ -167,11 +167,16 @@
 			best = m.Id
 		}
 	}
-	if best == 0 {
+	return r.TransferLeadershipTo(best)
+}
+
+// TransferLeadershipTo starts a transfer of leadership to a given voter. It returns false if this replica isn't the leader, the
+// other one is no voter, or a transfer is under way.
+func (r *Raft) TransferLeadershipTo(id uint64) bool {
+	if r.role != Leader || r.transferee != 0 || id == r.id || !r.confs.isVoter(id) {
 		return false
 	}
-	r.transferee = best
-	r.transferElapsed = 0
+	r.transferee, r.transferElapsed = id, 0
 	r.finishTransfer()
 	return true
 }
--- a/internal/replica/admission.go
+++ b/internal/replica/admission.go
@@ -226,6 +226,7 @@
 	n.reportDuplicateVMs(members)
 	step := n.planMembershipChange(members)
 	if step == nil {
+		n.moveLeadership(members)
 		return
 	}
 	if _, err := n.raft.ProposeMembership(step.conf); err != nil {
@@ -238,9 +239,21 @@
 	if n.options.membership.Voters == 0 {
 		return planFixedMembership(members, n.joiners, n.options.initialVMs)
 	}
-	return planOpenMembership(members, n.joiners, openPolicy{
-		OpenMembership: n.options.membership, self: n.raft.ID(), lostTicks: lostVoterElections * n.options.electionTicks,
-	})
+	return planOpenMembership(members, n.joiners, n.openPolicy())
+}
+
+func (n *node) openPolicy() openPolicy {
+	return openPolicy{OpenMembership: n.options.membership, self: n.raft.ID(), lostTicks: lostVoterElections * n.options.electionTicks}
+}
+
+// moveLeadership transfers the leadership of a group with open membership if another VM should lead it.
+func (n *node) moveLeadership(members []memberState) {
+	if n.options.membership.Voters == 0 {
+		return
+	}
+	if successor := planLeaderMove(members, n.openPolicy()); successor != 0 && n.raft.TransferLeadershipTo(successor) {
+		n.emit(events.LeadershipMoved, zap.Uint64("successor", successor))
+	}
 }
 
 func (n *node) memberStates() []memberState {
--- a/internal/replica/openmembership.go
+++ b/internal/replica/openmembership.go
@@ -51,8 +51,8 @@
 	if step := planSurplusRemoval(members, p); step != nil {
 		return step
 	}
-	if learner := bestLearner(members); learner != nil && (hasVoter(members, learner.Vm) || p.wantsVoter(members)) {
-		if step := planPromotion(members, learner); step != nil {
+	if learner := bestLearner(members); learner != nil && (hasVoter(members, learner.member.Vm) || p.wantsVoter(members)) {
+		if step := planPromotion(members, learner.member); step != nil {
 			return step
 		}
 	}
@@ -89,41 +89,69 @@
 
 func (p openPolicy) assigned(vm string) bool { return p.Assigned == nil || p.Assigned(vm) }
 
-// allAssigned reports whether all members that are not lost are on VMs that should hold the group.
+// allAssigned reports whether all members that are not lost are on VMs that should hold the group, or can't be replaced.
 func (p openPolicy) allAssigned(members []memberState) bool {
-	return !slices.ContainsFunc(members, func(v memberState) bool { return !v.lost && !p.assigned(v.member.Vm) })
+	return !slices.ContainsFunc(members, func(v memberState) bool { return !v.lost && p.isMisplaced(v, members) })
+}
+
+// isMisplaced reports whether a member should be replaced, since its VM should not hold the group. The leader can be replaced
+// only if another voter can lead.
+func (p openPolicy) isMisplaced(v memberState, members []memberState) bool {
+	return !p.assigned(v.member.Vm) && (v.member.Id != p.self || p.successor(members) != 0)
+}
+
+// successor returns a voter that may lead in place of this replica, or 0.
+func (p openPolicy) successor(members []memberState) uint64 {
+	for _, v := range members {
+		if !v.member.Learner && v.member.Id != p.self && v.caughtUp && !v.unreachable && !v.leaving && p.assigned(v.member.Vm) {
+			return v.member.Id
+		}
+	}
+	return 0
 }
 
 // planSurplusDrop returns the next step to get rid of a replica while there are more than needed and no voter is missing, or nil.
 // VMs that were admitted while others were lost are left over when those return.
 func (p openPolicy) planSurplusDrop(members []memberState) *membershipChange {
-	unreachable := func(v memberState) bool { return !v.member.Learner && v.unreachable }
-	if p.Replicas == 0 || countReplicas(members) <= p.Replicas || p.wantsVoter(members) || slices.ContainsFunc(members, unreachable) {
+	if p.Replicas == 0 || countReplicas(members) <= p.Replicas || !p.isComplete(members) {
 		return nil
 	}
 	var worst *memberState
-	misplaced := false // a voter that isn't on an assigned VM
+	misplaced, leaderMisplaced := false, false
 	for i, v := range members {
 		switch {
+		case v.member.Id == p.self:
+			leaderMisplaced = p.isMisplaced(v, members)
 		case !v.member.Learner:
-			misplaced = misplaced || v.member.Id != p.self && !p.assigned(v.member.Vm)
+			misplaced = misplaced || p.isMisplaced(v, members)
 		case hasVoter(members, v.member.Vm):
 		case worst == nil || p.dropRank(v, members) > p.dropRank(*worst, members):
 			worst = &members[i]
 		}
 	}
 	if misplaced {
-		candidates := slices.DeleteFunc(slices.Clone(members), func(v memberState) bool { return v.member.Learner && !p.assigned(v.member.Vm) })
-		if learner := bestLearner(candidates); learner != nil {
-			return planPromotion(members, learner) // planSurplusRemoval then removes the misplaced one
+		if learner := p.bestAssignedLearner(members); learner != nil {
+			return planPromotion(members, learner.member) // planSurplusRemoval then removes the misplaced one
 		}
 	}
-	if worst == nil || misplaced && p.assigned(worst.member.Vm) {
-		return nil // this learner takes the misplaced voter's place once it has caught up
+	if worst == nil || (misplaced || leaderMisplaced) && p.assigned(worst.member.Vm) {
+		return nil // this learner takes the misplaced voter's place once it has caught up, see planLeaderMove for that of the leader
 	}
 	return planRemoval(members, worst.member, events.SurplusLearnerDropped)
 }
 
+// isComplete reports whether no voter is missing and all respond.
+func (p openPolicy) isComplete(members []memberState) bool {
+	return !p.wantsVoter(members) && !slices.ContainsFunc(members, func(v memberState) bool { return !v.member.Learner && v.unreachable })
+}
+
+// bestAssignedLearner is bestLearner for learners on VMs that should hold the group and have no voter.
+func (p openPolicy) bestAssignedLearner(members []memberState) *memberState {
+	return bestLearner(slices.DeleteFunc(slices.Clone(members), func(v memberState) bool {
+		return v.member.Learner && (!p.assigned(v.member.Vm) || hasVoter(members, v.member.Vm))
+	}))
+}
+
 // dropRank orders learners for removal: those that are not assigned, then those that would have to catch up, then those in the
 // zone with the most voters.
 func (p openPolicy) dropRank(v memberState, members []memberState) int {
@@ -223,7 +251,7 @@
 
 // bestLearner returns the caught-up learner to promote next: preferably one that replaces the voter
 // of its own VM, whose disk was lost, otherwise one in the zone with the fewest voters.
-func bestLearner(members []memberState) *raftpb.Member {
+func bestLearner(members []memberState) *memberState {
 	var best *memberState
 	rank := func(v memberState) int {
 		if hasVoter(members, v.member.Vm) {
@@ -239,10 +267,7 @@
 			best = &members[i]
 		}
 	}
-	if best == nil {
-		return nil
-	}
-	return best.member
+	return best
 }
 
 // votersIn returns the number of voters in a zone that are not lost.
@@ -269,3 +294,18 @@
 	}
 	return step
 }
+
+// planLeaderMove returns the voter to which this replica should transfer its leadership, or 0. A leader whose VM should not hold
+// the group can't replace itself: once a learner is ready to take its place, another voter has to lead.
+func planLeaderMove(members []memberState, p openPolicy) uint64 {
+	isSelf := func(v memberState) bool { return v.member.Id == p.self }
+	self := slices.IndexFunc(members, isSelf)
+	if self < 0 || p.Replicas == 0 || p.assigned(members[self].member.Vm) {
+		return 0
+	}
+	members = p.assess(members)
+	if countReplicas(members) <= p.Replicas || !p.isComplete(members) || p.bestAssignedLearner(members) == nil {
+		return 0
+	}
+	return p.successor(members)
+}
--- a/internal/replica/openmembership_test.go
+++ b/internal/replica/openmembership_test.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -211,3 +212,63 @@
 	members = append(members, memberState{member: learner(4, "d")})
 	require.Equal(t, "f", planOpenMembership(members, nil, p).vm, "the learner that isn't assigned")
 }
+
+// openGroup is a group whose members and leader change as planned. All its VMs run, and a new replica catches up at once.
+type openGroup struct {
+	policy  openPolicy
+	vms     []string
+	members []memberState
+	nextID  uint64
+}
+
+// step makes the next planned change and reports whether there was one.
+func (g *openGroup) step() bool {
+	waiting := joiners{}
+	for _, vm := range g.vms {
+		if !hasReplica(g.members, vm) {
+			g.nextID++
+			waiting[vm] = joiner{replica: g.nextID}
+		}
+	}
+	if change := planOpenMembership(g.members, waiting, g.policy); change != nil {
+		g.members = nil
+		for _, m := range change.conf.Members {
+			g.members = append(g.members, caughtUpMember(m))
+		}
+		return true
+	}
+	successor := planLeaderMove(g.members, g.policy)
+	if successor != 0 {
+		g.policy.self = successor
+	}
+	return successor != 0
+}
+
+// TestPlanOpenMembership_Settles guards against leaders that change the membership for ever, and copy the whole state each time:
+// one on a VM that should not hold the group admitted the VM that should, and dropped it as one too many.
+func TestPlanOpenMembership_Settles(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := openGroup{policy: policyWithVoters(1 + 2*rapid.IntRange(0, 2).Draw(t, "tolerated")), nextID: 100}
+		g.policy.Replicas = g.policy.Voters + min(g.policy.Voters-1, 1)
+		for i := range rapid.IntRange(g.policy.Replicas, 11).Draw(t, "VMs") {
+			g.vms = append(g.vms, string(rune('a'+i)))
+		}
+		assigned := rapid.Permutation(g.vms).Draw(t, "assigned")[:g.policy.Replicas]
+		g.policy.Assigned = func(vm string) bool { return slices.Contains(assigned, vm) }
+		for i, vm := range rapid.Permutation(g.vms).Draw(t, "members")[:rapid.IntRange(1, len(g.vms)).Draw(t, "count")] {
+			m := &raftpb.Member{Id: uint64(i + 1), Vm: vm, Learner: i > 0 && rapid.Bool().Draw(t, "learner")}
+			g.members = append(g.members, caughtUpMember(m))
+		}
+		for range 100 {
+			if !g.step() {
+				break
+			}
+		}
+		require.False(t, g.step(), "the membership never settles")
+		require.Equal(t, g.policy.Voters, countVoters(g.members))
+		require.Len(t, g.members, g.policy.Replicas)
+		for _, v := range g.members {
+			require.True(t, slices.Contains(assigned, v.member.Vm) || g.policy.Voters == 1, "the only voter can't be replaced while it leads")
+		}
+	})
+}
--- a/internal/replica/simopen_test.go
+++ b/internal/replica/simopen_test.go
@@ -181,6 +181,9 @@
 	if leader == nil {
 		return errors.New("liveness: no leader after all faults ended")
 	}
+	if err := s.openGroup.checkAssigned(s, leader); err != nil {
+		return err
+	}
 	voters := 0
 	for _, member := range leader.node.raft.Conf().Members {
 		if member.Learner {
@@ -205,6 +208,24 @@
 	return nil
 }
 
+// checkAssigned checks that the group is held by the VMs that should hold it, if these are known, and by no others.
+func (f *openGroupSim) checkAssigned(s *simulation, leader *simVM) error {
+	if !f.assigns || f.replicas == 0 || f.voters == 1 {
+		return nil
+	}
+	var held []string
+	for _, member := range leader.node.raft.Conf().Members {
+		held = append(held, member.Vm)
+	}
+	wanted := f.assignedVMs(s)
+	slices.Sort(held)
+	slices.Sort(wanted)
+	if !slices.Equal(held, wanted) {
+		return errors.Newf("liveness: the group is held by %v, not by %v", held, wanted)
+	}
+	return nil
+}
+
 func runOpenSeed(seed int64) (s *simulation, err error) {
 	s = newOpenSimulation(seed)
 	defer func() {
