replica: voters return to the zones that were lost

A zone is lost for longer than a voter is waited for: its voters are replaced by VMs of other zones. When it returned, its VMs became spares and the voters stayed where they were. Of three voters and a spare in three zones two were then in one zone, and its loss took the majority from the group, although the loss of one zone is to be borne.

A caught-up learner on a VM that should hold the group is promoted if its zone has at least two voters fewer than another one; the rule for surplus voters then removes one of that zone. Nothing moves while a voter is missing or doesn't respond. TestPlanOpenMembership_SpreadsVotersAgain and the spread checked in ..._Settles are red before.

--- a/internal/replica/openmembership.go
+++ b/internal/replica/openmembership.go
@@ -56,6 +56,9 @@
 			return step
 		}
 	}
+	if step := p.planZoneBalance(members); step != nil {
+		return step
+	}
 	if step := planLearnerDrop(members); step != nil {
 		return step
 	}
@@ -140,6 +143,23 @@
 	return planRemoval(members, worst.member, events.SurplusLearnerDropped)
 }
 
+// planZoneBalance promotes a learner whose zone has at least two voters fewer than another one, or returns nil.
+// planSurplusRemoval then removes a voter of that zone. The voters of a lost zone are replaced by those of other zones; without
+// this, the group would not survive the loss of one of these after the first has returned.
+func (p openPolicy) planZoneBalance(members []memberState) *membershipChange {
+	learner := p.bestAssignedLearner(members)
+	if learner == nil || !p.isComplete(members) {
+		return nil
+	}
+	crowded := func(v memberState) bool {
+		return !v.member.Learner && v.zone != "" && votersIn(members, v.zone) > votersIn(members, learner.zone)+1
+	}
+	if learner.zone == "" || !slices.ContainsFunc(members, crowded) {
+		return nil
+	}
+	return planPromotion(members, learner.member)
+}
+
 // isComplete reports whether no voter is missing and all respond.
 func (p openPolicy) isComplete(members []memberState) bool {
 	return !p.wantsVoter(members) && !slices.ContainsFunc(members, func(v memberState) bool { return !v.member.Learner && v.unreachable })
--- a/internal/replica/openmembership_test.go
+++ b/internal/replica/openmembership_test.go
@@ -248,7 +248,10 @@
 // one on a VM that should not hold the group admitted the VM that should, and dropped it as one too many.
 func TestPlanOpenMembership_Settles(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
+		zones := rapid.IntRange(1, 5).Draw(t, "zones")
+		zone := func(vm string) string { return string(rune('x' + int(vm[0]-'a')%zones)) }
 		g := openGroup{policy: policyWithVoters(1 + 2*rapid.IntRange(0, 2).Draw(t, "tolerated")), nextID: 100}
+		g.policy.Zone = zone
 		g.policy.Replicas = g.policy.Voters + min(g.policy.Voters-1, 1)
 		for i := range rapid.IntRange(g.policy.Replicas, 11).Draw(t, "VMs") {
 			g.vms = append(g.vms, string(rune('a'+i)))
@@ -267,8 +270,38 @@
 		require.False(t, g.step(), "the membership never settles")
 		require.Equal(t, g.policy.Voters, countVoters(g.members))
 		require.Len(t, g.members, g.policy.Replicas)
+		if g.policy.Voters == 1 {
+			return // the only voter can't be replaced while it leads
+		}
+		inZone := map[string]int{}
 		for _, v := range g.members {
-			require.True(t, slices.Contains(assigned, v.member.Vm) || g.policy.Voters == 1, "the only voter can't be replaced while it leads")
+			require.Contains(t, assigned, v.member.Vm)
+			if !v.member.Learner {
+				inZone[zone(v.member.Vm)]++
+			}
+		}
+		for _, v := range g.members {
+			for z, n := range inZone {
+				require.False(t, v.member.Learner && n > inZone[zone(v.member.Vm)]+1, "zone %s has %d voters, and the learner on VM %s would be its better", z, n, v.member.Vm)
+			}
 		}
 	})
 }
+
+// TestPlanOpenMembership_SpreadsVotersAgain guards against groups that lose their majority with one zone: VMs that took over
+// for those of a lost zone stayed voters, and the VMs of that zone stayed spares when they returned.
+func TestPlanOpenMembership_SpreadsVotersAgain(t *testing.T) {
+	p := policyWithVoters(3)
+	p.Replicas = 4
+	p.Zone = func(vm string) string { return vm[:1] }
+	members := []memberState{caughtUpMember(voter(1, "a1")), caughtUpMember(voter(2, "b1")), caughtUpMember(voter(3, "b2")), {member: learner(4, "c1")}}
+	require.Nil(t, planOpenMembership(members, nil, p), "it has not caught up")
+	members[3].caughtUp = true
+	step := planOpenMembership(members, nil, p)
+	require.NotNil(t, step)
+	require.Equal(t, events.VoterPromoted, step.event)
+	members[3] = caughtUpMember(voter(4, "c1"))
+	step = planOpenMembership(members, nil, p)
+	require.Equal(t, events.VoterRemoved, step.event)
+	require.Contains(t, []string{"b1", "b2"}, step.vm)
+}
