raft: a heartbeat's reply causes an append only if entries are overdue

Cause: each reply to a heartbeat that came while an entry was under way made the leader send an append, in case that a message was lost. In a busy group an entry is always under way, so each heartbeat cost four messages instead of two.

The append is sent if entries that had been sent before the previous periodic heartbeat are unacknowledged, or while the leader probes or flow control holds back entries, as before. A lost append is noticed a heartbeat interval later, or by the next append.

--- a/internal/raft/commitmessages_test.go
+++ b/internal/raft/commitmessages_test.go
@@ -47,3 +47,42 @@
 		require.Equal(t, r.Commit(), m.Commit, "the next periodic heartbeat carries the commit index")
 	}
 }
+
+// TestRaft_HeartbeatRepliesProbeOverdueEntriesOnly guards against an empty append and its reply for each heartbeat of a busy
+// group, and against a lost append that is never sent again.
+func TestRaft_HeartbeatRepliesProbeOverdueEntriesOnly(t *testing.T) {
+	r := newReplica(t, 1)
+	elect(r)
+	acknowledge(r, 2, 2)
+	acknowledge(r, 3, 2)
+	// beat returns the appends to replica 2 that follow its reply to the next periodic heartbeat.
+	beat := func() (appends []*raftpb.Message) {
+		for range r.options.HeartbeatTicks {
+			r.Tick()
+		}
+		for _, m := range flush(r) {
+			require.NotEqual(t, raftpb.MessageType_MESSAGE_TYPE_APPEND, m.Type)
+		}
+		r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY, From: 2, To: 1, Term: r.Term()})
+		for _, m := range flush(r) {
+			if m.To == 2 {
+				appends = append(appends, m)
+			}
+		}
+		return appends
+	}
+	propose := func() uint64 {
+		index, err := r.Propose([]byte("x"))
+		require.NoError(t, err)
+		flush(r)
+		return index
+	}
+	for range 5 {
+		index := propose()
+		require.Empty(t, beat(), "the entry is younger than the heartbeat interval")
+		acknowledge(r, 2, index)
+	}
+	propose()
+	require.Empty(t, beat())
+	require.Len(t, beat(), 1, "the replica shows by a rejection what it lacks")
+}
--- a/internal/raft/progress.go
+++ b/internal/raft/progress.go
@@ -23,6 +23,9 @@
 	paused bool
 	// inflight holds the last index of each unacknowledged message.
 	inflight []uint64
+	// sentBefore is the index of the last entry that had been sent at the last periodic heartbeat, overdue that at the one
+	// before it. What isn't acknowledged up to overdue may have been lost.
+	sentBefore, overdue uint64
 	// snapshot is the index of the snapshot being sent.
 	snapshot uint64
 	// restoreElapsed is the number of heartbeats since the snapshot was sent, or the last chunk of it was
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -74,6 +74,7 @@
 		}
 		p := r.progress[m.Id]
 		p.intervalsSinceReply++
+		p.overdue, p.sentBefore = p.sentBefore, p.next-1
 		if p.mode == restoring {
 			r.retryRestore(m.Id, p)
 		}
@@ -130,12 +131,14 @@
 		r.reads.confirm(r.confirmedReadSequence())
 	}
 	p.paused = false
+	mayLack := p.mode == probing || p.match < p.overdue
 	if p.mode == streaming && len(p.inflight) >= r.options.MaxInflight {
 		p.inflight = p.inflight[1:]
+		mayLack = true
 	}
-	// If entries are still unacknowledged, messages may have been lost. An append detects
+	// If entries are unacknowledged for longer than a heartbeat interval, messages may have been lost. An append detects
 	// this, because the follower rejects it if there is a gap.
-	if p.match < r.log.lastIndex() && p.mode != restoring {
+	if mayLack && p.match < r.log.lastIndex() && p.mode != restoring {
 		r.sendAppend(m.From, p)
 	}
 }
