peer: the dialing VM sends heartbeats half as often

Nobody measures the age of the dialing VM's heartbeats: they only keep the stream from being closed by the VM that serves it, which waits for 2.5 s in place of 2 s, so that as much delay as before is borne. The heartbeats by which VMs and zones are found unreachable stay at 500 ms.

--- a/internal/peer/link.go
+++ b/internal/peer/link.go
@@ -167,9 +167,9 @@
 }
 
 // sendLoop sends queued messages, and a heartbeat whenever nothing else was sent within
-// HeartbeatInterval: the receiver counts a message as a heartbeat.
+// DialerHeartbeatInterval: the receiver counts a message as a heartbeat.
 func (l *link) sendLoop(ctx context.Context, stream messageSender) error {
-	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
+	heartbeat := time.NewTimer(clock.Align(DialerHeartbeatInterval))
 	defer heartbeat.Stop()
 	if err := l.send(stream, &peerpb.Envelope{From: l.node.opts.VM}); err != nil {
 		return err
@@ -189,11 +189,11 @@
 			return ctx.Err()
 		case <-l.queue.wake:
 		case <-heartbeat.C:
-			if left := HeartbeatInterval - time.Since(sent); left >= clock.Grid {
+			if left := DialerHeartbeatInterval - time.Since(sent); left >= clock.Grid {
 				heartbeat.Reset(clock.Align(left))
 				continue
 			}
-			heartbeat.Reset(clock.Align(HeartbeatInterval))
+			heartbeat.Reset(clock.Align(DialerHeartbeatInterval))
 			if err := l.send(stream, &peerpb.Envelope{From: l.node.opts.VM}); err != nil {
 				return err
 			}
--- a/internal/peer/liveness.go
+++ b/internal/peer/liveness.go
@@ -24,8 +24,8 @@
 	return time.Since(baseTime) - time.Duration(m.lastContact.Load())
 }
 
-// remaining returns the time until HeartbeatTimeout expires; zero or less if it has expired.
-func (m *livenessMonitor) remaining() time.Duration { return HeartbeatTimeout - m.age() }
+// remaining returns the time until a timeout expires; zero or less if it has expired.
+func (m *livenessMonitor) remaining(timeout time.Duration) time.Duration { return timeout - m.age() }
 
 // awaitTimeout returns when nothing was received for HeartbeatTimeout, or when ctx ends.
 func (m *livenessMonitor) awaitTimeout(ctx context.Context) {
@@ -37,7 +37,7 @@
 			return
 		case <-timer.C:
 		}
-		left := m.remaining()
+		left := m.remaining(HeartbeatTimeout)
 		if left <= 0 {
 			return
 		}
--- a/internal/peer/node.go
+++ b/internal/peer/node.go
@@ -3,11 +3,11 @@
 //
 // A tunnel is a connection to an upstream that another VM opens and whose bytes it passes on both ways.
 //
-// All run over drpc. Each VM keeps one message stream open to every other VM. Both sides send a
-// heartbeat every HeartbeatInterval; a side that receives nothing for HeartbeatTimeout ends the
-// stream, and the dialing side opens a new connection. Calls use separate connections, one call
-// at a time on each. A call whose context ends closes its connection, so an unresponsive
-// connection is never reused.
+// All run over drpc. Each VM keeps one message stream open to every other VM. Both sides send
+// heartbeats, the dialing one less often, see HeartbeatInterval and DialerHeartbeatInterval; a side
+// that receives nothing for HeartbeatTimeout or DialerTimeout ends the stream, and the dialing side
+// opens a new connection. Calls use separate connections, one call at a time on each. A call whose
+// context ends closes its connection, so an unresponsive connection is never reused.
 //
 // Messages from one VM to another are ordered while the stream is open. A full queue drops
 // messages; senders must retransmit those that matter. Payloads of up to MaxPayloadBytes pass.
@@ -40,10 +40,16 @@
 
 // Timing of the message streams.
 const (
-	// HeartbeatInterval is the interval of heartbeats on an idle stream.
+	// HeartbeatInterval is the interval of the heartbeats of the VM that serves a stream. The dialing VM decides by them which
+	// VMs and zones it reaches.
 	HeartbeatInterval = 500 * time.Millisecond
-	// HeartbeatTimeout is the time without a message or heartbeat after which a stream is closed.
+	// DialerHeartbeatInterval is the interval of the dialing VM's heartbeats on an idle stream. They only keep the stream open,
+	// and in a large fleet there are more of them than of all other messages.
+	DialerHeartbeatInterval = time.Second
+	// HeartbeatTimeout is the time without a heartbeat after which the dialing VM closes a stream, DialerTimeout that without a
+	// message or heartbeat after which the VM that serves it does.
 	HeartbeatTimeout = 2 * time.Second
+	DialerTimeout    = HeartbeatTimeout + DialerHeartbeatInterval - HeartbeatInterval
 	// SuspectTimeout is the time without a heartbeat after which messages are also relayed and
 	// calls are tried through relays first.
 	SuspectTimeout = 800 * time.Millisecond
--- a/internal/peer/serve.go
+++ b/internal/peer/serve.go
@@ -105,11 +105,11 @@
 }
 
 // sendHeartbeats sends heartbeats until the stream fails or nothing was received for
-// HeartbeatTimeout.
+// DialerTimeout.
 func (s *server) sendHeartbeats(stream peerpb.DRPCPeer_MessagesStream, from *atomic.Pointer[string], liveness *livenessMonitor, failed <-chan error) error {
 	heartbeat := time.NewTimer(clock.Align(HeartbeatInterval))
 	defer heartbeat.Stop()
-	timeout := time.NewTimer(HeartbeatTimeout)
+	timeout := time.NewTimer(DialerTimeout)
 	defer timeout.Stop()
 	state := acceptsCompact
 	for {
@@ -117,7 +117,7 @@
 		case err := <-failed:
 			return err
 		case <-timeout.C:
-			left := liveness.remaining()
+			left := liveness.remaining(DialerTimeout)
 			if left <= 0 {
 				return errHeartbeatTimeout
 			}
