replica: the simulation of open groups takes away drained VMs whatever term they have

Traced: the VM was no member any more and the group in order (1,282 entries), but the removed replica had a higher term, from a campaign that nobody heard of, and the simulation waits for the highest term of all VMs before it takes a drained one away. A leader of a later term would have the vote of a member of the membership; the terms of these are compared now.

--- a/internal/replica/simopen_test.go
+++ b/internal/replica/simopen_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/raft/raftpb"
 )
 
 // openGroupSim makes a simulation run a group with open membership. VMs are added, permanently lost
@@ -150,11 +152,23 @@
 	return highest
 }
 
+// highestMemberTerm is highestTerm for the members of the leader's membership: if there were a later leader, one of them would have
+// voted for it. A removed VM may have a higher term for ever, since nobody answers its votes.
+func (f *openGroupSim) highestMemberTerm(leader *simVM, s *simulation) uint64 {
+	highest := uint64(0)
+	for _, m := range s.vms {
+		if m.node != nil && m.node.hasFormation() && slices.ContainsFunc(leader.node.raft.Conf().Members, func(member *raftpb.Member) bool { return member.Vm == m.vm }) {
+			highest = max(highest, m.node.raft.Term())
+		}
+	}
+	return highest
+}
+
 // removeDrainedVMs removes a leaving VM as soon as the group has committed a membership without it,
 // as operators do.
 func (f *openGroupSim) removeDrainedVMs(s *simulation) {
 	leader := s.leader()
-	if leader == nil || leader.node.raft.ChangePending() || leader.node.raft.Term() < f.highestTerm(s) {
+	if leader == nil || leader.node.raft.ChangePending() || leader.node.raft.Term() < f.highestMemberTerm(leader, s) {
 		return
 	}
 	for vm := range f.leaving {
