raft: learners get no entry of a term before a majority of the voters holds one

A learner now gets entries of a term once the leader has committed one of that term. A voter of the majority that holds that entry can then be elected: whatever learner it counts as a voter either has a shorter log or the entry that makes it one. Voters get their entries as before, and so do learners after the first moments of a term.

--- a/internal/raft/raft_test.go
+++ b/internal/raft/raft_test.go
@@ -212,3 +212,36 @@
 	require.NoError(t, r.ReadIndex(6))
 	require.Len(t, flush(r), 2, "ReadIndex must send a heartbeat to each member")
 }
+
+// TestRaft_LearnersGetNothingAheadOfTheVoters guards against groups without a leader for ever: a learner with entries of a lost
+// leader's term refused its vote to a voter that, by an uncommitted entry, counted it as a voter.
+func TestRaft_LearnersGetNothingAheadOfTheVoters(t *testing.T) {
+	state := conf(1, 2, 3)
+	state.Members = append(state.Members, &raftpb.Member{Id: 4, Vm: "d", Learner: true})
+	r, err := New(Options{ID: 1, ElectionTicks: 10, HeartbeatTicks: 2, Seed: 1, State: State{
+		Hard: &raftpb.HardState{Term: 1, Commit: 1}, Snapshot: &raftpb.Snapshot{Index: 1, Term: 1, Conf: state},
+		Bounds: &raftpb.LogBounds{BaseIndex: 1, BaseTerm: 1, LastIndex: 1},
+	}})
+	require.NoError(t, err)
+	sentToLearner := func(messages []*raftpb.Message) (entries int) {
+		for _, m := range messages {
+			if m.To == 4 {
+				entries += len(m.Entries)
+			}
+		}
+		return entries
+	}
+	elect(r)
+	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_APPEND_REPLY, From: 4, To: 1, Term: r.Term(), Index: 1})
+	_, err = r.Propose([]byte("x"))
+	require.NoError(t, err)
+	require.Zero(t, sentToLearner(flush(r)))
+	for range r.options.HeartbeatTicks {
+		r.Tick()
+	}
+	flush(r)
+	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_HEARTBEAT_REPLY, From: 4, To: 1, Term: r.Term()})
+	require.Zero(t, sentToLearner(flush(r)))
+	r.Step(&raftpb.Message{Type: raftpb.MessageType_MESSAGE_TYPE_APPEND_REPLY, From: 2, To: 1, Term: r.Term(), Index: 2})
+	require.Equal(t, 2, sentToLearner(flush(r)), "a majority of the voters holds an entry of this term")
+}
--- a/internal/raft/replication.go
+++ b/internal/raft/replication.go
@@ -41,11 +41,21 @@
 // sendPendingEntries sends entries to a member as far as flow control allows.
 func (r *Raft) sendPendingEntries(to uint64) {
 	p := r.progress[to]
-	for p.next <= r.log.lastIndex() && !p.blocked(r.options.MaxInflight) {
+	for p.next <= r.lastIndexFor(to) && !p.blocked(r.options.MaxInflight) {
 		r.sendAppend(to, p)
 	}
 }
 
+// lastIndexFor returns the index of the last entry that may be sent to a member. A learner gets no entry of this term before
+// a majority of the voters holds one. If it did, and this leader were lost, it would refuse its vote to all voters that are left,
+// and one of them may count it as a voter by an entry that was never committed: no other leader could be elected.
+func (r *Raft) lastIndexFor(to uint64) uint64 {
+	if !r.confs.isVoter(to) && !r.committedInTerm() {
+		return r.log.commit
+	}
+	return r.log.lastIndex()
+}
+
 func (r *Raft) sendAppend(to uint64, p *progress) {
 	prevTerm, ok := r.log.term(p.next - 1)
 	if !ok || (p.mode == probing && p.replied && r.snapshotIsSooner(p.next)) {
@@ -53,6 +63,10 @@
 		return
 	}
 	entries := r.log.batch(p.next-1, r.options.MaxMessageBytes)
+	last := r.lastIndexFor(to)
+	for len(entries) > 0 && entries[len(entries)-1].Index > last {
+		entries = entries[:len(entries)-1]
+	}
 	r.send(&raftpb.Message{
 		Type: raftpb.MessageType_MESSAGE_TYPE_APPEND, To: to,
 		Index: p.next - 1, LogTerm: prevTerm, Entries: entries, Commit: r.log.commit,
