responsecheck: a response with an invalid field name is no response

What callers saw: an answer in whose head a field's name held a blank was passed on, with that line on the platform's way, without it on that of the own fleet. If the line was the one that frames the body, the body was another one: with "Transfer-Encoding : chunked" or a blank elsewhere in that name the chunks' sizes were part of it. A line that begins with a blank or a tab was joined to the one before it, with the same result. A name that begins with a line feed ended the head there, and what follows became the body. The same in the heads before the final one.

Cause: net/http's reader accepts blanks in names, continues lines, and takes a line feed alone for the end of a line. Nothing looked at the names after it.

Change: a Checker sees the bytes of each connection to an upstream as they arrive, before net/http's reader does: names must be tokens (RFC 9110, 5.6.2; RFC 9112, 5.1 and 5.2), and only CRLF ends a line. Its error is a read error, so the attempt has failed and may have run, and its connection is closed. It stands below both ways of a call: upconn.Conn, which proxy reads from, directly and through tunnels; and the connections of upstream.Client, for calls, streams and their resumptions, probes, orders and reports.

Handled before: all other control bytes in a name, and what continues a stream by a broken head (TestServer_ResumedStream...). Their tests stay.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -174,12 +174,10 @@
 	a.conn.LimitReads(maxHeadBytes)
 	defer a.conn.LimitReads(-1)
 	for range maxStaleResponses + 1 {
-		response, err := http.ReadResponse(a.conn.Reader, request)
+		response, err := a.readHead(request)
 		if err != nil {
 			return nil, Reply{}, errors.Wrap(err, "proxy: read the answer")
 		}
-		a.recordReceived()
-		a.server.health.recordHeard(a.upstream.ID)
 		if response.StatusCode/100 == 1 {
 			continue
 		}
@@ -207,6 +205,19 @@
 	return nil, Reply{}, errStaleResponse
 }
 
+// readHead reads the head of the next response on the connection.
+func (a *attempt) readHead(request *http.Request) (*http.Response, error) {
+	if err := a.conn.ExpectResponse(); err != nil {
+		return nil, err
+	}
+	response, err := http.ReadResponse(a.conn.Reader, request)
+	if err == nil || a.conn.InvalidResponse() != nil {
+		a.recordReceived()
+		a.server.health.recordHeard(a.upstream.ID)
+	}
+	return response, err
+}
+
 // recordLeaving records, before the response is passed on, that it says that the upstream leaves.
 func (a *attempt) recordLeaving() {
 	if a.server.opts.Directory.RecordLeaving(a.upstream) {
--- /dev/null
+++ b/internal/responsecheck/checker.go
@@ -0,0 +1,124 @@
+// Package responsecheck checks the syntax of the responses that upstreams send, as their bytes arrive. net/http's reader accepts
+// field names that HTTP doesn't allow, and with them bodies that end elsewhere than the upstream meant. All
+// connections on which responses are read use a Checker.
+package responsecheck
+
+import (
+	"bytes"
+	"io"
+
+	"github.com/cockroachdb/errors"
+)
+
+// ErrInvalid means that a response isn't valid HTTP/1.1. The request may have run, and the connection can't be used any more.
+var ErrInvalid = errors.New("the upstream sent an invalid response")
+
+// maxLineBytes bounds a line of a head.
+const maxLineBytes = 64 << 10
+
+// part is the part of a response to which the next byte belongs.
+type part int
+
+const (
+	unchecked part = iota // the body, and what follows a response
+	statusLine
+	fieldLines
+)
+
+// Checker checks one response at a time, together with the informational ones before it: the names of fields (RFC
+// 9112, section 5), and that their lines end with CRLF, so that no other byte ends a line or the head. The rest is left to
+// net/http's reader. The zero Checker checks nothing before Expect. It is not safe for concurrent use.
+type Checker struct {
+	part    part
+	line    []byte // the start of a line that has not arrived completely
+	interim bool   // the head is that of an informational response
+	err     error
+}
+
+// Expect makes the next byte the first one of a response.
+func (c *Checker) Expect() { *c = Checker{part: statusLine, err: c.err} }
+
+// Err returns the error of the first invalid byte, nil if there was none.
+func (c *Checker) Err() error { return c.err }
+
+// Read reads from a connection and checks what it read. Its error wraps ErrInvalid from the first invalid byte on, and none of the
+// bytes that were read together with that byte is returned.
+func (c *Checker) Read(conn io.Reader, p []byte) (int, error) {
+	if c.err != nil {
+		return 0, c.err // net/http's reader may read on after an error
+	}
+	n, err := conn.Read(p)
+	if invalid := c.Check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
+// Check checks the next bytes of the connection. Its error wraps ErrInvalid and is returned by all later calls.
+func (c *Checker) Check(p []byte) error {
+	for len(p) > 0 && c.part != unchecked && c.err == nil {
+		line, rest, complete := bytes.Cut(p, []byte("\n"))
+		if len(c.line)+len(line) > maxLineBytes {
+			c.err = errors.Wrapf(ErrInvalid, "a line of more than %d bytes", maxLineBytes)
+			break
+		}
+		if !complete {
+			c.line = append(c.line, line...)
+			break
+		}
+		if len(c.line) > 0 {
+			line, c.line = append(c.line, line...), nil
+		}
+		c.err = c.checkLine(line)
+		p = rest
+	}
+	return c.err
+}
+
+// checkLine checks a line without the LF that ends it.
+func (c *Checker) checkLine(line []byte) error {
+	line, found := bytes.CutSuffix(line, []byte("\r"))
+	if !found || bytes.IndexByte(line, '\r') >= 0 {
+		return errors.Wrapf(ErrInvalid, "a bare line break in %.80q", line)
+	}
+	switch {
+	case c.part == statusLine:
+		c.readStatus(line)
+	case len(line) > 0:
+		return checkField(line)
+	case c.interim:
+		c.part = statusLine
+	default:
+		c.part = unchecked
+	}
+	return nil
+}
+
+// readStatus reads from a status line whether the response is informational.
+func (c *Checker) readStatus(line []byte) {
+	_, status, _ := bytes.Cut(line, []byte(" "))
+	c.interim = bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+	c.part = fieldLines
+}
+
+// checkField checks a field line. One that begins with a blank would continue the line before it, which HTTP allows no sender to do.
+func checkField(line []byte) error {
+	name, _, found := bytes.Cut(line, []byte(":"))
+	if !found || !isToken(name) {
+		return errors.Wrapf(ErrInvalid, "the field line %.80q", line)
+	}
+	return nil
+}
+
+// isToken reports whether a name is a token (RFC 9110, section 5.6.2).
+func isToken(name []byte) bool {
+	for _, b := range name {
+		switch {
+		case '0' <= b && b <= '9', 'a' <= b && b <= 'z', 'A' <= b && b <= 'Z':
+		case bytes.IndexByte([]byte("!#$%&'*+-.^_`|~"), b) >= 0:
+		default:
+			return false
+		}
+	}
+	return len(name) > 0
+}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -17,6 +17,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"egretramp/internal/responsecheck"
 )
 
 const (
@@ -170,18 +172,33 @@
 	c.limit.left = n
 }
 
-// limitedReader reads from a connection until a limit is reached.
+// ExpectResponse makes the connection check the response that follows what was read from Reader. Reads of an invalid one fail.
+func (c *Conn) ExpectResponse() error {
+	buffered, err := c.Reader.Peek(c.Reader.Buffered())
+	if err != nil {
+		return err
+	}
+	c.limit.responses.Expect()
+	return c.limit.responses.Check(buffered)
+}
+
+// InvalidResponse returns an error that wraps responsecheck.ErrInvalid if an invalid response was received, whatever error
+// net/http's reader made of it.
+func (c *Conn) InvalidResponse() error { return c.limit.responses.Err() }
+
+// limitedReader reads from a connection until a limit is reached, and checks the responses.
 type limitedReader struct {
-	conn net.Conn
-	left int64
-	add  func(sent, received int64) // set by CountBytes; nil for none
+	conn      net.Conn
+	left      int64
+	responses responsecheck.Checker
+	add       func(sent, received int64) // set by CountBytes; nil for none
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, ErrReadLimit
 	}
-	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
+	n, err := r.responses.Read(r.conn, p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
 	if r.add != nil {
 		r.add(0, int64(n))
--- a/internal/upstream/writeguard.go
+++ b/internal/upstream/writeguard.go
@@ -6,6 +6,8 @@
 	"sync"
 
 	"github.com/cockroachdb/errors"
+
+	"egretramp/internal/responsecheck"
 )
 
 // ErrSendPermissionExpired means that the permission to send a call had expired when its first
@@ -55,7 +57,7 @@
 
 // guardedConn is a connection for one request; a writeGuard decides whether its first byte is sent.
 type guardedConn struct {
-	net.Conn
+	*responsecheck.Conn
 	mu    sync.Mutex
 	guard *writeGuard // nil until the connection is assigned to a request
 }
@@ -85,6 +87,6 @@
 		if err != nil {
 			return nil, err
 		}
-		return &guardedConn{Conn: conn}, nil
+		return &guardedConn{Conn: responsecheck.NewConn(conn)}, nil
 	}
 }
