responsecheck: a response with an invalid status is no response

What callers saw on the own fleet's way: for a service's answer with a status of 000, 099, +20 or -00 their connection was closed without an answer (net/http's server panics in the handler on such a status), and so again at each repetition of a recorded call, since the answer had been recorded as complete; 101, 600 and 999 were passed on. An engine's 000 was taken for a refusal, "rejected_by_engine" with not_run true. An order that was answered by 000 counted as one that the engine could not carry out, and a cancelled call or a released session as acknowledged. On the platform's way 000 and all others were handled already, by a check of its own; only after a 101 a request waited for its deadline.

Cause: net/http's reader takes any three characters that parse as a number.

Change: the Checker takes statuses of three digits from 100 to 599 (RFC 9110, section 15), without 101: no request asks for another protocol. The platform's way has no check of its own any more.

Green: internal/responsecheck, upstream, gateway; proxy -run 'TestServer_(Invalid|Unusual|Resumed|Status)'.

--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -97,12 +97,15 @@
 	}
 }
 
-// invalidResponses returns answers with an invalid byte at each place of a field's name, in the
+// invalidResponses returns answers with an invalid status, or with an invalid byte at each place of a field's name, in the
 // final head or one before it.
 func invalidResponses(body string) []string {
 	var raw []string
 	const fields = wire.HeaderAttempt + ": %s\r\nContent-Type: text/event-stream\r\n"
 	for _, f := range framed(body) {
+		for _, status := range []string{"000", "00", "099", "101", "600", "999", "+20", "-00"} {
+			raw = append(raw, "HTTP/1.1 "+status+" Odd\r\n"+fields+f[0]+"\r\n"+f[1])
+		}
 		framing, value, _ := strings.Cut(f[0], ":")
 		for _, b := range []byte(" \t\r\n\x00\x7f") {
 			for place := range len("Odd") + 1 {
@@ -123,7 +126,8 @@
 	return raw
 }
 
-// TestServer_InvalidResponseOfAServiceReachesCallers guards against broken answers that are passed on or recorded.
+// TestServer_InvalidResponseOfAServiceReachesCallers guards against broken answers that are passed on or recorded, and against
+// statuses for which the caller's connection is closed without an answer.
 func TestServer_InvalidResponseOfAServiceReachesCallers(t *testing.T) {
 	broken, sound := startRawUpstream(t), startRawUpstream(t)
 	sound.raw.Store("HTTP/1.1 200 OK\r\n" + wire.HeaderAttempt + ": %s\r\nContent-Length: 5\r\n\r\nsound")
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -29,8 +29,6 @@
 	// maxDeclineBytes and declineTimeout bound the rest of a response that says that the request has not run.
 	maxDeclineBytes = 64 << 10
 	declineTimeout  = 100 * time.Millisecond
-	// statusLimit is the first number above the statuses of responses.
-	statusLimit = 600
 	// maxStaleResponses is how many responses to other requests are skipped on a connection.
 	maxStaleResponses = 2
 )
@@ -42,7 +40,6 @@
 	errNotResumed = errors.New("proxy: the upstream failed to continue the stream")
 	// errOtherEvents means that what an upstream sent to continue a stream isn't the events that follow.
 	errOtherEvents = errors.New("proxy: what the upstream sent does not continue the stream")
-	errBadStatus   = errors.New("proxy: invalid response status")
 	// errEventMissing means that a stream ended without the event after which its caller resumes it.
 	errEventMissing = errors.New("proxy: the stream lacks the event after which it is to continue")
 	// errConversationLost means that the store no longer holds the conversation that a turn continued.
@@ -181,9 +178,6 @@
 		if response.StatusCode/100 == 1 {
 			continue
 		}
-		if response.StatusCode < http.StatusOK || response.StatusCode >= statusLimit {
-			return nil, Reply{}, errors.Wrapf(errBadStatus, "%d", response.StatusCode)
-		}
 		reply := a.server.opts.Protocol.ReadReply(response.StatusCode, response.Header)
 		if reply.RequestID == a.call.RequestID {
 			a.server.opts.Upstreams.ObserveLimit(a.upstream, reply.RateLimit, a.started)
--- a/internal/proxy/invalid_response_test.go
+++ b/internal/proxy/invalid_response_test.go
@@ -149,6 +149,17 @@
 	}
 }
 
+// TestServer_InvalidStatusReachesCallers guards against answers whose status is none, such as 000.
+func TestServer_InvalidStatusReachesCallers(t *testing.T) {
+	eachRoute(t, func(t *testing.T, path string, f framedBody) {
+		s := newResponseScript(t, nil)
+		for i, status := range []string{"000", "00", "0", "0000", "001", "099", "600", "999", "+20", "-00", "-20", "2 0", "20x", "x00", "", "101"} {
+			id := fmt.Sprint("r", i)
+			s.requireFailed(id, path, "HTTP/1.1 "+status+" Odd\r\nSigned: yes\r\nId: "+id+"\r\n"+f.fields+"\r\n"+f.body)
+		}
+	})
+}
+
 // TestServer_InvalidFieldNameReachesCallers guards against answers with a blank or a control byte in a field name, which were
 // passed on with that line, or with another body if the line frames it.
 func TestServer_InvalidFieldNameReachesCallers(t *testing.T) {
@@ -298,3 +309,21 @@
 		}
 	}
 }
+
+// TestServer_UnusualStatusIsChanged guards against statuses that are refused because no text belongs to them.
+func TestServer_UnusualStatusIsChanged(t *testing.T) {
+	s := newResponseScript(t, nil)
+	s.sound = true
+	for _, status := range []int{200, 201, 204, 226, 299, 302, 304, 399, 404, 418, 429, 499, 500, 503, 599} {
+		fields, body := "Content-Length: 4\r\n", "body"
+		if status == 204 || status == 304 {
+			fields, body = "Content-Length: 0\r\n", ""
+		}
+		id := fmt.Sprint("r", status)
+		got := s.bytesOf(id, "/once/", fmt.Sprintf("HTTP/1.1 %d Odd\r\nSigned: yes\r\nId: %s\r\nOdd: v\r\n%s\r\n%s", status, id, fields, body))
+		require.True(t, strings.HasPrefix(got, fmt.Sprintf("HTTP/1.1 %d ", status)), "%q", got)
+		require.Contains(t, got, "Odd: v\r\n")
+		require.True(t, strings.HasSuffix(got, "\r\n\r\n"+body), "%q", got)
+		require.Equal(t, 1, s.runs(id))
+	}
+}
--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -1,11 +1,12 @@
 // Package responsecheck checks the syntax of the responses that upstreams send, as their bytes arrive. net/http's reader accepts
-// field names that HTTP doesn't allow, and with them bodies that end elsewhere than the upstream meant. All
+// statuses and field names that HTTP doesn't allow, and with them bodies that end elsewhere than the upstream meant. All
 // connections on which responses are read use a Checker.
 package responsecheck
 
 import (
 	"bytes"
 	"io"
+	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
@@ -13,8 +14,12 @@
 // ErrInvalid means that a response isn't valid HTTP/1.1. The request may have run, and the connection can't be used any more.
 var ErrInvalid = errors.New("the upstream sent an invalid response")
 
-// maxLineBytes bounds a line of a head.
-const maxLineBytes = 64 << 10
+const (
+	// maxLineBytes bounds a line of a head.
+	maxLineBytes = 64 << 10
+	// switchingProtocols is invalid because no request asks an upstream for another protocol.
+	switchingProtocols = 101
+)
 
 // part is the part of a response to which the next byte belongs.
 type part int
@@ -25,8 +30,8 @@
 	fieldLines
 )
 
-// Checker checks one response at a time, together with the informational ones before it: the names of fields (RFC
-// 9112, section 5), and that their lines end with CRLF, so that no other byte ends a line or the head. The rest is left to
+// Checker checks one response at a time, together with the informational ones before it: the status, the names of fields (RFC
+// 9112, sections 4 and 5), and that their lines end with CRLF, so that no other byte ends a line or the head. The rest is left to
 // net/http's reader. The zero Checker checks nothing before Expect. It is not safe for concurrent use.
 type Checker struct {
 	part    part
@@ -83,7 +88,7 @@
 	}
 	switch {
 	case c.part == statusLine:
-		c.readStatus(line)
+		return c.readStatus(line)
 	case len(line) > 0:
 		return checkField(line)
 	case c.interim:
@@ -94,11 +99,21 @@
 	return nil
 }
 
-// readStatus reads from a status line whether the response is informational.
-func (c *Checker) readStatus(line []byte) {
-	_, status, _ := bytes.Cut(line, []byte(" "))
-	c.interim = bytes.HasPrefix(bytes.TrimLeft(status, " "), []byte("1"))
+// IsFinal reports whether a status is one of a final response.
+func IsFinal(status int) bool { return 200 <= status && status < 600 }
+
+// readStatus reads a status line.
+func (c *Checker) readStatus(line []byte) error {
+	_, rest, _ := bytes.Cut(line, []byte(" "))
+	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
+	parsed, err := strconv.ParseUint(string(digits), 10, 16) // takes no sign
+	status := int(parsed)
+	c.interim = status/100 == 1 && status != switchingProtocols
+	if err != nil || len(digits) != 3 || !c.interim && !IsFinal(status) {
+		return errors.Wrapf(ErrInvalid, "the status line %.80q", line)
+	}
 	c.part = fieldLines
+	return nil
 }
 
 // checkField checks a field line. One that begins with a blank would continue the line before it, which HTTP allows no sender to do.
--- a/internal/responsecheck/checker_test.go
+++ b/internal/responsecheck/checker_test.go
@@ -27,7 +27,7 @@
 // are cut into segments.
 func TestChecker_ErrorDependsOnSegments(t *testing.T) {
 	invalid := []string{
-		"HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 OK\n", "\n",
+		"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 OK\n", "\r\n", "\n", "200 OK\r\n",
 		"HTTP/1.1 200 OK\r\nO dd: v\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n", "HTTP/1.1 200 OK\r\n: v\r\n",
 		"HTTP/1.1 200 OK\r\nOdd\r\n", "HTTP/1.1 200 OK\r\nA: b\rc\r\n",
 	}
--- a/internal/upstream/invalid_response_test.go
+++ b/internal/upstream/invalid_response_test.go
@@ -16,9 +16,9 @@
 	"egretramp/internal/upstream/wire"
 )
 
-// invalidHeads are responses up to their framing: names with a blank or a control byte at each place.
+// invalidHeads are responses up to their framing: a status that is none, and names with a blank or a control byte at each place.
 func invalidHeads() []string {
-	var heads []string
+	heads := []string{"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 +20 Odd\r\n", "HTTP/1.1 600 Odd\r\n"}
 	for _, status := range []string{"200 OK", "404 Not Found", "409 Conflict", "500 Odd"} {
 		for _, b := range []byte(" \t\r\n\x00\x7f") {
 			for place := range len("Odd") + 1 {
