responsecheck: a response with an invalid trailer is no complete response

What callers saw: a chunked answer whose trailer has a blank in a field's name, or a line that begins with a blank or a line feed, was passed on as complete, or a stream ended as complete and its turn was recorded; and one that says that the request has not run was believed. Trailers themselves are passed to nobody.

Cause: as for heads, net/http's reader takes such lines.

Change: the Checker follows the chunks to the trailer and applies the rule of heads there. Sizes that it can't parse are left to net/http's reader, which rejects them. That reader may report another error than the Checker's, so the platform's way asks the connection (Conn.InvalidResponse). An engine's stream ends with [DONE]; a trailer that arrives later than that is read by nobody, and its connection is closed.

--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -98,7 +98,7 @@
 }
 
 // invalidResponses returns answers with an invalid status, or with an invalid byte at each place of a field's name, in the
-// final head or one before it.
+// final head, one before it, or the trailer.
 func invalidResponses(body string) []string {
 	var raw []string
 	const fields = wire.HeaderAttempt + ": %s\r\nContent-Type: text/event-stream\r\n"
@@ -115,6 +115,9 @@
 					"HTTP/1.1 200 OK\r\n"+fields+f[0]+line+"\r\n"+f[1],
 					"HTTP/1.1 103 Early Hints\r\nLink: l\r\n"+line+"\r\nHTTP/1.1 200 OK\r\n"+fields+f[0]+"\r\n"+f[1],
 				)
+				if framing == "Transfer-Encoding" {
+					raw = append(raw, "HTTP/1.1 200 OK\r\n"+fields+f[0]+"\r\n"+strings.TrimSuffix(f[1], "\r\n")+"Sound: s\r\n"+line+"\r\n")
+				}
 			}
 			for place := range len(framing) + 1 {
 				if framing != "" {
@@ -208,4 +211,6 @@
 			require.Equal(t, before+1, u.runs.Load())
 		}
 	}
+	u.raw.Store("HTTP/1.1 200 OK\r\n" + attempt + "Transfer-Encoding: chunked\r\n\r\n5;a=b\r\nwhole\r\n00\r\nOdd: v\r\n!#:\r\n\r\n")
+	require.True(t, strings.HasSuffix(g.bytesOf(t, "/v1/services/look/x", "", ""), "\r\n\r\nwhole"))
 }
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -82,8 +82,12 @@
 	a.responseHeader = response.Header
 	switch {
 	case reply.NotRun:
+		err := a.discardDecline(response)
+		if invalid := a.conn.InvalidResponse(); invalid != nil {
+			return maybeRun, errors.Wrap(invalid, "proxy: read the rest of the answer")
+		}
 		a.retryAfterHint = max(a.retryAfterHint, reply.RetryAfter)
-		a.updateReusable(response, a.discardDecline(response))
+		a.updateReusable(response, err)
 		return notRun, errors.Newf("proxy: the upstream declined the request with status %d", response.StatusCode)
 	case a.route.Kind == routing.Streaming && response.StatusCode == http.StatusOK:
 		if !reply.Signed {
--- a/internal/proxy/invalid_response_test.go
+++ b/internal/proxy/invalid_response_test.go
@@ -202,6 +202,53 @@
 	})
 }
 
+// TestServer_InvalidTrailerCompletesResponses guards against answers that look complete although their trailer is broken.
+func TestServer_InvalidTrailerCompletesResponses(t *testing.T) {
+	for _, path := range scriptedRoutes {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newResponseScript(t, nil)
+			for i, name := range insertions("Odd", " \t\r\n\x00") {
+				for j, trailer := range []string{"%s: v\r\n", "Sound: v\r\n%s: v\r\n"} {
+					id := fmt.Sprintf("r%d-%d", i, j)
+					s.requireFailed(id, path, "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n"+
+						eventChunks(1, 2)+"0\r\n"+fmt.Sprintf(trailer, name)+"\r\n")
+				}
+			}
+		})
+	}
+}
+
+// TestServer_StreamWithInvalidTrailerLooksComplete sends the trailer after the events: the stream has begun, and only one that may
+// be resumed goes on.
+func TestServer_StreamWithInvalidTrailerLooksComplete(t *testing.T) {
+	for _, path := range []string{"/stream/", "/kept/", "/resumed/"} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			g := newFixture(t)
+			g.upstream("u", func(r *http.Request, c net.Conn) bool {
+				if r.Header.Get("Last") != "" {
+					_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(3, 3)+"0\r\n\r\n")
+					return err == nil
+				}
+				_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(1, 2))
+				time.Sleep(20 * time.Millisecond)
+				_, _ = io.WriteString(c, "0\r\nO dd: v\r\n\r\n")
+				return err == nil
+			})
+			r := g.call("1", path, "Program: p")
+			require.Equal(t, 200, r.status)
+			if path == "/resumed/" {
+				require.Equal(t, reply{200, "", twoEvents + "id: 3\ndata: word3\n\n", nil}, r)
+				return
+			}
+			require.Equal(t, twoEvents, r.body)
+			require.ErrorIs(t, r.err, io.ErrUnexpectedEOF)
+			require.Len(t, g.receivedRequests(), 1)
+		})
+	}
+}
+
 // TestServer_ResumedStreamFromInvalidResponse guards against events of an upstream that answers the request to continue a stream by
 // a broken head.
 func TestServer_ResumedStreamFromInvalidResponse(t *testing.T) {
@@ -237,6 +284,7 @@
 		"HTTP/1.1 503 Full\r\nNot-Run: yes\r\nId: %s\r\nOd d: v\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 503 Full\r\nNot-Run: yes\r\nId: %s\r\nOdd\x01: v\r\nContent-Length: 0\r\n\r\n",
 		"HTTP/1.1 000 Full\r\nNot-Run: yes\r\nId: %s\r\nContent-Length: 0\r\n\r\n",
+		"HTTP/1.1 503 Full\r\nNot-Run: yes\r\nId: %s\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nOd d: v\r\n\r\n",
 	} {
 		s := newResponseScript(t, nil)
 		id := fmt.Sprint("r", i)
@@ -327,3 +375,23 @@
 		require.Equal(t, 1, s.runs(id))
 	}
 }
+
+// TestServer_SoundTrailerFailsResponses guards against chunked answers that fail for a trailer or for chunk extensions.
+func TestServer_SoundTrailerFailsResponses(t *testing.T) {
+	for _, path := range scriptedRoutes {
+		s := newResponseScript(t, nil)
+		s.sound = true
+		for i, end := range []string{"0\r\n\r\n", "0\r\nOdd: v\r\n\r\n", "000;x=y\r\nOdd: v\r\nOdd:\r\n!#: w\r\n\r\n"} {
+			id := fmt.Sprint("r", i)
+			got := s.bytesOf(id, path, "HTTP/1.1 200 OK\r\nSigned: yes\r\nId: "+id+"\r\nTransfer-Encoding: Chunked\r\n\r\n13;a=\"b\"\r\nid: 1\ndata: word1\n\n\r\n0"+
+				"13 \r\nid: 2\ndata: word2\n\n\r\n"+end)
+			response, err := http.ReadResponse(bufio.NewReader(strings.NewReader(got)), nil)
+			require.NoError(t, err)
+			body, err := io.ReadAll(response.Body)
+			require.NoError(t, err)
+			require.Equal(t, 200, response.StatusCode, "%s %q: %q", path, end, got)
+			require.Equal(t, twoEvents, string(body))
+			require.Equal(t, 1, s.runs(id))
+		}
+	}
+}
--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -15,7 +15,7 @@
 var ErrInvalid = errors.New("the upstream sent an invalid response")
 
 const (
-	// maxLineBytes bounds a line of a head.
+	// maxLineBytes bounds a line of a head or trailer, and of the size of a chunk.
 	maxLineBytes = 64 << 10
 	// switchingProtocols is invalid because no request asks an upstream for another protocol.
 	switchingProtocols = 101
@@ -25,9 +25,12 @@
 type part int
 
 const (
-	unchecked part = iota // the body, and what follows a response
+	unchecked part = iota // a body that isn't chunked, and what follows a response
 	statusLine
 	fieldLines
+	chunkSize
+	chunkData
+	trailerLines
 )
 
 // Checker checks one response at a time, together with the informational ones before it: the status, the names of fields (RFC
@@ -37,6 +40,8 @@
 	part    part
 	line    []byte // the start of a line that has not arrived completely
 	interim bool   // the head is that of an informational response
+	chunked bool
+	left    int64 // bytes of the chunk and its line end that have not arrived
 	err     error
 }
 
@@ -62,6 +67,14 @@
 // Check checks the next bytes of the connection. Its error wraps ErrInvalid and is returned by all later calls.
 func (c *Checker) Check(p []byte) error {
 	for len(p) > 0 && c.part != unchecked && c.err == nil {
+		if c.part == chunkData {
+			n := min(c.left, int64(len(p)))
+			p, c.left = p[n:], c.left-n
+			if c.left == 0 {
+				c.part = chunkSize
+			}
+			continue
+		}
 		line, rest, complete := bytes.Cut(p, []byte("\n"))
 		if len(c.line)+len(line) > maxLineBytes {
 			c.err = errors.Wrapf(ErrInvalid, "a line of more than %d bytes", maxLineBytes)
@@ -82,6 +95,10 @@
 
 // checkLine checks a line without the LF that ends it.
 func (c *Checker) checkLine(line []byte) error {
+	if c.part == chunkSize {
+		c.readChunkSize(line)
+		return nil
+	}
 	line, found := bytes.CutSuffix(line, []byte("\r"))
 	if !found || bytes.IndexByte(line, '\r') >= 0 {
 		return errors.Wrapf(ErrInvalid, "a bare line break in %.80q", line)
@@ -90,9 +107,13 @@
 	case c.part == statusLine:
 		return c.readStatus(line)
 	case len(line) > 0:
-		return checkField(line)
+		return c.readField(line)
+	case c.part == trailerLines:
+		c.part = unchecked
 	case c.interim:
 		c.part = statusLine
+	case c.chunked:
+		c.part = chunkSize
 	default:
 		c.part = unchecked
 	}
@@ -112,19 +133,36 @@
 	if err != nil || len(digits) != 3 || !c.interim && !IsFinal(status) {
 		return errors.Wrapf(ErrInvalid, "the status line %.80q", line)
 	}
-	c.part = fieldLines
+	c.part, c.chunked = fieldLines, false
 	return nil
 }
 
-// checkField checks a field line. One that begins with a blank would continue the line before it, which HTTP allows no sender to do.
-func checkField(line []byte) error {
-	name, _, found := bytes.Cut(line, []byte(":"))
+// readField reads a field line. One that begins with a blank would continue the line before it, which HTTP allows no sender to do.
+func (c *Checker) readField(line []byte) error {
+	name, value, found := bytes.Cut(line, []byte(":"))
 	if !found || !isToken(name) {
 		return errors.Wrapf(ErrInvalid, "the field line %.80q", line)
 	}
+	if c.part == fieldLines && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		c.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
+	}
 	return nil
 }
 
+// readChunkSize reads the line before a chunk.
+func (c *Checker) readChunkSize(line []byte) {
+	digits, _, _ := bytes.Cut(line, []byte(";"))
+	size, err := strconv.ParseUint(string(bytes.TrimSpace(digits)), 16, 62)
+	switch {
+	case err != nil:
+		c.part = unchecked // net/http's reader rejects it
+	case size == 0:
+		c.part = trailerLines
+	default:
+		c.part, c.left = chunkData, int64(size)+2
+	}
+}
+
 // isToken reports whether a name is a token (RFC 9110, section 5.6.2).
 func isToken(name []byte) bool {
 	for _, b := range name {
--- a/internal/responsecheck/checker_test.go
+++ b/internal/responsecheck/checker_test.go
@@ -1,15 +1,23 @@
 package responsecheck
 
 import (
+	"bufio"
 	"bytes"
+	"io"
+	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 )
 
-const soundHead = "HTTP/1.1 103 Early\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+const (
+	soundHead = "HTTP/1.1 103 Early\r\nLink: l\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+	soundBody = "5;a=b\r\nab\r\nc\r\n00B\r\n0\r\nx x: y\r\n\r\n0\r\nOdd: v\r\n\r\n"
+)
 
 // check passes the parts of a response to a Checker one after the other.
 func check(parts ...string) error {
@@ -30,8 +38,9 @@
 		"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 OK\n", "\r\n", "\n", "200 OK\r\n",
 		"HTTP/1.1 200 OK\r\nO dd: v\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n", "HTTP/1.1 200 OK\r\n: v\r\n",
 		"HTTP/1.1 200 OK\r\nOdd\r\n", "HTTP/1.1 200 OK\r\nA: b\rc\r\n",
+		soundHead + strings.TrimSuffix(soundBody, "\r\n") + "O dd: v\r\n", soundHead + "0\r\n\n", soundHead + "0\r\n x: y\r\n",
 	}
-	sound := []string{soundHead + "\n \x00", soundHead + "x\r\n \n\n", "HTTP/1.1 204\r\n\r\n \n\n"}
+	sound := []string{soundHead + soundBody + "\n \x00", soundHead + "x\r\n \n\n", "HTTP/1.1 204\r\n\r\n \n\n"}
 	for i, response := range append(invalid, sound...) {
 		want := check(response)
 		require.Equal(t, i < len(invalid), errors.Is(want, ErrInvalid), "%q: %v", response, want)
@@ -44,7 +53,7 @@
 
 // TestChecker_EndlessLineFillsMemory guards against lines that never end.
 func TestChecker_EndlessLineFillsMemory(t *testing.T) {
-	for _, start := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nA: "} {
+	for _, start := range []string{"HTTP/1.1 200 ", "HTTP/1.1 200 OK\r\nA: ", soundHead + "5;", soundHead + "0\r\nA: "} {
 		var c Checker
 		c.Expect()
 		require.NoError(t, c.Check([]byte(start)))
@@ -57,3 +66,54 @@
 		require.Less(t, cap(c.line), 4*maxLineBytes)
 	}
 }
+
+// TestChecker_FollowsAnotherBodyThanTheReader guards against a Checker that takes a part of the body for a trailer, or the other way
+// round.
+func TestChecker_FollowsAnotherBodyThanTheReader(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var raw, body strings.Builder
+		raw.WriteString("HTTP/1.1 200 OK\r\nTransfer-Encoding: CHUNKED\r\n\r\n")
+		for range rapid.IntRange(0, 5).Draw(t, "chunks") {
+			data := rapid.StringMatching(`[0-9a-f \r\n:;]{1,40}`).Draw(t, "data")
+			size := rapid.SampledFrom([]string{"%x", "0%X", "%x ", "%x;n=v", "%x;n=\"; m\""}).Draw(t, "size")
+			raw.WriteString(strings.ReplaceAll(strings.ReplaceAll(size, "%x", hex(len(data))), "%X", strings.ToUpper(hex(len(data)))) + "\r\n" + data + "\r\n")
+			body.WriteString(data)
+		}
+		raw.WriteString("0\r\n")
+		valid := true
+		for range rapid.IntRange(0, 3).Draw(t, "trailers") {
+			name := rapid.StringMatching(`[A-Za-z!#$%&'*+.^_|~0-9-]{1,5}|[A-Z ]{1,3}[ \t\x00][a-z]{0,3}`).Draw(t, "name")
+			valid = valid && !strings.ContainsAny(name, " \t\x00")
+			raw.WriteString(name + ": v\r\n")
+		}
+		raw.WriteString("\r\n")
+
+		checked := &checkedReader{r: strings.NewReader(raw.String() + " after\n"), n: rapid.IntRange(1, 50).Draw(t, "segment")}
+		checked.c.Expect()
+		response, err := http.ReadResponse(bufio.NewReader(checked), nil)
+		if err == nil {
+			var read []byte
+			read, err = io.ReadAll(response.Body)
+			if err == nil && string(read) != body.String() {
+				t.Fatalf("read %q, sent %q", read, body.String())
+			}
+		}
+		if (err == nil) != valid {
+			t.Fatalf("%q: valid %v, error %v", raw.String(), valid, err)
+		}
+		if (checked.c.Err() == nil) != valid { // net/http's reader may hide it
+			t.Fatalf("%q: valid %v, error %v", raw.String(), valid, checked.c.Err())
+		}
+	})
+}
+
+func hex(n int) string { return strconv.FormatInt(int64(n), 16) }
+
+// checkedReader reads segments of n bytes through a Checker.
+type checkedReader struct {
+	c Checker
+	r io.Reader
+	n int
+}
+
+func (r *checkedReader) Read(p []byte) (int, error) { return r.c.Read(r.r, p[:min(len(p), r.n)]) }
