ctl, platform: operators' commands check the answers of VMs

What operators saw: an order to take a zone out of service, or a status, counted as answered although the name of a field in the answer held a blank. Statuses that are none, and framing fields with such a name, were errors already.

Cause: the command-line tool reads with net/http's reader, which accepts such names.

Change: its connections use the same Checker, by responsecheck.NewTransport, with TLS as well. They are opened for each request now, since a Conn checks one response. Proxies that the environment names are used as before.

Green: internal/ctl, internal/responsecheck, platform -run 'TestOperatorClient|Boundary'.

--- a/internal/ctl/client.go
+++ b/internal/ctl/client.go
@@ -16,6 +16,7 @@
 
 	"egretramp/internal/admin/api"
 	"egretramp/internal/identity"
+	"egretramp/internal/responsecheck"
 )
 
 // Limits of one request.
@@ -42,7 +43,7 @@
 			return nil, &usageError{fmt.Sprintf("--admin %q is not IP:port", address)}
 		}
 	}
-	c := &client{scheme: "http", addresses: addresses, http: &http.Client{Timeout: requestTimeout}}
+	c := &client{scheme: "http", addresses: addresses, http: &http.Client{Timeout: requestTimeout, Transport: responsecheck.NewTransport(nil)}}
 	files := identity.Files{Certificate: t.Certificate, Key: t.Key, Authority: t.Authority}
 	if files == (identity.Files{}) {
 		return c, nil
@@ -52,7 +53,7 @@
 		return nil, &usageError{"--tls-certificate, --tls-key and --tls-authority belong together: " + err.Error()}
 	}
 	c.scheme = "https"
-	c.http.Transport = &http.Transport{TLSClientConfig: keeper.ClientConfig("")}
+	c.http.Transport = responsecheck.NewTransport(keeper.ClientConfig(""))
 	return c, nil
 }
 
--- a/internal/ctl/config_reference.go
+++ b/internal/ctl/config_reference.go
@@ -10,6 +10,7 @@
 	"egretramp/internal/admin/api"
 	"egretramp/internal/config"
 	"egretramp/internal/control"
+	"egretramp/internal/responsecheck"
 	"egretramp/internal/routing"
 )
 
@@ -49,7 +50,7 @@
 	if len(c.Control) == 0 {
 		return "", nil, errors.New("--running needs --control ADDRESS for this format")
 	}
-	client := &http.Client{Timeout: requestTimeout}
+	client := &http.Client{Timeout: requestTimeout, Transport: responsecheck.NewTransport(nil)}
 	for _, address := range c.Control {
 		target := url.URL{Scheme: "http", Host: address, Path: c.tool.format.Path}
 		if text, err = c.getText(client, target.String()); err == nil {
