gateway: a recorded answer with an invalid status is refused

What callers saw: an answer with a status of 000 that an earlier release recorded is replayed to each repetition of the call, and net/http's server panics in the handler, so the caller's connection is closed without an answer. VMs of both releases share records during an upgrade.

Change: such an answer is sent as 502 bad_answer with not_run false, since the call has run. The rule is that of responses.

Green: internal/gateway.

--- a/internal/gateway/sink.go
+++ b/internal/gateway/sink.go
@@ -6,6 +6,7 @@
 	"net/http"
 
 	"egretramp/internal/refusal"
+	"egretramp/internal/responsecheck"
 	"egretramp/internal/upstream"
 )
 
@@ -141,8 +142,12 @@
 	}
 }
 
-// writeAnswer sends a complete answer.
+// writeAnswer sends a complete answer. One that an earlier release recorded may have a status that can't be sent.
 func writeAnswer(w http.ResponseWriter, a answer) error {
+	if !responsecheck.IsFinal(a.status) {
+		failed("bad_answer", "the recorded answer has an invalid status", refusal.False).Write(w)
+		return nil
+	}
 	if a.contentType != "" {
 		w.Header().Set("Content-Type", a.contentType)
 	}
