proxy: any number of heads may come before the final one

What callers saw: 502, and for a repeatable request a second run, for a well-formed answer after three or more informational heads.

Cause: they were counted together with late responses to other requests, of which two are skipped.

Change: only those count; informational heads are bounded by the 64 KiB for heads, as before.

Green: proxy -run 'TestServer_(Many|Invalid|Every)|Endless', with endless informational heads.

--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -179,9 +179,6 @@
 		if err != nil {
 			return nil, Reply{}, errors.Wrap(err, "proxy: read the answer")
 		}
-		if response.StatusCode/100 == 1 {
-			continue
-		}
 		reply := a.server.opts.Protocol.ReadReply(response.StatusCode, response.Header)
 		if reply.RequestID == a.call.RequestID {
 			a.server.opts.Upstreams.ObserveLimit(a.upstream, reply.RateLimit, a.started)
@@ -203,17 +200,21 @@
 	return nil, Reply{}, errStaleResponse
 }
 
-// readHead reads the head of the next response on the connection.
+// readHead reads the head of the next final response on the connection.
 func (a *attempt) readHead(request *http.Request) (*http.Response, error) {
-	if err := a.conn.ExpectResponse(); err != nil {
-		return nil, err
-	}
-	response, err := http.ReadResponse(a.conn.Reader, request)
-	if err == nil || a.conn.InvalidResponse() != nil {
-		a.recordReceived()
-		a.server.health.recordHeard(a.upstream.ID)
+	for {
+		if err := a.conn.ExpectResponse(); err != nil {
+			return nil, err
+		}
+		response, err := http.ReadResponse(a.conn.Reader, request)
+		if err == nil || a.conn.InvalidResponse() != nil {
+			a.recordReceived()
+			a.server.health.recordHeard(a.upstream.ID)
+		}
+		if err != nil || response.StatusCode/100 != 1 {
+			return response, err
+		}
 	}
-	return response, err
 }
 
 // recordLeaving records, before the response is passed on, that it says that the upstream leaves.
--- a/internal/proxy/invalid_response_test.go
+++ b/internal/proxy/invalid_response_test.go
@@ -395,3 +395,17 @@
 		}
 	}
 }
+
+// TestServer_ManyInterimHeadsFailResponses guards against answers that count as none because several heads come before the final one.
+func TestServer_ManyInterimHeadsFailResponses(t *testing.T) {
+	for _, path := range scriptedRoutes {
+		s := newResponseScript(t, nil)
+		s.sound = true
+		for i, count := range []int{1, 2, 3, 4, 100} {
+			id := fmt.Sprint("r", i)
+			got := s.bytesOf(id, path, strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", count)+"HTTP/1.1 200 OK\r\nSigned: yes\r\nId: "+id+"\r\nContent-Length: 38\r\n\r\n"+twoEvents)
+			require.True(t, strings.HasPrefix(got, "HTTP/1.1 200 OK\r\n"), "%s after %d: %q", path, count, got)
+			require.Equal(t, 1, s.runs(id))
+		}
+	}
+}
