responsecheck: errors hold no value of a field

What operators saw: nothing yet; the error of an invalid line, which is logged, quoted up to 80 bytes of it, so also a value, which may be a cookie or a token.

Change: errors name the part of the response, and of a field line only the name.

Red before: TestChecker_ErrorHoldsAValue, at "Set-Cookie : secret".

--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -101,7 +101,7 @@
 	}
 	line, found := bytes.CutSuffix(line, []byte("\r"))
 	if !found || bytes.IndexByte(line, '\r') >= 0 {
-		return errors.Wrapf(ErrInvalid, "a bare line break in %.80q", line)
+		return errors.Wrap(ErrInvalid, "a bare CR or LF in the head or trailer")
 	}
 	switch {
 	case c.part == statusLine:
@@ -140,8 +140,11 @@
 // readField reads a field line. One that begins with a blank would continue the line before it, which HTTP allows no sender to do.
 func (c *Checker) readField(line []byte) error {
 	name, value, found := bytes.Cut(line, []byte(":"))
-	if !found || !isToken(name) {
-		return errors.Wrapf(ErrInvalid, "the field line %.80q", line)
+	if !found {
+		return errors.Wrap(ErrInvalid, "a field line without a name")
+	}
+	if !isToken(name) { // the value may be a secret
+		return errors.Wrapf(ErrInvalid, "the field name %.80q", name)
 	}
 	if c.part == fieldLines && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
 		c.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
--- a/internal/responsecheck/checker_test.go
+++ b/internal/responsecheck/checker_test.go
@@ -107,6 +107,15 @@
 	})
 }
 
+// TestChecker_ErrorHoldsAValue guards against values of fields, which may be secrets, in errors and thereby in logs.
+func TestChecker_ErrorHoldsAValue(t *testing.T) {
+	for _, line := range []string{"Set-Cookie : secret\r\n", "Set Cookie: secret\r\n", "A: b\r\n secret\r\n", "Set-Cookie: secret\n", "Set-Cookie: se\rcret\r\n", ": secret\r\n"} {
+		err := check("HTTP/1.1 200 OK\r\n" + line)
+		require.ErrorIs(t, err, ErrInvalid, "%q", line)
+		require.NotContains(t, err.Error(), "secret", "%q", line)
+	}
+}
+
 func hex(n int) string { return strconv.FormatInt(int64(n), 16) }
 
 // checkedReader reads segments of n bytes through a Checker.
