upconn: the bytes of an invalid response are counted

What operators saw: nothing yet; bytes that the check refused were received from another zone but not counted as such.

Cause: the check stood below the counter.

Change: the check reads through the limit and the counter (responsecheck.Reader). The error is named for what it is, since it is used for the answers of VMs too.

Red before: TestConn_CountsBytesOfAnInvalidResponse, 0 for 24 bytes. Green: internal/responsecheck, upconn, upstream, gateway, ctl, proxy.

--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -1,18 +1,17 @@
-// Package responsecheck checks the syntax of the responses that upstreams send, as their bytes arrive. net/http's reader accepts
-// statuses and field names that HTTP doesn't allow, and with them bodies that end elsewhere than the upstream meant. All
-// connections on which responses are read use a Checker.
+// Package responsecheck checks the syntax of HTTP responses as their bytes arrive. net/http's reader accepts statuses and field names
+// that HTTP doesn't allow, and with them bodies that end elsewhere than the sender meant. All connections on which the product
+// reads responses use a Checker.
 package responsecheck
 
 import (
 	"bytes"
-	"io"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
 )
 
 // ErrInvalid means that a response isn't valid HTTP/1.1. The request may have run, and the connection can't be used any more.
-var ErrInvalid = errors.New("the upstream sent an invalid response")
+var ErrInvalid = errors.New("invalid HTTP response")
 
 const (
 	// maxLineBytes bounds a line of a head or trailer, and of the size of a chunk.
@@ -51,19 +50,6 @@
 // Err returns the error of the first invalid byte, nil if there was none.
 func (c *Checker) Err() error { return c.err }
 
-// Read reads from a connection and checks what it read. Its error wraps ErrInvalid from the first invalid byte on, and none of the
-// bytes that were read together with that byte is returned.
-func (c *Checker) Read(conn io.Reader, p []byte) (int, error) {
-	if c.err != nil {
-		return 0, c.err // net/http's reader may read on after an error
-	}
-	n, err := conn.Read(p)
-	if invalid := c.Check(p[:n]); invalid != nil {
-		return 0, invalid
-	}
-	return n, err
-}
-
 // Check checks the next bytes of the connection. Its error wraps ErrInvalid and is returned by all later calls.
 func (c *Checker) Check(p []byte) error {
 	for len(p) > 0 && c.part != unchecked && c.err == nil {
--- a/internal/responsecheck/checker_test.go
+++ b/internal/responsecheck/checker_test.go
@@ -88,8 +88,8 @@
 		}
 		raw.WriteString("\r\n")
 
-		checked := &checkedReader{r: strings.NewReader(raw.String() + " after\n"), n: rapid.IntRange(1, 50).Draw(t, "segment")}
-		checked.c.Expect()
+		checked := &Reader{Source: &segments{strings.NewReader(raw.String() + " after\n"), rapid.IntRange(1, 50).Draw(t, "segment")}}
+		checked.Expect()
 		response, err := http.ReadResponse(bufio.NewReader(checked), nil)
 		if err == nil {
 			var read []byte
@@ -101,8 +101,8 @@
 		if (err == nil) != valid {
 			t.Fatalf("%q: valid %v, error %v", raw.String(), valid, err)
 		}
-		if (checked.c.Err() == nil) != valid { // net/http's reader may hide it
-			t.Fatalf("%q: valid %v, error %v", raw.String(), valid, checked.c.Err())
+		if (checked.Err() == nil) != valid { // net/http's reader may hide it
+			t.Fatalf("%q: valid %v, error %v", raw.String(), valid, checked.Err())
 		}
 	})
 }
@@ -118,11 +118,10 @@
 
 func hex(n int) string { return strconv.FormatInt(int64(n), 16) }
 
-// checkedReader reads segments of n bytes through a Checker.
-type checkedReader struct {
-	c Checker
-	r io.Reader
+// segments reads at most n bytes at once.
+type segments struct {
+	io.Reader
 	n int
 }
 
-func (r *checkedReader) Read(p []byte) (int, error) { return r.c.Read(r.r, p[:min(len(p), r.n)]) }
+func (r *segments) Read(p []byte) (int, error) { return r.Reader.Read(p[:min(len(p), r.n)]) }
--- a/internal/responsecheck/conn.go
+++ b/internal/responsecheck/conn.go
@@ -3,25 +3,45 @@
 import (
 	"context"
 	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 )
 
+// Reader reads from a connection and checks what it reads. Its error wraps ErrInvalid from the first invalid byte on, and none of the
+// bytes that were read together with that byte is returned.
+type Reader struct {
+	Checker
+	Source io.Reader
+}
+
+// Read implements io.Reader.
+func (r *Reader) Read(p []byte) (int, error) {
+	if err := r.Err(); err != nil {
+		return 0, err // net/http's reader may read on after an error
+	}
+	n, err := r.Source.Read(p)
+	if invalid := r.Check(p[:n]); invalid != nil {
+		return 0, invalid
+	}
+	return n, err
+}
+
 // Conn is a connection for one request. Reads of an invalid response return an error that wraps ErrInvalid.
 type Conn struct {
 	net.Conn
-	response Checker
+	reader Reader
 }
 
 // NewConn returns a Conn on a connection from which nothing was read.
 func NewConn(c net.Conn) *Conn {
-	checked := &Conn{Conn: c}
-	checked.response.Expect()
+	checked := &Conn{Conn: c, reader: Reader{Source: c}}
+	checked.reader.Expect()
 	return checked
 }
 
 // Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) { return c.response.Read(c.Conn, p) }
+func (c *Conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
 
 // NewTransport returns a transport that opens a connection for each request, and whose errors for invalid responses wrap ErrInvalid.
 // config is for https; without it, the proxy that the environment names is used, as http.DefaultTransport does.
--- a/internal/upconn/count_test.go
+++ b/internal/upconn/count_test.go
@@ -7,6 +7,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"egretramp/internal/responsecheck"
 )
 
 // TestConn_CountsBytes guards against bytes of an attempt that are not counted, or that are counted for an earlier attempt
@@ -27,3 +29,19 @@
 		require.Equal(t, []int64{3, 6}, []int64{sent, received})
 	}
 }
+
+// TestConn_CountsBytesOfAnInvalidResponse guards against received bytes that are not counted because they are no response.
+func TestConn_CountsBytesOfAnInvalidResponse(t *testing.T) {
+	near, far := net.Pipe()
+	p := NewPool(func(context.Context, string) (net.Conn, error) { return near, nil }, func(string) bool { return false })
+	c, err := p.Get(context.Background(), "a")
+	require.NoError(t, err)
+	var received int64
+	c.CountBytes(func(_, r int64) { received += r })
+	require.NoError(t, c.ExpectResponse())
+	go func() { _, _ = far.Write([]byte("HTTP/1.1 000 Odd\r\n\r\nbody")) }()
+	_, err = c.Reader.ReadByte()
+	require.ErrorIs(t, err, responsecheck.ErrInvalid)
+	require.ErrorIs(t, c.InvalidResponse(), responsecheck.ErrInvalid)
+	require.Equal(t, int64(24), received)
+}
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -44,6 +44,7 @@
 	net.Conn
 	Reader  *bufio.Reader // buffers reads from Conn
 	limit   *limitedReader
+	checked *responsecheck.Reader
 	add     func(sent, received int64) // set by CountBytes; nil for none
 	address string
 	// Reused reports whether the connection carried a request before.
@@ -155,8 +156,9 @@
 	}
 	p.opened.Add(1)
 	limit := &limitedReader{conn: raw, left: math.MaxInt64}
+	checked := &responsecheck.Reader{Source: limit}
 	return &Conn{
-		Conn: raw, Reader: bufio.NewReaderSize(limit, readBufferBytes), limit: limit, address: address, idleLimit: defaultIdle,
+		Conn: raw, Reader: bufio.NewReaderSize(checked, readBufferBytes), limit: limit, checked: checked, address: address, idleLimit: defaultIdle,
 	}, nil
 }
 
@@ -178,27 +180,26 @@
 	if err != nil {
 		return err
 	}
-	c.limit.responses.Expect()
-	return c.limit.responses.Check(buffered)
+	c.checked.Expect()
+	return c.checked.Check(buffered)
 }
 
 // InvalidResponse returns an error that wraps responsecheck.ErrInvalid if an invalid response was received, whatever error
 // net/http's reader made of it.
-func (c *Conn) InvalidResponse() error { return c.limit.responses.Err() }
+func (c *Conn) InvalidResponse() error { return c.checked.Err() }
 
-// limitedReader reads from a connection until a limit is reached, and checks the responses.
+// limitedReader reads from a connection until a limit is reached.
 type limitedReader struct {
-	conn      net.Conn
-	left      int64
-	responses responsecheck.Checker
-	add       func(sent, received int64) // set by CountBytes; nil for none
+	conn net.Conn
+	left int64
+	add  func(sent, received int64) // set by CountBytes; nil for none
 }
 
 func (r *limitedReader) Read(p []byte) (int, error) {
 	if r.left <= 0 {
 		return 0, ErrReadLimit
 	}
-	n, err := r.responses.Read(r.conn, p[:min(int64(len(p)), r.left)])
+	n, err := r.conn.Read(p[:min(int64(len(p)), r.left)])
 	r.left -= int64(n)
 	if r.add != nil {
 		r.add(0, int64(n))
