--- a/internal/proxy/invalid_response_test.go
+++ b/internal/proxy/invalid_response_test.go
@@ -87,7 +87,8 @@
 	return err == nil
 }
 
-// bytesOf sends a request whose first response is raw, and returns all bytes that the caller gets.
+// bytesOf sends a request whose first response is raw, and returns all bytes that the caller gets. A turn is one of a program under
+// way: on a slow machine admission refuses new ones.
 func (s *responseScript) bytesOf(id, path, raw string) string {
 	s.mu.Lock()
 	s.raw[id] = raw
@@ -96,7 +97,7 @@
 	require.NoError(s.t, err)
 	defer func() { _ = c.Close() }()
 	require.NoError(s.t, c.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nProgram: %s\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", path, id, id)
+	_, err = fmt.Fprintf(c, "POST %s HTTP/1.1\r\nHost: h\r\nId: %s\r\nKey: key\r\nProgram: %s\r\nLine: sub-agent\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", path, id, id)
 	require.NoError(s.t, err)
 	got, err := io.ReadAll(c)
 	require.NoError(s.t, err, "%s %q", path, raw)
