--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -17,6 +17,7 @@
 
 var scenarios = map[string]func(r *record, trouble bool) (int, error){
 	"stores": storeMemory,
+	"late":   latePrograms,
 }
 
 // main runs a scenario: standins NAME FOLDER. It writes record.txt into the folder.
--- a/review/_standins-3/stores.go
+++ b/review/_standins-3/stores.go
@@ -78,7 +78,7 @@
 	for _, m := range f.of("edge") {
 		for {
 			status, _, _ := call(time.Second, "GET", "http://"+m.address(readyPort)+"/-/readyz", nil)
-			if status == 200 && f.turn(m, newID(), "", "one", 500, nil).served {
+			if status == 200 && f.turn(m, newID(), "", 30*time.Second, text(500)).served {
 				break
 			}
 			if time.Now().After(deadline) {
@@ -100,28 +100,30 @@
 	id     string
 	status int
 	served bool // answered whole, by a replica
+	signed bool // the answer has a replica's signature
 	bytes  int  // of the body that the replica received
 	at     time.Time
 }
 
-// turn sends a turn of a program, in a body of the given size. Two bytes of text are a token.
-func (f *fleet) turn(m *machine, programID, previous, tenant string, size int, body []byte) turnResult {
-	if body == nil {
-		body = text(size)
-	}
+// turn sends a turn of a program. finish is the time that is left until the program should be finished.
+func (f *fleet) turn(m *machine, programID, previous string, finish time.Duration, body []byte) turnResult {
 	id := newID()
 	headers := []string{"Host: h.example", "X-Request-Id: " + id, "X-Model: m", "X-Program-Id: " + programID, "X-Session-Id: " + programID,
-		"X-Finish-Ms: 30000", "X-Token-Budget: 2304", fmt.Sprintf("X-Token-Usage: %d,72", max(len(body)/bytesPerToken, 1)), "X-Deadline-Ms: 3000",
-		"Authorization: Bearer key-of-" + tenant, "Content-Type: text/plain"}
+		fmt.Sprintf("X-Finish-Ms: %d", finish.Milliseconds()), "X-Token-Budget: 2304", fmt.Sprintf("X-Token-Usage: %d,72", max(len(body)/bytesPerToken, 1)), "X-Deadline-Ms: 3000",
+		"Authorization: Bearer key-of-one", "Content-Type: text/plain"}
 	if previous != "" {
 		headers = append(headers, "X-Previous-Turn: "+previous)
 	}
-	status, header, answer := call(4*time.Second, "POST", "http://"+m.address(frontPort)+"/chat/t", body, headers...)
+	status, header, answer := call(clientPatience, "POST", "http://"+m.address(frontPort)+"/chat/t", body, headers...)
 	received, _ := strconv.Atoi(header.Get("X-Body-Bytes"))
 	whole := bytes.Contains(answer, []byte(fmt.Sprintf("id: %d\n", streamEvents)))
-	return turnResult{id: id, status: status, served: status == 200 && whole && header.Get("X-Response-Signature") != "", bytes: received, at: time.Now()}
+	signed := header.Get("X-Response-Signature") != ""
+	return turnResult{id: id, status: status, served: status == 200 && whole && signed, signed: signed, bytes: received, at: time.Now()}
 }
 
+// clientPatience is how long a client waits for a turn: its deadline is 3 s.
+const clientPatience = 3 * time.Second
+
 // bytesPerToken is the size of a token's text.
 const bytesPerToken = 2
 
@@ -166,7 +168,7 @@
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			t := f.turn(edges[i%len(edges)], newID(), "", "one", size, body)
+			t := f.turn(edges[i%len(edges)], newID(), "", 30*time.Second, body)
 			mu.Lock()
 			defer mu.Unlock()
 			if t.served {
@@ -236,7 +238,7 @@
 			defer wg.Done()
 			var tries []int
 			for n := range 5 {
-				next := f.turn(edges[(i+n)%len(edges)], newID(), t.id, "one", 200, nil)
+				next := f.turn(edges[(i+n)%len(edges)], newID(), t.id, 30*time.Second, text(200))
 				tries = append(tries, next.status)
 				if next.served {
 					return
