--- a/review/_standins-3/fleet.go
+++ b/review/_standins-3/fleet.go
@@ -61,6 +61,7 @@
 type fleet struct {
 	machines []*machine
 	folder   string
+	models   []*replica
 	stop     context.CancelFunc
 	ctx      context.Context
 	wg       sync.WaitGroup
--- a/review/_standins-3/main.go
+++ b/review/_standins-3/main.go
@@ -16,8 +16,9 @@
 )
 
 var scenarios = map[string]func(r *record, trouble bool) (int, error){
-	"stores": storeMemory,
-	"late":   latePrograms,
+	"stores":   storeMemory,
+	"comments": streamComments,
+	"late":     latePrograms,
 }
 
 // main runs a scenario: standins NAME FOLDER. It writes record.txt into the folder.
--- a/review/_standins-3/replicas.go
+++ b/review/_standins-3/replicas.go
@@ -22,8 +22,11 @@
 	prefill                    sync.Mutex
 	running                    atomic.Int64
 
-	mu   sync.Mutex
-	runs map[string]int // by request ID
+	mu     sync.Mutex
+	runs   map[string]int    // by request ID
+	bodies map[string][]byte // of turns, by request ID; nil if they aren't kept
+	// comments makes it send a comment before each event of a stream, as servers do to keep a connection alive.
+	comments bool
 }
 
 const (
@@ -87,6 +90,10 @@
 	defer s.running.Add(-1)
 	s.mu.Lock()
 	s.runs[id]++
+	if s.bodies != nil {
+		s.bodies[id] = body
+	}
+	comments := s.comments
 	s.mu.Unlock()
 	w.Header().Set("X-Response-Signature", s.id+"."+id)
 	if s.tokensPerMs == 0 {
@@ -105,8 +112,14 @@
 		if r.Context().Err() != nil {
 			return
 		}
-		fmt.Fprintf(w, "id: %d\ndata: word %d of %s\n\n", i, i, id)
+		if comments {
+			fmt.Fprint(w, ": at work\n\n")
+		}
+		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, eventData(id, i))
 		w.(http.Flusher).Flush()
 		time.Sleep(eventPause)
 	}
 }
+
+// eventData returns the data of an event of a run.
+func eventData(id string, event int) string { return fmt.Sprintf("word %d of %s", event, id) }
--- a/review/_standins-3/stores.go
+++ b/review/_standins-3/stores.go
@@ -62,9 +62,11 @@
 	ip := f.machines[0].ip
 	prefix := ip[:len(ip)-len("11")]
 	for i := range 9 {
-		if _, err := f.startReplica(fmt.Sprintf("i-model%d", i), "models", zones[i%3], prefix+strconv.Itoa(100+i), 12, prefillTokensPerMs); err != nil {
+		model, err := f.startReplica(fmt.Sprintf("i-model%d", i), "models", zones[i%3], prefix+strconv.Itoa(100+i), 12, prefillTokensPerMs)
+		if err != nil {
 			return f, err
 		}
+		f.models = append(f.models, model)
 	}
 	for i := range 6 {
 		if _, err := f.startReplica(fmt.Sprintf("i-app%d", i), "app", zones[i%3], prefix+strconv.Itoa(120+i), 6, 0); err != nil {
