--- a/review/_standins-3/deployment.go
+++ b/review/_standins-3/deployment.go
@@ -13,7 +13,7 @@
 
 // The machines of Peluca Co-op.
 var pelucaClasses = []class{
-	{name: "core", serves: "control_plane", memoryMB: 280, diskMB: 128, cpuShare: 0.48, fds: 4096, linkMbps: 1000, perZone: 1},
+	{name: "core", serves: named("@serves-control@"), memoryMB: 280, diskMB: 128, cpuShare: 0.48, fds: 4096, linkMbps: 1000, perZone: 1},
 	{name: "storage", serves: "storage", memoryMB: 154, diskMB: 390, cpuShare: 0.8, fds: 8200, linkMbps: 600, perZone: 1},
 	{name: "edge", serves: "edge", memoryMB: 134, cpuShare: 0.4, fds: 4100, linkMbps: 1000, perZone: 3},
 }
@@ -35,10 +35,10 @@
 
 // put sends a configuration as the operator does, to one control machine after the other, until it is acknowledged.
 func (f *fleet) put(data []byte, limit time.Duration) (acknowledged bool) {
-	control := f.of("control_plane")
+	control := f.of(named("@serves-control@"))
 	pause := 50 * time.Millisecond
 	for i, deadline := rand.IntN(len(control)), time.Now().Add(limit); time.Now().Before(deadline); i++ {
-		status, _, _ := call(2*time.Second, "PUT", "http://"+control[i%len(control)].address(controlPort)+"/-/config", data, "Content-Type: application/json")
+		status, _, _ := call(2*time.Second, "PUT", "http://"+control[i%len(control)].address(controlPort)+named("@control@config"), data, "Content-Type: application/json")
 		if status == 200 {
 			return true
 		}
@@ -78,7 +78,7 @@
 	deadline := time.Now().Add(15 * time.Second)
 	for _, m := range f.of("edge") {
 		for {
-			status, _, _ := call(time.Second, "GET", "http://"+m.address(readyPort)+"/-/readyz", nil)
+			status, _, _ := call(time.Second, "GET", "http://"+m.address(readyPort)+named("@control@readyz"), nil)
 			if status == 200 && f.turn(m, newID(), "", 30*time.Second, text(500)).served {
 				break
 			}
@@ -109,16 +109,16 @@
 // turn sends a turn of a program. finish is the time that is left until the program should be finished.
 func (f *fleet) turn(m *machine, programID, previous string, finish time.Duration, body []byte) turnResult {
 	id := newID()
-	headers := []string{"Host: h.example", "X-Request-Id: " + id, "X-Model: m", "X-Program-Id: " + programID, "X-Session-Id: " + programID,
-		fmt.Sprintf("X-Finish-Ms: %d", finish.Milliseconds()), "X-Token-Budget: 2304", fmt.Sprintf("X-Token-Usage: %d,72", max(len(body)/bytesPerToken, 1)), "X-Deadline-Ms: 3000",
+	headers := []string{"Host: h.example", "X-Request-Id: " + id, "X-Model: m", named("@program@: ") + programID, named("@line@: ") + programID,
+		fmt.Sprintf("X-Finish-Ms: %d", finish.Milliseconds()), named("@budget@: 2304"), fmt.Sprintf(named("@usage@: %d,72"), max(len(body)/bytesPerToken, 1)), named("@deadline@: 3000"),
 		"Authorization: Bearer key-of-one", "Content-Type: text/plain"}
 	if previous != "" {
-		headers = append(headers, "X-Previous-Turn: "+previous)
+		headers = append(headers, named("@previous@: ")+previous)
 	}
 	status, header, answer := call(clientPatience, "POST", "http://"+m.address(frontPort)+"/chat/t", body, headers...)
 	received, _ := strconv.Atoi(header.Get("X-Body-Bytes"))
 	whole := bytes.Contains(answer, []byte(fmt.Sprintf("id: %d\n", streamEvents)))
-	signed := header.Get("X-Response-Signature") != ""
+	signed := header.Get(named("@signature@")) != ""
 	return turnResult{id: id, status: status, served: status == 200 && whole && signed, signed: signed, bytes: received, at: time.Now()}
 }
 
