proxy, peer: a reset during an upload doesn't complete a response

What callers saw: an upstream answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written. Callers got that part as a complete answer, calls that may be repeated weren't, and a stateful turn was recorded with it. Through another VM as well.

Cause: a socket reports a reset once, to the call that comes first. The write that fails with ECONNRESET takes the error, and the read after it returns a clean end. An answer without a length ends with its connection, so it looked whole.

Change: connend.Conn remembers the first error of a connection's writes. At an end it waits for a write that may be about to return one (a blocked one is made to return), and passes that error on instead of the end. EPIPE as the first error means that the other side's orderly end had arrived before; such an answer stays whole, also while the upload goes on. The platform's connections to upstreams (upconn) and the far ends of tunnels (peer) read through it. A part is thereby a failed attempt that may have run.

Evidence: connendtest.Conn is a client's real socket on which the last byte of a request is written only after the reset, and no read sees the end before that write.

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -15,6 +15,7 @@
 	"github.com/sourcegraph/conc"
 	"golang.org/x/sys/unix"
 
+	"egretramp/internal/connend"
 	"egretramp/internal/peer/peerpb"
 )
 
@@ -237,8 +238,9 @@
 	if c, ok := conn.(DrainingConn); ok && c.Draining() {
 		sendDraining(stream)
 	}
-	wg.Go(func() { sendToUpstream(stream, conn, counted) })
-	return receiveFromUpstream(stream, conn, counted)
+	upstream := connend.New(conn)
+	wg.Go(func() { sendToUpstream(stream, upstream, counted) })
+	return receiveFromUpstream(stream, upstream, counted)
 }
 
 func (s *server) openTunnel(ctx context.Context, first *peerpb.TunnelFrame) (net.Conn, error) {
@@ -249,7 +251,7 @@
 }
 
 // sendToUpstream passes bytes on to the upstream until the tunnel ends.
-func sendToUpstream(stream peerpb.DRPCPeer_TunnelStream, conn net.Conn, counted *countedConn) {
+func sendToUpstream(stream peerpb.DRPCPeer_TunnelStream, conn *connend.Conn, counted *countedConn) {
 	defer func() { _ = conn.Close() }()
 	for {
 		frame, err := stream.Recv()
@@ -264,7 +266,7 @@
 }
 
 // receiveFromUpstream passes the upstream's bytes back, and how its connection ended.
-func receiveFromUpstream(stream peerpb.DRPCPeer_TunnelStream, conn net.Conn, counted *countedConn) error {
+func receiveFromUpstream(stream peerpb.DRPCPeer_TunnelStream, conn *connend.Conn, counted *countedConn) error {
 	buffer := make([]byte, tunnelBufferBytes)
 	for {
 		if err := conn.SetReadDeadline(time.Now().Add(tunnelIdleTimeout)); err != nil {
--- a/internal/proxy/cuts_test.go
+++ b/internal/proxy/cuts_test.go
@@ -201,13 +201,16 @@
 }
 
 // tunnelDial returns a function that opens connections through another VM.
-func tunnelDial(t *testing.T) upconn.DialFunc {
+func tunnelDial(t *testing.T) upconn.DialFunc { return tunnelDialWith(t, upconn.Dial) }
+
+// tunnelDialWith is tunnelDial with the function by which the other VM opens its connections.
+func tunnelDialWith(t *testing.T, dial upconn.DialFunc) upconn.DialFunc {
 	address, err := loopback.Address()
 	require.NoError(t, err)
 	listener, err := net.Listen("tcp", address)
 	require.NoError(t, err)
 	other := peer.New(peer.Options{VM: address})
-	other.HandleTunnels(func(ctx context.Context, _, address string) (net.Conn, error) { return upconn.Dial(ctx, address) })
+	other.HandleTunnels(func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) })
 	ctx, cancel := context.WithCancel(context.Background())
 	served := make(chan error, 1)
 	go func() { served <- other.Serve(ctx, listener) }()
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -222,7 +222,7 @@
 	server := g.server
 	g.address = listen(g.t, func(l net.Listener) {
 		_ = httpwire.New(server, func() httpwire.Limits {
-			return httpwire.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 1 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
+			return httpwire.Limits{MaxHeaderBytes: 4 << 10, MaxBodyBytes: 8 << 20, HeaderTimeout: time.Second, IdleTimeout: 5 * time.Second}
 		}).Serve(l)
 	})
 }
--- a/internal/upconn/pool.go
+++ b/internal/upconn/pool.go
@@ -18,6 +18,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"egretramp/internal/connend"
 	"egretramp/internal/responsecheck"
 )
 
@@ -42,7 +43,8 @@
 // Conn is a connection to an upstream.
 type Conn struct {
 	net.Conn
-	Reader  *bufio.Reader // buffers reads from Conn
+	Reader  *bufio.Reader // buffers reads from Conn; io.EOF is an orderly end
+	end     *connend.Conn // reads from and writes to Conn
 	limit   *limitedReader
 	checked *responsecheck.Reader
 	add     func(sent, received int64) // set by CountBytes; nil for none
@@ -61,7 +63,7 @@
 
 // Write implements net.Conn.
 func (c *Conn) Write(p []byte) (int, error) {
-	n, err := c.Conn.Write(p)
+	n, err := c.end.Write(p)
 	if c.add != nil {
 		c.add(int64(n), 0)
 	}
@@ -155,10 +157,11 @@
 		return nil, err
 	}
 	p.opened.Add(1)
-	limit := &limitedReader{conn: raw, left: math.MaxInt64}
+	end := connend.New(raw)
+	limit := &limitedReader{conn: end, left: math.MaxInt64}
 	checked := &responsecheck.Reader{Source: limit}
 	return &Conn{
-		Conn: raw, Reader: bufio.NewReaderSize(checked, readBufferBytes), limit: limit, checked: checked, address: address, idleLimit: defaultIdle,
+		Conn: raw, Reader: bufio.NewReaderSize(checked, readBufferBytes), end: end, limit: limit, checked: checked, address: address, idleLimit: defaultIdle,
 	}, nil
 }
 
