peer: an orderly end through another VM is whole during an upload

What callers saw: an upstream answered early, without a length, and ended its connection in order while the rest of the request was still being sent through another VM. The whole answer was a failed attempt, after some or all of its bytes.

Cause: either side's writer ended the tunnel when it could not write any more. The far VM closed the upstream's connection, with bytes of the answer unread ("use of closed network connection"); the near VM took "remote closed the stream" for the tunnel's outcome although the orderly end had arrived.

Change: the writers discard what is no longer taken, so that memory and flow are as before, and only the readers say how a tunnel ended.

Green after: 20 runs of 300, 3 with the race detector. internal/peer, internal/node whole: green.

--- a/internal/peer/tunnel.go
+++ b/internal/peer/tunnel.go
@@ -124,18 +124,16 @@
 	return errors.CombineErrors(err, optErr)
 }
 
-// send passes on what is written to the tunnel.
+// send passes on what is written to the tunnel. Once the other VM takes no more, which may be after an orderly end that isn't read yet,
+// the rest is discarded: receive reports how the tunnel ended.
 func (t *Tunnel) send(stream peerpb.DRPCPeer_TunnelClient) {
 	buffer := make([]byte, tunnelBufferBytes)
+	discard := false
 	for {
 		n, err := t.far.Read(buffer)
-		if n > 0 {
-			err := stream.Send(&peerpb.TunnelFrame{Data: buffer[:n]})
+		if n > 0 && !discard {
+			discard = stream.Send(&peerpb.TunnelFrame{Data: buffer[:n]}) != nil
 			t.conn.counted.attributeSent(KindTunnel, nil)
-			if err != nil {
-				t.fail(err)
-				return
-			}
 		}
 		if err != nil {
 			_ = t.conn.Close()
@@ -250,17 +248,20 @@
 	return s.node.tunnels(ctx, first.From, first.Address)
 }
 
-// sendToUpstream passes bytes on to the upstream until the tunnel ends.
+// sendToUpstream passes bytes on to the upstream until the tunnel ends. Once the upstream takes no more, the rest is discarded:
+// receiveFromUpstream reports how its connection ended.
 func sendToUpstream(stream peerpb.DRPCPeer_TunnelStream, conn *connend.Conn, counted *countedConn) {
 	defer func() { _ = conn.Close() }()
+	discard := false
 	for {
 		frame, err := stream.Recv()
 		counted.attributeReceived(KindTunnel, nil)
 		if err != nil {
 			return // closed by the other VM, or lost: either ends the upstream's connection
 		}
-		if _, err := conn.Write(frame.Data); err != nil {
-			return // receiveFromUpstream reports it
+		if !discard {
+			_, err := conn.Write(frame.Data)
+			discard = err != nil
 		}
 	}
 }
--- a/internal/peer/tunnel_end_test.go
+++ b/internal/peer/tunnel_end_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"io"
 	"net"
+	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -37,3 +39,44 @@
 		require.Equal(t, codeTunnelReset, remote.Code)
 	}
 }
+
+// TestTunnel_OrderlyEndDuringAnUploadLooksBroken guards against whole responses that are cut off because their upstream takes no more of
+// the request: it ends in order and reads no further, or resets the connection after that.
+func TestTunnel_OrderlyEndDuringAnUploadLooksBroken(t *testing.T) {
+	whole := strings.Repeat("whole", 20000)
+	f := newTunnelFixture(t)
+	for name, end := range map[string]func(far *net.TCPConn){
+		"reads nothing": func(far *net.TCPConn) { _ = far.CloseWrite() },
+		"reads all":     func(far *net.TCPConn) { _ = far.CloseWrite(); go func() { _, _ = io.Copy(io.Discard, far) }() },
+		"resets after": func(far *net.TCPConn) {
+			_ = far.CloseWrite()
+			time.Sleep(time.Millisecond) // a reset discards what isn't sent yet
+			_ = far.SetLinger(0)
+			_ = far.Close()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for i := range 100 {
+				near, far := f.open(t)
+				go func() {
+					for {
+						if _, err := near.Write(make([]byte, 64<<10)); err != nil {
+							return
+						}
+					}
+				}()
+				go func() {
+					_, _ = io.WriteString(far, whole)
+					end(far)
+				}()
+				time.Sleep(time.Duration(i%5) * time.Millisecond)
+				began := time.Now()
+				got, err := io.ReadAll(near)
+				require.NoError(t, err, "after %d of %d bytes in run %d", len(got), len(whole), i)
+				require.Equal(t, whole, string(got))
+				require.Less(t, time.Since(began), time.Second)
+				require.NoError(t, near.Close())
+			}
+		})
+	}
+}
