upstream, ctl: a reset during an upload doesn't complete a response

What callers saw: on the own fleet's way, the same as on the platform's: a service answered a long upload at once with a 200 without a length, sent a part and reset the connection during the upload, and callers got the part as a complete answer; calls that may be repeated weren't, and the record of a program kept it.

Cause: net/http's transport reads the end of the connection as that of the body. The write that failed took the reset, and the end looked clean.

Change: responsecheck.Conn, on which the transports of upstream.Client, the command-line tool and platform.OperatorClient read, is a connend.Conn below. NewClientWithDial is for the tests' connections.

--- a/internal/gateway/server_test.go
+++ b/internal/gateway/server_test.go
@@ -138,13 +138,18 @@
 }
 
 func newTestGateway(t *testing.T, addresses ...string) *testGateway {
+	return newTestGatewayWith(t, upstream.NewClient(), addresses...)
+}
+
+// newTestGatewayWith is newTestGateway with the client that calls upstreams.
+func newTestGatewayWith(t *testing.T, client *upstream.Client, addresses ...string) *testGateway {
 	g := &testGateway{
 		authority: newTestAuthority(), limiter: &testLimiter{},
 		dispatcher: &testDispatcher{addresses: addresses}, ledger: newTestLedger(),
 	}
 	g.server = New(Options{
 		VM: "vm", Zone: "z", Authority: g.authority, Limiter: g.limiter, Dispatcher: g.dispatcher,
-		Caller: upstream.NewClient(), Ledger: g.ledger, Suspects: newTestGuard(),
+		Caller: client, Ledger: g.ledger, Suspects: newTestGuard(),
 	})
 	g.Server = httptest.NewServer(g.server)
 	t.Cleanup(g.Close)
--- a/internal/responsecheck/conn.go
+++ b/internal/responsecheck/conn.go
@@ -6,6 +6,8 @@
 	"io"
 	"net"
 	"net/http"
+
+	"egretramp/internal/connend"
 )
 
 // Reader reads from a connection and checks what it reads. Its error wraps ErrInvalid from the first invalid byte on, and none of the
@@ -27,7 +29,8 @@
 	return n, err
 }
 
-// Conn is a connection for one request. Reads of an invalid response return an error that wraps ErrInvalid.
+// Conn is a connection for one request. Reads of an invalid response return an error that wraps ErrInvalid, and reads at the end return
+// io.EOF only if the other side ended the connection in order.
 type Conn struct {
 	net.Conn
 	reader Reader
@@ -35,6 +38,7 @@
 
 // NewConn returns a Conn on a connection from which nothing was read.
 func NewConn(c net.Conn) *Conn {
+	c = connend.New(c)
 	checked := &Conn{Conn: c, reader: Reader{Source: c}}
 	checked.reader.Expect()
 	return checked
--- a/internal/responsecheck/conn_test.go
+++ b/internal/responsecheck/conn_test.go
@@ -1,11 +1,15 @@
 package responsecheck
 
 import (
+	"context"
 	"crypto/tls"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -39,3 +43,45 @@
 		}
 	}
 }
+
+// TestTransport_ResetThatAWriteTookLooksOrderly guards against a part of a VM's answer that looks whole, with TLS or without, because a
+// write that failed took the reset.
+func TestTransport_ResetThatAWriteTookLooksOrderly(t *testing.T) {
+	const part = "HTTP/1.1 200 OK\r\n\r\npart"
+	handler := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		c, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, part)
+		if secure, ok := c.(*tls.Conn); ok {
+			c = secure.NetConn()
+		}
+		_ = c.(*net.TCPConn).SetLinger(0)
+		_ = c.Close()
+	})
+	plain, secure := httptest.NewServer(handler), httptest.NewTLSServer(handler)
+	t.Cleanup(plain.Close)
+	t.Cleanup(secure.Close)
+	for server, config := range map[*httptest.Server]*tls.Config{plain: nil, secure: secure.Client().Transport.(*http.Transport).TLSClientConfig} {
+		transport := NewTransport(config)
+		dial := transport.DialContext
+		if config != nil {
+			dial = transport.DialTLSContext
+		}
+		c, err := dial(context.Background(), "tcp", server.Listener.Addr().String())
+		require.NoError(t, err)
+		defer func() { _ = c.Close() }()
+		_, err = io.WriteString(c, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+		require.NoError(t, err)
+		got := make([]byte, len(part))
+		_, err = io.ReadFull(c, got)
+		require.NoError(t, err)
+		for deadline := time.Now().Add(5 * time.Second); err == nil && time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+			_, err = c.Write([]byte("x"))
+		}
+		require.ErrorIs(t, err, syscall.ECONNRESET)
+		_, err = c.Read(got)
+		require.ErrorIs(t, err, syscall.ECONNRESET, "TLS: %v", config != nil)
+	}
+}
--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -29,11 +29,16 @@
 	transport *http.Transport
 }
 
+// DialFunc opens a connection; network is tcp.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 // NewClient returns a Client that opens a new connection for each call.
-func NewClient() *Client {
-	dialer := &net.Dialer{Timeout: dialTimeout}
+func NewClient() *Client { return NewClientWithDial((&net.Dialer{Timeout: dialTimeout}).DialContext) }
+
+// NewClientWithDial is NewClient with a function that opens the connections.
+func NewClientWithDial(dial DialFunc) *Client {
 	return &Client{transport: &http.Transport{
-		DialContext:        dialGuarded(dialer),
+		DialContext:        dialGuarded(dial),
 		DisableKeepAlives:  true,
 		DisableCompression: true,
 
--- a/internal/upstream/writeguard.go
+++ b/internal/upstream/writeguard.go
@@ -81,9 +81,9 @@
 }
 
 // dialGuarded returns a dial function whose connections are of type *guardedConn.
-func dialGuarded(dialer *net.Dialer) func(ctx context.Context, network, address string) (net.Conn, error) {
+func dialGuarded(dial DialFunc) DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dialer.DialContext(ctx, network, address)
+		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
