responsecheck: a write that fails doesn't lose a whole response

What callers saw: on the own fleet's way, a service answered early and ended its answer in order, or sent as many bytes as its length says, and then reset the connection during the upload.

Cause: net/http's transport closes the connection as soon as a write fails, with what has arrived unread.

Change: responsecheck.Conn passes no error of a write on. What is left of the request is discarded, and the read says how the connection ended: with the answer, or with the error that the write took (connend).

Evidence: red before, TestServer_WholeResponseDuringAnUploadFails, both cases "read last", 3 of 3 runs; its other cases are green before and after. Green: internal/responsecheck, upstream, ctl, gateway whole; the new tests with the race detector.

--- a/internal/connend/connendtest/conn.go
+++ b/internal/connend/connendtest/conn.go
@@ -22,33 +22,45 @@
 	maxWait = 5 * time.Second
 	// returnDelay is how long a Write that failed may wait for a Read to see the end.
 	returnDelay = 100 * time.Millisecond
+	// readDelay is how much later than such a Write a Read of a Conn that reads last returns.
+	readDelay = 10 * time.Millisecond
 )
 
 // Conn is a client's TCP connection for one HTTP request, whose other side ends it before it has read all of the request. The last
-// byte is written only after that, so a Write fails for certain. No Read sees the end before, and that Write returns only after a
-// Read has seen it.
+// byte is written only after that, so a Write fails for certain, and no Read sees the end before.
 type Conn struct {
 	net.Conn
+	last    bool          // reads are last
 	left    int           // bytes of the request that are not written; -1 before the head
 	written chan struct{} // closed once all is written or a Write failed
 	ended   chan struct{} // closed once a Read returned an error
 	once    [2]sync.Once
 }
 
-// NewConn returns a Conn on a TCP connection that was not used yet.
+// NewConn returns a Conn on a TCP connection that was not used yet. The Write that fails returns only after a Read has seen the end.
 func NewConn(c net.Conn) *Conn {
 	return &Conn{Conn: c, left: -1, written: make(chan struct{}), ended: make(chan struct{})}
 }
 
-// DialFirst returns a function whose first connection is a *Conn. The others are those that dial opens.
-func DialFirst(dial func(ctx context.Context, address string) (net.Conn, error)) func(ctx context.Context, address string) (net.Conn, error) {
+// NewConnReadLast returns a Conn of which nothing is read before a Write has failed and returned.
+func NewConnReadLast(c net.Conn) *Conn {
+	last := NewConn(c)
+	last.last = true
+	return last
+}
+
+// DialFunc opens a connection.
+type DialFunc = func(ctx context.Context, address string) (net.Conn, error)
+
+// DialFirst returns a function whose first connection is what wrap makes of it. The others are those that dial opens.
+func DialFirst(dial DialFunc, wrap func(net.Conn) *Conn) DialFunc {
 	var dialed atomic.Bool
 	return func(ctx context.Context, address string) (net.Conn, error) {
 		c, err := dial(ctx, address)
 		if err != nil || dialed.Swap(true) {
 			return c, err
 		}
-		return NewConn(c), nil
+		return wrap(c), nil
 	}
 }
 
@@ -78,7 +90,7 @@
 	if c.left == 0 || err != nil {
 		c.once[0].Do(func() { close(c.written) })
 	}
-	if err != nil {
+	if err != nil && !c.last {
 		select {
 		case <-c.ended:
 		case <-time.After(returnDelay):
@@ -129,10 +141,13 @@
 			unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
 			return err
 		})
-		if err != nil || unread > 0 || c.isWritten() {
+		if err != nil || unread > 0 && !c.last || c.isWritten() {
 			break
 		}
 	}
+	if c.last {
+		time.Sleep(readDelay)
+	}
 	n, err := c.Conn.Read(p)
 	if err != nil {
 		c.once[1].Do(func() { close(c.ended) })
--- a/internal/responsecheck/conn.go
+++ b/internal/responsecheck/conn.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/http"
 
+	"github.com/cockroachdb/errors"
+
 	"egretramp/internal/connend"
 )
 
@@ -44,6 +46,17 @@
 	return checked
 }
 
+// Write implements net.Conn. It returns no error of the socket but discards what is left of the request: Read returns what had arrived
+// before and then how the connection ended. net/http's transport would close the connection, and lose a whole response to a request
+// that its sender has not read to the end.
+func (c *Conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	if err != nil && !errors.Is(err, net.ErrClosed) {
+		return len(p), nil
+	}
+	return n, err
+}
+
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) { return c.reader.Read(p) }
 
