responsecheck: an HTTP/1.0 response with a transfer coding is invalid

What callers saw: an upstream answered with HTTP/1.0 and Transfer-Encoding: chunked. Callers got the sizes of the chunks as a part of the body, as a whole 200 on the own fleet's way and in streams on the platform's way, where a turn was recorded with it. Plain answers on the platform's way did so once the upstream closed the connection, and waited for the deadline until then.

Cause: HTTP/1.0 has no transfer codings, and net/http's reader ignores the field: it drops it and reads the body as if it had not been there, to the length or the end of the connection.

Change: the Checker takes such a head for invalid, as RFC 9112, section 6.1, asks for. So the attempt has failed, may have run, its connection is closed, and it is tried again only where the route allows it; probes, orders and operators' commands included.

Evidence: red before, TestServer_ChunksOfHTTP10ReachCallers on all five routes, TestServer_InvalidResponseOfAServiceReachesCallers and TestServer_InvalidResponseOfAnEngineReachesCallers with the two new answers, TestChecker_ErrorDependsOnSegments. Green: internal/ responsecheck whole, the tests of invalid, unusual, cut and unframed responses in internal/proxy, gateway and upstream. HTTP/1.0 responses without the field are whole as before (TestServer_UnframedResponses, TestServer_UnusualResponseIsChanged, the tests of early responses).

--- a/internal/gateway/invalid_response_test.go
+++ b/internal/gateway/invalid_response_test.go
@@ -98,7 +98,7 @@
 }
 
 // invalidResponses returns answers with an invalid status, or with an invalid byte at each place of a field's name, in the
-// final head, one before it, or the trailer.
+// final head, one before it, or the trailer, and HTTP/1.0 answers with chunks, which that version doesn't have.
 func invalidResponses(body string) []string {
 	var raw []string
 	const fields = wire.HeaderAttempt + ": %s\r\nContent-Type: text/event-stream\r\n"
@@ -107,6 +107,9 @@
 			raw = append(raw, "HTTP/1.1 "+status+" Odd\r\n"+fields+f[0]+"\r\n"+f[1])
 		}
 		framing, value, _ := strings.Cut(f[0], ":")
+		if framing == "Transfer-Encoding" {
+			raw = append(raw, "HTTP/1.0 200 OK\r\n"+fields+f[0]+"\r\n"+f[1], "HTTP/1.0 200 OK\r\n"+f[0]+"Content-Length: 4\r\n"+fields+"\r\n"+f[1])
+		}
 		for _, b := range []byte(" \t\r\n\x00\x7f") {
 			for place := range len("Odd") + 1 {
 				line := "Odd"[:place] + string([]byte{b}) + "Odd"[place:] + ": v\r\n"
--- a/internal/proxy/invalid_response_test.go
+++ b/internal/proxy/invalid_response_test.go
@@ -191,6 +191,25 @@
 	})
 }
 
+// TestServer_ChunksOfHTTP10ReachCallers guards against HTTP/1.0 answers in chunks, which that version doesn't have: the sizes of the chunks
+// were passed on as a part of the body.
+func TestServer_ChunksOfHTTP10ReachCallers(t *testing.T) {
+	for _, path := range scriptedRoutes {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			s := newResponseScript(t, nil)
+			body := eventChunks(1, 2) + "0\r\n\r\n"
+			for i, fields := range []string{
+				"Transfer-Encoding: chunked\r\n", "transfer-encoding: CHUNKED\r\n", "Transfer-Encoding: identity\r\n", "Connection: close\r\nTransfer-Encoding: chunked\r\n",
+				"Transfer-Encoding: chunked\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n", "Content-Length: 4\r\nTransfer-Encoding: chunked\r\n",
+			} {
+				id := fmt.Sprint("r", i)
+				s.requireFailed(id, path, "HTTP/1.0 200 OK\r\nSigned: yes\r\nId: "+id+"\r\n"+fields+"\r\n"+body)
+			}
+		})
+	}
+}
+
 // TestServer_InvalidInterimHeadReachesCallers guards against broken heads before the final one.
 func TestServer_InvalidInterimHeadReachesCallers(t *testing.T) {
 	eachRoute(t, func(t *testing.T, path string, f framedBody) {
--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"net/http"
 	"strconv"
 
 	"github.com/cockroachdb/errors"
@@ -33,12 +34,13 @@
 )
 
 // Checker checks one response at a time, together with the informational ones before it: the status, the names of fields (RFC
-// 9112, sections 4 and 5), and that their lines end with CRLF, so that no other byte ends a line or the head. The rest is left to
-// net/http's reader. The zero Checker checks nothing before Expect. It is not safe for concurrent use.
+// 9112, sections 4 and 5), that their lines end with CRLF, so that no other byte ends a line or the head, and that an HTTP/1.0 response
+// states no transfer coding (section 6.1), which net/http's reader would leave in the body. The rest is left to that reader. The zero Checker checks nothing before Expect. It is not safe for concurrent use.
 type Checker struct {
 	part    part
 	line    []byte // the start of a line that has not arrived completely
 	interim bool   // the head is that of an informational response
+	old     bool   // the version is less than HTTP/1.1, which has no transfer codings
 	chunked bool
 	left    int64 // bytes of the chunk and its line end that have not arrived
 	err     error
@@ -111,7 +113,9 @@
 
 // readStatus reads a status line.
 func (c *Checker) readStatus(line []byte) error {
-	_, rest, _ := bytes.Cut(line, []byte(" "))
+	version, rest, _ := bytes.Cut(line, []byte(" "))
+	major, minor, _ := http.ParseHTTPVersion(string(version)) // net/http's reader rejects others
+	c.old = major < 1 || major == 1 && minor < 1
 	digits, _, _ := bytes.Cut(bytes.TrimLeft(rest, " "), []byte(" "))
 	parsed, err := strconv.ParseUint(string(digits), 10, 16) // takes no sign
 	status := int(parsed)
@@ -133,6 +137,9 @@
 		return errors.Wrapf(ErrInvalid, "the field name %.80q", name)
 	}
 	if c.part == fieldLines && bytes.EqualFold(name, []byte("Transfer-Encoding")) {
+		if c.old {
+			return errors.Wrap(ErrInvalid, "an HTTP/1.0 response with a transfer coding")
+		}
 		c.chunked = bytes.EqualFold(bytes.TrimSpace(value), []byte("chunked"))
 	}
 	return nil
--- a/internal/responsecheck/checker_test.go
+++ b/internal/responsecheck/checker_test.go
@@ -38,9 +38,11 @@
 		"HTTP/1.1 000 Odd\r\n", "HTTP/1.1 101 Odd\r\n", "HTTP/1.1 200 O\rK\r\n", "HTTP/1.1 200 OK\n", "\r\n", "\n", "200 OK\r\n",
 		"HTTP/1.1 200 OK\r\nO dd: v\r\n", "HTTP/1.1 200 OK\r\nA: b\r\n\n", "HTTP/1.1 200 OK\r\nA: b\r\n c: d\r\n", "HTTP/1.1 200 OK\r\n: v\r\n",
 		"HTTP/1.1 200 OK\r\nOdd\r\n", "HTTP/1.1 200 OK\r\nA: b\rc\r\n",
+		"HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n", "HTTP/1.1 102\r\n\r\nHTTP/1.0 200 OK\r\nA: b\r\ntransfer-encoding: x\r\n",
 		soundHead + strings.TrimSuffix(soundBody, "\r\n") + "O dd: v\r\n", soundHead + "0\r\n\n", soundHead + "0\r\n x: y\r\n",
 	}
-	sound := []string{soundHead + soundBody + "\n \x00", soundHead + "x\r\n \n\n", "HTTP/1.1 204\r\n\r\n \n\n"}
+	sound := []string{soundHead + soundBody + "\n \x00", soundHead + "x\r\n \n\n", "HTTP/1.1 204\r\n\r\n \n\n",
+		"HTTP/1.0 102\r\n\r\n" + soundHead, "HTTP/1.0 200 OK\r\nTransfer: chunked\r\n\r\n"}
 	for i, response := range append(invalid, sound...) {
 		want := check(response)
 		require.Equal(t, i < len(invalid), errors.Is(want, ErrInvalid), "%q: %v", response, want)
