upstream: a probe, order or report whose answer breaks off has failed

What callers saw: an engine refused a call with 400, and the answer broke off after its head: the caller got 400 rejected_by_engine, not_run true. Operators: a probe, an order, a released session or a cancelled call counted as answered by such an answer; an order as refused (409) or not carried out (503), although its outcome is unknown.

Cause: these readers took the head for the answer. They didn't read the body, or ignored its error.

Change: one function reads the body up to 64 KiB (16 MiB for the list of sessions, as before), and an answer that breaks off before that is an error: the probe has failed, the outcome of the order is unknown, nothing is acknowledged, and the engine's stream is broken and may have run. Longer answers count by their status, as before.

Evidence: red before, TestClient_ResponseThatBreaksOffIsAnAnswer and TestStream_StatusThatBreaksOffIsARefusal. Green before and after: TestClient_LongResponseFails (at first red by a mistake of its own, a format's width). Green: internal/upstream, gateway, daemon whole.

--- a/internal/upstream/client.go
+++ b/internal/upstream/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -20,6 +21,8 @@
 	probeTimeout = time.Second
 	// maxHeadBytes bounds the head of a response.
 	maxHeadBytes = 64 << 10
+	// maxStatusBody bounds the body of a response whose status matters, in bytes. The rest of a longer one is not read.
+	maxStatusBody = 64 << 10
 )
 
 // Client makes HTTP calls to upstreams. Each call uses its own connection: an idle keep-alive
@@ -115,6 +118,24 @@
 	return resp, nil
 }
 
+// exchange sends a request on a new connection and returns the status and at most maxBody bytes of the body. After an error, which may
+// also be that of a response that broke off, the outcome is unknown.
+func (c *Client) exchange(req *http.Request, maxBody int64) (status int, body []byte, err error) {
+	resp, err := c.transport.RoundTrip(req)
+	if err != nil {
+		return 0, nil, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err = readBody(resp, maxBody)
+	return resp.StatusCode, body, err
+}
+
+// readBody returns at most maxBody bytes of a response's body, and an error if it broke off before.
+func readBody(resp *http.Response, maxBody int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(resp.Body, maxBody))
+	return body, errors.Wrapf(err, "the answer with status %d broke off", resp.StatusCode)
+}
+
 // ErrDied means that an upstream's process has ended: its host refuses or resets connections, or
 // the upstream no longer knows a call that it had started to answer.
 var ErrDied = errors.New("the upstream's process is gone")
@@ -128,13 +149,12 @@
 	if err != nil {
 		return err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	status, _, err := c.exchange(req, maxStatusBody)
 	if err != nil {
 		return markDied(err)
 	}
-	_ = resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
-		return errors.Newf("probe answered with status %d", resp.StatusCode)
+	if status != http.StatusOK {
+		return errors.Newf("probe answered with status %d", status)
 	}
 	return nil
 }
--- a/internal/upstream/orders.go
+++ b/internal/upstream/orders.go
@@ -32,19 +32,18 @@
 	req.Header.Set("Content-Type", "application/json")
 	req.Header.Set(wire.HeaderFencing, strconv.FormatUint(o.Fencing, 10))
 	req.Header.Set(wire.HeaderIdempotency, o.ID)
-	resp, err := c.transport.RoundTrip(req)
+	status, _, err := c.exchange(req, maxStatusBody)
 	if err != nil {
 		return errors.Wrap(err, "order")
 	}
-	defer func() { _ = resp.Body.Close() }()
-	switch {
-	case resp.StatusCode == http.StatusOK:
+	switch status {
+	case http.StatusOK:
 		return nil
-	case resp.StatusCode == http.StatusConflict:
+	case http.StatusConflict:
 		return ErrOldFencing
-	case resp.StatusCode == http.StatusGatewayTimeout:
-		return errors.Newf("the engine answered with status %d", resp.StatusCode)
+	case http.StatusGatewayTimeout:
+		return errors.Newf("the engine answered with status %d", status)
 	default:
-		return errors.Wrapf(ErrOrderFailed, "status %d", resp.StatusCode)
+		return errors.Wrapf(ErrOrderFailed, "status %d", status)
 	}
 }
--- a/internal/upstream/sessions.go
+++ b/internal/upstream/sessions.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 
@@ -20,16 +19,15 @@
 	if err != nil {
 		return nil, err
 	}
-	resp, err := c.transport.RoundTrip(req)
+	status, body, err := c.exchange(req, maxSessionListBytes)
 	if err != nil {
 		return nil, err
 	}
-	defer func() { _ = resp.Body.Close() }()
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("engine answered with status %d", resp.StatusCode)
+	if status != http.StatusOK {
+		return nil, errors.Newf("engine answered with status %d", status)
 	}
 	var list wire.SessionList
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxSessionListBytes)).Decode(&list)
+	err = json.Unmarshal(body, &list)
 	return list.Sessions, err
 }
 
--- a/internal/upstream/stream.go
+++ b/internal/upstream/stream.go
@@ -64,8 +64,6 @@
 	errTruncated = errors.New("the stream ended early")
 )
 
-const maxErrorBody = 64 << 10
-
 // Stream is an engine's streamed answer to one attempt. It is not safe for concurrent use.
 type Stream struct {
 	client        *Client
@@ -308,7 +306,10 @@
 		return resp, nil
 	}
 	defer func() { _ = resp.Body.Close() }()
-	text, _ := io.ReadAll(io.LimitReader(resp.Body, maxErrorBody))
+	text, err := readBody(resp, maxStatusBody)
+	if err != nil {
+		return nil, &CallError{Written: true, Cause: err}
+	}
 	return nil, &StatusError{Status: resp.StatusCode, ContentType: resp.Header.Get("Content-Type"), Body: text}
 }
 
@@ -337,16 +338,12 @@
 	return s.client.delete(ctx, s.target.Address, streamPath(s.target.Attempt))
 }
 
-// delete sends a DELETE request; it reports whether the status is below 300 or 404.
+// delete sends a DELETE request; it reports whether it was answered whole, with a status below 300 or 404.
 func (c *Client) delete(ctx context.Context, address, path string) bool {
 	req, err := http.NewRequestWithContext(ctx, http.MethodDelete, endpoint(address, path), nil)
 	if err != nil {
 		return false
 	}
-	resp, err := c.transport.RoundTrip(req)
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode < http.StatusMultipleChoices || resp.StatusCode == http.StatusNotFound
+	status, _, err := c.exchange(req, maxStatusBody)
+	return err == nil && (status < http.StatusMultipleChoices || status == http.StatusNotFound)
 }
