proxy: a test of resets during the upload of a resumption

The attempt that continues a stream sends the request's body again, and the stream that it is answered by may have no length. A first form of the test was red by itself: the probe after the failed attempt got the connection that was meant for the next one.

--- a/internal/proxy/early_response_test.go
+++ b/internal/proxy/early_response_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -47,22 +49,28 @@
 func newEarlyUpstreams(t *testing.T, response earlyResponse, dial upconn.DialFunc) *earlyUpstreams {
 	u := &earlyUpstreams{fixture: newFixtureWithDial(t, dial), response: response}
 	for _, id := range []string{"u", "v"} {
-		address := listen(t, func(l net.Listener) {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go u.serve(c.(*net.TCPConn))
-			}
-		})
-		u.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: "z", Slots: 4, Born: 1, Sequence: 1, Build: "v1"}})
+		u.earlyUpstream(id, u.answer)
 	}
 	return u
 }
 
-func (u *earlyUpstreams) serve(c *net.TCPConn) {
-	u.t.Cleanup(func() { _ = c.Close() }) // else idle connections keep the fixture's memory
+// earlyUpstream adds an upstream whose answer gets each request before its body is read. If answer returns false, the connection must
+// carry no further request.
+func (g *fixture) earlyUpstream(id string, answer func(c *net.TCPConn, r *http.Request) bool) {
+	address := listen(g.t, func(l net.Listener) {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			g.t.Cleanup(func() { _ = c.Close() }) // else idle connections keep the fixture's memory
+			go g.serveEarly(c.(*net.TCPConn), answer)
+		}
+	})
+	g.directory.Merge("c", []registry.Upstream{{ID: id, Service: "s", Address: address, Zone: "z", Slots: 4, Born: 1, Sequence: 1, Build: "v1"}})
+}
+
+func (g *fixture) serveEarly(c *net.TCPConn, answer func(c *net.TCPConn, r *http.Request) bool) {
 	defer func() { _ = c.Close() }()
 	reader := bufio.NewReader(c)
 	for {
@@ -70,27 +78,32 @@
 		if err != nil {
 			return
 		}
-		u.mu.Lock()
-		u.runs++
-		first := u.runs == 1
-		u.mu.Unlock()
-		if first {
-			_, _ = io.CopyN(io.Discard, r.Body, int64(u.response.read))
-			_, _ = io.WriteString(c, u.response.version+" 200 OK\r\nSigned: yes\r\nId: "+r.Header.Get("Id")+"\r\n"+u.response.fields+"\r\n"+u.response.body)
-			u.response.end(c)
+		if !answer(c, r) {
 			if _, err := http.ReadRequest(reader); err == nil {
-				u.t.Error("the connection of an early response carried another request")
+				g.t.Error("the connection of an early response carried another request")
 			}
 			return
 		}
-		_, _ = io.Copy(io.Discard, r.Body)
-		last, _ := strconv.Atoi(r.Header.Get("Last")) // 0 if it is missing
-		if _, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(last+1, 2)+"0\r\n\r\n"); err != nil {
-			return
-		}
 	}
 }
 
+func (u *earlyUpstreams) answer(c *net.TCPConn, r *http.Request) bool {
+	u.mu.Lock()
+	u.runs++
+	first := u.runs == 1
+	u.mu.Unlock()
+	if first {
+		_, _ = io.CopyN(io.Discard, r.Body, int64(u.response.read))
+		_, _ = io.WriteString(c, u.response.version+" 200 OK\r\nSigned: yes\r\nId: "+r.Header.Get("Id")+"\r\n"+u.response.fields+"\r\n"+u.response.body)
+		u.response.end(c)
+		return false
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	last, _ := strconv.Atoi(r.Header.Get("Last")) // 0 if it is missing
+	_, err := io.WriteString(c, signed(r)+"Transfer-Encoding: chunked\r\n\r\n"+eventChunks(last+1, 2)+"0\r\n\r\n")
+	return err == nil
+}
+
 // call returns all bytes that the caller gets, and the response that they are with the error of its end.
 func (u *earlyUpstreams) call() (got string, r reply) {
 	t := u.t
@@ -257,3 +270,41 @@
 		})
 	}
 }
+
+// TestServer_ResetDuringAResumptionCompletesAStream guards against a stream that looks complete after a part, because the attempt that
+// continued it was reset while the request's body was being written.
+func TestServer_ResetDuringAResumptionCompletesAStream(t *testing.T) {
+	for _, path := range []string{"/resumed-twice/", "/kept-resumed/"} {
+		var attempts atomic.Int32
+		second := connendtest.DialFirst(upconn.Dial, connendtest.NewConn)
+		g := newFixtureWithDial(t, func(ctx context.Context, address string) (net.Conn, error) {
+			if _, isAttempt := ctx.Deadline(); attempts.Load() == 0 || !isAttempt { // else it is the probe after a failure
+				return upconn.Dial(ctx, address)
+			}
+			return second(ctx, address)
+		})
+		for _, id := range []string{"u", "v"} {
+			g.earlyUpstream(id, func(c *net.TCPConn, r *http.Request) bool {
+				response := signed(r) + "Transfer-Encoding: chunked\r\n\r\n"
+				switch attempts.Add(1) {
+				case 1:
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, _ = io.WriteString(c, response+eventChunks(1, 1))
+					time.Sleep(5 * time.Millisecond) // the event is passed on
+					resetEarly(c)
+				case 2:
+					_, _ = io.WriteString(c, signed(r)+"\r\nid: 2\ndata: word2\n\n")
+					resetEarly(c)
+				default:
+					_, _ = io.Copy(io.Discard, r.Body)
+					_, err := io.WriteString(c, response+eventChunks(3, 3)+"0\r\n\r\n")
+					return err == nil
+				}
+				return false
+			})
+		}
+		r := g.callWithBody("1", path, strings.Repeat("u", 64<<10), "Program: p", "Line: sub-agent")
+		require.Equal(t, reply{200, "", twoEvents + "id: 3\ndata: word3\n\n", nil}, r, path)
+		require.Equal(t, int32(3), attempts.Load(), path)
+	}
+}
