--- a/internal/responsecheck/checker.go
+++ b/internal/responsecheck/checker.go
@@ -35,7 +35,8 @@
 
 // Checker checks one response at a time, together with the informational ones before it: the status, the names of fields (RFC
 // 9112, sections 4 and 5), that their lines end with CRLF, so that no other byte ends a line or the head, and that an HTTP/1.0 response
-// states no transfer coding (section 6.1), which net/http's reader would leave in the body. The rest is left to that reader. The zero Checker checks nothing before Expect. It is not safe for concurrent use.
+// states no transfer coding (section 6.1), which net/http's reader would leave in the body. The rest is left to that reader. The zero
+// Checker checks nothing before Expect. It is not safe for concurrent use.
 type Checker struct {
 	part    part
 	line    []byte // the start of a line that has not arrived completely
