--- a/internal/connend/connendtest/conn.go
+++ b/internal/connend/connendtest/conn.go
@@ -30,23 +30,40 @@
 // byte is written only after that, so a Write fails for certain, and no Read sees the end before.
 type Conn struct {
 	net.Conn
-	last    bool          // reads are last
-	left    int           // bytes of the request that are not written; -1 before the head
-	written chan struct{} // closed once all is written or a Write failed
-	ended   chan struct{} // closed once a Read returned an error
-	once    [2]sync.Once
+	readLast       bool // nothing is read before a Write has failed and returned
+	left           int  // bytes of the request that are not written; -1 before the head
+	written, ended signal
+}
+
+// signal is closed once all is written or a Write has failed, or once a Read has returned an error.
+type signal struct {
+	closed chan struct{}
+	once   *sync.Once
+}
+
+func newSignal() signal { return signal{make(chan struct{}), &sync.Once{}} }
+
+func (s signal) send() { s.once.Do(func() { close(s.closed) }) }
+
+func (s signal) isSent() bool {
+	select {
+	case <-s.closed:
+		return true
+	default:
+		return false
+	}
 }
 
 // NewConn returns a Conn on a TCP connection that was not used yet. The Write that fails returns only after a Read has seen the end.
 func NewConn(c net.Conn) *Conn {
-	return &Conn{Conn: c, left: -1, written: make(chan struct{}), ended: make(chan struct{})}
+	return &Conn{Conn: c, left: -1, written: newSignal(), ended: newSignal()}
 }
 
 // NewConnReadLast returns a Conn of which nothing is read before a Write has failed and returned.
 func NewConnReadLast(c net.Conn) *Conn {
-	last := NewConn(c)
-	last.last = true
-	return last
+	wrapped := NewConn(c)
+	wrapped.readLast = true
+	return wrapped
 }
 
 // DialFunc opens a connection.
@@ -88,11 +105,11 @@
 	}
 	c.left -= n
 	if c.left == 0 || err != nil {
-		c.once[0].Do(func() { close(c.written) })
+		c.written.send()
 	}
-	if err != nil && !c.last {
+	if err != nil && !c.readLast {
 		select {
-		case <-c.ended:
+		case <-c.ended.closed:
 		case <-time.After(returnDelay):
 		}
 	}
@@ -141,29 +158,20 @@
 			unread, err = unix.IoctlGetInt(fd, unix.TIOCINQ)
 			return err
 		})
-		if err != nil || unread > 0 && !c.last || c.isWritten() {
+		if err != nil || unread > 0 && !c.readLast || c.written.isSent() {
 			break
 		}
 	}
-	if c.last {
+	if c.readLast {
 		time.Sleep(readDelay)
 	}
 	n, err := c.Conn.Read(p)
 	if err != nil {
-		c.once[1].Do(func() { close(c.ended) })
+		c.ended.send()
 	}
 	return n, err
 }
 
-func (c *Conn) isWritten() bool {
-	select {
-	case <-c.written:
-		return true
-	default:
-		return false
-	}
-}
-
 // control calls a function with the socket's descriptor.
 func (c *Conn) control(call func(fd int) error) error {
 	raw, err := c.Conn.(syscall.Conn).SyscallConn()
