connend: a test of the errors that tell how a connection ended

Lost packets end a connection by ETIMEDOUT, which a write takes like a reset. Red without the rule for these errors; EPIPE, deadlines and the errors of pipes leave the end as it is.

--- a/internal/connend/conn_test.go
+++ b/internal/connend/conn_test.go
@@ -110,3 +110,30 @@
 		})
 	}
 }
+
+// stubConn fails writes with an error and then ends.
+type stubConn struct {
+	net.Conn
+	err error
+}
+
+func (c stubConn) Write([]byte) (int, error)        { return 0, c.err }
+func (c stubConn) Read([]byte) (int, error)         { return 0, io.EOF }
+func (c stubConn) SetWriteDeadline(time.Time) error { return nil }
+
+// TestConn_LostPacketsLookOrderly guards against ends that look orderly after the errors of other sockets than reset ones, and against
+// those that look broken though the writes' errors tell nothing about the end.
+func TestConn_LostPacketsLookOrderly(t *testing.T) {
+	for _, c := range []struct {
+		err    error
+		broken bool
+	}{
+		{syscall.ECONNRESET, true}, {syscall.ETIMEDOUT, true}, {syscall.EHOSTUNREACH, true}, {syscall.ENETUNREACH, true}, {syscall.ECONNABORTED, true},
+		{syscall.EPIPE, false}, {os.ErrDeadlineExceeded, false}, {io.ErrClosedPipe, false},
+	} {
+		conn := New(stubConn{err: &net.OpError{Op: "write", Err: c.err}})
+		_, _ = conn.Write([]byte("x"))
+		_, err := conn.Read(nil)
+		require.Equal(t, c.broken, !errors.Is(err, io.EOF), "%v: %v", c.err, err)
+	}
+}
